--- /dev/null
+++ b/http/http.h
@@ -0,0 +1,64 @@
+/*
+ * http.h - an HTTP client on a libuv loop.
+ *
+ * libcurl's multi interface does the protocol; this package ties it to the
+ * loop.  All calls and callbacks happen on the loop's thread.  No callback
+ * is made from inside http_start() or http_cancel().
+ */
+#ifndef HTTP_HTTP_H
+#define HTTP_HTTP_H
+
+#include <stddef.h>
+#include <stdint.h>
+
+#include <uv.h>
+
+#include "base/err.h"
+
+typedef struct http_client http_client_t;
+typedef struct http_call http_call_t;
+
+typedef enum {
+    HTTP_DONE,     /* a whole response came, of any status */
+    HTTP_NOT_SENT, /* no connection was made: nothing left this host */
+    HTTP_BROKEN,   /* the connection broke after the request was begun */
+    HTTP_TIMEOUT,  /* timeout_ms passed; whether it was run is unknown */
+} http_result_t;
+
+/* The receiver of one call's response; the first member is its vtable. */
+typedef struct http_sink http_sink_t;
+typedef struct {
+    /* The status line and headers are in; retry_after_ms is 0 without. */
+    void (*head)(http_sink_t *sink, uint32_t status, const char *content_type,
+                 uint32_t retry_after_ms);
+    void (*body)(http_sink_t *sink, const char *bytes, size_t length);
+    /* The last callback; the call is freed after it. */
+    void (*done)(http_sink_t *sink, http_result_t result);
+} http_sink_ops_t;
+struct http_sink {
+    const http_sink_ops_t *ops;
+};
+
+typedef struct {
+    const char *method;         /* "GET", "POST", ... */
+    const char *url;            /* the host by IP number */
+    const char *const *headers; /* "Name: value", NULL at the end; or NULL */
+    const char *body;           /* copied; NULL for none */
+    size_t body_bytes;
+    uint32_t connect_timeout_ms;
+    uint32_t timeout_ms; /* of the whole call; 0: none */
+} http_request_t;
+
+http_client_t *http_client_new(uv_loop_t *loop);
+
+/* Ends every call without callbacks; the loop must run once more. */
+void http_client_free(http_client_t *client);
+
+/* Starts a call; sink stays the caller's and outlives the call. */
+http_call_t *http_start(http_client_t *client, const http_request_t *request,
+                        http_sink_t *sink);
+
+/* Ends a call at once: its connection closes, no callback follows. */
+void http_cancel(http_call_t *call);
+
+#endif
--- /dev/null
+++ b/world/link.x
@@ -0,0 +1,146 @@
+/*
+ * link.x - what hosts tell each other.
+ *
+ * Types only: peer/ carries a message as the argument of one remote
+ * procedure, policy/ makes and reads it.
+ */
+
+const LINK_NAME_MAX = 128;
+const LINK_TEXT_MAX = 1048576;
+const LINK_TOKENS_MAX = 1048576;
+const LINK_ITEMS_MAX = 4096;
+
+typedef string name_t<LINK_NAME_MAX>;
+
+enum message_kind_t {
+    MESSAGE_HEARTBEAT = 1,
+    MESSAGE_RECORD = 2,
+    MESSAGE_LOOKUP = 3,
+    MESSAGE_FOUND = 4,
+    MESSAGE_SUPERSEDED = 5,
+    MESSAGE_CONFIG = 6,
+    MESSAGE_CONFIG_DIGEST = 7,
+    MESSAGE_SUSPECT = 8
+};
+
+/* The state of the sender, and the revisions it has in force. */
+struct heartbeat_t {
+    uint64_t incarnation;
+    bool leaving;
+    uint32_t sessions;
+    int64_t config_revision;
+};
+
+/*
+ * A request is named by its organisation and by the caller's key or by a
+ * name that the first host made for it.
+ */
+struct request_name_t {
+    name_t organisation;
+    name_t key;
+};
+
+/* How far a record's request has come. */
+enum record_state_t {
+    RECORD_RUNNING = 1,
+    RECORD_FINISHED = 2,
+    RECORD_FAILED = 3,
+    RECORD_FORGOTTEN = 4
+};
+
+/*
+ * What a peer keeps for a session, so that another host can go on with it
+ * after its host is lost.  The token ids and the text from token position
+ * first on are appended to those held; ends gives, for each piece, the
+ * position and the text length after it, both counted from the answer's
+ * start.
+ */
+struct record_cut_t {
+    uint32_t position;
+    uint32_t text_bytes;
+};
+
+struct record_t {
+    request_name_t request;
+    uint64_t fingerprint;
+    name_t owner;
+    uint64_t owner_incarnation;
+    uint32_t epoch;
+    record_state_t state;
+    bool idempotent;
+    name_t runner;
+    name_t stream_name;
+    uint32_t stream_first;
+    uint32_t attempt;
+    uint32_t prompt_ids<LINK_TOKENS_MAX>;
+    uint32_t first;
+    uint32_t token_ids<LINK_TOKENS_MAX>;
+    opaque text<LINK_TEXT_MAX>;
+    record_cut_t cuts<LINK_TOKENS_MAX>;
+    uint32_t finish;
+};
+
+/* Asks for the record of a request; the asker becomes its owner. */
+struct lookup_t {
+    uint64_t ask;
+    request_name_t request;
+};
+
+/* The answer to a lookup: found is false when there is no such record. */
+struct found_t {
+    uint64_t ask;
+    bool found;
+    record_t record;
+};
+
+/* Tells a former owner that a newer attempt has the request. */
+struct superseded_t {
+    request_name_t request;
+    uint32_t epoch;
+};
+
+/* One key of the operators' configuration. */
+struct config_t {
+    name_t key;
+    int64_t revision;
+    bool deleted;
+    opaque text<LINK_TEXT_MAX>;
+};
+
+/* The revision of each key that the sender has in force. */
+struct config_revision_t {
+    name_t key;
+    int64_t revision;
+};
+
+struct config_digest_t {
+    bool answer;
+    config_revision_t revisions<LINK_ITEMS_MAX>;
+};
+
+/* A content's fingerprint was present at the loss of a runner. */
+struct suspect_t {
+    uint64_t fingerprint;
+    uint64_t loss;
+    bool convicted;
+    bool withdrawn;
+};
+
+union message_t switch (message_kind_t kind) {
+case MESSAGE_HEARTBEAT:
+    heartbeat_t heartbeat;
+case MESSAGE_RECORD:
+    record_t record;
+case MESSAGE_LOOKUP:
+    lookup_t lookup;
+case MESSAGE_FOUND:
+    found_t found;
+case MESSAGE_SUPERSEDED:
+    superseded_t superseded;
+case MESSAGE_CONFIG:
+    config_t config;
+case MESSAGE_CONFIG_DIGEST:
+    config_digest_t config_digest;
+case MESSAGE_SUSPECT:
+    suspect_t suspect;
+};
