Lint one file a run: clang-tidy 14 misreads va_list over several files

Cause: clang-analyzer-valist reports err.c, log.c and orders.c only when several files share one run; alone each is clean. Change: xargs -n 1.

--- a/Makefile
+++ b/Makefile
@@ -37,7 +37,7 @@
 lint: build
 	clang-format --dry-run --Werror $(OWN_C)
 	@git ls-files '*.c' | grep -v '/generated/' | \
-	    xargs -P $(JOBS) -n 4 clang-tidy --quiet -p build/release 2>&1 | \
+	    xargs -P $(JOBS) -n 1 clang-tidy --quiet -p build/release 2>&1 | \
 	    { ! grep -E '(warning|error):'; }
 	@pages=$$(git ls-files '*.[1-9]'); \
 	    [ -z "$$pages" ] || mandoc -Tlint -Wwarning $$pages
