Parse the operators' document and a team's document

Unknown keys, wrong types, ranges, missing parts and duplicates (names, runner addresses, key digests over all parties) are errors of the shape NAME:line: what is wrong: what to write.

--- /dev/null
+++ b/regress/test_world.c
@@ -0,0 +1,337 @@
+/* test_world.c - the operators' document and a team's document. */
+#include <check.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "world/contract.h"
+#include "world/fleet.h"
+
+#define DIGEST_A                                                              \
+    "aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa"
+#define DIGEST_B                                                              \
+    "bbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbb"
+#define DIGEST_C                                                              \
+    "0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef"
+
+#define RUNNER                                                                \
+    "[[runner]]\nname = \"r1\"\naddress = \"127.0.0.1:9001\"\n"               \
+    "zone = \"north\"\nkind = \"engine\"\nmodels = [\"planner-v3\"]\n"
+#define RUNNER_TWO                                                            \
+    "[[runner]]\nname = \"r0\"\naddress = \"[::1]:9002\"\nzone = \"east\"\n"  \
+    "kind = \"service\"\nmodels = [\"bay-slots\", \"parts\"]\n"               \
+    "streams_max = 4096\nchecks_fencing = true\n"
+#define PARTIES                                                               \
+    "[[organisation]]\nname = \"tarawhiti\"\nkey_sha256 = [\"" DIGEST_A       \
+    "\"]\n[[team]]\nname = \"planning\"\nkey_sha256 = [\"" DIGEST_B "\"]\n"
+
+#define HEAD                                                                  \
+    "service = \"plans\"\nteam = \"planning\"\nweighs = \"extra-work\"\n"
+#define MODEL "[[model]]\nname = \"planner\"\nversion = \"planner-v3\"\n"
+#define ORGANISATION "[[organisation]]\nname = \"tarawhiti\"\nweight = 3\n"
+#define KIND                                                                  \
+    "[[kind]]\nname = \"plan\"\nurgency = \"batch\"\nidempotent = true\n"
+
+/* A document and the start of its error; "" for none. */
+typedef struct {
+    const char *text;
+    const char *error;
+} document_case_t;
+
+static const document_case_t fleet_cases[] = {
+    {RUNNER PARTIES, ""},
+    {RUNNER RUNNER_TWO PARTIES, ""},
+    {PARTIES, "f:1: the operators' document has no runner: write [[runner]]"},
+    {RUNNER, "f:1: the operators' document has no organisation: write "},
+    {RUNNER PARTIES "colour = 1\n", "f:13: unknown key \"colour\" in [[team]"},
+    {"runners = 1\n" RUNNER PARTIES, "f:1: unknown key \"runners\" in the op"},
+    {"runner = 1\n" PARTIES, "f:1: runner is no list of tables: write [[run"},
+    {RUNNER "streams_max = 0\n" PARTIES,
+     "f:7: streams_max = 0 is out of range: write a number from 1 to 4096"},
+    {RUNNER "streams_max = 4097\n" PARTIES, "f:7: streams_max = 4097 is out"},
+    {RUNNER "streams_max = \"9\"\n" PARTIES,
+     "f:7: streams_max is a string, not a whole number: write streams_max ="},
+    {RUNNER "checks_fencing = 1\n" PARTIES,
+     "f:7: checks_fencing is a whole number, not true or false: write "},
+    {RUNNER RUNNER PARTIES,
+     "f:7: runner name \"r1\" stands on line 1 already: write another"},
+    {RUNNER "[[runner]]\nname = \"r2\"\naddress = \"127.0.0.1:9001\"\n"
+            "zone = \"n\"\nkind = \"engine\"\nmodels = [\"m\"]\n" PARTIES,
+     "f:7: runner address \"127.0.0.1:9001\" stands on line 1 already"},
+    {RUNNER PARTIES "[[operator]]\nname = \"o\"\nkey_sha256 = [\"" DIGEST_A
+                    "\"]\n",
+     "f:13: key_sha256 \"aaaa"},
+    {RUNNER PARTIES "[[team]]\nname = \"planning\"\nkey_sha256 = [\"" DIGEST_C
+                    "\"]\n",
+     "f:13: team \"planning\" stands on line 10 already"},
+    {RUNNER "[[organisation]]\nname = \"a\"\nkey_sha256 = []\n",
+     "f:9: key_sha256 is empty: write key_sha256 = ["},
+    {RUNNER "[[organisation]]\nname = \"a\"\nkey_sha256 = [\"12\"]\n",
+     "f:9: key_sha256 is no SHA-256 of a key: write its 64 hexadecimal"},
+    {RUNNER "[[organisation]]\nname = \"a\"\nkey_sha256 = [3]\n",
+     "f:9: key_sha256 is a whole number, not a string: write key_sha256"},
+    {RUNNER "[[organisation]]\nname = \"a/b\"\nkey_sha256 = [\"" DIGEST_A
+            "\"]\n",
+     "f:8: name holds a character other than letters, digits and ._-: "},
+    {RUNNER "[[organisation]]\nname = \"\"\nkey_sha256 = [\"" DIGEST_A "\"]\n",
+     "f:8: name is empty: write name = \"tarawhiti\""},
+    {"[[runner]]\nname = \"r\"\nzone = \"z\"\nkind = \"engine\"\n"
+     "models = [\"m\"]\n" PARTIES,
+     "f:1: [[runner]] has no address: write address = \"127.0.0.1:9001\""},
+    {"[[runner]]\nname = \"r\"\naddress = \"127.0.0.1:1\"\nzone = \"z\"\n"
+     "kind = \"router\"\nmodels = [\"m\"]\n" PARTIES,
+     "f:5: unknown kind \"router\": write \"engine\" or \"service\""},
+    {"[[runner]\n", "f:1: "},
+};
+
+START_TEST(test_fleet_table)
+{
+    const document_case_t *c = &fleet_cases[_i];
+    arena_t arena = {0};
+    err_t err = {0};
+    fleet_t *fleet;
+
+    fleet = fleet_parse(&arena, "f", c->text, strlen(c->text), &err);
+    if (c->error[0] == '\0') {
+        ck_assert_msg(fleet != NULL, "%s", err.message);
+    }
+    else {
+        ck_assert_ptr_null(fleet);
+        ck_assert_int_eq(err.kind, ERR_DOCUMENT);
+        ck_assert_msg(strncmp(err.message, c->error, strlen(c->error)) == 0,
+                      "%s", err.message);
+    }
+    arena_free(&arena);
+}
+END_TEST
+
+typedef struct {
+    const char *address;
+    bool valid;
+} address_case_t;
+
+static const address_case_t address_cases[] = {
+    {"127.0.0.1:1", true},
+    {"10.0.0.1:65535", true},
+    {"[::1]:80", true},
+    {"[fe80::1]:80", true},
+    {"localhost:80", false},
+    {"127.0.0.1", false},
+    {"127.0.0.1:0", false},
+    {"127.0.0.1:65536", false},
+    {"127.0.0.1:+1", false},
+    {"127.0.0.1: 1", false},
+    {"127.0.0.1:1x", false},
+    {"127.0.0.1:", false},
+    {":80", false},
+    {"[]:80", false},
+    {"::1:80", false},
+    {"[127.0.0.1]:80", false},
+    {"127.0.0.256:80", false},
+    {"", false},
+    {"127.0.0.1:99999999999999999999", false},
+};
+
+START_TEST(test_address)
+{
+    const address_case_t *c = &address_cases[_i];
+    arena_t arena = {0};
+    err_t err = {0};
+    char *text;
+
+    text = arena_printf(&arena,
+                        "[[runner]]\nname = \"r\"\naddress = \"%s\"\n"
+                        "zone = \"z\"\nkind = \"engine\"\nmodels = [\"m\"]\n"
+                        "%s",
+                        c->address, PARTIES);
+    ck_assert_int_eq(
+        fleet_parse(&arena, "f", text, strlen(text), &err) != NULL, c->valid);
+    if (!c->valid) {
+        ck_assert_ptr_nonnull(strstr(err.message, "f:3: address is no IP"));
+    }
+    arena_free(&arena);
+}
+END_TEST
+
+START_TEST(test_fleet_lookups)
+{
+    static const char text[] = RUNNER RUNNER_TWO PARTIES;
+    arena_t arena = {0};
+    err_t err = {0};
+    fleet_t *fleet = fleet_parse(&arena, "f", text, strlen(text), &err);
+    const runner_t *runner;
+    const credential_t *credential;
+
+    ck_assert_ptr_nonnull(fleet);
+    ck_assert_str_eq(fleet->runners[0].name, "r1");
+    ck_assert_uint_eq(fleet->runners[0].streams_max, 64);
+    ck_assert(!fleet->runners[0].checks_fencing);
+    runner = fleet_runner(fleet, "r0");
+    ck_assert_ptr_nonnull(runner);
+    ck_assert_int_eq(runner->kind, RUNNER_SERVICE);
+    ck_assert_uint_eq(runner->streams_max, 4096);
+    ck_assert(runner->checks_fencing);
+    ck_assert(runner_has(runner, "parts"));
+    ck_assert(!runner_has(runner, "planner-v3"));
+    ck_assert_ptr_null(fleet_runner(fleet, "r"));
+    ck_assert_uint_eq(fleet->zone_count, 2);
+    ck_assert_str_eq(fleet->zones[0], "east");
+    ck_assert_str_eq(fleet->zones[1], "north");
+    credential = fleet_credential(fleet, DIGEST_B);
+    ck_assert_ptr_nonnull(credential);
+    ck_assert_int_eq(credential->kind, PARTY_TEAM);
+    ck_assert_str_eq(credential->name, "planning");
+    ck_assert_int_eq(fleet_credential(fleet, DIGEST_A)->kind,
+                     PARTY_ORGANISATION);
+    ck_assert_ptr_null(fleet_credential(fleet, DIGEST_C));
+    ck_assert_ptr_null(fleet_credential(fleet, ""));
+    arena_free(&arena);
+}
+END_TEST
+
+static const document_case_t contract_cases[] = {
+    {HEAD MODEL ORGANISATION KIND, ""},
+    {HEAD "[[plain]]\nname = \"bay-slots\"\n" ORGANISATION KIND, ""},
+    {HEAD MODEL "adapter = \"\"\n" ORGANISATION KIND, ""},
+    {HEAD ORGANISATION KIND, "c:1: the document serves nothing: write a [[m"},
+    {HEAD MODEL KIND, "c:1: the document has no organisation: write [[organ"},
+    {HEAD MODEL ORGANISATION, "c:1: the document has no kind: write [[kind]]"},
+    {MODEL ORGANISATION KIND, "c:1: the document has no service: write serv"},
+    {HEAD "region = \"x\"\n" MODEL ORGANISATION KIND,
+     "c:4: unknown key \"region\" in the document: write one of service, "},
+    {"service = \"a\"\nteam = \"b\"\nweighs = \"cost\"\n" MODEL ORGANISATION
+         KIND,
+     "c:3: unknown weighs \"cost\": write \"resume-latency\" or \"extra-work"},
+    {HEAD MODEL MODEL ORGANISATION KIND,
+     "c:7: model \"planner\" stands on line 4 already"},
+    {HEAD MODEL ORGANISATION ORGANISATION KIND,
+     "c:10: organisation \"tarawhiti\" stands on line 7 already"},
+    {HEAD MODEL ORGANISATION KIND KIND, "c:14: kind \"plan\" stands on line"},
+    {HEAD MODEL "[[organisation]]\nname = \"t\"\nweight = 1001\n" KIND,
+     "c:9: weight = 1001 is out of range: write a number from 1 to 1000"},
+    {HEAD MODEL "[[organisation]]\nname = \"t\"\nweight = 1.5\n" KIND,
+     "c:9: weight is a fraction, not a whole number: write weight = 3"},
+    {HEAD MODEL ORGANISATION "[[kind]]\nname = \"k\"\nurgency = \"batch\"\n",
+     "c:10: [[kind]] has no idempotent: write idempotent = true"},
+    {HEAD MODEL ORGANISATION KIND "token_gap_objective_ms = 0\n",
+     "c:14: token_gap_objective_ms = 0 is out of range"},
+    {HEAD "[[model]]\nname = \"p q\"\nversion = \"v\"\n" ORGANISATION KIND,
+     "c:5: name holds a character other than letters, digits and ._-/:@"},
+    {HEAD MODEL "adapter = 1979-05-27\n" ORGANISATION KIND,
+     "c:7: adapter is a date or a time, not a string: write adapter = "},
+    {HEAD "model = []\n" ORGANISATION KIND, "c:4: model is no list of tables"},
+    {HEAD "model = [3]\n" ORGANISATION KIND, "c:4: model is no list of table"},
+};
+
+START_TEST(test_contract_table)
+{
+    const document_case_t *c = &contract_cases[_i];
+    arena_t arena = {0};
+    err_t err = {0};
+    contract_t *contract;
+
+    contract = contract_parse(&arena, "c", c->text, strlen(c->text), &err);
+    if (c->error[0] == '\0') {
+        ck_assert_msg(contract != NULL, "%s", err.message);
+    }
+    else {
+        ck_assert_ptr_null(contract);
+        ck_assert_int_eq(err.kind, ERR_DOCUMENT);
+        ck_assert_msg(strncmp(err.message, c->error, strlen(c->error)) == 0,
+                      "%s", err.message);
+    }
+    arena_free(&arena);
+}
+END_TEST
+
+START_TEST(test_contract_lookups)
+{
+    static const char text[] = HEAD MODEL ORGANISATION KIND
+        "[[kind]]\nname = \"look-up\"\nurgency = \"interactive\"\n"
+        "idempotent = false\nfirst_token_objective_ms = 430\n";
+    arena_t arena = {0};
+    err_t err = {0};
+    contract_t *c = contract_parse(&arena, "c", text, strlen(text), &err);
+
+    ck_assert_ptr_nonnull(c);
+    ck_assert_int_eq(c->weighs, WEIGHS_EXTRA_WORK);
+    ck_assert_uint_eq(contract_serves(c, "tarawhiti")->weight, 3);
+    ck_assert_ptr_null(contract_serves(c, "maree"));
+    ck_assert_str_eq(contract_model(c, "planner")->version, "planner-v3");
+    ck_assert_str_eq(contract_model(c, "planner")->adapter, "");
+    ck_assert_ptr_null(contract_model(c, "planner-v3"));
+    ck_assert_ptr_null(contract_plain(c, "planner"));
+    ck_assert_str_eq(contract_kind(c, "")->name, "plan");
+    ck_assert_int_eq(contract_kind(c, "")->urgency, URGENCY_BATCH);
+    ck_assert(!contract_kind(c, "look-up")->idempotent);
+    ck_assert_uint_eq(contract_kind(c, "look-up")->first_token_objective_ms,
+                      430);
+    ck_assert_ptr_null(contract_kind(c, "other"));
+    arena_free(&arena);
+}
+END_TEST
+
+typedef struct {
+    const char *other;
+    bool clash;
+} clash_case_t;
+
+static const clash_case_t clash_cases[] = {
+    {HEAD MODEL ORGANISATION KIND, false},
+    {"service = \"b\"\nteam = \"b\"\nweighs = \"extra-work\"\n" MODEL
+         ORGANISATION KIND,
+     true},
+    {"service = \"b\"\nteam = \"b\"\nweighs = \"extra-work\"\n" MODEL
+     "[[organisation]]\nname = \"maree\"\n" KIND,
+     false},
+    {"service = \"b\"\nteam = \"b\"\nweighs = \"extra-work\"\n"
+     "[[model]]\nname = \"notes\"\nversion = \"planner-v3\"\n" ORGANISATION
+         KIND,
+     false},
+};
+
+START_TEST(test_contract_clash)
+{
+    const clash_case_t *c = &clash_cases[_i];
+    static const char text[] = HEAD MODEL ORGANISATION KIND;
+    arena_t arena = {0};
+    contract_t *one = contract_parse(&arena, "one", text, strlen(text), NULL);
+    contract_t *two =
+        contract_parse(&arena, "two", c->other, strlen(c->other), NULL);
+    const char *organisation = "";
+    const char *what = "";
+
+    ck_assert_ptr_nonnull(one);
+    ck_assert_ptr_nonnull(two);
+    ck_assert_int_eq(contract_clash(one, two, &organisation, &what), c->clash);
+    if (c->clash) {
+        ck_assert_str_eq(organisation, "tarawhiti");
+        ck_assert_str_eq(what, "planner");
+    }
+    arena_free(&arena);
+}
+END_TEST
+
+#define CASES(table) ((int)(sizeof(table) / sizeof((table)[0])))
+
+int
+main(void)
+{
+    Suite *suite = suite_create("world");
+    TCase *tcase = tcase_create("documents");
+    SRunner *runner;
+    int failed;
+
+    tcase_add_loop_test(tcase, test_fleet_table, 0, CASES(fleet_cases));
+    tcase_add_loop_test(tcase, test_address, 0, CASES(address_cases));
+    tcase_add_test(tcase, test_fleet_lookups);
+    tcase_add_loop_test(tcase, test_contract_table, 0, CASES(contract_cases));
+    tcase_add_test(tcase, test_contract_lookups);
+    tcase_add_loop_test(tcase, test_contract_clash, 0, CASES(clash_cases));
+    suite_add_tcase(suite, tcase);
+    runner = srunner_create(suite);
+    srunner_run_all(runner, CK_NORMAL);
+    failed = srunner_ntests_failed(runner);
+    srunner_free(runner);
+    return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
