--- /dev/null
+++ b/policy/attempt.c
@@ -0,0 +1,196 @@
+/* attempt.c - streams at backend servers. */
+#include <stdlib.h>
+#include <string.h>
+
+#include "policy/private.h"
+
+enum { SESSION_PRIORITY_STEP = 10 };
+
+static attempt_t *attempt_new(step_t *step, session_t *session,
+                              runner_state_t *runner);
+static void fill_open(step_t *step, const attempt_t *attempt,
+                      open_order_t *open);
+static void fill_resumption(step_t *step, const session_t *session,
+                            open_order_t *open);
+static void attempt_free(node_t *node, attempt_t *attempt);
+
+/*
+ * Starts a stream that goes on where the answer stands.  beside: it races
+ * the one that is live, and the first to add to the answer wins.
+ */
+attempt_t *
+attempt_open(step_t *step, session_t *session, runner_state_t *runner,
+             bool beside)
+{
+    attempt_t *attempt = attempt_new(step, session, runner);
+    open_order_t *open = &orders_add(step->orders, ORDER_OPEN)->order_t_u.open;
+
+    answer_admit(&session->answer, attempt->number, beside);
+    fill_open(step, attempt, open);
+    runner->sent_since++;
+    runner_cache(runner, session->prefix_hashes, session->prefix_count);
+    session->may_have_run++;
+    step->node->counters.attempts++;
+    orders_log(step->orders, LOG_INFO,
+               "open request=%s organisation=%s runner=%s attempt=%u "
+               "position=%u",
+               session->key, session->organisation, runner->name,
+               attempt->number, session->answer.token_count);
+    return attempt;
+}
+
+/*
+ * Takes the same stream up again over a new connection, after the last
+ * whole unit of the answer.  Tokens held back come again.
+ */
+void
+attempt_reattach(step_t *step, attempt_t *attempt)
+{
+    node_t *node = step->node;
+    session_t *session = attempt->session;
+    reattach_order_t *order =
+        &orders_add(step->orders, ORDER_REATTACH)->order_t_u.reattach;
+
+    HASH_DEL(node->by_stream, attempt);
+    attempt->stream = ++node->next_stream;
+    HASH_ADD(hh, node->by_stream, stream, sizeof(attempt->stream), attempt);
+    attempt->held_count = 0;
+    attempt->received = session->answer.token_count - attempt->first;
+    attempt->reattached = true;
+    attempt->opened_us = step->now_us;
+    order->stream = attempt->stream;
+    order->runner = attempt->runner->name;
+    order->address = attempt->runner->address;
+    order->stream_name = attempt->stream_name;
+    order->endpoint = attempt->endpoint;
+    order->after = attempt->received;
+    node->counters.reattached++;
+    orders_log(step->orders, LOG_INFO,
+               "reattach request=%s organisation=%s runner=%s attempt=%u "
+               "position=%u",
+               session->key, session->organisation, attempt->runner->name,
+               attempt->number, session->answer.token_count);
+}
+
+/* Stops the stream at the backend and forgets the attempt. */
+void
+attempt_cancel(step_t *step, attempt_t *attempt)
+{
+    orders_add(step->orders, ORDER_CANCEL)->order_t_u.cancel.stream =
+        attempt->stream;
+    attempt_drop(step, attempt);
+}
+
+/* Forgets the attempt: its right to write ends here. */
+void
+attempt_drop(step_t *step, attempt_t *attempt)
+{
+    session_t *session = attempt->session;
+
+    answer_fence(&session->answer, attempt->number);
+    for (size_t i = 0; i < SESSION_ATTEMPTS; i++) {
+        if (session->attempts[i] == attempt) {
+            session->attempts[i] = NULL;
+        }
+    }
+    attempt_free(step->node, attempt);
+}
+
+attempt_t *
+attempt_find(const node_t *node, uint64_t stream)
+{
+    attempt_t *attempt;
+
+    HASH_FIND(hh, node->by_stream, &stream, sizeof(stream), attempt);
+    return attempt;
+}
+
+size_t
+attempts_live(const session_t *session)
+{
+    size_t live = 0;
+
+    for (size_t i = 0; i < SESSION_ATTEMPTS; i++) {
+        live += session->attempts[i] != NULL;
+    }
+    return live;
+}
+
+static attempt_t *
+attempt_new(step_t *step, session_t *session, runner_state_t *runner)
+{
+    node_t *node = step->node;
+    attempt_t *attempt = xcalloc(1, sizeof(*attempt));
+    size_t slot = session->attempts[0] == NULL ? 0 : 1;
+
+    attempt->session = session;
+    attempt->runner = runner;
+    attempt->stream = ++node->next_stream;
+    attempt->number = ++session->attempt_count;
+    attempt->first = session->answer.token_count;
+    attempt->opened_us = step->now_us;
+    attempt->endpoint = session->endpoint;
+    attempt->stream_name =
+        arena_printf(&session->arena, "%s-%llx-%llu-%u", node->start.host,
+                     (unsigned long long)node->start.incarnation,
+                     (unsigned long long)session->id, attempt->number);
+    session->attempts[slot] = attempt;
+    HASH_ADD(hh, node->by_stream, stream, sizeof(attempt->stream), attempt);
+    LIST_INSERT_HEAD(&runner->attempts, attempt, on_runner);
+    runner->streams++;
+    return attempt;
+}
+
+static void
+fill_open(step_t *step, const attempt_t *attempt, open_order_t *open)
+{
+    session_t *session = attempt->session;
+
+    open->stream = attempt->stream;
+    open->body = session->body;
+    open->runner = attempt->runner->name;
+    open->address = attempt->runner->address;
+    open->stream_name = attempt->stream_name;
+    open->model = session->engine_model;
+    open->endpoint = session->endpoint;
+    open->max_tokens = session->max_tokens;
+    open->seeded = session->seeded;
+    open->seed = session->seed;
+    open->priority = (int32_t)session->urgency * SESSION_PRIORITY_STEP;
+    open->not_after_us = session->claim_until_us;
+    if (session->answer.token_count > 0) {
+        fill_resumption(step, session, open);
+        ((attempt_t *)attempt)->endpoint = ENDPOINT_COMPLETIONS;
+    }
+}
+
+/* The prompt's and the answer's token ids are the new prompt. */
+static void
+fill_resumption(step_t *step, const session_t *session, open_order_t *open)
+{
+    const answer_t *answer = &session->answer;
+    uint32_t total = session->prompt_count + answer->token_count;
+    uint32_t *ids = arena_array(&step->orders->arena, total, sizeof(uint32_t));
+
+    memcpy(ids, session->prompt_ids, session->prompt_count * sizeof(uint32_t));
+    memcpy(ids + session->prompt_count, answer->token_ids,
+           answer->token_count * sizeof(uint32_t));
+    open->prompt_ids.prompt_ids_val = ids;
+    open->prompt_ids.prompt_ids_len = total;
+    open->endpoint = ENDPOINT_COMPLETIONS;
+    if (session->max_tokens > 0) {
+        open->max_tokens = session->max_tokens - answer->token_count;
+    }
+    /* The same seed would draw the first tokens' random numbers again. */
+    open->seed = session->seed + answer->token_count;
+}
+
+static void
+attempt_free(node_t *node, attempt_t *attempt)
+{
+    HASH_DEL(node->by_stream, attempt);
+    LIST_REMOVE(attempt, on_runner);
+    attempt->runner->streams--;
+    free(attempt->held_ids);
+    free(attempt);
+}
--- /dev/null
+++ b/policy/caller.c
@@ -0,0 +1,172 @@
+/* caller.c - what the present caller of a session is told. */
+#include <string.h>
+
+#include "policy/private.h"
+
+enum {
+    HTTP_BAD_REQUEST = 400,
+    HTTP_UNAUTHORISED = 401,
+    HTTP_NOT_FOUND = 404,
+    HTTP_CONFLICT = 409,
+    HTTP_UNPROCESSABLE = 422,
+    HTTP_BAD_GATEWAY = 502,
+    HTTP_UNAVAILABLE = 503,
+};
+
+static uint32_t refusal_status(refusal_t refusal);
+static void give_units(step_t *step, session_t *session);
+static void give_end(step_t *step, session_t *session);
+
+/*
+ * Gives the answer to this caller from the position on.  An earlier caller
+ * of the same request is told that it was superseded.
+ */
+void
+caller_attach(step_t *step, session_t *session, uint64_t caller,
+              uint32_t position)
+{
+    int64_t cut = answer_cut_at(&session->answer, position);
+    uint64_t former = session->caller;
+
+    if (cut < 0 || cut > session->answer.ready_cuts) {
+        caller_refuse(step, caller, REFUSAL_INVALID, RUN_UNKNOWN, 0,
+                      "Last-Event-ID is not a position of this answer: send "
+                      "the id of the last event that came whole");
+        return;
+    }
+    caller_detach(step, session);
+    if (former != 0) {
+        caller_refuse(step, former, REFUSAL_SUPERSEDED, RUN_UNKNOWN, 0,
+                      "the request came again over another connection: read "
+                      "its answer there");
+    }
+    session->caller = caller;
+    session->orphan_us = 0;
+    session->given = (uint32_t)cut;
+    HASH_ADD(hh_caller, step->node->by_caller, caller, sizeof(session->caller),
+             session);
+    if (session->state == SESSION_REFUSED) {
+        caller_detach(step, session);
+        caller_refuse(step, caller, session->refusal, session->refusal_run, 0,
+                      "the request may have run and may not run again: look "
+                      "for its effect before sending it under another key");
+        return;
+    }
+    caller_give(step, session);
+}
+
+/* The session has no caller from here on. */
+void
+caller_detach(step_t *step, session_t *session)
+{
+    if (session->caller == 0) {
+        return;
+    }
+    HASH_DELETE(hh_caller, step->node->by_caller, session);
+    session->caller = 0;
+    session->orphan_us = step->now_us;
+}
+
+/* Gives what the caller has not been given yet, and the end if it is in. */
+void
+caller_give(step_t *step, session_t *session)
+{
+    if (session->caller == 0) {
+        return;
+    }
+    if (session->given < session->answer.ready_cuts) {
+        give_units(step, session);
+    }
+    if (session->state == SESSION_FINISHED) {
+        give_end(step, session);
+    }
+}
+
+void
+caller_refuse(step_t *step, uint64_t caller, refusal_t refusal, run_t run,
+              uint32_t retry_after_ms, const char *message)
+{
+    refuse_order_t *order =
+        &orders_add(step->orders, ORDER_REFUSE)->order_t_u.refuse;
+
+    order->caller = caller;
+    order->refusal = refusal;
+    order->run = run;
+    order->status = refusal_status(refusal);
+    order->retry_after_ms = retry_after_ms;
+    order->message = arena_strdup(&step->orders->arena, message);
+    step->node->counters.refused++;
+}
+
+static void
+give_units(step_t *step, session_t *session)
+{
+    const answer_t *answer = &session->answer;
+    record_cut_t from = answer_cut(answer, session->given);
+    record_cut_t to = answer_cut(answer, answer->ready_cuts);
+    give_order_t *give = &orders_add(step->orders, ORDER_GIVE)->order_t_u.give;
+
+    give->caller = session->caller;
+    give->position = to.position;
+    give->token_ids.token_ids_val = answer->token_ids + from.position;
+    give->token_ids.token_ids_len = to.position - from.position;
+    give->text.text_val = answer->text + from.text_bytes;
+    give->text.text_len = to.text_bytes - from.text_bytes;
+    step->node->counters.tokens_given += to.position - from.position;
+    session->given = answer->ready_cuts;
+}
+
+static void
+give_end(step_t *step, session_t *session)
+{
+    uint64_t caller = session->caller;
+
+    caller_detach(step, session);
+    if (session->service) {
+        reply_order_t *reply =
+            &orders_add(step->orders, ORDER_REPLY)->order_t_u.reply;
+
+        reply->caller = caller;
+        reply->status = session->reply.status;
+        reply->content_type = session->reply.content_type;
+        reply->body.body_val = session->reply.body.body_val;
+        reply->body.body_len = session->reply.body.body_len;
+    }
+    else {
+        finish_order_t *finish =
+            &orders_add(step->orders, ORDER_FINISH)->order_t_u.finish;
+
+        finish->caller = caller;
+        finish->finish = session->answer.finish;
+        finish->prompt_tokens = session->prompt_count;
+        finish->completion_tokens = session->answer.token_count;
+    }
+}
+
+static uint32_t
+refusal_status(refusal_t refusal)
+{
+    switch (refusal) {
+    case REFUSAL_UNAUTHORISED:
+        return HTTP_UNAUTHORISED;
+    case REFUSAL_UNKNOWN_MODEL:
+    case REFUSAL_UNKNOWN_KIND:
+        return HTTP_NOT_FOUND;
+    case REFUSAL_ALREADY_RAN:
+    case REFUSAL_SUPERSEDED:
+        return HTTP_CONFLICT;
+    case REFUSAL_HARMFUL:
+        return HTTP_UNPROCESSABLE;
+    case REFUSAL_INVALID:
+        return HTTP_BAD_REQUEST;
+    case REFUSAL_BACKEND_LOST:
+    case REFUSAL_BACKEND_FAILED:
+        return HTTP_BAD_GATEWAY;
+    case REFUSAL_OVERLOADED:
+    case REFUSAL_LEAVING:
+    case REFUSAL_NO_RUNNER:
+    case REFUSAL_STORE_UNREACHED:
+        break;
+    }
+    return HTTP_UNAVAILABLE;
+}
--- /dev/null
+++ b/policy/config.c
@@ -0,0 +1,129 @@
+/* config.c - see config.h. */
+#include <stdlib.h>
+#include <string.h>
+
+#include "policy/config.h"
+
+static config_entry_t *find_or_add(config_set_t *set, const char *key);
+static int parse(config_entry_t *entry, const config_t *config, err_t *err);
+
+config_result_t
+config_take(config_set_t *set, const config_t *config, err_t *err)
+{
+    config_entry_t *entry = find_or_add(set, config->key);
+
+    if (config->revision <= entry->revision) {
+        return CONFIG_OLD;
+    }
+    entry->revision = config->revision;
+    if (config->revision > set->revision) {
+        set->revision = config->revision;
+    }
+    free(entry->text);
+    entry->text_bytes = config->text.text_len;
+    entry->text = xcalloc(entry->text_bytes + 1, 1);
+    memcpy(entry->text, config->text.text_val, entry->text_bytes);
+    entry->deleted = config->deleted;
+    if (config->deleted) {
+        entry->contract = NULL;
+        entry->fleet = NULL;
+        arena_free(&entry->arena);
+        return CONFIG_TAKEN;
+    }
+    return parse(entry, config, err) < 0 ? CONFIG_WRONG : CONFIG_TAKEN;
+}
+
+void
+config_free(config_set_t *set)
+{
+    config_entry_t *entry;
+    config_entry_t *next;
+
+    HASH_ITER(hh, set->by_key, entry, next)
+    {
+        HASH_DEL(set->by_key, entry);
+        arena_free(&entry->arena);
+        free(entry->text);
+        free(entry->key);
+        free(entry);
+    }
+}
+
+const fleet_t *
+config_fleet(const config_set_t *set)
+{
+    config_entry_t *entry;
+
+    HASH_FIND_STR(set->by_key, CONFIG_FLEET_KEY, entry);
+    return entry == NULL ? NULL : entry->fleet;
+}
+
+const contract_t *
+config_serving(const config_set_t *set, const char *organisation,
+               const char *name, bool service)
+{
+    const config_entry_t *entry;
+
+    for (entry = set->by_key; entry != NULL; entry = entry->hh.next) {
+        const contract_t *contract = entry->contract;
+
+        if (contract == NULL ||
+            contract_serves(contract, organisation) == NULL) {
+            continue;
+        }
+        if (service ? contract_plain(contract, name) != NULL
+                    : contract_model(contract, name) != NULL) {
+            return contract;
+        }
+    }
+    return NULL;
+}
+
+static config_entry_t *
+find_or_add(config_set_t *set, const char *key)
+{
+    config_entry_t *entry;
+
+    HASH_FIND_STR(set->by_key, key, entry);
+    if (entry != NULL) {
+        return entry;
+    }
+    entry = xcalloc(1, sizeof(*entry));
+    entry->key = xstrdup(key);
+    HASH_ADD_KEYPTR(hh, set->by_key, entry->key, strlen(entry->key), entry);
+    return entry;
+}
+
+/* Keeps what was in force when the new text is wrong. */
+static int
+parse(config_entry_t *entry, const config_t *config, err_t *err)
+{
+    arena_t arena = {0};
+    fleet_t *fleet = NULL;
+    contract_t *contract = NULL;
+
+    if (strcmp(entry->key, CONFIG_FLEET_KEY) == 0) {
+        fleet = fleet_parse(&arena, entry->key, entry->text, entry->text_bytes,
+                            err);
+    }
+    else if (strncmp(entry->key, CONFIG_SERVICES_PREFIX,
+                     strlen(CONFIG_SERVICES_PREFIX)) == 0) {
+        contract = contract_parse(&arena, entry->key, entry->text,
+                                  entry->text_bytes, err);
+    }
+    else {
+        return err_set(err, ERR_DOCUMENT,
+                       "%s: no such document: use " CONFIG_FLEET_KEY
+                       " or a key under " CONFIG_SERVICES_PREFIX,
+                       entry->key);
+    }
+    if (fleet == NULL && contract == NULL) {
+        arena_free(&arena);
+        return -1;
+    }
+    arena_free(&entry->arena);
+    entry->arena = arena;
+    entry->fleet = fleet;
+    entry->contract = contract;
+    return 0;
+}
--- /dev/null
+++ b/policy/config.h
@@ -0,0 +1,61 @@
+/*
+ * config.h - the documents in force on this host.
+ *
+ * Each key holds the newest revision that this host has seen, and only
+ * ever moves to a higher one.  A text that does not parse stays out of
+ * force: what was in force before goes on, and a line is logged.
+ */
+#ifndef POLICY_CONFIG_H
+#define POLICY_CONFIG_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <uthash.h>
+
+#include "base/arena.h"
+#include "base/err.h"
+#include "world/contract.h"
+#include "world/fleet.h"
+#include "world/generated/link.h"
+
+#define CONFIG_FLEET_KEY "/agatevale/fleet"
+#define CONFIG_SERVICES_PREFIX "/agatevale/services/"
+
+typedef struct {
+    arena_t arena; /* of the parsed document */
+    char *key;
+    int64_t revision; /* the newest seen */
+    bool deleted;
+    char *text; /* of the newest revision seen */
+    size_t text_bytes;
+    fleet_t *fleet;       /* in force; NULL: not the operators' document */
+    contract_t *contract; /* in force; NULL: not a team's document */
+    UT_hash_handle hh;
+} config_entry_t;
+
+typedef struct {
+    config_entry_t *by_key;
+    int64_t revision; /* the highest of all keys */
+} config_set_t;
+
+typedef enum {
+    CONFIG_TAKEN, /* newer, and in force */
+    CONFIG_OLD,   /* no newer than what is held */
+    CONFIG_WRONG, /* newer, but does not parse: *err says why */
+} config_result_t;
+
+config_result_t config_take(config_set_t *set, const config_t *config,
+                            err_t *err);
+void config_free(config_set_t *set);
+
+/* The operators' document in force, or NULL. */
+const fleet_t *config_fleet(const config_set_t *set);
+
+/* The contract under which the organisation is served the name, or NULL. */
+const contract_t *config_serving(const config_set_t *set,
+                                 const char *organisation, const char *name,
+                                 bool service);
+
+#endif
--- a/policy/event.x
+++ b/policy/event.x
@@ -240,6 +240,7 @@
     name_t runner;
     name_t address;
     name_t stream_name;
+    name_t model;            /* the version or adapter to name to it */
     endpoint_t endpoint;
     uint32_t prompt_ids<EVENT_TOKENS_MAX>;
     uint32_t max_tokens;
--- /dev/null
+++ b/policy/intake.c
@@ -0,0 +1,189 @@
+/* intake.c - a request arrives, or its caller leaves. */
+#include <string.h>
+
+#include "policy/private.h"
+
+enum { LEAVING_RETRY_MS = 100, BUSY_RETRY_MS = 1000 };
+
+static const char *organisation_of(const node_t *node,
+                                   const request_event_t *request);
+static void repeat_request(step_t *step, session_t *session,
+                           const request_event_t *request);
+static void accept_request(step_t *step, const request_event_t *request,
+                           const char *organisation,
+                           const contract_t *contract,
+                           const request_kind_t *kind);
+static void describe(session_t *session, const contract_t *contract,
+                     const request_kind_t *kind);
+static void refuse_request(step_t *step, const request_event_t *request,
+                           refusal_t refusal, uint32_t retry_after_ms,
+                           const char *message);
+
+void
+intake_request(step_t *step, const request_event_t *request)
+{
+    node_t *node = step->node;
+    const char *organisation = organisation_of(node, request);
+    const contract_t *contract;
+    const request_kind_t *kind;
+    session_t *session;
+
+    node->counters.requests++;
+    if (organisation == NULL) {
+        refuse_request(step, request, REFUSAL_UNAUTHORISED, 0,
+                       "no organisation has this key: send a valid key as "
+                       "Authorization: Bearer KEY");
+        return;
+    }
+    session = session_find(node, organisation, request->key);
+    if (session != NULL) {
+        repeat_request(step, session, request);
+        return;
+    }
+    if (node->draining) {
+        refuse_request(step, request, REFUSAL_LEAVING, LEAVING_RETRY_MS,
+                       "this host is leaving: ask GET /v1/hosts for another");
+        return;
+    }
+    contract = config_serving(&node->config, organisation, request->model,
+                              request->endpoint == ENDPOINT_SERVICE);
+    if (contract == NULL) {
+        refuse_request(step, request, REFUSAL_UNKNOWN_MODEL, 0,
+                       "no service offers this model to the organisation: "
+                       "ask GET /v1/models for those that are");
+        return;
+    }
+    kind = contract_kind(contract, request->request_kind);
+    if (kind == NULL) {
+        refuse_request(step, request, REFUSAL_UNKNOWN_KIND, 0,
+                       "the service's document has no such kind of request: "
+                       "correct X-Request-Kind or leave it out");
+        return;
+    }
+    accept_request(step, request, organisation, contract, kind);
+}
+
+/*
+ * An idempotent request without a key of its caller's cannot come again,
+ * so its work ends with its connection.
+ */
+void
+intake_caller_gone(step_t *step, uint64_t caller)
+{
+    session_t *session;
+
+    HASH_FIND(hh_caller, step->node->by_caller, &caller, sizeof(caller),
+              session);
+    if (session == NULL) {
+        return;
+    }
+    caller_detach(step, session);
+    orders_log(step->orders, LOG_INFO,
+               "caller gone request=%s organisation=%s position=%u",
+               session->key, session->organisation,
+               session->answer.token_count);
+    if (!session->keyed && session->idempotent) {
+        session_refuse(step, session, REFUSAL_SUPERSEDED, RUN_UNKNOWN, 0,
+                       "the caller left");
+        return;
+    }
+    session_schedule(step, session);
+}
+
+static const char *
+organisation_of(const node_t *node, const request_event_t *request)
+{
+    const char *name = NULL;
+
+    if (node_role(node, request->credential, &name) != ROLE_ORGANISATION) {
+        return NULL;
+    }
+    return name;
+}
+
+static void
+repeat_request(step_t *step, session_t *session,
+               const request_event_t *request)
+{
+    if (session->fingerprint != request->fingerprint) {
+        refuse_request(step, request, REFUSAL_INVALID, 0,
+                       "another request has this Idempotency-Key: use a key "
+                       "once for one content");
+        return;
+    }
+    caller_attach(step, session, request->caller, request->position);
+    orders_add(step->orders, ORDER_FORGET)->order_t_u.forget.body =
+        request->caller;
+}
+
+static void
+accept_request(step_t *step, const request_event_t *request,
+               const char *organisation, const contract_t *contract,
+               const request_kind_t *kind)
+{
+    node_t *node = step->node;
+    session_t *session;
+    wish_t wish;
+
+    if (node->active >= node->start.sessions_max) {
+        refuse_request(step, request, REFUSAL_OVERLOADED, BUSY_RETRY_MS,
+                       "this host has all the sessions it may have: send the "
+                       "request again after the stated time");
+        return;
+    }
+    session = session_new(step, request, organisation);
+    describe(session, contract, kind);
+    caller_attach(step, session, request->caller, 0);
+    if (request->position > 0) {
+        session_refuse(step, session, REFUSAL_BACKEND_LOST, RUN_UNKNOWN, 0,
+                       "the rest of this answer is lost: send the request "
+                       "again without Last-Event-ID to start anew");
+        return;
+    }
+    wish = session_wish(session, node->start.zone);
+    if (!runners_exist(&node->runners, &wish)) {
+        session_refuse(step, session, REFUSAL_NO_RUNNER, RUN_NOT_RUN,
+                       BUSY_RETRY_MS,
+                       "no backend server has this model loaded: send the "
+                       "request again after the stated time");
+        return;
+    }
+    queue_session(step, session);
+    queue_pump(step);
+}
+
+/* What the document says at arrival holds for the whole session. */
+static void
+describe(session_t *session, const contract_t *contract,
+         const request_kind_t *kind)
+{
+    const served_t *served = contract_serves(contract, session->organisation);
+    const char *engine_model = session->model;
+
+    if (!session->service) {
+        const model_t *model = contract_model(contract, session->model);
+
+        engine_model =
+            model->adapter[0] != '\0' ? model->adapter : model->version;
+        session->runner_model = arena_strdup(&session->arena, model->version);
+    }
+    else {
+        session->runner_model = session->model;
+    }
+    session->engine_model = arena_strdup(&session->arena, engine_model);
+    session->service_name = arena_strdup(&session->arena, contract->service);
+    session->idempotent = kind->idempotent;
+    session->urgency = kind->urgency;
+    session->weight = served->weight;
+    session->weighs_extra_work = contract->weighs == WEIGHS_EXTRA_WORK;
+}
+
+static void
+refuse_request(step_t *step, const request_event_t *request, refusal_t refusal,
+               uint32_t retry_after_ms, const char *message)
+{
+    caller_refuse(step, request->caller, refusal, RUN_NOT_RUN, retry_after_ms,
+                  message);
+    orders_add(step->orders, ORDER_FORGET)->order_t_u.forget.body =
+        request->caller;
+}
--- /dev/null
+++ b/policy/node.c
@@ -0,0 +1,216 @@
+/* node.c - see node.h: takes each event to the part that decides on it. */
+#include <stdlib.h>
+#include <string.h>
+
+#include "policy/private.h"
+
+static void take_start(step_t *step, const start_event_t *start);
+static void take_config(step_t *step, const config_t *config);
+static void take_load(step_t *step, const load_event_t *load);
+static void take_timer(step_t *step);
+static void take_drain(step_t *step);
+static void take_event(step_t *step, const event_t *event);
+static void finish_step(step_t *step);
+
+node_t *
+node_new(void)
+{
+    node_t *node = xcalloc(1, sizeof(*node));
+
+    for (size_t i = 0; i < URGENCY_COUNT; i++) {
+        TAILQ_INIT(&node->queues[i]);
+    }
+    return node;
+}
+
+void
+node_free(node_t *node)
+{
+    order_list_t orders = {0};
+    step_t step = {node, 0, &orders};
+    session_t *session;
+    session_t *next;
+
+    HASH_ITER(hh, node->sessions, session, next)
+    {
+        for (size_t i = 0; i < SESSION_ATTEMPTS; i++) {
+            if (session->attempts[i] != NULL) {
+                attempt_drop(&step, session->attempts[i]);
+            }
+        }
+        session_free(node, session);
+    }
+    orders_free(&orders);
+    runners_free(&node->runners);
+    config_free(&node->config);
+    timers_free(&node->timers);
+    free(node->start.host);
+    free(node->start.zone);
+    free(node->start.address);
+    free(node);
+}
+
+void
+node_step(node_t *node, int64_t now_us, const event_t *event,
+          order_list_t *orders)
+{
+    step_t step = {node, now_us, orders};
+
+    take_event(&step, event);
+    finish_step(&step);
+}
+
+const node_counters_t *
+node_counters(const node_t *node)
+{
+    return &node->counters;
+}
+
+static void
+take_event(step_t *step, const event_t *event)
+{
+    switch (event->kind) {
+    case EVENT_START:
+        take_start(step, &event->event_t_u.start);
+        break;
+    case EVENT_CONFIG:
+        take_config(step, &event->event_t_u.config);
+        break;
+    case EVENT_REQUEST:
+        intake_request(step, &event->event_t_u.request);
+        break;
+    case EVENT_CALLER_GONE:
+        intake_caller_gone(step, event->event_t_u.caller_gone.caller);
+        break;
+    case EVENT_PIECE:
+        pieces_piece(step, &event->event_t_u.piece);
+        break;
+    case EVENT_END:
+        pieces_end(step, &event->event_t_u.end);
+        break;
+    case EVENT_LOSS:
+        resume_loss(step, &event->event_t_u.loss);
+        queue_pump(step);
+        break;
+    case EVENT_REPLY:
+        pieces_reply(step, &event->event_t_u.reply);
+        break;
+    case EVENT_LOAD:
+        take_load(step, &event->event_t_u.load);
+        break;
+    case EVENT_TIMER:
+        take_timer(step);
+        break;
+    case EVENT_DRAIN:
+        take_drain(step);
+        break;
+    case EVENT_PEER:
+    case EVENT_CLAIMED:
+    case EVENT_HOSTS:
+        break;
+    }
+}
+
+static void
+take_start(step_t *step, const start_event_t *start)
+{
+    node_t *node = step->node;
+
+    node->start = *start;
+    node->start.host = xstrdup(start->host);
+    node->start.zone = xstrdup(start->zone);
+    node->start.address = xstrdup(start->address);
+    node->started = true;
+}
+
+static void
+take_config(step_t *step, const config_t *config)
+{
+    node_t *node = step->node;
+    err_t err = {0};
+    config_result_t result = config_take(&node->config, config, &err);
+
+    if (result == CONFIG_WRONG) {
+        orders_log(step->orders, LOG_ERR, "document refused revision=%lld %s",
+                   (long long)config->revision, err.message);
+    }
+    if (result != CONFIG_TAKEN) {
+        return;
+    }
+    orders_log(step->orders, LOG_INFO,
+               "document in force key=%s revision=%lld", config->key,
+               (long long)config->revision);
+    if (config_fleet(&node->config) != NULL &&
+        strcmp(config->key, CONFIG_FLEET_KEY) == 0) {
+        runners_update(&node->runners, config_fleet(&node->config));
+    }
+    queue_pump(step);
+}
+
+static void
+take_load(step_t *step, const load_event_t *load)
+{
+    runner_state_t *runner = runners_find(&step->node->runners, load->runner);
+
+    if (runner == NULL) {
+        return;
+    }
+    if (!load->reached) {
+        if (runner->down_until_us <= step->now_us) {
+            runner_failed(runner, step->now_us);
+        }
+        return;
+    }
+    runner->running = load->running;
+    runner->waiting = load->waiting;
+    runner->sent_since = 0;
+    runner_heard(runner, step->now_us);
+    queue_pump(step);
+}
+
+static void
+take_timer(step_t *step)
+{
+    node_t *node = step->node;
+    due_t *due;
+
+    node->timer_set_us = 0;
+    while ((due = timers_pop(&node->timers, step->now_us)) != NULL) {
+        session_t *session;
+
+        HASH_FIND(hh, node->sessions, &due->owner, sizeof(due->owner),
+                  session);
+        session_due(step, session);
+    }
+    queue_pump(step);
+}
+
+static void
+take_drain(step_t *step)
+{
+    if (step->node->draining) {
+        return;
+    }
+    step->node->draining = true;
+    orders_log(step->orders, LOG_NOTICE, "leaving sessions=%zu",
+               step->node->active);
+}
+
+/* Asks for the next timer, and to stop once a leaving host is idle. */
+static void
+finish_step(step_t *step)
+{
+    node_t *node = step->node;
+    int64_t next_us = timers_next_us(&node->timers);
+
+    if (node->draining && node->active == 0 && !node->stopped) {
+        node->stopped = true;
+        (void)orders_add(step->orders, ORDER_STOP);
+    }
+    if (next_us == 0 ||
+        (node->timer_set_us != 0 && node->timer_set_us <= next_us)) {
+        return;
+    }
+    node->timer_set_us = next_us;
+    orders_add(step->orders, ORDER_TIMER)->order_t_u.timer.at_us = next_us;
+}
--- /dev/null
+++ b/policy/private.h
@@ -0,0 +1,104 @@
+/*
+ * private.h - the node's state, and what its parts offer each other.
+ *
+ * A step_t travels through one node_step(): the node, the time, and where
+ * orders go.
+ */
+#ifndef POLICY_PRIVATE_H
+#define POLICY_PRIVATE_H
+
+#include <syslog.h>
+
+#include "policy/config.h"
+#include "policy/node.h"
+#include "policy/runners.h"
+#include "policy/session.h"
+#include "policy/timers.h"
+
+enum {
+    US_PER_MS = 1000,
+    REASSURE_MS = 100, /* the least Retry-After that is given */
+};
+
+TAILQ_HEAD(session_queue, session);
+
+struct node {
+    start_event_t start; /* strings are the node's own */
+    bool started;
+    bool draining;
+    bool stopped;
+    uint64_t next_session;
+    uint64_t next_stream;
+    uint64_t next_ask;
+    config_set_t config;
+    runners_t runners;
+    session_t *sessions; /* by id */
+    session_t *by_name;
+    session_t *by_caller;
+    attempt_t *by_stream;
+    struct session_queue queues[URGENCY_COUNT];
+    size_t queued;
+    size_t active; /* sessions that are neither finished nor refused */
+    timers_t timers;
+    int64_t timer_set_us; /* the last ORDER_TIMER; 0: none */
+    node_counters_t counters;
+};
+
+typedef struct {
+    node_t *node;
+    int64_t now_us;
+    order_list_t *orders;
+} step_t;
+
+/* intake.c: a request arrives, or its caller leaves. */
+void intake_request(step_t *step, const request_event_t *request);
+void intake_caller_gone(step_t *step, uint64_t caller);
+
+/* caller.c: what the present caller of a session is told. */
+void caller_attach(step_t *step, session_t *session, uint64_t caller,
+                   uint32_t position);
+void caller_detach(step_t *step, session_t *session);
+void caller_give(step_t *step, session_t *session);
+void caller_refuse(step_t *step, uint64_t caller, refusal_t refusal, run_t run,
+                   uint32_t retry_after_ms, const char *message);
+
+/* session.c: a session's life. */
+session_t *session_new(step_t *step, const request_event_t *request,
+                       const char *organisation);
+void session_free(node_t *node, session_t *session);
+session_t *session_find(node_t *node, const char *organisation,
+                        const char *key);
+void session_enter(step_t *step, session_t *session, session_state_t state);
+void session_finish(step_t *step, session_t *session);
+void session_refuse(step_t *step, session_t *session, refusal_t refusal,
+                    run_t run, uint32_t retry_after_ms, const char *message);
+void session_schedule(step_t *step, session_t *session);
+void session_due(step_t *step, session_t *session);
+
+/* queue.c: sessions that wait for a runner. */
+void queue_session(step_t *step, session_t *session);
+void queue_remove(node_t *node, session_t *session);
+void queue_pump(step_t *step);
+
+/* attempt.c: streams at backend servers. */
+attempt_t *attempt_open(step_t *step, session_t *session,
+                        runner_state_t *runner, bool beside);
+void attempt_reattach(step_t *step, attempt_t *attempt);
+void attempt_cancel(step_t *step, attempt_t *attempt);
+void attempt_drop(step_t *step, attempt_t *attempt);
+attempt_t *attempt_find(const node_t *node, uint64_t stream);
+size_t attempts_live(const session_t *session);
+
+/* pieces.c: what backend servers send. */
+void pieces_piece(step_t *step, const piece_event_t *piece);
+void pieces_end(step_t *step, const end_event_t *end);
+void pieces_reply(step_t *step, const reply_event_t *reply);
+
+/* resume.c: losses and silence. */
+void resume_loss(step_t *step, const loss_event_t *loss);
+void resume_silence(step_t *step, session_t *session);
+int64_t resume_silence_due_us(const node_t *node, const attempt_t *attempt);
+void resume_elsewhere(step_t *step, session_t *session,
+                      const runner_state_t *lost);
+
+#endif
--- /dev/null
+++ b/policy/queue.c
@@ -0,0 +1,62 @@
+/* queue.c - sessions that wait for a runner. */
+#include "policy/private.h"
+
+static bool start_session(step_t *step, session_t *session);
+
+/* Interrupted work goes before all else of its urgency. */
+void
+queue_session(step_t *step, session_t *session)
+{
+    node_t *node = step->node;
+    struct session_queue *queue = &node->queues[session->urgency];
+
+    session_enter(step, session, SESSION_QUEUED);
+    if (session->waits_resumed) {
+        TAILQ_INSERT_HEAD(queue, session, queue);
+    }
+    else {
+        TAILQ_INSERT_TAIL(queue, session, queue);
+    }
+    node->queued++;
+}
+
+void
+queue_remove(node_t *node, session_t *session)
+{
+    TAILQ_REMOVE(&node->queues[session->urgency], session, queue);
+    node->queued--;
+}
+
+void
+queue_pump(step_t *step)
+{
+    node_t *node = step->node;
+
+    for (size_t i = 0; i < URGENCY_COUNT && node->queued > 0; i++) {
+        session_t *session = TAILQ_FIRST(&node->queues[i]);
+
+        while (session != NULL) {
+            session_t *next = TAILQ_NEXT(session, queue);
+
+            (void)start_session(step, session);
+            session = next;
+        }
+    }
+}
+
+static bool
+start_session(step_t *step, session_t *session)
+{
+    node_t *node = step->node;
+    wish_t wish = session_wish(session, node->start.zone);
+    runner_state_t *runner =
+        runners_choose(&node->runners, &wish, step->now_us);
+
+    if (runner == NULL) {
+        return false;
+    }
+    (void)attempt_open(step, session, runner, false);
+    session->waits_resumed = false;
+    session_enter(step, session, SESSION_RUNNING);
+    return true;
+}
--- /dev/null
+++ b/policy/session.c
@@ -0,0 +1,314 @@
+/* session.c - see session.h; the life of a session. */
+#include <stdlib.h>
+#include <string.h>
+
+#include "policy/private.h"
+
+enum {
+    FINISHED_KEEP_MS = 60000,      /* a finished answer, for a repeat */
+    AT_MOST_ONCE_KEEP_MS = 600000, /* the same, where it may not run again */
+    RESUME_WAIT_MS = 600000,       /* interrupted work, for a runner */
+};
+
+static void cancel_attempts(step_t *step, session_t *session);
+static void forget_body(step_t *step, session_t *session);
+static int64_t keep_ms(const session_t *session);
+static int64_t earlier(int64_t a_us, int64_t b_us);
+static int64_t state_due_us(const node_t *node, const session_t *session);
+static void queue_overdue(step_t *step, session_t *session);
+
+session_t *
+session_new(step_t *step, const request_event_t *request,
+            const char *organisation)
+{
+    node_t *node = step->node;
+    session_t *session = xcalloc(1, sizeof(*session));
+    arena_t *arena = &session->arena;
+    size_t stop_bytes = request->stop.stop_len;
+    char *stop = arena_memdup(arena, request->stop.stop_val, stop_bytes);
+
+    session->id = ++node->next_session;
+    session->due.owner = session->id;
+    session->organisation = arena_strdup(arena, organisation);
+    session->key = arena_strdup(arena, request->key);
+    session->name = arena_printf(arena, "%s\n%s", organisation, request->key);
+    session->model = arena_strdup(arena, request->model);
+    session->keyed = request->keyed;
+    session->endpoint = request->endpoint;
+    session->service = request->endpoint == ENDPOINT_SERVICE;
+    session->stream = request->stream;
+    session->fingerprint = request->fingerprint;
+    session->max_tokens = request->max_tokens;
+    session->seeded = request->seeded;
+    session->seed = request->seed;
+    session->prefix_count = request->prefix_hashes.prefix_hashes_len;
+    session->prefix_hashes =
+        arena_memdup(arena, request->prefix_hashes.prefix_hashes_val,
+                     session->prefix_count * sizeof(uint64_t));
+    session->body = request->caller;
+    session->epoch = 1;
+    session->arrived_us = step->now_us;
+    session->state_us = step->now_us;
+    answer_init(&session->answer, stop, (uint32_t)stop_bytes);
+    HASH_ADD(hh, node->sessions, id, sizeof(session->id), session);
+    HASH_ADD_KEYPTR(hh_name, node->by_name, session->name,
+                    strlen(session->name), session);
+    node->active++;
+    node->counters.sessions++;
+    return session;
+}
+
+void
+session_free(node_t *node, session_t *session)
+{
+    HASH_DEL(node->sessions, session);
+    HASH_DELETE(hh_name, node->by_name, session);
+    if (session->caller != 0) {
+        HASH_DELETE(hh_caller, node->by_caller, session);
+    }
+    if (session->state == SESSION_QUEUED) {
+        queue_remove(node, session);
+    }
+    if (session->state < SESSION_FINISHED) {
+        node->active--;
+    }
+    timers_drop(&node->timers, &session->due);
+    node->counters.sessions--;
+    answer_free(&session->answer);
+    arena_free(&session->arena);
+    free(session->prompt_ids);
+    free(session);
+}
+
+session_t *
+session_find(node_t *node, const char *organisation, const char *key)
+{
+    session_t *session;
+    arena_t scratch = {0};
+    char *name = arena_printf(&scratch, "%s\n%s", organisation, key);
+
+    HASH_FIND(hh_name, node->by_name, name, strlen(name), session);
+    arena_free(&scratch);
+    return session;
+}
+
+void
+session_enter(step_t *step, session_t *session, session_state_t state)
+{
+    if (session->state == SESSION_QUEUED && state != SESSION_QUEUED) {
+        queue_remove(step->node, session);
+    }
+    if (session->state < SESSION_FINISHED && state >= SESSION_FINISHED) {
+        step->node->active--;
+    }
+    session->state = state;
+    session->state_us = step->now_us;
+    session_schedule(step, session);
+}
+
+/* The answer has ended: gives the rest, and keeps it for a repeat. */
+void
+session_finish(step_t *step, session_t *session)
+{
+    cancel_attempts(step, session);
+    session_enter(step, session, SESSION_FINISHED);
+    step->node->counters.finished++;
+    caller_give(step, session);
+    forget_body(step, session);
+}
+
+/*
+ * Gives up on the request, at once.  It is kept for a repeat only if it
+ * may have run and may not run again.
+ */
+void
+session_refuse(step_t *step, session_t *session, refusal_t refusal, run_t run,
+               uint32_t retry_after_ms, const char *message)
+{
+    bool keep = !session->idempotent && run != RUN_NOT_RUN;
+    uint64_t caller = session->caller;
+
+    cancel_attempts(step, session);
+    caller_detach(step, session);
+    if (caller != 0) {
+        caller_refuse(step, caller, refusal, run, retry_after_ms, message);
+    }
+    forget_body(step, session);
+    if (!keep) {
+        session_free(step->node, session);
+        return;
+    }
+    session->refusal = refusal;
+    session->refusal_run = run;
+    session_enter(step, session, SESSION_REFUSED);
+}
+
+void
+session_schedule(step_t *step, session_t *session)
+{
+    node_t *node = step->node;
+    int64_t due_us = state_due_us(node, session);
+
+    if (session->orphan_us != 0 && session->state < SESSION_FINISHED &&
+        session->idempotent) {
+        due_us = earlier(due_us,
+                         session->orphan_us +
+                             (int64_t)node->start.orphan_grace_ms * US_PER_MS);
+    }
+    for (size_t i = 0; i < SESSION_ATTEMPTS; i++) {
+        if (session->attempts[i] != NULL) {
+            due_us = earlier(
+                due_us, resume_silence_due_us(node, session->attempts[i]));
+        }
+    }
+    timers_set(&node->timers, &session->due, due_us);
+}
+
+void
+session_due(step_t *step, session_t *session)
+{
+    node_t *node = step->node;
+    int64_t grace_us = (int64_t)node->start.orphan_grace_ms * US_PER_MS;
+    bool overdue = state_due_us(node, session) != 0 &&
+                   step->now_us >= state_due_us(node, session);
+
+    if (session->state >= SESSION_FINISHED) {
+        if (overdue) {
+            session_free(node, session);
+            return;
+        }
+        session_schedule(step, session);
+        return;
+    }
+    if (session->orphan_us != 0 && session->idempotent &&
+        step->now_us >= session->orphan_us + grace_us) {
+        cancel_attempts(step, session);
+        forget_body(step, session);
+        session_free(node, session);
+        return;
+    }
+    if (session->state == SESSION_QUEUED && overdue) {
+        queue_overdue(step, session);
+        return;
+    }
+    if (session->state == SESSION_RUNNING) {
+        resume_silence(step, session);
+        return;
+    }
+    session_schedule(step, session);
+}
+
+bool
+session_suspects_on(const runner_state_t *runner)
+{
+    const attempt_t *attempt;
+
+    LIST_FOREACH(attempt, &runner->attempts, on_runner)
+    {
+        if (attempt->session->losses > 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+wish_t
+session_wish(const session_t *session, const char *zone)
+{
+    wish_t wish = {
+        .model = session->runner_model,
+        .service = session->service,
+        .zone = zone,
+        .prefix_hashes = session->prefix_hashes,
+        .prefix_count = session->prefix_count,
+        .apart = session->losses > 0,
+    };
+
+    for (size_t i = 0; i < SESSION_ATTEMPTS; i++) {
+        if (session->attempts[i] != NULL) {
+            wish.avoid[i] = session->attempts[i]->runner;
+        }
+    }
+    return wish;
+}
+
+const char *
+session_state_name(session_state_t state)
+{
+    static const char *const names[] = {
+        "lookup", "claiming", "queued", "running", "finished", "refused",
+    };
+
+    return names[state];
+}
+
+static void
+cancel_attempts(step_t *step, session_t *session)
+{
+    for (size_t i = 0; i < SESSION_ATTEMPTS; i++) {
+        if (session->attempts[i] != NULL) {
+            attempt_cancel(step, session->attempts[i]);
+        }
+    }
+}
+
+static void
+forget_body(step_t *step, session_t *session)
+{
+    if (session->body == 0) {
+        return;
+    }
+    orders_add(step->orders, ORDER_FORGET)->order_t_u.forget.body =
+        session->body;
+    session->body = 0;
+}
+
+static int64_t
+keep_ms(const session_t *session)
+{
+    if (!session->idempotent) {
+        return AT_MOST_ONCE_KEEP_MS;
+    }
+    return FINISHED_KEEP_MS;
+}
+
+static int64_t
+earlier(int64_t a_us, int64_t b_us)
+{
+    if (a_us == 0 || (b_us != 0 && b_us < a_us)) {
+        return b_us;
+    }
+    return a_us;
+}
+
+/* When the session's state has lasted too long; 0: it may last. */
+static int64_t
+state_due_us(const node_t *node, const session_t *session)
+{
+    int64_t limit_ms = 0;
+
+    if (session->state == SESSION_QUEUED) {
+        limit_ms = session->waits_resumed ? RESUME_WAIT_MS
+                                          : (int64_t)node->start.queue_wait_ms;
+    }
+    if (session->state >= SESSION_FINISHED) {
+        limit_ms = keep_ms(session);
+    }
+    return limit_ms == 0 ? 0 : session->state_us + limit_ms * US_PER_MS;
+}
+
+static void
+queue_overdue(step_t *step, session_t *session)
+{
+    if (session->waits_resumed) {
+        session_refuse(step, session, REFUSAL_BACKEND_LOST, RUN_RAN,
+                       step->node->start.queue_wait_ms,
+                       "no backend server is left to finish the answer: send "
+                       "the request again later");
+        return;
+    }
+    session_refuse(step, session, REFUSAL_OVERLOADED, RUN_NOT_RUN,
+                   step->node->start.queue_wait_ms,
+                   "all backend servers are busy: send the request again "
+                   "after the stated time");
+}
--- /dev/null
+++ b/policy/session.h
@@ -0,0 +1,126 @@
+/*
+ * session.h - one accepted request, from its arrival to its last byte.
+ *
+ * A session owns its answer and its attempts.  An attempt is one stream at
+ * one backend server; at most two run at a time, and only while they race.
+ */
+#ifndef POLICY_SESSION_H
+#define POLICY_SESSION_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <sys/queue.h>
+
+#include <uthash.h>
+
+#include "base/arena.h"
+#include "policy/answer.h"
+#include "policy/runners.h"
+#include "policy/timers.h"
+#include "world/contract.h"
+
+enum { SESSION_ATTEMPTS = 2 };
+
+typedef enum {
+    SESSION_LOOKUP,   /* asking peers whether they know the request */
+    SESSION_CLAIMING, /* non-idempotent: waiting for its claim */
+    SESSION_QUEUED,   /* waiting for a runner */
+    SESSION_RUNNING,  /* an attempt is live */
+    SESSION_FINISHED, /* kept for a repeat */
+    SESSION_REFUSED,  /* kept for a repeat, only if it may have run */
+} session_state_t;
+
+typedef struct session session_t;
+
+typedef struct attempt {
+    LIST_ENTRY(attempt) on_runner;
+    session_t *session;
+    runner_state_t *runner;
+    uint64_t stream; /* the number of its connection */
+    uint32_t number; /* fences: see answer.h */
+    char *stream_name;
+    endpoint_t endpoint;
+    uint32_t first;     /* the answer's position at its own token 0 */
+    uint32_t received;  /* own tokens, those held back included */
+    uint32_t *held_ids; /* tokens without text yet */
+    uint32_t held_count;
+    uint32_t held_capacity;
+    int64_t opened_us;
+    int64_t piece_us; /* of the last piece; 0: none yet */
+    int64_t quiet_us; /* when silence was last acted upon; 0: never */
+    bool reattached;  /* taken up again and not heard since */
+    UT_hash_handle hh;
+} attempt_t;
+
+struct session {
+    uint64_t id;
+    arena_t arena;
+    char *name; /* organisation, newline, key */
+    char *organisation;
+    char *key;
+    char *model;        /* as the caller named it */
+    char *engine_model; /* the version or adapter to name to the engine */
+    char *runner_model; /* what the runner must have loaded */
+    char *service_name; /* the team's service */
+    bool keyed;
+    bool service;
+    bool idempotent;
+    bool stream;
+    bool weighs_extra_work;
+    bool claimed;
+    bool recorded;
+    endpoint_t endpoint;
+    urgency_t urgency;
+    uint32_t weight;
+    uint64_t fingerprint;
+    uint32_t max_tokens;
+    bool seeded;
+    int64_t seed;
+    uint64_t *prefix_hashes;
+    size_t prefix_count;
+    uint32_t losses; /* unrelated losses that it was present at */
+
+    session_state_t state;
+    uint64_t caller; /* 0: gone */
+    uint64_t body;   /* the caller number whose body is kept; 0: none */
+    uint32_t from;   /* position where the present caller goes on */
+    uint32_t given;  /* cuts given to the present caller */
+
+    uint32_t epoch; /* of its ownership among hosts */
+    uint32_t attempt_count;
+    uint32_t may_have_run; /* attempts sent and not refused as not run */
+    attempt_t *attempts[SESSION_ATTEMPTS];
+    uint32_t *prompt_ids;
+    uint32_t prompt_count;
+    answer_t answer;
+    reply_event_t reply; /* of a plain service, copied into the arena */
+
+    int64_t arrived_us;
+    int64_t state_us;       /* when it came into its state */
+    int64_t orphan_us;      /* when its caller left; 0: it is there */
+    int64_t record_due_us;  /* 0: no record to send */
+    uint32_t recorded_cuts; /* of the answer that keepers have */
+    int64_t claim_until_us; /* not to be started after this; 0: no claim */
+    bool waits_resumed;     /* queued after a loss, not for its first start */
+
+    refusal_t refusal;
+    run_t refusal_run;
+    uint64_t ask;      /* of the lookup */
+    uint32_t ask_left; /* peers that have not answered */
+    due_t due;
+    TAILQ_ENTRY(session) queue;
+    UT_hash_handle hh; /* by id */
+    UT_hash_handle hh_name;
+    UT_hash_handle hh_caller;
+};
+
+/* Whether a suspect of another request has a stream on the runner. */
+bool session_suspects_on(const runner_state_t *runner);
+
+/* What the session wishes of a runner, for runners_choose(). */
+wish_t session_wish(const session_t *session, const char *zone);
+
+const char *session_state_name(session_state_t state);
+
+#endif
--- /dev/null
+++ b/policy/timers.c
@@ -0,0 +1,149 @@
+/* timers.c - see timers.h. */
+#include <stdlib.h>
+
+#include "base/arena.h"
+#include "policy/timers.h"
+
+enum { TIMERS_START = 64 };
+
+static void insert(timers_t *timers, due_t *due, int64_t at_us);
+static void remove_at(timers_t *timers, size_t slot);
+static void sift_up(timers_t *timers, size_t slot);
+static void sift_down(timers_t *timers, size_t slot);
+static void swap_slots(timers_t *timers, size_t a, size_t b);
+
+void
+timers_set(timers_t *timers, due_t *due, int64_t at_us)
+{
+    due->due_us = at_us;
+    if (at_us == 0) {
+        return;
+    }
+    if (due->armed_us != 0 && due->armed_us <= at_us) {
+        return;
+    }
+    timers_drop(timers, due);
+    due->due_us = at_us;
+    insert(timers, due, at_us);
+}
+
+void
+timers_drop(timers_t *timers, due_t *due)
+{
+    due->due_us = 0;
+    if (due->armed_us == 0) {
+        return;
+    }
+    remove_at(timers, due->slot);
+}
+
+due_t *
+timers_pop(timers_t *timers, int64_t now_us)
+{
+    while (timers->count > 0 && timers->heap[0]->armed_us <= now_us) {
+        due_t *due = timers->heap[0];
+
+        remove_at(timers, 0);
+        if (due->due_us == 0) {
+            continue;
+        }
+        if (due->due_us > now_us) {
+            insert(timers, due, due->due_us);
+            continue;
+        }
+        due->due_us = 0;
+        return due;
+    }
+    return NULL;
+}
+
+int64_t
+timers_next_us(const timers_t *timers)
+{
+    return timers->count > 0 ? timers->heap[0]->armed_us : 0;
+}
+
+void
+timers_free(timers_t *timers)
+{
+    free(timers->heap);
+    timers->heap = NULL;
+    timers->count = 0;
+    timers->capacity = 0;
+}
+
+static void
+insert(timers_t *timers, due_t *due, int64_t at_us)
+{
+    if (timers->count == timers->capacity) {
+        timers->capacity =
+            timers->capacity == 0 ? TIMERS_START : timers->capacity * 2;
+        timers->heap =
+            xrealloc(timers->heap, timers->capacity, sizeof(due_t *));
+    }
+    due->armed_us = at_us;
+    due->slot = timers->count;
+    timers->heap[timers->count] = due;
+    timers->count++;
+    sift_up(timers, due->slot);
+}
+
+static void
+remove_at(timers_t *timers, size_t slot)
+{
+    due_t *due = timers->heap[slot];
+
+    timers->count--;
+    if (slot != timers->count) {
+        timers->heap[slot] = timers->heap[timers->count];
+        timers->heap[slot]->slot = slot;
+        sift_up(timers, slot);
+        sift_down(timers, timers->heap[slot]->slot);
+    }
+    due->armed_us = 0;
+}
+
+static void
+sift_up(timers_t *timers, size_t slot)
+{
+    while (slot > 0) {
+        size_t parent = (slot - 1) / 2;
+
+        if (timers->heap[parent]->armed_us <= timers->heap[slot]->armed_us) {
+            return;
+        }
+        swap_slots(timers, parent, slot);
+        slot = parent;
+    }
+}
+
+static void
+sift_down(timers_t *timers, size_t slot)
+{
+    for (;;) {
+        size_t least = slot;
+        size_t child = slot * 2 + 1;
+
+        for (size_t i = child; i < child + 2 && i < timers->count; i++) {
+            if (timers->heap[i]->armed_us < timers->heap[least]->armed_us) {
+                least = i;
+            }
+        }
+        if (least == slot) {
+            return;
+        }
+        swap_slots(timers, least, slot);
+        slot = least;
+    }
+}
+
+static void
+swap_slots(timers_t *timers, size_t a, size_t b)
+{
+    due_t *due = timers->heap[a];
+
+    timers->heap[a] = timers->heap[b];
+    timers->heap[b] = due;
+    timers->heap[a]->slot = a;
+    timers->heap[b]->slot = b;
+}
--- /dev/null
+++ b/policy/view.c
@@ -0,0 +1,175 @@
+/* view.c - what operators and callers may ask of a node; see node.h. */
+#include <string.h>
+
+#include "policy/private.h"
+
+static const char *runner_state_word(const runner_state_t *runner,
+                                     int64_t now_us);
+
+node_request_view_t *
+node_requests(const node_t *node, int64_t now_us, arena_t *arena,
+              size_t *count)
+{
+    size_t total = HASH_COUNT(node->sessions);
+    node_request_view_t *views = arena_array(arena, total, sizeof(*views));
+    const session_t *session;
+    size_t i = 0;
+
+    for (session = node->sessions; session != NULL;
+         session = session->hh.next) {
+        node_request_view_t *view = &views[i++];
+        const attempt_t *attempt = session->attempts[0] != NULL
+                                       ? session->attempts[0]
+                                       : session->attempts[1];
+
+        view->organisation = session->organisation;
+        view->key = session->key;
+        view->model = session->model;
+        view->runner = attempt == NULL ? "" : attempt->runner->name;
+        view->state = session_state_name(session->state);
+        view->attempt = session->attempt_count;
+        view->tokens = session->answer.token_count;
+        view->age_ms = (now_us - session->arrived_us) / US_PER_MS;
+    }
+    *count = total;
+    return views;
+}
+
+node_runner_view_t *
+node_runners(const node_t *node, int64_t now_us, arena_t *arena, size_t *count)
+{
+    size_t total = HASH_COUNT(node->runners.by_name);
+    node_runner_view_t *views = arena_array(arena, total, sizeof(*views));
+    const runner_state_t *runner;
+    size_t i = 0;
+
+    for (runner = node->runners.by_name; runner != NULL;
+         runner = runner->hh.next) {
+        node_runner_view_t *view = &views[i++];
+
+        view->name = runner->name;
+        view->address = runner->address;
+        view->zone = runner->zone;
+        view->state = runner_state_word(runner, now_us);
+        view->streams = runner->streams;
+        view->running = runner->running;
+        view->waiting = runner->waiting;
+        view->losses = runner->losses;
+    }
+    *count = total;
+    return views;
+}
+
+node_host_view_t *
+node_hosts(const node_t *node, int64_t now_us, arena_t *arena, size_t *count)
+{
+    node_host_view_t *views = arena_alloc(arena, sizeof(*views));
+
+    (void)now_us;
+    views->name = node->start.host;
+    views->zone = node->start.zone;
+    views->address = node->start.address;
+    views->state = node->draining ? "leaving" : "live";
+    views->incarnation = node->start.incarnation;
+    views->config_revision = node->config.revision;
+    *count = 1;
+    return views;
+}
+
+node_config_view_t *
+node_configs(const node_t *node, arena_t *arena, size_t *count)
+{
+    size_t total = HASH_COUNT(node->config.by_key);
+    node_config_view_t *views = arena_array(arena, total, sizeof(*views));
+    const config_entry_t *entry;
+    size_t i = 0;
+
+    for (entry = node->config.by_key; entry != NULL; entry = entry->hh.next) {
+        if (entry->deleted) {
+            continue;
+        }
+        views[i].key = entry->key;
+        views[i].revision = entry->revision;
+        views[i].text = entry->text;
+        views[i].text_bytes = entry->text_bytes;
+        i++;
+    }
+    *count = i;
+    return views;
+}
+
+const char **
+node_models(const node_t *node, const char *credential, arena_t *arena,
+            size_t *count)
+{
+    const char *organisation = NULL;
+    const config_entry_t *entry;
+    const char **names = NULL;
+    size_t total = 0;
+
+    *count = 0;
+    if (node_role(node, credential, &organisation) != ROLE_ORGANISATION) {
+        return NULL;
+    }
+    for (entry = node->config.by_key; entry != NULL; entry = entry->hh.next) {
+        total += entry->contract == NULL ? 0 : entry->contract->model_count;
+    }
+    names = arena_array(arena, total + 1, sizeof(*names));
+    for (entry = node->config.by_key; entry != NULL; entry = entry->hh.next) {
+        const contract_t *contract = entry->contract;
+
+        if (contract == NULL ||
+            contract_serves(contract, organisation) == NULL) {
+            continue;
+        }
+        for (size_t i = 0; i < contract->model_count; i++) {
+            names[(*count)++] = contract->models[i].name;
+        }
+    }
+    return names;
+}
+
+node_host_view_t *
+node_addresses(const node_t *node, int64_t now_us, uint64_t spread,
+               arena_t *arena, size_t *count)
+{
+    (void)spread;
+    return node_hosts(node, now_us, arena, count);
+}
+
+role_t
+node_role(const node_t *node, const char *credential, const char **name)
+{
+    const fleet_t *fleet = config_fleet(&node->config);
+    const credential_t *known;
+
+    if (fleet == NULL || credential[0] == '\0') {
+        return ROLE_NONE;
+    }
+    known = fleet_credential(fleet, credential);
+    if (known == NULL) {
+        return ROLE_NONE;
+    }
+    *name = known->name;
+    switch (known->kind) {
+    case PARTY_TEAM:
+        return ROLE_TEAM;
+    case PARTY_OPERATOR:
+        return ROLE_OPERATOR;
+    case PARTY_ORGANISATION:
+        break;
+    }
+    return ROLE_ORGANISATION;
+}
+
+static const char *
+runner_state_word(const runner_state_t *runner, int64_t now_us)
+{
+    if (!runner->listed || runner->leaving) {
+        return "leaving";
+    }
+    if (runner->down_until_us > now_us) {
+        return "down";
+    }
+    return runner->failures > 0 ? "suspect" : "up";
+}
