HTTP client on libuv, engine and service backends

Cause: the daemon needs to reach engines and plain services. Change: http/ ties libcurl's multi interface to a loop; backend/ has the server-sent events parser, the body rewriting, the reading of one event, the engine and the service behind backend.h's vtable, and the load report. http_request_t gains fresh_connection: libcurl sends a request a second time on a kept connection that turns out to be closed.

--- /dev/null
+++ b/backend/engine.c
@@ -0,0 +1,399 @@
+/* engine.c - model engines: OpenAI-compatible streams; see backend.h. */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#include <uthash.h>
+
+#include "backend/address.h"
+#include "backend/backend.h"
+#include "backend/load.h"
+#include "backend/piece.h"
+#include "backend/request.h"
+#include "backend/sse.h"
+#include "base/arena.h"
+
+enum {
+    ENGINE_CONNECT_TIMEOUT_MS = 1000,
+    ENGINE_CANCEL_TIMEOUT_MS = 2000,
+    ENGINE_PATH_BYTES = 768,
+    ENGINE_HEADER_BYTES = 512,
+    ENGINE_ID_BYTES = 300,
+    HTTP_STATUS_OK = 200,
+    HTTP_STATUS_BAD_REQUEST = 400,
+    HTTP_STATUS_NOT_FOUND = 404,
+    HTTP_STATUS_UNPROCESSABLE = 422,
+    HTTP_STATUS_TOO_MANY = 429,
+    HTTP_STATUS_UNAVAILABLE = 503,
+};
+
+typedef struct {
+    backend_t backend;
+    http_client_t *client;
+    backend_listener_t *listener;
+    struct engine_stream *streams; /* a table by number */
+    arena_t arena;                 /* for one event */
+} engine_t;
+
+typedef struct engine_stream {
+    http_sink_t sink;
+    UT_hash_handle hh;
+    engine_t *engine;
+    http_call_t *call;
+    uint64_t number;
+    char *address;
+    char id[ENGINE_ID_BYTES];
+    sse_t sse;
+    uint32_t position;
+    uint32_t status;
+    bool reattached;
+    bool feeding; /* its memory is in use up the stack */
+    bool over;    /* out of the table; freed when no longer feeding */
+} engine_stream_t;
+
+static void engine_open(backend_t *backend, const backend_request_t *request);
+static void engine_reattach(backend_t *backend,
+                            const backend_reattach_t *again);
+static void engine_cancel(backend_t *backend, uint64_t number);
+static void engine_poll_load(backend_t *backend, const char *runner,
+                             const char *address);
+static void engine_free(backend_t *backend);
+static engine_stream_t *stream_new(engine_t *engine, uint64_t number,
+                                   const char *address,
+                                   const char *stream_name,
+                                   backend_endpoint_t endpoint);
+static void stream_start(engine_stream_t *stream, http_request_t *request,
+                         const char *path);
+static void stream_close(engine_stream_t *stream);
+static void stream_free(engine_stream_t *stream);
+static void stream_lose(engine_stream_t *stream, backend_loss_t kind,
+                        uint32_t retry_after_ms);
+static void make_id(char *id, backend_endpoint_t endpoint, const char *name);
+static void on_head(http_sink_t *sink, uint32_t status,
+                    const char *content_type, uint32_t retry_after_ms);
+static void on_body(http_sink_t *sink, const char *bytes, size_t length);
+static void on_done(http_sink_t *sink, http_result_t result);
+static bool on_event(void *context, const char *data, size_t length);
+static bool give_piece(engine_stream_t *stream, const char *data,
+                       size_t length);
+static backend_loss_t loss_of_status(const engine_stream_t *stream);
+static void ignore_head(http_sink_t *sink, uint32_t status,
+                        const char *content_type, uint32_t retry_after_ms);
+static void ignore_body(http_sink_t *sink, const char *bytes, size_t length);
+static void ignore_done(http_sink_t *sink, http_result_t result);
+
+static const backend_ops_t engine_ops = {
+    .open = engine_open,
+    .reattach = engine_reattach,
+    .cancel = engine_cancel,
+    .poll_load = engine_poll_load,
+    .free = engine_free,
+};
+static const http_sink_ops_t stream_sink_ops = {on_head, on_body, on_done};
+
+/* The answer to an order to cancel tells nothing that is still needed. */
+static const http_sink_ops_t ignore_sink_ops = {ignore_head, ignore_body,
+                                                ignore_done};
+static http_sink_t ignore_sink = {&ignore_sink_ops};
+
+backend_t *
+engine_new(http_client_t *client, backend_listener_t *listener)
+{
+    engine_t *engine = xcalloc(1, sizeof(*engine));
+
+    engine->backend.ops = &engine_ops;
+    engine->client = client;
+    engine->listener = listener;
+    return &engine->backend;
+}
+
+static void
+engine_open(backend_t *backend, const backend_request_t *request)
+{
+    engine_t *engine = (engine_t *)backend;
+    engine_stream_t *stream =
+        stream_new(engine, request->stream, request->address,
+                   request->stream_name, request->endpoint);
+    char name[ENGINE_HEADER_BYTES];
+    const char *headers[] = {"Content-Type: application/json",
+                             "Accept: text/event-stream", name, NULL};
+    http_request_t call = {.method = "POST", .headers = headers};
+    arena_t arena = {0};
+    size_t length = 0;
+    char *body = request_body(&arena, request, &length);
+
+    (void)snprintf(name, sizeof(name), "X-Request-Id: %s",
+                   strchr(stream->id, '-') + 1);
+    /* What is no JSON object goes on as it is, for the engine to refuse. */
+    call.body = body != NULL ? body : request->body;
+    call.body_bytes = body != NULL ? length : request->body_bytes;
+    stream_start(stream, &call, request_path(request));
+    arena_free(&arena);
+}
+
+static void
+engine_reattach(backend_t *backend, const backend_reattach_t *again)
+{
+    engine_t *engine = (engine_t *)backend;
+    engine_stream_t *stream = stream_new(engine, again->stream, again->address,
+                                         again->stream_name, again->endpoint);
+    const char *headers[] = {"Accept: text/event-stream", NULL};
+    http_request_t call = {.method = "GET", .headers = headers};
+    char path[ENGINE_PATH_BYTES];
+
+    stream->reattached = true;
+    stream->position = again->after;
+    (void)snprintf(path, sizeof(path),
+                   "/v1/completions/%s?stream=true&starting_after=%u",
+                   stream->id, again->after);
+    stream_start(stream, &call, path);
+}
+
+static void
+engine_cancel(backend_t *backend, uint64_t number)
+{
+    engine_t *engine = (engine_t *)backend;
+    http_request_t call = {
+        .method = "POST",
+        .connect_timeout_ms = ENGINE_CONNECT_TIMEOUT_MS,
+        .timeout_ms = ENGINE_CANCEL_TIMEOUT_MS,
+    };
+    engine_stream_t *stream;
+    char path[ENGINE_PATH_BYTES];
+    char *url;
+
+    HASH_FIND(hh, engine->streams, &number, sizeof(number), stream);
+    if (stream == NULL) {
+        return;
+    }
+    (void)snprintf(path, sizeof(path), "/v1/completions/%s/cancel",
+                   stream->id);
+    url = address_url(stream->address, path);
+    call.url = url;
+    (void)http_start(engine->client, &call, &ignore_sink);
+    free(url);
+    stream_close(stream);
+}
+
+static void
+engine_poll_load(backend_t *backend, const char *runner, const char *address)
+{
+    engine_t *engine = (engine_t *)backend;
+
+    load_poll(engine->client, engine->listener, runner, address);
+}
+
+static void
+engine_free(backend_t *backend)
+{
+    engine_t *engine = (engine_t *)backend;
+    engine_stream_t *stream;
+    engine_stream_t *next;
+
+    HASH_ITER(hh, engine->streams, stream, next)
+    {
+        stream_close(stream);
+    }
+    arena_free(&engine->arena);
+    free(engine);
+}
+
+static engine_stream_t *
+stream_new(engine_t *engine, uint64_t number, const char *address,
+           const char *stream_name, backend_endpoint_t endpoint)
+{
+    engine_stream_t *stream = xcalloc(1, sizeof(*stream));
+
+    stream->sink.ops = &stream_sink_ops;
+    stream->engine = engine;
+    stream->number = number;
+    stream->address = xstrdup(address);
+    make_id(stream->id, endpoint, stream_name);
+    HASH_ADD(hh, engine->streams, number, sizeof(stream->number), stream);
+    return stream;
+}
+
+/* The name goes into a path and a header: other bytes become '_'. */
+static void
+make_id(char *id, backend_endpoint_t endpoint, const char *name)
+{
+    static const char plain[] = "abcdefghijklmnopqrstuvwxyz"
+                                "ABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-._~:";
+    const char *prefix = endpoint == BACKEND_CHAT ? "chatcmpl-" : "cmpl-";
+    char *at = id + strlen(prefix);
+
+    (void)snprintf(id, ENGINE_ID_BYTES, "%s%s", prefix, name);
+    for (; *at != '\0'; at++) {
+        if (strchr(plain, *at) == NULL) {
+            *at = '_';
+        }
+    }
+}
+
+static void
+stream_start(engine_stream_t *stream, http_request_t *request,
+             const char *path)
+{
+    char *url = address_url(stream->address, path);
+
+    request->url = url;
+    request->connect_timeout_ms = ENGINE_CONNECT_TIMEOUT_MS;
+    request->fresh_connection = true;
+    stream->call = http_start(stream->engine->client, request, &stream->sink);
+    free(url);
+}
+
+static void
+stream_close(engine_stream_t *stream)
+{
+    if (stream->over) {
+        return;
+    }
+    stream->over = true;
+    HASH_DELETE(hh, stream->engine->streams, stream);
+    if (stream->call != NULL) {
+        http_cancel(stream->call);
+        stream->call = NULL;
+    }
+    if (!stream->feeding) {
+        stream_free(stream);
+    }
+}
+
+static void
+stream_free(engine_stream_t *stream)
+{
+    sse_free(&stream->sse);
+    free(stream->address);
+    free(stream);
+}
+
+static void
+stream_lose(engine_stream_t *stream, backend_loss_t kind,
+            uint32_t retry_after_ms)
+{
+    backend_listener_t *listener = stream->engine->listener;
+    uint64_t number = stream->number;
+    uint32_t status = stream->status;
+
+    stream_close(stream);
+    listener->ops->loss(listener, number, kind, status, retry_after_ms);
+}
+
+static void
+on_head(http_sink_t *sink, uint32_t status, const char *content_type,
+        uint32_t retry_after_ms)
+{
+    static const char events[] = "text/event-stream";
+    engine_stream_t *stream = (engine_stream_t *)sink;
+
+    stream->status = status;
+    if (status != HTTP_STATUS_OK) {
+        stream_lose(stream, loss_of_status(stream), retry_after_ms);
+    }
+    else if (strncasecmp(content_type, events, sizeof(events) - 1) != 0) {
+        stream_lose(stream, BACKEND_FAILED, 0);
+    }
+}
+
+static backend_loss_t
+loss_of_status(const engine_stream_t *stream)
+{
+    switch (stream->status) {
+    case HTTP_STATUS_TOO_MANY:
+    case HTTP_STATUS_UNAVAILABLE:
+        return BACKEND_REFUSED;
+    case HTTP_STATUS_BAD_REQUEST:
+    case HTTP_STATUS_UNPROCESSABLE:
+        return BACKEND_INVALID;
+    case HTTP_STATUS_NOT_FOUND:
+        return stream->reattached ? BACKEND_GONE : BACKEND_FAILED;
+    default:
+        return BACKEND_FAILED;
+    }
+}
+
+static void
+on_body(http_sink_t *sink, const char *bytes, size_t length)
+{
+    engine_stream_t *stream = (engine_stream_t *)sink;
+    int result;
+
+    stream->feeding = true;
+    result = sse_feed(&stream->sse, bytes, length, on_event, stream);
+    stream->feeding = false;
+    if (stream->over) {
+        stream_free(stream);
+    }
+    else if (result < 0) {
+        stream_lose(stream, BACKEND_FAILED, 0);
+    }
+}
+
+static bool
+on_event(void *context, const char *data, size_t length)
+{
+    static const char done[] = "[DONE]";
+    engine_stream_t *stream = context;
+    backend_listener_t *listener = stream->engine->listener;
+
+    if (length == sizeof(done) - 1 && memcmp(data, done, length) == 0) {
+        uint64_t number = stream->number;
+
+        stream_close(stream);
+        listener->ops->end(listener, number);
+        return false;
+    }
+    return give_piece(stream, data, length);
+}
+
+static bool
+give_piece(engine_stream_t *stream, const char *data, size_t length)
+{
+    engine_t *engine = stream->engine;
+    backend_piece_t piece;
+
+    arena_reset(&engine->arena);
+    switch (piece_read(&engine->arena, data, length, &piece)) {
+    case PIECE_EMPTY:
+        return true;
+    case PIECE_TOKENS:
+        break;
+    case PIECE_ERROR:
+    case PIECE_BROKEN:
+        stream_lose(stream, BACKEND_FAILED, 0);
+        return false;
+    }
+    piece.stream = stream->number;
+    piece.position = stream->position;
+    stream->position += piece.token_count;
+    engine->listener->ops->piece(engine->listener, &piece);
+    return !stream->over;
+}
+
+static void
+on_done(http_sink_t *sink, http_result_t result)
+{
+    engine_stream_t *stream = (engine_stream_t *)sink;
+
+    stream->call = NULL;
+    stream_lose(stream,
+                result == HTTP_NOT_SENT ? BACKEND_NOT_SENT : BACKEND_RESET, 0);
+}
+
+static void
+ignore_head(http_sink_t *sink, uint32_t status, const char *content_type,
+            uint32_t retry_after_ms)
+{
+}
+
+static void
+ignore_body(http_sink_t *sink, const char *bytes, size_t length)
+{
+}
+
+static void
+ignore_done(http_sink_t *sink, http_result_t result)
+{
+}
--- /dev/null
+++ b/backend/load.c
@@ -0,0 +1,186 @@
+/* load.c - see load.h. */
+#include <math.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "backend/address.h"
+#include "backend/load.h"
+#include "base/arena.h"
+
+enum {
+    LOAD_CONNECT_TIMEOUT_MS = 500,
+    LOAD_TIMEOUT_MS = 2000,
+    LOAD_BYTES_MAX = 4 << 20,
+    LOAD_NUMBER_BYTES = 64,
+    HTTP_STATUS_OK = 200,
+};
+
+/* One question that has no answer yet. */
+typedef struct {
+    http_sink_t sink;
+    backend_listener_t *listener;
+    char *runner;
+    uint32_t status;
+    char *text;
+    size_t length;
+    bool too_long;
+} load_poll_t;
+
+static bool sum_line(const char *line, size_t length, const char *name,
+                     double *sum);
+static const char *skip_labels(const char *at, const char *end);
+static uint32_t to_count(double sum);
+static void on_head(http_sink_t *sink, uint32_t status,
+                    const char *content_type, uint32_t retry_after_ms);
+static void on_body(http_sink_t *sink, const char *bytes, size_t length);
+static void on_done(http_sink_t *sink, http_result_t result);
+
+static const http_sink_ops_t load_sink_ops = {on_head, on_body, on_done};
+
+bool
+load_read(const char *text, size_t length, uint32_t *running,
+          uint32_t *waiting)
+{
+    const char *end = text + length;
+    double running_sum = 0;
+    double waiting_sum = 0;
+    bool has_running = false;
+    bool has_waiting = false;
+
+    while (text < end) {
+        const char *feed = memchr(text, '\n', (size_t)(end - text));
+        size_t line = (size_t)((feed != NULL ? feed : end) - text);
+
+        has_running |=
+            sum_line(text, line, "vllm:num_requests_running", &running_sum);
+        has_waiting |=
+            sum_line(text, line, "vllm:num_requests_waiting", &waiting_sum);
+        if (feed == NULL) {
+            break;
+        }
+        text = feed + 1;
+    }
+    *running = to_count(running_sum);
+    *waiting = to_count(waiting_sum);
+    return has_running && has_waiting;
+}
+
+void
+load_poll(http_client_t *client, backend_listener_t *listener,
+          const char *runner, const char *address)
+{
+    load_poll_t *poll = xcalloc(1, sizeof(*poll));
+    http_request_t request = {
+        .method = "GET",
+        .connect_timeout_ms = LOAD_CONNECT_TIMEOUT_MS,
+        .timeout_ms = LOAD_TIMEOUT_MS,
+    };
+    char *url = address_url(address, "/metrics");
+
+    poll->sink.ops = &load_sink_ops;
+    poll->listener = listener;
+    poll->runner = xstrdup(runner);
+    request.url = url;
+    (void)http_start(client, &request, &poll->sink);
+    free(url);
+}
+
+static bool
+sum_line(const char *line, size_t length, const char *name, double *sum)
+{
+    const char *end = line + length;
+    size_t name_length = strlen(name);
+    char number[LOAD_NUMBER_BYTES];
+    size_t number_length;
+    const char *at = line + name_length;
+    char *number_end;
+    double value;
+
+    if (length <= name_length || memcmp(line, name, name_length) != 0 ||
+        (*at != '{' && *at != ' ')) {
+        return false;
+    }
+    at = skip_labels(at, end);
+    while (at < end && *at == ' ') {
+        at++;
+    }
+    number_length = (size_t)(end - at);
+    if (number_length == 0 || number_length >= sizeof(number)) {
+        return false;
+    }
+    memcpy(number, at, number_length);
+    number[number_length] = '\0';
+    value = strtod(number, &number_end);
+    if (number_end == number || !isfinite(value) || value < 0) {
+        return false;
+    }
+    *sum += value;
+    return true;
+}
+
+/* A label's value is quoted and may hold any byte, "}" and "\"" too. */
+static const char *
+skip_labels(const char *at, const char *end)
+{
+    bool quoted = false;
+
+    if (*at != '{') {
+        return at;
+    }
+    for (; at < end; at++) {
+        if (quoted && *at == '\\') {
+            at++;
+        }
+        else if (*at == '"') {
+            quoted = !quoted;
+        }
+        else if (!quoted && *at == '}') {
+            return at + 1;
+        }
+    }
+    return end;
+}
+
+static uint32_t
+to_count(double sum)
+{
+    return sum < UINT32_MAX ? (uint32_t)sum : UINT32_MAX;
+}
+
+static void
+on_head(http_sink_t *sink, uint32_t status, const char *content_type,
+        uint32_t retry_after_ms)
+{
+    ((load_poll_t *)sink)->status = status;
+}
+
+static void
+on_body(http_sink_t *sink, const char *bytes, size_t length)
+{
+    load_poll_t *poll = (load_poll_t *)sink;
+
+    if (poll->length + length > LOAD_BYTES_MAX) {
+        poll->too_long = true;
+        return;
+    }
+    poll->text = xrealloc(poll->text, poll->length + length, 1);
+    memcpy(poll->text + poll->length, bytes, length);
+    poll->length += length;
+}
+
+static void
+on_done(http_sink_t *sink, http_result_t result)
+{
+    load_poll_t *poll = (load_poll_t *)sink;
+    uint32_t running = 0;
+    uint32_t waiting = 0;
+    bool reached = result == HTTP_DONE && poll->status == HTTP_STATUS_OK &&
+                   !poll->too_long && poll->text != NULL &&
+                   load_read(poll->text, poll->length, &running, &waiting);
+
+    poll->listener->ops->load(poll->listener, poll->runner, reached, running,
+                              waiting);
+    free(poll->runner);
+    free(poll->text);
+    free(poll);
+}
--- /dev/null
+++ b/backend/service.c
@@ -0,0 +1,222 @@
+/* service.c - plain services: one call, its whole answer; see backend.h. */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <uthash.h>
+
+#include "backend/address.h"
+#include "backend/backend.h"
+#include "backend/load.h"
+#include "base/arena.h"
+
+enum {
+    SERVICE_CONNECT_TIMEOUT_MS = 1000,
+    SERVICE_REPLY_BYTES_MAX = 16 << 20,
+    SERVICE_BUFFER_BYTES = 512,
+    SERVICE_HEADER_BYTES = 512,
+    HTTP_STATUS_TOO_MANY = 429,
+    HTTP_STATUS_UNAVAILABLE = 503,
+};
+
+typedef struct {
+    backend_t backend;
+    http_client_t *client;
+    backend_listener_t *listener;
+    struct service_call *calls; /* a table by stream number */
+} service_t;
+
+typedef struct service_call {
+    http_sink_t sink;
+    UT_hash_handle hh;
+    service_t *service;
+    http_call_t *call;
+    uint64_t number;
+    uint32_t status;
+    char *content_type;
+    uint32_t retry_after_ms;
+    char *body;
+    size_t body_bytes;
+    size_t size_bytes;
+} service_call_t;
+
+static void service_open(backend_t *backend, const backend_request_t *request);
+static void service_cancel(backend_t *backend, uint64_t number);
+static void service_poll_load(backend_t *backend, const char *runner,
+                              const char *address);
+static void service_free(backend_t *backend);
+static void call_free(service_call_t *call);
+static void call_lose(service_call_t *call, backend_loss_t kind);
+static void on_head(http_sink_t *sink, uint32_t status,
+                    const char *content_type, uint32_t retry_after_ms);
+static void on_body(http_sink_t *sink, const char *bytes, size_t length);
+static void on_done(http_sink_t *sink, http_result_t result);
+
+/* A plain service has no streams to take up again. */
+static const backend_ops_t service_ops = {
+    .open = service_open,
+    .reattach = NULL,
+    .cancel = service_cancel,
+    .poll_load = service_poll_load,
+    .free = service_free,
+};
+static const http_sink_ops_t call_sink_ops = {on_head, on_body, on_done};
+
+backend_t *
+service_new(http_client_t *client, backend_listener_t *listener)
+{
+    service_t *service = xcalloc(1, sizeof(*service));
+
+    service->backend.ops = &service_ops;
+    service->client = client;
+    service->listener = listener;
+    return &service->backend;
+}
+
+static void
+service_open(backend_t *backend, const backend_request_t *request)
+{
+    service_t *service = (service_t *)backend;
+    service_call_t *call = xcalloc(1, sizeof(*call));
+    char name[SERVICE_HEADER_BYTES];
+    char type[SERVICE_HEADER_BYTES];
+    const char *headers[] = {name, type, NULL};
+    char *url = address_url(request->address, request->path);
+    http_request_t http = {
+        .method = request->method,
+        .url = url,
+        .headers = headers,
+        .body = request->body_bytes > 0 ? request->body : NULL,
+        .body_bytes = request->body_bytes,
+        .connect_timeout_ms = SERVICE_CONNECT_TIMEOUT_MS,
+        .fresh_connection = true,
+    };
+
+    (void)snprintf(name, sizeof(name), "X-Request-Id: %s",
+                   request->stream_name);
+    (void)snprintf(type, sizeof(type), "Content-Type: %s",
+                   request->content_type != NULL ? request->content_type : "");
+    call->sink.ops = &call_sink_ops;
+    call->service = service;
+    call->number = request->stream;
+    HASH_ADD(hh, service->calls, number, sizeof(call->number), call);
+    call->call = http_start(service->client, &http, &call->sink);
+    free(url);
+}
+
+static void
+service_cancel(backend_t *backend, uint64_t number)
+{
+    service_t *service = (service_t *)backend;
+    service_call_t *call;
+
+    HASH_FIND(hh, service->calls, &number, sizeof(number), call);
+    if (call != NULL) {
+        call_free(call);
+    }
+}
+
+static void
+service_poll_load(backend_t *backend, const char *runner, const char *address)
+{
+    service_t *service = (service_t *)backend;
+
+    load_poll(service->client, service->listener, runner, address);
+}
+
+static void
+service_free(backend_t *backend)
+{
+    service_t *service = (service_t *)backend;
+    service_call_t *call;
+    service_call_t *next;
+
+    HASH_ITER(hh, service->calls, call, next)
+    {
+        call_free(call);
+    }
+    free(service);
+}
+
+static void
+call_free(service_call_t *call)
+{
+    HASH_DELETE(hh, call->service->calls, call);
+    if (call->call != NULL) {
+        http_cancel(call->call);
+    }
+    free(call->content_type);
+    free(call->body);
+    free(call);
+}
+
+static void
+call_lose(service_call_t *call, backend_loss_t kind)
+{
+    backend_listener_t *listener = call->service->listener;
+    uint64_t number = call->number;
+    uint32_t status = call->status;
+    uint32_t retry_after_ms = call->retry_after_ms;
+
+    call_free(call);
+    listener->ops->loss(listener, number, kind, status, retry_after_ms);
+}
+
+static void
+on_head(http_sink_t *sink, uint32_t status, const char *content_type,
+        uint32_t retry_after_ms)
+{
+    service_call_t *call = (service_call_t *)sink;
+
+    call->status = status;
+    call->retry_after_ms = retry_after_ms;
+    call->content_type = xstrdup(content_type);
+    if (status == HTTP_STATUS_TOO_MANY || status == HTTP_STATUS_UNAVAILABLE) {
+        call_lose(call, BACKEND_REFUSED);
+    }
+}
+
+static void
+on_body(http_sink_t *sink, const char *bytes, size_t length)
+{
+    service_call_t *call = (service_call_t *)sink;
+    size_t needed = call->body_bytes + length;
+
+    if (needed > SERVICE_REPLY_BYTES_MAX) {
+        call_lose(call, BACKEND_FAILED);
+        return;
+    }
+    if (needed > call->size_bytes) {
+        size_t size = call->size_bytes * 2;
+
+        size = size < SERVICE_BUFFER_BYTES ? SERVICE_BUFFER_BYTES : size;
+        size = size < needed ? needed : size;
+        call->body = xrealloc(call->body, size, 1);
+        call->size_bytes = size;
+    }
+    memcpy(call->body + call->body_bytes, bytes, length);
+    call->body_bytes = needed;
+}
+
+static void
+on_done(http_sink_t *sink, http_result_t result)
+{
+    service_call_t *call = (service_call_t *)sink;
+    backend_listener_t *listener = call->service->listener;
+
+    call->call = NULL;
+    if (result != HTTP_DONE) {
+        call_lose(call,
+                  result == HTTP_NOT_SENT ? BACKEND_NOT_SENT : BACKEND_RESET);
+        return;
+    }
+    /* The answer's memory stays until the call is freed; a cancellation
+     * from inside the report finds no call to cancel. */
+    HASH_DELETE(hh, call->service->calls, call);
+    listener->ops->reply(
+        listener, call->number, call->status, call->content_type,
+        call->body != NULL ? call->body : "", call->body_bytes);
+    free(call->content_type);
+    free(call->body);
+    free(call);
+}
--- /dev/null
+++ b/http/client.c
@@ -0,0 +1,412 @@
+/* client.c - libcurl's multi interface on a libuv loop; see http.h. */
+#include <stdbool.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/queue.h>
+
+#include <curl/curl.h>
+
+#include "base/arena.h"
+#include "http/http.h"
+
+enum {
+    HTTP_BUFFER_BYTES = 4096,
+    HTTP_IDLE_CONNECTIONS = 128,
+    HTTP_KEEPALIVE_IDLE_S = 10,
+    HTTP_KEEPALIVE_INTERVAL_S = 5,
+    HTTP_STATUS_FINAL = 200,
+    MS_PER_S = 1000,
+};
+
+struct http_call {
+    LIST_ENTRY(http_call) all;
+    TAILQ_ENTRY(http_call) queued; /* in starting or in ending */
+    http_client_t *client;
+    http_sink_t *sink;
+    CURL *easy;
+    struct curl_slist *headers;
+    bool added;      /* to the multi handle */
+    bool cancelled;  /* no more callbacks; freed once libcurl has returned */
+    bool delivering; /* done() is running and the call is freed after it */
+    bool headed;     /* head() was called */
+};
+TAILQ_HEAD(call_queue, http_call);
+
+/*
+ * libcurl's callbacks must not add or remove handles, so that while it runs
+ * (in_curl) starts and cancellations are queued.
+ */
+struct http_client {
+    uv_loop_t *loop;
+    uv_timer_t timer;
+    CURLM *multi;
+    bool in_curl;
+    LIST_HEAD(, http_call) calls;
+    struct call_queue starting;
+    struct call_queue ending;
+};
+
+static int on_socket(CURL *easy, curl_socket_t fd, int what, void *context,
+                     void *socket_context);
+static int on_timer_wanted(CURLM *multi, long timeout_ms, void *context);
+static void on_timer(uv_timer_t *timer);
+static void on_poll(uv_poll_t *poll, int status, int events);
+static void on_poll_closed(uv_handle_t *handle);
+static void on_client_closed(uv_handle_t *handle);
+static size_t on_header(char *bytes, size_t size, size_t count, void *context);
+static size_t on_body(char *bytes, size_t size, size_t count, void *context);
+static void act(http_client_t *client, curl_socket_t fd, int flags);
+static void settle(http_client_t *client);
+static void deliver(http_call_t *call, CURLcode code);
+static http_result_t result_of(http_call_t *call, CURLcode code);
+static void call_free(http_call_t *call);
+static void set_request(http_call_t *call, const http_request_t *request);
+static void set_method(http_call_t *call, const http_request_t *request);
+
+http_client_t *
+http_client_new(uv_loop_t *loop)
+{
+    http_client_t *client = xcalloc(1, sizeof(*client));
+
+    (void)curl_global_init(CURL_GLOBAL_DEFAULT);
+    client->loop = loop;
+    LIST_INIT(&client->calls);
+    TAILQ_INIT(&client->starting);
+    TAILQ_INIT(&client->ending);
+    (void)uv_timer_init(loop, &client->timer);
+    client->timer.data = client;
+    client->multi = curl_multi_init();
+    if (client->multi == NULL) {
+        abort();
+    }
+    curl_multi_setopt(client->multi, CURLMOPT_SOCKETFUNCTION, on_socket);
+    curl_multi_setopt(client->multi, CURLMOPT_SOCKETDATA, client);
+    curl_multi_setopt(client->multi, CURLMOPT_TIMERFUNCTION, on_timer_wanted);
+    curl_multi_setopt(client->multi, CURLMOPT_TIMERDATA, client);
+    curl_multi_setopt(client->multi, CURLMOPT_MAXCONNECTS,
+                      (long)HTTP_IDLE_CONNECTIONS);
+    return client;
+}
+
+void
+http_client_free(http_client_t *client)
+{
+    http_call_t *call;
+
+    while ((call = LIST_FIRST(&client->calls)) != NULL) {
+        call_free(call);
+    }
+    (void)curl_multi_cleanup(client->multi);
+    curl_global_cleanup();
+    uv_close((uv_handle_t *)&client->timer, on_client_closed);
+}
+
+http_call_t *
+http_start(http_client_t *client, const http_request_t *request,
+           http_sink_t *sink)
+{
+    http_call_t *call = xcalloc(1, sizeof(*call));
+
+    call->client = client;
+    call->sink = sink;
+    call->easy = curl_easy_init();
+    if (call->easy == NULL) {
+        abort();
+    }
+    LIST_INSERT_HEAD(&client->calls, call, all);
+    set_request(call, request);
+    if (client->in_curl) {
+        TAILQ_INSERT_TAIL(&client->starting, call, queued);
+    }
+    else {
+        call->added = true;
+        (void)curl_multi_add_handle(client->multi, call->easy);
+    }
+    return call;
+}
+
+void
+http_cancel(http_call_t *call)
+{
+    http_client_t *client = call->client;
+
+    if (call->cancelled) {
+        return;
+    }
+    call->cancelled = true;
+    if (call->delivering) {
+        return;
+    }
+    if (!client->in_curl) {
+        call_free(call);
+        return;
+    }
+    if (!call->added) {
+        TAILQ_REMOVE(&client->starting, call, queued);
+    }
+    TAILQ_INSERT_TAIL(&client->ending, call, queued);
+}
+
+static void
+set_request(http_call_t *call, const http_request_t *request)
+{
+    CURL *easy = call->easy;
+    const char *const *header;
+
+    curl_easy_setopt(easy, CURLOPT_PRIVATE, call);
+    curl_easy_setopt(easy, CURLOPT_URL, request->url);
+    curl_easy_setopt(easy, CURLOPT_PATH_AS_IS, 1L);
+    curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http,https");
+    curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, (long)CURL_HTTP_VERSION_1_1);
+    curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(easy, CURLOPT_NOPROXY, "*");
+    curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
+    curl_easy_setopt(easy, CURLOPT_TCP_KEEPALIVE, 1L);
+    curl_easy_setopt(easy, CURLOPT_TCP_KEEPIDLE, (long)HTTP_KEEPALIVE_IDLE_S);
+    curl_easy_setopt(easy, CURLOPT_TCP_KEEPINTVL,
+                     (long)HTTP_KEEPALIVE_INTERVAL_S);
+    curl_easy_setopt(easy, CURLOPT_BUFFERSIZE, (long)HTTP_BUFFER_BYTES);
+    curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
+                     (long)request->connect_timeout_ms);
+    curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, (long)request->timeout_ms);
+    if (request->fresh_connection) {
+        curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
+        curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
+    }
+    call->headers = curl_slist_append(NULL, "Expect:");
+    for (header = request->headers; header != NULL && *header != NULL;
+         header++) {
+        if (strpbrk(*header, "\r\n") == NULL) {
+            call->headers = curl_slist_append(call->headers, *header);
+        }
+    }
+    curl_easy_setopt(easy, CURLOPT_HTTPHEADER, call->headers);
+    curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, on_header);
+    curl_easy_setopt(easy, CURLOPT_HEADERDATA, call);
+    curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, on_body);
+    curl_easy_setopt(easy, CURLOPT_WRITEDATA, call);
+    set_method(call, request);
+}
+
+static void
+set_method(http_call_t *call, const http_request_t *request)
+{
+    bool posts = strcmp(request->method, "POST") == 0 ||
+                 strcmp(request->method, "PUT") == 0 ||
+                 strcmp(request->method, "PATCH") == 0;
+
+    if (strcmp(request->method, "HEAD") == 0) {
+        curl_easy_setopt(call->easy, CURLOPT_NOBODY, 1L);
+        return;
+    }
+    if (posts || request->body != NULL) {
+        curl_easy_setopt(call->easy, CURLOPT_POST, 1L);
+        curl_easy_setopt(call->easy, CURLOPT_POSTFIELDSIZE_LARGE,
+                         (curl_off_t)request->body_bytes);
+        curl_easy_setopt(call->easy, CURLOPT_COPYPOSTFIELDS,
+                         request->body != NULL ? request->body : "");
+    }
+    curl_easy_setopt(call->easy, CURLOPT_CUSTOMREQUEST, request->method);
+}
+
+static int
+on_socket(CURL *easy, curl_socket_t fd, int what, void *context,
+          void *socket_context)
+{
+    http_client_t *client = context;
+    uv_poll_t *poll = socket_context;
+    int events = 0;
+
+    if (what == CURL_POLL_REMOVE) {
+        if (poll != NULL) {
+            (void)curl_multi_assign(client->multi, fd, NULL);
+            uv_close((uv_handle_t *)poll, on_poll_closed);
+        }
+        return 0;
+    }
+    if (poll == NULL) {
+        poll = xcalloc(1, sizeof(*poll));
+        if (uv_poll_init_socket(client->loop, poll, fd) != 0) {
+            free(poll);
+            return -1;
+        }
+        poll->data = client;
+        (void)curl_multi_assign(client->multi, fd, poll);
+    }
+    events |= what & CURL_POLL_IN ? UV_READABLE : 0;
+    events |= what & CURL_POLL_OUT ? UV_WRITABLE : 0;
+    (void)uv_poll_start(poll, events, on_poll);
+    return 0;
+}
+
+static void
+on_poll(uv_poll_t *poll, int status, int events)
+{
+    uv_os_fd_t fd;
+    int flags = 0;
+
+    if (uv_fileno((uv_handle_t *)poll, &fd) != 0) {
+        return;
+    }
+    if (status < 0) {
+        flags = CURL_CSELECT_ERR;
+    }
+    flags |= events & UV_READABLE ? CURL_CSELECT_IN : 0;
+    flags |= events & UV_WRITABLE ? CURL_CSELECT_OUT : 0;
+    act(poll->data, fd, flags);
+}
+
+static void
+on_poll_closed(uv_handle_t *handle)
+{
+    free(handle);
+}
+
+static void
+on_client_closed(uv_handle_t *handle)
+{
+    free(handle->data);
+}
+
+static int
+on_timer_wanted(CURLM *multi, long timeout_ms, void *context)
+{
+    http_client_t *client = context;
+
+    if (timeout_ms < 0) {
+        (void)uv_timer_stop(&client->timer);
+        return 0;
+    }
+    /* The loop's time is cut to whole milliseconds: never fire too early,
+     * because libcurl does not ask a second time. */
+    uv_update_time(client->loop);
+    (void)uv_timer_start(&client->timer, on_timer,
+                         (uint64_t)timeout_ms + (timeout_ms > 0 ? 1 : 0), 0);
+    return 0;
+}
+
+static void
+on_timer(uv_timer_t *timer)
+{
+    act(timer->data, CURL_SOCKET_TIMEOUT, 0);
+}
+
+static size_t
+on_header(char *bytes, size_t size, size_t count, void *context)
+{
+    http_call_t *call = context;
+    size_t length = size * count;
+    const char *content_type = NULL;
+    curl_off_t retry_after_s = 0;
+    long status = 0;
+
+    if (call->cancelled) {
+        return 0;
+    }
+    if (call->headed || length == 0 || length > 2 ||
+        (bytes[0] != '\r' && bytes[0] != '\n')) {
+        return length;
+    }
+    (void)curl_easy_getinfo(call->easy, CURLINFO_RESPONSE_CODE, &status);
+    if (status < HTTP_STATUS_FINAL) {
+        return length;
+    }
+    (void)curl_easy_getinfo(call->easy, CURLINFO_CONTENT_TYPE, &content_type);
+    (void)curl_easy_getinfo(call->easy, CURLINFO_RETRY_AFTER, &retry_after_s);
+    if (retry_after_s > UINT32_MAX / MS_PER_S) {
+        retry_after_s = UINT32_MAX / MS_PER_S;
+    }
+    call->headed = true;
+    call->sink->ops->head(call->sink, (uint32_t)status,
+                          content_type != NULL ? content_type : "",
+                          (uint32_t)retry_after_s * MS_PER_S);
+    return call->cancelled ? 0 : length;
+}
+
+static size_t
+on_body(char *bytes, size_t size, size_t count, void *context)
+{
+    http_call_t *call = context;
+    size_t length = size * count;
+
+    if (call->cancelled) {
+        return 0;
+    }
+    if (length > 0) {
+        call->sink->ops->body(call->sink, bytes, length);
+    }
+    return call->cancelled ? 0 : length;
+}
+
+static void
+act(http_client_t *client, curl_socket_t fd, int flags)
+{
+    int running;
+
+    client->in_curl = true;
+    (void)curl_multi_socket_action(client->multi, fd, flags, &running);
+    client->in_curl = false;
+    settle(client);
+}
+
+/* Does what had to wait until libcurl returned. */
+static void
+settle(http_client_t *client)
+{
+    http_call_t *call;
+    CURLMsg *message;
+    int left;
+
+    while ((call = TAILQ_FIRST(&client->ending)) != NULL) {
+        TAILQ_REMOVE(&client->ending, call, queued);
+        call_free(call);
+    }
+    while ((call = TAILQ_FIRST(&client->starting)) != NULL) {
+        TAILQ_REMOVE(&client->starting, call, queued);
+        call->added = true;
+        (void)curl_multi_add_handle(client->multi, call->easy);
+    }
+    while ((message = curl_multi_info_read(client->multi, &left)) != NULL) {
+        CURLcode code = message->data.result;
+        void *owner = NULL;
+
+        (void)curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE,
+                                &owner);
+        deliver(owner, code);
+    }
+}
+
+static void
+deliver(http_call_t *call, CURLcode code)
+{
+    call->delivering = true;
+    call->sink->ops->done(call->sink, result_of(call, code));
+    call_free(call);
+}
+
+static http_result_t
+result_of(http_call_t *call, CURLcode code)
+{
+    long sent_bytes = 0;
+
+    if (code == CURLE_OK) {
+        return HTTP_DONE;
+    }
+    (void)curl_easy_getinfo(call->easy, CURLINFO_REQUEST_SIZE, &sent_bytes);
+    if (sent_bytes == 0) {
+        return HTTP_NOT_SENT;
+    }
+    return code == CURLE_OPERATION_TIMEDOUT ? HTTP_TIMEOUT : HTTP_BROKEN;
+}
+
+static void
+call_free(http_call_t *call)
+{
+    if (call->added) {
+        (void)curl_multi_remove_handle(call->client->multi, call->easy);
+    }
+    curl_easy_cleanup(call->easy);
+    curl_slist_free_all(call->headers);
+    LIST_REMOVE(call, all);
+    free(call);
+}
--- a/http/http.h
+++ b/http/http.h
@@ -8,6 +8,7 @@
 #ifndef HTTP_HTTP_H
 #define HTTP_HTTP_H
 
+#include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
@@ -42,11 +43,18 @@
 typedef struct {
     const char *method;         /* "GET", "POST", ... */
     const char *url;            /* the host by IP number */
-    const char *const *headers; /* "Name: value", NULL at the end; or NULL */
+    const char *const *headers; /* "Name: value", NULL at the end; or NULL;
+                                   one with a line break is left out */
     const char *body;           /* copied; NULL for none */
     size_t body_bytes;
     uint32_t connect_timeout_ms;
     uint32_t timeout_ms; /* of the whole call; 0: none */
+    /*
+     * A connection of its own, closed afterwards.  On a kept connection
+     * that turns out to be closed, the request is sent a second time; on a
+     * fresh one it is sent at most once.
+     */
+    bool fresh_connection;
 } http_request_t;
 
 http_client_t *http_client_new(uv_loop_t *loop);
