--- /dev/null
+++ b/regress/standin/load.c
@@ -0,0 +1,2 @@
+int main(void);
+int main(void) { return 0; }
