--- a/regress/standin/engine.c
+++ b/regress/standin/engine.c
@@ -119,10 +119,9 @@
     prompt_tokens += generation->prompt_count;
     cached_tokens += cached;
     generation->state = GENERATION_RUNNING;
-    generation->due_us =
-        now + options.token_us +
-        (uint64_t)(generation->prompt_count - cached) *
-            options.prefill_us_per_token;
+    generation->due_us = now + options.token_us +
+                         (uint64_t)(generation->prompt_count - cached) *
+                             options.prefill_us_per_token;
 }
 
 /* Starts the most urgent that wait while there is room in the batch. */
@@ -208,8 +207,8 @@
     generation_t **at = &generations, *each;
 
     while ((each = *at) != NULL) {
-        uint64_t keep_us = each->state == GENERATION_DONE ? KEEP_DONE_US
-                                                          : KEEP_UNBOUND_US;
+        uint64_t keep_us =
+            each->state == GENERATION_DONE ? KEEP_DONE_US : KEEP_UNBOUND_US;
 
         if (each->conn != NULL || now < each->since_us + keep_us) {
             at = &each->next;
@@ -266,8 +265,7 @@
 cancel(server_conn_t *conn, const server_request_t *request)
 {
     const char *id = request->path + strlen("/v1/completions/");
-    generation_t *generation =
-        find(id, strlen(id) - strlen("/cancel"));
+    generation_t *generation = find(id, strlen(id) - strlen("/cancel"));
     server_conn_t *former;
 
     if (generation == NULL) {
@@ -310,8 +308,7 @@
         options.models, running, options.models, waiting,
         (unsigned long long)prompt_tokens, (unsigned long long)cached_tokens,
         (unsigned long long)output_tokens, (unsigned long long)starts);
-    server_reply(conn, 200, "text/plain; version=0.0.4", text,
-                 (size_t)length);
+    server_reply(conn, 200, "text/plain; version=0.0.4", text, (size_t)length);
 }
 
 static void
@@ -325,16 +322,14 @@
             list, json_pack("{s:s, s:s}", "id", name, "object", "model"));
     }
     free(names);
-    send_json(conn,
-              json_pack("{s:s, s:o}", "object", "list", "data", list));
+    send_json(conn, json_pack("{s:s, s:o}", "object", "list", "data", list));
 }
 
 /* Records an order to load or unload, and gives the record back. */
 static void
 serve_order(server_conn_t *conn, const server_request_t *request)
 {
-    json_t *body =
-        json_loadb(request->body, request->body_bytes, 0, NULL);
+    json_t *body = json_loadb(request->body, request->body_bytes, 0, NULL);
 
     json_array_append_new(
         orders, json_pack("{s:s, s:o?}", "path", request->path, "body", body));
@@ -429,9 +424,9 @@
         {"cache-blocks", 'c', "N", 0, "blocks of 16 tokens cached", 0},
         {"journal", 'j', "FILE", 0, "where each start is written", 0},
         {0}};
-    static const struct argp argp = {known, parse_option, NULL,
-                                     "Stands in for a model engine.",
-                                     NULL, NULL, NULL};
+    static const struct argp argp = {
+        known, parse_option, NULL, "Stands in for a model engine.",
+        NULL,  NULL,         NULL};
     static const server_ops_t ops = {on_request, on_gone};
     uv_timer_t tick;
 
--- a/regress/standin/engine.h
+++ b/regress/standin/engine.h
@@ -49,8 +49,8 @@
     uint32_t output_count;
     const char *finish;
     generate_t generate;
-    uint64_t due_us;   /* when the next token is there */
-    uint64_t since_us; /* when it lost its connection, or was done */
+    uint64_t due_us;     /* when the next token is there */
+    uint64_t since_us;   /* when it lost its connection, or was done */
     server_conn_t *conn; /* NULL: none is bound */
     bool streamed;
     uint32_t sent_count; /* pieces given to conn */
--- a/regress/standin/engine_send.c
+++ b/regress/standin/engine_send.c
@@ -37,11 +37,10 @@
 static json_t *
 usage_json(const generation_t *generation)
 {
-    return json_pack("{s:i, s:i, s:i}", "prompt_tokens",
-                     (int)generation->prompt_count, "completion_tokens",
-                     (int)generation->output_count, "total_tokens",
-                     (int)(generation->prompt_count +
-                           generation->output_count));
+    return json_pack(
+        "{s:i, s:i, s:i}", "prompt_tokens", (int)generation->prompt_count,
+        "completion_tokens", (int)generation->output_count, "total_tokens",
+        (int)(generation->prompt_count + generation->output_count));
 }
 
 static json_t *
@@ -66,10 +65,9 @@
     if (generation->return_token_ids) {
         json_object_set_new(choice, "token_ids", ids_json(&id, 1));
         if (index == 0) {
-            json_object_set_new(generation->chat ? json : choice,
-                                "prompt_token_ids",
-                                ids_json(generation->prompt_ids,
-                                         generation->prompt_count));
+            json_object_set_new(
+                generation->chat ? json : choice, "prompt_token_ids",
+                ids_json(generation->prompt_ids, generation->prompt_count));
         }
     }
     json_object_set_new(json, "choices", json_pack("[o]", choice));
@@ -124,9 +122,9 @@
     choice = json_pack("{s:i, s:s}", "index", 0, "finish_reason",
                        generation->finish);
     if (generation->chat) {
-        json_object_set_new(choice, "message",
-                            json_pack("{s:s, s:s}", "role", "assistant",
-                                      "content", text));
+        json_object_set_new(
+            choice, "message",
+            json_pack("{s:s, s:s}", "role", "assistant", "content", text));
     }
     else {
         json_object_set_new(choice, "text", json_string(text));
--- a/regress/standin/generate.c
+++ b/regress/standin/generate.c
@@ -106,7 +106,7 @@
 generate_text(uint32_t id, char *text)
 {
     static const char *const syllables[SYLLABLES] = {
-        "ka", "to", "mi", "re", "su", "no", "ha", "li",
+        "ka", "to", "mi", "re", "su", "no", "ha",  "li",
         "pe", "du", "wa", "ge", "fo", "ri", "ban", "zel"};
     uint32_t index;
 
--- a/regress/standin/generate.h
+++ b/regress/standin/generate.h
@@ -18,10 +18,10 @@
 #include <stdint.h>
 
 enum {
-    GENERATE_STOP = 256,         /* end of text */
-    GENERATE_FIRST_HALF = 257,   /* 64 ids: the start of a character */
-    GENERATE_SECOND_HALF = 321,  /* 64 ids: the rest of that character */
-    GENERATE_WORD = 385,         /* 4096 ids: a space and a short word */
+    GENERATE_STOP = 256,        /* end of text */
+    GENERATE_FIRST_HALF = 257,  /* 64 ids: the start of a character */
+    GENERATE_SECOND_HALF = 321, /* 64 ids: the rest of that character */
+    GENERATE_WORD = 385,        /* 4096 ids: a space and a short word */
     GENERATE_WORD_COUNT = 4096,
     GENERATE_HALF_COUNT = 64,
     GENERATE_TEXT_BYTES = 24,
--- a/regress/standin/load.c
+++ b/regress/standin/load.c
@@ -1,2 +1,6 @@
 int main(void);
-int main(void) { return 0; }
+int
+main(void)
+{
+    return 0;
+}
