--- /dev/null
+++ b/peer/peer.c
@@ -0,0 +1,623 @@
+/* peer.c - listens, tells, and checks what it is told; see peer.h. */
+#include <arpa/inet.h>
+#include <errno.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <openssl/crypto.h>
+
+#include "base/arena.h"
+#include "peer/private.h"
+
+enum {
+    TICK_MS = 50,
+    BACKLOG = 512,
+    ACCEPTED_MAX = 4096,
+    SENDERS_MAX = 8192,
+    BIND_TRIES = 16,
+    WINDOW_BITS = 64,
+};
+
+static int open_sockets(peer_t *peer, const struct sockaddr_storage *address,
+                        err_t *err);
+static int bind_both(const struct sockaddr_storage *wanted, int fds[2],
+                     uint16_t *port);
+static int start(peer_t *peer, const int fds[2]);
+static void copy_settings(peer_t *peer, const peer_settings_t *settings);
+static void on_connection(uv_stream_t *listen, int status);
+static void on_alloc(uv_handle_t *handle, size_t suggested, uv_buf_t *buffer);
+static void on_datagram(uv_udp_t *udp, ssize_t count, const uv_buf_t *buffer,
+                        const struct sockaddr *from, unsigned flags);
+static void on_tick(uv_timer_t *timer);
+static void on_closed(uv_handle_t *handle);
+static bool receive(peer_t *peer, const wire_input_t *input,
+                    peer_channel_t channel);
+static bool is_new(peer_t *peer, const peer_call_t *call);
+static bool is_new_datagram(sender_t *sender, uint64_t sequence);
+static void send_datagram(peer_t *peer, const wire_record_t *record,
+                          const struct sockaddr *address);
+static void datagram_answered(peer_t *peer, uint32_t xid, bool accepted);
+static int tell_datagram(peer_t *peer, uint32_t xid, wire_record_t *record,
+                         const struct sockaddr_storage *address);
+
+int
+peer_key_read(const char *path, uint8_t *key, err_t *err)
+{
+    FILE *file = fopen(path, "re");
+    size_t count;
+    int extra;
+
+    if (file == NULL) {
+        return err_set(err, ERR_SETTINGS,
+                       "cannot open the key file %s (%s): make it and let "
+                       "this user read it",
+                       path, strerror(errno));
+    }
+    count = fread(key, 1, PEER_KEY_BYTES_MAX, file);
+    extra = fgetc(file);
+    (void)fclose(file);
+    if (count < PEER_KEY_BYTES_MIN || extra != EOF) {
+        return err_set(err, ERR_SETTINGS,
+                       "the key file %s is too short or too long: write %d "
+                       "to %d random bytes, the same on every host",
+                       path, PEER_KEY_BYTES_MIN, PEER_KEY_BYTES_MAX);
+    }
+    return (int)count;
+}
+
+static void
+copy_settings(peer_t *peer, const peer_settings_t *settings)
+{
+    peer_settings_t *own = &peer->settings;
+
+    *own = *settings;
+    (void)strncpy(peer->host, settings->host, sizeof(peer->host) - 1);
+    own->host = peer->host;
+    if (settings->key_bytes > 0) {
+        memcpy(peer->key, settings->key, settings->key_bytes);
+    }
+    own->key = peer->key;
+    if (own->call_timeout_ms == 0) {
+        own->call_timeout_ms = PEER_CALL_TIMEOUT_MS;
+    }
+    if (own->queue_bytes_max == 0) {
+        own->queue_bytes_max = PEER_QUEUE_BYTES;
+    }
+    if (own->record_bytes_max == 0) {
+        own->record_bytes_max = PEER_RECORD_BYTES;
+    }
+    if (own->held_bytes_max == 0) {
+        own->held_bytes_max = PEER_HELD_BYTES;
+    }
+}
+
+peer_t *
+peer_new(uv_loop_t *loop, const peer_settings_t *settings,
+         peer_listener_t *listener, err_t *err)
+{
+    struct sockaddr_storage address;
+    peer_t *peer;
+
+    if (address_parse(settings->listen_address, &address, err) < 0) {
+        return NULL;
+    }
+    if (settings->key_bytes == 0 && !address_is_loopback(&address)) {
+        (void)err_set(err, ERR_SETTINGS,
+                      "no key is set and %s is no loopback address: name a "
+                      "key file",
+                      settings->listen_address);
+        return NULL;
+    }
+    if (settings->key_bytes != 0 &&
+        (settings->key_bytes < PEER_KEY_BYTES_MIN ||
+         settings->key_bytes > PEER_KEY_BYTES_MAX)) {
+        (void)err_set(err, ERR_SETTINGS, "the key has %zu bytes: use %d to %d",
+                      settings->key_bytes, PEER_KEY_BYTES_MIN,
+                      PEER_KEY_BYTES_MAX);
+        return NULL;
+    }
+    if (settings->host[0] == '\0' || strlen(settings->host) > LINK_NAME_MAX) {
+        (void)err_set(err, ERR_SETTINGS,
+                      "the host's name is empty or too long: use 1 to %d "
+                      "bytes",
+                      LINK_NAME_MAX);
+        return NULL;
+    }
+    peer = xcalloc(1, sizeof(*peer));
+    peer->loop = loop;
+    peer->listener = listener;
+    peer->random = settings->seed;
+    peer->loopback_only = settings->key_bytes == 0;
+    LIST_INIT(&peer->conns);
+    copy_settings(peer, settings);
+    if (open_sockets(peer, &address, err) < 0) {
+        peer_free(peer);
+        return NULL;
+    }
+    return peer;
+}
+
+/* UDP takes the port that TCP got; returns 0 or a negative errno. */
+static int
+bind_both(const struct sockaddr_storage *wanted, int fds[2], uint16_t *port)
+{
+    struct sockaddr_storage address = *wanted;
+    socklen_t length = sizeof(address);
+    int type = SOCK_CLOEXEC | SOCK_NONBLOCK;
+    int one = 1;
+    int failed = 0;
+
+    fds[0] = socket(address.ss_family, SOCK_STREAM | type, 0);
+    fds[1] = socket(address.ss_family, SOCK_DGRAM | type, 0);
+    if (fds[0] < 0 || fds[1] < 0 ||
+        setsockopt(fds[0], SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one)) < 0 ||
+        bind(fds[0], (struct sockaddr *)&address, length) < 0 ||
+        getsockname(fds[0], (struct sockaddr *)&address, &length) < 0 ||
+        bind(fds[1], (struct sockaddr *)&address, length) < 0) {
+        failed = -errno;
+    }
+    *port = ntohs(((struct sockaddr_in *)&address)->sin_port);
+    if (failed != 0 && fds[0] >= 0) {
+        (void)close(fds[0]);
+    }
+    if (failed != 0 && fds[1] >= 0) {
+        (void)close(fds[1]);
+    }
+    return failed;
+}
+
+static int
+start(peer_t *peer, const int fds[2])
+{
+    int status;
+
+    (void)uv_tcp_init(peer->loop, &peer->listen);
+    (void)uv_udp_init(peer->loop, &peer->udp);
+    (void)uv_timer_init(peer->loop, &peer->timer);
+    peer->listen.data = peer;
+    peer->udp.data = peer;
+    peer->timer.data = peer;
+    peer->handles = 3;
+    status = uv_tcp_open(&peer->listen, fds[0]);
+    if (status != 0) {
+        (void)close(fds[0]);
+        (void)close(fds[1]);
+        return status;
+    }
+    status = uv_udp_open(&peer->udp, fds[1]);
+    if (status != 0) {
+        (void)close(fds[1]);
+        return status;
+    }
+    status = uv_listen((uv_stream_t *)&peer->listen, BACKLOG, on_connection);
+    if (status != 0) {
+        return status;
+    }
+    status = uv_udp_recv_start(&peer->udp, on_alloc, on_datagram);
+    if (status != 0) {
+        return status;
+    }
+    return uv_timer_start(&peer->timer, on_tick, TICK_MS, TICK_MS);
+}
+
+/* The kernel's choice for TCP may be taken for UDP: it is asked again. */
+static int
+open_sockets(peer_t *peer, const struct sockaddr_storage *address, err_t *err)
+{
+    bool chosen = ((const struct sockaddr_in *)address)->sin_port == 0;
+    int tries = chosen ? BIND_TRIES : 1;
+    int fds[2];
+    int status = 0;
+
+    while (tries > 0) {
+        status = bind_both(address, fds, &peer->port);
+        if (status == 0) {
+            status = start(peer, fds);
+            break;
+        }
+        tries--;
+    }
+    if (status != 0) {
+        return err_set(err, ERR_SYSTEM,
+                       "cannot listen for peers at %s (%s): use an address "
+                       "of this host and a free port",
+                       peer->settings.listen_address, uv_strerror(status));
+    }
+    return 0;
+}
+
+uint16_t
+peer_bound_port(const peer_t *peer)
+{
+    return peer->port;
+}
+
+const peer_counters_t *
+peer_counters(const peer_t *peer)
+{
+    return &peer->counters;
+}
+
+wire_key_t
+peer_key(const peer_t *peer)
+{
+    wire_key_t key = {peer->key, peer->settings.key_bytes};
+
+    return key;
+}
+
+/* splitmix64 */
+uint64_t
+peer_random(peer_t *peer)
+{
+    uint64_t word;
+
+    peer->random += 0x9e3779b97f4a7c15u;
+    word = peer->random;
+    word = (word ^ (word >> 30)) * 0xbf58476d1ce4e5b9u;
+    word = (word ^ (word >> 27)) * 0x94d049bb133111ebu;
+    return word ^ (word >> 31);
+}
+
+static void
+on_connection(uv_stream_t *listen, int status)
+{
+    peer_t *peer = listen->data;
+    conn_t *conn;
+
+    if (status != 0 || peer->closing) {
+        return;
+    }
+    conn = conn_new(peer, NULL);
+    if (uv_accept(listen, (uv_stream_t *)&conn->tcp) != 0 ||
+        peer->accepted > ACCEPTED_MAX) {
+        conn_close(conn);
+        return;
+    }
+    conn_start(conn);
+}
+
+static void
+on_alloc(uv_handle_t *handle, size_t suggested, uv_buf_t *buffer)
+{
+    peer_t *peer = handle->data;
+
+    *buffer = uv_buf_init((char *)peer->input, sizeof(peer->input));
+}
+
+static bool
+is_new_datagram(sender_t *sender, uint64_t sequence)
+{
+    uint64_t behind;
+
+    if (sequence > sender->datagram_last) {
+        behind = sequence - sender->datagram_last;
+        sender->datagram_seen =
+            behind < WINDOW_BITS ? sender->datagram_seen << behind : 0;
+        sender->datagram_seen |= 1;
+        sender->datagram_last = sequence;
+        return true;
+    }
+    behind = sender->datagram_last - sequence;
+    if (behind >= WINDOW_BITS ||
+        (sender->datagram_seen & ((uint64_t)1 << behind)) != 0) {
+        return false;
+    }
+    sender->datagram_seen |= (uint64_t)1 << behind;
+    return true;
+}
+
+/* Streams keep the order, so a sequence there only grows. */
+static bool
+is_new(peer_t *peer, const peer_call_t *call)
+{
+    sender_t *sender;
+
+    HASH_FIND_STR(peer->senders, call->from, sender);
+    if (sender == NULL) {
+        if (HASH_COUNT(peer->senders) >= SENDERS_MAX) {
+            return false;
+        }
+        sender = xcalloc(1, sizeof(*sender));
+        (void)strncpy(sender->host, call->from, sizeof(sender->host) - 1);
+        HASH_ADD_STR(peer->senders, host, sender);
+    }
+    if (call->incarnation < sender->incarnation) {
+        return false;
+    }
+    if (call->incarnation > sender->incarnation) {
+        sender->incarnation = call->incarnation;
+        sender->stream_last = 0;
+        sender->datagram_last = 0;
+        sender->datagram_seen = 0;
+    }
+    if (call->channel == PEER_DATAGRAM) {
+        return is_new_datagram(sender, call->sequence);
+    }
+    if (call->sequence <= sender->stream_last) {
+        return false;
+    }
+    sender->stream_last = call->sequence;
+    return true;
+}
+
+/* Takes a call; false when it must not be answered. */
+static bool
+receive(peer_t *peer, const wire_input_t *input, peer_channel_t channel)
+{
+    const peer_call_t *call = &input->call;
+
+    switch (input->kind) {
+    case WIRE_PING:
+    case WIRE_NOT_SERVED:
+        return true;
+    case WIRE_TAG_WRONG:
+        peer->counters.tags_wrong++;
+        return false;
+    case WIRE_CALL:
+        break;
+    default:
+        peer->counters.malformed++;
+        return input->kind == WIRE_GARBAGE;
+    }
+    if (call->channel != channel || strcmp(call->to, peer->host) != 0 ||
+        call->from[0] == '\0') {
+        peer->counters.malformed++;
+        return false;
+    }
+    if (!is_new(peer, call)) {
+        peer->counters.replays++;
+        return false;
+    }
+    peer->counters.calls_received++;
+    if (!peer->closing) {
+        peer->listener->ops->message(peer->listener, call->from,
+                                     &call->message);
+    }
+    return true;
+}
+
+void
+peer_record(conn_t *conn, const uint8_t *bytes, size_t count)
+{
+    peer_t *peer = conn->peer;
+    wire_input_t input;
+    wire_record_t record;
+
+    wire_read(bytes, count, peer_key(peer), &input);
+    if (input.kind == WIRE_REPLY && conn->link != NULL) {
+        link_answered(conn->link, input.xid, input.accepted);
+        return;
+    }
+    if (input.kind == WIRE_NOT_RPC || input.kind == WIRE_REPLY ||
+        conn->link != NULL) {
+        peer->counters.malformed++;
+        wire_clear(&input);
+        conn_close(conn);
+        return;
+    }
+    if (!receive(peer, &input, PEER_STREAM)) {
+        wire_clear(&input);
+        conn_close(conn);
+        return;
+    }
+    if (!conn->closing && wire_reply(input.xid, input.status, &record)) {
+        conn_send(conn, &record);
+    }
+    wire_clear(&input);
+}
+
+static void
+send_datagram(peer_t *peer, const wire_record_t *record,
+              const struct sockaddr *address)
+{
+    uv_buf_t buffer =
+        uv_buf_init((char *)record->bytes + WIRE_MARK_BYTES,
+                    (unsigned int)(record->count - WIRE_MARK_BYTES));
+
+    /* What the kernel does not take now is lost, as datagrams may be. */
+    if (uv_udp_try_send(&peer->udp, &buffer, 1, address) >= 0) {
+        peer->counters.bytes_sent += buffer.len;
+    }
+}
+
+static void
+on_datagram(uv_udp_t *udp, ssize_t count, const uv_buf_t *buffer,
+            const struct sockaddr *from, unsigned flags)
+{
+    peer_t *peer = udp->data;
+    wire_input_t input;
+    wire_record_t record;
+
+    if (count <= 0 || from == NULL || peer->closing) {
+        return;
+    }
+    peer->counters.bytes_received += (uint64_t)count;
+    if ((flags & UV_UDP_PARTIAL) != 0) {
+        peer->counters.oversized++;
+        return;
+    }
+    wire_read((const uint8_t *)buffer->base, (size_t)count, peer_key(peer),
+              &input);
+    if (input.kind == WIRE_REPLY) {
+        datagram_answered(peer, input.xid, input.accepted);
+        return;
+    }
+    if (receive(peer, &input, PEER_DATAGRAM) && !peer->closing &&
+        wire_reply(input.xid, input.status, &record)) {
+        send_datagram(peer, &record, from);
+        free(record.bytes);
+    }
+    wire_clear(&input);
+}
+
+static void
+datagram_answered(peer_t *peer, uint32_t xid, bool accepted)
+{
+    datagram_t *datagram = &peer->datagrams[xid % DATAGRAMS_OUT];
+
+    if (datagram->xid != xid || datagram->sent_ms == 0) {
+        return;
+    }
+    datagram->sent_ms = 0;
+    if (accepted) {
+        peer->counters.calls_answered++;
+    }
+    else {
+        peer->counters.calls_refused++;
+    }
+}
+
+static int
+tell_datagram(peer_t *peer, uint32_t xid, wire_record_t *record,
+              const struct sockaddr_storage *address)
+{
+    datagram_t *datagram = &peer->datagrams[xid % DATAGRAMS_OUT];
+
+    if (datagram->sent_ms != 0) {
+        peer->counters.calls_timed_out++;
+    }
+    datagram->xid = xid;
+    datagram->sent_ms = uv_now(peer->loop) + 1;
+    peer->counters.calls_sent++;
+    send_datagram(peer, record, (const struct sockaddr *)address);
+    free(record->bytes);
+    return 0;
+}
+
+int
+peer_tell(peer_t *peer, const char *host, const char *address,
+          const message_t *message, err_t *err)
+{
+    struct sockaddr_storage remote;
+    wire_record_t record;
+    peer_call_t call;
+    uint32_t xid;
+
+    if (address_parse(address, &remote, err) < 0) {
+        return -1;
+    }
+    if (peer->loopback_only && !address_is_loopback(&remote)) {
+        return err_set(err, ERR_SETTINGS,
+                       "no key is set and %s is no loopback address: name a "
+                       "key file",
+                       address);
+    }
+    peer->xid++;
+    peer->sequence++;
+    xid = peer->xid;
+    call.from = peer->host;
+    call.to = (char *)host;
+    call.incarnation = peer->settings.incarnation;
+    call.sequence = peer->sequence;
+    call.channel =
+        message->kind == MESSAGE_HEARTBEAT ? PEER_DATAGRAM : PEER_STREAM;
+    call.message = *message;
+    if (!wire_call(xid, &call, peer_key(peer), &record)) {
+        return err_set(err, ERR_LIMIT,
+                       "a message of kind %d for host %s cannot be encoded: "
+                       "keep to the limits of link.x",
+                       (int)message->kind, host);
+    }
+    if (record.count - WIRE_MARK_BYTES > peer->settings.record_bytes_max) {
+        peer->counters.oversized++;
+        free(record.bytes);
+        return err_set(err, ERR_LIMIT,
+                       "a message for host %s exceeds %u bytes: send less",
+                       host, peer->settings.record_bytes_max);
+    }
+    if (call.channel == PEER_DATAGRAM) {
+        return tell_datagram(peer, xid, &record, &remote);
+    }
+    return link_send(link_get(peer, host, &remote), xid, &record, err);
+}
+
+void
+peer_forget(peer_t *peer, const char *host)
+{
+    peer_link_t *link;
+
+    HASH_FIND_STR(peer->links, host, link);
+    if (link != NULL) {
+        link_free(link);
+    }
+}
+
+static void
+on_tick(uv_timer_t *timer)
+{
+    peer_t *peer = timer->data;
+    uint64_t now_ms = uv_now(peer->loop);
+    peer_link_t *link;
+    peer_link_t *next;
+    size_t i;
+
+    HASH_ITER(hh, peer->links, link, next)
+    {
+        link_tick(link, now_ms);
+    }
+    for (i = 0; i < DATAGRAMS_OUT; i++) {
+        if (peer->datagrams[i].sent_ms != 0 &&
+            now_ms - (peer->datagrams[i].sent_ms - 1) >
+                peer->settings.call_timeout_ms) {
+            peer->datagrams[i].sent_ms = 0;
+            peer->counters.calls_timed_out++;
+        }
+    }
+}
+
+static void
+on_closed(uv_handle_t *handle)
+{
+    peer_handle_closed(handle->data);
+}
+
+/* The last handle to close takes the peer with it. */
+void
+peer_handle_closed(peer_t *peer)
+{
+    sender_t *sender;
+    sender_t *next;
+
+    peer->handles--;
+    if (peer->handles > 0 || !peer->closing) {
+        return;
+    }
+    HASH_ITER(hh, peer->senders, sender, next)
+    {
+        HASH_DEL(peer->senders, sender);
+        free(sender);
+    }
+    OPENSSL_cleanse(peer->key, sizeof(peer->key));
+    free(peer);
+}
+
+void
+peer_free(peer_t *peer)
+{
+    peer_link_t *link;
+    peer_link_t *next;
+    conn_t *conn;
+
+    if (peer == NULL || peer->closing) {
+        return;
+    }
+    peer->closing = true;
+    HASH_ITER(hh, peer->links, link, next)
+    {
+        link_free(link);
+    }
+    while ((conn = LIST_FIRST(&peer->conns)) != NULL) {
+        conn_close(conn);
+    }
+    if (peer->handles == 0) {
+        free(peer);
+        return;
+    }
+    uv_close((uv_handle_t *)&peer->listen, on_closed);
+    uv_close((uv_handle_t *)&peer->udp, on_closed);
+    uv_close((uv_handle_t *)&peer->timer, on_closed);
+}
--- a/world/link.x
+++ b/world/link.x
@@ -9,6 +9,8 @@
 const LINK_TEXT_MAX = 1048576;
 const LINK_TOKENS_MAX = 1048576;
 const LINK_ITEMS_MAX = 4096;
+const LINK_NEWS_MAX = 8;
+const LINK_BUCKETS = 64;
 
 typedef string name_t<LINK_NAME_MAX>;
 
@@ -23,12 +25,46 @@
     MESSAGE_SUSPECT = 8
 };
 
-/* The state of the sender, and the revisions it has in force. */
+/*
+ * What the sender of a heartbeat has found out about a third host.  beat is
+ * the highest heartbeat number known of that incarnation: what is said with
+ * a higher one wins.
+ */
+enum news_state_t {
+    NEWS_LIVE = 1,
+    NEWS_SUSPECT = 2,
+    NEWS_DEAD = 3,
+    NEWS_LEAVING = 4
+};
+
+struct news_t {
+    name_t host;
+    name_t zone;
+    name_t address;
+    name_t peer_address;
+    uint64_t incarnation;
+    uint64_t beat;
+    news_state_t state;
+};
+
+/*
+ * The state of the sender, and the configuration it has in force.  beat
+ * counts its heartbeats; the receiver may expect the next one within
+ * next_ms, or none where that is 0.  config_revision is the highest
+ * revision it holds, config_hash covers all its keys and revisions.
+ */
 struct heartbeat_t {
     uint64_t incarnation;
+    uint64_t beat;
+    uint32_t next_ms;
     bool leaving;
     uint32_t sessions;
     int64_t config_revision;
+    uint64_t config_hash;
+    name_t zone;
+    name_t address;       /* for callers; "" where not known */
+    name_t peer_address;
+    news_t news<LINK_NEWS_MAX>;
 };
 
 /*
@@ -113,8 +149,19 @@
     int64_t revision;
 };
 
+/*
+ * Anti-entropy in three steps: hashes of 64 groups of keys; the revisions
+ * in the groups that differ; the keys that the first host lacks.
+ */
+enum config_digest_kind_t {
+    DIGEST_HASHES = 1,
+    DIGEST_REVISIONS = 2,
+    DIGEST_WANTED = 3
+};
+
 struct config_digest_t {
-    bool answer;
+    config_digest_kind_t kind;
+    uint64_t hashes<LINK_BUCKETS>;
     config_revision_t revisions<LINK_ITEMS_MAX>;
 };
 
