--- /dev/null
+++ b/agated/agated.c
@@ -0,0 +1,210 @@
+/* agated.c - the daemon's main program. */
+#include <argp.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#include "agated/agated.h"
+#include "base/log.h"
+
+enum { SIGNAL_COUNT = 2, US_PER_S = 1000000, NS_PER_US = 1000 };
+
+/* The command line. */
+typedef struct {
+    const char *file;
+    bool check_only;
+    bool verbose;
+} options_t;
+
+static error_t parse_option(int key, char *arg, struct argp_state *state);
+static int run(const settings_t *settings);
+static int start(daemon_t *daemon, err_t *err);
+static void start_node(daemon_t *daemon);
+static void stop(daemon_t *daemon);
+static uint64_t wall_clock_us(void);
+static void on_signal(uv_signal_t *handle, int number);
+
+const char *argp_program_version = "agated " AGATEVALE_VERSION;
+
+static const struct argp_option argp_options[] = {
+    {"file", 'f', "FILE", 0, "Settings to read (agated.toml)", 0},
+    {"check", 'n', NULL, 0, "Check the settings and exit", 0},
+    {"verbose", 'v', NULL, 0, "Log debugging lines too", 0},
+    {0},
+};
+
+static const struct argp argp = {
+    .options = argp_options,
+    .parser = parse_option,
+    .doc = "Serves long model generations on engines that fail.",
+};
+
+int
+main(int argc, char **argv)
+{
+    options_t options = {.file = "agated.toml"};
+    settings_t settings;
+    arena_t arena = {0};
+    err_t err;
+    int status = EXIT_FAILURE;
+
+    if (argp_parse(&argp, argc, argv, 0, NULL, &options) != 0) {
+        return EXIT_FAILURE;
+    }
+    log_init("agated", options.verbose ? LOG_DEBUG : LOG_INFO);
+    if (settings_read(&settings, &arena, options.file, &err) < 0) {
+        (void)fprintf(stderr, "%s\n", err.message);
+        goto done;
+    }
+    status = options.check_only ? EXIT_SUCCESS : run(&settings);
+done:
+    arena_free(&arena);
+    return status;
+}
+
+static error_t
+parse_option(int key, char *arg, struct argp_state *state)
+{
+    options_t *options = state->input;
+
+    switch (key) {
+    case 'f':
+        options->file = arg;
+        return 0;
+    case 'n':
+        options->check_only = true;
+        return 0;
+    case 'v':
+        options->verbose = true;
+        return 0;
+    case ARGP_KEY_ARG:
+        argp_usage(state);
+        return 0;
+    default:
+        return ARGP_ERR_UNKNOWN;
+    }
+}
+
+static int
+run(const settings_t *settings)
+{
+    static const int numbers[SIGNAL_COUNT] = {SIGTERM, SIGINT};
+    daemon_t daemon = {.settings = settings};
+    uv_signal_t signals[SIGNAL_COUNT];
+    uv_loop_t loop;
+    err_t err;
+    size_t i;
+
+    (void)signal(SIGPIPE, SIG_IGN);
+    (void)uv_loop_init(&loop);
+    daemon.loop = &loop;
+    daemon.incarnation = wall_clock_us();
+    if (start(&daemon, &err) < 0) {
+        (void)fprintf(stderr, "%s\n", err.message);
+        return EXIT_FAILURE;
+    }
+    for (i = 0; i < SIGNAL_COUNT; i++) {
+        (void)uv_signal_init(&loop, &signals[i]);
+        signals[i].data = &daemon;
+        (void)uv_signal_start(&signals[i], on_signal, numbers[i]);
+    }
+    (void)uv_run(&loop, UV_RUN_DEFAULT);
+    for (i = 0; i < SIGNAL_COUNT; i++) {
+        uv_close((uv_handle_t *)&signals[i], NULL);
+    }
+    stop(&daemon);
+    log_line(LOG_NOTICE, "stopped");
+    return EXIT_SUCCESS;
+}
+
+static int
+start(daemon_t *daemon, err_t *err)
+{
+    const settings_t *settings = daemon->settings;
+
+    daemon->listener = listener_new(daemon, err);
+    if (daemon->listener == NULL) {
+        return -1;
+    }
+    daemon->client = http_client_new(daemon->loop);
+    if (strcmp(settings->platform_kind, "memory") == 0) {
+        daemon->platform = platform_memory_new(daemon->loop);
+        if (seed_platform(daemon, err) < 0) {
+            return -1;
+        }
+    }
+    else {
+        daemon->platform = platform_etcd_new(
+            daemon->client, settings->platform_addresses.items,
+            settings->platform_addresses.count, settings->platform_timeout_ms);
+    }
+    daemon->dispatch = dispatch_new(daemon);
+    daemon->backends = backends_new(daemon);
+    start_node(daemon);
+    daemon->claims = claims_new(daemon);
+    daemon->presence = presence_new(daemon);
+    daemon->documents = documents_new(daemon);
+    listener_start(daemon->listener);
+    return 0;
+}
+
+static void
+start_node(daemon_t *daemon)
+{
+    const settings_t *settings = daemon->settings;
+    event_t event = {.kind = EVENT_START};
+    start_event_t *start_event = &event.event_t_u.start;
+
+    start_event->host = (char *)(uintptr_t)settings->host;
+    start_event->zone = (char *)(uintptr_t)settings->zone;
+    start_event->address =
+        (char *)(uintptr_t)listener_address(daemon->listener);
+    start_event->incarnation = daemon->incarnation;
+    start_event->seed = random_u64();
+    start_event->sessions_max = settings->sessions_max;
+    start_event->queue_wait_ms = settings->queue_wait_ms;
+    start_event->silence_floor_ms = settings->silence_floor_ms;
+    start_event->silence_ceiling_ms = settings->silence_ceiling_ms;
+    start_event->prefill_limit_ms = settings->prefill_limit_ms;
+    start_event->orphan_grace_ms = settings->orphan_grace_ms;
+    start_event->record_after_ms = settings->record_after_ms;
+    dispatch_event(daemon->dispatch, &event);
+}
+
+/* The platform goes first: its callbacks would come to freed tasks. */
+static void
+stop(daemon_t *daemon)
+{
+    daemon->platform->ops->free(daemon->platform);
+    documents_free(daemon->documents);
+    presence_free(daemon->presence);
+    claims_free(daemon->claims);
+    backends_free(daemon->backends);
+    dispatch_free(daemon->dispatch);
+    listener_free(daemon->listener);
+    http_client_free(daemon->client);
+    (void)uv_run(daemon->loop, UV_RUN_NOWAIT);
+}
+
+/* Rises over restarts, so that a later incarnation has a higher number. */
+static uint64_t
+wall_clock_us(void)
+{
+    struct timespec now;
+
+    (void)clock_gettime(CLOCK_REALTIME, &now);
+    return (uint64_t)now.tv_sec * US_PER_S + (uint64_t)now.tv_nsec / NS_PER_US;
+}
+
+static void
+on_signal(uv_signal_t *handle, int number)
+{
+    daemon_t *daemon = handle->data;
+    event_t event = {.kind = EVENT_DRAIN};
+
+    log_line(LOG_NOTICE, "leaving signal=%d", number);
+    presence_leave(daemon->presence);
+    dispatch_event(daemon->dispatch, &event);
+}
--- /dev/null
+++ b/agated/agated.h
@@ -0,0 +1,157 @@
+/*
+ * agated.h - the tasks of the daemon and the messages between them.
+ *
+ * Each task is one file that owns its sockets and its state.  Events go to
+ * the dispatcher, which gives them to node_step() one at a time and hands
+ * each order to the task that carries it out.  All run on one libuv loop.
+ */
+#ifndef AGATED_AGATED_H
+#define AGATED_AGATED_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <uv.h>
+
+#include "agated/settings.h"
+#include "agated/text.h"
+#include "http/http.h"
+#include "platform/platform.h"
+#include "policy/node.h"
+
+typedef struct backends backends_t;
+typedef struct claims claims_t;
+typedef struct dispatch dispatch_t;
+typedef struct documents documents_t;
+typedef struct journal journal_t;
+typedef struct listener listener_t;
+typedef struct presence presence_t;
+
+/* All the tasks of the process, so that each can reach its neighbours. */
+typedef struct {
+    uv_loop_t *loop;
+    const settings_t *settings;
+    uint64_t incarnation;
+    http_client_t *client;
+    platform_t *platform;
+    dispatch_t *dispatch;
+    listener_t *listener;
+    backends_t *backends;
+    claims_t *claims;
+    documents_t *documents;
+    presence_t *presence;
+} daemon_t;
+
+/* --- dispatch.c: the one place that calls node_step() --- */
+
+dispatch_t *dispatch_new(daemon_t *daemon);
+void dispatch_free(dispatch_t *dispatch);
+
+/* Steps the node; an event raised while a step runs waits for its end. */
+void dispatch_event(dispatch_t *dispatch, const event_t *event);
+const node_t *dispatch_node(const dispatch_t *dispatch);
+
+/* Microseconds of the monotonic clock, as node_step() sees them. */
+int64_t dispatch_now_us(void);
+
+/* --- journal.c: the log of events, to be replayed --- */
+
+/* Opens path for writing; NULL with *err set when that fails. */
+journal_t *journal_open(const char *path, err_t *err);
+void journal_write(journal_t *journal, int64_t now_us, const event_t *event);
+void journal_close(journal_t *journal);
+
+/* An event as XDR in fresh memory, to be freed with free(). */
+char *event_encode(const event_t *event, size_t *length);
+/* The opposite; *event is to be freed with xdr_free(). */
+bool event_decode(const char *bytes, size_t length, event_t *event);
+
+/* --- listener.c: accepts connections and routes requests --- */
+
+listener_t *listener_new(daemon_t *daemon, err_t *err);
+/* The address that callers connect to, its port resolved. */
+const char *listener_address(const listener_t *listener);
+/* Starts to accept. */
+void listener_start(listener_t *listener);
+/* Accepts no more, and ends the loop when the last answer is out. */
+void listener_stop(listener_t *listener);
+void listener_free(listener_t *listener);
+
+/* ORDER_GIVE, ORDER_FINISH, ORDER_REPLY, ORDER_REFUSE, ORDER_FORGET. */
+void listener_order(listener_t *listener, const order_t *order);
+
+/* A request body that the node has not told us to forget. */
+typedef struct {
+    const char *method;
+    const char *path; /* plain services only */
+    const char *content_type;
+    const char *bytes;
+    size_t length;
+    const char *model;
+} body_t;
+
+/* NULL when there is no such caller; valid until ORDER_FORGET. */
+const body_t *listener_body(const listener_t *listener, uint64_t caller);
+
+/* --- backends.c: model engines and plain services --- */
+
+backends_t *backends_new(daemon_t *daemon);
+/* ORDER_OPEN, ORDER_REATTACH, ORDER_CANCEL. */
+void backends_order(backends_t *backends, const order_t *order);
+void backends_free(backends_t *backends);
+
+/* --- claims.c: at most once, by the platform's compare-and-swap --- */
+
+claims_t *claims_new(daemon_t *daemon);
+/* ORDER_CLAIM, ORDER_RELEASE. */
+void claims_order(claims_t *claims, const order_t *order);
+void claims_free(claims_t *claims);
+
+/* --- documents.c: the operators' configuration and the host list --- */
+
+documents_t *documents_new(daemon_t *daemon);
+void documents_free(documents_t *documents);
+
+/* --- presence.c: this host's own key under a lease --- */
+
+presence_t *presence_new(daemon_t *daemon);
+/* Marks this host as leaving. */
+void presence_leave(presence_t *presence);
+void presence_free(presence_t *presence);
+
+/* --- seed.c: the files of a trial without a platform --- */
+
+int seed_platform(daemon_t *daemon, err_t *err);
+
+/* --- views.c: what anyone may read --- */
+
+typedef struct {
+    const char *path;
+    const char *credential;
+    uint64_t spread; /* any number that differs by caller */
+} view_request_t;
+
+typedef struct {
+    uint32_t status;
+    const char *content_type;
+    text_t body;
+} view_t;
+
+/* GET /v1/models, /v1/hosts, /healthz and /metrics; false: no such path. */
+bool view_read(daemon_t *daemon, const view_request_t *request, view_t *view);
+
+/* --- backoff.c: how long to wait before a call is made again --- */
+
+typedef struct {
+    uint32_t failures;
+} backoff_t;
+
+/* Counts a failure and gives the wait, doubled each time, with jitter. */
+uint32_t backoff_next_ms(backoff_t *backoff);
+void backoff_reset(backoff_t *backoff);
+
+/* A random number from the kernel. */
+uint64_t random_u64(void);
+
+#endif
--- /dev/null
+++ b/agated/answer.h
@@ -0,0 +1,54 @@
+/*
+ * answer.h - one answer's orders as bytes in the OpenAI formats.
+ *
+ * A streamed answer is server-sent events, each with "id: NAME.POSITION";
+ * a whole one is a JSON object.  Writes bytes only: the caller's task sends
+ * them.
+ */
+#ifndef AGATED_ANSWER_H
+#define AGATED_ANSWER_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "agated/text.h"
+#include "policy/generated/event.h"
+
+/* Zeroed but for what is set before the first call; strings are kept. */
+typedef struct {
+    const char *name;  /* the request's name, without the organisation */
+    const char *model; /* as the caller named it */
+    endpoint_t endpoint;
+    bool stream;
+    bool token_ids; /* the caller asked return_token_ids */
+    bool usage;     /* a stream whose caller asked include_usage */
+    int64_t created_s;
+    uint32_t position;
+    bool begun; /* the first event has been written */
+    text_t whole;
+    text_t whole_ids;
+} answer_t;
+
+void answer_free(answer_t *answer);
+
+/* Takes more of the answer; a streamed one appends an event to out. */
+void answer_give(answer_t *answer, const give_order_t *give, text_t *out);
+
+/* Appends the end: the last events, or the whole answer. */
+void answer_finish(answer_t *answer, const finish_order_t *finish,
+                   text_t *out);
+
+/* Appends a refusal: an event named error, or the JSON object alone. */
+void answer_refuse(answer_t *answer, const refuse_order_t *refuse,
+                   text_t *out);
+
+/* Appends the JSON object of a refusal. */
+void refusal_json(const refuse_order_t *refuse, text_t *out);
+
+/* The HTTP status that a refusal of this kind has unless it names one. */
+uint32_t refusal_status(refusal_t refusal);
+
+/* A refusal that the daemon makes itself, of a request that was not run. */
+refuse_order_t refusal_new(refusal_t refusal, uint32_t status, char *message);
+
+#endif
--- /dev/null
+++ b/agated/backends.c
@@ -0,0 +1,301 @@
+/* backends.c - starts, takes up and cancels streams at backend servers. */
+#include <stdlib.h>
+
+#include <uthash.h>
+
+#include "agated/agated.h"
+#include "backend/backend.h"
+#include "base/log.h"
+
+enum { POLL_INTERVAL_MS = 500 };
+
+/* A stream at a plain service; every other stream is an engine's. */
+typedef struct {
+    uint64_t stream;
+    UT_hash_handle hh;
+} service_stream_t;
+
+struct backends {
+    backend_listener_t listener; /* first: reports come by it */
+    daemon_t *daemon;
+    backend_t *engine;
+    backend_t *service;
+    service_stream_t *service_streams;
+    uv_timer_t *poll_timer;
+};
+
+static void open_stream(backends_t *backends, const open_order_t *order);
+static void reattach(backends_t *backends, const reattach_order_t *order);
+static void cancel(backends_t *backends, uint64_t stream);
+static backend_endpoint_t endpoint_of(endpoint_t endpoint);
+static void put_service_stream(backends_t *backends, uint64_t stream);
+static bool take_service_stream(backends_t *backends, uint64_t stream);
+static void on_piece(backend_listener_t *listener,
+                     const backend_piece_t *piece);
+static void on_end(backend_listener_t *listener, uint64_t stream);
+static void on_loss(backend_listener_t *listener, uint64_t stream,
+                    backend_loss_t kind, uint32_t status,
+                    uint32_t retry_after_ms);
+static void on_reply(backend_listener_t *listener, uint64_t stream,
+                     uint32_t status, const char *content_type,
+                     const char *body, size_t body_bytes);
+static void on_load(backend_listener_t *listener, const char *runner,
+                    bool reached, uint32_t running, uint32_t waiting);
+static void on_poll(uv_timer_t *timer);
+
+static const backend_listener_ops_t listener_ops = {
+    .piece = on_piece,
+    .end = on_end,
+    .loss = on_loss,
+    .reply = on_reply,
+    .load = on_load,
+};
+
+backends_t *
+backends_new(daemon_t *daemon)
+{
+    backends_t *backends = xcalloc(1, sizeof(*backends));
+
+    backends->listener.ops = &listener_ops;
+    backends->daemon = daemon;
+    backends->engine = engine_new(daemon->client, &backends->listener);
+    backends->service = service_new(daemon->client, &backends->listener);
+    backends->poll_timer = xcalloc(1, sizeof(*backends->poll_timer));
+    (void)uv_timer_init(daemon->loop, backends->poll_timer);
+    backends->poll_timer->data = backends;
+    (void)uv_timer_start(backends->poll_timer, on_poll, POLL_INTERVAL_MS,
+                         POLL_INTERVAL_MS);
+    return backends;
+}
+
+void
+backends_free(backends_t *backends)
+{
+    service_stream_t *stream;
+    service_stream_t *next;
+
+    backends->engine->ops->free(backends->engine);
+    backends->service->ops->free(backends->service);
+    HASH_ITER(hh, backends->service_streams, stream, next)
+    {
+        HASH_DEL(backends->service_streams, stream);
+        free(stream);
+    }
+    uv_close((uv_handle_t *)backends->poll_timer, (uv_close_cb)free);
+    free(backends);
+}
+
+void
+backends_order(backends_t *backends, const order_t *order)
+{
+    switch (order->kind) {
+    case ORDER_OPEN:
+        open_stream(backends, &order->order_t_u.open);
+        return;
+    case ORDER_REATTACH:
+        reattach(backends, &order->order_t_u.reattach);
+        return;
+    case ORDER_CANCEL:
+        cancel(backends, order->order_t_u.cancel.stream);
+        return;
+    default:
+        return;
+    }
+}
+
+/* The clock is read here, so that a host that was paused starts nothing. */
+static void
+open_stream(backends_t *backends, const open_order_t *order)
+{
+    const body_t *body =
+        listener_body(backends->daemon->listener, order->body);
+    bool service = order->endpoint == ENDPOINT_SERVICE;
+    backend_t *backend = service ? backends->service : backends->engine;
+    backend_request_t request = {
+        .stream = order->stream,
+        .address = order->address,
+        .stream_name = order->stream_name,
+        .endpoint = endpoint_of(order->endpoint),
+        .prompt_ids = order->prompt_ids.prompt_ids_val,
+        .prompt_count = order->prompt_ids.prompt_ids_len,
+        .max_tokens = order->max_tokens,
+        .seeded = order->seeded,
+        .seed = order->seed,
+        .priority = order->priority,
+    };
+
+    if (body == NULL || dispatch_now_us() > order->not_after_us) {
+        log_line(LOG_WARNING, "not opened stream=%s runner=%s reason=%s",
+                 order->stream_name, order->runner,
+                 body == NULL ? "no-body" : "too-late");
+        on_loss(&backends->listener, order->stream, BACKEND_NOT_SENT, 0, 0);
+        return;
+    }
+    request.method = body->method;
+    request.path = body->path;
+    request.content_type = body->content_type;
+    request.body = body->bytes;
+    request.body_bytes = body->length;
+    request.model = body->model;
+    if (service) {
+        put_service_stream(backends, order->stream);
+    }
+    backend->ops->open(backend, &request);
+}
+
+static void
+reattach(backends_t *backends, const reattach_order_t *order)
+{
+    backend_reattach_t again = {
+        .stream = order->stream,
+        .address = order->address,
+        .stream_name = order->stream_name,
+        .endpoint = endpoint_of(order->endpoint),
+        .after = order->after,
+    };
+
+    backends->engine->ops->reattach(backends->engine, &again);
+}
+
+static void
+cancel(backends_t *backends, uint64_t stream)
+{
+    backend_t *backend = take_service_stream(backends, stream)
+                             ? backends->service
+                             : backends->engine;
+
+    backend->ops->cancel(backend, stream);
+}
+
+static backend_endpoint_t
+endpoint_of(endpoint_t endpoint)
+{
+    switch (endpoint) {
+    case ENDPOINT_CHAT:
+        return BACKEND_CHAT;
+    case ENDPOINT_SERVICE:
+        return BACKEND_SERVICE;
+    case ENDPOINT_COMPLETIONS:
+        break;
+    }
+    return BACKEND_COMPLETIONS;
+}
+
+static void
+put_service_stream(backends_t *backends, uint64_t stream)
+{
+    service_stream_t *entry = xcalloc(1, sizeof(*entry));
+
+    entry->stream = stream;
+    HASH_ADD(hh, backends->service_streams, stream, sizeof(stream), entry);
+}
+
+static bool
+take_service_stream(backends_t *backends, uint64_t stream)
+{
+    service_stream_t *entry;
+
+    HASH_FIND(hh, backends->service_streams, &stream, sizeof(stream), entry);
+    if (entry == NULL) {
+        return false;
+    }
+    HASH_DEL(backends->service_streams, entry);
+    free(entry);
+    return true;
+}
+
+static void
+on_piece(backend_listener_t *listener, const backend_piece_t *piece)
+{
+    backends_t *backends = (backends_t *)listener;
+    event_t event = {.kind = EVENT_PIECE};
+    piece_event_t *out = &event.event_t_u.piece;
+
+    out->stream = piece->stream;
+    out->position = piece->position;
+    out->prompt_ids.prompt_ids_val = (uint32_t *)(uintptr_t)piece->prompt_ids;
+    out->prompt_ids.prompt_ids_len = piece->prompt_count;
+    out->token_ids.token_ids_val = (uint32_t *)(uintptr_t)piece->token_ids;
+    out->token_ids.token_ids_len = piece->token_count;
+    out->text.text_val = (char *)(uintptr_t)piece->text;
+    out->text.text_len = (u_int)piece->text_bytes;
+    out->finish = (finish_t)piece->finish;
+    dispatch_event(backends->daemon->dispatch, &event);
+}
+
+static void
+on_end(backend_listener_t *listener, uint64_t stream)
+{
+    backends_t *backends = (backends_t *)listener;
+    event_t event = {.kind = EVENT_END};
+
+    event.event_t_u.end.stream = stream;
+    dispatch_event(backends->daemon->dispatch, &event);
+}
+
+static void
+on_loss(backend_listener_t *listener, uint64_t stream, backend_loss_t kind,
+        uint32_t status, uint32_t retry_after_ms)
+{
+    backends_t *backends = (backends_t *)listener;
+    event_t event = {.kind = EVENT_LOSS};
+    loss_event_t *loss = &event.event_t_u.loss;
+
+    (void)take_service_stream(backends, stream);
+    loss->stream = stream;
+    loss->kind = (loss_kind_t)kind;
+    loss->status = status;
+    loss->retry_after_ms = retry_after_ms;
+    dispatch_event(backends->daemon->dispatch, &event);
+}
+
+static void
+on_reply(backend_listener_t *listener, uint64_t stream, uint32_t status,
+         const char *content_type, const char *body, size_t body_bytes)
+{
+    backends_t *backends = (backends_t *)listener;
+    event_t event = {.kind = EVENT_REPLY};
+    reply_event_t *reply = &event.event_t_u.reply;
+
+    (void)take_service_stream(backends, stream);
+    reply->stream = stream;
+    reply->status = status;
+    reply->content_type =
+        (char *)(uintptr_t)(content_type == NULL ? "" : content_type);
+    reply->body.body_val = (char *)(uintptr_t)body;
+    reply->body.body_len = (u_int)body_bytes;
+    dispatch_event(backends->daemon->dispatch, &event);
+}
+
+static void
+on_load(backend_listener_t *listener, const char *runner, bool reached,
+        uint32_t running, uint32_t waiting)
+{
+    backends_t *backends = (backends_t *)listener;
+    event_t event = {.kind = EVENT_LOAD};
+    load_event_t *load = &event.event_t_u.load;
+
+    load->runner = (char *)(uintptr_t)runner;
+    load->reached = reached;
+    load->running = running;
+    load->waiting = waiting;
+    dispatch_event(backends->daemon->dispatch, &event);
+}
+
+static void
+on_poll(uv_timer_t *timer)
+{
+    backends_t *backends = timer->data;
+    const node_t *node = dispatch_node(backends->daemon->dispatch);
+    arena_t arena = {0};
+    size_t count = 0;
+    size_t i;
+    const node_runner_view_t *runners =
+        node_runners(node, dispatch_now_us(), &arena, &count);
+
+    for (i = 0; i < count; i++) {
+        backends->engine->ops->poll_load(backends->engine, runners[i].name,
+                                         runners[i].address);
+    }
+    arena_free(&arena);
+}
--- /dev/null
+++ b/agated/backoff.c
@@ -0,0 +1,40 @@
+/* backoff.c - waits between retries, and the kernel's random numbers. */
+#include <stdio.h>
+#include <stdlib.h>
+#include <sys/random.h>
+
+#include "agated/agated.h"
+
+enum { BACKOFF_FIRST_MS = 50, BACKOFF_MAX_MS = 5000, DOUBLINGS_MAX = 7 };
+
+uint32_t
+backoff_next_ms(backoff_t *backoff)
+{
+    uint32_t wait_ms = BACKOFF_FIRST_MS << backoff->failures;
+
+    if (backoff->failures < DOUBLINGS_MAX) {
+        backoff->failures++;
+    }
+    if (wait_ms > BACKOFF_MAX_MS) {
+        wait_ms = BACKOFF_MAX_MS;
+    }
+    return wait_ms / 2 + (uint32_t)(random_u64() % (wait_ms / 2 + 1));
+}
+
+void
+backoff_reset(backoff_t *backoff)
+{
+    backoff->failures = 0;
+}
+
+uint64_t
+random_u64(void)
+{
+    uint64_t number;
+
+    if (getrandom(&number, sizeof(number), 0) != sizeof(number)) {
+        (void)fputs("the kernel gives no random numbers: mend it\n", stderr);
+        abort();
+    }
+    return number;
+}
--- /dev/null
+++ b/agated/claims.c
@@ -0,0 +1,313 @@
+/* claims.c - at most once, by the platform's compare-and-swap. */
+#include <stdlib.h>
+#include <string.h>
+
+#include <sys/queue.h>
+
+#include "agated/agated.h"
+#include "base/log.h"
+
+enum {
+    LEASE_TTL_S = 86400,
+    US_PER_S = 1000000,
+    LEASE_USE_S = 3600,
+    TRIES_MAX = 4
+};
+
+/* One transaction: a batch of claims, or a release of some. */
+typedef struct call {
+    TAILQ_ENTRY(call) link;
+    claims_t *claims;
+    arena_t arena;
+    bool release;
+    uint64_t batch;
+    const char *mark;
+    const char **keys; /* as the node names them */
+    platform_op_t *ops;
+    platform_swap_t *swaps;
+    size_t count;
+    uint32_t tries;
+    backoff_t backoff;
+    uv_timer_t *timer;
+} call_t;
+
+struct claims {
+    daemon_t *daemon;
+    int64_t lease; /* 0: none */
+    int64_t lease_since_us;
+    bool asking; /* a lease has been asked for */
+    TAILQ_HEAD(, call) calls;
+};
+
+static call_t *call_new(claims_t *claims, const char *mark, char *const *keys,
+                        size_t count);
+static void call_free(call_t *call);
+static void fill_claims(call_t *call);
+static void fill_releases(call_t *call);
+static bool lease_is_fresh(const claims_t *claims);
+static void ask_lease(claims_t *claims);
+static void on_lease(void *context, platform_result_t result, int64_t lease,
+                     int64_t ttl_s);
+static void send_call(call_t *call);
+static void on_retry(uv_timer_t *timer);
+static void on_swap(void *context, platform_result_t result, int64_t revision,
+                    const platform_swap_answer_t *answers, size_t count);
+static void finish_call(call_t *call, const platform_swap_answer_t *answers);
+static void read_outcome(call_t *call, size_t at,
+                         const platform_swap_answer_t *answer,
+                         claim_outcome_t *outcome);
+
+claims_t *
+claims_new(daemon_t *daemon)
+{
+    claims_t *claims = xcalloc(1, sizeof(*claims));
+
+    claims->daemon = daemon;
+    TAILQ_INIT(&claims->calls);
+    ask_lease(claims);
+    return claims;
+}
+
+/* The platform must have been freed: it calls back no more. */
+void
+claims_free(claims_t *claims)
+{
+    call_t *call;
+
+    while ((call = TAILQ_FIRST(&claims->calls)) != NULL) {
+        call_free(call);
+    }
+    free(claims);
+}
+
+void
+claims_order(claims_t *claims, const order_t *order)
+{
+    const claim_order_t *claim = &order->order_t_u.claim;
+    const release_order_t *release = &order->order_t_u.release;
+    call_t *call;
+
+    if (order->kind == ORDER_RELEASE) {
+        call = call_new(claims, release->mark, release->keys.keys_val,
+                        release->keys.keys_len);
+        call->release = true;
+        fill_releases(call);
+        send_call(call);
+        return;
+    }
+    call = call_new(claims, claim->mark, claim->keys.keys_val,
+                    claim->keys.keys_len);
+    call->batch = claim->batch;
+    if (!lease_is_fresh(claims)) {
+        ask_lease(claims);
+        return;
+    }
+    fill_claims(call);
+    send_call(call);
+}
+
+static call_t *
+call_new(claims_t *claims, const char *mark, char *const *keys, size_t count)
+{
+    call_t *call = xcalloc(1, sizeof(*call));
+    size_t i;
+
+    call->claims = claims;
+    call->mark = arena_strdup(&call->arena, mark);
+    call->count = count;
+    call->keys = arena_array(&call->arena, count, sizeof(*call->keys));
+    call->ops = arena_array(&call->arena, count, sizeof(*call->ops));
+    call->swaps = arena_array(&call->arena, count, sizeof(*call->swaps));
+    for (i = 0; i < count; i++) {
+        call->keys[i] = arena_strdup(&call->arena, keys[i]);
+        call->swaps[i].key =
+            arena_printf(&call->arena, "/agatevale/claims/%s", keys[i]);
+        call->swaps[i].ops = &call->ops[i];
+        call->swaps[i].op_count = 1;
+        call->ops[i].key = call->swaps[i].key;
+    }
+    call->timer = xcalloc(1, sizeof(*call->timer));
+    (void)uv_timer_init(claims->daemon->loop, call->timer);
+    call->timer->data = call;
+    TAILQ_INSERT_TAIL(&claims->calls, call, link);
+    return call;
+}
+
+static void
+call_free(call_t *call)
+{
+    TAILQ_REMOVE(&call->claims->calls, call, link);
+    uv_close((uv_handle_t *)call->timer, (uv_close_cb)free);
+    arena_free(&call->arena);
+    free(call);
+}
+
+/* Create each key with our mark, if it does not exist. */
+static void
+fill_claims(call_t *call)
+{
+    size_t i;
+
+    for (i = 0; i < call->count; i++) {
+        call->ops[i].verb = PLATFORM_PUT;
+        call->ops[i].value = call->mark;
+        call->ops[i].value_bytes = strlen(call->mark);
+        call->ops[i].lease = call->claims->lease;
+    }
+}
+
+/* Delete each key, if it holds our mark. */
+static void
+fill_releases(call_t *call)
+{
+    size_t i;
+
+    for (i = 0; i < call->count; i++) {
+        call->swaps[i].value = call->mark;
+        call->swaps[i].value_bytes = strlen(call->mark);
+        call->ops[i].verb = PLATFORM_DELETE;
+    }
+}
+
+/* A claim stays for nearly a day, though its lease is never renewed. */
+static bool
+lease_is_fresh(const claims_t *claims)
+{
+    int64_t age_us = dispatch_now_us() - claims->lease_since_us;
+
+    return claims->lease != 0 && age_us < (int64_t)LEASE_USE_S * US_PER_S;
+}
+
+static void
+ask_lease(claims_t *claims)
+{
+    platform_t *platform = claims->daemon->platform;
+
+    if (claims->asking) {
+        return;
+    }
+    claims->asking = true;
+    platform->ops->lease_grant(platform, LEASE_TTL_S, on_lease, claims);
+}
+
+/* Claims that waited for the lease go out, or are told that it failed. */
+static void
+on_lease(void *context, platform_result_t result, int64_t lease, int64_t ttl_s)
+{
+    claims_t *claims = context;
+    call_t *call;
+    call_t *next;
+
+    claims->asking = false;
+    if (result == PLATFORM_OK) {
+        claims->lease = lease;
+        claims->lease_since_us = dispatch_now_us();
+    }
+    for (call = TAILQ_FIRST(&claims->calls); call != NULL; call = next) {
+        next = TAILQ_NEXT(call, link);
+        if (call->release || call->tries > 0) {
+            continue;
+        }
+        if (result != PLATFORM_OK) {
+            finish_call(call, NULL);
+            continue;
+        }
+        fill_claims(call);
+        send_call(call);
+    }
+}
+
+static void
+send_call(call_t *call)
+{
+    platform_t *platform = call->claims->daemon->platform;
+
+    call->tries++;
+    platform->ops->swap(platform, call->swaps, call->count, on_swap, call);
+}
+
+static void
+on_retry(uv_timer_t *timer)
+{
+    send_call(timer->data);
+}
+
+/*
+ * A call whose answer was lost is made again: what it wrote bears our mark,
+ * so the second answer settles both.
+ */
+static void
+on_swap(void *context, platform_result_t result, int64_t revision,
+        const platform_swap_answer_t *answers, size_t count)
+{
+    call_t *call = context;
+
+    if (result == PLATFORM_OK) {
+        finish_call(call, answers);
+        return;
+    }
+    if (result == PLATFORM_INVALID) {
+        call->claims->lease = 0;
+        finish_call(call, NULL);
+        return;
+    }
+    if (call->tries >= TRIES_MAX) {
+        log_line(LOG_WARNING, "platform lost call=%s tries=%u",
+                 call->release ? "release" : "claim", call->tries);
+        finish_call(call, NULL);
+        return;
+    }
+    (void)uv_timer_start(call->timer, on_retry,
+                         backoff_next_ms(&call->backoff), 0);
+}
+
+/* answers is NULL when the store gave none. */
+static void
+finish_call(call_t *call, const platform_swap_answer_t *answers)
+{
+    dispatch_t *dispatch = call->claims->daemon->dispatch;
+    event_t event = {.kind = EVENT_CLAIMED};
+    claimed_event_t *claimed = &event.event_t_u.claimed;
+    claim_outcome_t *outcomes =
+        arena_array(&call->arena, call->count, sizeof(*outcomes));
+    size_t i;
+
+    for (i = 0; i < call->count; i++) {
+        read_outcome(call, i, answers == NULL ? NULL : &answers[i],
+                     &outcomes[i]);
+    }
+    claimed->batch = call->batch;
+    claimed->outcomes.outcomes_len = (u_int)call->count;
+    claimed->outcomes.outcomes_val = outcomes;
+    if (!call->release) {
+        dispatch_event(dispatch, &event);
+    }
+    call_free(call);
+}
+
+static void
+read_outcome(call_t *call, size_t at, const platform_swap_answer_t *answer,
+             claim_outcome_t *outcome)
+{
+    const platform_pair_t *held;
+
+    outcome->key = (char *)(uintptr_t)call->keys[at];
+    outcome->holder = arena_strdup(&call->arena, "");
+    if (answer == NULL) {
+        outcome->result = CLAIM_UNKNOWN;
+        return;
+    }
+    held = &answer->held;
+    if (answer->won ||
+        (held->value_bytes == strlen(call->mark) &&
+         memcmp(held->value, call->mark, held->value_bytes) == 0)) {
+        outcome->result = CLAIM_WON;
+        outcome->holder = (char *)(uintptr_t)call->mark;
+        return;
+    }
+    outcome->result = CLAIM_HELD;
+    if (held->value_bytes <= LINK_NAME_MAX) {
+        outcome->holder =
+            arena_strndup(&call->arena, held->value, held->value_bytes);
+    }
+}
--- /dev/null
+++ b/agated/dispatch.c
@@ -0,0 +1,203 @@
+/* dispatch.c - the one place that calls node_step() and obeys it. */
+#include <stdlib.h>
+#include <string.h>
+
+#include <sys/queue.h>
+
+#include "agated/agated.h"
+#include "base/log.h"
+
+enum { NS_PER_US = 1000, US_PER_MS = 1000 };
+
+/* An event that was raised while a step ran. */
+typedef struct waiting {
+    STAILQ_ENTRY(waiting) link;
+    char *bytes;
+    size_t length;
+} waiting_t;
+
+struct dispatch {
+    daemon_t *daemon;
+    node_t *node;
+    order_list_t orders;
+    journal_t *journal;
+    uv_timer_t *timer;
+    int64_t timer_at_us;
+    bool busy;
+    STAILQ_HEAD(, waiting) waiting;
+};
+
+static void step(dispatch_t *dispatch, const event_t *event);
+static void carry_out(dispatch_t *dispatch, const order_t *order);
+static void set_timer(dispatch_t *dispatch, int64_t at_us);
+static void arm_timer(dispatch_t *dispatch);
+static void on_timer(uv_timer_t *timer);
+static void put_waiting(dispatch_t *dispatch, const event_t *event);
+static void step_waiting(dispatch_t *dispatch);
+
+dispatch_t *
+dispatch_new(daemon_t *daemon)
+{
+    dispatch_t *dispatch = xcalloc(1, sizeof(*dispatch));
+    err_t err;
+
+    dispatch->daemon = daemon;
+    dispatch->node = node_new();
+    STAILQ_INIT(&dispatch->waiting);
+    dispatch->timer = xcalloc(1, sizeof(*dispatch->timer));
+    (void)uv_timer_init(daemon->loop, dispatch->timer);
+    dispatch->timer->data = dispatch;
+    if (daemon->settings->event_log != NULL) {
+        dispatch->journal = journal_open(daemon->settings->event_log, &err);
+        if (dispatch->journal == NULL) {
+            log_line(LOG_ERR, "event log: %s", err.message);
+        }
+    }
+    return dispatch;
+}
+
+void
+dispatch_free(dispatch_t *dispatch)
+{
+    journal_close(dispatch->journal);
+    uv_close((uv_handle_t *)dispatch->timer, (uv_close_cb)free);
+    orders_free(&dispatch->orders);
+    node_free(dispatch->node);
+    free(dispatch);
+}
+
+void
+dispatch_event(dispatch_t *dispatch, const event_t *event)
+{
+    if (dispatch->busy) {
+        put_waiting(dispatch, event);
+        return;
+    }
+    dispatch->busy = true;
+    step(dispatch, event);
+    step_waiting(dispatch);
+    dispatch->busy = false;
+}
+
+const node_t *
+dispatch_node(const dispatch_t *dispatch)
+{
+    return dispatch->node;
+}
+
+int64_t
+dispatch_now_us(void)
+{
+    return (int64_t)(uv_hrtime() / NS_PER_US);
+}
+
+static void
+step(dispatch_t *dispatch, const event_t *event)
+{
+    int64_t now_us = dispatch_now_us();
+    size_t i;
+
+    if (dispatch->journal != NULL) {
+        journal_write(dispatch->journal, now_us, event);
+    }
+    node_step(dispatch->node, now_us, event, &dispatch->orders);
+    for (i = 0; i < dispatch->orders.count; i++) {
+        carry_out(dispatch, &dispatch->orders.items[i]);
+    }
+    orders_reset(&dispatch->orders);
+}
+
+static void
+carry_out(dispatch_t *dispatch, const order_t *order)
+{
+    daemon_t *daemon = dispatch->daemon;
+
+    switch (order->kind) {
+    case ORDER_OPEN:
+    case ORDER_REATTACH:
+    case ORDER_CANCEL:
+        backends_order(daemon->backends, order);
+        return;
+    case ORDER_GIVE:
+    case ORDER_FINISH:
+    case ORDER_REPLY:
+    case ORDER_REFUSE:
+    case ORDER_FORGET:
+    case ORDER_RELAY:
+        listener_order(daemon->listener, order);
+        return;
+    case ORDER_CLAIM:
+    case ORDER_RELEASE:
+        claims_order(daemon->claims, order);
+        return;
+    case ORDER_TIMER:
+        set_timer(dispatch, order->order_t_u.timer.at_us);
+        return;
+    case ORDER_LOG:
+        log_line(order->order_t_u.log.severity, "%s",
+                 order->order_t_u.log.text);
+        return;
+    case ORDER_STOP:
+        listener_stop(daemon->listener);
+        return;
+    case ORDER_TELL:
+        return;
+    }
+}
+
+static void
+set_timer(dispatch_t *dispatch, int64_t at_us)
+{
+    dispatch->timer_at_us = at_us;
+    arm_timer(dispatch);
+}
+
+/* libuv counts milliseconds of its own cached time, so wait one too many. */
+static void
+arm_timer(dispatch_t *dispatch)
+{
+    int64_t wait_us = dispatch->timer_at_us - dispatch_now_us();
+    uint64_t wait_ms = wait_us <= 0 ? 0 : (uint64_t)wait_us / US_PER_MS + 1;
+
+    uv_update_time(dispatch->daemon->loop);
+    (void)uv_timer_start(dispatch->timer, on_timer, wait_ms, 0);
+}
+
+static void
+on_timer(uv_timer_t *timer)
+{
+    dispatch_t *dispatch = timer->data;
+    event_t event = {.kind = EVENT_TIMER};
+
+    if (dispatch_now_us() < dispatch->timer_at_us) {
+        arm_timer(dispatch);
+        return;
+    }
+    dispatch_event(dispatch, &event);
+}
+
+static void
+put_waiting(dispatch_t *dispatch, const event_t *event)
+{
+    waiting_t *waiting = xcalloc(1, sizeof(*waiting));
+
+    waiting->bytes = event_encode(event, &waiting->length);
+    STAILQ_INSERT_TAIL(&dispatch->waiting, waiting, link);
+}
+
+static void
+step_waiting(dispatch_t *dispatch)
+{
+    waiting_t *waiting;
+    event_t event;
+
+    while ((waiting = STAILQ_FIRST(&dispatch->waiting)) != NULL) {
+        STAILQ_REMOVE_HEAD(&dispatch->waiting, link);
+        if (event_decode(waiting->bytes, waiting->length, &event)) {
+            step(dispatch, &event);
+        }
+        xdr_free((xdrproc_t)xdr_event_t, (char *)&event);
+        free(waiting->bytes);
+        free(waiting);
+    }
+}
--- /dev/null
+++ b/agated/listener.c
@@ -0,0 +1,374 @@
+/* listener.c - accepts connections and routes requests. */
+#include <poll.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <xxhash.h>
+
+#include "agated/caller.h"
+#include "base/address.h"
+#include "base/log.h"
+
+enum {
+    BACKLOG = 1024,
+    CUT_CHECK_INTERVAL_MS = 200,
+    STOP_CHECK_INTERVAL_MS = 20,
+    STATUS_NOT_FOUND = 404,
+    STATUS_TOO_LARGE = 413
+};
+
+struct listener {
+    daemon_t *daemon;
+    uv_tcp_t *socket;
+    char address[ADDRESS_TEXT_BYTES];
+    h2o_globalconf_t config;
+    h2o_context_t context;
+    h2o_accept_ctx_t accept;
+    uv_timer_t *timer;
+    uint64_t callers_seen;
+    caller_t *callers; /* by number */
+};
+
+/* An h2o handler or filter that knows the listener. */
+typedef struct {
+    h2o_handler_t super;
+    listener_t *listener;
+} route_t;
+
+static int bind_socket(listener_t *listener, err_t *err);
+static void configure(listener_t *listener);
+static void on_connection(uv_stream_t *server, int status);
+static int on_request(h2o_handler_t *handler, h2o_req_t *req);
+static bool answer_view(listener_t *listener, h2o_req_t *req);
+static bool path_is(const h2o_req_t *req, const char *path);
+static void on_setup_ostream(h2o_filter_t *filter, h2o_req_t *req,
+                             h2o_ostream_t **slot);
+static void send_too_large(h2o_ostream_t *ostream, h2o_req_t *req,
+                           h2o_iovec_t *bufs, size_t count,
+                           h2o_send_state_t state);
+static void on_cut_check(uv_timer_t *timer);
+static void on_stop_check(uv_timer_t *timer);
+static uint64_t order_caller(const order_t *order);
+
+static const char too_large[] =
+    "{\"error\":{\"kind\":\"invalid\",\"message\":\"the body is too large: "
+    "send a shorter one\",\"run\":\"not-run\"}}";
+
+listener_t *
+listener_new(daemon_t *daemon, err_t *err)
+{
+    listener_t *listener = xcalloc(1, sizeof(*listener));
+
+    listener->daemon = daemon;
+    listener->socket = xcalloc(1, sizeof(*listener->socket));
+    (void)uv_tcp_init(daemon->loop, listener->socket);
+    listener->socket->data = listener;
+    if (bind_socket(listener, err) < 0) {
+        uv_close((uv_handle_t *)listener->socket, (uv_close_cb)free);
+        free(listener);
+        return NULL;
+    }
+    configure(listener);
+    listener->timer = xcalloc(1, sizeof(*listener->timer));
+    (void)uv_timer_init(daemon->loop, listener->timer);
+    listener->timer->data = listener;
+    return listener;
+}
+
+const char *
+listener_address(const listener_t *listener)
+{
+    return listener->address;
+}
+
+void
+listener_start(listener_t *listener)
+{
+    int result =
+        uv_listen((uv_stream_t *)listener->socket, BACKLOG, on_connection);
+
+    if (result < 0) {
+        log_line(LOG_ERR, "cannot listen address=%s reason=%s",
+                 listener->address, uv_strerror(result));
+        uv_stop(listener->daemon->loop);
+        return;
+    }
+    (void)uv_timer_start(listener->timer, on_cut_check, CUT_CHECK_INTERVAL_MS,
+                         CUT_CHECK_INTERVAL_MS);
+    log_line(LOG_NOTICE, "listening address=%s", listener->address);
+}
+
+void
+listener_stop(listener_t *listener)
+{
+    if (listener->socket == NULL) {
+        return;
+    }
+    uv_close((uv_handle_t *)listener->socket, (uv_close_cb)free);
+    listener->socket = NULL;
+    h2o_context_request_shutdown(&listener->context);
+    (void)uv_timer_start(listener->timer, on_stop_check, 0,
+                         STOP_CHECK_INTERVAL_MS);
+}
+
+void
+listener_free(listener_t *listener)
+{
+    if (listener->socket != NULL) {
+        uv_close((uv_handle_t *)listener->socket, (uv_close_cb)free);
+    }
+    uv_close((uv_handle_t *)listener->timer, (uv_close_cb)free);
+    free(listener);
+}
+
+void
+listener_order(listener_t *listener, const order_t *order)
+{
+    uint64_t number = order_caller(order);
+    caller_t *caller;
+
+    HASH_FIND(hh, listener->callers, &number, sizeof(number), caller);
+    if (caller != NULL) {
+        caller_order(caller, order);
+    }
+}
+
+const body_t *
+listener_body(const listener_t *listener, uint64_t number)
+{
+    caller_t *caller;
+
+    HASH_FIND(hh, listener->callers, &number, sizeof(number), caller);
+    return caller == NULL || caller->forgotten ? NULL : &caller->body;
+}
+
+static int
+bind_socket(listener_t *listener, err_t *err)
+{
+    const char *text = listener->daemon->settings->listen_address;
+    struct sockaddr_storage address;
+    int length = sizeof(address);
+    int result;
+
+    if (address_parse(text, &address, err) < 0) {
+        return -1;
+    }
+    result =
+        uv_tcp_bind(listener->socket, (const struct sockaddr *)&address, 0);
+    if (result == 0) {
+        result = uv_tcp_getsockname(listener->socket,
+                                    (struct sockaddr *)&address, &length);
+    }
+    if (result < 0) {
+        return err_set(err, ERR_SYSTEM,
+                       "cannot bind %s: %s: name a free address of this host",
+                       text, uv_strerror(result));
+    }
+    address_format((struct sockaddr *)&address, listener->address);
+    return 0;
+}
+
+static void
+configure(listener_t *listener)
+{
+    const settings_t *settings = listener->daemon->settings;
+    h2o_globalconf_t *config = &listener->config;
+    h2o_hostconf_t *host;
+    h2o_pathconf_t *path;
+    h2o_filter_t *filter;
+    route_t *route;
+
+    h2o_config_init(config);
+    config->server_name = h2o_iovec_init(H2O_STRLIT("agated"));
+    config->max_request_entity_size = settings->body_max_bytes;
+    config->http1.req_timeout = settings->header_timeout_ms;
+    host = h2o_config_register_host(
+        config, h2o_iovec_init(H2O_STRLIT("default")), UINT16_MAX);
+    path = h2o_config_register_path(host, "/", 0);
+    route = (route_t *)h2o_create_handler(path, sizeof(*route));
+    route->super.on_req = on_request;
+    route->listener = listener;
+    /* h2o refuses a long body itself, before any path is known. */
+    filter = h2o_create_filter(&host->fallback_path, sizeof(*filter));
+    filter->on_setup_ostream = on_setup_ostream;
+    filter = h2o_create_filter(path, sizeof(*filter));
+    filter->on_setup_ostream = on_setup_ostream;
+    h2o_context_init(&listener->context, listener->daemon->loop, config);
+    listener->accept.ctx = &listener->context;
+    listener->accept.hosts = config->hosts;
+}
+
+static void
+on_connection(uv_stream_t *server, int status)
+{
+    listener_t *listener = server->data;
+    uv_tcp_t *client;
+
+    if (status < 0) {
+        log_line(LOG_WARNING, "no connection reason=%s", uv_strerror(status));
+        return;
+    }
+    client = xcalloc(1, sizeof(*client));
+    (void)uv_tcp_init(server->loop, client);
+    if (uv_accept(server, (uv_stream_t *)client) != 0) {
+        uv_close((uv_handle_t *)client, (uv_close_cb)free);
+        return;
+    }
+    (void)uv_tcp_nodelay(client, 1);
+    h2o_accept(&listener->accept,
+               h2o_uv_socket_create((uv_stream_t *)client, (uv_close_cb)free));
+}
+
+static int
+on_request(h2o_handler_t *handler, h2o_req_t *req)
+{
+    listener_t *listener = ((route_t *)handler)->listener;
+    static const char services[] = "/services/";
+    refuse_order_t refusal;
+
+    if (path_is(req, "/v1/completions") ||
+        path_is(req, "/v1/chat/completions") ||
+        (req->path.len > strlen(services) &&
+         memcmp(req->path.base, services, strlen(services)) == 0)) {
+        listener->callers_seen++;
+        caller_accept(listener->daemon, &listener->callers,
+                      listener->callers_seen, req);
+        return 0;
+    }
+    if (answer_view(listener, req)) {
+        return 0;
+    }
+    refusal = refusal_new(REFUSAL_INVALID, STATUS_NOT_FOUND,
+                          "no such path: use /v1/completions, "
+                          "/v1/chat/completions, /v1/models, /v1/hosts or "
+                          "/services/NAME/PATH");
+    respond_refusal(req, &refusal);
+    return 0;
+}
+
+static bool
+answer_view(listener_t *listener, h2o_req_t *req)
+{
+    char credential[CREDENTIAL_BYTES];
+    struct sockaddr_storage peer = {0};
+    socklen_t length = req->conn->callbacks->get_peername(
+        req->conn, (struct sockaddr *)&peer);
+    arena_t arena = {0};
+    view_t view = {0};
+    view_request_t request;
+    bool known;
+
+    request_credential(header_copy(req, &arena, "authorization"), credential);
+    request.path = arena_strndup(&arena, req->path_normalized.base,
+                                 req->path_normalized.len);
+    request.credential = credential;
+    request.spread = XXH3_64bits(&peer, length);
+    known = h2o_memis(req->method.base, req->method.len, H2O_STRLIT("GET")) &&
+            view_read(listener->daemon, &request, &view);
+    if (known) {
+        respond(req, view.status, view.content_type, view.body.bytes,
+                view.body.length);
+    }
+    text_free(&view.body);
+    arena_free(&arena);
+    return known;
+}
+
+static bool
+path_is(const h2o_req_t *req, const char *path)
+{
+    size_t length = req->query_at == SIZE_MAX ? req->path.len : req->query_at;
+
+    return h2o_memis(req->path.base, length, path, strlen(path));
+}
+
+/* h2o's own 413 is plain text; callers get the one shape of refusals. */
+static void
+on_setup_ostream(h2o_filter_t *filter, h2o_req_t *req, h2o_ostream_t **slot)
+{
+    if (req->res.status == STATUS_TOO_LARGE) {
+        h2o_ostream_t *ostream = h2o_add_ostream(req, sizeof(*ostream), slot);
+
+        ostream->do_send = send_too_large;
+        slot = &ostream->next;
+        req->res.content_length = strlen(too_large);
+        h2o_set_header(&req->pool, &req->res.headers, H2O_TOKEN_CONTENT_TYPE,
+                       H2O_STRLIT("application/json"), 1);
+    }
+    h2o_setup_next_ostream(req, slot);
+}
+
+static void
+send_too_large(h2o_ostream_t *ostream, h2o_req_t *req, h2o_iovec_t *bufs,
+               size_t count, h2o_send_state_t state)
+{
+    h2o_iovec_t bytes = h2o_iovec_init(too_large, strlen(too_large));
+
+    h2o_ostream_send_next(ostream, req, &bytes, 1, state);
+}
+
+/* On HTTP/1 h2o does not read while it answers, so we look ourselves. */
+static void
+on_cut_check(uv_timer_t *timer)
+{
+    listener_t *listener = timer->data;
+    arena_t arena = {0};
+    unsigned count = HASH_COUNT(listener->callers);
+    struct pollfd *polls = arena_array(&arena, count, sizeof(*polls));
+    uint64_t *numbers = arena_array(&arena, count, sizeof(*numbers));
+    caller_t *caller;
+    caller_t *next;
+    nfds_t used = 0;
+    nfds_t i;
+
+    HASH_ITER(hh, listener->callers, caller, next)
+    {
+        if (!caller->over && caller_socket(caller) >= 0) {
+            numbers[used] = caller->number;
+            polls[used].fd = caller_socket(caller);
+            polls[used].events = POLLRDHUP;
+            used++;
+        }
+    }
+    if (used > 0 && poll(polls, used, 0) > 0) {
+        for (i = 0; i < used; i++) {
+            HASH_FIND(hh, listener->callers, &numbers[i], sizeof(numbers[i]),
+                      caller);
+            if (polls[i].revents != 0 && caller != NULL) {
+                caller_cut(caller);
+            }
+        }
+    }
+    arena_free(&arena);
+}
+
+static void
+on_stop_check(uv_timer_t *timer)
+{
+    listener_t *listener = timer->data;
+
+    if (HASH_COUNT(listener->callers) == 0) {
+        uv_stop(listener->daemon->loop);
+    }
+}
+
+static uint64_t
+order_caller(const order_t *order)
+{
+    switch (order->kind) {
+    case ORDER_GIVE:
+        return order->order_t_u.give.caller;
+    case ORDER_FINISH:
+        return order->order_t_u.finish.caller;
+    case ORDER_REPLY:
+        return order->order_t_u.reply.caller;
+    case ORDER_REFUSE:
+        return order->order_t_u.refuse.caller;
+    case ORDER_FORGET:
+        return order->order_t_u.forget.body;
+    case ORDER_RELAY:
+        return order->order_t_u.relay.caller;
+    default:
+        return 0;
+    }
+}
--- /dev/null
+++ b/agated/settings.c
@@ -0,0 +1,274 @@
+/* settings.c - see settings.h. */
+#include <errno.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "agated/settings.h"
+
+enum {
+    NAME_LENGTH_MAX = 63,
+    PATH_LENGTH_MAX = 1023,
+    BODY_DEFAULT_BYTES = 4 << 20,
+    BODY_MIN_BYTES = 1 << 10,
+    BODY_MAX_BYTES = 16 << 20,
+    HEADER_TIMEOUT_DEFAULT_MS = 10000,
+    HEADER_TIMEOUT_MIN_MS = 100,
+    HEADER_TIMEOUT_MAX_MS = 600000,
+    PLATFORM_TIMEOUT_DEFAULT_MS = 2000,
+    PLATFORM_TIMEOUT_MIN_MS = 10,
+    PLATFORM_TIMEOUT_MAX_MS = 60000,
+    SESSIONS_DEFAULT = 4096,
+    SESSIONS_MAX = 100000,
+    QUEUE_WAIT_DEFAULT_MS = 10000,
+    SILENCE_FLOOR_DEFAULT_MS = 250,
+    SILENCE_CEILING_DEFAULT_MS = 3000,
+    PREFILL_LIMIT_DEFAULT_MS = 60000,
+    ORPHAN_GRACE_DEFAULT_MS = 30000,
+    RECORD_AFTER_DEFAULT_MS = 5000,
+    LIMIT_MAX_MS = 3600000,
+    SILENCE_MIN_MS = 10
+};
+
+#define AT(member) offsetof(settings_t, member)
+#define COUNT(array) (sizeof(array) / sizeof((array)[0]))
+#define LIMIT_MS(name, lowest, example)                                       \
+    {                                                                         \
+        .key = #name, .type = FIELD_U32, .offset = AT(name), .min = (lowest), \
+        .max = LIMIT_MAX_MS, .remedy = example                                \
+    }
+
+static const char *const platform_kinds[] = {"etcd", "memory", NULL};
+
+static const field_t listen_fields[] = {
+    {.key = "address",
+     .type = FIELD_ADDRESS,
+     .offset = AT(listen_address),
+     .required = true,
+     .remedy = "address = \"127.0.0.1:8080\""},
+    {.key = "body_max_bytes",
+     .type = FIELD_U32,
+     .offset = AT(body_max_bytes),
+     .min = BODY_MIN_BYTES,
+     .max = BODY_MAX_BYTES,
+     .remedy = "body_max_bytes = 4194304"},
+    {.key = "header_timeout_ms",
+     .type = FIELD_U32,
+     .offset = AT(header_timeout_ms),
+     .min = HEADER_TIMEOUT_MIN_MS,
+     .max = HEADER_TIMEOUT_MAX_MS,
+     .remedy = "header_timeout_ms = 10000"},
+};
+
+static const field_t platform_fields[] = {
+    {.key = "kind",
+     .type = FIELD_CHOICE,
+     .offset = AT(platform_kind),
+     .required = true,
+     .remedy = "kind = \"etcd\" or kind = \"memory\"",
+     .choices = platform_kinds},
+    {.key = "addresses",
+     .type = FIELD_ADDRESSES,
+     .offset = AT(platform_addresses),
+     .remedy = "addresses = [\"127.0.0.1:2379\"]"},
+    {.key = "timeout_ms",
+     .type = FIELD_U32,
+     .offset = AT(platform_timeout_ms),
+     .min = PLATFORM_TIMEOUT_MIN_MS,
+     .max = PLATFORM_TIMEOUT_MAX_MS,
+     .remedy = "timeout_ms = 2000"},
+    {.key = "fleet",
+     .type = FIELD_STRING,
+     .offset = AT(fleet_file),
+     .min = 1,
+     .max = PATH_LENGTH_MAX,
+     .remedy = "fleet = \"fleet.toml\""},
+    {.key = "documents",
+     .type = FIELD_STRINGS,
+     .offset = AT(document_files),
+     .remedy = "documents = [\"service.toml\"]"},
+};
+
+static const field_t peers_fields[] = {
+    {.key = "address",
+     .type = FIELD_ADDRESS,
+     .offset = AT(peers_address),
+     .required = true,
+     .remedy = "address = \"127.0.0.1:8081\""},
+    {.key = "key_file",
+     .type = FIELD_STRING,
+     .offset = AT(peers_key_file),
+     .required = true,
+     .min = 1,
+     .max = PATH_LENGTH_MAX,
+     .remedy = "key_file = \"peers.key\""},
+};
+
+static const field_t limits_fields[] = {
+    {.key = "sessions_max",
+     .type = FIELD_U32,
+     .offset = AT(sessions_max),
+     .min = 1,
+     .max = SESSIONS_MAX,
+     .remedy = "sessions_max = 4096"},
+    LIMIT_MS(queue_wait_ms, 0, "queue_wait_ms = 10000"),
+    LIMIT_MS(silence_floor_ms, SILENCE_MIN_MS, "silence_floor_ms = 250"),
+    LIMIT_MS(silence_ceiling_ms, SILENCE_MIN_MS, "silence_ceiling_ms = 3000"),
+    LIMIT_MS(prefill_limit_ms, SILENCE_MIN_MS, "prefill_limit_ms = 60000"),
+    LIMIT_MS(orphan_grace_ms, 0, "orphan_grace_ms = 30000"),
+    LIMIT_MS(record_after_ms, 0, "record_after_ms = 5000"),
+};
+
+static const field_t tls_fields[] = {
+    {.key = "certificate",
+     .type = FIELD_STRING,
+     .offset = AT(tls_certificate),
+     .required = true,
+     .min = 1,
+     .max = PATH_LENGTH_MAX,
+     .remedy = "certificate = \"host.crt\""},
+    {.key = "key",
+     .type = FIELD_STRING,
+     .offset = AT(tls_key),
+     .required = true,
+     .min = 1,
+     .max = PATH_LENGTH_MAX,
+     .remedy = "key = \"host.key\""},
+};
+
+static const field_t debug_fields[] = {
+    {.key = "event_log",
+     .type = FIELD_STRING,
+     .offset = AT(event_log),
+     .min = 1,
+     .max = PATH_LENGTH_MAX,
+     .remedy = "event_log = \"events.xdr\""},
+};
+
+#define TABLE(name, array, must)                                              \
+    {                                                                         \
+        .key = name, .type = FIELD_TABLE, .required = (must),                 \
+        .remedy = "[" name "]", .fields = array, .field_count = COUNT(array)  \
+    }
+
+static const field_t fields[] = {
+    {.key = "host",
+     .type = FIELD_STRING,
+     .offset = AT(host),
+     .required = true,
+     .min = 1,
+     .max = NAME_LENGTH_MAX,
+     .remedy = "host = \"entry-1\""},
+    {.key = "zone",
+     .type = FIELD_STRING,
+     .offset = AT(zone),
+     .required = true,
+     .min = 1,
+     .max = NAME_LENGTH_MAX,
+     .remedy = "zone = \"north\""},
+    TABLE("listen", listen_fields, true),
+    TABLE("platform", platform_fields, true),
+    TABLE("peers", peers_fields, false),
+    TABLE("limits", limits_fields, false),
+    TABLE("tls", tls_fields, false),
+    TABLE("debug", debug_fields, false),
+};
+
+static int check_together(const settings_t *settings, const char *name,
+                          const toml_value_t *root, err_t *err);
+
+int
+settings_read(settings_t *settings, arena_t *arena, const char *path,
+              err_t *err)
+{
+    size_t length;
+    char *text = file_read(arena, path, &length, err);
+
+    if (text == NULL) {
+        return -1;
+    }
+    return settings_parse(settings, arena, path, text, length, err);
+}
+
+int
+settings_parse(settings_t *settings, arena_t *arena, const char *name,
+               const char *text, size_t length, err_t *err)
+{
+    toml_value_t *root = toml_parse(arena, name, text, length, err);
+
+    if (root == NULL) {
+        return -1;
+    }
+    *settings = (settings_t){
+        .body_max_bytes = BODY_DEFAULT_BYTES,
+        .header_timeout_ms = HEADER_TIMEOUT_DEFAULT_MS,
+        .platform_timeout_ms = PLATFORM_TIMEOUT_DEFAULT_MS,
+        .sessions_max = SESSIONS_DEFAULT,
+        .queue_wait_ms = QUEUE_WAIT_DEFAULT_MS,
+        .silence_floor_ms = SILENCE_FLOOR_DEFAULT_MS,
+        .silence_ceiling_ms = SILENCE_CEILING_DEFAULT_MS,
+        .prefill_limit_ms = PREFILL_LIMIT_DEFAULT_MS,
+        .orphan_grace_ms = ORPHAN_GRACE_DEFAULT_MS,
+        .record_after_ms = RECORD_AFTER_DEFAULT_MS,
+    };
+    if (fields_read(arena, name, root, fields, COUNT(fields), settings, err) <
+        0) {
+        return -1;
+    }
+    return check_together(settings, name, root, err);
+}
+
+char *
+file_read(arena_t *arena, const char *path, size_t *length, err_t *err)
+{
+    FILE *file = fopen(path, "re");
+    char *text = NULL;
+    long size;
+
+    if (file == NULL) {
+        (void)err_set(err, ERR_SYSTEM,
+                      "%s:1: cannot open it: %s: name a readable file", path,
+                      strerror(errno));
+        return NULL;
+    }
+    if (fseek(file, 0, SEEK_END) != 0 || (size = ftell(file)) < 0 ||
+        fseek(file, 0, SEEK_SET) != 0) {
+        (void)err_set(err, ERR_SYSTEM,
+                      "%s:1: cannot read it: name a regular file", path);
+        goto done;
+    }
+    text = arena_alloc(arena, (size_t)size + 1);
+    *length = fread(text, 1, (size_t)size, file);
+done:
+    (void)fclose(file);
+    return text;
+}
+
+/* What no single field can tell. */
+static int
+check_together(const settings_t *settings, const char *name,
+               const toml_value_t *root, err_t *err)
+{
+    const toml_value_t *platform = toml_get(root, "platform");
+
+    if (strcmp(settings->platform_kind, "etcd") == 0 &&
+        settings->platform_addresses.count == 0) {
+        return err_set(err, ERR_SETTINGS,
+                       "%s:%u: kind \"etcd\" has no addresses: write "
+                       "addresses = [\"127.0.0.1:2379\"]",
+                       name, platform->line);
+    }
+    if (strcmp(settings->platform_kind, "memory") == 0 &&
+        settings->fleet_file == NULL) {
+        return err_set(err, ERR_SETTINGS,
+                       "%s:%u: kind \"memory\" has no fleet: write "
+                       "fleet = \"fleet.toml\"",
+                       name, platform->line);
+    }
+    if (settings->silence_floor_ms > settings->silence_ceiling_ms) {
+        return err_set(err, ERR_SETTINGS,
+                       "%s:%u: silence_floor_ms is above "
+                       "silence_ceiling_ms: write a floor below the ceiling",
+                       name, toml_get(root, "limits")->line);
+    }
+    return 0;
+}
--- /dev/null
+++ b/base/fields.h
@@ -0,0 +1,56 @@
+/*
+ * fields.h - a table of fields read from a TOML table into a struct.
+ *
+ * Every key that the file may hold stands in a field_t; any other key is an
+ * error.  Errors are one line: "file:line: what is wrong: what to write
+ * instead", of kind ERR_SETTINGS.
+ */
+#ifndef BASE_FIELDS_H
+#define BASE_FIELDS_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "base/arena.h"
+#include "base/err.h"
+#include "base/toml.h"
+
+typedef enum {
+    FIELD_STRING,    /* const char *; min and max bound its length */
+    FIELD_CHOICE,    /* const char *, one of choices */
+    FIELD_ADDRESS,   /* const char *, "ip:port" */
+    FIELD_ADDRESSES, /* field_list_t of "ip:port" */
+    FIELD_STRINGS,   /* field_list_t */
+    FIELD_U32,       /* uint32_t from min to max */
+    FIELD_BOOL,      /* bool */
+    FIELD_TABLE,     /* more fields of the same struct */
+} field_type_t;
+
+typedef struct {
+    const char **items;
+    size_t count;
+} field_list_t;
+
+typedef struct field field_t;
+struct field {
+    const char *key;
+    field_type_t type;
+    size_t offset;
+    bool required;
+    int64_t min;
+    int64_t max;
+    const char *remedy;         /* an example: address = "127.0.0.1:80" */
+    const char *const *choices; /* FIELD_CHOICE; NULL at the end */
+    const field_t *fields;      /* FIELD_TABLE */
+    size_t field_count;
+};
+
+/*
+ * Reads table into out, which already holds the defaults; strings live in
+ * arena.  Returns 0, or -1 with *err set.
+ */
+int fields_read(arena_t *arena, const char *file, const toml_value_t *table,
+                const field_t *fields, size_t count, void *out, err_t *err);
+
+#endif
