--- a/agated/caller.c
+++ b/agated/caller.c
@@ -199,7 +199,7 @@
         return;
     }
     HASH_DEL(*caller->table, caller);
-    answer_free(&caller->answer);
+    response_free(&caller->response);
     text_free(&caller->gathered);
     text_free(&caller->inflight);
     arena_free(&caller->arena);
@@ -241,18 +241,18 @@
 static void
 keep_parsed(caller_t *caller, const request_parsed_t *parsed)
 {
-    answer_t *answer = &caller->answer;
+    response_t *response = &caller->response;
 
     caller->body.path = parsed->service_path;
     caller->body.model = parsed->event.model;
-    answer->name = parsed->event.key;
-    answer->model = parsed->event.model;
-    answer->endpoint = parsed->event.endpoint;
-    answer->stream = parsed->event.stream;
-    answer->token_ids = parsed->token_ids;
-    answer->usage = parsed->usage;
-    answer->created_s = time(NULL);
-    answer->position = parsed->event.position;
+    response->name = parsed->event.key;
+    response->model = parsed->event.model;
+    response->endpoint = parsed->event.endpoint;
+    response->stream = parsed->event.stream;
+    response->token_ids = parsed->token_ids;
+    response->usage = parsed->usage;
+    response->created_s = time(NULL);
+    response->position = parsed->event.position;
 }
 
 static void
@@ -300,8 +300,8 @@
     req->res.status = (int)status;
     req->res.reason = reason_of(status);
     add_header(req, "content-type", content_type);
-    if (caller->answer.name != NULL) {
-        add_header(req, "x-request-id", caller->answer.name);
+    if (caller->response.name != NULL) {
+        add_header(req, "x-request-id", caller->response.name);
     }
     if (caller->last) {
         req->res.content_length = caller->gathered.length;
@@ -316,8 +316,8 @@
 static void
 give(caller_t *caller, const give_order_t *order)
 {
-    answer_give(&caller->answer, order, &caller->gathered);
-    if (!caller->answer.stream) {
+    response_give(&caller->response, order, &caller->gathered);
+    if (!caller->response.stream) {
         return;
     }
     if (!caller->begun) {
@@ -325,7 +325,7 @@
     }
     if (caller->gathered.length > GATHERED_MAX_BYTES) {
         log_line(LOG_NOTICE, "caller too slow request=%s",
-                 caller->answer.name);
+                 caller->response.name);
         break_off(caller);
         return;
     }
@@ -335,8 +335,8 @@
 static void
 finish(caller_t *caller, const finish_order_t *order)
 {
-    answer_finish(&caller->answer, order, &caller->gathered);
-    if (caller->answer.stream && !caller->begun) {
+    response_finish(&caller->response, order, &caller->gathered);
+    if (caller->response.stream && !caller->begun) {
         begin(caller, STATUS_OK, "text/event-stream");
     }
     end(caller);
@@ -365,7 +365,7 @@
     uint32_t retry_s = order->retry_after_ms / MS_PER_S +
                        (order->retry_after_ms % MS_PER_S > 0 ? 1 : 0);
 
-    answer_refuse(&caller->answer, order, &caller->gathered);
+    response_refuse(&caller->response, order, &caller->gathered);
     end(caller);
     if (!caller->begun) {
         if (retry_s > 0) {
--- a/agated/caller.h
+++ b/agated/caller.h
@@ -14,7 +14,7 @@
 #include <uthash.h>
 
 #include "agated/agated.h"
-#include "agated/answer.h"
+#include "agated/response.h"
 #include "agated/request.h"
 
 typedef struct caller caller_t;
@@ -27,7 +27,7 @@
     h2o_req_t *req;   /* NULL once h2o has disposed of it */
     arena_t arena;
     body_t body;
-    answer_t answer;
+    response_t response;
     text_t gathered; /* to be sent when what is in flight has left */
     text_t inflight;
     bool forgotten; /* the node needs the body no more */
--- a/agated/request.c
+++ b/agated/request.c
@@ -10,7 +10,7 @@
 #include <openssl/evp.h>
 #include <xxhash.h>
 
-#include "agated/answer.h"
+#include "agated/response.h"
 #include "agated/request.h"
 
 enum {
--- a/agated/answer.c
+++ b/agated/response.c
@@ -1,7 +1,7 @@
-/* answer.c - see answer.h. */
+/* response.c - see response.h. */
 #include <inttypes.h>
 
-#include "agated/answer.h"
+#include "agated/response.h"
 
 static const char *const refusal_names[] = {
     [REFUSAL_UNAUTHORISED] = "unauthorised",
@@ -42,65 +42,65 @@
     [FINISH_OTHER] = "other",
 };
 
-static void write_id(const answer_t *answer, text_t *out);
-static void write_head(const answer_t *answer, const char *completion_object,
+static void write_id(const response_t *response, text_t *out);
+static void write_head(const response_t *response, const char *completion_object,
                        const char *chat_object, text_t *out);
-static void write_choice(answer_t *answer, const char *text, size_t length,
+static void write_choice(response_t *response, const char *text, size_t length,
                          const char *finish, text_t *out);
 static void write_usage(const finish_order_t *finish, text_t *out);
-static void write_whole(answer_t *answer, const finish_order_t *finish,
+static void write_whole(response_t *response, const finish_order_t *finish,
                         text_t *out);
-static void write_last_events(answer_t *answer, const finish_order_t *finish,
+static void write_last_events(response_t *response, const finish_order_t *finish,
                               text_t *out);
-static void keep_whole(answer_t *answer, const give_order_t *give);
+static void keep_whole(response_t *response, const give_order_t *give);
 
 void
-answer_free(answer_t *answer)
+response_free(response_t *response)
 {
-    text_free(&answer->whole);
-    text_free(&answer->whole_ids);
+    text_free(&response->whole);
+    text_free(&response->whole_ids);
 }
 
 void
-answer_give(answer_t *answer, const give_order_t *give, text_t *out)
+response_give(response_t *response, const give_order_t *give, text_t *out)
 {
-    answer->position = give->position;
-    if (!answer->stream) {
-        keep_whole(answer, give);
+    response->position = give->position;
+    if (!response->stream) {
+        keep_whole(response, give);
         return;
     }
-    write_id(answer, out);
+    write_id(response, out);
     text_puts(out, "data: ");
-    write_head(answer, "text_completion", "chat.completion.chunk", out);
-    write_choice(answer, give->text.text_val, give->text.text_len, NULL, out);
-    if (answer->token_ids) {
+    write_head(response, "text_completion", "chat.completion.chunk", out);
+    write_choice(response, give->text.text_val, give->text.text_len, NULL, out);
+    if (response->token_ids) {
         text_puts(out, ",\"token_ids\":");
         text_json_ids(out, give->token_ids.token_ids_val,
                       give->token_ids.token_ids_len);
     }
     text_puts(out, "}]}\n\n");
-    answer->begun = true;
+    response->begun = true;
 }
 
 void
-answer_finish(answer_t *answer, const finish_order_t *finish, text_t *out)
+response_finish(response_t *response, const finish_order_t *finish, text_t *out)
 {
-    if (answer->stream) {
-        write_last_events(answer, finish, out);
+    if (response->stream) {
+        write_last_events(response, finish, out);
         return;
     }
-    write_whole(answer, finish, out);
+    write_whole(response, finish, out);
 }
 
 void
-answer_refuse(answer_t *answer, const refuse_order_t *refuse, text_t *out)
+response_refuse(response_t *response, const refuse_order_t *refuse, text_t *out)
 {
-    if (!answer->stream || !answer->begun) {
+    if (!response->stream || !response->begun) {
         refusal_json(refuse, out);
         return;
     }
     text_puts(out, "event: error\n");
-    write_id(answer, out);
+    write_id(response, out);
     text_puts(out, "data: ");
     refusal_json(refuse, out);
     text_puts(out, "\n\n");
@@ -136,46 +136,46 @@
 }
 
 static void
-write_id(const answer_t *answer, text_t *out)
+write_id(const response_t *response, text_t *out)
 {
     text_puts(out, "id: ");
-    text_puts(out, answer->name);
+    text_puts(out, response->name);
     text_puts(out, ".");
-    text_u64(out, answer->position);
+    text_u64(out, response->position);
     text_puts(out, "\n");
 }
 
 /* The object up to the comma before what differs. */
 static void
-write_head(const answer_t *answer, const char *completion_object,
+write_head(const response_t *response, const char *completion_object,
            const char *chat_object, text_t *out)
 {
-    bool chat = answer->endpoint == ENDPOINT_CHAT;
+    bool chat = response->endpoint == ENDPOINT_CHAT;
 
     text_puts(out, chat ? "{\"id\":\"chatcmpl-" : "{\"id\":\"cmpl-");
-    text_puts(out, answer->name);
+    text_puts(out, response->name);
     text_puts(out, "\",\"object\":\"");
     text_puts(out, chat ? chat_object : completion_object);
     text_puts(out, "\",\"created\":");
-    text_u64(out, (uint64_t)answer->created_s);
+    text_u64(out, (uint64_t)response->created_s);
     text_puts(out, ",\"model\":");
-    text_json_string(out, answer->model);
+    text_json_string(out, response->model);
 }
 
 /* The only choice, its braces still open. */
 static void
-write_choice(answer_t *answer, const char *text, size_t length,
+write_choice(response_t *response, const char *text, size_t length,
              const char *finish, text_t *out)
 {
     text_puts(out, ",\"choices\":[{\"index\":0,");
-    if (answer->endpoint != ENDPOINT_CHAT) {
+    if (response->endpoint != ENDPOINT_CHAT) {
         text_puts(out, "\"text\":");
         text_json(out, text, length);
         text_puts(out, ",\"logprobs\":null");
     }
     else {
         text_puts(out, "\"delta\":{");
-        if (!answer->begun) {
+        if (!response->begun) {
             text_puts(out, "\"role\":\"assistant\",");
         }
         text_puts(out, "\"content\":");
@@ -203,43 +203,43 @@
 }
 
 static void
-write_last_events(answer_t *answer, const finish_order_t *finish, text_t *out)
+write_last_events(response_t *response, const finish_order_t *finish, text_t *out)
 {
-    write_id(answer, out);
+    write_id(response, out);
     text_puts(out, "data: ");
-    write_head(answer, "text_completion", "chat.completion.chunk", out);
-    write_choice(answer, "", 0, finish_names[finish->finish], out);
+    write_head(response, "text_completion", "chat.completion.chunk", out);
+    write_choice(response, "", 0, finish_names[finish->finish], out);
     text_puts(out, "}]}\n\n");
-    answer->begun = true;
-    if (answer->usage) {
-        write_id(answer, out);
+    response->begun = true;
+    if (response->usage) {
+        write_id(response, out);
         text_puts(out, "data: ");
-        write_head(answer, "text_completion", "chat.completion.chunk", out);
+        write_head(response, "text_completion", "chat.completion.chunk", out);
         text_puts(out, ",\"choices\":[]");
         write_usage(finish, out);
         text_puts(out, "}\n\n");
     }
-    write_id(answer, out);
+    write_id(response, out);
     text_puts(out, "data: [DONE]\n\n");
 }
 
 static void
-write_whole(answer_t *answer, const finish_order_t *finish, text_t *out)
+write_whole(response_t *response, const finish_order_t *finish, text_t *out)
 {
-    bool chat = answer->endpoint == ENDPOINT_CHAT;
+    bool chat = response->endpoint == ENDPOINT_CHAT;
 
-    write_head(answer, "text_completion", "chat.completion", out);
+    write_head(response, "text_completion", "chat.completion", out);
     text_puts(out, ",\"choices\":[{\"index\":0,");
     text_puts(out, chat ? "\"message\":{\"role\":\"assistant\",\"content\":"
                         : "\"text\":");
-    text_json(out, answer->whole.bytes, answer->whole.length);
+    text_json(out, response->whole.bytes, response->whole.length);
     text_puts(out, chat ? "},\"logprobs\":null" : ",\"logprobs\":null");
     text_printf(out, ",\"finish_reason\":\"%s\"",
                 finish_names[finish->finish]);
-    if (answer->token_ids) {
+    if (response->token_ids) {
         text_puts(out, ",\"token_ids\":");
-        text_json_ids(out, (const uint32_t *)(void *)answer->whole_ids.bytes,
-                      answer->whole_ids.length / sizeof(uint32_t));
+        text_json_ids(out, (const uint32_t *)(void *)response->whole_ids.bytes,
+                      response->whole_ids.length / sizeof(uint32_t));
     }
     text_puts(out, "}]");
     write_usage(finish, out);
@@ -247,11 +247,11 @@
 }
 
 static void
-keep_whole(answer_t *answer, const give_order_t *give)
+keep_whole(response_t *response, const give_order_t *give)
 {
-    text_append(&answer->whole, give->text.text_val, give->text.text_len);
-    if (answer->token_ids) {
-        text_append(&answer->whole_ids, give->token_ids.token_ids_val,
+    text_append(&response->whole, give->text.text_val, give->text.text_len);
+    if (response->token_ids) {
+        text_append(&response->whole_ids, give->token_ids.token_ids_val,
                     give->token_ids.token_ids_len * sizeof(uint32_t));
     }
 }
--- a/agated/answer.h
+++ b/agated/response.h
@@ -1,12 +1,12 @@
 /*
- * answer.h - one answer's orders as bytes in the OpenAI formats.
+ * response.h - one answer's orders as bytes in the OpenAI formats.
  *
  * A streamed answer is server-sent events, each with "id: NAME.POSITION";
  * a whole one is a JSON object.  Writes bytes only: the caller's task sends
  * them.
  */
-#ifndef AGATED_ANSWER_H
-#define AGATED_ANSWER_H
+#ifndef AGATED_RESPONSE_H
+#define AGATED_RESPONSE_H
 
 #include <stdbool.h>
 #include <stdint.h>
@@ -27,19 +27,19 @@
     bool begun; /* the first event has been written */
     text_t whole;
     text_t whole_ids;
-} answer_t;
+} response_t;
 
-void answer_free(answer_t *answer);
+void response_free(response_t *response);
 
 /* Takes more of the answer; a streamed one appends an event to out. */
-void answer_give(answer_t *answer, const give_order_t *give, text_t *out);
+void response_give(response_t *response, const give_order_t *give, text_t *out);
 
 /* Appends the end: the last events, or the whole answer. */
-void answer_finish(answer_t *answer, const finish_order_t *finish,
+void response_finish(response_t *response, const finish_order_t *finish,
                    text_t *out);
 
 /* Appends a refusal: an event named error, or the JSON object alone. */
-void answer_refuse(answer_t *answer, const refuse_order_t *refuse,
+void response_refuse(response_t *response, const refuse_order_t *refuse,
                    text_t *out);
 
 /* Appends the JSON object of a refusal. */
--- a/agated/views.c
+++ b/agated/views.c
@@ -3,7 +3,7 @@
 #include <string.h>
 
 #include "agated/agated.h"
-#include "agated/answer.h"
+#include "agated/response.h"
 
 enum { STATUS_OK = 200, HOSTS_KEEP_S = 30 };
 
