Mutants: show that the tests fail when a guard is taken away

Cause: a check that cannot fail proves nothing. Change: regress/mutants.sh takes one guard at a time out of a copy of the tree, builds, and expects the named test to fail; part of make check.

--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 DESTDIR ?=
 OWN_C != git ls-files '*.c' '*.h' '*.cc' 2>/dev/null | grep -v '/generated/'
 
-.PHONY: all setup build check check-asan unit lint format generate demo bench \
+.PHONY: all setup build mutants check check-asan unit lint format generate demo bench \
 	install clean
 
 all: build
@@ -23,8 +23,12 @@
 	@cmake --preset release >/dev/null
 	@cmake --build --preset release -j $(JOBS)
 
+# Shows that the tests fail when a guard is taken away.
+mutants: setup
+	regress/mutants.sh
+
 # Everything CI asks for.
-check: lint unit check-asan
+check: lint unit check-asan mutants
 
 unit: build
 	ctest --test-dir build/release --output-on-failure -j 4
