--- a/peer/private.h
+++ b/peer/private.h
@@ -12,6 +12,7 @@
 #include <sys/queue.h>
 #include <uthash.h>
 
+#include "base/address.h"
 #include "peer/peer.h"
 #include "peer/wire.h"
 
@@ -127,9 +128,4 @@
 void peer_handle_closed(peer_t *peer);
 uint64_t peer_random(peer_t *peer);
 
-/* address.c: "ip:port", "[ip]:port" */
-int address_parse(const char *text, struct sockaddr_storage *address,
-                  err_t *err);
-bool address_is_loopback(const struct sockaddr_storage *address);
-
 #endif
