--- a/backend/engine.c
+++ b/backend/engine.c
@@ -4,7 +4,7 @@
 #include <string.h>
 #include <strings.h>
 
-#include <uthash.h>
+#include "http/table.h"
 
 #include "backend/address.h"
 #include "backend/backend.h"
@@ -63,6 +63,7 @@
                                    const char *address,
                                    const char *stream_name,
                                    backend_endpoint_t endpoint);
+static void stream_insert(engine_t *engine, engine_stream_t *stream);
 static void stream_start(engine_stream_t *stream, http_request_t *request,
                          const char *path);
 static void stream_close(engine_stream_t *stream);
@@ -210,10 +211,16 @@
     stream->number = number;
     stream->address = xstrdup(address);
     make_id(stream->id, endpoint, stream_name);
-    HASH_ADD(hh, engine->streams, number, sizeof(stream->number), stream);
+    stream_insert(engine, stream);
     return stream;
 }
 
+static void
+stream_insert(engine_t *engine, engine_stream_t *stream)
+{
+    HASH_ADD(hh, engine->streams, number, sizeof(stream->number), stream);
+}
+
 /* The name goes into a path and a header: other bytes become '_'. */
 static void
 make_id(char *id, backend_endpoint_t endpoint, const char *name)
--- a/backend/load.c
+++ b/backend/load.c
@@ -6,6 +6,7 @@
 #include "backend/address.h"
 #include "backend/load.h"
 #include "base/arena.h"
+#include "http/buffer.h"
 
 enum {
     LOAD_CONNECT_TIMEOUT_MS = 500,
@@ -21,8 +22,7 @@
     backend_listener_t *listener;
     char *runner;
     uint32_t status;
-    char *text;
-    size_t length;
+    buffer_t text;
     bool too_long;
 } load_poll_t;
 
@@ -159,13 +159,8 @@
 {
     load_poll_t *poll = (load_poll_t *)sink;
 
-    if (poll->length + length > LOAD_BYTES_MAX) {
-        poll->too_long = true;
-        return;
-    }
-    poll->text = xrealloc(poll->text, poll->length + length, 1);
-    memcpy(poll->text + poll->length, bytes, length);
-    poll->length += length;
+    poll->too_long |=
+        buffer_append(&poll->text, bytes, length, LOAD_BYTES_MAX) < 0;
 }
 
 static void
@@ -174,13 +169,14 @@
     load_poll_t *poll = (load_poll_t *)sink;
     uint32_t running = 0;
     uint32_t waiting = 0;
-    bool reached = result == HTTP_DONE && poll->status == HTTP_STATUS_OK &&
-                   !poll->too_long && poll->text != NULL &&
-                   load_read(poll->text, poll->length, &running, &waiting);
+    bool reached =
+        result == HTTP_DONE && poll->status == HTTP_STATUS_OK &&
+        !poll->too_long && poll->text.length > 0 &&
+        load_read(poll->text.bytes, poll->text.length, &running, &waiting);
 
     poll->listener->ops->load(poll->listener, poll->runner, reached, running,
                               waiting);
     free(poll->runner);
-    free(poll->text);
+    buffer_free(&poll->text);
     free(poll);
 }
--- a/backend/service.c
+++ b/backend/service.c
@@ -1,19 +1,18 @@
 /* service.c - plain services: one call, its whole answer; see backend.h. */
 #include <stdio.h>
 #include <stdlib.h>
-#include <string.h>
 
-#include <uthash.h>
+#include "http/table.h"
 
 #include "backend/address.h"
 #include "backend/backend.h"
 #include "backend/load.h"
 #include "base/arena.h"
+#include "http/buffer.h"
 
 enum {
     SERVICE_CONNECT_TIMEOUT_MS = 1000,
     SERVICE_REPLY_BYTES_MAX = 16 << 20,
-    SERVICE_BUFFER_BYTES = 512,
     SERVICE_HEADER_BYTES = 512,
     HTTP_STATUS_TOO_MANY = 429,
     HTTP_STATUS_UNAVAILABLE = 503,
@@ -35,9 +34,7 @@
     uint32_t status;
     char *content_type;
     uint32_t retry_after_ms;
-    char *body;
-    size_t body_bytes;
-    size_t size_bytes;
+    buffer_t body;
 } service_call_t;
 
 static void service_open(backend_t *backend, const backend_request_t *request);
@@ -45,6 +42,7 @@
 static void service_poll_load(backend_t *backend, const char *runner,
                               const char *address);
 static void service_free(backend_t *backend);
+static void call_insert(service_t *service, service_call_t *call);
 static void call_free(service_call_t *call);
 static void call_lose(service_call_t *call, backend_loss_t kind);
 static void on_head(http_sink_t *sink, uint32_t status,
@@ -99,7 +97,7 @@
     call->sink.ops = &call_sink_ops;
     call->service = service;
     call->number = request->stream;
-    HASH_ADD(hh, service->calls, number, sizeof(call->number), call);
+    call_insert(service, call);
     call->call = http_start(service->client, &http, &call->sink);
     free(url);
 }
@@ -138,6 +136,12 @@
     free(service);
 }
 
+static void
+call_insert(service_t *service, service_call_t *call)
+{
+    HASH_ADD(hh, service->calls, number, sizeof(call->number), call);
+}
+
 static void
 call_free(service_call_t *call)
 {
@@ -146,7 +150,7 @@
         http_cancel(call->call);
     }
     free(call->content_type);
-    free(call->body);
+    buffer_free(&call->body);
     free(call);
 }
 
@@ -180,22 +184,11 @@
 on_body(http_sink_t *sink, const char *bytes, size_t length)
 {
     service_call_t *call = (service_call_t *)sink;
-    size_t needed = call->body_bytes + length;
 
-    if (needed > SERVICE_REPLY_BYTES_MAX) {
+    if (buffer_append(&call->body, bytes, length, SERVICE_REPLY_BYTES_MAX) <
+        0) {
         call_lose(call, BACKEND_FAILED);
-        return;
-    }
-    if (needed > call->size_bytes) {
-        size_t size = call->size_bytes * 2;
-
-        size = size < SERVICE_BUFFER_BYTES ? SERVICE_BUFFER_BYTES : size;
-        size = size < needed ? needed : size;
-        call->body = xrealloc(call->body, size, 1);
-        call->size_bytes = size;
     }
-    memcpy(call->body + call->body_bytes, bytes, length);
-    call->body_bytes = needed;
 }
 
 static void
@@ -215,8 +208,8 @@
     HASH_DELETE(hh, call->service->calls, call);
     listener->ops->reply(
         listener, call->number, call->status, call->content_type,
-        call->body != NULL ? call->body : "", call->body_bytes);
+        call->body.length > 0 ? call->body.bytes : "", call->body.length);
     free(call->content_type);
-    free(call->body);
+    buffer_free(&call->body);
     free(call);
 }
--- a/backend/sse.c
+++ b/backend/sse.c
@@ -1,13 +1,8 @@
 /* sse.c - see sse.h. */
-#include <stdlib.h>
 #include <string.h>
 
 #include "backend/sse.h"
-#include "base/arena.h"
 
-enum { SSE_BUFFER_BYTES = 512 };
-
-static int append(sse_buffer_t *buffer, const char *bytes, size_t length);
 static size_t line_length(const char *bytes, size_t length);
 static int end_line(sse_t *sse, const char *line, size_t length);
 
@@ -28,7 +23,7 @@
             }
         }
         part = line_length(bytes, (size_t)(end - bytes));
-        if (append(&sse->line, bytes, part) < 0) {
+        if (buffer_append(&sse->line, bytes, part, SSE_EVENT_BYTES_MAX) < 0) {
             return -1;
         }
         bytes += part;
@@ -45,7 +40,9 @@
             continue;
         }
         if (sse->has_data) {
-            bool more = event(context, sse->data.bytes, sse->data.length);
+            bool more =
+                event(context, sse->data.length > 0 ? sse->data.bytes : "",
+                      sse->data.length);
 
             sse->has_data = false;
             sse->data.length = 0;
@@ -60,9 +57,8 @@
 void
 sse_free(sse_t *sse)
 {
-    free(sse->line.bytes);
-    free(sse->data.bytes);
-    memset(sse, 0, sizeof(*sse));
+    buffer_free(&sse->line);
+    buffer_free(&sse->data);
 }
 
 static size_t
@@ -97,33 +93,10 @@
         line++;
         length--;
     }
-    if (sse->has_data && append(&sse->data, "\n", 1) < 0) {
+    if (sse->has_data &&
+        buffer_append(&sse->data, "\n", 1, SSE_EVENT_BYTES_MAX) < 0) {
         return -1;
     }
     sse->has_data = true;
-    return append(&sse->data, line, length);
-}
-
-static int
-append(sse_buffer_t *buffer, const char *bytes, size_t length)
-{
-    size_t needed = buffer->length + length;
-
-    if (needed > SSE_EVENT_BYTES_MAX) {
-        return -1;
-    }
-    if (needed > buffer->size || buffer->bytes == NULL) {
-        size_t size = buffer->size > 0 ? buffer->size : SSE_BUFFER_BYTES;
-
-        while (size < needed) {
-            size *= 2;
-        }
-        buffer->bytes = xrealloc(buffer->bytes, size, 1);
-        buffer->size = size;
-    }
-    if (length > 0) {
-        memcpy(buffer->bytes + buffer->length, bytes, length);
-    }
-    buffer->length = needed;
-    return 0;
+    return buffer_append(&sse->data, line, length, SSE_EVENT_BYTES_MAX);
 }
--- a/backend/sse.h
+++ b/backend/sse.h
@@ -10,19 +10,15 @@
 #include <stdbool.h>
 #include <stddef.h>
 
+#include "http/buffer.h"
+
 /* Returns false to be given nothing more of this feed. */
 typedef bool (*sse_event_t)(void *context, const char *data, size_t length);
 
-typedef struct {
-    char *bytes;
-    size_t length;
-    size_t size;
-} sse_buffer_t;
-
 /* A zeroed sse_t is ready for use. */
 typedef struct {
-    sse_buffer_t line;
-    sse_buffer_t data;
+    buffer_t line;
+    buffer_t data;
     bool has_data; /* the event has a data field, perhaps empty */
     bool after_cr; /* a line feed that follows ends no line */
 } sse_t;
--- a/http/client.c
+++ b/http/client.c
@@ -91,10 +91,13 @@
 void
 http_client_free(http_client_t *client)
 {
-    http_call_t *call;
+    http_call_t *call = LIST_FIRST(&client->calls);
+
+    while (call != NULL) {
+        http_call_t *next = LIST_NEXT(call, all);
 
-    while ((call = LIST_FIRST(&client->calls)) != NULL) {
         call_free(call);
+        call = next;
     }
     (void)curl_multi_cleanup(client->multi);
     curl_global_cleanup();
