--- a/agated/agated.c
+++ b/agated/agated.c
@@ -128,6 +128,12 @@
     if (daemon->listener == NULL) {
         return -1;
     }
+    if (settings->peers_address != NULL) {
+        daemon->peers = peers_new(daemon, err);
+        if (daemon->peers == NULL) {
+            return -1;
+        }
+    }
     daemon->client = http_client_new(daemon->loop);
     if (strcmp(settings->platform_kind, "memory") == 0) {
         daemon->platform = platform_memory_new(daemon->loop);
@@ -178,6 +184,9 @@
 stop(daemon_t *daemon)
 {
     daemon->platform->ops->free(daemon->platform);
+    if (daemon->peers != NULL) {
+        peers_free(daemon->peers);
+    }
     documents_free(daemon->documents);
     presence_free(daemon->presence);
     claims_free(daemon->claims);
--- a/agated/agated.h
+++ b/agated/agated.h
@@ -26,6 +26,7 @@
 typedef struct documents documents_t;
 typedef struct journal journal_t;
 typedef struct listener listener_t;
+typedef struct peers peers_t;
 typedef struct presence presence_t;
 
 /* All the tasks of the process, so that each can reach its neighbours. */
@@ -41,6 +42,7 @@
     claims_t *claims;
     documents_t *documents;
     presence_t *presence;
+    peers_t *peers; /* NULL: a host without peers */
 } daemon_t;
 
 /* --- dispatch.c: the one place that calls node_step() --- */
@@ -88,7 +90,6 @@
     const char *content_type;
     const char *bytes;
     size_t length;
-    const char *model;
 } body_t;
 
 /* NULL when there is no such caller; valid until ORDER_FORGET. */
@@ -120,6 +121,17 @@
 void presence_leave(presence_t *presence);
 void presence_free(presence_t *presence);
 
+/* --- peers.c: what hosts tell each other --- */
+
+peers_t *peers_new(daemon_t *daemon, err_t *err);
+/* The address that peers connect to, its port resolved. */
+const char *peers_address(const peers_t *peers);
+/* The hosts that may be told something, and their addresses. */
+void peers_hosts(peers_t *peers, const hosts_event_t *hosts);
+/* ORDER_TELL. */
+void peers_order(peers_t *peers, const order_t *order);
+void peers_free(peers_t *peers);
+
 /* --- seed.c: the files of a trial without a platform --- */
 
 int seed_platform(daemon_t *daemon, err_t *err);
--- a/agated/backends.c
+++ b/agated/backends.c
@@ -110,11 +110,14 @@
     const body_t *body =
         listener_body(backends->daemon->listener, order->body);
     bool service = order->endpoint == ENDPOINT_SERVICE;
+    bool too_late =
+        order->not_after_us != 0 && dispatch_now_us() > order->not_after_us;
     backend_t *backend = service ? backends->service : backends->engine;
     backend_request_t request = {
         .stream = order->stream,
         .address = order->address,
         .stream_name = order->stream_name,
+        .model = order->model,
         .endpoint = endpoint_of(order->endpoint),
         .prompt_ids = order->prompt_ids.prompt_ids_val,
         .prompt_count = order->prompt_ids.prompt_ids_len,
@@ -124,7 +127,7 @@
         .priority = order->priority,
     };
 
-    if (body == NULL || dispatch_now_us() > order->not_after_us) {
+    if (body == NULL || too_late) {
         log_line(LOG_WARNING, "not opened stream=%s runner=%s reason=%s",
                  order->stream_name, order->runner,
                  body == NULL ? "no-body" : "too-late");
@@ -136,7 +139,6 @@
     request.content_type = body->content_type;
     request.body = body->bytes;
     request.body_bytes = body->length;
-    request.model = body->model;
     if (service) {
         put_service_stream(backends, order->stream);
     }
--- a/agated/dispatch.c
+++ b/agated/dispatch.c
@@ -141,6 +141,9 @@
         listener_stop(daemon->listener);
         return;
     case ORDER_TELL:
+        if (daemon->peers != NULL) {
+            peers_order(daemon->peers, order);
+        }
         return;
     }
 }
--- a/agated/documents.c
+++ b/agated/documents.c
@@ -304,6 +304,9 @@
     }
     event.event_t_u.hosts.hosts.hosts_len = (u_int)used;
     event.event_t_u.hosts.hosts.hosts_val = list;
+    if (documents->daemon->peers != NULL) {
+        peers_hosts(documents->daemon->peers, &event.event_t_u.hosts);
+    }
     dispatch_event(documents->daemon->dispatch, &event);
     arena_free(&arena);
 }
--- a/agated/caller.c
+++ b/agated/exchange.c
@@ -1,11 +1,11 @@
-/* caller.c - one request of a caller and the answer that goes back. */
+/* exchange.c - one request of a caller and the answer that goes back. */
 #include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <time.h>
 
-#include "agated/caller.h"
+#include "agated/exchange.h"
 #include "base/log.h"
 
 enum {
@@ -18,76 +18,77 @@
 
 /* Lives in the request's pool and tells us when that is cleared. */
 typedef struct {
-    caller_t *caller;
+    exchange_t *exchange;
 } tie_t;
 
-static caller_t *caller_new(daemon_t *daemon, caller_t **table,
-                            uint64_t number, h2o_req_t *req);
-static void caller_free(caller_t *caller);
-static void unpin(caller_t *caller);
-static void read_input(caller_t *caller, request_input_t *input);
-static void keep_parsed(caller_t *caller, const request_parsed_t *parsed);
+static exchange_t *exchange_new(daemon_t *daemon, exchange_t **table,
+                                uint64_t number, h2o_req_t *req);
+static void exchange_free(exchange_t *exchange);
+static void unpin(exchange_t *exchange);
+static void read_input(exchange_t *exchange, request_input_t *input);
+static void keep_parsed(exchange_t *exchange, const request_parsed_t *parsed);
 static void on_dispose(void *memory);
 static void on_proceed(h2o_generator_t *generator, h2o_req_t *req);
 static void on_stop(h2o_generator_t *generator, h2o_req_t *req);
-static void begin(caller_t *caller, uint32_t status, const char *content_type);
-static void give(caller_t *caller, const give_order_t *order);
-static void finish(caller_t *caller, const finish_order_t *order);
-static void reply(caller_t *caller, const reply_order_t *order);
-static void refuse(caller_t *caller, const refuse_order_t *order);
-static void end(caller_t *caller);
-static void flush(caller_t *caller);
-static void break_off(caller_t *caller);
-static void tell_gone(caller_t *caller);
+static void begin(exchange_t *exchange, uint32_t status,
+                  const char *content_type);
+static void give(exchange_t *exchange, const give_order_t *order);
+static void finish(exchange_t *exchange, const finish_order_t *order);
+static void reply(exchange_t *exchange, const reply_order_t *order);
+static void refuse(exchange_t *exchange, const refuse_order_t *order);
+static void end(exchange_t *exchange);
+static void flush(exchange_t *exchange);
+static void break_off(exchange_t *exchange);
+static void tell_gone(exchange_t *exchange);
 static void add_header(h2o_req_t *req, const char *name, const char *value);
 static const char *reason_of(uint32_t status);
 
 void
-caller_accept(daemon_t *daemon, caller_t **table, uint64_t number,
-              h2o_req_t *req)
+exchange_accept(daemon_t *daemon, exchange_t **table, uint64_t number,
+                h2o_req_t *req)
 {
-    caller_t *caller = caller_new(daemon, table, number, req);
+    exchange_t *exchange = exchange_new(daemon, table, number, req);
     request_input_t input;
     request_parsed_t parsed;
     refuse_order_t refusal;
     event_t event = {.kind = EVENT_REQUEST};
 
-    read_input(caller, &input);
-    if (request_read(&input, &caller->arena, &parsed, &refusal) < 0) {
-        caller->forgotten = true;
-        caller->over = true;
+    read_input(exchange, &input);
+    if (request_read(&input, &exchange->arena, &parsed, &refusal) < 0) {
+        exchange->forgotten = true;
+        exchange->over = true;
         respond_refusal(req, &refusal);
         return;
     }
-    keep_parsed(caller, &parsed);
+    keep_parsed(exchange, &parsed);
     event.event_t_u.request = parsed.event;
     event.event_t_u.request.caller = number;
     dispatch_event(daemon->dispatch, &event);
 }
 
 void
-caller_order(caller_t *caller, const order_t *order)
+exchange_order(exchange_t *exchange, const order_t *order)
 {
     if (order->kind == ORDER_FORGET) {
-        caller->forgotten = true;
-        caller_free(caller);
+        exchange->forgotten = true;
+        exchange_free(exchange);
         return;
     }
-    if (caller->over || caller->req == NULL) {
+    if (exchange->over || exchange->req == NULL) {
         return;
     }
     switch (order->kind) {
     case ORDER_GIVE:
-        give(caller, &order->order_t_u.give);
+        give(exchange, &order->order_t_u.give);
         return;
     case ORDER_FINISH:
-        finish(caller, &order->order_t_u.finish);
+        finish(exchange, &order->order_t_u.finish);
         return;
     case ORDER_REPLY:
-        reply(caller, &order->order_t_u.reply);
+        reply(exchange, &order->order_t_u.reply);
         return;
     case ORDER_REFUSE:
-        refuse(caller, &order->order_t_u.refuse);
+        refuse(exchange, &order->order_t_u.refuse);
         return;
     default:
         return;
@@ -95,7 +96,7 @@
 }
 
 void
-caller_cut(caller_t *caller)
+exchange_cut(exchange_t *exchange)
 {
     refuse_order_t refusal = {
         .refusal = REFUSAL_INVALID,
@@ -104,29 +105,29 @@
                    "keep it open until the answer has come",
     };
 
-    if (caller->over || caller->req == NULL) {
+    if (exchange->over || exchange->req == NULL) {
         return;
     }
-    caller->req->http1_is_persistent = 0;
-    if (caller->begun) {
-        break_off(caller);
+    exchange->req->http1_is_persistent = 0;
+    if (exchange->begun) {
+        break_off(exchange);
         return;
     }
-    caller->pins++;
-    refuse(caller, &refusal);
-    tell_gone(caller);
-    unpin(caller);
+    exchange->pins++;
+    refuse(exchange, &refusal);
+    tell_gone(exchange);
+    unpin(exchange);
 }
 
 int
-caller_socket(const caller_t *caller)
+exchange_socket(const exchange_t *exchange)
 {
     h2o_conn_t *conn;
 
-    if (caller->req == NULL || caller->req->version >= HTTP2_VERSION) {
+    if (exchange->req == NULL || exchange->req->version >= HTTP2_VERSION) {
         return -1;
     }
-    conn = caller->req->conn;
+    conn = exchange->req->conn;
     return h2o_socket_get_fd(conn->callbacks->get_socket(conn));
 }
 
@@ -174,50 +175,51 @@
     return arena_strndup(arena, header->value.base, header->value.len);
 }
 
-static caller_t *
-caller_new(daemon_t *daemon, caller_t **table, uint64_t number, h2o_req_t *req)
+static exchange_t *
+exchange_new(daemon_t *daemon, exchange_t **table, uint64_t number,
+             h2o_req_t *req)
 {
-    caller_t *caller = xcalloc(1, sizeof(*caller));
+    exchange_t *exchange = xcalloc(1, sizeof(*exchange));
     tie_t *tie = h2o_mem_alloc_shared(&req->pool, sizeof(*tie), on_dispose);
 
-    tie->caller = caller;
-    caller->generator.proceed = on_proceed;
-    caller->generator.stop = on_stop;
-    caller->number = number;
-    caller->daemon = daemon;
-    caller->table = table;
-    caller->req = req;
-    HASH_ADD(hh, *table, number, sizeof(number), caller);
-    return caller;
+    tie->exchange = exchange;
+    exchange->generator.proceed = on_proceed;
+    exchange->generator.stop = on_stop;
+    exchange->number = number;
+    exchange->daemon = daemon;
+    exchange->table = table;
+    exchange->req = req;
+    HASH_ADD(hh, *table, number, sizeof(number), exchange);
+    return exchange;
 }
 
 /* Frees it unless h2o or the node still needs it. */
 static void
-caller_free(caller_t *caller)
+exchange_free(exchange_t *exchange)
 {
-    if (caller->req != NULL || !caller->forgotten || caller->pins > 0) {
+    if (exchange->req != NULL || !exchange->forgotten || exchange->pins > 0) {
         return;
     }
-    HASH_DEL(*caller->table, caller);
-    response_free(&caller->response);
-    text_free(&caller->gathered);
-    text_free(&caller->inflight);
-    arena_free(&caller->arena);
-    free(caller);
+    HASH_DEL(*exchange->table, exchange);
+    response_free(&exchange->response);
+    text_free(&exchange->gathered);
+    text_free(&exchange->inflight);
+    arena_free(&exchange->arena);
+    free(exchange);
 }
 
 static void
-unpin(caller_t *caller)
+unpin(exchange_t *exchange)
 {
-    caller->pins--;
-    caller_free(caller);
+    exchange->pins--;
+    exchange_free(exchange);
 }
 
 static void
-read_input(caller_t *caller, request_input_t *input)
+read_input(exchange_t *exchange, request_input_t *input)
 {
-    h2o_req_t *req = caller->req;
-    arena_t *arena = &caller->arena;
+    h2o_req_t *req = exchange->req;
+    arena_t *arena = &exchange->arena;
 
     *input = (request_input_t){
         .method = arena_strndup(arena, req->method.base, req->method.len),
@@ -232,19 +234,18 @@
         .fresh_name = arena_printf(arena, "r%016" PRIx64 "%016" PRIx64,
                                    random_u64(), random_u64()),
     };
-    caller->body.method = input->method;
-    caller->body.content_type = input->content_type;
-    caller->body.bytes = input->body;
-    caller->body.length = input->body_bytes;
+    exchange->body.method = input->method;
+    exchange->body.content_type = input->content_type;
+    exchange->body.bytes = input->body;
+    exchange->body.length = input->body_bytes;
 }
 
 static void
-keep_parsed(caller_t *caller, const request_parsed_t *parsed)
+keep_parsed(exchange_t *exchange, const request_parsed_t *parsed)
 {
-    response_t *response = &caller->response;
+    response_t *response = &exchange->response;
 
-    caller->body.path = parsed->service_path;
-    caller->body.model = parsed->event.model;
+    exchange->body.path = parsed->service_path;
     response->name = parsed->event.key;
     response->model = parsed->event.model;
     response->endpoint = parsed->event.endpoint;
@@ -258,28 +259,28 @@
 static void
 on_dispose(void *memory)
 {
-    caller_t *caller = ((tie_t *)memory)->caller;
+    exchange_t *exchange = ((tie_t *)memory)->exchange;
 
-    caller->req = NULL;
-    caller->pins++;
-    if (!caller->over) {
-        tell_gone(caller);
+    exchange->req = NULL;
+    exchange->pins++;
+    if (!exchange->over) {
+        tell_gone(exchange);
     }
-    unpin(caller);
+    unpin(exchange);
 }
 
 static void
 on_proceed(h2o_generator_t *generator, h2o_req_t *req)
 {
-    caller_t *caller = (caller_t *)generator;
+    exchange_t *exchange = (exchange_t *)generator;
 
-    caller->sending = false;
-    if (caller->broken) {
+    exchange->sending = false;
+    if (exchange->broken) {
         h2o_send(req, NULL, 0, H2O_SEND_STATE_ERROR);
         return;
     }
-    if (caller->gathered.length > 0 || caller->last) {
-        flush(caller);
+    if (exchange->gathered.length > 0 || exchange->last) {
+        flush(exchange);
     }
 }
 
@@ -287,152 +288,154 @@
 static void
 on_stop(h2o_generator_t *generator, h2o_req_t *req)
 {
-    caller_t *caller = (caller_t *)generator;
+    exchange_t *exchange = (exchange_t *)generator;
 
-    caller->broken = true;
+    exchange->broken = true;
 }
 
 static void
-begin(caller_t *caller, uint32_t status, const char *content_type)
+begin(exchange_t *exchange, uint32_t status, const char *content_type)
 {
-    h2o_req_t *req = caller->req;
+    h2o_req_t *req = exchange->req;
 
     req->res.status = (int)status;
     req->res.reason = reason_of(status);
     add_header(req, "content-type", content_type);
-    if (caller->response.name != NULL) {
-        add_header(req, "x-request-id", caller->response.name);
+    if (exchange->response.name != NULL) {
+        add_header(req, "x-request-id", exchange->response.name);
     }
-    if (caller->last) {
-        req->res.content_length = caller->gathered.length;
+    if (exchange->last) {
+        req->res.content_length = exchange->gathered.length;
     }
     else {
         add_header(req, "cache-control", "no-cache");
     }
-    caller->begun = true;
-    h2o_start_response(req, &caller->generator);
+    exchange->begun = true;
+    h2o_start_response(req, &exchange->generator);
 }
 
 static void
-give(caller_t *caller, const give_order_t *order)
+give(exchange_t *exchange, const give_order_t *order)
 {
-    response_give(&caller->response, order, &caller->gathered);
-    if (!caller->response.stream) {
+    response_give(&exchange->response, order, &exchange->gathered);
+    if (!exchange->response.stream) {
         return;
     }
-    if (!caller->begun) {
-        begin(caller, STATUS_OK, "text/event-stream");
+    if (!exchange->begun) {
+        begin(exchange, STATUS_OK, "text/event-stream");
     }
-    if (caller->gathered.length > GATHERED_MAX_BYTES) {
+    if (exchange->gathered.length > GATHERED_MAX_BYTES) {
         log_line(LOG_NOTICE, "caller too slow request=%s",
-                 caller->response.name);
-        break_off(caller);
+                 exchange->response.name);
+        break_off(exchange);
         return;
     }
-    flush(caller);
+    flush(exchange);
 }
 
 static void
-finish(caller_t *caller, const finish_order_t *order)
+finish(exchange_t *exchange, const finish_order_t *order)
 {
-    response_finish(&caller->response, order, &caller->gathered);
-    if (caller->response.stream && !caller->begun) {
-        begin(caller, STATUS_OK, "text/event-stream");
+    response_finish(&exchange->response, order, &exchange->gathered);
+    if (exchange->response.stream && !exchange->begun) {
+        begin(exchange, STATUS_OK, "text/event-stream");
     }
-    end(caller);
-    if (!caller->begun) {
-        begin(caller, STATUS_OK, "application/json");
+    end(exchange);
+    if (!exchange->begun) {
+        begin(exchange, STATUS_OK, "application/json");
     }
-    flush(caller);
+    flush(exchange);
 }
 
 static void
-reply(caller_t *caller, const reply_order_t *order)
+reply(exchange_t *exchange, const reply_order_t *order)
 {
-    text_append(&caller->gathered, order->body.body_val, order->body.body_len);
-    end(caller);
-    begin(caller, order->status,
+    text_append(&exchange->gathered, order->body.body_val,
+                order->body.body_len);
+    end(exchange);
+    begin(exchange, order->status,
           order->content_type[0] != '\0' ? order->content_type
                                          : "application/octet-stream");
-    flush(caller);
+    flush(exchange);
 }
 
 static void
-refuse(caller_t *caller, const refuse_order_t *order)
+refuse(exchange_t *exchange, const refuse_order_t *order)
 {
     uint32_t status =
         order->status > 0 ? order->status : refusal_status(order->refusal);
     uint32_t retry_s = order->retry_after_ms / MS_PER_S +
                        (order->retry_after_ms % MS_PER_S > 0 ? 1 : 0);
 
-    response_refuse(&caller->response, order, &caller->gathered);
-    end(caller);
-    if (!caller->begun) {
+    response_refuse(&exchange->response, order, &exchange->gathered);
+    end(exchange);
+    if (!exchange->begun) {
         if (retry_s > 0) {
-            add_header(caller->req, "retry-after",
-                       arena_printf(&caller->arena, "%" PRIu32, retry_s));
+            add_header(exchange->req, "retry-after",
+                       arena_printf(&exchange->arena, "%" PRIu32, retry_s));
         }
-        begin(caller, status, "application/json");
+        begin(exchange, status, "application/json");
     }
-    flush(caller);
+    flush(exchange);
 }
 
 /* No order counts any more and nothing follows. */
 static void
-end(caller_t *caller)
+end(exchange_t *exchange)
 {
-    caller->over = true;
-    caller->last = true;
+    exchange->over = true;
+    exchange->last = true;
 }
 
-/* The last send may dispose of the request, and then of the caller. */
+/* The last send may dispose of the request, and then of the exchange. */
 static void
-flush(caller_t *caller)
+flush(exchange_t *exchange)
 {
-    text_t sent = caller->inflight;
+    text_t sent = exchange->inflight;
     h2o_iovec_t bytes;
     h2o_send_state_t state =
-        caller->last ? H2O_SEND_STATE_FINAL : H2O_SEND_STATE_IN_PROGRESS;
+        exchange->last ? H2O_SEND_STATE_FINAL : H2O_SEND_STATE_IN_PROGRESS;
 
-    if (caller->sending || caller->req == NULL) {
+    if (exchange->sending || exchange->req == NULL) {
         return;
     }
-    caller->inflight = caller->gathered;
-    caller->gathered = sent;
-    caller->gathered.length = 0;
-    caller->sending = true;
-    bytes = h2o_iovec_init(caller->inflight.bytes, caller->inflight.length);
-    h2o_send(caller->req, &bytes, bytes.len > 0 ? 1 : 0, state);
+    exchange->inflight = exchange->gathered;
+    exchange->gathered = sent;
+    exchange->gathered.length = 0;
+    exchange->sending = true;
+    bytes =
+        h2o_iovec_init(exchange->inflight.bytes, exchange->inflight.length);
+    h2o_send(exchange->req, &bytes, bytes.len > 0 ? 1 : 0, state);
 }
 
 /* Cuts the response off: h2o must not be called while it is sending. */
 static void
-break_off(caller_t *caller)
+break_off(exchange_t *exchange)
 {
-    int fd = caller_socket(caller);
-
-    caller->pins++;
-    caller->over = true;
-    caller->broken = true;
-    text_free(&caller->gathered);
-    if (!caller->sending) {
-        h2o_send(caller->req, NULL, 0, H2O_SEND_STATE_ERROR);
+    int fd = exchange_socket(exchange);
+
+    exchange->pins++;
+    exchange->over = true;
+    exchange->broken = true;
+    text_free(&exchange->gathered);
+    if (!exchange->sending) {
+        h2o_send(exchange->req, NULL, 0, H2O_SEND_STATE_ERROR);
     }
     else if (fd >= 0) {
         (void)shutdown(fd, SHUT_RDWR);
     }
-    tell_gone(caller);
-    unpin(caller);
+    tell_gone(exchange);
+    unpin(exchange);
 }
 
 static void
-tell_gone(caller_t *caller)
+tell_gone(exchange_t *exchange)
 {
     event_t event = {.kind = EVENT_CALLER_GONE};
 
-    caller->over = true;
-    event.event_t_u.caller_gone.caller = caller->number;
-    dispatch_event(caller->daemon->dispatch, &event);
+    exchange->over = true;
+    event.event_t_u.caller_gone.caller = exchange->number;
+    dispatch_event(exchange->daemon->dispatch, &event);
 }
 
 /* The value must live as long as the request. */
--- a/agated/caller.h
+++ b/agated/exchange.h
@@ -1,11 +1,11 @@
 /*
- * caller.h - one request of a caller and the answer that goes back.
+ * exchange.h - one request of a caller and the answer that goes back.
  *
- * Private to listener.c and caller.c.  A caller_t is freed when its HTTP
+ * Private to listener.c and exchange.c.  A exchange_t is freed when its HTTP
  * exchange is over and the node has forgotten its body.
  */
-#ifndef AGATED_CALLER_H
-#define AGATED_CALLER_H
+#ifndef AGATED_EXCHANGE_H
+#define AGATED_EXCHANGE_H
 
 #include <stdbool.h>
 #include <stdint.h>
@@ -17,14 +17,14 @@
 #include "agated/response.h"
 #include "agated/request.h"
 
-typedef struct caller caller_t;
+typedef struct exchange exchange_t;
 
-struct caller {
+struct exchange {
     h2o_generator_t generator; /* first: h2o calls back with it */
     uint64_t number;
     daemon_t *daemon;
-    caller_t **table; /* the listener's, by number */
-    h2o_req_t *req;   /* NULL once h2o has disposed of it */
+    exchange_t **table; /* the listener's, by number */
+    h2o_req_t *req;     /* NULL once h2o has disposed of it */
     arena_t arena;
     body_t body;
     response_t response;
@@ -44,17 +44,17 @@
  * Takes in a request and raises EVENT_REQUEST, or refuses it by itself.
  * table is the listener's table of callers.
  */
-void caller_accept(daemon_t *daemon, caller_t **table, uint64_t number,
-                   h2o_req_t *req);
+void exchange_accept(daemon_t *daemon, exchange_t **table, uint64_t number,
+                     h2o_req_t *req);
 
 /* ORDER_GIVE, ORDER_FINISH, ORDER_REPLY, ORDER_REFUSE, ORDER_FORGET. */
-void caller_order(caller_t *caller, const order_t *order);
+void exchange_order(exchange_t *exchange, const order_t *order);
 
 /* The connection was closed or half-closed by the other side. */
-void caller_cut(caller_t *caller);
+void exchange_cut(exchange_t *exchange);
 
 /* The socket of a caller on HTTP/1, or -1. */
-int caller_socket(const caller_t *caller);
+int exchange_socket(const exchange_t *exchange);
 
 /* Ends an exchange at once with a whole JSON or text response. */
 void respond(h2o_req_t *req, uint32_t status, const char *content_type,
--- a/agated/listener.c
+++ b/agated/listener.c
@@ -5,7 +5,7 @@
 
 #include <xxhash.h>
 
-#include "agated/caller.h"
+#include "agated/exchange.h"
 #include "base/address.h"
 #include "base/log.h"
 
@@ -26,7 +26,7 @@
     h2o_accept_ctx_t accept;
     uv_timer_t *timer;
     uint64_t callers_seen;
-    caller_t *callers; /* by number */
+    exchange_t *callers; /* by number */
 };
 
 /* An h2o handler or filter that knows the listener. */
@@ -125,21 +125,21 @@
 listener_order(listener_t *listener, const order_t *order)
 {
     uint64_t number = order_caller(order);
-    caller_t *caller;
+    exchange_t *exchange;
 
-    HASH_FIND(hh, listener->callers, &number, sizeof(number), caller);
-    if (caller != NULL) {
-        caller_order(caller, order);
+    HASH_FIND(hh, listener->callers, &number, sizeof(number), exchange);
+    if (exchange != NULL) {
+        exchange_order(exchange, order);
     }
 }
 
 const body_t *
 listener_body(const listener_t *listener, uint64_t number)
 {
-    caller_t *caller;
+    exchange_t *exchange;
 
-    HASH_FIND(hh, listener->callers, &number, sizeof(number), caller);
-    return caller == NULL || caller->forgotten ? NULL : &caller->body;
+    HASH_FIND(hh, listener->callers, &number, sizeof(number), exchange);
+    return exchange == NULL || exchange->forgotten ? NULL : &exchange->body;
 }
 
 static int
@@ -231,8 +231,8 @@
         (req->path.len > strlen(services) &&
          memcmp(req->path.base, services, strlen(services)) == 0)) {
         listener->callers_seen++;
-        caller_accept(listener->daemon, &listener->callers,
-                      listener->callers_seen, req);
+        exchange_accept(listener->daemon, &listener->callers,
+                        listener->callers_seen, req);
         return 0;
     }
     if (answer_view(listener, req)) {
@@ -316,16 +316,16 @@
     unsigned count = HASH_COUNT(listener->callers);
     struct pollfd *polls = arena_array(&arena, count, sizeof(*polls));
     uint64_t *numbers = arena_array(&arena, count, sizeof(*numbers));
-    caller_t *caller;
-    caller_t *next;
+    exchange_t *exchange;
+    exchange_t *next;
     nfds_t used = 0;
     nfds_t i;
 
-    HASH_ITER(hh, listener->callers, caller, next)
+    HASH_ITER(hh, listener->callers, exchange, next)
     {
-        if (!caller->over && caller_socket(caller) >= 0) {
-            numbers[used] = caller->number;
-            polls[used].fd = caller_socket(caller);
+        if (!exchange->over && exchange_socket(exchange) >= 0) {
+            numbers[used] = exchange->number;
+            polls[used].fd = exchange_socket(exchange);
             polls[used].events = POLLRDHUP;
             used++;
         }
@@ -333,9 +333,9 @@
     if (used > 0 && poll(polls, used, 0) > 0) {
         for (i = 0; i < used; i++) {
             HASH_FIND(hh, listener->callers, &numbers[i], sizeof(numbers[i]),
-                      caller);
-            if (polls[i].revents != 0 && caller != NULL) {
-                caller_cut(caller);
+                      exchange);
+            if (polls[i].revents != 0 && exchange != NULL) {
+                exchange_cut(exchange);
             }
         }
     }
--- a/agated/presence.c
+++ b/agated/presence.c
@@ -142,6 +142,7 @@
 {
     const settings_t *settings = presence->daemon->settings;
     platform_t *platform = presence->daemon->platform;
+    const peers_t *peers = presence->daemon->peers;
     text_t value = {0};
     platform_op_t op = {
         .verb = PLATFORM_PUT, .key = presence->key, .lease = presence->lease};
@@ -154,7 +155,7 @@
                 "zone=%s address=%s peer=%s incarnation=%" PRIu64
                 " leaving=%d",
                 settings->zone, listener_address(presence->daemon->listener),
-                settings->peers_address == NULL ? "" : settings->peers_address,
+                peers == NULL ? "" : peers_address(peers),
                 presence->daemon->incarnation, presence->leaving ? 1 : 0);
     op.value = value.bytes;
     op.value_bytes = value.length;
--- a/agated/response.c
+++ b/agated/response.c
@@ -43,15 +43,16 @@
 };
 
 static void write_id(const response_t *response, text_t *out);
-static void write_head(const response_t *response, const char *completion_object,
-                       const char *chat_object, text_t *out);
+static void write_head(const response_t *response,
+                       const char *completion_object, const char *chat_object,
+                       text_t *out);
 static void write_choice(response_t *response, const char *text, size_t length,
                          const char *finish, text_t *out);
 static void write_usage(const finish_order_t *finish, text_t *out);
 static void write_whole(response_t *response, const finish_order_t *finish,
                         text_t *out);
-static void write_last_events(response_t *response, const finish_order_t *finish,
-                              text_t *out);
+static void write_last_events(response_t *response,
+                              const finish_order_t *finish, text_t *out);
 static void keep_whole(response_t *response, const give_order_t *give);
 
 void
@@ -72,7 +73,8 @@
     write_id(response, out);
     text_puts(out, "data: ");
     write_head(response, "text_completion", "chat.completion.chunk", out);
-    write_choice(response, give->text.text_val, give->text.text_len, NULL, out);
+    write_choice(response, give->text.text_val, give->text.text_len, NULL,
+                 out);
     if (response->token_ids) {
         text_puts(out, ",\"token_ids\":");
         text_json_ids(out, give->token_ids.token_ids_val,
@@ -83,7 +85,8 @@
 }
 
 void
-response_finish(response_t *response, const finish_order_t *finish, text_t *out)
+response_finish(response_t *response, const finish_order_t *finish,
+                text_t *out)
 {
     if (response->stream) {
         write_last_events(response, finish, out);
@@ -93,7 +96,8 @@
 }
 
 void
-response_refuse(response_t *response, const refuse_order_t *refuse, text_t *out)
+response_refuse(response_t *response, const refuse_order_t *refuse,
+                text_t *out)
 {
     if (!response->stream || !response->begun) {
         refusal_json(refuse, out);
@@ -203,7 +207,8 @@
 }
 
 static void
-write_last_events(response_t *response, const finish_order_t *finish, text_t *out)
+write_last_events(response_t *response, const finish_order_t *finish,
+                  text_t *out)
 {
     write_id(response, out);
     text_puts(out, "data: ");
--- a/agated/response.h
+++ b/agated/response.h
@@ -32,15 +32,16 @@
 void response_free(response_t *response);
 
 /* Takes more of the answer; a streamed one appends an event to out. */
-void response_give(response_t *response, const give_order_t *give, text_t *out);
+void response_give(response_t *response, const give_order_t *give,
+                   text_t *out);
 
 /* Appends the end: the last events, or the whole answer. */
 void response_finish(response_t *response, const finish_order_t *finish,
-                   text_t *out);
+                     text_t *out);
 
 /* Appends a refusal: an event named error, or the JSON object alone. */
 void response_refuse(response_t *response, const refuse_order_t *refuse,
-                   text_t *out);
+                     text_t *out);
 
 /* Appends the JSON object of a refusal. */
 void refusal_json(const refuse_order_t *refuse, text_t *out);
