--- a/peer/conn.c
+++ b/peer/conn.c
@@ -11,7 +11,7 @@
     RECORD_ROOM_KEPT = 65536,
     UNREAD_BYTES_MAX = 32 << 20, /* of what the other side does not read */
 };
-static const uint32_t MARK_LAST = 0x80000000u;
+#define MARK_LAST 0x80000000u /* this fragment ends its record */
 
 typedef struct {
     uv_write_t request;
--- a/peer/link.c
+++ b/peer/link.c
@@ -13,20 +13,37 @@
 static void drop(peer_link_t *link, struct pending_list *list);
 static void hand_over(peer_link_t *link, pending_t *pending);
 
+RB_GENERATE(link_tree, peer_link, entry, link_compare)
+
+int
+link_compare(const peer_link_t *left, const peer_link_t *right)
+{
+    return strcmp(left->name, right->name);
+}
+
+peer_link_t *
+link_find(const peer_t *peer, const char *host)
+{
+    peer_link_t key;
+
+    key.name = host;
+    return RB_FIND(link_tree, (struct link_tree *)&peer->links, &key);
+}
+
 peer_link_t *
 link_get(peer_t *peer, const char *host,
          const struct sockaddr_storage *address)
 {
-    peer_link_t *link;
+    peer_link_t *link = link_find(peer, host);
 
-    HASH_FIND_STR(peer->links, host, link);
     if (link == NULL) {
         link = xcalloc(1, sizeof(*link));
         link->peer = peer;
         (void)strncpy(link->host, host, sizeof(link->host) - 1);
         STAILQ_INIT(&link->waiting);
         STAILQ_INIT(&link->unanswered);
-        HASH_ADD_STR(peer->links, host, link);
+        link->name = link->host;
+        RB_INSERT(link_tree, &peer->links, link);
     }
     else if (memcmp(&link->address, address, sizeof(*address)) != 0) {
         /* The host has moved: what waits goes to its new address. */
@@ -234,6 +251,6 @@
     }
     drop(link, &link->waiting);
     drop(link, &link->unanswered);
-    HASH_DEL(link->peer->links, link);
+    RB_REMOVE(link_tree, &link->peer->links, link);
     free(link);
 }
--- a/peer/peer.c
+++ b/peer/peer.c
@@ -35,6 +35,7 @@
 static void on_closed(uv_handle_t *handle);
 static bool receive(peer_t *peer, const wire_input_t *input,
                     peer_channel_t channel);
+static int sender_compare(const sender_t *left, const sender_t *right);
 static bool is_new(peer_t *peer, const peer_call_t *call);
 static bool is_new_datagram(sender_t *sender, uint64_t sequence);
 static void send_datagram(peer_t *peer, const wire_record_t *record,
@@ -43,6 +44,15 @@
 static int tell_datagram(peer_t *peer, uint32_t xid, wire_record_t *record,
                          const struct sockaddr_storage *address);
 
+RB_PROTOTYPE(sender_tree, sender, entry, sender_compare)
+RB_GENERATE(sender_tree, sender, entry, sender_compare)
+
+static int
+sender_compare(const sender_t *left, const sender_t *right)
+{
+    return strcmp(left->name, right->name);
+}
+
 int
 peer_key_read(const char *path, uint8_t *key, err_t *err)
 {
@@ -132,6 +142,8 @@
     peer->random = settings->seed;
     peer->loopback_only = settings->key_bytes == 0;
     LIST_INIT(&peer->conns);
+    RB_INIT(&peer->links);
+    RB_INIT(&peer->senders);
     copy_settings(peer, settings);
     if (open_sockets(peer, &address, err) < 0) {
         peer_free(peer);
@@ -315,15 +327,19 @@
 is_new(peer_t *peer, const peer_call_t *call)
 {
     sender_t *sender;
+    sender_t key;
 
-    HASH_FIND_STR(peer->senders, call->from, sender);
+    key.name = call->from;
+    sender = RB_FIND(sender_tree, &peer->senders, &key);
     if (sender == NULL) {
-        if (HASH_COUNT(peer->senders) >= SENDERS_MAX) {
+        if (peer->sender_count >= SENDERS_MAX) {
             return false;
         }
         sender = xcalloc(1, sizeof(*sender));
         (void)strncpy(sender->host, call->from, sizeof(sender->host) - 1);
-        HASH_ADD_STR(peer->senders, host, sender);
+        sender->name = sender->host;
+        RB_INSERT(sender_tree, &peer->senders, sender);
+        peer->sender_count++;
     }
     if (call->incarnation < sender->incarnation) {
         return false;
@@ -538,9 +554,8 @@
 void
 peer_forget(peer_t *peer, const char *host)
 {
-    peer_link_t *link;
+    peer_link_t *link = link_find(peer, host);
 
-    HASH_FIND_STR(peer->links, host, link);
     if (link != NULL) {
         link_free(link);
     }
@@ -555,7 +570,7 @@
     peer_link_t *next;
     size_t i;
 
-    HASH_ITER(hh, peer->links, link, next)
+    RB_FOREACH_SAFE(link, link_tree, &peer->links, next)
     {
         link_tick(link, now_ms);
     }
@@ -586,9 +601,9 @@
     if (peer->handles > 0 || !peer->closing) {
         return;
     }
-    HASH_ITER(hh, peer->senders, sender, next)
+    RB_FOREACH_SAFE(sender, sender_tree, &peer->senders, next)
     {
-        HASH_DEL(peer->senders, sender);
+        RB_REMOVE(sender_tree, &peer->senders, sender);
         free(sender);
     }
     OPENSSL_cleanse(peer->key, sizeof(peer->key));
@@ -606,7 +621,7 @@
         return;
     }
     peer->closing = true;
-    HASH_ITER(hh, peer->links, link, next)
+    RB_FOREACH_SAFE(link, link_tree, &peer->links, next)
     {
         link_free(link);
     }
--- a/peer/private.h
+++ b/peer/private.h
@@ -10,7 +10,7 @@
 #include <netinet/in.h>
 #include <stdbool.h>
 #include <sys/queue.h>
-#include <uthash.h>
+#include <bsd/sys/tree.h>
 
 #include "peer/peer.h"
 #include "peer/wire.h"
@@ -48,6 +48,7 @@
 STAILQ_HEAD(pending_list, pending);
 
 struct peer_link {
+    const char *name; /* its host below */
     peer_t *peer;
     char host[LINK_NAME_MAX + 1];
     struct sockaddr_storage address;
@@ -58,18 +59,23 @@
     struct pending_list waiting;
     struct pending_list unanswered;
     size_t bytes; /* of both */
-    UT_hash_handle hh;
+    RB_ENTRY(peer_link) entry;
 };
+RB_HEAD(link_tree, peer_link);
+int link_compare(const peer_link_t *left, const peer_link_t *right);
+RB_PROTOTYPE(link_tree, peer_link, entry, link_compare)
 
 /* What has been heard from one other host. */
 struct sender {
+    const char *name; /* its host below */
     char host[LINK_NAME_MAX + 1];
     uint64_t incarnation;
     uint64_t stream_last;
     uint64_t datagram_last;
     uint64_t datagram_seen; /* bit n: datagram_last - n was seen */
-    UT_hash_handle hh;
+    RB_ENTRY(sender) entry;
 };
+RB_HEAD(sender_tree, sender);
 
 enum { DATAGRAMS_OUT = 1024 };
 
@@ -97,8 +103,9 @@
     size_t held_bytes; /* of records being received */
     uint32_t accepted; /* connections from others */
     struct conn_list conns;
-    peer_link_t *links;
-    sender_t *senders;
+    struct link_tree links;
+    struct sender_tree senders;
+    uint32_t sender_count;
     datagram_t datagrams[DATAGRAMS_OUT];
     peer_counters_t counters;
     uint8_t input[65536]; /* of one read; used up before the next */
@@ -112,6 +119,7 @@
 void conn_close(conn_t *conn);
 
 /* link.c */
+peer_link_t *link_find(const peer_t *peer, const char *host);
 peer_link_t *link_get(peer_t *peer, const char *host,
                       const struct sockaddr_storage *address);
 int link_send(peer_link_t *link, uint32_t xid, wire_record_t *record,
--- a/peer/wire.c
+++ b/peer/wire.c
@@ -15,7 +15,7 @@
     CALL_HEADER_BYTES = 40, /* of a call without credentials */
     REPLY_BYTES_MAX = 64,
 };
-static const uint32_t MARK_LAST = 0x80000000u;
+#define MARK_LAST 0x80000000u /* this fragment ends its record */
 
 static bool_t no_result(XDR *xdrs, ...);
 static void mark(wire_record_t *record);
--- a/world/link.x
+++ b/world/link.x
@@ -9,7 +9,7 @@
 const LINK_TEXT_MAX = 1048576;
 const LINK_TOKENS_MAX = 1048576;
 const LINK_ITEMS_MAX = 4096;
-const LINK_NEWS_MAX = 8;
+const LINK_NEWS_MAX = 16;
 const LINK_BUCKETS = 64;
 
 typedef string name_t<LINK_NAME_MAX>;
@@ -26,9 +26,9 @@
 };
 
 /*
- * What the sender of a heartbeat has found out about a third host.  beat is
- * the highest heartbeat number known of that incarnation: what is said with
- * a higher one wins.
+ * What a host has found out about a third one.  beat is the highest
+ * heartbeat number of that incarnation that accuser had heard: what is said
+ * with a higher one wins.  The addresses are "" in accusations.
  */
 enum news_state_t {
     NEWS_LIVE = 1,
@@ -39,6 +39,7 @@
 
 struct news_t {
     name_t host;
+    name_t accuser;
     name_t zone;
     name_t address;
     name_t peer_address;
@@ -48,15 +49,14 @@
 };
 
 /*
- * The state of the sender, and the configuration it has in force.  beat
- * counts its heartbeats; the receiver may expect the next one within
- * next_ms, or none where that is 0.  config_revision is the highest
- * revision it holds, config_hash covers all its keys and revisions.
+ * The state of the sender, and the configuration it has in force: the
+ * highest revision it holds, and a hash over all its keys and revisions.
+ * beat counts its heartbeats.  answer asks for a heartbeat in return.
  */
 struct heartbeat_t {
     uint64_t incarnation;
     uint64_t beat;
-    uint32_t next_ms;
+    bool answer;
     bool leaving;
     uint32_t sessions;
     int64_t config_revision;
