--- a/base/address.c
+++ b/base/address.c
@@ -19,6 +19,7 @@
 {
     struct sockaddr_in *v4 = (struct sockaddr_in *)out;
     struct sockaddr_in6 *v6 = (struct sockaddr_in6 *)out;
+    const char *origin = text;
     const char *colon = strrchr(text, ':');
     char host[INET6_ADDRSTRLEN];
     size_t length = colon == NULL ? 0 : (size_t)(colon - text);
@@ -47,8 +48,9 @@
     }
 fail:
     return err_set(err, ERR_SETTINGS,
-                   "not an IP number and a port: write it like "
-                   "\"127.0.0.1:8080\" or \"[::1]:8080\"");
+                   "\"%.64s\" is no IP number with a port: write it like "
+                   "\"127.0.0.1:8080\" or \"[::1]:8080\"",
+                   origin);
 }
 
 void
--- a/peer/private.h
+++ b/peer/private.h
@@ -127,9 +127,7 @@
 void peer_handle_closed(peer_t *peer);
 uint64_t peer_random(peer_t *peer);
 
-/* address.c: "ip:port", "[ip]:port" */
-int address_parse(const char *text, struct sockaddr_storage *address,
-                  err_t *err);
+/* address.c */
 bool address_is_loopback(const struct sockaddr_storage *address);
 
 #endif
