--- a/peer/private.h
+++ b/peer/private.h
@@ -12,6 +12,7 @@
 #include <sys/queue.h>
 #include <uthash.h>
 
+#include "base/address.h"
 #include "peer/peer.h"
 #include "peer/wire.h"
 
