Compose membership and the spread of configuration into the node

Cause: the node took documents from the store only and knew no other host. Change: hosts.c takes the platform's list, heartbeats, documents and digests; views show all hosts; a timer covers them. Golden sessions give timers at their time instead of as events, so that heartbeats do not fill them.

--- a/policy/config.c
+++ b/policy/config.c
@@ -8,30 +8,18 @@
 static config_entry_t *find_or_add(config_set_t *set, const char *key);
 static int parse(config_entry_t *entry, const config_t *config, err_t *err);
 
-config_result_t
+int
 config_take(config_set_t *set, const config_t *config, err_t *err)
 {
     config_entry_t *entry = find_or_add(set, config->key);
 
-    if (config->revision <= entry->revision) {
-        return CONFIG_OLD;
+    if (!config->deleted) {
+        return parse(entry, config, err);
     }
-    entry->revision = config->revision;
-    if (config->revision > set->revision) {
-        set->revision = config->revision;
-    }
-    free(entry->text);
-    entry->text_bytes = config->text.text_len;
-    entry->text = xcalloc(entry->text_bytes + 1, 1);
-    memcpy(entry->text, config->text.text_val, entry->text_bytes);
-    entry->deleted = config->deleted;
-    if (config->deleted) {
-        entry->contract = NULL;
-        entry->fleet = NULL;
-        arena_free(&entry->arena);
-        return CONFIG_TAKEN;
-    }
-    return parse(entry, config, err) < 0 ? CONFIG_WRONG : CONFIG_TAKEN;
+    entry->contract = NULL;
+    entry->fleet = NULL;
+    arena_free(&entry->arena);
+    return 0;
 }
 
 void
@@ -82,7 +70,6 @@
     /* The analyzer does not follow how uthash moves its head. */
     HASH_DEL(set->by_key, entry); /* NOLINT(clang-analyzer-unix.Malloc) */
     arena_free(&entry->arena);
-    free(entry->text);
     free(entry->key);
     free(entry);
 }
@@ -111,13 +98,13 @@
     contract_t *contract = NULL;
 
     if (strcmp(entry->key, CONFIG_FLEET_KEY) == 0) {
-        fleet = fleet_parse(&arena, entry->key, entry->text, entry->text_bytes,
-                            err);
+        fleet = fleet_parse(&arena, entry->key, config->text.text_val,
+                            config->text.text_len, err);
     }
     else if (strncmp(entry->key, CONFIG_SERVICES_PREFIX,
                      strlen(CONFIG_SERVICES_PREFIX)) == 0) {
-        contract = contract_parse(&arena, entry->key, entry->text,
-                                  entry->text_bytes, err);
+        contract = contract_parse(&arena, entry->key, config->text.text_val,
+                                  config->text.text_len, err);
     }
     else {
         return err_set(err, ERR_DOCUMENT,
--- a/policy/config.h
+++ b/policy/config.h
@@ -1,9 +1,8 @@
 /*
- * config.h - the documents in force on this host.
+ * config.h - the documents in force on this host, parsed.
  *
- * Each key holds the newest revision that this host has seen, and only
- * ever moves to a higher one.  A text that does not parse stays out of
- * force: what was in force before goes on, and a line is logged.
+ * spread.h sees to it that a key only moves to a higher revision.  A text
+ * that does not parse stays out of force: what was in force before goes on.
  */
 #ifndef POLICY_CONFIG_H
 #define POLICY_CONFIG_H
@@ -26,28 +25,17 @@
 typedef struct {
     arena_t arena; /* of the parsed document */
     char *key;
-    int64_t revision; /* the newest seen */
-    bool deleted;
-    char *text; /* of the newest revision seen */
-    size_t text_bytes;
-    fleet_t *fleet;       /* in force; NULL: not the operators' document */
-    contract_t *contract; /* in force; NULL: not a team's document */
+    fleet_t *fleet;       /* NULL: not the operators' document */
+    contract_t *contract; /* NULL: not a team's document */
     UT_hash_handle hh;
 } config_entry_t;
 
 typedef struct {
     config_entry_t *by_key;
-    int64_t revision; /* the highest of all keys */
 } config_set_t;
 
-typedef enum {
-    CONFIG_TAKEN, /* newer, and in force */
-    CONFIG_OLD,   /* no newer than what is held */
-    CONFIG_WRONG, /* newer, but does not parse: *err says why */
-} config_result_t;
-
-config_result_t config_take(config_set_t *set, const config_t *config,
-                            err_t *err);
+/* Puts the document in force; -1 with *err set when it does not parse. */
+int config_take(config_set_t *set, const config_t *config, err_t *err);
 void config_free(config_set_t *set);
 
 /* The operators' document in force, or NULL. */
--- /dev/null
+++ b/policy/hosts.c
@@ -0,0 +1,169 @@
+/* hosts.c - the other hosts: what they say, and what the platform lists. */
+#include <string.h>
+
+#include "policy/private.h"
+
+static member_self_t self_of(const node_t *node);
+static void mark_leaving_runners(node_t *node, const hosts_event_t *hosts);
+static void put_in_force(step_t *step, const config_t *config);
+static void take_record(step_t *step, const char *from,
+                        const message_t *message);
+
+void
+hosts_start(step_t *step)
+{
+    node_t *node = step->node;
+
+    node->member = member_new(step->now_us, &node->start);
+    node->spread = spread_new(step->now_us, &node->start);
+}
+
+void
+hosts_free(node_t *node)
+{
+    if (!node->started) {
+        return;
+    }
+    member_free(node->member);
+    spread_free(node->spread);
+}
+
+void
+hosts_listed(step_t *step, const hosts_event_t *hosts)
+{
+    member_hosts(step->node->member, step->now_us, hosts, step->orders);
+    mark_leaving_runners(step->node, hosts);
+}
+
+void
+hosts_message(step_t *step, const peer_event_t *peer)
+{
+    node_t *node = step->node;
+    const message_t *message = &peer->message;
+    member_self_t self = self_of(node);
+
+    switch (message->kind) {
+    case MESSAGE_HEARTBEAT:
+        member_heartbeat(node->member, step->now_us, peer->host,
+                         &message->message_t_u.heartbeat, &self, step->orders);
+        break;
+    case MESSAGE_CONFIG:
+        hosts_config(step, peer->host, &message->message_t_u.config);
+        break;
+    case MESSAGE_CONFIG_DIGEST:
+        spread_digest(node->spread, step->now_us, peer->host,
+                      &message->message_t_u.config_digest, step->orders);
+        break;
+    case MESSAGE_RECORD:
+    case MESSAGE_LOOKUP:
+    case MESSAGE_FOUND:
+    case MESSAGE_SUPERSEDED:
+    case MESSAGE_SUSPECT:
+        take_record(step, peer->host, message);
+        break;
+    }
+}
+
+/* A document from the store (from is NULL) or from a host. */
+void
+hosts_config(step_t *step, const char *from, const config_t *config)
+{
+    node_t *node = step->node;
+
+    if (spread_config(node->spread, step->now_us, from, config, node->member,
+                      step->orders)) {
+        put_in_force(step, config);
+    }
+}
+
+void
+hosts_leave(step_t *step)
+{
+    member_self_t self = self_of(step->node);
+
+    member_leave(step->node->member, step->now_us, &self, step->orders);
+}
+
+void
+hosts_timer(step_t *step)
+{
+    node_t *node = step->node;
+    member_self_t self = self_of(node);
+
+    if (member_due_us(node->member) <= step->now_us) {
+        member_timer(node->member, step->now_us, &self, step->orders);
+    }
+    if (spread_due_us(node->spread) <= step->now_us) {
+        spread_timer(node->spread, step->now_us, node->member, step->orders);
+    }
+}
+
+int64_t
+hosts_due_us(const node_t *node)
+{
+    int64_t member_us = member_due_us(node->member);
+    int64_t spread_us = spread_due_us(node->spread);
+
+    return member_us < spread_us ? member_us : spread_us;
+}
+
+static member_self_t
+self_of(const node_t *node)
+{
+    member_self_t self = {
+        .sessions = (uint32_t)node->active,
+        .config_revision = spread_revision(node->spread),
+        .config_hash = spread_hash(node->spread),
+    };
+
+    return self;
+}
+
+/* The platform's list names backend hosts too: no new work goes there. */
+static void
+mark_leaving_runners(node_t *node, const hosts_event_t *hosts)
+{
+    runner_state_t *runner;
+
+    for (runner = node->runners.by_name; runner != NULL;
+         runner = runner->hh.next) {
+        runner->leaving = false;
+    }
+    for (u_int i = 0; i < hosts->hosts.hosts_len; i++) {
+        const host_entry_t *host = &hosts->hosts.hosts_val[i];
+
+        runner = runners_find(&node->runners, host->host);
+        if (runner != NULL) {
+            runner->leaving = host->leaving;
+        }
+    }
+}
+
+static void
+put_in_force(step_t *step, const config_t *config)
+{
+    node_t *node = step->node;
+    err_t err = {0};
+
+    if (config_take(&node->config, config, &err) < 0) {
+        orders_log(step->orders, LOG_ERR, "document refused revision=%lld %s",
+                   (long long)config->revision, err.message);
+        return;
+    }
+    orders_log(step->orders, LOG_INFO,
+               "document in force key=%s revision=%lld", config->key,
+               (long long)config->revision);
+    if (config_fleet(&node->config) != NULL &&
+        strcmp(config->key, CONFIG_FLEET_KEY) == 0) {
+        runners_update(&node->runners, config_fleet(&node->config));
+    }
+    queue_pump(step);
+}
+
+static void
+take_record(step_t *step, const char *from, const message_t *message)
+{
+    (void)step;
+    (void)from;
+    (void)message;
+}
--- a/policy/node.c
+++ b/policy/node.c
@@ -5,11 +5,11 @@
 #include "policy/private.h"
 
 static void take_start(step_t *step, const start_event_t *start);
-static void take_config(step_t *step, const config_t *config);
 static void take_load(step_t *step, const load_event_t *load);
 static void take_timer(step_t *step);
 static void take_drain(step_t *step);
 static void take_event(step_t *step, const event_t *event);
+static int64_t next_due_us(const node_t *node);
 static void finish_step(step_t *step);
 
 node_t *
@@ -17,6 +17,7 @@
 {
     node_t *node = xcalloc(1, sizeof(*node));
 
+    node->timer_set_us = INT64_MAX;
     for (size_t i = 0; i < URGENCY_COUNT; i++) {
         TAILQ_INIT(&node->queues[i]);
     }
@@ -41,6 +42,7 @@
         session_free(node, session);
     }
     orders_free(&orders);
+    hosts_free(node);
     runners_free(&node->runners);
     config_free(&node->config);
     timers_free(&node->timers);
@@ -74,7 +76,7 @@
         take_start(step, &event->event_t_u.start);
         break;
     case EVENT_CONFIG:
-        take_config(step, &event->event_t_u.config);
+        hosts_config(step, NULL, &event->event_t_u.config);
         break;
     case EVENT_REQUEST:
         intake_request(step, &event->event_t_u.request);
@@ -105,8 +107,12 @@
         take_drain(step);
         break;
     case EVENT_PEER:
-    case EVENT_CLAIMED:
+        hosts_message(step, &event->event_t_u.peer);
+        break;
     case EVENT_HOSTS:
+        hosts_listed(step, &event->event_t_u.hosts);
+        break;
+    case EVENT_CLAIMED:
         break;
     }
 }
@@ -121,30 +127,7 @@
     node->start.zone = xstrdup(start->zone);
     node->start.address = xstrdup(start->address);
     node->started = true;
-}
-
-static void
-take_config(step_t *step, const config_t *config)
-{
-    node_t *node = step->node;
-    err_t err = {0};
-    config_result_t result = config_take(&node->config, config, &err);
-
-    if (result == CONFIG_WRONG) {
-        orders_log(step->orders, LOG_ERR, "document refused revision=%lld %s",
-                   (long long)config->revision, err.message);
-    }
-    if (result != CONFIG_TAKEN) {
-        return;
-    }
-    orders_log(step->orders, LOG_INFO,
-               "document in force key=%s revision=%lld", config->key,
-               (long long)config->revision);
-    if (config_fleet(&node->config) != NULL &&
-        strcmp(config->key, CONFIG_FLEET_KEY) == 0) {
-        runners_update(&node->runners, config_fleet(&node->config));
-    }
-    queue_pump(step);
+    hosts_start(step);
 }
 
 static void
@@ -175,7 +158,7 @@
     node_t *node = step->node;
     due_t *due;
 
-    node->timer_set_us = 0;
+    node->timer_set_us = INT64_MAX;
     while ((due = timers_pop(&node->timers, step->now_us)) != NULL) {
         session_t *session;
 
@@ -183,6 +166,7 @@
                   session);
         session_due(step, session);
     }
+    hosts_timer(step);
     queue_pump(step);
 }
 
@@ -193,23 +177,35 @@
         return;
     }
     step->node->draining = true;
+    hosts_leave(step);
     orders_log(step->orders, LOG_NOTICE, "leaving sessions=%zu",
                step->node->active);
 }
 
+static int64_t
+next_due_us(const node_t *node)
+{
+    int64_t session_us = timers_next_us(&node->timers);
+    int64_t hosts_us = hosts_due_us(node);
+
+    if (session_us != 0 && session_us < hosts_us) {
+        return session_us;
+    }
+    return hosts_us;
+}
+
 /* Asks for the next timer, and to stop once a leaving host is idle. */
 static void
 finish_step(step_t *step)
 {
     node_t *node = step->node;
-    int64_t next_us = timers_next_us(&node->timers);
+    int64_t next_us = next_due_us(node);
 
     if (node->draining && node->active == 0 && !node->stopped) {
         node->stopped = true;
         (void)orders_add(step->orders, ORDER_STOP);
     }
-    if (next_us == 0 ||
-        (node->timer_set_us != 0 && node->timer_set_us <= next_us)) {
+    if (node->timer_set_us <= next_us) {
         return;
     }
     node->timer_set_us = next_us;
--- a/policy/private.h
+++ b/policy/private.h
@@ -10,9 +10,11 @@
 #include <syslog.h>
 
 #include "policy/config.h"
+#include "policy/member.h"
 #include "policy/node.h"
 #include "policy/runners.h"
 #include "policy/session.h"
+#include "policy/spread.h"
 #include "policy/timers.h"
 
 enum {
@@ -31,6 +33,8 @@
     uint64_t next_stream;
     uint64_t next_ask;
     config_set_t config;
+    member_t *member;
+    spread_t *spread;
     runners_t runners;
     session_t *sessions; /* by id */
     session_t *by_name;
@@ -40,7 +44,7 @@
     size_t queued;
     size_t active; /* sessions that are neither finished nor refused */
     timers_t timers;
-    int64_t timer_set_us; /* the last ORDER_TIMER; 0: none */
+    int64_t timer_set_us; /* the last ORDER_TIMER; INT64_MAX: none */
     node_counters_t counters;
 };
 
@@ -101,4 +105,14 @@
 void resume_elsewhere(step_t *step, session_t *session,
                       const runner_state_t *lost);
 
+/* hosts.c: the other hosts, and the configuration that they share. */
+void hosts_start(step_t *step);
+void hosts_free(node_t *node);
+void hosts_listed(step_t *step, const hosts_event_t *hosts);
+void hosts_message(step_t *step, const peer_event_t *peer);
+void hosts_config(step_t *step, const char *from, const config_t *config);
+void hosts_leave(step_t *step);
+void hosts_timer(step_t *step);
+int64_t hosts_due_us(const node_t *node);
+
 #endif
--- a/policy/view.c
+++ b/policy/view.c
@@ -3,6 +3,9 @@
 
 #include "policy/private.h"
 
+static node_host_view_t *host_views(const node_t *node, int64_t now_us,
+                                    const member_view_t *members, size_t count,
+                                    arena_t *arena);
 static const char *runner_state_word(const runner_state_t *runner,
                                      int64_t now_us);
 
@@ -63,38 +66,24 @@
 node_host_view_t *
 node_hosts(const node_t *node, int64_t now_us, arena_t *arena, size_t *count)
 {
-    node_host_view_t *views = arena_alloc(arena, sizeof(*views));
-
-    (void)now_us;
-    views->name = node->start.host;
-    views->zone = node->start.zone;
-    views->address = node->start.address;
-    views->state = node->draining ? "leaving" : "live";
-    views->incarnation = node->start.incarnation;
-    views->config_revision = node->config.revision;
-    *count = 1;
-    return views;
+    const member_view_t *members =
+        member_list(node->member, now_us, arena, count);
+
+    return host_views(node, now_us, members, *count, arena);
 }
 
 node_config_view_t *
 node_configs(const node_t *node, arena_t *arena, size_t *count)
 {
-    size_t total = HASH_COUNT(node->config.by_key);
-    node_config_view_t *views = arena_array(arena, total, sizeof(*views));
-    const config_entry_t *entry;
-    size_t i = 0;
-
-    for (entry = node->config.by_key; entry != NULL; entry = entry->hh.next) {
-        if (entry->deleted) {
-            continue;
-        }
-        views[i].key = entry->key;
-        views[i].revision = entry->revision;
-        views[i].text = entry->text;
-        views[i].text_bytes = entry->text_bytes;
-        i++;
+    const config_t *configs = spread_list(node->spread, arena, count);
+    node_config_view_t *views = arena_array(arena, *count, sizeof(*views));
+
+    for (size_t i = 0; i < *count; i++) {
+        views[i].key = configs[i].key;
+        views[i].revision = configs[i].revision;
+        views[i].text = configs[i].text.text_val;
+        views[i].text_bytes = configs[i].text.text_len;
     }
-    *count = i;
     return views;
 }
 
@@ -133,8 +122,10 @@
 node_addresses(const node_t *node, int64_t now_us, uint64_t spread,
                arena_t *arena, size_t *count)
 {
-    (void)spread;
-    return node_hosts(node, now_us, arena, count);
+    const member_view_t *members =
+        member_addresses(node->member, now_us, spread, arena, count);
+
+    return host_views(node, now_us, members, *count, arena);
 }
 
 role_t
@@ -162,6 +153,31 @@
     return ROLE_ORGANISATION;
 }
 
+static node_host_view_t *
+host_views(const node_t *node, int64_t now_us, const member_view_t *members,
+           size_t count, arena_t *arena)
+{
+    static const char *const states[] = {"live", "suspect", "dead", "leaving"};
+    node_host_view_t *views = arena_array(arena, count, sizeof(*views));
+
+    for (size_t i = 0; i < count; i++) {
+        const member_view_t *member = &members[i];
+        node_host_view_t *view = &views[i];
+
+        view->name = member->host;
+        view->zone = member->zone;
+        view->address = member->address;
+        view->state = states[member->state];
+        view->incarnation = member->incarnation;
+        view->heard_ms = member->heard_us < 0
+                             ? -1
+                             : (now_us - member->heard_us) / US_PER_MS;
+        view->config_revision = member->self ? spread_revision(node->spread)
+                                             : member->config_revision;
+    }
+    return views;
+}
+
 static const char *
 runner_state_word(const runner_state_t *runner, int64_t now_us)
 {
--- a/regress/script.c
+++ b/regress/script.c
@@ -20,6 +20,16 @@
     size_t count;
 } line_t;
 
+/* One run of a script. */
+typedef struct {
+    arena_t *arena;
+    node_t *node;
+    order_list_t orders;
+    char *out;
+    int64_t now_us;
+    int64_t timer_us; /* the timer that was asked for */
+} script_run_t;
+
 typedef int (*build_t)(arena_t *arena, const line_t *line, event_t *event);
 
 static const char *
@@ -295,7 +305,7 @@
     {"piece", build_piece},     {"end", build_end},
     {"loss", build_loss},       {"reply", build_reply},
     {"load", build_load},       {"claimed", build_claimed},
-    {"timer", build_timer},     {"drain", build_drain},
+    {"until", build_timer},     {"drain", build_drain},
 };
 
 static int
@@ -468,30 +478,66 @@
     return arena_strdup(arena, "unknown");
 }
 
-/* Log lines are left out but for errors: they would hide the orders. */
-static char *
-append_orders(arena_t *arena, char *text, const order_list_t *orders)
+/*
+ * Log lines are left out but for errors, because they would hide the
+ * orders.  A timer is kept, to be given when it is due.
+ */
+static void
+append_orders(script_run_t *run, const char *prefix)
 {
-    for (size_t i = 0; i < orders->count; i++) {
-        const order_t *order = &orders->items[i];
+    for (size_t i = 0; i < run->orders.count; i++) {
+        const order_t *order = &run->orders.items[i];
 
+        if (order->kind == ORDER_TIMER) {
+            run->timer_us = order->order_t_u.timer.at_us;
+            continue;
+        }
         if (order->kind == ORDER_LOG &&
             order->order_t_u.log.severity > LOG_ERR) {
             continue;
         }
-        text =
-            arena_printf(arena, "%s< %s\n", text, script_order(arena, order));
+        run->out = arena_printf(run->arena, "%s<%s %s\n", run->out, prefix,
+                                script_order(run->arena, order));
+    }
+}
+
+static void
+step(script_run_t *run, int64_t now_us, const event_t *event,
+     const char *prefix)
+{
+    orders_reset(&run->orders);
+    node_step(run->node, now_us, event, &run->orders);
+    append_orders(run, prefix);
+}
+
+/* Gives the timers that are due by until_us, each at its time. */
+static void
+script_run_timers(script_run_t *run, int64_t until_us)
+{
+    event_t event = {.kind = EVENT_TIMER};
+
+    while (run->timer_us <= until_us) {
+        int64_t now_us =
+            run->timer_us > run->now_us ? run->timer_us : run->now_us;
+
+        run->timer_us = INT64_MAX;
+        run->now_us = now_us;
+        step(
+            run, now_us, &event,
+            arena_printf(run->arena, " %lld:", (long long)now_us / US_PER_MS));
     }
-    return text;
 }
 
 char *
 script_run(arena_t *arena, const char *text, err_t *err)
 {
     char *rest = arena_strdup(arena, text);
-    char *out = arena_strdup(arena, "");
-    order_list_t orders = {0};
-    node_t *node = node_new();
+    script_run_t run = {
+        .arena = arena,
+        .node = node_new(),
+        .out = arena_strdup(arena, ""),
+        .timer_us = INT64_MAX,
+    };
     uint32_t number = 0;
 
     while (rest != NULL && *rest != '\0') {
@@ -503,8 +549,8 @@
         if (here[0] == '<') {
             continue;
         }
-        out = arena_printf(arena, "%s%s\n", out, here);
         if (here[0] != '>') {
+            run.out = arena_printf(arena, "%s%s\n", run.out, here);
             continue;
         }
         split_line(arena, here, &line);
@@ -512,14 +558,17 @@
             (void)err_set(err, ERR_PROTOCOL,
                           "line %u: no such event: see the table in script.c",
                           number);
-            out = NULL;
+            run.out = NULL;
             break;
         }
-        orders_reset(&orders);
-        node_step(node, line.at_ms * US_PER_MS, &event, &orders);
-        out = append_orders(arena, out, &orders);
+        script_run_timers(&run, line.at_ms * US_PER_MS);
+        run.now_us = line.at_ms * US_PER_MS;
+        run.out = arena_printf(arena, "%s%s\n", run.out, here);
+        if (event.kind != EVENT_TIMER) {
+            step(&run, run.now_us, &event, "");
+        }
     }
-    orders_free(&orders);
-    node_free(node);
-    return out;
+    orders_free(&run.orders);
+    node_free(run.node);
+    return run.out;
 }
--- a/regress/script.h
+++ b/regress/script.h
@@ -4,7 +4,9 @@
  * A script has one event a line, "> MS KIND name=value ...", and under it
  * the orders that follow, "< KIND name=value ...".  Running a script writes
  * it anew from its events; the two texts are equal when the decisions are
- * as written down.  Other lines ("# ...") are kept.
+ * as written down.  Other lines ("# ...") are kept.  Timers that the node
+ * asks for are given at their time, before the next event; what follows
+ * from one stands as "< MS: KIND ...".  "> MS until" only lets time pass.
  */
 #ifndef REGRESS_SCRIPT_H
 #define REGRESS_SCRIPT_H
