--- /dev/null
+++ b/regress/test_claim_queue.c
@@ -0,0 +1,381 @@
+/* test_claim_queue.c - scripts of a host's claims against the store. */
+#include <check.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "policy/claim_queue.h"
+
+enum { STEPS_MAX = 12, US_PER_MS = 1000, TEXT_BYTES = 4096 };
+
+typedef enum { DO_NOTHING, PUSH, ANSWER, RELEASED, START, NOT_RUN, DROP } do_t;
+
+/* What is done at a time, and the orders and verdicts that follow. */
+typedef struct {
+    int64_t at_ms;
+    do_t what;
+    uint64_t number; /* a request's id; ANSWER: the batch */
+    const char *key; /* PUSH, ANSWER, RELEASED */
+    claim_result_t result;
+    const char *holder;
+    const char *orders;
+    const char *verdicts;
+} step_t;
+
+typedef struct {
+    const char *name;
+    step_t steps[STEPS_MAX];
+} script_t;
+
+/* 10 hosts and 100 writes a second: one write of a host in 100 ms. */
+static const claim_limits_t limits = {
+    .batch_keys_max = 2,
+    .fleet_writes_per_s = 100,
+    .validity_us = 3000 * US_PER_MS,
+    .answer_limit_us = 500 * US_PER_MS,
+    .lease_us = 60000 * US_PER_MS,
+};
+enum { LIVE_HOSTS = 10, WAIT_MS = 2000 };
+
+static const script_t scripts[] = {
+    {"won, and started once",
+     {{0, PUSH, 1, "a", 0, "", "claim 1 h/7/1 a;", ""},
+      {5, ANSWER, 1, "a", CLAIM_WON, "h/7/1", "", "start 1;"},
+      {6, START, 1, "", 0, "", "yes;", ""},
+      {7, START, 1, "", 0, "", "no;", ""},
+      {8, DROP, 1, "", 0, "", "", ""},
+      {9000, DO_NOTHING, 0, "", 0, "", "", ""}}},
+    {"writes keep their interval and gather what came meanwhile",
+     {{0, PUSH, 1, "a", 0, "", "claim 1 h/7/1 a;", ""},
+      {1, PUSH, 2, "b", 0, "", "", ""},
+      {2, PUSH, 3, "c", 0, "", "", ""},
+      {3, PUSH, 4, "d", 0, "", "", ""},
+      {4, PUSH, 5, "a", 0, "", "no;", ""},
+      {5, ANSWER, 1, "a", CLAIM_WON, "h/7/1", "", "start 1;"},
+      {99, DO_NOTHING, 0, "", 0, "", "", ""},
+      {100, DO_NOTHING, 0, "", 0, "", "claim 2 h/7/2 b c;", ""},
+      {101, ANSWER, 2, "b", CLAIM_HELD, "g/1/1", "", "elsewhere 2 g/1/1;"},
+      {102, ANSWER, 2, "c", CLAIM_WON, "h/7/2", "", "start 3;"},
+      {200, DO_NOTHING, 0, "", 0, "", "claim 3 h/7/3 d;", ""}}},
+    {"a lost answer is read back",
+     {{0, PUSH, 1, "a", 0, "", "claim 1 h/7/1 a;", ""},
+      {5, ANSWER, 1, "a", CLAIM_UNKNOWN, "", "", ""},
+      {100, DO_NOTHING, 0, "", 0, "", "", ""},
+      {105, DO_NOTHING, 0, "", 0, "", "claim 1 h/7/1 a;", ""},
+      {700, DO_NOTHING, 0, "", 0, "", "claim 1 h/7/1 a;", ""},
+      {701, ANSWER, 1, "a", CLAIM_HELD, "h/7/1", "", "start 1;"}}},
+    {"a silent store: given up, then released",
+     {{0, PUSH, 1, "a", 0, "", "claim 1 h/7/1 a;", ""},
+      {2000, DO_NOTHING, 0, "", 0, "", "release h/7/1 a;", "given-up 1;"},
+      {2001, ANSWER, 1, "a", CLAIM_WON, "h/7/1", "", ""},
+      {2002, PUSH, 2, "a", 0, "", "", ""},
+      {2500, DO_NOTHING, 0, "", 0, "", "release h/7/1 a;", ""},
+      {2600, RELEASED, 0, "a", CLAIM_UNKNOWN, "h/7/1", "", ""},
+      {2700, RELEASED, 0, "a", CLAIM_WON, "h/7/9", "", ""},
+      {2800, RELEASED, 0, "a", CLAIM_WON, "h/7/1", "claim 2 h/7/2 a;", ""}}},
+    {"paused past the claim's time",
+     {{0, PUSH, 1, "a", 0, "", "claim 1 h/7/1 a;", ""},
+      {5, ANSWER, 1, "a", CLAIM_WON, "h/7/1", "", "start 1;"},
+      {3001, START, 1, "", 0, "", "no;release h/7/1 a;", ""}}},
+    {"an answer past the claim's time",
+     {{0, PUSH, 1, "a", 0, "", "claim 1 h/7/1 a;", ""},
+      {3001, ANSWER, 1, "a", CLAIM_WON, "h/7/1", "release h/7/1 a;",
+       "given-up 1;"}}},
+    {"the backend did not run it",
+     {{0, PUSH, 1, "a", 0, "", "claim 1 h/7/1 a;", ""},
+      {5, ANSWER, 1, "a", CLAIM_WON, "h/7/1", "", "start 1;"},
+      {6, START, 1, "", 0, "", "yes;", ""},
+      {7, NOT_RUN, 1, "", 0, "", "", ""},
+      {8, START, 1, "", 0, "", "yes;", ""},
+      {9, NOT_RUN, 1, "", 0, "", "", ""},
+      {200, DROP, 1, "", 0, "", "release h/7/1 a;", ""}}},
+    {"a mark of this host's former life is another's",
+     {{0, PUSH, 1, "a", 0, "", "claim 1 h/7/1 a;", ""},
+      {5, ANSWER, 1, "a", CLAIM_WON, "h/6/1", "", "elsewhere 1 h/6/1;"}}},
+    {"a claim sent twice and lost to another is released",
+     {{0, PUSH, 1, "a", 0, "", "claim 1 h/7/1 a;", ""},
+      {500, DO_NOTHING, 0, "", 0, "", "claim 1 h/7/1 a;", ""},
+      {600, ANSWER, 1, "a", CLAIM_HELD, "g/1/1", "release h/7/1 a;",
+       "elsewhere 1 g/1/1;"}}},
+    {"dropped before and after sending",
+     {{0, PUSH, 1, "a", 0, "", "claim 1 h/7/1 a;", ""},
+      {1, PUSH, 2, "b", 0, "", "", ""},
+      {2, DROP, 2, "", 0, "", "", ""},
+      {3, DROP, 1, "", 0, "", "", ""},
+      {100, DO_NOTHING, 0, "", 0, "", "release h/7/1 a;", ""}}},
+};
+
+__attribute__((format(printf, 2, 3))) static void
+append(char *text, const char *format, ...)
+{
+    size_t used = strlen(text);
+    va_list args;
+
+    va_start(args, format);
+    (void)vsnprintf(text + used, TEXT_BYTES - used, format, args);
+    va_end(args);
+}
+
+static void
+write_orders(const order_list_t *orders, char *text)
+{
+    for (size_t i = 0; i < orders->count; i++) {
+        const order_t *order = &orders->items[i];
+        const claim_order_t *claim = &order->order_t_u.claim;
+        const release_order_t *release = &order->order_t_u.release;
+        bool is_claim = order->kind == ORDER_CLAIM;
+        u_int count = is_claim ? claim->keys.keys_len : release->keys.keys_len;
+        name_t *keys =
+            is_claim ? claim->keys.keys_val : release->keys.keys_val;
+
+        if (is_claim) {
+            append(text, "claim %lu %s", claim->batch, claim->mark);
+        }
+        else {
+            append(text, "release %s", release->mark);
+        }
+        for (u_int k = 0; k < count; k++) {
+            append(text, " %s", keys[k]);
+        }
+        append(text, ";");
+    }
+}
+
+static void
+write_verdicts(claim_queue_t *queue, char *text)
+{
+    claim_verdict_t verdict;
+
+    while (claim_queue_next(queue, &verdict)) {
+        if (verdict.decision == CLAIM_START) {
+            append(text, "start %lu;", verdict.id);
+        }
+        else if (verdict.decision == CLAIM_ELSEWHERE) {
+            append(text, "elsewhere %lu %s;", verdict.id, verdict.holder);
+        }
+        else {
+            append(text, "given-up %lu;", verdict.id);
+        }
+    }
+}
+
+static void
+give_answer(claim_queue_t *queue, const step_t *step, int64_t now_us)
+{
+    claim_outcome_t outcome = {(char *)step->key, step->result,
+                               (char *)step->holder};
+    claimed_event_t answer = {
+        .batch = step->number,
+        .outcomes = {.outcomes_len = 1, .outcomes_val = &outcome}};
+
+    claim_queue_answer(queue, now_us, &answer);
+}
+
+static void
+take(claim_queue_t *queue, const step_t *step, char *text)
+{
+    int64_t now_us = step->at_ms * US_PER_MS;
+
+    switch (step->what) {
+    case DO_NOTHING:
+        break;
+    case PUSH:
+        if (!claim_queue_push(queue, step->number, step->key,
+                              now_us + WAIT_MS * US_PER_MS)) {
+            append(text, "no;");
+        }
+        break;
+    case ANSWER:
+    case RELEASED:
+        give_answer(queue, step, now_us);
+        break;
+    case START:
+        append(text, claim_queue_start(queue, step->number, now_us) ? "yes;"
+                                                                    : "no;");
+        break;
+    case NOT_RUN:
+        claim_queue_not_run(queue, step->number);
+        break;
+    case DROP:
+        claim_queue_drop(queue, step->number, now_us);
+        break;
+    }
+}
+
+START_TEST(test_script)
+{
+    const script_t *script = &scripts[_i];
+    claim_queue_t *queue = claim_queue_new("h", 7, &limits);
+    order_list_t orders = {0};
+
+    for (int i = 0; i < STEPS_MAX && script->steps[i].orders != NULL; i++) {
+        const step_t *step = &script->steps[i];
+        char done[TEXT_BYTES] = "";
+        char reached[TEXT_BYTES] = "";
+
+        orders_reset(&orders);
+        take(queue, step, done);
+        claim_queue_step(queue, step->at_ms * US_PER_MS, LIVE_HOSTS, &orders);
+        write_orders(&orders, done);
+        write_verdicts(queue, reached);
+        ck_assert_msg(strcmp(done, step->orders) == 0 &&
+                          strcmp(reached, step->verdicts) == 0,
+                      "%s, step %d: %s | %s", script->name, i, done, reached);
+        ck_assert_int_gt(claim_queue_due_us(queue), step->at_ms * US_PER_MS);
+    }
+    orders_free(&orders);
+    claim_queue_free(queue);
+}
+END_TEST
+
+typedef struct {
+    uint32_t hosts;
+    uint32_t claims_per_s; /* of the whole fleet */
+} fleet_case_t;
+
+static const fleet_case_t fleet_cases[] = {
+    {7, 10}, {7, 100}, {7, 1000}, {340, 100}, {340, 1000}, {340, 10000},
+};
+
+enum { FLEET_MS = 20000, STORE_MS = 3, WAITS_MAX = 1 << 18 };
+
+typedef struct {
+    claim_queue_t *queue;
+    uint64_t batch; /* awaiting the store's answer, or 0 */
+    int64_t answered_ms;
+    char mark[LINK_NAME_MAX + 1];
+    u_int count;
+    char keys[128][LINK_NAME_MAX + 1];
+} fleet_host_t;
+
+typedef struct {
+    uint64_t writes;
+    int64_t *pushed_ms; /* by request id */
+    int64_t *waits_ms;
+    size_t won;
+} fleet_figures_t;
+
+static int
+compare_waits(const void *left, const void *right)
+{
+    const int64_t *a = left;
+    const int64_t *b = right;
+
+    return (*a > *b) - (*a < *b);
+}
+
+static void
+send_to_store(fleet_host_t *host, const claim_order_t *claim, int64_t ms)
+{
+    host->batch = claim->batch;
+    host->answered_ms = ms + STORE_MS;
+    host->count = claim->keys.keys_len;
+    (void)snprintf(host->mark, sizeof(host->mark), "%s", claim->mark);
+    for (u_int k = 0; k < host->count; k++) {
+        (void)snprintf(host->keys[k], sizeof(host->keys[k]), "%s",
+                       claim->keys.keys_val[k]);
+    }
+}
+
+static void
+step_host(fleet_host_t *host, uint32_t live, int64_t ms, fleet_figures_t *f,
+          order_list_t *orders)
+{
+    claim_verdict_t verdict;
+    step_t step = {.number = host->batch, .holder = host->mark};
+
+    if (host->batch != 0 && ms >= host->answered_ms) {
+        host->batch = 0;
+        for (u_int k = 0; k < host->count; k++) {
+            step.key = host->keys[k];
+            give_answer(host->queue, &step, ms * US_PER_MS);
+        }
+    }
+    while (claim_queue_next(host->queue, &verdict)) {
+        ck_assert_int_eq(verdict.decision, CLAIM_START);
+        f->waits_ms[f->won++] = ms - f->pushed_ms[verdict.id];
+        ck_assert(claim_queue_start(host->queue, verdict.id, ms * US_PER_MS));
+        claim_queue_drop(host->queue, verdict.id, ms * US_PER_MS);
+    }
+    orders_reset(orders);
+    claim_queue_step(host->queue, ms * US_PER_MS, live, orders);
+    if (orders->count > 0) {
+        f->writes++;
+        send_to_store(host, &orders->items[0].order_t_u.claim, ms);
+    }
+}
+
+static void
+push_at_random(fleet_host_t *hosts, const fleet_case_t *c, uint64_t id,
+               int64_t ms)
+{
+    char key[LINK_NAME_MAX];
+
+    (void)snprintf(key, sizeof(key), "o/%lu", id);
+    ck_assert(claim_queue_push(hosts[(uint32_t)rand() % c->hosts].queue, id,
+                               key, (ms + 5000) * US_PER_MS));
+}
+
+START_TEST(test_fleet_writes)
+{
+    const fleet_case_t *c = &fleet_cases[_i];
+    claim_limits_t own = limits;
+    fleet_host_t *hosts = xcalloc(c->hosts, sizeof(*hosts));
+    fleet_figures_t f = {.pushed_ms = xcalloc(WAITS_MAX, sizeof(int64_t)),
+                         .waits_ms = xcalloc(WAITS_MAX, sizeof(int64_t))};
+    order_list_t orders = {0};
+    uint64_t pushed = 0;
+
+    srand(1);
+    own.batch_keys_max = 100;
+    own.fleet_writes_per_s = 200;
+    for (uint32_t h = 0; h < c->hosts; h++) {
+        hosts[h].queue = claim_queue_new("h", h, &own);
+    }
+    for (int64_t ms = 0; ms < FLEET_MS; ms++) {
+        while (pushed < (uint64_t)ms * c->claims_per_s / 1000) {
+            f.pushed_ms[++pushed] = ms;
+            push_at_random(hosts, c, pushed, ms);
+        }
+        for (uint32_t h = 0; h < c->hosts; h++) {
+            step_host(&hosts[h], c->hosts, ms, &f, &orders);
+        }
+    }
+    qsort(f.waits_ms, f.won, sizeof(int64_t), compare_waits);
+    printf("%u hosts, %u claims/s: %.1f writes/s, wait p50 %ld ms, "
+           "p99 %ld ms\n",
+           c->hosts, c->claims_per_s, (double)f.writes * 1000 / FLEET_MS,
+           f.waits_ms[f.won / 2], f.waits_ms[f.won * 99 / 100]);
+    /* Each host may write once at the start, then keeps its interval. */
+    ck_assert_uint_le(f.writes, 200 * (FLEET_MS / 1000) + c->hosts);
+    for (uint32_t h = 0; h < c->hosts; h++) {
+        claim_queue_free(hosts[h].queue);
+    }
+    orders_free(&orders);
+    free(hosts);
+    free(f.pushed_ms);
+    free(f.waits_ms);
+}
+END_TEST
+
+int
+main(void)
+{
+    Suite *suite = suite_create("claim_queue");
+    TCase *tcase = tcase_create("scripts");
+    SRunner *runner;
+    int failed;
+
+    tcase_add_loop_test(tcase, test_script, 0,
+                        sizeof(scripts) / sizeof(scripts[0]));
+    tcase_add_loop_test(tcase, test_fleet_writes, 0,
+                        sizeof(fleet_cases) / sizeof(fleet_cases[0]));
+    tcase_set_timeout(tcase, 600);
+    suite_add_tcase(suite, tcase);
+    runner = srunner_create(suite);
+    srunner_run_all(runner, CK_NORMAL);
+    failed = srunner_ntests_failed(runner);
+    srunner_free(runner);
+    return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
