--- a/agated/claims.c
+++ b/agated/claims.c
@@ -261,7 +261,10 @@
                          backoff_next_ms(&call->backoff), 0);
 }
 
-/* answers is NULL when the store gave none. */
+/*
+ * answers is NULL when the store gave none.  For a release the batch is 0
+ * and the holder is the mark that was to go; see policy/claim_queue.h.
+ */
 static void
 finish_call(call_t *call, const platform_swap_answer_t *answers)
 {
@@ -275,13 +278,14 @@
     for (i = 0; i < call->count; i++) {
         read_outcome(call, i, answers == NULL ? NULL : &answers[i],
                      &outcomes[i]);
+        if (call->release) {
+            outcomes[i].holder = (char *)(uintptr_t)call->mark;
+        }
     }
     claimed->batch = call->batch;
     claimed->outcomes.outcomes_len = (u_int)call->count;
     claimed->outcomes.outcomes_val = outcomes;
-    if (!call->release) {
-        dispatch_event(dispatch, &event);
-    }
+    dispatch_event(dispatch, &event);
     call_free(call);
 }
 
--- a/regress/test_claim_queue.c
+++ b/regress/test_claim_queue.c
@@ -235,7 +235,8 @@
 } fleet_case_t;
 
 static const fleet_case_t fleet_cases[] = {
-    {7, 10}, {7, 100}, {7, 1000}, {340, 100}, {340, 1000}, {340, 10000},
+    {7, 10},     {7, 100},   {7, 1000},   {26, 1000},
+    {26, 10000}, {340, 100}, {340, 1000}, {340, 10000},
 };
 
 enum { FLEET_MS = 20000, STORE_MS = 3, WAITS_MAX = 1 << 18 };
@@ -311,10 +312,11 @@
                int64_t ms)
 {
     char key[LINK_NAME_MAX];
+    uint64_t host = (uint64_t)rand() * c->hosts / ((uint64_t)RAND_MAX + 1);
 
     (void)snprintf(key, sizeof(key), "o/%lu", id);
-    ck_assert(claim_queue_push(hosts[(uint32_t)rand() % c->hosts].queue, id,
-                               key, (ms + 5000) * US_PER_MS));
+    ck_assert(
+        claim_queue_push(hosts[host].queue, id, key, (ms + 5000) * US_PER_MS));
 }
 
 START_TEST(test_fleet_writes)
