--- a/agated/backends.c
+++ b/agated/backends.c
@@ -71,15 +71,16 @@
 void
 backends_free(backends_t *backends)
 {
-    service_stream_t *stream;
-    service_stream_t *next;
+    service_stream_t *stream = backends->service_streams;
 
     backends->engine->ops->free(backends->engine);
     backends->service->ops->free(backends->service);
-    HASH_ITER(hh, backends->service_streams, stream, next)
-    {
-        HASH_DEL(backends->service_streams, stream);
+    HASH_CLEAR(hh, backends->service_streams);
+    while (stream != NULL) {
+        service_stream_t *next = stream->hh.next;
+
         free(stream);
+        stream = next;
     }
     uv_close((uv_handle_t *)backends->poll_timer, (uv_close_cb)free);
     free(backends);
--- a/agated/claims.c
+++ b/agated/claims.c
@@ -72,10 +72,13 @@
 void
 claims_free(claims_t *claims)
 {
-    call_t *call;
+    call_t *call = TAILQ_FIRST(&claims->calls);
+
+    while (call != NULL) {
+        call_t *next = TAILQ_NEXT(call, link);
 
-    while ((call = TAILQ_FIRST(&claims->calls)) != NULL) {
         call_free(call);
+        call = next;
     }
     free(claims);
 }
@@ -136,7 +139,6 @@
 static void
 call_free(call_t *call)
 {
-    TAILQ_REMOVE(&call->claims->calls, call, link);
     uv_close((uv_handle_t *)call->timer, (uv_close_cb)free);
     arena_free(&call->arena);
     free(call);
@@ -282,6 +284,7 @@
     if (!call->release) {
         dispatch_event(dispatch, &event);
     }
+    TAILQ_REMOVE(&call->claims->calls, call, link);
     call_free(call);
 }
 
--- a/base/fields.h
+++ b/base/fields.h
@@ -35,15 +35,15 @@
 typedef struct field field_t;
 struct field {
     const char *key;
-    field_type_t type;
     size_t offset;
-    bool required;
     int64_t min;
     int64_t max;
     const char *remedy;         /* an example: address = "127.0.0.1:80" */
     const char *const *choices; /* FIELD_CHOICE; NULL at the end */
     const field_t *fields;      /* FIELD_TABLE */
     size_t field_count;
+    field_type_t type;
+    bool required;
 };
 
 /*
