--- a/regress/standin/engine.c
+++ b/regress/standin/engine.c
@@ -30,7 +30,7 @@
 static error_t parse_option(int key, char *arg, struct argp_state *state);
 static uint64_t now_us(void);
 static generation_t *find(const char *id, size_t length);
-static void journal(const char *name, const char *endpoint);
+static void journal(const char *name, const char *endpoint, const char *tag);
 static void start(server_conn_t *conn, const server_request_t *request,
                   bool chat);
 static void run(generation_t *generation, uint64_t now);
@@ -69,13 +69,14 @@
 
 /* Counts a start where it outlives this process. */
 static void
-journal(const char *name, const char *endpoint)
+journal(const char *name, const char *endpoint, const char *tag)
 {
     char line[LINE_BYTES];
     int length;
 
     starts++;
-    length = snprintf(line, sizeof(line), "start %s %s\n", name, endpoint);
+    length =
+        snprintf(line, sizeof(line), "start %s %s %s\n", name, endpoint, tag);
     if (journal_fd >= 0 && write(journal_fd, line, (size_t)length) != length) {
         err(1, "the journal cannot be written");
     }
@@ -99,7 +100,7 @@
     }
     snprintf(generation->id, sizeof(generation->id), "%s-%s",
              chat ? "chatcmpl" : "cmpl", name);
-    journal(name, request->path);
+    journal(name, request->path, generation->tag);
     generation->next = generations;
     generations = generation;
     generation->conn = conn;
@@ -339,7 +340,7 @@
 static void
 serve_plain(server_conn_t *conn, const server_request_t *request)
 {
-    journal(request->name, request->path);
+    journal(request->name, request->path, strrchr(request->path, '/') + 1);
     send_json(conn, json_pack("{s:s, s:s}", "served", request->name, "path",
                               request->path));
 }
--- a/regress/standin/engine.h
+++ b/regress/standin/engine.h
@@ -13,7 +13,11 @@
 #include "regress/standin/generate.h"
 #include "regress/standin/server.h"
 
-enum { ENGINE_NAME_BYTES = 160, ENGINE_MODEL_BYTES = 64 };
+enum {
+    ENGINE_NAME_BYTES = 160,
+    ENGINE_MODEL_BYTES = 64,
+    ENGINE_TAG_BYTES = 96
+};
 
 typedef struct {
     uint32_t port;
@@ -37,6 +41,7 @@
     generation_t *next;
     char id[ENGINE_NAME_BYTES];
     char model[ENGINE_MODEL_BYTES];
+    char tag[ENGINE_TAG_BYTES]; /* what "REQUEST=..." in the prompt says */
     bool chat;
     bool return_token_ids;
     bool crashes; /* the process aborts at its fifth token */
--- a/regress/standin/engine_cache.c
+++ b/regress/standin/engine_cache.c
@@ -1,50 +1,48 @@
 /* engine_cache.c - a bounded, least recently used cache of prefix blocks. */
 #include <stdlib.h>
 
-#include <uthash.h>
-
 #include "regress/standin/engine.h"
 
-enum { BLOCK_TOKENS = 16 };
+enum { BLOCK_TOKENS = 16, WAYS = 8 };
 
+/* A block lives in one of the few places that its hash leads to. */
 typedef struct {
     uint64_t hash;
-    UT_hash_handle hh;
+    uint64_t used; /* grows with each use; 0: never */
 } block_t;
 
-static block_t *blocks; /* the least recently used first */
-static uint32_t blocks_max;
+static block_t *blocks;
+static uint64_t sets;
+static uint64_t uses;
 
 static bool touch(uint64_t hash);
 
 void
-cache_init(uint32_t max)
+cache_init(uint32_t blocks_max)
 {
-    blocks_max = max;
+    sets = blocks_max / WAYS + 1;
+    blocks = calloc(sets * WAYS, sizeof(*blocks));
 }
 
 /* Returns whether the block was there; it is the newest afterwards. */
 static bool
 touch(uint64_t hash)
 {
-    block_t *block;
+    block_t *set = &blocks[hash % sets * WAYS], *oldest = set;
     bool found;
 
-    HASH_FIND(hh, blocks, &hash, sizeof(hash), block);
-    found = block != NULL;
-    if (found) {
-        HASH_DELETE(hh, blocks, block);
-    }
-    else {
-        block = calloc(1, sizeof(*block));
-        block->hash = hash;
-    }
-    HASH_ADD(hh, blocks, hash, sizeof(hash), block);
-    if (HASH_COUNT(blocks) > blocks_max) {
-        block = blocks;
-        HASH_DELETE(hh, blocks, block);
-        free(block);
+    for (block_t *block = set; block < set + WAYS; block++) {
+        if (block->used > 0 && block->hash == hash) {
+            oldest = block;
+            break;
+        }
+        if (block->used < oldest->used) {
+            oldest = block;
+        }
     }
+    found = oldest->used > 0 && oldest->hash == hash;
+    oldest->hash = hash;
+    oldest->used = ++uses;
     return found;
 }
 
--- a/regress/standin/engine_request.c
+++ b/regress/standin/engine_request.c
@@ -12,7 +12,8 @@
 static void append_text(generation_t *generation, const char *text);
 static bool read_prompt(generation_t *generation, const json_t *prompt);
 static bool read_messages(generation_t *generation, const json_t *messages);
-static bool contains(const generation_t *generation, const char *word);
+static uint32_t find_after(const generation_t *generation, const char *word);
+static void read_tag(generation_t *generation);
 
 static void
 append_id(generation_t *generation, uint32_t id)
@@ -75,8 +76,9 @@
     return true;
 }
 
-static bool
-contains(const generation_t *generation, const char *word)
+/* Returns the place behind the first such word, 0 without one. */
+static uint32_t
+find_after(const generation_t *generation, const char *word)
 {
     size_t length = strlen(word), matched = 0;
 
@@ -88,10 +90,24 @@
             matched++;
         }
         if (matched == length) {
-            return true;
+            return i + 1;
         }
     }
-    return false;
+    return 0;
+}
+
+static void
+read_tag(generation_t *generation)
+{
+    uint32_t at = find_after(generation, "REQUEST=");
+    size_t length = 0;
+
+    while (at > 0 && at < generation->prompt_count &&
+           generation->prompt_ids[at] > ' ' &&
+           generation->prompt_ids[at] <= '~' &&
+           length + 1 < sizeof(generation->tag)) {
+        generation->tag[length++] = (char)generation->prompt_ids[at++];
+    }
 }
 
 generation_t *
@@ -124,7 +140,8 @@
     generation->return_token_ids =
         json_is_true(json_object_get(body, "return_token_ids"));
     generation->streamed = json_is_true(json_object_get(body, "stream"));
-    generation->crashes = contains(generation, "CRASH-ENGINE");
+    generation->crashes = find_after(generation, "CRASH-ENGINE") > 0;
+    read_tag(generation);
     json_decref(body);
     if (!good || generation->max_tokens == 0) {
         free(generation->prompt_ids);
--- a/regress/standin/store_kv.c
+++ b/regress/standin/store_kv.c
@@ -2,8 +2,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include <uthash.h>
-
 #include "regress/standin/store.h"
 
 /* kv is never changed once made, so that events can share it. */
@@ -15,17 +13,19 @@
     int64_t mod_revision;
     int64_t version;
     int64_t lease;
-    UT_hash_handle hh;
 } pair_t;
 
-static pair_t *pairs;
+static pair_t *pairs; /* in the order of their keys */
+static size_t pair_count;
 static int64_t revision = 1;
 static bool written; /* since kv_begin() */
 
+static int compare_key(const pair_t *pair, const blob_t *key);
+static size_t place_of(const blob_t *key);
 static pair_t *find(const blob_t *key);
-static int by_pair(const pair_t *left, const pair_t *right);
+static pair_t *insert(blob_t *key);
 static void next_revision(void);
-static void drop(pair_t *pair);
+static void drop(size_t at);
 
 int64_t
 kv_revision(void)
@@ -55,27 +55,61 @@
     }
 }
 
+static int
+compare_key(const pair_t *pair, const blob_t *key)
+{
+    size_t shorter =
+        pair->key_bytes < key->length ? pair->key_bytes : key->length;
+    int order = memcmp(pair->key, key->bytes, shorter);
+
+    if (order != 0) {
+        return order;
+    }
+    return (pair->key_bytes > key->length) - (pair->key_bytes < key->length);
+}
+
+/* The first place whose key is not before the given one. */
+static size_t
+place_of(const blob_t *key)
+{
+    size_t from = 0, to = pair_count, middle;
+
+    while (from < to) {
+        middle = from + (to - from) / 2;
+        if (compare_key(&pairs[middle], key) < 0) {
+            from = middle + 1;
+        }
+        else {
+            to = middle;
+        }
+    }
+    return from;
+}
+
 static pair_t *
 find(const blob_t *key)
 {
-    pair_t *pair;
+    size_t at = place_of(key);
 
-    HASH_FIND(hh, pairs, key->bytes, key->length, pair);
-    return pair;
+    if (at == pair_count || compare_key(&pairs[at], key) != 0) {
+        return NULL;
+    }
+    return &pairs[at];
 }
 
-static int
-by_pair(const pair_t *left, const pair_t *right)
+/* Takes the key's bytes over. */
+static pair_t *
+insert(blob_t *key)
 {
-    size_t shorter = left->key_bytes < right->key_bytes ? left->key_bytes
-                                                        : right->key_bytes;
-    int order = memcmp(left->key, right->key, shorter);
+    size_t at = place_of(key);
 
-    if (order != 0) {
-        return order;
-    }
-    return (left->key_bytes > right->key_bytes) -
-           (left->key_bytes < right->key_bytes);
+    pairs = realloc(pairs, (pair_count + 1) * sizeof(*pairs));
+    memmove(&pairs[at + 1], &pairs[at], (pair_count - at) * sizeof(*pairs));
+    pair_count++;
+    pairs[at] = (pair_t){.key = key->bytes,
+                         .key_bytes = key->length,
+                         .create_revision = revision};
+    return &pairs[at];
 }
 
 json_t *
@@ -84,14 +118,13 @@
     blob_t key = json_blob(request, "key");
     blob_t end = json_blob(request, "range_end");
     json_t *kvs = json_array(), *answer;
-    pair_t *pair, *after;
+    size_t at;
 
-    HASH_SORT(pairs, by_pair);
-    HASH_ITER(hh, pairs, pair, after)
-    {
-        if (key_in_range(pair->key, pair->key_bytes, &key, &end)) {
-            json_array_append(kvs, pair->kv);
+    for (at = place_of(&key); at < pair_count; at++) {
+        if (!key_in_range(pairs[at].key, pairs[at].key_bytes, &key, &end)) {
+            break;
         }
+        json_array_append(kvs, pairs[at].kv);
     }
     answer = json_pack("{s:o}", "header", kv_header());
     if (json_array_size(kvs) > 0) {
@@ -120,11 +153,7 @@
     }
     next_revision();
     if (pair == NULL) {
-        pair = calloc(1, sizeof(*pair));
-        pair->key = key.bytes;
-        pair->key_bytes = key.length;
-        pair->create_revision = revision;
-        HASH_ADD_KEYPTR(hh, pairs, pair->key, pair->key_bytes, pair);
+        pair = insert(&key);
     }
     else {
         free(key.bytes);
@@ -146,18 +175,19 @@
 }
 
 static void
-drop(pair_t *pair)
+drop(size_t at)
 {
+    pair_t *pair = &pairs[at];
     json_t *kv;
 
     next_revision();
     kv = json_pack("{s:s, s:o}", "key", json_text(pair->kv, "key"),
                    "mod_revision", json_int64(revision));
     history_add(revision, json_pack("{s:s, s:o}", "type", "DELETE", "kv", kv));
-    HASH_DEL(pairs, pair);
     json_decref(pair->kv);
     free(pair->key);
-    free(pair);
+    pair_count--;
+    memmove(pair, pair + 1, (pair_count - at) * sizeof(*pair));
 }
 
 json_t *
@@ -165,16 +195,14 @@
 {
     blob_t key = json_blob(request, "key");
     blob_t end = json_blob(request, "range_end");
-    pair_t *pair, *after;
+    size_t at = place_of(&key);
     json_t *answer;
     int64_t deleted = 0;
 
-    HASH_ITER(hh, pairs, pair, after)
-    {
-        if (key_in_range(pair->key, pair->key_bytes, &key, &end)) {
-            drop(pair);
-            deleted++;
-        }
+    while (at < pair_count &&
+           key_in_range(pairs[at].key, pairs[at].key_bytes, &key, &end)) {
+        drop(at);
+        deleted++;
     }
     free(key.bytes);
     free(end.bytes);
@@ -188,13 +216,15 @@
 void
 kv_delete_lease(int64_t lease)
 {
-    pair_t *pair, *after;
+    size_t at = 0;
 
     kv_begin();
-    HASH_ITER(hh, pairs, pair, after)
-    {
-        if (pair->lease == lease) {
-            drop(pair);
+    while (at < pair_count) {
+        if (pairs[at].lease == lease) {
+            drop(at);
+        }
+        else {
+            at++;
         }
     }
 }
--- a/regress/standin/store_lease.c
+++ b/regress/standin/store_lease.c
@@ -1,18 +1,18 @@
 /* store_lease.c - leases, and the end of their keys with them. */
 #include <stdlib.h>
 
-#include <uthash.h>
+#include <sys/queue.h>
 
 #include "regress/standin/store.h"
 
-typedef struct {
+typedef struct lease {
     int64_t id;
     int64_t ttl_s;
     uint64_t lapses_ms;
-    UT_hash_handle hh;
+    LIST_ENTRY(lease) link;
 } lease_t;
 
-static lease_t *leases;
+static LIST_HEAD(, lease) leases = LIST_HEAD_INITIALIZER(leases);
 static int64_t last_id = 7000;
 
 static lease_t *find(int64_t id);
@@ -23,7 +23,12 @@
 {
     lease_t *lease;
 
-    HASH_FIND(hh, leases, &id, sizeof(id), lease);
+    LIST_FOREACH(lease, &leases, link)
+    {
+        if (lease->id == id) {
+            break;
+        }
+    }
     return lease;
 }
 
@@ -42,7 +47,7 @@
     lease->ttl_s = json_number(request, "TTL");
     lease->ttl_s = lease->ttl_s > 0 ? lease->ttl_s : 1;
     lease->lapses_ms = now_ms + (uint64_t)lease->ttl_s * 1000;
-    HASH_ADD(hh, leases, id, sizeof(lease->id), lease);
+    LIST_INSERT_HEAD(&leases, lease, link);
     return json_pack("{s:o, s:o, s:o}", "header", kv_header(), "ID",
                      json_int64(lease->id), "TTL", json_int64(lease->ttl_s));
 }
@@ -67,7 +72,7 @@
 {
     int64_t id = lease->id;
 
-    HASH_DEL(leases, lease);
+    LIST_REMOVE(lease, link);
     free(lease);
     kv_delete_lease(id);
 }
@@ -88,10 +93,10 @@
 void
 lease_expire(uint64_t now_ms)
 {
-    lease_t *lease, *after;
+    lease_t *lease = LIST_FIRST(&leases), *after;
 
-    HASH_ITER(hh, leases, lease, after)
-    {
+    for (; lease != NULL; lease = after) {
+        after = LIST_NEXT(lease, link);
         if (lease->lapses_ms <= now_ms) {
             end(lease);
         }
@@ -101,9 +106,9 @@
 void
 lease_extend(uint64_t until_ms)
 {
-    lease_t *lease, *after;
+    lease_t *lease;
 
-    HASH_ITER(hh, leases, lease, after)
+    LIST_FOREACH(lease, &leases, link)
     {
         lease->lapses_ms = until_ms + (uint64_t)lease->ttl_s * 1000;
     }
