--- /dev/null
+++ b/agated/response.c
@@ -0,0 +1,262 @@
+/* response.c - see response.h. */
+#include <inttypes.h>
+
+#include "agated/response.h"
+
+static const char *const refusal_names[] = {
+    [REFUSAL_UNAUTHORISED] = "unauthorised",
+    [REFUSAL_UNKNOWN_MODEL] = "unknown-model",
+    [REFUSAL_UNKNOWN_KIND] = "unknown-kind",
+    [REFUSAL_OVERLOADED] = "overloaded",
+    [REFUSAL_LEAVING] = "leaving",
+    [REFUSAL_NO_RUNNER] = "no-runner",
+    [REFUSAL_STORE_UNREACHED] = "store-unreached",
+    [REFUSAL_ALREADY_RAN] = "already-ran",
+    [REFUSAL_BACKEND_LOST] = "backend-lost",
+    [REFUSAL_HARMFUL] = "harmful",
+    [REFUSAL_SUPERSEDED] = "superseded",
+    [REFUSAL_INVALID] = "invalid",
+    [REFUSAL_BACKEND_FAILED] = "backend-failed",
+};
+
+static const uint32_t refusal_statuses[] = {
+    [REFUSAL_UNAUTHORISED] = 401,    [REFUSAL_UNKNOWN_MODEL] = 404,
+    [REFUSAL_UNKNOWN_KIND] = 400,    [REFUSAL_OVERLOADED] = 429,
+    [REFUSAL_LEAVING] = 503,         [REFUSAL_NO_RUNNER] = 503,
+    [REFUSAL_STORE_UNREACHED] = 503, [REFUSAL_ALREADY_RAN] = 409,
+    [REFUSAL_BACKEND_LOST] = 502,    [REFUSAL_HARMFUL] = 422,
+    [REFUSAL_SUPERSEDED] = 409,      [REFUSAL_INVALID] = 400,
+    [REFUSAL_BACKEND_FAILED] = 502,
+};
+
+static const char *const run_names[] = {
+    [RUN_NOT_RUN] = "not-run",
+    [RUN_UNKNOWN] = "unknown",
+    [RUN_RAN] = "ran",
+};
+
+static const char *const finish_names[] = {
+    [FINISH_NONE] = "stop",
+    [FINISH_STOP] = "stop",
+    [FINISH_LENGTH] = "length",
+    [FINISH_OTHER] = "other",
+};
+
+static void write_id(const response_t *response, text_t *out);
+static void write_head(const response_t *response,
+                       const char *completion_object, const char *chat_object,
+                       text_t *out);
+static void write_choice(response_t *response, const char *text, size_t length,
+                         const char *finish, text_t *out);
+static void write_usage(const finish_order_t *finish, text_t *out);
+static void write_whole(response_t *response, const finish_order_t *finish,
+                        text_t *out);
+static void write_last_events(response_t *response,
+                              const finish_order_t *finish, text_t *out);
+static void keep_whole(response_t *response, const give_order_t *give);
+
+void
+response_free(response_t *response)
+{
+    text_free(&response->whole);
+    text_free(&response->whole_ids);
+}
+
+void
+response_give(response_t *response, const give_order_t *give, text_t *out)
+{
+    response->position = give->position;
+    if (!response->stream) {
+        keep_whole(response, give);
+        return;
+    }
+    write_id(response, out);
+    text_puts(out, "data: ");
+    write_head(response, "text_completion", "chat.completion.chunk", out);
+    write_choice(response, give->text.text_val, give->text.text_len, NULL,
+                 out);
+    if (response->token_ids) {
+        text_puts(out, ",\"token_ids\":");
+        text_json_ids(out, give->token_ids.token_ids_val,
+                      give->token_ids.token_ids_len);
+    }
+    text_puts(out, "}]}\n\n");
+    response->begun = true;
+}
+
+void
+response_finish(response_t *response, const finish_order_t *finish,
+                text_t *out)
+{
+    if (response->stream) {
+        write_last_events(response, finish, out);
+        return;
+    }
+    write_whole(response, finish, out);
+}
+
+void
+response_refuse(response_t *response, const refuse_order_t *refuse,
+                text_t *out)
+{
+    if (!response->stream || !response->begun) {
+        refusal_json(refuse, out);
+        return;
+    }
+    text_puts(out, "event: error\n");
+    write_id(response, out);
+    text_puts(out, "data: ");
+    refusal_json(refuse, out);
+    text_puts(out, "\n\n");
+}
+
+void
+refusal_json(const refuse_order_t *refuse, text_t *out)
+{
+    text_printf(out, "{\"error\":{\"kind\":\"%s\",\"message\":",
+                refusal_names[refuse->refusal]);
+    text_json_string(out, refuse->message);
+    text_printf(out, ",\"run\":\"%s\"", run_names[refuse->run]);
+    if (refuse->retry_after_ms > 0) {
+        text_printf(out, ",\"retry_after_ms\":%" PRIu32,
+                    refuse->retry_after_ms);
+    }
+    text_puts(out, "}}");
+}
+
+uint32_t
+refusal_status(refusal_t refusal)
+{
+    return refusal_statuses[refusal];
+}
+
+refuse_order_t
+refusal_new(refusal_t refusal, uint32_t status, char *message)
+{
+    return (refuse_order_t){.refusal = refusal,
+                            .run = RUN_NOT_RUN,
+                            .status = status,
+                            .message = message};
+}
+
+static void
+write_id(const response_t *response, text_t *out)
+{
+    text_puts(out, "id: ");
+    text_puts(out, response->name);
+    text_puts(out, ".");
+    text_u64(out, response->position);
+    text_puts(out, "\n");
+}
+
+/* The object up to the comma before what differs. */
+static void
+write_head(const response_t *response, const char *completion_object,
+           const char *chat_object, text_t *out)
+{
+    bool chat = response->endpoint == ENDPOINT_CHAT;
+
+    text_puts(out, chat ? "{\"id\":\"chatcmpl-" : "{\"id\":\"cmpl-");
+    text_puts(out, response->name);
+    text_puts(out, "\",\"object\":\"");
+    text_puts(out, chat ? chat_object : completion_object);
+    text_puts(out, "\",\"created\":");
+    text_u64(out, (uint64_t)response->created_s);
+    text_puts(out, ",\"model\":");
+    text_json_string(out, response->model);
+}
+
+/* The only choice, its braces still open. */
+static void
+write_choice(response_t *response, const char *text, size_t length,
+             const char *finish, text_t *out)
+{
+    text_puts(out, ",\"choices\":[{\"index\":0,");
+    if (response->endpoint != ENDPOINT_CHAT) {
+        text_puts(out, "\"text\":");
+        text_json(out, text, length);
+        text_puts(out, ",\"logprobs\":null");
+    }
+    else {
+        text_puts(out, "\"delta\":{");
+        if (!response->begun) {
+            text_puts(out, "\"role\":\"assistant\",");
+        }
+        text_puts(out, "\"content\":");
+        text_json(out, text, length);
+        text_puts(out, "},\"logprobs\":null");
+    }
+    if (finish == NULL) {
+        text_puts(out, ",\"finish_reason\":null");
+        return;
+    }
+    text_printf(out, ",\"finish_reason\":\"%s\"", finish);
+}
+
+static void
+write_usage(const finish_order_t *finish, text_t *out)
+{
+    uint64_t total =
+        (uint64_t)finish->prompt_tokens + finish->completion_tokens;
+
+    text_printf(out,
+                ",\"usage\":{\"prompt_tokens\":%" PRIu32
+                ",\"completion_tokens\":%" PRIu32 ",\"total_tokens\":%" PRIu64
+                "}",
+                finish->prompt_tokens, finish->completion_tokens, total);
+}
+
+static void
+write_last_events(response_t *response, const finish_order_t *finish,
+                  text_t *out)
+{
+    write_id(response, out);
+    text_puts(out, "data: ");
+    write_head(response, "text_completion", "chat.completion.chunk", out);
+    write_choice(response, "", 0, finish_names[finish->finish], out);
+    text_puts(out, "}]}\n\n");
+    response->begun = true;
+    if (response->usage) {
+        write_id(response, out);
+        text_puts(out, "data: ");
+        write_head(response, "text_completion", "chat.completion.chunk", out);
+        text_puts(out, ",\"choices\":[]");
+        write_usage(finish, out);
+        text_puts(out, "}\n\n");
+    }
+    write_id(response, out);
+    text_puts(out, "data: [DONE]\n\n");
+}
+
+static void
+write_whole(response_t *response, const finish_order_t *finish, text_t *out)
+{
+    bool chat = response->endpoint == ENDPOINT_CHAT;
+
+    write_head(response, "text_completion", "chat.completion", out);
+    text_puts(out, ",\"choices\":[{\"index\":0,");
+    text_puts(out, chat ? "\"message\":{\"role\":\"assistant\",\"content\":"
+                        : "\"text\":");
+    text_json(out, response->whole.bytes, response->whole.length);
+    text_puts(out, chat ? "},\"logprobs\":null" : ",\"logprobs\":null");
+    text_printf(out, ",\"finish_reason\":\"%s\"",
+                finish_names[finish->finish]);
+    if (response->token_ids) {
+        text_puts(out, ",\"token_ids\":");
+        text_json_ids(out, (const uint32_t *)(void *)response->whole_ids.bytes,
+                      response->whole_ids.length / sizeof(uint32_t));
+    }
+    text_puts(out, "}]");
+    write_usage(finish, out);
+    text_puts(out, "}");
+}
+
+static void
+keep_whole(response_t *response, const give_order_t *give)
+{
+    text_append(&response->whole, give->text.text_val, give->text.text_len);
+    if (response->token_ids) {
+        text_append(&response->whole_ids, give->token_ids.token_ids_val,
+                    give->token_ids.token_ids_len * sizeof(uint32_t));
+    }
+}
