--- a/regress/fleet.sh
+++ b/regress/fleet.sh
@@ -80,9 +80,11 @@
     address_of[$1]=$(wait_for "$work/$1.log" 'listening address=')
 }
 
-# put_documents ENGINE...: the operators' document and a team's.
+# put_documents ENGINE...: the operators' document and a team's.  The plain
+# service is a process of its own, slots-1.
 put_documents() {
     local name hash zones=(north south west) i=0
+    start_engine slots-1
     hash=$(printf %s "$key" | sha256sum)
     : >"$work/fleet.toml"
     for name in "$@"; do
@@ -98,7 +100,7 @@
     cat >>"$work/fleet.toml" <<EOF
 [[runner]]
 name = "slots-1"
-address = "${address_of[$1]}"
+address = "${address_of[slots-1]}"
 zone = "north"
 kind = "service"
 models = ["bay-slots"]
