--- /dev/null
+++ b/regress/test_sse.c
@@ -0,0 +1,150 @@
+/* test_sse.c - server-sent events, split at every place. */
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "backend/sse.h"
+
+enum { SEEN_BYTES = 1024 };
+
+typedef struct {
+    const char *stream;
+    const char *events; /* the data of each, ended by '|' */
+} case_t;
+
+static const case_t cases[] = {
+    {"data: a\n\n", "a|"},
+    {"data:a\n\n", "a|"},
+    {"data:  a\n\n", " a|"},
+    {"data: a\r\n\r\ndata: b\r\n\r\n", "a|b|"},
+    {"data: a\r\rdata: b\r\r", "a|b|"},
+    {"data: a\r\n\ndata: b\n\r\n", "a|b|"},
+    {"data: a\ndata: b\n\n", "a\nb|"},
+    {"data\n\n", "|"},
+    {"data:\ndata:\n\n", "\n|"},
+    {"data: a\n\n\n\n\ndata: b\n\n", "a|b|"},
+    {": ping\n\ndata: a\n\n", "a|"},
+    {"event: error\nid: 7\nretry: 5\ndata: a\n\n", "a|"},
+    {"database: a\n\ndat: b\n\ndata: c\n\n", "c|"},
+    {" data: a\n\n", ""},
+    {"id: 1\n\n", ""},
+    {"data: a", ""},
+    {"data: a\n", ""},
+    {"data: {\"x\":\"\xc3\xa9\"}\n\ndata: [DONE]\n\n",
+     "{\"x\":\"\xc3\xa9\"}|[DONE]|"},
+};
+
+typedef struct {
+    char text[SEEN_BYTES];
+    size_t most; /* events to take; 0: all */
+    size_t taken;
+} seen_t;
+
+static bool
+on_event(void *context, const char *data, size_t length)
+{
+    seen_t *seen = context;
+
+    (void)strncat(seen->text, data, length);
+    (void)strcat(seen->text, "|");
+    seen->taken++;
+    return seen->taken != seen->most;
+}
+
+static void
+check_split(const case_t *c, size_t first, size_t second)
+{
+    size_t length = strlen(c->stream);
+    seen_t seen = {0};
+    sse_t sse = {0};
+
+    ck_assert_int_eq(sse_feed(&sse, c->stream, first, on_event, &seen), 0);
+    ck_assert_int_eq(
+        sse_feed(&sse, c->stream + first, second - first, on_event, &seen), 0);
+    ck_assert_int_eq(
+        sse_feed(&sse, c->stream + second, length - second, on_event, &seen),
+        0);
+    ck_assert_msg(strcmp(seen.text, c->events) == 0,
+                  "split at %zu and %zu: \"%s\" in place of \"%s\"", first,
+                  second, seen.text, c->events);
+    sse_free(&sse);
+}
+
+START_TEST(every_split)
+{
+    const case_t *c = &cases[_i];
+    size_t length = strlen(c->stream);
+    size_t first;
+    size_t second;
+
+    for (first = 0; first <= length; first++) {
+        for (second = first; second <= length; second++) {
+            check_split(c, first, second);
+        }
+    }
+}
+END_TEST
+
+START_TEST(byte_by_byte)
+{
+    const case_t *c = &cases[_i];
+    seen_t seen = {0};
+    sse_t sse = {0};
+    size_t i;
+
+    for (i = 0; i < strlen(c->stream); i++) {
+        ck_assert_int_eq(sse_feed(&sse, c->stream + i, 1, on_event, &seen), 0);
+    }
+    ck_assert_str_eq(seen.text, c->events);
+    sse_free(&sse);
+}
+END_TEST
+
+START_TEST(stops_when_told)
+{
+    const char *stream = "data: a\n\ndata: b\n\ndata: c\n\n";
+    seen_t seen = {.most = 2};
+    sse_t sse = {0};
+
+    ck_assert_int_eq(sse_feed(&sse, stream, strlen(stream), on_event, &seen),
+                     0);
+    ck_assert_str_eq(seen.text, "a|b|");
+    sse_free(&sse);
+}
+END_TEST
+
+START_TEST(too_long)
+{
+    char *line = malloc(SSE_EVENT_BYTES_MAX);
+    seen_t seen = {0};
+    sse_t sse = {0};
+
+    memset(line, 'x', SSE_EVENT_BYTES_MAX);
+    ck_assert_int_eq(
+        sse_feed(&sse, line, SSE_EVENT_BYTES_MAX, on_event, &seen), 0);
+    ck_assert_int_eq(sse_feed(&sse, line, 1, on_event, &seen), -1);
+    sse_free(&sse);
+    free(line);
+}
+END_TEST
+
+int
+main(void)
+{
+    Suite *suite = suite_create("sse");
+    TCase *tcase = tcase_create("sse");
+    SRunner *runner;
+    int count = sizeof(cases) / sizeof(cases[0]);
+    int failed;
+
+    tcase_add_loop_test(tcase, every_split, 0, count);
+    tcase_add_loop_test(tcase, byte_by_byte, 0, count);
+    tcase_add_test(tcase, stops_when_told);
+    tcase_add_test(tcase, too_long);
+    suite_add_tcase(suite, tcase);
+    runner = srunner_create(suite);
+    srunner_run_all(runner, CK_ENV);
+    failed = srunner_ntests_failed(runner);
+    srunner_free(runner);
+    return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
