Non-idempotent requests start only under their claim

Cause: the claim queue stood alone; non-idempotent requests started unclaimed. Change: claiming.c composes it: a keyed non-idempotent request waits for its claim, starts only within its time, tells of refusals as not run, and releases what it gave up.

--- a/policy/intake.c
+++ b/policy/intake.c
@@ -148,6 +148,10 @@
                        "request again after the stated time");
         return;
     }
+    if (!session->idempotent && session->keyed) {
+        claiming_wait(step, session);
+        return;
+    }
     queue_session(step, session);
     queue_pump(step);
 }
--- a/policy/node.c
+++ b/policy/node.c
@@ -39,9 +39,10 @@
                 attempt_drop(&step, session->attempts[i]);
             }
         }
-        session_free(node, session);
+        session_free(&step, session);
     }
     orders_free(&orders);
+    claim_queue_free(node->claims);
     hosts_free(node);
     runners_free(&node->runners);
     config_free(&node->config);
@@ -113,6 +114,7 @@
         hosts_listed(step, &event->event_t_u.hosts);
         break;
     case EVENT_CLAIMED:
+        claiming_answer(step, &event->event_t_u.claimed);
         break;
     }
 }
@@ -128,6 +130,7 @@
     node->start.address = xstrdup(start->address);
     node->started = true;
     hosts_start(step);
+    claiming_start(node);
 }
 
 static void
@@ -185,13 +188,17 @@
 static int64_t
 next_due_us(const node_t *node)
 {
+    int64_t next_us = hosts_due_us(node);
+    int64_t claims_us = claim_queue_due_us(node->claims);
     int64_t session_us = timers_next_us(&node->timers);
-    int64_t hosts_us = hosts_due_us(node);
 
-    if (session_us != 0 && session_us < hosts_us) {
-        return session_us;
+    if (claims_us < next_us) {
+        next_us = claims_us;
     }
-    return hosts_us;
+    if (session_us != 0 && session_us < next_us) {
+        next_us = session_us;
+    }
+    return next_us;
 }
 
 /* Asks for the next timer, and to stop once a leaving host is idle. */
@@ -199,12 +206,14 @@
 finish_step(step_t *step)
 {
     node_t *node = step->node;
-    int64_t next_us = next_due_us(node);
+    int64_t next_us;
 
     if (node->draining && node->active == 0 && !node->stopped) {
         node->stopped = true;
         (void)orders_add(step->orders, ORDER_STOP);
     }
+    claiming_step(step);
+    next_us = next_due_us(node);
     if (node->timer_set_us <= next_us) {
         return;
     }
--- a/policy/private.h
+++ b/policy/private.h
@@ -9,6 +9,7 @@
 
 #include <syslog.h>
 
+#include "policy/claim_queue.h"
 #include "policy/config.h"
 #include "policy/member.h"
 #include "policy/node.h"
@@ -35,6 +36,7 @@
     config_set_t config;
     member_t *member;
     spread_t *spread;
+    claim_queue_t *claims;
     runners_t runners;
     session_t *sessions; /* by id */
     session_t *by_name;
@@ -69,13 +71,14 @@
 /* session.c: a session's life. */
 session_t *session_new(step_t *step, const request_event_t *request,
                        const char *organisation);
-void session_free(node_t *node, session_t *session);
+void session_free(step_t *step, session_t *session);
 session_t *session_find(node_t *node, const char *organisation,
                         const char *key);
 void session_enter(step_t *step, session_t *session, session_state_t state);
 void session_finish(step_t *step, session_t *session);
 void session_refuse(step_t *step, session_t *session, refusal_t refusal,
                     run_t run, uint32_t retry_after_ms, const char *message);
+void session_refuse_claim(step_t *step, session_t *session);
 void session_schedule(step_t *step, session_t *session);
 void session_due(step_t *step, session_t *session);
 
@@ -105,6 +108,15 @@
 void resume_elsewhere(step_t *step, session_t *session,
                       const runner_state_t *lost);
 
+/* claiming.c: non-idempotent requests and their claims. */
+void claiming_start(node_t *node);
+void claiming_wait(step_t *step, session_t *session);
+bool claiming_may_start(step_t *step, session_t *session);
+void claiming_not_run(step_t *step, const session_t *session);
+void claiming_drop(step_t *step, session_t *session);
+void claiming_answer(step_t *step, const claimed_event_t *answer);
+void claiming_step(step_t *step);
+
 /* hosts.c: the other hosts, and the configuration that they share. */
 void hosts_start(step_t *step);
 void hosts_free(node_t *node);
--- a/policy/queue.c
+++ b/policy/queue.c
@@ -1,7 +1,7 @@
 /* queue.c - sessions that wait for a runner. */
 #include "policy/private.h"
 
-static bool start_session(step_t *step, session_t *session);
+static void start_session(step_t *step, session_t *session);
 
 /* Interrupted work goes before all else of its urgency. */
 void
@@ -38,13 +38,13 @@
         while (session != NULL) {
             session_t *next = TAILQ_NEXT(session, queue);
 
-            (void)start_session(step, session);
+            start_session(step, session);
             session = next;
         }
     }
 }
 
-static bool
+static void
 start_session(step_t *step, session_t *session)
 {
     node_t *node = step->node;
@@ -53,10 +53,13 @@
         runners_choose(&node->runners, &wish, step->now_us);
 
     if (runner == NULL) {
-        return false;
+        return;
+    }
+    if (!claiming_may_start(step, session)) {
+        session_refuse_claim(step, session);
+        return;
     }
     (void)attempt_open(step, session, runner, false);
     session->waits_resumed = false;
     session_enter(step, session, SESSION_RUNNING);
-    return true;
 }
--- a/policy/resume.c
+++ b/policy/resume.c
@@ -81,6 +81,10 @@
         queue_session(step, session);
         return;
     }
+    if (!claiming_may_start(step, session)) {
+        session_refuse_claim(step, session);
+        return;
+    }
     node->counters.resumed++;
     (void)attempt_open(step, session, runner, false);
     session_enter(step, session, SESSION_RUNNING);
@@ -141,6 +145,7 @@
     }
     if (was_not_run(attempt, loss)) {
         session->may_have_run--;
+        claiming_not_run(step, session);
     }
     attempt_drop(step, attempt);
     if (attempts_live(session) > 0) {
--- a/policy/session.c
+++ b/policy/session.c
@@ -59,8 +59,11 @@
 }
 
 void
-session_free(node_t *node, session_t *session)
+session_free(step_t *step, session_t *session)
 {
+    node_t *node = step->node;
+
+    claiming_drop(step, session);
     HASH_DEL(node->sessions, session);
     HASH_DELETE(hh_name, node->by_name, session);
     if (session->caller != 0) {
@@ -135,7 +138,7 @@
     }
     forget_body(step, session);
     if (!keep) {
-        session_free(step->node, session);
+        session_free(step, session);
         return;
     }
     session->refusal = refusal;
@@ -143,6 +146,16 @@
     session_enter(step, session, SESSION_REFUSED);
 }
 
+/* The claim's time to start is over, and nothing was started. */
+void
+session_refuse_claim(step_t *step, session_t *session)
+{
+    session_refuse(step, session, REFUSAL_STORE_UNREACHED, RUN_NOT_RUN,
+                   step->node->start.queue_wait_ms,
+                   "the claim of this request is too old to start it: send "
+                   "it again after the stated time");
+}
+
 void
 session_schedule(step_t *step, session_t *session)
 {
@@ -174,7 +187,7 @@
 
     if (session->state >= SESSION_FINISHED) {
         if (overdue) {
-            session_free(node, session);
+            session_free(step, session);
             return;
         }
         session_schedule(step, session);
@@ -184,7 +197,7 @@
         step->now_us >= session->orphan_us + grace_us) {
         cancel_attempts(step, session);
         forget_body(step, session);
-        session_free(node, session);
+        session_free(step, session);
         return;
     }
     if (session->state == SESSION_QUEUED && overdue) {
