Positions that hand back the tail of an answer: types and restore

Cause: router and engine may be lost together; what a caller received after the last record is then known to nobody but the caller. Change: the event id is to carry the token ids since the last record (types only so far), an answer can be restored from a record and a tail, and a stream's connection can be closed while the engine goes on. No behaviour yet.

--- a/policy/answer.c
+++ b/policy/answer.c
@@ -89,6 +89,44 @@
     return APPEND_DONE;
 }
 
+void
+answer_restore(answer_t *answer, const answer_copy_t *copy)
+{
+    answer_unit_t unit = {
+        .token_ids = copy->token_ids,
+        .token_count = copy->token_count,
+        .text = copy->text,
+        .text_bytes = copy->text_bytes,
+    };
+
+    append_tokens(answer, &unit);
+    append_text(answer, &unit);
+    if (copy->cut_count > 0) {
+        answer->cut_capacity = copy->cut_count;
+        answer->cuts =
+            xrealloc(answer->cuts, copy->cut_count, sizeof(record_cut_t));
+        memcpy(answer->cuts, copy->cuts,
+               copy->cut_count * sizeof(record_cut_t));
+        answer->cut_count = copy->cut_count;
+    }
+    if (find_stop(answer)) {
+        answer_end(answer, FINISH_STOP);
+    }
+}
+
+void
+answer_restore_tail(answer_t *answer, const uint32_t *token_ids,
+                    uint32_t count)
+{
+    answer_unit_t unit = {.token_ids = token_ids, .token_count = count};
+
+    append_tokens(answer, &unit);
+    append_cut(answer);
+    answer->scanned_bytes = answer->text_bytes;
+    answer->ready_cuts = answer->cut_count;
+    answer->first_cut = answer->cut_count;
+}
+
 void
 answer_end(answer_t *answer, finish_t finish)
 {
--- a/policy/answer.h
+++ b/policy/answer.h
@@ -34,6 +34,7 @@
     uint32_t writers[ANSWER_WRITERS]; /* attempt numbers; 0: nobody */
     uint32_t scanned_bytes; /* text that holds no stop string's start */
     uint32_t ready_cuts;    /* cuts that may be given to the caller */
+    uint32_t first_cut;     /* no caller can go on from an earlier one */
     const char *stop;       /* stop strings, each ended by a NUL */
     uint32_t stop_bytes;
     finish_t finish;
@@ -70,6 +71,23 @@
 append_result_t answer_append(answer_t *answer, uint32_t attempt,
                               const answer_unit_t *unit);
 
+/*
+ * Puts back what another host had of the answer, into an empty one.  The
+ * tail are tokens behind it whose text nobody holds but the caller that
+ * has received it.
+ */
+typedef struct {
+    const uint32_t *token_ids;
+    uint32_t token_count;
+    const char *text;
+    uint32_t text_bytes;
+    const record_cut_t *cuts;
+    uint32_t cut_count;
+} answer_copy_t;
+void answer_restore(answer_t *answer, const answer_copy_t *copy);
+void answer_restore_tail(answer_t *answer, const uint32_t *token_ids,
+                         uint32_t count);
+
 /* Ends the answer where it stands. */
 void answer_end(answer_t *answer, finish_t finish);
 
--- a/policy/caller.c
+++ b/policy/caller.c
@@ -28,7 +28,8 @@
     int64_t cut = answer_cut_at(&session->answer, position);
     uint64_t former = session->caller;
 
-    if (cut < 0 || cut > session->answer.ready_cuts) {
+    if (cut < session->answer.first_cut ||
+        cut > session->answer.ready_cuts) {
         caller_refuse(step, caller, REFUSAL_INVALID, RUN_UNKNOWN, 0,
                       "Last-Event-ID is not a position of this answer: send "
                       "the id of the last event that came whole");
--- a/policy/event.x
+++ b/policy/event.x
@@ -78,6 +78,8 @@
     bool keyed;            /* the caller gave the key itself */
     bool resumes;          /* the caller gave a Last-Event-ID */
     uint32_t position;     /* tokens that it has received */
+    uint32_t tail_from;    /* what its Last-Event-ID hands back: the ids */
+    uint32_t tail_ids<1024>; /* of the tokens from here to position */
     endpoint_t endpoint;
     name_t model;          /* a plain service's name at ENDPOINT_SERVICE */
     name_t request_kind;   /* empty: the document's first */
@@ -260,16 +262,24 @@
     uint32_t after;
 };
 
+/* keep: only close the connection; the backend goes on with its work. */
 struct cancel_order_t {
     uint64_t stream;
+    bool keep;
 };
 
-/* More of the answer; position counts the tokens given after it. */
+/*
+ * More of the answer; position counts the tokens given after it.  tail_ids
+ * are those from tail_from to position that no peer surely keeps; the event
+ * id carries them, so that the caller hands them back when it reconnects.
+ */
 struct give_order_t {
     uint64_t caller;
     uint32_t position;
     uint32_t token_ids<EVENT_TOKENS_MAX>;
     opaque text<EVENT_BODY_MAX>;
+    uint32_t tail_from;
+    uint32_t tail_ids<1024>;
 };
 
 struct finish_order_t {
--- a/world/link.x
+++ b/world/link.x
@@ -106,6 +106,7 @@
     bool idempotent;
     name_t runner;
     name_t stream_name;
+    uint32_t stream_endpoint;
     uint32_t stream_first;
     uint32_t attempt;
     uint32_t prompt_ids<LINK_TOKENS_MAX>;
