--- /dev/null
+++ b/regress/fleet.c
@@ -0,0 +1,573 @@
+/* fleet.c - see fleet.h. */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "peer/wire.h"
+#include "regress/fleet.h"
+
+enum {
+    DATAGRAM_HEADER_BYTES = 28, /* IP and UDP */
+    STREAM_HEADER_BYTES = 52,   /* IP and TCP with timestamps */
+    REPLY_BYTES = 24,
+    KEY_BYTES = 32,
+    TIMER_LEAST_US = 1000,
+};
+
+typedef enum { ITEM_RECORD, ITEM_TIMER, ITEM_LIST, ITEM_STORE } item_kind_t;
+
+typedef struct fleet_item {
+    int64_t at_us;
+    uint64_t number;
+    item_kind_t kind;
+    uint32_t host;
+    uint64_t incarnation;
+    wire_record_t record;
+    uint32_t key;
+    int64_t revision;
+} fleet_item_t;
+
+static const uint8_t key[KEY_BYTES] = {42};
+
+static void carry_out(fleet_t *fleet, uint32_t host);
+
+uint64_t
+fleet_random(fleet_t *fleet, uint64_t below)
+{
+    uint64_t word;
+
+    fleet->random += 0x9e3779b97f4a7c15u;
+    word = fleet->random;
+    word = (word ^ (word >> 30)) * 0xbf58476d1ce4e5b9u;
+    word = (word ^ (word >> 27)) * 0x94d049bb133111ebu;
+    return (word ^ (word >> 31)) % below;
+}
+
+static bool
+earlier(const fleet_item_t *left, const fleet_item_t *right)
+{
+    return left->at_us != right->at_us ? left->at_us < right->at_us
+                                       : left->number < right->number;
+}
+
+static void
+push(fleet_t *fleet, fleet_item_t item)
+{
+    size_t at = fleet->heap_count;
+
+    if (fleet->heap_count == fleet->heap_room) {
+        fleet->heap_room = fleet->heap_room * 2 + 64;
+        fleet->heap = xrealloc(fleet->heap, fleet->heap_room, sizeof(item));
+    }
+    item.number = fleet->items;
+    fleet->items++;
+    fleet->heap_count++;
+    while (at > 0 && earlier(&item, &fleet->heap[(at - 1) / 2])) {
+        fleet->heap[at] = fleet->heap[(at - 1) / 2];
+        at = (at - 1) / 2;
+    }
+    fleet->heap[at] = item;
+}
+
+static fleet_item_t
+pop(fleet_t *fleet)
+{
+    fleet_item_t first = fleet->heap[0];
+    fleet_item_t last;
+    size_t at = 0;
+    size_t child = 1;
+
+    fleet->heap_count--;
+    last = fleet->heap[fleet->heap_count];
+    while (child < fleet->heap_count) {
+        if (child + 1 < fleet->heap_count &&
+            earlier(&fleet->heap[child + 1], &fleet->heap[child])) {
+            child++;
+        }
+        if (!earlier(&fleet->heap[child], &last)) {
+            break;
+        }
+        fleet->heap[at] = fleet->heap[child];
+        at = child;
+        child = 2 * at + 1;
+    }
+    fleet->heap[at] = last;
+    return first;
+}
+
+fleet_t *
+fleet_new(const fleet_settings_t *settings)
+{
+    fleet_t *fleet = xcalloc(1, sizeof(*fleet));
+    fleet_host_t *host;
+    uint32_t i;
+
+    fleet->settings = *settings;
+    fleet->random = settings->seed;
+    fleet->now_us = 1000000;
+    fleet->store_up = true;
+    for (i = 0; i < settings->hosts; i++) {
+        host = &fleet->hosts[i];
+        (void)snprintf(host->name, sizeof(host->name), "host-%03u", i);
+        (void)snprintf(host->zone, sizeof(host->zone), "zone-%u",
+                       i % settings->zones);
+        (void)snprintf(host->address, sizeof(host->address),
+                       "10.0.%u.%u:8080", i / 256, i % 256);
+    }
+    return fleet;
+}
+
+void
+fleet_free(fleet_t *fleet)
+{
+    fleet_item_t item;
+    uint32_t i;
+
+    for (i = 0; i < fleet->settings.hosts; i++) {
+        fleet_stop(fleet, i);
+    }
+    while (fleet->heap_count > 0) {
+        item = pop(fleet);
+        free(item.record.bytes);
+    }
+    free(fleet->heap);
+    orders_free(&fleet->orders);
+    free(fleet);
+}
+
+static uint32_t
+index_of(const char *name)
+{
+    return (uint32_t)strtoul(name + strlen("host-"), NULL, 10);
+}
+
+static bool
+reaches_store(const fleet_t *fleet, uint32_t host)
+{
+    return fleet->store_up && (fleet->settings.store_hosts == 0 ||
+                               host < fleet->settings.store_hosts);
+}
+
+static void
+give_timer(fleet_t *fleet, uint32_t host)
+{
+    const fleet_host_t *at = &fleet->hosts[host];
+    int64_t due_us = member_due_us(at->member);
+    fleet_item_t item = {.kind = ITEM_TIMER, .host = host};
+
+    if (spread_due_us(at->spread) < due_us) {
+        due_us = spread_due_us(at->spread);
+    }
+    if (due_us < fleet->now_us + TIMER_LEAST_US) {
+        due_us = fleet->now_us + TIMER_LEAST_US;
+    }
+    item.at_us = due_us;
+    item.incarnation = at->incarnation;
+    push(fleet, item);
+}
+
+static void
+give_list(fleet_t *fleet, uint32_t host, int64_t after_us)
+{
+    fleet_item_t item = {.kind = ITEM_LIST, .host = host};
+
+    item.at_us = fleet->now_us + after_us;
+    item.incarnation = fleet->hosts[host].incarnation;
+    push(fleet, item);
+}
+
+void
+fleet_start(fleet_t *fleet, uint32_t host)
+{
+    fleet_host_t *at = &fleet->hosts[host];
+    start_event_t start = {0};
+
+    fleet_stop(fleet, host);
+    at->incarnation++;
+    at->leaving = false;
+    memset(at->key_revisions, 0, sizeof(at->key_revisions));
+    memset(at->heard_leaving, 0, sizeof(at->heard_leaving));
+    at->sequence = 0;
+    start.host = at->name;
+    start.zone = at->zone;
+    start.address = at->address;
+    start.incarnation = at->incarnation;
+    start.seed = fleet_random(fleet, UINT64_MAX);
+    at->member = member_new(fleet->now_us, &start);
+    at->spread = spread_new(fleet->now_us, &start);
+    give_list(fleet, host, 0);
+    /* Hosts do not beat in step. */
+    push(fleet, (fleet_item_t){.kind = ITEM_TIMER,
+                               .host = host,
+                               .at_us = fleet->now_us + 1 +
+                                        (int64_t)fleet_random(
+                                            fleet, MEMBER_BEAT_US),
+                               .incarnation = at->incarnation});
+}
+
+void
+fleet_stop(fleet_t *fleet, uint32_t host)
+{
+    fleet_host_t *at = &fleet->hosts[host];
+
+    if (at->member != NULL) {
+        member_free(at->member);
+        spread_free(at->spread);
+        at->member = NULL;
+    }
+}
+
+static member_self_t
+self_of(const fleet_host_t *at)
+{
+    member_self_t self = {0, spread_revision(at->spread),
+                          spread_hash(at->spread)};
+
+    return self;
+}
+
+void
+fleet_leave(fleet_t *fleet, uint32_t host)
+{
+    fleet_host_t *at = &fleet->hosts[host];
+    member_self_t self = self_of(at);
+
+    at->leaving = true;
+    orders_reset(&fleet->orders);
+    member_leave(at->member, fleet->now_us, &self, &fleet->orders);
+    carry_out(fleet, host);
+}
+
+/* Those that watch hear of a change at the store. */
+void
+fleet_write(fleet_t *fleet, uint32_t index)
+{
+    fleet_host_t *at;
+    uint32_t i;
+
+    fleet->store_revision++;
+    fleet->store_keys[index] = fleet->store_revision;
+    for (i = 0; i < fleet->settings.hosts; i++) {
+        at = &fleet->hosts[i];
+        if (at->member != NULL && reaches_store(fleet, i) &&
+            spread_watches(at->spread, fleet->now_us, at->member)) {
+            push(fleet, (fleet_item_t){.kind = ITEM_STORE,
+                                       .host = i,
+                                       .at_us = fleet->now_us + 5000,
+                                       .incarnation = at->incarnation,
+                                       .key = index,
+                                       .revision = fleet->store_revision});
+        }
+    }
+}
+
+static void
+send(fleet_t *fleet, uint32_t from, uint32_t to, const message_t *message)
+{
+    fleet_host_t *at = &fleet->hosts[from];
+    bool beat = message->kind == MESSAGE_HEARTBEAT;
+    fleet_item_t item = {.kind = ITEM_RECORD, .host = to};
+    wire_key_t with = {key, sizeof(key)};
+    peer_call_t call = {at->name,
+                        fleet->hosts[to].name,
+                        at->incarnation,
+                        ++at->sequence,
+                        beat ? PEER_DATAGRAM : PEER_STREAM,
+                        *message};
+    uint32_t copies = 1;
+    size_t header = beat ? DATAGRAM_HEADER_BYTES : STREAM_HEADER_BYTES;
+
+    if (!wire_call(1, &call, with, &item.record)) {
+        abort();
+    }
+    at->sent++;
+    at->sent_bytes += item.record.count - WIRE_MARK_BYTES + header;
+    copies += fleet_random(fleet, 1000) < fleet->settings.twice_permille;
+    while (copies > 0) {
+        fleet_item_t copy = item;
+
+        copies--;
+        copy.record.bytes = xcalloc(1, item.record.count);
+        memcpy(copy.record.bytes, item.record.bytes, item.record.count);
+        copy.at_us = fleet->now_us + fleet->settings.delay_least_us +
+                     (int64_t)fleet_random(
+                         fleet, fleet->settings.delay_most_us + 1);
+        if (fleet->hosts[to].member == NULL || at->side !=
+                fleet->hosts[to].side ||
+            fleet_random(fleet, 1000) < fleet->settings.loss_permille) {
+            free(copy.record.bytes);
+            continue;
+        }
+        copy.incarnation = fleet->hosts[to].incarnation;
+        push(fleet, copy);
+    }
+    free(item.record.bytes);
+}
+
+static void
+carry_out(fleet_t *fleet, uint32_t host)
+{
+    const order_t *order;
+    size_t i;
+
+    for (i = 0; i < fleet->orders.count; i++) {
+        order = &fleet->orders.items[i];
+        if (order->kind == ORDER_TELL) {
+            send(fleet, host, index_of(order->order_t_u.tell.host),
+                 &order->order_t_u.tell.message);
+        }
+    }
+}
+
+/* The host puts a document in force; the check sees it. */
+static void
+put_in_force(fleet_t *fleet, fleet_host_t *at, const config_t *config)
+{
+    uint32_t index = (uint32_t)strtoul(config->key + 1, NULL, 10);
+
+    if (config->revision < at->key_revisions[index]) {
+        fleet->revisions_fallen++;
+    }
+    at->key_revisions[index] = config->revision;
+    at->key_since_us[index] = fleet->now_us;
+}
+
+static void
+take_config(fleet_t *fleet, fleet_host_t *at, const char *from,
+            const config_t *config)
+{
+    bool newer = spread_config(at->spread, fleet->now_us, from, config,
+                               at->member, &fleet->orders);
+
+    if (newer || fleet->settings.without_revision_guard) {
+        put_in_force(fleet, at, config);
+    }
+}
+
+static void
+note_leaving(fleet_host_t *at, const char *from, heartbeat_t *heartbeat,
+             bool hide)
+{
+    news_t *news;
+    u_int i;
+
+    if (heartbeat->leaving) {
+        at->heard_leaving[index_of(from)] = heartbeat->incarnation;
+        heartbeat->leaving = !hide;
+    }
+    for (i = 0; i < heartbeat->news.news_len; i++) {
+        news = &heartbeat->news.news_val[i];
+        if (news->state == NEWS_LEAVING) {
+            if (news->incarnation >
+                at->heard_leaving[index_of(news->host)]) {
+                at->heard_leaving[index_of(news->host)] = news->incarnation;
+            }
+            news->state = hide ? NEWS_LIVE : NEWS_LEAVING;
+        }
+    }
+}
+
+/* Whoever has heard that a host leaves must not name it to callers. */
+static void
+check_addresses(fleet_t *fleet, fleet_host_t *at)
+{
+    arena_t arena = {0};
+    member_view_t *views;
+    size_t count;
+    size_t i;
+
+    views = member_addresses(at->member, fleet->now_us,
+                             fleet_random(fleet, 1000), &arena, &count);
+    for (i = 0; i < count; i++) {
+        fleet->addresses_checked++;
+        if (views[i].incarnation <=
+            at->heard_leaving[index_of(views[i].host)]) {
+            fleet->leaving_given++;
+        }
+    }
+    arena_free(&arena);
+}
+
+static void
+take_record(fleet_t *fleet, uint32_t host, const wire_record_t *record)
+{
+    fleet_host_t *at = &fleet->hosts[host];
+    wire_key_t with = {key, sizeof(key)};
+    wire_input_t input;
+    message_t *message = &input.call.message;
+    member_self_t self = self_of(at);
+    bool beat;
+
+    wire_read(record->bytes + WIRE_MARK_BYTES,
+              record->count - WIRE_MARK_BYTES, with, &input);
+    if (input.kind != WIRE_CALL) {
+        abort();
+    }
+    beat = message->kind == MESSAGE_HEARTBEAT;
+    at->received_bytes +=
+        record->count - WIRE_MARK_BYTES +
+        (beat ? DATAGRAM_HEADER_BYTES : STREAM_HEADER_BYTES);
+    at->sent_bytes += REPLY_BYTES + DATAGRAM_HEADER_BYTES;
+    fleet->hosts[index_of(input.call.from)].received_bytes +=
+        REPLY_BYTES + DATAGRAM_HEADER_BYTES;
+    if (beat) {
+        note_leaving(at, input.call.from, &message->message_t_u.heartbeat,
+                     fleet->settings.without_leaving);
+        member_heartbeat(at->member, fleet->now_us, input.call.from,
+                         &message->message_t_u.heartbeat, &self,
+                         &fleet->orders);
+        if (fleet->settings.hosts <= MEMBER_MESH_MAX) {
+            check_addresses(fleet, at);
+        }
+    } else if (message->kind == MESSAGE_CONFIG) {
+        take_config(fleet, at, input.call.from,
+                    &message->message_t_u.config);
+    } else if (!fleet->settings.without_digests) {
+        spread_digest(at->spread, fleet->now_us, input.call.from,
+                      &message->message_t_u.config_digest, &fleet->orders);
+    }
+    carry_out(fleet, host);
+    wire_clear(&input);
+}
+
+static void
+take_list(fleet_t *fleet, uint32_t host)
+{
+    fleet_host_t *at = &fleet->hosts[host];
+    hosts_event_t event = {0};
+    host_entry_t *entry;
+    uint32_t i;
+
+    event.hosts.hosts_val = arena_array(
+        &fleet->orders.arena, fleet->settings.hosts, sizeof(*entry));
+    for (i = 0; i < fleet->settings.hosts; i++) {
+        if (fleet->hosts[i].incarnation == 0) {
+            continue;
+        }
+        entry = &event.hosts.hosts_val[event.hosts.hosts_len];
+        event.hosts.hosts_len++;
+        entry->host = fleet->hosts[i].name;
+        entry->zone = fleet->hosts[i].zone;
+        entry->address = fleet->hosts[i].address;
+        entry->peer_address = fleet->hosts[i].address;
+        /* It lags: a host may long have started anew. */
+        entry->incarnation =
+            fleet->hosts[i].incarnation - fleet_random(fleet, 2);
+    }
+    member_hosts(at->member, fleet->now_us, &event, &fleet->orders);
+    carry_out(fleet, host);
+    if (fleet->settings.list_every_us > 0) {
+        give_list(fleet, host, fleet->settings.list_every_us);
+    }
+}
+
+static void
+take_store(fleet_t *fleet, uint32_t host, const fleet_item_t *item)
+{
+    char name[FLEET_NAME_BYTES];
+    config_t config = {0};
+
+    (void)snprintf(name, sizeof(name), "k%u", item->key);
+    config.key = name;
+    config.revision = item->revision;
+    config.text.text_len = fleet->settings.text_bytes;
+    config.text.text_val = arena_alloc(&fleet->orders.arena,
+                                       fleet->settings.text_bytes + 1);
+    take_config(fleet, &fleet->hosts[host], NULL, &config);
+    carry_out(fleet, host);
+}
+
+static void
+take_timer(fleet_t *fleet, uint32_t host)
+{
+    fleet_host_t *at = &fleet->hosts[host];
+    member_self_t self = self_of(at);
+
+    member_timer(at->member, fleet->now_us, &self, &fleet->orders);
+    spread_timer(at->spread, fleet->now_us, at->member, &fleet->orders);
+    carry_out(fleet, host);
+    give_timer(fleet, host);
+}
+
+void
+fleet_run(fleet_t *fleet, int64_t for_us)
+{
+    int64_t end_us = fleet->now_us + for_us;
+    fleet_item_t item;
+    const fleet_host_t *at;
+
+    while (fleet->heap_count > 0 && fleet->heap[0].at_us <= end_us) {
+        item = pop(fleet);
+        fleet->now_us = item.at_us;
+        at = &fleet->hosts[item.host];
+        orders_reset(&fleet->orders);
+        if (at->member == NULL || at->incarnation != item.incarnation) {
+            free(item.record.bytes);
+            continue;
+        }
+        switch (item.kind) {
+        case ITEM_RECORD:
+            take_record(fleet, item.host, &item.record);
+            free(item.record.bytes);
+            break;
+        case ITEM_TIMER:
+            take_timer(fleet, item.host);
+            break;
+        case ITEM_LIST:
+            take_list(fleet, item.host);
+            break;
+        case ITEM_STORE:
+            take_store(fleet, item.host, &item);
+            break;
+        }
+    }
+    fleet->now_us = end_us;
+}
+
+uint32_t
+fleet_behind(const fleet_t *fleet)
+{
+    uint32_t behind = 0;
+    uint32_t i;
+
+    for (i = 0; i < fleet->settings.hosts; i++) {
+        if (fleet->hosts[i].member != NULL &&
+            memcmp(fleet->hosts[i].key_revisions, fleet->store_keys,
+                   sizeof(fleet->store_keys)) != 0) {
+            behind++;
+        }
+    }
+    return behind;
+}
+
+uint32_t
+fleet_unlike_one(const fleet_t *fleet, uint32_t host, member_state_t state)
+{
+    member_view_t view;
+    uint32_t unlike = 0;
+    uint32_t i;
+
+    for (i = 0; i < fleet->settings.hosts; i++) {
+        if (fleet->hosts[i].member != NULL && i != host &&
+            (!member_find(fleet->hosts[i].member, fleet->now_us,
+                          fleet->hosts[host].name, &view) ||
+             view.state != state)) {
+            unlike++;
+        }
+    }
+    return unlike;
+}
+
+uint32_t
+fleet_unlike(const fleet_t *fleet, member_state_t state)
+{
+    uint32_t unlike = 0;
+    uint32_t i;
+
+    for (i = 0; i < fleet->settings.hosts; i++) {
+        if (fleet->hosts[i].member != NULL) {
+            unlike += fleet_unlike_one(fleet, i, state);
+        }
+    }
+    return unlike;
+}
--- /dev/null
+++ b/regress/test_fleet.c
@@ -0,0 +1,246 @@
+/* test_fleet.c - seeded faults over several hosts, with the checks. */
+#include <check.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "regress/fleet.h"
+
+enum { SEEDS = 40, STEPS = 60, KEYS = 4, SECOND_US = 1000000 };
+
+typedef enum {
+    WHOLE,
+    WITHOUT_REVISION_GUARD,
+    WITHOUT_DIGESTS,
+    WITHOUT_LEAVING,
+} guard_t;
+
+typedef struct {
+    uint64_t revisions_fallen;
+    uint64_t leaving_given;
+    uint64_t addresses_checked;
+    uint64_t behind;
+    uint64_t unlike;
+} found_faults_t;
+
+static fleet_settings_t
+settings_of(uint64_t seed, guard_t guard)
+{
+    fleet_settings_t settings = {0};
+
+    settings.hosts = 7;
+    settings.zones = 3;
+    settings.seed = seed;
+    settings.loss_permille = 100;
+    settings.twice_permille = 100;
+    settings.delay_least_us = 200;
+    settings.delay_most_us = 400000;
+    settings.store_hosts = 2;
+    settings.list_every_us = 3 * SECOND_US;
+    settings.text_bytes = 100;
+    settings.without_revision_guard = guard == WITHOUT_REVISION_GUARD;
+    settings.without_digests = guard == WITHOUT_DIGESTS;
+    settings.without_leaving = guard == WITHOUT_LEAVING;
+    return settings;
+}
+
+/* One fault, or a new revision, at random. */
+static void
+disturb(fleet_t *fleet)
+{
+    uint32_t host = (uint32_t)fleet_random(fleet, fleet->settings.hosts);
+    uint32_t i;
+
+    switch (fleet_random(fleet, 10)) {
+    case 0:
+        for (i = 0; i < fleet->settings.hosts; i++) {
+            fleet->hosts[i].side = (uint32_t)fleet_random(fleet, 2);
+        }
+        break;
+    case 1:
+        for (i = 0; i < fleet->settings.hosts; i++) {
+            fleet->hosts[i].side = 0;
+        }
+        break;
+    case 2:
+        fleet_start(fleet, host);
+        break;
+    case 3:
+        if (fleet->hosts[host].member != NULL) {
+            fleet_leave(fleet, host);
+        }
+        break;
+    case 4:
+        fleet_stop(fleet, host);
+        break;
+    case 5:
+        fleet->store_up = !fleet->store_up;
+        break;
+    default:
+        fleet_write(fleet, (uint32_t)fleet_random(fleet, KEYS));
+        break;
+    }
+}
+
+/* All come back, and the store tells its watchers everything once more. */
+static void
+heal(fleet_t *fleet)
+{
+    uint32_t i;
+
+    fleet->store_up = true;
+    for (i = 0; i < fleet->settings.hosts; i++) {
+        fleet->hosts[i].side = 0;
+        if (fleet->hosts[i].member == NULL || fleet->hosts[i].leaving) {
+            fleet_start(fleet, i);
+        }
+    }
+    fleet_run(fleet, SECOND_US);
+    for (i = 0; i < KEYS; i++) {
+        fleet_write(fleet, i);
+    }
+    fleet_run(fleet, 20 * SECOND_US);
+}
+
+static found_faults_t
+run(uint64_t seed, guard_t guard)
+{
+    fleet_settings_t settings = settings_of(seed, guard);
+    fleet_t *fleet = fleet_new(&settings);
+    found_faults_t found = {0};
+    uint32_t i;
+
+    for (i = 0; i < settings.hosts; i++) {
+        fleet_start(fleet, i);
+    }
+    fleet_run(fleet, 3 * SECOND_US);
+    for (i = 0; i < STEPS; i++) {
+        disturb(fleet);
+        fleet_run(fleet, (int64_t)fleet_random(fleet, 2 * SECOND_US));
+    }
+    heal(fleet);
+    found.revisions_fallen = fleet->revisions_fallen;
+    found.leaving_given = fleet->leaving_given;
+    found.addresses_checked = fleet->addresses_checked;
+    found.behind = fleet_behind(fleet);
+    /* A heartbeat may be late by chance; three in a row are not. */
+    fleet->settings.loss_permille = 0;
+    fleet_run(fleet, 3 * SECOND_US);
+    found.unlike = fleet_unlike(fleet, MEMBER_LIVE);
+    fleet_free(fleet);
+    return found;
+}
+
+static found_faults_t
+run_all(guard_t guard)
+{
+    found_faults_t sum = {0};
+    found_faults_t found;
+    uint64_t seed;
+
+    for (seed = 1; seed <= SEEDS; seed++) {
+        found = run(seed, guard);
+        sum.revisions_fallen += found.revisions_fallen;
+        sum.leaving_given += found.leaving_given;
+        sum.addresses_checked += found.addresses_checked;
+        sum.behind += found.behind;
+        sum.unlike += found.unlike;
+    }
+    return sum;
+}
+
+START_TEST(test_whole)
+{
+    found_faults_t found = run_all(WHOLE);
+
+    ck_assert_uint_eq(found.revisions_fallen, 0);
+    ck_assert_uint_eq(found.leaving_given, 0);
+    ck_assert_uint_eq(found.behind, 0);
+    ck_assert_uint_eq(found.unlike, 0);
+    ck_assert_uint_gt(found.addresses_checked, 0);
+}
+END_TEST
+
+/* Each check must see what it is for. */
+START_TEST(test_checks_fail)
+{
+    ck_assert_uint_gt(run_all(WITHOUT_REVISION_GUARD).revisions_fallen, 0);
+    ck_assert_uint_gt(run_all(WITHOUT_DIGESTS).behind, 0);
+    ck_assert_uint_gt(run_all(WITHOUT_LEAVING).leaving_given, 0);
+}
+END_TEST
+
+/* Same seed, same bytes. */
+START_TEST(test_repeats)
+{
+    fleet_settings_t settings = settings_of(5, WHOLE);
+    uint64_t sums[2] = {0};
+    uint32_t i;
+    uint32_t j;
+
+    for (i = 0; i < 2; i++) {
+        fleet_t *fleet = fleet_new(&settings);
+
+        for (j = 0; j < settings.hosts; j++) {
+            fleet_start(fleet, j);
+        }
+        fleet_run(fleet, 30 * SECOND_US);
+        for (j = 0; j < settings.hosts; j++) {
+            sums[i] = sums[i] * 31 + fleet->hosts[j].sent_bytes;
+        }
+        fleet_free(fleet);
+    }
+    ck_assert_uint_eq(sums[0], sums[1]);
+}
+END_TEST
+
+/* Beyond the mesh: news reach all about death, leaving and return. */
+START_TEST(test_rings)
+{
+    fleet_settings_t settings = settings_of(7, WHOLE);
+    fleet_t *fleet;
+    uint32_t i;
+
+    settings.hosts = 120;
+    settings.loss_permille = 20;
+    settings.twice_permille = 0;
+    settings.delay_most_us = 5000;
+    fleet = fleet_new(&settings);
+    for (i = 0; i < settings.hosts; i++) {
+        fleet_start(fleet, i);
+    }
+    fleet_run(fleet, 15 * SECOND_US);
+    ck_assert_uint_eq(fleet_unlike(fleet, MEMBER_LIVE), 0);
+    fleet_leave(fleet, 5);
+    fleet_run(fleet, 2 * SECOND_US);
+    ck_assert_uint_eq(fleet_unlike_one(fleet, 5, MEMBER_LEAVING), 0);
+    fleet_stop(fleet, 9);
+    fleet_run(fleet, 15 * SECOND_US);
+    ck_assert_uint_eq(fleet_unlike_one(fleet, 9, MEMBER_DEAD), 0);
+    fleet_start(fleet, 9);
+    fleet_start(fleet, 5);
+    fleet_run(fleet, 15 * SECOND_US);
+    ck_assert_uint_eq(fleet_unlike(fleet, MEMBER_LIVE), 0);
+    fleet_free(fleet);
+}
+END_TEST
+
+int
+main(void)
+{
+    Suite *suite = suite_create("fleet");
+    TCase *cases = tcase_create("fleet");
+    SRunner *runner;
+    int failed;
+
+    tcase_set_timeout(cases, 300);
+    tcase_add_test(cases, test_whole);
+    tcase_add_test(cases, test_checks_fail);
+    tcase_add_test(cases, test_repeats);
+    tcase_add_test(cases, test_rings);
+    suite_add_tcase(suite, cases);
+    runner = srunner_create(suite);
+    srunner_run_all(runner, CK_ENV);
+    failed = srunner_ntests_failed(runner);
+    srunner_free(runner);
+    return failed == 0 ? 0 : 1;
+}
