--- /dev/null
+++ b/regress/standin/load.c
@@ -0,0 +1,6 @@
+int main(void);
+int
+main(void)
+{
+    return 0;
+}
