--- a/regress/fleet.c
+++ b/regress/fleet.c
@@ -11,6 +11,8 @@
     STREAM_HEADER_BYTES = 52,   /* IP and TCP with timestamps */
     REPLY_BYTES = 24,
     KEY_BYTES = 32,
+    INCARNATION_FIRST = 100,
+    STORE_US = 5000,
     TIMER_LEAST_US = 1000,
 };
 
@@ -108,11 +110,12 @@
     fleet->store_up = true;
     for (i = 0; i < settings->hosts; i++) {
         host = &fleet->hosts[i];
+        host->incarnation = INCARNATION_FIRST;
         (void)snprintf(host->name, sizeof(host->name), "host-%03u", i);
         (void)snprintf(host->zone, sizeof(host->zone), "zone-%u",
                        i % settings->zones);
-        (void)snprintf(host->address, sizeof(host->address),
-                       "10.0.%u.%u:8080", i / 256, i % 256);
+        (void)snprintf(host->address, sizeof(host->address), "10.0.%u.%u:8080",
+                       i / 256, i % 256);
     }
     return fleet;
 }
@@ -120,15 +123,14 @@
 void
 fleet_free(fleet_t *fleet)
 {
-    fleet_item_t item;
+    size_t at;
     uint32_t i;
 
     for (i = 0; i < fleet->settings.hosts; i++) {
         fleet_stop(fleet, i);
     }
-    while (fleet->heap_count > 0) {
-        item = pop(fleet);
-        free(item.record.bytes);
+    for (at = 0; at < fleet->heap_count; at++) {
+        free(fleet->heap[at].record.bytes);
     }
     free(fleet->heap);
     orders_free(&fleet->orders);
@@ -197,12 +199,12 @@
     at->spread = spread_new(fleet->now_us, &start);
     give_list(fleet, host, 0);
     /* Hosts do not beat in step. */
-    push(fleet, (fleet_item_t){.kind = ITEM_TIMER,
-                               .host = host,
-                               .at_us = fleet->now_us + 1 +
-                                        (int64_t)fleet_random(
-                                            fleet, MEMBER_BEAT_US),
-                               .incarnation = at->incarnation});
+    push(fleet,
+         (fleet_item_t){.kind = ITEM_TIMER,
+                        .host = host,
+                        .at_us = fleet->now_us + 1 +
+                                 (int64_t)fleet_random(fleet, MEMBER_BEAT_US),
+                        .incarnation = at->incarnation});
 }
 
 void
@@ -238,6 +240,17 @@
     carry_out(fleet, host);
 }
 
+static void
+give_key(fleet_t *fleet, uint32_t host, uint32_t index)
+{
+    fleet_item_t item = {.kind = ITEM_STORE, .host = host, .key = index};
+
+    item.at_us = fleet->now_us + STORE_US;
+    item.incarnation = fleet->hosts[host].incarnation;
+    item.revision = fleet->store_keys[index];
+    push(fleet, item);
+}
+
 /* Those that watch hear of a change at the store. */
 void
 fleet_write(fleet_t *fleet, uint32_t index)
@@ -251,18 +264,30 @@
         at = &fleet->hosts[i];
         if (at->member != NULL && reaches_store(fleet, i) &&
             spread_watches(at->spread, fleet->now_us, at->member)) {
-            push(fleet, (fleet_item_t){.kind = ITEM_STORE,
-                                       .host = i,
-                                       .at_us = fleet->now_us + 5000,
-                                       .incarnation = at->incarnation,
-                                       .key = index,
-                                       .revision = fleet->store_revision});
+            give_key(fleet, i, index);
+        }
+    }
+}
+
+/* Whoever reaches the store reads all of it, as when a watch begins. */
+void
+fleet_read_all(fleet_t *fleet)
+{
+    uint32_t index;
+    uint32_t i;
+
+    for (i = 0; i < fleet->settings.hosts; i++) {
+        for (index = 0; index < FLEET_KEYS_MAX; index++) {
+            if (fleet->hosts[i].member != NULL && reaches_store(fleet, i) &&
+                fleet->store_keys[index] > 0) {
+                give_key(fleet, i, index);
+            }
         }
     }
 }
 
 static void
-send(fleet_t *fleet, uint32_t from, uint32_t to, const message_t *message)
+transmit(fleet_t *fleet, uint32_t from, uint32_t to, const message_t *message)
 {
     fleet_host_t *at = &fleet->hosts[from];
     bool beat = message->kind == MESSAGE_HEARTBEAT;
@@ -289,11 +314,11 @@
         copies--;
         copy.record.bytes = xcalloc(1, item.record.count);
         memcpy(copy.record.bytes, item.record.bytes, item.record.count);
-        copy.at_us = fleet->now_us + fleet->settings.delay_least_us +
-                     (int64_t)fleet_random(
-                         fleet, fleet->settings.delay_most_us + 1);
-        if (fleet->hosts[to].member == NULL || at->side !=
-                fleet->hosts[to].side ||
+        copy.at_us =
+            fleet->now_us + fleet->settings.delay_least_us +
+            (int64_t)fleet_random(fleet, fleet->settings.delay_most_us + 1);
+        if (fleet->hosts[to].member == NULL ||
+            at->side != fleet->hosts[to].side ||
             fleet_random(fleet, 1000) < fleet->settings.loss_permille) {
             free(copy.record.bytes);
             continue;
@@ -313,8 +338,8 @@
     for (i = 0; i < fleet->orders.count; i++) {
         order = &fleet->orders.items[i];
         if (order->kind == ORDER_TELL) {
-            send(fleet, host, index_of(order->order_t_u.tell.host),
-                 &order->order_t_u.tell.message);
+            transmit(fleet, host, index_of(order->order_t_u.tell.host),
+                     &order->order_t_u.tell.message);
         }
     }
 }
@@ -358,8 +383,7 @@
     for (i = 0; i < heartbeat->news.news_len; i++) {
         news = &heartbeat->news.news_val[i];
         if (news->state == NEWS_LEAVING) {
-            if (news->incarnation >
-                at->heard_leaving[index_of(news->host)]) {
+            if (news->incarnation > at->heard_leaving[index_of(news->host)]) {
                 at->heard_leaving[index_of(news->host)] = news->incarnation;
             }
             news->state = hide ? NEWS_LIVE : NEWS_LEAVING;
@@ -398,15 +422,14 @@
     member_self_t self = self_of(at);
     bool beat;
 
-    wire_read(record->bytes + WIRE_MARK_BYTES,
-              record->count - WIRE_MARK_BYTES, with, &input);
+    wire_read(record->bytes + WIRE_MARK_BYTES, record->count - WIRE_MARK_BYTES,
+              with, &input);
     if (input.kind != WIRE_CALL) {
         abort();
     }
     beat = message->kind == MESSAGE_HEARTBEAT;
-    at->received_bytes +=
-        record->count - WIRE_MARK_BYTES +
-        (beat ? DATAGRAM_HEADER_BYTES : STREAM_HEADER_BYTES);
+    at->received_bytes += record->count - WIRE_MARK_BYTES +
+                          (beat ? DATAGRAM_HEADER_BYTES : STREAM_HEADER_BYTES);
     at->sent_bytes += REPLY_BYTES + DATAGRAM_HEADER_BYTES;
     fleet->hosts[index_of(input.call.from)].received_bytes +=
         REPLY_BYTES + DATAGRAM_HEADER_BYTES;
@@ -419,10 +442,11 @@
         if (fleet->settings.hosts <= MEMBER_MESH_MAX) {
             check_addresses(fleet, at);
         }
-    } else if (message->kind == MESSAGE_CONFIG) {
-        take_config(fleet, at, input.call.from,
-                    &message->message_t_u.config);
-    } else if (!fleet->settings.without_digests) {
+    }
+    else if (message->kind == MESSAGE_CONFIG) {
+        take_config(fleet, at, input.call.from, &message->message_t_u.config);
+    }
+    else if (!fleet->settings.without_digests) {
         spread_digest(at->spread, fleet->now_us, input.call.from,
                       &message->message_t_u.config_digest, &fleet->orders);
     }
@@ -438,11 +462,11 @@
     host_entry_t *entry;
     uint32_t i;
 
-    event.hosts.hosts_val = arena_array(
-        &fleet->orders.arena, fleet->settings.hosts, sizeof(*entry));
+    event.hosts.hosts_val = arena_array(&fleet->orders.arena,
+                                        fleet->settings.hosts, sizeof(*entry));
     for (i = 0; i < fleet->settings.hosts; i++) {
-        if (fleet->hosts[i].incarnation == 0) {
-            continue;
+        if (fleet->hosts[i].incarnation == INCARNATION_FIRST) {
+            continue; /* It was never started. */
         }
         entry = &event.hosts.hosts_val[event.hosts.hosts_len];
         event.hosts.hosts_len++;
@@ -471,8 +495,8 @@
     config.key = name;
     config.revision = item->revision;
     config.text.text_len = fleet->settings.text_bytes;
-    config.text.text_val = arena_alloc(&fleet->orders.arena,
-                                       fleet->settings.text_bytes + 1);
+    config.text.text_val =
+        arena_alloc(&fleet->orders.arena, fleet->settings.text_bytes + 1);
     take_config(fleet, &fleet->hosts[host], NULL, &config);
     carry_out(fleet, host);
 }
--- a/regress/fleet.h
+++ b/regress/fleet.h
@@ -27,7 +27,7 @@
     uint32_t twice_permille;
     uint32_t delay_least_us;
     uint32_t delay_most_us;
-    uint32_t store_hosts; /* only so many can reach the store; 0: all */
+    uint32_t store_hosts;  /* only so many can reach the store; 0: all */
     int64_t list_every_us; /* of the platform's host list; 0: once */
     int64_t list_lag_us;
     uint32_t text_bytes; /* of a document */
@@ -82,6 +82,7 @@
 void fleet_stop(fleet_t *fleet, uint32_t host); /* at once, as by SIGKILL */
 void fleet_leave(fleet_t *fleet, uint32_t host);
 void fleet_write(fleet_t *fleet, uint32_t key); /* a new revision of it */
+void fleet_read_all(fleet_t *fleet);
 void fleet_run(fleet_t *fleet, int64_t for_us);
 
 /* How many hosts lack the store's revision of any key. */
