--- a/world/link.x
+++ b/world/link.x
@@ -22,7 +22,8 @@
     MESSAGE_SUPERSEDED = 5,
     MESSAGE_CONFIG = 6,
     MESSAGE_CONFIG_DIGEST = 7,
-    MESSAGE_SUSPECT = 8
+    MESSAGE_SUSPECT = 8,
+    MESSAGE_RECORD_GAP = 9
 };
 
 /*
@@ -135,6 +136,16 @@
     uint32_t epoch;
 };
 
+/*
+ * Tells an owner that its keeper misses part of the record: it holds only
+ * so many tokens of this epoch, and wants all from there on.
+ */
+struct record_gap_t {
+    request_name_t request;
+    uint32_t epoch;
+    uint32_t held;
+};
+
 /* One key of the operators' configuration. */
 struct config_t {
     name_t key;
@@ -190,4 +201,6 @@
     config_digest_t config_digest;
 case MESSAGE_SUSPECT:
     suspect_t suspect;
+case MESSAGE_RECORD_GAP:
+    record_gap_t record_gap;
 };
