--- a/backend/engine.c
+++ b/backend/engine.c
@@ -18,8 +18,9 @@
     ENGINE_CONNECT_TIMEOUT_MS = 1000,
     ENGINE_CANCEL_TIMEOUT_MS = 2000,
     ENGINE_PATH_BYTES = 768,
-    ENGINE_HEADER_BYTES = 512,
-    ENGINE_ID_BYTES = 300,
+    ENGINE_HEADER_BYTES = 640,
+    ENGINE_ID_BYTES = 512,
+    ENGINE_ESCAPE_BYTES = sizeof("~00"),
     HTTP_STATUS_OK = 200,
     HTTP_STATUS_BAD_REQUEST = 400,
     HTTP_STATUS_NOT_FOUND = 404,
@@ -221,21 +222,30 @@
     HASH_ADD(hh, engine->streams, number, sizeof(stream->number), stream);
 }
 
-/* The name goes into a path and a header: other bytes become '_'. */
+/*
+ * The name goes into a path and a header: any byte that may not stand in
+ * both is written as '~' and its hexadecimal digits, so that two names
+ * never become one.
+ */
 static void
 make_id(char *id, backend_endpoint_t endpoint, const char *name)
 {
     static const char plain[] = "abcdefghijklmnopqrstuvwxyz"
-                                "ABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-._~:";
-    const char *prefix = endpoint == BACKEND_CHAT ? "chatcmpl-" : "cmpl-";
-    char *at = id + strlen(prefix);
-
-    (void)snprintf(id, ENGINE_ID_BYTES, "%s%s", prefix, name);
-    for (; *at != '\0'; at++) {
-        if (strchr(plain, *at) == NULL) {
-            *at = '_';
+                                "ABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-._:";
+    char *end = id + ENGINE_ID_BYTES - ENGINE_ESCAPE_BYTES;
+
+    id = stpcpy(id, endpoint == BACKEND_CHAT ? "chatcmpl-" : "cmpl-");
+    for (; *name != '\0' && id < end; name++) {
+        if (strchr(plain, *name) != NULL) {
+            *id++ = *name;
+        }
+        else {
+            (void)snprintf(id, ENGINE_ESCAPE_BYTES, "~%02x",
+                           (unsigned char)*name);
+            id += ENGINE_ESCAPE_BYTES - 1;
         }
     }
+    *id = '\0';
 }
 
 static void
--- /dev/null
+++ b/regress/test_etcd_json.c
@@ -0,0 +1,299 @@
+/* test_etcd_json.c - etcd's JSON as it is made and read. */
+#include <check.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <jansson.h>
+
+#include "platform/base64.h"
+#include "platform/etcd_json.h"
+
+enum { TEXT_BYTES = 1024 };
+
+static const platform_op_t swap_ops[] = {
+    {.verb = PLATFORM_PUT,
+     .key = "a",
+     .value = "1",
+     .value_bytes = 1,
+     .lease = 7587862094},
+    {.verb = PLATFORM_DELETE, .key = "b"},
+    {.verb = PLATFORM_GET, .key = "c"},
+};
+static const platform_swap_t swaps[] = {
+    {.key = "a",
+     .mod_revision = 9007199254740993,
+     .ops = swap_ops,
+     .op_count = 3},
+    {.key = "b", .value = "", .value_bytes = 0},
+};
+
+static void
+check_made(const char *made, const char *meant)
+{
+    json_t *left = json_loads(made, 0, NULL);
+    json_t *right = json_loads(meant, 0, NULL);
+
+    ck_assert_ptr_nonnull(right);
+    ck_assert_msg(json_equal(left, right), "%s", made);
+    json_decref(left);
+    json_decref(right);
+}
+
+START_TEST(made)
+{
+    arena_t arena = {0};
+
+    check_made(etcd_make_range(&arena, "/a/", true),
+               "{\"key\":\"L2Ev\",\"range_end\":\"L2Ew\"}");
+    check_made(etcd_make_range(&arena, "/a/", false), "{\"key\":\"L2Ev\"}");
+    check_made(etcd_make_range(&arena, "", true),
+               "{\"key\":\"AA==\",\"range_end\":\"AA==\"}");
+    check_made(etcd_make_range(&arena, "a\xff", true),
+               "{\"key\":\"Yf8=\",\"range_end\":\"Yg==\"}");
+    check_made(etcd_make_range(&arena, "\xff", true),
+               "{\"key\":\"/w==\",\"range_end\":\"AA==\"}");
+    check_made(etcd_make_grant(&arena, 5), "{\"TTL\":\"5\"}");
+    check_made(etcd_make_lease(&arena, INT64_MAX),
+               "{\"ID\":\"9223372036854775807\"}");
+    check_made(etcd_make_watch(&arena, "a", 3),
+               "{\"create_request\":{\"key\":\"YQ==\",\"range_end\":\"Yg==\","
+               "\"start_revision\":\"3\"}}");
+    check_made(
+        etcd_make_swap(&arena, swaps, 2),
+        "{\"success\":["
+        "{\"requestTxn\":{\"compare\":[{\"target\":\"MOD\",\"result\":"
+        "\"EQUAL\",\"key\":\"YQ==\",\"mod_revision\":\"9007199254740993\"}],"
+        "\"success\":[{\"requestPut\":{\"key\":\"YQ==\",\"value\":\"MQ==\","
+        "\"lease\":\"7587862094\"}},"
+        "{\"requestDeleteRange\":{\"key\":\"Yg==\"}},"
+        "{\"requestRange\":{\"key\":\"Yw==\"}}],"
+        "\"failure\":[{\"requestRange\":{\"key\":\"YQ==\"}}]}},"
+        "{\"requestTxn\":{\"compare\":[{\"target\":\"VALUE\",\"result\":"
+        "\"EQUAL\",\"key\":\"Yg==\",\"value\":\"\"}],\"success\":[],"
+        "\"failure\":[{\"requestRange\":{\"key\":\"Yg==\"}}]}}]}");
+    arena_free(&arena);
+}
+END_TEST
+
+typedef enum { READ_RANGE, READ_SWAP, READ_LEASE, READ_WATCH } read_t;
+
+typedef struct {
+    read_t read;
+    const char *json;
+    const char *meant; /* NULL: an error */
+} read_case_t;
+
+static const read_case_t read_cases[] = {
+    {READ_RANGE, "{\"header\":{\"revision\":\"7\"}}", "7"},
+    {READ_RANGE, "{\"header\":{\"revision\":7},\"kvs\":[],\"count\":0}", "7"},
+    {READ_RANGE,
+     "{\"header\":{\"revision\":\"9007199254740993\"},\"kvs\":[{\"key\":"
+     "\"YQ==\",\"mod_revision\":5,\"create_revision\":\"4\",\"version\":"
+     "\"2\",\"lease\":\"3\"},{\"key\":\"Yg==\",\"value\":\"AGI=\"}]}",
+     "9007199254740993 a=0@5/4v2l3 b=2@0/0v0l0"},
+    {READ_RANGE, "{\"kvs\":[]}", NULL},
+    {READ_RANGE, "{\"header\":{\"revision\":\"x\"}}", NULL},
+    {READ_RANGE, "{\"header\":{\"revision\":\"\"}}", NULL},
+    {READ_RANGE, "{\"header\":{\"revision\":1.5}}", NULL},
+    {READ_RANGE, "{\"header\":{\"revision\":\"9223372036854775808\"}}", NULL},
+    {READ_RANGE, "{\"header\":{},\"kvs\":{}}", NULL},
+    {READ_RANGE, "{\"header\":{},\"kvs\":[1]}", NULL},
+    {READ_RANGE, "{\"header\":{},\"kvs\":[{\"key\":\"Y\"}]}", NULL},
+    {READ_RANGE, "{\"header\":{},\"kvs\":[{\"key\":\"Y=Q=\"}]}", NULL},
+    {READ_RANGE, "{\"header\":{},\"kvs\":[{\"key\":\"Y===\"}]}", NULL},
+    {READ_RANGE, "{\"header\":{},\"kvs\":[{\"key\":7}]}", NULL},
+    {READ_RANGE, "", NULL},
+    {READ_SWAP,
+     "{\"header\":{\"revision\":\"8\"},\"succeeded\":true,\"responses\":["
+     "{\"response_txn\":{\"succeeded\":true}},"
+     "{\"responseTxn\":{\"responses\":[{\"responseRange\":{\"kvs\":["
+     "{\"key\":\"YQ==\",\"value\":\"MQ==\",\"mod_revision\":\"3\"}]}}]}},"
+     "{\"response_txn\":{\"succeeded\":false,\"responses\":["
+     "{\"response_range\":{}}]}}]}",
+     "8 won a=1@3/0v0l0 =0@0/0v0l0"},
+    {READ_SWAP, "{\"header\":{},\"responses\":[]}", NULL},
+    {READ_SWAP, "{\"header\":{},\"responses\":[{},{},{}]}", NULL},
+    {READ_SWAP,
+     "{\"header\":{},\"responses\":[{\"response_txn\":{}},{\"response_txn\":"
+     "{}},{\"response_txn\":{}}]}",
+     NULL},
+    {READ_LEASE, "{\"header\":{},\"ID\":\"9\",\"TTL\":\"5\"}", "9 5"},
+    {READ_LEASE, "{\"result\":{\"header\":{},\"ID\":9,\"TTL\":5}}", "9 5"},
+    {READ_LEASE, "{\"result\":{\"header\":{},\"ID\":\"9\"}}", "9 0"},
+    {READ_LEASE, "{\"header\":{}}", "0 0"},
+    {READ_LEASE, "{}", NULL},
+    {READ_WATCH,
+     "{\"result\":{\"header\":{\"revision\":\"4\"},\"created\":true}}",
+     "4 created"},
+    {READ_WATCH,
+     "{\"result\":{\"header\":{\"revision\":\"5\"},\"events\":["
+     "{\"type\":\"PUT\",\"kv\":{\"key\":\"YQ==\",\"value\":\"MQ==\","
+     "\"mod_revision\":\"5\",\"create_revision\":\"5\",\"version\":\"1\"}},"
+     "{\"type\":\"DELETE\",\"kv\":{\"key\":\"Yg==\",\"mod_revision\":"
+     "\"5\"}}]}}",
+     "5 a=1@5/5v1l0 b=0@5/0v0l0"},
+    {READ_WATCH,
+     "{\"result\":{\"header\":{\"revision\":\"9\"},\"canceled\":true,"
+     "\"compact_revision\":\"6\"}}",
+     "6 canceled"},
+    {READ_WATCH, "{\"error\":{\"message\":\"x\"}}", NULL},
+    {READ_WATCH, "{\"result\":{\"header\":{},\"events\":[{}]}}", NULL},
+    {READ_WATCH, "{}", NULL},
+};
+
+static void
+note_pair(char *text, const platform_pair_t *pair)
+{
+    size_t used = strlen(text);
+
+    (void)snprintf(text + used, TEXT_BYTES - used, " %s=%zu@%d/%dv%dl%d",
+                   pair->key, pair->value_bytes, (int)pair->mod_revision,
+                   (int)pair->create_revision, (int)pair->version,
+                   (int)pair->lease);
+}
+
+static int
+read_range(arena_t *arena, const char *json, char *text, err_t *err)
+{
+    etcd_range_t range;
+    size_t i;
+
+    if (etcd_read_range(arena, json, strlen(json), &range, err) < 0) {
+        return -1;
+    }
+    (void)snprintf(text, TEXT_BYTES, "%lld", (long long)range.revision);
+    for (i = 0; i < range.count; i++) {
+        note_pair(text, &range.pairs[i]);
+    }
+    return 0;
+}
+
+static int
+read_swap(arena_t *arena, const char *json, char *text, err_t *err)
+{
+    etcd_swap_t swap;
+    size_t i;
+
+    if (etcd_read_swap(arena, json, strlen(json), 3, &swap, err) < 0) {
+        return -1;
+    }
+    (void)snprintf(text, TEXT_BYTES, "%d", (int)swap.revision);
+    for (i = 0; i < swap.count; i++) {
+        if (swap.answers[i].won) {
+            (void)strcat(text, " won");
+        }
+        else {
+            note_pair(text, &swap.answers[i].held);
+        }
+    }
+    return 0;
+}
+
+static int
+read_lease(const char *json, char *text, err_t *err)
+{
+    etcd_lease_t lease;
+
+    if (etcd_read_lease(json, strlen(json), &lease, err) < 0) {
+        return -1;
+    }
+    (void)snprintf(text, TEXT_BYTES, "%d %d", (int)lease.lease,
+                   (int)lease.ttl_s);
+    return 0;
+}
+
+static int
+read_watch(arena_t *arena, const char *json, char *text, err_t *err)
+{
+    etcd_watch_t watch;
+    size_t i;
+
+    if (etcd_read_watch(arena, json, strlen(json), &watch, err) < 0) {
+        return -1;
+    }
+    (void)snprintf(text, TEXT_BYTES, "%d%s%s", (int)watch.revision,
+                   watch.created ? " created" : "",
+                   watch.canceled ? " canceled" : "");
+    for (i = 0; i < watch.count; i++) {
+        note_pair(text, &watch.pairs[i]);
+    }
+    return 0;
+}
+
+START_TEST(answers)
+{
+    const read_case_t *c = &read_cases[_i];
+    char text[TEXT_BYTES] = "";
+    arena_t arena = {0};
+    err_t err = {0};
+    int result = 0;
+
+    switch (c->read) {
+    case READ_RANGE:
+        result = read_range(&arena, c->json, text, &err);
+        break;
+    case READ_SWAP:
+        result = read_swap(&arena, c->json, text, &err);
+        break;
+    case READ_LEASE:
+        result = read_lease(c->json, text, &err);
+        break;
+    case READ_WATCH:
+        result = read_watch(&arena, c->json, text, &err);
+        break;
+    }
+    ck_assert_int_eq(result, c->meant != NULL ? 0 : -1);
+    if (c->meant != NULL) {
+        ck_assert_str_eq(text, c->meant);
+    }
+    else {
+        ck_assert_int_eq(err.kind, ERR_PROTOCOL);
+        ck_assert_ptr_nonnull(strstr(err.message, ": "));
+    }
+    arena_free(&arena);
+}
+END_TEST
+
+/* Every length, and every byte value. */
+START_TEST(base64_there_and_back)
+{
+    char bytes[256];
+    size_t length;
+
+    for (length = 0; length < sizeof(bytes); length++) {
+        arena_t arena = {0};
+        size_t got = 0;
+        char *back;
+
+        bytes[length] = (char)length;
+        back =
+            base64_decode(&arena, base64_encode(&arena, bytes, length), &got);
+        ck_assert_ptr_nonnull(back);
+        ck_assert_uint_eq(got, length);
+        ck_assert_mem_eq(back, bytes, length);
+        ck_assert_int_eq(back[length], '\0');
+        arena_free(&arena);
+    }
+}
+END_TEST
+
+int
+main(void)
+{
+    Suite *suite = suite_create("etcd_json");
+    TCase *tcase = tcase_create("etcd_json");
+    SRunner *runner;
+    int failed;
+
+    tcase_add_test(tcase, made);
+    tcase_add_loop_test(tcase, answers, 0,
+                        sizeof(read_cases) / sizeof(read_cases[0]));
+    tcase_add_test(tcase, base64_there_and_back);
+    suite_add_tcase(suite, tcase);
+    runner = srunner_create(suite);
+    srunner_run_all(runner, CK_ENV);
+    failed = srunner_ntests_failed(runner);
+    srunner_free(runner);
+    return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
