--- a/agated/claims.c
+++ b/agated/claims.c
@@ -72,10 +72,13 @@
 void
 claims_free(claims_t *claims)
 {
-    call_t *call;
+    call_t *call = TAILQ_FIRST(&claims->calls);
+
+    while (call != NULL) {
+        call_t *next = TAILQ_NEXT(call, link);
 
-    while ((call = TAILQ_FIRST(&claims->calls)) != NULL) {
         call_free(call);
+        call = next;
     }
     free(claims);
 }
@@ -136,7 +139,6 @@
 static void
 call_free(call_t *call)
 {
-    TAILQ_REMOVE(&call->claims->calls, call, link);
     uv_close((uv_handle_t *)call->timer, (uv_close_cb)free);
     arena_free(&call->arena);
     free(call);
@@ -261,7 +263,10 @@
                          backoff_next_ms(&call->backoff), 0);
 }
 
-/* answers is NULL when the store gave none. */
+/*
+ * answers is NULL when the store gave none.  For a release the batch is 0
+ * and the holder is the mark that was to go; see policy/claim_queue.h.
+ */
 static void
 finish_call(call_t *call, const platform_swap_answer_t *answers)
 {
@@ -275,13 +280,15 @@
     for (i = 0; i < call->count; i++) {
         read_outcome(call, i, answers == NULL ? NULL : &answers[i],
                      &outcomes[i]);
+        if (call->release) {
+            outcomes[i].holder = (char *)(uintptr_t)call->mark;
+        }
     }
     claimed->batch = call->batch;
     claimed->outcomes.outcomes_len = (u_int)call->count;
     claimed->outcomes.outcomes_val = outcomes;
-    if (!call->release) {
-        dispatch_event(dispatch, &event);
-    }
+    TAILQ_REMOVE(&call->claims->calls, call, link);
+    dispatch_event(dispatch, &event);
     call_free(call);
 }
 
