Stop cleanly: close idle connections, free every task, fail at start

Cause: ASan's leak check showed h2o, libuv and tasks left behind at exit. Change: listener closes idle connections once all is sent, and disposes of h2o; what can fail is opened before any work.

--- a/agated/agated.c
+++ b/agated/agated.c
@@ -20,7 +20,8 @@
 
 static error_t parse_option(int key, char *arg, struct argp_state *state);
 static int run(const settings_t *settings);
-static int start(daemon_t *daemon, err_t *err);
+static int open_tasks(daemon_t *daemon, err_t *err);
+static void start_tasks(daemon_t *daemon);
 static void start_node(daemon_t *daemon);
 static void stop(daemon_t *daemon);
 static uint64_t wall_clock_us(void);
@@ -96,31 +97,36 @@
     uv_loop_t loop;
     err_t err;
     size_t i;
+    int status = EXIT_FAILURE;
 
     (void)signal(SIGPIPE, SIG_IGN);
     (void)uv_loop_init(&loop);
     daemon.loop = &loop;
     daemon.incarnation = wall_clock_us();
-    if (start(&daemon, &err) < 0) {
+    if (open_tasks(&daemon, &err) < 0) {
         (void)fprintf(stderr, "%s\n", err.message);
-        return EXIT_FAILURE;
+        goto done;
     }
     for (i = 0; i < SIGNAL_COUNT; i++) {
         (void)uv_signal_init(&loop, &signals[i]);
         signals[i].data = &daemon;
         (void)uv_signal_start(&signals[i], on_signal, numbers[i]);
     }
+    start_tasks(&daemon);
     (void)uv_run(&loop, UV_RUN_DEFAULT);
     for (i = 0; i < SIGNAL_COUNT; i++) {
         uv_close((uv_handle_t *)&signals[i], NULL);
     }
-    stop(&daemon);
     log_line(LOG_NOTICE, "stopped");
-    return EXIT_SUCCESS;
+    status = EXIT_SUCCESS;
+done:
+    stop(&daemon);
+    return status;
 }
 
+/* All that can fail, so that a wrong setting is told before any work. */
 static int
-start(daemon_t *daemon, err_t *err)
+open_tasks(daemon_t *daemon, err_t *err)
 {
     const settings_t *settings = daemon->settings;
 
@@ -128,6 +134,10 @@
     if (daemon->listener == NULL) {
         return -1;
     }
+    daemon->dispatch = dispatch_new(daemon, err);
+    if (daemon->dispatch == NULL) {
+        return -1;
+    }
     if (settings->peers_address != NULL) {
         daemon->peers = peers_new(daemon, err);
         if (daemon->peers == NULL) {
@@ -137,23 +147,23 @@
     daemon->client = http_client_new(daemon->loop);
     if (strcmp(settings->platform_kind, "memory") == 0) {
         daemon->platform = platform_memory_new(daemon->loop);
-        if (seed_platform(daemon, err) < 0) {
-            return -1;
-        }
-    }
-    else {
-        daemon->platform = platform_etcd_new(
-            daemon->client, settings->platform_addresses.items,
-            settings->platform_addresses.count, settings->platform_timeout_ms);
+        return seed_platform(daemon, err);
     }
-    daemon->dispatch = dispatch_new(daemon);
+    daemon->platform = platform_etcd_new(
+        daemon->client, settings->platform_addresses.items,
+        settings->platform_addresses.count, settings->platform_timeout_ms);
+    return 0;
+}
+
+static void
+start_tasks(daemon_t *daemon)
+{
     daemon->backends = backends_new(daemon);
     start_node(daemon);
     daemon->claims = claims_new(daemon);
     daemon->presence = presence_new(daemon);
     daemon->documents = documents_new(daemon);
     listener_start(daemon->listener);
-    return 0;
 }
 
 static void
@@ -179,22 +189,29 @@
     dispatch_event(daemon->dispatch, &event);
 }
 
-/* The platform goes first: its callbacks would come to freed tasks. */
+/*
+ * The platform goes first, whose callbacks would come to freed tasks, and
+ * the listener last, because h2o runs the loop while it cleans up.
+ */
 static void
 stop(daemon_t *daemon)
 {
-    daemon->platform->ops->free(daemon->platform);
-    if (daemon->peers != NULL) {
-        peers_free(daemon->peers);
+    if (daemon->platform != NULL) {
+        daemon->platform->ops->free(daemon->platform);
     }
+    peers_free(daemon->peers);
     documents_free(daemon->documents);
     presence_free(daemon->presence);
     claims_free(daemon->claims);
     backends_free(daemon->backends);
+    if (daemon->client != NULL) {
+        http_client_free(daemon->client);
+    }
     dispatch_free(daemon->dispatch);
     listener_free(daemon->listener);
-    http_client_free(daemon->client);
     (void)uv_run(daemon->loop, UV_RUN_NOWAIT);
+    (void)uv_run(daemon->loop, UV_RUN_NOWAIT);
+    (void)uv_loop_close(daemon->loop);
 }
 
 /* Rises over restarts, so that a later incarnation has a higher number. */
--- a/agated/agated.h
+++ b/agated/agated.h
@@ -4,6 +4,7 @@
  * Each task is one file that owns its sockets and its state.  Events go to
  * the dispatcher, which gives them to node_step() one at a time and hands
  * each order to the task that carries it out.  All run on one libuv loop.
+ * Each ..._free() takes NULL, too.
  */
 #ifndef AGATED_AGATED_H
 #define AGATED_AGATED_H
@@ -47,7 +48,8 @@
 
 /* --- dispatch.c: the one place that calls node_step() --- */
 
-dispatch_t *dispatch_new(daemon_t *daemon);
+/* NULL with *err set when the event log cannot be opened. */
+dispatch_t *dispatch_new(daemon_t *daemon, err_t *err);
 void dispatch_free(dispatch_t *dispatch);
 
 /* Steps the node; an event raised while a step runs waits for its end. */
--- a/agated/backends.c
+++ b/agated/backends.c
@@ -71,8 +71,12 @@
 void
 backends_free(backends_t *backends)
 {
-    service_stream_t *stream = backends->service_streams;
+    service_stream_t *stream;
 
+    if (backends == NULL) {
+        return;
+    }
+    stream = backends->service_streams;
     backends->engine->ops->free(backends->engine);
     backends->service->ops->free(backends->service);
     HASH_CLEAR(hh, backends->service_streams);
--- a/agated/claims.c
+++ b/agated/claims.c
@@ -72,8 +72,12 @@
 void
 claims_free(claims_t *claims)
 {
-    call_t *call = TAILQ_FIRST(&claims->calls);
+    call_t *call;
 
+    if (claims == NULL) {
+        return;
+    }
+    call = TAILQ_FIRST(&claims->calls);
     while (call != NULL) {
         call_t *next = TAILQ_NEXT(call, link);
 
--- a/agated/dispatch.c
+++ b/agated/dispatch.c
@@ -36,29 +36,35 @@
 static void step_waiting(dispatch_t *dispatch);
 
 dispatch_t *
-dispatch_new(daemon_t *daemon)
+dispatch_new(daemon_t *daemon, err_t *err)
 {
-    dispatch_t *dispatch = xcalloc(1, sizeof(*dispatch));
-    err_t err;
-
+    const char *event_log = daemon->settings->event_log;
+    journal_t *journal = NULL;
+    dispatch_t *dispatch;
+
+    if (event_log != NULL) {
+        journal = journal_open(event_log, err);
+        if (journal == NULL) {
+            return NULL;
+        }
+    }
+    dispatch = xcalloc(1, sizeof(*dispatch));
+    dispatch->journal = journal;
     dispatch->daemon = daemon;
     dispatch->node = node_new();
     STAILQ_INIT(&dispatch->waiting);
     dispatch->timer = xcalloc(1, sizeof(*dispatch->timer));
     (void)uv_timer_init(daemon->loop, dispatch->timer);
     dispatch->timer->data = dispatch;
-    if (daemon->settings->event_log != NULL) {
-        dispatch->journal = journal_open(daemon->settings->event_log, &err);
-        if (dispatch->journal == NULL) {
-            log_line(LOG_ERR, "event log: %s", err.message);
-        }
-    }
     return dispatch;
 }
 
 void
 dispatch_free(dispatch_t *dispatch)
 {
+    if (dispatch == NULL) {
+        return;
+    }
     journal_close(dispatch->journal);
     uv_close((uv_handle_t *)dispatch->timer, (uv_close_cb)free);
     orders_free(&dispatch->orders);
--- a/agated/documents.c
+++ b/agated/documents.c
@@ -83,6 +83,9 @@
     entry_t *next;
     size_t i;
 
+    if (documents == NULL) {
+        return;
+    }
     for (i = 0; i < AREA_COUNT; i++) {
         area_t *area = &documents->areas[i];
 
--- a/agated/listener.c
+++ b/agated/listener.c
@@ -2,6 +2,8 @@
 #include <poll.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/queue.h>
+#include <sys/socket.h>
 
 #include <xxhash.h>
 
@@ -13,10 +15,17 @@
     BACKLOG = 1024,
     CUT_CHECK_INTERVAL_MS = 200,
     STOP_CHECK_INTERVAL_MS = 20,
+    QUIET_CHECKS = 3,
     STATUS_NOT_FOUND = 404,
     STATUS_TOO_LARGE = 413
 };
 
+/* An accepted connection; h2o owns what comes in and goes out on it. */
+typedef struct client {
+    uv_tcp_t socket; /* first: it is closed by it */
+    LIST_ENTRY(client) link;
+} client_t;
+
 struct listener {
     daemon_t *daemon;
     uv_tcp_t *socket;
@@ -26,7 +35,9 @@
     h2o_accept_ctx_t accept;
     uv_timer_t *timer;
     uint64_t callers_seen;
-    exchange_t *callers; /* by number */
+    LIST_HEAD(, client) clients;
+    uint32_t quiet_checks; /* in a row, while stopping */
+    exchange_t *callers;   /* by number */
 };
 
 /* An h2o handler or filter that knows the listener. */
@@ -38,6 +49,7 @@
 static int bind_socket(listener_t *listener, err_t *err);
 static void configure(listener_t *listener);
 static void on_connection(uv_stream_t *server, int status);
+static void on_client_closed(uv_handle_t *handle);
 static int on_request(h2o_handler_t *handler, h2o_req_t *req);
 static bool answer_view(listener_t *listener, h2o_req_t *req);
 static bool path_is(const h2o_req_t *req, const char *path);
@@ -114,10 +126,21 @@
 void
 listener_free(listener_t *listener)
 {
+    if (listener == NULL) {
+        return;
+    }
     if (listener->socket != NULL) {
         uv_close((uv_handle_t *)listener->socket, (uv_close_cb)free);
     }
     uv_close((uv_handle_t *)listener->timer, (uv_close_cb)free);
+    /* h2o says goodbye on HTTP/2 twice, a second apart. */
+    if (h2o_timeout_is_linked(
+            &listener->context.http2._graceful_shutdown_timeout)) {
+        h2o_timeout_unlink(
+            &listener->context.http2._graceful_shutdown_timeout);
+    }
+    h2o_context_dispose(&listener->context);
+    h2o_config_dispose(&listener->config);
     free(listener);
 }
 
@@ -202,21 +225,32 @@
 on_connection(uv_stream_t *server, int status)
 {
     listener_t *listener = server->data;
-    uv_tcp_t *client;
+    client_t *client;
 
     if (status < 0) {
         log_line(LOG_WARNING, "no connection reason=%s", uv_strerror(status));
         return;
     }
     client = xcalloc(1, sizeof(*client));
-    (void)uv_tcp_init(server->loop, client);
-    if (uv_accept(server, (uv_stream_t *)client) != 0) {
-        uv_close((uv_handle_t *)client, (uv_close_cb)free);
+    LIST_INSERT_HEAD(&listener->clients, client, link);
+    (void)uv_tcp_init(server->loop, &client->socket);
+    if (uv_accept(server, (uv_stream_t *)&client->socket) != 0) {
+        uv_close((uv_handle_t *)&client->socket, on_client_closed);
         return;
     }
-    (void)uv_tcp_nodelay(client, 1);
+    (void)uv_tcp_nodelay(&client->socket, 1);
     h2o_accept(&listener->accept,
-               h2o_uv_socket_create((uv_stream_t *)client, (uv_close_cb)free));
+               h2o_uv_socket_create((uv_stream_t *)&client->socket,
+                                    on_client_closed));
+}
+
+static void
+on_client_closed(uv_handle_t *handle)
+{
+    client_t *client = (client_t *)handle;
+
+    LIST_REMOVE(client, link);
+    free(client);
 }
 
 static int
@@ -342,12 +376,33 @@
     arena_free(&arena);
 }
 
+/*
+ * When every answer is out and nothing has been left to send for a while,
+ * idle connections are closed, and with the last of them the loop ends.
+ */
 static void
 on_stop_check(uv_timer_t *timer)
 {
     listener_t *listener = timer->data;
+    client_t *client;
+    bool quiet = HASH_COUNT(listener->callers) == 0;
+    uv_os_fd_t fd;
 
-    if (HASH_COUNT(listener->callers) == 0) {
+    LIST_FOREACH(client, &listener->clients, link)
+    {
+        quiet = quiet && client->socket.write_queue_size == 0;
+    }
+    listener->quiet_checks = quiet ? listener->quiet_checks + 1 : 0;
+    if (listener->quiet_checks < QUIET_CHECKS) {
+        return;
+    }
+    LIST_FOREACH(client, &listener->clients, link)
+    {
+        if (uv_fileno((uv_handle_t *)&client->socket, &fd) == 0) {
+            (void)shutdown(fd, SHUT_RD);
+        }
+    }
+    if (LIST_EMPTY(&listener->clients)) {
         uv_stop(listener->daemon->loop);
     }
 }
--- a/agated/peers.c
+++ b/agated/peers.c
@@ -76,6 +76,9 @@
     place_t *place;
     place_t *next;
 
+    if (peers == NULL) {
+        return;
+    }
     peer_free(peers->peer);
     HASH_ITER(hh, peers->places, place, next)
     {
--- a/agated/presence.c
+++ b/agated/presence.c
@@ -60,6 +60,9 @@
 void
 presence_free(presence_t *presence)
 {
+    if (presence == NULL) {
+        return;
+    }
     uv_close((uv_handle_t *)presence->timer, (uv_close_cb)free);
     arena_free(&presence->arena);
     free(presence);
