--- a/policy/attempt.c
+++ b/policy/attempt.c
@@ -6,10 +6,7 @@
 
 enum { SESSION_PRIORITY_STEP = 10 };
 
-static attempt_t *attempt_new(step_t *step, session_t *session,
-                              runner_state_t *runner);
-static void fill_open(step_t *step, const attempt_t *attempt,
-                      open_order_t *open);
+static void fill_open(step_t *step, attempt_t *attempt, open_order_t *open);
 static void fill_resumption(step_t *step, const session_t *session,
                             open_order_t *open);
 static void attempt_free(node_t *node, attempt_t *attempt);
@@ -116,7 +113,7 @@
     return live;
 }
 
-static attempt_t *
+attempt_t *
 attempt_new(step_t *step, session_t *session, runner_state_t *runner)
 {
     node_t *node = step->node;
@@ -142,7 +139,7 @@
 }
 
 static void
-fill_open(step_t *step, const attempt_t *attempt, open_order_t *open)
+fill_open(step_t *step, attempt_t *attempt, open_order_t *open)
 {
     session_t *session = attempt->session;
 
@@ -158,10 +155,16 @@
     open->seed = session->seed;
     open->priority = (int32_t)session->urgency * SESSION_PRIORITY_STEP;
     open->not_after_us = session->claim_until_us;
-    if (session->answer.token_count > 0) {
-        fill_resumption(step, session, open);
-        ((attempt_t *)attempt)->endpoint = ENDPOINT_COMPLETIONS;
+    if (session->answer.token_count == 0) {
+        return;
+    }
+    if (session->prompt_count == 0) {
+        attempt->probe = true;
+        open->max_tokens = 1;
+        return;
     }
+    fill_resumption(step, session, open);
+    attempt->endpoint = ENDPOINT_COMPLETIONS;
 }
 
 /* The prompt's and the answer's token ids are the new prompt. */
--- a/policy/caller.c
+++ b/policy/caller.c
@@ -28,8 +28,7 @@
     int64_t cut = answer_cut_at(&session->answer, position);
     uint64_t former = session->caller;
 
-    if (cut < session->answer.first_cut ||
-        cut > session->answer.ready_cuts) {
+    if (cut < session->answer.first_cut || cut > session->answer.ready_cuts) {
         caller_refuse(step, caller, REFUSAL_INVALID, RUN_UNKNOWN, 0,
                       "Last-Event-ID is not a position of this answer: send "
                       "the id of the last event that came whole");
@@ -113,6 +112,7 @@
     give->token_ids.token_ids_len = to.position - from.position;
     give->text.text_val = answer->text + from.text_bytes;
     give->text.text_len = to.text_bytes - from.text_bytes;
+    record_tail(step, session, give);
     step->node->counters.tokens_given += to.position - from.position;
     session->given = answer->ready_cuts;
 }
--- a/policy/event.x
+++ b/policy/event.x
@@ -78,6 +78,7 @@
     bool keyed;            /* the caller gave the key itself */
     bool resumes;          /* the caller gave a Last-Event-ID */
     uint32_t position;     /* tokens that it has received */
+    uint32_t attempt;      /* that gave it the last of them; 0: not said */
     uint32_t tail_from;    /* what its Last-Event-ID hands back: the ids */
     uint32_t tail_ids<1024>; /* of the tokens from here to position */
     endpoint_t endpoint;
@@ -278,6 +279,7 @@
     uint32_t position;
     uint32_t token_ids<EVENT_TOKENS_MAX>;
     opaque text<EVENT_BODY_MAX>;
+    uint32_t attempt;
     uint32_t tail_from;
     uint32_t tail_ids<1024>;
 };
--- a/policy/hosts.c
+++ b/policy/hosts.c
@@ -6,8 +6,6 @@
 static member_self_t self_of(const node_t *node);
 static void mark_leaving_runners(node_t *node, const hosts_event_t *hosts);
 static void put_in_force(step_t *step, const config_t *config);
-static void take_record(step_t *step, const char *from,
-                        const message_t *message);
 
 void
 hosts_start(step_t *step)
@@ -16,6 +14,7 @@
 
     node->member = member_new(step->now_us, &node->start);
     node->spread = spread_new(step->now_us, &node->start);
+    node->keep = keep_new(0);
 }
 
 void
@@ -26,6 +25,7 @@
     }
     member_free(node->member);
     spread_free(node->spread);
+    keep_free(node->keep);
 }
 
 void
@@ -55,12 +55,22 @@
                       &message->message_t_u.config_digest, step->orders);
         break;
     case MESSAGE_RECORD:
+        keep_record(node->keep, step->now_us, peer->host,
+                    &message->message_t_u.record, step->orders);
+        break;
+    case MESSAGE_RECORD_GAP:
+        record_gap(step, peer->host, &message->message_t_u.record_gap);
+        break;
     case MESSAGE_LOOKUP:
+        takeover_lookup(step, peer->host, &message->message_t_u.lookup);
+        break;
     case MESSAGE_FOUND:
+        takeover_found(step, &message->message_t_u.found);
+        break;
     case MESSAGE_SUPERSEDED:
+        takeover_superseded(step, &message->message_t_u.superseded);
+        break;
     case MESSAGE_SUSPECT:
-    case MESSAGE_RECORD_GAP:
-        take_record(step, peer->host, message);
         break;
     }
 }
@@ -97,6 +107,9 @@
     if (spread_due_us(node->spread) <= step->now_us) {
         spread_timer(node->spread, step->now_us, node->member, step->orders);
     }
+    if (keep_due_us(node->keep) <= step->now_us) {
+        keep_timer(node->keep, step->now_us);
+    }
 }
 
 int64_t
@@ -105,7 +118,10 @@
     int64_t member_us = member_due_us(node->member);
     int64_t spread_us = spread_due_us(node->spread);
 
-    return member_us < spread_us ? member_us : spread_us;
+    int64_t keep_us = keep_due_us(node->keep);
+    int64_t first_us = member_us < spread_us ? member_us : spread_us;
+
+    return first_us < keep_us ? first_us : keep_us;
 }
 
 static member_self_t
@@ -160,11 +176,3 @@
     }
     queue_pump(step);
 }
-
-static void
-take_record(step_t *step, const char *from, const message_t *message)
-{
-    (void)step;
-    (void)from;
-    (void)message;
-}
--- a/policy/intake.c
+++ b/policy/intake.c
@@ -123,7 +123,6 @@
 {
     node_t *node = step->node;
     session_t *session;
-    wish_t wish;
 
     if (node->active >= node->start.sessions_max) {
         refuse_request(step, request, REFUSAL_OVERLOADED, BUSY_RETRY_MS,
@@ -134,12 +133,20 @@
     session = session_new(step, request, organisation);
     describe(session, contract, kind);
     caller_attach(step, session, request->caller, 0);
-    if (request->position > 0) {
-        session_refuse(step, session, REFUSAL_BACKEND_LOST, RUN_UNKNOWN, 0,
-                       "the rest of this answer is lost: send the request "
-                       "again without Last-Event-ID to start anew");
+    if (request->keyed || request->resumes) {
+        takeover_ask(step, session);
         return;
     }
+    intake_start(step, session);
+}
+
+/* Nobody has run the request before, as far as is known. */
+void
+intake_start(step_t *step, session_t *session)
+{
+    node_t *node = step->node;
+    wish_t wish;
+
     wish = session_wish(session, node->start.zone);
     if (!runners_exist(&node->runners, &wish)) {
         session_refuse(step, session, REFUSAL_NO_RUNNER, RUN_NOT_RUN,
--- a/policy/node.c
+++ b/policy/node.c
@@ -42,6 +42,7 @@
         session_free(&step, session);
     }
     orders_free(&orders);
+    orders_free(&node->scratch);
     claim_queue_free(node->claims);
     hosts_free(node);
     runners_free(&node->runners);
--- a/policy/node.h
+++ b/policy/node.h
@@ -116,6 +116,7 @@
     uint64_t convicted;
     uint64_t sessions; /* now */
     uint64_t taken_over;
+    uint64_t records; /* parts sent to keepers */
 } node_counters_t;
 const node_counters_t *node_counters(const node_t *node);
 
--- a/policy/pieces.c
+++ b/policy/pieces.c
@@ -5,8 +5,7 @@
 #include "policy/private.h"
 
 static void hear(step_t *step, attempt_t *attempt);
-static void keep_prompt(session_t *session, const attempt_t *attempt,
-                        const piece_event_t *piece);
+static void end_probe(step_t *step, attempt_t *attempt);
 static bool in_place(step_t *step, attempt_t *attempt,
                      const piece_event_t *piece);
 static void hold(attempt_t *attempt, const piece_event_t *piece);
@@ -25,7 +24,14 @@
     }
     session = attempt->session;
     hear(step, attempt);
-    keep_prompt(session, attempt, piece);
+    if (attempt->first == 0 || attempt->probe) {
+        session_keep_prompt(session, piece->prompt_ids.prompt_ids_val,
+                            piece->prompt_ids.prompt_ids_len);
+    }
+    if (attempt->probe) {
+        end_probe(step, attempt);
+        return;
+    }
     if (!in_place(step, attempt, piece)) {
         return;
     }
@@ -40,6 +46,7 @@
         return;
     }
     win(step, attempt);
+    session->writer = attempt->number;
     if (piece->finish != FINISH_NONE) {
         attempt_drop(step, attempt);
     }
@@ -49,6 +56,7 @@
         return;
     }
     caller_give(step, session);
+    record_grown(step, session);
     session_schedule(step, session);
 }
 
@@ -105,19 +113,20 @@
     runner->piece_us = step->now_us;
 }
 
+/* The prompt's ids are what it was for; its own token is not used. */
 static void
-keep_prompt(session_t *session, const attempt_t *attempt,
-            const piece_event_t *piece)
+end_probe(step_t *step, attempt_t *attempt)
 {
-    uint32_t count = piece->prompt_ids.prompt_ids_len;
+    session_t *session = attempt->session;
 
-    if (count == 0 || session->prompt_count > 0 || attempt->first > 0) {
+    attempt_cancel(step, attempt);
+    if (session->prompt_count == 0) {
+        session_refuse(step, session, REFUSAL_BACKEND_LOST, RUN_RAN, 0,
+                       "the backend server gives no token ids to go on "
+                       "from: send the request again from its start");
         return;
     }
-    session->prompt_ids = xcalloc(count, sizeof(uint32_t));
-    memcpy(session->prompt_ids, piece->prompt_ids.prompt_ids_val,
-           count * sizeof(uint32_t));
-    session->prompt_count = count;
+    resume_elsewhere(step, session, NULL);
 }
 
 /* Whether the piece is the attempt's next; a gap is a loss. */
--- a/policy/private.h
+++ b/policy/private.h
@@ -11,6 +11,7 @@
 
 #include "policy/claim_queue.h"
 #include "policy/config.h"
+#include "policy/keep.h"
 #include "policy/member.h"
 #include "policy/node.h"
 #include "policy/runners.h"
@@ -37,6 +38,8 @@
     member_t *member;
     spread_t *spread;
     claim_queue_t *claims;
+    keep_t *keep;
+    order_list_t scratch; /* orders made aside; valid until the next step */
     runners_t runners;
     session_t *sessions; /* by id */
     session_t *by_name;
@@ -58,6 +61,7 @@
 
 /* intake.c: a request arrives, or its caller leaves. */
 void intake_request(step_t *step, const request_event_t *request);
+void intake_start(step_t *step, session_t *session);
 void intake_caller_gone(step_t *step, uint64_t caller);
 
 /* caller.c: what the present caller of a session is told. */
@@ -80,6 +84,9 @@
                     run_t run, uint32_t retry_after_ms, const char *message);
 void session_refuse_claim(step_t *step, session_t *session);
 void session_schedule(step_t *step, session_t *session);
+void session_forget_body(step_t *step, session_t *session);
+void session_keep_prompt(session_t *session, const uint32_t *ids,
+                         uint32_t count);
 void session_due(step_t *step, session_t *session);
 
 /* queue.c: sessions that wait for a runner. */
@@ -88,6 +95,8 @@
 void queue_pump(step_t *step);
 
 /* attempt.c: streams at backend servers. */
+attempt_t *attempt_new(step_t *step, session_t *session,
+                       runner_state_t *runner);
 attempt_t *attempt_open(step_t *step, session_t *session,
                         runner_state_t *runner, bool beside);
 void attempt_reattach(step_t *step, attempt_t *attempt);
@@ -117,6 +126,24 @@
 void claiming_answer(step_t *step, const claimed_event_t *answer);
 void claiming_step(step_t *step);
 
+/* record.c: what a keeper is told of this host's sessions. */
+uint64_t record_hash(const char *organisation, const char *key);
+void record_start(step_t *step, session_t *session);
+void record_grown(step_t *step, session_t *session);
+void record_ended(step_t *step, session_t *session, record_state_t state);
+void record_gap(step_t *step, const char *from, const record_gap_t *gap);
+void record_tail(step_t *step, session_t *session, give_order_t *give);
+void record_whole(step_t *step, const session_t *session, record_t *record);
+void record_copy(arena_t *arena, record_t *record);
+
+/* takeover.c: sessions that go from host to host. */
+void takeover_ask(step_t *step, session_t *session);
+void takeover_none(step_t *step, session_t *session);
+int64_t takeover_due_us(const session_t *session);
+void takeover_lookup(step_t *step, const char *from, const lookup_t *lookup);
+void takeover_found(step_t *step, const found_t *found);
+void takeover_superseded(step_t *step, const superseded_t *superseded);
+
 /* hosts.c: the other hosts, and the configuration that they share. */
 void hosts_start(step_t *step);
 void hosts_free(node_t *node);
--- a/policy/queue.c
+++ b/policy/queue.c
@@ -60,6 +60,7 @@
         return;
     }
     (void)attempt_open(step, session, runner, false);
+    record_start(step, session);
     session->waits_resumed = false;
     session_enter(step, session, SESSION_RUNNING);
 }
--- a/policy/resume.c
+++ b/policy/resume.c
@@ -196,16 +196,14 @@
            session->answer.token_count >= session->max_tokens;
 }
 
-/* Nothing was given yet, or the token ids of all of it are known. */
+/*
+ * Nothing was given yet, or token ids came with the text.  The prompt's ids
+ * can be learned by a probe.
+ */
 static bool
 can_resume(const session_t *session)
 {
-    const answer_t *answer = &session->answer;
-
-    if (answer->token_count == 0) {
-        return answer->text_bytes == 0;
-    }
-    return session->prompt_count > 0;
+    return session->answer.token_count > 0 || session->answer.text_bytes == 0;
 }
 
 static void
--- a/policy/session.c
+++ b/policy/session.c
@@ -11,7 +11,6 @@
 };
 
 static void cancel_attempts(step_t *step, session_t *session);
-static void forget_body(step_t *step, session_t *session);
 static int64_t keep_ms(const session_t *session);
 static int64_t earlier(int64_t a_us, int64_t b_us);
 static int64_t state_due_us(const node_t *node, const session_t *session);
@@ -45,6 +44,12 @@
     session->prefix_hashes =
         arena_memdup(arena, request->prefix_hashes.prefix_hashes_val,
                      session->prefix_count * sizeof(uint64_t));
+    session->from = request->position;
+    session->from_attempt = request->attempt;
+    session->tail_from = request->tail_from;
+    session->tail_count = request->tail_ids.tail_ids_len;
+    session->tail_ids = arena_memdup(arena, request->tail_ids.tail_ids_val,
+                                     session->tail_count * sizeof(uint32_t));
     session->body = request->caller;
     session->epoch = 1;
     session->arrived_us = step->now_us;
@@ -115,9 +120,10 @@
 {
     cancel_attempts(step, session);
     session_enter(step, session, SESSION_FINISHED);
+    record_ended(step, session, RECORD_FINISHED);
     step->node->counters.finished++;
     caller_give(step, session);
-    forget_body(step, session);
+    session_forget_body(step, session);
 }
 
 /*
@@ -136,7 +142,8 @@
     if (caller != 0) {
         caller_refuse(step, caller, refusal, run, retry_after_ms, message);
     }
-    forget_body(step, session);
+    session_forget_body(step, session);
+    record_ended(step, session, keep ? RECORD_FAILED : RECORD_FORGOTTEN);
     if (!keep) {
         session_free(step, session);
         return;
@@ -196,10 +203,15 @@
     if (session->orphan_us != 0 && session->idempotent &&
         step->now_us >= session->orphan_us + grace_us) {
         cancel_attempts(step, session);
-        forget_body(step, session);
+        record_ended(step, session, RECORD_FORGOTTEN);
+        session_forget_body(step, session);
         session_free(step, session);
         return;
     }
+    if (session->state == SESSION_LOOKUP && overdue) {
+        takeover_none(step, session);
+        return;
+    }
     if (session->state == SESSION_QUEUED && overdue) {
         queue_overdue(step, session);
         return;
@@ -265,8 +277,8 @@
     }
 }
 
-static void
-forget_body(step_t *step, session_t *session)
+void
+session_forget_body(step_t *step, session_t *session)
 {
     if (session->body == 0) {
         return;
@@ -276,6 +288,18 @@
     session->body = 0;
 }
 
+/* The prompt's token ids, as the first engine gave them. */
+void
+session_keep_prompt(session_t *session, const uint32_t *ids, uint32_t count)
+{
+    if (count == 0 || session->prompt_count > 0) {
+        return;
+    }
+    session->prompt_ids = xcalloc(count, sizeof(uint32_t));
+    memcpy(session->prompt_ids, ids, count * sizeof(uint32_t));
+    session->prompt_count = count;
+}
+
 static int64_t
 keep_ms(const session_t *session)
 {
@@ -300,6 +324,9 @@
 {
     int64_t limit_ms = 0;
 
+    if (session->state == SESSION_LOOKUP) {
+        return takeover_due_us(session);
+    }
     if (session->state == SESSION_QUEUED) {
         limit_ms = session->waits_resumed ? RESUME_WAIT_MS
                                           : (int64_t)node->start.queue_wait_ms;
--- a/policy/session.h
+++ b/policy/session.h
@@ -49,6 +49,7 @@
     int64_t opened_us;
     int64_t piece_us; /* of the last piece; 0: none yet */
     int64_t quiet_us; /* when silence was last acted upon; 0: never */
+    bool probe;       /* only to learn the prompt's token ids */
     bool reattached;  /* taken up again and not heard since */
     UT_hash_handle hh;
 } attempt_t;
@@ -69,7 +70,6 @@
     bool stream;
     bool weighs_extra_work;
     bool claimed;
-    bool recorded;
     endpoint_t endpoint;
     urgency_t urgency;
     uint32_t weight;
@@ -84,11 +84,16 @@
     session_state_t state;
     uint64_t caller; /* 0: gone */
     uint64_t body;   /* the caller number whose body is kept; 0: none */
-    uint32_t from;   /* position where the present caller goes on */
-    uint32_t given;  /* cuts given to the present caller */
+    uint32_t from;   /* position that the caller hands back, in a takeover */
+    uint32_t from_attempt; /* and the attempt that gave it */
+    uint32_t tail_from;
+    uint32_t tail_count;
+    uint32_t *tail_ids; /* and the ids from tail_from to from */
+    uint32_t given;     /* cuts given to the present caller */
 
     uint32_t epoch; /* of its ownership among hosts */
     uint32_t attempt_count;
+    uint32_t writer;       /* the attempt that wrote last; 0: none */
     uint32_t may_have_run; /* attempts sent and not refused as not run */
     attempt_t *attempts[SESSION_ATTEMPTS];
     uint32_t *prompt_ids;
@@ -97,12 +102,15 @@
     reply_event_t reply; /* of a plain service, copied into the arena */
 
     int64_t arrived_us;
-    int64_t state_us;       /* when it came into its state */
-    int64_t orphan_us;      /* when its caller left; 0: it is there */
-    int64_t record_due_us;  /* 0: no record to send */
-    uint32_t recorded_cuts; /* of the answer that keepers have */
-    int64_t claim_until_us; /* not to be started after this; 0: no claim */
-    bool waits_resumed;     /* queued after a loss, not for its first start */
+    int64_t state_us;               /* when it came into its state */
+    int64_t orphan_us;              /* when its caller left; 0: it is there */
+    char keeper[LINK_NAME_MAX + 1]; /* the host that keeps its record, or "" */
+    uint32_t recorded_cuts;         /* of the answer, sent to the keeper */
+    uint32_t settled_cuts; /* of these, sent so long ago that they are there */
+    uint32_t recorded_attempt; /* the writer when it was sent */
+    int64_t recorded_us;       /* when the last part was sent */
+    int64_t claim_until_us;    /* not to be started after this; 0: no claim */
+    bool waits_resumed; /* queued after a loss, not for its first start */
 
     refusal_t refusal;
     run_t refusal_run;
--- a/regress/script.c
+++ b/regress/script.c
@@ -2,6 +2,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/queue.h>
 #include <syslog.h>
 
 #include "regress/script.h"
@@ -20,14 +21,34 @@
     size_t count;
 } line_t;
 
-/* One run of a script. */
+enum { HOSTS_MAX = 4, LINK_DELAY_US = 1000 };
+
+/* A host of the script. */
 typedef struct {
-    arena_t *arena;
+    const char *name; /* NULL: not started, or dead */
     node_t *node;
     order_list_t orders;
+    int64_t timer_us; /* the timer that it asked for */
+} script_host_t;
+
+/* A message on its way, encoded. */
+typedef struct letter {
+    STAILQ_ENTRY(letter) link;
+    int64_t due_us;
+    const char *from;
+    const char *to;
+    char *bytes;
+    u_int size;
+} letter_t;
+
+/* One run of a script. */
+typedef struct {
+    arena_t *arena;
     char *out;
     int64_t now_us;
-    int64_t timer_us; /* the timer that was asked for */
+    script_host_t hosts[HOSTS_MAX];
+    STAILQ_HEAD(, letter) letters; /* one delay for all: sorted by time */
+    bool cut;                      /* messages are lost */
 } script_run_t;
 
 typedef int (*build_t)(arena_t *arena, const line_t *line, event_t *event);
@@ -151,6 +172,10 @@
     request->keyed = number_of(line, "keyed", 1) != 0;
     request->position = (uint32_t)number_of(line, "position", 0);
     request->resumes = request->position > 0;
+    request->attempt = (uint32_t)number_of(line, "attempt", 0);
+    request->tail_from = (uint32_t)number_of(line, "tail_from", 0);
+    request->tail_ids.tail_ids_len =
+        ids_of(arena, line, "tail", &request->tail_ids.tail_ids_val);
     request->model = (char *)text_of(line, "model", "planner");
     request->endpoint = number_of(line, "service", 0) != 0
                             ? ENDPOINT_SERVICE
@@ -278,6 +303,30 @@
     return -1;
 }
 
+static int
+build_hosts(arena_t *arena, const line_t *line, event_t *event)
+{
+    hosts_event_t *hosts = &event->event_t_u.hosts;
+    char *rest = arena_strdup(arena, text_of(line, "list", ""));
+    char *word;
+
+    event->kind = EVENT_HOSTS;
+    hosts->hosts.hosts_val =
+        arena_array(arena, HOSTS_MAX, sizeof(host_entry_t));
+    while ((word = strsep(&rest, ",")) != NULL &&
+           hosts->hosts.hosts_len < HOSTS_MAX) {
+        host_entry_t *host = &hosts->hosts.hosts_val[hosts->hosts.hosts_len++];
+
+        host->host = strsep(&word, "/");
+        host->zone = word == NULL ? (char *)"" : strsep(&word, "/");
+        host->leaving = word != NULL;
+        host->address = (char *)"127.0.0.1:1";
+        host->peer_address = (char *)"127.0.0.1:2";
+        host->incarnation = 1;
+    }
+    return 0;
+}
+
 static int
 build_timer(arena_t *arena, const line_t *line, event_t *event)
 {
@@ -306,6 +355,7 @@
     {"loss", build_loss},       {"reply", build_reply},
     {"load", build_load},       {"claimed", build_claimed},
     {"until", build_timer},     {"drain", build_drain},
+    {"hosts", build_hosts},
 };
 
 static int
@@ -378,11 +428,12 @@
     for (char *c = text; *c != '\0'; c++) {
         *c = *c == ' ' ? '_' : *c;
     }
-    return arena_printf(arena, "give caller=%llu position=%u ids=%s text=%s",
-                        (unsigned long long)give->caller, give->position,
-                        ids_text(arena, give->token_ids.token_ids_val,
-                                 give->token_ids.token_ids_len),
-                        text);
+    return arena_printf(
+        arena, "give caller=%llu position=%u ids=%s text=%s tail=%u+%u",
+        (unsigned long long)give->caller, give->position,
+        ids_text(arena, give->token_ids.token_ids_val,
+                 give->token_ids.token_ids_len),
+        text, give->tail_from, give->tail_ids.tail_ids_len);
 }
 
 static char *
@@ -419,6 +470,34 @@
         refuse->status, refuse->retry_after_ms);
 }
 
+static char *
+tell_text(arena_t *arena, const tell_order_t *tell)
+{
+    const message_t *message = &tell->message;
+    const record_t *record = &message->message_t_u.record;
+
+    switch (message->kind) {
+    case MESSAGE_RECORD:
+        return arena_printf(
+            arena, "tell host=%s record state=%d epoch=%u first=%u tokens=%u",
+            tell->host, record->state, record->epoch, record->first,
+            record->token_ids.token_ids_len);
+    case MESSAGE_LOOKUP:
+        return arena_printf(arena, "tell host=%s lookup", tell->host);
+    case MESSAGE_FOUND:
+        return arena_printf(
+            arena, "tell host=%s found=%d tokens=%u", tell->host,
+            message->message_t_u.found.found,
+            message->message_t_u.found.record.token_ids.token_ids_len);
+    case MESSAGE_SUPERSEDED:
+        return arena_printf(arena, "tell host=%s superseded epoch=%u",
+                            tell->host, message->message_t_u.superseded.epoch);
+    default:
+        return arena_printf(arena, "tell host=%s message=%d", tell->host,
+                            message->kind);
+    }
+}
+
 char *
 script_order(arena_t *arena, const order_t *order)
 {
@@ -435,9 +514,9 @@
                             (unsigned long long)again->stream, again->runner,
                             again->stream_name, again->after);
     case ORDER_CANCEL:
-        return arena_printf(
-            arena, "cancel stream=%llu",
-            (unsigned long long)order->order_t_u.cancel.stream);
+        return arena_printf(arena, "cancel stream=%llu%s",
+                            (unsigned long long)order->order_t_u.cancel.stream,
+                            order->order_t_u.cancel.keep ? " keep" : "");
     case ORDER_GIVE:
         return give_text(arena, &order->order_t_u.give);
     case ORDER_FINISH:
@@ -455,9 +534,7 @@
         return arena_printf(arena, "forget body=%llu",
                             (unsigned long long)order->order_t_u.forget.body);
     case ORDER_TELL:
-        return arena_printf(arena, "tell host=%s message=%d",
-                            order->order_t_u.tell.host,
-                            order->order_t_u.tell.message.kind);
+        return tell_text(arena, &order->order_t_u.tell);
     case ORDER_CLAIM:
         return claim_text(arena, &order->order_t_u.claim);
     case ORDER_RELEASE:
@@ -478,97 +555,238 @@
     return arena_strdup(arena, "unknown");
 }
 
-/*
- * Log lines are left out but for errors, because they would hide the
- * orders.  A timer is kept, to be given when it is due.
- */
+static script_host_t *
+find_host(script_run_t *run, const char *name)
+{
+    for (size_t i = 0; i < HOSTS_MAX; i++) {
+        script_host_t *host = &run->hosts[i];
+
+        if (host->name != NULL && strcmp(host->name, name) == 0) {
+            return host;
+        }
+    }
+    return NULL;
+}
+
+static void
+send_letter(script_run_t *run, const char *from, const tell_order_t *tell)
+{
+    letter_t *letter = arena_alloc(run->arena, sizeof(*letter));
+    message_t message = tell->message;
+    u_int size = (u_int)xdr_sizeof((xdrproc_t)xdr_message_t, &message);
+    XDR xdrs;
+
+    if (run->cut) {
+        return;
+    }
+    letter->bytes = arena_alloc(run->arena, size);
+    letter->size = size;
+    letter->due_us = run->now_us + LINK_DELAY_US;
+    letter->from = from;
+    letter->to = arena_strdup(run->arena, tell->host);
+    xdrmem_create(&xdrs, letter->bytes, size, XDR_ENCODE);
+    (void)xdr_message_t(&xdrs, &message);
+    xdr_destroy(&xdrs);
+    STAILQ_INSERT_TAIL(&run->letters, letter, link);
+}
+
+/* What fills every script and says nothing of its session. */
+static bool
+is_noise(const order_t *order)
+{
+    if (order->kind == ORDER_LOG) {
+        return order->order_t_u.log.severity > LOG_ERR;
+    }
+    if (order->kind == ORDER_TELL) {
+        message_kind_t kind = order->order_t_u.tell.message.kind;
+
+        return kind == MESSAGE_HEARTBEAT || kind == MESSAGE_CONFIG ||
+               kind == MESSAGE_CONFIG_DIGEST;
+    }
+    return order->kind == ORDER_TIMER;
+}
+
+/* Writes the orders down and carries out those between hosts. */
 static void
-append_orders(script_run_t *run, const char *prefix)
+take_orders(script_run_t *run, script_host_t *host, const char *prefix)
 {
-    for (size_t i = 0; i < run->orders.count; i++) {
-        const order_t *order = &run->orders.items[i];
+    const char *who = strcmp(host->name, "a1") == 0
+                          ? ""
+                          : arena_printf(run->arena, " %s", host->name);
+
+    for (size_t i = 0; i < host->orders.count; i++) {
+        const order_t *order = &host->orders.items[i];
 
         if (order->kind == ORDER_TIMER) {
-            run->timer_us = order->order_t_u.timer.at_us;
-            continue;
+            host->timer_us = order->order_t_u.timer.at_us;
         }
-        if (order->kind == ORDER_LOG &&
-            order->order_t_u.log.severity > LOG_ERR) {
-            continue;
+        if (order->kind == ORDER_TELL) {
+            send_letter(run, host->name, &order->order_t_u.tell);
+        }
+        if (!is_noise(order)) {
+            run->out = arena_printf(run->arena, "%s<%s%s %s\n", run->out, who,
+                                    prefix, script_order(run->arena, order));
         }
-        run->out = arena_printf(run->arena, "%s<%s %s\n", run->out, prefix,
-                                script_order(run->arena, order));
     }
 }
 
 static void
-step(script_run_t *run, int64_t now_us, const event_t *event,
-     const char *prefix)
+step(script_run_t *run, script_host_t *host, const event_t *event,
+     bool by_itself)
 {
-    orders_reset(&run->orders);
-    node_step(run->node, now_us, event, &run->orders);
-    append_orders(run, prefix);
+    const char *prefix = "";
+
+    if (by_itself) {
+        prefix = arena_printf(run->arena,
+                              " %lld:", (long long)run->now_us / US_PER_MS);
+    }
+    orders_reset(&host->orders);
+    node_step(host->node, run->now_us, event, &host->orders);
+    take_orders(run, host, prefix);
 }
 
-/* Gives the timers that are due by until_us, each at its time. */
 static void
-script_run_timers(script_run_t *run, int64_t until_us)
+deliver(script_run_t *run, const letter_t *letter)
+{
+    script_host_t *host = find_host(run, letter->to);
+    event_t event = {.kind = EVENT_PEER};
+    XDR xdrs;
+
+    if (host == NULL) {
+        return;
+    }
+    event.event_t_u.peer.host = arena_strdup(run->arena, letter->from);
+    xdrmem_create(&xdrs, letter->bytes, letter->size, XDR_DECODE);
+    if (xdr_message_t(&xdrs, &event.event_t_u.peer.message)) {
+        step(run, host, &event, true);
+    }
+    xdr_free((xdrproc_t)xdr_message_t, &event.event_t_u.peer.message);
+    xdr_destroy(&xdrs);
+}
+
+static script_host_t *
+first_timer(script_run_t *run)
 {
-    event_t event = {.kind = EVENT_TIMER};
+    script_host_t *first = NULL;
 
-    while (run->timer_us <= until_us) {
-        int64_t now_us =
-            run->timer_us > run->now_us ? run->timer_us : run->now_us;
+    for (size_t i = 0; i < HOSTS_MAX; i++) {
+        script_host_t *host = &run->hosts[i];
 
-        run->timer_us = INT64_MAX;
-        run->now_us = now_us;
-        step(
-            run, now_us, &event,
-            arena_printf(run->arena, " %lld:", (long long)now_us / US_PER_MS));
+        if (host->name != NULL &&
+            (first == NULL || host->timer_us < first->timer_us)) {
+            first = host;
+        }
     }
+    return first;
+}
+
+/* Gives the timers and messages that are due by until_us, in their order. */
+static void
+run_until(script_run_t *run, int64_t until_us)
+{
+    event_t timer = {.kind = EVENT_TIMER};
+
+    for (;;) {
+        letter_t *letter = STAILQ_FIRST(&run->letters);
+        script_host_t *host = first_timer(run);
+        int64_t timer_us = host == NULL ? INT64_MAX : host->timer_us;
+        int64_t letter_us = letter == NULL ? INT64_MAX : letter->due_us;
+        int64_t next_us = letter_us <= timer_us ? letter_us : timer_us;
+
+        if (next_us > until_us) {
+            run->now_us = until_us;
+            return;
+        }
+        if (next_us > run->now_us) {
+            run->now_us = next_us;
+        }
+        if (letter_us <= timer_us) {
+            STAILQ_REMOVE_HEAD(&run->letters, link);
+            deliver(run, letter);
+            continue;
+        }
+        host->timer_us = INT64_MAX;
+        step(run, host, &timer, true);
+    }
+}
+
+static void
+stop_host(script_host_t *host)
+{
+    if (host->name == NULL) {
+        return;
+    }
+    orders_free(&host->orders);
+    node_free(host->node);
+    host->name = NULL;
+}
+
+static int
+take_line(script_run_t *run, const line_t *line)
+{
+    const char *name = text_of(line, "host", "a1");
+    script_host_t *host = find_host(run, name);
+    event_t event;
+
+    run_until(run, line->at_ms * US_PER_MS);
+    if (strcmp(line->kind, "kill") == 0 && host != NULL) {
+        stop_host(host);
+        return 0;
+    }
+    if (strcmp(line->kind, "cut") == 0 || strcmp(line->kind, "heal") == 0) {
+        run->cut = strcmp(line->kind, "cut") == 0;
+        return 0;
+    }
+    if (strcmp(line->kind, "start") == 0 && host == NULL) {
+        for (host = run->hosts; host->name != NULL; host++) {
+            if (host == &run->hosts[HOSTS_MAX - 1]) {
+                return -1;
+            }
+        }
+        host->name = arena_strdup(run->arena, name);
+        host->node = node_new();
+        host->timer_us = INT64_MAX;
+    }
+    if (host == NULL || build_event(run->arena, line, &event) < 0) {
+        return -1;
+    }
+    if (event.kind != EVENT_TIMER) {
+        step(run, host, &event, false);
+    }
+    return 0;
 }
 
 char *
 script_run(arena_t *arena, const char *text, err_t *err)
 {
     char *rest = arena_strdup(arena, text);
-    script_run_t run = {
-        .arena = arena,
-        .node = node_new(),
-        .out = arena_strdup(arena, ""),
-        .timer_us = INT64_MAX,
-    };
+    script_run_t run = {.arena = arena, .out = arena_strdup(arena, "")};
     uint32_t number = 0;
 
+    STAILQ_INIT(&run.letters);
     while (rest != NULL && *rest != '\0') {
         char *here = strsep(&rest, "\n");
-        event_t event;
         line_t line;
 
         number++;
         if (here[0] == '<') {
             continue;
         }
-        if (here[0] != '>') {
-            run.out = arena_printf(arena, "%s%s\n", run.out, here);
-            continue;
+        if (here[0] == '>') {
+            split_line(arena, here, &line);
+            run_until(&run, line.at_ms * US_PER_MS);
         }
-        split_line(arena, here, &line);
-        if (build_event(arena, &line, &event) < 0) {
+        run.out = arena_printf(arena, "%s%s\n", run.out, here);
+        if (here[0] == '>' && take_line(&run, &line) < 0) {
             (void)err_set(err, ERR_PROTOCOL,
                           "line %u: no such event: see the table in script.c",
                           number);
             run.out = NULL;
             break;
         }
-        script_run_timers(&run, line.at_ms * US_PER_MS);
-        run.now_us = line.at_ms * US_PER_MS;
-        run.out = arena_printf(arena, "%s%s\n", run.out, here);
-        if (event.kind != EVENT_TIMER) {
-            step(&run, run.now_us, &event, "");
-        }
     }
-    orders_free(&run.orders);
-    node_free(run.node);
+    for (size_t i = 0; i < HOSTS_MAX; i++) {
+        stop_host(&run.hosts[i]);
+    }
     return run.out;
 }
--- a/regress/script.h
+++ b/regress/script.h
@@ -7,6 +7,10 @@
  * as written down.  Other lines ("# ...") are kept.  Timers that the node
  * asks for are given at their time, before the next event; what follows
  * from one stands as "< MS: KIND ...".  "> MS until" only lets time pass.
+ *
+ * Events go to host a1 unless host=NAME says another, and its orders then
+ * read "< NAME KIND ...".  Messages between hosts arrive after a
+ * millisecond, none while "> MS cut" holds; "> MS kill host=NAME" ends one.
  */
 #ifndef REGRESS_SCRIPT_H
 #define REGRESS_SCRIPT_H
--- a/world/link.x
+++ b/world/link.x
@@ -90,7 +90,7 @@
  * after its host is lost.  The token ids and the text from token position
  * first on are appended to those held; ends gives, for each piece, the
  * position and the text length after it, both counted from the answer's
- * start.
+ * start.  The text before base is not known to the owner.
  */
 struct record_cut_t {
     uint32_t position;
@@ -111,6 +111,7 @@
     uint32_t stream_first;
     uint32_t attempt;
     uint32_t prompt_ids<LINK_TOKENS_MAX>;
+    uint32_t base;
     uint32_t first;
     uint32_t token_ids<LINK_TOKENS_MAX>;
     opaque text<LINK_TEXT_MAX>;
