--- a/agated/exchange.c
+++ b/agated/exchange.c
@@ -254,6 +254,7 @@
     response->usage = parsed->usage;
     response->created_s = time(NULL);
     response->position = parsed->event.position;
+    response->resumed = parsed->event.position > 0;
 }
 
 static void
--- a/agated/response.c
+++ b/agated/response.c
@@ -179,7 +179,7 @@
     }
     else {
         text_puts(out, "\"delta\":{");
-        if (!response->begun) {
+        if (!response->begun && !response->resumed) {
             text_puts(out, "\"role\":\"assistant\",");
         }
         text_puts(out, "\"content\":");
--- a/agated/response.h
+++ b/agated/response.h
@@ -22,6 +22,7 @@
     bool stream;
     bool token_ids; /* the caller asked return_token_ids */
     bool usage;     /* a stream whose caller asked include_usage */
+    bool resumed;   /* the caller has the answer's beginning already */
     int64_t created_s;
     uint32_t position;
     bool begun; /* the first event has been written */
--- /dev/null
+++ b/regress/test_settings.c
@@ -0,0 +1,157 @@
+/* test_settings.c - agated.toml: what is taken, and what is said if not. */
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "agated/settings.h"
+
+#define HOST "host = \"a1\"\nzone = \"north\"\n"
+#define LISTEN "[listen]\naddress = \"127.0.0.1:0\"\n"
+#define MEMORY "[platform]\nkind = \"memory\"\nfleet = \"f.toml\"\n"
+#define WHOLE HOST LISTEN MEMORY
+
+/* A settings file and its message; NULL for none. */
+typedef struct {
+    const char *text;
+    const char *message;
+} settings_case_t;
+
+static const settings_case_t cases[] = {
+    {WHOLE, NULL},
+    {HOST LISTEN "[platform]\nkind = \"etcd\"\naddresses = [\"[::1]:2379\"]\n",
+     NULL},
+    {WHOLE "[peers]\naddress = \"127.0.0.1:0\"\nkey_file = \"k\"\n", NULL},
+    {"host = ", "f:1: Error while parsing key-value pair: encountered "
+                "end-of-file: write valid TOML here"},
+    {"zone = \"north\"\n" LISTEN MEMORY,
+     "f:1: host is missing: write host = \"entry-1\""},
+    {HOST MEMORY, "f:1: listen is missing: write a table [listen]"},
+    {HOST "[listen]\n" MEMORY,
+     "f:3: address is missing: write address = \"127.0.0.1:8080\""},
+    {HOST "colour = 1\n" LISTEN MEMORY,
+     "f:3: unknown key \"colour\": remove it or write one of host, zone, "
+     "listen, platform, peers, limits, tls, debug"},
+    {HOST "[listen]\naddress = \"127.0.0.1:0\"\nport = 1\n" MEMORY,
+     "f:5: unknown key \"port\": remove it or write one of address, "
+     "body_max_bytes, header_timeout_ms"},
+    {"host = 3\n", "f:1: host holds an integer, which does not fit: write "
+                   "host = \"entry-1\""},
+    {"host = \"\"\n", "f:1: host has 0 characters: write 1 to 63 of them, "
+                      "like host = \"entry-1\""},
+    {HOST "[listen]\naddress = \"entry.example:80\"\n",
+     "f:4: \"entry.example:80\" in address is no IP number with a port: "
+     "write address = \"127.0.0.1:8080\""},
+    {HOST "[listen]\naddress = \"127.0.0.1:65536\"\n",
+     "f:4: \"127.0.0.1:65536\" in address is no IP number with a port: "
+     "write address = \"127.0.0.1:8080\""},
+    {HOST LISTEN "body_max_bytes = 16777217\n",
+     "f:5: body_max_bytes = 16777217 is out of range: write 1024 to "
+     "16777216, like body_max_bytes = 4194304"},
+    {HOST LISTEN "header_timeout_ms = \"10s\"\n",
+     "f:5: header_timeout_ms holds a string, which does not fit: write "
+     "header_timeout_ms = 10000"},
+    {HOST LISTEN "[platform]\nkind = \"zookeeper\"\n",
+     "f:6: kind is \"zookeeper\", which is no choice: write kind = \"etcd\" "
+     "or kind = \"memory\""},
+    {HOST LISTEN "[platform]\nkind = \"etcd\"\n",
+     "f:5: kind \"etcd\" has no addresses: write addresses = "
+     "[\"127.0.0.1:2379\"]"},
+    {HOST LISTEN "[platform]\nkind = \"memory\"\n",
+     "f:5: kind \"memory\" has no fleet: write fleet = \"fleet.toml\""},
+    {HOST LISTEN "[platform]\nkind = \"etcd\"\naddresses = [\"x\"]\n",
+     "f:7: \"x\" in addresses is no IP number with a port: write addresses "
+     "= [\"127.0.0.1:2379\"]"},
+    {HOST LISTEN "[platform]\nkind = \"etcd\"\naddresses = [1]\n",
+     "f:7: addresses holds an integer, which does not fit: write addresses "
+     "= [\"127.0.0.1:2379\"]"},
+    {WHOLE "[peers]\naddress = \"127.0.0.1:0\"\n",
+     "f:8: key_file is missing: write key_file = \"peers.key\""},
+    {WHOLE "[limits]\nsessions_max = 0\n",
+     "f:9: sessions_max = 0 is out of range: write 1 to 100000, like "
+     "sessions_max = 4096"},
+    {WHOLE "[limits]\nsilence_floor_ms = 500\nsilence_ceiling_ms = 400\n",
+     "f:8: silence_floor_ms is above silence_ceiling_ms: write a floor "
+     "below the ceiling"},
+    {WHOLE "limits = 3\n",
+     "f:8: unknown key \"limits\": remove it or write one of kind, "
+     "addresses, timeout_ms, fleet, documents"},
+    {HOST "limits = 3\n" LISTEN MEMORY,
+     "f:3: limits holds an integer, which does not fit: write a table "
+     "[limits]"},
+};
+
+START_TEST(test_table)
+{
+    const settings_case_t *row = &cases[_i];
+    arena_t arena = {0};
+    settings_t settings;
+    err_t err = {0};
+    int result = settings_parse(&settings, &arena, "f", row->text,
+                                strlen(row->text), &err);
+
+    ck_assert_int_eq(result, row->message == NULL ? 0 : -1);
+    if (row->message != NULL) {
+        ck_assert_str_eq(err.message, row->message);
+    }
+    arena_free(&arena);
+}
+END_TEST
+
+START_TEST(test_values)
+{
+    static const char text[] =
+        HOST "[listen]\naddress = \"[::1]:8443\"\nbody_max_bytes = 2048\n"
+             "[platform]\nkind = \"memory\"\nfleet = \"f.toml\"\n"
+             "documents = [\"a.toml\", \"b.toml\"]\n"
+             "[limits]\nqueue_wait_ms = 7\n";
+    arena_t arena = {0};
+    settings_t settings;
+    err_t err;
+
+    ck_assert_int_eq(
+        settings_parse(&settings, &arena, "f", text, strlen(text), &err), 0);
+    ck_assert_str_eq(settings.host, "a1");
+    ck_assert_str_eq(settings.zone, "north");
+    ck_assert_str_eq(settings.listen_address, "[::1]:8443");
+    ck_assert_uint_eq(settings.body_max_bytes, 2048);
+    ck_assert_uint_eq(settings.queue_wait_ms, 7);
+    ck_assert_uint_eq(settings.document_files.count, 2);
+    ck_assert_str_eq(settings.document_files.items[1], "b.toml");
+    ck_assert_ptr_null(settings.peers_address);
+    ck_assert_uint_gt(settings.sessions_max, 0);
+    arena_free(&arena);
+}
+END_TEST
+
+START_TEST(test_no_file)
+{
+    arena_t arena = {0};
+    settings_t settings;
+    err_t err;
+
+    ck_assert_int_eq(
+        settings_read(&settings, &arena, REGRESS_DIR "/none.toml", &err), -1);
+    ck_assert_ptr_nonnull(strstr(err.message, "none.toml:1: cannot open it"));
+    arena_free(&arena);
+}
+END_TEST
+
+int
+main(void)
+{
+    Suite *suite = suite_create("settings");
+    TCase *tcase = tcase_create("settings");
+    SRunner *runner;
+    int failed;
+
+    tcase_add_loop_test(tcase, test_table, 0,
+                        (int)(sizeof(cases) / sizeof(cases[0])));
+    tcase_add_test(tcase, test_values);
+    tcase_add_test(tcase, test_no_file);
+    suite_add_tcase(suite, tcase);
+    runner = srunner_create(suite);
+    srunner_run_all(runner, CK_NORMAL);
+    failed = srunner_ntests_failed(runner);
+    srunner_free(runner);
+    return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
