--- a/regress/test_response.c
+++ b/regress/test_response.c
@@ -19,21 +19,25 @@
 } response_case_t;
 
 static const response_case_t cases[] = {
-    {"completions-stream", ENDPOINT_COMPLETIONS, true, false, false, 3, false},
-    {"completions-stream-ids", ENDPOINT_COMPLETIONS, true, true, true, 3,
+    {"completions-stream", ENDPOINT_COMPLETIONS, true, false, false, 3, false,
      false},
+    {"completions-stream-ids", ENDPOINT_COMPLETIONS, true, true, true, 3,
+     false, false},
     {"completions-stream-empty", ENDPOINT_COMPLETIONS, true, false, false, 0,
+     false, false},
+    {"completions-whole", ENDPOINT_COMPLETIONS, false, false, false, 3, false,
      false},
-    {"completions-whole", ENDPOINT_COMPLETIONS, false, false, false, 3, false},
     {"completions-whole-ids", ENDPOINT_COMPLETIONS, false, true, false, 3,
-     false},
-    {"chat-stream", ENDPOINT_CHAT, true, false, true, 3, false},
+     false, false},
+    {"chat-stream", ENDPOINT_CHAT, true, false, true, 3, false, false},
     {"chat-stream-resumed", ENDPOINT_CHAT, true, false, false, 1, false, true},
-    {"chat-whole", ENDPOINT_CHAT, false, false, false, 3, false},
-    {"chat-whole-empty", ENDPOINT_CHAT, false, false, false, 0, false},
-    {"refused-before", ENDPOINT_CHAT, true, false, false, 0, true},
-    {"refused-mid-stream", ENDPOINT_COMPLETIONS, true, false, false, 2, true},
-    {"refused-whole", ENDPOINT_COMPLETIONS, false, false, false, 2, true},
+    {"chat-whole", ENDPOINT_CHAT, false, false, false, 3, false, false},
+    {"chat-whole-empty", ENDPOINT_CHAT, false, false, false, 0, false, false},
+    {"refused-before", ENDPOINT_CHAT, true, false, false, 0, true, false},
+    {"refused-mid-stream", ENDPOINT_COMPLETIONS, true, false, false, 2, true,
+     false},
+    {"refused-whole", ENDPOINT_COMPLETIONS, false, false, false, 2, true,
+     false},
 };
 
 /* What is given: plain text, JSON's special characters, and UTF-8. */
