--- a/policy/hosts.c
+++ b/policy/hosts.c
@@ -59,6 +59,7 @@
     case MESSAGE_FOUND:
     case MESSAGE_SUPERSEDED:
     case MESSAGE_SUSPECT:
+    case MESSAGE_RECORD_GAP:
         take_record(step, peer->host, message);
         break;
     }
