--- a/regress/test_backend.c
+++ b/regress/test_backend.c
@@ -163,59 +163,62 @@
 
 typedef struct {
     call_t call;
-    const char *reply;
     canned_end_t end;
+    const char *reply;
     const char *seen;
 } case_t;
 
 static const case_t cases[] = {
-    {CALL_OPEN,
+    {CALL_OPEN, CANNED_CLOSE,
      EVENTS PIECE("a", "[1]") PIECE("", "[2]") PIECE("bc", "[3,4]") DONE,
-     CANNED_CLOSE, "7@0+1 a;7@1+1 ;7@2+2 bc;end;"},
-    {CALL_OPEN, EVENTS PIECE("a", "[1]") DONE PIECE("b", "[2]") DONE,
-     CANNED_KEEP, "7@0+1 a;end;"},
-    {CALL_OPEN, EVENTS PIECE("a", "null") PIECE("b", "null") DONE,
-     CANNED_CLOSE, "7@0+0 a;7@0+0 b;end;"},
-    {CALL_OPEN, EVENTS PIECE("a", "[1]"), CANNED_CLOSE,
+     "7@0+1 a;7@1+1 ;7@2+2 bc;end;"},
+    {CALL_OPEN, CANNED_KEEP,
+     EVENTS PIECE("a", "[1]") DONE PIECE("b", "[2]") DONE, "7@0+1 a;end;"},
+    {CALL_OPEN, CANNED_CLOSE,
+     EVENTS PIECE("a", "null") PIECE("b", "null") DONE,
+     "7@0+0 a;7@0+0 b;end;"},
+    {CALL_OPEN, CANNED_CLOSE, EVENTS PIECE("a", "[1]"),
      "7@0+1 a;loss 2 200 0;"},
-    {CALL_OPEN, EVENTS PIECE("a", "[1]") "data: [DONE]", CANNED_CLOSE,
+    {CALL_OPEN, CANNED_CLOSE, EVENTS PIECE("a", "[1]") "data: [DONE]",
      "7@0+1 a;loss 2 200 0;"},
-    {CALL_OPEN, EVENTS PIECE("a", "[1]") "data: {\"error\":{}}\n\n" DONE,
-     CANNED_CLOSE, "7@0+1 a;loss 4 200 0;"},
-    {CALL_OPEN, EVENTS "data: {\n\n" DONE, CANNED_CLOSE, "loss 4 200 0;"},
-    {CALL_OPEN, "", CANNED_CLOSE, "loss 2 0 0;"},
-    {CALL_OPEN, "", CANNED_RESET, "loss 2 0 0;"},
-    {CALL_OPEN, HEAD("200", "application/json") "\r\n{}", CANNED_CLOSE,
+    {CALL_OPEN, CANNED_CLOSE,
+     EVENTS PIECE("a", "[1]") "data: {\"error\":{}}\n\n" DONE,
+     "7@0+1 a;loss 4 200 0;"},
+    {CALL_OPEN, CANNED_CLOSE, EVENTS "data: {\n\n" DONE, "loss 4 200 0;"},
+    {CALL_OPEN, CANNED_CLOSE, "", "loss 2 0 0;"},
+    {CALL_OPEN, CANNED_RESET, "", "loss 2 0 0;"},
+    {CALL_OPEN, CANNED_CLOSE, HEAD("200", "application/json") "\r\n{}",
      "loss 4 200 0;"},
-    {CALL_OPEN, HEAD("503", "a/b") "Retry-After: 3\r\n\r\n{}", CANNED_CLOSE,
+    {CALL_OPEN, CANNED_CLOSE, HEAD("503", "a/b") "Retry-After: 3\r\n\r\n{}",
      "loss 3 503 3000;"},
-    {CALL_OPEN, HEAD("429", "a/b") "\r\n{}", CANNED_CLOSE, "loss 3 429 0;"},
-    {CALL_OPEN, HEAD("400", "a/b") "\r\n{}", CANNED_CLOSE, "loss 6 400 0;"},
-    {CALL_OPEN, HEAD("422", "a/b") "\r\n{}", CANNED_CLOSE, "loss 6 422 0;"},
-    {CALL_OPEN, HEAD("500", "a/b") "\r\n{}", CANNED_CLOSE, "loss 4 500 0;"},
-    {CALL_OPEN, HEAD("404", "a/b") "\r\n{}", CANNED_CLOSE, "loss 4 404 0;"},
-    {CALL_REATTACH, HEAD("404", "a/b") "\r\n{}", CANNED_CLOSE,
+    {CALL_OPEN, CANNED_CLOSE, HEAD("429", "a/b") "\r\n{}", "loss 3 429 0;"},
+    {CALL_OPEN, CANNED_CLOSE, HEAD("400", "a/b") "\r\n{}", "loss 6 400 0;"},
+    {CALL_OPEN, CANNED_CLOSE, HEAD("422", "a/b") "\r\n{}", "loss 6 422 0;"},
+    {CALL_OPEN, CANNED_CLOSE, HEAD("500", "a/b") "\r\n{}", "loss 4 500 0;"},
+    {CALL_OPEN, CANNED_CLOSE, HEAD("404", "a/b") "\r\n{}", "loss 4 404 0;"},
+    {CALL_REATTACH, CANNED_CLOSE, HEAD("404", "a/b") "\r\n{}",
      "loss 5 404 0;"},
-    {CALL_REATTACH, EVENTS PIECE("a", "[1,2]") PIECE("b", "[3]") DONE,
-     CANNED_CLOSE, "7@40+2 a;7@42+1 b;end;"},
-    {CALL_SERVICE, HEAD("201", "a/b") "Content-Length: 2\r\n\r\nok",
-     CANNED_KEEP, "reply 201 a/b ok;"},
-    {CALL_SERVICE, HEAD("500", "a/b") "Content-Length: 0\r\n\r\n", CANNED_KEEP,
+    {CALL_REATTACH, CANNED_CLOSE,
+     EVENTS PIECE("a", "[1,2]") PIECE("b", "[3]") DONE,
+     "7@40+2 a;7@42+1 b;end;"},
+    {CALL_SERVICE, CANNED_KEEP,
+     HEAD("201", "a/b") "Content-Length: 2\r\n\r\nok", "reply 201 a/b ok;"},
+    {CALL_SERVICE, CANNED_KEEP, HEAD("500", "a/b") "Content-Length: 0\r\n\r\n",
      "reply 500 a/b ;"},
-    {CALL_SERVICE, HEAD("201", "a/b") "Content-Length: 9\r\n\r\nok",
-     CANNED_CLOSE, "loss 2 201 0;"},
-    {CALL_SERVICE, HEAD("503", "a/b") "Retry-After: 1\r\n\r\nbusy",
-     CANNED_CLOSE, "loss 3 503 1000;"},
-    {CALL_SERVICE, "", CANNED_RESET, "loss 2 0 0;"},
-    {CALL_LOAD,
+    {CALL_SERVICE, CANNED_CLOSE,
+     HEAD("201", "a/b") "Content-Length: 9\r\n\r\nok", "loss 2 201 0;"},
+    {CALL_SERVICE, CANNED_CLOSE,
+     HEAD("503", "a/b") "Retry-After: 1\r\n\r\nbusy", "loss 3 503 1000;"},
+    {CALL_SERVICE, CANNED_RESET, "", "loss 2 0 0;"},
+    {CALL_LOAD, CANNED_CLOSE,
      HEAD("200", "text/plain") "\r\nvllm:num_requests_running 2\n"
                                "vllm:num_requests_waiting 3\n",
-     CANNED_CLOSE, "load r1 1 2 3;"},
-    {CALL_LOAD, HEAD("200", "text/plain") "\r\nother 2\n", CANNED_CLOSE,
+     "load r1 1 2 3;"},
+    {CALL_LOAD, CANNED_CLOSE, HEAD("200", "text/plain") "\r\nother 2\n",
      "load r1 0 0 0;"},
-    {CALL_LOAD, HEAD("500", "text/plain") "\r\n", CANNED_CLOSE,
+    {CALL_LOAD, CANNED_CLOSE, HEAD("500", "text/plain") "\r\n",
      "load r1 0 0 0;"},
-    {CALL_LOAD, "", CANNED_RESET, "load r1 0 0 0;"},
+    {CALL_LOAD, CANNED_RESET, "", "load r1 0 0 0;"},
 };
 
 /* Each whole and byte by byte; nothing is ever sent twice. */
@@ -286,6 +289,26 @@
 }
 END_TEST
 
+/* A connection kept from a report of load may be closed by now. */
+START_TEST(kept_connection_is_not_used)
+{
+    canned_reply_t replies[] = {
+        {HEAD("200", "a/b") "Content-Length: 0\r\n\r\n", 0, CANNED_KEEP},
+        {"", 0, CANNED_CLOSE}};
+
+    open_world((call_t)_i, replies, 2);
+    make_call(CALL_LOAD, STREAM);
+    run_until_over();
+    over = false;
+    seen[0] = '\0';
+    make_call((call_t)_i, STREAM);
+    run_until_over();
+    ck_assert_str_eq(seen, "loss 2 0 0;");
+    ck_assert_uint_eq(canned_requests(server), 2);
+    close_world();
+}
+END_TEST
+
 /* The order to cancel reaches the engine, and nothing more is reported. */
 START_TEST(cancelled_in_a_piece)
 {
@@ -328,6 +351,8 @@
     tcase_add_loop_test(tcase, reports, 0, sizeof(cases) / sizeof(cases[0]));
     tcase_add_test(tcase, requests_as_written);
     tcase_add_loop_test(tcase, refused_connection, 0, CALL_LOAD + 1);
+    tcase_add_loop_test(tcase, kept_connection_is_not_used, 0,
+                        CALL_SERVICE + 1);
     tcase_add_test(tcase, cancelled_in_a_piece);
     tcase_add_test(tcase, opened_in_a_loss);
     suite_add_tcase(suite, tcase);
--- a/regress/test_etcd.c
+++ b/regress/test_etcd.c
@@ -325,6 +325,29 @@
 }
 END_TEST
 
+/* A write on a kept connection that is closed by now is not sent again. */
+START_TEST(kept_connection_is_not_used)
+{
+    canned_reply_t replies[] = {
+        {"HTTP/1.1 400 x\r\nContent-Length: 0\r\n\r\n", 0, CANNED_KEEP},
+        {"", 0, CANNED_CLOSE}};
+    canned_t *server;
+    char text[64];
+    const char *addresses[] = {text};
+
+    open_world();
+    server = canned_new(&loop, replies, 2);
+    (void)snprintf(text, sizeof(text), "127.0.0.1:%d", canned_port(server));
+    platform = platform_etcd_new(client, addresses, 1, TIMEOUT_MS);
+    make_call(CALL_RANGE);
+    make_call((call_t)_i);
+    ck_assert_ptr_nonnull(strstr(seen, " 2 0 0;"));
+    ck_assert_uint_eq(canned_requests(server), 2);
+    canned_free(server);
+    close_world();
+}
+END_TEST
+
 int
 main(void)
 {
@@ -337,6 +360,8 @@
     tcase_add_loop_test(tcase, failed_calls, 0,
                         sizeof(faults) / sizeof(faults[0]));
     tcase_add_loop_test(tcase, refused_address, 0, CALL_WATCH + 1);
+    tcase_add_loop_test(tcase, kept_connection_is_not_used, CALL_SWAP,
+                        CALL_WATCH + 1);
     suite_add_tcase(suite, tcase);
     runner = srunner_create(suite);
     srunner_run_all(runner, CK_ENV);
--- a/regress/test_etcd_json.c
+++ b/regress/test_etcd_json.c
@@ -181,7 +181,7 @@
     (void)snprintf(text, TEXT_BYTES, "%d", (int)swap.revision);
     for (i = 0; i < swap.count; i++) {
         if (swap.answers[i].won) {
-            (void)strcat(text, " won");
+            (void)strncat(text, " won", TEXT_BYTES - strlen(text) - 1);
         }
         else {
             note_pair(text, &swap.answers[i].held);
--- a/regress/test_http.c
+++ b/regress/test_http.c
@@ -333,28 +333,28 @@
 END_TEST
 
 typedef struct {
-    bool fresh;
     canned_reply_t second;
-    http_result_t result;
     size_t connections;
     size_t requests;
+    bool fresh;
+    http_result_t result;
 } reuse_case_t;
 
 /* The second reply meets a kept connection, or a fresh one. */
 static const reuse_case_t reuse_cases[] = {
-    {false,
-     {"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", 0, CANNED_KEEP},
-     HTTP_DONE,
+    {{"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", 0, CANNED_KEEP},
      1,
-     2},
-    {true,
-     {"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", 0, CANNED_KEEP},
-     HTTP_DONE,
      2,
-     2},
-    {false, {"", 0, CANNED_CLOSE}, HTTP_DONE, 2, 3},
-    {true, {"", 0, CANNED_CLOSE}, HTTP_BROKEN, 2, 2},
-    {true, {"", 0, CANNED_RESET}, HTTP_BROKEN, 2, 2},
+     false,
+     HTTP_DONE},
+    {{"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", 0, CANNED_KEEP},
+     2,
+     2,
+     true,
+     HTTP_DONE},
+    {{"", 0, CANNED_CLOSE}, 2, 3, false, HTTP_DONE},
+    {{"", 0, CANNED_CLOSE}, 2, 2, true, HTTP_BROKEN},
+    {{"", 0, CANNED_RESET}, 2, 2, true, HTTP_BROKEN},
 };
 
 START_TEST(reuse)
--- a/regress/test_piece.c
+++ b/regress/test_piece.c
@@ -67,7 +67,7 @@
         (void)snprintf(text + used, TEXT_BYTES - used, "%s%u",
                        i > 0 ? " " : "", list[i]);
     }
-    (void)strcat(text, ";");
+    (void)strncat(text, ";", TEXT_BYTES - strlen(text) - 1);
 }
 
 START_TEST(pieces)
--- a/regress/test_sse.c
+++ b/regress/test_sse.c
@@ -46,7 +46,7 @@
     seen_t *seen = context;
 
     (void)strncat(seen->text, data, length);
-    (void)strcat(seen->text, "|");
+    (void)strncat(seen->text, "|", SEEN_BYTES - strlen(seen->text) - 1);
     seen->taken++;
     return seen->taken != seen->most;
 }
