Event ids hand back the sealed tail of an answer

Cause: tokens given after the last record were known to the caller only. Change: position.c writes and reads event ids: the attempt and the token ids that no keeper surely has, under a tag with the hosts' key; backends can close a stream's connection and leave the engine at work.

--- a/agated/agated.c
+++ b/agated/agated.c
@@ -8,6 +8,7 @@
 
 #include "agated/agated.h"
 #include "base/log.h"
+#include "peer/peer.h"
 
 enum { SIGNAL_COUNT = 2, US_PER_S = 1000000, NS_PER_US = 1000 };
 
@@ -20,6 +21,7 @@
 
 static error_t parse_option(int key, char *arg, struct argp_state *state);
 static int run(const settings_t *settings);
+static int derive_position_key(daemon_t *daemon, err_t *err);
 static int open_tasks(daemon_t *daemon, err_t *err);
 static void start_tasks(daemon_t *daemon);
 static void start_node(daemon_t *daemon);
@@ -124,12 +126,36 @@
     return status;
 }
 
+/* A host without peers seals for itself alone. */
+static int
+derive_position_key(daemon_t *daemon, err_t *err)
+{
+    const char *path = daemon->settings->peers_key_file;
+    uint8_t secret[PEER_KEY_BYTES_MAX];
+    uint64_t own = random_u64();
+    int length = (int)sizeof(own);
+
+    memcpy(secret, &own, sizeof(own));
+    if (path != NULL) {
+        length = peer_key_read(path, secret, err);
+    }
+    if (length < 0) {
+        return -1;
+    }
+    position_key(&daemon->position_key, secret, (size_t)length);
+    explicit_bzero(secret, sizeof(secret));
+    return 0;
+}
+
 /* All that can fail, so that a wrong setting is told before any work. */
 static int
 open_tasks(daemon_t *daemon, err_t *err)
 {
     const settings_t *settings = daemon->settings;
 
+    if (derive_position_key(daemon, err) < 0) {
+        return -1;
+    }
     daemon->listener = listener_new(daemon, err);
     if (daemon->listener == NULL) {
         return -1;
--- a/agated/agated.h
+++ b/agated/agated.h
@@ -15,6 +15,7 @@
 
 #include <uv.h>
 
+#include "agated/position.h"
 #include "agated/settings.h"
 #include "agated/text.h"
 #include "http/http.h"
@@ -35,6 +36,7 @@
     uv_loop_t *loop;
     const settings_t *settings;
     uint64_t incarnation;
+    position_key_t position_key;
     http_client_t *client;
     platform_t *platform;
     dispatch_t *dispatch;
--- a/agated/exchange.c
+++ b/agated/exchange.c
@@ -231,6 +231,7 @@
         .request_kind = header_copy(req, arena, "x-request-kind"),
         .body = arena_memdup(arena, req->entity.base, req->entity.len),
         .body_bytes = req->entity.len,
+        .position_key = &exchange->daemon->position_key,
         .fresh_name = arena_printf(arena, "r%016" PRIx64 "%016" PRIx64,
                                    random_u64(), random_u64()),
     };
@@ -247,6 +248,7 @@
 
     exchange->body.path = parsed->service_path;
     response->name = parsed->event.key;
+    response->position_key = &exchange->daemon->position_key;
     response->model = parsed->event.model;
     response->endpoint = parsed->event.endpoint;
     response->stream = parsed->event.stream;
--- /dev/null
+++ b/agated/position.c
@@ -0,0 +1,225 @@
+/* position.c - see position.h. */
+#include <ctype.h>
+#include <errno.h>
+#include <openssl/crypto.h>
+#include <openssl/evp.h>
+#include <openssl/hmac.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "agated/position.h"
+
+enum {
+    TAG_BYTES = 8,
+    VARINT_BITS = 7,
+    VARINT_MORE = 0x80,
+    VARINT_BYTES = 5,
+    SEALED_MAX = (POSITION_TAIL_MAX + 2) * VARINT_BYTES + TAG_BYTES,
+    DECIMAL = 10,
+};
+
+static const char alphabet[] =
+    "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-_";
+
+static size_t put_varint(uint8_t *bytes, uint32_t number);
+static size_t get_varint(const uint8_t *bytes, size_t length,
+                         uint32_t *number);
+static void make_tag(const position_key_t *key, const char *name,
+                     size_t name_length, uint32_t position,
+                     const uint8_t *bytes, size_t length, uint8_t *tag);
+static void write_base64(const uint8_t *bytes, size_t length, text_t *out);
+static size_t read_base64(const char *text, uint8_t *bytes, size_t room);
+static bool open_seal(const uint8_t *bytes, size_t length, arena_t *arena,
+                      position_t *position);
+
+void
+position_key(position_key_t *key, const uint8_t *secret, size_t bytes)
+{
+    static const char purpose[] = "agatevale event id";
+
+    (void)HMAC(EVP_sha256(), secret, (int)bytes,
+               (const unsigned char *)purpose, sizeof(purpose) - 1, key->bytes,
+               NULL);
+}
+
+void
+position_write(const position_key_t *key, const char *name,
+               const position_t *position, text_t *out)
+{
+    uint8_t sealed[SEALED_MAX];
+    size_t length = 0;
+
+    text_puts(out, name);
+    text_puts(out, ".");
+    text_u64(out, position->position);
+    if (position->attempt == 0 || position->tail_count > POSITION_TAIL_MAX) {
+        return;
+    }
+    length += put_varint(sealed, position->attempt);
+    length += put_varint(sealed + length, position->tail_from);
+    for (uint32_t i = 0; i < position->tail_count; i++) {
+        length += put_varint(sealed + length, position->tail_ids[i]);
+    }
+    make_tag(key, name, strlen(name), position->position, sealed, length,
+             sealed + length);
+    text_puts(out, "~");
+    write_base64(sealed, length + TAG_BYTES, out);
+}
+
+bool
+position_read(const position_key_t *key, const char *id, arena_t *arena,
+              position_t *position, size_t *name_length)
+{
+    const char *seal = strchr(id, '~');
+    size_t length = seal == NULL ? strlen(id) : (size_t)(seal - id);
+    const char *dot = memrchr(id, '.', length);
+    uint8_t bytes[SEALED_MAX];
+    uint8_t tag[TAG_BYTES];
+    unsigned long long number;
+    size_t sealed;
+    char *end;
+
+    memset(position, 0, sizeof(*position));
+    if (dot == NULL || !isdigit((unsigned char)dot[1])) {
+        return false;
+    }
+    errno = 0;
+    number = strtoull(dot + 1, &end, DECIMAL);
+    if (errno != 0 || end != id + length || number > UINT32_MAX) {
+        return false;
+    }
+    position->position = (uint32_t)number;
+    *name_length = (size_t)(dot - id);
+    if (seal == NULL) {
+        return true;
+    }
+    sealed = read_base64(seal + 1, bytes, sizeof(bytes));
+    if (sealed < TAG_BYTES) {
+        return false;
+    }
+    make_tag(key, id, *name_length, position->position, bytes,
+             sealed - TAG_BYTES, tag);
+    return CRYPTO_memcmp(tag, bytes + sealed - TAG_BYTES, TAG_BYTES) == 0 &&
+           open_seal(bytes, sealed - TAG_BYTES, arena, position);
+}
+
+static bool
+open_seal(const uint8_t *bytes, size_t length, arena_t *arena,
+          position_t *position)
+{
+    uint32_t *ids = arena_array(arena, length, sizeof(*ids));
+    size_t at = get_varint(bytes, length, &position->attempt);
+    size_t step = get_varint(bytes + at, length - at, &position->tail_from);
+
+    if (at == 0 || step == 0) {
+        return false;
+    }
+    at += step;
+    while (at < length) {
+        step = get_varint(bytes + at, length - at, &ids[position->tail_count]);
+        if (step == 0) {
+            return false;
+        }
+        at += step;
+        position->tail_count++;
+    }
+    position->tail_ids = ids;
+    return position->tail_from + position->tail_count == position->position;
+}
+
+static size_t
+put_varint(uint8_t *bytes, uint32_t number)
+{
+    size_t length = 0;
+
+    while (number >= VARINT_MORE) {
+        bytes[length++] = (uint8_t)(number | VARINT_MORE);
+        number >>= VARINT_BITS;
+    }
+    bytes[length++] = (uint8_t)number;
+    return length;
+}
+
+/* How many bytes the number took; 0 when there is none. */
+static size_t
+get_varint(const uint8_t *bytes, size_t length, uint32_t *number)
+{
+    uint64_t value = 0;
+
+    for (size_t i = 0; i < length && i < VARINT_BYTES; i++) {
+        value |= (uint64_t)(bytes[i] & (VARINT_MORE - 1)) << (i * VARINT_BITS);
+        if ((bytes[i] & VARINT_MORE) == 0) {
+            *number = (uint32_t)value;
+            return value > UINT32_MAX ? 0 : i + 1;
+        }
+    }
+    return 0;
+}
+
+static void
+make_tag(const position_key_t *key, const char *name, size_t name_length,
+         uint32_t position, const uint8_t *bytes, size_t length, uint8_t *tag)
+{
+    uint8_t digest[EVP_MAX_MD_SIZE];
+    uint8_t input[SEALED_MAX + LINK_NAME_MAX + VARINT_BYTES + 1];
+    size_t used = 0;
+
+    if (name_length > LINK_NAME_MAX) {
+        name_length = LINK_NAME_MAX;
+    }
+    input[used++] = (uint8_t)name_length;
+    memcpy(input + used, name, name_length);
+    used += name_length;
+    used += put_varint(input + used, position);
+    memcpy(input + used, bytes, length);
+    used += length;
+    (void)HMAC(EVP_sha256(), key->bytes, sizeof(key->bytes), input, used,
+               digest, NULL);
+    memcpy(tag, digest, TAG_BYTES);
+}
+
+static void
+write_base64(const uint8_t *bytes, size_t length, text_t *out)
+{
+    char text[SEALED_MAX / 3 * 4 + 4];
+    size_t used = 0;
+    uint32_t bits = 0;
+    int held = 0;
+
+    for (size_t i = 0; i < length; i++) {
+        bits = bits << 8 | bytes[i];
+        held += 8;
+        while (held >= 6) {
+            held -= 6;
+            text[used++] = alphabet[bits >> held & 63];
+        }
+    }
+    if (held > 0) {
+        text[used++] = alphabet[bits << (6 - held) & 63];
+    }
+    text_append(out, text, used);
+}
+
+/* How many bytes came out; 0 when the text is none of ours. */
+static size_t
+read_base64(const char *text, uint8_t *bytes, size_t room)
+{
+    size_t used = 0;
+    uint32_t bits = 0;
+    int held = 0;
+
+    for (; *text != '\0'; text++) {
+        const char *found = strchr(alphabet, *text);
+
+        if (found == NULL || used == room) {
+            return 0;
+        }
+        bits = bits << 6 | (uint32_t)(found - alphabet);
+        held += 6;
+        if (held >= 8) {
+            held -= 8;
+            bytes[used++] = (uint8_t)(bits >> held);
+        }
+    }
+    return used;
+}
--- a/agated/request.c
+++ b/agated/request.c
@@ -30,6 +30,7 @@
     arena_t *arena;
     refuse_order_t *refusal;
     request_parsed_t *parsed;
+    const position_key_t *position_key;
     json_t *root;
 } reader_t;
 
@@ -106,7 +107,12 @@
 request_read(const request_input_t *input, arena_t *arena,
              request_parsed_t *parsed, refuse_order_t *refusal)
 {
-    reader_t reader = {.arena = arena, .refusal = refusal, .parsed = parsed};
+    reader_t reader = {
+        .arena = arena,
+        .refusal = refusal,
+        .parsed = parsed,
+        .position_key = input->position_key,
+    };
     char credential[CREDENTIAL_BYTES];
     int result;
 
@@ -187,25 +193,20 @@
     return read_position(reader, input->last_event_id, key != NULL);
 }
 
-/* Last-Event-ID is NAME.POSITION, as every event's id was. */
+/* Last-Event-ID is the id of an event; see position.h. */
 static int
 read_position(reader_t *reader, const char *last_event_id, bool named)
 {
     request_event_t *event = &reader->parsed->event;
-    const char *dot = strrchr(last_event_id, '.');
-    size_t length = dot == NULL ? 0 : (size_t)(dot - last_event_id);
-    char *end = NULL;
-    unsigned long long position = 0;
+    position_t position;
+    size_t length;
 
-    if (dot != NULL && isdigit((unsigned char)dot[1])) {
-        errno = 0;
-        position = strtoull(dot + 1, &end, DECIMAL);
-    }
-    if (end == NULL || *end != '\0' || errno != 0 || position > UINT32_MAX ||
+    if (!position_read(reader->position_key, last_event_id, reader->arena,
+                       &position, &length) ||
         !is_name(last_event_id, length)) {
         return refuse(reader, STATUS_BAD_REQUEST,
-                      "Last-Event-ID is not NAME.POSITION: write the id of "
-                      "the last event that came");
+                      "Last-Event-ID is not the id of an event: write the id "
+                      "of the last event that came, whole");
     }
     if (named && (strlen(event->key) != length ||
                   memcmp(event->key, last_event_id, length) != 0)) {
@@ -215,7 +216,11 @@
     }
     event->key = arena_strndup(reader->arena, last_event_id, length);
     event->resumes = true;
-    event->position = (uint32_t)position;
+    event->position = position.position;
+    event->attempt = position.attempt;
+    event->tail_from = position.tail_from;
+    event->tail_ids.tail_ids_val = (uint32_t *)(uintptr_t)position.tail_ids;
+    event->tail_ids.tail_ids_len = position.tail_count;
     return 0;
 }
 
--- a/agated/request.h
+++ b/agated/request.h
@@ -10,6 +10,7 @@
 #include <stdbool.h>
 #include <stddef.h>
 
+#include "agated/position.h"
 #include "base/arena.h"
 #include "policy/generated/event.h"
 
@@ -26,6 +27,7 @@
     const char *request_kind;
     const char *body;
     size_t body_bytes;
+    const position_key_t *position_key;
     const char *fresh_name; /* the request's name unless it has one */
 } request_input_t;
 
--- a/agated/response.c
+++ b/agated/response.c
@@ -42,6 +42,7 @@
     [FINISH_OTHER] = "other",
 };
 
+static void keep_id(response_t *response, const give_order_t *give);
 static void write_id(const response_t *response, text_t *out);
 static void write_head(const response_t *response,
                        const char *completion_object, const char *chat_object,
@@ -58,6 +59,7 @@
 void
 response_free(response_t *response)
 {
+    text_free(&response->id);
     text_free(&response->whole);
     text_free(&response->whole_ids);
 }
@@ -66,6 +68,7 @@
 response_give(response_t *response, const give_order_t *give, text_t *out)
 {
     response->position = give->position;
+    keep_id(response, give);
     if (!response->stream) {
         keep_whole(response, give);
         return;
@@ -143,12 +146,37 @@
 write_id(const response_t *response, text_t *out)
 {
     text_puts(out, "id: ");
-    text_puts(out, response->name);
-    text_puts(out, ".");
-    text_u64(out, response->position);
+    if (response->id.length > 0) {
+        text_append(out, response->id.bytes, response->id.length);
+    }
+    else {
+        text_puts(out, response->name);
+        text_puts(out, ".");
+        text_u64(out, response->position);
+    }
     text_puts(out, "\n");
 }
 
+/* The events that end an answer have the id of its last piece. */
+static void
+keep_id(response_t *response, const give_order_t *give)
+{
+    const position_t position = {
+        .position = give->position,
+        .attempt = give->attempt,
+        .tail_from = give->tail_from,
+        .tail_ids = give->tail_ids.tail_ids_val,
+        .tail_count = give->tail_ids.tail_ids_len,
+    };
+
+    if (!response->stream) {
+        return;
+    }
+    response->id.length = 0;
+    position_write(response->position_key, response->name, &position,
+                   &response->id);
+}
+
 /* The object up to the comma before what differs. */
 static void
 write_head(const response_t *response, const char *completion_object,
--- a/agated/response.h
+++ b/agated/response.h
@@ -1,7 +1,7 @@
 /*
  * response.h - one answer's orders as bytes in the OpenAI formats.
  *
- * A streamed answer is server-sent events, each with "id: NAME.POSITION";
+ * A streamed answer is server-sent events, each with an id (position.h);
  * a whole one is a JSON object.  Writes bytes only: the caller's task sends
  * them.
  */
@@ -11,6 +11,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "agated/position.h"
 #include "agated/text.h"
 #include "policy/generated/event.h"
 
@@ -25,6 +26,8 @@
     bool resumed;   /* the caller has the answer's beginning already */
     int64_t created_s;
     uint32_t position;
+    const position_key_t *position_key;
+    text_t id;  /* of the last event; empty: none yet */
     bool begun; /* the first event has been written */
     text_t whole;
     text_t whole_ids;
--- a/backend/backend.h
+++ b/backend/backend.h
@@ -117,15 +117,15 @@
  * reattach: GET /v1/completions/{id}?stream=true&starting_after=N, where
  * id is "cmpl-"/"chatcmpl-" and the name.
  *
- * cancel: POST /v1/completions/{id}/cancel, and the stream's connection is
- * closed; no report follows.
+ * cancel: POST /v1/completions/{id}/cancel unless keep is set, and the
+ * stream's connection is closed; no report follows.
  *
  * poll_load: GET /metrics, reported by listener->load.
  */
 typedef struct {
     void (*open)(backend_t *backend, const backend_request_t *request);
     void (*reattach)(backend_t *backend, const backend_reattach_t *again);
-    void (*cancel)(backend_t *backend, uint64_t stream);
+    void (*cancel)(backend_t *backend, uint64_t stream, bool keep);
     void (*poll_load)(backend_t *backend, const char *runner,
                       const char *address);
     void (*free)(backend_t *backend);
--- a/backend/engine.c
+++ b/backend/engine.c
@@ -56,7 +56,7 @@
 static void engine_open(backend_t *backend, const backend_request_t *request);
 static void engine_reattach(backend_t *backend,
                             const backend_reattach_t *again);
-static void engine_cancel(backend_t *backend, uint64_t number);
+static void engine_cancel(backend_t *backend, uint64_t number, bool keep);
 static void engine_poll_load(backend_t *backend, const char *runner,
                              const char *address);
 static void engine_free(backend_t *backend);
@@ -153,7 +153,7 @@
 }
 
 static void
-engine_cancel(backend_t *backend, uint64_t number)
+engine_cancel(backend_t *backend, uint64_t number, bool keep)
 {
     engine_t *engine = (engine_t *)backend;
     http_request_t call = {
@@ -169,6 +169,10 @@
     if (stream == NULL) {
         return;
     }
+    if (keep) {
+        stream_close(stream);
+        return;
+    }
     (void)snprintf(path, sizeof(path), "/v1/completions/%s/cancel",
                    stream->id);
     url = url_make(stream->address, path);
--- a/backend/service.c
+++ b/backend/service.c
@@ -38,7 +38,7 @@
 } service_call_t;
 
 static void service_open(backend_t *backend, const backend_request_t *request);
-static void service_cancel(backend_t *backend, uint64_t number);
+static void service_cancel(backend_t *backend, uint64_t number, bool keep);
 static void service_poll_load(backend_t *backend, const char *runner,
                               const char *address);
 static void service_free(backend_t *backend);
@@ -103,11 +103,12 @@
 }
 
 static void
-service_cancel(backend_t *backend, uint64_t number)
+service_cancel(backend_t *backend, uint64_t number, bool keep)
 {
     service_t *service = (service_t *)backend;
     service_call_t *call;
 
+    (void)keep;
     HASH_FIND(hh, service->calls, &number, sizeof(number), call);
     if (call != NULL) {
         call_free(call);
--- a/regress/test_backend.c
+++ b/regress/test_backend.c
@@ -54,7 +54,7 @@
     note("%d@%u+%u %.*s;", (int)piece->stream, piece->position,
          piece->token_count, (int)piece->text_bytes, piece->text);
     if (deed == CANCEL_IN_PIECE) {
-        backend->ops->cancel(backend, piece->stream);
+        backend->ops->cancel(backend, piece->stream, false);
     }
 }
 
--- /dev/null
+++ b/regress/test_position.c
@@ -0,0 +1,103 @@
+/* test_position.c - event ids: what a caller may hand back. */
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "agated/position.h"
+
+static const uint8_t secret[] = "a secret that the hosts share";
+static const uint32_t ids[] = {1, 127, 128, 300, 4294967295U};
+
+typedef struct {
+    const char *name;
+    const char *from; /* replaced in the id, or NULL */
+    const char *to;
+    const char *secret; /* the reader's, or NULL for the same */
+    bool good;
+} case_t;
+
+static const case_t cases[] = {
+    {"as written", NULL, NULL, NULL, true},
+    {"another name", "k.1", "j.1", NULL, false},
+    {"another position", ".12~", ".13~", NULL, false},
+    {"a changed seal", "~AQ", "~AR", NULL, false},
+    {"a longer seal", "~", "~A", NULL, false},
+    {"no seal at all", "~", "\0", NULL, true},
+    {"another fleet's key", NULL, NULL, "another secret", false},
+    {"no position", ".12", ".", NULL, false},
+    {"position beyond its range", ".12", ".4294967296", NULL, false},
+};
+
+static void
+replace_first(const char *from, const char *to, const char *text, char *out)
+{
+    const char *at = from == NULL ? NULL : strstr(text, from);
+
+    if (at == NULL) {
+        (void)strcpy(out, text); /* NOLINT: room is for both */
+        return;
+    }
+    memcpy(out, text, (size_t)(at - text));
+    out[at - text] = '\0';
+    (void)strcat(out, to); /* NOLINT: room is for both */
+    if (to[0] != '\0') {
+        (void)strcat(out, at + strlen(from)); /* NOLINT */
+    }
+}
+
+START_TEST(reads_only_what_was_written)
+{
+    const case_t *row = &cases[_i];
+    const position_t written = {.position = 12,
+                                .attempt = 1,
+                                .tail_from = 7,
+                                .tail_ids = ids,
+                                .tail_count = 5};
+    position_key_t key;
+    position_t read;
+    arena_t arena = {0};
+    text_t text = {0};
+    size_t length = 0;
+    char id[512];
+
+    position_key(&key, secret, sizeof(secret));
+    position_write(&key, "k", &written, &text);
+    text_append(&text, "", 1);
+    replace_first(row->from, row->to, text.bytes, id);
+    if (row->secret != NULL) {
+        position_key(&key, (const uint8_t *)row->secret, strlen(row->secret));
+    }
+    ck_assert_msg(position_read(&key, id, &arena, &read, &length) == row->good,
+                  "%s: %s", row->name, id);
+    if (row->good) {
+        ck_assert_uint_eq(read.position, 12);
+        ck_assert_uint_eq(length, 1);
+    }
+    if (row->good && row->from == NULL) {
+        ck_assert_uint_eq(read.attempt, 1);
+        ck_assert_uint_eq(read.tail_from, 7);
+        ck_assert_uint_eq(read.tail_count, 5);
+        ck_assert_int_eq(memcmp(read.tail_ids, ids, sizeof(ids)), 0);
+    }
+    text_free(&text);
+    arena_free(&arena);
+}
+END_TEST
+
+int
+main(void)
+{
+    Suite *suite = suite_create("position");
+    TCase *table = tcase_create("read");
+    SRunner *runner;
+    int failed;
+
+    tcase_add_loop_test(table, reads_only_what_was_written, 0,
+                        sizeof(cases) / sizeof(cases[0]));
+    suite_add_tcase(suite, table);
+    runner = srunner_create(suite);
+    srunner_run_all(runner, CK_NORMAL);
+    failed = srunner_ntests_failed(runner);
+    srunner_free(runner);
+    return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
