--- a/policy/member.c
+++ b/policy/member.c
@@ -252,6 +252,10 @@
     }
     host = member_lookup(member, entry->host);
     if (host == NULL) {
+        if (entry->peer_address[0] == '\0') {
+            /* The platform lists hosts that are none of ours, too. */
+            return;
+        }
         host = member_add(member, now_us, entry->host);
         host->incarnation = entry->incarnation;
     }
