--- a/policy/keep.c
+++ b/policy/keep.c
@@ -7,10 +7,7 @@
 
 #include "base/arena.h"
 #include "policy/keep.h"
-<<<<<<< HEAD
 #include "policy/keep_tell.h"
-=======
->>>>>>> main
 
 typedef struct kept {
     record_t record; /* with first 0: the whole of it */
@@ -51,15 +48,6 @@
 static void append(kept_t *kept, const record_t *record, u_int cuts,
                    uint32_t text);
 static void set_head(kept_t *kept, const record_t *record);
-<<<<<<< HEAD
-=======
-static void tell_superseded(const char *host, const record_t *held,
-                            order_list_t *orders);
-static void tell_gap(const char *host, const record_t *record, uint32_t held,
-                     order_list_t *orders);
-static void tell_found(const char *host, uint64_t ask, const record_t *held,
-                       order_list_t *orders);
->>>>>>> main
 
 RB_PROTOTYPE(kept_tree, kept, entry, kept_compare)
 RB_GENERATE(kept_tree, kept, entry, kept_compare)
@@ -315,7 +303,9 @@
     held->epoch = record->epoch;
     held->state = record->state;
     held->idempotent = record->idempotent;
+    held->stream_endpoint = record->stream_endpoint;
     held->stream_first = record->stream_first;
+    held->base = record->base;
     held->attempt = record->attempt;
     held->finish = record->finish;
     if (prompt_len > 0) {
@@ -328,41 +318,6 @@
     }
 }
 
-<<<<<<< HEAD
-=======
-static void
-tell_superseded(const char *host, const record_t *held, order_list_t *orders)
-{
-    tell_order_t *telling = &orders_add(orders, ORDER_TELL)->order_t_u.tell;
-    superseded_t *superseded = &telling->message.message_t_u.superseded;
-    arena_t *arena = &orders->arena;
-
-    telling->host = arena_strdup(arena, host);
-    telling->message.kind = MESSAGE_SUPERSEDED;
-    superseded->request.organisation =
-        arena_strdup(arena, held->request.organisation);
-    superseded->request.key = arena_strdup(arena, held->request.key);
-    superseded->epoch = held->epoch;
-}
-
-static void
-tell_gap(const char *host, const record_t *record, uint32_t held,
-         order_list_t *orders)
-{
-    tell_order_t *telling = &orders_add(orders, ORDER_TELL)->order_t_u.tell;
-    record_gap_t *gap = &telling->message.message_t_u.record_gap;
-    arena_t *arena = &orders->arena;
-
-    telling->host = arena_strdup(arena, host);
-    telling->message.kind = MESSAGE_RECORD_GAP;
-    gap->request.organisation =
-        arena_strdup(arena, record->request.organisation);
-    gap->request.key = arena_strdup(arena, record->request.key);
-    gap->epoch = record->epoch;
-    gap->held = held;
-}
-
->>>>>>> main
 void
 keep_record(keep_t *keep, int64_t now_us, const char *from,
             const record_t *record, order_list_t *orders)
@@ -374,24 +329,15 @@
 
     if (held != NULL && outranks(held, record)) {
         keep->counters.fenced++;
-<<<<<<< HEAD
         keep_tell_superseded(from, held, orders);
-=======
-        tell_superseded(from, held, orders);
->>>>>>> main
         return;
     }
     if (record->first > 0 &&
         (held == NULL || !text_before(held, record->first, &cuts, &text))) {
         keep->counters.gaps++;
-<<<<<<< HEAD
         keep_tell_gap(from, record,
                       held == NULL ? 0 : held->token_ids.token_ids_len,
                       orders);
-=======
-        tell_gap(from, record,
-                 held == NULL ? 0 : held->token_ids.token_ids_len, orders);
->>>>>>> main
         return;
     }
     if (!agrees(record, text)) {
@@ -408,52 +354,6 @@
     evict(keep);
 }
 
-<<<<<<< HEAD
-=======
-/* The answer outlives the record: it is copied. */
-static void
-tell_found(const char *host, uint64_t ask, const record_t *held,
-           order_list_t *orders)
-{
-    tell_order_t *telling = &orders_add(orders, ORDER_TELL)->order_t_u.tell;
-    found_t *found = &telling->message.message_t_u.found;
-    arena_t *arena = &orders->arena;
-    record_t *copy = &found->record;
-
-    telling->host = arena_strdup(arena, host);
-    telling->message.kind = MESSAGE_FOUND;
-    found->ask = ask;
-    found->found = held != NULL;
-    if (held == NULL) {
-        copy->request.organisation = "";
-        copy->request.key = "";
-        copy->owner = "";
-        copy->runner = "";
-        copy->stream_name = "";
-        copy->state = RECORD_FORGOTTEN;
-        return;
-    }
-    *copy = *held;
-    copy->request.organisation =
-        arena_strdup(arena, held->request.organisation);
-    copy->request.key = arena_strdup(arena, held->request.key);
-    copy->owner = arena_strdup(arena, held->owner);
-    copy->runner = arena_strdup(arena, held->runner);
-    copy->stream_name = arena_strdup(arena, held->stream_name);
-    copy->prompt_ids.prompt_ids_val =
-        arena_memdup(arena, held->prompt_ids.prompt_ids_val,
-                     held->prompt_ids.prompt_ids_len * sizeof(uint32_t));
-    copy->token_ids.token_ids_val =
-        arena_memdup(arena, held->token_ids.token_ids_val,
-                     held->token_ids.token_ids_len * sizeof(uint32_t));
-    copy->text.text_val =
-        arena_memdup(arena, held->text.text_val, held->text.text_len);
-    copy->cuts.cuts_val =
-        arena_memdup(arena, held->cuts.cuts_val,
-                     held->cuts.cuts_len * sizeof(record_cut_t));
-}
-
->>>>>>> main
 void
 keep_lookup(keep_t *keep, int64_t now_us, const char *from,
             const lookup_t *lookup, order_list_t *orders)
@@ -463,32 +363,20 @@
 
     keep->counters.lookups++;
     if (kept == NULL || kept->record.state == RECORD_FORGOTTEN) {
-<<<<<<< HEAD
         keep_tell_found(from, lookup->ask, NULL, orders);
-=======
-        tell_found(from, lookup->ask, NULL, orders);
->>>>>>> main
         return;
     }
     held = &kept->record;
     keep->counters.found++;
     if (held->state == RECORD_RUNNING && strcmp(held->owner, from) != 0) {
         held->epoch++;
-<<<<<<< HEAD
         keep_tell_superseded(held->owner, held, orders);
-=======
-        tell_superseded(held->owner, held, orders);
->>>>>>> main
         set_string(&held->owner, from);
         held->owner_incarnation = 0;
         keep->counters.taken_over++;
         touch(keep, kept, now_us);
     }
-<<<<<<< HEAD
     keep_tell_found(from, lookup->ask, held, orders);
-=======
-    tell_found(from, lookup->ask, held, orders);
->>>>>>> main
 }
 
 /* Drops those of a list, the oldest first, that were touched before. */
--- a/regress/test_keep.c
+++ b/regress/test_keep.c
@@ -35,6 +35,8 @@
     record.state = part->state;
     record.runner = "r1";
     record.stream_name = "s";
+    record.stream_endpoint = 1;
+    record.base = part->epoch;
     record.first = part->first;
     for (i = 0; i < part->count; i++) {
         token_ids[i] = part->epoch * 1000 + part->first + i;
@@ -149,6 +151,8 @@
     ck_assert_msg((held == NULL) == (row->tokens == 0), "%s", row->what);
     if (held != NULL) {
         ck_assert_uint_eq(held->epoch, row->epoch);
+        ck_assert_uint_eq(held->base, row->epoch);
+        ck_assert_uint_eq(held->stream_endpoint, 1);
         ck_assert_uint_eq(held->token_ids.token_ids_len, row->tokens);
         ck_assert_uint_eq(held->token_ids.token_ids_val[row->tokens - 1],
                           row->last);
