Close a gap that a mutant showed in the event parser's table

Cause: the mutant that forgets a carriage return between two feeds survived test_sse: no case had two data lines that end in both characters.

--- a/regress/test_sse.c
+++ b/regress/test_sse.c
@@ -20,6 +20,7 @@
     {"data: a\r\rdata: b\r\r", "a|b|"},
     {"data: a\r\n\ndata: b\n\r\n", "a|b|"},
     {"data: a\ndata: b\n\n", "a\nb|"},
+    {"data: a\r\ndata: b\r\n\r\n", "a\nb|"},
     {"data\n\n", "|"},
     {"data:\ndata:\n\n", "\n|"},
     {"data: a\n\n\n\n\ndata: b\n\n", "a|b|"},
