--- a/agated/agated.c
+++ b/agated/agated.c
@@ -228,9 +228,7 @@
 on_signal(uv_signal_t *handle, int number)
 {
     daemon_t *daemon = handle->data;
-    event_t event = {.kind = EVENT_DRAIN};
 
     log_line(LOG_NOTICE, "leaving signal=%d", number);
-    presence_leave(daemon->presence);
-    dispatch_event(daemon->dispatch, &event);
+    dispatch_drain(daemon->dispatch);
 }
--- a/agated/agated.h
+++ b/agated/agated.h
@@ -54,6 +54,8 @@
 
 /* Steps the node; an event raised while a step runs waits for its end. */
 void dispatch_event(dispatch_t *dispatch, const event_t *event);
+/* Begins to leave: tells the store and the node. */
+void dispatch_drain(dispatch_t *dispatch);
 const node_t *dispatch_node(const dispatch_t *dispatch);
 
 /* Microseconds of the monotonic clock, as node_step() sees them. */
--- /dev/null
+++ b/agated/control.c
@@ -0,0 +1,202 @@
+/* control.c - the administration API: routes, roles and answers. */
+#include <stdlib.h>
+#include <string.h>
+
+#include "agated/control.h"
+#include "agated/exchange.h"
+#include "base/log.h"
+
+enum {
+    ROLES_OPERATOR = 1 << ROLE_OPERATOR,
+    ROLES_TEAM = 1 << ROLE_TEAM,
+    ROLES_ORGANISATION = 1 << ROLE_ORGANISATION,
+    ROLES_STAFF = ROLES_OPERATOR | ROLES_TEAM,
+    ROLES_ALL = ROLES_STAFF | ROLES_ORGANISATION
+};
+
+/* In the request's memory; cleared with it. */
+struct control_tie {
+    control_call_t *call;
+};
+
+/* A path after /admin/v1/, in which "*" stands for a service's name. */
+typedef struct {
+    const char *method;
+    const char *path;
+    uint32_t roles;
+    void (*handle)(control_call_t *call);
+} route_t;
+
+static control_call_t *call_new(daemon_t *daemon, h2o_req_t *req);
+static void call_free(control_call_t *call);
+static void on_dispose(void *memory);
+static void identify(control_call_t *call);
+static const route_t *find_route(control_call_t *call, const char *method,
+                                 const char *path);
+static bool path_matches(control_call_t *call, const char *pattern,
+                         const char *path);
+
+static const char base_path[] = "/admin/v1/";
+
+static const route_t routes[] = {
+    {"GET", "fleet", ROLES_OPERATOR, control_get_fleet},
+    {"PUT", "fleet", ROLES_OPERATOR, control_put_fleet},
+    {"GET", "services", ROLES_STAFF, control_list_services},
+    {"GET", "services/*", ROLES_STAFF, control_get_service},
+    {"PUT", "services/*", ROLES_STAFF, control_put_service},
+    {"GET", "services/*/history", ROLES_STAFF, control_list_history},
+    {"POST", "check", ROLES_STAFF, control_check_service},
+    {"POST", "check/fleet", ROLES_OPERATOR, control_check_fleet},
+    {"GET", "hosts", ROLES_STAFF, control_list_hosts},
+    {"GET", "runners", ROLES_STAFF, control_list_runners},
+    {"GET", "requests", ROLES_OPERATOR | ROLES_ORGANISATION,
+     control_list_requests},
+    {"POST", "drain", ROLES_OPERATOR, control_drain},
+};
+
+void
+control_request(daemon_t *daemon, h2o_req_t *req)
+{
+    control_call_t *call = call_new(daemon, req);
+    size_t length = req->query_at == SIZE_MAX ? req->path.len : req->query_at;
+    const char *path = arena_strndup(&call->arena, req->path.base, length);
+    const char *method =
+        arena_strndup(&call->arena, req->method.base, req->method.len);
+    const route_t *route = find_route(call, method, path + strlen(base_path));
+
+    identify(call);
+    if (call->role == ROLE_NONE) {
+        control_error(call, CONTROL_UNAUTHORISED, "unauthorised", "not-run",
+                      "nobody has this key: send Authorization: Bearer KEY");
+        return;
+    }
+    if (route == NULL) {
+        control_error(call, CONTROL_NOT_FOUND, "not-found", "not-run",
+                      "no such method and path: see agated(8)");
+        return;
+    }
+    if ((route->roles & (1U << call->role)) == 0) {
+        control_error(call, CONTROL_FORBIDDEN, "forbidden", "not-run",
+                      "this key's role may not do that: use another key");
+        return;
+    }
+    log_line(LOG_DEBUG, "admin method=%s path=%s caller=%s", method, path,
+             call->caller);
+    route->handle(call);
+}
+
+void
+control_answer(control_call_t *call, uint32_t status, text_t *json)
+{
+    h2o_req_t *req = call->req;
+
+    call_free(call);
+    if (req != NULL) {
+        respond(req, status, "application/json", json->bytes, json->length);
+    }
+    text_free(json);
+}
+
+void
+control_error(control_call_t *call, uint32_t status, const char *kind,
+              const char *run, const char *message)
+{
+    text_t json = {0};
+
+    text_printf(&json, "{\"error\":{\"kind\":\"%s\",\"message\":", kind);
+    text_json_string(&json, message);
+    text_printf(&json, ",\"run\":\"%s\"}}", run);
+    control_answer(call, status, &json);
+}
+
+static control_call_t *
+call_new(daemon_t *daemon, h2o_req_t *req)
+{
+    control_call_t *call = xcalloc(1, sizeof(*call));
+
+    call->daemon = daemon;
+    call->req = req;
+    call->tie =
+        h2o_mem_alloc_shared(&req->pool, sizeof(*call->tie), on_dispose);
+    call->tie->call = call;
+    call->if_match = header_copy(req, &call->arena, "if-match");
+    call->body = arena_memdup(&call->arena, req->entity.base, req->entity.len);
+    call->body_bytes = req->entity.len;
+    call->caller = "";
+    return call;
+}
+
+static void
+call_free(control_call_t *call)
+{
+    if (call->req != NULL) {
+        call->tie->call = NULL;
+    }
+    arena_free(&call->arena);
+    free(call);
+}
+
+static void
+on_dispose(void *memory)
+{
+    control_tie_t *tie = memory;
+
+    if (tie->call != NULL) {
+        tie->call->req = NULL;
+    }
+}
+
+/* The settings may name operators' keys, for when no document does yet. */
+static void
+identify(control_call_t *call)
+{
+    const field_list_t *keys = &call->daemon->settings->admin_keys;
+    char credential[CREDENTIAL_BYTES];
+    size_t i;
+
+    request_credential(header_copy(call->req, &call->arena, "authorization"),
+                       credential);
+    call->role = node_role(dispatch_node(call->daemon->dispatch), credential,
+                           &call->caller);
+    for (i = 0; i < keys->count && call->role == ROLE_NONE; i++) {
+        if (strcmp(keys->items[i], credential) == 0) {
+            call->role = ROLE_OPERATOR;
+            call->caller = "settings";
+        }
+    }
+}
+
+static const route_t *
+find_route(control_call_t *call, const char *method, const char *path)
+{
+    size_t i;
+
+    for (i = 0; i < sizeof(routes) / sizeof(routes[0]); i++) {
+        if (strcmp(routes[i].method, method) == 0 &&
+            path_matches(call, routes[i].path, path)) {
+            return &routes[i];
+        }
+    }
+    return NULL;
+}
+
+static bool
+path_matches(control_call_t *call, const char *pattern, const char *path)
+{
+    const char *star = strchr(pattern, '*');
+    size_t before = star == NULL ? 0 : (size_t)(star - pattern);
+    size_t length;
+
+    if (star == NULL) {
+        return strcmp(pattern, path) == 0;
+    }
+    if (strncmp(pattern, path, before) != 0) {
+        return false;
+    }
+    length = strcspn(path + before, "/");
+    if (length == 0 || strcmp(path + before + length, star + 1) != 0) {
+        return false;
+    }
+    call->service = arena_strndup(&call->arena, path + before, length);
+    return true;
+}
--- /dev/null
+++ b/agated/control_history.c
@@ -0,0 +1,109 @@
+/* control_history.c - the documents that were in force before. */
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "agated/control.h"
+#include "base/log.h"
+
+enum { HISTORY_MAX = 64, PRUNE_MAX = 64, DECIMAL = 10 };
+
+static const char history_prefix[] = "/agatevale/history/";
+
+static void on_list(void *context, platform_result_t result, int64_t revision,
+                    const platform_pair_t *pairs, size_t count);
+static void on_prune(void *context, platform_result_t result, int64_t revision,
+                     const platform_pair_t *pairs, size_t count);
+static void on_pruned(void *context, platform_result_t result,
+                      int64_t revision, const platform_swap_answer_t *answers,
+                      size_t count);
+
+void
+control_list_history(control_call_t *call)
+{
+    platform_t *platform = call->daemon->platform;
+    char *prefix =
+        arena_printf(&call->arena, "%s%s/", history_prefix, call->service);
+
+    platform->ops->range(platform, prefix, true, on_list, call);
+}
+
+void
+history_prune(daemon_t *daemon, const char *name)
+{
+    platform_t *platform = daemon->platform;
+    arena_t arena = {0};
+    char *prefix = arena_printf(&arena, "%s%s/", history_prefix, name);
+
+    platform->ops->range(platform, prefix, true, on_prune, platform);
+    arena_free(&arena);
+}
+
+char *
+history_key(arena_t *arena, const char *name, int64_t replaced)
+{
+    return arena_printf(arena, "%s%s/%020" PRId64, history_prefix, name,
+                        replaced);
+}
+
+static void
+on_list(void *context, platform_result_t result, int64_t revision,
+        const platform_pair_t *pairs, size_t count)
+{
+    control_call_t *call = context;
+    text_t json = {0};
+    size_t i;
+
+    if (result != PLATFORM_OK) {
+        control_error(call, CONTROL_UNAVAILABLE, "store-unreached", "not-run",
+                      "the store did not answer: ask again later");
+        return;
+    }
+    text_puts(&json, "{\"history\":[");
+    for (i = 0; i < count; i++) {
+        const char *slash = strrchr(pairs[i].key, '/');
+
+        text_printf(&json,
+                    "%s{\"revision\":%" PRId64 ",\"replaced\":%lld,\"text\":",
+                    i > 0 ? "," : "", pairs[i].mod_revision,
+                    strtoll(slash + 1, NULL, DECIMAL));
+        text_json(&json, pairs[i].value, pairs[i].value_bytes);
+        text_puts(&json, "}");
+    }
+    text_puts(&json, "]}");
+    control_answer(call, CONTROL_OK, &json);
+}
+
+/* The oldest have the lowest keys, and so come first. */
+static void
+on_prune(void *context, platform_result_t result, int64_t revision,
+         const platform_pair_t *pairs, size_t count)
+{
+    platform_t *platform = context;
+    platform_op_t ops[PRUNE_MAX];
+    platform_swap_t swaps[PRUNE_MAX];
+    size_t excess = count > HISTORY_MAX ? count - HISTORY_MAX : 0;
+    size_t i;
+
+    if (result != PLATFORM_OK || excess == 0) {
+        return;
+    }
+    excess = excess > PRUNE_MAX ? PRUNE_MAX : excess;
+    for (i = 0; i < excess; i++) {
+        ops[i] = (platform_op_t){.verb = PLATFORM_DELETE, .key = pairs[i].key};
+        swaps[i] = (platform_swap_t){.key = pairs[i].key,
+                                     .mod_revision = pairs[i].mod_revision,
+                                     .ops = &ops[i],
+                                     .op_count = 1};
+    }
+    platform->ops->swap(platform, swaps, excess, on_pruned, NULL);
+}
+
+/* What was not deleted this time will be after the next change. */
+static void
+on_pruned(void *context, platform_result_t result, int64_t revision,
+          const platform_swap_answer_t *answers, size_t count)
+{
+    log_line(LOG_DEBUG, "history pruned result=%d count=%zu", (int)result,
+             count);
+}
--- a/agated/dispatch.c
+++ b/agated/dispatch.c
@@ -85,6 +85,15 @@
     dispatch->busy = false;
 }
 
+void
+dispatch_drain(dispatch_t *dispatch)
+{
+    event_t event = {.kind = EVENT_DRAIN};
+
+    presence_leave(dispatch->daemon->presence);
+    dispatch_event(dispatch, &event);
+}
+
 const node_t *
 dispatch_node(const dispatch_t *dispatch)
 {
--- a/agated/listener.c
+++ b/agated/listener.c
@@ -7,6 +7,7 @@
 
 #include <xxhash.h>
 
+#include "agated/control.h"
 #include "agated/exchange.h"
 #include "base/address.h"
 #include "base/log.h"
@@ -53,6 +54,7 @@
 static int on_request(h2o_handler_t *handler, h2o_req_t *req);
 static bool answer_view(listener_t *listener, h2o_req_t *req);
 static bool path_is(const h2o_req_t *req, const char *path);
+static bool path_starts(const h2o_req_t *req, const char *prefix);
 static void on_setup_ostream(h2o_filter_t *filter, h2o_req_t *req,
                              h2o_ostream_t **slot);
 static void send_too_large(h2o_ostream_t *ostream, h2o_req_t *req,
@@ -257,18 +259,20 @@
 on_request(h2o_handler_t *handler, h2o_req_t *req)
 {
     listener_t *listener = ((route_t *)handler)->listener;
-    static const char services[] = "/services/";
     refuse_order_t refusal;
 
     if (path_is(req, "/v1/completions") ||
         path_is(req, "/v1/chat/completions") ||
-        (req->path.len > strlen(services) &&
-         memcmp(req->path.base, services, strlen(services)) == 0)) {
+        path_starts(req, "/services/")) {
         listener->callers_seen++;
         exchange_accept(listener->daemon, &listener->callers,
                         listener->callers_seen, req);
         return 0;
     }
+    if (path_starts(req, "/admin/v1/")) {
+        control_request(listener->daemon, req);
+        return 0;
+    }
     if (answer_view(listener, req)) {
         return 0;
     }
@@ -316,6 +320,15 @@
     return h2o_memis(req->path.base, length, path, strlen(path));
 }
 
+static bool
+path_starts(const h2o_req_t *req, const char *prefix)
+{
+    size_t length = strlen(prefix);
+
+    return req->path.len >= length &&
+           memcmp(req->path.base, prefix, length) == 0;
+}
+
 /* h2o's own 413 is plain text; callers get the one shape of refusals. */
 static void
 on_setup_ostream(h2o_filter_t *filter, h2o_req_t *req, h2o_ostream_t **slot)
--- a/agated/settings.c
+++ b/agated/settings.c
@@ -141,6 +141,14 @@
      .remedy = "record_after_ms = 5000"},
 };
 
+static const field_t admin_fields[] = {
+    {.key = "key_sha256",
+     .type = FIELD_DIGESTS,
+     .offset = offsetof(settings_t, admin_keys),
+     .required = true,
+     .remedy = "key_sha256 = [\"<64 hexadecimal digits>\"]"},
+};
+
 static const field_t tls_fields[] = {
     {.key = "certificate",
      .type = FIELD_STRING,
@@ -206,6 +214,11 @@
      .remedy = "a table [limits]",
      .fields = limits_fields,
      .field_count = COUNT(limits_fields)},
+    {.key = "admin",
+     .type = FIELD_TABLE,
+     .remedy = "a table [admin]",
+     .fields = admin_fields,
+     .field_count = COUNT(admin_fields)},
     {.key = "tls",
      .type = FIELD_TABLE,
      .required = false,
--- a/base/fields.c
+++ b/base/fields.c
@@ -6,7 +6,7 @@
 #include "base/address.h"
 #include "base/fields.h"
 
-enum { KEYS_TEXT_BYTES = 200 };
+enum { KEYS_TEXT_BYTES = 200, DIGEST_DIGITS = 64 };
 
 /* What every reader of one field needs. */
 typedef struct {
@@ -31,6 +31,8 @@
                        const toml_value_t *value, void *out);
 static int read_address(reader_t *reader, const field_t *field,
                         const toml_value_t *value);
+static int read_digest(reader_t *reader, const field_t *field,
+                       const toml_value_t *value);
 static int wrong_type(reader_t *reader, const field_t *field,
                       const toml_value_t *value);
 static const char *type_name(toml_type_t type);
@@ -108,6 +110,7 @@
         return read_choice(reader, field, value, out);
     case FIELD_STRINGS:
     case FIELD_ADDRESSES:
+    case FIELD_DIGESTS:
         return read_list(reader, field, value, out);
     case FIELD_U32:
         return read_number(reader, field, value, out);
@@ -196,6 +199,10 @@
             read_address(reader, field, child) < 0) {
             return -1;
         }
+        if (field->type == FIELD_DIGESTS &&
+            read_digest(reader, field, child) < 0) {
+            return -1;
+        }
         list.items[list.count] = child->string;
         list.count++;
     }
@@ -240,6 +247,18 @@
     return 0;
 }
 
+static int
+read_digest(reader_t *reader, const field_t *field, const toml_value_t *value)
+{
+    if (strlen(value->string) == DIGEST_DIGITS &&
+        strspn(value->string, "0123456789abcdef") == DIGEST_DIGITS) {
+        return 0;
+    }
+    return err_set(reader->err, ERR_SETTINGS,
+                   "%s:%u: an entry of %s is no SHA-256: write %s",
+                   reader->file, value->line, field->key, field->remedy);
+}
+
 static int
 wrong_type(reader_t *reader, const field_t *field, const toml_value_t *value)
 {
--- a/base/fields.h
+++ b/base/fields.h
@@ -22,6 +22,7 @@
     FIELD_ADDRESS,   /* const char *, "ip:port" */
     FIELD_ADDRESSES, /* field_list_t of "ip:port" */
     FIELD_STRINGS,   /* field_list_t */
+    FIELD_DIGESTS,   /* field_list_t of SHA-256 in lower hexadecimal */
     FIELD_U32,       /* uint32_t from min to max */
     FIELD_BOOL,      /* bool */
     FIELD_TABLE,     /* more fields of the same struct */
--- a/regress/test_settings.c
+++ b/regress/test_settings.c
@@ -30,7 +30,7 @@
      "f:3: address is missing: write address = \"127.0.0.1:8080\""},
     {HOST "colour = 1\n" LISTEN MEMORY,
      "f:3: unknown key \"colour\": remove it or write one of host, zone, "
-     "listen, platform, peers, limits, tls, debug"},
+     "listen, platform, peers, limits, admin, tls, debug"},
     {HOST "[listen]\naddress = \"127.0.0.1:0\"\nport = 1\n" MEMORY,
      "f:5: unknown key \"port\": remove it or write one of address, "
      "body_max_bytes, header_timeout_ms"},
@@ -72,6 +72,9 @@
     {WHOLE "[limits]\nsilence_floor_ms = 500\nsilence_ceiling_ms = 400\n",
      "f:8: silence_floor_ms is above silence_ceiling_ms: write a floor "
      "below the ceiling"},
+    {WHOLE "[admin]\nkey_sha256 = [\"secret\"]\n",
+     "f:9: an entry of key_sha256 is no SHA-256: write key_sha256 = [\"<64 "
+     "hexadecimal digits>\"]"},
     {WHOLE "limits = 3\n",
      "f:8: unknown key \"limits\": remove it or write one of kind, "
      "addresses, timeout_ms, fleet, documents"},
