--- /dev/null
+++ b/agatectl/agatectl.c
@@ -0,0 +1,164 @@
+/* agatectl.c - the operators' command: its command line. */
+#include <argp.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <curl/curl.h>
+
+#include "agatectl/agatectl.h"
+
+enum { OPTION_JSON = 256 };
+
+/* A subcommand and how many arguments follow it. */
+typedef struct {
+    const char *name;
+    size_t arguments;
+    bool keyless; /* asks no host */
+    int (*run)(session_t *session);
+} command_t;
+
+static error_t parse_option(int key, char *arg, struct argp_state *state);
+static const command_t *find_command(const char *name);
+
+const char *argp_program_version = "agatectl " AGATEVALE_VERSION;
+
+static const command_t commands[] = {
+    {"check", 1, false, command_check},
+    {"apply", 1, false, command_apply},
+    {"diff", 1, false, command_diff},
+    {"show", 1, false, command_show},
+    {"history", 1, false, command_history},
+    {"services", 0, false, command_services},
+    {"hosts", 0, false, command_hosts},
+    {"runners", 0, false, command_runners},
+    {"requests", 0, false, command_requests},
+    {"drain", 0, false, command_drain},
+    {"key", 0, true, command_key},
+};
+
+static const struct argp_option argp_options[] = {
+    {"address", 'a', "IP:PORT", 0, "Host to ask; more are tried in turn", 0},
+    {"ca", 'c', "FILE", 0, "Use TLS, and trust the certificates in FILE", 0},
+    {"key-file", 'k', "FILE", 0, "Key to show (or AGATECTL_KEY)", 0},
+    {"revision", 'r', "N", 0,
+     "apply: the revision to replace; show: the one to show", 0},
+    {"json", OPTION_JSON, NULL, 0, "Print the answer as JSON", 0},
+    {0},
+};
+
+static const struct argp argp = {
+    .options = argp_options,
+    .parser = parse_option,
+    .args_doc = "check FILE\napply FILE\ndiff FILE\nshow NAME\nhistory NAME\n"
+                "services\nhosts\nrunners\nrequests\ndrain\nkey",
+    .doc = "Shows and changes what agated serves.  NAME is a service, or "
+           "\"fleet\" for the operators' document.",
+};
+
+int
+main(int argc, char **argv)
+{
+    options_t options = {0};
+    session_t session = {.options = &options};
+    const command_t *command;
+    err_t err;
+    int code;
+
+    if (argp_parse(&argp, argc, argv, 0, NULL, &options) != 0) {
+        return EXIT_FAILURE;
+    }
+    command = find_command(options.arguments[0]);
+    memmove(options.arguments, options.arguments + 1,
+            sizeof(options.arguments) - sizeof(options.arguments[0]));
+    if (options.address_count == 0) {
+        options.addresses[0] = "127.0.0.1:8080";
+        options.address_count = 1;
+    }
+    (void)curl_global_init(CURL_GLOBAL_DEFAULT);
+    code = !command->keyless && client_key(&session, &err) < 0
+               ? tell_error(&err)
+               : command->run(&session);
+    arena_free(&session.arena);
+    curl_global_cleanup();
+    return code;
+}
+
+int
+tell_error(const err_t *err)
+{
+    (void)fprintf(stderr, "agatectl: %s\n", err->message);
+    return err->kind == ERR_UNREACHED ? EXIT_UNREACHED : EXIT_REFUSED;
+}
+
+int
+tell_refusal(const reply_t *reply)
+{
+    json_t *root = json_loadb(reply->body, reply->length, 0, NULL);
+    const char *message = json_string_value(
+        json_object_get(json_object_get(root, "error"), "message"));
+
+    (void)fprintf(stderr, "agatectl: %s (HTTP status %ld)\n",
+                  message == NULL ? "the host gave no reason" : message,
+                  reply->status);
+    json_decref(root);
+    return EXIT_REFUSED;
+}
+
+static error_t
+parse_option(int key, char *arg, struct argp_state *state)
+{
+    options_t *options = state->input;
+
+    switch (key) {
+    case 'a':
+        if (options->address_count == ADDRESSES_MAX) {
+            argp_error(state, "at most %d addresses", ADDRESSES_MAX);
+            return 0;
+        }
+        options->addresses[options->address_count++] = arg;
+        return 0;
+    case 'c':
+        options->ca_file = arg;
+        return 0;
+    case 'k':
+        options->key_file = arg;
+        return 0;
+    case 'r':
+        options->revision = arg;
+        return 0;
+    case OPTION_JSON:
+        options->json = true;
+        return 0;
+    case ARGP_KEY_ARG:
+        if (options->argument_count == ARGUMENTS_MAX - 1) {
+            argp_usage(state);
+            return 0;
+        }
+        options->arguments[options->argument_count++] = arg;
+        return 0;
+    case ARGP_KEY_END:
+        if (options->argument_count == 0 ||
+            find_command(options->arguments[0]) == NULL ||
+            find_command(options->arguments[0])->arguments !=
+                options->argument_count - 1) {
+            argp_usage(state);
+        }
+        return 0;
+    default:
+        return ARGP_ERR_UNKNOWN;
+    }
+}
+
+static const command_t *
+find_command(const char *name)
+{
+    size_t i;
+
+    for (i = 0; i < sizeof(commands) / sizeof(commands[0]); i++) {
+        if (strcmp(commands[i].name, name) == 0) {
+            return &commands[i];
+        }
+    }
+    return NULL;
+}
--- a/agated/agated.h
+++ b/agated/agated.h
@@ -16,7 +16,7 @@
 #include <uv.h>
 
 #include "agated/settings.h"
-#include "agated/text.h"
+#include "base/text.h"
 #include "http/http.h"
 #include "platform/platform.h"
 #include "policy/node.h"
@@ -43,7 +43,8 @@
     claims_t *claims;
     documents_t *documents;
     presence_t *presence;
-    peers_t *peers; /* NULL: a host without peers */
+    peers_t *peers;         /* NULL: a host without peers */
+    uint32_t control_calls; /* of the administration API, under way */
 } daemon_t;
 
 /* --- dispatch.c: the one place that calls node_step() --- */
--- a/agated/control.c
+++ b/agated/control.c
@@ -41,6 +41,7 @@
 static const route_t routes[] = {
     {"GET", "fleet", ROLES_OPERATOR, control_get_fleet},
     {"PUT", "fleet", ROLES_OPERATOR, control_put_fleet},
+    {"GET", "fleet/history", ROLES_OPERATOR, control_list_history},
     {"GET", "services", ROLES_STAFF, control_list_services},
     {"GET", "services/*", ROLES_STAFF, control_get_service},
     {"PUT", "services/*", ROLES_STAFF, control_put_service},
@@ -123,6 +124,7 @@
     call->body = arena_memdup(&call->arena, req->entity.base, req->entity.len);
     call->body_bytes = req->entity.len;
     call->caller = "";
+    daemon->control_calls++;
     return call;
 }
 
@@ -132,6 +134,7 @@
     if (call->req != NULL) {
         call->tie->call = NULL;
     }
+    call->daemon->control_calls--;
     arena_free(&call->arena);
     free(call);
 }
--- a/agated/control.h
+++ b/agated/control.h
@@ -66,6 +66,9 @@
 const node_config_view_t *control_document(control_call_t *call,
                                            const char *key);
 
+/* Whether the document is the caller's own, or the caller an operator. */
+bool control_may_read(control_call_t *call, const node_config_view_t *config);
+
 /* --- control_put.c --- */
 
 void control_put_fleet(control_call_t *call);
--- a/agated/control_history.c
+++ b/agated/control_history.c
@@ -22,10 +22,20 @@
 control_list_history(control_call_t *call)
 {
     platform_t *platform = call->daemon->platform;
-    char *prefix =
-        arena_printf(&call->arena, "%s%s/", history_prefix, call->service);
+    arena_t *arena = &call->arena;
+    const char *name = call->service == NULL ? "fleet" : call->service;
+    const node_config_view_t *config = control_document(
+        call, arena_printf(arena, "/agatevale/services/%s", name));
 
-    platform->ops->range(platform, prefix, true, on_list, call);
+    if (call->role == ROLE_TEAM &&
+        (config == NULL || !control_may_read(call, config))) {
+        control_error(call, CONTROL_NOT_FOUND, "not-found", "not-run",
+                      "there is no such service: list them");
+        return;
+    }
+    platform->ops->range(platform,
+                         arena_printf(arena, "%s%s/", history_prefix, name),
+                         true, on_list, call);
 }
 
 void
--- a/agated/control_put.c
+++ b/agated/control_put.c
@@ -284,6 +284,10 @@
         return;
     }
     if ((held == NULL ? 0 : held->mod_revision) != put->replaced) {
+        if (held != NULL && is_ours(put, held)) {
+            accept_document(put, held->mod_revision);
+            return;
+        }
         answer_conflict(put, held);
         return;
     }
--- a/agated/control_views.c
+++ b/agated/control_views.c
@@ -47,8 +47,7 @@
     for (i = 0; i < count; i++) {
         const char *team = team_of(call, &configs[i]);
 
-        if (team == NULL ||
-            (call->role == ROLE_TEAM && strcmp(team, call->caller) != 0)) {
+        if (team == NULL || !control_may_read(call, &configs[i])) {
             continue;
         }
         text_puts(&json, listed > 0 ? ",{" : "{");
@@ -202,16 +201,25 @@
     return NULL;
 }
 
+bool
+control_may_read(control_call_t *call, const node_config_view_t *config)
+{
+    const char *team;
+
+    if (call->role != ROLE_TEAM) {
+        return true;
+    }
+    team = team_of(call, config);
+    return team != NULL && strcmp(team, call->caller) == 0;
+}
+
 static void
 answer_document(control_call_t *call, const char *key, const char *missing)
 {
     const node_config_view_t *config = control_document(call, key);
-    const char *team = config == NULL ? NULL : team_of(call, config);
     text_t json = {0};
 
-    if (config == NULL ||
-        (call->role == ROLE_TEAM &&
-         (team == NULL || strcmp(team, call->caller) != 0))) {
+    if (config == NULL || !control_may_read(call, config)) {
         control_error(call, CONTROL_NOT_FOUND, "not-found", "not-run",
                       missing);
         return;
--- a/agated/listener.c
+++ b/agated/listener.c
@@ -398,7 +398,8 @@
 {
     listener_t *listener = timer->data;
     client_t *client;
-    bool quiet = HASH_COUNT(listener->callers) == 0;
+    bool quiet = HASH_COUNT(listener->callers) == 0 &&
+                 listener->daemon->control_calls == 0;
     uv_os_fd_t fd;
 
     LIST_FOREACH(client, &listener->clients, link)
--- a/agated/response.h
+++ b/agated/response.h
@@ -11,7 +11,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-#include "agated/text.h"
+#include "base/text.h"
 #include "policy/generated/event.h"
 
 /* Zeroed but for what is set before the first call; strings are kept. */
--- a/agated/text.c
+++ b/base/text.c
@@ -4,7 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "agated/text.h"
+#include "base/text.h"
 #include "base/arena.h"
 
 enum { TEXT_FIRST_BYTES = 256, U64_DIGITS = 20, DECIMAL = 10 };
--- a/agated/text.h
+++ b/base/text.h
@@ -1,8 +1,8 @@
 /*
  * text.h - a growing run of bytes, and JSON written into it.
  */
-#ifndef AGATED_TEXT_H
-#define AGATED_TEXT_H
+#ifndef BASE_TEXT_H
+#define BASE_TEXT_H
 
 #include <stddef.h>
 #include <stdint.h>
