--- a/agated/agated.h
+++ b/agated/agated.h
@@ -17,7 +17,7 @@
 
 #include "agated/position.h"
 #include "agated/settings.h"
-#include "agated/text.h"
+#include "base/text.h"
 #include "http/http.h"
 #include "platform/platform.h"
 #include "policy/node.h"
@@ -45,7 +45,8 @@
     claims_t *claims;
     documents_t *documents;
     presence_t *presence;
-    peers_t *peers; /* NULL: a host without peers */
+    peers_t *peers;         /* NULL: a host without peers */
+    uint32_t control_calls; /* of the administration API, under way */
 } daemon_t;
 
 /* --- dispatch.c: the one place that calls node_step() --- */
@@ -56,6 +57,8 @@
 
 /* Steps the node; an event raised while a step runs waits for its end. */
 void dispatch_event(dispatch_t *dispatch, const event_t *event);
+/* Begins to leave: tells the store and the node. */
+void dispatch_drain(dispatch_t *dispatch);
 const node_t *dispatch_node(const dispatch_t *dispatch);
 
 /* Microseconds of the monotonic clock, as node_step() sees them. */
--- a/agated/position.h
+++ b/agated/position.h
@@ -13,7 +13,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
-#include "agated/text.h"
+#include "base/text.h"
 #include "base/arena.h"
 #include "policy/generated/event.h"
 
--- a/agated/response.h
+++ b/agated/response.h
@@ -12,7 +12,7 @@
 #include <stdint.h>
 
 #include "agated/position.h"
-#include "agated/text.h"
+#include "base/text.h"
 #include "policy/generated/event.h"
 
 /* Zeroed but for what is set before the first call; strings are kept. */
