Tests wait by short turns of the loop

Seen in a debugger: no call left, the answer delivered, epoll_wait for 29,997 ms. Ruled out: a lost timer of libcurl. Change: loop_turn() passes without blocking.

--- a/regress/test_backend.c
+++ b/regress/test_backend.c
@@ -7,6 +7,7 @@
 
 #include "backend/backend.h"
 #include "regress/canned.h"
+#include "regress/turn.h"
 
 enum { LIMIT_MS = 20000, SEEN_BYTES = 4096, STREAM = 7, OTHER = 8 };
 
@@ -157,7 +158,7 @@
 run_until_over(void)
 {
     while (!over) {
-        (void)uv_run(&loop, UV_RUN_ONCE);
+        loop_turn(&loop);
     }
 }
 
@@ -316,7 +317,7 @@
     open_world(CALL_OPEN, &pieces, 1);
     make_call(CALL_OPEN, STREAM);
     while (canned_requests(server) < 2) {
-        (void)uv_run(&loop, UV_RUN_ONCE);
+        loop_turn(&loop);
     }
     ck_assert_ptr_nonnull(strstr(
         canned_last(server), "POST /v1/completions/cmpl-o~2fk.1.2/cancel "));
--- a/regress/test_etcd.c
+++ b/regress/test_etcd.c
@@ -6,6 +6,7 @@
 
 #include "platform/platform.h"
 #include "regress/canned.h"
+#include "regress/turn.h"
 
 enum { LIMIT_MS = 20000, TIMEOUT_MS = 300, SEEN_BYTES = 4096 };
 
@@ -108,7 +109,7 @@
         break;
     }
     while (!over) {
-        (void)uv_run(&loop, UV_RUN_ONCE);
+        loop_turn(&loop);
     }
 }
 
--- a/regress/test_http.c
+++ b/regress/test_http.c
@@ -6,6 +6,7 @@
 
 #include "http/http.h"
 #include "regress/canned.h"
+#include "regress/turn.h"
 
 enum { LIMIT_MS = 20000, TEXT_BYTES = 4096 };
 
@@ -136,7 +137,7 @@
 run_until(const bool *done)
 {
     while (!*done) {
-        (void)uv_run(&loop, UV_RUN_ONCE);
+        loop_turn(&loop);
     }
 }
 
@@ -410,7 +411,7 @@
     if (c->other_starts_first) {
         start_plain(&other);
         while (canned_requests(server) == 0) {
-            (void)uv_run(&loop, UV_RUN_ONCE);
+            loop_turn(&loop);
         }
     }
     start_plain(&call);
@@ -449,7 +450,7 @@
     open_world(&silent, 1);
     start_plain(&call);
     while (canned_requests(server) == 0) {
-        (void)uv_run(&loop, UV_RUN_ONCE);
+        loop_turn(&loop);
     }
     close_world();
     ck_assert(!call.done);
--- a/regress/test_peer.c
+++ b/regress/test_peer.c
@@ -9,6 +9,7 @@
 
 #include "peer/peer.h"
 #include "peer/wire.h"
+#include "regress/turn.h"
 
 enum { KEY_BYTES = 32, WAIT_MS = 20000, TEXT_BYTES = 600000 };
 
@@ -108,7 +109,7 @@
 static bool
 turn(uint64_t end_ms)
 {
-    (void)uv_run(&loop, UV_RUN_ONCE);
+    loop_turn(&loop);
     return uv_now(&loop) <= end_ms;
 }
 
@@ -300,7 +301,7 @@
         fd = connect_raw(peer_bound_port(two), record.bytes, record.count);
         free(record.bytes);
         while (seen(counters) < i + 1) {
-            (void)uv_run(&loop, UV_RUN_ONCE);
+            loop_turn(&loop);
         }
         (void)close(fd);
         ck_assert_msg(counters->calls_received == f->received &&
@@ -346,7 +347,7 @@
         fds[i] = connect_raw(peer_bound_port(two), noise, sizeof(noise));
     }
     while (seen(peer_counters(two)) < 101) {
-        (void)uv_run(&loop, UV_RUN_ONCE);
+        loop_turn(&loop);
     }
     ck_assert_uint_eq(peer_counters(two)->oversized, 1);
     ck_assert_uint_eq(peer_counters(two)->calls_received, 0);
--- a/regress/test_platform.c
+++ b/regress/test_platform.c
@@ -9,6 +9,7 @@
 #include <unistd.h>
 
 #include "platform/platform.h"
+#include "regress/turn.h"
 
 enum {
     SEEN_BYTES = 8192,
@@ -132,7 +133,7 @@
 {
     answered = false;
     while (!answered) {
-        (void)uv_run(&loop, UV_RUN_ONCE);
+        loop_turn(&loop);
     }
 }
 
@@ -239,7 +240,7 @@
 
     platform->ops->watch(platform, prefix, start_revision, on_watch, NULL);
     while (strlen(watched) == used) {
-        (void)uv_run(&loop, UV_RUN_ONCE);
+        loop_turn(&loop);
     }
 }
 
@@ -247,7 +248,7 @@
 wait_watched(const char *text)
 {
     while (strcmp(watched, text) != 0) {
-        (void)uv_run(&loop, UV_RUN_ONCE);
+        loop_turn(&loop);
     }
 }
 
