--- a/regress/fleet.sh
+++ b/regress/fleet.sh
@@ -151,8 +151,31 @@
     fail "$1 does not serve the documents"
 }
 
-# stop NAME SIGNAL
+# stop NAME SIGNAL: ends the process and forgets its id.
 stop() {
-    kill "-$2" "${pid_of[$1]}"
-    wait "${pid_of[$1]}" 2>/dev/null || true
+    local ended=${pid_of[$1]} pid left=()
+    kill "-$2" "$ended"
+    wait "$ended" 2>/dev/null || true
+    for pid in "${pids[@]}"; do
+        [ "$pid" = "$ended" ] || left+=("$pid")
+    done
+    pids=("${left[@]}")
+}
+
+# lives NAME
+lives() {
+    kill -0 "${pid_of[$1]}" 2>/dev/null
+}
+
+# pause NAME SECONDS: stops it, and lets it go on later.
+pause() {
+    kill -STOP "${pid_of[$1]}"
+    (sleep "$2"; kill -CONT "${pid_of[$1]}" 2>/dev/null) &
+    pids+=($!)
+}
+
+# store_fault JSON
+store_fault() {
+    "$bin/regress/standin/standin_load" call POST \
+        "http://${address_of[store]}/fault" "$1" >/dev/null
 }
--- a/regress/standin/load.h
+++ b/regress/standin/load.h
@@ -85,8 +85,9 @@
     uint64_t last_us; /* when the last bytes came */
     bool ended;       /* a whole answer or a last refusal was seen */
     bool superseded;  /* another caller with the key took its place */
-    bool dropped;     /* it has dropped its connection on purpose */
-    uint32_t held;    /* tokens of the answer */
+    char refusal[LOAD_NAME_BYTES]; /* the kind of the last one */
+    bool dropped;  /* it has dropped its connection on purpose */
+    uint32_t held; /* tokens of the answer */
     uint32_t status;
     bool event_stream;
     bool error_event;
--- a/regress/standin/load_answer.c
+++ b/regress/standin/load_answer.c
@@ -106,6 +106,8 @@
     for (size_t i = 0; i < sizeof(lasting) / sizeof(lasting[0]); i++) {
         session->ended |= kind != NULL && strcmp(kind, lasting[i]) == 0;
     }
+    snprintf(session->refusal, sizeof(session->refusal), "%s",
+             kind != NULL ? kind : "?");
     session->superseded = kind != NULL && strcmp(kind, "superseded") == 0;
     if (session->options->print) {
         fprintf(stderr, "refused: %s, %s\n", kind != NULL ? kind : "?",
--- a/regress/standin/load_run.c
+++ b/regress/standin/load_run.c
@@ -234,12 +234,16 @@
     history.may_fail |= session->superseded && twin->ended;
     finding = history_check(&history);
     if (finding.fault != HISTORY_GOOD) {
-        fprintf(stderr, "request %s: %s, at token %u, event %zu of %zu\n",
+        fprintf(stderr,
+                "request %s: %s, at token %u, event %zu of %zu, last refused "
+                "as '%s'\n",
                 session->plan->name, history_fault_name(finding.fault),
-                finding.position, finding.event, history.event_count);
+                finding.position, finding.event, history.event_count,
+                session->refusal);
         totals->faults++;
     }
-    if (history_recovered(&history) && !session->dropped && gap_us > 0) {
+    if (history_recovered(&history) && !session->dropped &&
+        !session->plan->repeated && gap_us > 0) {
         totals->gaps_us[totals->gap_count++] = gap_us;
     }
     count_outcome(session, totals);
