Fuzz targets for event streams, etcd's answers, documents and bodies

Cause: these parsers read bytes that other programs wrote. Change: four libFuzzer programs under ASan and UBSan, built by the preset fuzz with clang; make fuzz runs each for FUZZ_S seconds with a fixed seed. fuzz_sse also compares a stream fed whole with the same fed in parts.

--- a/Makefile
+++ b/Makefile
@@ -5,11 +5,12 @@
 	libcurl4-openssl-dev libjansson-dev libxxhash-dev uthash-dev \
 	libssl-dev check libsubunit-dev libbsd-dev mandoc
 JOBS != nproc
+FUZZ_S ?= 20
 PREFIX ?= /usr/local
 DESTDIR ?=
 OWN_C != git ls-files '*.c' '*.h' '*.cc' 2>/dev/null | grep -v '/generated/'
 
-.PHONY: all setup build mutants check check-asan unit lint format generate demo bench \
+.PHONY: all setup build mutants check check-asan unit fuzz lint format generate demo bench \
 	install clean
 
 all: build
@@ -38,6 +39,12 @@
 	@cmake --build --preset asan -j $(JOBS)
 	ctest --test-dir build/asan --output-on-failure -j 4
 
+# Feeds the parsers with mutated bytes, FUZZ_S seconds each.
+fuzz: setup
+	@cmake --preset fuzz >/dev/null
+	@cmake --build --preset fuzz -j $(JOBS)
+	regress/fuzz/run.sh $(CURDIR)/build/fuzz $(FUZZ_S)
+
 lint: build
 	clang-format --dry-run --Werror $(OWN_C)
 	@git ls-files '*.c' | grep -v '/generated/' | \
