Event ids carry the attempt and the tail of token ids

Cause: the node gives with each piece what no peer surely keeps, and takes it back when a caller reconnects after its host was lost. Change: event_id.c writes and reads NAME.POSITION~ATTEMPT~TAIL; a stream may be dropped without cancelling its work (backend's new op). Conclusion: round trip and malformed ids in test_response.

--- a/agated/backends.c
+++ b/agated/backends.c
@@ -26,7 +26,7 @@
 
 static void open_stream(backends_t *backends, const open_order_t *order);
 static void reattach(backends_t *backends, const reattach_order_t *order);
-static void cancel(backends_t *backends, uint64_t stream);
+static void cancel(backends_t *backends, const cancel_order_t *order);
 static backend_endpoint_t endpoint_of(endpoint_t endpoint);
 static void put_service_stream(backends_t *backends, uint64_t stream);
 static bool take_service_stream(backends_t *backends, uint64_t stream);
@@ -101,7 +101,7 @@
         reattach(backends, &order->order_t_u.reattach);
         return;
     case ORDER_CANCEL:
-        cancel(backends, order->order_t_u.cancel.stream);
+        cancel(backends, &order->order_t_u.cancel);
         return;
     default:
         return;
@@ -165,13 +165,17 @@
 }
 
 static void
-cancel(backends_t *backends, uint64_t stream)
+cancel(backends_t *backends, const cancel_order_t *order)
 {
-    backend_t *backend = take_service_stream(backends, stream)
+    backend_t *backend = take_service_stream(backends, order->stream)
                              ? backends->service
                              : backends->engine;
 
-    backend->ops->cancel(backend, stream);
+    if (order->keep) {
+        backend->ops->drop(backend, order->stream);
+        return;
+    }
+    backend->ops->cancel(backend, order->stream);
 }
 
 static backend_endpoint_t
--- a/agated/request.c
+++ b/agated/request.c
@@ -1,6 +1,4 @@
 /* request.c - see request.h. */
-#include <ctype.h>
-#include <errno.h>
 #include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
@@ -11,6 +9,7 @@
 #include <xxhash.h>
 
 #include "agated/response.h"
+#include "agated/event_id.h"
 #include "agated/request.h"
 
 enum {
@@ -21,8 +20,7 @@
     STOPS_MAX = 16,
     STOP_BYTES_MAX = 1024,
     NAME_LENGTH_MAX = 127,
-    SHA256_BYTES = 32,
-    DECIMAL = 10
+    SHA256_BYTES = 32
 };
 
 /* What every check of one request needs. */
@@ -44,7 +42,6 @@
 static int read_headers(reader_t *reader, const request_input_t *input);
 static int read_position(reader_t *reader, const char *last_event_id,
                          bool named);
-static bool is_name(const char *text, size_t length);
 static int read_service(reader_t *reader, const request_input_t *input);
 static int read_generation(reader_t *reader, const request_input_t *input);
 static int check_refused(reader_t *reader);
@@ -169,12 +166,12 @@
     event->keyed = key != NULL;
     event->key =
         arena_strdup(reader->arena, key != NULL ? key : input->fresh_name);
-    if (key != NULL && !is_name(key, strlen(key))) {
+    if (key != NULL && !event_id_is_name(key, strlen(key))) {
         return refuse(reader, STATUS_BAD_REQUEST,
                       "Idempotency-Key is no name: write 1 to 96 letters, "
                       "digits, '-', '_', '.' or ':'");
     }
-    if (*kind != '\0' && !is_name(kind, strlen(kind))) {
+    if (*kind != '\0' && !event_id_is_name(kind, strlen(kind))) {
         return refuse(reader, STATUS_BAD_REQUEST,
                       "X-Request-Kind is no name: write a kind of the "
                       "service's document");
@@ -187,52 +184,32 @@
     return read_position(reader, input->last_event_id, key != NULL);
 }
 
-/* Last-Event-ID is NAME.POSITION, as every event's id was. */
 static int
 read_position(reader_t *reader, const char *last_event_id, bool named)
 {
     request_event_t *event = &reader->parsed->event;
-    const char *dot = strrchr(last_event_id, '.');
-    size_t length = dot == NULL ? 0 : (size_t)(dot - last_event_id);
-    char *end = NULL;
-    unsigned long long position = 0;
+    event_id_t id;
 
-    if (dot != NULL && isdigit((unsigned char)dot[1])) {
-        errno = 0;
-        position = strtoull(dot + 1, &end, DECIMAL);
-    }
-    if (end == NULL || *end != '\0' || errno != 0 || position > UINT32_MAX ||
-        !is_name(last_event_id, length)) {
+    if (!event_id_read(reader->arena, last_event_id, &id)) {
         return refuse(reader, STATUS_BAD_REQUEST,
                       "Last-Event-ID is not NAME.POSITION: write the id of "
-                      "the last event that came");
+                      "the last event that came, as it came");
     }
-    if (named && (strlen(event->key) != length ||
-                  memcmp(event->key, last_event_id, length) != 0)) {
+    if (named && strcmp(event->key, id.name) != 0) {
         return refuse(reader, STATUS_BAD_REQUEST,
                       "Last-Event-ID and Idempotency-Key name two requests: "
                       "write the key of the stream that broke off");
     }
-    event->key = arena_strndup(reader->arena, last_event_id, length);
+    event->key = arena_strdup(reader->arena, id.name);
     event->resumes = true;
-    event->position = (uint32_t)position;
+    event->position = id.position;
+    event->attempt = id.attempt;
+    event->tail_from = id.position - id.tail_count;
+    event->tail_ids.tail_ids_val = (uint32_t *)(uintptr_t)id.tail_ids;
+    event->tail_ids.tail_ids_len = id.tail_count;
     return 0;
 }
 
-static bool
-is_name(const char *text, size_t length)
-{
-    size_t i;
-
-    for (i = 0; i < length; i++) {
-        if (!isalnum((unsigned char)text[i]) &&
-            strchr("-_.:", text[i]) == NULL) {
-            return false;
-        }
-    }
-    return length > 0 && length <= REQUEST_NAME_MAX;
-}
-
 /* /services/NAME/REST goes to the plain service NAME as /REST. */
 static int
 read_service(reader_t *reader, const request_input_t *input)
@@ -243,7 +220,7 @@
     const char *rest = name + length;
     XXH64_hash_t hash;
 
-    if (!is_name(name, length)) {
+    if (!event_id_is_name(name, length)) {
         return refuse(reader, STATUS_BAD_REQUEST,
                       "the path names no service: write "
                       "/services/NAME/PATH");
--- a/agated/request.h
+++ b/agated/request.h
@@ -13,7 +13,7 @@
 #include "base/arena.h"
 #include "policy/generated/event.h"
 
-enum { CREDENTIAL_BYTES = 65, REQUEST_NAME_MAX = 96 };
+enum { CREDENTIAL_BYTES = 65 };
 
 /* What came in; a header that was not sent is NULL. */
 typedef struct {
--- a/agated/response.c
+++ b/agated/response.c
@@ -1,6 +1,7 @@
 /* response.c - see response.h. */
 #include <inttypes.h>
 
+#include "agated/event_id.h"
 #include "agated/response.h"
 
 static const char *const refusal_names[] = {
@@ -53,11 +54,13 @@
                         text_t *out);
 static void write_last_events(response_t *response,
                               const finish_order_t *finish, text_t *out);
+static void keep_suffix(response_t *response, const give_order_t *give);
 static void keep_whole(response_t *response, const give_order_t *give);
 
 void
 response_free(response_t *response)
 {
+    text_free(&response->id_suffix);
     text_free(&response->whole);
     text_free(&response->whole_ids);
 }
@@ -70,6 +73,7 @@
         keep_whole(response, give);
         return;
     }
+    keep_suffix(response, give);
     write_id(response, out);
     text_puts(out, "data: ");
     write_head(response, "text_completion", "chat.completion.chunk", out);
@@ -146,6 +150,7 @@
     text_puts(out, response->name);
     text_puts(out, ".");
     text_u64(out, response->position);
+    text_append(out, response->id_suffix.bytes, response->id_suffix.length);
     text_puts(out, "\n");
 }
 
@@ -251,6 +256,17 @@
     text_puts(out, "}");
 }
 
+static void
+keep_suffix(response_t *response, const give_order_t *give)
+{
+    event_id_t id = {.attempt = give->attempt,
+                     .tail_ids = give->tail_ids.tail_ids_val,
+                     .tail_count = give->tail_ids.tail_ids_len};
+
+    response->id_suffix.length = 0;
+    event_id_suffix(&id, &response->id_suffix);
+}
+
 static void
 keep_whole(response_t *response, const give_order_t *give)
 {
--- a/agated/response.h
+++ b/agated/response.h
@@ -25,7 +25,8 @@
     bool resumed;   /* the caller has the answer's beginning already */
     int64_t created_s;
     uint32_t position;
-    bool begun; /* the first event has been written */
+    bool begun;       /* the first event has been written */
+    text_t id_suffix; /* of the last event's id */
     text_t whole;
     text_t whole_ids;
 } response_t;
--- a/backend/backend.h
+++ b/backend/backend.h
@@ -120,12 +120,15 @@
  * cancel: POST /v1/completions/{id}/cancel, and the stream's connection is
  * closed; no report follows.
  *
+ * drop: the stream's connection is closed, and no more; no report follows.
+ *
  * poll_load: GET /metrics, reported by listener->load.
  */
 typedef struct {
     void (*open)(backend_t *backend, const backend_request_t *request);
     void (*reattach)(backend_t *backend, const backend_reattach_t *again);
     void (*cancel)(backend_t *backend, uint64_t stream);
+    void (*drop)(backend_t *backend, uint64_t stream);
     void (*poll_load)(backend_t *backend, const char *runner,
                       const char *address);
     void (*free)(backend_t *backend);
--- a/backend/engine.c
+++ b/backend/engine.c
@@ -57,6 +57,7 @@
 static void engine_reattach(backend_t *backend,
                             const backend_reattach_t *again);
 static void engine_cancel(backend_t *backend, uint64_t number);
+static void engine_drop(backend_t *backend, uint64_t number);
 static void engine_poll_load(backend_t *backend, const char *runner,
                              const char *address);
 static void engine_free(backend_t *backend);
@@ -89,6 +90,7 @@
     .open = engine_open,
     .reattach = engine_reattach,
     .cancel = engine_cancel,
+    .drop = engine_drop,
     .poll_load = engine_poll_load,
     .free = engine_free,
 };
@@ -178,6 +180,18 @@
     stream_close(stream);
 }
 
+static void
+engine_drop(backend_t *backend, uint64_t number)
+{
+    engine_t *engine = (engine_t *)backend;
+    engine_stream_t *stream;
+
+    HASH_FIND(hh, engine->streams, &number, sizeof(number), stream);
+    if (stream != NULL) {
+        stream_close(stream);
+    }
+}
+
 static void
 engine_poll_load(backend_t *backend, const char *runner, const char *address)
 {
--- a/backend/service.c
+++ b/backend/service.c
@@ -55,6 +55,7 @@
     .open = service_open,
     .reattach = NULL,
     .cancel = service_cancel,
+    .drop = service_cancel,
     .poll_load = service_poll_load,
     .free = service_free,
 };
--- a/regress/test_response.c
+++ b/regress/test_response.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "agated/event_id.h"
 #include "agated/response.h"
 #include "agated/settings.h"
 
@@ -16,28 +17,34 @@
     uint32_t gives;
     bool refused;
     bool resumed;
+    bool tail;
 } response_case_t;
 
 static const response_case_t cases[] = {
     {"completions-stream", ENDPOINT_COMPLETIONS, true, false, false, 3, false,
-     false},
-    {"completions-stream-ids", ENDPOINT_COMPLETIONS, true, true, true, 3,
      false, false},
+    {"completions-stream-ids", ENDPOINT_COMPLETIONS, true, true, true, 3,
+     false, false, false},
     {"completions-stream-empty", ENDPOINT_COMPLETIONS, true, false, false, 0,
-     false, false},
+     false, false, false},
     {"completions-whole", ENDPOINT_COMPLETIONS, false, false, false, 3, false,
-     false},
-    {"completions-whole-ids", ENDPOINT_COMPLETIONS, false, true, false, 3,
      false, false},
-    {"chat-stream", ENDPOINT_CHAT, true, false, true, 3, false, false},
-    {"chat-stream-resumed", ENDPOINT_CHAT, true, false, false, 1, false, true},
-    {"chat-whole", ENDPOINT_CHAT, false, false, false, 3, false, false},
-    {"chat-whole-empty", ENDPOINT_CHAT, false, false, false, 0, false, false},
-    {"refused-before", ENDPOINT_CHAT, true, false, false, 0, true, false},
-    {"refused-mid-stream", ENDPOINT_COMPLETIONS, true, false, false, 2, true,
+    {"completions-whole-ids", ENDPOINT_COMPLETIONS, false, true, false, 3,
+     false, false, false},
+    {"chat-stream", ENDPOINT_CHAT, true, false, true, 3, false, false, false},
+    {"chat-stream-resumed", ENDPOINT_CHAT, true, false, false, 1, false, true,
      false},
-    {"refused-whole", ENDPOINT_COMPLETIONS, false, false, false, 2, true,
+    {"chat-whole", ENDPOINT_CHAT, false, false, false, 3, false, false, false},
+    {"chat-whole-empty", ENDPOINT_CHAT, false, false, false, 0, false, false,
+     false},
+    {"refused-before", ENDPOINT_CHAT, true, false, false, 0, true, false,
      false},
+    {"refused-mid-stream", ENDPOINT_COMPLETIONS, true, false, false, 2, true,
+     false, false},
+    {"refused-whole", ENDPOINT_COMPLETIONS, false, false, false, 2, true,
+     false, false},
+    {"completions-stream-tail", ENDPOINT_COMPLETIONS, true, false, false, 3,
+     false, false, true},
 };
 
 /* What is given: plain text, JSON's special characters, and UTF-8. */
@@ -103,6 +110,12 @@
         give.token_ids.token_ids_len = given[i].count;
         give.text.text_val = (char *)(uintptr_t)given[i].text;
         give.text.text_len = (u_int)strlen(given[i].text);
+        if (row->tail) {
+            give.attempt = 2;
+            give.tail_from = position - given[i].count;
+            give.tail_ids.tail_ids_val = give.token_ids.token_ids_val;
+            give.tail_ids.tail_ids_len = given[i].count;
+        }
         response_give(&response, &give, out);
     }
     if (row->refused) {
@@ -114,6 +127,66 @@
     response_free(&response);
 }
 
+/* What is written is read again. */
+START_TEST(test_event_id)
+{
+    static const uint32_t ids[] = {0,     1,       127,     128,
+                                   16383, 2000000, 1 << 30, UINT32_MAX};
+    event_id_t id = {
+        .attempt = 3, .tail_ids = ids, .tail_count = (uint32_t)_i};
+    arena_t arena = {0};
+    text_t text = {0};
+    event_id_t read;
+    int i;
+
+    text_puts(&text, "a.b.99");
+    event_id_suffix(&id, &text);
+    text_append(&text, "", 1);
+    ck_assert_msg(event_id_read(&arena, text.bytes, &read), "%s", text.bytes);
+    ck_assert_str_eq(read.name, "a.b");
+    ck_assert_uint_eq(read.position, 99);
+    ck_assert_uint_eq(read.attempt, 3);
+    ck_assert_uint_eq(read.tail_count, (uint32_t)_i);
+    for (i = 0; i < _i; i++) {
+        ck_assert_uint_eq(read.tail_ids[i], ids[i]);
+    }
+    text_free(&text);
+    arena_free(&arena);
+}
+END_TEST
+
+/* Ids that nobody gave. */
+static const char *const wrong_ids[] = {
+    "",
+    "a",
+    "a.",
+    ".1",
+    "a.1x",
+    "a.-1",
+    "a.4294967296",
+    "a b.1",
+    "a.1~",
+    "a.1~x",
+    "a.1~2~",
+    "a.1~2~*",
+    "a.1~2~A",
+    "a.1~2~gICAgBA",
+    "a.1~2~__8",
+    "a.1~2~BQU",
+    "a.2~4294967296",
+};
+
+START_TEST(test_wrong_event_id)
+{
+    arena_t arena = {0};
+    event_id_t read;
+
+    ck_assert_msg(!event_id_read(&arena, wrong_ids[_i], &read), "%s",
+                  wrong_ids[_i]);
+    arena_free(&arena);
+}
+END_TEST
+
 /* Every kind of refusal has a name and a status that is an error. */
 START_TEST(test_refusals)
 {
@@ -141,6 +214,9 @@
                         (int)(sizeof(cases) / sizeof(cases[0])));
     tcase_add_loop_test(tcase, test_refusals, REFUSAL_UNAUTHORISED,
                         REFUSAL_BACKEND_FAILED + 1);
+    tcase_add_loop_test(tcase, test_event_id, 0, 9);
+    tcase_add_loop_test(tcase, test_wrong_event_id, 0,
+                        (int)(sizeof(wrong_ids) / sizeof(wrong_ids[0])));
     suite_add_tcase(suite, tcase);
     runner = srunner_create(suite);
     srunner_run_all(runner, CK_NORMAL);
