--- a/agatectl/documents.c
+++ b/agatectl/documents.c
@@ -26,6 +26,7 @@
 
 static int read_document(session_t *session, document_t *document, err_t *err);
 static int read_in_force(session_t *session, document_t *document, int *code);
+static int tell_document(const document_t *document, const reply_t *reply);
 static int print_spread(session_t *session, const document_t *document,
                         const reply_t *reply);
 static int print_conflict(session_t *session, const document_t *document,
@@ -50,7 +51,7 @@
         return tell_error(&err);
     }
     if (reply.status != STATUS_OK) {
-        return tell_refusal(&reply);
+        return tell_document(&document, &reply);
     }
     (void)printf("%s is valid\n", document.file);
     return EXIT_DONE;
@@ -87,7 +88,7 @@
         return print_conflict(session, &document, &reply);
     }
     if (reply.status != STATUS_OK) {
-        return tell_refusal(&reply);
+        return tell_document(&document, &reply);
     }
     return print_spread(session, &document, &reply);
 }
@@ -202,6 +203,25 @@
     return 0;
 }
 
+/* Hosts call what they parse "document"; here it is a file. */
+static int
+tell_document(const document_t *document, const reply_t *reply)
+{
+    static const char origin[] = "document:";
+    json_t *root = json_loadb(reply->body, reply->length, 0, NULL);
+    const char *message = json_string_value(
+        json_object_get(json_object_get(root, "error"), "message"));
+    bool ours =
+        message != NULL && strncmp(message, origin, strlen(origin)) == 0;
+
+    if (ours) {
+        (void)fprintf(stderr, "agatectl: %s:%s\n", document->file,
+                      message + strlen(origin));
+    }
+    json_decref(root);
+    return ours ? EXIT_REFUSED : tell_refusal(reply);
+}
+
 static int
 print_spread(session_t *session, const document_t *document,
              const reply_t *reply)
--- a/agated/agated.c
+++ b/agated/agated.c
@@ -3,13 +3,11 @@
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
-#include <string.h>
-#include <time.h>
 
 #include "agated/agated.h"
 #include "base/log.h"
 
-enum { SIGNAL_COUNT = 2, US_PER_S = 1000000, NS_PER_US = 1000 };
+enum { SIGNAL_COUNT = 2 };
 
 /* The command line. */
 typedef struct {
@@ -20,11 +18,6 @@
 
 static error_t parse_option(int key, char *arg, struct argp_state *state);
 static int run(const settings_t *settings);
-static int open_tasks(daemon_t *daemon, err_t *err);
-static void start_tasks(daemon_t *daemon);
-static void start_node(daemon_t *daemon);
-static void stop(daemon_t *daemon);
-static uint64_t wall_clock_us(void);
 static void on_signal(uv_signal_t *handle, int number);
 
 const char *argp_program_version = "agated " AGATEVALE_VERSION;
@@ -102,8 +95,7 @@
     (void)signal(SIGPIPE, SIG_IGN);
     (void)uv_loop_init(&loop);
     daemon.loop = &loop;
-    daemon.incarnation = wall_clock_us();
-    if (open_tasks(&daemon, &err) < 0) {
+    if (daemon_open(&daemon, &err) < 0) {
         (void)fprintf(stderr, "%s\n", err.message);
         goto done;
     }
@@ -112,7 +104,7 @@
         signals[i].data = &daemon;
         (void)uv_signal_start(&signals[i], on_signal, numbers[i]);
     }
-    start_tasks(&daemon);
+    daemon_start(&daemon);
     (void)uv_run(&loop, UV_RUN_DEFAULT);
     for (i = 0; i < SIGNAL_COUNT; i++) {
         uv_close((uv_handle_t *)&signals[i], NULL);
@@ -120,110 +112,11 @@
     log_line(LOG_NOTICE, "stopped");
     status = EXIT_SUCCESS;
 done:
-    stop(&daemon);
+    daemon_close(&daemon);
+    (void)uv_loop_close(&loop);
     return status;
 }
 
-/* All that can fail, so that a wrong setting is told before any work. */
-static int
-open_tasks(daemon_t *daemon, err_t *err)
-{
-    const settings_t *settings = daemon->settings;
-
-    daemon->listener = listener_new(daemon, err);
-    if (daemon->listener == NULL) {
-        return -1;
-    }
-    daemon->dispatch = dispatch_new(daemon, err);
-    if (daemon->dispatch == NULL) {
-        return -1;
-    }
-    if (settings->peers_address != NULL) {
-        daemon->peers = peers_new(daemon, err);
-        if (daemon->peers == NULL) {
-            return -1;
-        }
-    }
-    daemon->client = http_client_new(daemon->loop);
-    if (strcmp(settings->platform_kind, "memory") == 0) {
-        daemon->platform = platform_memory_new(daemon->loop);
-        return seed_platform(daemon, err);
-    }
-    daemon->platform = platform_etcd_new(
-        daemon->client, settings->platform_addresses.items,
-        settings->platform_addresses.count, settings->platform_timeout_ms);
-    return 0;
-}
-
-static void
-start_tasks(daemon_t *daemon)
-{
-    daemon->backends = backends_new(daemon);
-    start_node(daemon);
-    daemon->claims = claims_new(daemon);
-    daemon->presence = presence_new(daemon);
-    daemon->documents = documents_new(daemon);
-    listener_start(daemon->listener);
-}
-
-static void
-start_node(daemon_t *daemon)
-{
-    const settings_t *settings = daemon->settings;
-    event_t event = {.kind = EVENT_START};
-    start_event_t *start_event = &event.event_t_u.start;
-
-    start_event->host = (char *)(uintptr_t)settings->host;
-    start_event->zone = (char *)(uintptr_t)settings->zone;
-    start_event->address =
-        (char *)(uintptr_t)listener_address(daemon->listener);
-    start_event->incarnation = daemon->incarnation;
-    start_event->seed = random_u64();
-    start_event->sessions_max = settings->sessions_max;
-    start_event->queue_wait_ms = settings->queue_wait_ms;
-    start_event->silence_floor_ms = settings->silence_floor_ms;
-    start_event->silence_ceiling_ms = settings->silence_ceiling_ms;
-    start_event->prefill_limit_ms = settings->prefill_limit_ms;
-    start_event->orphan_grace_ms = settings->orphan_grace_ms;
-    start_event->record_after_ms = settings->record_after_ms;
-    dispatch_event(daemon->dispatch, &event);
-}
-
-/*
- * The platform goes first, whose callbacks would come to freed tasks, and
- * the listener last, because h2o runs the loop while it cleans up.
- */
-static void
-stop(daemon_t *daemon)
-{
-    if (daemon->platform != NULL) {
-        daemon->platform->ops->free(daemon->platform);
-    }
-    peers_free(daemon->peers);
-    documents_free(daemon->documents);
-    presence_free(daemon->presence);
-    claims_free(daemon->claims);
-    backends_free(daemon->backends);
-    if (daemon->client != NULL) {
-        http_client_free(daemon->client);
-    }
-    dispatch_free(daemon->dispatch);
-    listener_free(daemon->listener);
-    (void)uv_run(daemon->loop, UV_RUN_NOWAIT);
-    (void)uv_run(daemon->loop, UV_RUN_NOWAIT);
-    (void)uv_loop_close(daemon->loop);
-}
-
-/* Rises over restarts, so that a later incarnation has a higher number. */
-static uint64_t
-wall_clock_us(void)
-{
-    struct timespec now;
-
-    (void)clock_gettime(CLOCK_REALTIME, &now);
-    return (uint64_t)now.tv_sec * US_PER_S + (uint64_t)now.tv_nsec / NS_PER_US;
-}
-
 static void
 on_signal(uv_signal_t *handle, int number)
 {
--- a/agated/agated.h
+++ b/agated/agated.h
@@ -47,6 +47,19 @@
     uint32_t control_calls; /* of the administration API, under way */
 } daemon_t;
 
+/* --- daemon.c: the tasks together --- */
+
+/*
+ * Opens all that can fail, so that a wrong setting is told before any work;
+ * loop and settings are set.  -1 with *err set.  daemon_close() comes after
+ * it in any case.
+ */
+int daemon_open(daemon_t *daemon, err_t *err);
+
+/* Starts to serve; listening goes on when the loop runs. */
+void daemon_start(daemon_t *daemon);
+void daemon_close(daemon_t *daemon);
+
 /* --- dispatch.c: the one place that calls node_step() --- */
 
 /* NULL with *err set when the event log cannot be opened. */
--- a/agated/control_put.c
+++ b/agated/control_put.c
@@ -74,7 +74,7 @@
     if (read_if_match(call, &revision) < 0) {
         return;
     }
-    if (fleet_parse(&call->arena, "fleet", call->body, call->body_bytes,
+    if (fleet_parse(&call->arena, "document", call->body, call->body_bytes,
                     &err) == NULL) {
         refuse_document(call, &err);
         return;
@@ -125,7 +125,7 @@
     text_t json = {0};
     err_t err;
 
-    if (fleet_parse(&call->arena, "fleet", call->body, call->body_bytes,
+    if (fleet_parse(&call->arena, "document", call->body, call->body_bytes,
                     &err) == NULL) {
         refuse_document(call, &err);
         return;
@@ -249,7 +249,10 @@
     return call->role == ROLE_OPERATOR || strcmp(call->caller, team) == 0;
 }
 
-/* Whose document it is now decides who may replace it. */
+/*
+ * Whose document it is now decides who may replace it.  The same text is
+ * accepted as it stands: it may be our own, whose answer was lost.
+ */
 static void
 read_former(put_t *put)
 {
@@ -283,11 +286,11 @@
                       "operator");
         return;
     }
+    if (held != NULL && is_ours(put, held)) {
+        accept_document(put, held->mod_revision);
+        return;
+    }
     if ((held == NULL ? 0 : held->mod_revision) != put->replaced) {
-        if (held != NULL && is_ours(put, held)) {
-            accept_document(put, held->mod_revision);
-            return;
-        }
         answer_conflict(put, held);
         return;
     }
