A host that is starting refuses as such, for a moment

Change: EVENT_READY says that all documents have been read; until then, or until a peer with the same configuration is heard, requests are refused as 'starting', not run, with a time to come back. HTTP statuses are the daemon's alone.

--- a/agated/documents.c
+++ b/agated/documents.c
@@ -30,11 +30,13 @@
     entry_t *entries;
     backoff_t backoff;
     uv_timer_t *timer;
+    bool read; /* whole, at least once */
 } area_t;
 
 struct documents {
     daemon_t *daemon;
     area_t areas[AREA_COUNT];
+    bool ready; /* EVENT_READY has been raised */
 };
 
 static void area_init(documents_t *documents, size_t index, const char *prefix,
@@ -52,6 +54,7 @@
 static void raise_config(documents_t *documents, const char *key,
                          int64_t revision, bool deleted, const char *text,
                          size_t length);
+static void raise_ready(documents_t *documents);
 static void raise_hosts(documents_t *documents);
 static bool is_leaving(const area_t *leaving, const char *name);
 static void read_host(arena_t *arena, const area_t *hosts,
@@ -153,9 +156,29 @@
     if (area->kind != AREA_CONFIG) {
         raise_hosts(area->documents);
     }
+    area->read = true;
+    raise_ready(area->documents);
     platform->ops->watch(platform, area->prefix, revision + 1, on_watch, area);
 }
 
+/* Once all parts of the configuration have been read. */
+static void
+raise_ready(documents_t *documents)
+{
+    event_t event = {.kind = EVENT_READY};
+    size_t i;
+
+    for (i = 0; i < AREA_COUNT; i++) {
+        if (!documents->areas[i].read) {
+            return;
+        }
+    }
+    if (!documents->ready) {
+        documents->ready = true;
+        dispatch_event(documents->daemon->dispatch, &event);
+    }
+}
+
 static void
 on_watch(void *context, platform_result_t result, int64_t revision,
          const platform_pair_t *pairs, size_t count)
--- a/agated/response.c
+++ b/agated/response.c
@@ -17,6 +17,7 @@
     [REFUSAL_SUPERSEDED] = "superseded",
     [REFUSAL_INVALID] = "invalid",
     [REFUSAL_BACKEND_FAILED] = "backend-failed",
+    [REFUSAL_STARTING] = "starting",
 };
 
 static const uint32_t refusal_statuses[] = {
@@ -26,7 +27,7 @@
     [REFUSAL_STORE_UNREACHED] = 503, [REFUSAL_ALREADY_RAN] = 409,
     [REFUSAL_BACKEND_LOST] = 502,    [REFUSAL_HARMFUL] = 422,
     [REFUSAL_SUPERSEDED] = 409,      [REFUSAL_INVALID] = 400,
-    [REFUSAL_BACKEND_FAILED] = 502,
+    [REFUSAL_BACKEND_FAILED] = 502,  [REFUSAL_STARTING] = 503,
 };
 
 static const char *const run_names[] = {
--- a/policy/caller.c
+++ b/policy/caller.c
@@ -3,17 +3,6 @@
 
 #include "policy/private.h"
 
-enum {
-    HTTP_BAD_REQUEST = 400,
-    HTTP_UNAUTHORISED = 401,
-    HTTP_NOT_FOUND = 404,
-    HTTP_CONFLICT = 409,
-    HTTP_UNPROCESSABLE = 422,
-    HTTP_BAD_GATEWAY = 502,
-    HTTP_UNAVAILABLE = 503,
-};
-
-static uint32_t refusal_status(refusal_t refusal);
 static void give_units(step_t *step, session_t *session);
 static void give_end(step_t *step, session_t *session);
 
@@ -92,7 +81,6 @@
     order->caller = caller;
     order->refusal = refusal;
     order->run = run;
-    order->status = refusal_status(refusal);
     order->retry_after_ms = retry_after_ms;
     order->message = arena_strdup(&step->orders->arena, message);
     step->node->counters.refused++;
@@ -143,31 +131,3 @@
         finish->completion_tokens = session->answer.token_count;
     }
 }
-
-static uint32_t
-refusal_status(refusal_t refusal)
-{
-    switch (refusal) {
-    case REFUSAL_UNAUTHORISED:
-        return HTTP_UNAUTHORISED;
-    case REFUSAL_UNKNOWN_MODEL:
-    case REFUSAL_UNKNOWN_KIND:
-        return HTTP_NOT_FOUND;
-    case REFUSAL_ALREADY_RAN:
-    case REFUSAL_SUPERSEDED:
-        return HTTP_CONFLICT;
-    case REFUSAL_HARMFUL:
-        return HTTP_UNPROCESSABLE;
-    case REFUSAL_INVALID:
-        return HTTP_BAD_REQUEST;
-    case REFUSAL_BACKEND_LOST:
-    case REFUSAL_BACKEND_FAILED:
-        return HTTP_BAD_GATEWAY;
-    case REFUSAL_OVERLOADED:
-    case REFUSAL_LEAVING:
-    case REFUSAL_NO_RUNNER:
-    case REFUSAL_STORE_UNREACHED:
-        break;
-    }
-    return HTTP_UNAVAILABLE;
-}
--- a/policy/event.x
+++ b/policy/event.x
@@ -47,7 +47,8 @@
     EVENT_LOAD = 11,
     EVENT_HOSTS = 12,
     EVENT_TIMER = 13,
-    EVENT_DRAIN = 14
+    EVENT_DRAIN = 14,
+    EVENT_READY = 15
 };
 
 /* The host's own identity and limits; the first event of every log. */
@@ -212,6 +213,8 @@
     void;
 case EVENT_DRAIN:
     void;
+case EVENT_READY: /* all documents have been read from the platform */
+    void;
 };
 
 enum order_kind_t {
@@ -311,14 +314,15 @@
     REFUSAL_HARMFUL = 10,
     REFUSAL_SUPERSEDED = 11,
     REFUSAL_INVALID = 12,
-    REFUSAL_BACKEND_FAILED = 13
+    REFUSAL_BACKEND_FAILED = 13,
+    REFUSAL_STARTING = 14
 };
 
 struct refuse_order_t {
     uint64_t caller;
     refusal_t refusal;
     run_t run;
-    uint32_t status;
+    uint32_t status;         /* of HTTP where the backend gave one, or 0 */
     uint32_t retry_after_ms;
     string message<512>;
 };
--- a/policy/hosts.c
+++ b/policy/hosts.c
@@ -4,6 +4,7 @@
 #include "policy/private.h"
 
 static member_self_t self_of(const node_t *node);
+static void compare_config(node_t *node, const heartbeat_t *heartbeat);
 static void mark_leaving_runners(node_t *node, const hosts_event_t *hosts);
 static void put_in_force(step_t *step, const config_t *config);
 
@@ -44,6 +45,7 @@
 
     switch (message->kind) {
     case MESSAGE_HEARTBEAT:
+        compare_config(node, &message->message_t_u.heartbeat);
         member_heartbeat(node->member, step->now_us, peer->host,
                          &message->message_t_u.heartbeat, &self, step->orders);
         break;
@@ -136,6 +138,16 @@
     return self;
 }
 
+/* A host that has all that another has in force may serve as that one. */
+static void
+compare_config(node_t *node, const heartbeat_t *heartbeat)
+{
+    if (spread_revision(node->spread) > 0 &&
+        heartbeat->config_hash == spread_hash(node->spread)) {
+        node->ready = true;
+    }
+}
+
 /* The platform's list names backend hosts too: no new work goes there. */
 static void
 mark_leaving_runners(node_t *node, const hosts_event_t *hosts)
--- a/policy/intake.c
+++ b/policy/intake.c
@@ -3,7 +3,7 @@
 
 #include "policy/private.h"
 
-enum { LEAVING_RETRY_MS = 100, BUSY_RETRY_MS = 1000 };
+enum { STARTING_RETRY_MS = 500, LEAVING_RETRY_MS = 100, BUSY_RETRY_MS = 1000 };
 
 static const char *organisation_of(const node_t *node,
                                    const request_event_t *request);
@@ -29,6 +29,13 @@
     session_t *session;
 
     node->counters.requests++;
+    if (!node->ready) {
+        refuse_request(step, request, REFUSAL_STARTING, STARTING_RETRY_MS,
+                       "this host has not read the documents yet: ask "
+                       "another host, or send the request again after the "
+                       "stated time");
+        return;
+    }
     if (organisation == NULL) {
         refuse_request(step, request, REFUSAL_UNAUTHORISED, 0,
                        "no organisation has this key: send a valid key as "
--- a/policy/node.c
+++ b/policy/node.c
@@ -105,6 +105,9 @@
     case EVENT_TIMER:
         take_timer(step);
         break;
+    case EVENT_READY:
+        step->node->ready = true;
+        break;
     case EVENT_DRAIN:
         take_drain(step);
         break;
--- a/policy/private.h
+++ b/policy/private.h
@@ -29,6 +29,7 @@
 struct node {
     start_event_t start; /* strings are the node's own */
     bool started;
+    bool ready; /* the documents in force are all that there are */
     bool draining;
     bool stopped;
     uint64_t next_session;
--- a/regress/script.c
+++ b/regress/script.c
@@ -327,6 +327,15 @@
     return 0;
 }
 
+static int
+build_ready(arena_t *arena, const line_t *line, event_t *event)
+{
+    (void)arena;
+    (void)line;
+    event->kind = EVENT_READY;
+    return 0;
+}
+
 static int
 build_timer(arena_t *arena, const line_t *line, event_t *event)
 {
@@ -355,7 +364,7 @@
     {"loss", build_loss},       {"reply", build_reply},
     {"load", build_load},       {"claimed", build_claimed},
     {"until", build_timer},     {"drain", build_drain},
-    {"hosts", build_hosts},
+    {"hosts", build_hosts},     {"ready", build_ready},
 };
 
 static int
@@ -464,10 +473,10 @@
 static char *
 refuse_text(arena_t *arena, const refuse_order_t *refuse)
 {
-    return arena_printf(
-        arena, "refuse caller=%llu refusal=%d run=%d status=%u retry_ms=%u",
-        (unsigned long long)refuse->caller, refuse->refusal, refuse->run,
-        refuse->status, refuse->retry_after_ms);
+    return arena_printf(arena,
+                        "refuse caller=%llu refusal=%d run=%d retry_ms=%u",
+                        (unsigned long long)refuse->caller, refuse->refusal,
+                        refuse->run, refuse->retry_after_ms);
 }
 
 static char *
