An event id names the engine that has the answer

Change: the sealed id carries the stream's place; a host that finds no record takes the stream up from its start, whose prompt holds what came before, and gives from where the caller is. A keeper that is suspect is replaced at once. Refused, not mixed, where the pieces do not end where the caller is.

--- a/agated/position.c
+++ b/agated/position.c
@@ -14,16 +14,30 @@
     VARINT_BITS = 7,
     VARINT_MORE = 0x80,
     VARINT_BYTES = 5,
-    SEALED_MAX = (POSITION_TAIL_MAX + 2) * VARINT_BYTES + TAG_BYTES,
+    PLACE_MAX = 2 * (LINK_NAME_MAX + VARINT_BYTES) + 3 * VARINT_BYTES,
+    SEALED_MAX =
+        (POSITION_TAIL_MAX + 2) * VARINT_BYTES + PLACE_MAX + TAG_BYTES,
     DECIMAL = 10,
 };
 
 static const char alphabet[] =
     "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-_";
 
+/* What is left of an opened seal. */
+typedef struct {
+    const uint8_t *bytes;
+    size_t length;
+    arena_t *arena;
+} reader_t;
+
 static size_t put_varint(uint8_t *bytes, uint32_t number);
 static size_t get_varint(const uint8_t *bytes, size_t length,
                          uint32_t *number);
+static size_t put_place(uint8_t *bytes, const stream_place_t *place);
+static size_t put_string(uint8_t *bytes, const char *string);
+static bool read_place(reader_t *reader, stream_place_t *place);
+static bool read_varint(reader_t *reader, uint32_t *number);
+static bool read_string(reader_t *reader, char **string);
 static void make_tag(const position_key_t *key, const char *name,
                      size_t name_length, uint32_t position,
                      const uint8_t *bytes, size_t length, uint8_t *tag);
@@ -56,6 +70,7 @@
         return;
     }
     length += put_varint(sealed, position->attempt);
+    length += put_place(sealed + length, &position->place);
     length += put_varint(sealed + length, position->tail_from);
     for (uint32_t i = 0; i < position->tail_count; i++) {
         length += put_varint(sealed + length, position->tail_ids[i]);
@@ -80,6 +95,8 @@
     char *end;
 
     memset(position, 0, sizeof(*position));
+    position->place.runner = (char *)"";
+    position->place.stream_name = (char *)"";
     if (dot == NULL || !isdigit((unsigned char)dot[1])) {
         return false;
     }
@@ -108,25 +125,81 @@
           position_t *position)
 {
     uint32_t *ids = arena_array(arena, length, sizeof(*ids));
-    size_t at = get_varint(bytes, length, &position->attempt);
-    size_t step = get_varint(bytes + at, length - at, &position->tail_from);
+    reader_t reader = {bytes, length, arena};
 
-    if (at == 0 || step == 0) {
+    if (!read_varint(&reader, &position->attempt) ||
+        !read_place(&reader, &position->place) ||
+        !read_varint(&reader, &position->tail_from)) {
         return false;
     }
-    at += step;
-    while (at < length) {
-        step = get_varint(bytes + at, length - at, &ids[position->tail_count]);
-        if (step == 0) {
+    while (reader.length > 0) {
+        if (!read_varint(&reader, &ids[position->tail_count])) {
             return false;
         }
-        at += step;
         position->tail_count++;
     }
     position->tail_ids = ids;
     return position->tail_from + position->tail_count == position->position;
 }
 
+static size_t
+put_place(uint8_t *bytes, const stream_place_t *place)
+{
+    size_t length = put_string(bytes, place->runner);
+
+    length += put_string(bytes + length, place->stream_name);
+    length += put_varint(bytes + length, place->endpoint);
+    length += put_varint(bytes + length, place->first);
+    length += put_varint(bytes + length, place->prompt_tokens);
+    return length;
+}
+
+static size_t
+put_string(uint8_t *bytes, const char *string)
+{
+    size_t length = strnlen(string, LINK_NAME_MAX);
+    size_t used = put_varint(bytes, (uint32_t)length);
+
+    memcpy(bytes + used, string, length);
+    return used + length;
+}
+
+static bool
+read_place(reader_t *reader, stream_place_t *place)
+{
+    return read_string(reader, &place->runner) &&
+           read_string(reader, &place->stream_name) &&
+           read_varint(reader, &place->endpoint) &&
+           read_varint(reader, &place->first) &&
+           read_varint(reader, &place->prompt_tokens);
+}
+
+static bool
+read_string(reader_t *reader, char **string)
+{
+    uint32_t length;
+
+    if (!read_varint(reader, &length) || length > reader->length ||
+        length > LINK_NAME_MAX) {
+        return false;
+    }
+    *string =
+        arena_strndup(reader->arena, (const char *)reader->bytes, length);
+    reader->bytes += length;
+    reader->length -= length;
+    return true;
+}
+
+static bool
+read_varint(reader_t *reader, uint32_t *number)
+{
+    size_t used = get_varint(reader->bytes, reader->length, number);
+
+    reader->bytes += used;
+    reader->length -= used;
+    return used > 0;
+}
+
 static size_t
 put_varint(uint8_t *bytes, uint32_t number)
 {
--- a/agated/position.h
+++ b/agated/position.h
@@ -1,10 +1,12 @@
 /*
  * position.h - the ids of server-sent events: how far an answer has come.
  *
- * "NAME.POSITION", or "NAME.POSITION~SEALED" where the caller carries the
- * token ids that no other host surely keeps.  SEALED is base64url of the
- * attempt, the tail's start and its ids as variable-length integers, and a
- * tag over all of it: a caller can hand back only what it was given.
+ * "NAME.POSITION", or "NAME.POSITION~SEALED" where the caller carries what
+ * another host may need to go on: the engine that has the stream, and the
+ * token ids that no keeper surely has.  SEALED is base64url of the attempt,
+ * the stream's place, the tail's start and its ids, as variable-length
+ * integers and strings with their length, and a tag over all of it: a
+ * caller can hand back only what it was given.
  */
 #ifndef AGATED_POSITION_H
 #define AGATED_POSITION_H
@@ -32,7 +34,8 @@
 
 typedef struct {
     uint32_t position;
-    uint32_t attempt; /* 0: not said */
+    uint32_t attempt;     /* 0: not said */
+    stream_place_t place; /* of that attempt; its strings are never NULL */
     uint32_t tail_from;
     const uint32_t *tail_ids; /* position - tail_from of them */
     uint32_t tail_count;
--- a/agated/request.c
+++ b/agated/request.c
@@ -117,6 +117,8 @@
     int result;
 
     memset(parsed, 0, sizeof(*parsed));
+    parsed->event.place.runner = (char *)"";
+    parsed->event.place.stream_name = (char *)"";
     request_credential(input->authorization, credential);
     parsed->event.credential = arena_strdup(arena, credential);
     if (read_headers(&reader, input) < 0) {
@@ -218,6 +220,7 @@
     event->resumes = true;
     event->position = position.position;
     event->attempt = position.attempt;
+    event->place = position.place;
     event->tail_from = position.tail_from;
     event->tail_ids.tail_ids_val = (uint32_t *)(uintptr_t)position.tail_ids;
     event->tail_ids.tail_ids_len = position.tail_count;
--- a/policy/attempt.c
+++ b/policy/attempt.c
@@ -52,7 +52,8 @@
     attempt->stream = ++node->next_stream;
     HASH_ADD(hh, node->by_stream, stream, sizeof(attempt->stream), attempt);
     attempt->held_count = 0;
-    attempt->received = session->answer.token_count - attempt->first;
+    attempt->received =
+        attempt->recover ? 0 : session->answer.token_count - attempt->first;
     attempt->reattached = true;
     attempt->opened_us = step->now_us;
     order->stream = attempt->stream;
--- a/policy/caller.c
+++ b/policy/caller.c
@@ -3,6 +3,7 @@
 
 #include "policy/private.h"
 
+static bool reached(session_t *session);
 static void give_units(step_t *step, session_t *session);
 static void give_end(step_t *step, session_t *session);
 
@@ -60,7 +61,7 @@
 void
 caller_give(step_t *step, session_t *session)
 {
-    if (session->caller == 0) {
+    if (session->caller == 0 || !reached(session)) {
         return;
     }
     if (session->given < session->answer.ready_cuts) {
@@ -71,6 +72,36 @@
     }
 }
 
+/*
+ * Whether the answer has come to where the caller is.  A position at which
+ * no unit ends is found by session_is_lost().
+ */
+static bool
+reached(session_t *session)
+{
+    int64_t cut;
+
+    if (session->from == 0) {
+        return true;
+    }
+    cut = answer_cut_at(&session->answer, session->from);
+    if (cut < 0) {
+        return false;
+    }
+    session->given = (uint32_t)cut;
+    session->from = 0;
+    return true;
+}
+
+/* Whether the answer has gone past the caller without ending a unit there. */
+bool
+caller_is_lost(const session_t *session)
+{
+    return session->from > 0 && session->caller != 0 &&
+           (session->answer.token_count > session->from ||
+            session->answer.finish != FINISH_NONE);
+}
+
 void
 caller_refuse(step_t *step, uint64_t caller, refusal_t refusal, run_t run,
               uint32_t retry_after_ms, const char *message)
--- a/policy/event.x
+++ b/policy/event.x
@@ -67,6 +67,19 @@
     uint32_t record_after_ms;
 };
 
+/*
+ * Where an engine's own stream of an answer is: the runner, the stream's
+ * name there, the answer's position at its start, and the length of the
+ * request's own prompt.  runner is empty where there is none.
+ */
+struct stream_place_t {
+    name_t runner;
+    name_t stream_name;
+    uint32_t endpoint;
+    uint32_t first;
+    uint32_t prompt_tokens;
+};
+
 /*
  * A request from a caller.  caller names its connection and its body, which
  * the listener keeps until ORDER_FORGET.  credential is the SHA-256 of the
@@ -80,6 +93,7 @@
     bool resumes;          /* the caller gave a Last-Event-ID */
     uint32_t position;     /* tokens that it has received */
     uint32_t attempt;      /* that gave it the last of them; 0: not said */
+    stream_place_t place;         /* of that attempt */
     uint32_t tail_from;    /* what its Last-Event-ID hands back: the ids */
     uint32_t tail_ids<1024>; /* of the tokens from here to position */
     endpoint_t endpoint;
@@ -283,6 +297,7 @@
     uint32_t token_ids<EVENT_TOKENS_MAX>;
     opaque text<EVENT_BODY_MAX>;
     uint32_t attempt;
+    stream_place_t place;
     uint32_t tail_from;
     uint32_t tail_ids<1024>;
 };
--- a/policy/pieces.c
+++ b/policy/pieces.c
@@ -32,6 +32,11 @@
         end_probe(step, attempt);
         return;
     }
+    if (attempt->recover && !takeover_recover(session, attempt, piece)) {
+        attempt_cancel(step, attempt);
+        resume_elsewhere(step, session, NULL);
+        return;
+    }
     if (!in_place(step, attempt, piece)) {
         return;
     }
@@ -50,12 +55,16 @@
     if (piece->finish != FINISH_NONE) {
         attempt_drop(step, attempt);
     }
+    caller_give(step, session);
+    if (caller_is_lost(session)) {
+        takeover_lost(step, session);
+        return;
+    }
     if (session->answer.finish != FINISH_NONE) {
         session_finish(step, session);
         queue_pump(step);
         return;
     }
-    caller_give(step, session);
     record_grown(step, session);
     session_schedule(step, session);
 }
--- a/policy/private.h
+++ b/policy/private.h
@@ -70,6 +70,7 @@
                    uint32_t position);
 void caller_detach(step_t *step, session_t *session);
 void caller_give(step_t *step, session_t *session);
+bool caller_is_lost(const session_t *session);
 void caller_refuse(step_t *step, uint64_t caller, refusal_t refusal, run_t run,
                    uint32_t retry_after_ms, const char *message);
 
@@ -140,6 +141,10 @@
 /* takeover.c: sessions that go from host to host. */
 void takeover_ask(step_t *step, session_t *session);
 void takeover_none(step_t *step, session_t *session);
+bool takeover_bridge(session_t *session);
+bool takeover_recover(session_t *session, attempt_t *attempt,
+                      const piece_event_t *piece);
+void takeover_lost(step_t *step, session_t *session);
 int64_t takeover_due_us(const session_t *session);
 void takeover_lookup(step_t *step, const char *from, const lookup_t *lookup);
 void takeover_found(step_t *step, const found_t *found);
--- a/policy/record.c
+++ b/policy/record.c
@@ -21,6 +21,7 @@
 
 static const attempt_t *writing_attempt(const session_t *session);
 static void choose_keeper(step_t *step, session_t *session);
+static void fill_place(const session_t *session, stream_place_t *place);
 static bool keeper_is_live(const step_t *step, const session_t *session);
 static void send_part(step_t *step, session_t *session, record_state_t state);
 
@@ -105,11 +106,29 @@
         from = give->position;
     }
     give->attempt = session->writer;
+    fill_place(session, &give->place);
     give->tail_from = from;
     give->tail_ids.tail_ids_val = answer->token_ids + from;
     give->tail_ids.tail_ids_len = give->position - from;
 }
 
+static void
+fill_place(const session_t *session, stream_place_t *place)
+{
+    const attempt_t *attempt = writing_attempt(session);
+
+    place->runner = (char *)"";
+    place->stream_name = (char *)"";
+    if (attempt == NULL || attempt->number != session->writer) {
+        return;
+    }
+    place->runner = attempt->runner->name;
+    place->stream_name = attempt->stream_name;
+    place->endpoint = attempt->endpoint;
+    place->first = attempt->first;
+    place->prompt_tokens = session->prompt_count;
+}
+
 /* Everything about the session, for a host that takes it over. */
 void
 record_whole(step_t *step, const session_t *session, record_t *record)
@@ -194,7 +213,7 @@
     return session->keeper[0] != '\0' &&
            member_find(step->node->member, step->now_us, session->keeper,
                        &view) &&
-           (view.state == MEMBER_LIVE || view.state == MEMBER_SUSPECT);
+           view.state == MEMBER_LIVE;
 }
 
 /* A new keeper gets the record from its start. */
--- a/policy/resume.c
+++ b/policy/resume.c
@@ -58,6 +58,10 @@
     wish_t wish = session_wish(session, node->start.zone);
     runner_state_t *runner;
 
+    if (session->idempotent && !takeover_bridge(session)) {
+        takeover_lost(step, session);
+        return;
+    }
     if (answer_is_whole(session)) {
         answer_end(&session->answer, FINISH_LENGTH);
         session_finish(step, session);
@@ -267,7 +271,7 @@
         return;
     }
     runner = runners_choose(&node->runners, &wish, step->now_us);
-    if (runner == NULL || !can_resume(session)) {
+    if (runner == NULL || !can_resume(session) || !takeover_bridge(session)) {
         return;
     }
     if (attempts_live(session) == SESSION_ATTEMPTS) {
--- a/policy/session.c
+++ b/policy/session.c
@@ -46,6 +46,10 @@
                      session->prefix_count * sizeof(uint64_t));
     session->from = request->position;
     session->from_attempt = request->attempt;
+    session->place = request->place;
+    session->place.runner = arena_strdup(arena, request->place.runner);
+    session->place.stream_name =
+        arena_strdup(arena, request->place.stream_name);
     session->tail_from = request->tail_from;
     session->tail_count = request->tail_ids.tail_ids_len;
     session->tail_ids = arena_memdup(arena, request->tail_ids.tail_ids_val,
--- a/policy/session.h
+++ b/policy/session.h
@@ -49,6 +49,7 @@
     int64_t opened_us;
     int64_t piece_us; /* of the last piece; 0: none yet */
     int64_t quiet_us; /* when silence was last acted upon; 0: never */
+    bool recover;     /* its prompt holds what is known of the answer */
     bool probe;       /* only to learn the prompt's token ids */
     bool reattached;  /* taken up again and not heard since */
     UT_hash_handle hh;
@@ -84,8 +85,10 @@
     session_state_t state;
     uint64_t caller; /* 0: gone */
     uint64_t body;   /* the caller number whose body is kept; 0: none */
-    uint32_t from;   /* position that the caller hands back, in a takeover */
+    uint32_t from;   /* position that the caller hands back, until the answer
+                        has come so far; then 0 */
     uint32_t from_attempt; /* and the attempt that gave it */
+    stream_place_t place;  /* and where that one runs */
     uint32_t tail_from;
     uint32_t tail_count;
     uint32_t *tail_ids; /* and the ids from tail_from to from */
--- a/policy/takeover.c
+++ b/policy/takeover.c
@@ -20,9 +20,9 @@
 static bool restore(step_t *step, session_t *session, const record_t *record);
 static bool restore_tail(session_t *session);
 static void go_on(step_t *step, session_t *session, const record_t *record);
-static void adopt(step_t *step, session_t *session, const record_t *record,
-                  runner_state_t *runner);
-static void refuse_lost(step_t *step, session_t *session);
+static void adopt(step_t *step, session_t *session,
+                  const stream_place_t *place, runner_state_t *runner,
+                  bool recover);
 
 /*
  * Asks for the session of a request that may have come before.  What is to
@@ -43,24 +43,81 @@
     ask_own_keep(step, session);
 }
 
-/* Nobody knows the request, or nobody answered in time. */
+/*
+ * Nobody knows the request, or nobody answered in time.  The engine that
+ * the caller's event id names may have all of it; else the tail must be
+ * all that there was.
+ */
 void
 takeover_none(step_t *step, session_t *session)
 {
+    runner_state_t *runner =
+        runners_find(&step->node->runners, session->place.runner);
+
     session->ask = 0;
     if (session->from == 0) {
         intake_start(step, session);
         return;
     }
-    if (!session->idempotent || !restore_tail(session)) {
-        refuse_lost(step, session);
+    step->node->counters.taken_over++;
+    session->may_have_run = 1;
+    if (runner != NULL) {
+        session->attempt_count = session->from_attempt;
+        adopt(step, session, &session->place, runner, true);
         return;
     }
-    step->node->counters.taken_over++;
-    session->given = session->answer.cut_count;
     resume_elsewhere(step, session, NULL);
 }
 
+/*
+ * Joins what the caller handed back to what is known of the answer, so
+ * that it reaches the position where the caller is.
+ */
+bool
+takeover_bridge(session_t *session)
+{
+    if (session->from <= session->answer.token_count) {
+        return true;
+    }
+    if (!restore_tail(session)) {
+        return false;
+    }
+    session->given = session->answer.cut_count;
+    session->from = 0;
+    return true;
+}
+
+/*
+ * The first piece of a stream that is taken up from its start: its prompt
+ * is the request's own and what came before it of the answer.
+ */
+bool
+takeover_recover(session_t *session, attempt_t *attempt,
+                 const piece_event_t *piece)
+{
+    const uint32_t *ids = piece->prompt_ids.prompt_ids_val;
+    uint32_t own = session->place.prompt_tokens;
+
+    attempt->recover = false;
+    if (piece->prompt_ids.prompt_ids_len != own + attempt->first) {
+        return false;
+    }
+    session_keep_prompt(session, ids, own);
+    if (attempt->first > 0) {
+        answer_restore_tail(&session->answer, ids + own, attempt->first);
+    }
+    return true;
+}
+
+/* The caller holds part of an answer that nobody can go on with. */
+void
+takeover_lost(step_t *step, session_t *session)
+{
+    session_refuse(step, session, REFUSAL_BACKEND_LOST, RUN_UNKNOWN, 0,
+                   "the rest of this answer is lost: send the request again "
+                   "without Last-Event-ID to start anew");
+}
+
 int64_t
 takeover_due_us(const session_t *session)
 {
@@ -267,15 +324,16 @@
         answer->first_cut = (uint32_t)answer_cut_at(answer, record->base);
     }
     if (session->from > answer->token_count && !restore_tail(session)) {
-        refuse_lost(step, session);
+        takeover_lost(step, session);
         return false;
     }
     cut = answer_cut_at(answer, session->from);
     if (cut < answer->first_cut) {
-        refuse_lost(step, session);
+        takeover_lost(step, session);
         return false;
     }
     session->given = (uint32_t)cut;
+    session->from = 0;
     return true;
 }
 
@@ -317,7 +375,14 @@
         return;
     }
     if (runner != NULL && record->stream_name[0] != '\0' && same_attempt) {
-        adopt(step, session, record, runner);
+        stream_place_t place = {
+            .stream_name = record->stream_name,
+            .endpoint = record->stream_endpoint,
+            .first = record->stream_first,
+        };
+
+        session->attempt_count--;
+        adopt(step, session, &place, runner, false);
         return;
     }
     resume_elsewhere(step, session, NULL);
@@ -325,26 +390,17 @@
 
 /* Takes up the stream that the former owner had at the engine. */
 static void
-adopt(step_t *step, session_t *session, const record_t *record,
-      runner_state_t *runner)
+adopt(step_t *step, session_t *session, const stream_place_t *place,
+      runner_state_t *runner, bool recover)
 {
-    attempt_t *attempt;
+    attempt_t *attempt = attempt_new(step, session, runner);
 
-    session->attempt_count--;
-    attempt = attempt_new(step, session, runner);
-    attempt->stream_name = arena_strdup(&session->arena, record->stream_name);
-    attempt->endpoint = (endpoint_t)record->stream_endpoint;
-    attempt->first = record->stream_first;
+    attempt->stream_name = arena_strdup(&session->arena, place->stream_name);
+    attempt->endpoint = (endpoint_t)place->endpoint;
+    attempt->first = place->first;
+    attempt->recover = recover;
     answer_admit(&session->answer, attempt->number, false);
     attempt_reattach(step, attempt);
     session_enter(step, session, SESSION_RUNNING);
     caller_give(step, session);
 }
-
-static void
-refuse_lost(step_t *step, session_t *session)
-{
-    session_refuse(step, session, REFUSAL_BACKEND_LOST, RUN_UNKNOWN, 0,
-                   "the rest of this answer is lost: send the request again "
-                   "without Last-Event-ID to start anew");
-}
--- a/regress/script.c
+++ b/regress/script.c
@@ -173,6 +173,10 @@
     request->position = (uint32_t)number_of(line, "position", 0);
     request->resumes = request->position > 0;
     request->attempt = (uint32_t)number_of(line, "attempt", 0);
+    request->place.runner = (char *)text_of(line, "at", "");
+    request->place.stream_name = (char *)text_of(line, "at_name", "");
+    request->place.first = (uint32_t)number_of(line, "at_first", 0);
+    request->place.prompt_tokens = 3;
     request->tail_from = (uint32_t)number_of(line, "tail_from", 0);
     request->tail_ids.tail_ids_len =
         ids_of(arena, line, "tail", &request->tail_ids.tail_ids_val);
--- a/regress/test_response.c
+++ b/regress/test_response.c
@@ -95,7 +95,8 @@
     uint32_t i;
 
     for (i = 0; i < row->gives; i++) {
-        give_order_t give = {0};
+        give_order_t give = {
+            .place = {.runner = (char *)"", .stream_name = (char *)""}};
 
         position += given[i].count;
         give.position = position;
