A paused process sends no request that it no longer may

Cause: libcurl starts its clock when it first looks at a call. A process stopped between http_start() and that moment sent the request however late, so that a claim's deadline could be passed. Change: connect_timeout_ms counts from http_start(), by a clock that goes on while the process is stopped, and is checked when the connection stands and nothing is written yet.

--- a/http/client.c
+++ b/http/client.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/queue.h>
+#include <time.h>
 
 #include <curl/curl.h>
 
@@ -16,6 +17,7 @@
     HTTP_KEEPALIVE_INTERVAL_S = 5,
     HTTP_STATUS_FINAL = 200,
     MS_PER_S = 1000,
+    NS_PER_MS = 1000000,
 };
 
 struct http_call {
@@ -29,6 +31,7 @@
     bool cancelled;  /* no more callbacks; freed once libcurl has returned */
     bool delivering; /* done() is running and the call is freed after it */
     bool headed;     /* head() was called */
+    int64_t send_by_ms; /* no request is sent later; 0: no limit */
 };
 TAILQ_HEAD(call_queue, http_call);
 
@@ -53,6 +56,9 @@
 static void on_poll(uv_poll_t *poll, int status, int events);
 static void on_poll_closed(uv_handle_t *handle);
 static void on_client_closed(uv_handle_t *handle);
+static int on_connected(void *context, char *remote, char *local,
+                        int remote_port, int local_port);
+static int64_t now_ms(void);
 static size_t on_header(char *bytes, size_t size, size_t count, void *context);
 static size_t on_body(char *bytes, size_t size, size_t count, void *context);
 static void act(http_client_t *client, curl_socket_t fd, int flags);
@@ -172,6 +178,11 @@
     curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
                      (long)request->connect_timeout_ms);
     curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, (long)request->timeout_ms);
+    if (request->connect_timeout_ms > 0) {
+        call->send_by_ms = now_ms() + request->connect_timeout_ms;
+        curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, on_connected);
+        curl_easy_setopt(easy, CURLOPT_PREREQDATA, call);
+    }
     if (request->fresh_connection) {
         curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
         curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
@@ -294,6 +305,31 @@
     act(timer->data, CURL_SOCKET_TIMEOUT, 0);
 }
 
+/*
+ * The last moment before the request is sent.  libcurl starts its own clock
+ * only when it first looks at the call; this process may have been paused
+ * since http_start().
+ */
+static int
+on_connected(void *context, char *remote, char *local, int remote_port,
+             int local_port)
+{
+    const http_call_t *call = context;
+
+    return now_ms() > call->send_by_ms ? CURL_PREREQFUNC_ABORT
+                                       : CURL_PREREQFUNC_OK;
+}
+
+/* Goes on while the process is stopped or the host is suspended. */
+static int64_t
+now_ms(void)
+{
+    struct timespec now;
+
+    (void)clock_gettime(CLOCK_BOOTTIME, &now);
+    return (int64_t)now.tv_sec * MS_PER_S + now.tv_nsec / NS_PER_MS;
+}
+
 static size_t
 on_header(char *bytes, size_t size, size_t count, void *context)
 {
--- a/http/http.h
+++ b/http/http.h
@@ -47,6 +47,11 @@
                                    one with a line break is left out */
     const char *body;           /* copied; NULL for none */
     size_t body_bytes;
+    /*
+     * From http_start() until the request is sent; a call that is not sent
+     * by then ends as HTTP_NOT_SENT, also when this process was paused in
+     * between.  0: no limit.
+     */
     uint32_t connect_timeout_ms;
     uint32_t timeout_ms; /* of the whole call; 0: none */
     /*
--- a/regress/test_http.c
+++ b/regress/test_http.c
@@ -1,8 +1,11 @@
 /* test_http.c - the HTTP client against canned bytes. */
+#include <arpa/inet.h>
 #include <check.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include "http/http.h"
 #include "regress/canned.h"
@@ -298,6 +301,52 @@
 }
 END_TEST
 
+/* A listener whose queue is full leaves a connection unanswered. */
+START_TEST(connection_that_takes_too_long)
+{
+    struct sockaddr_in at = {.sin_family = AF_INET};
+    socklen_t length = sizeof(at);
+    int listener = socket(AF_INET, SOCK_STREAM, 0);
+    int queued = socket(AF_INET, SOCK_STREAM, 0);
+    http_request_t request = {
+        .method = "GET", .url = url, .connect_timeout_ms = 200};
+    call_t call = {0};
+
+    at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    ck_assert_int_eq(bind(listener, (struct sockaddr *)&at, length), 0);
+    ck_assert_int_eq(listen(listener, 0), 0);
+    ck_assert_int_eq(getsockname(listener, (struct sockaddr *)&at, &length),
+                     0);
+    ck_assert_int_eq(connect(queued, (struct sockaddr *)&at, length), 0);
+    open_world(&hello, 1);
+    (void)snprintf(url, sizeof(url), "http://127.0.0.1:%d/",
+                   ntohs(at.sin_port));
+    start(&call, &request);
+    run_until(&call.done);
+    ck_assert_int_eq(call.result, HTTP_NOT_SENT);
+    close_world();
+    (void)close(queued);
+    (void)close(listener);
+}
+END_TEST
+
+/* A process that was stopped does not send what it no longer may. */
+START_TEST(pause_before_sending)
+{
+    http_request_t request = {
+        .method = "GET", .url = url, .connect_timeout_ms = 100};
+    call_t call = {0};
+
+    open_world(&hello, 1);
+    start(&call, &request);
+    (void)usleep(300 * 1000);
+    run_until(&call.done);
+    ck_assert_int_eq(call.result, HTTP_NOT_SENT);
+    ck_assert_uint_eq(canned_requests(server), 0);
+    close_world();
+}
+END_TEST
+
 START_TEST(proxy_of_the_environment_is_unused)
 {
     call_t call = {0};
@@ -469,6 +518,8 @@
     tcase_add_loop_test(tcase, one_reply, 0,
                         sizeof(reply_cases) / sizeof(reply_cases[0]));
     tcase_add_test(tcase, refused_connection);
+    tcase_add_test(tcase, connection_that_takes_too_long);
+    tcase_add_test(tcase, pause_before_sending);
     tcase_add_test(tcase, proxy_of_the_environment_is_unused);
     tcase_add_test(tcase, request_as_written);
     tcase_add_loop_test(tcase, reuse, 0,
