--- a/regress/fleet.sh
+++ b/regress/fleet.sh
@@ -5,6 +5,7 @@
 
 key=secret
 pids=()
+former=0
 declare -A pid_of address_of
 
 cleanup() {
@@ -58,7 +59,8 @@
     address_of[$name]=127.0.0.1:$(wait_for "$work/$name.out" '^ready')
 }
 
-# start_host NAME ZONE [LINES]: an agated, at its former port.
+# start_host NAME ZONE: an agated, at its former port.  HOST_SETTINGS are
+# further lines of its settings.
 start_host() {
     local listen=${address_of[$1]:-127.0.0.1:0}
     cat >"$work/$1.toml" <<EOF
@@ -72,10 +74,10 @@
 [peers]
 address = "127.0.0.1:0"
 key_file = "$work/peers.key"
-${3:-}
+${HOST_SETTINGS:-}
 EOF
     head -c 32 /dev/zero | tr '\0' k >"$work/peers.key"
-    : >"$work/$1.log"
+    [ ! -e "$work/$1.log" ] || mv "$work/$1.log" "$work/$1.log.$((++former))"
     start "$1" "$bin/agated/agated" -f "$work/$1.toml"
     address_of[$1]=$(wait_for "$work/$1.log" 'listening address=')
 }
--- a/regress/history.c
+++ b/regress/history.c
@@ -174,8 +174,7 @@
 uint64_t
 history_gap_us(const history_request_t *request)
 {
-    uint64_t since = 0, gap = 0;
-    bool seen = false;
+    uint64_t since = request->begun_us, gap = 0;
 
     for (size_t i = 0; i < request->event_count; i++) {
         const history_event_t *event = &request->events[i];
@@ -183,11 +182,10 @@
         if (event->kind != HISTORY_PIECE) {
             continue;
         }
-        if (seen && event->time_us - since > gap) {
+        if (event->time_us - since > gap) {
             gap = event->time_us - since;
         }
         since = event->time_us;
-        seen = true;
     }
     return gap;
 }
--- a/regress/history.h
+++ b/regress/history.h
@@ -48,6 +48,7 @@
     bool may_fail; /* a refusal may end it: it kills engines, or a caller
                       with the same key took its place */
     uint32_t starts;
+    uint64_t begun_us; /* when the caller sent it first */
 } history_request_t;
 
 typedef enum {
@@ -74,7 +75,7 @@
 
 const char *history_fault_name(history_fault_t fault);
 
-/* The longest time between two pieces; 0 with fewer than two. */
+/* The longest time between two pieces, or until the first. */
 uint64_t history_gap_us(const history_request_t *request);
 
 /* Whether a connection was lost, or the request was started again. */
--- a/regress/history.sh
+++ b/regress/history.sh
@@ -13,6 +13,7 @@
 trap cleanup EXIT
 trap 'exit 130' INT TERM
 RANDOM=$seed
+declare -A killed
 engines=(r1 r2 r3 r4)
 hosts=(a1 a2 a3)
 read -ra faults <<<"${FAULTS:-kill_engine kill_engine pause_engine \
@@ -33,12 +34,17 @@
             start_engine "$name" "${engine_options[@]}"
     done
     for name in "${hosts[@]}"; do
-        lives "$name" || ((RANDOM % 2)) || start_host "$name" north
+        lives "$name" && continue
+        [ -n "${killed[$name]:-}" ] ||
+            { cat "$work/$name.log"; fail "$name has died by itself"; } >&2
+        ((RANDOM % 2)) || start_host "$name" north
     done
 }
 
 kill_one() {
-    lives "$1" && stop "$1" KILL
+    lives "$1" || return 0
+    killed[$1]=1
+    stop "$1" KILL
     echo "fault kill $1" >&2
 }
 
@@ -48,6 +54,11 @@
     case $kind in
     kill_engine) kill_one "$engine" ;;
     kill_host) kill_one "$host" ;;
+    drain_host)
+        lives "$host" || return
+        killed[$host]=1
+        kill -TERM "${pid_of[$host]}"
+        ;;
     kill_both) kill_one "$engine"; kill_one "$host" ;;
     pause_engine) lives "$engine" && pause "$engine" "$(seconds 100 3000)" ;;
     pause_host) lives "$host" && pause "$host" "$(seconds 100 3000)" ;;
@@ -73,17 +84,28 @@
 
 "$bin/regress/standin/standin_load" run --seed "$seed" \
     --sessions "$sessions" --at-once "$at_once" --plain 10 --patience-ms "${PATIENCE_MS:-30000}" --once 15 \
-    --drop 5 --repeat 5 --whole 20 --killers "${KILLERS:-0}" \
+    --drop 5 --repeat 5 --whole 20 --killers "${KILLERS:-0}" ${UNCUT:+--uncut} \
     --routers "${address_of[a1]},${address_of[a2]},${address_of[a3]}" \
     "$work"/{r1,r2,r3,r4,slots-1}.journal &
 load=$!
+begun=$SECONDS
 pids+=("$load")
 while kill -0 "$load" 2>/dev/null; do
     make_fault || true
     sleep "$(seconds 100 600)"
     revive
 done
-if ! wait "$load"; then
-    [ -z "${KEEP:-}" ] || cp -r "$work" "$KEEP"
-    fail "history: seed $seed shows a fault"
-fi
+status=0
+wait "$load" || status=1
+echo "seconds $((SECONDS - begun)) s - ok"
+"$bin/regress/standin/standin_load" call GET \
+    "http://${address_of[store]}/stats" |
+    sed 's/[{}"]//g; s/,/\n/g' | sed 's/^\(.*\):\(.*\)$/store\1 \2 calls - ok/'
+echo
+for name in "${hosts[@]}"; do
+    lives "$name" || continue
+    kill -TERM "${pid_of[$name]}"
+    wait "${pid_of[$name]}" || { echo "$name did not stop well" >&2; status=1; }
+done
+[ "$status" = 0 ] || [ -z "${KEEP:-}" ] || cp -r "$work" "$KEEP"
+[ "$status" = 0 ] || fail "history: seed $seed shows a fault"
--- a/regress/standin/engine.c
+++ b/regress/standin/engine.c
@@ -2,6 +2,7 @@
 #include <argp.h>
 #include <err.h>
 #include <fcntl.h>
+#include <inttypes.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -12,6 +13,7 @@
 
 enum {
     TICK_MS = 1,
+    CATCH_UP_US = 100 * 1000, /* a pause is not made up for */
     KEEP_DONE_US = 60 * 1000 * 1000,
     KEEP_UNBOUND_US = 30 * 1000 * 1000,
     CRASH_AT_TOKENS = 5,
@@ -25,12 +27,16 @@
 static uv_loop_t *loop;
 static json_t *orders; /* what was loaded and unloaded */
 static int journal_fd = -1;
+static int work_fd = -1; /* work done, also by former processes */
+static uint64_t former_prompt, former_output;
 static uint64_t prompt_tokens, cached_tokens, output_tokens, starts;
 
 static error_t parse_option(int key, char *arg, struct argp_state *state);
 static uint64_t now_us(void);
 static generation_t *find(const char *id, size_t length);
 static void journal(const char *name, const char *endpoint, const char *tag);
+static void open_journal(void);
+static void write_work(void);
 static void start(server_conn_t *conn, const server_request_t *request,
                   bool chat);
 static void run(generation_t *generation, uint64_t now);
@@ -82,6 +88,46 @@
     }
 }
 
+static void
+open_journal(void)
+{
+    const int flags = O_RDWR | O_CREAT | O_CLOEXEC;
+    char name[LINE_BYTES], line[LINE_BYTES] = "";
+
+    if (options.journal == NULL) {
+        return;
+    }
+    snprintf(name, sizeof(name), "%s.work", options.journal);
+    journal_fd = open(options.journal, flags | O_APPEND, 0644);
+    work_fd = open(name, flags, 0644);
+    if (journal_fd < 0 || work_fd < 0 ||
+        pread(work_fd, line, sizeof(line) - 1, 0) < 0) {
+        err(1, "%s", options.journal);
+    }
+    sscanf(line, "%" SCNu64 " %" SCNu64, &former_prompt, &former_output);
+}
+
+/* Keeps the work counted where it outlives this process. */
+static void
+write_work(void)
+{
+    static uint64_t written;
+    uint64_t prompt = former_prompt + prompt_tokens - cached_tokens;
+    uint64_t output = former_output + output_tokens;
+    char line[LINE_BYTES];
+    int length;
+
+    if (work_fd < 0 || prompt + output == written) {
+        return;
+    }
+    length = snprintf(line, sizeof(line), "%20" PRIu64 " %20" PRIu64 "\n",
+                      prompt, output);
+    if (pwrite(work_fd, line, (size_t)length, 0) != length) {
+        err(1, "the work done cannot be written");
+    }
+    written = prompt + output;
+}
+
 static void
 start(server_conn_t *conn, const server_request_t *request, bool chat)
 {
@@ -186,6 +232,9 @@
         while (each->state == GENERATION_RUNNING && each->due_us <= now) {
             produce(each);
             each->due_us += options.token_us;
+            if (now > each->due_us + CATCH_UP_US) {
+                each->due_us = now;
+            }
         }
         if (each->conn == NULL) {
             continue;
@@ -199,6 +248,7 @@
     }
     sweep(now);
     admit(now);
+    write_work();
 }
 
 /* Drops what nobody has asked for in a while. */
@@ -432,13 +482,7 @@
     uv_timer_t tick;
 
     argp_parse(&argp, argc, argv, 0, NULL, NULL);
-    if (options.journal != NULL) {
-        journal_fd = open(options.journal,
-                          O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
-        if (journal_fd < 0) {
-            err(1, "%s", options.journal);
-        }
-    }
+    open_journal();
     signal(SIGPIPE, SIG_IGN);
     loop = uv_default_loop();
     orders = json_array();
--- a/regress/standin/load.h
+++ b/regress/standin/load.h
@@ -118,11 +118,20 @@
     const char *const *journals;
     size_t journal_count;
     uint32_t bound_ms;
+    uint32_t killer_bound; /* engines that one request may kill */
+    bool uncut;            /* a connection cut off is a fault */
 } load_run_t;
 int run_one(const load_options_t *options, const load_mix_t *mix);
 int run_many(const load_options_t *options, const load_mix_t *mix,
              const load_run_t *run);
 
+/*
+ * load_report.c: checks every history and prints the figures; returns the
+ * exit status.  sessions[count + i] repeats sessions[i].
+ */
+int report_run(const load_run_t *run, const session_t *sessions,
+               uint32_t count);
+
 /* load_store.c: both return the exit status. */
 /* One call whose answer is printed; body may be NULL. */
 int call_print(const char *method, const char *url, const char *key,
--- a/regress/standin/load_session.c
+++ b/regress/standin/load_session.c
@@ -240,6 +240,7 @@
         .expected_ids = plan->expected_ids,
         .expected_count = plan->expected_count,
         .idempotent = plan->idempotent,
+        .begun_us = session->begun_us,
         .shared = plan->repeated,
         .may_fail = plan->kills_engines,
     };
--- a/regress/test_history.c
+++ b/regress/test_history.c
@@ -286,11 +286,15 @@
         {.kind = HISTORY_PIECE, .time_us = 13000},
         {.kind = HISTORY_END, .time_us = 90000},
     };
-    history_request_t request = {.events = events, .event_count = 5};
+    history_request_t request = {
+        .events = events, .event_count = 5, .begun_us = 500};
 
     ck_assert_uint_eq(history_gap_us(&request), 10000);
     ck_assert(history_recovered(&request));
     request.event_count = 2;
+    ck_assert_uint_eq(history_gap_us(&request), 2000);
+    request.event_count = 1;
+    ck_assert_uint_eq(history_gap_us(&request), 500);
     ck_assert(!history_recovered(&request));
     request.starts = 2;
     ck_assert(history_recovered(&request));
