--- a/backend/engine.c
+++ b/backend/engine.c
@@ -6,7 +6,7 @@
 
 #include "http/table.h"
 
-#include "backend/address.h"
+#include "backend/url.h"
 #include "backend/backend.h"
 #include "backend/load.h"
 #include "backend/piece.h"
@@ -18,8 +18,9 @@
     ENGINE_CONNECT_TIMEOUT_MS = 1000,
     ENGINE_CANCEL_TIMEOUT_MS = 2000,
     ENGINE_PATH_BYTES = 768,
-    ENGINE_HEADER_BYTES = 512,
-    ENGINE_ID_BYTES = 300,
+    ENGINE_HEADER_BYTES = 640,
+    ENGINE_ID_BYTES = 512,
+    ENGINE_ESCAPE_BYTES = sizeof("~00"),
     HTTP_STATUS_OK = 200,
     HTTP_STATUS_BAD_REQUEST = 400,
     HTTP_STATUS_NOT_FOUND = 404,
@@ -55,7 +56,7 @@
 static void engine_open(backend_t *backend, const backend_request_t *request);
 static void engine_reattach(backend_t *backend,
                             const backend_reattach_t *again);
-static void engine_cancel(backend_t *backend, uint64_t number);
+static void engine_cancel(backend_t *backend, uint64_t number, bool keep);
 static void engine_poll_load(backend_t *backend, const char *runner,
                              const char *address);
 static void engine_free(backend_t *backend);
@@ -152,7 +153,7 @@
 }
 
 static void
-engine_cancel(backend_t *backend, uint64_t number)
+engine_cancel(backend_t *backend, uint64_t number, bool keep)
 {
     engine_t *engine = (engine_t *)backend;
     http_request_t call = {
@@ -168,9 +169,13 @@
     if (stream == NULL) {
         return;
     }
+    if (keep) {
+        stream_close(stream);
+        return;
+    }
     (void)snprintf(path, sizeof(path), "/v1/completions/%s/cancel",
                    stream->id);
-    url = address_url(stream->address, path);
+    url = url_make(stream->address, path);
     call.url = url;
     (void)http_start(engine->client, &call, &ignore_sink);
     free(url);
@@ -221,28 +226,37 @@
     HASH_ADD(hh, engine->streams, number, sizeof(stream->number), stream);
 }
 
-/* The name goes into a path and a header: other bytes become '_'. */
+/*
+ * The name goes into a path and a header: any byte that may not stand in
+ * both is written as '~' and its hexadecimal digits, so that two names
+ * never become one.
+ */
 static void
 make_id(char *id, backend_endpoint_t endpoint, const char *name)
 {
     static const char plain[] = "abcdefghijklmnopqrstuvwxyz"
-                                "ABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-._~:";
-    const char *prefix = endpoint == BACKEND_CHAT ? "chatcmpl-" : "cmpl-";
-    char *at = id + strlen(prefix);
-
-    (void)snprintf(id, ENGINE_ID_BYTES, "%s%s", prefix, name);
-    for (; *at != '\0'; at++) {
-        if (strchr(plain, *at) == NULL) {
-            *at = '_';
+                                "ABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-._:";
+    char *end = id + ENGINE_ID_BYTES - ENGINE_ESCAPE_BYTES;
+
+    id = stpcpy(id, endpoint == BACKEND_CHAT ? "chatcmpl-" : "cmpl-");
+    for (; *name != '\0' && id < end; name++) {
+        if (strchr(plain, *name) != NULL) {
+            *id++ = *name;
+        }
+        else {
+            (void)snprintf(id, ENGINE_ESCAPE_BYTES, "~%02x",
+                           (unsigned char)*name);
+            id += ENGINE_ESCAPE_BYTES - 1;
         }
     }
+    *id = '\0';
 }
 
 static void
 stream_start(engine_stream_t *stream, http_request_t *request,
              const char *path)
 {
-    char *url = address_url(stream->address, path);
+    char *url = url_make(stream->address, path);
 
     request->url = url;
     request->connect_timeout_ms = ENGINE_CONNECT_TIMEOUT_MS;
