--- a/regress/standin/load.h
+++ b/regress/standin/load.h
@@ -91,6 +91,8 @@
     uint32_t status;
     bool event_stream;
     bool error_event;
+    char *event_id; /* of the event that is being read */
+    char *last_id;  /* of the last one read, as it came */
     uint32_t event_position;
     bool event_named_other;
     char *input; /* bytes of a line, or of a whole body */
--- a/regress/standin/load_answer.c
+++ b/regress/standin/load_answer.c
@@ -147,8 +147,12 @@
     if (strncmp(line, "id: ", 4) == 0) {
         session->event_named_other =
             strncmp(line + 4, name, length) != 0 || line[4 + length] != '.';
-        session->event_position =
-            (uint32_t)strtoul(strrchr(line, '.') + 1, NULL, 10);
+        if (!session->event_named_other) {
+            session->event_position =
+                (uint32_t)strtoul(line + 4 + length + 1, NULL, 10);
+        }
+        free(session->event_id);
+        session->event_id = strdup(line + 4);
     }
     else if (strcmp(line, "event: error") == 0) {
         session->error_event = true;
@@ -158,6 +162,9 @@
     }
     else if (strncmp(line, "data: ", 6) == 0) {
         json = json_loads(line + 6, 0, NULL);
+        free(session->last_id);
+        session->last_id = session->event_id;
+        session->event_id = NULL;
         if (session->error_event) {
             add_refusal(session, json_object_get(json, "error"));
         }
--- a/regress/standin/load_session.c
+++ b/regress/standin/load_session.c
@@ -53,7 +53,7 @@
     const load_options_t *options = session->options;
     const load_plan_t *plan = session->plan;
     char key[HEADER_BYTES], name[HEADER_BYTES], kind[HEADER_BYTES];
-    char last[HEADER_BYTES], url[URL_BYTES];
+    char *last = NULL, url[URL_BYTES];
     const char *headers[HEADERS_MAX] = {key, name, kind,
                                         "Content-Type: application/json"};
     http_request_t request = {.method = "POST",
@@ -61,16 +61,16 @@
                               .headers = headers,
                               .body = plan->body,
                               .body_bytes = strlen(plan->body),
-                              .connect_timeout_ms = CONNECT_TIMEOUT_MS};
+                              .connect_timeout_ms = CONNECT_TIMEOUT_MS,
+                              .fresh_connection = true};
     int length;
 
     snprintf(key, sizeof(key), "Authorization: Bearer %s", options->key);
     snprintf(name, sizeof(name), "Idempotency-Key: %s", plan->name);
     snprintf(kind, sizeof(kind), "X-Request-Kind: %s",
              plan->idempotent ? options->kind : options->once_kind);
-    if (session->held > 0) {
-        snprintf(last, sizeof(last), "Last-Event-ID: %s.%u", plan->name,
-                 session->held);
+    if (session->held > 0 && session->last_id != NULL &&
+        asprintf(&last, "Last-Event-ID: %s", session->last_id) > 0) {
         headers[4] = last;
     }
     length =
@@ -87,6 +87,7 @@
     session->error_event = false;
     session->last_us = now_us();
     session->call = http_start(session->client, &request, &session->sink);
+    free(last);
     uv_timer_start(&session->timer, on_timer, options->silence_ms, 0);
 }
 
@@ -250,6 +251,8 @@
 session_free(session_t *session)
 {
     free(session->input);
+    free(session->event_id);
+    free(session->last_id);
     free(session->text);
     free(session->events);
     free(session->ids);
