--- a/regress/history.sh
+++ b/regress/history.sh
@@ -79,7 +79,7 @@
     echo "fault $kind $engine $host" >&2
 }
 
-engine_options=(--token-us 5000 --prefill-us-per-token 20)
+engine_options=(--token-us 5000 --prefill-us-per-token 20 --vary)
 start_store
 for name in "${engines[@]}"; do
     start_engine "$name" "${engine_options[@]}"
@@ -92,9 +92,9 @@
     wait_serving "$name"
 done
 
-"$bin/regress/standin/standin_load" run --seed "$seed" \
+"$bin/regress/standin/standin_load" run --vary --seed "$seed" \
     --sessions "$sessions" --at-once "$at_once" --plain 10 --patience-ms "${PATIENCE_MS:-30000}" --once 15 \
-    --drop 5 --repeat 5 --whole 20 --killers "${KILLERS:-0}" ${UNCUT:+--uncut} \
+    --drop "${DROP:-5}" --repeat "${REPEAT:-5}" --whole 20 --killers "${KILLERS:-0}" ${UNCUT:+--uncut} \
     --routers "${address_of[a1]},${address_of[a2]},${address_of[a3]}" \
     "$work"/{r1,r2,r3,r4,slots-1}.journal &
 load=$!
--- a/regress/standin/engine.c
+++ b/regress/standin/engine.c
@@ -40,6 +40,7 @@
 static void start(server_conn_t *conn, const server_request_t *request,
                   bool chat);
 static void run(generation_t *generation, uint64_t now);
+static uint64_t first_salt(const generation_t *generation);
 static void produce(generation_t *generation);
 static void finish(generation_t *generation, const char *reason);
 static void reattach(server_conn_t *conn, const server_request_t *request);
@@ -203,11 +204,26 @@
     generation->since_us = now_us();
 }
 
+/* Differs with the process and with the stream. */
+static uint64_t
+first_salt(const generation_t *generation)
+{
+    generate_t name;
+
+    generate_init(&name, generation->id);
+    return name.hash + (uint64_t)getpid();
+}
+
 static void
 produce(generation_t *generation)
 {
     uint32_t id = generate_next(&generation->generate);
 
+    if (options.vary && !generation->seeded &&
+        generation->generate.output_count == 0) {
+        id = generate_first(&generation->generate, first_salt(generation));
+    }
+
     generate_feed(&generation->generate, id);
     generation->output_ids[generation->output_count++] = id;
     output_tokens++;
@@ -454,6 +470,9 @@
     case 'c':
         options.cache_blocks = (uint32_t)atoi(arg);
         break;
+    case 'v':
+        options.vary = true;
+        break;
     case 'j':
         options.journal = arg;
         break;
@@ -473,6 +492,7 @@
         {"prefill-us-per-token", 'f', "N", 0, "time per new prompt token", 0},
         {"batch", 'b', "N", 0, "streams that generate at once", 0},
         {"cache-blocks", 'c', "N", 0, "blocks of 16 tokens cached", 0},
+        {"vary", 'v', NULL, 0, "unseeded generations differ", 0},
         {"journal", 'j', "FILE", 0, "where each start is written", 0},
         {0}};
     static const struct argp argp = {
--- a/regress/standin/engine.h
+++ b/regress/standin/engine.h
@@ -25,6 +25,7 @@
     uint32_t prefill_us_per_token;
     uint32_t batch; /* streams that generate at once */
     uint32_t cache_blocks;
+    bool vary;          /* unseeded generations differ in their first token */
     const char *models; /* names, with commas between */
     const char *journal;
 } engine_options_t;
@@ -44,6 +45,7 @@
     char tag[ENGINE_TAG_BYTES]; /* what "REQUEST=..." in the prompt says */
     bool chat;
     bool return_token_ids;
+    bool seeded;
     bool crashes; /* the process aborts at its fifth token */
     generation_state_t state;
     int64_t priority;
--- a/regress/standin/generate.c
+++ b/regress/standin/generate.c
@@ -102,6 +102,13 @@
     return GENERATE_WORD + (uint32_t)(mix(value) % GENERATE_WORD_COUNT);
 }
 
+uint32_t
+generate_first(const generate_t *generate, uint64_t salt)
+{
+    return GENERATE_WORD +
+           (uint32_t)(mix(generate->hash + mix(salt)) % GENERATE_WORD_COUNT);
+}
+
 void
 generate_text(uint32_t id, char *text)
 {
--- a/regress/standin/generate.h
+++ b/regress/standin/generate.h
@@ -47,6 +47,12 @@
 /* The id that follows the context; feed it to go on. */
 uint32_t generate_next(const generate_t *generate);
 
+/*
+ * A first output id that differs with the salt, as an unseeded engine's
+ * does: two generations of one prompt then differ in every token.
+ */
+uint32_t generate_first(const generate_t *generate, uint64_t salt);
+
 /*
  * The text of an output id, ended by a NUL, in text[GENERATE_TEXT_BYTES];
  * empty for the stop token and for the first half of a character, whose
--- a/regress/standin/load.c
+++ b/regress/standin/load.c
@@ -14,7 +14,7 @@
                                  .service = "bay-slots",
                                  .kind = "plan",
                                  .once_kind = "forecast",
-                                 .silence_ms = 5000,
+                                 .silence_ms = 2000,
                                  .patience_ms = 60000};
 static load_mix_t mix = {
     .seed = 1, .sessions = 1, .length_min = 20, .length_max = 200};
@@ -82,6 +82,9 @@
     case 'b':
         run.bound_ms = number(arg, state);
         return 0;
+    case 'v':
+        options.vary = true;
+        return 0;
     case 'u':
         run.uncut = true;
         return 0;
@@ -116,6 +119,7 @@
     {"whole", 'w', "PERCENT", 0, "answers that are not streamed", 0},
     {"killers", 'k', "N", 0, "requests that kill engines", 0},
     {"bound-ms", 'b', "MS", 0, "bound of the longest gap", 0},
+    {"vary", 'v', NULL, 0, "the engines' generations differ", 0},
     {"uncut", 'u', NULL, 0, "a connection cut off is a fault", 0},
     {"silence-ms", 'q', "MS", 0, "silence until a caller reconnects", 0},
     {"patience-ms", 'P', "MS", 0, "time until a caller gives up", 0},
--- a/regress/standin/load.h
+++ b/regress/standin/load.h
@@ -12,6 +12,7 @@
 
 #include "http/http.h"
 #include "regress/history.h"
+#include "regress/standin/generate.h"
 
 enum { LOAD_NAME_BYTES = 96, LOAD_ROUTERS_MAX = 16 };
 
@@ -21,7 +22,7 @@
     LOAD_PLAIN,
 } load_endpoint_t;
 
-/* What to send and what a clean run answers; of a seed, pure. */
+/* What to send; a function of the seed. */
 typedef struct {
     char name[LOAD_NAME_BYTES]; /* the idempotency key */
     char tag[LOAD_NAME_BYTES];  /* what the backends' journals call it */
@@ -33,12 +34,18 @@
     uint32_t drop_after; /* the caller drops its connection; 0: never */
     uint32_t first_router;
     char *body;
-    uint32_t *expected_ids;
-    uint32_t expected_count;
-    char *expected_text;
-    const char *expected_finish;
+    uint32_t max_tokens;
+    generate_t prompt; /* the context before the first token */
 } load_plan_t;
 
+/* What a clean run answers. */
+typedef struct {
+    uint32_t *ids;
+    uint32_t count;
+    char *text;
+    const char *finish;
+} expected_t;
+
 typedef struct {
     const char *routers[LOAD_ROUTERS_MAX]; /* "ip:port" */
     uint32_t router_count;
@@ -50,6 +57,7 @@
     const char *once_kind; /* of non-idempotent ones */
     uint32_t silence_ms;   /* after which a caller reconnects */
     uint32_t patience_ms;  /* after which it gives up */
+    bool vary;             /* the engines' unseeded generations differ */
     bool print;            /* the text, as it comes */
 } load_options_t;
 
@@ -68,6 +76,8 @@
 } load_mix_t;
 void plan_make(load_plan_t *plan, const load_mix_t *mix,
                const load_options_t *options, uint32_t index);
+/* The answer that begins with first_id, or with the engines' own if 0. */
+expected_t plan_expect(const load_plan_t *plan, uint32_t first_id);
 void plan_free(load_plan_t *plan);
 
 /* load_session.c */
@@ -100,11 +110,14 @@
     char *text;
     size_t text_bytes;
     const char *finish;
+    expected_t expected; /* once the first token has come, or at the end */
     history_event_t *events;
     size_t event_count;
     uint32_t *ids;
     uint32_t id_count;
 };
+/* Settles what is expected of a session that no token has come to. */
+void session_expect(session_t *session);
 void session_start(session_t *session, uv_loop_t *loop);
 history_request_t session_history(const session_t *session);
 void session_free(session_t *session);
--- a/regress/standin/load_answer.c
+++ b/regress/standin/load_answer.c
@@ -63,6 +63,7 @@
     {
         session->ids[session->id_count++] = (uint32_t)json_integer_value(id);
     }
+    session_expect(session);
     session->held += event.id_count;
     session_record(session, event);
 }
@@ -70,11 +71,13 @@
 static void
 add_end(session_t *session, bool named_other)
 {
-    const load_plan_t *plan = session->plan;
     const char *text = session->text != NULL ? session->text : "";
-    bool clean = session->finish != NULL &&
-                 strcmp(session->finish, plan->expected_finish) == 0 &&
-                 strcmp(text, plan->expected_text) == 0;
+    bool clean;
+
+    session_expect(session);
+    clean = session->finish != NULL &&
+            strcmp(session->finish, session->expected.finish) == 0 &&
+            strcmp(text, session->expected.text) == 0;
 
     session->ended = true;
     session_record(session, (history_event_t){.kind = HISTORY_END,
--- a/regress/standin/load_plan.c
+++ b/regress/standin/load_plan.c
@@ -6,7 +6,6 @@
 
 #include <jansson.h>
 
-#include "regress/standin/generate.h"
 #include "regress/standin/load.h"
 
 enum {
@@ -21,8 +20,8 @@
 static uint32_t draw(uint64_t *state, uint32_t below);
 static void write_prompt(char *prompt, const load_plan_t *plan,
                          uint32_t length, uint64_t *state);
-static void expect_answer(load_plan_t *plan, const char *version,
-                          const char *prompt, uint32_t max_tokens);
+static void read_prompt(load_plan_t *plan, const char *version,
+                        const char *prompt);
 static void write_body(load_plan_t *plan, const load_options_t *options,
                        const char *prompt, uint32_t max_tokens);
 
@@ -54,39 +53,49 @@
     strlcat(prompt, part, PROMPT_BYTES);
 }
 
-/* What an engine that is never lost would answer. */
-static void
-expect_answer(load_plan_t *plan, const char *version, const char *prompt,
-              uint32_t max_tokens)
+expected_t
+plan_expect(const load_plan_t *plan, uint32_t first_id)
 {
-    size_t size = (size_t)max_tokens * GENERATE_TEXT_BYTES + 1;
-    generate_t generate;
+    size_t size = (size_t)plan->max_tokens * GENERATE_TEXT_BYTES + 1;
+    generate_t generate = plan->prompt;
+    expected_t expected = {.finish = "stop"};
+    uint32_t id = first_id;
     char *end;
-    uint32_t id;
 
-    plan->expected_ids = calloc(max_tokens, sizeof(uint32_t));
-    plan->expected_text = end = calloc(1, size);
-    plan->expected_finish = "length";
-    generate_init(&generate, version);
-    if (plan->endpoint == LOAD_CHAT) {
-        generate_feed_text(&generate, "user: ");
-        generate_feed_text(&generate, prompt);
-        generate_feed_text(&generate, "\n");
-    }
-    else {
-        generate_feed_text(&generate, prompt);
+    expected.text = end = calloc(1, size);
+    if (plan->endpoint == LOAD_PLAIN) {
+        return expected;
     }
-    while (plan->expected_count < max_tokens) {
-        id = generate_next(&generate);
+    expected.ids = calloc(plan->max_tokens, sizeof(uint32_t));
+    expected.finish = "length";
+    while (expected.count < plan->max_tokens) {
+        if (expected.count > 0 || first_id == 0) {
+            id = generate_next(&generate);
+        }
         generate_feed(&generate, id);
-        plan->expected_ids[plan->expected_count++] = id;
+        expected.ids[expected.count++] = id;
         generate_text(id, end);
         end += strlen(end);
         if (id == GENERATE_STOP) {
-            plan->expected_finish = "stop";
+            expected.finish = "stop";
             break;
         }
     }
+    return expected;
+}
+
+static void
+read_prompt(load_plan_t *plan, const char *version, const char *prompt)
+{
+    generate_init(&plan->prompt, version);
+    if (plan->endpoint == LOAD_CHAT) {
+        generate_feed_text(&plan->prompt, "user: ");
+        generate_feed_text(&plan->prompt, prompt);
+        generate_feed_text(&plan->prompt, "\n");
+    }
+    else {
+        generate_feed_text(&plan->prompt, prompt);
+    }
 }
 
 static void
@@ -141,8 +150,6 @@
         plan->endpoint = LOAD_PLAIN;
         plan->streamed = false;
         plan->body = strdup("{}");
-        plan->expected_text = strdup("");
-        plan->expected_finish = "stop";
         return;
     }
     plan->kills_engines =
@@ -150,7 +157,8 @@
                                 mix->sessions / mix->killers / 2;
     plan->idempotent |= plan->kills_engines;
     write_prompt(prompt, plan, length, &state);
-    expect_answer(plan, options->version, prompt, max_tokens);
+    plan->max_tokens = max_tokens;
+    read_prompt(plan, options->version, prompt);
     write_body(plan, options, prompt, max_tokens);
 }
 
@@ -158,6 +166,4 @@
 plan_free(load_plan_t *plan)
 {
     free(plan->body);
-    free(plan->expected_ids);
-    free(plan->expected_text);
 }
--- a/regress/standin/load_report.c
+++ b/regress/standin/load_report.c
@@ -7,13 +7,24 @@
 
 #include "regress/standin/load.h"
 
-enum { LINE_BYTES = 512, PERCENT = 100, US_PER_MS = 1000 };
+enum {
+    LINE_BYTES = 512,
+    PERCENT = 100,
+    US_PER_MS = 1000,
+    REFUSAL_KINDS_MAX = 24
+};
 
 /* One start of a request, as a backend's journal tells it. */
 typedef struct {
     char tag[LOAD_NAME_BYTES];
 } start_t;
 
+/* Callers that were told no, by the kind of refusal. */
+typedef struct {
+    const char *kind;
+    uint32_t count;
+} refusals_t;
+
 /* What the journals tell. */
 typedef struct {
     start_t *starts; /* sorted by tag */
@@ -27,8 +38,9 @@
     uint32_t answered;
     uint32_t refused;
     uint32_t innocents_refused; /* idempotent, and kill no engine */
-    uint32_t cut_off;           /* connections that others broke */
-    uint32_t killer_starts;     /* of the request with the most */
+    refusals_t refusals[REFUSAL_KINDS_MAX];
+    uint32_t cut_off;       /* connections that others broke */
+    uint32_t killer_starts; /* of the request with the most */
     uint64_t tokens;
     uint64_t gap_max_us; /* of any request */
     const char *gap_max_name;
@@ -42,6 +54,7 @@
 static uint32_t starts_of(const journals_t *journals, const char *tag);
 static void judge(const journals_t *journals, const session_t *session,
                   const session_t *twin, totals_t *totals);
+static void count_refusal(const char *kind, totals_t *totals);
 static void count_outcome(const session_t *session,
                           const history_request_t *history, totals_t *totals);
 static int by_size(const void *left, const void *right);
@@ -118,6 +131,20 @@
     return count;
 }
 
+static void
+count_refusal(const char *kind, totals_t *totals)
+{
+    for (size_t i = 0; i < REFUSAL_KINDS_MAX; i++) {
+        refusals_t *refusals = &totals->refusals[i];
+
+        if (refusals->kind == NULL || strcmp(refusals->kind, kind) == 0) {
+            refusals->kind = kind;
+            refusals->count++;
+            return;
+        }
+    }
+}
+
 static void
 count_outcome(const session_t *session, const history_request_t *history,
               totals_t *totals)
@@ -131,7 +158,10 @@
         lost += session->events[i].kind == HISTORY_LOST;
     }
     totals->answered += answered;
-    totals->refused += !answered;
+    if (!answered) {
+        totals->refused++;
+        count_refusal(session->refusal, totals);
+    }
     totals->innocents_refused +=
         !answered && history->idempotent && !history->may_fail;
     totals->cut_off += lost - session->dropped;
@@ -166,11 +196,12 @@
     finding = history_check(&history);
     if (finding.fault != HISTORY_GOOD) {
         fprintf(stderr,
-                "request %s: %s, at token %u, event %zu of %zu, last refused "
+                "request %s: %s, at token %u of %u, event %zu of %zu, last "
+                "refused "
                 "as '%s'\n",
                 session->plan->name, history_fault_name(finding.fault),
-                finding.position, finding.event, history.event_count,
-                session->refusal);
+                finding.position, history.expected_count, finding.event,
+                history.event_count, session->refusal);
         totals->faults++;
     }
     count_outcome(session, &history, totals);
@@ -208,6 +239,12 @@
     print_bound("faults", totals->faults, "requests", 0);
     print_count("answered", totals->answered, "requests");
     print_count("refused", totals->refused, "requests");
+    for (size_t i = 0; i < REFUSAL_KINDS_MAX; i++) {
+        if (totals->refusals[i].kind != NULL) {
+            printf("refused.%s %u requests - ok\n", totals->refusals[i].kind,
+                   totals->refusals[i].count);
+        }
+    }
     print_bound("innocents_refused", totals->innocents_refused, "requests", 0);
     print_count("cut_off", totals->cut_off, "connections");
     print_count("tokens", totals->tokens, "tokens");
--- a/regress/standin/load_run.c
+++ b/regress/standin/load_run.c
@@ -86,6 +86,7 @@
 static void
 on_finished(session_t *session)
 {
+    session_expect(session);
     load.running--;
     start_more();
 }
--- a/regress/standin/load_session.c
+++ b/regress/standin/load_session.c
@@ -229,6 +229,22 @@
     give_up(session, result == HTTP_NOT_SENT ? HISTORY_UNSENT : HISTORY_LOST);
 }
 
+void
+session_expect(session_t *session)
+{
+    uint32_t first_id = 0;
+
+    if (session->expected.finish != NULL) {
+        return;
+    }
+    if (session->options->vary && session->id_count > 0 &&
+        session->ids[0] >= GENERATE_WORD &&
+        session->ids[0] < GENERATE_WORD + GENERATE_WORD_COUNT) {
+        first_id = session->ids[0];
+    }
+    session->expected = plan_expect(session->plan, first_id);
+}
+
 history_request_t
 session_history(const session_t *session)
 {
@@ -238,8 +254,8 @@
         .events = session->events,
         .event_count = session->event_count,
         .ids = session->ids,
-        .expected_ids = plan->expected_ids,
-        .expected_count = plan->expected_count,
+        .expected_ids = session->expected.ids,
+        .expected_count = session->expected.count,
         .idempotent = plan->idempotent,
         .begun_us = session->begun_us,
         .shared = plan->repeated,
@@ -256,4 +272,6 @@
     free(session->text);
     free(session->events);
     free(session->ids);
+    free(session->expected.ids);
+    free(session->expected.text);
 }
