Requests that kill engines: found by content, innocents spared

A loss accuses every content that was on the runner; losses of three different runners convict, if an innocent request would hardly have seen as many in the time that it ran. Runners that fall together accuse nobody, but two that one content went through one after the other count as one of them, since a request that kills in milliseconds looks like that.

--- /dev/null
+++ b/policy/suspect.c
@@ -0,0 +1,448 @@
+/* suspect.c - see suspect.h. */
+#include <stdlib.h>
+#include <string.h>
+
+#include <xxhash.h>
+
+#include "base/arena.h"
+#include "policy/suspect_group.h"
+#include "policy/suspect_private.h"
+
+/* A culprit's chance to be innocent, and how far the next one's must be. */
+static const double chance_max = 2e-6;
+static const double chance_apart = 4;
+
+static void set_due(suspects_t *suspects);
+static void convict_soon(suspects_t *suspects, int64_t now_us);
+
+suspects_t *
+suspects_new(const char *host, uint64_t incarnation, int64_t now_us,
+             const suspect_limits_t *limits)
+{
+    suspects_t *suspects = xcalloc(1, sizeof(*suspects));
+
+    suspects->limits = *limits;
+    suspects->host =
+        (uint32_t)XXH3_64bits_withSeed(host, strlen(host), incarnation);
+    suspects->since_us = now_us;
+    suspects->convict_us = INT64_MAX;
+    suspects->due_us = INT64_MAX;
+    book_init(&suspects->book);
+    STAILQ_INIT(&suspects->notes);
+    STAILQ_INIT(&suspects->convicted);
+    return suspects;
+}
+
+static bool
+take_note(struct note_list *list, suspect_t *note)
+{
+    queued_note_t *first = STAILQ_FIRST(list);
+
+    if (first == NULL) {
+        return false;
+    }
+    *note = first->note;
+    STAILQ_REMOVE_HEAD(list, link);
+    free(first);
+    return true;
+}
+
+void
+suspects_free(suspects_t *suspects)
+{
+    suspect_t note;
+
+    if (suspects == NULL) {
+        return;
+    }
+    book_clear(&suspects->book);
+    while (take_note(&suspects->notes, &note)) {
+    }
+    while (take_note(&suspects->convicted, &note)) {
+    }
+    free(suspects);
+}
+
+static void
+put_note(struct note_list *list, suspect_t note)
+{
+    queued_note_t *queued = xcalloc(1, sizeof(*queued));
+
+    queued->note = note;
+    STAILQ_INSERT_TAIL(list, queued, link);
+}
+
+bool
+suspects_next_note(suspects_t *suspects, suspect_t *note)
+{
+    return take_note(&suspects->notes, note);
+}
+
+bool
+suspects_next_convicted(suspects_t *suspects, uint64_t *fingerprint)
+{
+    suspect_t note;
+
+    if (!take_note(&suspects->convicted, &note)) {
+        return false;
+    }
+    *fingerprint = note.fingerprint;
+    return true;
+}
+
+static uint32_t
+hash_name(const char *name)
+{
+    return (uint32_t)XXH3_64bits(name, strlen(name));
+}
+
+static bool
+has_finished(const suspects_t *suspects, uint64_t fingerprint)
+{
+    return suspects->finished[fingerprint % FINISHED_SLOTS] == fingerprint;
+}
+
+static loss_t *
+own_loss(suspects_t *suspects, int64_t now_us, const suspect_loss_t *lost)
+{
+    uint32_t runner = hash_name(lost->runner);
+    loss_t *loss;
+
+    loss = book_loss(&suspects->book, runner, true,
+                     now_us - suspects->limits.window_us + 1);
+    if (loss != NULL && loss->pending) {
+        return loss;
+    }
+    loss = book_add_loss(&suspects->book, runner, true, now_us);
+    loss->id = (uint64_t)runner << ID_RUNNER_BITS |
+               (uint32_t)(suspects->host + loss->serial);
+    loss->zone = hash_name(lost->zone);
+    loss->zone_runners = lost->zone_runners;
+    return loss;
+}
+
+void
+suspects_loss(suspects_t *suspects, int64_t now_us, const suspect_loss_t *lost)
+{
+    loss_t *loss = own_loss(suspects, now_us, lost);
+    size_t i;
+
+    suspects->fleet_runners = lost->fleet_runners;
+    for (i = 0; i < lost->count; i++) {
+        if (!has_finished(suspects, lost->fingerprints[i])) {
+            book_accuse(&suspects->book, loss, lost->fingerprints[i],
+                        lost->ran_us[i]);
+        }
+    }
+    set_due(suspects);
+}
+
+static void
+tell_accused(suspects_t *suspects, const loss_t *loss, uint64_t fingerprint)
+{
+    if (loss->own) {
+        put_note(&suspects->notes,
+                 (suspect_t){.fingerprint = fingerprint, .loss = loss->id});
+    }
+}
+
+/* Whether peers lost enough runners at once that this host did not lose. */
+static bool
+fell_elsewhere(const suspects_t *suspects, const group_t *group)
+{
+    int64_t since_us =
+        group->first->at_us - NEAR_WINDOWS * suspects->limits.window_us;
+    const loss_t *loss;
+    uint32_t strange = 0;
+
+    for (loss = group->first; loss != NULL; loss = TAILQ_NEXT(loss, link)) {
+        if (group_has(group, loss) &&
+            book_loss(&suspects->book, loss->runner, true, since_us) == NULL) {
+            strange++;
+        }
+    }
+    return strange >= suspects->limits.common_runners;
+}
+
+/* What peers saw fall together; what fell here with it was seen alone. */
+static void
+judge_told(suspects_t *suspects, const group_t *group)
+{
+    int64_t since_us =
+        group->first->at_us - VOID_WINDOWS * suspects->limits.window_us;
+    bool elsewhere = fell_elsewhere(suspects, group);
+    loss_t *loss;
+
+    TAILQ_FOREACH(loss, &suspects->book.losses, link)
+    {
+        if (group_has(group, loss) ||
+            (elsewhere && loss->own && loss->at_us >= since_us)) {
+            loss->common = true;
+        }
+    }
+}
+
+/*
+ * Runners that fell together are one loss.  Only contents that were on all
+ * of them are accused, of that one.
+ */
+static void
+judge_common(suspects_t *suspects, const group_t *group)
+{
+    int64_t near_us = NEAR_WINDOWS * suspects->limits.window_us;
+    const loss_t *first = group->first;
+    uint32_t runner = first->runner;
+    loss_t *loss;
+    size_t i;
+
+    for (loss = group->first; loss != NULL; loss = TAILQ_NEXT(loss, link)) {
+        if (group_has(group, loss)) {
+            book_mark(&suspects->book, loss, near_us, true);
+        }
+    }
+    loss = book_add_loss(&suspects->book, runner, true, first->at_us);
+    loss->id = first->id;
+    loss->pending = false;
+    for (i = 0; i < first->count; i++) {
+        if (group_all_had(group, first->fingerprints[i])) {
+            book_accuse(&suspects->book, loss, first->fingerprints[i], 0);
+            tell_accused(suspects, loss, first->fingerprints[i]);
+        }
+    }
+}
+
+static void
+judge_group(suspects_t *suspects, loss_t *first, int64_t now_us)
+{
+    group_t group =
+        group_find(&suspects->book, first, suspects->limits.window_us,
+                   suspects->limits.common_runners);
+    loss_t *loss;
+    size_t i;
+
+    if (group.common && first->own) {
+        judge_common(suspects, &group);
+    }
+    else if (group.common) {
+        judge_told(suspects, &group);
+    }
+    for (loss = first; loss != NULL; loss = TAILQ_NEXT(loss, link)) {
+        if (!group_has(&group, loss) || loss == first) {
+            continue;
+        }
+        for (i = 0; i < loss->count && !loss->common; i++) {
+            tell_accused(suspects, loss, loss->fingerprints[i]);
+        }
+        loss->pending = false;
+    }
+    for (i = 0; i < first->count && !first->common; i++) {
+        tell_accused(suspects, first, first->fingerprints[i]);
+    }
+    first->pending = false;
+    convict_soon(suspects, now_us);
+}
+
+static void
+convict(suspects_t *suspects, accused_t *accused, int64_t now_us)
+{
+    const suspect_t note = {.fingerprint = accused->fingerprint,
+                            .convicted = true};
+
+    accused->convicted_until_us = now_us + suspects->limits.hold_us;
+    book_explain(&suspects->book, accused,
+                 NEAR_WINDOWS * suspects->limits.window_us);
+    accused->serial_count = 0;
+    put_note(&suspects->convicted, note);
+}
+
+/*
+ * The one whose presence at its losses is the least a chance, or NULL.
+ * Where another comes near it either may be innocent; the next loss will
+ * tell them apart.
+ */
+static accused_t *
+find_culprit(const suspects_t *suspects, int64_t now_us)
+{
+    const suspect_limits_t *limits = &suspects->limits;
+    int64_t watched_us = now_us - suspects->since_us;
+    accused_t *culprit = NULL;
+    accused_t *accused;
+    double least = chance_max;
+    double next = 1;
+    double chance;
+
+    if (watched_us > limits->memory_us) {
+        watched_us = limits->memory_us;
+    }
+    for (accused = suspects->book.accused; accused != NULL;
+         accused = accused->hh.next) {
+        if (book_count(&suspects->book, accused, false) < limits->losses_max) {
+            continue;
+        }
+        chance = book_chance(&suspects->book, accused, suspects->fleet_runners,
+                             watched_us, NEAR_WINDOWS * limits->window_us);
+        if (chance <= least) {
+            next = culprit == NULL ? next : least;
+            least = chance;
+            culprit = accused;
+        }
+        else if (chance < next) {
+            next = chance;
+        }
+    }
+    return next <= least * chance_apart ? NULL : culprit;
+}
+
+static void
+convict_all(suspects_t *suspects, int64_t now_us)
+{
+    accused_t *culprit;
+
+    suspects->convict_us = INT64_MAX;
+    while ((culprit = find_culprit(suspects, now_us)) != NULL) {
+        convict(suspects, culprit, now_us);
+        put_note(&suspects->notes,
+                 (suspect_t){.fingerprint = culprit->fingerprint,
+                             .convicted = true});
+    }
+}
+
+static void
+forget_old(suspects_t *suspects, int64_t now_us)
+{
+    loss_t *loss = TAILQ_FIRST(&suspects->book.losses);
+    accused_t *accused;
+    accused_t *next;
+
+    if (loss == NULL || loss->at_us + suspects->limits.memory_us > now_us) {
+        return;
+    }
+    book_forget_loss(&suspects->book, loss);
+    HASH_ITER(hh, suspects->book.accused, accused, next)
+    {
+        if (accused->convicted_until_us <= now_us &&
+            book_count(&suspects->book, accused, true) == 0) {
+            book_forget(&suspects->book, accused);
+        }
+    }
+}
+
+void
+suspects_step(suspects_t *suspects, int64_t now_us)
+{
+    loss_t *loss;
+    loss_t *next;
+
+    if (now_us < suspects->due_us) {
+        return;
+    }
+    for (loss = TAILQ_FIRST(&suspects->book.losses); loss != NULL;
+         loss = next) {
+        next = TAILQ_NEXT(loss, link);
+        if (loss->pending &&
+            loss->at_us + suspects->limits.window_us <= now_us) {
+            judge_group(suspects, loss, now_us);
+        }
+    }
+    if (now_us >= suspects->convict_us) {
+        convict_all(suspects, now_us);
+    }
+    forget_old(suspects, now_us);
+    set_due(suspects);
+}
+
+static void
+clear(suspects_t *suspects, uint64_t fingerprint)
+{
+    accused_t *accused = book_find(&suspects->book, fingerprint);
+
+    suspects->finished[fingerprint % FINISHED_SLOTS] = fingerprint;
+    if (accused != NULL) {
+        book_forget(&suspects->book, accused);
+    }
+}
+
+void
+suspects_finished(suspects_t *suspects, uint64_t fingerprint)
+{
+    if (book_find(&suspects->book, fingerprint) != NULL) {
+        put_note(&suspects->notes,
+                 (suspect_t){.fingerprint = fingerprint, .withdrawn = true});
+    }
+    clear(suspects, fingerprint);
+}
+
+static void
+take_accusation(suspects_t *suspects, int64_t now_us, const suspect_t *note)
+{
+    uint32_t runner = (uint32_t)(note->loss >> ID_RUNNER_BITS);
+    int64_t near_us = NEAR_WINDOWS * suspects->limits.window_us;
+    loss_t *loss;
+
+    if (has_finished(suspects, note->fingerprint)) {
+        put_note(
+            &suspects->notes,
+            (suspect_t){.fingerprint = note->fingerprint, .withdrawn = true});
+        return;
+    }
+    loss = book_loss(&suspects->book, runner, false, now_us - near_us);
+    if (loss == NULL) {
+        loss = book_add_loss(&suspects->book, runner, false, now_us);
+        loss->id = note->loss;
+    }
+    book_accuse(&suspects->book, loss, note->fingerprint, 0);
+    convict_soon(suspects, now_us);
+}
+
+void
+suspects_note(suspects_t *suspects, int64_t now_us, const suspect_t *note)
+{
+    accused_t *accused;
+
+    if (note->withdrawn) {
+        clear(suspects, note->fingerprint);
+    }
+    else if (note->convicted) {
+        accused = book_add(&suspects->book, note->fingerprint);
+        convict(suspects, accused, now_us);
+    }
+    else {
+        take_accusation(suspects, now_us, note);
+    }
+    set_due(suspects);
+}
+
+/* Leaves peers' notes of the same loss a moment to arrive. */
+static void
+convict_soon(suspects_t *suspects, int64_t now_us)
+{
+    int64_t soon_us = now_us + suspects->limits.window_us / SETTLE_DIVISOR;
+
+    if (suspects->convict_us > soon_us) {
+        suspects->convict_us = soon_us;
+    }
+}
+
+static void
+set_due(suspects_t *suspects)
+{
+    const loss_t *loss = TAILQ_FIRST(&suspects->book.losses);
+
+    suspects->due_us = suspects->convict_us;
+    if (loss != NULL &&
+        loss->at_us + suspects->limits.memory_us < suspects->due_us) {
+        suspects->due_us = loss->at_us + suspects->limits.memory_us;
+    }
+    for (; loss != NULL; loss = TAILQ_NEXT(loss, link)) {
+        if (loss->pending &&
+            loss->at_us + suspects->limits.window_us < suspects->due_us) {
+            suspects->due_us = loss->at_us + suspects->limits.window_us;
+        }
+    }
+}
+
+int64_t
+suspects_due_us(const suspects_t *suspects)
+{
+    return suspects->due_us;
+}
