--- a/agated/agated.h
+++ b/agated/agated.h
@@ -4,6 +4,7 @@
  * Each task is one file that owns its sockets and its state.  Events go to
  * the dispatcher, which gives them to node_step() one at a time and hands
  * each order to the task that carries it out.  All run on one libuv loop.
+ * Each ..._free() takes NULL, too.
  */
 #ifndef AGATED_AGATED_H
 #define AGATED_AGATED_H
@@ -14,8 +15,9 @@
 
 #include <uv.h>
 
+#include "agated/position.h"
 #include "agated/settings.h"
-#include "agated/text.h"
+#include "base/text.h"
 #include "http/http.h"
 #include "platform/platform.h"
 #include "policy/node.h"
@@ -34,6 +36,7 @@
     uv_loop_t *loop;
     const settings_t *settings;
     uint64_t incarnation;
+    position_key_t position_key;
     http_client_t *client;
     platform_t *platform;
     dispatch_t *dispatch;
@@ -42,16 +45,33 @@
     claims_t *claims;
     documents_t *documents;
     presence_t *presence;
-    peers_t *peers; /* NULL: a host without peers */
+    peers_t *peers;         /* NULL: a host without peers */
+    uint32_t control_calls; /* of the administration API, under way */
 } daemon_t;
 
+/* --- daemon.c: the tasks together --- */
+
+/*
+ * Opens all that can fail, so that a wrong setting is told before any work;
+ * loop and settings are set.  -1 with *err set.  daemon_close() comes after
+ * it in any case.
+ */
+int daemon_open(daemon_t *daemon, err_t *err);
+
+/* Starts to serve; listening goes on when the loop runs. */
+void daemon_start(daemon_t *daemon);
+void daemon_close(daemon_t *daemon);
+
 /* --- dispatch.c: the one place that calls node_step() --- */
 
-dispatch_t *dispatch_new(daemon_t *daemon);
+/* NULL with *err set when the event log cannot be opened. */
+dispatch_t *dispatch_new(daemon_t *daemon, err_t *err);
 void dispatch_free(dispatch_t *dispatch);
 
 /* Steps the node; an event raised while a step runs waits for its end. */
 void dispatch_event(dispatch_t *dispatch, const event_t *event);
+/* Begins to leave: tells the store and the node. */
+void dispatch_drain(dispatch_t *dispatch);
 const node_t *dispatch_node(const dispatch_t *dispatch);
 
 /* Microseconds of the monotonic clock, as node_step() sees them. */
--- a/agated/backends.c
+++ b/agated/backends.c
@@ -26,7 +26,7 @@
 
 static void open_stream(backends_t *backends, const open_order_t *order);
 static void reattach(backends_t *backends, const reattach_order_t *order);
-static void cancel(backends_t *backends, uint64_t stream);
+static void cancel(backends_t *backends, const cancel_order_t *order);
 static backend_endpoint_t endpoint_of(endpoint_t endpoint);
 static void put_service_stream(backends_t *backends, uint64_t stream);
 static bool take_service_stream(backends_t *backends, uint64_t stream);
@@ -72,14 +72,19 @@
 backends_free(backends_t *backends)
 {
     service_stream_t *stream;
-    service_stream_t *next;
 
+    if (backends == NULL) {
+        return;
+    }
+    stream = backends->service_streams;
     backends->engine->ops->free(backends->engine);
     backends->service->ops->free(backends->service);
-    HASH_ITER(hh, backends->service_streams, stream, next)
-    {
-        HASH_DEL(backends->service_streams, stream);
+    HASH_CLEAR(hh, backends->service_streams);
+    while (stream != NULL) {
+        service_stream_t *next = stream->hh.next;
+
         free(stream);
+        stream = next;
     }
     uv_close((uv_handle_t *)backends->poll_timer, (uv_close_cb)free);
     free(backends);
@@ -96,7 +101,7 @@
         reattach(backends, &order->order_t_u.reattach);
         return;
     case ORDER_CANCEL:
-        cancel(backends, order->order_t_u.cancel.stream);
+        cancel(backends, &order->order_t_u.cancel);
         return;
     default:
         return;
@@ -160,13 +165,13 @@
 }
 
 static void
-cancel(backends_t *backends, uint64_t stream)
+cancel(backends_t *backends, const cancel_order_t *order)
 {
-    backend_t *backend = take_service_stream(backends, stream)
+    backend_t *backend = take_service_stream(backends, order->stream)
                              ? backends->service
                              : backends->engine;
 
-    backend->ops->cancel(backend, stream);
+    backend->ops->cancel(backend, order->stream, order->keep);
 }
 
 static backend_endpoint_t
--- a/base/fields.h
+++ b/base/fields.h
@@ -22,6 +22,7 @@
     FIELD_ADDRESS,   /* const char *, "ip:port" */
     FIELD_ADDRESSES, /* field_list_t of "ip:port" */
     FIELD_STRINGS,   /* field_list_t */
+    FIELD_DIGESTS,   /* field_list_t of SHA-256 in lower hexadecimal */
     FIELD_U32,       /* uint32_t from min to max */
     FIELD_BOOL,      /* bool */
     FIELD_TABLE,     /* more fields of the same struct */
@@ -35,15 +36,15 @@
 typedef struct field field_t;
 struct field {
     const char *key;
-    field_type_t type;
     size_t offset;
-    bool required;
     int64_t min;
     int64_t max;
     const char *remedy;         /* an example: address = "127.0.0.1:80" */
     const char *const *choices; /* FIELD_CHOICE; NULL at the end */
     const field_t *fields;      /* FIELD_TABLE */
     size_t field_count;
+    field_type_t type;
+    bool required;
 };
 
 /*
--- a/policy/session.c
+++ b/policy/session.c
@@ -11,7 +11,6 @@
 };
 
 static void cancel_attempts(step_t *step, session_t *session);
-static void forget_body(step_t *step, session_t *session);
 static int64_t keep_ms(const session_t *session);
 static int64_t earlier(int64_t a_us, int64_t b_us);
 static int64_t state_due_us(const node_t *node, const session_t *session);
@@ -45,6 +44,12 @@
     session->prefix_hashes =
         arena_memdup(arena, request->prefix_hashes.prefix_hashes_val,
                      session->prefix_count * sizeof(uint64_t));
+    session->from = request->position;
+    session->from_attempt = request->attempt;
+    session->tail_from = request->tail_from;
+    session->tail_count = request->tail_ids.tail_ids_len;
+    session->tail_ids = arena_memdup(arena, request->tail_ids.tail_ids_val,
+                                     session->tail_count * sizeof(uint32_t));
     session->body = request->caller;
     session->epoch = 1;
     session->arrived_us = step->now_us;
@@ -59,8 +64,11 @@
 }
 
 void
-session_free(node_t *node, session_t *session)
+session_free(step_t *step, session_t *session)
 {
+    node_t *node = step->node;
+
+    claiming_drop(step, session);
     HASH_DEL(node->sessions, session);
     HASH_DELETE(hh_name, node->by_name, session);
     if (session->caller != 0) {
@@ -112,9 +120,10 @@
 {
     cancel_attempts(step, session);
     session_enter(step, session, SESSION_FINISHED);
+    record_ended(step, session, RECORD_FINISHED);
     step->node->counters.finished++;
     caller_give(step, session);
-    forget_body(step, session);
+    session_forget_body(step, session);
 }
 
 /*
@@ -133,9 +142,10 @@
     if (caller != 0) {
         caller_refuse(step, caller, refusal, run, retry_after_ms, message);
     }
-    forget_body(step, session);
+    session_forget_body(step, session);
+    record_ended(step, session, keep ? RECORD_FAILED : RECORD_FORGOTTEN);
     if (!keep) {
-        session_free(step->node, session);
+        session_free(step, session);
         return;
     }
     session->refusal = refusal;
@@ -143,6 +153,16 @@
     session_enter(step, session, SESSION_REFUSED);
 }
 
+/* The claim's time to start is over, and nothing was started. */
+void
+session_refuse_claim(step_t *step, session_t *session)
+{
+    session_refuse(step, session, REFUSAL_STORE_UNREACHED, RUN_NOT_RUN,
+                   step->node->start.queue_wait_ms,
+                   "the claim of this request is too old to start it: send "
+                   "it again after the stated time");
+}
+
 void
 session_schedule(step_t *step, session_t *session)
 {
@@ -174,7 +194,7 @@
 
     if (session->state >= SESSION_FINISHED) {
         if (overdue) {
-            session_free(node, session);
+            session_free(step, session);
             return;
         }
         session_schedule(step, session);
@@ -183,8 +203,13 @@
     if (session->orphan_us != 0 && session->idempotent &&
         step->now_us >= session->orphan_us + grace_us) {
         cancel_attempts(step, session);
-        forget_body(step, session);
-        session_free(node, session);
+        record_ended(step, session, RECORD_FORGOTTEN);
+        session_forget_body(step, session);
+        session_free(step, session);
+        return;
+    }
+    if (session->state == SESSION_LOOKUP && overdue) {
+        takeover_none(step, session);
         return;
     }
     if (session->state == SESSION_QUEUED && overdue) {
@@ -252,8 +277,8 @@
     }
 }
 
-static void
-forget_body(step_t *step, session_t *session)
+void
+session_forget_body(step_t *step, session_t *session)
 {
     if (session->body == 0) {
         return;
@@ -263,6 +288,18 @@
     session->body = 0;
 }
 
+/* The prompt's token ids, as the first engine gave them. */
+void
+session_keep_prompt(session_t *session, const uint32_t *ids, uint32_t count)
+{
+    if (count == 0 || session->prompt_count > 0) {
+        return;
+    }
+    session->prompt_ids = xcalloc(count, sizeof(uint32_t));
+    memcpy(session->prompt_ids, ids, count * sizeof(uint32_t));
+    session->prompt_count = count;
+}
+
 static int64_t
 keep_ms(const session_t *session)
 {
@@ -287,6 +324,9 @@
 {
     int64_t limit_ms = 0;
 
+    if (session->state == SESSION_LOOKUP) {
+        return takeover_due_us(session);
+    }
     if (session->state == SESSION_QUEUED) {
         limit_ms = session->waits_resumed ? RESUME_WAIT_MS
                                           : (int64_t)node->start.queue_wait_ms;
--- a/regress/script.h
+++ b/regress/script.h
@@ -4,7 +4,13 @@
  * A script has one event a line, "> MS KIND name=value ...", and under it
  * the orders that follow, "< KIND name=value ...".  Running a script writes
  * it anew from its events; the two texts are equal when the decisions are
- * as written down.  Other lines ("# ...") are kept.
+ * as written down.  Other lines ("# ...") are kept.  Timers that the node
+ * asks for are given at their time, before the next event; what follows
+ * from one stands as "< MS: KIND ...".  "> MS until" only lets time pass.
+ *
+ * Events go to host a1 unless host=NAME says another, and its orders then
+ * read "< NAME KIND ...".  Messages between hosts arrive after a
+ * millisecond, none while "> MS cut" holds; "> MS kill host=NAME" ends one.
  */
 #ifndef REGRESS_SCRIPT_H
 #define REGRESS_SCRIPT_H
--- a/world/link.x
+++ b/world/link.x
@@ -22,7 +22,8 @@
     MESSAGE_SUPERSEDED = 5,
     MESSAGE_CONFIG = 6,
     MESSAGE_CONFIG_DIGEST = 7,
-    MESSAGE_SUSPECT = 8
+    MESSAGE_SUSPECT = 8,
+    MESSAGE_RECORD_GAP = 9
 };
 
 /*
@@ -89,7 +90,7 @@
  * after its host is lost.  The token ids and the text from token position
  * first on are appended to those held; ends gives, for each piece, the
  * position and the text length after it, both counted from the answer's
- * start.
+ * start.  The text before base is not known to the owner.
  */
 struct record_cut_t {
     uint32_t position;
@@ -106,9 +107,11 @@
     bool idempotent;
     name_t runner;
     name_t stream_name;
+    uint32_t stream_endpoint;
     uint32_t stream_first;
     uint32_t attempt;
     uint32_t prompt_ids<LINK_TOKENS_MAX>;
+    uint32_t base;
     uint32_t first;
     uint32_t token_ids<LINK_TOKENS_MAX>;
     opaque text<LINK_TEXT_MAX>;
@@ -135,6 +138,16 @@
     uint32_t epoch;
 };
 
+/*
+ * Tells an owner that its keeper misses part of the record: it holds only
+ * so many tokens of this epoch, and wants all from there on.
+ */
+struct record_gap_t {
+    request_name_t request;
+    uint32_t epoch;
+    uint32_t held;
+};
+
 /* One key of the operators' configuration. */
 struct config_t {
     name_t key;
@@ -190,4 +203,6 @@
     config_digest_t config_digest;
 case MESSAGE_SUSPECT:
     suspect_t suspect;
+case MESSAGE_RECORD_GAP:
+    record_gap_t record_gap;
 };
