--- a/agated/backends.c
+++ b/agated/backends.c
@@ -171,11 +171,7 @@
                              ? backends->service
                              : backends->engine;
 
-    if (order->keep) {
-        backend->ops->drop(backend, order->stream);
-        return;
-    }
-    backend->ops->cancel(backend, order->stream);
+    backend->ops->cancel(backend, order->stream, order->keep);
 }
 
 static backend_endpoint_t
--- a/agated/daemon.c
+++ b/agated/daemon.c
@@ -3,9 +3,11 @@
 #include <time.h>
 
 #include "agated/agated.h"
+#include "peer/peer.h"
 
 enum { US_PER_S = 1000000, NS_PER_US = 1000 };
 
+static int derive_position_key(daemon_t *daemon, err_t *err);
 static void start_node(daemon_t *daemon);
 static uint64_t wall_clock_us(void);
 
@@ -15,6 +17,9 @@
     const settings_t *settings = daemon->settings;
 
     daemon->incarnation = wall_clock_us();
+    if (derive_position_key(daemon, err) < 0) {
+        return -1;
+    }
     daemon->listener = listener_new(daemon, err);
     if (daemon->listener == NULL) {
         return -1;
@@ -51,6 +56,27 @@
     listener_start(daemon->listener);
 }
 
+/* A host without peers seals for itself alone. */
+static int
+derive_position_key(daemon_t *daemon, err_t *err)
+{
+    const char *path = daemon->settings->peers_key_file;
+    uint8_t secret[PEER_KEY_BYTES_MAX];
+    uint64_t own = random_u64();
+    int length = (int)sizeof(own);
+
+    memcpy(secret, &own, sizeof(own));
+    if (path != NULL) {
+        length = peer_key_read(path, secret, err);
+    }
+    if (length < 0) {
+        return -1;
+    }
+    position_key(&daemon->position_key, secret, (size_t)length);
+    explicit_bzero(secret, sizeof(secret));
+    return 0;
+}
+
 static void
 start_node(daemon_t *daemon)
 {
--- a/agated/request.c
+++ b/agated/request.c
@@ -1,4 +1,6 @@
 /* request.c - see request.h. */
+#include <ctype.h>
+#include <errno.h>
 #include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
@@ -9,7 +11,6 @@
 #include <xxhash.h>
 
 #include "agated/response.h"
-#include "agated/event_id.h"
 #include "agated/request.h"
 
 enum {
@@ -20,7 +21,8 @@
     STOPS_MAX = 16,
     STOP_BYTES_MAX = 1024,
     NAME_LENGTH_MAX = 127,
-    SHA256_BYTES = 32
+    SHA256_BYTES = 32,
+    DECIMAL = 10
 };
 
 /* What every check of one request needs. */
@@ -28,6 +30,7 @@
     arena_t *arena;
     refuse_order_t *refusal;
     request_parsed_t *parsed;
+    const position_key_t *position_key;
     json_t *root;
 } reader_t;
 
@@ -42,6 +45,7 @@
 static int read_headers(reader_t *reader, const request_input_t *input);
 static int read_position(reader_t *reader, const char *last_event_id,
                          bool named);
+static bool is_name(const char *text, size_t length);
 static int read_service(reader_t *reader, const request_input_t *input);
 static int read_generation(reader_t *reader, const request_input_t *input);
 static int check_refused(reader_t *reader);
@@ -103,7 +107,12 @@
 request_read(const request_input_t *input, arena_t *arena,
              request_parsed_t *parsed, refuse_order_t *refusal)
 {
-    reader_t reader = {.arena = arena, .refusal = refusal, .parsed = parsed};
+    reader_t reader = {
+        .arena = arena,
+        .refusal = refusal,
+        .parsed = parsed,
+        .position_key = input->position_key,
+    };
     char credential[CREDENTIAL_BYTES];
     int result;
 
@@ -166,12 +175,12 @@
     event->keyed = key != NULL;
     event->key =
         arena_strdup(reader->arena, key != NULL ? key : input->fresh_name);
-    if (key != NULL && !event_id_is_name(key, strlen(key))) {
+    if (key != NULL && !is_name(key, strlen(key))) {
         return refuse(reader, STATUS_BAD_REQUEST,
                       "Idempotency-Key is no name: write 1 to 96 letters, "
                       "digits, '-', '_', '.' or ':'");
     }
-    if (*kind != '\0' && !event_id_is_name(kind, strlen(kind))) {
+    if (*kind != '\0' && !is_name(kind, strlen(kind))) {
         return refuse(reader, STATUS_BAD_REQUEST,
                       "X-Request-Kind is no name: write a kind of the "
                       "service's document");
@@ -184,32 +193,51 @@
     return read_position(reader, input->last_event_id, key != NULL);
 }
 
+/* Last-Event-ID is the id of an event; see position.h. */
 static int
 read_position(reader_t *reader, const char *last_event_id, bool named)
 {
     request_event_t *event = &reader->parsed->event;
-    event_id_t id;
+    position_t position;
+    size_t length;
 
-    if (!event_id_read(reader->arena, last_event_id, &id)) {
+    if (!position_read(reader->position_key, last_event_id, reader->arena,
+                       &position, &length) ||
+        !is_name(last_event_id, length)) {
         return refuse(reader, STATUS_BAD_REQUEST,
-                      "Last-Event-ID is not NAME.POSITION: write the id of "
-                      "the last event that came, as it came");
+                      "Last-Event-ID is not the id of an event: write the id "
+                      "of the last event that came, whole");
     }
-    if (named && strcmp(event->key, id.name) != 0) {
+    if (named && (strlen(event->key) != length ||
+                  memcmp(event->key, last_event_id, length) != 0)) {
         return refuse(reader, STATUS_BAD_REQUEST,
                       "Last-Event-ID and Idempotency-Key name two requests: "
                       "write the key of the stream that broke off");
     }
-    event->key = arena_strdup(reader->arena, id.name);
+    event->key = arena_strndup(reader->arena, last_event_id, length);
     event->resumes = true;
-    event->position = id.position;
-    event->attempt = id.attempt;
-    event->tail_from = id.position - id.tail_count;
-    event->tail_ids.tail_ids_val = (uint32_t *)(uintptr_t)id.tail_ids;
-    event->tail_ids.tail_ids_len = id.tail_count;
+    event->position = position.position;
+    event->attempt = position.attempt;
+    event->tail_from = position.tail_from;
+    event->tail_ids.tail_ids_val = (uint32_t *)(uintptr_t)position.tail_ids;
+    event->tail_ids.tail_ids_len = position.tail_count;
     return 0;
 }
 
+static bool
+is_name(const char *text, size_t length)
+{
+    size_t i;
+
+    for (i = 0; i < length; i++) {
+        if (!isalnum((unsigned char)text[i]) &&
+            strchr("-_.:", text[i]) == NULL) {
+            return false;
+        }
+    }
+    return length > 0 && length <= REQUEST_NAME_MAX;
+}
+
 /* /services/NAME/REST goes to the plain service NAME as /REST. */
 static int
 read_service(reader_t *reader, const request_input_t *input)
@@ -220,7 +248,7 @@
     const char *rest = name + length;
     XXH64_hash_t hash;
 
-    if (!event_id_is_name(name, length)) {
+    if (!is_name(name, length)) {
         return refuse(reader, STATUS_BAD_REQUEST,
                       "the path names no service: write "
                       "/services/NAME/PATH");
--- a/agated/response.c
+++ b/agated/response.c
@@ -1,7 +1,6 @@
 /* response.c - see response.h. */
 #include <inttypes.h>
 
-#include "agated/event_id.h"
 #include "agated/response.h"
 
 static const char *const refusal_names[] = {
@@ -43,6 +42,7 @@
     [FINISH_OTHER] = "other",
 };
 
+static void keep_id(response_t *response, const give_order_t *give);
 static void write_id(const response_t *response, text_t *out);
 static void write_head(const response_t *response,
                        const char *completion_object, const char *chat_object,
@@ -54,13 +54,12 @@
                         text_t *out);
 static void write_last_events(response_t *response,
                               const finish_order_t *finish, text_t *out);
-static void keep_suffix(response_t *response, const give_order_t *give);
 static void keep_whole(response_t *response, const give_order_t *give);
 
 void
 response_free(response_t *response)
 {
-    text_free(&response->id_suffix);
+    text_free(&response->id);
     text_free(&response->whole);
     text_free(&response->whole_ids);
 }
@@ -69,11 +68,11 @@
 response_give(response_t *response, const give_order_t *give, text_t *out)
 {
     response->position = give->position;
+    keep_id(response, give);
     if (!response->stream) {
         keep_whole(response, give);
         return;
     }
-    keep_suffix(response, give);
     write_id(response, out);
     text_puts(out, "data: ");
     write_head(response, "text_completion", "chat.completion.chunk", out);
@@ -147,13 +146,37 @@
 write_id(const response_t *response, text_t *out)
 {
     text_puts(out, "id: ");
-    text_puts(out, response->name);
-    text_puts(out, ".");
-    text_u64(out, response->position);
-    text_append(out, response->id_suffix.bytes, response->id_suffix.length);
+    if (response->id.length > 0) {
+        text_append(out, response->id.bytes, response->id.length);
+    }
+    else {
+        text_puts(out, response->name);
+        text_puts(out, ".");
+        text_u64(out, response->position);
+    }
     text_puts(out, "\n");
 }
 
+/* The events that end an answer have the id of its last piece. */
+static void
+keep_id(response_t *response, const give_order_t *give)
+{
+    const position_t position = {
+        .position = give->position,
+        .attempt = give->attempt,
+        .tail_from = give->tail_from,
+        .tail_ids = give->tail_ids.tail_ids_val,
+        .tail_count = give->tail_ids.tail_ids_len,
+    };
+
+    if (!response->stream) {
+        return;
+    }
+    response->id.length = 0;
+    position_write(response->position_key, response->name, &position,
+                   &response->id);
+}
+
 /* The object up to the comma before what differs. */
 static void
 write_head(const response_t *response, const char *completion_object,
@@ -256,17 +279,6 @@
     text_puts(out, "}");
 }
 
-static void
-keep_suffix(response_t *response, const give_order_t *give)
-{
-    event_id_t id = {.attempt = give->attempt,
-                     .tail_ids = give->tail_ids.tail_ids_val,
-                     .tail_count = give->tail_ids.tail_ids_len};
-
-    response->id_suffix.length = 0;
-    event_id_suffix(&id, &response->id_suffix);
-}
-
 static void
 keep_whole(response_t *response, const give_order_t *give)
 {
--- a/backend/engine.c
+++ b/backend/engine.c
@@ -56,8 +56,7 @@
 static void engine_open(backend_t *backend, const backend_request_t *request);
 static void engine_reattach(backend_t *backend,
                             const backend_reattach_t *again);
-static void engine_cancel(backend_t *backend, uint64_t number);
-static void engine_drop(backend_t *backend, uint64_t number);
+static void engine_cancel(backend_t *backend, uint64_t number, bool keep);
 static void engine_poll_load(backend_t *backend, const char *runner,
                              const char *address);
 static void engine_free(backend_t *backend);
@@ -90,7 +89,6 @@
     .open = engine_open,
     .reattach = engine_reattach,
     .cancel = engine_cancel,
-    .drop = engine_drop,
     .poll_load = engine_poll_load,
     .free = engine_free,
 };
@@ -155,7 +153,7 @@
 }
 
 static void
-engine_cancel(backend_t *backend, uint64_t number)
+engine_cancel(backend_t *backend, uint64_t number, bool keep)
 {
     engine_t *engine = (engine_t *)backend;
     http_request_t call = {
@@ -171,6 +169,10 @@
     if (stream == NULL) {
         return;
     }
+    if (keep) {
+        stream_close(stream);
+        return;
+    }
     (void)snprintf(path, sizeof(path), "/v1/completions/%s/cancel",
                    stream->id);
     url = url_make(stream->address, path);
@@ -180,18 +182,6 @@
     stream_close(stream);
 }
 
-static void
-engine_drop(backend_t *backend, uint64_t number)
-{
-    engine_t *engine = (engine_t *)backend;
-    engine_stream_t *stream;
-
-    HASH_FIND(hh, engine->streams, &number, sizeof(number), stream);
-    if (stream != NULL) {
-        stream_close(stream);
-    }
-}
-
 static void
 engine_poll_load(backend_t *backend, const char *runner, const char *address)
 {
