--- a/agated/control.h
+++ b/agated/control.h
@@ -1,9 +1,10 @@
 /*
  * control.h - the administration API, /admin/v1.
  *
- * Private to control.c (routes and roles), control_views.c (what is read)
- * and control_put.c (documents that are changed).  A control_call_t is one
- * request; it outlives its connection when the store is still at work.
+ * Private to control.c (routes and roles), control_views.c (what is read),
+ * control_put.c (documents that are changed), control_spread.c (until they
+ * are in force) and control_history.c.  A control_call_t is one request; it
+ * outlives its connection when the store is still at work.
  */
 #ifndef AGATED_CONTROL_H
 #define AGATED_CONTROL_H
@@ -76,6 +77,11 @@
 void control_check_fleet(control_call_t *call);
 void control_check_service(control_call_t *call);
 
+/* --- control_spread.c --- */
+
+/* Answers the call when all hosts have the revision in force, or late. */
+void control_await_spread(control_call_t *call, int64_t revision);
+
 /* --- control_history.c --- */
 
 void control_list_history(control_call_t *call);
--- a/agated/control_put.c
+++ b/agated/control_put.c
@@ -10,13 +10,7 @@
 #include "world/contract.h"
 #include "world/fleet.h"
 
-enum {
-    DECIMAL = 10,
-    TRIES_MAX = 4,
-    SPREAD_CHECK_INTERVAL_MS = 20,
-    SPREAD_WAIT_MS = 6000,
-    US_PER_MS = 1000
-};
+enum { DECIMAL = 10, TRIES_MAX = 4 };
 
 /* A document on its way into the store, and then to all hosts. */
 typedef struct {
@@ -24,14 +18,9 @@
     const char *key;  /* of the document */
     const char *name; /* of its history */
     int64_t replaced; /* the revision that it replaces; 0: none */
-    int64_t revision; /* its own, once accepted */
     uint32_t tries;
     bool lost; /* an answer of the store was lost */
     backoff_t backoff;
-    int64_t accepted_us;
-    int64_t *after_ms; /* of each host; -1: not in force yet */
-    const char **hosts;
-    size_t host_count;
     uv_timer_t *timer;
 } put_t;
 
@@ -60,9 +49,6 @@
 static bool is_ours(const put_t *put, const platform_pair_t *pair);
 static void accept_document(put_t *put, int64_t revision);
 static void answer_conflict(put_t *put, const platform_pair_t *held);
-static void on_spread_check(uv_timer_t *timer);
-static bool note_spread(put_t *put, bool last, text_t *json);
-static int64_t *spread_of(put_t *put, const char *host);
 
 void
 control_put_fleet(control_call_t *call)
@@ -428,14 +414,14 @@
 static void
 accept_document(put_t *put, int64_t revision)
 {
+    control_call_t *call = put->call;
+
     log_line(LOG_NOTICE,
              "document accepted key=%s revision=%" PRId64 " caller=%s",
-             put->key, revision, put->call->caller);
-    put->revision = revision;
-    put->accepted_us = dispatch_now_us();
-    history_prune(put->call->daemon, put->name);
-    (void)uv_timer_start(put->timer, on_spread_check, 0,
-                         SPREAD_CHECK_INTERVAL_MS);
+             put->key, revision, call->caller);
+    history_prune(call->daemon, put->name);
+    put_free(put);
+    control_await_spread(call, revision);
 }
 
 /* held is NULL when the document does not exist. */
@@ -458,90 +444,3 @@
     put_free(put);
     control_answer(call, CONTROL_CONFLICT, &json);
 }
-
-static void
-on_spread_check(uv_timer_t *timer)
-{
-    put_t *put = timer->data;
-    control_call_t *call = put->call;
-    int64_t waited_ms = (dispatch_now_us() - put->accepted_us) / US_PER_MS;
-    text_t json = {0};
-
-    if (!note_spread(put, waited_ms >= SPREAD_WAIT_MS, &json)) {
-        text_free(&json);
-        return;
-    }
-    put_free(put);
-    control_answer(call, CONTROL_OK, &json);
-}
-
-/*
- * Notes which hosts have the revision in force, and writes the answer.
- * Returns false while a host that lives has not, unless it is the last try.
- */
-static bool
-note_spread(put_t *put, bool last, text_t *json)
-{
-    control_call_t *call = put->call;
-    const node_t *node = dispatch_node(call->daemon->dispatch);
-    int64_t now_us = dispatch_now_us();
-    arena_t arena = {0};
-    bool whole = true;
-    size_t count = 0;
-    size_t i;
-    const node_host_view_t *hosts = node_hosts(node, now_us, &arena, &count);
-
-    text_printf(json, "{\"revision\":%" PRId64 ",\"hosts\":[", put->revision);
-    for (i = 0; i < count; i++) {
-        int64_t *after_ms = spread_of(put, hosts[i].name);
-
-        if (*after_ms < 0 && hosts[i].config_revision >= put->revision) {
-            *after_ms = (now_us - put->accepted_us) / US_PER_MS;
-        }
-        whole =
-            whole && (*after_ms >= 0 || strcmp(hosts[i].state, "dead") == 0);
-        text_puts(json, i > 0 ? ",{\"host\":" : "{\"host\":");
-        text_json_string(json, hosts[i].name);
-        text_puts(json, ",\"zone\":");
-        text_json_string(json, hosts[i].zone);
-        text_puts(json, ",\"state\":");
-        text_json_string(json, hosts[i].state);
-        text_puts(json, *after_ms >= 0 ? ",\"in_force\":true"
-                                       : ",\"in_force\":false");
-        if (*after_ms >= 0) {
-            text_printf(json, ",\"after_ms\":%" PRId64, *after_ms);
-        }
-        text_puts(json, "}");
-    }
-    text_puts(json, "]}");
-    arena_free(&arena);
-    return whole || last;
-}
-
-/* Hosts come and go while we wait; each is known by its name. */
-static int64_t *
-spread_of(put_t *put, const char *host)
-{
-    arena_t *arena = &put->call->arena;
-    const char **hosts;
-    int64_t *after_ms;
-    size_t i;
-
-    for (i = 0; i < put->host_count; i++) {
-        if (strcmp(put->hosts[i], host) == 0) {
-            return &put->after_ms[i];
-        }
-    }
-    hosts = arena_array(arena, put->host_count + 1, sizeof(*hosts));
-    after_ms = arena_array(arena, put->host_count + 1, sizeof(*after_ms));
-    for (i = 0; i < put->host_count; i++) {
-        hosts[i] = put->hosts[i];
-        after_ms[i] = put->after_ms[i];
-    }
-    hosts[i] = arena_strdup(arena, host);
-    after_ms[i] = -1;
-    put->hosts = hosts;
-    put->after_ms = after_ms;
-    put->host_count++;
-    return &after_ms[i];
-}
--- a/agated/exchange.c
+++ b/agated/exchange.c
@@ -13,7 +13,8 @@
     GATHERED_MAX_BYTES = 1 << 20,
     FRESH_NAME_BYTES = 40,
     STATUS_OK = 200,
-    MS_PER_S = 1000
+    MS_PER_S = 1000,
+    RELAY_RETRY_AFTER_MS = 1000
 };
 
 /* Lives in the request's pool and tells us when that is cleared. */
@@ -25,7 +26,7 @@
                                 uint64_t number, h2o_req_t *req);
 static void exchange_free(exchange_t *exchange);
 static void unpin(exchange_t *exchange);
-static void read_input(exchange_t *exchange, request_input_t *input);
+static void read_input(exchange_t *exchange);
 static void keep_parsed(exchange_t *exchange, const request_parsed_t *parsed);
 static void on_dispose(void *memory);
 static void on_proceed(h2o_generator_t *generator, h2o_req_t *req);
@@ -36,25 +37,26 @@
 static void finish(exchange_t *exchange, const finish_order_t *order);
 static void reply(exchange_t *exchange, const reply_order_t *order);
 static void refuse(exchange_t *exchange, const refuse_order_t *order);
+static void relay_on(exchange_t *exchange, const relay_order_t *order);
+static bool is_too_slow(exchange_t *exchange);
 static void end(exchange_t *exchange);
 static void flush(exchange_t *exchange);
 static void break_off(exchange_t *exchange);
 static void tell_gone(exchange_t *exchange);
-static void add_header(h2o_req_t *req, const char *name, const char *value);
-static const char *reason_of(uint32_t status);
+static void add_retry_after(exchange_t *exchange, uint32_t retry_after_ms);
 
 void
 exchange_accept(daemon_t *daemon, exchange_t **table, uint64_t number,
                 h2o_req_t *req)
 {
     exchange_t *exchange = exchange_new(daemon, table, number, req);
-    request_input_t input;
     request_parsed_t parsed;
     refuse_order_t refusal;
     event_t event = {.kind = EVENT_REQUEST};
 
-    read_input(exchange, &input);
-    if (request_read(&input, &exchange->arena, &parsed, &refusal) < 0) {
+    read_input(exchange);
+    if (request_read(&exchange->input, &exchange->arena, &parsed, &refusal) <
+        0) {
         exchange->forgotten = true;
         exchange->over = true;
         respond_refusal(req, &refusal);
@@ -90,6 +92,9 @@
     case ORDER_REFUSE:
         refuse(exchange, &order->order_t_u.refuse);
         return;
+    case ORDER_RELAY:
+        relay_on(exchange, &order->order_t_u.relay);
+        return;
     default:
         return;
     }
@@ -131,50 +136,6 @@
     return h2o_socket_get_fd(conn->callbacks->get_socket(conn));
 }
 
-void
-respond(h2o_req_t *req, uint32_t status, const char *content_type,
-        const char *body, size_t length)
-{
-    static h2o_generator_t generator;
-    h2o_iovec_t bytes = h2o_strdup(&req->pool, body, length);
-
-    req->res.status = (int)status;
-    req->res.reason = reason_of(status);
-    req->res.content_length = length;
-    add_header(req, "content-type", content_type);
-    h2o_start_response(req, &generator);
-    h2o_send(req, &bytes, length > 0 ? 1 : 0, H2O_SEND_STATE_FINAL);
-}
-
-void
-respond_refusal(h2o_req_t *req, const refuse_order_t *refusal)
-{
-    text_t text = {0};
-
-    refusal_json(refusal, &text);
-    respond(req,
-            refusal->status > 0 ? refusal->status
-                                : refusal_status(refusal->refusal),
-            "application/json", text.bytes, text.length);
-    text_free(&text);
-}
-
-const char *
-header_copy(h2o_req_t *req, arena_t *arena, const char *name)
-{
-    const h2o_token_t *token = h2o_lookup_token(name, strlen(name));
-    const h2o_header_t *header;
-    ssize_t at = token != NULL ? h2o_find_header(&req->headers, token, -1)
-                               : h2o_find_header_by_str(&req->headers, name,
-                                                        strlen(name), -1);
-
-    if (at < 0) {
-        return NULL;
-    }
-    header = &req->headers.entries[at];
-    return arena_strndup(arena, header->value.base, header->value.len);
-}
-
 static exchange_t *
 exchange_new(daemon_t *daemon, exchange_t **table, uint64_t number,
              h2o_req_t *req)
@@ -201,6 +162,9 @@
         return;
     }
     HASH_DEL(*exchange->table, exchange);
+    if (exchange->relay != NULL) {
+        relay_free(exchange->relay);
+    }
     response_free(&exchange->response);
     text_free(&exchange->gathered);
     text_free(&exchange->inflight);
@@ -216,8 +180,9 @@
 }
 
 static void
-read_input(exchange_t *exchange, request_input_t *input)
+read_input(exchange_t *exchange)
 {
+    request_input_t *input = &exchange->input;
     h2o_req_t *req = exchange->req;
     arena_t *arena = &exchange->arena;
 
@@ -282,9 +247,7 @@
         h2o_send(req, NULL, 0, H2O_SEND_STATE_ERROR);
         return;
     }
-    if (exchange->gathered.length > 0 || exchange->last) {
-        flush(exchange);
-    }
+    flush(exchange);
 }
 
 /* What is to be done follows when h2o clears the request's pool. */
@@ -327,13 +290,9 @@
     if (!exchange->begun) {
         begin(exchange, STATUS_OK, "text/event-stream");
     }
-    if (exchange->gathered.length > GATHERED_MAX_BYTES) {
-        log_line(LOG_NOTICE, "caller too slow request=%s",
-                 exchange->response.name);
-        break_off(exchange);
-        return;
+    if (!is_too_slow(exchange)) {
+        flush(exchange);
     }
-    flush(exchange);
 }
 
 static void
@@ -367,21 +326,47 @@
 {
     uint32_t status =
         order->status > 0 ? order->status : refusal_status(order->refusal);
-    uint32_t retry_s = order->retry_after_ms / MS_PER_S +
-                       (order->retry_after_ms % MS_PER_S > 0 ? 1 : 0);
 
     response_refuse(&exchange->response, order, &exchange->gathered);
     end(exchange);
     if (!exchange->begun) {
-        if (retry_s > 0) {
-            add_header(exchange->req, "retry-after",
-                       arena_printf(&exchange->arena, "%" PRIu32, retry_s));
-        }
+        add_retry_after(exchange, order->retry_after_ms);
         begin(exchange, status, "application/json");
     }
     flush(exchange);
 }
 
+/* A request goes over one peer at most. */
+static void
+relay_on(exchange_t *exchange, const relay_order_t *order)
+{
+    refuse_order_t refusal = {
+        .refusal = REFUSAL_LEAVING,
+        .run = RUN_NOT_RUN,
+        .retry_after_ms = RELAY_RETRY_AFTER_MS,
+        .message = "the host is leaving: ask GET /v1/hosts for another",
+    };
+
+    if (header_copy(exchange->req, &exchange->arena, "x-relayed-by") != NULL) {
+        refuse(exchange, &refusal);
+        return;
+    }
+    exchange->relay = relay_new(exchange, order);
+}
+
+/* A caller that reads too slowly is cut off, and may come back. */
+static bool
+is_too_slow(exchange_t *exchange)
+{
+    if (exchange->gathered.length <= GATHERED_MAX_BYTES) {
+        return false;
+    }
+    log_line(LOG_NOTICE, "caller too slow request=%s",
+             exchange->response.name);
+    break_off(exchange);
+    return true;
+}
+
 /* No order counts any more and nothing follows. */
 static void
 end(exchange_t *exchange)
@@ -399,7 +384,8 @@
     h2o_send_state_t state =
         exchange->last ? H2O_SEND_STATE_FINAL : H2O_SEND_STATE_IN_PROGRESS;
 
-    if (exchange->sending || exchange->req == NULL) {
+    if (exchange->sending || exchange->req == NULL ||
+        (exchange->gathered.length == 0 && !exchange->last)) {
         return;
     }
     exchange->inflight = exchange->gathered;
@@ -411,6 +397,48 @@
     h2o_send(exchange->req, &bytes, bytes.len > 0 ? 1 : 0, state);
 }
 
+void
+exchange_pass_head(exchange_t *exchange, uint32_t status,
+                   const char *content_type, uint32_t retry_after_ms)
+{
+    add_retry_after(exchange, retry_after_ms);
+    begin(exchange, status,
+          content_type != NULL ? content_type : "application/octet-stream");
+}
+
+void
+exchange_pass_body(exchange_t *exchange, const char *bytes, size_t length)
+{
+    text_append(&exchange->gathered, bytes, length);
+    if (!is_too_slow(exchange)) {
+        flush(exchange);
+    }
+}
+
+/* A peer that was not reached has run nothing. */
+void
+exchange_pass_end(exchange_t *exchange, http_result_t result)
+{
+    refuse_order_t refusal = {
+        .refusal = REFUSAL_LEAVING,
+        .run = result == HTTP_NOT_SENT ? RUN_NOT_RUN : RUN_UNKNOWN,
+        .retry_after_ms = RELAY_RETRY_AFTER_MS,
+        .message = "the host is leaving and lost the one that it passed the "
+                   "request to: ask GET /v1/hosts for another",
+    };
+
+    if (result == HTTP_DONE) {
+        end(exchange);
+        flush(exchange);
+    }
+    else if (exchange->begun) {
+        break_off(exchange);
+    }
+    else {
+        refuse(exchange, &refusal);
+    }
+}
+
 /* Cuts the response off: h2o must not be called while it is sending. */
 static void
 break_off(exchange_t *exchange)
@@ -437,47 +465,23 @@
     event_t event = {.kind = EVENT_CALLER_GONE};
 
     exchange->over = true;
+    if (exchange->relay != NULL) {
+        relay_free(exchange->relay);
+        exchange->relay = NULL;
+        return;
+    }
     event.event_t_u.caller_gone.caller = exchange->number;
     dispatch_event(exchange->daemon->dispatch, &event);
 }
 
-/* The value must live as long as the request. */
 static void
-add_header(h2o_req_t *req, const char *name, const char *value)
-{
-    h2o_iovec_t copy = h2o_strdup(&req->pool, value, SIZE_MAX);
-
-    h2o_add_header_by_str(&req->pool, &req->res.headers, name, strlen(name), 1,
-                          NULL, copy.base, copy.len);
-}
-
-static const char *
-reason_of(uint32_t status)
+add_retry_after(exchange_t *exchange, uint32_t retry_after_ms)
 {
-    static const struct {
-        uint32_t status;
-        const char *reason;
-    } reasons[] = {
-        {200, "OK"},
-        {400, "Bad Request"},
-        {401, "Unauthorized"},
-        {403, "Forbidden"},
-        {404, "Not Found"},
-        {405, "Method Not Allowed"},
-        {409, "Conflict"},
-        {413, "Content Too Large"},
-        {422, "Unprocessable Content"},
-        {429, "Too Many Requests"},
-        {500, "Internal Server Error"},
-        {502, "Bad Gateway"},
-        {503, "Service Unavailable"},
-    };
-    size_t i;
+    uint32_t retry_s =
+        retry_after_ms / MS_PER_S + (retry_after_ms % MS_PER_S > 0 ? 1 : 0);
 
-    for (i = 0; i < sizeof(reasons) / sizeof(reasons[0]); i++) {
-        if (reasons[i].status == status) {
-            return reasons[i].reason;
-        }
+    if (retry_s > 0) {
+        add_header(exchange->req, "retry-after",
+                   arena_printf(&exchange->arena, "%" PRIu32, retry_s));
     }
-    return "Status";
 }
--- a/agated/exchange.h
+++ b/agated/exchange.h
@@ -18,6 +18,7 @@
 #include "agated/request.h"
 
 typedef struct exchange exchange_t;
+typedef struct relay relay_t;
 
 struct exchange {
     h2o_generator_t generator; /* first: h2o calls back with it */
@@ -26,7 +27,9 @@
     exchange_t **table; /* the listener's, by number */
     h2o_req_t *req;     /* NULL once h2o has disposed of it */
     arena_t arena;
+    request_input_t input;
     body_t body;
+    relay_t *relay; /* NULL: the answer is the node's */
     response_t response;
     text_t gathered; /* to be sent when what is in flight has left */
     text_t inflight;
@@ -47,7 +50,10 @@
 void exchange_accept(daemon_t *daemon, exchange_t **table, uint64_t number,
                      h2o_req_t *req);
 
-/* ORDER_GIVE, ORDER_FINISH, ORDER_REPLY, ORDER_REFUSE, ORDER_FORGET. */
+/*
+ * ORDER_GIVE, ORDER_FINISH, ORDER_REPLY, ORDER_REFUSE, ORDER_RELAY,
+ * ORDER_FORGET.
+ */
 void exchange_order(exchange_t *exchange, const order_t *order);
 
 /* The connection was closed or half-closed by the other side. */
@@ -56,6 +62,24 @@
 /* The socket of a caller on HTTP/1, or -1. */
 int exchange_socket(const exchange_t *exchange);
 
+/* --- relay.c: the answer is a peer's; exchange.c takes its parts --- */
+
+relay_t *relay_new(exchange_t *exchange, const relay_order_t *order);
+/* Ends the call to the peer, if it is not over. */
+void relay_free(relay_t *relay);
+
+void exchange_pass_head(exchange_t *exchange, uint32_t status,
+                        const char *content_type, uint32_t retry_after_ms);
+void exchange_pass_body(exchange_t *exchange, const char *bytes,
+                        size_t length);
+void exchange_pass_end(exchange_t *exchange, http_result_t result);
+
+/* --- respond.c --- */
+
+/* Adds a header to the response; both strings are copied. */
+void add_header(h2o_req_t *req, const char *name, const char *value);
+const char *reason_of(uint32_t status);
+
 /* Ends an exchange at once with a whole JSON or text response. */
 void respond(h2o_req_t *req, uint32_t status, const char *content_type,
              const char *body, size_t length);
