--- a/agated/agated.c
+++ b/agated/agated.c
@@ -3,11 +3,14 @@
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 
 #include "agated/agated.h"
+#include "agated/tls.h"
 #include "base/log.h"
+#include "peer/peer.h"
 
-enum { SIGNAL_COUNT = 2 };
+enum { SIGNAL_COUNT = 3 };
 
 /* The command line. */
 typedef struct {
@@ -17,6 +20,7 @@
 } options_t;
 
 static error_t parse_option(int key, char *arg, struct argp_state *state);
+static int check_files(const settings_t *settings, err_t *err);
 static int run(const settings_t *settings);
 static void on_signal(uv_signal_t *handle, int number);
 
@@ -52,7 +56,11 @@
         (void)fprintf(stderr, "%s\n", err.message);
         goto done;
     }
-    status = options.check_only ? EXIT_SUCCESS : run(&settings);
+    if (options.check_only) {
+        status = check_files(&settings, &err);
+        goto done;
+    }
+    status = run(&settings);
 done:
     arena_free(&arena);
     return status;
@@ -81,10 +89,36 @@
     }
 }
 
+/* What the settings name must be there, too. */
+static int
+check_files(const settings_t *settings, err_t *err)
+{
+    uint8_t key[PEER_KEY_BYTES_MAX];
+    SSL_CTX *context = NULL;
+
+    if (settings->peers_key_file != NULL &&
+        peer_key_read(settings->peers_key_file, key, err) < 0) {
+        goto fail;
+    }
+    if (settings->tls_certificate != NULL) {
+        context =
+            tls_context_new(settings->tls_certificate, settings->tls_key, err);
+        if (context == NULL) {
+            goto fail;
+        }
+    }
+    explicit_bzero(key, sizeof(key));
+    SSL_CTX_free(context);
+    return EXIT_SUCCESS;
+fail:
+    (void)fprintf(stderr, "%s\n", err->message);
+    return EXIT_FAILURE;
+}
+
 static int
 run(const settings_t *settings)
 {
-    static const int numbers[SIGNAL_COUNT] = {SIGTERM, SIGINT};
+    static const int numbers[SIGNAL_COUNT] = {SIGTERM, SIGINT, SIGHUP};
     daemon_t daemon = {.settings = settings};
     uv_signal_t signals[SIGNAL_COUNT];
     uv_loop_t loop;
@@ -121,6 +155,16 @@
 on_signal(uv_signal_t *handle, int number)
 {
     daemon_t *daemon = handle->data;
+    err_t err;
+
+    if (number == SIGHUP) {
+        if (listener_reload(daemon->listener, &err) < 0) {
+            log_line(LOG_ERR, "not reloaded reason=\"%s\"", err.message);
+            return;
+        }
+        log_line(LOG_NOTICE, "reloaded");
+        return;
+    }
 
     log_line(LOG_NOTICE, "leaving signal=%d", number);
     dispatch_drain(daemon->dispatch);
--- a/regress/test_daemon.c
+++ b/regress/test_daemon.c
@@ -58,6 +58,8 @@
     {"POST", "/v1/completions", ORG, NULL, ASK "}", 200,
      "\"text\":\"Check oil\",\"logprobs\":null,\"finish_reason\":\"length\"}],"
      "\"usage\":{\"prompt_tokens\":1,\"completion_tokens\":2,"},
+    {"POST", "/v1/completions", ORG, "Idempotency-Key: k1",
+     ASK ",\"stream\":true}", 200, "\n\nid: k1.2~"},
     {"POST", "/v1/completions", ORG, "Idempotency-Key: k1",
      ASK ",\"stream\":true}", 200, "\ndata: [DONE]\n\n"},
     {"GET", "/metrics", NULL, NULL, NULL, 200, "agated_finished_total 2\n"},
