--- a/agated/relay.c
+++ b/agated/relay.c
@@ -23,18 +23,21 @@
 relay_t *
 relay_new(exchange_t *exchange, const relay_order_t *order)
 {
+    const settings_t *settings = exchange->daemon->settings;
     const request_input_t *input = &exchange->input;
+    const char *scheme = settings->tls_certificate == NULL ? "http" : "https";
     const char *headers[HEADERS_MAX] = {0};
     relay_t *relay = xcalloc(1, sizeof(*relay));
     http_request_t request = {
         .method = input->method,
-        .url = arena_printf(&exchange->arena, "http://%s%s", order->address,
-                            input->path),
+        .url = arena_printf(&exchange->arena, "%s://%s%s", scheme,
+                            order->address, input->path),
         .headers = headers,
         .body = input->body_bytes > 0 ? input->body : NULL,
         .body_bytes = input->body_bytes,
         .connect_timeout_ms = CONNECT_TIMEOUT_MS,
         .fresh_connection = true,
+        .ca_file = settings->tls_ca,
     };
 
     make_headers(exchange, headers);
--- a/agated/settings.c
+++ b/agated/settings.c
@@ -164,6 +164,12 @@
      .min = 1,
      .max = PATH_LENGTH_MAX,
      .remedy = "key = \"host.key\""},
+    {.key = "ca",
+     .type = FIELD_STRING,
+     .offset = offsetof(settings_t, tls_ca),
+     .min = 1,
+     .max = PATH_LENGTH_MAX,
+     .remedy = "ca = \"fleet.crt\""},
 };
 
 static const field_t debug_fields[] = {
--- a/agated/settings.h
+++ b/agated/settings.h
@@ -42,6 +42,7 @@
     /* [tls] */
     const char *tls_certificate;
     const char *tls_key;
+    const char *tls_ca; /* whom relays to other hosts trust, or NULL */
     /* [debug] */
     const char *event_log;
 } settings_t;
--- a/agated/tls.c
+++ b/agated/tls.c
@@ -5,6 +5,7 @@
 
 #include "agated/tls.h"
 
+static const char *openssl_reason(void);
 static int use_files(SSL_CTX *context, const char *certificate,
                      const char *key, err_t *err);
 
@@ -38,14 +39,23 @@
         return err_set(err, ERR_SETTINGS,
                        "%s:1: no certificate: %s: name a PEM file with the "
                        "certificate and its chain",
-                       certificate, ERR_reason_error_string(ERR_get_error()));
+                       certificate, openssl_reason());
     }
     if (SSL_CTX_use_PrivateKey_file(context, key, SSL_FILETYPE_PEM) != 1 ||
         SSL_CTX_check_private_key(context) != 1) {
         return err_set(err, ERR_SETTINGS,
                        "%s:1: no key of this certificate: %s: name the PEM "
                        "file with its private key",
-                       key, ERR_reason_error_string(ERR_get_error()));
+                       key, openssl_reason());
     }
     return 0;
 }
+
+/* Of the first error; the system's own have no text there. */
+static const char *
+openssl_reason(void)
+{
+    const char *reason = ERR_reason_error_string(ERR_get_error());
+
+    return reason == NULL ? "it cannot be read" : reason;
+}
--- a/http/client.c
+++ b/http/client.c
@@ -172,6 +172,9 @@
     curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
                      (long)request->connect_timeout_ms);
     curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, (long)request->timeout_ms);
+    if (request->ca_file != NULL) {
+        curl_easy_setopt(easy, CURLOPT_CAINFO, request->ca_file);
+    }
     if (request->fresh_connection) {
         curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
         curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
--- a/http/http.h
+++ b/http/http.h
@@ -55,6 +55,7 @@
      * fresh one it is sent at most once.
      */
     bool fresh_connection;
+    const char *ca_file; /* whom https trusts; NULL: as the system does */
 } http_request_t;
 
 http_client_t *http_client_new(uv_loop_t *loop);
