--- a/regress/host.c
+++ b/regress/host.c
@@ -1,5 +1,6 @@
 /* host.c - see host.h. */
 #include <check.h>
+#include <signal.h>
 #include <stdlib.h>
 #include <string.h>
 #include <unistd.h>
@@ -29,12 +30,14 @@
     char *text;
     err_t err = {0};
 
+    (void)signal(SIGPIPE, SIG_IGN);
     memset(host, 0, sizeof(*host));
     host->fleet = make_fleet(&host->arena, engine_port);
     host->service = host_file(&host->arena, HOST_SERVICE("planning", "3"));
     text = arena_printf(&host->arena,
                         "host = \"a1\"\nzone = \"north\"\n[listen]\n"
-                        "address = \"127.0.0.1:0\"\n[platform]\n"
+                        "address = \"127.0.0.1:0\"\nheader_timeout_ms = 1000\n"
+                        "[platform]\n"
                         "kind = \"memory\"\nfleet = \"%s\"\n"
                         "documents = [\"%s\"]\n%s",
                         host->fleet, host->service, more);
