Load reports under way are freed with their backend

Cause: ASan's leak check in test_callers, which stops while a report waits. Change: the backends keep their unanswered questions by runner; one runner is not asked again before it has answered or timed out. Conclusion: no leak in test_callers under ASan.

--- a/backend/engine.c
+++ b/backend/engine.c
@@ -34,7 +34,8 @@
     http_client_t *client;
     backend_listener_t *listener;
     struct engine_stream *streams; /* a table by number */
-    arena_t arena;                 /* for one event */
+    load_poll_t *polls;
+    arena_t arena; /* for one event */
 } engine_t;
 
 typedef struct engine_stream {
@@ -187,7 +188,8 @@
 {
     engine_t *engine = (engine_t *)backend;
 
-    load_poll(engine->client, engine->listener, runner, address);
+    load_poll(&engine->polls, engine->client, engine->listener, runner,
+              address);
 }
 
 static void
@@ -201,6 +203,7 @@
     {
         stream_close(stream);
     }
+    load_polls_free(&engine->polls);
     arena_free(&engine->arena);
     free(engine);
 }
--- a/backend/load.c
+++ b/backend/load.c
@@ -3,6 +3,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include <uthash.h>
+
 #include "backend/url.h"
 #include "backend/load.h"
 #include "base/arena.h"
@@ -17,19 +19,23 @@
 };
 
 /* One question that has no answer yet. */
-typedef struct {
+struct load_poll {
     http_sink_t sink;
+    UT_hash_handle hh;
+    load_poll_t **polls;
+    http_call_t *call;
     backend_listener_t *listener;
     char *runner;
     uint32_t status;
     buffer_t text;
     bool too_long;
-} load_poll_t;
+};
 
 static bool sum_line(const char *line, size_t length, const char *name,
                      double *sum);
 static const char *skip_labels(const char *at, const char *end);
 static uint32_t to_count(double sum);
+static void poll_free(load_poll_t *poll);
 static void on_head(http_sink_t *sink, uint32_t status,
                     const char *content_type, uint32_t retry_after_ms);
 static void on_body(http_sink_t *sink, const char *bytes, size_t length);
@@ -66,25 +72,47 @@
 }
 
 void
-load_poll(http_client_t *client, backend_listener_t *listener,
-          const char *runner, const char *address)
+load_poll(load_poll_t **polls, http_client_t *client,
+          backend_listener_t *listener, const char *runner,
+          const char *address)
 {
-    load_poll_t *poll = xcalloc(1, sizeof(*poll));
+    load_poll_t *poll;
     http_request_t request = {
         .method = "GET",
         .connect_timeout_ms = LOAD_CONNECT_TIMEOUT_MS,
         .timeout_ms = LOAD_TIMEOUT_MS,
     };
-    char *url = url_make(address, "/metrics");
+    char *url;
 
+    HASH_FIND_STR(*polls, runner, poll);
+    if (poll != NULL) {
+        return;
+    }
+    poll = xcalloc(1, sizeof(*poll));
     poll->sink.ops = &load_sink_ops;
     poll->listener = listener;
     poll->runner = xstrdup(runner);
+    poll->polls = polls;
+    HASH_ADD_KEYPTR(hh, *polls, poll->runner, strlen(poll->runner), poll);
+    url = url_make(address, "/metrics");
     request.url = url;
-    (void)http_start(client, &request, &poll->sink);
+    poll->call = http_start(client, &request, &poll->sink);
     free(url);
 }
 
+void
+load_polls_free(load_poll_t **polls)
+{
+    load_poll_t *poll;
+    load_poll_t *next;
+
+    HASH_ITER(hh, *polls, poll, next)
+    {
+        http_cancel(poll->call);
+        poll_free(poll);
+    }
+}
+
 static bool
 sum_line(const char *line, size_t length, const char *name, double *sum)
 {
@@ -176,6 +204,13 @@
 
     poll->listener->ops->load(poll->listener, poll->runner, reached, running,
                               waiting);
+    poll_free(poll);
+}
+
+static void
+poll_free(load_poll_t *poll)
+{
+    HASH_DEL(*poll->polls, poll);
     free(poll->runner);
     buffer_free(&poll->text);
     free(poll);
--- a/backend/load.h
+++ b/backend/load.h
@@ -18,8 +18,18 @@
 bool load_read(const char *text, size_t length, uint32_t *running,
                uint32_t *waiting);
 
-/* Asks once and reports to listener->load. */
-void load_poll(http_client_t *client, backend_listener_t *listener,
-               const char *runner, const char *address);
+/* The questions that have no answer yet, by runner; NULL for none. */
+typedef struct load_poll load_poll_t;
+
+/*
+ * Asks once and reports to listener->load.  Does nothing while an earlier
+ * question to this runner has no answer.
+ */
+void load_poll(load_poll_t **polls, http_client_t *client,
+               backend_listener_t *listener, const char *runner,
+               const char *address);
+
+/* Ends all questions without a report. */
+void load_polls_free(load_poll_t **polls);
 
 #endif
--- a/backend/service.c
+++ b/backend/service.c
@@ -23,6 +23,7 @@
     http_client_t *client;
     backend_listener_t *listener;
     struct service_call *calls; /* a table by stream number */
+    load_poll_t *polls;
 } service_t;
 
 typedef struct service_call {
@@ -120,7 +121,8 @@
 {
     service_t *service = (service_t *)backend;
 
-    load_poll(service->client, service->listener, runner, address);
+    load_poll(&service->polls, service->client, service->listener, runner,
+              address);
 }
 
 static void
@@ -134,6 +136,7 @@
     {
         call_free(call);
     }
+    load_polls_free(&service->polls);
     free(service);
 }
 
