--- a/agated/listener.c
+++ b/agated/listener.c
@@ -9,6 +9,7 @@
 
 #include "agated/control.h"
 #include "agated/exchange.h"
+#include "agated/tls.h"
 #include "base/address.h"
 #include "base/log.h"
 
@@ -83,12 +84,37 @@
         return NULL;
     }
     configure(listener);
+    if (listener_reload(listener, err) < 0) {
+        listener->timer = NULL;
+        listener_free(listener);
+        return NULL;
+    }
     listener->timer = xcalloc(1, sizeof(*listener->timer));
     (void)uv_timer_init(daemon->loop, listener->timer);
     listener->timer->data = listener;
     return listener;
 }
 
+/* Connections that are open keep the certificate that they began with. */
+int
+listener_reload(listener_t *listener, err_t *err)
+{
+    const settings_t *settings = listener->daemon->settings;
+    SSL_CTX *context;
+
+    if (settings->tls_certificate == NULL) {
+        return 0;
+    }
+    context =
+        tls_context_new(settings->tls_certificate, settings->tls_key, err);
+    if (context == NULL) {
+        return -1;
+    }
+    SSL_CTX_free(listener->accept.ssl_ctx);
+    listener->accept.ssl_ctx = context;
+    return 0;
+}
+
 const char *
 listener_address(const listener_t *listener)
 {
@@ -134,7 +160,10 @@
     if (listener->socket != NULL) {
         uv_close((uv_handle_t *)listener->socket, (uv_close_cb)free);
     }
-    uv_close((uv_handle_t *)listener->timer, (uv_close_cb)free);
+    if (listener->timer != NULL) {
+        uv_close((uv_handle_t *)listener->timer, (uv_close_cb)free);
+    }
+    SSL_CTX_free(listener->accept.ssl_ctx);
     /* h2o says goodbye on HTTP/2 twice, a second apart. */
     if (h2o_timeout_is_linked(
             &listener->context.http2._graceful_shutdown_timeout)) {
