A caller goes on only with the run that it holds part of

Ruled out: the resumption itself (same fault with no engine or host lost). The same could come from a keeper's record of an older run. Change: event ids carry a hash of all token ids up to them; a record, an engine's stream or a session is used only where it agrees, and a stream is taken up by its name, not by the attempt's number.

--- a/agated/position.c
+++ b/agated/position.c
@@ -14,7 +14,8 @@
     VARINT_BITS = 7,
     VARINT_MORE = 0x80,
     VARINT_BYTES = 5,
-    PLACE_MAX = 2 * (LINK_NAME_MAX + VARINT_BYTES) + 3 * VARINT_BYTES,
+    PLACE_MAX = 2 * (LINK_NAME_MAX + VARINT_BYTES) + 3 * VARINT_BYTES +
+                sizeof(uint64_t),
     SEALED_MAX =
         (POSITION_TAIL_MAX + 2) * VARINT_BYTES + PLACE_MAX + TAG_BYTES,
     DECIMAL = 10,
@@ -36,6 +37,7 @@
 static size_t put_place(uint8_t *bytes, const stream_place_t *place);
 static size_t put_string(uint8_t *bytes, const char *string);
 static bool read_place(reader_t *reader, stream_place_t *place);
+static bool read_hash(reader_t *reader, uint64_t *hash);
 static bool read_varint(reader_t *reader, uint32_t *number);
 static bool read_string(reader_t *reader, char **string);
 static void make_tag(const position_key_t *key, const char *name,
@@ -71,6 +73,8 @@
     }
     length += put_varint(sealed, position->attempt);
     length += put_place(sealed + length, &position->place);
+    memcpy(sealed + length, &position->hash, sizeof(position->hash));
+    length += sizeof(position->hash);
     length += put_varint(sealed + length, position->tail_from);
     for (uint32_t i = 0; i < position->tail_count; i++) {
         length += put_varint(sealed + length, position->tail_ids[i]);
@@ -129,6 +133,7 @@
 
     if (!read_varint(&reader, &position->attempt) ||
         !read_place(&reader, &position->place) ||
+        !read_hash(&reader, &position->hash) ||
         !read_varint(&reader, &position->tail_from)) {
         return false;
     }
@@ -174,6 +179,18 @@
            read_varint(reader, &place->prompt_tokens);
 }
 
+static bool
+read_hash(reader_t *reader, uint64_t *hash)
+{
+    if (reader->length < sizeof(*hash)) {
+        return false;
+    }
+    memcpy(hash, reader->bytes, sizeof(*hash));
+    reader->bytes += sizeof(*hash);
+    reader->length -= sizeof(*hash);
+    return true;
+}
+
 static bool
 read_string(reader_t *reader, char **string)
 {
--- a/agated/request.c
+++ b/agated/request.c
@@ -149,6 +149,7 @@
     event->position = position.position;
     event->attempt = position.attempt;
     event->place = position.place;
+    event->hash = position.hash;
     event->tail_from = position.tail_from;
     event->tail_ids.tail_ids_val = (uint32_t *)(uintptr_t)position.tail_ids;
     event->tail_ids.tail_ids_len = position.tail_count;
--- a/agated/response.c
+++ b/agated/response.c
@@ -166,6 +166,7 @@
         .position = give->position,
         .attempt = give->attempt,
         .place = give->place,
+        .hash = give->hash,
         .tail_from = give->tail_from,
         .tail_ids = give->tail_ids.tail_ids_val,
         .tail_count = give->tail_ids.tail_ids_len,
--- a/policy/answer.c
+++ b/policy/answer.c
@@ -5,7 +5,9 @@
 #include "base/arena.h"
 #include "policy/answer.h"
 
-enum { GROW_START = 64 };
+enum { GROW_START = 64, HASH_SHIFT = 29 };
+
+static const uint64_t HASH_FACTOR = 0x9e3779b97f4a7c15U;
 
 static void append_tokens(answer_t *answer, const answer_unit_t *unit);
 static void append_text(answer_t *answer, const answer_unit_t *unit);
@@ -159,6 +161,19 @@
     return -1;
 }
 
+uint64_t
+answer_hash(const answer_t *answer, uint32_t from, uint32_t to,
+            uint64_t before)
+{
+    uint64_t hash = before;
+
+    for (uint32_t i = from; i < to; i++) {
+        hash = (hash ^ answer->token_ids[i]) * HASH_FACTOR;
+        hash ^= hash >> HASH_SHIFT;
+    }
+    return hash;
+}
+
 record_cut_t
 answer_cut(const answer_t *answer, uint32_t number)
 {
--- a/policy/answer.h
+++ b/policy/answer.h
@@ -94,6 +94,13 @@
 /* The number of the cut at this position, or -1 when none stands there. */
 int64_t answer_cut_at(const answer_t *answer, uint32_t position);
 
+/*
+ * A hash of the token ids from one position to another, which goes on from
+ * the hash of those before: two answers with one hash have the same tokens.
+ */
+uint64_t answer_hash(const answer_t *answer, uint32_t from, uint32_t to,
+                     uint64_t before);
+
 /* The cut with this number; number 0 is the answer's start. */
 record_cut_t answer_cut(const answer_t *answer, uint32_t number);
 
--- a/policy/caller.c
+++ b/policy/caller.c
@@ -8,22 +8,31 @@
 static void give_end(step_t *step, session_t *session);
 
 /*
- * Gives the answer to this caller from the position on.  An earlier caller
- * of the same request is told that it was superseded.
+ * Gives the answer to this caller from the position on; hash is that of all
+ * tokens that it holds.  An earlier caller of the same request is told that
+ * it was superseded.
  */
 void
 caller_attach(step_t *step, session_t *session, uint64_t caller,
-              uint32_t position)
+              uint32_t position, uint64_t hash)
 {
-    int64_t cut = answer_cut_at(&session->answer, position);
+    const answer_t *answer = &session->answer;
+    int64_t cut = answer_cut_at(answer, position);
     uint64_t former = session->caller;
 
-    if (cut < session->answer.first_cut || cut > session->answer.ready_cuts) {
+    if (cut < answer->first_cut || cut > answer->ready_cuts) {
         caller_refuse(step, caller, REFUSAL_INVALID, RUN_UNKNOWN, 0,
                       "Last-Event-ID is not a position of this answer: send "
                       "the id of the last event that came whole");
         return;
     }
+    if (answer_hash(answer, 0, position, 0) != hash) {
+        caller_refuse(step, caller, REFUSAL_SUPERSEDED, RUN_UNKNOWN, 0,
+                      "the request has been run anew, and what came before "
+                      "is not part of that answer: send it again without "
+                      "Last-Event-ID to have it whole");
+        return;
+    }
     caller_detach(step, session);
     if (former != 0) {
         caller_refuse(step, former, REFUSAL_SUPERSEDED, RUN_UNKNOWN, 0,
@@ -85,7 +94,7 @@
         return true;
     }
     cut = answer_cut_at(&session->answer, session->from);
-    if (cut < 0) {
+    if (cut < 0 || !caller_agrees(session)) {
         return false;
     }
     session->given = (uint32_t)cut;
@@ -93,12 +102,21 @@
     return true;
 }
 
+/* Whether the answer's tokens are those that the caller holds. */
+bool
+caller_agrees(const session_t *session)
+{
+    return session->from <= session->answer.token_count &&
+           answer_hash(&session->answer, 0, session->from, 0) ==
+               session->from_hash;
+}
+
 /* Whether the answer has gone past the caller without ending a unit there. */
 bool
 caller_is_lost(const session_t *session)
 {
     return session->from > 0 && session->caller != 0 &&
-           (session->answer.token_count > session->from ||
+           (session->answer.token_count >= session->from ||
             session->answer.finish != FINISH_NONE);
 }
 
--- a/policy/event.x
+++ b/policy/event.x
@@ -93,7 +93,8 @@
     bool resumes;          /* the caller gave a Last-Event-ID */
     uint32_t position;     /* tokens that it has received */
     uint32_t attempt;      /* that gave it the last of them; 0: not said */
-    stream_place_t place;         /* of that attempt */
+    stream_place_t place;  /* of that attempt */
+    uint64_t hash;         /* of all token ids up to position */
     uint32_t tail_from;    /* what its Last-Event-ID hands back: the ids */
     uint32_t tail_ids<1024>; /* of the tokens from here to position */
     endpoint_t endpoint;
@@ -298,6 +299,7 @@
     opaque text<EVENT_BODY_MAX>;
     uint32_t attempt;
     stream_place_t place;
+    uint64_t hash;
     uint32_t tail_from;
     uint32_t tail_ids<1024>;
 };
--- a/policy/intake.c
+++ b/policy/intake.c
@@ -118,7 +118,8 @@
                        "once for one content");
         return;
     }
-    caller_attach(step, session, request->caller, request->position);
+    caller_attach(step, session, request->caller, request->position,
+                  request->hash);
     orders_add(step->orders, ORDER_FORGET)->order_t_u.forget.body =
         request->caller;
 }
@@ -139,7 +140,7 @@
     }
     session = session_new(step, request, organisation);
     describe(session, contract, kind);
-    caller_attach(step, session, request->caller, 0);
+    caller_attach(step, session, request->caller, 0, 0);
     if (request->keyed || request->resumes) {
         takeover_ask(step, session);
         return;
--- a/policy/private.h
+++ b/policy/private.h
@@ -67,9 +67,10 @@
 
 /* caller.c: what the present caller of a session is told. */
 void caller_attach(step_t *step, session_t *session, uint64_t caller,
-                   uint32_t position);
+                   uint32_t position, uint64_t hash);
 void caller_detach(step_t *step, session_t *session);
 void caller_give(step_t *step, session_t *session);
+bool caller_agrees(const session_t *session);
 bool caller_is_lost(const session_t *session);
 void caller_refuse(step_t *step, uint64_t caller, refusal_t refusal, run_t run,
                    uint32_t retry_after_ms, const char *message);
--- a/policy/record.c
+++ b/policy/record.c
@@ -21,6 +21,7 @@
 
 static const attempt_t *writing_attempt(const session_t *session);
 static void choose_keeper(step_t *step, session_t *session);
+static uint64_t hash_up_to(session_t *session, uint32_t position);
 static void fill_place(const session_t *session, stream_place_t *place);
 static bool keeper_is_live(const step_t *step, const session_t *session);
 static void send_part(step_t *step, session_t *session, record_state_t state);
@@ -106,12 +107,27 @@
         from = give->position;
     }
     give->attempt = session->writer;
+    give->hash = hash_up_to(session, give->position);
     fill_place(session, &give->place);
     give->tail_from = from;
     give->tail_ids.tail_ids_val = answer->token_ids + from;
     give->tail_ids.tail_ids_len = give->position - from;
 }
 
+/* Goes on from the last one; a caller that starts over starts it over. */
+static uint64_t
+hash_up_to(session_t *session, uint32_t position)
+{
+    if (position < session->hash_to) {
+        session->hash_to = 0;
+        session->hash = 0;
+    }
+    session->hash = answer_hash(&session->answer, session->hash_to, position,
+                                session->hash);
+    session->hash_to = position;
+    return session->hash;
+}
+
 static void
 fill_place(const session_t *session, stream_place_t *place)
 {
--- a/policy/session.c
+++ b/policy/session.c
@@ -46,6 +46,7 @@
                      session->prefix_count * sizeof(uint64_t));
     session->from = request->position;
     session->from_attempt = request->attempt;
+    session->from_hash = request->hash;
     session->place = request->place;
     session->place.runner = arena_strdup(arena, request->place.runner);
     session->place.stream_name =
--- a/policy/session.h
+++ b/policy/session.h
@@ -89,10 +89,13 @@
                         has come so far; then 0 */
     uint32_t from_attempt; /* and the attempt that gave it */
     stream_place_t place;  /* and where that one runs */
+    uint64_t from_hash;    /* and the hash of all that it holds */
     uint32_t tail_from;
     uint32_t tail_count;
     uint32_t *tail_ids; /* and the ids from tail_from to from */
     uint32_t given;     /* cuts given to the present caller */
+    uint64_t hash;      /* of the token ids before hash_to */
+    uint32_t hash_to;
 
     uint32_t epoch; /* of its ownership among hosts */
     uint32_t attempt_count;
--- a/policy/takeover.c
+++ b/policy/takeover.c
@@ -18,6 +18,7 @@
 static void ask_own_keep(step_t *step, session_t *session);
 static void give_up_session(step_t *step, session_t *session);
 static bool restore(step_t *step, session_t *session, const record_t *record);
+static void forget_record(step_t *step, session_t *session);
 static bool restore_tail(session_t *session);
 static void go_on(step_t *step, session_t *session, const record_t *record);
 static void adopt(step_t *step, session_t *session,
@@ -79,7 +80,7 @@
     if (session->from <= session->answer.token_count) {
         return true;
     }
-    if (!restore_tail(session)) {
+    if (!restore_tail(session) || !caller_agrees(session)) {
         return false;
     }
     session->given = session->answer.cut_count;
@@ -292,7 +293,7 @@
     session_free(step, session);
 }
 
-/* Puts back the answer; false: the request has been refused. */
+/* Puts back the answer; false: it has gone another way. */
 static bool
 restore(step_t *step, session_t *session, const record_t *record)
 {
@@ -323,13 +324,12 @@
     if (record->base > 0) {
         answer->first_cut = (uint32_t)answer_cut_at(answer, record->base);
     }
-    if (session->from > answer->token_count && !restore_tail(session)) {
-        takeover_lost(step, session);
-        return false;
+    if (session->from > answer->token_count) {
+        (void)restore_tail(session);
     }
     cut = answer_cut_at(answer, session->from);
-    if (cut < answer->first_cut) {
-        takeover_lost(step, session);
+    if (cut < answer->first_cut || !caller_agrees(session)) {
+        forget_record(step, session);
         return false;
     }
     session->given = (uint32_t)cut;
@@ -337,6 +337,24 @@
     return true;
 }
 
+/*
+ * The record is of another run of the request than the one that the caller
+ * holds part of: nothing of it may be mixed into that one's answer.
+ */
+static void
+forget_record(step_t *step, session_t *session)
+{
+    const char *stop = session->answer.stop;
+    uint32_t stop_bytes = session->answer.stop_bytes;
+
+    answer_free(&session->answer);
+    answer_init(&session->answer, stop, stop_bytes);
+    orders_log(step->orders, LOG_NOTICE,
+               "record of another run request=%s organisation=%s position=%u",
+               session->key, session->organisation, session->from);
+    takeover_none(step, session);
+}
+
 /* Adds what the caller handed back, if it joins what is known. */
 static bool
 restore_tail(session_t *session)
@@ -359,8 +377,9 @@
 {
     runner_state_t *runner =
         runners_find(&step->node->runners, record->runner);
-    bool same_attempt =
-        session->from_attempt == 0 || session->from_attempt == record->attempt;
+    bool same_stream =
+        session->from_attempt == 0 ||
+        strcmp(session->place.stream_name, record->stream_name) == 0;
 
     if (session->service || record->state == RECORD_FAILED ||
         record->state == RECORD_FORGOTTEN) {
@@ -374,7 +393,7 @@
         session_finish(step, session);
         return;
     }
-    if (runner != NULL && record->stream_name[0] != '\0' && same_attempt) {
+    if (runner != NULL && record->stream_name[0] != '\0' && same_stream) {
         stream_place_t place = {
             .stream_name = record->stream_name,
             .endpoint = record->stream_endpoint,
--- a/regress/script.c
+++ b/regress/script.c
@@ -5,6 +5,7 @@
 #include <sys/queue.h>
 #include <syslog.h>
 
+#include "policy/answer.h"
 #include "regress/script.h"
 
 enum { FIELDS_MAX = 24, IDS_MAX = 256, US_PER_MS = 1000 };
@@ -157,6 +158,16 @@
     return 0;
 }
 
+/* The hash of the tokens that the caller holds. */
+static uint64_t
+hash_of(arena_t *arena, const line_t *line)
+{
+    answer_t answer = {0};
+
+    answer.token_count = ids_of(arena, line, "holds", &answer.token_ids);
+    return answer_hash(&answer, 0, answer.token_count, 0);
+}
+
 static int
 build_request(arena_t *arena, const line_t *line, event_t *event)
 {
@@ -173,6 +184,7 @@
     request->position = (uint32_t)number_of(line, "position", 0);
     request->resumes = request->position > 0;
     request->attempt = (uint32_t)number_of(line, "attempt", 0);
+    request->hash = hash_of(arena, line);
     request->place.runner = (char *)text_of(line, "at", "");
     request->place.stream_name = (char *)text_of(line, "at_name", "");
     request->place.first = (uint32_t)number_of(line, "at_first", 0);
--- a/regress/test_position.c
+++ b/regress/test_position.c
@@ -53,6 +53,7 @@
                                 .place = {.runner = (char *)"r1",
                                           .stream_name = (char *)"a1-1",
                                           .first = 300},
+                                .hash = 0x123456789abcdefU,
                                 .tail_from = 7,
                                 .tail_ids = ids,
                                 .tail_count = 5};
@@ -81,6 +82,7 @@
         ck_assert_str_eq(read.place.runner, "r1");
         ck_assert_str_eq(read.place.stream_name, "a1-1");
         ck_assert_uint_eq(read.place.first, 300);
+        ck_assert_uint_eq(read.hash, 0x123456789abcdefU);
         ck_assert_uint_eq(read.tail_from, 7);
         ck_assert_uint_eq(read.tail_count, 5);
         ck_assert_int_eq(memcmp(read.tail_ids, ids, sizeof(ids)), 0);
