Test the engine client against a stand-in engine process

Cause: taking a stream up again and resuming it were tested with canned bytes only. Change: child.c starts stand-ins for tests; a stream cut and reattached, one resumed by token ids after its engine is killed, an unknown one and a cancelled one, for completions and chat.

--- a/regress/test_backend.c
+++ b/regress/test_backend.c
@@ -8,6 +8,7 @@
 #include "backend/backend.h"
 #include "regress/canned.h"
 #include "regress/turn.h"
+#include "regress/turn.h"
 
 enum { LIMIT_MS = 20000, SEEN_BYTES = 4096, STREAM = 7, OTHER = 8 };
 
--- /dev/null
+++ b/regress/test_engine.c
@@ -0,0 +1,301 @@
+/* test_engine.c - the engine client against a stand-in engine process. */
+#include <check.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "backend/backend.h"
+#include "regress/child.h"
+#include "regress/turn.h"
+
+enum { LIMIT_MS = 30000, TOKENS = 60, CUT = 23, PROMPT_MAX = 256, STREAM = 1 };
+
+/* What one stream gave. */
+typedef struct {
+    uint32_t prompt[PROMPT_MAX];
+    uint32_t prompt_count;
+    uint32_t ids[TOKENS];
+    uint32_t first; /* the position of its first token */
+    uint32_t count;
+    char text[4096];
+    backend_finish_t finish;
+    bool ended;
+    backend_loss_t loss;
+} stream_t;
+
+static uv_loop_t loop;
+static uv_timer_t limit;
+static http_client_t *client;
+static backend_t *engine;
+static child_t process;
+static char address[64];
+static stream_t *now; /* the stream that is open */
+static uint32_t running;
+static bool reported;
+
+static void
+on_limit(uv_timer_t *timer)
+{
+    ck_abort_msg("no end; %u tokens so far", now != NULL ? now->count : 0);
+}
+
+static void
+on_piece(backend_listener_t *listener, const backend_piece_t *piece)
+{
+    if (piece->prompt_count > 0) {
+        ck_assert_uint_le(piece->prompt_count, PROMPT_MAX);
+        memcpy(now->prompt, piece->prompt_ids,
+               piece->prompt_count * sizeof(*now->prompt));
+        now->prompt_count = piece->prompt_count;
+    }
+    if (now->count == 0) {
+        now->first = piece->position;
+    }
+    ck_assert_uint_eq(piece->position, now->first + now->count);
+    ck_assert_uint_le(now->count + piece->token_count, TOKENS);
+    memcpy(now->ids + now->count, piece->token_ids,
+           piece->token_count * sizeof(*now->ids));
+    now->count += piece->token_count;
+    (void)strncat(now->text, piece->text, piece->text_bytes);
+    if (piece->finish != BACKEND_FINISH_NONE) {
+        now->finish = piece->finish;
+    }
+}
+
+static void
+on_end(backend_listener_t *listener, uint64_t stream)
+{
+    now->ended = true;
+}
+
+static void
+on_loss(backend_listener_t *listener, uint64_t stream, backend_loss_t kind,
+        uint32_t status, uint32_t retry_after_ms)
+{
+    now->loss = kind;
+}
+
+static void
+on_load(backend_listener_t *listener, const char *runner, bool reached,
+        uint32_t runs, uint32_t waiting)
+{
+    ck_assert(reached);
+    running = runs;
+    reported = true;
+}
+
+static const backend_listener_ops_t listener_ops = {on_piece, on_end, on_loss,
+                                                    NULL, on_load};
+static backend_listener_t listener = {&listener_ops};
+
+static void
+open_world(void)
+{
+    char *argv[] = {STANDIN_ENGINE, "-t", "2000", "-m", "m", NULL};
+
+    (void)uv_loop_init(&loop);
+    client = http_client_new(&loop);
+    engine = engine_new(client, &listener);
+    process = child_start(argv);
+    (void)snprintf(address, sizeof(address), "127.0.0.1:%d", process.port);
+    (void)uv_timer_init(&loop, &limit);
+    (void)uv_timer_start(&limit, on_limit, LIMIT_MS, 0);
+}
+
+static void
+close_world(void)
+{
+    engine->ops->free(engine);
+    http_client_free(client);
+    uv_close((uv_handle_t *)&limit, NULL);
+    (void)uv_run(&loop, UV_RUN_DEFAULT);
+    ck_assert_int_eq(uv_loop_close(&loop), 0);
+    child_kill(&process);
+}
+
+/* Opens a stream; with a former one's tokens it resumes from them. */
+static void
+open_stream(stream_t *stream, const char *name, backend_endpoint_t endpoint,
+            const stream_t *former)
+{
+    static const char *const bodies[] = {
+        [BACKEND_COMPLETIONS] = "{\"prompt\":\"Plan the brakes of bus 12\"}",
+        [BACKEND_CHAT] = "{\"messages\":[{\"role\":\"user\",\"content\":"
+                         "\"Plan the brakes of bus 12\"}]}"};
+    uint32_t ids[PROMPT_MAX + TOKENS];
+    backend_request_t request = {.stream = STREAM,
+                                 .address = address,
+                                 .stream_name = name,
+                                 .endpoint = endpoint,
+                                 .body = bodies[endpoint],
+                                 .body_bytes = strlen(bodies[endpoint]),
+                                 .model = "m",
+                                 .max_tokens = TOKENS,
+                                 .seeded = true,
+                                 .seed = 5};
+
+    if (former != NULL) {
+        memcpy(ids, former->prompt, former->prompt_count * sizeof(*ids));
+        memcpy(ids + former->prompt_count, former->ids,
+               former->count * sizeof(*ids));
+        request.prompt_ids = ids;
+        request.prompt_count = former->prompt_count + former->count;
+        request.max_tokens = TOKENS - former->count;
+    }
+    *stream = (stream_t){0};
+    now = stream;
+    engine->ops->open(engine, &request);
+}
+
+static void
+reattach(stream_t *stream, const char *name, backend_endpoint_t endpoint,
+         uint32_t after)
+{
+    backend_reattach_t again = {.stream = STREAM,
+                                .address = address,
+                                .stream_name = name,
+                                .endpoint = endpoint,
+                                .after = after};
+
+    *stream = (stream_t){0};
+    now = stream;
+    engine->ops->reattach(engine, &again);
+}
+
+static void
+run_until_tokens(uint32_t count)
+{
+    while (now->count < count && now->loss == 0) {
+        loop_turn(&loop);
+    }
+}
+
+static void
+run_until_over(void)
+{
+    while (!now->ended && now->loss == 0) {
+        loop_turn(&loop);
+    }
+}
+
+/* The two parts together are the whole, token by token. */
+static void
+check_joined(const stream_t *whole, const stream_t *head, const stream_t *tail)
+{
+    char text[8192];
+
+    ck_assert(whole->ended);
+    ck_assert_uint_eq(whole->count, TOKENS);
+    ck_assert(tail->ended);
+    ck_assert_uint_eq(head->count + tail->count, TOKENS);
+    ck_assert_mem_eq(whole->ids, head->ids, head->count * sizeof(uint32_t));
+    ck_assert_mem_eq(whole->ids + head->count, tail->ids,
+                     tail->count * sizeof(uint32_t));
+    (void)snprintf(text, sizeof(text), "%s%s", head->text, tail->text);
+    ck_assert_str_eq(text, whole->text);
+    ck_assert_int_eq(whole->finish, BACKEND_FINISH_LENGTH);
+    ck_assert_int_eq(tail->finish, BACKEND_FINISH_LENGTH);
+}
+
+START_TEST(reattached)
+{
+    backend_endpoint_t endpoint = (backend_endpoint_t)_i;
+    stream_t whole;
+    stream_t head;
+    stream_t tail;
+
+    open_world();
+    open_stream(&whole, "r-1", endpoint, NULL);
+    run_until_over();
+    open_stream(&head, "r-2", endpoint, NULL);
+    run_until_tokens(CUT);
+    engine->ops->cancel(engine, STREAM, true);
+    reattach(&tail, "r-2", endpoint, head.count);
+    run_until_over();
+    ck_assert_uint_eq(tail.first, head.count);
+    check_joined(&whole, &head, &tail);
+    close_world();
+}
+END_TEST
+
+START_TEST(resumed_after_a_kill)
+{
+    backend_endpoint_t endpoint = (backend_endpoint_t)_i;
+    stream_t whole;
+    stream_t head;
+    stream_t tail;
+
+    open_world();
+    open_stream(&whole, "r-1", endpoint, NULL);
+    run_until_over();
+    ck_assert_uint_gt(whole.prompt_count, 0);
+    open_stream(&head, "r-2", endpoint, NULL);
+    run_until_tokens(CUT);
+    child_kill(&process);
+    run_until_over();
+    ck_assert_int_eq(head.loss, BACKEND_RESET);
+    process = child_start((char *[]){STANDIN_ENGINE, "-m", "m", NULL});
+    (void)snprintf(address, sizeof(address), "127.0.0.1:%d", process.port);
+    open_stream(&tail, "r-3", endpoint, &head);
+    run_until_over();
+    ck_assert_uint_eq(tail.first, 0);
+    check_joined(&whole, &head, &tail);
+    close_world();
+}
+END_TEST
+
+START_TEST(unknown_stream)
+{
+    stream_t stream;
+
+    open_world();
+    reattach(&stream, "r-9", BACKEND_COMPLETIONS, 0);
+    run_until_over();
+    ck_assert_int_eq(stream.loss, BACKEND_GONE);
+    close_world();
+}
+END_TEST
+
+/* After an order to cancel the engine runs nothing. */
+START_TEST(cancelled)
+{
+    stream_t stream;
+
+    open_world();
+    open_stream(&stream, "r-1", (backend_endpoint_t)_i, NULL);
+    run_until_tokens(1);
+    engine->ops->cancel(engine, STREAM, false);
+    running = 1;
+    while (running > 0) {
+        reported = false;
+        engine->ops->poll_load(engine, "r1", address);
+        while (!reported) {
+            loop_turn(&loop);
+        }
+    }
+    ck_assert_uint_lt(stream.count, TOKENS);
+    ck_assert(!stream.ended);
+    close_world();
+}
+END_TEST
+
+int
+main(void)
+{
+    Suite *suite = suite_create("engine");
+    TCase *tcase = tcase_create("engine");
+    SRunner *runner;
+    int failed;
+
+    tcase_set_timeout(tcase, 60);
+    tcase_add_loop_test(tcase, reattached, 0, BACKEND_CHAT + 1);
+    tcase_add_loop_test(tcase, resumed_after_a_kill, 0, BACKEND_CHAT + 1);
+    tcase_add_test(tcase, unknown_stream);
+    tcase_add_loop_test(tcase, cancelled, 0, BACKEND_CHAT + 1);
+    suite_add_tcase(suite, tcase);
+    runner = srunner_create(suite);
+    srunner_run_all(runner, CK_ENV);
+    failed = srunner_ntests_failed(runner);
+    srunner_free(runner);
+    return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
--- a/regress/test_etcd.c
+++ b/regress/test_etcd.c
@@ -7,6 +7,7 @@
 #include "platform/platform.h"
 #include "regress/canned.h"
 #include "regress/turn.h"
+#include "regress/turn.h"
 
 enum { LIMIT_MS = 20000, TIMEOUT_MS = 300, SEEN_BYTES = 4096 };
 
--- a/regress/test_http.c
+++ b/regress/test_http.c
@@ -10,6 +10,7 @@
 #include "http/http.h"
 #include "regress/canned.h"
 #include "regress/turn.h"
+#include "regress/turn.h"
 
 enum { LIMIT_MS = 20000, TEXT_BYTES = 4096 };
 
--- a/regress/test_platform.c
+++ b/regress/test_platform.c
@@ -1,14 +1,13 @@
 /* test_platform.c - one script of calls, the same on every platform. */
 #include <check.h>
-#include <signal.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/wait.h>
-#include <unistd.h>
 
 #include "platform/platform.h"
+#include "regress/child.h"
+#include "regress/turn.h"
 #include "regress/turn.h"
 
 enum {
@@ -16,7 +15,6 @@
     LIMIT_MS = 30000,
     CALL_TIMEOUT_MS = 5000,
     CHANGES_MANY = 6000,
-    DECIMAL = 10,
 };
 
 typedef enum { KIND_MEMORY, KIND_ETCD, KIND_COUNT } kind_t;
@@ -25,7 +23,7 @@
 static uv_timer_t limit;
 static http_client_t *client;
 static platform_t *platform;
-static pid_t store;
+static child_t store;
 static char seen[SEEN_BYTES]; /* what the callbacks gave, in order */
 static char watched[SEEN_BYTES];
 static bool answered;
@@ -38,33 +36,10 @@
     ck_abort_msg("no answer; so far: %s / %s", seen, watched);
 }
 
-/* Starts the stand-in store and returns the port that it prints. */
-static int
-start_store(void)
-{
-    char line[64] = "";
-    int ends[2];
-    FILE *out;
-
-    ck_assert_int_eq(pipe(ends), 0);
-    store = fork();
-    if (store == 0) {
-        (void)dup2(ends[1], STDOUT_FILENO);
-        (void)close(ends[0]);
-        (void)execl(STANDIN_STORE, "standin_store", (char *)NULL);
-        _exit(EXIT_FAILURE);
-    }
-    (void)close(ends[1]);
-    out = fdopen(ends[0], "r");
-    ck_assert_ptr_nonnull(fgets(line, sizeof(line), out));
-    (void)fclose(out);
-    ck_assert_int_eq(strncmp(line, "ready ", strlen("ready ")), 0);
-    return (int)strtol(line + strlen("ready "), NULL, DECIMAL);
-}
-
 static void
 open_world(kind_t kind)
 {
+    char *store_argv[] = {STANDIN_STORE, NULL};
     char address[64];
     const char *addresses[] = {address};
 
@@ -74,8 +49,8 @@
         platform = platform_memory_new(&loop);
     }
     else {
-        (void)snprintf(address, sizeof(address), "127.0.0.1:%d",
-                       start_store());
+        store = child_start(store_argv);
+        (void)snprintf(address, sizeof(address), "127.0.0.1:%d", store.port);
         platform = platform_etcd_new(client, addresses, 1, CALL_TIMEOUT_MS);
     }
     (void)uv_timer_init(&loop, &limit);
@@ -90,10 +65,7 @@
     uv_close((uv_handle_t *)&limit, NULL);
     (void)uv_run(&loop, UV_RUN_DEFAULT);
     ck_assert_int_eq(uv_loop_close(&loop), 0);
-    if (store > 0) {
-        (void)kill(store, SIGKILL);
-        (void)waitpid(store, NULL, 0);
-    }
+    child_kill(&store);
 }
 
 static void __attribute__((format(printf, 2, 3)))
