Connections break when their host acknowledges nothing for 6 s

Cause: a host that vanished without a reset left a watch, or a service call that has no timeout, waiting for about a minute or for ever. Change: TCP_USER_TIMEOUT on each connection, keepalive probes after 3 s. Conclusion: the options are seen set (34 of 34 checks under ASan and UBSan; the mutant is killed). A vanished host itself was not tried: loopback cannot lose one.

--- a/http/client.c
+++ b/http/client.c
@@ -1,8 +1,11 @@
 /* client.c - libcurl's multi interface on a libuv loop; see http.h. */
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <stdbool.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/queue.h>
+#include <sys/socket.h>
 #include <time.h>
 
 #include <curl/curl.h>
@@ -13,8 +16,9 @@
 enum {
     HTTP_BUFFER_BYTES = 4096,
     HTTP_IDLE_CONNECTIONS = 128,
-    HTTP_KEEPALIVE_IDLE_S = 10,
-    HTTP_KEEPALIVE_INTERVAL_S = 5,
+    HTTP_KEEPALIVE_IDLE_S = 3,
+    HTTP_KEEPALIVE_INTERVAL_S = 1,
+    HTTP_UNACKNOWLEDGED_MS = 6000,
     HTTP_STATUS_FINAL = 200,
     MS_PER_S = 1000,
     NS_PER_MS = 1000000,
@@ -56,6 +60,8 @@
 static void on_poll(uv_poll_t *poll, int status, int events);
 static void on_poll_closed(uv_handle_t *handle);
 static void on_client_closed(uv_handle_t *handle);
+static int on_new_socket(void *context, curl_socket_t fd,
+                         curlsocktype purpose);
 static int on_connected(void *context, char *remote, char *local,
                         int remote_port, int local_port);
 static int64_t now_ms(void);
@@ -174,6 +180,7 @@
     curl_easy_setopt(easy, CURLOPT_TCP_KEEPIDLE, (long)HTTP_KEEPALIVE_IDLE_S);
     curl_easy_setopt(easy, CURLOPT_TCP_KEEPINTVL,
                      (long)HTTP_KEEPALIVE_INTERVAL_S);
+    curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, on_new_socket);
     curl_easy_setopt(easy, CURLOPT_BUFFERSIZE, (long)HTTP_BUFFER_BYTES);
     curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
                      (long)request->connect_timeout_ms);
@@ -305,6 +312,20 @@
     act(timer->data, CURL_SOCKET_TIMEOUT, 0);
 }
 
+/*
+ * A host that vanished acknowledges neither data nor keepalive probes.  The
+ * connection then breaks, also where the call itself has no timeout.
+ */
+static int
+on_new_socket(void *context, curl_socket_t fd, curlsocktype purpose)
+{
+    unsigned limit_ms = HTTP_UNACKNOWLEDGED_MS;
+
+    (void)setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &limit_ms,
+                     sizeof(limit_ms));
+    return CURL_SOCKOPT_OK;
+}
+
 /*
  * The last moment before the request is sent.  libcurl starts its own clock
  * only when it first looks at the call; this process may have been paused
--- a/http/http.h
+++ b/http/http.h
@@ -22,7 +22,8 @@
 typedef enum {
     HTTP_DONE,     /* a whole response came, of any status */
     HTTP_NOT_SENT, /* no connection was made: nothing left this host */
-    HTTP_BROKEN,   /* the connection broke after the request was begun */
+    HTTP_BROKEN,   /* the connection broke after the request was begun; so
+                      does one whose host acknowledges nothing for 6 s */
     HTTP_TIMEOUT,  /* timeout_ms passed; whether it was run is unknown */
 } http_result_t;
 
--- a/regress/test_http.c
+++ b/regress/test_http.c
@@ -1,6 +1,7 @@
 /* test_http.c - the HTTP client against canned bytes. */
 #include <arpa/inet.h>
 #include <check.h>
+#include <netinet/tcp.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -12,7 +13,7 @@
 #include "regress/turn.h"
 #include "regress/turn.h"
 
-enum { LIMIT_MS = 20000, TEXT_BYTES = 4096 };
+enum { LIMIT_MS = 20000, TEXT_BYTES = 4096, FDS_MAX = 256 };
 
 /* What a call should do in one of its own callbacks. */
 typedef enum {
@@ -348,6 +349,47 @@
 }
 END_TEST
 
+/* The limits on a silent host cannot be seen on loopback, but their setting.
+ */
+START_TEST(socket_options)
+{
+    const canned_reply_t silent = {"", 0, CANNED_KEEP};
+    call_t call = {0};
+    int found = 0;
+    int fd;
+
+    open_world(&silent, 1);
+    start_plain(&call);
+    while (canned_requests(server) == 0) {
+        loop_turn(&loop);
+    }
+    for (fd = 0; fd < FDS_MAX; fd++) {
+        struct sockaddr_in peer = {0};
+        socklen_t length = sizeof(peer);
+        unsigned limit_ms = 0;
+        int keeps_alive = 0;
+
+        if (getpeername(fd, (struct sockaddr *)&peer, &length) < 0 ||
+            ntohs(peer.sin_port) != canned_port(server)) {
+            continue;
+        }
+        length = sizeof(limit_ms);
+        ck_assert_int_eq(
+            getsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &limit_ms, &length),
+            0);
+        ck_assert_uint_eq(limit_ms, 6000);
+        length = sizeof(keeps_alive);
+        ck_assert_int_eq(
+            getsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &keeps_alive, &length),
+            0);
+        ck_assert_int_eq(keeps_alive, 1);
+        found++;
+    }
+    ck_assert_int_eq(found, 1);
+    close_world();
+}
+END_TEST
+
 START_TEST(proxy_of_the_environment_is_unused)
 {
     call_t call = {0};
@@ -521,6 +563,7 @@
     tcase_add_test(tcase, refused_connection);
     tcase_add_test(tcase, connection_that_takes_too_long);
     tcase_add_test(tcase, pause_before_sending);
+    tcase_add_test(tcase, socket_options);
     tcase_add_test(tcase, proxy_of_the_environment_is_unused);
     tcase_add_test(tcase, request_as_written);
     tcase_add_loop_test(tcase, reuse, 0,
