Test the store's lost answer and outage through the etcd client

Cause: the store's own faults were only canned. Change: with the stand-in store's switches, a lost answer is LOST and the same write again shows its mark; a watch cut by an outage and taken up again misses and repeats nothing.

--- a/http/http.h
+++ b/http/http.h
@@ -66,7 +66,10 @@
 
 http_client_t *http_client_new(uv_loop_t *loop);
 
-/* Ends every call without callbacks; the loop must run once more. */
+/*
+ * Ends every call without callbacks; the loop must run once more.  Not from
+ * inside a callback of a call.
+ */
 void http_client_free(http_client_t *client);
 
 /* Starts a call; sink stays the caller's and outlives the call. */
--- a/regress/test_platform.c
+++ b/regress/test_platform.c
@@ -398,6 +398,80 @@
 }
 END_TEST
 
+static void
+on_fault_head(http_sink_t *sink, uint32_t status, const char *content_type,
+              uint32_t retry_after_ms)
+{
+    ck_assert_uint_eq(status, 200);
+}
+
+static void
+on_fault_body(http_sink_t *sink, const char *bytes, size_t length)
+{
+}
+
+static void
+on_fault_done(http_sink_t *sink, http_result_t result)
+{
+    ck_assert_int_eq(result, HTTP_DONE);
+    answered = true;
+}
+
+/* Tells the stand-in store what to do wrong. */
+static void
+set_fault(const char *fault)
+{
+    static const http_sink_ops_t ops = {on_fault_head, on_fault_body,
+                                        on_fault_done};
+    http_sink_t sink = {&ops};
+    char url[64];
+    http_request_t request = {.method = "POST",
+                              .url = url,
+                              .body = fault,
+                              .body_bytes = strlen(fault),
+                              .fresh_connection = true};
+
+    (void)snprintf(url, sizeof(url), "http://127.0.0.1:%d/fault", store.port);
+    (void)http_start(client, &request, &sink);
+    wait_for_answer();
+}
+
+/* The write took effect; making it again with its mark shows that. */
+START_TEST(lost_answer)
+{
+    open_world(KIND_ETCD);
+    set_fault("{\"lose_answers\":1}");
+    swap("a", 0, put("a", "mark", 0));
+    swap("a", 0, put("a", "mark", 0));
+    ck_assert_str_eq(seen, "swap 2;swap 0 held a=mark@2;");
+    close_world();
+}
+END_TEST
+
+/* A watch taken up again where it was cut misses and repeats nothing. */
+START_TEST(outage)
+{
+    open_world(KIND_ETCD);
+    watch("", 0);
+    swap("a", 0, put("a", "1", 0));
+    wait_watched("watch 0; a=1@2");
+    set_fault("{\"down_ms\":200}");
+    wait_watched("watch 0; a=1@2watch 2;");
+    swap("b", 0, put("b", "lost", 0));
+    ck_assert_str_eq(seen, "swap 0 won;swap 2;");
+    do {
+        seen[0] = '\0';
+        range("", true);
+    } while (strncmp(seen, "range 0", strlen("range 0")) != 0);
+    ck_assert_str_eq(seen, "range 0@2 a=1@2;");
+    swap("c", 0, put("c", "2", 0));
+    watched[0] = '\0';
+    watch("", 3);
+    wait_watched("watch 0; c=2@3");
+    close_world();
+}
+END_TEST
+
 /* Nothing is called after the platform is freed, also from a callback. */
 static void
 on_range_free(void *context, platform_result_t result, int64_t revision,
@@ -440,6 +514,8 @@
     tcase_add_loop_test(tcase, watches, 0, KIND_COUNT);
     tcase_add_loop_test(tcase, watch_from_now, 0, KIND_COUNT);
     tcase_add_test(tcase, watch_of_what_is_no_longer_kept);
+    tcase_add_test(tcase, lost_answer);
+    tcase_add_test(tcase, outage);
     tcase_add_loop_test(tcase, freed_in_a_callback, 0, KIND_COUNT);
     suite_add_tcase(suite, tcase);
     runner = srunner_create(suite);
