--- a/regress/test_backend.c
+++ b/regress/test_backend.c
@@ -1,16 +1,15 @@
 /* test_backend.c - engines and plain services against canned bytes. */
-#include <check.h>
 #include <stdarg.h>
 #include <stdio.h>
-#include <stdlib.h>
 #include <string.h>
 
 #include "backend/backend.h"
+#include "regress/fixture.h"
 #include "regress/canned.h"
 #include "regress/turn.h"
 #include "regress/turn.h"
 
-enum { LIMIT_MS = 20000, SEEN_BYTES = 4096, STREAM = 7, OTHER = 8 };
+enum { SEEN_BYTES = 4096, STREAM = 7, OTHER = 8 };
 
 #define HEAD(status, type)                                                    \
     "HTTP/1.1 " status " x\r\nContent-Type: " type "\r\n"
@@ -22,9 +21,7 @@
 typedef enum { CALL_OPEN, CALL_REATTACH, CALL_SERVICE, CALL_LOAD } call_t;
 typedef enum { DO_NOTHING, CANCEL_IN_PIECE, OPEN_IN_LOSS } deed_t;
 
-static uv_loop_t loop;
-static uv_timer_t limit;
-static http_client_t *client;
+static fixture_t fixture;
 static canned_t *server;
 static backend_t *backend;
 static char address[64];
@@ -34,12 +31,6 @@
 
 static void make_call(call_t call, uint64_t stream);
 
-static void
-on_limit(uv_timer_t *timer)
-{
-    ck_abort_msg("no end; so far: %s", seen);
-}
-
 static void __attribute__((format(printf, 1, 2))) note(const char *format, ...)
 {
     size_t used = strlen(seen);
@@ -133,34 +124,20 @@
 static void
 open_world(call_t call, const canned_reply_t *replies, size_t count)
 {
-    (void)uv_loop_init(&loop);
-    client = http_client_new(&loop);
-    server = canned_new(&loop, replies, count);
+    fixture_open(&fixture);
+    server = canned_new(&fixture.loop, replies, count);
     (void)snprintf(address, sizeof(address), "127.0.0.1:%d",
                    canned_port(server));
-    backend = call == CALL_SERVICE ? service_new(client, &listener)
-                                   : engine_new(client, &listener);
-    (void)uv_timer_init(&loop, &limit);
-    (void)uv_timer_start(&limit, on_limit, LIMIT_MS, 0);
+    backend = call == CALL_SERVICE ? service_new(fixture.client, &listener)
+                                   : engine_new(fixture.client, &listener);
 }
 
 static void
 close_world(void)
 {
     backend->ops->free(backend);
-    http_client_free(client);
     canned_free(server);
-    uv_close((uv_handle_t *)&limit, NULL);
-    (void)uv_run(&loop, UV_RUN_DEFAULT);
-    ck_assert_int_eq(uv_loop_close(&loop), 0);
-}
-
-static void
-run_until_over(void)
-{
-    while (!over) {
-        loop_turn(&loop);
-    }
+    fixture_close(&fixture);
 }
 
 typedef struct {
@@ -237,7 +214,7 @@
         over = false;
         open_world(c->call, &reply, 1);
         make_call(c->call, STREAM);
-        run_until_over();
+        fixture_wait(&fixture, &over);
         ck_assert_str_eq(seen, c->seen);
         ck_assert_uint_eq(canned_requests(server), 1);
         close_world();
@@ -252,7 +229,7 @@
 {
     open_world(CALL_OPEN, &pieces, 1);
     make_call(CALL_OPEN, STREAM);
-    run_until_over();
+    fixture_wait(&fixture, &over);
     ck_assert_ptr_eq(
         strstr(canned_last(server), "POST /v1/completions HTTP/1.1\r\n"),
         canned_last(server));
@@ -260,7 +237,7 @@
         strstr(canned_last(server), "X-Request-Id: o~2fk.1.2\r\n"));
     over = false;
     make_call(CALL_REATTACH, STREAM);
-    run_until_over();
+    fixture_wait(&fixture, &over);
     ck_assert_ptr_nonnull(strstr(
         canned_last(server),
         "GET "
@@ -269,7 +246,7 @@
     over = false;
     open_world(CALL_SERVICE, &pieces, 1);
     make_call(CALL_SERVICE, STREAM);
-    run_until_over();
+    fixture_wait(&fixture, &over);
     ck_assert_ptr_nonnull(
         strstr(canned_last(server), "PUT /slots/7?a=b HTTP/1.1\r\n"));
     ck_assert_ptr_nonnull(
@@ -282,11 +259,11 @@
 {
     open_world((call_t)_i, &pieces, 1);
     canned_free(server);
-    (void)uv_run(&loop, UV_RUN_NOWAIT);
+    (void)uv_run(&fixture.loop, UV_RUN_NOWAIT);
     make_call((call_t)_i, STREAM);
-    run_until_over();
+    fixture_wait(&fixture, &over);
     ck_assert_str_eq(seen, _i == CALL_LOAD ? "load r1 0 0 0;" : "loss 1 0 0;");
-    server = canned_new(&loop, &pieces, 1);
+    server = canned_new(&fixture.loop, &pieces, 1);
     close_world();
 }
 END_TEST
@@ -300,11 +277,11 @@
 
     open_world((call_t)_i, replies, 2);
     make_call(CALL_LOAD, STREAM);
-    run_until_over();
+    fixture_wait(&fixture, &over);
     over = false;
     seen[0] = '\0';
     make_call((call_t)_i, STREAM);
-    run_until_over();
+    fixture_wait(&fixture, &over);
     ck_assert_str_eq(seen, "loss 2 0 0;");
     ck_assert_uint_eq(canned_requests(server), 2);
     close_world();
@@ -318,7 +295,7 @@
     open_world(CALL_OPEN, &pieces, 1);
     make_call(CALL_OPEN, STREAM);
     while (canned_requests(server) < 2) {
-        loop_turn(&loop);
+        loop_turn(&fixture.loop);
     }
     ck_assert_ptr_nonnull(strstr(
         canned_last(server), "POST /v1/completions/cmpl-o~2fk.1.2/cancel "));
@@ -335,7 +312,7 @@
     deed = OPEN_IN_LOSS;
     open_world(CALL_OPEN, replies, 2);
     make_call(CALL_OPEN, STREAM);
-    run_until_over();
+    fixture_wait(&fixture, &over);
     ck_assert_str_eq(seen, "loss 3 503 0;8@0+1 a;8@1+1 b;end;");
     close_world();
 }
@@ -344,12 +321,8 @@
 int
 main(void)
 {
-    Suite *suite = suite_create("backend");
     TCase *tcase = tcase_create("backend");
-    SRunner *runner;
-    int failed;
 
-    tcase_set_timeout(tcase, 60);
     tcase_add_loop_test(tcase, reports, 0, sizeof(cases) / sizeof(cases[0]));
     tcase_add_test(tcase, requests_as_written);
     tcase_add_loop_test(tcase, refused_connection, 0, CALL_LOAD + 1);
@@ -357,10 +330,5 @@
                         CALL_SERVICE + 1);
     tcase_add_test(tcase, cancelled_in_a_piece);
     tcase_add_test(tcase, opened_in_a_loss);
-    suite_add_tcase(suite, tcase);
-    runner = srunner_create(suite);
-    srunner_run_all(runner, CK_ENV);
-    failed = srunner_ntests_failed(runner);
-    srunner_free(runner);
-    return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+    return fixture_main("backend", tcase);
 }
--- a/regress/test_engine.c
+++ b/regress/test_engine.c
@@ -1,14 +1,13 @@
 /* test_engine.c - the engine client against a stand-in engine process. */
-#include <check.h>
 #include <stdio.h>
-#include <stdlib.h>
 #include <string.h>
 
 #include "backend/backend.h"
+#include "regress/fixture.h"
 #include "regress/child.h"
 #include "regress/turn.h"
 
-enum { LIMIT_MS = 30000, TOKENS = 60, CUT = 23, PROMPT_MAX = 256, STREAM = 1 };
+enum { TOKENS = 60, CUT = 23, PROMPT_MAX = 256, STREAM = 1 };
 
 /* What one stream gave. */
 typedef struct {
@@ -23,9 +22,7 @@
     backend_loss_t loss;
 } stream_t;
 
-static uv_loop_t loop;
-static uv_timer_t limit;
-static http_client_t *client;
+static fixture_t fixture;
 static backend_t *engine;
 static child_t process;
 static char address[64];
@@ -33,12 +30,6 @@
 static uint32_t running;
 static bool reported;
 
-static void
-on_limit(uv_timer_t *timer)
-{
-    ck_abort_msg("no end; %u tokens so far", now != NULL ? now->count : 0);
-}
-
 static void
 on_piece(backend_listener_t *listener, const backend_piece_t *piece)
 {
@@ -93,23 +84,17 @@
 {
     char *argv[] = {STANDIN_ENGINE, "-t", "2000", "-m", "m", NULL};
 
-    (void)uv_loop_init(&loop);
-    client = http_client_new(&loop);
-    engine = engine_new(client, &listener);
+    fixture_open(&fixture);
+    engine = engine_new(fixture.client, &listener);
     process = child_start(argv);
     (void)snprintf(address, sizeof(address), "127.0.0.1:%d", process.port);
-    (void)uv_timer_init(&loop, &limit);
-    (void)uv_timer_start(&limit, on_limit, LIMIT_MS, 0);
 }
 
 static void
 close_world(void)
 {
     engine->ops->free(engine);
-    http_client_free(client);
-    uv_close((uv_handle_t *)&limit, NULL);
-    (void)uv_run(&loop, UV_RUN_DEFAULT);
-    ck_assert_int_eq(uv_loop_close(&loop), 0);
+    fixture_close(&fixture);
     child_kill(&process);
 }
 
@@ -166,7 +151,7 @@
 run_until_tokens(uint32_t count)
 {
     while (now->count < count && now->loss == 0) {
-        loop_turn(&loop);
+        loop_turn(&fixture.loop);
     }
 }
 
@@ -174,7 +159,7 @@
 run_until_over(void)
 {
     while (!now->ended && now->loss == 0) {
-        loop_turn(&loop);
+        loop_turn(&fixture.loop);
     }
 }
 
@@ -269,9 +254,7 @@
     while (running > 0) {
         reported = false;
         engine->ops->poll_load(engine, "r1", address);
-        while (!reported) {
-            loop_turn(&loop);
-        }
+        fixture_wait(&fixture, &reported);
     }
     ck_assert_uint_lt(stream.count, TOKENS);
     ck_assert(!stream.ended);
@@ -282,20 +265,11 @@
 int
 main(void)
 {
-    Suite *suite = suite_create("engine");
     TCase *tcase = tcase_create("engine");
-    SRunner *runner;
-    int failed;
 
-    tcase_set_timeout(tcase, 60);
     tcase_add_loop_test(tcase, reattached, 0, BACKEND_CHAT + 1);
     tcase_add_loop_test(tcase, resumed_after_a_kill, 0, BACKEND_CHAT + 1);
     tcase_add_test(tcase, unknown_stream);
     tcase_add_loop_test(tcase, cancelled, 0, BACKEND_CHAT + 1);
-    suite_add_tcase(suite, tcase);
-    runner = srunner_create(suite);
-    srunner_run_all(runner, CK_ENV);
-    failed = srunner_ntests_failed(runner);
-    srunner_free(runner);
-    return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+    return fixture_main("engine", tcase);
 }
--- a/regress/test_engine_request.c
+++ b/regress/test_engine_request.c
@@ -1,11 +1,10 @@
 /* test_engine_request.c - a caller's body as an engine is sent it. */
-#include <check.h>
-#include <stdlib.h>
 #include <string.h>
 
 #include <jansson.h>
 
 #include "backend/request.h"
+#include "regress/fixture.h"
 
 static const uint32_t ids[] = {0, 7, 4294967295};
 
@@ -127,16 +126,8 @@
 int
 main(void)
 {
-    Suite *suite = suite_create("engine_request");
     TCase *tcase = tcase_create("engine_request");
-    SRunner *runner;
-    int failed;
 
     tcase_add_loop_test(tcase, bodies, 0, sizeof(cases) / sizeof(cases[0]));
-    suite_add_tcase(suite, tcase);
-    runner = srunner_create(suite);
-    srunner_run_all(runner, CK_ENV);
-    failed = srunner_ntests_failed(runner);
-    srunner_free(runner);
-    return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+    return fixture_main("engine_request", tcase);
 }
--- a/regress/test_etcd.c
+++ b/regress/test_etcd.c
@@ -1,15 +1,12 @@
 /* test_etcd.c - what becomes of calls that fail, against canned bytes. */
-#include <check.h>
 #include <stdio.h>
-#include <stdlib.h>
 #include <string.h>
 
 #include "platform/platform.h"
+#include "regress/fixture.h"
 #include "regress/canned.h"
-#include "regress/turn.h"
-#include "regress/turn.h"
 
-enum { LIMIT_MS = 20000, TIMEOUT_MS = 300, SEEN_BYTES = 4096 };
+enum { TIMEOUT_MS = 300, SEEN_BYTES = 4096 };
 
 #define ANSWER(status, json)                                                  \
     "HTTP/1.1 " status " x\r\nConnection: close\r\n\r\n" json
@@ -34,19 +31,11 @@
 
 typedef enum { CALL_RANGE, CALL_SWAP, CALL_GRANT, CALL_WATCH } call_t;
 
-static uv_loop_t loop;
-static uv_timer_t limit;
-static http_client_t *client;
+static fixture_t fixture;
 static platform_t *platform;
 static char seen[SEEN_BYTES];
 static bool over;
 
-static void
-on_limit(uv_timer_t *timer)
-{
-    ck_abort_msg("no answer; so far: %s", seen);
-}
-
 static void
 note(const char *what, platform_result_t result, int64_t number, size_t count)
 {
@@ -109,9 +98,7 @@
         platform->ops->watch(platform, "a", 0, on_watch, NULL);
         break;
     }
-    while (!over) {
-        loop_turn(&loop);
-    }
+    fixture_wait(&fixture, &over);
 }
 
 typedef struct {
@@ -237,20 +224,14 @@
 static void
 open_world(void)
 {
-    (void)uv_loop_init(&loop);
-    client = http_client_new(&loop);
-    (void)uv_timer_init(&loop, &limit);
-    (void)uv_timer_start(&limit, on_limit, LIMIT_MS, 0);
+    fixture_open(&fixture);
 }
 
 static void
 close_world(void)
 {
     platform->ops->free(platform);
-    http_client_free(client);
-    uv_close((uv_handle_t *)&limit, NULL);
-    (void)uv_run(&loop, UV_RUN_DEFAULT);
-    ck_assert_int_eq(uv_loop_close(&loop), 0);
+    fixture_close(&fixture);
 }
 
 static const char *
@@ -279,13 +260,13 @@
     const char *addresses[] = {texts[0], texts[1]};
 
     open_world();
-    first = canned_new(&loop, &fault->first, 1);
-    second = canned_new(&loop, &good, 1);
+    first = canned_new(&fixture.loop, &fault->first, 1);
+    second = canned_new(&fixture.loop, &good, 1);
     (void)snprintf(texts[0], sizeof(texts[0]), "127.0.0.1:%d",
                    canned_port(first));
     (void)snprintf(texts[1], sizeof(texts[1]), "127.0.0.1:%d",
                    canned_port(second));
-    platform = platform_etcd_new(client, addresses, 2, TIMEOUT_MS);
+    platform = platform_etcd_new(fixture.client, addresses, 2, TIMEOUT_MS);
     make_call(fault->call);
     ck_assert_msg(strcmp(seen, fault->seen) == 0, "%s: %s", fault->name, seen);
     ck_assert_uint_eq(canned_requests(first), 1);
@@ -306,20 +287,20 @@
     const char *addresses[] = {texts[0], texts[1]};
 
     open_world();
-    first = canned_new(&loop, &good, 1);
-    second = canned_new(&loop, &good, 1);
+    first = canned_new(&fixture.loop, &good, 1);
+    second = canned_new(&fixture.loop, &good, 1);
     (void)snprintf(texts[0], sizeof(texts[0]), "127.0.0.1:%d",
                    canned_port(first));
     (void)snprintf(texts[1], sizeof(texts[1]), "127.0.0.1:%d",
                    canned_port(second));
     canned_free(first);
-    (void)uv_run(&loop, UV_RUN_NOWAIT);
-    platform = platform_etcd_new(client, addresses, 2, TIMEOUT_MS);
+    (void)uv_run(&fixture.loop, UV_RUN_NOWAIT);
+    platform = platform_etcd_new(fixture.client, addresses, 2, TIMEOUT_MS);
     make_call((call_t)_i);
     make_call((call_t)_i);
     ck_assert_uint_eq(canned_requests(second), 2);
     canned_free(second);
-    (void)uv_run(&loop, UV_RUN_NOWAIT);
+    (void)uv_run(&fixture.loop, UV_RUN_NOWAIT);
     seen[0] = '\0';
     make_call((call_t)_i);
     ck_assert_ptr_nonnull(strstr(seen, " 1 0 0;"));
@@ -338,9 +319,9 @@
     const char *addresses[] = {text};
 
     open_world();
-    server = canned_new(&loop, replies, 2);
+    server = canned_new(&fixture.loop, replies, 2);
     (void)snprintf(text, sizeof(text), "127.0.0.1:%d", canned_port(server));
-    platform = platform_etcd_new(client, addresses, 1, TIMEOUT_MS);
+    platform = platform_etcd_new(fixture.client, addresses, 1, TIMEOUT_MS);
     make_call(CALL_RANGE);
     make_call((call_t)_i);
     ck_assert_ptr_nonnull(strstr(seen, " 2 0 0;"));
@@ -353,21 +334,12 @@
 int
 main(void)
 {
-    Suite *suite = suite_create("etcd");
     TCase *tcase = tcase_create("etcd");
-    SRunner *runner;
-    int failed;
 
-    tcase_set_timeout(tcase, 60);
     tcase_add_loop_test(tcase, failed_calls, 0,
                         sizeof(faults) / sizeof(faults[0]));
     tcase_add_loop_test(tcase, refused_address, 0, CALL_WATCH + 1);
     tcase_add_loop_test(tcase, kept_connection_is_not_used, CALL_SWAP,
                         CALL_WATCH + 1);
-    suite_add_tcase(suite, tcase);
-    runner = srunner_create(suite);
-    srunner_run_all(runner, CK_ENV);
-    failed = srunner_ntests_failed(runner);
-    srunner_free(runner);
-    return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+    return fixture_main("etcd", tcase);
 }
--- a/regress/test_etcd_json.c
+++ b/regress/test_etcd_json.c
@@ -1,13 +1,12 @@
 /* test_etcd_json.c - etcd's JSON as it is made and read. */
-#include <check.h>
 #include <stdio.h>
-#include <stdlib.h>
 #include <string.h>
 
 #include <jansson.h>
 
 #include "platform/base64.h"
 #include "platform/etcd_json.h"
+#include "regress/fixture.h"
 
 enum { TEXT_BYTES = 1024 };
 
@@ -281,19 +280,11 @@
 int
 main(void)
 {
-    Suite *suite = suite_create("etcd_json");
     TCase *tcase = tcase_create("etcd_json");
-    SRunner *runner;
-    int failed;
 
     tcase_add_test(tcase, made);
     tcase_add_loop_test(tcase, answers, 0,
                         sizeof(read_cases) / sizeof(read_cases[0]));
     tcase_add_test(tcase, base64_there_and_back);
-    suite_add_tcase(suite, tcase);
-    runner = srunner_create(suite);
-    srunner_run_all(runner, CK_ENV);
-    failed = srunner_ntests_failed(runner);
-    srunner_free(runner);
-    return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+    return fixture_main("etcd_json", tcase);
 }
--- a/regress/test_http.c
+++ b/regress/test_http.c
@@ -1,6 +1,5 @@
 /* test_http.c - the HTTP client against canned bytes. */
 #include <arpa/inet.h>
-#include <check.h>
 #include <netinet/tcp.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -9,11 +8,12 @@
 #include <unistd.h>
 
 #include "http/http.h"
+#include "regress/fixture.h"
 #include "regress/canned.h"
 #include "regress/turn.h"
 #include "regress/turn.h"
 
-enum { LIMIT_MS = 20000, TEXT_BYTES = 4096, FDS_MAX = 256 };
+enum { TEXT_BYTES = 4096, FDS_MAX = 256 };
 
 /* What a call should do in one of its own callbacks. */
 typedef enum {
@@ -37,41 +37,27 @@
     http_result_t result;
 } call_t;
 
-static uv_loop_t loop;
-static http_client_t *client;
+static fixture_t fixture;
 static canned_t *server;
 static char url[64];
-static uv_timer_t limit;
 
 static void start(call_t *call, const http_request_t *request);
 static void start_plain(call_t *call);
 
-static void
-on_limit(uv_timer_t *timer)
-{
-    ck_abort_msg("the calls did not end");
-}
-
 static void
 open_world(const canned_reply_t *replies, size_t count)
 {
-    (void)uv_loop_init(&loop);
-    client = http_client_new(&loop);
-    server = canned_new(&loop, replies, count);
+    fixture_open(&fixture);
+    server = canned_new(&fixture.loop, replies, count);
     (void)snprintf(url, sizeof(url), "http://127.0.0.1:%d/p",
                    canned_port(server));
-    (void)uv_timer_init(&loop, &limit);
-    (void)uv_timer_start(&limit, on_limit, LIMIT_MS, 0);
 }
 
 static void
 close_world(void)
 {
-    http_client_free(client);
     canned_free(server);
-    uv_close((uv_handle_t *)&limit, NULL);
-    (void)uv_run(&loop, UV_RUN_DEFAULT);
-    ck_assert_int_eq(uv_loop_close(&loop), 0);
+    fixture_close(&fixture);
 }
 
 static void
@@ -127,7 +113,7 @@
 start(call_t *call, const http_request_t *request)
 {
     call->sink.ops = &sink_ops;
-    call->http = http_start(client, request, &call->sink);
+    call->http = http_start(fixture.client, request, &call->sink);
 }
 
 static void
@@ -138,14 +124,6 @@
     start(call, &request);
 }
 
-static void
-run_until(const bool *done)
-{
-    while (!*done) {
-        loop_turn(&loop);
-    }
-}
-
 /* Enough turns that whatever was to come would have come. */
 static void
 run_on(void)
@@ -156,7 +134,7 @@
     };
 
     start(&later, &request);
-    run_until(&later.done);
+    fixture_wait(&fixture, &later.done);
 }
 
 typedef struct {
@@ -274,7 +252,7 @@
         open_world(&reply, 1);
         request.url = url;
         start(&call, &request);
-        run_until(&call.done);
+        fixture_wait(&fixture, &call.done);
         ck_assert_msg(call.result == c->result, "%s: split %zu: result %d",
                       c->name, splits[i], call.result);
         ck_assert_str_eq(call.text, c->text);
@@ -294,11 +272,11 @@
 
     open_world(&hello, 1);
     canned_free(server);
-    (void)uv_run(&loop, UV_RUN_NOWAIT);
+    (void)uv_run(&fixture.loop, UV_RUN_NOWAIT);
     start_plain(&call);
-    run_until(&call.done);
+    fixture_wait(&fixture, &call.done);
     ck_assert_int_eq(call.result, HTTP_NOT_SENT);
-    server = canned_new(&loop, &hello, 1);
+    server = canned_new(&fixture.loop, &hello, 1);
     close_world();
 }
 END_TEST
@@ -324,7 +302,7 @@
     (void)snprintf(url, sizeof(url), "http://127.0.0.1:%d/",
                    ntohs(at.sin_port));
     start(&call, &request);
-    run_until(&call.done);
+    fixture_wait(&fixture, &call.done);
     ck_assert_int_eq(call.result, HTTP_NOT_SENT);
     close_world();
     (void)close(queued);
@@ -342,7 +320,7 @@
     open_world(&hello, 1);
     start(&call, &request);
     (void)usleep(300 * 1000);
-    run_until(&call.done);
+    fixture_wait(&fixture, &call.done);
     ck_assert_int_eq(call.result, HTTP_NOT_SENT);
     ck_assert_uint_eq(canned_requests(server), 0);
     close_world();
@@ -361,7 +339,7 @@
     open_world(&silent, 1);
     start_plain(&call);
     while (canned_requests(server) == 0) {
-        loop_turn(&loop);
+        loop_turn(&fixture.loop);
     }
     for (fd = 0; fd < FDS_MAX; fd++) {
         struct sockaddr_in peer = {0};
@@ -397,7 +375,7 @@
     (void)setenv("http_proxy", "http://127.0.0.1:1", 1);
     open_world(&hello, 1);
     start_plain(&call);
-    run_until(&call.done);
+    fixture_wait(&fixture, &call.done);
     ck_assert_int_eq(call.result, HTTP_DONE);
     close_world();
 }
@@ -414,7 +392,7 @@
     open_world(&hello, 1);
     request.url = url;
     start(&call, &request);
-    run_until(&call.done);
+    fixture_wait(&fixture, &call.done);
     ck_assert_ptr_eq(strstr(canned_last(server), "POST /p HTTP/1.1\r\n"),
                      canned_last(server));
     ck_assert_ptr_nonnull(strstr(canned_last(server), "X-Request-Id: r1\r\n"));
@@ -460,11 +438,11 @@
 
     open_world(replies, 3);
     start_plain(&first);
-    run_until(&first.done);
+    fixture_wait(&fixture, &first.done);
     request.url = url;
     request.fresh_connection = c->fresh;
     start(&second, &request);
-    run_until(&second.done);
+    fixture_wait(&fixture, &second.done);
     ck_assert_int_eq(second.result, c->result);
     ck_assert_uint_eq(canned_connections(server), c->connections);
     ck_assert_uint_eq(canned_requests(server), c->requests);
@@ -503,15 +481,15 @@
     if (c->other_starts_first) {
         start_plain(&other);
         while (canned_requests(server) == 0) {
-            loop_turn(&loop);
+            loop_turn(&fixture.loop);
         }
     }
     start_plain(&call);
     if (c->done) {
-        run_until(&call.done);
+        fixture_wait(&fixture, &call.done);
     }
     if (c->other_done) {
-        run_until(&other.done);
+        fixture_wait(&fixture, &other.done);
     }
     run_on();
     ck_assert_int_eq(call.done, c->done);
@@ -542,7 +520,7 @@
     open_world(&silent, 1);
     start_plain(&call);
     while (canned_requests(server) == 0) {
-        loop_turn(&loop);
+        loop_turn(&fixture.loop);
     }
     close_world();
     ck_assert(!call.done);
@@ -552,12 +530,8 @@
 int
 main(void)
 {
-    Suite *suite = suite_create("http");
     TCase *tcase = tcase_create("http");
-    SRunner *runner;
-    int failed;
 
-    tcase_set_timeout(tcase, 60);
     tcase_add_loop_test(tcase, one_reply, 0,
                         sizeof(reply_cases) / sizeof(reply_cases[0]));
     tcase_add_test(tcase, refused_connection);
@@ -572,10 +546,5 @@
                         sizeof(deed_cases) / sizeof(deed_cases[0]));
     tcase_add_test(tcase, cancel_at_once);
     tcase_add_test(tcase, free_with_a_call_under_way);
-    suite_add_tcase(suite, tcase);
-    runner = srunner_create(suite);
-    srunner_run_all(runner, CK_ENV);
-    failed = srunner_ntests_failed(runner);
-    srunner_free(runner);
-    return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+    return fixture_main("http", tcase);
 }
--- a/regress/test_piece.c
+++ b/regress/test_piece.c
@@ -1,11 +1,10 @@
 /* test_piece.c - one event of an engine, and its report of load. */
-#include <check.h>
 #include <stdio.h>
-#include <stdlib.h>
 #include <string.h>
 
 #include "backend/load.h"
 #include "backend/piece.h"
+#include "regress/fixture.h"
 
 enum { TEXT_BYTES = 512 };
 
@@ -134,19 +133,11 @@
 int
 main(void)
 {
-    Suite *suite = suite_create("piece");
     TCase *tcase = tcase_create("piece");
-    SRunner *runner;
-    int failed;
 
     tcase_add_loop_test(tcase, pieces, 0,
                         sizeof(piece_cases) / sizeof(piece_cases[0]));
     tcase_add_loop_test(tcase, loads, 0,
                         sizeof(load_cases) / sizeof(load_cases[0]));
-    suite_add_tcase(suite, tcase);
-    runner = srunner_create(suite);
-    srunner_run_all(runner, CK_ENV);
-    failed = srunner_ntests_failed(runner);
-    srunner_free(runner);
-    return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+    return fixture_main("piece", tcase);
 }
--- a/regress/test_platform.c
+++ b/regress/test_platform.c
@@ -1,27 +1,23 @@
 /* test_platform.c - one script of calls, the same on every platform. */
-#include <check.h>
 #include <stdarg.h>
 #include <stdio.h>
-#include <stdlib.h>
 #include <string.h>
 
 #include "platform/platform.h"
+#include "regress/fixture.h"
 #include "regress/child.h"
 #include "regress/turn.h"
 #include "regress/turn.h"
 
 enum {
     SEEN_BYTES = 8192,
-    LIMIT_MS = 30000,
     CALL_TIMEOUT_MS = 5000,
     CHANGES_MANY = 6000,
 };
 
 typedef enum { KIND_MEMORY, KIND_ETCD, KIND_COUNT } kind_t;
 
-static uv_loop_t loop;
-static uv_timer_t limit;
-static http_client_t *client;
+static fixture_t fixture;
 static platform_t *platform;
 static child_t store;
 static char seen[SEEN_BYTES]; /* what the callbacks gave, in order */
@@ -30,12 +26,6 @@
 static int64_t last_lease;
 static int64_t last_revision;
 
-static void
-on_limit(uv_timer_t *timer)
-{
-    ck_abort_msg("no answer; so far: %s / %s", seen, watched);
-}
-
 static void
 open_world(kind_t kind)
 {
@@ -43,28 +33,23 @@
     char address[64];
     const char *addresses[] = {address};
 
-    (void)uv_loop_init(&loop);
-    client = http_client_new(&loop);
+    fixture_open(&fixture);
     if (kind == KIND_MEMORY) {
-        platform = platform_memory_new(&loop);
+        platform = platform_memory_new(&fixture.loop);
     }
     else {
         store = child_start(store_argv);
         (void)snprintf(address, sizeof(address), "127.0.0.1:%d", store.port);
-        platform = platform_etcd_new(client, addresses, 1, CALL_TIMEOUT_MS);
+        platform =
+            platform_etcd_new(fixture.client, addresses, 1, CALL_TIMEOUT_MS);
     }
-    (void)uv_timer_init(&loop, &limit);
-    (void)uv_timer_start(&limit, on_limit, LIMIT_MS, 0);
 }
 
 static void
 close_world(void)
 {
     platform->ops->free(platform);
-    http_client_free(client);
-    uv_close((uv_handle_t *)&limit, NULL);
-    (void)uv_run(&loop, UV_RUN_DEFAULT);
-    ck_assert_int_eq(uv_loop_close(&loop), 0);
+    fixture_close(&fixture);
     child_kill(&store);
 }
 
@@ -104,9 +89,7 @@
 wait_for_answer(void)
 {
     answered = false;
-    while (!answered) {
-        loop_turn(&loop);
-    }
+    fixture_wait(&fixture, &answered);
 }
 
 static void
@@ -212,7 +195,7 @@
 
     platform->ops->watch(platform, prefix, start_revision, on_watch, NULL);
     while (strlen(watched) == used) {
-        loop_turn(&loop);
+        loop_turn(&fixture.loop);
     }
 }
 
@@ -220,7 +203,7 @@
 wait_watched(const char *text)
 {
     while (strcmp(watched, text) != 0) {
-        loop_turn(&loop);
+        loop_turn(&fixture.loop);
     }
 }
 
@@ -432,7 +415,7 @@
                               .fresh_connection = true};
 
     (void)snprintf(url, sizeof(url), "http://127.0.0.1:%d/fault", store.port);
-    (void)http_start(client, &request, &sink);
+    (void)http_start(fixture.client, &request, &sink);
     wait_for_answer();
 }
 
@@ -491,7 +474,7 @@
     platform->ops->range(platform, "a", false, on_range, NULL);
     wait_for_answer();
     ck_assert_ptr_null(platform);
-    platform = platform_memory_new(&loop);
+    platform = platform_memory_new(&fixture.loop);
     close_world();
     ck_assert_str_eq(seen, "");
 }
@@ -500,12 +483,8 @@
 int
 main(void)
 {
-    Suite *suite = suite_create("platform");
     TCase *tcase = tcase_create("platform");
-    SRunner *runner;
-    int failed;
 
-    tcase_set_timeout(tcase, 60);
     tcase_add_loop_test(tcase, compare_and_swap, 0, KIND_COUNT);
     tcase_add_loop_test(tcase, many_swaps_in_one_call, 0, KIND_COUNT);
     tcase_add_loop_test(tcase, prefixes, 0, KIND_COUNT);
@@ -517,10 +496,5 @@
     tcase_add_test(tcase, lost_answer);
     tcase_add_test(tcase, outage);
     tcase_add_loop_test(tcase, freed_in_a_callback, 0, KIND_COUNT);
-    suite_add_tcase(suite, tcase);
-    runner = srunner_create(suite);
-    srunner_run_all(runner, CK_ENV);
-    failed = srunner_ntests_failed(runner);
-    srunner_free(runner);
-    return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+    return fixture_main("platform", tcase);
 }
--- a/regress/test_sse.c
+++ b/regress/test_sse.c
@@ -1,9 +1,9 @@
 /* test_sse.c - server-sent events, split at every place. */
-#include <check.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "backend/sse.h"
+#include "regress/fixture.h"
 
 enum { SEEN_BYTES = 1024 };
 
@@ -132,20 +132,12 @@
 int
 main(void)
 {
-    Suite *suite = suite_create("sse");
     TCase *tcase = tcase_create("sse");
-    SRunner *runner;
     int count = sizeof(cases) / sizeof(cases[0]);
-    int failed;
 
     tcase_add_loop_test(tcase, every_split, 0, count);
     tcase_add_loop_test(tcase, byte_by_byte, 0, count);
     tcase_add_test(tcase, stops_when_told);
     tcase_add_test(tcase, too_long);
-    suite_add_tcase(suite, tcase);
-    runner = srunner_create(suite);
-    srunner_run_all(runner, CK_ENV);
-    failed = srunner_ntests_failed(runner);
-    srunner_free(runner);
-    return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+    return fixture_main("sse", tcase);
 }
