--- a/regress/standin/load_report.c
+++ b/regress/standin/load_report.c
@@ -84,7 +84,9 @@
     }
     fclose(file);
     journals->start_count = count;
-    qsort(journals->starts, count, sizeof(start_t), by_tag);
+    if (count > 0) {
+        qsort(journals->starts, count, sizeof(start_t), by_tag);
+    }
 }
 
 static void
@@ -118,6 +120,9 @@
     start_t wanted;
     uint32_t count = 0;
 
+    if (journals->start_count == 0) {
+        return 0;
+    }
     strlcpy(wanted.tag, tag, sizeof(wanted.tag));
     at = bsearch(&wanted, journals->starts, journals->start_count,
                  sizeof(wanted), by_tag);
@@ -233,7 +238,8 @@
               const load_run_t *run)
 {
     uint64_t *gaps = totals->gaps_us;
-    uint32_t last = totals->gap_count - 1;
+    size_t last = totals->gap_count > 0 ? totals->gap_count - 1 : 0;
+    size_t half = last / 2, most = last * 99 / PERCENT;
 
     qsort(gaps, totals->gap_count, sizeof(uint64_t), by_size);
     print_bound("faults", totals->faults, "requests", 0);
@@ -254,10 +260,9 @@
                 run->killer_bound);
     print_count("recovered", totals->gap_count, "requests");
     if (totals->gap_count > 0) {
-        print_bound("resume_p50", (double)gaps[last / 2] / US_PER_MS, "ms",
+        print_bound("resume_p50", (double)gaps[half] / US_PER_MS, "ms",
                     run->bound_ms);
-        print_bound("resume_p99",
-                    (double)gaps[last * 99 / PERCENT] / US_PER_MS, "ms",
+        print_bound("resume_p99", (double)gaps[most] / US_PER_MS, "ms",
                     run->bound_ms);
     }
     print_bound("gap_max", (double)totals->gap_max_us / US_PER_MS, "ms",
