--- a/agated/daemon.c
+++ b/agated/daemon.c
@@ -56,6 +56,27 @@
     listener_start(daemon->listener);
 }
 
+/* A host without peers seals for itself alone. */
+static int
+derive_position_key(daemon_t *daemon, err_t *err)
+{
+    const char *path = daemon->settings->peers_key_file;
+    uint8_t secret[PEER_KEY_BYTES_MAX];
+    uint64_t own = random_u64();
+    int length = (int)sizeof(own);
+
+    memcpy(secret, &own, sizeof(own));
+    if (path != NULL) {
+        length = peer_key_read(path, secret, err);
+    }
+    if (length < 0) {
+        return -1;
+    }
+    position_key(&daemon->position_key, secret, (size_t)length);
+    explicit_bzero(secret, sizeof(secret));
+    return 0;
+}
+
 static void
 start_node(daemon_t *daemon)
 {
@@ -112,24 +133,3 @@
     (void)clock_gettime(CLOCK_REALTIME, &now);
     return (uint64_t)now.tv_sec * US_PER_S + (uint64_t)now.tv_nsec / NS_PER_US;
 }
-
-/* A host without peers seals for itself alone. */
-static int
-derive_position_key(daemon_t *daemon, err_t *err)
-{
-    const char *path = daemon->settings->peers_key_file;
-    uint8_t secret[PEER_KEY_BYTES_MAX];
-    uint64_t own = random_u64();
-    int length = (int)sizeof(own);
-
-    memcpy(secret, &own, sizeof(own));
-    if (path != NULL) {
-        length = peer_key_read(path, secret, err);
-    }
-    if (length < 0) {
-        return -1;
-    }
-    position_key(&daemon->position_key, secret, (size_t)length);
-    explicit_bzero(secret, sizeof(secret));
-    return 0;
-}
