--- a/regress/history.sh
+++ b/regress/history.sh
@@ -79,7 +79,7 @@
     echo "fault $kind $engine $host" >&2
 }
 
-engine_options=(--token-us 5000 --prefill-us-per-token 20 --vary)
+engine_options=(--token-us "${TOKEN_US:-5000}" --prefill-us-per-token 20 --vary)
 start_store
 for name in "${engines[@]}"; do
     start_engine "$name" "${engine_options[@]}"
