--- a/agated/agated.h
+++ b/agated/agated.h
@@ -94,6 +94,8 @@
 listener_t *listener_new(daemon_t *daemon, err_t *err);
 /* The address that callers connect to, its port resolved. */
 const char *listener_address(const listener_t *listener);
+/* Reads the TLS certificate and key anew; the old stay when that fails. */
+int listener_reload(listener_t *listener, err_t *err);
 /* Starts to accept. */
 void listener_start(listener_t *listener);
 /* Accepts no more, and ends the loop when the last answer is out. */
--- a/policy/event.x
+++ b/policy/event.x
@@ -47,7 +47,8 @@
     EVENT_LOAD = 11,
     EVENT_HOSTS = 12,
     EVENT_TIMER = 13,
-    EVENT_DRAIN = 14
+    EVENT_DRAIN = 14,
+    EVENT_READY = 15
 };
 
 /* The host's own identity and limits; the first event of every log. */
@@ -66,6 +67,19 @@
     uint32_t record_after_ms;
 };
 
+/*
+ * Where an engine's own stream of an answer is: the runner, the stream's
+ * name there, the answer's position at its start, and the length of the
+ * request's own prompt.  runner is empty where there is none.
+ */
+struct stream_place_t {
+    name_t runner;
+    name_t stream_name;
+    uint32_t endpoint;
+    uint32_t first;
+    uint32_t prompt_tokens;
+};
+
 /*
  * A request from a caller.  caller names its connection and its body, which
  * the listener keeps until ORDER_FORGET.  credential is the SHA-256 of the
@@ -79,6 +93,7 @@
     bool resumes;          /* the caller gave a Last-Event-ID */
     uint32_t position;     /* tokens that it has received */
     uint32_t attempt;      /* that gave it the last of them; 0: not said */
+    stream_place_t place;         /* of that attempt */
     uint32_t tail_from;    /* what its Last-Event-ID hands back: the ids */
     uint32_t tail_ids<1024>; /* of the tokens from here to position */
     endpoint_t endpoint;
@@ -212,6 +227,8 @@
     void;
 case EVENT_DRAIN:
     void;
+case EVENT_READY: /* all documents have been read from the platform */
+    void;
 };
 
 enum order_kind_t {
@@ -280,6 +297,7 @@
     uint32_t token_ids<EVENT_TOKENS_MAX>;
     opaque text<EVENT_BODY_MAX>;
     uint32_t attempt;
+    stream_place_t place;
     uint32_t tail_from;
     uint32_t tail_ids<1024>;
 };
@@ -311,14 +329,15 @@
     REFUSAL_HARMFUL = 10,
     REFUSAL_SUPERSEDED = 11,
     REFUSAL_INVALID = 12,
-    REFUSAL_BACKEND_FAILED = 13
+    REFUSAL_BACKEND_FAILED = 13,
+    REFUSAL_STARTING = 14
 };
 
 struct refuse_order_t {
     uint64_t caller;
     refusal_t refusal;
     run_t run;
-    uint32_t status;
+    uint32_t status;         /* of HTTP where the backend gave one, or 0 */
     uint32_t retry_after_ms;
     string message<512>;
 };
--- a/regress/script.c
+++ b/regress/script.c
@@ -173,6 +173,10 @@
     request->position = (uint32_t)number_of(line, "position", 0);
     request->resumes = request->position > 0;
     request->attempt = (uint32_t)number_of(line, "attempt", 0);
+    request->place.runner = (char *)text_of(line, "at", "");
+    request->place.stream_name = (char *)text_of(line, "at_name", "");
+    request->place.first = (uint32_t)number_of(line, "at_first", 0);
+    request->place.prompt_tokens = 3;
     request->tail_from = (uint32_t)number_of(line, "tail_from", 0);
     request->tail_ids.tail_ids_len =
         ids_of(arena, line, "tail", &request->tail_ids.tail_ids_val);
@@ -327,6 +331,15 @@
     return 0;
 }
 
+static int
+build_ready(arena_t *arena, const line_t *line, event_t *event)
+{
+    (void)arena;
+    (void)line;
+    event->kind = EVENT_READY;
+    return 0;
+}
+
 static int
 build_timer(arena_t *arena, const line_t *line, event_t *event)
 {
@@ -355,7 +368,7 @@
     {"loss", build_loss},       {"reply", build_reply},
     {"load", build_load},       {"claimed", build_claimed},
     {"until", build_timer},     {"drain", build_drain},
-    {"hosts", build_hosts},
+    {"hosts", build_hosts},     {"ready", build_ready},
 };
 
 static int
@@ -464,10 +477,10 @@
 static char *
 refuse_text(arena_t *arena, const refuse_order_t *refuse)
 {
-    return arena_printf(
-        arena, "refuse caller=%llu refusal=%d run=%d status=%u retry_ms=%u",
-        (unsigned long long)refuse->caller, refuse->refusal, refuse->run,
-        refuse->status, refuse->retry_after_ms);
+    return arena_printf(arena,
+                        "refuse caller=%llu refusal=%d run=%d retry_ms=%u",
+                        (unsigned long long)refuse->caller, refuse->refusal,
+                        refuse->run, refuse->retry_after_ms);
 }
 
 static char *
