Harmful requests are held, convicted and refused by the node

policy/suspecting.c composes suspect.c: a stream that broke and whose engine cannot be reached to take it up again counts as a loss of its runner; a suspect starts away from other suspects and from the runners that it was lost on, waits while its losses are judged, and a convicted content is refused under every key for 10 minutes.

--- a/policy/hosts.c
+++ b/policy/hosts.c
@@ -73,6 +73,8 @@
         takeover_superseded(step, &message->message_t_u.superseded);
         break;
     case MESSAGE_SUSPECT:
+        suspects_note(node->suspects, step->now_us,
+                      &message->message_t_u.suspect);
         break;
     }
 }
--- a/policy/intake.c
+++ b/policy/intake.c
@@ -154,6 +154,9 @@
     node_t *node = step->node;
     wish_t wish;
 
+    if (suspecting_refuses(step, session)) {
+        return;
+    }
     wish = session_wish(session, node->start.zone);
     if (!runners_exist(&node->runners, &wish)) {
         session_refuse(step, session, REFUSAL_NO_RUNNER, RUN_NOT_RUN,
--- a/policy/node.c
+++ b/policy/node.c
@@ -44,6 +44,7 @@
     orders_free(&orders);
     orders_free(&node->scratch);
     claim_queue_free(node->claims);
+    suspects_free(node->suspects);
     hosts_free(node);
     runners_free(&node->runners);
     config_free(&node->config);
@@ -135,6 +136,7 @@
     node->started = true;
     hosts_start(step);
     claiming_start(node);
+    suspecting_start(step);
 }
 
 static void
@@ -194,11 +196,15 @@
 {
     int64_t next_us = hosts_due_us(node);
     int64_t claims_us = claim_queue_due_us(node->claims);
+    int64_t suspects_us = suspects_due_us(node->suspects);
     int64_t session_us = timers_next_us(&node->timers);
 
     if (claims_us < next_us) {
         next_us = claims_us;
     }
+    if (suspects_us < next_us) {
+        next_us = suspects_us;
+    }
     if (session_us != 0 && session_us < next_us) {
         next_us = session_us;
     }
@@ -216,6 +222,7 @@
         node->stopped = true;
         (void)orders_add(step->orders, ORDER_STOP);
     }
+    suspecting_step(step);
     claiming_step(step);
     next_us = next_due_us(node);
     if (node->timer_set_us <= next_us) {
--- a/policy/private.h
+++ b/policy/private.h
@@ -39,6 +39,7 @@
     member_t *member;
     spread_t *spread;
     claim_queue_t *claims;
+    suspects_t *suspects;
     keep_t *keep;
     order_list_t scratch; /* orders made aside; valid until the next step */
     runners_t runners;
@@ -91,6 +92,16 @@
                          uint32_t count);
 void session_due(step_t *step, session_t *session);
 
+/* suspecting.c: sessions whose content may kill engines. */
+void suspecting_start(step_t *step);
+void suspecting_loss(step_t *step, const attempt_t *attempt,
+                     const loss_event_t *loss);
+bool suspecting_refuses(step_t *step, session_t *session);
+bool suspecting_allows(const step_t *step, const session_t *session);
+void suspecting_wish(const step_t *step, const session_t *session,
+                     wish_t *wish);
+void suspecting_step(step_t *step);
+
 /* queue.c: sessions that wait for a runner. */
 void queue_session(step_t *step, session_t *session);
 void queue_remove(node_t *node, session_t *session);
--- a/policy/queue.c
+++ b/policy/queue.c
@@ -49,9 +49,14 @@
 {
     node_t *node = step->node;
     wish_t wish = session_wish(session, node->start.zone);
-    runner_state_t *runner =
-        runners_choose(&node->runners, &wish, step->now_us);
+    runner_state_t *runner;
 
+    if (suspecting_refuses(step, session) ||
+        !suspecting_allows(step, session)) {
+        return;
+    }
+    suspecting_wish(step, session, &wish);
+    runner = runners_choose(&node->runners, &wish, step->now_us);
     if (runner == NULL) {
         return;
     }
--- a/policy/resume.c
+++ b/policy/resume.c
@@ -78,8 +78,14 @@
                        "go on from: send the request again from its start");
         return;
     }
+    if (suspecting_refuses(step, session)) {
+        return;
+    }
     wish.avoid[1] = lost;
-    runner = runners_choose(&node->runners, &wish, step->now_us);
+    suspecting_wish(step, session, &wish);
+    runner = suspecting_allows(step, session)
+                 ? runners_choose(&node->runners, &wish, step->now_us)
+                 : NULL;
     if (runner == NULL) {
         session->waits_resumed = session->may_have_run > 0;
         queue_session(step, session);
@@ -147,6 +153,7 @@
         runner->losses++;
         runner_failed(runner, step->now_us);
     }
+    suspecting_loss(step, attempt, loss);
     if (was_not_run(attempt, loss)) {
         session->may_have_run--;
         claiming_not_run(step, session);
@@ -270,6 +277,9 @@
         session_finish(step, session);
         return;
     }
+    if (!suspecting_allows(step, session)) {
+        return;
+    }
     runner = runners_choose(&node->runners, &wish, step->now_us);
     if (runner == NULL || !can_resume(session) || !takeover_bridge(session)) {
         return;
--- a/policy/runners.c
+++ b/policy/runners.c
@@ -18,6 +18,7 @@
     COST_SCALE = 1000,      /* one stream ahead of ours */
     COST_OTHER_ZONE = 500,  /* a millisecond of network */
     COST_SUSPECT = 1000000, /* more than any load */
+    COST_LOST_ON = 4000000, /* another runner tells more, and is spared */
     COST_RETURNING = 4000,  /* just back: its cache is cold */
     GAIN_PREFIX = 400,      /* each cached KiB of the prompt */
     GAIN_PREFIX_MOST = 6000,
@@ -28,6 +29,9 @@
 static void forget_description(runner_state_t *state);
 static bool serves(const runner_state_t *runner, const wish_t *wish);
 static bool avoided(const runner_state_t *runner, const wish_t *wish);
+static bool barred(const runner_state_t *runner, const wish_t *wish);
+static int64_t cost_of_suspect(const runner_state_t *runner,
+                               const wish_t *wish);
 static int64_t cost(const runner_state_t *runner, const wish_t *wish,
                     int64_t now_us);
 
@@ -94,7 +98,7 @@
         int64_t this_cost;
 
         if (!serves(state, wish) || avoided(state, wish) || state->leaving ||
-            state->down_until_us > now_us ||
+            state->down_until_us > now_us || barred(state, wish) ||
             runner_load(state) >= state->streams_max) {
             continue;
         }
@@ -236,6 +240,28 @@
     return runner == wish->avoid[0] || runner == wish->avoid[1];
 }
 
+static bool
+barred(const runner_state_t *runner, const wish_t *wish)
+{
+    return wish->suspects != NULL &&
+           session_company(runner, wish) == COMPANY_BARRED;
+}
+
+/* A suspect goes where it meets no other and has killed nothing yet. */
+static int64_t
+cost_of_suspect(const runner_state_t *runner, const wish_t *wish)
+{
+    int64_t total = 0;
+
+    if (session_company(runner, wish) != COMPANY_NONE) {
+        total += COST_SUSPECT;
+    }
+    if (suspects_lost_on(wish->suspects, wish->fingerprint, runner->name)) {
+        total += COST_LOST_ON;
+    }
+    return total;
+}
+
 static int64_t
 cost(const runner_state_t *runner, const wish_t *wish, int64_t now_us)
 {
@@ -250,8 +276,8 @@
         now_us - runner->returned_us < SLOW_START_US) {
         total += COST_RETURNING;
     }
-    if (wish->apart && session_suspects_on(runner)) {
-        total += COST_SUSPECT;
+    if (wish->suspects != NULL) {
+        total += cost_of_suspect(runner, wish);
     }
     gain = (int64_t)runner_cached(runner, wish->prefix_hashes,
                                   wish->prefix_count) *
--- a/policy/runners.h
+++ b/policy/runners.h
@@ -17,6 +17,7 @@
 
 #include "base/arena.h"
 #include "policy/silence.h"
+#include "policy/suspect.h"
 #include "world/fleet.h"
 
 enum { PREFIX_SLOTS = 512 };
@@ -68,7 +69,8 @@
     const uint64_t *prefix_hashes;
     size_t prefix_count;
     const runner_state_t *avoid[2]; /* NULL: nobody */
-    bool apart; /* away from runners that have suspects, where possible */
+    const suspects_t *suspects;     /* start it apart from these; NULL: free */
+    uint64_t fingerprint;           /* of the suspect itself */
 } wish_t;
 
 /* The best runner that may take a stream at now_us, or NULL. */
--- a/policy/session.c
+++ b/policy/session.c
@@ -122,6 +122,7 @@
 void
 session_finish(step_t *step, session_t *session)
 {
+    suspects_finished(step->node->suspects, session->fingerprint);
     cancel_attempts(step, session);
     session_enter(step, session, SESSION_FINISHED);
     record_ended(step, session, RECORD_FINISHED);
@@ -227,18 +228,23 @@
     session_schedule(step, session);
 }
 
-bool
-session_suspects_on(const runner_state_t *runner)
+suspect_company_t
+session_company(const runner_state_t *runner, const wish_t *wish)
 {
     const attempt_t *attempt;
+    suspect_company_t worst = COMPANY_NONE;
 
     LIST_FOREACH(attempt, &runner->attempts, on_runner)
     {
-        if (attempt->session->losses > 0) {
-            return true;
+        suspect_company_t company =
+            suspects_apart(wish->suspects, wish->fingerprint,
+                           &attempt->session->fingerprint, 1);
+
+        if (company > worst) {
+            worst = company;
         }
     }
-    return false;
+    return worst;
 }
 
 wish_t
@@ -250,7 +256,6 @@
         .zone = zone,
         .prefix_hashes = session->prefix_hashes,
         .prefix_count = session->prefix_count,
-        .apart = session->losses > 0,
     };
 
     for (size_t i = 0; i < SESSION_ATTEMPTS; i++) {
--- a/policy/session.h
+++ b/policy/session.h
@@ -80,7 +80,6 @@
     int64_t seed;
     uint64_t *prefix_hashes;
     size_t prefix_count;
-    uint32_t losses; /* unrelated losses that it was present at */
 
     session_state_t state;
     uint64_t caller; /* 0: gone */
@@ -126,8 +125,9 @@
     UT_hash_handle hh_caller;
 };
 
-/* Whether a suspect of another request has a stream on the runner. */
-bool session_suspects_on(const runner_state_t *runner);
+/* Whom the wish's suspect would meet on the runner. */
+suspect_company_t session_company(const runner_state_t *runner,
+                                  const wish_t *wish);
 
 /* What the session wishes of a runner, for runners_choose(). */
 wish_t session_wish(const session_t *session, const char *zone);
--- a/policy/suspect.c
+++ b/policy/suspect.c
@@ -90,12 +90,6 @@
     return true;
 }
 
-static uint32_t
-hash_name(const char *name)
-{
-    return (uint32_t)XXH3_64bits(name, strlen(name));
-}
-
 static bool
 has_finished(const suspects_t *suspects, uint64_t fingerprint)
 {
@@ -105,7 +99,7 @@
 static loss_t *
 own_loss(suspects_t *suspects, int64_t now_us, const suspect_loss_t *lost)
 {
-    uint32_t runner = hash_name(lost->runner);
+    uint32_t runner = book_hash(lost->runner);
     loss_t *loss;
 
     loss = book_loss(&suspects->book, runner, true,
@@ -116,7 +110,7 @@
     loss = book_add_loss(&suspects->book, runner, true, now_us);
     loss->id = (uint64_t)runner << ID_RUNNER_BITS |
                (uint32_t)(suspects->host + loss->serial);
-    loss->zone = hash_name(lost->zone);
+    loss->zone = book_hash(lost->zone);
     loss->zone_runners = lost->zone_runners;
     return loss;
 }
@@ -140,7 +134,7 @@
 static void
 tell_accused(suspects_t *suspects, const loss_t *loss, uint64_t fingerprint)
 {
-    if (loss->own) {
+    if (loss->own && !has_finished(suspects, fingerprint)) {
         put_note(&suspects->notes,
                  (suspect_t){.fingerprint = fingerprint, .loss = loss->id});
     }
@@ -365,7 +359,11 @@
 void
 suspects_finished(suspects_t *suspects, uint64_t fingerprint)
 {
-    if (book_find(&suspects->book, fingerprint) != NULL) {
+    const accused_t *accused = book_find(&suspects->book, fingerprint);
+
+    /* What is still being judged has not been told. */
+    if (accused != NULL && (accused->convicted_until_us != 0 ||
+                            book_count(&suspects->book, accused, false) > 0)) {
         put_note(&suspects->notes,
                  (suspect_t){.fingerprint = fingerprint, .withdrawn = true});
     }
--- a/policy/suspect.h
+++ b/policy/suspect.h
@@ -90,6 +90,10 @@
                                  uint64_t fingerprint, const uint64_t *others,
                                  size_t count);
 
+/* Whether a loss of this runner counts against it. */
+bool suspects_lost_on(const suspects_t *suspects, uint64_t fingerprint,
+                      const char *runner);
+
 /* How long the conviction stands yet; 0 for none. */
 int64_t suspects_held_us(const suspects_t *suspects, int64_t now_us,
                          uint64_t fingerprint);
--- a/policy/suspect_book.c
+++ b/policy/suspect_book.c
@@ -2,6 +2,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include <xxhash.h>
+
 #include "base/arena.h"
 #include "policy/suspect_book.h"
 
@@ -200,6 +202,28 @@
     return count;
 }
 
+uint32_t
+book_hash(const char *name)
+{
+    return (uint32_t)XXH3_64bits(name, strlen(name));
+}
+
+bool
+book_was_on(const suspect_book_t *book, const accused_t *accused,
+            uint32_t runner)
+{
+    size_t i;
+
+    for (i = 0; i < accused->serial_count; i++) {
+        const loss_t *loss = book_serial(book, accused->serials[i]);
+
+        if (counts(loss, true) && loss->runner == runner) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /* Whether a loss before this one in the list is the same, noted twice. */
 static bool
 is_noted_before(const loss_t *loss, int64_t near_us)
--- a/policy/suspect_book.h
+++ b/policy/suspect_book.h
@@ -71,6 +71,13 @@
 
 bool loss_has(const loss_t *loss, uint64_t fingerprint);
 
+/* The hash by which runners and zones are known. */
+uint32_t book_hash(const char *name);
+
+/* Whether a loss of this runner counts against the accused. */
+bool book_was_on(const suspect_book_t *book, const accused_t *accused,
+                 uint32_t runner);
+
 accused_t *book_add(suspect_book_t *book, uint64_t fingerprint);
 accused_t *book_find(const suspect_book_t *book, uint64_t fingerprint);
 void book_forget(suspect_book_t *book, accused_t *accused);
--- a/policy/suspect_query.c
+++ b/policy/suspect_query.c
@@ -44,6 +44,16 @@
     return accused == NULL ? 0 : book_count(&suspects->book, accused, true);
 }
 
+bool
+suspects_lost_on(const suspects_t *suspects, uint64_t fingerprint,
+                 const char *runner)
+{
+    const accused_t *accused = book_find(&suspects->book, fingerprint);
+
+    return accused != NULL &&
+           book_was_on(&suspects->book, accused, book_hash(runner));
+}
+
 suspect_company_t
 suspects_apart(const suspects_t *suspects, uint64_t fingerprint,
                const uint64_t *others, size_t count)
--- /dev/null
+++ b/policy/suspecting.c
@@ -0,0 +1,204 @@
+/* suspecting.c - sessions whose content may kill engines. */
+#include <string.h>
+
+#include "policy/private.h"
+
+enum {
+    WINDOW_MS = 1000,
+    MEMORY_MS = 1800000,
+    HOLD_MS = 600000,
+    LOSSES_MAX = 3,
+    COMMON_RUNNERS = 3,
+};
+
+static size_t count_copies(const node_t *node, const session_t *session);
+static void refuse_harmful(step_t *step, session_t *session);
+static void refuse_all(step_t *step, uint64_t fingerprint);
+static void tell_all(step_t *step, const suspect_t *note);
+
+void
+suspecting_start(step_t *step)
+{
+    const suspect_limits_t limits = {
+        .window_us = (int64_t)WINDOW_MS * US_PER_MS,
+        .memory_us = (int64_t)MEMORY_MS * US_PER_MS,
+        .hold_us = (int64_t)HOLD_MS * US_PER_MS,
+        .losses_max = LOSSES_MAX,
+        .common_runners = COMMON_RUNNERS,
+    };
+    node_t *node = step->node;
+
+    node->suspects = suspects_new(node->start.host, node->start.incarnation,
+                                  step->now_us, &limits);
+}
+
+/*
+ * Whether the loss of the attempt's stream means that its engine died: its
+ * connection broke, and it cannot be reached to take the stream up again.
+ */
+static bool
+has_died(const attempt_t *attempt, const loss_event_t *loss)
+{
+    return attempt->reattached && !attempt->session->service &&
+           (loss->kind == LOSS_RESET || loss->kind == LOSS_NOT_SENT);
+}
+
+void
+suspecting_loss(step_t *step, const attempt_t *attempt,
+                const loss_event_t *loss)
+{
+    const runner_state_t *lost = attempt->runner;
+    const runner_state_t *runner;
+    int64_t ran_us = step->now_us - attempt->opened_us;
+    suspect_loss_t suspect = {
+        .runner = lost->name,
+        .zone = lost->zone,
+        .fingerprints = &attempt->session->fingerprint,
+        .ran_us = &ran_us,
+        .count = 1,
+    };
+
+    if (!has_died(attempt, loss) || !lost->listed) {
+        return;
+    }
+    for (runner = step->node->runners.by_name; runner != NULL;
+         runner = runner->hh.next) {
+        if (!runner->listed || runner->service) {
+            continue;
+        }
+        suspect.fleet_runners++;
+        if (strcmp(runner->zone, lost->zone) == 0) {
+            suspect.zone_runners++;
+        }
+    }
+    suspects_loss(step->node->suspects, step->now_us, &suspect);
+}
+
+/* The request may not come in: its content has killed engines lately. */
+bool
+suspecting_refuses(step_t *step, session_t *session)
+{
+    if (suspects_verdict(step->node->suspects, step->now_us,
+                         session->fingerprint, 0) != SUSPECT_REFUSED) {
+        return false;
+    }
+    refuse_harmful(step, session);
+    return true;
+}
+
+/* Whether the session may have one more stream now. */
+bool
+suspecting_allows(const step_t *step, const session_t *session)
+{
+    const node_t *node = step->node;
+    suspect_verdict_t verdict = suspects_verdict(node->suspects, step->now_us,
+                                                 session->fingerprint, 0);
+
+    if (verdict == SUSPECT_APART && count_copies(node, session) > 0) {
+        verdict = SUSPECT_HELD;
+    }
+    return verdict == SUSPECT_FREE || verdict == SUSPECT_APART;
+}
+
+/* Has a suspect started away from others. */
+void
+suspecting_wish(const step_t *step, const session_t *session, wish_t *wish)
+{
+    if (suspects_losses(step->node->suspects, session->fingerprint) > 0) {
+        wish->suspects = step->node->suspects;
+        wish->fingerprint = session->fingerprint;
+    }
+}
+
+/* Judges what is due, tells peers, and ends what has been convicted. */
+void
+suspecting_step(step_t *step)
+{
+    node_t *node = step->node;
+    bool judged = suspects_due_us(node->suspects) <= step->now_us;
+    uint64_t fingerprint;
+    suspect_t note;
+
+    if (judged) {
+        suspects_step(node->suspects, step->now_us);
+    }
+    while (suspects_next_note(node->suspects, &note)) {
+        tell_all(step, &note);
+    }
+    while (suspects_next_convicted(node->suspects, &fingerprint)) {
+        node->counters.convicted++;
+        orders_log(step->orders, LOG_WARNING,
+                   "harmful fingerprint=%016llx hold_ms=%lld",
+                   (unsigned long long)fingerprint,
+                   (long long)(suspects_held_us(node->suspects, step->now_us,
+                                                fingerprint) /
+                               US_PER_MS));
+        refuse_all(step, fingerprint);
+    }
+    if (judged) {
+        queue_pump(step);
+    }
+}
+
+static size_t
+count_copies(const node_t *node, const session_t *session)
+{
+    const attempt_t *attempt;
+    size_t count = 0;
+
+    for (attempt = node->by_stream; attempt != NULL;
+         attempt = attempt->hh.next) {
+        if (attempt->session->fingerprint == session->fingerprint) {
+            count++;
+        }
+    }
+    return count;
+}
+
+static void
+refuse_harmful(step_t *step, session_t *session)
+{
+    int64_t held_us = suspects_held_us(step->node->suspects, step->now_us,
+                                       session->fingerprint);
+
+    session_refuse(step, session, REFUSAL_HARMFUL,
+                   session->may_have_run > 0 ? RUN_RAN : RUN_NOT_RUN,
+                   (uint32_t)(held_us / US_PER_MS),
+                   "each backend server that ran this request died: change "
+                   "its content, or send it again after the stated time");
+}
+
+static void
+refuse_all(step_t *step, uint64_t fingerprint)
+{
+    session_t *session;
+    session_t *next;
+
+    HASH_ITER(hh, step->node->sessions, session, next)
+    {
+        if (session->fingerprint == fingerprint &&
+            session->state < SESSION_FINISHED) {
+            refuse_harmful(step, session);
+        }
+    }
+}
+
+static void
+tell_all(step_t *step, const suspect_t *note)
+{
+    size_t count;
+    const member_view_t *hosts = member_list(step->node->member, step->now_us,
+                                             &step->orders->arena, &count);
+
+    for (size_t i = 0; i < count; i++) {
+        tell_order_t *tell;
+
+        if (hosts[i].self || hosts[i].state == MEMBER_DEAD) {
+            continue;
+        }
+        tell = &orders_add(step->orders, ORDER_TELL)->order_t_u.tell;
+        tell->host = arena_strdup(&step->orders->arena, hosts[i].host);
+        tell->message.kind = MESSAGE_SUSPECT;
+        tell->message.message_t_u.suspect = *note;
+    }
+}
