--- a/regress/host.c
+++ b/regress/host.c
@@ -44,6 +44,8 @@
     ck_assert_msg(settings_parse(&host->settings, &host->arena, "f", text,
                                  strlen(text), &err) == 0,
                   "%s", err.message);
+    /* Event ids are sealed with this key. */
+    host->settings.peers_key_file = REGRESS_DIR "/golden/peers.key";
     host->daemon.settings = &host->settings;
     host->daemon.loop = loop;
     ck_assert_msg(daemon_open(&host->daemon, &err) == 0, "%s", err.message);
