Service levels: metrics by service, burn rates, agatectl burn

Change: the daemon counts each request within or out of its document's objective (first token; 19 in 20 gaps), gives histograms in /metrics and counts at /admin/v1/burn; agatectl burn sums them over all hosts.

--- a/agatectl/agatectl.c
+++ b/agatectl/agatectl.c
@@ -33,6 +33,7 @@
     {"hosts", 0, false, command_hosts},
     {"runners", 0, false, command_runners},
     {"requests", 0, false, command_requests},
+    {"burn", 0, false, command_burn},
     {"drain", 0, false, command_drain},
     {"key", 0, true, command_key},
 };
@@ -51,7 +52,7 @@
     .options = argp_options,
     .parser = parse_option,
     .args_doc = "check FILE\napply FILE\ndiff FILE\nshow NAME\nhistory NAME\n"
-                "services\nhosts\nrunners\nrequests\ndrain\nkey",
+                "services\nhosts\nrunners\nrequests\nburn\ndrain\nkey",
     .doc = "Shows and changes what agated serves.  NAME is a service, or "
            "\"fleet\" for the operators' document.",
 };
--- a/agatectl/agatectl.h
+++ b/agatectl/agatectl.h
@@ -82,6 +82,7 @@
 int command_hosts(session_t *session);
 int command_runners(session_t *session);
 int command_requests(session_t *session);
+int command_burn(session_t *session);
 int command_drain(session_t *session);
 int command_key(session_t *session);
 
--- a/agated/agated.h
+++ b/agated/agated.h
@@ -27,6 +27,7 @@
 typedef struct dispatch dispatch_t;
 typedef struct documents documents_t;
 typedef struct journal journal_t;
+typedef struct levels levels_t;
 typedef struct listener listener_t;
 typedef struct peers peers_t;
 typedef struct presence presence_t;
@@ -45,6 +46,7 @@
     claims_t *claims;
     documents_t *documents;
     presence_t *presence;
+    levels_t *levels;
     peers_t *peers;         /* NULL: a host without peers */
     uint32_t control_calls; /* of the administration API, under way */
 } daemon_t;
@@ -158,6 +160,42 @@
 
 int seed_platform(daemon_t *daemon, err_t *err);
 
+/* --- levels.c: how well services keep their objectives --- */
+
+/* The share of requests that should be within their objective. */
+enum { LEVELS_TARGET_PPM = 950000, LEVELS_PERMILLE = 1000 };
+
+typedef struct service_level service_level_t;
+
+/* How one request fares; zeroed before level_start(). */
+typedef struct {
+    service_level_t *service;         /* NULL: not counted */
+    int64_t first_token_objective_us; /* 0: none */
+    int64_t token_gap_objective_us;   /* 0: none */
+    int64_t arrived_us;
+    int64_t first_us; /* 0: no token yet */
+    int64_t last_us;
+    uint32_t gaps;
+    uint32_t late_gaps;
+} level_t;
+
+levels_t *levels_new(daemon_t *daemon);
+void levels_free(levels_t *levels);
+
+void level_start(levels_t *levels, level_t *level,
+                 const request_event_t *request);
+/* So many more tokens went to the caller now. */
+void level_tokens(level_t *level, uint32_t tokens);
+/*
+ * The answer is over: whole, or refused for a reason of ours.  It is within
+ * its objective when its first token was, and 19 in 20 of the gaps after it.
+ */
+void level_end(level_t *level, bool served);
+
+/* Appends the metrics, and what GET /admin/v1/burn answers. */
+void levels_metrics(levels_t *levels, text_t *text);
+void levels_json(levels_t *levels, const char *team, text_t *json);
+
 /* --- views.c: what anyone may read --- */
 
 typedef struct {
--- a/agated/control.c
+++ b/agated/control.c
@@ -52,6 +52,7 @@
     {"GET", "runners", ROLES_STAFF, control_list_runners},
     {"GET", "requests", ROLES_OPERATOR | ROLES_ORGANISATION,
      control_list_requests},
+    {"GET", "burn", ROLES_STAFF, control_burn},
     {"POST", "drain", ROLES_OPERATOR, control_drain},
 };
 
--- a/agated/control.h
+++ b/agated/control.h
@@ -61,6 +61,7 @@
 void control_list_hosts(control_call_t *call);
 void control_list_runners(control_call_t *call);
 void control_list_requests(control_call_t *call);
+void control_burn(control_call_t *call);
 void control_drain(control_call_t *call);
 
 /* The document in force, or NULL. */
--- a/agated/control_views.c
+++ b/agated/control_views.c
@@ -170,6 +170,17 @@
     control_answer(call, CONTROL_OK, &json);
 }
 
+/* A team sees the services that are its own. */
+void
+control_burn(control_call_t *call)
+{
+    text_t json = {0};
+
+    levels_json(call->daemon->levels,
+                call->role == ROLE_TEAM ? call->caller : NULL, &json);
+    control_answer(call, CONTROL_OK, &json);
+}
+
 /* The answer is written before the host begins to leave. */
 void
 control_drain(control_call_t *call)
--- a/agated/daemon.c
+++ b/agated/daemon.c
@@ -48,6 +48,7 @@
 void
 daemon_start(daemon_t *daemon)
 {
+    daemon->levels = levels_new(daemon);
     daemon->backends = backends_new(daemon);
     start_node(daemon);
     daemon->claims = claims_new(daemon);
@@ -120,6 +121,7 @@
     }
     dispatch_free(daemon->dispatch);
     listener_free(daemon->listener);
+    levels_free(daemon->levels);
     (void)uv_run(daemon->loop, UV_RUN_NOWAIT);
     (void)uv_run(daemon->loop, UV_RUN_NOWAIT);
 }
--- a/agated/exchange.c
+++ b/agated/exchange.c
@@ -39,6 +39,7 @@
 static void refuse(exchange_t *exchange, const refuse_order_t *order);
 static void relay_on(exchange_t *exchange, const relay_order_t *order);
 static bool is_too_slow(exchange_t *exchange);
+static bool is_our_fault(refusal_t refusal);
 static void end(exchange_t *exchange);
 static void flush(exchange_t *exchange);
 static void break_off(exchange_t *exchange);
@@ -63,6 +64,7 @@
         return;
     }
     keep_parsed(exchange, &parsed);
+    level_start(daemon->levels, &exchange->level, &parsed.event);
     event.event_t_u.request = parsed.event;
     event.event_t_u.request.caller = number;
     dispatch_event(daemon->dispatch, &event);
@@ -283,6 +285,7 @@
 static void
 give(exchange_t *exchange, const give_order_t *order)
 {
+    level_tokens(&exchange->level, order->token_ids.token_ids_len);
     response_give(&exchange->response, order, &exchange->gathered);
     if (!exchange->response.stream) {
         return;
@@ -298,6 +301,7 @@
 static void
 finish(exchange_t *exchange, const finish_order_t *order)
 {
+    level_end(&exchange->level, true);
     response_finish(&exchange->response, order, &exchange->gathered);
     if (exchange->response.stream && !exchange->begun) {
         begin(exchange, STATUS_OK, "text/event-stream");
@@ -312,6 +316,7 @@
 static void
 reply(exchange_t *exchange, const reply_order_t *order)
 {
+    level_end(&exchange->level, true);
     text_append(&exchange->gathered, order->body.body_val,
                 order->body.body_len);
     end(exchange);
@@ -327,6 +332,9 @@
     uint32_t status =
         order->status > 0 ? order->status : refusal_status(order->refusal);
 
+    if (is_our_fault(order->refusal)) {
+        level_end(&exchange->level, false);
+    }
     response_refuse(&exchange->response, order, &exchange->gathered);
     end(exchange);
     if (!exchange->begun) {
@@ -336,6 +344,23 @@
     flush(exchange);
 }
 
+/* Refusals that count against the service's objective. */
+static bool
+is_our_fault(refusal_t refusal)
+{
+    switch (refusal) {
+    case REFUSAL_OVERLOADED:
+    case REFUSAL_LEAVING:
+    case REFUSAL_NO_RUNNER:
+    case REFUSAL_STORE_UNREACHED:
+    case REFUSAL_BACKEND_LOST:
+    case REFUSAL_BACKEND_FAILED:
+        return true;
+    default:
+        return false;
+    }
+}
+
 /* A request goes over one peer at most. */
 static void
 relay_on(exchange_t *exchange, const relay_order_t *order)
--- a/agated/exchange.h
+++ b/agated/exchange.h
@@ -31,6 +31,7 @@
     body_t body;
     relay_t *relay; /* NULL: the answer is the node's */
     response_t response;
+    level_t level;
     text_t gathered; /* to be sent when what is in flight has left */
     text_t inflight;
     bool forgotten; /* the node needs the body no more */
--- a/agated/views.c
+++ b/agated/views.c
@@ -149,4 +149,5 @@
     text_printf(&view->body,
                 "# TYPE agated_sessions gauge\nagated_sessions %" PRIu64 "\n",
                 counters->sessions);
+    levels_metrics(daemon->levels, &view->body);
 }
--- a/regress/test_daemon.c
+++ b/regress/test_daemon.c
@@ -89,6 +89,12 @@
      "weight = 2\\n"},
     {"GET", "/admin/v1/hosts", TEAM, NULL, NULL, 200, "\"host\":\"a1\""},
     {"GET", "/admin/v1/runners", TEAM, NULL, NULL, 200, "\"runner\":\"r1\""},
+    {"GET", "/admin/v1/burn", TEAM, NULL, NULL, 200,
+     "{\"target_ppm\":950000,\"burn\":[{\"service\":\"plans\",\"window\":"
+     "\"5m\",\"within\":2,\"out\":0},"},
+    {"GET", "/admin/v1/burn", ORG, NULL, NULL, 403, "forbidden"},
+    {"GET", "/metrics", NULL, NULL, NULL, 200,
+     "agated_objective_requests_total{service=\"plans\",result=\"within\"} 2"},
     {"GET", "/admin/v1/requests", ORG, NULL, NULL, 200, "\"requests\":["},
     {"POST", "/admin/v1/drain", TEAM, NULL, NULL, 403, "forbidden"},
     {"POST", "/admin/v1/drain", OPS, NULL, NULL, 200, "\"leaving\":true"},
