--- a/agated/levels.c
+++ b/agated/levels.c
@@ -54,8 +54,8 @@
 };
 
 static void make_families(levels_t *levels);
-static void document_free(levels_t *levels, document_t *document);
-static void service_free(levels_t *levels, service_level_t *service);
+static void free_documents(levels_t *levels);
+static void free_services(levels_t *levels);
 static void refresh(levels_t *levels, int64_t now_us);
 static void take_document(levels_t *levels, const node_config_view_t *config);
 static const contract_t *find_contract(levels_t *levels,
@@ -107,22 +107,11 @@
 void
 levels_free(levels_t *levels)
 {
-    document_t *document;
-    document_t *next_document;
-    service_level_t *service;
-    service_level_t *next;
-
     if (levels == NULL) {
         return;
     }
-    HASH_ITER(hh, levels->documents, document, next_document)
-    {
-        document_free(levels, document);
-    }
-    HASH_ITER(hh, levels->services, service, next)
-    {
-        service_free(levels, service);
-    }
+    free_documents(levels);
+    free_services(levels);
     metric_set_free(levels->metrics);
     free(levels);
 }
@@ -250,21 +239,35 @@
 }
 
 static void
-document_free(levels_t *levels, document_t *document)
+free_documents(levels_t *levels)
 {
-    HASH_DEL(levels->documents, document);
-    arena_free(&document->arena);
-    free(document->key);
-    free(document);
+    document_t *document = levels->documents;
+
+    HASH_CLEAR(hh, levels->documents);
+    while (document != NULL) {
+        document_t *next = document->hh.next;
+
+        arena_free(&document->arena);
+        free(document->key);
+        free(document);
+        document = next;
+    }
 }
 
 static void
-service_free(levels_t *levels, service_level_t *service)
+free_services(levels_t *levels)
 {
-    HASH_DEL(levels->services, service);
-    free(service->name);
-    free(service->team);
-    free(service);
+    service_level_t *service = levels->services;
+
+    HASH_CLEAR(hh, levels->services);
+    while (service != NULL) {
+        service_level_t *next = service->hh.next;
+
+        free(service->name);
+        free(service->team);
+        free(service);
+        service = next;
+    }
 }
 
 /* Looks which documents are in force, once in a while. */
