--- a/agated/agated.h
+++ b/agated/agated.h
@@ -12,6 +12,7 @@
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
+#include <stdio.h>
 
 #include <uv.h>
 
@@ -83,9 +84,24 @@
 
 /* Opens path for writing; NULL with *err set when that fails. */
 journal_t *journal_open(const char *path, err_t *err);
-void journal_write(journal_t *journal, int64_t now_us, const event_t *event);
+/* Writes one step: its time, its event and the digest of its orders. */
+void journal_write(journal_t *journal, int64_t now_us, const event_t *event,
+                   const order_list_t *orders);
 void journal_close(journal_t *journal);
 
+/* One step as it was written. */
+typedef struct {
+    int64_t now_us;
+    event_t event; /* to be freed with xdr_free() */
+    uint64_t digest;
+} journal_record_t;
+
+/* Reads the next step; false at the end of the file. */
+bool journal_read(FILE *file, journal_record_t *record);
+
+/* A hash of the orders, byte for byte and in their sequence. */
+uint64_t orders_digest(const order_list_t *orders);
+
 /* An event as XDR in fresh memory, to be freed with free(). */
 char *event_encode(const event_t *event, size_t *length);
 /* The opposite; *event is to be freed with xdr_free(). */
--- a/agated/dispatch.c
+++ b/agated/dispatch.c
@@ -112,10 +112,10 @@
     int64_t now_us = dispatch_now_us();
     size_t i;
 
+    node_step(dispatch->node, now_us, event, &dispatch->orders);
     if (dispatch->journal != NULL) {
-        journal_write(dispatch->journal, now_us, event);
+        journal_write(dispatch->journal, now_us, event, &dispatch->orders);
     }
-    node_step(dispatch->node, now_us, event, &dispatch->orders);
     for (i = 0; i < dispatch->orders.count; i++) {
         carry_out(dispatch, &dispatch->orders.items[i]);
     }
--- a/agated/journal.c
+++ b/agated/journal.c
@@ -4,12 +4,25 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include <xxhash.h>
+
 #include "agated/agated.h"
 
 struct journal {
     FILE *file;
 };
 
+/* What stands before each event. */
+typedef struct {
+    int64_t now_us;
+    uint64_t digest;
+    uint32_t event_bytes;
+} head_t;
+
+enum { HEAD_BYTES = 20 };
+
+static bool xdr_head(XDR *xdr, head_t *head);
+
 journal_t *
 journal_open(const char *path, err_t *err)
 {
@@ -27,27 +40,72 @@
     return journal;
 }
 
-/* A record: the time, the length of the event, and the event, in XDR. */
 void
-journal_write(journal_t *journal, int64_t now_us, const event_t *event)
+journal_write(journal_t *journal, int64_t now_us, const event_t *event,
+              const order_list_t *orders)
 {
-    char head[sizeof(int64_t) + sizeof(uint32_t)];
-    uint32_t length32;
     size_t length;
     char *bytes = event_encode(event, &length);
+    head_t head = {.now_us = now_us,
+                   .digest = orders_digest(orders),
+                   .event_bytes = (uint32_t)length};
+    char head_bytes[HEAD_BYTES];
     XDR xdr;
 
-    length32 = (uint32_t)length;
-    xdrmem_create(&xdr, head, sizeof(head), XDR_ENCODE);
-    (void)xdr_int64_t(&xdr, &now_us);
-    (void)xdr_uint32_t(&xdr, &length32);
+    xdrmem_create(&xdr, head_bytes, sizeof(head_bytes), XDR_ENCODE);
+    (void)xdr_head(&xdr, &head);
     xdr_destroy(&xdr);
-    (void)fwrite(head, sizeof(head), 1, journal->file);
+    (void)fwrite(head_bytes, sizeof(head_bytes), 1, journal->file);
     (void)fwrite(bytes, length, 1, journal->file);
     (void)fflush(journal->file);
     free(bytes);
 }
 
+bool
+journal_read(FILE *file, journal_record_t *record)
+{
+    char head_bytes[HEAD_BYTES];
+    head_t head = {0};
+    char *bytes;
+    bool whole;
+    XDR xdr;
+
+    if (fread(head_bytes, sizeof(head_bytes), 1, file) != 1) {
+        return false;
+    }
+    xdrmem_create(&xdr, head_bytes, sizeof(head_bytes), XDR_DECODE);
+    (void)xdr_head(&xdr, &head);
+    xdr_destroy(&xdr);
+    bytes = xcalloc(1, (size_t)head.event_bytes + 1);
+    whole = fread(bytes, head.event_bytes, 1, file) == 1 &&
+            event_decode(bytes, head.event_bytes, &record->event);
+    record->now_us = head.now_us;
+    record->digest = head.digest;
+    free(bytes);
+    return whole;
+}
+
+uint64_t
+orders_digest(const order_list_t *orders)
+{
+    uint64_t digest = 0;
+    size_t i;
+
+    for (i = 0; i < orders->count; i++) {
+        order_t *order = &orders->items[i];
+        size_t length = xdr_sizeof((xdrproc_t)xdr_order_t, order);
+        char *bytes = xcalloc(1, length + 1);
+        XDR xdr;
+
+        xdrmem_create(&xdr, bytes, (u_int)length, XDR_ENCODE);
+        (void)xdr_order_t(&xdr, order);
+        xdr_destroy(&xdr);
+        digest = XXH3_64bits_withSeed(bytes, length, digest);
+        free(bytes);
+    }
+    return digest;
+}
+
 void
 journal_close(journal_t *journal)
 {
@@ -89,3 +147,11 @@
     xdr_destroy(&xdr);
     return whole;
 }
+
+static bool
+xdr_head(XDR *xdr, head_t *head)
+{
+    return xdr_int64_t(xdr, &head->now_us) &&
+           xdr_uint64_t(xdr, &head->digest) &&
+           xdr_uint32_t(xdr, &head->event_bytes);
+}
