--- a/regress/test_journal.c
+++ b/regress/test_journal.c
@@ -106,8 +106,7 @@
     journal_record_t step = {0};
     size_t steps = 0;
 
-    ck_assert_ptr_nonnull(file);
-    while (journal_read(file, &step)) {
+    while (file != NULL && journal_read(file, &step)) {
         steps++;
         if (step.event.kind != without) {
             node_step(node, step.now_us, &step.event, &orders);
@@ -118,7 +117,9 @@
     }
     orders_free(&orders);
     node_free(node);
-    (void)fclose(file);
+    if (file != NULL) {
+        (void)fclose(file);
+    }
     return steps;
 }
 
@@ -141,7 +142,7 @@
         size_t steps = replay(argv[1], nothing, &differing);
 
         (void)printf("%zu steps, %zu differ\n", steps, differing);
-        return differing == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+        return steps > 0 && differing == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
     }
     tcase_set_timeout(tcase, 2.0 * ENOUGH_MS / 1000);
     tcase_add_test(tcase, test_replay);
