In force: judged by the hash of a host's whole configuration

Cause: a host's highest revision says nothing of a lower one of another key that it may have missed. Change: the view of a host has its configuration's hash; a host counts once its hash is one that this host has had with the document in it.

--- a/agated/control.h
+++ b/agated/control.h
@@ -80,8 +80,9 @@
 
 /* --- control_spread.c --- */
 
-/* Answers the call when all hosts have the revision in force, or late. */
-void control_await_spread(control_call_t *call, int64_t revision);
+/* Answers when all hosts have this revision of key in force, or late. */
+void control_await_spread(control_call_t *call, const char *key,
+                          int64_t revision);
 
 /* --- control_history.c --- */
 
--- a/agated/control_put.c
+++ b/agated/control_put.c
@@ -421,7 +421,7 @@
              put->key, revision, call->caller);
     history_prune(call->daemon, put->name);
     put_free(put);
-    control_await_spread(call, revision);
+    control_await_spread(call, put->key, revision);
 }
 
 /* held is NULL when the document does not exist. */
--- a/agated/control_spread.c
+++ b/agated/control_spread.c
@@ -5,7 +5,12 @@
 
 #include "agated/control.h"
 
-enum { CHECK_INTERVAL_MS = 20, WAIT_MS = 6000, US_PER_MS = 1000 };
+enum {
+    CHECK_INTERVAL_MS = 20,
+    WAIT_MS = 6000,
+    HASHES_MAX = 64,
+    US_PER_MS = 1000
+};
 
 /* When one host was first seen to have it. */
 typedef struct seen {
@@ -14,26 +19,37 @@
     int64_t after_ms; /* -1: not yet */
 } seen_t;
 
+/*
+ * A host's highest revision does not say that it has a lower one of another
+ * key.  So it counts when its whole configuration is one that this host has
+ * had since it had the document.
+ */
 typedef struct {
     control_call_t *call;
+    const char *key;
     int64_t revision;
+    uint64_t hashes[HASHES_MAX]; /* of this host's, the latest last */
+    size_t hash_count;
     int64_t since_us;
     seen_t *seen;
     uv_timer_t *timer;
 } spread_t;
 
 static void on_check(uv_timer_t *timer);
+static void note_own(spread_t *spread);
+static bool has_document(const spread_t *spread, uint64_t hash);
 static bool note_hosts(spread_t *spread, text_t *json);
 static void write_host(const node_host_view_t *host, int64_t after_ms,
                        text_t *json);
 static seen_t *find_seen(spread_t *spread, const char *host);
 
 void
-control_await_spread(control_call_t *call, int64_t revision)
+control_await_spread(control_call_t *call, const char *key, int64_t revision)
 {
     spread_t *spread = arena_alloc(&call->arena, sizeof(*spread));
 
     spread->call = call;
+    spread->key = key;
     spread->revision = revision;
     spread->since_us = dispatch_now_us();
     spread->timer = xcalloc(1, sizeof(*spread->timer));
@@ -49,6 +65,7 @@
     int64_t waited_ms = (dispatch_now_us() - spread->since_us) / US_PER_MS;
     text_t json = {0};
 
+    note_own(spread);
     if (!note_hosts(spread, &json) && waited_ms < WAIT_MS) {
         text_free(&json);
         return;
@@ -57,6 +74,50 @@
     control_answer(spread->call, CONTROL_OK, &json);
 }
 
+/* Notes this host's own configuration, once the document is in it. */
+static void
+note_own(spread_t *spread)
+{
+    daemon_t *daemon = spread->call->daemon;
+    const node_t *node = dispatch_node(daemon->dispatch);
+    arena_t arena = {0};
+    size_t count = 0;
+    size_t i;
+    const node_config_view_t *configs = node_configs(node, &arena, &count);
+    const node_host_view_t *hosts;
+    bool ours = false;
+
+    for (i = 0; i < count; i++) {
+        ours = ours || (strcmp(configs[i].key, spread->key) == 0 &&
+                        configs[i].revision >= spread->revision);
+    }
+    hosts = node_hosts(node, dispatch_now_us(), &arena, &count);
+    for (i = 0; ours && i < count; i++) {
+        if (strcmp(hosts[i].name, daemon->settings->host) == 0 &&
+            !has_document(spread, hosts[i].config_hash)) {
+            spread->hashes[spread->hash_count % HASHES_MAX] =
+                hosts[i].config_hash;
+            spread->hash_count++;
+        }
+    }
+    arena_free(&arena);
+}
+
+static bool
+has_document(const spread_t *spread, uint64_t hash)
+{
+    size_t count =
+        spread->hash_count < HASHES_MAX ? spread->hash_count : HASHES_MAX;
+    size_t i;
+
+    for (i = 0; i < count; i++) {
+        if (spread->hashes[i] == hash) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /*
  * Notes which hosts have the revision in force, and writes the answer.
  * Returns false while a host that lives has not.
@@ -77,8 +138,7 @@
     for (i = 0; i < count; i++) {
         seen_t *seen = find_seen(spread, hosts[i].name);
 
-        if (seen->after_ms < 0 &&
-            hosts[i].config_revision >= spread->revision) {
+        if (seen->after_ms < 0 && has_document(spread, hosts[i].config_hash)) {
             seen->after_ms = (now_us - spread->since_us) / US_PER_MS;
         }
         whole = whole &&
--- a/policy/node.h
+++ b/policy/node.h
@@ -58,7 +58,8 @@
     const char *state; /* "live", "suspect", "dead", "leaving" */
     uint64_t incarnation;
     int64_t heard_ms;        /* since the last heartbeat */
-    int64_t config_revision; /* what it has in force */
+    int64_t config_revision; /* the highest that it has in force */
+    uint64_t config_hash;    /* over all keys and revisions in force */
 } node_host_view_t;
 
 /* One document in force. */
--- a/policy/view.c
+++ b/policy/view.c
@@ -174,6 +174,8 @@
                              : (now_us - member->heard_us) / US_PER_MS;
         view->config_revision = member->self ? spread_revision(node->spread)
                                              : member->config_revision;
+        view->config_hash =
+            member->self ? spread_hash(node->spread) : member->config_hash;
     }
     return views;
 }
