A leaving host passes new requests on to one that stays

Change: intake orders a relay to the first of the addresses for callers; the refusal stays for when there is none.

--- a/policy/intake.c
+++ b/policy/intake.c
@@ -15,6 +15,7 @@
                            const request_kind_t *kind);
 static void describe(session_t *session, const contract_t *contract,
                      const request_kind_t *kind);
+static void pass_request(step_t *step, const request_event_t *request);
 static void refuse_request(step_t *step, const request_event_t *request,
                            refusal_t refusal, uint32_t retry_after_ms,
                            const char *message);
@@ -48,8 +49,7 @@
         return;
     }
     if (node->draining) {
-        refuse_request(step, request, REFUSAL_LEAVING, LEAVING_RETRY_MS,
-                       "this host is leaving: ask GET /v1/hosts for another");
+        pass_request(step, request);
         return;
     }
     contract = config_serving(&node->config, organisation, request->model,
@@ -108,6 +108,29 @@
     return name;
 }
 
+/* A leaving host takes nothing new: a host that stays gets the request. */
+static void
+pass_request(step_t *step, const request_event_t *request)
+{
+    relay_order_t *relay;
+    size_t count = 0;
+    const member_view_t *hosts =
+        member_addresses(step->node->member, step->now_us, request->caller,
+                         &step->orders->arena, &count);
+
+    if (count == 0) {
+        refuse_request(step, request, REFUSAL_LEAVING, LEAVING_RETRY_MS,
+                       "this host is leaving: ask GET /v1/hosts for another");
+        return;
+    }
+    relay = &orders_add(step->orders, ORDER_RELAY)->order_t_u.relay;
+    relay->caller = request->caller;
+    relay->host = arena_strdup(&step->orders->arena, hosts[0].host);
+    relay->address = arena_strdup(&step->orders->arena, hosts[0].address);
+    orders_add(step->orders, ORDER_FORGET)->order_t_u.forget.body =
+        request->caller;
+}
+
 static void
 repeat_request(step_t *step, session_t *session,
                const request_event_t *request)
