policy: an order to look a session up holds its own names

Cause: ASan in test_sessions: use after free where the session that asks is refused in the same step (heap-use-after-free, xdr_string of the lookup). Change: the names are copied into the orders' arena. Conclusion: test_sessions passes under ASan, 40 of 40.

--- a/policy/takeover.c
+++ b/policy/takeover.c
@@ -225,8 +225,10 @@
     tell->host = arena_strdup(&step->orders->arena, host);
     tell->message.kind = MESSAGE_LOOKUP;
     lookup->ask = session->ask;
-    lookup->request.organisation = session->organisation;
-    lookup->request.key = session->key;
+    /* The session may be over, and freed, before the order is obeyed. */
+    lookup->request.organisation =
+        arena_strdup(&step->orders->arena, session->organisation);
+    lookup->request.key = arena_strdup(&step->orders->arena, session->key);
 }
 
 /* What this host keeps itself is found without a message. */
