Documents and claims under a store that loses answers, under test

Cause: the settling of lost answers was shown by hand only. Change: regress/flaky stands before a platform and loses, drops or refuses swaps; tables for applying a document (also against another operator) and for the claim of a request that may run once.

--- /dev/null
+++ b/regress/flaky.c
@@ -0,0 +1,205 @@
+/* flaky.c - see flaky.h. */
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/arena.h"
+#include "regress/flaky.h"
+
+struct flaky {
+    platform_t platform; /* first: it is called by it */
+    uv_loop_t *loop;
+    platform_t *inner;
+    const char *prefix;
+    flaky_fault_t fault;
+    size_t left;
+    bool failed; /* a call has failed since the intruder was named */
+    const char *intruder_key;
+    const char *intruder_value;
+};
+
+/* A swap that fails; its answer comes on a later turn of the loop. */
+typedef struct {
+    uv_timer_t timer;
+    platform_result_t result;
+    platform_swap_done_t done;
+    void *context;
+} failure_t;
+
+static void on_range(platform_t *platform, const char *key, bool prefix,
+                     platform_range_done_t done, void *context);
+static void on_swap(platform_t *platform, const platform_swap_t *swaps,
+                    size_t count, platform_swap_done_t done, void *context);
+static void on_lease_grant(platform_t *platform, int64_t ttl_s,
+                           platform_lease_done_t done, void *context);
+static void on_lease_keepalive(platform_t *platform, int64_t lease,
+                               platform_lease_done_t done, void *context);
+static void on_lease_revoke(platform_t *platform, int64_t lease,
+                            platform_lease_done_t done, void *context);
+static void on_watch(platform_t *platform, const char *prefix,
+                     int64_t start_revision, platform_watch_done_t done,
+                     void *context);
+static void on_free(platform_t *platform);
+static void fail_later(flaky_t *flaky, platform_result_t result,
+                       platform_swap_done_t done, void *context);
+static void on_failure(uv_timer_t *timer);
+static void intrude(flaky_t *flaky, const char *key);
+static void ignore(void *context, platform_result_t result, int64_t revision,
+                   const platform_swap_answer_t *answers, size_t count);
+
+static const platform_ops_t ops = {
+    on_range,        on_swap,  on_lease_grant, on_lease_keepalive,
+    on_lease_revoke, on_watch, on_free};
+
+platform_t *
+flaky_new(uv_loop_t *loop, platform_t *inner)
+{
+    flaky_t *flaky = xcalloc(1, sizeof(*flaky));
+
+    flaky->platform.ops = &ops;
+    flaky->loop = loop;
+    flaky->inner = inner;
+    return &flaky->platform;
+}
+
+void
+flaky_swaps(platform_t *platform, const char *prefix, flaky_fault_t fault,
+            size_t count)
+{
+    flaky_t *flaky = (flaky_t *)platform;
+
+    flaky->prefix = prefix;
+    flaky->fault = fault;
+    flaky->left = count;
+}
+
+void
+flaky_intrude(platform_t *platform, const char *key, const char *value)
+{
+    flaky_t *flaky = (flaky_t *)platform;
+
+    flaky->failed = false;
+    flaky->intruder_key = key;
+    flaky->intruder_value = value;
+}
+
+static void
+on_swap(platform_t *platform, const platform_swap_t *swaps, size_t count,
+        platform_swap_done_t done, void *context)
+{
+    flaky_t *flaky = (flaky_t *)platform;
+    bool fails = flaky->left > 0 && strncmp(swaps[0].key, flaky->prefix,
+                                            strlen(flaky->prefix)) == 0;
+
+    intrude(flaky, swaps[0].key);
+    if (!fails) {
+        flaky->inner->ops->swap(flaky->inner, swaps, count, done, context);
+        return;
+    }
+    flaky->left--;
+    flaky->failed = true;
+    if (flaky->fault == FLAKY_LOSES) {
+        flaky->inner->ops->swap(flaky->inner, swaps, count, ignore, NULL);
+    }
+    fail_later(flaky,
+               flaky->fault == FLAKY_REFUSES ? PLATFORM_UNREACHED
+                                             : PLATFORM_LOST,
+               done, context);
+}
+
+static void
+on_range(platform_t *platform, const char *key, bool prefix,
+         platform_range_done_t done, void *context)
+{
+    platform_t *inner = ((flaky_t *)platform)->inner;
+
+    inner->ops->range(inner, key, prefix, done, context);
+}
+
+static void
+on_lease_grant(platform_t *platform, int64_t ttl_s, platform_lease_done_t done,
+               void *context)
+{
+    platform_t *inner = ((flaky_t *)platform)->inner;
+
+    inner->ops->lease_grant(inner, ttl_s, done, context);
+}
+
+static void
+on_lease_keepalive(platform_t *platform, int64_t lease,
+                   platform_lease_done_t done, void *context)
+{
+    platform_t *inner = ((flaky_t *)platform)->inner;
+
+    inner->ops->lease_keepalive(inner, lease, done, context);
+}
+
+static void
+on_lease_revoke(platform_t *platform, int64_t lease,
+                platform_lease_done_t done, void *context)
+{
+    platform_t *inner = ((flaky_t *)platform)->inner;
+
+    inner->ops->lease_revoke(inner, lease, done, context);
+}
+
+static void
+on_watch(platform_t *platform, const char *prefix, int64_t start_revision,
+         platform_watch_done_t done, void *context)
+{
+    platform_t *inner = ((flaky_t *)platform)->inner;
+
+    inner->ops->watch(inner, prefix, start_revision, done, context);
+}
+
+static void
+on_free(platform_t *platform)
+{
+    flaky_t *flaky = (flaky_t *)platform;
+
+    flaky->inner->ops->free(flaky->inner);
+    free(flaky);
+}
+
+static void
+fail_later(flaky_t *flaky, platform_result_t result, platform_swap_done_t done,
+           void *context)
+{
+    failure_t *failure = xcalloc(1, sizeof(*failure));
+
+    failure->result = result;
+    failure->done = done;
+    failure->context = context;
+    (void)uv_timer_init(flaky->loop, &failure->timer);
+    (void)uv_timer_start(&failure->timer, on_failure, 1, 0);
+}
+
+static void
+on_failure(uv_timer_t *timer)
+{
+    failure_t *failure = (failure_t *)timer;
+
+    failure->done(failure->context, failure->result, 0, NULL, 0);
+    uv_close((uv_handle_t *)timer, (uv_close_cb)free);
+}
+
+static void
+intrude(flaky_t *flaky, const char *key)
+{
+    platform_op_t op = {
+        .verb = PLATFORM_PUT, .key = key, .value = flaky->intruder_value};
+    platform_swap_t swap = {.key = "/none", .ops = &op, .op_count = 1};
+
+    if (!flaky->failed || flaky->intruder_key == NULL ||
+        strcmp(flaky->intruder_key, key) != 0) {
+        return;
+    }
+    op.value_bytes = strlen(op.value);
+    flaky->intruder_key = NULL;
+    flaky->inner->ops->swap(flaky->inner, &swap, 1, ignore, NULL);
+}
+
+static void
+ignore(void *context, platform_result_t result, int64_t revision,
+       const platform_swap_answer_t *answers, size_t count)
+{
+}
--- a/regress/host.c
+++ b/regress/host.c
@@ -6,6 +6,7 @@
 #include <unistd.h>
 
 #include "agated/request.h"
+#include "regress/flaky.h"
 #include "regress/host.h"
 
 struct host_call {
@@ -14,6 +15,8 @@
     host_reply_t reply;
 };
 
+static void start(host_t *host, uv_loop_t *loop, int engine_port,
+                  const char *more, bool flaky);
 static void on_head(http_sink_t *sink, uint32_t status,
                     const char *content_type, uint32_t retry_after_ms);
 static void on_body(http_sink_t *sink, const char *bytes, size_t length);
@@ -24,6 +27,20 @@
 
 void
 host_start(host_t *host, uv_loop_t *loop, int engine_port, const char *more)
+{
+    start(host, loop, engine_port, more, false);
+}
+
+void
+host_start_flaky(host_t *host, uv_loop_t *loop, int engine_port,
+                 const char *more)
+{
+    start(host, loop, engine_port, more, true);
+}
+
+static void
+start(host_t *host, uv_loop_t *loop, int engine_port, const char *more,
+      bool flaky)
 {
     const char *digest;
     const char *name;
@@ -49,6 +66,9 @@
     host->daemon.settings = &host->settings;
     host->daemon.loop = loop;
     ck_assert_msg(daemon_open(&host->daemon, &err) == 0, "%s", err.message);
+    if (flaky) {
+        host->daemon.platform = flaky_new(loop, host->daemon.platform);
+    }
     daemon_start(&host->daemon);
     digest = host_digest(&host->arena, "Bearer team-key");
     while (node_role(dispatch_node(host->daemon.dispatch), digest, &name) !=
--- a/regress/host.h
+++ b/regress/host.h
@@ -23,7 +23,8 @@
     "service = \"plans\"\nteam = \"" team "\"\nweighs = \"extra-work\"\n"     \
     "[[model]]\nname = \"planner\"\nversion = \"planner-v3\"\n"               \
     "[[organisation]]\nname = \"tarawhiti\"\nweight = " weight "\n"           \
-    "[[kind]]\nname = \"plan\"\nurgency = \"batch\"\nidempotent = true\n"
+    "[[kind]]\nname = \"plan\"\nurgency = \"batch\"\nidempotent = true\n"     \
+    "[[kind]]\nname = \"order\"\nurgency = \"normal\"\nidempotent = false\n"
 
 typedef struct {
     daemon_t daemon;
@@ -39,6 +40,10 @@
  */
 void host_start(host_t *host, uv_loop_t *loop, int engine_port,
                 const char *more);
+
+/* The same, with a flaky platform (flaky.h) before the daemon's own. */
+void host_start_flaky(host_t *host, uv_loop_t *loop, int engine_port,
+                      const char *more);
 const char *host_address(const host_t *host);
 /* Stops as an operator would, and waits until the last connection closed. */
 void host_stop(host_t *host);
