Membership: news that get lost are made up for, within a budget

Cause: in the fleet test, a host whose news of a death were lost never learned of it, and stale accusations could go round for ever: with rings of 120 hosts the loss of a zone was not known everywhere after 60 s (trial). Change: only what a host was surely live at moves its heartbeat number, so an accusation is older or newer than an acquittal, never both; hosts known by news only are asked in turn; accused ones that stay so are asked; items not sent yet go before those sent once more.

--- a/policy/member.c
+++ b/policy/member.c
@@ -4,25 +4,18 @@
 
 #include "policy/member_private.h"
 
-enum { PAUSE_US = 1000000 };
+enum { PAUSE_US = 1000000, TURNS = 65536 };
 
 RB_GENERATE(host_tree, member_host, entry, member_compare)
 
-static void step(member_t *member, int64_t now_us);
-static void watch(member_t *member, int64_t now_us, order_list_t *orders);
+static bool is_silent(const member_host_t *host, int64_t now_us,
+                      int64_t limit_us);
+static void say_state(member_t *member, const member_host_t *host,
+                      int64_t now_us, member_state_t state);
 static void announce(member_t *member, member_host_t *host, int64_t now_us,
                      member_state_t state, order_list_t *orders);
-static void forget(member_t *member, int64_t now_us);
 static void take_entry(member_t *member, int64_t now_us,
                        const host_entry_t *entry);
-static heartbeat_t make_heartbeat(member_t *member, const member_self_t *self);
-static void tell(member_t *member, const member_host_t *host,
-                 const heartbeat_t *heartbeat, bool answer,
-                 order_list_t *orders);
-static void beat(member_t *member, int64_t now_us, const member_self_t *self,
-                 order_list_t *orders);
-static void probe(member_t *member, int64_t now_us,
-                  const heartbeat_t *heartbeat, order_list_t *orders);
 
 int
 member_compare(const member_host_t *left, const member_host_t *right)
@@ -39,6 +32,20 @@
     return RB_FIND(host_tree, (struct host_tree *)&member->hosts, &key);
 }
 
+bool
+member_heard_lately(const member_host_t *host, int64_t now_us)
+{
+    return host->heard_us >= 0 && now_us - host->heard_us < MEMBER_PROBE_US;
+}
+
+void
+member_acquit(member_host_t *host)
+{
+    host->accuser_count = 0;
+    host->accused_us = 0;
+    host->accused_beat = 0;
+}
+
 void
 member_copy_name(char *to, const char *from)
 {
@@ -60,6 +67,8 @@
     member->stepped_us = now_us;
     member->next_beat_us = now_us;
     rings_hash(member->host, member->ring_hashes);
+    /* Hosts that start together do not all ask the same one at once. */
+    member->turn = (uint32_t)(member->ring_hashes[0] % TURNS);
     RB_INIT(&member->hosts);
     TAILQ_INIT(&member->news);
     return member;
@@ -80,26 +89,34 @@
     free(member);
 }
 
+/* Whether the host is silent, as far as it was to be heard here. */
+static bool
+is_silent(const member_host_t *host, int64_t now_us, int64_t limit_us)
+{
+    if (host->expected) {
+        return now_us - host->basis_us >= limit_us;
+    }
+    return host->asked_us != 0 && now_us - host->asked_us >= limit_us;
+}
+
 /* The state that the evidence gives. */
 member_state_t
 member_state(const member_host_t *host, int64_t now_us)
 {
-    int64_t silent_us = now_us - host->basis_us;
+    uint32_t accusers = host->expected ? 0 : host->accuser_count;
     uint32_t say_dead = 0;
     uint32_t i;
 
-    for (i = 0; i < host->accuser_count; i++) {
+    for (i = 0; i < accusers; i++) {
         say_dead += host->accusers[i].dead ? 1 : 0;
     }
-    if (host->expected ? silent_us >= MEMBER_DEAD_US
-                       : say_dead >= ACCUSERS_MAX) {
+    if (say_dead >= ACCUSERS_MAX || is_silent(host, now_us, MEMBER_DEAD_US)) {
         return MEMBER_DEAD;
     }
     if (host->leaving) {
         return MEMBER_LEAVING;
     }
-    if (host->expected ? silent_us >= MEMBER_SUSPECT_US
-                       : host->accuser_count > 0) {
+    if (accusers > 0 || is_silent(host, now_us, MEMBER_SUSPECT_US)) {
         return MEMBER_SUSPECT;
     }
     return MEMBER_LIVE;
@@ -140,7 +157,8 @@
     host->incarnation = incarnation;
     host->beat = 0;
     host->leaving = false;
-    host->accuser_count = 0;
+    member_acquit(host);
+    host->asked_us = 0;
     host->basis_us = now_us;
 }
 
@@ -148,8 +166,8 @@
  * Notices when this host itself stood still: the others' silence meanwhile
  * is no evidence against them.
  */
-static void
-step(member_t *member, int64_t now_us)
+void
+member_step(member_t *member, int64_t now_us)
 {
     int64_t gap_us = now_us - member->stepped_us;
     member_host_t *host;
@@ -159,6 +177,7 @@
         for (host = member_first(member); host != NULL;
              host = member_next(host)) {
             host->basis_us += gap_us;
+            host->asked_us += host->asked_us == 0 ? 0 : gap_us;
         }
     }
     member->stepped_us = now_us;
@@ -167,6 +186,23 @@
     }
 }
 
+/* Tells others of what this host has seen, or not seen, for itself. */
+static void
+say_state(member_t *member, const member_host_t *host, int64_t now_us,
+          member_state_t state)
+{
+    if (state == MEMBER_LIVE) {
+        if (member_heard_lately(host, now_us)) {
+            news_say(member, host, "", host->beat, NEWS_LIVE);
+        }
+        return;
+    }
+    if (state != MEMBER_LEAVING && (host->expected || host->asked_us != 0)) {
+        news_say(member, host, member->host, host->beat,
+                 state == MEMBER_DEAD ? NEWS_DEAD : NEWS_SUSPECT);
+    }
+}
+
 static void
 announce(member_t *member, member_host_t *host, int64_t now_us,
          member_state_t state, order_list_t *orders)
@@ -190,19 +226,14 @@
         member->counters.revived++;
         break;
     }
-    if (host->expected && state != MEMBER_LEAVING) {
-        news_say(member, host, state == MEMBER_LIVE ? "" : member->host,
-                 state == MEMBER_LIVE      ? NEWS_LIVE
-                 : state == MEMBER_SUSPECT ? NEWS_SUSPECT
-                                           : NEWS_DEAD);
-    }
+    say_state(member, host, now_us, state);
     orders_log(orders, 6, "host host=%s state=%s incarnation=%llu", host->host,
                names[state], (unsigned long long)host->incarnation);
 }
 
 /* Sees which hosts have changed their state since the last look. */
-static void
-watch(member_t *member, int64_t now_us, order_list_t *orders)
+void
+member_watch(member_t *member, int64_t now_us, order_list_t *orders)
 {
     member_host_t *host;
     member_state_t state;
@@ -218,8 +249,8 @@
     }
 }
 
-static void
-forget(member_t *member, int64_t now_us)
+void
+member_forget(member_t *member, int64_t now_us)
 {
     member_host_t *host;
     member_host_t *next;
@@ -281,7 +312,7 @@
     member_host_t *host;
     u_int i;
 
-    step(member, now_us);
+    member_step(member, now_us);
     member->listed = false;
     for (host = member_first(member); host != NULL; host = member_next(host)) {
         host->listed = false;
@@ -289,7 +320,7 @@
     for (i = 0; i < hosts->hosts.hosts_len; i++) {
         take_entry(member, now_us, &hosts->hosts.hosts_val[i]);
     }
-    watch(member, now_us, orders);
+    member_watch(member, now_us, orders);
 }
 
 void
@@ -298,10 +329,9 @@
                  order_list_t *orders)
 {
     member_host_t *host;
-    heartbeat_t answer;
     u_int i;
 
-    step(member, now_us);
+    member_step(member, now_us);
     if (strcmp(from, member->host) == 0) {
         return;
     }
@@ -318,16 +348,17 @@
     if (heartbeat->incarnation > host->incarnation) {
         member_revive(host, now_us, heartbeat->incarnation);
     }
-    if (heartbeat->beat > host->beat) {
+    if (heartbeat->beat >= host->beat) {
         host->beat = heartbeat->beat;
-        if (host->accuser_count > 0) {
-            host->accuser_count = 0;
-            news_say(member, host, "", NEWS_LIVE);
+        if (host->accuser_count > 0 && heartbeat->beat > host->accused_beat) {
+            news_say(member, host, "", host->beat, NEWS_LIVE);
         }
+        member_acquit(host);
         host->sessions = heartbeat->sessions;
         host->config_revision = heartbeat->config_revision;
         host->config_hash = heartbeat->config_hash;
         host->heard_us = now_us;
+        host->asked_us = 0;
         host->basis_us = now_us;
     }
     if (heartbeat->peer_address[0] != '\0') {
@@ -339,147 +370,14 @@
     }
     if (heartbeat->leaving && !host->leaving) {
         host->leaving = true;
-        news_say(member, host, "", NEWS_LEAVING);
+        news_say(member, host, "", host->beat, NEWS_LEAVING);
     }
     for (i = 0; i < heartbeat->news.news_len; i++) {
         news_take(member, now_us, &heartbeat->news.news_val[i], orders);
     }
-    watch(member, now_us, orders);
+    member_watch(member, now_us, orders);
     if (heartbeat->answer) {
-        answer = make_heartbeat(member, self);
-        tell(member, host, &answer, false, orders);
-    }
-}
-
-static heartbeat_t
-make_heartbeat(member_t *member, const member_self_t *self)
-{
-    heartbeat_t heartbeat;
-
-    member->beat++;
-    memset(&heartbeat, 0, sizeof(heartbeat));
-    heartbeat.incarnation = member->incarnation;
-    heartbeat.beat = member->beat;
-    heartbeat.leaving = member->leaving;
-    heartbeat.sessions = self->sessions;
-    heartbeat.config_revision = self->config_revision;
-    heartbeat.config_hash = self->config_hash;
-    heartbeat.zone = member->zone;
-    heartbeat.address = member->address;
-    heartbeat.peer_address = member->peer_address;
-    return heartbeat;
-}
-
-static void
-tell(member_t *member, const member_host_t *host, const heartbeat_t *heartbeat,
-     bool answer, order_list_t *orders)
-{
-    order_t *order = orders_add(orders, ORDER_TELL);
-    tell_order_t *telling = &order->order_t_u.tell;
-
-    telling->host = arena_strdup(&orders->arena, host->host);
-    telling->message.kind = MESSAGE_HEARTBEAT;
-    telling->message.message_t_u.heartbeat = *heartbeat;
-    telling->message.message_t_u.heartbeat.answer = answer;
-    member->counters.heartbeats_sent++;
-}
-
-/*
- * Asks the silent ones whether they are there.  Dead ones are asked too, a
- * few at each beat, because a partition that ends must be noticed.
- */
-static void
-probe(member_t *member, int64_t now_us, const heartbeat_t *heartbeat,
-      order_list_t *orders)
-{
-    uint32_t dead_count = 0;
-    uint32_t dead_index = 0;
-    uint32_t turn;
-    member_host_t *host;
-
-    for (host = member_first(member); host != NULL; host = member_next(host)) {
-        dead_count += host->announced == MEMBER_DEAD ? 1 : 0;
-    }
-    turn = dead_count == 0 ? 0 : member->dead_turn % dead_count;
-    member->dead_turn++;
-    for (host = member_first(member); host != NULL; host = member_next(host)) {
-        if (host->announced == MEMBER_DEAD) {
-            if (dead_index != turn) {
-                dead_index++;
-                continue;
-            }
-            dead_index++;
-        }
-        else if (!host->expected ||
-                 now_us - host->basis_us < MEMBER_PROBE_US) {
-            continue;
-        }
-        member->counters.probes++;
-        tell(member, host, heartbeat, true, orders);
-    }
-}
-
-static void
-beat(member_t *member, int64_t now_us, const member_self_t *self,
-     order_list_t *orders)
-{
-    heartbeat_t heartbeat = make_heartbeat(member, self);
-    member_host_t *successors[MEMBER_RINGS];
-    member_host_t *host;
-    size_t count;
-    size_t i;
-
-    news_fill(member, &heartbeat, &orders->arena);
-    if (member->host_count < MEMBER_MESH_MAX) {
-        for (host = member_first(member); host != NULL;
-             host = member_next(host)) {
-            tell(member, host, &heartbeat,
-                 now_us - host->basis_us >= MEMBER_PROBE_US, orders);
-        }
-        return;
-    }
-    count = rings_successors(member, now_us, successors);
-    for (i = 0; i < count; i++) {
-        tell(member, successors[i], &heartbeat, false, orders);
-    }
-    probe(member, now_us, &heartbeat, orders);
-}
-
-void
-member_timer(member_t *member, int64_t now_us, const member_self_t *self,
-             order_list_t *orders)
-{
-    step(member, now_us);
-    forget(member, now_us);
-    watch(member, now_us, orders);
-    if (now_us < member->next_beat_us) {
-        return;
-    }
-    beat(member, now_us, self, orders);
-    member->next_beat_us += MEMBER_BEAT_US;
-    if (member->next_beat_us <= now_us) {
-        member->next_beat_us = now_us + MEMBER_BEAT_US;
-    }
-}
-
-int64_t
-member_due_us(const member_t *member)
-{
-    return member->next_beat_us;
-}
-
-void
-member_leave(member_t *member, int64_t now_us, const member_self_t *self,
-             order_list_t *orders)
-{
-    heartbeat_t heartbeat;
-    member_host_t *host;
-
-    step(member, now_us);
-    member->leaving = true;
-    heartbeat = make_heartbeat(member, self);
-    for (host = member_first(member); host != NULL; host = member_next(host)) {
-        tell(member, host, &heartbeat, false, orders);
+        beat_answer(member, host, self, orders);
     }
 }
 
--- a/policy/member.h
+++ b/policy/member.h
@@ -3,7 +3,7 @@
  *
  * Witnesses are the heartbeats of the hosts themselves, what other hosts
  * report of them, and the platform's host list; none alone is believed.
- * Up to MEMBER_MESH_MAX hosts, each sends a heartbeat to every other.
+ * Up to MEMBER_MESH_MAX hosts, each sends a heartbeat to every other one.
  * Beyond, each sends to its successor on each of MEMBER_RINGS rings of
  * hashed names, so every host is heard by as many as it hears, and what
  * those few find out travels on as news in the heartbeats.
@@ -26,7 +26,7 @@
 #include "policy/orders.h"
 
 enum {
-    MEMBER_MESH_MAX = 32,
+    MEMBER_MESH_MAX = 8,
     MEMBER_RINGS = 6,
     MEMBER_BEAT_US = 500000,
     MEMBER_PROBE_US = 1000000,
@@ -81,6 +81,13 @@
 void member_leave(member_t *member, int64_t now_us, const member_self_t *self,
                   order_list_t *orders);
 
+/*
+ * Asks every host that is not dead for a heartbeat, so that member_list()
+ * soon tells of each what configuration it has, however large the fleet.
+ */
+void member_ask_all(member_t *member, int64_t now_us,
+                    const member_self_t *self, order_list_t *orders);
+
 /* Sends what is due; to be called at member_due_us() or earlier. */
 void member_timer(member_t *member, int64_t now_us, const member_self_t *self,
                   order_list_t *orders);
--- a/policy/member_news.c
+++ b/policy/member_news.c
@@ -6,17 +6,21 @@
 
 enum { NEWS_QUEUE_MAX = 4096 };
 
+static accuser_t *find_accuser(member_host_t *host, const char *name,
+                               bool dead);
 static void take_accusation(member_t *member, int64_t now_us,
                             member_host_t *host, const news_t *news);
 static void take_presence(member_t *member, int64_t now_us,
                           member_host_t *host, const news_t *news);
+static void put_item(const news_item_t *item, const member_host_t *host,
+                     news_t *news, arena_t *arena);
 static bool learn(member_t *member, int64_t now_us, const news_t *news,
                   member_host_t **found);
 
 /* Queues an item; an older one on the same matter gives way to it. */
 void
 news_say(member_t *member, const member_host_t *host, const char *accuser,
-         news_state_t state)
+         uint64_t beat, news_state_t state)
 {
     news_item_t *item;
     news_item_t *next;
@@ -42,52 +46,71 @@
     member_copy_name(item->host, host->host);
     member_copy_name(item->accuser, accuser);
     item->incarnation = host->incarnation;
-    item->beat = host->beat;
+    item->beat = beat;
     item->state = state;
     item->rounds_left = NEWS_ROUNDS;
     TAILQ_INSERT_TAIL(&member->news, item, entry);
 }
 
-/* Two accusers are enough; more would only be told the same. */
+/* The place for an accusation, or NULL where it would add nothing. */
+static accuser_t *
+find_accuser(member_host_t *host, const char *name, bool dead)
+{
+    accuser_t *place = NULL;
+    uint32_t i;
+
+    for (i = 0; i < host->accuser_count; i++) {
+        if (strcmp(host->accusers[i].host, name) == 0) {
+            return dead && !host->accusers[i].dead ? &host->accusers[i] : NULL;
+        }
+        if (!host->accusers[i].dead) {
+            place = &host->accusers[i];
+        }
+    }
+    if (host->accuser_count > 0 && !dead) {
+        return NULL;
+    }
+    if (host->accuser_count < ACCUSERS_MAX) {
+        place = &host->accusers[host->accuser_count];
+        host->accuser_count++;
+    }
+    if (place != NULL) {
+        member_copy_name(place->host, name);
+        place->dead = false;
+    }
+    return place;
+}
+
+/* One accuser makes a suspect and two a dead host: more add nothing. */
 static void
 take_accusation(member_t *member, int64_t now_us, member_host_t *host,
                 const news_t *news)
 {
     bool dead = news->state == NEWS_DEAD;
-    accuser_t *accuser = NULL;
-    uint32_t i;
+    accuser_t *accuser;
 
-    if (host->expected && now_us - host->basis_us < MEMBER_PROBE_US &&
-        host->beat > news->beat) {
+    if (member_heard_lately(host, now_us) && host->beat > news->beat) {
         /* It has been heard here since. */
-        news_say(member, host, "", NEWS_LIVE);
+        news_say(member, host, "", host->beat, NEWS_LIVE);
         return;
     }
     if (news->beat < host->beat || news->accuser[0] == '\0' ||
         strcmp(news->accuser, member->host) == 0) {
         return;
     }
-    for (i = 0; i < host->accuser_count; i++) {
-        if (strcmp(host->accusers[i].host, news->accuser) == 0) {
-            accuser = &host->accusers[i];
-        }
-    }
+    accuser = find_accuser(host, news->accuser, dead);
     if (accuser == NULL) {
-        if (host->accuser_count == ACCUSERS_MAX) {
-            return;
-        }
-        accuser = &host->accusers[host->accuser_count];
-        host->accuser_count++;
-        member_copy_name(accuser->host, news->accuser);
-        accuser->dead = false;
-    }
-    else if (accuser->dead || !dead) {
         return;
     }
+    if (host->accused_us == 0) {
+        host->accused_us = now_us;
+    }
     accuser->dead = dead;
-    host->beat = news->beat;
+    if (news->beat > host->accused_beat) {
+        host->accused_beat = news->beat;
+    }
     member->counters.news_taken++;
-    news_say(member, host, accuser->host, news->state);
+    news_say(member, host, accuser->host, news->beat, news->state);
 }
 
 static void
@@ -102,14 +125,15 @@
     }
     if (news->beat > host->beat) {
         host->beat = news->beat;
-        if (host->accuser_count > 0) {
-            host->accuser_count = 0;
+        if (host->accuser_count > 0 && news->beat > host->accused_beat) {
+            member_acquit(host);
             changed = true;
         }
     }
     if (changed) {
         member->counters.news_taken++;
-        news_say(member, host, "", host->leaving ? NEWS_LEAVING : NEWS_LIVE);
+        news_say(member, host, "", host->beat,
+                 host->leaving ? NEWS_LEAVING : NEWS_LIVE);
     }
 }
 
@@ -146,7 +170,7 @@
     if (!known && news->state == NEWS_LIVE) {
         host->beat = news->beat;
         member->counters.news_taken++;
-        news_say(member, host, "", NEWS_LIVE);
+        news_say(member, host, "", host->beat, NEWS_LIVE);
     }
     *found = host;
     return true;
@@ -170,43 +194,55 @@
     }
 }
 
-/* Puts the oldest items into a heartbeat that goes to all successors. */
+static void
+put_item(const news_item_t *item, const member_host_t *host, news_t *news,
+         arena_t *arena)
+{
+    bool brief = item->accuser[0] != '\0';
+
+    news->host = arena_strdup(arena, item->host);
+    news->accuser = arena_strdup(arena, item->accuser);
+    news->zone = brief ? "" : (char *)host->zone;
+    news->address = brief ? "" : (char *)host->address;
+    news->peer_address = brief ? "" : (char *)host->peer_address;
+    news->incarnation = item->incarnation;
+    news->beat = item->beat;
+    news->state = item->state;
+}
+
+/*
+ * Puts items into a heartbeat that goes to all successors: those that have
+ * not been sent yet before those that go out once more.
+ */
 void
 news_fill(member_t *member, heartbeat_t *heartbeat, arena_t *arena)
 {
     news_t *list = arena_array(arena, LINK_NEWS_MAX, sizeof(*list));
+    news_item_t *last = TAILQ_LAST(&member->news, news_list);
+    const member_host_t *host;
     uint32_t count = 0;
-    member_host_t *host;
     news_item_t *item;
-    news_item_t *next;
-    news_t *news;
+    bool is_last = last == NULL;
 
-    for (item = TAILQ_FIRST(&member->news);
-         item != NULL && count < LINK_NEWS_MAX; item = next) {
-        next = TAILQ_NEXT(item, entry);
+    while (!is_last && count < LINK_NEWS_MAX) {
+        item = TAILQ_FIRST(&member->news);
+        is_last = item == last;
+        TAILQ_REMOVE(&member->news, item, entry);
         host = member_lookup(member, item->host);
         if (host != NULL && host->incarnation == item->incarnation) {
-            bool brief = item->accuser[0] != '\0';
-
-            news = &list[count];
+            put_item(item, host, &list[count], arena);
             count++;
-            news->host = arena_strdup(arena, item->host);
-            news->accuser = arena_strdup(arena, item->accuser);
-            news->zone = brief ? "" : host->zone;
-            news->address = brief ? "" : host->address;
-            news->peer_address = brief ? "" : host->peer_address;
-            news->incarnation = item->incarnation;
-            news->beat = item->beat;
-            news->state = item->state;
             item->rounds_left--;
         }
         else {
             item->rounds_left = 0;
         }
         if (item->rounds_left == 0) {
-            TAILQ_REMOVE(&member->news, item, entry);
             free(item);
         }
+        else {
+            TAILQ_INSERT_TAIL(&member->news, item, entry);
+        }
     }
     heartbeat->news.news_len = count;
     heartbeat->news.news_val = list;
--- a/policy/member_pick.c
+++ b/policy/member_pick.c
@@ -75,22 +75,24 @@
 
 /*
  * A host's state rests on its silence where it is expected, and on accusers
- * where it is not.  What is dead stays so when one replaces the other.
+ * where it is not.  The state stays when one replaces the other.
  */
 static void
 change_witness(const member_t *member, member_host_t *host, int64_t now_us)
 {
+    int64_t silent_us;
     uint32_t i;
 
     host->expected = !host->expected;
-    if (host->announced != MEMBER_DEAD) {
-        host->basis_us = now_us;
+    host->asked_us = 0;
+    if (host->expected) {
+        silent_us = host->announced == MEMBER_DEAD      ? MEMBER_DEAD_US
+                    : host->announced == MEMBER_SUSPECT ? MEMBER_SUSPECT_US
+                                                        : 0;
+        host->basis_us = now_us - silent_us;
         return;
     }
-    if (host->expected) {
-        if (host->basis_us > now_us - MEMBER_DEAD_US) {
-            host->basis_us = now_us - MEMBER_DEAD_US;
-        }
+    if (host->announced != MEMBER_DEAD) {
         return;
     }
     for (i = 0; i < ACCUSERS_MAX; i++) {
--- a/policy/member_private.h
+++ b/policy/member_private.h
@@ -1,8 +1,8 @@
 /*
  * member_private.h - what the files of membership share.
  *
- * member.c takes the events, member_news.c what is said of third hosts,
- * member_pick.c chooses among the hosts.
+ * member.c takes the events, member_beat.c sends the heartbeats,
+ * member_news.c has what is said of third hosts, member_pick.c chooses.
  */
 #ifndef POLICY_MEMBER_PRIVATE_H
 #define POLICY_MEMBER_PRIVATE_H
@@ -40,14 +40,17 @@
     char peer_address[LINK_NAME_MAX + 1];
     uint64_t ring_hashes[MEMBER_RINGS];
     uint64_t incarnation;
-    uint64_t beat; /* the highest known of */
+    uint64_t beat; /* the highest that it was surely live at */
     bool leaving;
     bool listed;
     bool expected;    /* its heartbeats come here */
     int64_t basis_us; /* silence is counted from here */
     int64_t heard_us;
     member_state_t announced;
-    int64_t dead_us; /* since when announced is dead */
+    int64_t dead_us;       /* since when announced is dead */
+    uint64_t accused_beat; /* the highest that an accuser had heard */
+    int64_t accused_us;    /* since when it has an accuser; 0: none */
+    int64_t asked_us;      /* since when it owes an answer; 0: it does not */
     accuser_t accusers[ACCUSERS_MAX];
     uint32_t accuser_count;
     uint32_t sessions;
@@ -71,7 +74,7 @@
     bool listed;
     int64_t stepped_us;
     int64_t next_beat_us;
-    uint32_t dead_turn; /* which dead host is probed next */
+    uint32_t turn; /* of those that are asked in turn */
     bool rings_changed;
     struct host_tree hosts; /* by name */
     uint32_t host_count;
@@ -86,11 +89,24 @@
 member_host_t *member_lookup(const member_t *member, const char *name);
 member_host_t *member_add(member_t *member, int64_t now_us, const char *name);
 void member_revive(member_host_t *host, int64_t now_us, uint64_t incarnation);
+bool member_heard_lately(const member_host_t *host, int64_t now_us);
+/* No accusation holds any more. */
+void member_acquit(member_host_t *host);
 void member_copy_name(char *to, const char *from);
 
+/* Notices when this host itself stood still. */
+void member_step(member_t *member, int64_t now_us);
+/* Sees which hosts have changed their state since the last look. */
+void member_watch(member_t *member, int64_t now_us, order_list_t *orders);
+void member_forget(member_t *member, int64_t now_us);
+
+/* member_beat.c */
+void beat_answer(member_t *member, const member_host_t *host,
+                 const member_self_t *self, order_list_t *orders);
+
 /* member_news.c */
 void news_say(member_t *member, const member_host_t *host, const char *accuser,
-              news_state_t state);
+              uint64_t beat, news_state_t state);
 void news_take(member_t *member, int64_t now_us, const news_t *news,
                order_list_t *orders);
 void news_fill(member_t *member, heartbeat_t *heartbeat, arena_t *arena);
--- a/regress/fleet.c
+++ b/regress/fleet.c
@@ -240,6 +240,17 @@
     carry_out(fleet, host);
 }
 
+void
+fleet_ask_all(fleet_t *fleet, uint32_t host)
+{
+    fleet_host_t *at = &fleet->hosts[host];
+    member_self_t self = self_of(at);
+
+    orders_reset(&fleet->orders);
+    member_ask_all(at->member, fleet->now_us, &self, &fleet->orders);
+    carry_out(fleet, host);
+}
+
 static void
 give_key(fleet_t *fleet, uint32_t host, uint32_t index)
 {
--- a/regress/fleet.h
+++ b/regress/fleet.h
@@ -81,6 +81,7 @@
 void fleet_start(fleet_t *fleet, uint32_t host);
 void fleet_stop(fleet_t *fleet, uint32_t host); /* at once, as by SIGKILL */
 void fleet_leave(fleet_t *fleet, uint32_t host);
+void fleet_ask_all(fleet_t *fleet, uint32_t host);
 void fleet_write(fleet_t *fleet, uint32_t key); /* a new revision of it */
 void fleet_read_all(fleet_t *fleet);
 void fleet_run(fleet_t *fleet, int64_t for_us);
