--- a/agated/agated.h
+++ b/agated/agated.h
@@ -15,8 +15,9 @@
 
 #include <uv.h>
 
+#include "agated/position.h"
 #include "agated/settings.h"
-#include "agated/text.h"
+#include "base/text.h"
 #include "http/http.h"
 #include "platform/platform.h"
 #include "policy/node.h"
@@ -35,6 +36,7 @@
     uv_loop_t *loop;
     const settings_t *settings;
     uint64_t incarnation;
+    position_key_t position_key;
     http_client_t *client;
     platform_t *platform;
     dispatch_t *dispatch;
@@ -43,9 +45,23 @@
     claims_t *claims;
     documents_t *documents;
     presence_t *presence;
-    peers_t *peers; /* NULL: a host without peers */
+    peers_t *peers;         /* NULL: a host without peers */
+    uint32_t control_calls; /* of the administration API, under way */
 } daemon_t;
 
+/* --- daemon.c: the tasks together --- */
+
+/*
+ * Opens all that can fail, so that a wrong setting is told before any work;
+ * loop and settings are set.  -1 with *err set.  daemon_close() comes after
+ * it in any case.
+ */
+int daemon_open(daemon_t *daemon, err_t *err);
+
+/* Starts to serve; listening goes on when the loop runs. */
+void daemon_start(daemon_t *daemon);
+void daemon_close(daemon_t *daemon);
+
 /* --- dispatch.c: the one place that calls node_step() --- */
 
 /* NULL with *err set when the event log cannot be opened. */
@@ -54,6 +70,8 @@
 
 /* Steps the node; an event raised while a step runs waits for its end. */
 void dispatch_event(dispatch_t *dispatch, const event_t *event);
+/* Begins to leave: tells the store and the node. */
+void dispatch_drain(dispatch_t *dispatch);
 const node_t *dispatch_node(const dispatch_t *dispatch);
 
 /* Microseconds of the monotonic clock, as node_step() sees them. */
@@ -76,6 +94,8 @@
 listener_t *listener_new(daemon_t *daemon, err_t *err);
 /* The address that callers connect to, its port resolved. */
 const char *listener_address(const listener_t *listener);
+/* Reads the TLS certificate and key anew; the old stay when that fails. */
+int listener_reload(listener_t *listener, err_t *err);
 /* Starts to accept. */
 void listener_start(listener_t *listener);
 /* Accepts no more, and ends the loop when the last answer is out. */
--- a/agated/listener.c
+++ b/agated/listener.c
@@ -7,7 +7,9 @@
 
 #include <xxhash.h>
 
+#include "agated/control.h"
 #include "agated/exchange.h"
+#include "agated/tls.h"
 #include "base/address.h"
 #include "base/log.h"
 
@@ -53,6 +55,7 @@
 static int on_request(h2o_handler_t *handler, h2o_req_t *req);
 static bool answer_view(listener_t *listener, h2o_req_t *req);
 static bool path_is(const h2o_req_t *req, const char *path);
+static bool path_starts(const h2o_req_t *req, const char *prefix);
 static void on_setup_ostream(h2o_filter_t *filter, h2o_req_t *req,
                              h2o_ostream_t **slot);
 static void send_too_large(h2o_ostream_t *ostream, h2o_req_t *req,
@@ -81,12 +84,37 @@
         return NULL;
     }
     configure(listener);
+    if (listener_reload(listener, err) < 0) {
+        listener->timer = NULL;
+        listener_free(listener);
+        return NULL;
+    }
     listener->timer = xcalloc(1, sizeof(*listener->timer));
     (void)uv_timer_init(daemon->loop, listener->timer);
     listener->timer->data = listener;
     return listener;
 }
 
+/* Connections that are open keep the certificate that they began with. */
+int
+listener_reload(listener_t *listener, err_t *err)
+{
+    const settings_t *settings = listener->daemon->settings;
+    SSL_CTX *context;
+
+    if (settings->tls_certificate == NULL) {
+        return 0;
+    }
+    context =
+        tls_context_new(settings->tls_certificate, settings->tls_key, err);
+    if (context == NULL) {
+        return -1;
+    }
+    SSL_CTX_free(listener->accept.ssl_ctx);
+    listener->accept.ssl_ctx = context;
+    return 0;
+}
+
 const char *
 listener_address(const listener_t *listener)
 {
@@ -132,7 +160,10 @@
     if (listener->socket != NULL) {
         uv_close((uv_handle_t *)listener->socket, (uv_close_cb)free);
     }
-    uv_close((uv_handle_t *)listener->timer, (uv_close_cb)free);
+    if (listener->timer != NULL) {
+        uv_close((uv_handle_t *)listener->timer, (uv_close_cb)free);
+    }
+    SSL_CTX_free(listener->accept.ssl_ctx);
     /* h2o says goodbye on HTTP/2 twice, a second apart. */
     if (h2o_timeout_is_linked(
             &listener->context.http2._graceful_shutdown_timeout)) {
@@ -257,18 +288,20 @@
 on_request(h2o_handler_t *handler, h2o_req_t *req)
 {
     listener_t *listener = ((route_t *)handler)->listener;
-    static const char services[] = "/services/";
     refuse_order_t refusal;
 
     if (path_is(req, "/v1/completions") ||
         path_is(req, "/v1/chat/completions") ||
-        (req->path.len > strlen(services) &&
-         memcmp(req->path.base, services, strlen(services)) == 0)) {
+        path_starts(req, "/services/")) {
         listener->callers_seen++;
         exchange_accept(listener->daemon, &listener->callers,
                         listener->callers_seen, req);
         return 0;
     }
+    if (path_starts(req, "/admin/v1/")) {
+        control_request(listener->daemon, req);
+        return 0;
+    }
     if (answer_view(listener, req)) {
         return 0;
     }
@@ -316,6 +349,15 @@
     return h2o_memis(req->path.base, length, path, strlen(path));
 }
 
+static bool
+path_starts(const h2o_req_t *req, const char *prefix)
+{
+    size_t length = strlen(prefix);
+
+    return req->path.len >= length &&
+           memcmp(req->path.base, prefix, length) == 0;
+}
+
 /* h2o's own 413 is plain text; callers get the one shape of refusals. */
 static void
 on_setup_ostream(h2o_filter_t *filter, h2o_req_t *req, h2o_ostream_t **slot)
@@ -385,7 +427,8 @@
 {
     listener_t *listener = timer->data;
     client_t *client;
-    bool quiet = HASH_COUNT(listener->callers) == 0;
+    bool quiet = HASH_COUNT(listener->callers) == 0 &&
+                 listener->daemon->control_calls == 0;
     uv_os_fd_t fd;
 
     LIST_FOREACH(client, &listener->clients, link)
--- a/backend/engine.c
+++ b/backend/engine.c
@@ -34,7 +34,8 @@
     http_client_t *client;
     backend_listener_t *listener;
     struct engine_stream *streams; /* a table by number */
-    arena_t arena;                 /* for one event */
+    load_poll_t *polls;
+    arena_t arena; /* for one event */
 } engine_t;
 
 typedef struct engine_stream {
@@ -56,7 +57,7 @@
 static void engine_open(backend_t *backend, const backend_request_t *request);
 static void engine_reattach(backend_t *backend,
                             const backend_reattach_t *again);
-static void engine_cancel(backend_t *backend, uint64_t number);
+static void engine_cancel(backend_t *backend, uint64_t number, bool keep);
 static void engine_poll_load(backend_t *backend, const char *runner,
                              const char *address);
 static void engine_free(backend_t *backend);
@@ -153,7 +154,7 @@
 }
 
 static void
-engine_cancel(backend_t *backend, uint64_t number)
+engine_cancel(backend_t *backend, uint64_t number, bool keep)
 {
     engine_t *engine = (engine_t *)backend;
     http_request_t call = {
@@ -169,6 +170,10 @@
     if (stream == NULL) {
         return;
     }
+    if (keep) {
+        stream_close(stream);
+        return;
+    }
     (void)snprintf(path, sizeof(path), "/v1/completions/%s/cancel",
                    stream->id);
     url = url_make(stream->address, path);
@@ -183,7 +188,8 @@
 {
     engine_t *engine = (engine_t *)backend;
 
-    load_poll(engine->client, engine->listener, runner, address);
+    load_poll(&engine->polls, engine->client, engine->listener, runner,
+              address);
 }
 
 static void
@@ -197,6 +203,7 @@
     {
         stream_close(stream);
     }
+    load_polls_free(&engine->polls);
     arena_free(&engine->arena);
     free(engine);
 }
--- a/backend/service.c
+++ b/backend/service.c
@@ -23,6 +23,7 @@
     http_client_t *client;
     backend_listener_t *listener;
     struct service_call *calls; /* a table by stream number */
+    load_poll_t *polls;
 } service_t;
 
 typedef struct service_call {
@@ -38,7 +39,7 @@
 } service_call_t;
 
 static void service_open(backend_t *backend, const backend_request_t *request);
-static void service_cancel(backend_t *backend, uint64_t number);
+static void service_cancel(backend_t *backend, uint64_t number, bool keep);
 static void service_poll_load(backend_t *backend, const char *runner,
                               const char *address);
 static void service_free(backend_t *backend);
@@ -103,11 +104,12 @@
 }
 
 static void
-service_cancel(backend_t *backend, uint64_t number)
+service_cancel(backend_t *backend, uint64_t number, bool keep)
 {
     service_t *service = (service_t *)backend;
     service_call_t *call;
 
+    (void)keep;
     HASH_FIND(hh, service->calls, &number, sizeof(number), call);
     if (call != NULL) {
         call_free(call);
@@ -119,7 +121,8 @@
 {
     service_t *service = (service_t *)backend;
 
-    load_poll(service->client, service->listener, runner, address);
+    load_poll(&service->polls, service->client, service->listener, runner,
+              address);
 }
 
 static void
@@ -133,6 +136,7 @@
     {
         call_free(call);
     }
+    load_polls_free(&service->polls);
     free(service);
 }
 
--- a/policy/caller.c
+++ b/policy/caller.c
@@ -3,17 +3,7 @@
 
 #include "policy/private.h"
 
-enum {
-    HTTP_BAD_REQUEST = 400,
-    HTTP_UNAUTHORISED = 401,
-    HTTP_NOT_FOUND = 404,
-    HTTP_CONFLICT = 409,
-    HTTP_UNPROCESSABLE = 422,
-    HTTP_BAD_GATEWAY = 502,
-    HTTP_UNAVAILABLE = 503,
-};
-
-static uint32_t refusal_status(refusal_t refusal);
+static bool reached(session_t *session);
 static void give_units(step_t *step, session_t *session);
 static void give_end(step_t *step, session_t *session);
 
@@ -71,7 +61,7 @@
 void
 caller_give(step_t *step, session_t *session)
 {
-    if (session->caller == 0) {
+    if (session->caller == 0 || !reached(session)) {
         return;
     }
     if (session->given < session->answer.ready_cuts) {
@@ -82,6 +72,36 @@
     }
 }
 
+/*
+ * Whether the answer has come to where the caller is.  A position at which
+ * no unit ends is found by session_is_lost().
+ */
+static bool
+reached(session_t *session)
+{
+    int64_t cut;
+
+    if (session->from == 0) {
+        return true;
+    }
+    cut = answer_cut_at(&session->answer, session->from);
+    if (cut < 0) {
+        return false;
+    }
+    session->given = (uint32_t)cut;
+    session->from = 0;
+    return true;
+}
+
+/* Whether the answer has gone past the caller without ending a unit there. */
+bool
+caller_is_lost(const session_t *session)
+{
+    return session->from > 0 && session->caller != 0 &&
+           (session->answer.token_count > session->from ||
+            session->answer.finish != FINISH_NONE);
+}
+
 void
 caller_refuse(step_t *step, uint64_t caller, refusal_t refusal, run_t run,
               uint32_t retry_after_ms, const char *message)
@@ -92,7 +112,6 @@
     order->caller = caller;
     order->refusal = refusal;
     order->run = run;
-    order->status = refusal_status(refusal);
     order->retry_after_ms = retry_after_ms;
     order->message = arena_strdup(&step->orders->arena, message);
     step->node->counters.refused++;
@@ -143,31 +162,3 @@
         finish->completion_tokens = session->answer.token_count;
     }
 }
-
-static uint32_t
-refusal_status(refusal_t refusal)
-{
-    switch (refusal) {
-    case REFUSAL_UNAUTHORISED:
-        return HTTP_UNAUTHORISED;
-    case REFUSAL_UNKNOWN_MODEL:
-    case REFUSAL_UNKNOWN_KIND:
-        return HTTP_NOT_FOUND;
-    case REFUSAL_ALREADY_RAN:
-    case REFUSAL_SUPERSEDED:
-        return HTTP_CONFLICT;
-    case REFUSAL_HARMFUL:
-        return HTTP_UNPROCESSABLE;
-    case REFUSAL_INVALID:
-        return HTTP_BAD_REQUEST;
-    case REFUSAL_BACKEND_LOST:
-    case REFUSAL_BACKEND_FAILED:
-        return HTTP_BAD_GATEWAY;
-    case REFUSAL_OVERLOADED:
-    case REFUSAL_LEAVING:
-    case REFUSAL_NO_RUNNER:
-    case REFUSAL_STORE_UNREACHED:
-        break;
-    }
-    return HTTP_UNAVAILABLE;
-}
--- a/regress/fleet.sh
+++ b/regress/fleet.sh
@@ -5,6 +5,7 @@
 
 key=secret
 pids=()
+former=0
 declare -A pid_of address_of
 
 cleanup() {
@@ -58,7 +59,8 @@
     address_of[$name]=127.0.0.1:$(wait_for "$work/$name.out" '^ready')
 }
 
-# start_host NAME ZONE [LINES]: an agated, at its former port.
+# start_host NAME ZONE: an agated, at its former port.  HOST_SETTINGS are
+# further lines of its settings.
 start_host() {
     local listen=${address_of[$1]:-127.0.0.1:0}
     cat >"$work/$1.toml" <<EOF
@@ -72,10 +74,10 @@
 [peers]
 address = "127.0.0.1:0"
 key_file = "$work/peers.key"
-${3:-}
+${HOST_SETTINGS:-}
 EOF
     head -c 32 /dev/zero | tr '\0' k >"$work/peers.key"
-    : >"$work/$1.log"
+    [ ! -e "$work/$1.log" ] || mv "$work/$1.log" "$work/$1.log.$((++former))"
     start "$1" "$bin/agated/agated" -f "$work/$1.toml"
     address_of[$1]=$(wait_for "$work/$1.log" 'listening address=')
 }
@@ -151,8 +153,31 @@
     fail "$1 does not serve the documents"
 }
 
-# stop NAME SIGNAL
+# stop NAME SIGNAL: ends the process and forgets its id.
 stop() {
-    kill "-$2" "${pid_of[$1]}"
-    wait "${pid_of[$1]}" 2>/dev/null || true
+    local ended=${pid_of[$1]} pid left=()
+    kill "-$2" "$ended"
+    wait "$ended" 2>/dev/null || true
+    for pid in "${pids[@]}"; do
+        [ "$pid" = "$ended" ] || left+=("$pid")
+    done
+    pids=("${left[@]}")
+}
+
+# lives NAME
+lives() {
+    kill -0 "${pid_of[$1]}" 2>/dev/null
+}
+
+# pause NAME SECONDS: stops it, and lets it go on later.
+pause() {
+    kill -STOP "${pid_of[$1]}"
+    (sleep "$2"; kill -CONT "${pid_of[$1]}" 2>/dev/null) &
+    pids+=($!)
+}
+
+# store_fault JSON
+store_fault() {
+    "$bin/regress/standin/standin_load" call POST \
+        "http://${address_of[store]}/fault" "$1" >/dev/null
 }
--- a/regress/standin/load_answer.c
+++ b/regress/standin/load_answer.c
@@ -63,6 +63,7 @@
     {
         session->ids[session->id_count++] = (uint32_t)json_integer_value(id);
     }
+    session_expect(session);
     session->held += event.id_count;
     session_record(session, event);
 }
@@ -70,11 +71,13 @@
 static void
 add_end(session_t *session, bool named_other)
 {
-    const load_plan_t *plan = session->plan;
     const char *text = session->text != NULL ? session->text : "";
-    bool clean = session->finish != NULL &&
-                 strcmp(session->finish, plan->expected_finish) == 0 &&
-                 strcmp(text, plan->expected_text) == 0;
+    bool clean;
+
+    session_expect(session);
+    clean = session->finish != NULL &&
+            strcmp(session->finish, session->expected.finish) == 0 &&
+            strcmp(text, session->expected.text) == 0;
 
     session->ended = true;
     session_record(session, (history_event_t){.kind = HISTORY_END,
@@ -106,6 +109,8 @@
     for (size_t i = 0; i < sizeof(lasting) / sizeof(lasting[0]); i++) {
         session->ended |= kind != NULL && strcmp(kind, lasting[i]) == 0;
     }
+    snprintf(session->refusal, sizeof(session->refusal), "%s",
+             kind != NULL ? kind : "?");
     session->superseded = kind != NULL && strcmp(kind, "superseded") == 0;
     if (session->options->print) {
         fprintf(stderr, "refused: %s, %s\n", kind != NULL ? kind : "?",
@@ -145,8 +150,12 @@
     if (strncmp(line, "id: ", 4) == 0) {
         session->event_named_other =
             strncmp(line + 4, name, length) != 0 || line[4 + length] != '.';
-        session->event_position =
-            (uint32_t)strtoul(strrchr(line, '.') + 1, NULL, 10);
+        if (!session->event_named_other) {
+            session->event_position =
+                (uint32_t)strtoul(line + 4 + length + 1, NULL, 10);
+        }
+        free(session->event_id);
+        session->event_id = strdup(line + 4);
     }
     else if (strcmp(line, "event: error") == 0) {
         session->error_event = true;
@@ -156,6 +165,9 @@
     }
     else if (strncmp(line, "data: ", 6) == 0) {
         json = json_loads(line + 6, 0, NULL);
+        free(session->last_id);
+        session->last_id = session->event_id;
+        session->event_id = NULL;
         if (session->error_event) {
             add_refusal(session, json_object_get(json, "error"));
         }
--- /dev/null
+++ b/regress/test_daemon.c
@@ -0,0 +1,179 @@
+/* test_daemon.c - the whole daemon in one process, over HTTP. */
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "regress/canned.h"
+#include "regress/host.h"
+
+enum { ENOUGH_MS = 20000 };
+
+#define ORG HOST_ORG
+#define TEAM HOST_TEAM
+#define OPS HOST_OPS
+#define ASK "{\"model\":\"planner\",\"prompt\":\"hi\",\"max_tokens\":2"
+
+/* What the engine says to every request: two tokens. */
+static const canned_reply_t engine_says = {
+    "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+    "Transfer-Encoding: chunked\r\n\r\n"
+    "6d\r\ndata: {\"choices\":[{\"index\":0,\"text\":\"Check\","
+    "\"finish_reason\":null,\"prompt_token_ids\":[5],\"token_ids\":[11]}]}"
+    "\n\n\r\n"
+    "59\r\ndata: {\"choices\":[{\"index\":0,\"text\":\" oil\","
+    "\"finish_reason\":\"length\",\"token_ids\":[12]}]}\n\n\r\n"
+    "e\r\ndata: [DONE]\n\n\r\n0\r\n\r\n",
+    0, CANNED_KEEP};
+
+/* One request and its answer; the rows run in this order. */
+typedef struct {
+    const char *method;
+    const char *path;
+    const char *key; /* the whole header, or NULL */
+    const char *header;
+    const char *body;
+    uint32_t status;
+    const char *contains;
+} exchange_case_t;
+
+static const exchange_case_t rows[] = {
+    {"GET", "/healthz", NULL, NULL, NULL, 200, "\"status\":\"ok\""},
+    {"GET", "/v1/hosts", NULL, NULL, NULL, 200,
+     "{\"hosts\":[{\"host\":\"a1\",\"zone\":\"north\",\"address\":\"127.0."},
+    {"GET", "/nowhere", NULL, NULL, NULL, 404, "no such path: use /v1/compl"},
+    {"GET", "/v1/models", NULL, NULL, NULL, 401, "\"kind\":\"unauthorised\""},
+    {"GET", "/v1/models", ORG, NULL, NULL, 200, "{\"id\":\"planner\",\"obje"},
+    {"POST", "/v1/completions", NULL, NULL, ASK "}", 401, "\"run\":\"not-run"},
+    {"POST", "/v1/completions", ORG, NULL, "{", 400, "\"kind\":\"invalid\""},
+    {"PUT", "/v1/completions", ORG, NULL, ASK "}", 405, "send the request wi"},
+    {"POST", "/v1/completions", ORG, NULL, ASK "}", 200,
+     "\"text\":\"Check oil\",\"logprobs\":null,\"finish_reason\":\"length\"}],"
+     "\"usage\":{\"prompt_tokens\":1,\"completion_tokens\":2,"},
+    {"POST", "/v1/completions", ORG, "Idempotency-Key: k1",
+     ASK ",\"stream\":true}", 200,
+     "id: k1.2~AQAAAAAAAAsM1O3m2db_VF8\ndata: [DONE]\n\n"},
+    {"GET", "/metrics", NULL, NULL, NULL, 200, "agated_finished_total 2\n"},
+    {"GET", "/admin/v1/services", NULL, NULL, NULL, 401, "nobody has this k"},
+    {"GET", "/admin/v1/services", ORG, NULL, NULL, 403, "another key"},
+    {"GET", "/admin/v1/nothing", OPS, NULL, NULL, 404, "not-found"},
+    {"GET", "/admin/v1/services", TEAM, NULL, NULL, 200,
+     "[{\"service\":\"plans\",\"team\":\"planning\",\"revision\":3}]"},
+    {"GET", "/admin/v1/services/plans", TEAM, NULL, NULL, 200,
+     "{\"revision\":3,\"text\":\"service = "},
+    {"GET", "/admin/v1/services/none", TEAM, NULL, NULL, 404, "not-found"},
+    {"GET", "/admin/v1/fleet", TEAM, NULL, NULL, 403, "forbidden"},
+    {"GET", "/admin/v1/fleet", OPS, NULL, NULL, 200, "{\"revision\":2,"},
+    {"POST", "/admin/v1/check", TEAM, NULL, HOST_SERVICE("planning", "2"), 200,
+     "{\"valid\":true,\"service\":\"plans\"}"},
+    {"POST", "/admin/v1/check", TEAM, NULL, HOST_SERVICE("planning", "0"), 422,
+     "document:9: weight = 0 is out of range"},
+    {"PUT", "/admin/v1/services/plans", TEAM, NULL,
+     HOST_SERVICE("planning", "2"), 428, "If-Match is no revision"},
+    {"PUT", "/admin/v1/services/plans", TEAM, "If-Match: 2",
+     HOST_SERVICE("planning", "2"), 409,
+     "\"revision\":3,\"text\":\"service = "},
+    {"PUT", "/admin/v1/services/plans", TEAM, "If-Match: 3",
+     HOST_SERVICE("others", "2"), 403, "names another team"},
+    {"PUT", "/admin/v1/services/other", TEAM, "If-Match: 0",
+     HOST_SERVICE("planning", "2"), 422, "another service's than the path"},
+    {"PUT", "/admin/v1/services/plans", TEAM, "If-Match: 3",
+     HOST_SERVICE("planning", "2"), 200, "\"in_force\":true"},
+    /* The same again, as after a lost answer: nothing is written. */
+    {"PUT", "/admin/v1/services/plans", TEAM, "If-Match: 3",
+     HOST_SERVICE("planning", "2"), 200, "\"in_force\":true"},
+    {"PUT", "/admin/v1/services/plans", OPS, "If-Match: 3",
+     HOST_SERVICE("others", "2"), 409, "\"kind\":\"conflict\""},
+    {"GET", "/admin/v1/services/plans/history", TEAM, NULL, NULL, 200,
+     "\"replaced\":3,\"text\":\"service = "},
+    {"GET", "/admin/v1/services/plans", TEAM, NULL, NULL, 200,
+     "weight = 2\\n"},
+    {"GET", "/admin/v1/hosts", TEAM, NULL, NULL, 200, "\"host\":\"a1\""},
+    {"GET", "/admin/v1/runners", TEAM, NULL, NULL, 200, "\"runner\":\"r1\""},
+    {"GET", "/admin/v1/requests", ORG, NULL, NULL, 200, "\"requests\":["},
+    {"POST", "/admin/v1/drain", TEAM, NULL, NULL, 403, "forbidden"},
+    {"POST", "/admin/v1/drain", OPS, NULL, NULL, 200, "\"leaving\":true"},
+};
+
+static void on_enough(uv_timer_t *timer);
+static void run_row(uv_loop_t *loop, http_client_t *client,
+                    const char *address, const exchange_case_t *row);
+
+START_TEST(test_exchanges)
+{
+    uv_loop_t loop;
+    uv_timer_t enough;
+    host_t host;
+    http_client_t *client;
+    canned_t *engine;
+    size_t i;
+
+    (void)uv_loop_init(&loop);
+    (void)uv_timer_init(&loop, &enough);
+    (void)uv_timer_start(&enough, on_enough, ENOUGH_MS, 0);
+    engine = canned_new(&loop, &engine_says, 1);
+    host_start(&host, &loop, canned_port(engine), "");
+    client = http_client_new(&loop);
+    for (i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
+        run_row(&loop, client, host_address(&host), &rows[i]);
+    }
+    host_stop(&host);
+    ck_assert_uint_eq(uv_is_active((uv_handle_t *)&enough), 1);
+    http_client_free(client);
+    canned_free(engine);
+    uv_close((uv_handle_t *)&enough, NULL);
+    while (uv_run(&loop, UV_RUN_NOWAIT) != 0) {
+    }
+    ck_assert_int_eq(uv_loop_close(&loop), 0);
+}
+END_TEST
+
+static void
+run_row(uv_loop_t *loop, http_client_t *client, const char *address,
+        const exchange_case_t *row)
+{
+    arena_t arena = {0};
+    host_reply_t reply = {0};
+    const char *headers[] = {row->key, row->header, NULL};
+    http_request_t request = {
+        .method = row->method,
+        .url = arena_printf(&arena, "http://%s%s", address, row->path),
+        .headers = row->key == NULL ? headers + 2 : headers,
+        .body = row->body,
+        .body_bytes = row->body == NULL ? 0 : strlen(row->body),
+        .connect_timeout_ms = ENOUGH_MS,
+        .timeout_ms = ENOUGH_MS};
+
+    host_ask(loop, client, &request, &reply);
+    ck_assert_msg(reply.result == HTTP_DONE && reply.status == row->status,
+                  "%s %s: result %d, status %u: %s", row->method, row->path,
+                  reply.result, reply.status, reply.body.bytes);
+    ck_assert_msg(strstr(reply.body.bytes, row->contains) != NULL,
+                  "%s %s: \"%s\" not in: %s", row->method, row->path,
+                  row->contains, reply.body.bytes);
+    text_free(&reply.body);
+    arena_free(&arena);
+}
+
+static void
+on_enough(uv_timer_t *timer)
+{
+    uv_stop(timer->loop);
+}
+
+int
+main(void)
+{
+    Suite *suite = suite_create("daemon");
+    TCase *tcase = tcase_create("daemon");
+    SRunner *runner;
+    int failed;
+
+    tcase_set_timeout(tcase, 2.0 * ENOUGH_MS / 1000);
+    tcase_add_test(tcase, test_exchanges);
+    suite_add_tcase(suite, tcase);
+    runner = srunner_create(suite);
+    srunner_run_all(runner, CK_NORMAL);
+    failed = srunner_ntests_failed(runner);
+    srunner_free(runner);
+    return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
