--- a/regress/bench_peer.c
+++ b/regress/bench_peer.c
@@ -10,8 +10,10 @@
 #include <string.h>
 #include <time.h>
 
+#include "agated/position.h"
 #include "peer/peer.h"
 #include "peer/wire.h"
+#include "policy/keep.h"
 #include "regress/fleet.h"
 
 enum {
@@ -23,6 +25,8 @@
     CALLS = 20000,
     TOKENS_PER_HOST = 20882, /* 7.1 million a second over 340 hosts */
     HOST_BYTES_MAX = 15000,  /* a second, for control */
+    PART_TOKENS = 16,
+    UNSETTLED_TOKENS = 7, /* 300 ms at 43 ms a token */
 };
 static const double cpu_percent_max = 2.6;
 
@@ -288,6 +292,8 @@
     (void)uv_loop_close(&loop);
 }
 
+static double event_id_bytes(uint32_t tokens);
+
 /* Of a part of a record, with this many tokens of four bytes of text. */
 static void
 bench_record(uint32_t tokens)
@@ -323,6 +329,84 @@
     print("record_token", tokens, each, "B", 0);
     print("record_sent_by_host_at_letter_1", tokens, each * TOKENS_PER_HOST,
           "B/s", 0);
+    print("record_and_event_id_token", tokens, each + event_id_bytes(tokens),
+          "B", 0);
+}
+
+/*
+ * Of the ids of events, on average: an id carries the tokens since the last
+ * part, and those of a part that may not have arrived yet.
+ */
+static double
+event_id_bytes(uint32_t tokens)
+{
+    uint32_t ids[256];
+    position_t position = {.position = 1000, .attempt = 1};
+    position_key_t key;
+    text_t out = {0};
+    uint32_t i;
+
+    position_key(&key, bench_key, sizeof(bench_key));
+    position.place.runner = "runner-0001";
+    position.place.stream_name = "0123456789abcdef.1.1";
+    for (i = 0; i < 256; i++) {
+        ids[i] = i * 500;
+    }
+    position.tail_ids = ids;
+    for (i = 0; i < tokens; i++) {
+        position.tail_count = i + UNSETTLED_TOKENS;
+        position.tail_from = position.position - position.tail_count;
+        position_write(&key, "0123456789abcdef0123456789abcdef", &position,
+                       &out);
+    }
+    i = (uint32_t)out.length;
+    text_free(&out);
+    return (double)i / tokens;
+}
+
+/* A keeper's memory and time, with sessions of 1,024 tokens in parts. */
+static void
+bench_keep(uint32_t sessions)
+{
+    static char text[4 * PART_TOKENS];
+    static uint32_t token_ids[PART_TOKENS];
+    record_cut_t cuts[PART_TOKENS];
+    order_list_t orders = {0};
+    keep_t *keep = keep_new(SIZE_MAX);
+    record_t record = {0};
+    char key[32];
+    double start_s = cpu_s();
+    uint32_t parts = sessions * (1024 / PART_TOKENS);
+    uint32_t i;
+    uint32_t j;
+
+    record.request.organisation = "organisation-0001";
+    record.request.key = key;
+    record.owner = "host-001";
+    record.runner = "runner-0001";
+    record.stream_name = "0123456789abcdef.1.1";
+    record.state = RECORD_RUNNING;
+    record.token_ids.token_ids_len = PART_TOKENS;
+    record.token_ids.token_ids_val = token_ids;
+    record.text.text_len = sizeof(text);
+    record.text.text_val = text;
+    record.cuts.cuts_len = PART_TOKENS;
+    record.cuts.cuts_val = cuts;
+    for (i = 0; i < parts; i++) {
+        (void)snprintf(key, sizeof(key), "key-%u", i % sessions);
+        record.first = i / sessions * PART_TOKENS;
+        for (j = 0; j < PART_TOKENS; j++) {
+            cuts[j].position = record.first + j + 1;
+            cuts[j].text_bytes = 4 * cuts[j].position;
+        }
+        keep_record(keep, i, "host-001", &record, &orders);
+    }
+    print("keep_part_cpu", sessions, (cpu_s() - start_s) * 1e9 / parts, "ns",
+          0);
+    print("keep_token_memory", sessions,
+          (double)keep_counters(keep)->bytes / sessions / 1024, "B", 0);
+    keep_free(keep);
+    orders_free(&orders);
 }
 
 int
@@ -353,5 +437,7 @@
     for (i = 0; i < sizeof(parts) / sizeof(parts[0]); i++) {
         bench_record(parts[i]);
     }
+    bench_keep(100);
+    bench_keep(1000);
     return 0;
 }
