Waiting requests share a pool by organisation and urgency

Cause: requests waited by urgency and arrival only, so that one organisation could fill every queue, and a wait had a limit but no estimate. Change: queue.c keeps a pool for each model, in which admit.h gives order and refusals; what may not start for a reason of its own is set aside; racing a silent engine takes from the pool's retry budget.

--- a/policy/node.c
+++ b/policy/node.c
@@ -18,9 +18,7 @@
     node_t *node = xcalloc(1, sizeof(*node));
 
     node->timer_set_us = INT64_MAX;
-    for (size_t i = 0; i < URGENCY_COUNT; i++) {
-        TAILQ_INIT(&node->queues[i]);
-    }
+    queue_init(&node->queue);
     return node;
 }
 
@@ -46,6 +44,7 @@
     claim_queue_free(node->claims);
     suspects_free(node->suspects);
     hosts_free(node);
+    queue_free(&node->queue);
     runners_free(&node->runners);
     config_free(&node->config);
     timers_free(&node->timers);
--- a/policy/private.h
+++ b/policy/private.h
@@ -14,6 +14,7 @@
 #include "policy/keep.h"
 #include "policy/member.h"
 #include "policy/node.h"
+#include "policy/queue.h"
 #include "policy/runners.h"
 #include "policy/session.h"
 #include "policy/spread.h"
@@ -24,8 +25,6 @@
     REASSURE_MS = 100, /* the least Retry-After that is given */
 };
 
-TAILQ_HEAD(session_queue, session);
-
 struct node {
     start_event_t start; /* strings are the node's own */
     bool started;
@@ -47,8 +46,7 @@
     session_t *by_name;
     session_t *by_caller;
     attempt_t *by_stream;
-    struct session_queue queues[URGENCY_COUNT];
-    size_t queued;
+    queue_t queue;
     size_t active; /* sessions that are neither finished nor refused */
     timers_t timers;
     int64_t timer_set_us; /* the last ORDER_TIMER; INT64_MAX: none */
@@ -105,8 +103,9 @@
 
 /* queue.c: sessions that wait for a runner. */
 void queue_session(step_t *step, session_t *session);
-void queue_remove(node_t *node, session_t *session);
+void queue_remove(step_t *step, session_t *session);
 void queue_pump(step_t *step);
+bool queue_may_retry(step_t *step, const session_t *session);
 
 /* attempt.c: streams at backend servers. */
 attempt_t *attempt_new(step_t *step, session_t *session,
--- a/policy/queue.c
+++ b/policy/queue.c
@@ -1,71 +1,203 @@
-/* queue.c - sessions that wait for a runner. */
+/* queue.c - see queue.h. */
+#include <stdlib.h>
+#include <string.h>
+
 #include "policy/private.h"
 
-static void start_session(step_t *step, session_t *session);
+enum { POOL_ITEMS_MAX = 4096, RETRY_PERMILLE = 200, RETRY_BURST = 64 };
+
+static pool_t *find_pool(queue_t *queue, const char *model);
+static void push(step_t *step, session_t *session);
+static void pump_pool(step_t *step, pool_t *pool);
+static void take_aside_back(step_t *step);
+static void set_aside(step_t *step, pool_t *pool, session_t *session);
+static bool start_session(step_t *step, pool_t *pool, session_t *session);
 
-/* Interrupted work goes before all else of its urgency. */
 void
-queue_session(step_t *step, session_t *session)
+queue_init(queue_t *queue)
 {
-    node_t *node = step->node;
-    struct session_queue *queue = &node->queues[session->urgency];
+    TAILQ_INIT(&queue->aside);
+}
 
-    session_enter(step, session, SESSION_QUEUED);
-    if (session->waits_resumed) {
-        TAILQ_INSERT_HEAD(queue, session, queue);
-    }
-    else {
-        TAILQ_INSERT_TAIL(queue, session, queue);
+void
+queue_free(queue_t *queue)
+{
+    pool_t *pool;
+    pool_t *next;
+
+    HASH_ITER(hh, queue->by_model, pool, next)
+    {
+        /* The analyzer does not follow how uthash moves its head. */
+        HASH_DEL(queue->by_model, pool); /* NOLINT(clang-analyzer-*) */
+        admit_free(pool->admit);
+        free(pool->model);
+        free(pool);
     }
-    node->queued++;
 }
 
+/* Lets the session wait; it may be refused, and gone, on return. */
 void
-queue_remove(node_t *node, session_t *session)
+queue_session(step_t *step, session_t *session)
 {
-    TAILQ_REMOVE(&node->queues[session->urgency], session, queue);
-    node->queued--;
+    session_enter(step, session, SESSION_QUEUED);
+    push(step, session);
 }
 
+void
+queue_remove(step_t *step, session_t *session)
+{
+    queue_t *queue = &step->node->queue;
+
+    if (session->aside) {
+        TAILQ_REMOVE(&queue->aside, session, queue);
+        session->aside = false;
+    }
+    if (session->pooled) {
+        admit_remove(find_pool(queue, session->runner_model)->admit,
+                     step->now_us, session->id);
+        session->pooled = false;
+    }
+}
+
+/* Starts all that can be started, in the order of its pool. */
 void
 queue_pump(step_t *step)
+{
+    pool_t *pool;
+
+    take_aside_back(step);
+    for (pool = step->node->queue.by_model; pool != NULL;
+         pool = pool->hh.next) {
+        pump_pool(step, pool);
+    }
+}
+
+/* Whether the model's pool can afford one more run of the same work. */
+bool
+queue_may_retry(step_t *step, const session_t *session)
+{
+    pool_t *pool = find_pool(&step->node->queue, session->runner_model);
+
+    return admit_retry(pool->admit);
+}
+
+static pool_t *
+find_pool(queue_t *queue, const char *model)
+{
+    const admit_limits_t limits = {
+        .items_max = POOL_ITEMS_MAX,
+        .retry_permille = RETRY_PERMILLE,
+        .retry_burst = RETRY_BURST,
+    };
+    pool_t *pool;
+
+    HASH_FIND_STR(queue->by_model, model, pool);
+    if (pool != NULL) {
+        return pool;
+    }
+    pool = xcalloc(1, sizeof(*pool));
+    pool->model = xstrdup(model);
+    pool->admit = admit_new(&limits);
+    HASH_ADD_KEYPTR(hh, queue->by_model, pool->model, strlen(pool->model),
+                    pool);
+    return pool;
+}
+
+static void
+push(step_t *step, session_t *session)
 {
     node_t *node = step->node;
+    pool_t *pool = find_pool(&node->queue, session->runner_model);
+    const admit_item_t item = {
+        .id = session->id,
+        .organisation = session->organisation,
+        .weight = session->weight,
+        .cost = (uint32_t)session->prefix_count + 1,
+        .urgency = session->urgency,
+        .interrupted = session->waits_resumed,
+        .wait_max_us = (int64_t)node->start.queue_wait_ms * US_PER_MS,
+    };
+    uint32_t retry_after_ms = admit_push(pool->admit, step->now_us, &item);
+
+    session->pooled = retry_after_ms == 0;
+    if (!session->pooled) {
+        session_refuse(step, session, REFUSAL_OVERLOADED, RUN_NOT_RUN,
+                       retry_after_ms,
+                       "the wait for a backend server would be too long: "
+                       "send the request again after the stated time");
+    }
+}
+
+static void
+pump_pool(step_t *step, pool_t *pool)
+{
+    uint64_t id;
 
-    for (size_t i = 0; i < URGENCY_COUNT && node->queued > 0; i++) {
-        session_t *session = TAILQ_FIRST(&node->queues[i]);
+    while (admit_peek(pool->admit, &id)) {
+        session_t *session;
 
-        while (session != NULL) {
-            session_t *next = TAILQ_NEXT(session, queue);
+        HASH_FIND(hh, step->node->sessions, &id, sizeof(id), session);
+        if (suspecting_refuses(step, session)) {
+            continue;
+        }
+        if (!suspecting_allows(step, session)) {
+            set_aside(step, pool, session);
+            continue;
+        }
+        if (!start_session(step, pool, session)) {
+            return;
+        }
+    }
+}
 
-            start_session(step, session);
-            session = next;
+/* What was set aside may be free to start by now. */
+static void
+take_aside_back(step_t *step)
+{
+    session_t *session = TAILQ_FIRST(&step->node->queue.aside);
+
+    while (session != NULL) {
+        session_t *next = TAILQ_NEXT(session, queue);
+
+        if (suspecting_allows(step, session)) {
+            queue_remove(step, session);
+            push(step, session);
         }
+        session = next;
     }
 }
 
 static void
-start_session(step_t *step, session_t *session)
+set_aside(step_t *step, pool_t *pool, session_t *session)
+{
+    admit_remove(pool->admit, step->now_us, session->id);
+    session->pooled = false;
+    session->aside = true;
+    TAILQ_INSERT_TAIL(&step->node->queue.aside, session, queue);
+}
+
+/* Whether the pool has room for more. */
+static bool
+start_session(step_t *step, pool_t *pool, session_t *session)
 {
     node_t *node = step->node;
     wish_t wish = session_wish(session, node->start.zone);
     runner_state_t *runner;
 
-    if (suspecting_refuses(step, session) ||
-        !suspecting_allows(step, session)) {
-        return;
-    }
     suspecting_wish(step, session, &wish);
     runner = runners_choose(&node->runners, &wish, step->now_us);
     if (runner == NULL) {
-        return;
+        return false;
     }
     if (!claiming_may_start(step, session)) {
         session_refuse_claim(step, session);
-        return;
+        return true;
     }
+    admit_started(pool->admit, step->now_us, session->id);
+    session->pooled = false;
     (void)attempt_open(step, session, runner, false);
     record_start(step, session);
     session->waits_resumed = false;
     session_enter(step, session, SESSION_RUNNING);
+    return true;
 }
--- a/policy/resume.c
+++ b/policy/resume.c
@@ -281,7 +281,8 @@
         return;
     }
     runner = runners_choose(&node->runners, &wish, step->now_us);
-    if (runner == NULL || !can_resume(session) || !takeover_bridge(session)) {
+    if (runner == NULL || !can_resume(session) || !takeover_bridge(session) ||
+        !queue_may_retry(step, session)) {
         return;
     }
     if (attempts_live(session) == SESSION_ATTEMPTS) {
--- a/policy/session.c
+++ b/policy/session.c
@@ -80,7 +80,7 @@
         HASH_DELETE(hh_caller, node->by_caller, session);
     }
     if (session->state == SESSION_QUEUED) {
-        queue_remove(node, session);
+        queue_remove(step, session);
     }
     if (session->state < SESSION_FINISHED) {
         node->active--;
@@ -109,7 +109,7 @@
 session_enter(step_t *step, session_t *session, session_state_t state)
 {
     if (session->state == SESSION_QUEUED && state != SESSION_QUEUED) {
-        queue_remove(step->node, session);
+        queue_remove(step, session);
     }
     if (session->state < SESSION_FINISHED && state >= SESSION_FINISHED) {
         step->node->active--;
--- a/policy/session.h
+++ b/policy/session.h
@@ -122,6 +122,8 @@
     uint64_t ask;      /* of the lookup */
     uint32_t ask_left; /* peers that have not answered */
     due_t due;
+    bool pooled; /* waits in its model's pool */
+    bool aside;  /* waits outside of it */
     TAILQ_ENTRY(session) queue;
     UT_hash_handle hh; /* by id */
     UT_hash_handle hh_name;
