--- a/policy/private.h
+++ b/policy/private.h
@@ -39,6 +39,7 @@
     member_t *member;
     spread_t *spread;
     claim_queue_t *claims;
+    suspects_t *suspects;
     keep_t *keep;
     order_list_t scratch; /* orders made aside; valid until the next step */
     runners_t runners;
@@ -67,9 +68,10 @@
 
 /* caller.c: what the present caller of a session is told. */
 void caller_attach(step_t *step, session_t *session, uint64_t caller,
-                   uint32_t position);
+                   uint32_t position, uint64_t hash);
 void caller_detach(step_t *step, session_t *session);
 void caller_give(step_t *step, session_t *session);
+bool caller_agrees(const session_t *session);
 bool caller_is_lost(const session_t *session);
 void caller_refuse(step_t *step, uint64_t caller, refusal_t refusal, run_t run,
                    uint32_t retry_after_ms, const char *message);
@@ -91,6 +93,16 @@
                          uint32_t count);
 void session_due(step_t *step, session_t *session);
 
+/* suspecting.c: sessions whose content may kill engines. */
+void suspecting_start(step_t *step);
+void suspecting_loss(step_t *step, const attempt_t *attempt,
+                     const loss_event_t *loss);
+bool suspecting_refuses(step_t *step, session_t *session);
+bool suspecting_allows(const step_t *step, const session_t *session);
+void suspecting_wish(const step_t *step, const session_t *session,
+                     wish_t *wish);
+void suspecting_step(step_t *step);
+
 /* queue.c: sessions that wait for a runner. */
 void queue_session(step_t *step, session_t *session);
 void queue_remove(node_t *node, session_t *session);
