A host that starts while the platform is away asks the peers of its settings

Cause: without the platform's list a host knew no other, so it could not take the documents from its peers; and a host that the list did not have yet could be heard, but not told anything. Change: [peers] hosts names some other hosts; peers' addresses are learned from their heartbeats, too.

--- a/agated/agated.h
+++ b/agated/agated.h
@@ -166,6 +166,11 @@
 peers_t *peers_new(daemon_t *daemon, err_t *err);
 /* The address that peers connect to, its port resolved. */
 const char *peers_address(const peers_t *peers);
+/*
+ * Makes the hosts of the settings known to the node, so that it can ask
+ * them for the configuration while the platform is not to be reached.
+ */
+void peers_greet(peers_t *peers);
 /* The hosts that may be told something, and their addresses. */
 void peers_hosts(peers_t *peers, const hosts_event_t *hosts);
 /* ORDER_TELL. */
--- a/agated/daemon.c
+++ b/agated/daemon.c
@@ -51,6 +51,9 @@
     daemon->levels = levels_new(daemon);
     daemon->backends = backends_new(daemon);
     start_node(daemon);
+    if (daemon->peers != NULL) {
+        peers_greet(daemon->peers);
+    }
     daemon->claims = claims_new(daemon);
     daemon->presence = presence_new(daemon);
     daemon->documents = documents_new(daemon);
--- a/agated/peers.c
+++ b/agated/peers.c
@@ -30,7 +30,9 @@
                        const message_t *message);
 static void on_lost(peer_listener_t *listener, const char *host);
 static void resolve_address(peers_t *peers);
-static void put_place(peers_t *peers, const host_entry_t *host);
+static void put_place(peers_t *peers, const char *host, const char *address);
+static void learn_places(peers_t *peers, const char *from,
+                         const heartbeat_t *heartbeat);
 static void place_free(peers_t *peers, place_t *place);
 
 static const peer_listener_ops_t listener_ops = {
@@ -93,6 +95,41 @@
     return peers->address;
 }
 
+void
+peers_greet(peers_t *peers)
+{
+    const settings_t *settings = peers->daemon->settings;
+    size_t count = settings->peers_hosts.count;
+    arena_t arena = {0};
+    host_entry_t *list;
+    event_t event = {.kind = EVENT_HOSTS};
+    const char *sign;
+    size_t i;
+
+    if (count == 0) {
+        return;
+    }
+    list = arena_array(&arena, count + 1, sizeof(*list));
+    for (i = 0; i < count; i++) {
+        sign = strchr(settings->peers_hosts.items[i], '=');
+        list[i].host =
+            arena_strndup(&arena, settings->peers_hosts.items[i],
+                          (size_t)(sign - settings->peers_hosts.items[i]));
+        list[i].peer_address = arena_strdup(&arena, sign + 1);
+        list[i].zone = arena_strdup(&arena, "");
+        list[i].address = list[i].zone;
+    }
+    list[count].host = arena_strdup(&arena, settings->host);
+    list[count].peer_address = arena_strdup(&arena, peers->address);
+    list[count].zone = arena_strdup(&arena, settings->zone);
+    list[count].address = list[0].zone;
+    event.event_t_u.hosts.hosts.hosts_len = (u_int)count + 1;
+    event.event_t_u.hosts.hosts.hosts_val = list;
+    peers_hosts(peers, &event.event_t_u.hosts);
+    dispatch_event(peers->daemon->dispatch, &event);
+    arena_free(&arena);
+}
+
 /* A host that the list lacks for a moment stays known. */
 void
 peers_hosts(peers_t *peers, const hosts_event_t *hosts)
@@ -104,7 +141,7 @@
 
         if (host->peer_address[0] != '\0' &&
             strcmp(host->host, peers->daemon->settings->host) != 0) {
-            put_place(peers, host);
+            put_place(peers, host->host, host->peer_address);
         }
     }
 }
@@ -135,11 +172,33 @@
     peers_t *peers = (peers_t *)listener;
     event_t event = {.kind = EVENT_PEER};
 
+    if (message->kind == MESSAGE_HEARTBEAT) {
+        learn_places(peers, from, &message->message_t_u.heartbeat);
+    }
     event.event_t_u.peer.host = (char *)(uintptr_t)from;
     event.event_t_u.peer.message = *message;
     dispatch_event(peers->daemon->dispatch, &event);
 }
 
+/* The platform's list lags: hosts say themselves where they are. */
+static void
+learn_places(peers_t *peers, const char *from, const heartbeat_t *heartbeat)
+{
+    u_int i;
+
+    if (heartbeat->peer_address[0] != '\0') {
+        put_place(peers, from, heartbeat->peer_address);
+    }
+    for (i = 0; i < heartbeat->news.news_len; i++) {
+        const news_t *news = &heartbeat->news.news_val[i];
+
+        if (news->peer_address[0] != '\0' &&
+            strcmp(news->host, peers->daemon->settings->host) != 0) {
+            put_place(peers, news->host, news->peer_address);
+        }
+    }
+}
+
 static void
 on_lost(peer_listener_t *listener, const char *host)
 {
@@ -165,20 +224,20 @@
 }
 
 static void
-put_place(peers_t *peers, const host_entry_t *host)
+put_place(peers_t *peers, const char *host, const char *address)
 {
     place_t *place;
 
-    HASH_FIND_STR(peers->places, host->host, place);
-    if (place != NULL && strcmp(place->address, host->peer_address) == 0) {
+    HASH_FIND_STR(peers->places, host, place);
+    if (place != NULL && strcmp(place->address, address) == 0) {
         return;
     }
     if (place != NULL) {
         place_free(peers, place);
     }
     place = xcalloc(1, sizeof(*place));
-    place->host = xstrdup(host->host);
-    place->address = xstrdup(host->peer_address);
+    place->host = xstrdup(host);
+    place->address = xstrdup(address);
     HASH_ADD_KEYPTR(hh, peers->places, place->host, strlen(place->host),
                     place);
 }
--- a/agated/settings.c
+++ b/agated/settings.c
@@ -94,6 +94,11 @@
      .min = 1,
      .max = PATH_LENGTH_MAX,
      .remedy = "key_file = \"peers.key\""},
+    {.key = "hosts",
+     .type = FIELD_NAMED,
+     .offset = offsetof(settings_t, peers_hosts),
+     .max = NAME_LENGTH_MAX,
+     .remedy = "hosts = [\"entry-2=192.0.2.2:8081\"]"},
 };
 
 static const field_t limits_fields[] = {
--- a/agated/settings.h
+++ b/agated/settings.h
@@ -29,6 +29,7 @@
     /* [peers] */
     const char *peers_address; /* NULL: a host without peers */
     const char *peers_key_file;
+    field_list_t peers_hosts; /* "name=ip:port", known from the start */
     /* [limits] */
     uint32_t sessions_max;
     uint32_t queue_wait_ms;
--- a/base/fields.c
+++ b/base/fields.c
@@ -31,6 +31,8 @@
                        const toml_value_t *value, void *out);
 static int read_address(reader_t *reader, const field_t *field,
                         const toml_value_t *value);
+static int read_named(reader_t *reader, const field_t *field,
+                      const toml_value_t *value);
 static int read_digest(reader_t *reader, const field_t *field,
                        const toml_value_t *value);
 static int wrong_type(reader_t *reader, const field_t *field,
@@ -110,6 +112,7 @@
         return read_choice(reader, field, value, out);
     case FIELD_STRINGS:
     case FIELD_ADDRESSES:
+    case FIELD_NAMED:
     case FIELD_DIGESTS:
         return read_list(reader, field, value, out);
     case FIELD_U32:
@@ -199,6 +202,10 @@
             read_address(reader, field, child) < 0) {
             return -1;
         }
+        if (field->type == FIELD_NAMED &&
+            read_named(reader, field, child) < 0) {
+            return -1;
+        }
         if (field->type == FIELD_DIGESTS &&
             read_digest(reader, field, child) < 0) {
             return -1;
@@ -232,6 +239,24 @@
     return 0;
 }
 
+static int
+read_named(reader_t *reader, const field_t *field, const toml_value_t *value)
+{
+    const char *sign = strchr(value->string, '=');
+    struct sockaddr_storage address;
+
+    if (sign == NULL || sign == value->string ||
+        sign - value->string > field->max ||
+        address_parse(sign + 1, &address, NULL) < 0) {
+        return err_set(reader->err, ERR_SETTINGS,
+                       "%s:%u: %s has \"%.64s\", which is no name and "
+                       "address: write %s",
+                       reader->file, value->line, field->key, value->string,
+                       field->remedy);
+    }
+    return 0;
+}
+
 static int
 read_address(reader_t *reader, const field_t *field, const toml_value_t *value)
 {
--- a/base/fields.h
+++ b/base/fields.h
@@ -21,6 +21,7 @@
     FIELD_CHOICE,    /* const char *, one of choices */
     FIELD_ADDRESS,   /* const char *, "ip:port" */
     FIELD_ADDRESSES, /* field_list_t of "ip:port" */
+    FIELD_NAMED,     /* field_list_t of "name=ip:port" */
     FIELD_STRINGS,   /* field_list_t */
     FIELD_DIGESTS,   /* field_list_t of SHA-256 in lower hexadecimal */
     FIELD_U32,       /* uint32_t from min to max */
--- a/regress/test_settings.c
+++ b/regress/test_settings.c
@@ -66,6 +66,13 @@
      "= [\"127.0.0.1:2379\"]"},
     {WHOLE "[peers]\naddress = \"127.0.0.1:0\"\n",
      "f:8: key_file is missing: write key_file = \"peers.key\""},
+    {WHOLE "[peers]\naddress = \"127.0.0.1:0\"\nkey_file = \"k\"\n"
+           "hosts = [\"a=127.0.0.1:1\", \"b=[::1]:2\"]\n",
+     NULL},
+    {WHOLE "[peers]\naddress = \"127.0.0.1:0\"\nkey_file = \"k\"\n"
+           "hosts = [\"127.0.0.1:1\"]\n",
+     "f:11: hosts has \"127.0.0.1:1\", which is no name and address: write "
+     "hosts = [\"entry-2=192.0.2.2:8081\"]"},
     {WHOLE "[limits]\nsessions_max = 0\n",
      "f:9: sessions_max = 0 is out of range: write 1 to 100000, like "
      "sessions_max = 4096"},
