Suspects: notes say how long a content ran, all hosts compare alike

With stand-in engines (4, of which one request kills each) an innocent of another host was convicted together with the killer: its host did not know how long the killer had run, so could not prefer it. The lower half of a note's loss, unused until now, carries the time in ms; suspects_new() no longer needs the host's name. A host that has just started takes the last minute as calm, since a fleet that is seconds old could convict nobody.

--- a/policy/suspect.c
+++ b/policy/suspect.c
@@ -8,22 +8,23 @@
 #include "policy/suspect_group.h"
 #include "policy/suspect_private.h"
 
+enum { WATCHED_LEAST_US = 60000000, US_PER_MS = 1000 };
+
+#define RAN_MS_MAX INT64_C(0xffffffff)
+
 /* A culprit's chance to be innocent, and how far the next one's must be. */
-static const double chance_max = 2e-6;
+static const double chance_max = 1e-6;
 static const double chance_apart = 4;
 
 static void set_due(suspects_t *suspects);
 static void convict_soon(suspects_t *suspects, int64_t now_us);
 
 suspects_t *
-suspects_new(const char *host, uint64_t incarnation, int64_t now_us,
-             const suspect_limits_t *limits)
+suspects_new(int64_t now_us, const suspect_limits_t *limits)
 {
     suspects_t *suspects = xcalloc(1, sizeof(*suspects));
 
     suspects->limits = *limits;
-    suspects->host =
-        (uint32_t)XXH3_64bits_withSeed(host, strlen(host), incarnation);
     suspects->since_us = now_us;
     suspects->convict_us = INT64_MAX;
     suspects->due_us = INT64_MAX;
@@ -108,8 +109,6 @@
         return loss;
     }
     loss = book_add_loss(&suspects->book, runner, true, now_us);
-    loss->id = (uint64_t)runner << ID_RUNNER_BITS |
-               (uint32_t)(suspects->host + loss->serial);
     loss->zone = book_hash(lost->zone);
     loss->zone_runners = lost->zone_runners;
     return loss;
@@ -131,13 +130,23 @@
     set_due(suspects);
 }
 
+/* A note's loss is the runner's hash and, in ms, how long it ran there. */
 static void
 tell_accused(suspects_t *suspects, const loss_t *loss, uint64_t fingerprint)
 {
-    if (loss->own && !has_finished(suspects, fingerprint)) {
-        put_note(&suspects->notes,
-                 (suspect_t){.fingerprint = fingerprint, .loss = loss->id});
+    int64_t ran_ms;
+
+    if (!loss->own || has_finished(suspects, fingerprint)) {
+        return;
+    }
+    ran_ms = book_ran_us(&suspects->book, loss, fingerprint) / US_PER_MS;
+    if (ran_ms > RAN_MS_MAX) {
+        ran_ms = RAN_MS_MAX;
     }
+    put_note(&suspects->notes,
+             (suspect_t){.fingerprint = fingerprint,
+                         .loss = (uint64_t)loss->runner << NOTE_RUNNER_SHIFT |
+                                 (uint64_t)ran_ms});
 }
 
 /* Whether peers lost enough runners at once that this host did not lose. */
@@ -195,11 +204,12 @@
         }
     }
     loss = book_add_loss(&suspects->book, runner, true, first->at_us);
-    loss->id = first->id;
     loss->pending = false;
     for (i = 0; i < first->count; i++) {
         if (group_all_had(group, first->fingerprints[i])) {
-            book_accuse(&suspects->book, loss, first->fingerprints[i], 0);
+            book_accuse(
+                &suspects->book, loss, first->fingerprints[i],
+                book_ran_us(&suspects->book, first, first->fingerprints[i]));
             tell_accused(suspects, loss, first->fingerprints[i]);
         }
     }
@@ -249,6 +259,18 @@
     put_note(&suspects->convicted, note);
 }
 
+/* A host that has just started takes the time before as calm. */
+static int64_t
+watched_for(const suspects_t *suspects, int64_t now_us)
+{
+    int64_t watched_us = now_us - suspects->since_us;
+
+    if (watched_us > suspects->limits.memory_us) {
+        return suspects->limits.memory_us;
+    }
+    return watched_us < WATCHED_LEAST_US ? WATCHED_LEAST_US : watched_us;
+}
+
 /*
  * The one whose presence at its losses is the least a chance, or NULL.
  * Where another comes near it either may be innocent; the next loss will
@@ -258,16 +280,13 @@
 find_culprit(const suspects_t *suspects, int64_t now_us)
 {
     const suspect_limits_t *limits = &suspects->limits;
-    int64_t watched_us = now_us - suspects->since_us;
+    int64_t watched_us = watched_for(suspects, now_us);
     accused_t *culprit = NULL;
     accused_t *accused;
     double least = chance_max;
     double next = 1;
     double chance;
 
-    if (watched_us > limits->memory_us) {
-        watched_us = limits->memory_us;
-    }
     for (accused = suspects->book.accused; accused != NULL;
          accused = accused->hh.next) {
         if (book_count(&suspects->book, accused, false) < limits->losses_max) {
@@ -284,7 +303,12 @@
             next = chance;
         }
     }
-    return next <= least * chance_apart ? NULL : culprit;
+    /* Only who lost runners with it knows all the time that it ran. */
+    if (culprit == NULL || next <= least * chance_apart ||
+        !book_is_own(&suspects->book, culprit)) {
+        return NULL;
+    }
+    return culprit;
 }
 
 static void
@@ -373,7 +397,7 @@
 static void
 take_accusation(suspects_t *suspects, int64_t now_us, const suspect_t *note)
 {
-    uint32_t runner = (uint32_t)(note->loss >> ID_RUNNER_BITS);
+    uint32_t runner = (uint32_t)(note->loss >> NOTE_RUNNER_SHIFT);
     int64_t near_us = NEAR_WINDOWS * suspects->limits.window_us;
     loss_t *loss;
 
@@ -386,9 +410,9 @@
     loss = book_loss(&suspects->book, runner, false, now_us - near_us);
     if (loss == NULL) {
         loss = book_add_loss(&suspects->book, runner, false, now_us);
-        loss->id = note->loss;
     }
-    book_accuse(&suspects->book, loss, note->fingerprint, 0);
+    book_accuse(&suspects->book, loss, note->fingerprint,
+                (int64_t)(note->loss & RAN_MS_MAX) * US_PER_MS);
     convict_soon(suspects, now_us);
 }
 
--- a/policy/suspect.h
+++ b/policy/suspect.h
@@ -53,9 +53,8 @@
     COMPANY_BARRED,   /* both are one loss short of conviction: never */
 } suspect_company_t;
 
-/* host makes the numbers of this host's losses differ from others'. */
-suspects_t *suspects_new(const char *host, uint64_t incarnation,
-                         int64_t now_us, const suspect_limits_t *limits);
+/* Watches from now_us on. */
+suspects_t *suspects_new(int64_t now_us, const suspect_limits_t *limits);
 void suspects_free(suspects_t *suspects);
 
 /* A loss that this host saw; more for one runner in a window are joined. */
--- a/policy/suspect_book.c
+++ b/policy/suspect_book.c
@@ -256,53 +256,47 @@
     return count;
 }
 
-/*
- * All the time that it ran up to a loss, also one that does not count.
- * Where only a peer knows how long, the longest known is taken.
- */
+/* All the time that it ran up to a loss, also one that does not count. */
 static int64_t
-time_run_us(const suspect_book_t *book, const accused_t *accused,
-            uint32_t *own)
+time_run_us(const accused_t *accused)
 {
-    int64_t longest_us = 0;
     int64_t sum_us = 0;
-    uint32_t told = 0;
     size_t i;
 
-    *own = 0;
     for (i = 0; i < accused->serial_count; i++) {
-        const loss_t *loss = book_serial(book, accused->serials[i]);
-
         sum_us += accused->ran_us[i];
-        if (!counts(loss, false)) {
-            continue;
-        }
-        if (!loss->own) {
-            told++;
-            continue;
-        }
-        (*own)++;
-        if (accused->ran_us[i] > longest_us) {
-            longest_us = accused->ran_us[i];
+    }
+    return sum_us;
+}
+
+int64_t
+book_ran_us(const suspect_book_t *book, const loss_t *loss,
+            uint64_t fingerprint)
+{
+    const accused_t *accused = book_find(book, fingerprint);
+    size_t i;
+
+    for (i = 0; accused != NULL && i < accused->serial_count; i++) {
+        if (accused->serials[i] == loss->serial) {
+            return accused->ran_us[i];
         }
     }
-    return sum_us + told * longest_us;
+    return 0;
 }
 
 double
 book_chance(const suspect_book_t *book, const accused_t *accused,
             uint32_t fleet_runners, int64_t watched_us, int64_t near_us)
 {
-    uint32_t own;
     uint32_t losses = book_count(book, accused, false);
-    double ran_us = (double)time_run_us(book, accused, &own);
+    double ran_us = (double)time_run_us(accused);
     double others =
         1 + (double)count_others(book, accused->fingerprint, near_us);
     double expected;
     double chance = 1;
     uint32_t i;
 
-    if (own == 0 || fleet_runners == 0 || watched_us <= 0) {
+    if (fleet_runners == 0 || watched_us <= 0) {
         return 1;
     }
     expected = others * ran_us / ((double)watched_us * fleet_runners);
@@ -312,6 +306,21 @@
     return chance;
 }
 
+bool
+book_is_own(const suspect_book_t *book, const accused_t *accused)
+{
+    size_t i;
+
+    for (i = 0; i < accused->serial_count; i++) {
+        const loss_t *loss = book_serial(book, accused->serials[i]);
+
+        if (counts(loss, false) && loss->own) {
+            return true;
+        }
+    }
+    return false;
+}
+
 uint32_t
 book_pending(const suspect_book_t *book, const accused_t *accused)
 {
--- a/policy/suspect_book.h
+++ b/policy/suspect_book.h
@@ -18,7 +18,6 @@
 
 typedef struct loss {
     uint64_t serial;
-    uint64_t id;     /* as peers are told; its upper half is the runner */
     uint32_t runner; /* hash of its name */
     uint32_t zone;   /* hash of its name; 0 where told by a peer */
     uint32_t zone_runners;
@@ -37,7 +36,7 @@
 typedef struct accused {
     uint64_t fingerprint;
     uint64_t serials[SUSPECT_SERIALS]; /* oldest first */
-    int64_t ran_us[SUSPECT_SERIALS];   /* there before; 0 where told */
+    int64_t ran_us[SUSPECT_SERIALS];   /* on the runner until then */
     size_t serial_count;
     int64_t convicted_until_us; /* 0: not convicted */
     UT_hash_handle hh;
@@ -71,6 +70,10 @@
 
 bool loss_has(const loss_t *loss, uint64_t fingerprint);
 
+/* How long the fingerprint had run when the runner was lost. */
+int64_t book_ran_us(const suspect_book_t *book, const loss_t *loss,
+                    uint64_t fingerprint);
+
 /* The hash by which runners and zones are known. */
 uint32_t book_hash(const char *name);
 
@@ -96,6 +99,9 @@
                    uint32_t fleet_runners, int64_t watched_us,
                    int64_t near_us);
 
+/* Whether this host saw a loss that counts against it. */
+bool book_is_own(const suspect_book_t *book, const accused_t *accused);
+
 /* Runners of its losses that are not judged yet. */
 uint32_t book_pending(const suspect_book_t *book, const accused_t *accused);
 
--- a/policy/suspect_private.h
+++ b/policy/suspect_private.h
@@ -11,11 +11,11 @@
 
 enum {
     FINISHED_SLOTS = 16384,
-    NEAR_WINDOWS = 5,   /* notes of one loss come within so many windows */
-    PENDING_MAX = 2,    /* losses of one content in one window */
-    VOID_WINDOWS = 2,   /* so long may a peer's note of it lag */
-    SETTLE_DIVISOR = 4, /* of a window, until convictions */
-    ID_RUNNER_BITS = 32,
+    NEAR_WINDOWS = 5,       /* notes of one loss come within so many windows */
+    PENDING_MAX = 2,        /* losses of one content in one window */
+    VOID_WINDOWS = 2,       /* so long may a peer's note of it lag */
+    SETTLE_DIVISOR = 4,     /* of a window, until convictions */
+    NOTE_RUNNER_SHIFT = 32, /* in a note's loss */
 };
 
 typedef struct queued_note {
@@ -28,7 +28,6 @@
     suspect_limits_t limits;
     uint32_t fleet_runners;
     int64_t since_us; /* watched from then on */
-    uint32_t host;    /* hash of its name and incarnation */
     suspect_book_t book;
     struct note_list notes;
     struct note_list convicted;
--- a/policy/suspecting.c
+++ b/policy/suspecting.c
@@ -28,8 +28,7 @@
     };
     node_t *node = step->node;
 
-    node->suspects = suspects_new(node->start.host, node->start.incarnation,
-                                  step->now_us, &limits);
+    node->suspects = suspects_new(step->now_us, &limits);
 }
 
 /*
--- a/regress/test_suspect.c
+++ b/regress/test_suspect.c
@@ -174,7 +174,7 @@
 START_TEST(test_rule)
 {
     const rule_t *rule = &rules[_i];
-    suspects_t *suspects = suspects_new("h", 1, 0, &limits);
+    suspects_t *suspects = suspects_new(0, &limits);
     char verdicts[5] = "";
 
     for (const step_t *step = rule->steps; step->what != DONE; step++) {
@@ -194,7 +194,7 @@
 
 START_TEST(test_apart)
 {
-    suspects_t *suspects = suspects_new("h", 1, 0, &limits);
+    suspects_t *suspects = suspects_new(0, &limits);
     const step_t steps[] = {{0, LOSS, "aN", "123"}, {5000, LOSS, "bN", "12"}};
     const uint64_t two = 2;
     const uint64_t others[] = {4, 3};
@@ -457,7 +457,7 @@
     memset(sim, 0, sizeof(*sim));
     sim->seed = seed;
     for (int host = 0; host < HOSTS; host++) {
-        sim->hosts[host] = suspects_new("h", (uint64_t)host + 1, 0, &limits);
+        sim->hosts[host] = suspects_new(0, &limits);
     }
     for (int i = 0; i < SESSIONS; i++) {
         fresh(sim, &sim->sessions[i], 0);
