--- a/policy/answer.c
+++ b/policy/answer.c
@@ -7,7 +7,7 @@
 
 enum { GROW_START = 64, HASH_SHIFT = 29 };
 
-static const uint64_t HASH_FACTOR = 0x9e3779b97f4a7c15U;
+static const uint64_t hash_factor = 0x9e3779b97f4a7c15U;
 
 static void append_tokens(answer_t *answer, const answer_unit_t *unit);
 static void append_text(answer_t *answer, const answer_unit_t *unit);
@@ -168,7 +168,7 @@
     uint64_t hash = before;
 
     for (uint32_t i = from; i < to; i++) {
-        hash = (hash ^ answer->token_ids[i]) * HASH_FACTOR;
+        hash = (hash ^ answer->token_ids[i]) * hash_factor;
         hash ^= hash >> HASH_SHIFT;
     }
     return hash;
--- a/regress/script.c
+++ b/regress/script.c
@@ -791,7 +791,7 @@
     STAILQ_INIT(&run.letters);
     while (rest != NULL && *rest != '\0') {
         char *here = strsep(&rest, "\n");
-        line_t line;
+        line_t line = {0};
 
         number++;
         if (here[0] == '<') {
