--- a/policy/queue.c
+++ b/policy/queue.c
@@ -137,6 +137,10 @@
         session_t *session;
 
         HASH_FIND(hh, step->node->sessions, &id, sizeof(id), session);
+        if (session == NULL) {
+            admit_remove(pool->admit, step->now_us, id);
+            continue;
+        }
         if (suspecting_refuses(step, session)) {
             continue;
         }
--- a/regress/bench.sh
+++ b/regress/bench.sh
@@ -7,4 +7,5 @@
 for program in "$1"/regress/bench_*; do
     [ ! -x "$program" ] || "$program"
 done
+regress/bench_router.sh "$1"
 regress/bench_faults.sh "$@"
--- a/regress/script.c
+++ b/regress/script.c
@@ -791,18 +791,20 @@
     STAILQ_INIT(&run.letters);
     while (rest != NULL && *rest != '\0') {
         char *here = strsep(&rest, "\n");
-        line_t line = {0};
+        line_t line;
 
         number++;
         if (here[0] == '<') {
             continue;
         }
-        if (here[0] == '>') {
-            split_line(arena, here, &line);
-            run_until(&run, line.at_ms * US_PER_MS);
+        if (here[0] != '>') {
+            run.out = arena_printf(arena, "%s%s\n", run.out, here);
+            continue;
         }
+        split_line(arena, here, &line);
+        run_until(&run, line.at_ms * US_PER_MS);
         run.out = arena_printf(arena, "%s%s\n", run.out, here);
-        if (here[0] == '>' && take_line(&run, &line) < 0) {
+        if (take_line(&run, &line) < 0) {
             (void)err_set(err, ERR_PROTOCOL,
                           "line %u: no such event: see the table in script.c",
                           number);
