--- a/policy/suspect.c
+++ b/policy/suspect.c
@@ -259,6 +259,27 @@
     put_note(&suspects->convicted, note);
 }
 
+/*
+ * Whether another content was there at all of the culprit's losses.  Either
+ * may have caused them, however long it ran.
+ */
+static bool
+has_double(const suspects_t *suspects, const accused_t *culprit)
+{
+    const accused_t *other;
+    uint32_t count = book_count(&suspects->book, culprit, false);
+
+    for (other = suspects->book.accused; other != NULL;
+         other = other->hh.next) {
+        if (other != culprit &&
+            book_shared(&suspects->book, culprit, other,
+                        NEAR_WINDOWS * suspects->limits.window_us) >= count) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /* A host that has just started takes the time before as calm. */
 static int64_t
 watched_for(const suspects_t *suspects, int64_t now_us)
@@ -305,7 +326,8 @@
     }
     /* Only who lost runners with it knows all the time that it ran. */
     if (culprit == NULL || next <= least * chance_apart ||
-        !book_is_own(&suspects->book, culprit)) {
+        !book_is_own(&suspects->book, culprit) ||
+        has_double(suspects, culprit)) {
         return NULL;
     }
     return culprit;
--- a/policy/suspect_book.c
+++ b/policy/suspect_book.c
@@ -321,6 +321,41 @@
     return false;
 }
 
+static bool
+was_there(const suspect_book_t *book, const accused_t *accused,
+          const loss_t *like, int64_t near_us)
+{
+    size_t i;
+
+    for (i = 0; i < accused->serial_count; i++) {
+        const loss_t *loss = book_serial(book, accused->serials[i]);
+
+        if (counts(loss, true) && loss->runner == like->runner &&
+            loss->at_us >= like->at_us - near_us &&
+            loss->at_us <= like->at_us + near_us) {
+            return true;
+        }
+    }
+    return false;
+}
+
+uint32_t
+book_shared(const suspect_book_t *book, const accused_t *one,
+            const accused_t *other, int64_t near_us)
+{
+    uint32_t shared = 0;
+    size_t i;
+
+    for (i = 0; i < one->serial_count; i++) {
+        const loss_t *loss = book_serial(book, one->serials[i]);
+
+        if (counts(loss, false) && was_there(book, other, loss, near_us)) {
+            shared++;
+        }
+    }
+    return shared;
+}
+
 uint32_t
 book_pending(const suspect_book_t *book, const accused_t *accused)
 {
--- a/policy/suspect_book.h
+++ b/policy/suspect_book.h
@@ -102,6 +102,10 @@
 /* Whether this host saw a loss that counts against it. */
 bool book_is_own(const suspect_book_t *book, const accused_t *accused);
 
+/* Losses of the one that the other was at too, be they judged or not. */
+uint32_t book_shared(const suspect_book_t *book, const accused_t *one,
+                     const accused_t *other, int64_t near_us);
+
 /* Runners of its losses that are not judged yet. */
 uint32_t book_pending(const suspect_book_t *book, const accused_t *accused);
 
