Few hosts watch the documents and the host list

Cause: every host watched four parts of the store, so its calls grew with the fleet. Change: a host that spread.h does not choose rests, and reads again every minute; all still watch the list of leaving hosts, which has 2 s.

--- a/agated/documents.c
+++ b/agated/documents.c
@@ -10,6 +10,9 @@
 
 enum { AREA_COUNT = 4, FIELD_BYTES = 128, DECIMAL = 10 };
 
+/* Of a host that does not watch. */
+enum { SETTLE_MS = 1000, REST_MS = 2000, RESTS_BETWEEN_READS = 30 };
+
 typedef enum { AREA_CONFIG, AREA_HOSTS, AREA_LEAVING } area_kind_t;
 
 /* A key as last seen. */
@@ -30,7 +33,9 @@
     entry_t *entries;
     backoff_t backoff;
     uv_timer_t *timer;
-    bool read; /* whole, at least once */
+    bool read;      /* whole, at least once */
+    bool settled;   /* the other hosts are known by now */
+    uint32_t rests; /* until it is read again without a watch */
 } area_t;
 
 struct documents {
@@ -54,6 +59,8 @@
 static void raise_config(documents_t *documents, const char *key,
                          int64_t revision, bool deleted, const char *text,
                          size_t length);
+static bool is_watcher(const area_t *area);
+static void on_rest(uv_timer_t *timer);
 static void raise_ready(documents_t *documents);
 static void raise_hosts(documents_t *documents);
 static bool is_leaving(const area_t *leaving, const char *name);
@@ -158,7 +165,44 @@
     }
     area->read = true;
     raise_ready(area->documents);
-    platform->ops->watch(platform, area->prefix, revision + 1, on_watch, area);
+    if (is_watcher(area)) {
+        platform->ops->watch(platform, area->prefix, revision + 1, on_watch,
+                             area);
+        return;
+    }
+    area->rests = RESTS_BETWEEN_READS;
+    (void)uv_timer_start(area->timer, on_rest,
+                         area->settled ? REST_MS : SETTLE_MS, 0);
+}
+
+/*
+ * A few hosts watch the documents and the host list for all.  The list of
+ * those that leave has to be in force within 2 s, so every host watches it.
+ * A host that has just started does not know yet who the others are.
+ */
+static bool
+is_watcher(const area_t *area)
+{
+    const daemon_t *daemon = area->documents->daemon;
+
+    return area->kind == AREA_LEAVING ||
+           (area->settled &&
+            node_watches(dispatch_node(daemon->dispatch), dispatch_now_us()));
+}
+
+/* Reads again when this host has become a watcher, and now and then. */
+static void
+on_rest(uv_timer_t *timer)
+{
+    area_t *area = timer->data;
+
+    area->settled = true;
+    if (area->rests == 0 || is_watcher(area)) {
+        area_read(area);
+        return;
+    }
+    area->rests--;
+    (void)uv_timer_start(area->timer, on_rest, REST_MS, 0);
 }
 
 /* Once all parts of the configuration have been read. */
--- a/policy/node.h
+++ b/policy/node.h
@@ -92,6 +92,12 @@
                                  uint64_t spread, arena_t *arena,
                                  size_t *count);
 
+/*
+ * Whether this host is to watch the store's documents and host list; the
+ * others hear of changes from it.
+ */
+bool node_watches(const node_t *node, int64_t now_us);
+
 /* Who a credential (hexadecimal SHA-256 of a key) stands for. */
 typedef enum { ROLE_NONE, ROLE_ORGANISATION, ROLE_TEAM, ROLE_OPERATOR } role_t;
 role_t node_role(const node_t *node, const char *credential,
--- a/policy/view.c
+++ b/policy/view.c
@@ -128,6 +128,12 @@
     return host_views(node, now_us, members, *count, arena);
 }
 
+bool
+node_watches(const node_t *node, int64_t now_us)
+{
+    return spread_watches(node->spread, now_us, node->member);
+}
+
 role_t
 node_role(const node_t *node, const char *credential, const char **name)
 {
