Records count as kept by the keeper's own word; stale requests are not run

Cause, from the histories: (1) a paused host woke, read a request whose caller had long hung up, and took the session from the host that served it now; (2) a part of a record counted as kept 300 ms after it was sent, but a paused keeper had not taken it; (3) two hosts started one request at once, both callers came to a third, and the one whose run was not there was refused for good; (4) a request waited 10 s for the store before 'not-run'. Change: a closed connection is seen before its request is taken up; the keeper says how far it holds a record; a second run goes on beside the first from its own engine; a claim waits 2 s at most.

--- a/agated/exchange.c
+++ b/agated/exchange.c
@@ -1,4 +1,5 @@
 /* exchange.c - one request of a caller and the answer that goes back. */
+#include <errno.h>
 #include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
@@ -22,6 +23,7 @@
     exchange_t *exchange;
 } tie_t;
 
+static bool has_hung_up(const exchange_t *exchange);
 static exchange_t *exchange_new(daemon_t *daemon, exchange_t **table,
                                 uint64_t number, h2o_req_t *req);
 static void exchange_free(exchange_t *exchange);
@@ -63,6 +65,15 @@
         respond_refusal(req, &refusal);
         return;
     }
+    if (has_hung_up(exchange)) {
+        refusal = refusal_new(REFUSAL_SUPERSEDED, 0,
+                              "the connection was closed before the request "
+                              "was taken up: send it over another one");
+        exchange->forgotten = true;
+        exchange->over = true;
+        respond_refusal(req, &refusal);
+        return;
+    }
     keep_parsed(exchange, &parsed);
     level_start(daemon->levels, &exchange->level, &parsed.event);
     event.event_t_u.request = parsed.event;
@@ -138,6 +149,25 @@
     return h2o_socket_get_fd(conn->callbacks->get_socket(conn));
 }
 
+/*
+ * Whether the caller closed its side already.  A host that was paused finds
+ * such requests when it wakes; taking one up could take the session away
+ * from the connection that its caller has now.
+ */
+static bool
+has_hung_up(const exchange_t *exchange)
+{
+    int fd = exchange_socket(exchange);
+    ssize_t length;
+    char byte;
+
+    if (fd < 0) {
+        return false;
+    }
+    length = recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return length == 0 || (length < 0 && errno != EAGAIN && errno != EINTR);
+}
+
 static exchange_t *
 exchange_new(daemon_t *daemon, exchange_t **table, uint64_t number,
              h2o_req_t *req)
--- a/policy/caller.c
+++ b/policy/caller.c
@@ -149,7 +149,7 @@
     give->token_ids.token_ids_len = to.position - from.position;
     give->text.text_val = answer->text + from.text_bytes;
     give->text.text_len = to.text_bytes - from.text_bytes;
-    record_tail(step, session, give);
+    record_tail(session, give);
     step->node->counters.tokens_given += to.position - from.position;
     session->given = answer->ready_cuts;
 }
--- a/policy/claiming.c
+++ b/policy/claiming.c
@@ -10,6 +10,7 @@
     CLAIM_ANSWER_LIMIT_MS = 1000,
     CLAIM_LEASE_MS = 82800000, /* the least that is left when it is sent */
     CLAIM_RETRY_MS = 1000,
+    CLAIM_WAIT_MS = 2000, /* for the store, before it is said to be away */
     UNKNOWN_RETRY_MS = 0,
 };
 
@@ -39,8 +40,10 @@
     node_t *node = step->node;
     char *key = arena_printf(&session->arena, "%s/%s", session->organisation,
                              session->key);
-    int64_t give_up_us =
-        step->now_us + (int64_t)node->start.queue_wait_ms * US_PER_MS;
+    int64_t wait_ms = node->start.queue_wait_ms < CLAIM_WAIT_MS
+                          ? node->start.queue_wait_ms
+                          : CLAIM_WAIT_MS;
+    int64_t give_up_us = step->now_us + wait_ms * US_PER_MS;
 
     session->claimed =
         claim_queue_push(node->claims, session->id, key, give_up_us);
--- a/policy/hosts.c
+++ b/policy/hosts.c
@@ -63,6 +63,9 @@
     case MESSAGE_RECORD_GAP:
         record_gap(step, peer->host, &message->message_t_u.record_gap);
         break;
+    case MESSAGE_RECORD_HELD:
+        record_held(step, peer->host, &message->message_t_u.record_held);
+        break;
     case MESSAGE_LOOKUP:
         takeover_lookup(step, peer->host, &message->message_t_u.lookup);
         break;
--- a/policy/intake.c
+++ b/policy/intake.c
@@ -9,8 +9,10 @@
                                    const request_event_t *request);
 static void repeat_request(step_t *step, session_t *session,
                            const request_event_t *request);
+static bool is_of_other_run(const session_t *session,
+                            const request_event_t *request);
 static void accept_request(step_t *step, const request_event_t *request,
-                           const char *organisation,
+                           const char *organisation, const char *run,
                            const contract_t *contract,
                            const request_kind_t *kind);
 static void describe(session_t *session, const contract_t *contract,
@@ -27,6 +29,7 @@
     const char *organisation = organisation_of(node, request);
     const contract_t *contract;
     const request_kind_t *kind;
+    const char *run = "";
     session_t *session;
 
     node->counters.requests++;
@@ -43,7 +46,11 @@
                        "Authorization: Bearer KEY");
         return;
     }
-    session = session_find(node, organisation, request->key);
+    session = session_find(node, organisation, request->key, "");
+    if (session != NULL && is_of_other_run(session, request)) {
+        run = request->place.stream_name;
+        session = session_find(node, organisation, request->key, run);
+    }
     if (session != NULL) {
         repeat_request(step, session, request);
         return;
@@ -67,7 +74,7 @@
                        "correct X-Request-Kind or leave it out");
         return;
     }
-    accept_request(step, request, organisation, contract, kind);
+    accept_request(step, request, organisation, run, contract, kind);
 }
 
 /*
@@ -147,10 +154,31 @@
         request->caller;
 }
 
+/*
+ * Whether the caller holds part of another run of the request, which an
+ * engine may still have: two hosts may have started it at the same time.
+ */
+static bool
+is_of_other_run(const session_t *session, const request_event_t *request)
+{
+    const answer_t *answer = &session->answer;
+
+    if (request->position == 0 || !session->idempotent ||
+        request->place.stream_name[0] == '\0') {
+        return false;
+    }
+    if (session->from > 0) {
+        return strcmp(session->place.stream_name,
+                      request->place.stream_name) != 0;
+    }
+    return request->position > answer->token_count ||
+           answer_hash(answer, 0, request->position, 0) != request->hash;
+}
+
 static void
 accept_request(step_t *step, const request_event_t *request,
-               const char *organisation, const contract_t *contract,
-               const request_kind_t *kind)
+               const char *organisation, const char *run,
+               const contract_t *contract, const request_kind_t *kind)
 {
     node_t *node = step->node;
     session_t *session;
@@ -161,9 +189,13 @@
                        "request again after the stated time");
         return;
     }
-    session = session_new(step, request, organisation);
+    session = session_new(step, request, organisation, run);
     describe(session, contract, kind);
     caller_attach(step, session, request->caller, 0, 0);
+    if (run[0] != '\0') {
+        takeover_none(step, session);
+        return;
+    }
     if (request->keyed || request->resumes) {
         takeover_ask(step, session);
         return;
--- a/policy/keep.c
+++ b/policy/keep.c
@@ -350,6 +350,10 @@
     append(kept, record, cuts, text);
     set_head(kept, record);
     keep->counters.taken++;
+    if (record->state == RECORD_RUNNING) {
+        keep_tell_held(from, record, kept->record.token_ids.token_ids_len,
+                       orders);
+    }
     touch(keep, kept, now_us);
     evict(keep);
 }
--- a/policy/keep_tell.c
+++ b/policy/keep_tell.c
@@ -19,21 +19,35 @@
     superseded->epoch = held->epoch;
 }
 
-void
-keep_tell_gap(const char *host, const record_t *record, uint32_t held,
-              order_list_t *orders)
+static void
+tell_position(const char *host, message_kind_t kind, const record_t *record,
+              uint32_t held, order_list_t *orders)
 {
     tell_order_t *telling = &orders_add(orders, ORDER_TELL)->order_t_u.tell;
-    record_gap_t *gap = &telling->message.message_t_u.record_gap;
+    record_gap_t *position = &telling->message.message_t_u.record_gap;
     arena_t *arena = &orders->arena;
 
     telling->host = arena_strdup(arena, host);
-    telling->message.kind = MESSAGE_RECORD_GAP;
-    gap->request.organisation =
+    telling->message.kind = kind;
+    position->request.organisation =
         arena_strdup(arena, record->request.organisation);
-    gap->request.key = arena_strdup(arena, record->request.key);
-    gap->epoch = record->epoch;
-    gap->held = held;
+    position->request.key = arena_strdup(arena, record->request.key);
+    position->epoch = record->epoch;
+    position->held = held;
+}
+
+void
+keep_tell_gap(const char *host, const record_t *record, uint32_t held,
+              order_list_t *orders)
+{
+    tell_position(host, MESSAGE_RECORD_GAP, record, held, orders);
+}
+
+void
+keep_tell_held(const char *host, const record_t *record, uint32_t held,
+               order_list_t *orders)
+{
+    tell_position(host, MESSAGE_RECORD_HELD, record, held, orders);
 }
 
 /* The answer outlives the record: it is copied. */
--- a/policy/keep_tell.h
+++ b/policy/keep_tell.h
@@ -17,6 +17,10 @@
 void keep_tell_gap(const char *host, const record_t *record, uint32_t held,
                    order_list_t *orders);
 
+/* An owner that its record is held up to so many tokens. */
+void keep_tell_held(const char *host, const record_t *record, uint32_t held,
+                    order_list_t *orders);
+
 /* The answer to a lookup, copied; held is NULL when there is none. */
 void keep_tell_found(const char *host, uint64_t ask, const record_t *held,
                      order_list_t *orders);
--- a/policy/private.h
+++ b/policy/private.h
@@ -76,10 +76,10 @@
 
 /* session.c: a session's life. */
 session_t *session_new(step_t *step, const request_event_t *request,
-                       const char *organisation);
+                       const char *organisation, const char *run);
 void session_free(step_t *step, session_t *session);
 session_t *session_find(node_t *node, const char *organisation,
-                        const char *key);
+                        const char *key, const char *run);
 void session_enter(step_t *step, session_t *session, session_state_t state);
 void session_finish(step_t *step, session_t *session);
 void session_refuse(step_t *step, session_t *session, refusal_t refusal,
@@ -145,7 +145,8 @@
 void record_grown(step_t *step, session_t *session);
 void record_ended(step_t *step, session_t *session, record_state_t state);
 void record_gap(step_t *step, const char *from, const record_gap_t *gap);
-void record_tail(step_t *step, session_t *session, give_order_t *give);
+void record_held(step_t *step, const char *from, const record_gap_t *held);
+void record_tail(session_t *session, give_order_t *give);
 void record_whole(step_t *step, const session_t *session, record_t *record);
 void record_copy(arena_t *arena, record_t *record);
 
--- a/policy/record.c
+++ b/policy/record.c
@@ -15,8 +15,7 @@
 
 enum {
     RECORD_TOKENS = 16,
-    RECORD_SETTLED_MS = 300, /* a part sent this long ago has arrived */
-    TAIL_MAX = 256,          /* token ids that an event id carries */
+    TAIL_MAX = 256, /* token ids that an event id carries */
 };
 
 static const attempt_t *writing_attempt(const session_t *session);
@@ -50,6 +49,9 @@
     const answer_t *answer = &session->answer;
     record_cut_t sent = answer_cut(answer, session->recorded_cuts);
 
+    if (session->run[0] != '\0') {
+        return; /* The record of the request is that of its other run. */
+    }
     if (answer->token_count - sent.position < RECORD_TOKENS &&
         (session->keeper[0] == '\0' ||
          session->recorded_attempt == session->writer)) {
@@ -75,8 +77,8 @@
 void
 record_gap(step_t *step, const char *from, const record_gap_t *gap)
 {
-    session_t *session =
-        session_find(step->node, gap->request.organisation, gap->request.key);
+    session_t *session = session_find(step->node, gap->request.organisation,
+                                      gap->request.key, "");
 
     if (session == NULL || gap->epoch != session->epoch ||
         strcmp(session->keeper, from) != 0) {
@@ -87,21 +89,34 @@
     send_part(step, session, RECORD_RUNNING);
 }
 
+/* The keeper has the record up to here: the caller need not carry it. */
+void
+record_held(step_t *step, const char *from, const record_gap_t *held)
+{
+    session_t *session = session_find(step->node, held->request.organisation,
+                                      held->request.key, "");
+    int64_t cut;
+
+    if (session == NULL || held->epoch != session->epoch ||
+        strcmp(session->keeper, from) != 0) {
+        return;
+    }
+    cut = answer_cut_at(&session->answer, held->held);
+    if (cut > session->settled_cuts) {
+        session->settled_cuts = (uint32_t)cut;
+    }
+}
+
 /*
  * The tokens given that a keeper may not have yet; the caller's event id
  * carries them.  None where they are too many to carry.
  */
 void
-record_tail(step_t *step, session_t *session, give_order_t *give)
+record_tail(session_t *session, give_order_t *give)
 {
     const answer_t *answer = &session->answer;
-    int64_t settled_us =
-        session->recorded_us + (int64_t)RECORD_SETTLED_MS * US_PER_MS;
     uint32_t from;
 
-    if (session->recorded_us != 0 && step->now_us >= settled_us) {
-        session->settled_cuts = session->recorded_cuts;
-    }
     from = answer_cut(answer, session->settled_cuts).position;
     if (give->position < from || give->position - from > TAIL_MAX) {
         from = give->position;
@@ -283,8 +298,6 @@
         record->prompt_ids.prompt_ids_len = 0;
     }
     step->node->counters.records++;
-    session->settled_cuts = session->recorded_cuts;
     session->recorded_cuts = answer->cut_count;
-    session->recorded_us = step->now_us;
     session->recorded_attempt = session->writer;
 }
--- a/policy/session.c
+++ b/policy/session.c
@@ -18,7 +18,7 @@
 
 session_t *
 session_new(step_t *step, const request_event_t *request,
-            const char *organisation)
+            const char *organisation, const char *run)
 {
     node_t *node = step->node;
     session_t *session = xcalloc(1, sizeof(*session));
@@ -30,7 +30,9 @@
     session->due.owner = session->id;
     session->organisation = arena_strdup(arena, organisation);
     session->key = arena_strdup(arena, request->key);
-    session->name = arena_printf(arena, "%s\n%s", organisation, request->key);
+    session->run = arena_strdup(arena, run);
+    session->name =
+        arena_printf(arena, "%s\n%s\n%s", organisation, request->key, run);
     session->model = arena_strdup(arena, request->model);
     session->keyed = request->keyed;
     session->endpoint = request->endpoint;
@@ -94,11 +96,12 @@
 }
 
 session_t *
-session_find(node_t *node, const char *organisation, const char *key)
+session_find(node_t *node, const char *organisation, const char *key,
+             const char *run)
 {
     session_t *session;
     arena_t scratch = {0};
-    char *name = arena_printf(&scratch, "%s\n%s", organisation, key);
+    char *name = arena_printf(&scratch, "%s\n%s\n%s", organisation, key, run);
 
     HASH_FIND(hh_name, node->by_name, name, strlen(name), session);
     arena_free(&scratch);
--- a/policy/session.h
+++ b/policy/session.h
@@ -58,7 +58,8 @@
 struct session {
     uint64_t id;
     arena_t arena;
-    char *name; /* organisation, newline, key */
+    char *name; /* organisation, key and run, parted by newlines */
+    char *run;  /* "", or the stream that a second run was taken up from */
     char *organisation;
     char *key;
     char *model;        /* as the caller named it */
@@ -111,11 +112,10 @@
     int64_t orphan_us;              /* when its caller left; 0: it is there */
     char keeper[LINK_NAME_MAX + 1]; /* the host that keeps its record, or "" */
     uint32_t recorded_cuts;         /* of the answer, sent to the keeper */
-    uint32_t settled_cuts; /* of these, sent so long ago that they are there */
-    uint32_t recorded_attempt; /* the writer when it was sent */
-    int64_t recorded_us;       /* when the last part was sent */
-    int64_t claim_until_us;    /* not to be started after this; 0: no claim */
-    bool waits_resumed; /* queued after a loss, not for its first start */
+    uint32_t settled_cuts;          /* of these, held there by its own word */
+    uint32_t recorded_attempt;      /* the writer when it was sent */
+    int64_t claim_until_us; /* not to be started after this; 0: no claim */
+    bool waits_resumed;     /* queued after a loss, not for its first start */
 
     refusal_t refusal;
     run_t refusal_run;
--- a/policy/takeover.c
+++ b/policy/takeover.c
@@ -130,8 +130,8 @@
 takeover_lookup(step_t *step, const char *from, const lookup_t *lookup)
 {
     node_t *node = step->node;
-    session_t *session =
-        session_find(node, lookup->request.organisation, lookup->request.key);
+    session_t *session = session_find(node, lookup->request.organisation,
+                                      lookup->request.key, "");
     found_t *found;
     tell_order_t *tell;
 
@@ -189,8 +189,9 @@
 void
 takeover_superseded(step_t *step, const superseded_t *superseded)
 {
-    session_t *session = session_find(
-        step->node, superseded->request.organisation, superseded->request.key);
+    session_t *session =
+        session_find(step->node, superseded->request.organisation,
+                     superseded->request.key, "");
 
     if (session != NULL && superseded->epoch > session->epoch &&
         session->state == SESSION_RUNNING) {
--- a/world/link.x
+++ b/world/link.x
@@ -23,7 +23,8 @@
     MESSAGE_CONFIG = 6,
     MESSAGE_CONFIG_DIGEST = 7,
     MESSAGE_SUSPECT = 8,
-    MESSAGE_RECORD_GAP = 9
+    MESSAGE_RECORD_GAP = 9,
+    MESSAGE_RECORD_HELD = 10
 };
 
 /*
@@ -139,8 +140,9 @@
 };
 
 /*
- * Tells an owner that its keeper misses part of the record: it holds only
- * so many tokens of this epoch, and wants all from there on.
+ * Tells an owner that its keeper holds so many tokens of this epoch; as
+ * MESSAGE_RECORD_GAP, that it misses part of the record and wants all from
+ * there on.
  */
 struct record_gap_t {
     request_name_t request;
@@ -205,4 +207,6 @@
     suspect_t suspect;
 case MESSAGE_RECORD_GAP:
     record_gap_t record_gap;
+case MESSAGE_RECORD_HELD:
+    record_gap_t record_held;
 };
