A session that a keeper has goes by the keeper's word

Change: an owner whose record a keeper holds does not hand it over itself; the keeper grants it with the next epoch.

--- a/policy/record.c
+++ b/policy/record.c
@@ -101,6 +101,7 @@
         strcmp(session->keeper, from) != 0) {
         return;
     }
+    session->kept = true;
     cut = answer_cut_at(&session->answer, held->held);
     if (cut > session->settled_cuts) {
         session->settled_cuts = (uint32_t)cut;
@@ -259,6 +260,7 @@
 
     session->recorded_cuts = 0;
     session->settled_cuts = 0;
+    session->kept = false;
     session->keeper[0] = '\0';
     if (count > 0) {
         (void)snprintf(session->keeper, sizeof(session->keeper), "%s",
--- a/policy/takeover.c
+++ b/policy/takeover.c
@@ -12,6 +12,7 @@
 
 enum { LOOKUP_HOSTS = 2, LOOKUP_WAIT_MS = 250 };
 
+static bool may_hand_over(const session_t *session);
 static size_t hosts_to_ask(const step_t *step, const session_t *session,
                            const char **hosts);
 static void ask_host(step_t *step, const session_t *session, const char *host);
@@ -135,8 +136,7 @@
     found_t *found;
     tell_order_t *tell;
 
-    if (session == NULL || (session->state != SESSION_RUNNING &&
-                            session->state != SESSION_FINISHED)) {
+    if (session == NULL || !may_hand_over(session)) {
         keep_lookup(node->keep, step->now_us, from, lookup, step->orders);
         return;
     }
@@ -199,6 +199,17 @@
     }
 }
 
+/*
+ * A session that a keeper has goes by the keeper's word alone: two hosts
+ * that ask each other at the same time would both give it up.
+ */
+static bool
+may_hand_over(const session_t *session)
+{
+    return session->state == SESSION_FINISHED ||
+           (session->state == SESSION_RUNNING && !session->kept);
+}
+
 static size_t
 hosts_to_ask(const step_t *step, const session_t *session, const char **hosts)
 {
