--- a/agated/documents.c
+++ b/agated/documents.c
@@ -11,7 +11,7 @@
 enum { AREA_COUNT = 4, FIELD_BYTES = 128, DECIMAL = 10 };
 
 /* Of a host that does not watch. */
-enum { SETTLE_MS = 1000, REST_MS = 2000, RESTS_BETWEEN_READS = 30 };
+enum { SETTLE_MS = 300, REST_MS = 2000, RESTS_BETWEEN_READS = 30 };
 
 typedef enum { AREA_CONFIG, AREA_HOSTS, AREA_LEAVING } area_kind_t;
 
--- a/policy/keep.c
+++ b/policy/keep.c
@@ -245,10 +245,17 @@
     return true;
 }
 
-/* Whether what is held fences the record that came. */
+/*
+ * Whether what is held fences the record that came.  An owner may not have
+ * heard of the epoch that it was granted: the answer to its lookup can be
+ * late or lost.
+ */
 static bool
 outranks(const record_t *held, const record_t *record)
 {
+    if (strcmp(held->owner, record->owner) == 0) {
+        return false;
+    }
     if (held->epoch != record->epoch) {
         return held->epoch > record->epoch;
     }
@@ -300,7 +307,9 @@
     set_string(&held->stream_name, record->stream_name);
     held->fingerprint = record->fingerprint;
     held->owner_incarnation = record->owner_incarnation;
-    held->epoch = record->epoch;
+    if (record->epoch > held->epoch) {
+        held->epoch = record->epoch;
+    }
     held->state = record->state;
     held->idempotent = record->idempotent;
     held->stream_endpoint = record->stream_endpoint;
@@ -351,8 +360,7 @@
     set_head(kept, record);
     keep->counters.taken++;
     if (record->state == RECORD_RUNNING) {
-        keep_tell_held(from, record, kept->record.token_ids.token_ids_len,
-                       orders);
+        keep_tell_held(from, &kept->record, orders);
     }
     touch(keep, kept, now_us);
     evict(keep);
--- a/policy/keep_tell.c
+++ b/policy/keep_tell.c
@@ -44,10 +44,10 @@
 }
 
 void
-keep_tell_held(const char *host, const record_t *record, uint32_t held,
-               order_list_t *orders)
+keep_tell_held(const char *host, const record_t *held, order_list_t *orders)
 {
-    tell_position(host, MESSAGE_RECORD_HELD, record, held, orders);
+    tell_position(host, MESSAGE_RECORD_HELD, held,
+                  held->token_ids.token_ids_len, orders);
 }
 
 /* The answer outlives the record: it is copied. */
--- a/policy/keep_tell.h
+++ b/policy/keep_tell.h
@@ -17,8 +17,8 @@
 void keep_tell_gap(const char *host, const record_t *record, uint32_t held,
                    order_list_t *orders);
 
-/* An owner that its record is held up to so many tokens. */
-void keep_tell_held(const char *host, const record_t *record, uint32_t held,
+/* An owner how far its record is held, and with which epoch. */
+void keep_tell_held(const char *host, const record_t *held,
                     order_list_t *orders);
 
 /* The answer to a lookup, copied; held is NULL when there is none. */
--- a/policy/record.c
+++ b/policy/record.c
@@ -97,10 +97,11 @@
                                       held->request.key, "");
     int64_t cut;
 
-    if (session == NULL || held->epoch != session->epoch ||
+    if (session == NULL || held->epoch < session->epoch ||
         strcmp(session->keeper, from) != 0) {
         return;
     }
+    session->epoch = held->epoch;
     session->kept = true;
     cut = answer_cut_at(&session->answer, held->held);
     if (cut > session->settled_cuts) {
