--- a/agated/daemon.c
+++ b/agated/daemon.c
@@ -100,7 +100,6 @@
     start_event->silence_ceiling_ms = settings->silence_ceiling_ms;
     start_event->prefill_limit_ms = settings->prefill_limit_ms;
     start_event->orphan_grace_ms = settings->orphan_grace_ms;
-    start_event->record_after_ms = settings->record_after_ms;
     dispatch_event(daemon->dispatch, &event);
 }
 
--- a/agated/settings.c
+++ b/agated/settings.c
@@ -24,7 +24,6 @@
     SILENCE_CEILING_DEFAULT_MS = 3000,
     PREFILL_LIMIT_DEFAULT_MS = 3000,
     ORPHAN_GRACE_DEFAULT_MS = 30000,
-    RECORD_AFTER_DEFAULT_MS = 5000,
     LIMIT_MAX_MS = 3600000,
     SILENCE_MIN_MS = 10
 };
@@ -138,12 +137,6 @@
      .min = 0,
      .max = LIMIT_MAX_MS,
      .remedy = "orphan_grace_ms = 30000"},
-    {.key = "record_after_ms",
-     .type = FIELD_U32,
-     .offset = offsetof(settings_t, record_after_ms),
-     .min = 0,
-     .max = LIMIT_MAX_MS,
-     .remedy = "record_after_ms = 5000"},
 };
 
 static const field_t admin_fields[] = {
@@ -279,7 +272,6 @@
         .silence_ceiling_ms = SILENCE_CEILING_DEFAULT_MS,
         .prefill_limit_ms = PREFILL_LIMIT_DEFAULT_MS,
         .orphan_grace_ms = ORPHAN_GRACE_DEFAULT_MS,
-        .record_after_ms = RECORD_AFTER_DEFAULT_MS,
     };
     if (fields_read(arena, name, root, fields, COUNT(fields), settings, err) <
         0) {
--- a/agated/settings.h
+++ b/agated/settings.h
@@ -37,7 +37,6 @@
     uint32_t silence_ceiling_ms;
     uint32_t prefill_limit_ms;
     uint32_t orphan_grace_ms;
-    uint32_t record_after_ms;
     /* [admin] */
     field_list_t admin_keys; /* SHA-256 in hexadecimal */
     /* [tls] */
--- a/policy/event.x
+++ b/policy/event.x
@@ -64,7 +64,6 @@
     uint32_t silence_ceiling_ms;
     uint32_t prefill_limit_ms;
     uint32_t orphan_grace_ms;
-    uint32_t record_after_ms;
 };
 
 /*
--- a/regress/bench_node.c
+++ b/regress/bench_node.c
@@ -146,7 +146,6 @@
     begin->silence_ceiling_ms = 1000000;
     begin->prefill_limit_ms = 1000000;
     begin->orphan_grace_ms = 1000;
-    begin->record_after_ms = 1000;
     step(bench, &event);
     give_fleet(bench, runners, organisations, 1);
     give_service(bench, organisations);
--- a/regress/script.c
+++ b/regress/script.c
@@ -128,7 +128,6 @@
     start->silence_ceiling_ms = 1000;
     start->prefill_limit_ms = 2000;
     start->orphan_grace_ms = 30000;
-    start->record_after_ms = 500;
     return 0;
 }
 
