A superseded session goes on for a caller that is still connected

Change: a superseded owner stops keeping the record and leaves the engine's stream alone, but gives its own connected caller the rest; an answer is checked to be one run's anyway.

--- a/policy/attempt.c
+++ b/policy/attempt.c
@@ -70,12 +70,18 @@
                attempt->number, session->answer.token_count);
 }
 
-/* Stops the stream at the backend and forgets the attempt. */
+/*
+ * Stops the stream at the backend and forgets the attempt.  Another host may
+ * have taken up the stream of a session that it took over.
+ */
 void
 attempt_cancel(step_t *step, attempt_t *attempt)
 {
-    orders_add(step->orders, ORDER_CANCEL)->order_t_u.cancel.stream =
-        attempt->stream;
+    cancel_order_t *cancel =
+        &orders_add(step->orders, ORDER_CANCEL)->order_t_u.cancel;
+
+    cancel->stream = attempt->stream;
+    cancel->keep = attempt->session->alone;
     attempt_drop(step, attempt);
 }
 
--- a/policy/record.c
+++ b/policy/record.c
@@ -49,8 +49,8 @@
     const answer_t *answer = &session->answer;
     record_cut_t sent = answer_cut(answer, session->recorded_cuts);
 
-    if (session->run[0] != '\0') {
-        return; /* The record of the request is that of its other run. */
+    if (session->run[0] != '\0' || session->alone) {
+        return; /* The request's record is another session's. */
     }
     if (answer->token_count - sent.position < RECORD_TOKENS &&
         (session->keeper[0] == '\0' ||
--- a/policy/session.h
+++ b/policy/session.h
@@ -112,7 +112,8 @@
     int64_t orphan_us;              /* when its caller left; 0: it is there */
     char keeper[LINK_NAME_MAX + 1]; /* the host that keeps its record, or "" */
     uint32_t recorded_cuts;         /* of the answer, sent to the keeper */
-    bool kept; /* the keeper has said so: it says who the owner is */
+    bool alone; /* another host has the request too, and its record */
+    bool kept;  /* the keeper has said so: it says who the owner is */
     uint32_t settled_cuts;     /* of these, held there by its own word */
     uint32_t recorded_attempt; /* the writer when it was sent */
     int64_t claim_until_us;    /* not to be started after this; 0: no claim */
--- a/policy/takeover.c
+++ b/policy/takeover.c
@@ -274,35 +274,29 @@
     }
 }
 
-/* The session goes on elsewhere; its stream at the engine is not ended. */
+/*
+ * The session goes on elsewhere; its stream at the engine is not ended.
+ * Where its caller is still connected here, that one is given the rest all
+ * the same: two callers may have sent the request, and the host that took
+ * it over may have been asked by one who has left.
+ */
 static void
 give_up_session(step_t *step, session_t *session)
 {
-    uint64_t caller = session->caller;
-
     orders_log(step->orders, LOG_NOTICE,
                "superseded request=%s organisation=%s position=%u",
                session->key, session->organisation,
                session->answer.token_count);
+    session->keeper[0] = '\0';
+    session->alone = true;
+    if (session->caller != 0) {
+        return;
+    }
     for (size_t i = 0; i < SESSION_ATTEMPTS; i++) {
-        attempt_t *attempt = session->attempts[i];
-
-        if (attempt != NULL) {
-            cancel_order_t *cancel =
-                &orders_add(step->orders, ORDER_CANCEL)->order_t_u.cancel;
-
-            cancel->stream = attempt->stream;
-            cancel->keep = true;
-            attempt_drop(step, attempt);
+        if (session->attempts[i] != NULL) {
+            attempt_cancel(step, session->attempts[i]);
         }
     }
-    caller_detach(step, session);
-    if (caller != 0) {
-        caller_refuse(step, caller, REFUSAL_SUPERSEDED, RUN_UNKNOWN, 0,
-                      "the request came again at another host: read its "
-                      "answer there");
-    }
-    session->keeper[0] = '\0';
     session_forget_body(step, session);
     session_free(step, session);
 }
