--- /dev/null
+++ b/regress/script_order.c
@@ -0,0 +1,165 @@
+/* script_order.c - orders as lines of a script; see script.h. */
+#include <string.h>
+
+#include "regress/script_private.h"
+
+static char *
+ids_text(arena_t *arena, const uint32_t *ids, u_int count)
+{
+    char *text = arena_strdup(arena, "");
+
+    for (u_int i = 0; i < count; i++) {
+        text = arena_printf(arena, "%s%s%u", text, i == 0 ? "" : ",", ids[i]);
+    }
+    return text;
+}
+
+static char *
+open_text(arena_t *arena, const open_order_t *open)
+{
+    return arena_printf(
+        arena,
+        "open stream=%llu body=%llu runner=%s name=%s model=%s "
+        "endpoint=%d max_tokens=%u prompt=%s",
+        (unsigned long long)open->stream, (unsigned long long)open->body,
+        open->runner, open->stream_name, open->model, open->endpoint,
+        open->max_tokens,
+        ids_text(arena, open->prompt_ids.prompt_ids_val,
+                 open->prompt_ids.prompt_ids_len));
+}
+
+static char *
+give_text(arena_t *arena, const give_order_t *give)
+{
+    char *text =
+        arena_strndup(arena, give->text.text_val, give->text.text_len);
+
+    for (char *c = text; *c != '\0'; c++) {
+        *c = *c == ' ' ? '_' : *c;
+    }
+    return arena_printf(
+        arena, "give caller=%llu position=%u ids=%s text=%s tail=%u+%u",
+        (unsigned long long)give->caller, give->position,
+        ids_text(arena, give->token_ids.token_ids_val,
+                 give->token_ids.token_ids_len),
+        text, give->tail_from, give->tail_ids.tail_ids_len);
+}
+
+static char *
+claim_text(arena_t *arena, const claim_order_t *claim)
+{
+    char *text = arena_printf(arena, "claim batch=%llu mark=%s keys=",
+                              (unsigned long long)claim->batch, claim->mark);
+
+    for (u_int i = 0; i < claim->keys.keys_len; i++) {
+        text = arena_printf(arena, "%s%s%s", text, i == 0 ? "" : ",",
+                            claim->keys.keys_val[i]);
+    }
+    return text;
+}
+
+static char *
+release_text(arena_t *arena, const release_order_t *release)
+{
+    char *text = arena_printf(arena, "release mark=%s keys=", release->mark);
+
+    for (u_int i = 0; i < release->keys.keys_len; i++) {
+        text = arena_printf(arena, "%s%s%s", text, i == 0 ? "" : ",",
+                            release->keys.keys_val[i]);
+    }
+    return text;
+}
+
+static char *
+refuse_text(arena_t *arena, const refuse_order_t *refuse)
+{
+    return arena_printf(arena,
+                        "refuse caller=%llu refusal=%d run=%d retry_ms=%u",
+                        (unsigned long long)refuse->caller, refuse->refusal,
+                        refuse->run, refuse->retry_after_ms);
+}
+
+static char *
+tell_text(arena_t *arena, const tell_order_t *tell)
+{
+    const message_t *message = &tell->message;
+    const record_t *record = &message->message_t_u.record;
+
+    switch (message->kind) {
+    case MESSAGE_RECORD:
+        return arena_printf(
+            arena, "tell host=%s record state=%d epoch=%u first=%u tokens=%u",
+            tell->host, record->state, record->epoch, record->first,
+            record->token_ids.token_ids_len);
+    case MESSAGE_LOOKUP:
+        return arena_printf(arena, "tell host=%s lookup", tell->host);
+    case MESSAGE_FOUND:
+        return arena_printf(
+            arena, "tell host=%s found=%d tokens=%u", tell->host,
+            message->message_t_u.found.found,
+            message->message_t_u.found.record.token_ids.token_ids_len);
+    case MESSAGE_SUPERSEDED:
+        return arena_printf(arena, "tell host=%s superseded epoch=%u",
+                            tell->host, message->message_t_u.superseded.epoch);
+    default:
+        return arena_printf(arena, "tell host=%s message=%d", tell->host,
+                            message->kind);
+    }
+}
+
+char *
+script_order(arena_t *arena, const order_t *order)
+{
+    const reattach_order_t *again = &order->order_t_u.reattach;
+    const finish_order_t *finish = &order->order_t_u.finish;
+    const reply_order_t *reply = &order->order_t_u.reply;
+
+    switch (order->kind) {
+    case ORDER_OPEN:
+        return open_text(arena, &order->order_t_u.open);
+    case ORDER_REATTACH:
+        return arena_printf(arena,
+                            "reattach stream=%llu runner=%s name=%s after=%u",
+                            (unsigned long long)again->stream, again->runner,
+                            again->stream_name, again->after);
+    case ORDER_CANCEL:
+        return arena_printf(arena, "cancel stream=%llu%s",
+                            (unsigned long long)order->order_t_u.cancel.stream,
+                            order->order_t_u.cancel.keep ? " keep" : "");
+    case ORDER_GIVE:
+        return give_text(arena, &order->order_t_u.give);
+    case ORDER_FINISH:
+        return arena_printf(
+            arena, "finish caller=%llu finish=%d prompt=%u completion=%u",
+            (unsigned long long)finish->caller, finish->finish,
+            finish->prompt_tokens, finish->completion_tokens);
+    case ORDER_REPLY:
+        return arena_printf(arena, "reply caller=%llu status=%u body=%.*s",
+                            (unsigned long long)reply->caller, reply->status,
+                            (int)reply->body.body_len, reply->body.body_val);
+    case ORDER_REFUSE:
+        return refuse_text(arena, &order->order_t_u.refuse);
+    case ORDER_FORGET:
+        return arena_printf(arena, "forget body=%llu",
+                            (unsigned long long)order->order_t_u.forget.body);
+    case ORDER_TELL:
+        return tell_text(arena, &order->order_t_u.tell);
+    case ORDER_CLAIM:
+        return claim_text(arena, &order->order_t_u.claim);
+    case ORDER_RELEASE:
+        return release_text(arena, &order->order_t_u.release);
+    case ORDER_TIMER:
+        return arena_printf(arena, "timer at_ms=%lld",
+                            (long long)order->order_t_u.timer.at_us /
+                                SCRIPT_US_PER_MS);
+    case ORDER_LOG:
+        return arena_printf(arena, "log %s", order->order_t_u.log.text);
+    case ORDER_STOP:
+        return arena_strdup(arena, "stop");
+    case ORDER_RELAY:
+        return arena_printf(arena, "relay caller=%llu host=%s",
+                            (unsigned long long)order->order_t_u.relay.caller,
+                            order->order_t_u.relay.host);
+    }
+    return arena_strdup(arena, "unknown");
+}
