Golden bytes of whole sessions

Cause: the golden sessions ended at orders, and the golden responses began there; no file went from an engine's pieces and faults to a caller's bytes.

--- a/regress/script.c
+++ b/regress/script.c
@@ -33,6 +33,8 @@
     script_host_t hosts[SCRIPT_HOSTS_MAX];
     STAILQ_HEAD(, letter) letters; /* one delay for all: sorted by time */
     bool cut;                      /* messages are lost */
+    script_see_t see;              /* NULL: nobody looks on */
+    void *context;
 } script_run_t;
 
 static script_host_t *
@@ -97,6 +99,9 @@
     for (size_t i = 0; i < host->orders.count; i++) {
         const order_t *order = &host->orders.items[i];
 
+        if (run->see != NULL) {
+            run->see(run->context, host->name, order);
+        }
         if (order->kind == ORDER_TIMER) {
             host->timer_us = order->order_t_u.timer.at_us;
         }
@@ -238,9 +243,21 @@
 
 char *
 script_run(arena_t *arena, const char *text, err_t *err)
+{
+    return script_run_seen(arena, text, NULL, NULL, err);
+}
+
+char *
+script_run_seen(arena_t *arena, const char *text, script_see_t see,
+                void *context, err_t *err)
 {
     char *rest = arena_strdup(arena, text);
-    script_run_t run = {.arena = arena, .out = arena_strdup(arena, "")};
+    script_run_t run = {
+        .arena = arena,
+        .out = arena_strdup(arena, ""),
+        .see = see,
+        .context = context,
+    };
     uint32_t number = 0;
 
     STAILQ_INIT(&run.letters);
--- /dev/null
+++ b/regress/test_bytes.c
@@ -0,0 +1,126 @@
+/*
+ * test_bytes.c - whole sessions down to the bytes that a caller receives.
+ *
+ * Runs a session of golden/sessions and writes what its caller 1 is given
+ * as the daemon would: golden/bytes/NAME.
+ */
+#include <check.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "agated/response.h"
+#include "regress/script.h"
+
+enum { FILE_BYTES = 65536 };
+
+typedef struct {
+    const char *session; /* without its ending */
+    const char *bytes;
+    endpoint_t endpoint;
+    bool stream;
+} case_t;
+
+static const case_t cases[] = {
+    {"clean", "clean-stream.txt", ENDPOINT_COMPLETIONS, true},
+    {"clean", "clean-whole.txt", ENDPOINT_CHAT, false},
+    {"death", "death-stream.txt", ENDPOINT_COMPLETIONS, true},
+    {"death", "death-chat.txt", ENDPOINT_CHAT, true},
+    {"death-twice", "death-twice-whole.txt", ENDPOINT_COMPLETIONS, false},
+    {"refusals", "refusal.txt", ENDPOINT_COMPLETIONS, true},
+    {"claim-engine-lost", "refusal-mid-stream.txt", ENDPOINT_COMPLETIONS,
+     true},
+};
+
+typedef struct {
+    response_t response;
+    text_t out;
+} caller_t;
+
+static char *
+read_file(arena_t *arena, const char *path)
+{
+    char *text = arena_alloc(arena, FILE_BYTES);
+    FILE *file = fopen(path, "r");
+
+    if (file != NULL) {
+        (void)fread(text, 1, FILE_BYTES - 1, file);
+        (void)fclose(file);
+    }
+    return text;
+}
+
+static void
+see(void *context, const char *host, const order_t *order)
+{
+    caller_t *caller = context;
+
+    (void)host;
+    if (order->kind == ORDER_GIVE && order->order_t_u.give.caller == 1) {
+        response_give(&caller->response, &order->order_t_u.give, &caller->out);
+    }
+    if (order->kind == ORDER_FINISH && order->order_t_u.finish.caller == 1) {
+        response_finish(&caller->response, &order->order_t_u.finish,
+                        &caller->out);
+    }
+    if (order->kind == ORDER_REFUSE && order->order_t_u.refuse.caller == 1) {
+        response_refuse(&caller->response, &order->order_t_u.refuse,
+                        &caller->out);
+    }
+}
+
+/* With REGRESS_WRITE set the file is written anew, to be read by a person. */
+START_TEST(bytes_are_as_written)
+{
+    const case_t *row = &cases[_i];
+    static const uint8_t secret[] = "a secret for this test";
+    arena_t arena = {0};
+    err_t err = {0};
+    position_key_t key;
+    caller_t caller = {.response = {.name = "k1",
+                                    .model = "planner",
+                                    .endpoint = row->endpoint,
+                                    .stream = row->stream,
+                                    .token_ids = true,
+                                    .position_key = &key}};
+    char *session = arena_printf(&arena, "%s/golden/sessions/%s.session",
+                                 REGRESS_DIR, row->session);
+    char *path =
+        arena_printf(&arena, "%s/golden/bytes/%s", REGRESS_DIR, row->bytes);
+
+    position_key(&key, secret, sizeof(secret));
+    ck_assert_msg(script_run_seen(&arena, read_file(&arena, session), see,
+                                  &caller, &err) != NULL,
+                  "%s", err.message);
+    text_append(&caller.out, "", 1);
+    if (getenv("REGRESS_WRITE") != NULL) {
+        FILE *file = fopen(path, "w");
+
+        ck_assert_ptr_nonnull(file);
+        (void)fputs(caller.out.bytes, file);
+        (void)fclose(file);
+    }
+    ck_assert_str_eq(caller.out.bytes, read_file(&arena, path));
+    text_free(&caller.out);
+    response_free(&caller.response);
+    arena_free(&arena);
+}
+END_TEST
+
+int
+main(void)
+{
+    Suite *suite = suite_create("bytes");
+    TCase *table = tcase_create("golden");
+    SRunner *runner;
+    int failed;
+
+    tcase_add_loop_test(table, bytes_are_as_written, 0,
+                        sizeof(cases) / sizeof(cases[0]));
+    suite_add_tcase(suite, table);
+    runner = srunner_create(suite);
+    srunner_run_all(runner, CK_NORMAL);
+    failed = srunner_ntests_failed(runner);
+    srunner_free(runner);
+    return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
