--- a/regress/demo.sh
+++ b/regress/demo.sh
@@ -9,6 +9,7 @@
 trap 'exit 130' INT TERM
 
 tokens=400
+: >"$work/answer"
 start_store
 for name in r1 r2 r3; do
     start_engine "$name" --token-us 5000
