--- a/world/link.x
+++ b/world/link.x
@@ -180,7 +180,11 @@
     config_revision_t revisions<LINK_ITEMS_MAX>;
 };
 
-/* A content's fingerprint was present at the loss of a runner. */
+/*
+ * A content's fingerprint was present at the loss of a runner.  loss names
+ * the runner by a hash (upper 32 bits) and says how long the content had run
+ * there, in ms (lower 32 bits).
+ */
 struct suspect_t {
     uint64_t fingerprint;
     uint64_t loss;
