--- a/regress/history.sh
+++ b/regress/history.sh
@@ -79,6 +79,7 @@
     echo "fault $kind $engine $host" >&2
 }
 
+STOP_TENTHS_S=900 # a planned stop may last this long
 engine_options=(--token-us "${TOKEN_US:-5000}" --prefill-us-per-token 20 --vary)
 start_store
 for name in "${engines[@]}"; do
@@ -115,6 +116,14 @@
 for name in "${hosts[@]}"; do
     lives "$name" || continue
     kill -TERM "${pid_of[$name]}"
+    for _ in $(seq "$STOP_TENTHS_S"); do
+        kill -0 "${pid_of[$name]}" 2>/dev/null || break
+        sleep 0.1
+    done
+    if kill -0 "${pid_of[$name]}" 2>/dev/null; then
+        echo "$name did not stop: $(tail -n 1 "$work/$name.log")" >&2
+        kill -KILL "${pid_of[$name]}"
+    fi
     wait "${pid_of[$name]}" || { echo "$name did not stop well" >&2; status=1; }
 done
 [ "$status" = 0 ] || [ -z "${KEEP:-}" ] || cp -r "$work" "$KEEP"
