Mutants start from a copy without files of an earlier run

Cause: a folder left from before a file was removed did not build. Change: the copy is emptied but for its build. Result: the renamed row is killed.

--- a/regress/mutants.sh
+++ b/regress/mutants.sh
@@ -10,6 +10,7 @@
 cd "$(dirname "$0")/.."
 copy=build/mutants
 mkdir -p "$copy"
+find "$copy" -mindepth 1 -maxdepth 1 ! -name build -exec rm -rf {} +
 git ls-files -z | tar --null -T - -cf - | tar -C "$copy" -xf -
 sed -i 's/ -Werror / /' "$copy/CMakeLists.txt"
 cmake -S "$copy" -B "$copy/build" -DCMAKE_BUILD_TYPE=Debug >/dev/null
