A session whose only attempt was overtaken goes on

Cause, found in reading: when the caller's tail had joined the answer and what raced a silent engine was lost, that engine's first piece repeated a position, its attempt was cancelled, and the session ran on with no attempt: its caller waited for ever, and a planned stop with it. Change: resume_without() is the one way on after an attempt is over: another is live, or one is opened.

--- a/policy/pieces.c
+++ b/policy/pieces.c
@@ -34,7 +34,7 @@
     }
     if (attempt->recover && !takeover_recover(session, attempt, piece)) {
         attempt_cancel(step, attempt);
-        resume_elsewhere(step, session, NULL);
+        resume_without(step, session, NULL);
         return;
     }
     if (!in_place(step, attempt, piece)) {
@@ -48,6 +48,7 @@
     if (append(attempt, piece) != APPEND_DONE) {
         step->node->counters.pieces_late++;
         attempt_cancel(step, attempt);
+        resume_without(step, session, NULL);
         return;
     }
     win(step, attempt);
--- a/policy/private.h
+++ b/policy/private.h
@@ -127,6 +127,8 @@
 void resume_loss(step_t *step, const loss_event_t *loss);
 void resume_silence(step_t *step, session_t *session);
 int64_t resume_silence_due_us(const node_t *node, const attempt_t *attempt);
+void resume_without(step_t *step, session_t *session,
+                    const runner_state_t *lost);
 void resume_elsewhere(step_t *step, session_t *session,
                       const runner_state_t *lost);
 
--- a/policy/resume.c
+++ b/policy/resume.c
@@ -50,6 +50,17 @@
     lose_attempt(step, attempt, loss);
 }
 
+/* An attempt is over without an end: another is live, or one is opened. */
+void
+resume_without(step_t *step, session_t *session, const runner_state_t *lost)
+{
+    if (attempts_live(session) > 0) {
+        session_schedule(step, session);
+        return;
+    }
+    resume_elsewhere(step, session, lost);
+}
+
 /* Goes on at another runner, or ends the request where it cannot. */
 void
 resume_elsewhere(step_t *step, session_t *session, const runner_state_t *lost)
@@ -159,11 +170,7 @@
         claiming_not_run(step, session);
     }
     attempt_drop(step, attempt);
-    if (attempts_live(session) > 0) {
-        session_schedule(step, session);
-        return;
-    }
-    resume_elsewhere(step, session, runner);
+    resume_without(step, session, runner);
 }
 
 /*
