--- a/agated/agated.h
+++ b/agated/agated.h
@@ -20,7 +20,7 @@
 #include "agated/settings.h"
 #include "base/text.h"
 #include "http/http.h"
-#include "platform/platform.h"
+#include "kv/kv.h"
 #include "policy/node.h"
 
 typedef struct backends backends_t;
@@ -40,7 +40,7 @@
     uint64_t incarnation;
     position_key_t position_key;
     http_client_t *client;
-    platform_t *platform;
+    kv_t *platform;
     dispatch_t *dispatch;
     listener_t *listener;
     backends_t *backends;
--- a/agated/claims.c
+++ b/agated/claims.c
@@ -23,8 +23,8 @@
     uint64_t batch;
     const char *mark;
     const char **keys; /* as the node names them */
-    platform_op_t *ops;
-    platform_swap_t *swaps;
+    kv_op_t *ops;
+    kv_swap_t *swaps;
     size_t count;
     uint32_t tries;
     backoff_t backoff;
@@ -46,15 +46,15 @@
 static void fill_releases(call_t *call);
 static bool lease_is_fresh(const claims_t *claims);
 static void ask_lease(claims_t *claims);
-static void on_lease(void *context, platform_result_t result, int64_t lease,
+static void on_lease(void *context, kv_result_t result, int64_t lease,
                      int64_t ttl_s);
 static void send_call(call_t *call);
 static void on_retry(uv_timer_t *timer);
-static void on_swap(void *context, platform_result_t result, int64_t revision,
-                    const platform_swap_answer_t *answers, size_t count);
-static void finish_call(call_t *call, const platform_swap_answer_t *answers);
+static void on_swap(void *context, kv_result_t result, int64_t revision,
+                    const kv_swap_answer_t *answers, size_t count);
+static void finish_call(call_t *call, const kv_swap_answer_t *answers);
 static void read_outcome(call_t *call, size_t at,
-                         const platform_swap_answer_t *answer,
+                         const kv_swap_answer_t *answer,
                          claim_outcome_t *outcome);
 
 claims_t *
@@ -155,7 +155,7 @@
     size_t i;
 
     for (i = 0; i < call->count; i++) {
-        call->ops[i].verb = PLATFORM_PUT;
+        call->ops[i].verb = KV_PUT;
         call->ops[i].value = call->mark;
         call->ops[i].value_bytes = strlen(call->mark);
         call->ops[i].lease = call->claims->lease;
@@ -171,7 +171,7 @@
     for (i = 0; i < call->count; i++) {
         call->swaps[i].value = call->mark;
         call->swaps[i].value_bytes = strlen(call->mark);
-        call->ops[i].verb = PLATFORM_DELETE;
+        call->ops[i].verb = KV_DELETE;
     }
 }
 
@@ -187,7 +187,7 @@
 static void
 ask_lease(claims_t *claims)
 {
-    platform_t *platform = claims->daemon->platform;
+    kv_t *platform = claims->daemon->platform;
 
     if (claims->asking) {
         return;
@@ -198,14 +198,14 @@
 
 /* Claims that waited for the lease go out, or are told that it failed. */
 static void
-on_lease(void *context, platform_result_t result, int64_t lease, int64_t ttl_s)
+on_lease(void *context, kv_result_t result, int64_t lease, int64_t ttl_s)
 {
     claims_t *claims = context;
     call_t *call;
     call_t *next;
 
     claims->asking = false;
-    if (result == PLATFORM_OK) {
+    if (result == KV_OK) {
         claims->lease = lease;
         claims->lease_since_us = dispatch_now_us();
     }
@@ -214,7 +214,7 @@
         if (call->release || call->tries > 0) {
             continue;
         }
-        if (result != PLATFORM_OK) {
+        if (result != KV_OK) {
             finish_call(call, NULL);
             continue;
         }
@@ -226,7 +226,7 @@
 static void
 send_call(call_t *call)
 {
-    platform_t *platform = call->claims->daemon->platform;
+    kv_t *platform = call->claims->daemon->platform;
 
     call->tries++;
     platform->ops->swap(platform, call->swaps, call->count, on_swap, call);
@@ -243,16 +243,16 @@
  * so the second answer settles both.
  */
 static void
-on_swap(void *context, platform_result_t result, int64_t revision,
-        const platform_swap_answer_t *answers, size_t count)
+on_swap(void *context, kv_result_t result, int64_t revision,
+        const kv_swap_answer_t *answers, size_t count)
 {
     call_t *call = context;
 
-    if (result == PLATFORM_OK) {
+    if (result == KV_OK) {
         finish_call(call, answers);
         return;
     }
-    if (result == PLATFORM_INVALID) {
+    if (result == KV_INVALID) {
         call->claims->lease = 0;
         finish_call(call, NULL);
         return;
@@ -272,7 +272,7 @@
  * and the holder is the mark that was to go; see policy/claim_queue.h.
  */
 static void
-finish_call(call_t *call, const platform_swap_answer_t *answers)
+finish_call(call_t *call, const kv_swap_answer_t *answers)
 {
     dispatch_t *dispatch = call->claims->daemon->dispatch;
     event_t event = {.kind = EVENT_CLAIMED};
@@ -297,10 +297,10 @@
 }
 
 static void
-read_outcome(call_t *call, size_t at, const platform_swap_answer_t *answer,
+read_outcome(call_t *call, size_t at, const kv_swap_answer_t *answer,
              claim_outcome_t *outcome)
 {
-    const platform_pair_t *held;
+    const kv_pair_t *held;
 
     outcome->key = (char *)(uintptr_t)call->keys[at];
     outcome->holder = arena_strdup(&call->arena, "");
--- a/agated/control_history.c
+++ b/agated/control_history.c
@@ -10,18 +10,17 @@
 
 static const char history_prefix[] = "/agatevale/history/";
 
-static void on_list(void *context, platform_result_t result, int64_t revision,
-                    const platform_pair_t *pairs, size_t count);
-static void on_prune(void *context, platform_result_t result, int64_t revision,
-                     const platform_pair_t *pairs, size_t count);
-static void on_pruned(void *context, platform_result_t result,
-                      int64_t revision, const platform_swap_answer_t *answers,
-                      size_t count);
+static void on_list(void *context, kv_result_t result, int64_t revision,
+                    const kv_pair_t *pairs, size_t count);
+static void on_prune(void *context, kv_result_t result, int64_t revision,
+                     const kv_pair_t *pairs, size_t count);
+static void on_pruned(void *context, kv_result_t result, int64_t revision,
+                      const kv_swap_answer_t *answers, size_t count);
 
 void
 control_list_history(control_call_t *call)
 {
-    platform_t *platform = call->daemon->platform;
+    kv_t *platform = call->daemon->platform;
     arena_t *arena = &call->arena;
     const char *name = call->service == NULL ? "fleet" : call->service;
     const node_config_view_t *config = control_document(
@@ -41,7 +40,7 @@
 void
 history_prune(daemon_t *daemon, const char *name)
 {
-    platform_t *platform = daemon->platform;
+    kv_t *platform = daemon->platform;
     arena_t arena = {0};
     char *prefix = arena_printf(&arena, "%s%s/", history_prefix, name);
 
@@ -57,14 +56,14 @@
 }
 
 static void
-on_list(void *context, platform_result_t result, int64_t revision,
-        const platform_pair_t *pairs, size_t count)
+on_list(void *context, kv_result_t result, int64_t revision,
+        const kv_pair_t *pairs, size_t count)
 {
     control_call_t *call = context;
     text_t json = {0};
     size_t i;
 
-    if (result != PLATFORM_OK) {
+    if (result != KV_OK) {
         control_error(call, CONTROL_UNAVAILABLE, "store-unreached", "not-run",
                       "the store did not answer: ask again later");
         return;
@@ -86,33 +85,33 @@
 
 /* The oldest have the lowest keys, and so come first. */
 static void
-on_prune(void *context, platform_result_t result, int64_t revision,
-         const platform_pair_t *pairs, size_t count)
+on_prune(void *context, kv_result_t result, int64_t revision,
+         const kv_pair_t *pairs, size_t count)
 {
-    platform_t *platform = context;
-    platform_op_t ops[PRUNE_MAX];
-    platform_swap_t swaps[PRUNE_MAX];
+    kv_t *platform = context;
+    kv_op_t ops[PRUNE_MAX];
+    kv_swap_t swaps[PRUNE_MAX];
     size_t excess = count > HISTORY_MAX ? count - HISTORY_MAX : 0;
     size_t i;
 
-    if (result != PLATFORM_OK || excess == 0) {
+    if (result != KV_OK || excess == 0) {
         return;
     }
     excess = excess > PRUNE_MAX ? PRUNE_MAX : excess;
     for (i = 0; i < excess; i++) {
-        ops[i] = (platform_op_t){.verb = PLATFORM_DELETE, .key = pairs[i].key};
-        swaps[i] = (platform_swap_t){.key = pairs[i].key,
-                                     .mod_revision = pairs[i].mod_revision,
-                                     .ops = &ops[i],
-                                     .op_count = 1};
+        ops[i] = (kv_op_t){.verb = KV_DELETE, .key = pairs[i].key};
+        swaps[i] = (kv_swap_t){.key = pairs[i].key,
+                               .mod_revision = pairs[i].mod_revision,
+                               .ops = &ops[i],
+                               .op_count = 1};
     }
     platform->ops->swap(platform, swaps, excess, on_pruned, NULL);
 }
 
 /* What was not deleted this time will be after the next change. */
 static void
-on_pruned(void *context, platform_result_t result, int64_t revision,
-          const platform_swap_answer_t *answers, size_t count)
+on_pruned(void *context, kv_result_t result, int64_t revision,
+          const kv_swap_answer_t *answers, size_t count)
 {
     log_line(LOG_DEBUG, "history pruned result=%d count=%zu", (int)result,
              count);
--- a/agated/control_put.c
+++ b/agated/control_put.c
@@ -33,22 +33,20 @@
 static void refuse_document(control_call_t *call, const err_t *err);
 static bool may_change(const control_call_t *call, const char *team);
 static void read_former(put_t *put);
-static void on_former(void *context, platform_result_t result,
-                      int64_t revision, const platform_pair_t *pairs,
-                      size_t count);
+static void on_former(void *context, kv_result_t result, int64_t revision,
+                      const kv_pair_t *pairs, size_t count);
 static void swap_document(put_t *put);
-static void on_swap(void *context, platform_result_t result, int64_t revision,
-                    const platform_swap_answer_t *answers, size_t count);
+static void on_swap(void *context, kv_result_t result, int64_t revision,
+                    const kv_swap_answer_t *answers, size_t count);
 static void retry(put_t *put, uv_timer_cb again);
 static void on_retry_former(uv_timer_t *timer);
 static void on_retry_swap(uv_timer_t *timer);
-static void settle(put_t *put, const platform_pair_t *held);
-static void on_settle(void *context, platform_result_t result,
-                      int64_t revision, const platform_pair_t *pairs,
-                      size_t count);
-static bool is_ours(const put_t *put, const platform_pair_t *pair);
+static void settle(put_t *put, const kv_pair_t *held);
+static void on_settle(void *context, kv_result_t result, int64_t revision,
+                      const kv_pair_t *pairs, size_t count);
+static bool is_ours(const put_t *put, const kv_pair_t *pair);
 static void accept_document(put_t *put, int64_t revision);
-static void answer_conflict(put_t *put, const platform_pair_t *held);
+static void answer_conflict(put_t *put, const kv_pair_t *held);
 
 void
 control_put_fleet(control_call_t *call)
@@ -242,21 +240,21 @@
 static void
 read_former(put_t *put)
 {
-    platform_t *platform = put->call->daemon->platform;
+    kv_t *platform = put->call->daemon->platform;
 
     platform->ops->range(platform, put->key, false, on_former, put);
 }
 
 static void
-on_former(void *context, platform_result_t result, int64_t revision,
-          const platform_pair_t *pairs, size_t count)
+on_former(void *context, kv_result_t result, int64_t revision,
+          const kv_pair_t *pairs, size_t count)
 {
     put_t *put = context;
     control_call_t *call = put->call;
-    const platform_pair_t *held = count > 0 ? &pairs[0] : NULL;
+    const kv_pair_t *held = count > 0 ? &pairs[0] : NULL;
     const contract_t *former = NULL;
 
-    if (result != PLATFORM_OK) {
+    if (result != KV_OK) {
         retry(put, on_retry_former);
         return;
     }
@@ -289,18 +287,18 @@
 swap_document(put_t *put)
 {
     control_call_t *call = put->call;
-    platform_t *platform = call->daemon->platform;
-    platform_op_t ops[] = {
-        {.verb = PLATFORM_PUT,
+    kv_t *platform = call->daemon->platform;
+    kv_op_t ops[] = {
+        {.verb = KV_PUT,
          .key = put->key,
          .value = call->body,
          .value_bytes = call->body_bytes},
-        {.verb = PLATFORM_PUT,
+        {.verb = KV_PUT,
          .key = history_key(&call->arena, put->name, put->replaced),
          .value = call->body,
          .value_bytes = call->body_bytes},
     };
-    platform_swap_t swap = {
+    kv_swap_t swap = {
         .key = put->key,
         .mod_revision = put->replaced,
         .ops = ops,
@@ -311,20 +309,20 @@
 }
 
 static void
-on_swap(void *context, platform_result_t result, int64_t revision,
-        const platform_swap_answer_t *answers, size_t count)
+on_swap(void *context, kv_result_t result, int64_t revision,
+        const kv_swap_answer_t *answers, size_t count)
 {
     put_t *put = context;
     control_call_t *call = put->call;
 
-    if (result == PLATFORM_INVALID) {
+    if (result == KV_INVALID) {
         put_free(put);
         control_error(call, CONTROL_UNPROCESSABLE, "invalid", "not-run",
                       "the store refuses the document: write a shorter one");
         return;
     }
-    if (result != PLATFORM_OK) {
-        put->lost = put->lost || result == PLATFORM_LOST;
+    if (result != KV_OK) {
+        put->lost = put->lost || result == KV_LOST;
         retry(put, on_retry_swap);
         return;
     }
@@ -371,9 +369,9 @@
  * whoever replaced this revision wrote its text into the history.
  */
 static void
-settle(put_t *put, const platform_pair_t *held)
+settle(put_t *put, const kv_pair_t *held)
 {
-    platform_t *platform = put->call->daemon->platform;
+    kv_t *platform = put->call->daemon->platform;
 
     if (!put->lost) {
         answer_conflict(put, held);
@@ -385,12 +383,12 @@
 }
 
 static void
-on_settle(void *context, platform_result_t result, int64_t revision,
-          const platform_pair_t *pairs, size_t count)
+on_settle(void *context, kv_result_t result, int64_t revision,
+          const kv_pair_t *pairs, size_t count)
 {
     put_t *put = context;
 
-    if (result != PLATFORM_OK) {
+    if (result != KV_OK) {
         retry(put, on_retry_swap);
         return;
     }
@@ -404,7 +402,7 @@
 }
 
 static bool
-is_ours(const put_t *put, const platform_pair_t *pair)
+is_ours(const put_t *put, const kv_pair_t *pair)
 {
     return pair->value_bytes == put->call->body_bytes &&
            memcmp(pair->value, put->call->body, pair->value_bytes) == 0;
@@ -426,7 +424,7 @@
 
 /* held is NULL when the document does not exist. */
 static void
-answer_conflict(put_t *put, const platform_pair_t *held)
+answer_conflict(put_t *put, const kv_pair_t *held)
 {
     control_call_t *call = put->call;
     bool exists = held != NULL && held->mod_revision != 0;
--- a/agated/daemon.c
+++ b/agated/daemon.c
@@ -36,10 +36,10 @@
     }
     daemon->client = http_client_new(daemon->loop);
     if (strcmp(settings->platform_kind, "memory") == 0) {
-        daemon->platform = platform_memory_new(daemon->loop);
+        daemon->platform = kv_memory_new(daemon->loop);
         return seed_platform(daemon, err);
     }
-    daemon->platform = platform_etcd_new(
+    daemon->platform = kv_etcd_new(
         daemon->client, settings->platform_addresses.items,
         settings->platform_addresses.count, settings->platform_timeout_ms);
     return 0;
--- a/agated/documents.c
+++ b/agated/documents.c
@@ -48,12 +48,12 @@
                       bool whole_prefix, area_kind_t kind);
 static void area_read(area_t *area);
 static void on_retry(uv_timer_t *timer);
-static void on_range(void *context, platform_result_t result, int64_t revision,
-                     const platform_pair_t *pairs, size_t count);
-static void on_watch(void *context, platform_result_t result, int64_t revision,
-                     const platform_pair_t *pairs, size_t count);
+static void on_range(void *context, kv_result_t result, int64_t revision,
+                     const kv_pair_t *pairs, size_t count);
+static void on_watch(void *context, kv_result_t result, int64_t revision,
+                     const kv_pair_t *pairs, size_t count);
 static void retry_later(area_t *area, const char *what);
-static void take_pair(area_t *area, const platform_pair_t *pair);
+static void take_pair(area_t *area, const kv_pair_t *pair);
 static void drop_unseen(area_t *area, int64_t revision);
 static void entry_free(area_t *area, entry_t *entry);
 static void raise_config(documents_t *documents, const char *key,
@@ -126,7 +126,7 @@
 static void
 area_read(area_t *area)
 {
-    platform_t *platform = area->documents->daemon->platform;
+    kv_t *platform = area->documents->daemon->platform;
 
     platform->ops->range(platform, area->prefix, area->whole_prefix, on_range,
                          area);
@@ -139,16 +139,16 @@
 }
 
 static void
-on_range(void *context, platform_result_t result, int64_t revision,
-         const platform_pair_t *pairs, size_t count)
+on_range(void *context, kv_result_t result, int64_t revision,
+         const kv_pair_t *pairs, size_t count)
 {
     area_t *area = context;
-    platform_t *platform = area->documents->daemon->platform;
+    kv_t *platform = area->documents->daemon->platform;
     entry_t *entry;
     entry_t *next;
     size_t i;
 
-    if (result != PLATFORM_OK) {
+    if (result != KV_OK) {
         retry_later(area, "read");
         return;
     }
@@ -224,13 +224,13 @@
 }
 
 static void
-on_watch(void *context, platform_result_t result, int64_t revision,
-         const platform_pair_t *pairs, size_t count)
+on_watch(void *context, kv_result_t result, int64_t revision,
+         const kv_pair_t *pairs, size_t count)
 {
     area_t *area = context;
     size_t i;
 
-    if (result != PLATFORM_OK) {
+    if (result != KV_OK) {
         retry_later(area, "watch");
         return;
     }
@@ -255,7 +255,7 @@
 }
 
 static void
-take_pair(area_t *area, const platform_pair_t *pair)
+take_pair(area_t *area, const kv_pair_t *pair)
 {
     bool deleted = pair->create_revision == 0;
     entry_t *entry;
--- a/agated/presence.c
+++ b/agated/presence.c
@@ -23,13 +23,13 @@
 static void next_call(presence_t *presence);
 static void wait(presence_t *presence, uint64_t wait_ms);
 static void on_timer(uv_timer_t *timer);
-static void on_lease(void *context, platform_result_t result, int64_t lease,
+static void on_lease(void *context, kv_result_t result, int64_t lease,
                      int64_t ttl_s);
-static void on_keepalive(void *context, platform_result_t result,
-                         int64_t lease, int64_t ttl_s);
+static void on_keepalive(void *context, kv_result_t result, int64_t lease,
+                         int64_t ttl_s);
 static void put_key(presence_t *presence);
-static void on_put(void *context, platform_result_t result, int64_t revision,
-                   const platform_swap_answer_t *answers, size_t count);
+static void on_put(void *context, kv_result_t result, int64_t revision,
+                   const kv_swap_answer_t *answers, size_t count);
 
 presence_t *
 presence_new(daemon_t *daemon)
@@ -72,7 +72,7 @@
 static void
 next_call(presence_t *presence)
 {
-    platform_t *platform = presence->daemon->platform;
+    kv_t *platform = presence->daemon->platform;
 
     (void)uv_timer_stop(presence->timer);
     presence->calling = true;
@@ -106,11 +106,11 @@
 }
 
 static void
-on_lease(void *context, platform_result_t result, int64_t lease, int64_t ttl_s)
+on_lease(void *context, kv_result_t result, int64_t lease, int64_t ttl_s)
 {
     presence_t *presence = context;
 
-    if (result != PLATFORM_OK) {
+    if (result != KV_OK) {
         wait(presence, backoff_next_ms(&presence->backoff));
         return;
     }
@@ -120,12 +120,11 @@
 }
 
 static void
-on_keepalive(void *context, platform_result_t result, int64_t lease,
-             int64_t ttl_s)
+on_keepalive(void *context, kv_result_t result, int64_t lease, int64_t ttl_s)
 {
     presence_t *presence = context;
 
-    if (result != PLATFORM_OK) {
+    if (result != KV_OK) {
         wait(presence, backoff_next_ms(&presence->backoff));
         return;
     }
@@ -144,15 +143,15 @@
 put_key(presence_t *presence)
 {
     const settings_t *settings = presence->daemon->settings;
-    platform_t *platform = presence->daemon->platform;
+    kv_t *platform = presence->daemon->platform;
     const peers_t *peers = presence->daemon->peers;
     text_t value = {0};
-    platform_op_t op = {
-        .verb = PLATFORM_PUT, .key = presence->key, .lease = presence->lease};
-    platform_swap_t swap = {.key = presence->key,
-                            .mod_revision = presence->revision,
-                            .ops = &op,
-                            .op_count = 1};
+    kv_op_t op = {
+        .verb = KV_PUT, .key = presence->key, .lease = presence->lease};
+    kv_swap_t swap = {.key = presence->key,
+                      .mod_revision = presence->revision,
+                      .ops = &op,
+                      .op_count = 1};
 
     text_printf(&value,
                 "zone=%s address=%s peer=%s incarnation=%" PRIu64
@@ -169,12 +168,12 @@
 
 /* Whoever wrote the key before is an earlier incarnation of this host. */
 static void
-on_put(void *context, platform_result_t result, int64_t revision,
-       const platform_swap_answer_t *answers, size_t count)
+on_put(void *context, kv_result_t result, int64_t revision,
+       const kv_swap_answer_t *answers, size_t count)
 {
     presence_t *presence = context;
 
-    if (result != PLATFORM_OK) {
+    if (result != KV_OK) {
         presence->put = false;
         wait(presence, backoff_next_ms(&presence->backoff));
         return;
--- a/agated/seed.c
+++ b/agated/seed.c
@@ -5,10 +5,10 @@
 #include "base/log.h"
 #include "base/toml.h"
 
-static void put(platform_t *platform, const char *key, const char *text,
+static void put(kv_t *platform, const char *key, const char *text,
                 size_t length);
-static void on_put(void *context, platform_result_t result, int64_t revision,
-                   const platform_swap_answer_t *answers, size_t count);
+static void on_put(void *context, kv_result_t result, int64_t revision,
+                   const kv_swap_answer_t *answers, size_t count);
 static int seed_document(daemon_t *daemon, arena_t *arena, const char *path,
                          err_t *err);
 
@@ -67,22 +67,20 @@
 }
 
 static void
-put(platform_t *platform, const char *key, const char *text, size_t length)
+put(kv_t *platform, const char *key, const char *text, size_t length)
 {
-    platform_op_t op = {.verb = PLATFORM_PUT,
-                        .key = key,
-                        .value = text,
-                        .value_bytes = length};
-    platform_swap_t swap = {.key = key, .ops = &op, .op_count = 1};
+    kv_op_t op = {
+        .verb = KV_PUT, .key = key, .value = text, .value_bytes = length};
+    kv_swap_t swap = {.key = key, .ops = &op, .op_count = 1};
 
     platform->ops->swap(platform, &swap, 1, on_put, NULL);
 }
 
 static void
-on_put(void *context, platform_result_t result, int64_t revision,
-       const platform_swap_answer_t *answers, size_t count)
+on_put(void *context, kv_result_t result, int64_t revision,
+       const kv_swap_answer_t *answers, size_t count)
 {
-    if (result != PLATFORM_OK || !answers[0].won) {
+    if (result != KV_OK || !answers[0].won) {
         log_line(LOG_ERR, "a file was not taken in: name each service once");
     }
 }
--- a/platform/base64.c
+++ b/kv/base64.c
@@ -4,7 +4,7 @@
 
 #include <openssl/evp.h>
 
-#include "platform/base64.h"
+#include "kv/base64.h"
 
 enum {
     BASE64_GROUP_BYTES = 3,
--- a/platform/base64.h
+++ b/kv/base64.h
@@ -1,8 +1,8 @@
 /*
  * base64.h - base64 by OpenSSL, with lengths checked.
  */
-#ifndef PLATFORM_BASE64_H
-#define PLATFORM_BASE64_H
+#ifndef KV_BASE64_H
+#define KV_BASE64_H
 
 #include <stddef.h>
 
--- a/platform/etcd.c
+++ b/kv/etcd.c
@@ -1,4 +1,4 @@
-/* etcd.c - the platform's service as etcd v3 by JSON; see platform.h. */
+/* etcd.c - the platform's service as etcd v3 by JSON; see kv.h. */
 #include <stdlib.h>
 #include <string.h>
 #include <sys/queue.h>
@@ -6,8 +6,8 @@
 #include "base/arena.h"
 #include "base/log.h"
 #include "http/buffer.h"
-#include "platform/etcd_json.h"
-#include "platform/platform.h"
+#include "kv/etcd_json.h"
+#include "kv/kv.h"
 
 enum {
     ETCD_ANSWER_BYTES_MAX = 256 << 20,
@@ -27,7 +27,7 @@
 } etcd_kind_t;
 
 typedef struct {
-    platform_t platform;
+    kv_t platform;
     http_client_t *client;
     char **addresses;
     size_t count;
@@ -54,45 +54,43 @@
     bool feeding; /* its memory is in use up the stack */
     bool over;    /* off the list; freed when no longer feeding */
     union {
-        platform_range_done_t range;
-        platform_swap_done_t swap;
-        platform_lease_done_t lease;
-        platform_watch_done_t watch;
+        kv_range_done_t range;
+        kv_swap_done_t swap;
+        kv_lease_done_t lease;
+        kv_watch_done_t watch;
     } done;
     void *context;
 } etcd_call_t;
 
-static void etcd_range(platform_t *platform, const char *key, bool prefix,
-                       platform_range_done_t done, void *context);
-static void etcd_swap(platform_t *platform, const platform_swap_t *swaps,
-                      size_t count, platform_swap_done_t done, void *context);
-static void etcd_lease_grant(platform_t *platform, int64_t ttl_s,
-                             platform_lease_done_t done, void *context);
-static void etcd_lease_keepalive(platform_t *platform, int64_t lease,
-                                 platform_lease_done_t done, void *context);
-static void etcd_lease_revoke(platform_t *platform, int64_t lease,
-                              platform_lease_done_t done, void *context);
-static void etcd_watch(platform_t *platform, const char *prefix,
-                       int64_t start_revision, platform_watch_done_t done,
+static void etcd_range(kv_t *platform, const char *key, bool prefix,
+                       kv_range_done_t done, void *context);
+static void etcd_swap(kv_t *platform, const kv_swap_t *swaps, size_t count,
+                      kv_swap_done_t done, void *context);
+static void etcd_lease_grant(kv_t *platform, int64_t ttl_s,
+                             kv_lease_done_t done, void *context);
+static void etcd_lease_keepalive(kv_t *platform, int64_t lease,
+                                 kv_lease_done_t done, void *context);
+static void etcd_lease_revoke(kv_t *platform, int64_t lease,
+                              kv_lease_done_t done, void *context);
+static void etcd_watch(kv_t *platform, const char *prefix,
+                       int64_t start_revision, kv_watch_done_t done,
                        void *context);
-static void etcd_free(platform_t *platform);
+static void etcd_free(kv_t *platform);
 static etcd_call_t *call_new(etcd_t *etcd, etcd_kind_t kind, const char *path,
                              const char *body, void *context);
 static void call_send(etcd_call_t *call);
 static void call_close(etcd_call_t *call);
 static void call_free(etcd_call_t *call);
-static void call_fail(etcd_call_t *call, platform_result_t result,
-                      int64_t revision);
+static void call_fail(etcd_call_t *call, kv_result_t result, int64_t revision);
 static void call_leave_address(const etcd_call_t *call);
 static bool call_try_next(etcd_call_t *call);
 static void on_head(http_sink_t *sink, uint32_t status,
                     const char *content_type, uint32_t retry_after_ms);
 static void on_body(http_sink_t *sink, const char *bytes, size_t length);
 static void on_done(http_sink_t *sink, http_result_t result);
-static platform_result_t unclear(const etcd_call_t *call);
-static platform_result_t outcome_of_status(const etcd_call_t *call);
-static platform_result_t outcome_of(const etcd_call_t *call,
-                                    http_result_t result);
+static kv_result_t unclear(const etcd_call_t *call);
+static kv_result_t outcome_of_status(const etcd_call_t *call);
+static kv_result_t outcome_of(const etcd_call_t *call, http_result_t result);
 static void finish(etcd_call_t *call);
 static int give_range(etcd_call_t *call, arena_t *arena, err_t *err);
 static int give_swap(etcd_call_t *call, arena_t *arena, err_t *err);
@@ -100,7 +98,7 @@
 static void feed_watch(etcd_call_t *call);
 static void give_line(etcd_call_t *call, const char *line, size_t length);
 
-static const platform_ops_t etcd_ops = {
+static const kv_ops_t etcd_ops = {
     .range = etcd_range,
     .swap = etcd_swap,
     .lease_grant = etcd_lease_grant,
@@ -111,9 +109,9 @@
 };
 static const http_sink_ops_t call_sink_ops = {on_head, on_body, on_done};
 
-platform_t *
-platform_etcd_new(http_client_t *client, const char *const *addresses,
-                  size_t count, uint32_t timeout_ms)
+kv_t *
+kv_etcd_new(http_client_t *client, const char *const *addresses, size_t count,
+            uint32_t timeout_ms)
 {
     etcd_t *etcd = xcalloc(1, sizeof(*etcd));
     size_t i;
@@ -131,8 +129,8 @@
 }
 
 static void
-etcd_range(platform_t *platform, const char *key, bool prefix,
-           platform_range_done_t done, void *context)
+etcd_range(kv_t *platform, const char *key, bool prefix, kv_range_done_t done,
+           void *context)
 {
     arena_t arena = {0};
     etcd_call_t *call =
@@ -145,8 +143,8 @@
 }
 
 static void
-etcd_swap(platform_t *platform, const platform_swap_t *swaps, size_t count,
-          platform_swap_done_t done, void *context)
+etcd_swap(kv_t *platform, const kv_swap_t *swaps, size_t count,
+          kv_swap_done_t done, void *context)
 {
     arena_t arena = {0};
     etcd_call_t *call =
@@ -160,8 +158,8 @@
 }
 
 static void
-etcd_lease_grant(platform_t *platform, int64_t ttl_s,
-                 platform_lease_done_t done, void *context)
+etcd_lease_grant(kv_t *platform, int64_t ttl_s, kv_lease_done_t done,
+                 void *context)
 {
     arena_t arena = {0};
     etcd_call_t *call =
@@ -174,8 +172,8 @@
 }
 
 static void
-etcd_lease_keepalive(platform_t *platform, int64_t lease,
-                     platform_lease_done_t done, void *context)
+etcd_lease_keepalive(kv_t *platform, int64_t lease, kv_lease_done_t done,
+                     void *context)
 {
     arena_t arena = {0};
     etcd_call_t *call =
@@ -188,8 +186,8 @@
 }
 
 static void
-etcd_lease_revoke(platform_t *platform, int64_t lease,
-                  platform_lease_done_t done, void *context)
+etcd_lease_revoke(kv_t *platform, int64_t lease, kv_lease_done_t done,
+                  void *context)
 {
     arena_t arena = {0};
     etcd_call_t *call =
@@ -202,8 +200,8 @@
 }
 
 static void
-etcd_watch(platform_t *platform, const char *prefix, int64_t start_revision,
-           platform_watch_done_t done, void *context)
+etcd_watch(kv_t *platform, const char *prefix, int64_t start_revision,
+           kv_watch_done_t done, void *context)
 {
     arena_t arena = {0};
     etcd_call_t *call =
@@ -216,7 +214,7 @@
 }
 
 static void
-etcd_free(platform_t *platform)
+etcd_free(kv_t *platform)
 {
     etcd_t *etcd = (etcd_t *)platform;
     etcd_call_t *call = LIST_FIRST(&etcd->calls);
@@ -304,7 +302,7 @@
 
 /* The call's callback may free the platform: the call is closed first. */
 static void
-call_fail(etcd_call_t *call, platform_result_t result, int64_t revision)
+call_fail(etcd_call_t *call, kv_result_t result, int64_t revision)
 {
     bool feeding = call->feeding;
 
@@ -378,27 +376,27 @@
 on_done(http_sink_t *sink, http_result_t result)
 {
     etcd_call_t *call = (etcd_call_t *)sink;
-    platform_result_t outcome = outcome_of(call, result);
+    kv_result_t outcome = outcome_of(call, result);
 
     call->http = NULL;
-    if (outcome == PLATFORM_OK) {
+    if (outcome == KV_OK) {
         finish(call);
         return;
     }
-    if (outcome != PLATFORM_INVALID) {
+    if (outcome != KV_INVALID) {
         call_leave_address(call);
     }
-    if (outcome == PLATFORM_UNREACHED && call_try_next(call)) {
+    if (outcome == KV_UNREACHED && call_try_next(call)) {
         return;
     }
     call_fail(call, outcome, 0);
 }
 
-static platform_result_t
+static kv_result_t
 outcome_of(const etcd_call_t *call, http_result_t result)
 {
     if (result == HTTP_NOT_SENT) {
-        return PLATFORM_UNREACHED;
+        return KV_UNREACHED;
     }
     if (result != HTTP_DONE || call->too_long) {
         return unclear(call);
@@ -406,22 +404,22 @@
     if (call->status != HTTP_STATUS_OK) {
         return outcome_of_status(call);
     }
-    return call->kind == ETCD_WATCH ? PLATFORM_LOST : PLATFORM_OK;
+    return call->kind == ETCD_WATCH ? KV_LOST : KV_OK;
 }
 
 /* A read that failed took no effect, whatever became of it. */
-static platform_result_t
+static kv_result_t
 unclear(const etcd_call_t *call)
 {
-    return call->kind == ETCD_RANGE ? PLATFORM_UNREACHED : PLATFORM_LOST;
+    return call->kind == ETCD_RANGE ? KV_UNREACHED : KV_LOST;
 }
 
 /* etcd answers 5xx also to writes that it may yet carry out. */
-static platform_result_t
+static kv_result_t
 outcome_of_status(const etcd_call_t *call)
 {
     if (call->status == HTTP_STATUS_TOO_MANY) {
-        return PLATFORM_UNREACHED;
+        return KV_UNREACHED;
     }
     if (call->status == HTTP_STATUS_REQUEST_TIMEOUT ||
         call->status == HTTP_STATUS_CLOSED ||
@@ -429,7 +427,7 @@
         call->status >= HTTP_STATUS_SERVER_ERROR) {
         return unclear(call);
     }
-    return PLATFORM_INVALID;
+    return KV_INVALID;
 }
 
 static void
@@ -464,7 +462,7 @@
 static int
 give_range(etcd_call_t *call, arena_t *arena, err_t *err)
 {
-    platform_range_done_t done = call->done.range;
+    kv_range_done_t done = call->done.range;
     void *context = call->context;
     etcd_range_t range;
 
@@ -473,14 +471,14 @@
         return -1;
     }
     call_close(call);
-    done(context, PLATFORM_OK, range.revision, range.pairs, range.count);
+    done(context, KV_OK, range.revision, range.pairs, range.count);
     return 0;
 }
 
 static int
 give_swap(etcd_call_t *call, arena_t *arena, err_t *err)
 {
-    platform_swap_done_t done = call->done.swap;
+    kv_swap_done_t done = call->done.swap;
     void *context = call->context;
     etcd_swap_t swap;
 
@@ -489,14 +487,14 @@
         return -1;
     }
     call_close(call);
-    done(context, PLATFORM_OK, swap.revision, swap.answers, swap.count);
+    done(context, KV_OK, swap.revision, swap.answers, swap.count);
     return 0;
 }
 
 static int
 give_lease(etcd_call_t *call, err_t *err)
 {
-    platform_lease_done_t done = call->done.lease;
+    kv_lease_done_t done = call->done.lease;
     void *context = call->context;
     etcd_lease_t lease;
 
@@ -505,7 +503,7 @@
         return -1;
     }
     call_close(call);
-    done(context, PLATFORM_OK, lease.lease, lease.ttl_s);
+    done(context, KV_OK, lease.lease, lease.ttl_s);
     return 0;
 }
 
@@ -547,14 +545,14 @@
     if (etcd_read_watch(&arena, line, length, &watch, &err) < 0) {
         log_line(LOG_WARNING, "platform call=%s error=\"%s\"", call->path,
                  err.message);
-        call_fail(call, PLATFORM_LOST, 0);
+        call_fail(call, KV_LOST, 0);
     }
     else if (watch.canceled) {
-        call_fail(call, PLATFORM_INVALID, watch.revision);
+        call_fail(call, KV_INVALID, watch.revision);
     }
     else if (watch.created || watch.count > 0) {
-        call->done.watch(call->context, PLATFORM_OK, watch.revision,
-                         watch.pairs, watch.count);
+        call->done.watch(call->context, KV_OK, watch.revision, watch.pairs,
+                         watch.count);
     }
     arena_free(&arena);
 }
--- a/platform/etcd_answer.c
+++ b/kv/etcd_answer.c
@@ -5,8 +5,8 @@
 
 #include <jansson.h>
 
-#include "platform/base64.h"
-#include "platform/etcd_json.h"
+#include "kv/base64.h"
+#include "kv/etcd_json.h"
 
 enum { DECIMAL = 10 };
 
@@ -16,12 +16,12 @@
 static int read_revision(const json_t *object, int64_t *revision, err_t *err);
 static int read_bytes(arena_t *arena, const json_t *object, const char *name,
                       const char **bytes, size_t *length, err_t *err);
-static int read_pair(arena_t *arena, const json_t *kv, platform_pair_t *pair,
+static int read_pair(arena_t *arena, const json_t *kv, kv_pair_t *pair,
                      err_t *err);
-static int read_pairs(arena_t *arena, const json_t *list,
-                      platform_pair_t **pairs, size_t *count, err_t *err);
+static int read_pairs(arena_t *arena, const json_t *list, kv_pair_t **pairs,
+                      size_t *count, err_t *err);
 static int read_one_swap(arena_t *arena, const json_t *response,
-                         platform_swap_answer_t *answer, err_t *err);
+                         kv_swap_answer_t *answer, err_t *err);
 static int read_lease(const json_t *root, etcd_lease_t *lease, err_t *err);
 static int read_events(arena_t *arena, const json_t *list, etcd_watch_t *watch,
                        err_t *err);
@@ -157,7 +157,7 @@
     for (i = 0; i < count; i++) {
         const json_t *event = json_array_get(list, i);
         const char *type = json_string_value(json_object_get(event, "type"));
-        platform_pair_t *pair = &watch->pairs[i];
+        kv_pair_t *pair = &watch->pairs[i];
 
         if (read_pair(arena, json_object_get(event, "kv"), pair, err) < 0) {
             return -1;
@@ -172,12 +172,12 @@
 }
 
 static int
-read_one_swap(arena_t *arena, const json_t *response,
-              platform_swap_answer_t *answer, err_t *err)
+read_one_swap(arena_t *arena, const json_t *response, kv_swap_answer_t *answer,
+              err_t *err)
 {
     const json_t *nested = get_either(response, "response_txn", "responseTxn");
     const json_t *range;
-    platform_pair_t *pairs = NULL;
+    kv_pair_t *pairs = NULL;
     size_t count = 0;
 
     if (!json_is_object(nested)) {
@@ -207,7 +207,7 @@
 }
 
 static int
-read_pairs(arena_t *arena, const json_t *list, platform_pair_t **pairs,
+read_pairs(arena_t *arena, const json_t *list, kv_pair_t **pairs,
            size_t *count, err_t *err)
 {
     size_t length = json_array_size(list);
@@ -227,7 +227,7 @@
 }
 
 static int
-read_pair(arena_t *arena, const json_t *kv, platform_pair_t *pair, err_t *err)
+read_pair(arena_t *arena, const json_t *kv, kv_pair_t *pair, err_t *err)
 {
     size_t key_bytes = 0;
 
--- a/platform/etcd_json.c
+++ b/kv/etcd_json.c
@@ -4,17 +4,17 @@
 
 #include <jansson.h>
 
-#include "platform/base64.h"
-#include "platform/etcd_json.h"
+#include "kv/base64.h"
+#include "kv/etcd_json.h"
 
 static json_t *make_integer(int64_t value);
 static json_t *make_text(arena_t *arena, const char *bytes, size_t length);
 static void set_range(arena_t *arena, json_t *object, const char *key,
                       bool prefix);
-static json_t *make_compare(arena_t *arena, const platform_swap_t *swap);
-static json_t *make_op(arena_t *arena, const platform_op_t *op);
+static json_t *make_compare(arena_t *arena, const kv_swap_t *swap);
+static json_t *make_op(arena_t *arena, const kv_op_t *op);
 static json_t *make_get(arena_t *arena, const char *key);
-static json_t *make_one_swap(arena_t *arena, const platform_swap_t *swap);
+static json_t *make_one_swap(arena_t *arena, const kv_swap_t *swap);
 static char *dump(arena_t *arena, json_t *object);
 
 char *
@@ -31,7 +31,7 @@
  * that fails leaves the others standing.
  */
 char *
-etcd_make_swap(arena_t *arena, const platform_swap_t *swaps, size_t count)
+etcd_make_swap(arena_t *arena, const kv_swap_t *swaps, size_t count)
 {
     json_t *object = json_object();
     json_t *success = json_array();
@@ -124,7 +124,7 @@
 }
 
 static json_t *
-make_one_swap(arena_t *arena, const platform_swap_t *swap)
+make_one_swap(arena_t *arena, const kv_swap_t *swap)
 {
     json_t *object = json_object();
     json_t *compares = json_array();
@@ -144,7 +144,7 @@
 }
 
 static json_t *
-make_compare(arena_t *arena, const platform_swap_t *swap)
+make_compare(arena_t *arena, const kv_swap_t *swap)
 {
     json_t *object = json_object();
 
@@ -164,19 +164,19 @@
 }
 
 static json_t *
-make_op(arena_t *arena, const platform_op_t *op)
+make_op(arena_t *arena, const kv_op_t *op)
 {
     json_t *object;
     json_t *fields;
 
-    if (op->verb == PLATFORM_GET) {
+    if (op->verb == KV_GET) {
         return make_get(arena, op->key);
     }
     object = json_object();
     fields = json_object();
     (void)json_object_set_new(fields, "key",
                               make_text(arena, op->key, strlen(op->key)));
-    if (op->verb == PLATFORM_DELETE) {
+    if (op->verb == KV_DELETE) {
         (void)json_object_set_new(object, "requestDeleteRange", fields);
         return object;
     }
--- a/platform/etcd_json.h
+++ b/kv/etcd_json.h
@@ -6,8 +6,8 @@
  * Readers return -1 with *err set (ERR_PROTOCOL) on anything else.  All
  * results are in arena memory.
  */
-#ifndef PLATFORM_ETCD_JSON_H
-#define PLATFORM_ETCD_JSON_H
+#ifndef KV_ETCD_JSON_H
+#define KV_ETCD_JSON_H
 
 #include <stdbool.h>
 #include <stddef.h>
@@ -15,12 +15,11 @@
 
 #include "base/arena.h"
 #include "base/err.h"
-#include "platform/platform.h"
+#include "kv/kv.h"
 
 /* Bodies of requests, as strings. */
 char *etcd_make_range(arena_t *arena, const char *key, bool prefix);
-char *etcd_make_swap(arena_t *arena, const platform_swap_t *swaps,
-                     size_t count);
+char *etcd_make_swap(arena_t *arena, const kv_swap_t *swaps, size_t count);
 char *etcd_make_grant(arena_t *arena, int64_t ttl_s);
 char *etcd_make_lease(arena_t *arena, int64_t lease);
 char *etcd_make_watch(arena_t *arena, const char *prefix,
@@ -28,13 +27,13 @@
 
 typedef struct {
     int64_t revision;
-    platform_pair_t *pairs;
+    kv_pair_t *pairs;
     size_t count;
 } etcd_range_t;
 
 typedef struct {
     int64_t revision;
-    platform_swap_answer_t *answers;
+    kv_swap_answer_t *answers;
     size_t count;
 } etcd_swap_t;
 
@@ -48,7 +47,7 @@
     bool created;
     bool canceled;
     int64_t revision; /* compact_revision where that is set */
-    platform_pair_t *pairs;
+    kv_pair_t *pairs;
     size_t count;
 } etcd_watch_t;
 
--- a/platform/memory.c
+++ b/kv/memory.c
@@ -1,11 +1,11 @@
-/* memory.c - the platform's service in one process; see platform.h. */
+/* memory.c - the platform's service in one process; see kv.h. */
 #include <stdlib.h>
 #include <string.h>
 #include <sys/queue.h>
 
 #include "base/arena.h"
-#include "platform/platform.h"
-#include "platform/store.h"
+#include "kv/kv.h"
+#include "kv/store.h"
 
 enum { MEMORY_EXPIRE_MS = 100 };
 
@@ -21,18 +21,18 @@
     TAILQ_ENTRY(answer) all;
     arena_t arena;
     answer_kind_t kind;
-    platform_result_t result;
+    kv_result_t result;
     int64_t revision;
-    platform_pair_t *pairs;
-    platform_swap_answer_t *swaps;
+    kv_pair_t *pairs;
+    kv_swap_answer_t *swaps;
     size_t count;
     int64_t lease;
     int64_t ttl_s;
     union {
-        platform_range_done_t range;
-        platform_swap_done_t swap;
-        platform_lease_done_t lease;
-        platform_watch_done_t watch;
+        kv_range_done_t range;
+        kv_swap_done_t swap;
+        kv_lease_done_t lease;
+        kv_watch_done_t watch;
     } done;
     void *context;
 } answer_t;
@@ -43,12 +43,12 @@
     struct memory *memory;
     char *prefix;
     int64_t start_revision;
-    platform_watch_done_t done;
+    kv_watch_done_t done;
     void *context;
 } watch_t;
 
 typedef struct memory {
-    platform_t platform;
+    kv_t platform;
     uv_loop_t *loop;
     uv_idle_t turn;
     uv_timer_t expiry;
@@ -59,36 +59,34 @@
     unsigned open_handles;
 } memory_t;
 
-static void memory_range(platform_t *platform, const char *key, bool prefix,
-                         platform_range_done_t done, void *context);
-static void memory_swap(platform_t *platform, const platform_swap_t *swaps,
-                        size_t count, platform_swap_done_t done,
-                        void *context);
-static void memory_lease_grant(platform_t *platform, int64_t ttl_s,
-                               platform_lease_done_t done, void *context);
-static void memory_lease_keepalive(platform_t *platform, int64_t lease,
-                                   platform_lease_done_t done, void *context);
-static void memory_lease_revoke(platform_t *platform, int64_t lease,
-                                platform_lease_done_t done, void *context);
-static void memory_watch(platform_t *platform, const char *prefix,
-                         int64_t start_revision, platform_watch_done_t done,
+static void memory_range(kv_t *platform, const char *key, bool prefix,
+                         kv_range_done_t done, void *context);
+static void memory_swap(kv_t *platform, const kv_swap_t *swaps, size_t count,
+                        kv_swap_done_t done, void *context);
+static void memory_lease_grant(kv_t *platform, int64_t ttl_s,
+                               kv_lease_done_t done, void *context);
+static void memory_lease_keepalive(kv_t *platform, int64_t lease,
+                                   kv_lease_done_t done, void *context);
+static void memory_lease_revoke(kv_t *platform, int64_t lease,
+                                kv_lease_done_t done, void *context);
+static void memory_watch(kv_t *platform, const char *prefix,
+                         int64_t start_revision, kv_watch_done_t done,
                          void *context);
-static void memory_free(platform_t *platform);
+static void memory_free(kv_t *platform);
 static answer_t *answer_new(memory_t *memory, answer_kind_t kind,
                             void *context);
-static void answer_lease(memory_t *memory, platform_result_t result,
-                         int64_t lease, int64_t ttl_s,
-                         platform_lease_done_t done, void *context);
+static void answer_lease(memory_t *memory, kv_result_t result, int64_t lease,
+                         int64_t ttl_s, kv_lease_done_t done, void *context);
 static void answer_free(answer_t *answer);
 static void give(const answer_t *answer);
 static void on_turn(uv_idle_t *idle);
 static void on_expiry(uv_timer_t *timer);
 static void on_closed(uv_handle_t *handle);
-static void on_changed(void *context, const platform_pair_t *pair);
-static void give_change(void *context, const platform_pair_t *pair);
+static void on_changed(void *context, const kv_pair_t *pair);
+static void give_change(void *context, const kv_pair_t *pair);
 static int64_t now_ms(const memory_t *memory);
 
-static const platform_ops_t memory_ops = {
+static const kv_ops_t memory_ops = {
     .range = memory_range,
     .swap = memory_swap,
     .lease_grant = memory_lease_grant,
@@ -98,8 +96,8 @@
     .free = memory_free,
 };
 
-platform_t *
-platform_memory_new(uv_loop_t *loop)
+kv_t *
+kv_memory_new(uv_loop_t *loop)
 {
     memory_t *memory = xcalloc(1, sizeof(*memory));
 
@@ -120,8 +118,8 @@
 }
 
 static void
-memory_range(platform_t *platform, const char *key, bool prefix,
-             platform_range_done_t done, void *context)
+memory_range(kv_t *platform, const char *key, bool prefix,
+             kv_range_done_t done, void *context)
 {
     memory_t *memory = (memory_t *)platform;
     answer_t *answer = answer_new(memory, ANSWER_RANGE, context);
@@ -133,8 +131,8 @@
 }
 
 static void
-memory_swap(platform_t *platform, const platform_swap_t *swaps, size_t count,
-            platform_swap_done_t done, void *context)
+memory_swap(kv_t *platform, const kv_swap_t *swaps, size_t count,
+            kv_swap_done_t done, void *context)
 {
     memory_t *memory = (memory_t *)platform;
     answer_t *answer = answer_new(memory, ANSWER_SWAP, context);
@@ -144,43 +142,42 @@
     answer->result =
         store_swap(memory->store, &answer->arena, swaps, count, answer->swaps);
     answer->revision = store_revision(memory->store);
-    answer->count = answer->result == PLATFORM_OK ? count : 0;
+    answer->count = answer->result == KV_OK ? count : 0;
 }
 
 static void
-memory_lease_grant(platform_t *platform, int64_t ttl_s,
-                   platform_lease_done_t done, void *context)
+memory_lease_grant(kv_t *platform, int64_t ttl_s, kv_lease_done_t done,
+                   void *context)
 {
     memory_t *memory = (memory_t *)platform;
     int64_t lease = store_grant(memory->store, ttl_s, now_ms(memory));
 
-    answer_lease(memory, PLATFORM_OK, lease, ttl_s, done, context);
+    answer_lease(memory, KV_OK, lease, ttl_s, done, context);
 }
 
 static void
-memory_lease_keepalive(platform_t *platform, int64_t lease,
-                       platform_lease_done_t done, void *context)
+memory_lease_keepalive(kv_t *platform, int64_t lease, kv_lease_done_t done,
+                       void *context)
 {
     memory_t *memory = (memory_t *)platform;
     int64_t ttl_s = store_keepalive(memory->store, lease, now_ms(memory));
 
-    answer_lease(memory, PLATFORM_OK, lease, ttl_s, done, context);
+    answer_lease(memory, KV_OK, lease, ttl_s, done, context);
 }
 
 static void
-memory_lease_revoke(platform_t *platform, int64_t lease,
-                    platform_lease_done_t done, void *context)
+memory_lease_revoke(kv_t *platform, int64_t lease, kv_lease_done_t done,
+                    void *context)
 {
     memory_t *memory = (memory_t *)platform;
     bool known = store_revoke(memory->store, lease);
 
-    answer_lease(memory, known ? PLATFORM_OK : PLATFORM_INVALID, lease, 0,
-                 done, context);
+    answer_lease(memory, known ? KV_OK : KV_INVALID, lease, 0, done, context);
 }
 
 static void
-memory_watch(platform_t *platform, const char *prefix, int64_t start_revision,
-             platform_watch_done_t done, void *context)
+memory_watch(kv_t *platform, const char *prefix, int64_t start_revision,
+             kv_watch_done_t done, void *context)
 {
     memory_t *memory = (memory_t *)platform;
     answer_t *answer = answer_new(memory, ANSWER_WATCH, context);
@@ -198,7 +195,7 @@
         LIST_INSERT_HEAD(&memory->watches, watch, all);
         return;
     }
-    answer->result = PLATFORM_INVALID;
+    answer->result = KV_INVALID;
     answer->revision = answer->lease;
     free(watch->prefix);
     free(watch);
@@ -206,7 +203,7 @@
 
 /* The callback that is running may be what frees the platform. */
 static void
-memory_free(platform_t *platform)
+memory_free(kv_t *platform)
 {
     memory_t *memory = (memory_t *)platform;
     answer_t *answer;
@@ -250,8 +247,8 @@
 }
 
 static void
-answer_lease(memory_t *memory, platform_result_t result, int64_t lease,
-             int64_t ttl_s, platform_lease_done_t done, void *context)
+answer_lease(memory_t *memory, kv_result_t result, int64_t lease,
+             int64_t ttl_s, kv_lease_done_t done, void *context)
 {
     answer_t *answer = answer_new(memory, ANSWER_LEASE, context);
 
@@ -321,7 +318,7 @@
 }
 
 static void
-on_changed(void *context, const platform_pair_t *pair)
+on_changed(void *context, const kv_pair_t *pair)
 {
     memory_t *memory = context;
     watch_t *watch;
@@ -336,7 +333,7 @@
 }
 
 static void
-give_change(void *context, const platform_pair_t *pair)
+give_change(void *context, const kv_pair_t *pair)
 {
     const watch_t *watch = context;
     answer_t *answer = answer_new(watch->memory, ANSWER_WATCH, watch->context);
--- a/platform/store.c
+++ b/kv/store.c
@@ -5,13 +5,13 @@
 
 #include "http/table.h"
 
-#include "platform/store.h"
+#include "kv/store.h"
 
 enum { MS_PER_S = 1000 };
 
 typedef struct entry {
     UT_hash_handle hh;
-    platform_pair_t pair; /* owns key and value */
+    kv_pair_t pair; /* owns key and value */
 } entry_t;
 
 typedef struct lease {
@@ -23,7 +23,7 @@
 
 typedef struct change {
     TAILQ_ENTRY(change) all;
-    platform_pair_t pair; /* owns key and value */
+    kv_pair_t pair; /* owns key and value */
 } change_t;
 
 struct store {
@@ -42,19 +42,19 @@
 static void insert(store_t *store, entry_t *entry);
 static void insert_lease(store_t *store, lease_t *lease);
 static lease_t *find_lease(const store_t *store, int64_t number);
-static bool compares(const store_t *store, const platform_swap_t *swap);
-static bool is_valid(const store_t *store, const platform_swap_t *swaps,
-                     size_t count, const platform_swap_answer_t *answers);
-static bool leases_known(const store_t *store, const platform_swap_t *swap);
-static bool writes_clash(const platform_swap_t *swaps, size_t count);
-static bool op_clashes(const platform_swap_t *swaps, size_t count,
-                       const platform_op_t *op);
-static void put(store_t *store, const platform_op_t *op, int64_t revision);
+static bool compares(const store_t *store, const kv_swap_t *swap);
+static bool is_valid(const store_t *store, const kv_swap_t *swaps,
+                     size_t count, const kv_swap_answer_t *answers);
+static bool leases_known(const store_t *store, const kv_swap_t *swap);
+static bool writes_clash(const kv_swap_t *swaps, size_t count);
+static bool op_clashes(const kv_swap_t *swaps, size_t count,
+                       const kv_op_t *op);
+static void put(store_t *store, const kv_op_t *op, int64_t revision);
 static bool delete_key(store_t *store, const char *key, int64_t revision);
-static void record(store_t *store, const platform_pair_t *pair);
-static platform_pair_t pair_copy(arena_t *arena, const platform_pair_t *pair);
-static platform_pair_t pair_own(const platform_pair_t *pair);
-static void pair_free(platform_pair_t *pair);
+static void record(store_t *store, const kv_pair_t *pair);
+static kv_pair_t pair_copy(arena_t *arena, const kv_pair_t *pair);
+static kv_pair_t pair_own(const kv_pair_t *pair);
+static void pair_free(kv_pair_t *pair);
 static int by_key(const void *left, const void *right);
 static bool has_prefix(const char *key, const char *prefix);
 
@@ -108,11 +108,11 @@
     return store->revision;
 }
 
-platform_pair_t *
+kv_pair_t *
 store_range(const store_t *store, arena_t *arena, const char *key, bool prefix,
             size_t *count)
 {
-    platform_pair_t *pairs =
+    kv_pair_t *pairs =
         arena_array(arena, HASH_COUNT(store->entries), sizeof(*pairs));
     const entry_t *entry;
 
@@ -133,9 +133,9 @@
     return pairs;
 }
 
-platform_result_t
-store_swap(store_t *store, arena_t *arena, const platform_swap_t *swaps,
-           size_t count, platform_swap_answer_t *answers)
+kv_result_t
+store_swap(store_t *store, arena_t *arena, const kv_swap_t *swaps,
+           size_t count, kv_swap_answer_t *answers)
 {
     int64_t revision = store->revision + 1;
     bool changed = false;
@@ -146,7 +146,7 @@
         answers[i].won = compares(store, &swaps[i]);
     }
     if (!is_valid(store, swaps, count, answers)) {
-        return PLATFORM_INVALID;
+        return KV_INVALID;
     }
     for (i = 0; i < count; i++) {
         const entry_t *held = find(store, swaps[i].key);
@@ -155,16 +155,16 @@
             answers[i].held = pair_copy(arena, &held->pair);
         }
         else {
-            answers[i].held = (platform_pair_t){.key = "", .value = ""};
+            answers[i].held = (kv_pair_t){.key = "", .value = ""};
         }
         for (j = 0; answers[i].won && j < swaps[i].op_count; j++) {
-            const platform_op_t *op = &swaps[i].ops[j];
+            const kv_op_t *op = &swaps[i].ops[j];
 
-            if (op->verb == PLATFORM_PUT) {
+            if (op->verb == KV_PUT) {
                 put(store, op, revision);
                 changed = true;
             }
-            else if (op->verb == PLATFORM_DELETE) {
+            else if (op->verb == KV_DELETE) {
                 changed |= delete_key(store, op->key, revision);
             }
         }
@@ -172,7 +172,7 @@
     if (changed) {
         store->revision = revision;
     }
-    return PLATFORM_OK;
+    return KV_OK;
 }
 
 int64_t
@@ -291,7 +291,7 @@
 }
 
 static bool
-compares(const store_t *store, const platform_swap_t *swap)
+compares(const store_t *store, const kv_swap_t *swap)
 {
     const entry_t *entry = find(store, swap->key);
 
@@ -304,8 +304,8 @@
 }
 
 static bool
-is_valid(const store_t *store, const platform_swap_t *swaps, size_t count,
-         const platform_swap_answer_t *answers)
+is_valid(const store_t *store, const kv_swap_t *swaps, size_t count,
+         const kv_swap_answer_t *answers)
 {
     size_t i;
 
@@ -321,12 +321,12 @@
 }
 
 static bool
-leases_known(const store_t *store, const platform_swap_t *swap)
+leases_known(const store_t *store, const kv_swap_t *swap)
 {
     size_t i;
 
     for (i = 0; i < swap->op_count; i++) {
-        if (swap->ops[i].verb == PLATFORM_PUT && swap->ops[i].lease != 0 &&
+        if (swap->ops[i].verb == KV_PUT && swap->ops[i].lease != 0 &&
             find_lease(store, swap->ops[i].lease) == NULL) {
             return false;
         }
@@ -336,14 +336,14 @@
 
 /* etcd refuses a call that writes a key twice, whichever swaps win. */
 static bool
-writes_clash(const platform_swap_t *swaps, size_t count)
+writes_clash(const kv_swap_t *swaps, size_t count)
 {
     size_t i;
     size_t j;
 
     for (i = 0; i < count; i++) {
         for (j = 0; j < swaps[i].op_count; j++) {
-            if (swaps[i].ops[j].verb == PLATFORM_PUT &&
+            if (swaps[i].ops[j].verb == KV_PUT &&
                 op_clashes(swaps, count, &swaps[i].ops[j])) {
                 return true;
             }
@@ -353,16 +353,16 @@
 }
 
 static bool
-op_clashes(const platform_swap_t *swaps, size_t count, const platform_op_t *op)
+op_clashes(const kv_swap_t *swaps, size_t count, const kv_op_t *op)
 {
     size_t i;
     size_t j;
 
     for (i = 0; i < count; i++) {
         for (j = 0; j < swaps[i].op_count; j++) {
-            const platform_op_t *other = &swaps[i].ops[j];
+            const kv_op_t *other = &swaps[i].ops[j];
 
-            if (other != op && other->verb != PLATFORM_GET &&
+            if (other != op && other->verb != KV_GET &&
                 strcmp(other->key, op->key) == 0) {
                 return true;
             }
@@ -372,10 +372,10 @@
 }
 
 static void
-put(store_t *store, const platform_op_t *op, int64_t revision)
+put(store_t *store, const kv_op_t *op, int64_t revision)
 {
     entry_t *entry = find(store, op->key);
-    platform_pair_t pair = {
+    kv_pair_t pair = {
         .key = op->key,
         .value = op->value,
         .value_bytes = op->value_bytes,
@@ -391,7 +391,7 @@
         insert(store, entry);
     }
     else {
-        platform_pair_t former = entry->pair;
+        kv_pair_t former = entry->pair;
 
         pair.create_revision = former.create_revision;
         pair.version = former.version + 1;
@@ -407,13 +407,13 @@
 delete_key(store_t *store, const char *key, int64_t revision)
 {
     entry_t *entry = find(store, key);
-    platform_pair_t gone;
+    kv_pair_t gone;
 
     if (entry == NULL) {
         return false;
     }
     HASH_DEL(store->entries, entry);
-    gone = (platform_pair_t){
+    gone = (kv_pair_t){
         .key = entry->pair.key,
         .value = "",
         .mod_revision = revision,
@@ -425,7 +425,7 @@
 }
 
 static void
-record(store_t *store, const platform_pair_t *pair)
+record(store_t *store, const kv_pair_t *pair)
 {
     change_t *change = xcalloc(1, sizeof(*change));
 
@@ -444,20 +444,20 @@
     store->changed(store->context, pair);
 }
 
-static platform_pair_t
-pair_copy(arena_t *arena, const platform_pair_t *pair)
+static kv_pair_t
+pair_copy(arena_t *arena, const kv_pair_t *pair)
 {
-    platform_pair_t copy = *pair;
+    kv_pair_t copy = *pair;
 
     copy.key = arena_strdup(arena, pair->key);
     copy.value = arena_memdup(arena, pair->value, pair->value_bytes);
     return copy;
 }
 
-static platform_pair_t
-pair_own(const platform_pair_t *pair)
+static kv_pair_t
+pair_own(const kv_pair_t *pair)
 {
-    platform_pair_t own = *pair;
+    kv_pair_t own = *pair;
     char *value = xcalloc(pair->value_bytes + 1, 1);
 
     if (pair->value_bytes > 0) {
@@ -469,7 +469,7 @@
 }
 
 static void
-pair_free(platform_pair_t *pair)
+pair_free(kv_pair_t *pair)
 {
     free((char *)pair->key);
     free((char *)pair->value);
@@ -478,8 +478,8 @@
 static int
 by_key(const void *left, const void *right)
 {
-    return strcmp(((const platform_pair_t *)left)->key,
-                  ((const platform_pair_t *)right)->key);
+    return strcmp(((const kv_pair_t *)left)->key,
+                  ((const kv_pair_t *)right)->key);
 }
 
 static bool
--- a/platform/store.h
+++ b/kv/store.h
@@ -6,15 +6,15 @@
  * changes anything, compares seen before any work, a key written at most
  * once in a call.
  */
-#ifndef PLATFORM_STORE_H
-#define PLATFORM_STORE_H
+#ifndef KV_STORE_H
+#define KV_STORE_H
 
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
 #include "base/arena.h"
-#include "platform/platform.h"
+#include "kv/kv.h"
 
 enum {
     STORE_CHANGES_KEPT = 4096,
@@ -24,7 +24,7 @@
 typedef struct store store_t;
 
 /* Called for each change, in order; the pair is valid during the call. */
-typedef void (*store_changed_t)(void *context, const platform_pair_t *pair);
+typedef void (*store_changed_t)(void *context, const kv_pair_t *pair);
 
 store_t *store_new(store_changed_t changed, void *context);
 void store_free(store_t *store);
@@ -32,13 +32,12 @@
 int64_t store_revision(const store_t *store);
 
 /* Copies in arena memory, in the order of their keys. */
-platform_pair_t *store_range(const store_t *store, arena_t *arena,
-                             const char *key, bool prefix, size_t *count);
+kv_pair_t *store_range(const store_t *store, arena_t *arena, const char *key,
+                       bool prefix, size_t *count);
 
 /* answers has room for count; copies in arena memory. */
-platform_result_t store_swap(store_t *store, arena_t *arena,
-                             const platform_swap_t *swaps, size_t count,
-                             platform_swap_answer_t *answers);
+kv_result_t store_swap(store_t *store, arena_t *arena, const kv_swap_t *swaps,
+                       size_t count, kv_swap_answer_t *answers);
 
 /* The new lease's number. */
 int64_t store_grant(store_t *store, int64_t ttl_s, int64_t now_ms);
--- a/regress/flaky.c
+++ b/regress/flaky.c
@@ -6,9 +6,9 @@
 #include "regress/flaky.h"
 
 struct flaky {
-    platform_t platform; /* first: it is called by it */
+    kv_t platform; /* first: it is called by it */
     uv_loop_t *loop;
-    platform_t *inner;
+    kv_t *inner;
     const char *prefix;
     flaky_fault_t fault;
     size_t left;
@@ -20,38 +20,38 @@
 /* A swap that fails; its answer comes on a later turn of the loop. */
 typedef struct {
     uv_timer_t timer;
-    platform_result_t result;
-    platform_swap_done_t done;
+    kv_result_t result;
+    kv_swap_done_t done;
     void *context;
 } failure_t;
 
-static void on_range(platform_t *platform, const char *key, bool prefix,
-                     platform_range_done_t done, void *context);
-static void on_swap(platform_t *platform, const platform_swap_t *swaps,
-                    size_t count, platform_swap_done_t done, void *context);
-static void on_lease_grant(platform_t *platform, int64_t ttl_s,
-                           platform_lease_done_t done, void *context);
-static void on_lease_keepalive(platform_t *platform, int64_t lease,
-                               platform_lease_done_t done, void *context);
-static void on_lease_revoke(platform_t *platform, int64_t lease,
-                            platform_lease_done_t done, void *context);
-static void on_watch(platform_t *platform, const char *prefix,
-                     int64_t start_revision, platform_watch_done_t done,
+static void on_range(kv_t *platform, const char *key, bool prefix,
+                     kv_range_done_t done, void *context);
+static void on_swap(kv_t *platform, const kv_swap_t *swaps, size_t count,
+                    kv_swap_done_t done, void *context);
+static void on_lease_grant(kv_t *platform, int64_t ttl_s, kv_lease_done_t done,
+                           void *context);
+static void on_lease_keepalive(kv_t *platform, int64_t lease,
+                               kv_lease_done_t done, void *context);
+static void on_lease_revoke(kv_t *platform, int64_t lease,
+                            kv_lease_done_t done, void *context);
+static void on_watch(kv_t *platform, const char *prefix,
+                     int64_t start_revision, kv_watch_done_t done,
                      void *context);
-static void on_free(platform_t *platform);
-static void fail_later(flaky_t *flaky, platform_result_t result,
-                       platform_swap_done_t done, void *context);
+static void on_free(kv_t *platform);
+static void fail_later(flaky_t *flaky, kv_result_t result, kv_swap_done_t done,
+                       void *context);
 static void on_failure(uv_timer_t *timer);
 static void intrude(flaky_t *flaky, const char *key);
-static void ignore(void *context, platform_result_t result, int64_t revision,
-                   const platform_swap_answer_t *answers, size_t count);
+static void ignore(void *context, kv_result_t result, int64_t revision,
+                   const kv_swap_answer_t *answers, size_t count);
 
-static const platform_ops_t ops = {
+static const kv_ops_t ops = {
     on_range,        on_swap,  on_lease_grant, on_lease_keepalive,
     on_lease_revoke, on_watch, on_free};
 
-platform_t *
-flaky_new(uv_loop_t *loop, platform_t *inner)
+kv_t *
+flaky_new(uv_loop_t *loop, kv_t *inner)
 {
     flaky_t *flaky = xcalloc(1, sizeof(*flaky));
 
@@ -62,7 +62,7 @@
 }
 
 void
-flaky_swaps(platform_t *platform, const char *prefix, flaky_fault_t fault,
+flaky_swaps(kv_t *platform, const char *prefix, flaky_fault_t fault,
             size_t count)
 {
     flaky_t *flaky = (flaky_t *)platform;
@@ -73,7 +73,7 @@
 }
 
 void
-flaky_intrude(platform_t *platform, const char *key, const char *value)
+flaky_intrude(kv_t *platform, const char *key, const char *value)
 {
     flaky_t *flaky = (flaky_t *)platform;
 
@@ -83,8 +83,8 @@
 }
 
 static void
-on_swap(platform_t *platform, const platform_swap_t *swaps, size_t count,
-        platform_swap_done_t done, void *context)
+on_swap(kv_t *platform, const kv_swap_t *swaps, size_t count,
+        kv_swap_done_t done, void *context)
 {
     flaky_t *flaky = (flaky_t *)platform;
     bool fails = flaky->left > 0 && strncmp(swaps[0].key, flaky->prefix,
@@ -100,59 +100,57 @@
     if (flaky->fault == FLAKY_LOSES) {
         flaky->inner->ops->swap(flaky->inner, swaps, count, ignore, NULL);
     }
-    fail_later(flaky,
-               flaky->fault == FLAKY_REFUSES ? PLATFORM_UNREACHED
-                                             : PLATFORM_LOST,
+    fail_later(flaky, flaky->fault == FLAKY_REFUSES ? KV_UNREACHED : KV_LOST,
                done, context);
 }
 
 static void
-on_range(platform_t *platform, const char *key, bool prefix,
-         platform_range_done_t done, void *context)
+on_range(kv_t *platform, const char *key, bool prefix, kv_range_done_t done,
+         void *context)
 {
-    platform_t *inner = ((flaky_t *)platform)->inner;
+    kv_t *inner = ((flaky_t *)platform)->inner;
 
     inner->ops->range(inner, key, prefix, done, context);
 }
 
 static void
-on_lease_grant(platform_t *platform, int64_t ttl_s, platform_lease_done_t done,
+on_lease_grant(kv_t *platform, int64_t ttl_s, kv_lease_done_t done,
                void *context)
 {
-    platform_t *inner = ((flaky_t *)platform)->inner;
+    kv_t *inner = ((flaky_t *)platform)->inner;
 
     inner->ops->lease_grant(inner, ttl_s, done, context);
 }
 
 static void
-on_lease_keepalive(platform_t *platform, int64_t lease,
-                   platform_lease_done_t done, void *context)
+on_lease_keepalive(kv_t *platform, int64_t lease, kv_lease_done_t done,
+                   void *context)
 {
-    platform_t *inner = ((flaky_t *)platform)->inner;
+    kv_t *inner = ((flaky_t *)platform)->inner;
 
     inner->ops->lease_keepalive(inner, lease, done, context);
 }
 
 static void
-on_lease_revoke(platform_t *platform, int64_t lease,
-                platform_lease_done_t done, void *context)
+on_lease_revoke(kv_t *platform, int64_t lease, kv_lease_done_t done,
+                void *context)
 {
-    platform_t *inner = ((flaky_t *)platform)->inner;
+    kv_t *inner = ((flaky_t *)platform)->inner;
 
     inner->ops->lease_revoke(inner, lease, done, context);
 }
 
 static void
-on_watch(platform_t *platform, const char *prefix, int64_t start_revision,
-         platform_watch_done_t done, void *context)
+on_watch(kv_t *platform, const char *prefix, int64_t start_revision,
+         kv_watch_done_t done, void *context)
 {
-    platform_t *inner = ((flaky_t *)platform)->inner;
+    kv_t *inner = ((flaky_t *)platform)->inner;
 
     inner->ops->watch(inner, prefix, start_revision, done, context);
 }
 
 static void
-on_free(platform_t *platform)
+on_free(kv_t *platform)
 {
     flaky_t *flaky = (flaky_t *)platform;
 
@@ -161,7 +159,7 @@
 }
 
 static void
-fail_later(flaky_t *flaky, platform_result_t result, platform_swap_done_t done,
+fail_later(flaky_t *flaky, kv_result_t result, kv_swap_done_t done,
            void *context)
 {
     failure_t *failure = xcalloc(1, sizeof(*failure));
@@ -185,9 +183,8 @@
 static void
 intrude(flaky_t *flaky, const char *key)
 {
-    platform_op_t op = {
-        .verb = PLATFORM_PUT, .key = key, .value = flaky->intruder_value};
-    platform_swap_t swap = {.key = "/none", .ops = &op, .op_count = 1};
+    kv_op_t op = {.verb = KV_PUT, .key = key, .value = flaky->intruder_value};
+    kv_swap_t swap = {.key = "/none", .ops = &op, .op_count = 1};
 
     if (!flaky->failed || flaky->intruder_key == NULL ||
         strcmp(flaky->intruder_key, key) != 0) {
@@ -199,7 +196,7 @@
 }
 
 static void
-ignore(void *context, platform_result_t result, int64_t revision,
-       const platform_swap_answer_t *answers, size_t count)
+ignore(void *context, kv_result_t result, int64_t revision,
+       const kv_swap_answer_t *answers, size_t count)
 {
 }
--- a/regress/flaky.h
+++ b/regress/flaky.h
@@ -8,7 +8,7 @@
 #ifndef REGRESS_FLAKY_H
 #define REGRESS_FLAKY_H
 
-#include "platform/platform.h"
+#include "kv/kv.h"
 
 typedef enum {
     FLAKY_NOTHING, /* every call is answered */
@@ -20,16 +20,16 @@
 typedef struct flaky flaky_t;
 
 /* Owns the inner platform. */
-platform_t *flaky_new(uv_loop_t *loop, platform_t *inner);
+kv_t *flaky_new(uv_loop_t *loop, kv_t *inner);
 
 /* What happens to the next count swaps whose first key starts with prefix. */
-void flaky_swaps(platform_t *platform, const char *prefix, flaky_fault_t fault,
+void flaky_swaps(kv_t *platform, const char *prefix, flaky_fault_t fault,
                  size_t count);
 
 /*
  * Writes value to key before the next swap of that key after one that
  * failed, as another operator would.
  */
-void flaky_intrude(platform_t *platform, const char *key, const char *value);
+void flaky_intrude(kv_t *platform, const char *key, const char *value);
 
 #endif
--- a/regress/fuzz/fuzz_etcd.c
+++ b/regress/fuzz/fuzz_etcd.c
@@ -1,7 +1,7 @@
 /* fuzz_etcd.c - any bytes as each kind of answer of the platform. */
 #include <stdlib.h>
 
-#include "platform/etcd_json.h"
+#include "kv/etcd_json.h"
 #include "regress/fuzz/fuzz.h"
 
 enum { KINDS = 4, SWAPS = 2 };
--- a/regress/test_etcd.c
+++ b/regress/test_etcd.c
@@ -2,7 +2,7 @@
 #include <stdio.h>
 #include <string.h>
 
-#include "platform/platform.h"
+#include "kv/kv.h"
 #include "regress/fixture.h"
 #include "regress/canned.h"
 
@@ -32,12 +32,12 @@
 typedef enum { CALL_RANGE, CALL_SWAP, CALL_GRANT, CALL_WATCH } call_t;
 
 static fixture_t fixture;
-static platform_t *platform;
+static kv_t *platform;
 static char seen[SEEN_BYTES];
 static bool over;
 
 static void
-note(const char *what, platform_result_t result, int64_t number, size_t count)
+note(const char *what, kv_result_t result, int64_t number, size_t count)
 {
     size_t used = strlen(seen);
 
@@ -46,42 +46,41 @@
 }
 
 static void
-on_range(void *context, platform_result_t result, int64_t revision,
-         const platform_pair_t *pairs, size_t count)
+on_range(void *context, kv_result_t result, int64_t revision,
+         const kv_pair_t *pairs, size_t count)
 {
     note("range", result, revision, count);
     over = true;
 }
 
 static void
-on_swap(void *context, platform_result_t result, int64_t revision,
-        const platform_swap_answer_t *answers, size_t count)
+on_swap(void *context, kv_result_t result, int64_t revision,
+        const kv_swap_answer_t *answers, size_t count)
 {
     note("swap", result, revision, count);
     over = true;
 }
 
 static void
-on_lease(void *context, platform_result_t result, int64_t lease, int64_t ttl_s)
+on_lease(void *context, kv_result_t result, int64_t lease, int64_t ttl_s)
 {
     note("lease", result, lease, (size_t)ttl_s);
     over = true;
 }
 
 static void
-on_watch(void *context, platform_result_t result, int64_t revision,
-         const platform_pair_t *pairs, size_t count)
+on_watch(void *context, kv_result_t result, int64_t revision,
+         const kv_pair_t *pairs, size_t count)
 {
     note("watch", result, revision, count);
-    over = result != PLATFORM_OK;
+    over = result != KV_OK;
 }
 
 static void
 make_call(call_t call)
 {
-    platform_op_t op = {
-        .verb = PLATFORM_PUT, .key = "a", .value = "b", .value_bytes = 1};
-    platform_swap_t swap = {.key = "a", .ops = &op, .op_count = 1};
+    kv_op_t op = {.verb = KV_PUT, .key = "a", .value = "b", .value_bytes = 1};
+    kv_swap_t swap = {.key = "a", .ops = &op, .op_count = 1};
 
     over = false;
     switch (call) {
@@ -266,7 +265,7 @@
                    canned_port(first));
     (void)snprintf(texts[1], sizeof(texts[1]), "127.0.0.1:%d",
                    canned_port(second));
-    platform = platform_etcd_new(fixture.client, addresses, 2, TIMEOUT_MS);
+    platform = kv_etcd_new(fixture.client, addresses, 2, TIMEOUT_MS);
     make_call(fault->call);
     ck_assert_msg(strcmp(seen, fault->seen) == 0, "%s: %s", fault->name, seen);
     ck_assert_uint_eq(canned_requests(first), 1);
@@ -295,7 +294,7 @@
                    canned_port(second));
     canned_free(first);
     (void)uv_run(&fixture.loop, UV_RUN_NOWAIT);
-    platform = platform_etcd_new(fixture.client, addresses, 2, TIMEOUT_MS);
+    platform = kv_etcd_new(fixture.client, addresses, 2, TIMEOUT_MS);
     make_call((call_t)_i);
     make_call((call_t)_i);
     ck_assert_uint_eq(canned_requests(second), 2);
@@ -321,7 +320,7 @@
     open_world();
     server = canned_new(&fixture.loop, replies, 2);
     (void)snprintf(text, sizeof(text), "127.0.0.1:%d", canned_port(server));
-    platform = platform_etcd_new(fixture.client, addresses, 1, TIMEOUT_MS);
+    platform = kv_etcd_new(fixture.client, addresses, 1, TIMEOUT_MS);
     make_call(CALL_RANGE);
     make_call((call_t)_i);
     ck_assert_ptr_nonnull(strstr(seen, " 2 0 0;"));
--- a/regress/test_etcd_json.c
+++ b/regress/test_etcd_json.c
@@ -4,22 +4,22 @@
 
 #include <jansson.h>
 
-#include "platform/base64.h"
-#include "platform/etcd_json.h"
+#include "kv/base64.h"
+#include "kv/etcd_json.h"
 #include "regress/fixture.h"
 
 enum { TEXT_BYTES = 1024 };
 
-static const platform_op_t swap_ops[] = {
-    {.verb = PLATFORM_PUT,
+static const kv_op_t swap_ops[] = {
+    {.verb = KV_PUT,
      .key = "a",
      .value = "1",
      .value_bytes = 1,
      .lease = 7587862094},
-    {.verb = PLATFORM_DELETE, .key = "b"},
-    {.verb = PLATFORM_GET, .key = "c"},
+    {.verb = KV_DELETE, .key = "b"},
+    {.verb = KV_GET, .key = "c"},
 };
-static const platform_swap_t swaps[] = {
+static const kv_swap_t swaps[] = {
     {.key = "a",
      .mod_revision = 9007199254740993,
      .ops = swap_ops,
@@ -142,7 +142,7 @@
 };
 
 static void
-note_pair(char *text, const platform_pair_t *pair)
+note_pair(char *text, const kv_pair_t *pair)
 {
     size_t used = strlen(text);
 
--- a/regress/test_platform.c
+++ b/regress/test_kv.c
@@ -3,7 +3,7 @@
 #include <stdio.h>
 #include <string.h>
 
-#include "platform/platform.h"
+#include "kv/kv.h"
 #include "regress/fixture.h"
 #include "regress/child.h"
 #include "regress/turn.h"
@@ -18,7 +18,7 @@
 typedef enum { KIND_MEMORY, KIND_ETCD, KIND_COUNT } kind_t;
 
 static fixture_t fixture;
-static platform_t *platform;
+static kv_t *platform;
 static child_t store;
 static char seen[SEEN_BYTES]; /* what the callbacks gave, in order */
 static char watched[SEEN_BYTES];
@@ -35,13 +35,12 @@
 
     fixture_open(&fixture);
     if (kind == KIND_MEMORY) {
-        platform = platform_memory_new(&fixture.loop);
+        platform = kv_memory_new(&fixture.loop);
     }
     else {
         store = child_start(store_argv);
         (void)snprintf(address, sizeof(address), "127.0.0.1:%d", store.port);
-        platform =
-            platform_etcd_new(fixture.client, addresses, 1, CALL_TIMEOUT_MS);
+        platform = kv_etcd_new(fixture.client, addresses, 1, CALL_TIMEOUT_MS);
     }
 }
 
@@ -66,7 +65,7 @@
 
 /* "key=value@mod" and "/create" where that differs; "key gone@mod". */
 static void
-note_pair(char *text, const platform_pair_t *pair)
+note_pair(char *text, const kv_pair_t *pair)
 {
     if (pair->create_revision == 0) {
         note(text, " %s gone@%d", pair->key, (int)pair->mod_revision);
@@ -93,8 +92,8 @@
 }
 
 static void
-on_range(void *context, platform_result_t result, int64_t revision,
-         const platform_pair_t *pairs, size_t count)
+on_range(void *context, kv_result_t result, int64_t revision,
+         const kv_pair_t *pairs, size_t count)
 {
     size_t i;
 
@@ -108,8 +107,8 @@
 }
 
 static void
-on_swap(void *context, platform_result_t result, int64_t revision,
-        const platform_swap_answer_t *answers, size_t count)
+on_swap(void *context, kv_result_t result, int64_t revision,
+        const kv_swap_answer_t *answers, size_t count)
 {
     size_t i;
 
@@ -126,7 +125,7 @@
 }
 
 static void
-on_lease(void *context, platform_result_t result, int64_t lease, int64_t ttl_s)
+on_lease(void *context, kv_result_t result, int64_t lease, int64_t ttl_s)
 {
     note(seen, "lease %d ttl %d;", result, (int)ttl_s);
     last_lease = lease;
@@ -134,12 +133,12 @@
 }
 
 static void
-on_watch(void *context, platform_result_t result, int64_t revision,
-         const platform_pair_t *pairs, size_t count)
+on_watch(void *context, kv_result_t result, int64_t revision,
+         const kv_pair_t *pairs, size_t count)
 {
     size_t i;
 
-    if (result != PLATFORM_OK || count == 0) {
+    if (result != KV_OK || count == 0) {
         note(watched, "watch %d;", result);
     }
     for (i = 0; i < count; i++) {
@@ -154,21 +153,21 @@
     wait_for_answer();
 }
 
-static platform_op_t
+static kv_op_t
 put(const char *key, const char *value, int64_t lease)
 {
-    return (platform_op_t){.verb = PLATFORM_PUT,
-                           .key = key,
-                           .value = value,
-                           .value_bytes = strlen(value),
-                           .lease = lease};
+    return (kv_op_t){.verb = KV_PUT,
+                     .key = key,
+                     .value = value,
+                     .value_bytes = strlen(value),
+                     .lease = lease};
 }
 
 /* One swap: if key is at mod_revision, one op. */
 static void
-swap(const char *key, int64_t mod_revision, platform_op_t op)
+swap(const char *key, int64_t mod_revision, kv_op_t op)
 {
-    platform_swap_t one = {
+    kv_swap_t one = {
         .key = key, .mod_revision = mod_revision, .ops = &op, .op_count = 1};
 
     platform->ops->swap(platform, &one, 1, on_swap, NULL);
@@ -176,13 +175,13 @@
 }
 
 static void
-swap_value(const char *key, const char *value, platform_op_t op)
+swap_value(const char *key, const char *value, kv_op_t op)
 {
-    platform_swap_t one = {.key = key,
-                           .value = value,
-                           .value_bytes = strlen(value),
-                           .ops = &op,
-                           .op_count = 1};
+    kv_swap_t one = {.key = key,
+                     .value = value,
+                     .value_bytes = strlen(value),
+                     .ops = &op,
+                     .op_count = 1};
 
     platform->ops->swap(platform, &one, 1, on_swap, NULL);
     wait_for_answer();
@@ -208,7 +207,7 @@
 }
 
 static void
-lease_call(void (*call)(platform_t *, int64_t, platform_lease_done_t, void *),
+lease_call(void (*call)(kv_t *, int64_t, kv_lease_done_t, void *),
            int64_t argument)
 {
     call(platform, argument, on_lease, NULL);
@@ -217,7 +216,7 @@
 
 START_TEST(compare_and_swap)
 {
-    const platform_op_t gone = {.verb = PLATFORM_DELETE, .key = "a"};
+    const kv_op_t gone = {.verb = KV_DELETE, .key = "a"};
 
     open_world((kind_t)_i);
     range("a", false);
@@ -250,9 +249,9 @@
 
 START_TEST(many_swaps_in_one_call)
 {
-    platform_op_t ops[] = {put("a", "1", 0), put("b", "2", 0),
-                           put("c", "3", 0), put("c", "4", 0)};
-    platform_swap_t swaps[] = {
+    kv_op_t ops[] = {put("a", "1", 0), put("b", "2", 0), put("c", "3", 0),
+                     put("c", "4", 0)};
+    kv_swap_t swaps[] = {
         {.key = "a", .ops = &ops[0], .op_count = 1},
         {.key = "b", .ops = &ops[1], .op_count = 1},
         {.key = "c", .ops = &ops[2], .op_count = 1},
@@ -337,7 +336,7 @@
 
 START_TEST(watches)
 {
-    const platform_op_t gone = {.verb = PLATFORM_DELETE, .key = "/a/1"};
+    const kv_op_t gone = {.verb = KV_DELETE, .key = "/a/1"};
 
     open_world((kind_t)_i);
     swap("/a/1", 0, put("/a/1", "1", 0));
@@ -457,8 +456,8 @@
 
 /* Nothing is called after the platform is freed, also from a callback. */
 static void
-on_range_free(void *context, platform_result_t result, int64_t revision,
-              const platform_pair_t *pairs, size_t count)
+on_range_free(void *context, kv_result_t result, int64_t revision,
+              const kv_pair_t *pairs, size_t count)
 {
     platform->ops->free(platform);
     platform = NULL;
@@ -474,7 +473,7 @@
     platform->ops->range(platform, "a", false, on_range, NULL);
     wait_for_answer();
     ck_assert_ptr_null(platform);
-    platform = platform_memory_new(&fixture.loop);
+    platform = kv_memory_new(&fixture.loop);
     close_world();
     ck_assert_str_eq(seen, "");
 }
