Addresses that a restarted runner takes over; repeats are counted as operators do

Cause 2: three streams were broken off for want of retry budget: a host counted neither refused requests nor the window before. Change: the later of two entries with one address is used; the budget counts all requests with a route and the busiest of three windows. Tests: address_taken_over and test_budget_counts_what_callers_sent failed before.

--- a/forward/intake.c
+++ b/forward/intake.c
@@ -32,6 +32,11 @@
         return;
     }
     route = match(forward, caller);
+    if (route != NULL) {
+        apply_route(forward, request, route, caller->deadline_ms);
+        retry_budget_request(budget_of(forward, request->service),
+                             forward->now_us);
+    }
     if (is_stale(forward, route)) {
         refuse(forward, request, REFUSE_STALE);
         return;
@@ -50,15 +55,12 @@
         }
         request->organisation = arena_strdup(&request->arena, owner->name);
     }
-    apply_route(forward, request, route, caller->deadline_ms);
     if (forward->draining_us > 0 && route->type == REQUEST_STREAM &&
         forward->now_us - forward->draining_us >=
             (int64_t)forward->settings.accept_ms * US_PER_MS) {
         refuse(forward, request, REFUSE_LEAVING);
         return;
     }
-    retry_budget_request(budget_of(forward, request->service),
-                         forward->now_us);
     if (!send_request(forward, request)) {
         refuse(forward, request, REFUSE_NO_RUNNER);
     }
--- a/forward/pool.c
+++ b/forward/pool.c
@@ -43,6 +43,7 @@
     pool_runner_t *runners; /* by id */
     pool_zone_t *zones;     /* by name */
     uint64_t serials;
+    bool listing; /* entries come in no order of time */
 };
 
 /* How a runner compares; the least is chosen. */
@@ -54,6 +55,7 @@
 
 static pool_zone_t *zone_of(pool_t *pool, const char *name);
 static void keep(pool_runner_t *runner, const registration_t *is);
+static void settle_address(pool_t *pool, pool_runner_t *added);
 static void release(pool_runner_t *runner);
 static bool was_tried(const pool_runner_t *runner, const pool_want_t *want);
 static score_t score_of(const pool_runner_t *runner, int64_t now_us,
@@ -104,6 +106,7 @@
         runner->serial = pool->serials;
         runner->id_hash = XXH3_64bits(is->id, strlen(is->id));
         keep(runner, is);
+        settle_address(pool, runner);
         HASH_ADD_KEYPTR(hh, pool->runners, runner->is.id,
                         strlen(runner->is.id), runner);
     }
@@ -147,6 +150,7 @@
 {
     pool_runner_t *runner;
 
+    pool->listing = true;
     for (runner = pool->runners; runner != NULL; runner = runner->hh.next) {
         runner->listed = false;
     }
@@ -157,6 +161,7 @@
 {
     pool_runner_t *runner;
 
+    pool->listing = false;
     for (runner = pool->runners; runner != NULL; runner = runner->hh.next) {
         if (!runner->listed && runner->drop_at_us == 0) {
             runner->drop_at_us = gone_at_us;
@@ -337,6 +342,31 @@
     runner->is.zone = xstrdup(is->zone);
 }
 
+/*
+ * A runner that crashed starts again under a new id at its old address, and
+ * its old entry stands until it lapses.  One of the two is there no more.
+ */
+static void
+settle_address(pool_t *pool, pool_runner_t *added)
+{
+    pool_runner_t *runner;
+
+    for (runner = pool->runners; runner != NULL; runner = runner->hh.next) {
+        bool dated = runner->is.started_ms > 0 && added->is.started_ms > 0;
+
+        if (strcmp(runner->is.address, added->is.address) != 0 ||
+            (!dated && pool->listing)) {
+            continue;
+        }
+        if (dated && runner->is.started_ms > added->is.started_ms) {
+            added->misdirected = true;
+        }
+        else {
+            runner->misdirected = true;
+        }
+    }
+}
+
 static void
 release(pool_runner_t *runner)
 {
--- a/policy/rate.h
+++ b/policy/rate.h
@@ -6,7 +6,7 @@
 
 #include <stdint.h>
 
-enum { RATE_SLOTS = 48, RATE_SLOT_US = 250000 };
+enum { RATE_SLOTS = 84, RATE_SLOT_US = 250000 };
 #define RATE_SPAN_US ((int64_t)RATE_SLOTS * RATE_SLOT_US)
 
 /* A zeroed rate_t has counted nothing. */
@@ -21,4 +21,8 @@
 /* How often it did in the last span_us, up to RATE_SPAN_US. */
 uint64_t rate_count(const rate_t *rate, int64_t now_us, int64_t span_us);
 
+/* How often it did in the span_us before end_us, a time not long past. */
+uint64_t rate_count_before(const rate_t *rate, int64_t end_us,
+                           int64_t span_us);
+
 #endif
--- a/regress/test_forward.c
+++ b/regress/test_forward.c
@@ -1,4 +1,7 @@
 /* test_forward.c - how a host carries requests to runners: scripts. */
+#include <stdio.h>
+#include <string.h>
+
 #include <check.h>
 
 #include "regress/fixture.h"
@@ -177,6 +180,29 @@
     {6001, "request 2 unsafe", "refuse 2 no-runner 503 not-run"},
 };
 
+/* A runner that starts again at its address leaves its old entry behind. */
+static const forwarding_line_t address_taken_over[] = {
+    OPENED,
+    {5, "runner sa1 as=new", ""},
+    {10, "request 1 unsafe", "send 1.1 new"},
+    {20, "request 2 unsafe", "send 2.1 new"},
+    {30, "drop new", ""},
+    {40, "request 3 unsafe", "refuse 3 no-runner 503 not-run"},
+};
+
+/* The same id with another start time is a runner that knows nothing. */
+static const forwarding_line_t same_id_started_again[] = {
+    OPENED,
+    {1, "runner sb1 born=1", ""},
+    {2, "runner sa1 draining", ""},
+    {10, "request 1 unsafe", "send 1.1 sb1"},
+    {20, "head 1 1 421 not-run", ""},
+    {20, "whole 1 1", "refuse 1 runners-full 503 not-run"},
+    {30, "request 2 unsafe", "refuse 2 no-runner 503 not-run"},
+    {40, "runner sb1 born=2", ""},
+    {50, "request 3 unsafe", "send 3.1 sb1"},
+};
+
 static const script_t scripts[] = {
     SCRIPT(plain_answer),
     SCRIPT(before_any_routing),
@@ -195,6 +221,8 @@
     SCRIPT(leaving_host),
     SCRIPT(draining_runner),
     SCRIPT(entries_lapsed_with_the_store),
+    SCRIPT(address_taken_over),
+    SCRIPT(same_id_started_again),
 };
 
 START_TEST(test_script)
@@ -203,11 +231,52 @@
 }
 END_TEST
 
+/*
+ * Load: engines break off while the store is away, so that this host refuses
+ * what comes.  The operators count all that callers sent, and the busiest of
+ * three windows; a host that counted less would break off streams.
+ */
+START_TEST(test_budget_counts_what_callers_sent)
+{
+    forward_t *forward = forwarding_open();
+    char event[64];
+    int i;
+
+    (void)forwarding_do(forward, 0, "routing 1");
+    (void)forwarding_do(forward, 0, "contact");
+    (void)forwarding_do(forward, 0, "hosts 7");
+    (void)forwarding_do(forward, 0, "list ra1 rb1 rc1");
+    for (i = 1; i <= 50; i++) {
+        (void)snprintf(event, sizeof(event), "request %d stream", i);
+        (void)forwarding_do(forward, 40 * i, event);
+        (void)snprintf(event, sizeof(event), "head %d 1 200", i);
+        (void)forwarding_do(forward, 40 * i, event);
+        (void)snprintf(event, sizeof(event), "event %d 1 0", i);
+        (void)forwarding_do(forward, 40 * i, event);
+    }
+    for (i = 51; i <= 100; i++) {
+        (void)snprintf(event, sizeof(event), "request %d stream", i);
+        ck_assert(strstr(forwarding_do(forward, 5000 + 40 * i, event),
+                         "routing-stale") != NULL);
+    }
+    for (i = 1; i <= 50; i++) {
+        const char *orders;
+
+        (void)snprintf(event, sizeof(event), "broken %d 1", i);
+        orders = forwarding_do(forward, 14200, event);
+        ck_assert_msg(strstr(orders, "break") == NULL, "stream %d: %s", i,
+                      orders);
+    }
+    forward_free(forward);
+}
+END_TEST
+
 int
 main(void)
 {
     TCase *tcase = tcase_create("forward");
 
     tcase_add_loop_test(tcase, test_script, 0, COUNT(scripts));
+    tcase_add_test(tcase, test_budget_counts_what_callers_sent);
     return fixture_main("forward", tcase);
 }
