Hosts tell each other their streams, and where a prompt was read

Callers of a lost host had their prompt read again elsewhere. Change: a datagram with a host's streams, after each change and twice a second; runners are chosen by prompts being read there, then by streams, then by a hash of session and runner; a session known to be cached goes there. The key of the messages lies in the store, put by the first host. Tests: peers_prompt_is_avoided, peers_word_lapses, session_finds_its_runner.

--- a/forward/forward.c
+++ b/forward/forward.c
@@ -61,6 +61,7 @@
         free(budget->service);
         free(budget);
     }
+    sharing_free(forward);
     routing_free(forward->routing);
     pool_free(forward->pool);
     free(forward->zone);
@@ -99,6 +100,9 @@
     case FORWARD_HOSTS:
         forward->hosts = event->u.hosts > 0 ? event->u.hosts : 1;
         break;
+    case FORWARD_PEER:
+        take_peer(forward, &event->u.peer);
+        break;
     case FORWARD_DRAIN:
         forward->draining_us = now_us;
         break;
@@ -106,6 +110,10 @@
         take_request_event(forward, event);
         break;
     }
+    if (forward->runs_changed) {
+        (void)order_new(forward, ORDER_TO_SHARE, 0);
+        forward->runs_changed = false;
+    }
     forward->orders = NULL;
 }
 
@@ -235,7 +243,7 @@
 {
     attempt_end(forward, request, true);
     if (request->copy != NULL) {
-        pool_copy_end(request->copy, request->prompt_tokens);
+        pool_copy_end(request->copy);
     }
     HASH_DEL(forward->requests, request);
     arena_free(&request->arena);
@@ -329,6 +337,10 @@
         return;
     }
     attempt = &request->attempt;
+    if (attempt->events == 0) {
+        pool_read(attempt->runner);
+        forward->runs_changed = true;
+    }
     attempt->events++;
     attempt->heard_us = forward->now_us;
     request->gap_since_us = 0;
@@ -351,6 +363,7 @@
     request_t *next;
 
     pool_sweep(forward->pool, forward->now_us);
+    sharing_sweep(forward);
     HASH_ITER(hh, forward->requests, request, next)
     {
         watch_request(forward, request);
--- a/forward/forward.h
+++ b/forward/forward.h
@@ -20,6 +20,7 @@
 
 #include "base/arena.h"
 #include "forward/retry_budget.h"
+#include "world/generated/link.h"
 #include "world/registration.h"
 #include "world/routing.h"
 
@@ -64,6 +65,7 @@
     FORWARD_LIST_END,
     FORWARD_CONTACT,
     FORWARD_HOSTS,
+    FORWARD_PEER,
     FORWARD_DRAIN,
     FORWARD_TIMER,
 } forward_event_kind_t;
@@ -109,6 +111,12 @@
     bool answered;
 } forward_probed_t;
 
+/* What another host says that it has at runners. */
+typedef struct {
+    const char *host;
+    const placements_t *placements; /* NULL: the host has gone */
+} forward_peer_t;
+
 typedef struct {
     forward_event_kind_t kind;
     union {
@@ -123,6 +131,7 @@
         const char *runner_dropped;
         int64_t contact_us; /* the routing table was in force at this time */
         uint32_t hosts;     /* of the system, that share the retry budget */
+        forward_peer_t peer;
     } u;
 } forward_event_t;
 
@@ -136,6 +145,7 @@
     ORDER_TO_BREAK,
     ORDER_TO_PROBE,
     ORDER_TO_LOG,
+    ORDER_TO_SHARE, /* tell the other hosts forward_placements() */
 } forward_order_kind_t;
 
 /* Send the request to a runner. */
@@ -215,6 +225,13 @@
 /* Whether callers should be sent here. */
 bool forward_ready(const forward_t *forward, int64_t now_us);
 
+/*
+ * This host's streams for the other hosts; the array lives in arena.  The
+ * caller sets incarnation and number.
+ */
+void forward_placements(const forward_t *forward, arena_t *arena,
+                        placements_t *placements);
+
 /* Requests under way. */
 size_t forward_load(const forward_t *forward);
 
--- a/forward/pool.c
+++ b/forward/pool.c
@@ -18,8 +18,12 @@
     FAR_PERMILLE = 60,
     /* What a share of failed requests counts for, against full slots. */
     FAILED_WEIGHT = 4,
-    /* A copy takes memory but no steps of the engine. */
-    COPY_PERMILLE = 250,
+    /* A prompt that is read slows all other streams of its runner, and a
+     * second one beside it waits; a running stream costs the others little,
+     * and the first few next to nothing. */
+    READING_LOAD = 1000,
+    RUNNING_LOAD = 100,
+    RUNNING_FREE = 2,
 };
 
 /* A crashed runner is back after about a second; doubled on each loss. */
@@ -41,6 +45,7 @@
 
 struct pool {
     pool_runner_t *runners; /* by id */
+    pool_runner_t *by_hash; /* by id_hash */
     pool_zone_t *zones;     /* by name */
     uint64_t serials;
     bool listing; /* entries come in no order of time */
@@ -50,6 +55,7 @@
 typedef struct {
     uint32_t rank; /* 0 before 1 before ... */
     uint64_t load;
+    uint64_t cached; /* goes before others of its load */
     uint64_t tie;
 } score_t;
 
@@ -60,6 +66,7 @@
 static bool was_tried(const pool_runner_t *runner, const pool_want_t *want);
 static score_t score_of(const pool_runner_t *runner, int64_t now_us,
                         const pool_want_t *want);
+static uint64_t stream_load(const pool_runner_t *runner);
 static bool is_less(const score_t *left, const score_t *right);
 
 pool_t *
@@ -81,6 +88,7 @@
     }
     HASH_ITER(hh, pool->runners, runner, next)
     {
+        HASH_DELETE(by_hash, pool->by_hash, runner);
         HASH_DEL(pool->runners, runner);
         release(runner);
         free(runner);
@@ -109,6 +117,8 @@
         settle_address(pool, runner);
         HASH_ADD_KEYPTR(hh, pool->runners, runner->is.id,
                         strlen(runner->is.id), runner);
+        HASH_ADD(by_hash, pool->by_hash, id_hash, sizeof(runner->id_hash),
+                 runner);
     }
     else {
         bool again = runner->is.started_ms != is->started_ms ||
@@ -179,6 +189,7 @@
     {
         if (runner->drop_at_us > 0 && now_us >= runner->drop_at_us &&
             runner->holders == 0) {
+            HASH_DELETE(by_hash, pool->by_hash, runner);
             HASH_DEL(pool->runners, runner);
             release(runner);
             free(runner);
@@ -233,35 +244,64 @@
 }
 
 void
-pool_start(pool_runner_t *runner, uint32_t prompt_tokens)
+pool_start(pool_runner_t *runner, bool stream)
 {
     runner->running++;
-    runner->prompt_tokens += prompt_tokens;
+    runner->reading += stream ? 1 : 0;
     runner->holders++;
 }
 
 void
-pool_end(pool_runner_t *runner, uint32_t prompt_tokens)
+pool_end(pool_runner_t *runner, bool reading)
 {
     runner->running--;
-    runner->prompt_tokens -= prompt_tokens;
+    runner->reading -= reading ? 1 : 0;
     runner->holders--;
 }
 
 void
-pool_copy_start(pool_runner_t *runner, uint32_t prompt_tokens)
+pool_read(pool_runner_t *runner)
 {
-    runner->copied_tokens += prompt_tokens;
+    runner->reading--;
+}
+
+void
+pool_copy_start(pool_runner_t *runner)
+{
+    runner->copies++;
     runner->holders++;
 }
 
 void
-pool_copy_end(pool_runner_t *runner, uint32_t prompt_tokens)
+pool_copy_end(pool_runner_t *runner)
 {
-    runner->copied_tokens -= prompt_tokens;
+    runner->copies--;
     runner->holders--;
 }
 
+void
+pool_peers_clear(pool_t *pool)
+{
+    pool_runner_t *runner;
+
+    for (runner = pool->runners; runner != NULL; runner = runner->hh.next) {
+        runner->peers_running = 0;
+        runner->peers_reading = 0;
+    }
+}
+
+void
+pool_peers_add(pool_t *pool, uint64_t id_hash, bool reading)
+{
+    pool_runner_t *runner;
+
+    HASH_FIND(by_hash, pool->by_hash, &id_hash, sizeof(id_hash), runner);
+    if (runner != NULL) {
+        runner->peers_running++;
+        runner->peers_reading += reading ? 1 : 0;
+    }
+}
+
 void
 pool_answered(pool_runner_t *runner, bool failed)
 {
@@ -390,10 +430,10 @@
 }
 
 /*
- * A runner that rests, or whose zone does, comes after all others; load is
- * in thousandths of a runner.  Hosts see only their own requests, so that
- * runners alike to one host are told apart by the request, not by an order
- * that all hosts share.
+ * A runner that rests, or whose zone does, comes after all others.  Hosts
+ * may see the same loads at the same moment, so that runners that are alike
+ * are told apart by the request, not by an order that all hosts share; a
+ * request that comes again after the loss of its host finds the same runner.
  */
 static score_t
 score_of(const pool_runner_t *runner, int64_t now_us, const pool_want_t *want)
@@ -403,22 +443,43 @@
 
     score.rank = (pool_zone_rests(runner->zone, now_us) ? 2 : 0) +
                  (now_us < runner->rests_until_us ? 1 : 0);
-    if (want->prompt_tokens > 0) {
-        score.load = runner->prompt_tokens +
-                     runner->copied_tokens * COPY_PERMILLE / PERMILLE;
-    }
-    else {
+    switch (want->kind) {
+    case WANT_STREAM:
+        score.load = stream_load(runner);
+        if (want->cached_at == runner->id_hash) {
+            score.load = 0;
+            score.cached = 1;
+        }
+        break;
+    case WANT_COPY:
+        score.load = (uint64_t)(runner->running + runner->peers_running +
+                                runner->copies) *
+                     RUNNING_LOAD;
+        break;
+    case WANT_PLAIN:
         score.load = (uint64_t)runner->running * PERMILLE / slots +
                      (uint64_t)runner->failed_permille * FAILED_WEIGHT;
         if (want->zone != NULL && strcmp(runner->is.zone, want->zone) != 0) {
             score.load += FAR_PERMILLE;
         }
+        break;
     }
     score.tie = XXH3_64bits_withSeed(&runner->id_hash, sizeof(runner->id_hash),
                                      want->affinity);
     return score;
 }
 
+static uint64_t
+stream_load(const pool_runner_t *runner)
+{
+    uint64_t reading = (uint64_t)runner->reading + runner->peers_reading;
+    uint64_t running = (uint64_t)runner->running + runner->peers_running;
+
+    return reading * READING_LOAD +
+           (running > RUNNING_FREE ? running - RUNNING_FREE : 0) *
+               RUNNING_LOAD;
+}
+
 static bool
 is_less(const score_t *left, const score_t *right)
 {
@@ -428,5 +489,8 @@
     if (left->load != right->load) {
         return left->load < right->load;
     }
+    if (left->cached != right->cached) {
+        return left->cached > right->cached;
+    }
     return left->tie < right->tie;
 }
--- a/forward/pool.h
+++ b/forward/pool.h
@@ -28,9 +28,11 @@
     uint64_t serial;   /* new with each start of a runner; never reused */
     uint64_t id_hash;  /* the same on every host */
     pool_zone_t *zone;
-    uint32_t running;         /* requests of this host */
-    uint64_t prompt_tokens;   /* of these */
-    uint64_t copied_tokens;   /* of copies that this host's streams hold */
+    uint32_t running;       /* requests of this host */
+    uint32_t reading;       /* streams of this host without a first event */
+    uint32_t copies;        /* of memory, that this host's streams hold */
+    uint32_t peers_running; /* streams of other hosts, by their word */
+    uint32_t peers_reading;
     int64_t rests_until_us;   /* not chosen before, if others are there */
     uint32_t losses;          /* in a row */
     uint32_t failed_permille; /* of late requests, smoothed */
@@ -39,15 +41,25 @@
     bool misdirected; /* its address answers for another runner */
     uint32_t holders; /* attempts that point here */
     UT_hash_handle hh;
+    UT_hash_handle by_hash; /* by id_hash */
 } pool_runner_t;
 
+/* What a runner is wanted for. */
+typedef enum {
+    WANT_PLAIN,  /* a request to a plain service */
+    WANT_STREAM, /* a prompt to read, and a stream */
+    WANT_COPY,   /* to keep the copy of a stream's memory */
+} want_kind_t;
+
 /* What a request needs of its runner. */
 typedef struct {
+    want_kind_t kind;
     const char *service;
     const char *zone;            /* this host's, preferred; or NULL */
     const pool_zone_t *not_zone; /* another failure domain; or NULL */
     uint64_t affinity;           /* decides between runners that are alike */
-    uint32_t prompt_tokens;      /* 0: a plain request */
+    uint64_t cached_at;          /* id_hash of the runner that has read the
+                                    prompt before; 0: none */
     const uint64_t *tried;       /* serials not to be chosen */
     size_t tried_count;
 } pool_want_t;
@@ -82,13 +94,19 @@
 /* Whether it may be sent new requests. */
 bool pool_usable(const pool_runner_t *runner, int64_t now_us);
 
-/* A request of this host starts there and ends. */
-void pool_start(pool_runner_t *runner, uint32_t prompt_tokens);
-void pool_end(pool_runner_t *runner, uint32_t prompt_tokens);
+/* A request of this host starts there and ends; stream: see reading. */
+void pool_start(pool_runner_t *runner, bool stream);
+void pool_end(pool_runner_t *runner, bool reading);
+/* The stream's first event came. */
+void pool_read(pool_runner_t *runner);
 
 /* A copy of a stream's memory is kept there, and no longer. */
-void pool_copy_start(pool_runner_t *runner, uint32_t prompt_tokens);
-void pool_copy_end(pool_runner_t *runner, uint32_t prompt_tokens);
+void pool_copy_start(pool_runner_t *runner);
+void pool_copy_end(pool_runner_t *runner);
+
+/* Streams of other hosts: all are counted anew. */
+void pool_peers_clear(pool_t *pool);
+void pool_peers_add(pool_t *pool, uint64_t id_hash, bool reading);
 
 /* It answered; failed: with an error of its own. */
 void pool_answered(pool_runner_t *runner, bool failed);
--- a/forward/private.h
+++ b/forward/private.h
@@ -71,6 +71,25 @@
     UT_hash_handle hh;
 } service_budget_t;
 
+/* The streams of another host, as it told them last. */
+typedef struct {
+    char *host;
+    uint64_t incarnation;
+    uint64_t number;
+    int64_t heard_us;
+    placement_t *placements;
+    uint32_t count;
+    UT_hash_handle hh;
+} peer_view_t;
+
+/* Where the prompt of a session was read. */
+typedef struct {
+    uint64_t session;
+    uint64_t runner;  /* its id_hash */
+    int64_t until_us; /* it may be cached there */
+    UT_hash_handle hh;
+} session_t;
+
 struct forward {
     forward_settings_t settings;
     char *zone;
@@ -80,6 +99,9 @@
     uint32_t hosts;
     int64_t draining_us; /* since when; 0: not */
     pool_t *pool;
+    peer_view_t *peers;  /* by host */
+    session_t *sessions; /* by session */
+    bool runs_changed;   /* in the step that is running */
     request_t *requests; /* by number */
     service_budget_t *budgets;
     /* Of the step that is running. */
@@ -128,6 +150,17 @@
 /* A request that waits for a runner is tried again. */
 void retry_waiting(forward_t *forward, request_t *request);
 
+/* --- sharing.c --- */
+
+void take_peer(forward_t *forward, const forward_peer_t *peer);
+/* Forgets hosts that are silent and sessions that are old. */
+void sharing_sweep(forward_t *forward);
+void sharing_free(forward_t *forward);
+/* The session's prompt is read there. */
+void session_note(forward_t *forward, uint64_t session, uint64_t runner);
+/* id_hash of the runner that has read it, or 0. */
+uint64_t session_runner(const forward_t *forward, uint64_t session);
+
 /* --- watchdog.c --- */
 
 /* Does what is due for one request. */
--- a/forward/recover.c
+++ b/forward/recover.c
@@ -88,7 +88,7 @@
     }
     if (attempt->events > 0 && attempt->standby != NULL) {
         request->copy = attempt->standby;
-        pool_copy_start(request->copy, request->prompt_tokens);
+        pool_copy_start(request->copy);
     }
     attempt_end(forward, request, true);
     if (request->type == REQUEST_STREAM && request->resumable) {
--- a/forward/send.c
+++ b/forward/send.c
@@ -33,12 +33,13 @@
 bool
 send_request(forward_t *forward, request_t *request)
 {
+    bool stream = request->type == REQUEST_STREAM;
     pool_want_t want = {
+        .kind = stream ? WANT_STREAM : WANT_PLAIN,
         .service = request->service,
         .zone = forward->zone,
         .affinity = request->affinity,
-        .prompt_tokens =
-            request->type == REQUEST_STREAM ? request->prompt_tokens + 1 : 0,
+        .cached_at = stream ? session_runner(forward, request->affinity) : 0,
         .tried = request->tried,
         .tried_count = request->tried_count,
     };
@@ -60,7 +61,7 @@
         return false;
     }
     request->copy = NULL;
-    pool_copy_end(copy, request->prompt_tokens);
+    pool_copy_end(copy);
     if (!pool_usable(copy, forward->now_us) ||
         forward->now_us < copy->rests_until_us) {
         return false;
@@ -86,7 +87,11 @@
     };
     request->retry_at_us = 0;
     request->runs++;
-    pool_start(runner, request->prompt_tokens);
+    pool_start(runner, request->type == REQUEST_STREAM);
+    if (request->type == REQUEST_STREAM) {
+        session_note(forward, request->affinity, runner->id_hash);
+        forward->runs_changed = true;
+    }
     if (request->tried_count < POOL_TRIED_MAX) {
         request->tried[request->tried_count] = runner->serial;
         request->tried_count++;
@@ -95,7 +100,7 @@
         attempt->standby = choose_standby(forward, request, runner);
     }
     if (attempt->standby != NULL) {
-        pool_copy_start(attempt->standby, request->prompt_tokens);
+        pool_copy_start(attempt->standby);
         send->backup_address =
             arena_strdup(arena, attempt->standby->is.address);
     }
@@ -133,10 +138,10 @@
                const pool_runner_t *runner)
 {
     pool_want_t want = {
+        .kind = WANT_COPY,
         .service = request->service,
         .not_zone = runner->zone,
         .affinity = request->affinity + 1,
-        .prompt_tokens = request->prompt_tokens + 1,
         .tried = &runner->serial,
         .tried_count = 1,
     };
@@ -162,10 +167,16 @@
         order_new(forward, ORDER_TO_CANCEL, request->number)->u.attempt =
             attempt->number;
     }
-    pool_end(attempt->runner, request->prompt_tokens);
+    if (request->type == REQUEST_STREAM) {
+        pool_end(attempt->runner, attempt->events == 0);
+        forward->runs_changed = true;
+    }
+    else {
+        pool_end(attempt->runner, false);
+    }
     attempt->runner = NULL;
     if (attempt->standby != NULL) {
-        pool_copy_end(attempt->standby, request->prompt_tokens);
+        pool_copy_end(attempt->standby);
         attempt->standby = NULL;
     }
 }
--- a/gateway/dialect.h
+++ b/gateway/dialect.h
@@ -62,7 +62,7 @@
 typedef struct {
     const char *host;
     const char *zone;
-} lookup_t;
+} address_lookup_t;
 
 typedef struct dialect dialect_t;
 typedef struct {
@@ -98,7 +98,7 @@
     const char *ready_path;
     const char *lookup_path;
     void (*read_lookup)(arena_t *arena, const char *query, size_t length,
-                        lookup_t *lookup);
+                        address_lookup_t *lookup);
     void (*write_addresses)(text_t *body, const char *const *addresses,
                             size_t count, uint32_t ttl_s);
 
--- a/gateway/directory.c
+++ b/gateway/directory.c
@@ -14,7 +14,8 @@
 typedef struct {
     char *key;
     char *address;
-    bool seen; /* in the list that is being read */
+    char *peer_address; /* "": none */
+    bool seen;          /* in the list that is being read */
     UT_hash_handle hh;
 } host_t;
 
@@ -24,6 +25,9 @@
 };
 
 static void host_free(directory_t *directory, host_t *host);
+static void host_clear(host_t *host);
+static void read_entry(host_t *host, const char *value, size_t value_bytes);
+static const char *name_of(const host_t *host);
 static void tell_hosts(directory_t *directory);
 
 directory_t *
@@ -46,7 +50,8 @@
     }
     HASH_ITER(hh, directory->hosts, host, next)
     {
-        host_free(directory, host);
+        HASH_DEL(directory->hosts, host);
+        host_clear(host);
     }
     free(directory);
 }
@@ -60,7 +65,10 @@
 char *
 directory_entry(const gateway_t *gateway, arena_t *arena)
 {
-    return arena_strdup(arena, gateway->settings->listen_address);
+    const char *peer_address = gateway->settings->peer_address;
+
+    return arena_printf(arena, "%s %s", gateway->settings->listen_address,
+                        peer_address != NULL ? peer_address : "");
 }
 
 void
@@ -83,9 +91,7 @@
         HASH_ADD_KEYPTR(hh, directory->hosts, host->key, strlen(host->key),
                         host);
     }
-    free(host->address);
-    host->address = xcalloc(1, value_bytes + 1);
-    memcpy(host->address, value, value_bytes);
+    read_entry(host, value, value_bytes);
     host->seen = true;
     tell_hosts(directory);
 }
@@ -115,9 +121,25 @@
     tell_hosts(directory);
 }
 
+void
+directory_peers(const directory_t *directory,
+                void (*done)(void *context, const char *host,
+                             const char *peer_address),
+                void *context)
+{
+    const char *own = directory->gateway->settings->host;
+    const host_t *host;
+
+    for (host = directory->hosts; host != NULL; host = host->hh.next) {
+        if (host->peer_address[0] != '\0' && strcmp(name_of(host), own) != 0) {
+            done(context, name_of(host), host->peer_address);
+        }
+    }
+}
+
 /* More hosts than an answer holds take turns, from a random one on. */
 bool
-directory_answer(directory_t *directory, const lookup_t *lookup, text_t *body)
+directory_answer(directory_t *directory, const address_lookup_t *lookup, text_t *body)
 {
     const gateway_t *gateway = directory->gateway;
     size_t known = HASH_COUNT(directory->hosts);
@@ -149,15 +171,47 @@
     return true;
 }
 
+static const char *
+name_of(const host_t *host)
+{
+    return host->key + strlen(prefix);
+}
+
 static void
 host_free(directory_t *directory, host_t *host)
 {
+    forward_event_t event = {.kind = FORWARD_PEER,
+                             .u.peer = {.host = name_of(host)}};
+
+    forwarding_event(directory->gateway, &event);
     HASH_DEL(directory->hosts, host);
+    host_clear(host);
+}
+
+static void
+host_clear(host_t *host)
+{
     free(host->key);
     free(host->address);
+    free(host->peer_address);
     free(host);
 }
 
+/* "ADDRESS PEER-ADDRESS". */
+static void
+read_entry(host_t *host, const char *value, size_t value_bytes)
+{
+    char *text = xcalloc(1, value_bytes + 1);
+    char *rest = text;
+
+    memcpy(text, value, value_bytes);
+    free(host->address);
+    free(host->peer_address);
+    host->address = xstrdup(strsep(&rest, " "));
+    host->peer_address = xstrdup(rest != NULL ? rest : "");
+    free(text);
+}
+
 static void
 tell_hosts(directory_t *directory)
 {
--- a/gateway/forwarding.c
+++ b/gateway/forwarding.c
@@ -167,6 +167,9 @@
         upstream_probe(gateway->upstreams, order->u.probe.runner,
                        order->u.probe.address, order->u.probe.timeout_ms);
         return;
+    case ORDER_TO_SHARE:
+        peering_share(gateway->peering);
+        return;
     case ORDER_TO_LOG:
         log_event(order->u.log.severity, order->u.log.event, "%s",
                   order->u.log.text);
--- a/gateway/front.c
+++ b/gateway/front.c
@@ -407,7 +407,7 @@
         req->query_at == SIZE_MAX ? req->path.len : req->query_at + 1;
     arena_t arena = {0};
     text_t body = {0};
-    lookup_t lookup;
+    address_lookup_t lookup;
 
     front->gateway->dialect->ops->read_lookup(
         &arena, req->path.base + query_at, req->path.len - query_at, &lookup);
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -32,6 +32,7 @@
     gateway->forwarding = forwarding_new(gateway);
     gateway->upstreams = upstreams_new(gateway);
     gateway->directory = directory_new(gateway);
+    gateway->peering = peering_new(gateway);
     return 0;
 }
 
@@ -104,6 +105,7 @@
         gateway->kv->ops->free(gateway->kv);
     }
     presence_free(gateway->presence);
+    peering_free(gateway->peering);
     watcher_free(gateway->watcher);
     upstreams_free(gateway->upstreams);
     http_client_free(gateway->client);
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -25,6 +25,7 @@
 typedef struct upstreams upstreams_t;
 typedef struct watcher watcher_t;
 typedef struct directory directory_t;
+typedef struct peering peering_t;
 typedef struct forwarding forwarding_t;
 
 typedef struct gateway {
@@ -38,6 +39,7 @@
     upstreams_t *upstreams;
     watcher_t *watcher;
     directory_t *directory;
+    peering_t *peering;
     presence_t *presence;
 } gateway_t;
 
@@ -146,8 +148,28 @@
                    size_t value_bytes);
 void directory_list_begin(directory_t *directory);
 void directory_list_end(directory_t *directory);
+/* Calls done with each host but this one that has a peer address. */
+void directory_peers(const directory_t *directory,
+                     void (*done)(void *context, const char *host,
+                                  const char *peer_address),
+                     void *context);
 /* Appends the answer to a lookup; false: no address is known. */
-bool directory_answer(directory_t *directory, const lookup_t *lookup,
+bool directory_answer(directory_t *directory, const address_lookup_t *lookup,
                       text_t *body);
 
+/* --- peering.c: what hosts tell each other of their streams --- */
+
+/*
+ * The hosts share a key that the first of them puts into the store; nothing
+ * is told or taken before it is known.
+ */
+peering_t *peering_new(gateway_t *gateway);
+void peering_free(peering_t *peering);
+/* Where that key lies in the store. */
+const char *peering_key_name(void);
+/* It lies there; NULL: the store was read and it is missing. */
+void peering_key(peering_t *peering, const char *value, size_t value_bytes);
+/* This host's streams have changed: the others are told soon. */
+void peering_share(peering_t *peering);
+
 #endif
--- /dev/null
+++ b/gateway/peering.c
@@ -0,0 +1,216 @@
+/* peering.c - what hosts tell each other of their streams. */
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#include "base/arena.h"
+#include "base/log.h"
+#include "base/random.h"
+#include "gateway/gateway.h"
+#include "peer/peer.h"
+
+enum {
+    /* Changes within this time go out together. */
+    SHARE_DELAY_MS = 4,
+    /* Streams are told again, in case a datagram was lost. */
+    REPEAT_MS = 500,
+    KEY_WORDS = 4, /* of 64 bits */
+    KEY_TEXT_BYTES = 64,
+    US_PER_S = 1000000,
+    NS_PER_US = 1000,
+};
+
+static const char key_name[] = "agatevale/peer-key";
+
+struct peering {
+    peer_listener_t listener; /* first: the peers call back with it */
+    gateway_t *gateway;
+    peer_t *peer; /* NULL until the key is known */
+    uv_timer_t *timer;
+    uint64_t incarnation;
+    uint64_t number; /* of the last message */
+    bool putting;    /* a key of ours is on its way to the store */
+    bool told;       /* the others know of streams of ours */
+};
+
+static void put_key(peering_t *peering);
+static void on_key_put(void *context, kv_result_t result, int64_t revision,
+                       const kv_swap_answer_t *answers, size_t count);
+static void on_message(peer_listener_t *listener, const char *from,
+                       const message_t *message);
+static void on_lost(peer_listener_t *listener, const char *host);
+static void on_timer(uv_timer_t *timer);
+static void tell_one(void *context, const char *host,
+                     const char *peer_address);
+
+static const peer_listener_ops_t listener_ops = {on_message, on_lost};
+
+/* What tell_one() needs. */
+typedef struct {
+    peering_t *peering;
+    const message_t *message;
+} telling_t;
+
+peering_t *
+peering_new(gateway_t *gateway)
+{
+    peering_t *peering = xcalloc(1, sizeof(*peering));
+    struct timespec now;
+
+    peering->listener.ops = &listener_ops;
+    peering->gateway = gateway;
+    (void)clock_gettime(CLOCK_REALTIME, &now);
+    peering->incarnation =
+        (uint64_t)now.tv_sec * US_PER_S + (uint64_t)now.tv_nsec / NS_PER_US;
+    peering->timer = xcalloc(1, sizeof(*peering->timer));
+    (void)uv_timer_init(gateway->loop, peering->timer);
+    peering->timer->data = peering;
+    return peering;
+}
+
+void
+peering_free(peering_t *peering)
+{
+    if (peering == NULL) {
+        return;
+    }
+    if (peering->peer != NULL) {
+        peer_free(peering->peer);
+    }
+    uv_close((uv_handle_t *)peering->timer, (uv_close_cb)free);
+    free(peering);
+}
+
+const char *
+peering_key_name(void)
+{
+    return key_name;
+}
+
+void
+peering_key(peering_t *peering, const char *value, size_t value_bytes)
+{
+    const gateway_settings_t *settings = peering->gateway->settings;
+    peer_settings_t peer_settings = {
+        .host = settings->host,
+        .listen_address = settings->peer_address,
+        .incarnation = peering->incarnation,
+        .seed = random_u64(),
+        .key = (const uint8_t *)value,
+        .key_bytes = value_bytes,
+    };
+    err_t err;
+
+    if (settings->peer_address == NULL || peering->peer != NULL) {
+        return;
+    }
+    if (value == NULL) {
+        put_key(peering);
+        return;
+    }
+    peering->peer = peer_new(peering->gateway->loop, &peer_settings,
+                             &peering->listener, &err);
+    if (peering->peer == NULL) {
+        log_event(LOG_ERR, "peers-failed", "reason=\"%s\"", err.message);
+    }
+}
+
+void
+peering_share(peering_t *peering)
+{
+    if (peering->peer != NULL) {
+        (void)uv_timer_start(peering->timer, on_timer, SHARE_DELAY_MS, 0);
+    }
+}
+
+/* Whoever is first wins; all hosts then see one key in the store. */
+static void
+put_key(peering_t *peering)
+{
+    kv_t *kv = peering->gateway->kv;
+    arena_t arena = {0};
+    kv_op_t op = {
+        .verb = KV_PUT, .key = key_name, .value_bytes = KEY_TEXT_BYTES};
+    kv_swap_t swap = {.key = key_name, .ops = &op, .op_count = 1};
+
+    if (peering->putting) {
+        return;
+    }
+    op.value = arena_printf(
+        &arena, "%016llx%016llx%016llx%016llx",
+        (unsigned long long)random_u64(), (unsigned long long)random_u64(),
+        (unsigned long long)random_u64(), (unsigned long long)random_u64());
+    peering->putting = true;
+    kv->ops->swap(kv, &swap, 1, on_key_put, peering);
+    arena_free(&arena);
+}
+
+/* The watch of the store brings the key, ours or another's. */
+static void
+on_key_put(void *context, kv_result_t result, int64_t revision,
+           const kv_swap_answer_t *answers, size_t count)
+{
+    peering_t *peering = context;
+
+    peering->putting = false;
+    if (result != KV_OK) {
+        log_event(LOG_NOTICE, "peer-key-not-put", "result=%d", result);
+    }
+}
+
+static void
+on_message(peer_listener_t *listener, const char *from,
+           const message_t *message)
+{
+    peering_t *peering = (peering_t *)listener;
+    forward_event_t event = {.kind = FORWARD_PEER};
+
+    if (message->kind != MESSAGE_PLACEMENTS) {
+        return;
+    }
+    event.u.peer.host = from;
+    event.u.peer.placements = &message->message_t_u.placements;
+    forwarding_event(peering->gateway, &event);
+}
+
+static void
+on_lost(peer_listener_t *listener, const char *host)
+{
+}
+
+static void
+on_timer(uv_timer_t *timer)
+{
+    peering_t *peering = timer->data;
+    gateway_t *gateway = peering->gateway;
+    message_t message = {.kind = MESSAGE_PLACEMENTS};
+    placements_t *placements = &message.message_t_u.placements;
+    telling_t telling = {.peering = peering, .message = &message};
+    arena_t arena = {0};
+
+    forward_placements(forwarding_state(gateway), &arena, placements);
+    if (placements->items.items_len > 0 || peering->told) {
+        peering->number++;
+        placements->incarnation = peering->incarnation;
+        placements->number = peering->number;
+        directory_peers(gateway->directory, tell_one, &telling);
+    }
+    peering->told = placements->items.items_len > 0;
+    if (peering->told) {
+        (void)uv_timer_start(timer, on_timer, REPEAT_MS, 0);
+    }
+    arena_free(&arena);
+}
+
+static void
+tell_one(void *context, const char *host, const char *peer_address)
+{
+    const telling_t *telling = context;
+    err_t err;
+
+    if (peer_tell(telling->peering->peer, host, peer_address, telling->message,
+                  &err) < 0) {
+        log_event(LOG_NOTICE, "peer-not-told", "host=%s reason=\"%s\"", host,
+                  err.message);
+    }
+}
--- a/gateway/watcher.c
+++ b/gateway/watcher.c
@@ -22,7 +22,8 @@
     int64_t revision; /* seen up to here; 0: nothing was read yet */
     int64_t since_us; /* the call under way began after it */
     bool away;        /* the store does not answer */
-    bool reading;     /* the whole list, not a watch, is what comes next */
+    bool peer_key_seen;
+    bool reading; /* the whole list, not a watch, is what comes next */
 };
 
 static void next_call(watcher_t *watcher);
@@ -95,6 +96,9 @@
         take_pair(watcher, &pairs[i]);
     }
     directory_list_end(watcher->gateway->directory);
+    if (!watcher->peer_key_seen) {
+        peering_key(watcher->gateway->peering, NULL, 0);
+    }
     raise_kind(watcher, FORWARD_LIST_END);
     log_event(LOG_INFO, "store-read", "revision=%" PRId64 " items=%zu",
               revision, count);
@@ -201,6 +205,10 @@
         directory_put(watcher->gateway->directory, pair->key,
                       removed ? NULL : pair->value, pair->value_bytes);
     }
+    else if (strcmp(pair->key, peering_key_name()) == 0 && !removed) {
+        watcher->peer_key_seen = true;
+        peering_key(watcher->gateway->peering, pair->value, pair->value_bytes);
+    }
 }
 
 static void
--- a/regress/forwarding.c
+++ b/regress/forwarding.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include <check.h>
+#include <xxhash.h>
 
 #include "regress/forwarding.h"
 
@@ -37,6 +38,7 @@
                                       char *address);
 static forward_event_t request_of(const line_t *line);
 static forward_event_t answer_of(const line_t *line);
+static void do_peer(forward_t *forward, int64_t at_ms, const line_t *line);
 static bool do_registry(forward_t *forward, int64_t at_ms, const line_t *line);
 static void print_order(const forward_order_t *order);
 
@@ -109,6 +111,10 @@
         event.kind = FORWARD_CONTACT;
         event.u.contact_us = at_ms * US_PER_MS;
     }
+    else if (strcmp(line.words[0], "peer") == 0) {
+        do_peer(forward, at_ms, &line);
+        return printed;
+    }
     else if (strcmp(line.words[0], "hosts") == 0) {
         event.kind = FORWARD_HOSTS;
         event.u.hosts = (uint32_t)number_of(&line, 1);
@@ -361,6 +367,30 @@
     return event;
 }
 
+/* Each further word is RUNNER/SESSION, with "/reading" or without. */
+static void
+do_peer(forward_t *forward, int64_t at_ms, const line_t *line)
+{
+    placement_t items[WORDS_MAX] = {0};
+    placements_t placements = {.items.items_val = items};
+    forward_event_t event = {.kind = FORWARD_PEER};
+    size_t i;
+
+    event.u.peer.host = line->words[1];
+    event.u.peer.placements = has(line, "gone") ? NULL : &placements;
+    placements.number = (uint64_t)at_ms;
+    for (i = 2; i < line->count && !has(line, "gone"); i++) {
+        placement_t *item = &items[placements.items.items_len];
+        size_t length = strcspn(line->words[i], "/");
+
+        item->runner = XXH3_64bits(line->words[i], length);
+        item->session = strtoull(line->words[i] + length + 1, NULL, DECIMAL);
+        item->reading = strstr(line->words[i], "/reading") != NULL;
+        placements.items.items_len++;
+    }
+    step(forward, at_ms, &event, true);
+}
+
 static bool
 do_registry(forward_t *forward, int64_t at_ms, const line_t *line)
 {
@@ -409,7 +439,7 @@
     size_t room = sizeof(printed) - used;
     const order_send_t *send = &order->u.send;
 
-    if (order->kind == ORDER_TO_LOG) {
+    if (order->kind == ORDER_TO_LOG || order->kind == ORDER_TO_SHARE) {
         return;
     }
     used += (size_t)snprintf(at, room, "%s%s %" PRIu64, used > 0 ? "; " : "",
--- a/regress/forwarding.h
+++ b/regress/forwarding.h
@@ -19,6 +19,7 @@
  *   routing VERSION           the table of forwarding_routing()
  *   contact                   the table is in force now
  *   hosts N
+ *   peer HOST gone|RUNNER/SESSION[/reading]...   what another host has
  *   drain
  *   timer
  */
--- a/regress/test_forward.c
+++ b/regress/test_forward.c
@@ -203,6 +203,40 @@
     {50, "request 3 unsafe", "send 3.1 sb1"},
 };
 
+/* Load: two hosts place prompts at the same moment. */
+static const forwarding_line_t peers_prompt_is_avoided[] = {
+    OPENED,
+    {5, "peer h2 rc1/77/reading ra1/78/reading", ""},
+    {10, "request 1 stream", "send 1.1 rb1 backup=10.17.0.1:80"},
+    {11, "gone 1", "cancel 1.1"},
+    {12, "peer h2 rc1/77 ra1/78", ""},
+    {13, "request 1 stream", "send 1.1 rb1 backup=10.17.0.1:80"},
+};
+
+/* A host that is gone, or silent for long, counts no more. */
+static const forwarding_line_t peers_word_lapses[] = {
+    OPENED,
+    {5, "peer h2 rc1/77/reading", ""},
+    {10, "request 1 stream", "send 1.1 rb1 backup=10.17.0.1:80"},
+    {11, "gone 1", "cancel 1.1"},
+    {20, "peer h2 gone", ""},
+    {13000, "contact", ""},
+    {13001, "request 1 stream", "send 1.1 rc1 backup=10.17.0.1:80"},
+    {13002, "gone 1", "cancel 1.1"},
+    {13010, "peer h2 rc1/77/reading", ""},
+    {26500, "timer", ""},
+    {26500, "contact", ""},
+    {26501, "request 1 stream", "send 1.1 rc1 backup=10.17.0.1:80"},
+};
+
+/* The caller of a lost host comes here: its prompt is cached there. */
+static const forwarding_line_t session_finds_its_runner[] = {
+    OPENED,
+    {5, "peer h2 rb1/1", ""},
+    {6, "peer h2 gone", ""},
+    {10, "request 1 stream after=7", "send 1.1 rb1 backup=10.17.0.1:80 resume"},
+};
+
 static const script_t scripts[] = {
     SCRIPT(plain_answer),
     SCRIPT(before_any_routing),
@@ -223,6 +257,9 @@
     SCRIPT(entries_lapsed_with_the_store),
     SCRIPT(address_taken_over),
     SCRIPT(same_id_started_again),
+    SCRIPT(peers_prompt_is_avoided),
+    SCRIPT(peers_word_lapses),
+    SCRIPT(session_finds_its_runner),
 };
 
 START_TEST(test_script)
--- a/world/link.x
+++ b/world/link.x
@@ -11,6 +11,7 @@
 const LINK_ITEMS_MAX = 4096;
 const LINK_NEWS_MAX = 16;
 const LINK_BUCKETS = 64;
+const LINK_PLACEMENTS_MAX = 40;
 
 typedef string name_t<LINK_NAME_MAX>;
 
@@ -24,7 +25,8 @@
     MESSAGE_CONFIG_DIGEST = 7,
     MESSAGE_SUSPECT = 8,
     MESSAGE_RECORD_GAP = 9,
-    MESSAGE_RECORD_HELD = 10
+    MESSAGE_RECORD_HELD = 10,
+    MESSAGE_PLACEMENTS = 11
 };
 
 /*
@@ -192,6 +194,28 @@
     bool withdrawn;
 };
 
+/*
+ * A stream that the sender has at a runner, which is named by a hash of its
+ * id.  session is a hash of what its prompt has in common with later
+ * requests; reading: its first event has not come.
+ */
+struct placement_t {
+    uint64_t runner;
+    uint64_t session;
+    uint32_t prompt_tokens;
+    bool reading;
+};
+
+/*
+ * All streams of the sender; number rises with each message of one
+ * incarnation, so that an older one is known.  What does not fit is left out.
+ */
+struct placements_t {
+    uint64_t incarnation;
+    uint64_t number;
+    placement_t items<LINK_PLACEMENTS_MAX>;
+};
+
 union message_t switch (message_kind_t kind) {
 case MESSAGE_HEARTBEAT:
     heartbeat_t heartbeat;
@@ -213,4 +237,6 @@
     record_gap_t record_gap;
 case MESSAGE_RECORD_HELD:
     record_gap_t record_held;
+case MESSAGE_PLACEMENTS:
+    placements_t placements;
 };
