--- a/forward/watchdog.c
+++ b/forward/watchdog.c
@@ -4,15 +4,16 @@
 #include "forward/private.h"
 
 enum {
-    /* Silence of a running stream after which its runner is probed: several
-     * of the gaps that a prompt read beside it makes. */
-    PROBE_STREAM_MS = 150,
+    /* Silence of a running stream after which its runner is probed: more
+     * than the gap that a prompt read beside it makes (some 180 ms with six
+     * steps an event), and early enough to go on within 700 ms. */
+    PROBE_STREAM_MS = 220,
     /* The same before the first event, while the prompt is read. */
     PROBE_PROMPT_MS = 500,
     PROBE_PLAIN_MS = 300,
     /* A runner that lives answers within a round trip; a busy host may be
      * late by this much in reading it. */
-    PROBE_TIMEOUT_MS = 120,
+    PROBE_TIMEOUT_MS = 100,
     /* Silence of a stream whose runner answers probes: its connection is
      * taken for dead. */
     STALL_STREAM_MS = 1500,
