--- a/agated/run_gateway.c
+++ b/agated/run_gateway.c
@@ -28,10 +28,17 @@
 run_gateway(const settings_t *settings)
 {
     static const int numbers[SIGNAL_COUNT] = {SIGTERM, SIGINT, SIGHUP};
+    uv_loop_t loop;
     state_t state = {0};
+    platform_kv_settings_t kv_settings = {
+        .loop = &loop,
+        .address = settings->platform_addresses.items[0],
+        .timeout_ms = settings->platform_timeout_ms,
+        .watch_ms = settings->gateway.watch_ms,
+        .pause_ms = settings->gateway.watch_pause_ms,
+    };
     gateway_t *gateway = &state.gateway;
     uv_signal_t signals[SIGNAL_COUNT];
-    uv_loop_t loop;
     err_t err;
     size_t i;
 
@@ -42,9 +49,8 @@
     gateway->settings = &settings->gateway;
     gateway->dialect = platform_dialect();
     gateway->client = http_client_new(&loop);
-    gateway->kv = platform_kv_new(
-        gateway->client, settings->platform_addresses.items[0],
-        settings->platform_timeout_ms, settings->gateway.watch_ms);
+    kv_settings.client = gateway->client;
+    gateway->kv = platform_kv_new(&kv_settings);
     if (gateway_open(gateway, &err) < 0) {
         (void)fprintf(stderr, "%s\n", err.message);
         gateway_close(gateway);
