A stream that has lost its standby gets another copy of its memory

Change: forward/copies.c: when the standby is gone, started anew or in a zone that has just failed, the runner is asked to copy to another one; the copy is refreshed before it lapses. Tests: lost_standby_is_replaced, refused_copy_is_asked_again.

--- a/forward/forward.c
+++ b/forward/forward.c
@@ -23,6 +23,7 @@
 static void gone(forward_t *forward, uint64_t number);
 static void progress(forward_t *forward, const forward_progress_t *progress);
 static void watch_all(forward_t *forward);
+static void check_copies(forward_t *forward);
 static int64_t lapse_us(const forward_t *forward);
 
 forward_t *
@@ -82,15 +83,18 @@
         break;
     case FORWARD_RUNNER:
         pool_put(forward->pool, now_us, &event->u.runner);
+        check_copies(forward);
         break;
     case FORWARD_RUNNER_DROPPED:
         pool_drop(forward->pool, event->u.runner_dropped, lapse_us(forward));
+        check_copies(forward);
         break;
     case FORWARD_LIST_BEGIN:
         pool_list_begin(forward->pool);
         break;
     case FORWARD_LIST_END:
         pool_list_end(forward->pool, lapse_us(forward));
+        check_copies(forward);
         break;
     case FORWARD_CONTACT:
         if (event->u.contact_us > forward->contact_us) {
@@ -287,6 +291,9 @@
     case FORWARD_PROBED:
         take_probed(forward, &event->u.probed);
         return;
+    case FORWARD_COPIED:
+        take_copied(forward, &event->u.copied);
+        return;
     case FORWARD_TIMER:
         watch_all(forward);
         return;
@@ -370,6 +377,18 @@
     }
 }
 
+/* A standby may have gone, or started anew. */
+static void
+check_copies(forward_t *forward)
+{
+    request_t *request;
+
+    for (request = forward->requests; request != NULL;
+         request = request->hh.next) {
+        copies_check(forward, request);
+    }
+}
+
 /*
  * When an entry that is missing from the registry counts as gone.  After an
  * outage of the store the entries of living runners may have lapsed.
--- a/forward/forward.h
+++ b/forward/forward.h
@@ -58,6 +58,7 @@
     FORWARD_PROGRESS,
     FORWARD_END,
     FORWARD_PROBED,
+    FORWARD_COPIED,
     FORWARD_ROUTING,
     FORWARD_RUNNER,
     FORWARD_RUNNER_DROPPED,
@@ -111,6 +112,13 @@
     bool answered;
 } forward_probed_t;
 
+/* A runner has copied the memory of a stream to its standby, or not. */
+typedef struct {
+    uint64_t number;
+    uint32_t attempt;
+    const char *name; /* of the copy; NULL: there is none */
+} forward_copied_t;
+
 /* What another host says that it has at runners. */
 typedef struct {
     const char *host;
@@ -126,6 +134,7 @@
         forward_progress_t progress;
         forward_end_t end;
         forward_probed_t probed;
+        forward_copied_t copied;
         routing_t *routing; /* the forward's from here on */
         registration_t runner;
         const char *runner_dropped;
@@ -144,6 +153,7 @@
     ORDER_TO_REFUSE,
     ORDER_TO_BREAK,
     ORDER_TO_PROBE,
+    ORDER_TO_COPY,
     ORDER_TO_LOG,
     ORDER_TO_SHARE, /* tell the other hosts forward_placements() */
 } forward_order_kind_t;
@@ -157,12 +167,23 @@
     uint32_t deadline_ms;     /* that the runner has; 0: none */
     uint32_t connect_ms;      /* to be connected within */
     bool stream;
-    int64_t last_event_id;       /* go on after it; -1: from the start */
-    const char *backup_address;  /* copy the run's memory there; or NULL */
-    const char *restore_address; /* go on from the copy kept there; or NULL */
-    const char *request_id;      /* the name of that copy */
+    int64_t last_event_id;      /* go on after it; -1: from the start */
+    const char *backup_address; /* copy the run's memory there; or NULL */
+    /* Go on from a copy that this runner keeps: the address and the name
+     * that name it; or NULL. */
+    const char *restore_address;
+    const char *restore_name;
 } order_send_t;
 
+/* Have the runner of a stream copy its memory to another one. */
+typedef struct {
+    uint32_t attempt;
+    const char *request_id;
+    const char *address; /* of the runner */
+    const char *to;      /* address of the other */
+    uint32_t timeout_ms;
+} order_copy_t;
+
 typedef struct {
     refuse_reason_t reason;
     uint32_t status;
@@ -178,6 +199,7 @@
         uint32_t attempt; /* ORDER_TO_CANCEL; ORDER_TO_BEGIN: pass its head
                              on; ORDER_TO_ANSWER: pass its answer on */
         order_refuse_t refuse;
+        order_copy_t copy;
         struct {
             const char *runner;
             const char *address;
--- a/forward/private.h
+++ b/forward/private.h
@@ -29,6 +29,11 @@
     uint32_t events;   /* of its stream, given to the caller */
     bool genuine;
     bool not_run;
+    const char *copy_name; /* the standby's copy was asked for, not sent as the
+                              run grew; its name at the runner.  NULL: else */
+    int64_t ask_at_us; /* a copy is to be asked for or refreshed then; 0: when
+                          the standby is lost */
+    bool asking;
     bool passing; /* what comes goes to the caller */
     bool probing;
 } attempt_t;
@@ -59,6 +64,8 @@
     bool begun;           /* the caller has the answer's head */
     attempt_t attempt;    /* the last one */
     pool_runner_t *copy;  /* keeps the memory of the attempt that was lost */
+    const char *copy_address; /* the copy is named by this runner ... */
+    const char *copy_name;    /* ... and by this name */
     uint64_t tried[POOL_TRIED_MAX];
     size_t tried_count;
     UT_hash_handle hh;
@@ -137,6 +144,10 @@
 bool send_request(forward_t *forward, request_t *request);
 /* Goes on at the runner that keeps a copy; false when it cannot be used. */
 bool send_to_copy(forward_t *forward, request_t *request);
+/* A runner in another failure domain, or at least another one; or NULL. */
+pool_runner_t *choose_standby(const forward_t *forward,
+                              const request_t *request,
+                              const pool_runner_t *runner);
 /* The attempt is over; cancelled: its runner is told. */
 void attempt_end(forward_t *forward, request_t *request, bool cancel);
 void refuse(forward_t *forward, request_t *request, refuse_reason_t reason);
@@ -150,6 +161,13 @@
 /* A request that waits for a runner is tried again. */
 void retry_waiting(forward_t *forward, request_t *request);
 
+/* --- copies.c --- */
+
+/* Has a lost standby replaced, and a copy that lapses refreshed. */
+void copies_check(forward_t *forward, request_t *request);
+int64_t copies_due_us(const request_t *request);
+void take_copied(forward_t *forward, const forward_copied_t *copied);
+
 /* --- sharing.c --- */
 
 void take_peer(forward_t *forward, const forward_peer_t *peer);
--- a/forward/recover.c
+++ b/forward/recover.c
@@ -18,6 +18,7 @@
     WAIT_MAX_MS = 1900,
 };
 
+static void keep_copy(request_t *request);
 static request_t *find(forward_t *forward, uint64_t number, uint32_t attempt);
 static void take_answer(forward_t *forward, request_t *request);
 static void take_not_run(forward_t *forward, request_t *request);
@@ -87,8 +88,7 @@
         request->runs--;
     }
     if (attempt->events > 0 && attempt->standby != NULL) {
-        request->copy = attempt->standby;
-        pool_copy_start(request->copy);
+        keep_copy(request);
     }
     attempt_end(forward, request, true);
     if (request->type == REQUEST_STREAM && request->resumable) {
@@ -104,6 +104,30 @@
     try_elsewhere(forward, request, REFUSE_RUNNER_LOST);
 }
 
+/*
+ * A copy that grew with the run is named by its keeper and the request; one
+ * that was asked for, by the runner that made it.
+ */
+static void
+keep_copy(request_t *request)
+{
+    const attempt_t *attempt = &request->attempt;
+    const pool_runner_t *namer =
+        attempt->copy_name != NULL ? attempt->runner : attempt->standby;
+
+    if (attempt->asking && attempt->copy_name == NULL) {
+        return;
+    }
+    if (request->copy != NULL) {
+        pool_copy_end(request->copy);
+    }
+    request->copy = attempt->standby;
+    pool_copy_start(request->copy);
+    request->copy_address = arena_strdup(&request->arena, namer->is.address);
+    request->copy_name =
+        attempt->copy_name != NULL ? attempt->copy_name : request->id;
+}
+
 void
 retry_waiting(forward_t *forward, request_t *request)
 {
--- a/forward/send.c
+++ b/forward/send.c
@@ -24,9 +24,6 @@
 
 static void send_to(forward_t *forward, request_t *request,
                     pool_runner_t *runner, bool restore);
-static pool_runner_t *choose_standby(const forward_t *forward,
-                                     const request_t *request,
-                                     const pool_runner_t *runner);
 static uint32_t status_of(refuse_reason_t reason, bool not_run);
 static uint32_t retry_after_ms(refuse_reason_t reason);
 
@@ -119,8 +116,10 @@
     send->connect_ms = CONNECT_MS;
     send->stream = request->type == REQUEST_STREAM;
     send->last_event_id = request->last_event_id;
-    send->restore_address = restore ? send->address : NULL;
-    send->request_id = arena_strdup(arena, request->id);
+    if (restore) {
+        send->restore_address = arena_strdup(arena, request->copy_address);
+        send->restore_name = arena_strdup(arena, request->copy_name);
+    }
     tell(forward, LOG_INFO, "send",
          "request=%s attempt=%" PRIu32 " runner=%s zone=%s running=%" PRIu32
          " after=%" PRId64 " restore=%d backup=%s deadline_ms=%" PRIu32
@@ -132,8 +131,7 @@
          (forward->now_us - forward->contact_us) / US_PER_MS);
 }
 
-/* Another failure domain, or at least another runner. */
-static pool_runner_t *
+pool_runner_t *
 choose_standby(const forward_t *forward, const request_t *request,
                const pool_runner_t *runner)
 {
--- a/forward/watchdog.c
+++ b/forward/watchdog.c
@@ -46,6 +46,7 @@
         recover(forward, request, SEND_STALLED);
         return;
     }
+    copies_check(forward, request);
     since_us = attempt->probed_us > attempt->heard_us ? attempt->probed_us
                                                       : attempt->heard_us;
     if (attempt->probing ||
@@ -77,6 +78,8 @@
         at_us = attempt->heard_us + stall_after_us(request);
         due_us = at_us < due_us ? at_us : due_us;
     }
+    at_us = copies_due_us(request);
+    due_us = at_us < due_us ? at_us : due_us;
     if (!attempt->probing) {
         at_us = (attempt->probed_us > attempt->heard_us ? attempt->probed_us
                                                         : attempt->heard_us) +
--- a/gateway/dialect.h
+++ b/gateway/dialect.h
@@ -79,6 +79,13 @@
     void (*read_answer)(arena_t *arena, const headers_t *headers,
                         answer_terms_t *terms);
 
+    /* The request that has a runner copy a stream's memory: its path, its
+     * body, and the name in its answer, or NULL. */
+    const char *copy_path;
+    void (*write_copy)(text_t *body, const order_copy_t *copy);
+    const char *(*read_copied)(arena_t *arena, const char *bytes,
+                               size_t length);
+
     /* The request that asks a runner for a sign of life: its path. */
     const char *probe_path;
 
--- a/gateway/directory.c
+++ b/gateway/directory.c
@@ -139,7 +139,8 @@
 
 /* More hosts than an answer holds take turns, from a random one on. */
 bool
-directory_answer(directory_t *directory, const address_lookup_t *lookup, text_t *body)
+directory_answer(directory_t *directory, const address_lookup_t *lookup,
+                 text_t *body)
 {
     const gateway_t *gateway = directory->gateway;
     size_t known = HASH_COUNT(directory->hosts);
--- a/gateway/forwarding.c
+++ b/gateway/forwarding.c
@@ -167,6 +167,9 @@
         upstream_probe(gateway->upstreams, order->u.probe.runner,
                        order->u.probe.address, order->u.probe.timeout_ms);
         return;
+    case ORDER_TO_COPY:
+        upstream_copy(gateway->upstreams, order->number, &order->u.copy);
+        return;
     case ORDER_TO_SHARE:
         peering_share(gateway->peering);
         return;
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -128,6 +128,8 @@
 bool upstream_answer(upstreams_t *upstreams, uint64_t number, uint32_t attempt,
                      runner_answer_t *answer);
 void upstream_forget(upstreams_t *upstreams, uint64_t number);
+void upstream_copy(upstreams_t *upstreams, uint64_t number,
+                   const order_copy_t *copy);
 void upstream_probe(upstreams_t *upstreams, const char *runner,
                     const char *address, uint32_t timeout_ms);
 
--- a/regress/forwarding.c
+++ b/regress/forwarding.c
@@ -346,6 +346,13 @@
                                         .not_run = has(line, "not-run")};
         return event;
     }
+    if (strcmp(line->words[0], "copied") == 0) {
+        event.kind = FORWARD_COPIED;
+        event.u.copied = (forward_copied_t){.number = number,
+                                            .attempt = attempt,
+                                            .name = value_of(line, "name")};
+        return event;
+    }
     if (strcmp(line->words[0], "event") == 0) {
         event.kind = FORWARD_PROGRESS;
         event.u.progress =
@@ -432,7 +439,8 @@
         [ORDER_TO_SEND] = "send",     [ORDER_TO_CANCEL] = "cancel",
         [ORDER_TO_BEGIN] = "begin",   [ORDER_TO_ANSWER] = "answer",
         [ORDER_TO_FINISH] = "finish", [ORDER_TO_REFUSE] = "refuse",
-        [ORDER_TO_BREAK] = "break",   [ORDER_TO_PROBE] = "probe",
+        [ORDER_TO_COPY] = "copy",     [ORDER_TO_BREAK] = "break",
+        [ORDER_TO_PROBE] = "probe",
     };
     size_t used = strlen(printed);
     char *at = printed + used;
@@ -449,8 +457,11 @@
     switch (order->kind) {
     case ORDER_TO_SEND:
         (void)snprintf(
-            at, room, ".%" PRIu32 " %s%s%s%s%s", send->attempt, send->runner,
-            send->restore_address != NULL ? " restore" : "",
+            at, room, ".%" PRIu32 " %s%s%s%s%s%s%s%s", send->attempt,
+            send->runner, send->restore_address != NULL ? " restore=" : "",
+            send->restore_address != NULL ? send->restore_address : "",
+            send->restore_address != NULL ? "/" : "",
+            send->restore_address != NULL ? send->restore_name : "",
             send->backup_address != NULL ? " backup=" : "",
             send->backup_address != NULL ? send->backup_address : "",
             send->last_event_id >= 0 ? " resume" : "");
@@ -465,6 +476,10 @@
     case ORDER_TO_PROBE:
         (void)snprintf(at, room, " %s", order->u.probe.runner);
         return;
+    case ORDER_TO_COPY:
+        (void)snprintf(at, room, ".%" PRIu32 " %s", order->u.copy.attempt,
+                       order->u.copy.to);
+        return;
     case ORDER_TO_FINISH:
         return;
     default:
--- a/regress/forwarding.h
+++ b/regress/forwarding.h
@@ -13,6 +13,7 @@
  *   event N ATTEMPT ID
  *   whole N ATTEMPT | broken N ATTEMPT | unsent N ATTEMPT | invalid N ATTEMPT
  *   probed RUNNER yes|no
+ *   copied N ATTEMPT [name=NAME]
  *   runner RUNNER [draining] [born=MS] [as=ID]   as: another id, its address
  *   drop RUNNER
  *   list RUNNER...            the whole registry
--- a/regress/test_forward.c
+++ b/regress/test_forward.c
@@ -99,7 +99,8 @@
     {900, "event 1 1 0", ""},
     {940, "event 1 1 1", ""},
     {950, "broken 1 1",
-     "cancel 1.1; send 1.2 ra1 restore backup=10.17.1.1:80 resume"},
+     "cancel 1.1; send 1.2 ra1 restore=10.17.0.1:80/q1 "
+     "backup=10.17.1.1:80 resume"},
     {990, "head 1 2 200", "begin 1.2"},
     {990, "event 1 2 2", ""},
     {999, "whole 1 2", "finish 1"},
@@ -112,7 +113,8 @@
     {900, "head 1 1 200", "begin 1.1"},
     {900, "event 1 1 0", ""},
     {950, "broken 1 1",
-     "cancel 1.1; send 1.2 ra1 restore backup=10.17.1.1:80 resume"},
+     "cancel 1.1; send 1.2 ra1 restore=10.17.0.1:80/q1 "
+     "backup=10.17.1.1:80 resume"},
     {960, "head 1 2 503 not-run", ""},
     {960, "whole 1 2", "send 1.3 rb1 backup=10.17.0.1:80 resume"},
 };
@@ -137,7 +139,8 @@
     {1130, "event 1 1 1", ""},
     {1350, "timer", "probe 1 rc1"},
     {1450, "probed rc1 no",
-     "cancel 1.1; send 1.2 ra1 restore backup=10.17.1.1:80 resume"},
+     "cancel 1.1; send 1.2 ra1 restore=10.17.0.1:80/q1 "
+     "backup=10.17.1.1:80 resume"},
 };
 
 static const forwarding_line_t caller_gone[] = {
@@ -213,6 +216,37 @@
     {13, "request 1 stream", "send 1.1 rb1 backup=10.17.0.1:80"},
 };
 
+/* A stream that has outlived its standby gets another copy, in time. */
+static const forwarding_line_t lost_standby_is_replaced[] = {
+    OPENED,
+    {10, "request 1 stream", "send 1.1 rc1 backup=10.17.0.1:80"},
+    {800, "runner rb2", ""},
+    {900, "head 1 1 200", "begin 1.1"},
+    {900, "event 1 1 0", ""},
+    {950, "runner ra1 as=new born=2", "copy 1.1 10.17.1.2:80"},
+    {960, "timer", ""},
+    {980, "copied 1 1 name=h7", ""},
+    {1000, "event 1 1 1", ""},
+    {1010, "broken 1 1",
+     "cancel 1.1; send 1.2 rb2 restore=10.17.2.1:80/h7 "
+     "backup=10.17.0.1:80 resume"},
+};
+
+static const forwarding_line_t refused_copy_is_asked_again[] = {
+    OPENED,
+    {10, "request 1 stream", "send 1.1 rc1 backup=10.17.0.1:80"},
+    {900, "head 1 1 200", "begin 1.1"},
+    {900, "event 1 1 0", ""},
+    {950, "drop ra1", "copy 1.1 10.17.1.1:80"},
+    {980, "copied 1 1", ""},
+    {1400, "event 1 1 1", ""},
+    {1479, "timer", ""},
+    {1480, "timer", "copy 1.1 10.17.1.1:80"},
+    {1490, "copied 1 1 name=h7", ""},
+    {3980, "event 1 1 2", ""},
+    {3990, "timer", "copy 1.1 10.17.1.1:80"},
+};
+
 /* A host that is gone, or silent for long, counts no more. */
 static const forwarding_line_t peers_word_lapses[] = {
     OPENED,
@@ -234,7 +268,8 @@
     OPENED,
     {5, "peer h2 rb1/1", ""},
     {6, "peer h2 gone", ""},
-    {10, "request 1 stream after=7", "send 1.1 rb1 backup=10.17.0.1:80 resume"},
+    {10, "request 1 stream after=7",
+     "send 1.1 rb1 backup=10.17.0.1:80 resume"},
 };
 
 static const script_t scripts[] = {
@@ -257,6 +292,8 @@
     SCRIPT(entries_lapsed_with_the_store),
     SCRIPT(address_taken_over),
     SCRIPT(same_id_started_again),
+    SCRIPT(lost_standby_is_replaced),
+    SCRIPT(refused_copy_is_asked_again),
     SCRIPT(peers_prompt_is_avoided),
     SCRIPT(peers_word_lapses),
     SCRIPT(session_finds_its_runner),
