--- /dev/null
+++ b/regress/test_platform.c
@@ -0,0 +1,329 @@
+/* test_platform.c - the adapter: documents and headers of the platform. */
+#include <string.h>
+
+#include "platform/documents.h"
+#include "platform/platform.h"
+#include "regress/fixture.h"
+
+#define COUNT(array) (sizeof(array) / sizeof((array)[0]))
+
+#define WHOLE                                                                 \
+    "\"Service\":\"s\",\"Address\":\"10.0.0.1:80\",\"Zone\":\"z\","           \
+    "\"BatchSize\":4"
+
+typedef struct {
+    const char *name;
+    const char *bytes;
+    bool usable;
+    bool draining;
+    int64_t started_ms;
+} entry_case_t;
+
+/* Entries may come from other writers and hold anything. */
+static const entry_case_t entries[] = {
+    {"a ready runner", "{" WHOLE ",\"State\":\"ready\"}", true, false, 0},
+    {"a draining runner", "{" WHOLE ",\"State\":\"draining\"}", true, true, 0},
+    {"its start", "{" WHOLE ",\"State\":\"ready\",\"born\":17}", true, false,
+     17},
+    {"a start that is no number",
+     "{" WHOLE ",\"State\":\"ready\",\"born\":\"x\"}", true, false, 0},
+    {"a state that is not named", "{" WHOLE ",\"State\":\"odd\"}", false,
+     false, 0},
+    {"no state", "{" WHOLE "}", false, false, 0},
+    {"a state of another type", "{" WHOLE ",\"State\":1}", false, false, 0},
+    {"no address",
+     "{\"Service\":\"s\",\"Zone\":\"z\",\"BatchSize\":4,"
+     "\"State\":\"ready\"}",
+     false, false, 0},
+    {"an address that is a name",
+     "{\"Service\":\"s\",\"Address\":\"host:80\",\"Zone\":\"z\","
+     "\"BatchSize\":4,\"State\":\"ready\"}",
+     false, false, 0},
+    {"slots of another type",
+     "{\"Service\":\"s\",\"Address\":\"10.0.0.1:80\",\"Zone\":\"z\","
+     "\"BatchSize\":\"many\",\"State\":\"ready\"}",
+     false, false, 0},
+    {"a list", "[1]", false, false, 0},
+    {"no JSON", "\xff\xfe{", false, false, 0},
+    {"nothing", "", false, false, 0},
+    {"fields that nobody knows",
+     "{" WHOLE ",\"State\":\"ready\",\"More\":{\"a\":[1]}}", true, false, 0},
+};
+
+START_TEST(test_entry)
+{
+    const entry_case_t *test = &entries[_i];
+    registration_t out = {0};
+    arena_t arena = {0};
+    err_t err = {0};
+    int result = platform_read_registration(&arena, "servers/r-1", test->bytes,
+                                            strlen(test->bytes), &out, &err);
+
+    ck_assert_msg((result == 0) == test->usable, "%s: %s", test->name,
+                  err.message);
+    if (test->usable) {
+        ck_assert_str_eq(out.id, "r-1");
+        ck_assert_str_eq(out.address, "10.0.0.1:80");
+        ck_assert_msg(out.draining == test->draining, "%s", test->name);
+        ck_assert_int_eq(out.started_ms, test->started_ms);
+    }
+    else {
+        ck_assert_msg(err.message[0] != '\0', "%s: no message", test->name);
+    }
+    arena_free(&arena);
+}
+END_TEST
+
+typedef struct {
+    const char *name;
+    const char *bytes;
+    const char *refused; /* text of the message; NULL: usable */
+} routing_case_t;
+
+static const routing_case_t routings[] = {
+    {"no routes", "{\"Version\":1}", NULL},
+    {"no JSON", "{", "no JSON object"},
+    {"a route without a host",
+     "{\"Routes\":[{\"PathPrefix\":\"/a/\",\"Type\":\"safe\"}]}",
+     "lacks Host"},
+    {"a route of an unknown type",
+     "{\"Routes\":[{\"Host\":\"h\",\"PathPrefix\":\"/a/\",\"Type\":\"odd\"}]}",
+     "Type odd"},
+    {"a route without a service",
+     "{\"Routes\":[{\"Host\":\"h\",\"PathPrefix\":\"/a/\","
+     "\"Type\":\"safe\"}]}",
+     "names no service"},
+};
+
+START_TEST(test_routing)
+{
+    const routing_case_t *test = &routings[_i];
+    err_t err = {0};
+    routing_t *routing =
+        platform_read_routing(test->bytes, strlen(test->bytes), &err);
+
+    ck_assert_msg((routing != NULL) == (test->refused == NULL), "%s: %s",
+                  test->name, err.message);
+    ck_assert_msg(test->refused == NULL ||
+                      strstr(err.message, test->refused) != NULL,
+                  "%s: %s", test->name, err.message);
+    routing_free(routing);
+}
+END_TEST
+
+static const char whole_routing[] =
+    "{\"Version\":7,\"Routes\":["
+    "{\"Name\":\"a\",\"Host\":\"h.example\",\"PathPrefix\":\"/a/\","
+    "\"Type\":\"streaming\",\"TimeoutMs\":25000,\"SloMs\":4500,"
+    "\"Priority\":1,\"Backends\":[{\"Service\":\"s1\",\"Weight\":90},"
+    "{\"Service\":\"s2\",\"Weight\":10}],\"MaxAttempts\":5,"
+    "\"Resumable\":true,\"GapAimMs\":700},"
+    "{\"Name\":\"b\",\"Host\":\"H.example\",\"PathPrefix\":\"/a/b/\","
+    "\"Type\":\"unsafe\",\"Service\":\"s2\",\"Anonymous\":true}],"
+    "\"Services\":[{\"Name\":\"s1\",\"MaxConns\":230,"
+    "\"Engine\":{\"KvCapacity\":88000,\"Backups\":true,\"Moves\":true}},"
+    "{\"Name\":\"s2\",\"HealthPath\":\"/healthz\"}],"
+    "\"Limits\":{\"MaxHeaderBytes\":16384,\"IdleTimeoutMs\":15000},"
+    "\"Tenants\":[{\"Name\":\"t1\",\"ApiKeys\":[\"k1\",\"k2\"],"
+    "\"Priority\":1},{\"Name\":\"t2\",\"ApiKeys\":[\"k3\"]}]}";
+
+START_TEST(test_whole_routing)
+{
+    err_t err;
+    routing_t *routing =
+        platform_read_routing(whole_routing, strlen(whole_routing), &err);
+    const route_t *route;
+
+    ck_assert_ptr_nonnull(routing);
+    ck_assert_int_eq(routing->version, 7);
+    route = routing_match(routing, "h.example", "/a/x");
+    ck_assert_str_eq(route->name, "a");
+    ck_assert_int_eq(route->type, REQUEST_STREAM);
+    ck_assert_uint_eq(route->attempts_max, 5);
+    ck_assert(route->resumable && !route->anonymous);
+    ck_assert_uint_eq(route->gap_objective_ms, 700);
+    ck_assert_str_eq(route_pick(route, 89), "s1");
+    ck_assert_str_eq(route_pick(route, 90), "s2");
+    ck_assert_str_eq(routing_match(routing, "h.example", "/a/b/x")->name, "b");
+    ck_assert_ptr_null(routing_match(routing, "h.example", "/ab/"));
+    ck_assert_ptr_null(routing_match(routing, "other.example", "/a/x"));
+    ck_assert_str_eq(routing_owner(routing, "k2")->name, "t1");
+    ck_assert_int_eq(routing_owner(routing, "k3")->priority, -1);
+    ck_assert_ptr_null(routing_owner(routing, "k4"));
+    ck_assert(routing_service(routing, "s1")->traits.backups);
+    ck_assert(!routing_service(routing, "s2")->engine);
+    ck_assert_uint_eq(routing->limits.idle_timeout_ms, 15000);
+    routing_free(routing);
+}
+END_TEST
+
+/* Headers as "Name: value" texts. */
+typedef struct {
+    const char *name;
+    const char *headers[6];
+    caller_terms_t terms;
+} caller_case_t;
+
+static const caller_case_t callers[] = {
+    {"all of them",
+     {"attempt-id: q1", "Authorization: bearer k1", "Deadline-Ms: 600",
+      "Token-Usage: 1460,80", "Last-Event-Id: 12"},
+     {.id = "q1",
+      .key = "k1",
+      .deadline_ms = 600,
+      .prompt_tokens = 1460,
+      .last_event_id = 12}},
+    {"none", {NULL}, {.id = "", .last_event_id = -1}},
+    {"another scheme",
+     {"Authorization: Basic k1"},
+     {.id = "", .last_event_id = -1}},
+    {"numbers that are none",
+     {"Deadline-Ms: soon", "Last-Event-Id: -5", "Token-Usage: x"},
+     {.id = "", .last_event_id = -1}},
+    {"a number beyond all bounds",
+     {"Deadline-Ms: 99999999999999999999"},
+     {.id = "", .deadline_ms = UINT32_MAX, .last_event_id = -1}},
+};
+
+static headers_t
+headers_of(arena_t *arena, const char *const *lines)
+{
+    headers_t headers = {0};
+
+    for (; *lines != NULL; lines++) {
+        const char *colon = strchr(*lines, ':');
+
+        headers_add_strings(
+            &headers, arena,
+            arena_strndup(arena, *lines, (size_t)(colon - *lines)), colon + 2);
+    }
+    return headers;
+}
+
+START_TEST(test_caller)
+{
+    const caller_case_t *test = &callers[_i];
+    arena_t arena = {0};
+    headers_t headers = headers_of(&arena, test->headers);
+    caller_terms_t terms;
+
+    platform_dialect()->ops->read_caller(&arena, &headers, &terms);
+    ck_assert_str_eq(terms.id, test->terms.id);
+    ck_assert_pstr_eq(terms.key, test->terms.key);
+    ck_assert_uint_eq(terms.deadline_ms, test->terms.deadline_ms);
+    ck_assert_uint_eq(terms.prompt_tokens, test->terms.prompt_tokens);
+    ck_assert_int_eq(terms.last_event_id, test->terms.last_event_id);
+    arena_free(&arena);
+}
+END_TEST
+
+/* Requests that share their last part have the same affinity. */
+START_TEST(test_affinity)
+{
+    static const char *const one[] = {"Prefix-Hash: a:200,b:300", NULL};
+    static const char *const same[] = {"Prefix-Hash: c:9,b:301", NULL};
+    static const char *const other[] = {"Prefix-Hash: b:300,a:200", NULL};
+    arena_t arena = {0};
+    headers_t headers = headers_of(&arena, one);
+    caller_terms_t first;
+    caller_terms_t second;
+
+    platform_dialect()->ops->read_caller(&arena, &headers, &first);
+    ck_assert(first.has_affinity);
+    headers = headers_of(&arena, same);
+    platform_dialect()->ops->read_caller(&arena, &headers, &second);
+    ck_assert_uint_eq(first.affinity, second.affinity);
+    headers = headers_of(&arena, other);
+    platform_dialect()->ops->read_caller(&arena, &headers, &second);
+    ck_assert_uint_ne(first.affinity, second.affinity);
+    arena_free(&arena);
+}
+END_TEST
+
+typedef struct {
+    order_send_t send;
+    const char *caller[3];
+    const char *written; /* of all lines, in order */
+} send_case_t;
+
+static const send_case_t sends[] = {
+    {{.runner = "r1", .last_event_id = -1},
+     {"X-Own: 1", "Hold: 2"},
+     "X-Own: 1|Expect-Instance: r1|"},
+    {{.runner = "r1",
+      .organisation = "o1",
+      .deadline_ms = 600,
+      .last_event_id = 7,
+      .backup_address = "10.0.0.2:80",
+      .restore_address = "10.0.0.3:80",
+      .restore_name = "q1"},
+     {"Last-Event-Id: 3", "kv-backup: x"},
+     "Expect-Instance: r1|Tenant: o1|Deadline-Ms: 600|Last-Event-Id: 7|"
+     "Kv-Backup: 10.0.0.2:80|Kv-From: 10.0.0.3:80/q1|"},
+};
+
+START_TEST(test_send)
+{
+    const send_case_t *test = &sends[_i];
+    arena_t arena = {0};
+    headers_t caller = headers_of(&arena, test->caller);
+    headers_t out = {0};
+    text_t text = {0};
+    size_t i;
+
+    platform_dialect()->ops->write_send(&arena, &caller, &test->send, &out);
+    for (i = 0; i < out.count; i++) {
+        text_printf(&text, "%.*s: %.*s|", (int)out.items[i].name_bytes,
+                    out.items[i].name, (int)out.items[i].value_bytes,
+                    out.items[i].value);
+    }
+    text_append(&text, "", 1);
+    ck_assert_str_eq(text.bytes, test->written);
+    text_free(&text);
+    arena_free(&arena);
+}
+END_TEST
+
+START_TEST(test_copy_order)
+{
+    static const struct {
+        const char *answer;
+        const char *name;
+    } answers[] = {{"{\"Handle\":\"h1\",\"Created\":3}", "h1"},
+                   {"{\"Handle\":17}", "17"},
+                   {"{}", NULL},
+                   {"", NULL},
+                   {"nonsense", NULL}};
+    const order_copy_t copy = {.request_id = "q\"1", .to = "10.0.0.1:80"};
+    arena_t arena = {0};
+    text_t body = {0};
+    size_t i;
+
+    platform_dialect()->ops->write_copy(&body, &copy);
+    text_append(&body, "", 1);
+    ck_assert_str_eq(body.bytes, "{\"Id\":\"q\\\"1\",\"To\":\"10.0.0.1:80\"}");
+    for (i = 0; i < COUNT(answers); i++) {
+        ck_assert_pstr_eq(
+            platform_dialect()->ops->read_copied(&arena, answers[i].answer,
+                                                 strlen(answers[i].answer)),
+            answers[i].name);
+    }
+    text_free(&body);
+    arena_free(&arena);
+}
+END_TEST
+
+int
+main(void)
+{
+    TCase *tcase = tcase_create("platform");
+
+    tcase_add_loop_test(tcase, test_entry, 0, COUNT(entries));
+    tcase_add_loop_test(tcase, test_routing, 0, COUNT(routings));
+    tcase_add_test(tcase, test_whole_routing);
+    tcase_add_loop_test(tcase, test_caller, 0, COUNT(callers));
+    tcase_add_test(tcase, test_affinity);
+    tcase_add_loop_test(tcase, test_send, 0, COUNT(sends));
+    tcase_add_test(tcase, test_copy_order);
+    return fixture_main("platform", tcase);
+}
