--- a/forward/copies.c
+++ b/forward/copies.c
@@ -88,6 +88,28 @@
     attempt->ask_at_us = forward->now_us + (int64_t)REFRESH_MS * US_PER_MS;
 }
 
+/*
+ * Memory that is set aside for nobody is missing elsewhere.  A copy that grew
+ * with its run is freed by the runner itself.
+ */
+void
+copies_drop(forward_t *forward, request_t *request)
+{
+    arena_t *arena = &forward->orders->arena;
+    attempt_t *attempt = &request->attempt;
+
+    if (attempt->copy_name == NULL) {
+        return;
+    }
+    order_new(forward, ORDER_TO_DROP_COPY, request->number)->u.drop_copy =
+        (order_drop_copy_t){
+            .address = arena_strdup(arena, attempt->runner->is.address),
+            .name = arena_strdup(arena, attempt->copy_name),
+            .timeout_ms = ASK_TIMEOUT_MS,
+        };
+    attempt->copy_name = NULL;
+}
+
 /* Gone, started anew, or in a zone that has just failed. */
 static bool
 is_lost(const forward_t *forward, const pool_runner_t *standby)
--- a/forward/forward.h
+++ b/forward/forward.h
@@ -154,6 +154,7 @@
     ORDER_TO_BREAK,
     ORDER_TO_PROBE,
     ORDER_TO_COPY,
+    ORDER_TO_DROP_COPY,
     ORDER_TO_LOG,
     ORDER_TO_SHARE, /* tell the other hosts forward_placements() */
 } forward_order_kind_t;
@@ -184,6 +185,13 @@
     uint32_t timeout_ms;
 } order_copy_t;
 
+/* Have the runner that made a copy free it, at both ends. */
+typedef struct {
+    const char *address; /* of the runner */
+    const char *name;
+    uint32_t timeout_ms;
+} order_drop_copy_t;
+
 typedef struct {
     refuse_reason_t reason;
     uint32_t status;
@@ -200,6 +208,7 @@
                              on; ORDER_TO_ANSWER: pass its answer on */
         order_refuse_t refuse;
         order_copy_t copy;
+        order_drop_copy_t drop_copy;
         struct {
             const char *runner;
             const char *address;
--- a/forward/private.h
+++ b/forward/private.h
@@ -167,6 +167,8 @@
 void copies_check(forward_t *forward, request_t *request);
 int64_t copies_due_us(const request_t *request);
 void take_copied(forward_t *forward, const forward_copied_t *copied);
+/* A copy that was asked for is wanted no more. */
+void copies_drop(forward_t *forward, request_t *request);
 
 /* --- sharing.c --- */
 
--- a/forward/recover.c
+++ b/forward/recover.c
@@ -111,7 +111,7 @@
 static void
 keep_copy(request_t *request)
 {
-    const attempt_t *attempt = &request->attempt;
+    attempt_t *attempt = &request->attempt;
     const pool_runner_t *namer =
         attempt->copy_name != NULL ? attempt->runner : attempt->standby;
 
@@ -126,6 +126,7 @@
     request->copy_address = arena_strdup(&request->arena, namer->is.address);
     request->copy_name =
         attempt->copy_name != NULL ? attempt->copy_name : request->id;
+    attempt->copy_name = NULL;
 }
 
 void
--- a/forward/send.c
+++ b/forward/send.c
@@ -161,6 +161,7 @@
     if (attempt->runner == NULL) {
         return;
     }
+    copies_drop(forward, request);
     if (cancel) {
         order_new(forward, ORDER_TO_CANCEL, request->number)->u.attempt =
             attempt->number;
--- a/gateway/dialect.h
+++ b/gateway/dialect.h
@@ -85,6 +85,8 @@
     void (*write_copy)(text_t *body, const order_copy_t *copy);
     const char *(*read_copied)(arena_t *arena, const char *bytes,
                                size_t length);
+    /* The one that has it free the copy: its path; its method is DELETE. */
+    const char *(*drop_copy_path)(arena_t *arena, const char *name);
 
     /* The request that asks a runner for a sign of life: its path. */
     const char *probe_path;
--- a/gateway/forwarding.c
+++ b/gateway/forwarding.c
@@ -170,6 +170,9 @@
     case ORDER_TO_COPY:
         upstream_copy(gateway->upstreams, order->number, &order->u.copy);
         return;
+    case ORDER_TO_DROP_COPY:
+        upstream_drop_copy(gateway->upstreams, &order->u.drop_copy);
+        return;
     case ORDER_TO_SHARE:
         peering_share(gateway->peering);
         return;
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -130,6 +130,7 @@
 void upstream_forget(upstreams_t *upstreams, uint64_t number);
 void upstream_copy(upstreams_t *upstreams, uint64_t number,
                    const order_copy_t *copy);
+void upstream_drop_copy(upstreams_t *upstreams, const order_drop_copy_t *drop);
 void upstream_probe(upstreams_t *upstreams, const char *runner,
                     const char *address, uint32_t timeout_ms);
 
--- a/gateway/upstream.c
+++ b/gateway/upstream.c
@@ -246,6 +246,25 @@
     arena_free(&arena);
 }
 
+/* What becomes of it is not looked at: the copy lapses anyway. */
+void
+upstream_drop_copy(upstreams_t *upstreams, const order_drop_copy_t *drop)
+{
+    const dialect_ops_t *dialect = upstreams->gateway->dialect->ops;
+    arena_t arena = {0};
+    http_request_t http = {
+        .method = "DELETE",
+        .url = arena_printf(&arena, "http://%s%s", drop->address,
+                            dialect->drop_copy_path(&arena, drop->name)),
+        .connect_timeout_ms = drop->timeout_ms,
+        .timeout_ms = drop->timeout_ms,
+        .fresh_connection = true,
+    };
+
+    (void)inquire(upstreams, &http);
+    arena_free(&arena);
+}
+
 static inquiry_t *
 inquire(upstreams_t *upstreams, const http_request_t *http)
 {
--- a/regress/forwarding.c
+++ b/regress/forwarding.c
@@ -439,8 +439,8 @@
         [ORDER_TO_SEND] = "send",     [ORDER_TO_CANCEL] = "cancel",
         [ORDER_TO_BEGIN] = "begin",   [ORDER_TO_ANSWER] = "answer",
         [ORDER_TO_FINISH] = "finish", [ORDER_TO_REFUSE] = "refuse",
-        [ORDER_TO_COPY] = "copy",     [ORDER_TO_BREAK] = "break",
-        [ORDER_TO_PROBE] = "probe",
+        [ORDER_TO_COPY] = "copy",     [ORDER_TO_DROP_COPY] = "drop",
+        [ORDER_TO_BREAK] = "break",   [ORDER_TO_PROBE] = "probe",
     };
     size_t used = strlen(printed);
     char *at = printed + used;
@@ -476,6 +476,10 @@
     case ORDER_TO_PROBE:
         (void)snprintf(at, room, " %s", order->u.probe.runner);
         return;
+    case ORDER_TO_DROP_COPY:
+        (void)snprintf(at, room, " %s/%s", order->u.drop_copy.address,
+                       order->u.drop_copy.name);
+        return;
     case ORDER_TO_COPY:
         (void)snprintf(at, room, ".%" PRIu32 " %s", order->u.copy.attempt,
                        order->u.copy.to);
--- a/regress/test_forward.c
+++ b/regress/test_forward.c
@@ -232,6 +232,16 @@
      "backup=10.17.0.1:80 resume"},
 };
 
+static const forwarding_line_t copy_is_dropped_at_the_end[] = {
+    OPENED,
+    {10, "request 1 stream", "send 1.1 rc1 backup=10.17.0.1:80"},
+    {900, "head 1 1 200", "begin 1.1"},
+    {900, "event 1 1 0", ""},
+    {950, "drop ra1", "copy 1.1 10.17.1.1:80"},
+    {980, "copied 1 1 name=h7", ""},
+    {990, "whole 1 1", "finish 1; drop 1 10.17.2.1:80/h7"},
+};
+
 static const forwarding_line_t refused_copy_is_asked_again[] = {
     OPENED,
     {10, "request 1 stream", "send 1.1 rc1 backup=10.17.0.1:80"},
@@ -293,6 +303,7 @@
     SCRIPT(address_taken_over),
     SCRIPT(same_id_started_again),
     SCRIPT(lost_standby_is_replaced),
+    SCRIPT(copy_is_dropped_at_the_end),
     SCRIPT(refused_copy_is_asked_again),
     SCRIPT(peers_prompt_is_avoided),
     SCRIPT(peers_word_lapses),
