A request whose caller has left before it was read is not sent on

Change: the caller's socket is looked at before the request is taken in. Tests: test_caller_left_before failed first.

--- a/gateway/inbound.c
+++ b/gateway/inbound.c
@@ -1,5 +1,5 @@
 /* inbound.c - one request of a caller and the answer that goes back. */
-#include <inttypes.h>
+#include <errno.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
@@ -22,6 +22,7 @@
     inbound_t **table;
 } tie_t;
 
+static bool has_left(const inbound_t *caller);
 static void read_request(inbound_t *caller);
 static void raise_request(inbound_t *caller);
 static bool is_of_connection(const h2o_req_t *req, const h2o_header_t *header);
@@ -57,6 +58,11 @@
     caller->gateway = gateway;
     caller->req = req;
     HASH_ADD(hh, *table, number, sizeof(caller->number), caller);
+    if (has_left(caller)) {
+        log_event(LOG_INFO, "caller-left", "at=accept");
+        inbound_break(caller);
+        return;
+    }
     read_request(caller);
     raise_request(caller);
 }
@@ -204,6 +210,17 @@
     h2o_send(req, &bytes, length > 0 ? 1 : 0, H2O_SEND_STATE_FINAL);
 }
 
+/* A host that was paused finds such requests when it wakes. */
+static bool
+has_left(const inbound_t *caller)
+{
+    char byte;
+    ssize_t length =
+        recv(inbound_socket(caller), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+
+    return length == 0 || (length < 0 && errno != EAGAIN && errno != EINTR);
+}
+
 static void
 read_request(inbound_t *caller)
 {
--- a/regress/test_gateway.c
+++ b/regress/test_gateway.c
@@ -1,6 +1,9 @@
 /* test_gateway.c - bytes through a gateway: callers, runners, its store. */
 #include <signal.h>
+#include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include "regress/gateway_host.h"
 
@@ -136,6 +139,32 @@
 }
 END_TEST
 
+/*
+ * A host that was paused finds requests whose callers have left meanwhile:
+ * they must not reach a runner.
+ */
+START_TEST(test_caller_left_before)
+{
+    static const char request[] = ASK("GET", "/unsafe/p", "");
+    gateway_host_t host;
+    struct sockaddr_in to;
+    int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+    gateway_host_open(&host);
+    gateway_host_runner(&host, "plain-1", "plain", "a", whole_reply, 1);
+    gateway_host_settle(&host);
+    (void)uv_ip4_addr("127.0.0.1", atoi(strchr(host.listen_address, ':') + 1),
+                      &to);
+    ck_assert_int_eq(connect(fd, (struct sockaddr *)&to, sizeof(to)), 0);
+    ck_assert_int_eq(write(fd, request, strlen(request)),
+                     (ssize_t)strlen(request));
+    (void)close(fd);
+    gateway_host_settle(&host);
+    ck_assert_uint_eq(canned_requests(host.runners[0]), 0);
+    gateway_host_close(&host);
+}
+END_TEST
+
 START_TEST(test_readiness_and_lookup)
 {
     gateway_host_t host;
@@ -168,6 +197,7 @@
     (void)signal(SIGPIPE, SIG_IGN); /* as the daemon does */
     tcase_add_loop_test(tcase, test_exchange, 0, COUNT(exchanges));
     tcase_add_test(tcase, test_cut_stream_is_cut);
+    tcase_add_test(tcase, test_caller_left_before);
     tcase_add_test(tcase, test_readiness_and_lookup);
     return fixture_main("gateway", tcase);
 }
