A host that stood still counts nobody's silence meanwhile

Cause: after a pause every stream's runner looked silent for its length, and all streams were moved, though their events were waiting in the sockets. Change: a timer that is 400 ms late tells of the pause; silence counts anew. Tests: own_pause_is_no_silence failed first.

--- a/forward/forward.c
+++ b/forward/forward.c
@@ -17,6 +17,9 @@
     PERCENT = 100,
 };
 
+/* A timer that is so late tells that this process stood still. */
+#define PAUSED_US ((int64_t)400000)
+
 static void take_request_event(forward_t *forward,
                                const forward_event_t *event);
 static void take_routing(forward_t *forward, routing_t *routing);
@@ -75,6 +78,9 @@
 {
     arena_reset(&orders->arena);
     orders->count = 0;
+    if (forward_due_us(forward) < now_us - PAUSED_US) {
+        watch_after_pause(forward, now_us);
+    }
     forward->now_us = now_us;
     forward->orders = orders;
     switch (event->kind) {
--- a/forward/private.h
+++ b/forward/private.h
@@ -185,6 +185,8 @@
 
 /* Does what is due for one request. */
 void watch_request(forward_t *forward, request_t *request);
+/* This process stood still: nobody's silence counts until now. */
+void watch_after_pause(forward_t *forward, int64_t now_us);
 /* When that is next due. */
 int64_t watch_due_us(const request_t *request);
 void take_probed(forward_t *forward, const forward_probed_t *probed);
--- a/forward/watchdog.c
+++ b/forward/watchdog.c
@@ -63,6 +63,22 @@
     order->u.probe.timeout_ms = PROBE_TIMEOUT_MS;
 }
 
+void
+watch_after_pause(forward_t *forward, int64_t now_us)
+{
+    request_t *request;
+
+    for (request = forward->requests; request != NULL;
+         request = request->hh.next) {
+        attempt_t *attempt = &request->attempt;
+
+        if (attempt->runner != NULL) {
+            attempt->heard_us = now_us;
+            attempt->probing = false;
+        }
+    }
+}
+
 int64_t
 watch_due_us(const request_t *request)
 {
--- a/regress/test_forward.c
+++ b/regress/test_forward.c
@@ -143,6 +143,17 @@
      "backup=10.17.1.1:80 resume"},
 };
 
+/* A host that was paused itself counts nobody's silence meanwhile. */
+static const forwarding_line_t own_pause_is_no_silence[] = {
+    OPENED,
+    {10, "request 1 stream", "send 1.1 rc1 backup=10.17.0.1:80"},
+    {900, "head 1 1 200", "begin 1.1"},
+    {900, "event 1 1 0", ""},
+    {4000, "timer", ""},
+    {4010, "event 1 1 1", ""},
+    {4230, "timer", "probe 1 rc1"},
+};
+
 static const forwarding_line_t caller_gone[] = {
     OPENED,
     {10, "request 1 stream", "send 1.1 rc1 backup=10.17.0.1:80"},
@@ -295,6 +306,7 @@
     SCRIPT(stream_without_copy),
     SCRIPT(stream_not_resumable),
     SCRIPT(silent_runner_is_probed),
+    SCRIPT(own_pause_is_no_silence),
     SCRIPT(caller_gone),
     SCRIPT(time_is_over),
     SCRIPT(leaving_host),
