Callers hear when to come back: at once elsewhere, or when the store may be back

Change: hosts tell each other when their routing table was last known to be in force; if none that was heard reaches the store, Retry-After is 2 s, else 50 ms. Tests: store_away_for_all failed first.

--- a/forward/private.h
+++ b/forward/private.h
@@ -84,6 +84,7 @@
     uint64_t incarnation;
     uint64_t number;
     int64_t heard_us;
+    int64_t contact_us; /* its routing table was in force then */
     placement_t *placements;
     uint32_t count;
     UT_hash_handle hh;
@@ -173,6 +174,8 @@
 /* --- sharing.c --- */
 
 void take_peer(forward_t *forward, const forward_peer_t *peer);
+/* Whether the other hosts that were heard lately lack the store, too. */
+bool peers_lack_store(const forward_t *forward);
 /* Forgets hosts that are silent and sessions that are old. */
 void sharing_sweep(forward_t *forward);
 void sharing_free(forward_t *forward);
--- a/forward/send.c
+++ b/forward/send.c
@@ -12,6 +12,8 @@
     CONNECT_MS = 250,
     /* When a runner that crashed or filled up is likely to be back. */
     RETRY_RUNNER_MS = 500,
+    /* No host can serve before the store is back, which takes seconds. */
+    RETRY_STORE_MS = 2000,
     /* Another host can serve at once. */
     RETRY_ELSEWHERE_MS = 50,
     STATUS_UNAUTHORIZED = 401,
@@ -25,7 +27,8 @@
 static void send_to(forward_t *forward, request_t *request,
                     pool_runner_t *runner, bool restore);
 static uint32_t status_of(refuse_reason_t reason, bool not_run);
-static uint32_t retry_after_ms(refuse_reason_t reason);
+static uint32_t retry_after_ms(const forward_t *forward,
+                               refuse_reason_t reason);
 
 bool
 send_request(forward_t *forward, request_t *request)
@@ -199,8 +202,9 @@
         order->reason = reason;
         order->not_run = request->runs == 0;
         order->status = status_of(reason, order->not_run);
-        order->retry_after_ms =
-            order->status == STATUS_UNAVAILABLE ? retry_after_ms(reason) : 0;
+        order->retry_after_ms = order->status == STATUS_UNAVAILABLE
+                                    ? retry_after_ms(forward, reason)
+                                    : 0;
         tell_end(forward, request, order->not_run ? "not-run" : "unknown",
                  refuse_reason_name(reason), order->status);
     }
@@ -224,11 +228,12 @@
 }
 
 static uint32_t
-retry_after_ms(refuse_reason_t reason)
+retry_after_ms(const forward_t *forward, refuse_reason_t reason)
 {
     switch (reason) {
-    case REFUSE_NO_ROUTING:
     case REFUSE_STALE:
+        return peers_lack_store(forward) ? RETRY_STORE_MS : RETRY_ELSEWHERE_MS;
+    case REFUSE_NO_ROUTING:
     case REFUSE_LEAVING:
         return RETRY_ELSEWHERE_MS;
     default:
--- a/forward/sharing.c
+++ b/forward/sharing.c
@@ -12,15 +12,20 @@
 
 #include "forward/private.h"
 
-/* A host repeats its word within half a second while it has streams. */
+/* A host repeats its word within half a second while it has streams, or so
+ * much more seldom as there are more than PEER_HOSTS hosts. */
 #define PEER_SILENT_US ((int64_t)1500000)
+/* A host whose contact is younger is taken to reach the store: a watch
+ * returns about once a second. */
+#define PEER_CONTACT_US ((int64_t)3000000)
 /* Repeats of a prompt are priced within ten seconds of its last use; a
  * runner forgets the least used ones when its memory is wanted. */
 #define SESSION_KEPT_US ((int64_t)12000000)
 
-enum { SESSIONS_MAX = 8192 };
+enum { SESSIONS_MAX = 8192, PEER_HOSTS = 10 };
 
 static peer_view_t *view_of(forward_t *forward, const char *host);
+static bool is_silent(const forward_t *forward, const peer_view_t *view);
 static void view_free(forward_t *forward, peer_view_t *view);
 static void count_peers(forward_t *forward);
 
@@ -43,6 +48,8 @@
     view->incarnation = peer->placements->incarnation;
     view->number = peer->placements->number;
     view->heard_us = forward->now_us;
+    view->contact_us = forward->now_us -
+                       (int64_t)peer->placements->contact_age_ms * US_PER_MS;
     view->count = peer->placements->items.items_len;
     view->placements =
         xrealloc(view->placements, view->count + 1, sizeof(*view->placements));
@@ -54,6 +61,24 @@
     count_peers(forward);
 }
 
+bool
+peers_lack_store(const forward_t *forward)
+{
+    const peer_view_t *view;
+    bool heard = false;
+
+    for (view = forward->peers; view != NULL; view = view->hh.next) {
+        if (is_silent(forward, view)) {
+            continue;
+        }
+        heard = true;
+        if (forward->now_us - view->contact_us < PEER_CONTACT_US) {
+            return false;
+        }
+    }
+    return heard;
+}
+
 void
 sharing_sweep(forward_t *forward)
 {
@@ -65,8 +90,7 @@
 
     HASH_ITER(hh, forward->peers, view, next)
     {
-        if (view->count > 0 &&
-            forward->now_us - view->heard_us > PEER_SILENT_US) {
+        if (view->count > 0 && is_silent(forward, view)) {
             view->count = 0;
             silent = true;
         }
@@ -163,6 +187,10 @@
         count++;
     }
     placements->items.items_len = count;
+    placements->contact_age_ms =
+        forward->contact_us > 0
+            ? (uint32_t)((forward->now_us - forward->contact_us) / US_PER_MS)
+            : UINT32_MAX;
 }
 
 static peer_view_t *
@@ -180,6 +208,16 @@
     return view;
 }
 
+static bool
+is_silent(const forward_t *forward, const peer_view_t *view)
+{
+    int64_t limit_us = forward->hosts > PEER_HOSTS
+                           ? PEER_SILENT_US * forward->hosts / PEER_HOSTS
+                           : PEER_SILENT_US;
+
+    return forward->now_us - view->heard_us > limit_us;
+}
+
 static void
 view_free(forward_t *forward, peer_view_t *view)
 {
--- a/gateway/directory.c
+++ b/gateway/directory.c
@@ -121,6 +121,12 @@
     tell_hosts(directory);
 }
 
+size_t
+directory_count(const directory_t *directory)
+{
+    return HASH_COUNT(directory->hosts);
+}
+
 void
 directory_peers(const directory_t *directory,
                 void (*done)(void *context, const char *host,
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -151,6 +151,7 @@
                    size_t value_bytes);
 void directory_list_begin(directory_t *directory);
 void directory_list_end(directory_t *directory);
+size_t directory_count(const directory_t *directory);
 /* Calls done with each host but this one that has a peer address. */
 void directory_peers(const directory_t *directory,
                      void (*done)(void *context, const char *host,
--- a/gateway/peering.c
+++ b/gateway/peering.c
@@ -12,8 +12,10 @@
 enum {
     /* Changes within this time go out together. */
     SHARE_DELAY_MS = 4,
-    /* Streams are told again, in case a datagram was lost. */
+    /* Streams are told again, in case a datagram was lost; so often with few
+     * hosts, and seldomer the more there are. */
     REPEAT_MS = 500,
+    REPEAT_HOSTS = 10,
     KEY_WORDS = 4, /* of 64 bits */
     KEY_TEXT_BYTES = 64,
     US_PER_S = 1000000,
@@ -197,7 +199,13 @@
     }
     peering->told = placements->items.items_len > 0;
     if (peering->told) {
-        (void)uv_timer_start(timer, on_timer, REPEAT_MS, 0);
+        size_t hosts = directory_count(gateway->directory);
+
+        (void)uv_timer_start(timer, on_timer,
+                             hosts > REPEAT_HOSTS
+                                 ? REPEAT_MS * hosts / REPEAT_HOSTS
+                                 : REPEAT_MS,
+                             0);
     }
     arena_free(&arena);
 }
--- a/regress/forwarding.c
+++ b/regress/forwarding.c
@@ -386,7 +386,8 @@
     event.u.peer.host = line->words[1];
     event.u.peer.placements = has(line, "gone") ? NULL : &placements;
     placements.number = (uint64_t)at_ms;
-    for (i = 2; i < line->count && !has(line, "gone"); i++) {
+    placements.contact_age_ms = has(line, "stale") ? UINT32_MAX : 0;
+    for (i = 2; i < line->count && strchr(line->words[i], '/') != NULL; i++) {
         placement_t *item = &items[placements.items.items_len];
         size_t length = strcspn(line->words[i], "/");
 
@@ -472,6 +473,11 @@
                        refuse_reason_name(order->u.refuse.reason),
                        order->u.refuse.status,
                        order->u.refuse.not_run ? " not-run" : "");
+        if (order->u.refuse.retry_after_ms > 0) {
+            used = strlen(printed);
+            (void)snprintf(printed + used, sizeof(printed) - used,
+                           " after=%" PRIu32, order->u.refuse.retry_after_ms);
+        }
         return;
     case ORDER_TO_PROBE:
         (void)snprintf(at, room, " %s", order->u.probe.runner);
--- a/regress/forwarding.h
+++ b/regress/forwarding.h
@@ -20,7 +20,8 @@
  *   routing VERSION           the table of forwarding_routing()
  *   contact                   the table is in force now
  *   hosts N
- *   peer HOST gone|RUNNER/SESSION[/reading]...   what another host has
+ *   peer HOST gone|RUNNER/SESSION[/reading]... [stale]
+ *                             what another host has; stale: it lacks the store
  *   drain
  *   timer
  */
--- a/regress/test_forward.c
+++ b/regress/test_forward.c
@@ -36,8 +36,8 @@
 };
 
 static const forwarding_line_t before_any_routing[] = {
-    {10, "request 1 unsafe", "refuse 1 no-routing 503 not-run"},
-    {10, "request 2 missing", "refuse 2 no-routing 503 not-run"},
+    {10, "request 1 unsafe", "refuse 1 no-routing 503 not-run after=50"},
+    {10, "request 2 missing", "refuse 2 no-routing 503 not-run after=50"},
 };
 
 static const forwarding_line_t who_may[] = {
@@ -52,12 +52,23 @@
 static const forwarding_line_t routing_out_of_force[] = {
     OPENED,
     {4000, "request 1 unsafe", "send 1.1 sa1"},
-    {4701, "request 2 unsafe", "refuse 2 routing-stale 503 not-run"},
-    {4701, "request 3 missing", "refuse 3 routing-stale 503 not-run"},
+    {4701, "request 2 unsafe", "refuse 2 routing-stale 503 not-run after=50"},
+    {4701, "request 3 missing", "refuse 3 routing-stale 503 not-run after=50"},
     {4800, "contact", ""},
     {4801, "request 4 unsafe", "send 4.1 sa1"},
 };
 
+/* Callers are told when to come back: at once, if another host can serve. */
+static const forwarding_line_t store_away_for_all[] = {
+    OPENED,
+    {6000, "peer h2 ra1/7 stale", ""},
+    {6001, "request 1 unsafe",
+     "refuse 1 routing-stale 503 not-run after=2000"},
+    {6002, "peer h3 ra1/7", ""},
+    {6003, "request 2 unsafe", "refuse 2 routing-stale 503 not-run after=50"},
+    {9000, "request 3 unsafe", "refuse 3 routing-stale 503 not-run after=50"},
+};
+
 /* What may have run is not sent again, and not called not-run. */
 static const forwarding_line_t unsafe_runs_once[] = {
     OPENED,
@@ -72,7 +83,7 @@
     {10, "request 1 unsafe", "send 1.1 sa1"},
     {20, "unsent 1 1", "cancel 1.1; send 1.2 sb1"},
     {30, "head 1 2 503 not-run", ""},
-    {30, "whole 1 2", "refuse 1 runners-full 503 not-run"},
+    {30, "whole 1 2", "refuse 1 runners-full 503 not-run after=500"},
 };
 
 static const forwarding_line_t safe_runs_twice_at_most[] = {
@@ -172,7 +183,7 @@
     OPENED,
     {1000, "drain", ""},
     {1500, "request 1 stream", "send 1.1 rc1 backup=10.17.0.1:80"},
-    {2700, "request 2 stream", "refuse 2 leaving 503 not-run"},
+    {2700, "request 2 stream", "refuse 2 leaving 503 not-run after=50"},
     {2700, "request 3 unsafe", "send 3.1 sa1"},
 };
 
@@ -182,7 +193,7 @@
     {2, "runner sa1 draining", ""},
     {10, "request 1 unsafe", "send 1.1 sb1"},
     {11, "drop sb1", ""},
-    {12, "request 2 unsafe", "refuse 2 no-runner 503 not-run"},
+    {12, "request 2 unsafe", "refuse 2 no-runner 503 not-run after=500"},
 };
 
 /* Entries may lapse while the store is away; then they have two seconds. */
@@ -191,7 +202,7 @@
     {4000, "list ra1 rb1 rc1", ""},
     {4000, "contact", ""},
     {5900, "request 1 unsafe", "send 1.1 sa1"},
-    {6001, "request 2 unsafe", "refuse 2 no-runner 503 not-run"},
+    {6001, "request 2 unsafe", "refuse 2 no-runner 503 not-run after=500"},
 };
 
 /* A runner that starts again at its address leaves its old entry behind. */
@@ -201,7 +212,7 @@
     {10, "request 1 unsafe", "send 1.1 new"},
     {20, "request 2 unsafe", "send 2.1 new"},
     {30, "drop new", ""},
-    {40, "request 3 unsafe", "refuse 3 no-runner 503 not-run"},
+    {40, "request 3 unsafe", "refuse 3 no-runner 503 not-run after=500"},
 };
 
 /* The same id with another start time is a runner that knows nothing. */
@@ -211,8 +222,8 @@
     {2, "runner sa1 draining", ""},
     {10, "request 1 unsafe", "send 1.1 sb1"},
     {20, "head 1 1 421 not-run", ""},
-    {20, "whole 1 1", "refuse 1 runners-full 503 not-run"},
-    {30, "request 2 unsafe", "refuse 2 no-runner 503 not-run"},
+    {20, "whole 1 1", "refuse 1 runners-full 503 not-run after=500"},
+    {30, "request 2 unsafe", "refuse 2 no-runner 503 not-run after=500"},
     {40, "runner sb1 born=2", ""},
     {50, "request 3 unsafe", "send 3.1 sb1"},
 };
@@ -298,6 +309,7 @@
     SCRIPT(before_any_routing),
     SCRIPT(who_may),
     SCRIPT(routing_out_of_force),
+    SCRIPT(store_away_for_all),
     SCRIPT(unsafe_runs_once),
     SCRIPT(unsafe_not_sent_goes_on),
     SCRIPT(safe_runs_twice_at_most),
--- a/world/link.x
+++ b/world/link.x
@@ -209,10 +209,13 @@
 /*
  * All streams of the sender; number rises with each message of one
  * incarnation, so that an older one is known.  What does not fit is left out.
+ * contact_age_ms: so long ago the sender's routing table was known to be in
+ * force.
  */
 struct placements_t {
     uint64_t incarnation;
     uint64_t number;
+    uint32_t contact_age_ms;
     placement_t items<LINK_PLACEMENTS_MAX>;
 };
 
