--- a/forward/forward.c
+++ b/forward/forward.c
@@ -144,6 +144,12 @@
     return due_us;
 }
 
+int64_t
+forward_contact_age_us(const forward_t *forward, int64_t now_us)
+{
+    return now_us - forward->contact_us;
+}
+
 bool
 forward_ready(const forward_t *forward, int64_t now_us)
 {
@@ -233,19 +239,31 @@
 tell_end(forward_t *forward, const request_t *request, const char *outcome,
          const char *reason, uint32_t status)
 {
+    arena_t *arena = &forward->orders->arena;
+    int64_t total_us = forward->now_us - request->arrived_us;
+    bool answered = strcmp(outcome, "served") == 0;
     int64_t first_us =
-        request->first_us > 0 ? request->first_us - request->arrived_us : -1;
-
-    tell(forward, LOG_INFO, "end",
-         "request=%s outcome=%s reason=%s status=%" PRIu32
-         " service=%s attempts=%" PRIu32 " runs=%" PRIu32 " total_ms=%" PRId64
-         " first_ms=%" PRId64 " gap_max_ms=%" PRId64 " last_event=%" PRId64,
-         request->id, outcome, reason, status,
-         request->service != NULL ? request->service : "none",
-         request->attempt.number, request->runs,
-         (forward->now_us - request->arrived_us) / US_PER_MS,
-         first_us / US_PER_MS, request->gap_max_us / US_PER_MS,
-         request->last_event_id);
+        answered && request->type != REQUEST_STREAM ? total_us : -1;
+
+    if (request->first_us > 0) {
+        first_us = request->first_us - request->arrived_us;
+    }
+    order_new(forward, ORDER_TO_NOTE_ENDED, request->number)->u.ended =
+        (order_ended_t){
+            .id = arena_strdup(arena, request->id),
+            .service = arena_strdup(
+                arena, request->service != NULL ? request->service : "none"),
+            .outcome = outcome,
+            .reason = reason,
+            .type = request->type,
+            .status = status,
+            .attempts = request->attempt.number,
+            .runs = request->runs,
+            .total_us = total_us,
+            .first_us = first_us,
+            .gap_max_us = request->gap_max_us,
+            .last_event_id = request->last_event_id,
+        };
 }
 
 void
@@ -350,6 +368,11 @@
         return;
     }
     attempt = &request->attempt;
+    if (attempt->events == 0 && request->last_us > 0) {
+        order_new(forward, ORDER_TO_NOTE_RESUMED, request->number)->u.resumed =
+            (order_resumed_t){.gap_us = forward->now_us - request->last_us,
+                              .restored = attempt->restored};
+    }
     if (attempt->events == 0) {
         pool_read(attempt->runner);
         forward->runs_changed = true;
--- a/forward/forward.h
+++ b/forward/forward.h
@@ -156,6 +156,8 @@
     ORDER_TO_COPY,
     ORDER_TO_DROP_COPY,
     ORDER_TO_LOG,
+    ORDER_TO_NOTE_RESUMED,
+    ORDER_TO_NOTE_ENDED,
     ORDER_TO_SHARE, /* tell the other hosts forward_placements() */
 } forward_order_kind_t;
 
@@ -199,6 +201,28 @@
     bool not_run;            /* it has not run and never will */
 } order_refuse_t;
 
+/* A stream went on after a loss; for the metrics. */
+typedef struct {
+    int64_t gap_us; /* since the last event before the loss */
+    bool restored;  /* from a copy of its memory */
+} order_resumed_t;
+
+/* A request ended; for the log and the metrics. */
+typedef struct {
+    const char *id;
+    const char *service; /* "none" where it had no route */
+    const char *outcome; /* "served", "not-run", "unknown", "broken", "gone" */
+    const char *reason;
+    request_type_t type;
+    uint32_t status;
+    uint32_t attempts;
+    uint32_t runs;
+    int64_t total_us;
+    int64_t first_us;   /* to the answer or its first event; -1: none came */
+    int64_t gap_max_us; /* between two events */
+    int64_t last_event_id;
+} order_ended_t;
+
 typedef struct {
     forward_order_kind_t kind;
     uint64_t number; /* of the request */
@@ -207,6 +231,8 @@
         uint32_t attempt; /* ORDER_TO_CANCEL; ORDER_TO_BEGIN: pass its head
                              on; ORDER_TO_ANSWER: pass its answer on */
         order_refuse_t refuse;
+        order_resumed_t resumed;
+        order_ended_t ended;
         order_copy_t copy;
         order_drop_copy_t drop_copy;
         struct {
@@ -253,6 +279,9 @@
 /* When FORWARD_TIMER is due; INT64_MAX: never. */
 int64_t forward_due_us(const forward_t *forward);
 
+/* How long ago the routing table was last known to be in force. */
+int64_t forward_contact_age_us(const forward_t *forward, int64_t now_us);
+
 /* Whether callers should be sent here. */
 bool forward_ready(const forward_t *forward, int64_t now_us);
 
--- a/forward/private.h
+++ b/forward/private.h
@@ -34,7 +34,8 @@
     int64_t ask_at_us; /* a copy is to be asked for or refreshed then; 0: when
                           the standby is lost */
     bool asking;
-    bool passing; /* what comes goes to the caller */
+    bool restored; /* begun from a copy */
+    bool passing;  /* what comes goes to the caller */
     bool probing;
 } attempt_t;
 
@@ -122,7 +123,7 @@
 /* A line for the log; event is one word, the rest key=value pairs. */
 void tell(forward_t *forward, int severity, const char *event,
           const char *format, ...) __attribute__((format(printf, 4, 5)));
-/* The last line of a request: what became of it. */
+/* The last word on a request: what became of it. */
 void tell_end(forward_t *forward, const request_t *request,
               const char *outcome, const char *reason, uint32_t status);
 
--- a/forward/send.c
+++ b/forward/send.c
@@ -119,6 +119,7 @@
     send->connect_ms = CONNECT_MS;
     send->stream = request->type == REQUEST_STREAM;
     send->last_event_id = request->last_event_id;
+    attempt->restored = restore;
     if (restore) {
         send->restore_address = arena_strdup(arena, request->copy_address);
         send->restore_name = arena_strdup(arena, request->copy_name);
--- a/gateway/forwarding.c
+++ b/gateway/forwarding.c
@@ -1,4 +1,5 @@
 /* forwarding.c - the one place that calls forward_step(). */
+#include <inttypes.h>
 #include <stdlib.h>
 #include <time.h>
 
@@ -31,6 +32,7 @@
 
 static void step(forwarding_t *forwarding, const forward_event_t *event);
 static void carry_out(gateway_t *gateway, const forward_order_t *order);
+static void log_end(const order_ended_t *ended);
 static void answer(gateway_t *gateway, const forward_order_t *order);
 static void begin(gateway_t *gateway, const forward_order_t *order);
 static void set_timer(forwarding_t *forwarding);
@@ -134,6 +136,7 @@
 {
     const caller_request_t *request;
 
+    meters_order(gateway->meters, order);
     switch (order->kind) {
     case ORDER_TO_SEND:
         request = front_request(gateway->front, order->number);
@@ -176,6 +179,11 @@
     case ORDER_TO_SHARE:
         peering_share(gateway->peering);
         return;
+    case ORDER_TO_NOTE_RESUMED:
+        return;
+    case ORDER_TO_NOTE_ENDED:
+        log_end(&order->u.ended);
+        return;
     case ORDER_TO_LOG:
         log_event(order->u.log.severity, order->u.log.event, "%s",
                   order->u.log.text);
@@ -183,6 +191,21 @@
     }
 }
 
+static void
+log_end(const order_ended_t *ended)
+{
+    log_event(LOG_INFO, "end",
+              "request=%s outcome=%s reason=%s status=%" PRIu32
+              " service=%s attempts=%" PRIu32 " runs=%" PRIu32
+              " total_ms=%" PRId64 " first_ms=%" PRId64 " gap_max_ms=%" PRId64
+              " last_event=%" PRId64,
+              ended->id, ended->outcome, ended->reason, ended->status,
+              ended->service, ended->attempts, ended->runs,
+              ended->total_us / US_PER_MS,
+              ended->first_us >= 0 ? ended->first_us / US_PER_MS : -1,
+              ended->gap_max_us / US_PER_MS, ended->last_event_id);
+}
+
 static void
 answer(gateway_t *gateway, const forward_order_t *order)
 {
--- a/gateway/front.c
+++ b/gateway/front.c
@@ -73,6 +73,7 @@
 static int on_request(h2o_handler_t *handler, h2o_req_t *req);
 static void answer_ready(front_t *front, h2o_req_t *req);
 static void answer_lookup(front_t *front, h2o_req_t *req);
+static void answer_metrics(front_t *front, h2o_req_t *req);
 static bool path_is(const h2o_req_t *req, const char *path);
 static void on_cut_check(uv_timer_t *timer);
 static void cut_clients(front_t *front);
@@ -382,6 +383,9 @@
              path_is(req, dialect->lookup_path)) {
         answer_lookup(front, req);
     }
+    else if (route->kind == PORT_METRICS && path_is(req, "/metrics")) {
+        answer_metrics(front, req);
+    }
     else {
         inbound_respond(req, STATUS_NOT_FOUND, "text/plain",
                         H2O_STRLIT("no such path\n"));
@@ -423,6 +427,19 @@
     arena_free(&arena);
 }
 
+static void
+answer_metrics(front_t *front, h2o_req_t *req)
+{
+    const forward_t *forward = forwarding_state(front->gateway);
+    text_t text = {0};
+
+    meters_write(front->gateway->meters,
+                 forward_contact_age_us(forward, gateway_now_us()), &text);
+    inbound_respond(req, STATUS_OK, "text/plain; version=0.0.4", text.bytes,
+                    text.length);
+    text_free(&text);
+}
+
 static bool
 path_is(const h2o_req_t *req, const char *path)
 {
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -29,6 +29,7 @@
     if (gateway->front == NULL) {
         return -1;
     }
+    gateway->meters = meters_new();
     gateway->forwarding = forwarding_new(gateway);
     gateway->upstreams = upstreams_new(gateway);
     gateway->directory = directory_new(gateway);
@@ -112,6 +113,7 @@
     front_free(gateway->front);
     directory_free(gateway->directory);
     forwarding_free(gateway->forwarding);
+    meters_free(gateway->meters);
     (void)uv_run(gateway->loop, UV_RUN_NOWAIT);
     (void)uv_run(gateway->loop, UV_RUN_NOWAIT);
 }
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -25,6 +25,7 @@
 typedef struct upstreams upstreams_t;
 typedef struct watcher watcher_t;
 typedef struct directory directory_t;
+typedef struct meters meters_t;
 typedef struct peering peering_t;
 typedef struct forwarding forwarding_t;
 
@@ -40,6 +41,7 @@
     watcher_t *watcher;
     directory_t *directory;
     peering_t *peering;
+    meters_t *meters;
     presence_t *presence;
 } gateway_t;
 
@@ -161,6 +163,15 @@
 bool directory_answer(directory_t *directory, const address_lookup_t *lookup,
                       text_t *body);
 
+/* --- meters.c: counters and latency histograms --- */
+
+meters_t *meters_new(void);
+void meters_free(meters_t *meters);
+/* Counts what an order tells. */
+void meters_order(meters_t *meters, const forward_order_t *order);
+/* Appends everything in Prometheus' text format. */
+void meters_write(meters_t *meters, int64_t contact_age_us, text_t *text);
+
 /* --- peering.c: what hosts tell each other of their streams --- */
 
 /*
--- /dev/null
+++ b/gateway/meters.c
@@ -0,0 +1,168 @@
+/* meters.c - counters and latency histograms of forwarding. */
+#include <stdlib.h>
+
+#include "base/arena.h"
+#include "base/log.h"
+#include "base/metric.h"
+#include "gateway/gateway.h"
+
+enum { US_PER_S = 1000000 };
+
+struct meters {
+    metric_set_t *set;
+    metric_family_t *requests;
+    metric_family_t *first;
+    metric_family_t *gap;
+    metric_family_t *resume;
+    metric_family_t *sends;
+    metric_family_t *probes;
+    metric_family_t *copies;
+    metric_family_t *contact;
+    metric_family_t *dropped;
+};
+
+static metric_family_t *histogram(metric_set_t *set, const char *name,
+                                  const char *help, const char *label);
+static const char *type_name(request_type_t type);
+
+meters_t *
+meters_new(void)
+{
+    meters_t *meters = xcalloc(1, sizeof(*meters));
+    metric_set_t *set = metric_set_new();
+
+    meters->set = set;
+    meters->requests = metric_family_new(
+        set, &(metric_spec_t){.kind = METRIC_COUNTER,
+                              .name = "agatevale_requests_total",
+                              .help = "Requests that ended.",
+                              .labels = {"type", "outcome", "reason"}});
+    meters->first =
+        histogram(set, "agatevale_first_answer_seconds",
+                  "From arrival to the answer or its first event.", "type");
+    meters->gap =
+        histogram(set, "agatevale_longest_gap_seconds",
+                  "The longest time between two events of a stream.", "type");
+    meters->resume = histogram(
+        set, "agatevale_resume_seconds",
+        "From the last event before a loss to the next one.", "copy");
+    meters->sends = metric_family_new(
+        set, &(metric_spec_t){.kind = METRIC_COUNTER,
+                              .name = "agatevale_sends_total",
+                              .help = "Requests sent to runners.",
+                              .labels = {"attempt"}});
+    meters->probes = metric_family_new(
+        set, &(metric_spec_t){.kind = METRIC_COUNTER,
+                              .name = "agatevale_probes_total",
+                              .help = "Runners asked for a sign of life."});
+    meters->copies = metric_family_new(
+        set, &(metric_spec_t){.kind = METRIC_COUNTER,
+                              .name = "agatevale_copies_total",
+                              .help = "Copies of memory asked for."});
+    meters->contact = metric_family_new(
+        set, &(metric_spec_t){.kind = METRIC_GAUGE,
+                              .name = "agatevale_routing_age_seconds",
+                              .help = "Since the routing table was last known "
+                                      "to be in force."});
+    meters->dropped = metric_family_new(
+        set, &(metric_spec_t){.kind = METRIC_GAUGE,
+                              .name = "agatevale_log_lines_dropped",
+                              .help = "Log lines that were left out."});
+    return meters;
+}
+
+void
+meters_free(meters_t *meters)
+{
+    if (meters != NULL) {
+        metric_set_free(meters->set);
+        free(meters);
+    }
+}
+
+void
+meters_order(meters_t *meters, const forward_order_t *order)
+{
+    const order_ended_t *ended = &order->u.ended;
+    const char *type;
+
+    switch (order->kind) {
+    case ORDER_TO_SEND:
+        metric_add(metric_series(meters->sends,
+                                 (const char *[]){order->u.send.attempt == 1
+                                                      ? "first"
+                                                      : "repeat"}),
+                   1);
+        return;
+    case ORDER_TO_PROBE:
+        metric_add(metric_series(meters->probes, NULL), 1);
+        return;
+    case ORDER_TO_COPY:
+        metric_add(metric_series(meters->copies, NULL), 1);
+        return;
+    case ORDER_TO_NOTE_RESUMED:
+        metric_observe(
+            metric_series(
+                meters->resume,
+                (const char *[]){order->u.resumed.restored ? "yes" : "no"}),
+            (double)order->u.resumed.gap_us / US_PER_S);
+        return;
+    case ORDER_TO_NOTE_ENDED:
+        type = type_name(ended->type);
+        metric_add(metric_series(
+                       meters->requests,
+                       (const char *[]){type, ended->outcome, ended->reason}),
+                   1);
+        if (ended->first_us >= 0) {
+            metric_observe(
+                metric_series(meters->first, (const char *[]){type}),
+                (double)ended->first_us / US_PER_S);
+        }
+        if (ended->type == REQUEST_STREAM && ended->gap_max_us > 0) {
+            metric_observe(metric_series(meters->gap, (const char *[]){type}),
+                           (double)ended->gap_max_us / US_PER_S);
+        }
+        return;
+    default:
+        return;
+    }
+}
+
+void
+meters_write(meters_t *meters, int64_t contact_age_us, text_t *text)
+{
+    metric_set_value(metric_series(meters->contact, NULL),
+                     (double)contact_age_us / US_PER_S);
+    metric_set_value(metric_series(meters->dropped, NULL),
+                     (double)log_dropped());
+    metric_write(meters->set, text);
+}
+
+static metric_family_t *
+histogram(metric_set_t *set, const char *name, const char *help,
+          const char *label)
+{
+    metric_spec_t spec = {
+        .kind = METRIC_HISTOGRAM,
+        .name = name,
+        .help = help,
+        .labels = {label},
+        .bounds = {0.01, 0.025, 0.05, 0.1, 0.2, 0.35, 0.5, 0.7, 1, 1.5, 2, 3,
+                   4.5, 7, 10, 20},
+        .bound_count = 16,
+    };
+
+    return metric_family_new(set, &spec);
+}
+
+static const char *
+type_name(request_type_t type)
+{
+    static const char *const names[] = {
+        [REQUEST_SAFE] = "safe",
+        [REQUEST_UNSAFE] = "unsafe",
+        [REQUEST_STREAM] = "stream",
+    };
+
+    return names[type];
+}
--- a/regress/forwarding.c
+++ b/regress/forwarding.c
@@ -448,7 +448,9 @@
     size_t room = sizeof(printed) - used;
     const order_send_t *send = &order->u.send;
 
-    if (order->kind == ORDER_TO_LOG || order->kind == ORDER_TO_SHARE) {
+    if (order->kind == ORDER_TO_LOG || order->kind == ORDER_TO_SHARE ||
+        order->kind == ORDER_TO_NOTE_RESUMED ||
+        order->kind == ORDER_TO_NOTE_ENDED) {
         return;
     }
     used += (size_t)snprintf(at, room, "%s%s %" PRIu64, used > 0 ? "; " : "",
--- a/regress/gateway_host.c
+++ b/regress/gateway_host.c
@@ -56,12 +56,14 @@
     free_address(host->listen_address, sizeof(host->listen_address));
     free_address(host->readiness_address, sizeof(host->readiness_address));
     free_address(host->lookup_address, sizeof(host->lookup_address));
+    free_address(host->metrics_address, sizeof(host->metrics_address));
     host->settings = (gateway_settings_t){
         .host = "h1",
         .zone = "a",
         .listen_address = host->listen_address,
         .readiness_address = host->readiness_address,
         .lookup_address = host->lookup_address,
+        .metrics_address = host->metrics_address,
         .watch_ms = WATCH_MS,
         .presence_s = PRESENCE_S,
         .registry_ms = 2000,
--- a/regress/gateway_host.h
+++ b/regress/gateway_host.h
@@ -23,6 +23,7 @@
     char listen_address[64];
     char readiness_address[64];
     char lookup_address[64];
+    char metrics_address[64];
 } gateway_host_t;
 
 /* Starts a gateway that knows the routes of gateway_routing_text. */
--- a/regress/test_gateway.c
+++ b/regress/test_gateway.c
@@ -165,6 +165,33 @@
 }
 END_TEST
 
+START_TEST(test_metrics)
+{
+    gateway_host_t host;
+    raw_caller_t *caller;
+    raw_caller_t *reader;
+
+    gateway_host_open(&host);
+    gateway_host_runner(&host, "plain-1", "plain", "a", whole_reply, 1);
+    gateway_host_settle(&host);
+    caller = raw_caller_new(&host, host.listen_address);
+    raw_caller_send(caller, ASK("GET", "/unsafe/p", ""));
+    ck_assert(raw_caller_wait(caller, "hello"));
+    reader = raw_caller_new(&host, host.metrics_address);
+    raw_caller_send(reader, "GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n");
+    ck_assert(raw_caller_wait(
+        reader, "agatevale_requests_total{type=\"unsafe\",outcome=\"served\","
+                "reason=\"whole\"} 1"));
+    ck_assert(raw_caller_wait(
+        reader, "agatevale_first_answer_seconds_count{type=\"unsafe\"} 1"));
+    ck_assert(
+        raw_caller_wait(reader, "agatevale_sends_total{attempt=\"first\"} 1"));
+    raw_caller_free(caller);
+    raw_caller_free(reader);
+    gateway_host_close(&host);
+}
+END_TEST
+
 START_TEST(test_readiness_and_lookup)
 {
     gateway_host_t host;
@@ -198,6 +225,7 @@
     tcase_add_loop_test(tcase, test_exchange, 0, COUNT(exchanges));
     tcase_add_test(tcase, test_cut_stream_is_cut);
     tcase_add_test(tcase, test_caller_left_before);
+    tcase_add_test(tcase, test_metrics);
     tcase_add_test(tcase, test_readiness_and_lookup);
     return fixture_main("gateway", tcase);
 }
