--- a/forward/forward.c
+++ b/forward/forward.c
@@ -263,6 +263,9 @@
             .first_us = first_us,
             .gap_max_us = request->gap_max_us,
             .last_event_id = request->last_event_id,
+            .routing_version =
+                forward->routing != NULL ? forward->routing->version : -1,
+            .contact_age_us = forward->now_us - forward->contact_us,
         };
 }
 
--- a/forward/forward.h
+++ b/forward/forward.h
@@ -221,6 +221,8 @@
     int64_t first_us;   /* to the answer or its first event; -1: none came */
     int64_t gap_max_us; /* between two events */
     int64_t last_event_id;
+    int64_t routing_version; /* that this host has in force; -1: none */
+    int64_t contact_age_us;  /* since it was last known to be in force */
 } order_ended_t;
 
 typedef struct {
--- a/gateway/forwarding.c
+++ b/gateway/forwarding.c
@@ -198,12 +198,14 @@
               "request=%s outcome=%s reason=%s status=%" PRIu32
               " service=%s attempts=%" PRIu32 " runs=%" PRIu32
               " total_ms=%" PRId64 " first_ms=%" PRId64 " gap_max_ms=%" PRId64
-              " last_event=%" PRId64,
+              " last_event=%" PRId64 " routing=%" PRId64
+              " contact_age_ms=%" PRId64,
               ended->id, ended->outcome, ended->reason, ended->status,
               ended->service, ended->attempts, ended->runs,
               ended->total_us / US_PER_MS,
               ended->first_us >= 0 ? ended->first_us / US_PER_MS : -1,
-              ended->gap_max_us / US_PER_MS, ended->last_event_id);
+              ended->gap_max_us / US_PER_MS, ended->last_event_id,
+              ended->routing_version, ended->contact_age_us / US_PER_MS);
 }
 
 static void
