--- a/agatectl/agatectl.c
+++ b/agatectl/agatectl.c
@@ -36,6 +36,7 @@
     {"burn", 0, false, command_burn},
     {"drain", 0, false, command_drain},
     {"key", 0, true, command_key},
+    {"trace", 1, true, command_trace},
 };
 
 static const struct argp_option argp_options[] = {
@@ -51,8 +52,9 @@
 static const struct argp argp = {
     .options = argp_options,
     .parser = parse_option,
-    .args_doc = "check FILE\napply FILE\ndiff FILE\nshow NAME\nhistory NAME\n"
-                "services\nhosts\nrunners\nrequests\nburn\ndrain\nkey",
+    .args_doc =
+        "check FILE\napply FILE\ndiff FILE\nshow NAME\nhistory NAME\n"
+        "services\nhosts\nrunners\nrequests\nburn\ndrain\nkey\ntrace REQUEST",
     .doc = "Shows and changes what agated serves.  NAME is a service, or "
            "\"fleet\" for the operators' document.",
 };
--- a/agatectl/agatectl.h
+++ b/agatectl/agatectl.h
@@ -86,6 +86,10 @@
 int command_drain(session_t *session);
 int command_key(session_t *session);
 
+/* --- trace.c --- */
+
+int command_trace(session_t *session);
+
 /* Says on standard error what went wrong; returns the exit code for it. */
 int tell_error(const err_t *err);
 int tell_refusal(const reply_t *reply);
