--- a/regress/forwarding.c
+++ b/regress/forwarding.c
@@ -381,11 +381,13 @@
     placement_t items[WORDS_MAX] = {0};
     placements_t placements = {.items.items_val = items};
     forward_event_t event = {.kind = FORWARD_PEER};
+    const char *number = value_of(line, "number");
     size_t i;
 
     event.u.peer.host = line->words[1];
     event.u.peer.placements = has(line, "gone") ? NULL : &placements;
-    placements.number = (uint64_t)at_ms;
+    placements.number =
+        number != NULL ? strtoull(number, NULL, DECIMAL) : (uint64_t)at_ms;
     placements.contact_age_ms = has(line, "stale") ? UINT32_MAX : 0;
     for (i = 2; i < line->count && strchr(line->words[i], '/') != NULL; i++) {
         placement_t *item = &items[placements.items.items_len];
--- a/regress/forwarding.h
+++ b/regress/forwarding.h
@@ -20,8 +20,9 @@
  *   routing VERSION           the table of forwarding_routing()
  *   contact                   the table is in force now
  *   hosts N
- *   peer HOST gone|RUNNER/SESSION[/reading]... [stale]
- *                             what another host has; stale: it lacks the store
+ *   peer HOST gone|RUNNER/SESSION[/reading]... [stale] [number=N]
+ *                             what another host has; stale: it lacks the
+ *                             store; number: of its message, else the time
  *   drain
  *   timer
  */
--- a/regress/test_forward.c
+++ b/regress/test_forward.c
@@ -279,6 +279,14 @@
     {3990, "timer", "copy 1.1 10.17.1.1:80"},
 };
 
+/* Datagrams may overtake each other. */
+static const forwarding_line_t older_word_does_not_count[] = {
+    OPENED,
+    {5, "peer h2 rc1/77/reading number=2", ""},
+    {6, "peer h2 ra1/78/reading number=1", ""},
+    {10, "request 1 stream", "send 1.1 rb1 backup=10.17.0.1:80"},
+};
+
 /* A host that is gone, or silent for long, counts no more. */
 static const forwarding_line_t peers_word_lapses[] = {
     OPENED,
@@ -330,6 +338,7 @@
     SCRIPT(copy_is_dropped_at_the_end),
     SCRIPT(refused_copy_is_asked_again),
     SCRIPT(peers_prompt_is_avoided),
+    SCRIPT(older_word_does_not_count),
     SCRIPT(peers_word_lapses),
     SCRIPT(session_finds_its_runner),
 };
@@ -355,7 +364,7 @@
     (void)forwarding_do(forward, 0, "contact");
     (void)forwarding_do(forward, 0, "hosts 7");
     (void)forwarding_do(forward, 0, "list ra1 rb1 rc1");
-    for (i = 1; i <= 50; i++) {
+    for (i = 1; i <= 80; i++) {
         (void)snprintf(event, sizeof(event), "request %d stream", i);
         (void)forwarding_do(forward, 40 * i, event);
         (void)snprintf(event, sizeof(event), "head %d 1 200", i);
@@ -363,12 +372,12 @@
         (void)snprintf(event, sizeof(event), "event %d 1 0", i);
         (void)forwarding_do(forward, 40 * i, event);
     }
-    for (i = 51; i <= 100; i++) {
+    for (i = 81; i <= 100; i++) {
         (void)snprintf(event, sizeof(event), "request %d stream", i);
         ck_assert(strstr(forwarding_do(forward, 5000 + 40 * i, event),
                          "routing-stale") != NULL);
     }
-    for (i = 1; i <= 50; i++) {
+    for (i = 1; i <= 80; i++) {
         const char *orders;
 
         (void)snprintf(event, sizeof(event), "broken %d 1", i);
