In larger fleets two hosts of each zone watch the store, the others follow them

Change: forward/following.c chooses watchers by a hash of names; the others ask one of their zone, which holds the ask for half a second; an answer proves what was in force when it was asked. A host without an answer asks the next, and then watches by itself.

--- a/gateway/directory.c
+++ b/gateway/directory.c
@@ -15,7 +15,8 @@
     char *key;
     char *address;
     char *peer_address; /* "": none */
-    bool seen;          /* in the list that is being read */
+    char *zone;
+    bool seen; /* in the list that is being read */
     UT_hash_handle hh;
 } host_t;
 
@@ -67,8 +68,9 @@
 {
     const char *peer_address = gateway->settings->peer_address;
 
-    return arena_printf(arena, "%s %s", gateway->settings->listen_address,
-                        peer_address != NULL ? peer_address : "");
+    return arena_printf(arena, "%s %s %s", gateway->settings->listen_address,
+                        peer_address != NULL ? peer_address : "",
+                        gateway->settings->zone);
 }
 
 void
@@ -127,6 +129,41 @@
     return HASH_COUNT(directory->hosts);
 }
 
+follow_host_t *
+directory_hosts(const directory_t *directory, arena_t *arena, size_t *count,
+                const follow_host_t **self)
+{
+    const char *own = directory->gateway->settings->host;
+    follow_host_t *hosts =
+        arena_array(arena, directory_count(directory) + 1, sizeof(*hosts));
+    const host_t *host;
+
+    *count = 0;
+    *self = NULL;
+    for (host = directory->hosts; host != NULL; host = host->hh.next) {
+        hosts[*count] =
+            (follow_host_t){.name = name_of(host), .zone = host->zone};
+        if (strcmp(name_of(host), own) == 0) {
+            *self = &hosts[*count];
+        }
+        (*count)++;
+    }
+    return hosts;
+}
+
+const char *
+directory_peer(const directory_t *directory, const char *name)
+{
+    const host_t *host;
+
+    for (host = directory->hosts; host != NULL; host = host->hh.next) {
+        if (strcmp(name_of(host), name) == 0) {
+            return host->peer_address;
+        }
+    }
+    return NULL;
+}
+
 void
 directory_peers(const directory_t *directory,
                 void (*done)(void *context, const char *host,
@@ -201,10 +238,11 @@
     free(host->key);
     free(host->address);
     free(host->peer_address);
+    free(host->zone);
     free(host);
 }
 
-/* "ADDRESS PEER-ADDRESS". */
+/* "ADDRESS PEER-ADDRESS ZONE". */
 static void
 read_entry(host_t *host, const char *value, size_t value_bytes)
 {
@@ -214,8 +252,10 @@
     memcpy(text, value, value_bytes);
     free(host->address);
     free(host->peer_address);
+    free(host->zone);
     host->address = xstrdup(strsep(&rest, " "));
-    host->peer_address = xstrdup(rest != NULL ? rest : "");
+    host->peer_address = xstrdup(rest != NULL ? strsep(&rest, " ") : "");
+    host->zone = xstrdup(rest != NULL ? rest : "");
     free(text);
 }
 
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -34,6 +34,8 @@
     gateway->upstreams = upstreams_new(gateway);
     gateway->directory = directory_new(gateway);
     gateway->peering = peering_new(gateway);
+    gateway->mirror = mirror_new();
+    gateway->relay = store_relay_new(gateway);
     return 0;
 }
 
@@ -107,6 +109,7 @@
     }
     presence_free(gateway->presence);
     peering_free(gateway->peering);
+    store_relay_free(gateway->relay);
     watcher_free(gateway->watcher);
     upstreams_free(gateway->upstreams);
     http_client_free(gateway->client);
@@ -114,6 +117,7 @@
     directory_free(gateway->directory);
     forwarding_free(gateway->forwarding);
     meters_free(gateway->meters);
+    mirror_free(gateway->mirror);
     (void)uv_run(gateway->loop, UV_RUN_NOWAIT);
     (void)uv_run(gateway->loop, UV_RUN_NOWAIT);
 }
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -14,8 +14,10 @@
 #include <uv.h>
 
 #include "forward/event_stream.h"
+#include "forward/following.h"
 #include "forward/forward.h"
 #include "gateway/dialect.h"
+#include "gateway/mirror.h"
 #include "gateway/settings.h"
 #include "http/http.h"
 #include "kv/kv.h"
@@ -26,6 +28,7 @@
 typedef struct watcher watcher_t;
 typedef struct directory directory_t;
 typedef struct meters meters_t;
+typedef struct store_relay store_relay_t;
 typedef struct peering peering_t;
 typedef struct forwarding forwarding_t;
 
@@ -41,6 +44,8 @@
     watcher_t *watcher;
     directory_t *directory;
     peering_t *peering;
+    mirror_t *mirror;
+    store_relay_t *relay;
     meters_t *meters;
     presence_t *presence;
 } gateway_t;
@@ -136,10 +141,29 @@
 void upstream_probe(upstreams_t *upstreams, const char *runner,
                     const char *address, uint32_t timeout_ms);
 
-/* --- watcher.c: what the store holds --- */
+/* --- store_relay.c: what the store holds, told to hosts that follow --- */
+
+store_relay_t *store_relay_new(gateway_t *gateway);
+void store_relay_free(store_relay_t *relay);
+void store_relay_asked(store_relay_t *relay, const char *host, const store_ask_t *asked);
+/* The mirror has changed. */
+void store_relay_changed(store_relay_t *relay);
+
+/* --- store_view.c: what the store holds, to those whom it concerns --- */
+
+/* All that it holds. */
+void store_view_list(gateway_t *gateway, int64_t revision,
+                     const kv_pair_t *pairs, size_t count);
+/* A change; create_revision 0: the key is removed. */
+void store_view_take(gateway_t *gateway, const kv_pair_t *pair);
+
+/* --- watcher.c: what the store holds, from it or from a host --- */
 
 watcher_t *watcher_new(gateway_t *gateway);
 void watcher_free(watcher_t *watcher);
+/* The host that this one follows has answered. */
+void watcher_told(watcher_t *watcher, const char *host,
+                  const store_tell_t *tell);
 
 /* --- directory.c: the addresses that callers may use --- */
 
@@ -154,6 +178,11 @@
 void directory_list_begin(directory_t *directory);
 void directory_list_end(directory_t *directory);
 size_t directory_count(const directory_t *directory);
+/* All hosts, in arena; self: this one, or NULL when it is not among them. */
+follow_host_t *directory_hosts(const directory_t *directory, arena_t *arena,
+                               size_t *count, const follow_host_t **self);
+/* The peer address of a host, or NULL. */
+const char *directory_peer(const directory_t *directory, const char *host);
 /* Calls done with each host but this one that has a peer address. */
 void directory_peers(const directory_t *directory,
                      void (*done)(void *context, const char *host,
@@ -184,6 +213,11 @@
 const char *peering_key_name(void);
 /* It lies there; NULL: the store was read and it is missing. */
 void peering_key(peering_t *peering, const char *value, size_t value_bytes);
+/* Whether messages can be sent. */
+bool peering_ready(const peering_t *peering);
+/* Sends one message; what cannot be sent is logged. */
+void peering_tell(peering_t *peering, const char *host,
+                  const message_t *message);
 /* This host's streams have changed: the others are told soon. */
 void peering_share(peering_t *peering);
 
--- /dev/null
+++ b/gateway/mirror.c
@@ -0,0 +1,162 @@
+/* mirror.c - see mirror.h. */
+#include <stdlib.h>
+#include <string.h>
+
+#include <uthash.h>
+
+#include "gateway/mirror.h"
+
+/* Removed keys that are remembered; whoever is further behind reads anew. */
+enum { REMOVED_MAX = 2048 };
+
+typedef struct {
+    char *key;
+    char *value;
+    size_t value_bytes;
+    int64_t revision; /* of its last change */
+    bool removed;
+    UT_hash_handle hh;
+} entry_t;
+
+struct mirror {
+    entry_t *entries;
+    size_t removed;
+    int64_t floor; /* changes before are not known */
+    int64_t revision;
+};
+
+static void entry_free(mirror_t *mirror, entry_t *entry);
+static void forget_removed(mirror_t *mirror);
+
+mirror_t *
+mirror_new(void)
+{
+    return xcalloc(1, sizeof(mirror_t));
+}
+
+void
+mirror_free(mirror_t *mirror)
+{
+    if (mirror != NULL) {
+        mirror_reset(mirror, 0);
+        free(mirror);
+    }
+}
+
+void
+mirror_reset(mirror_t *mirror, int64_t revision)
+{
+    entry_t *entry;
+    entry_t *next;
+
+    HASH_ITER(hh, mirror->entries, entry, next)
+    {
+        entry_free(mirror, entry);
+    }
+    mirror->removed = 0;
+    mirror->floor = revision;
+    mirror->revision = revision;
+}
+
+void
+mirror_take(mirror_t *mirror, const kv_pair_t *pair)
+{
+    entry_t *entry;
+
+    HASH_FIND_STR(mirror->entries, pair->key, entry);
+    if (entry == NULL) {
+        entry = xcalloc(1, sizeof(*entry));
+        entry->key = xstrdup(pair->key);
+        HASH_ADD_KEYPTR(hh, mirror->entries, entry->key, strlen(entry->key),
+                        entry);
+    }
+    else if (entry->removed) {
+        mirror->removed--;
+    }
+    free(entry->value);
+    entry->value = NULL;
+    entry->value_bytes = 0;
+    entry->revision = pair->mod_revision;
+    entry->removed = pair->create_revision == 0;
+    if (entry->removed) {
+        mirror->removed++;
+        forget_removed(mirror);
+        return;
+    }
+    entry->value = xcalloc(1, pair->value_bytes + 1);
+    memcpy(entry->value, pair->value, pair->value_bytes);
+    entry->value_bytes = pair->value_bytes;
+}
+
+void
+mirror_reached(mirror_t *mirror, int64_t revision)
+{
+    if (revision > mirror->revision) {
+        mirror->revision = revision;
+    }
+}
+
+int64_t
+mirror_revision(const mirror_t *mirror)
+{
+    return mirror->revision;
+}
+
+bool
+mirror_changes(const mirror_t *mirror, int64_t after, arena_t *arena,
+               kv_pair_t **pairs, size_t *count)
+{
+    const entry_t *entry;
+
+    *count = 0;
+    *pairs =
+        arena_array(arena, HASH_COUNT(mirror->entries) + 1, sizeof(**pairs));
+    if (after < mirror->floor) {
+        return false;
+    }
+    for (entry = mirror->entries; entry != NULL; entry = entry->hh.next) {
+        if (entry->revision <= after) {
+            continue;
+        }
+        (*pairs)[*count] = (kv_pair_t){
+            .key = entry->key,
+            .value = entry->value,
+            .value_bytes = entry->value_bytes,
+            .mod_revision = entry->revision,
+            .create_revision = entry->removed ? 0 : entry->revision,
+        };
+        (*count)++;
+    }
+    return true;
+}
+
+static void
+entry_free(mirror_t *mirror, entry_t *entry)
+{
+    HASH_DEL(mirror->entries, entry); /* NOLINT(clang-analyzer-*) */
+    free(entry->key);
+    free(entry->value);
+    free(entry);
+}
+
+/* All removed keys at once: what changed before is then not known. */
+static void
+forget_removed(mirror_t *mirror)
+{
+    entry_t *entry;
+    entry_t *next;
+
+    if (mirror->removed <= REMOVED_MAX) {
+        return;
+    }
+    HASH_ITER(hh, mirror->entries, entry, next)
+    {
+        if (entry->removed) {
+            if (entry->revision > mirror->floor) {
+                mirror->floor = entry->revision;
+            }
+            entry_free(mirror, entry);
+        }
+    }
+    mirror->removed = 0;
+}
--- a/gateway/peering.c
+++ b/gateway/peering.c
@@ -125,6 +125,23 @@
     }
 }
 
+bool
+peering_ready(const peering_t *peering)
+{
+    return peering->peer != NULL;
+}
+
+void
+peering_tell(peering_t *peering, const char *host, const message_t *message)
+{
+    const char *address = directory_peer(peering->gateway->directory, host);
+    telling_t telling = {.peering = peering, .message = message};
+
+    if (peering->peer != NULL && address != NULL && address[0] != '\0') {
+        tell_one(&telling, host, address);
+    }
+}
+
 /* Whoever is first wins; all hosts then see one key in the store. */
 static void
 put_key(peering_t *peering)
@@ -165,14 +182,23 @@
            const message_t *message)
 {
     peering_t *peering = (peering_t *)listener;
+    gateway_t *gateway = peering->gateway;
     forward_event_t event = {.kind = FORWARD_PEER};
 
+    if (message->kind == MESSAGE_STORE_ASK) {
+        store_relay_asked(gateway->relay, from, &message->message_t_u.store_ask);
+        return;
+    }
+    if (message->kind == MESSAGE_STORE_TELL) {
+        watcher_told(gateway->watcher, from, &message->message_t_u.store_tell);
+        return;
+    }
     if (message->kind != MESSAGE_PLACEMENTS) {
         return;
     }
     event.u.peer.host = from;
     event.u.peer.placements = &message->message_t_u.placements;
-    forwarding_event(peering->gateway, &event);
+    forwarding_event(gateway, &event);
 }
 
 static void
--- /dev/null
+++ b/gateway/store_view.c
@@ -0,0 +1,115 @@
+/* store_view.c - what the store holds, taken to those whom it concerns. */
+#include <inttypes.h>
+#include <string.h>
+
+#include "base/log.h"
+#include "gateway/gateway.h"
+
+static void raise_kind(gateway_t *gateway, forward_event_kind_t kind);
+static void take_routing(gateway_t *gateway, const kv_pair_t *pair);
+static void take_runner(gateway_t *gateway, const kv_pair_t *pair);
+static bool starts_with(const char *text, const char *prefix);
+
+/* What stood before and is not in the list has gone. */
+void
+store_view_list(gateway_t *gateway, int64_t revision, const kv_pair_t *pairs,
+                size_t count)
+{
+    bool peer_key = false;
+    size_t i;
+
+    mirror_reset(gateway->mirror, revision);
+    raise_kind(gateway, FORWARD_LIST_BEGIN);
+    directory_list_begin(gateway->directory);
+    for (i = 0; i < count; i++) {
+        peer_key = peer_key || strcmp(pairs[i].key, peering_key_name()) == 0;
+        store_view_take(gateway, &pairs[i]);
+    }
+    directory_list_end(gateway->directory);
+    if (!peer_key) {
+        peering_key(gateway->peering, NULL, 0);
+    }
+    raise_kind(gateway, FORWARD_LIST_END);
+}
+
+void
+store_view_take(gateway_t *gateway, const kv_pair_t *pair)
+{
+    const dialect_ops_t *dialect = gateway->dialect->ops;
+    bool removed = pair->create_revision == 0;
+
+    mirror_take(gateway->mirror, pair);
+    if (strcmp(pair->key, dialect->routing_key) == 0) {
+        if (!removed) {
+            take_routing(gateway, pair);
+        }
+    }
+    else if (starts_with(pair->key, dialect->registry_prefix)) {
+        take_runner(gateway, pair);
+    }
+    else if (starts_with(pair->key, directory_prefix())) {
+        directory_put(gateway->directory, pair->key,
+                      removed ? NULL : pair->value, pair->value_bytes);
+    }
+    else if (strcmp(pair->key, peering_key_name()) == 0 && !removed) {
+        peering_key(gateway->peering, pair->value, pair->value_bytes);
+    }
+}
+
+static void
+raise_kind(gateway_t *gateway, forward_event_kind_t kind)
+{
+    forward_event_t event = {.kind = kind};
+
+    forwarding_event(gateway, &event);
+}
+
+static void
+take_routing(gateway_t *gateway, const kv_pair_t *pair)
+{
+    err_t err;
+    forward_event_t event = {.kind = FORWARD_ROUTING};
+    routing_t *routing = gateway->dialect->ops->read_routing(
+        pair->value, pair->value_bytes, &err);
+
+    if (routing == NULL) {
+        log_event(LOG_ERR, "routing-refused",
+                  "revision=%" PRId64 " reason=\"%s\"", pair->mod_revision,
+                  err.message);
+        return;
+    }
+    routing->revision = pair->mod_revision;
+    event.u.routing = routing;
+    forwarding_event(gateway, &event);
+    front_limits(gateway->front,
+                 &forward_routing(forwarding_state(gateway))->limits);
+}
+
+static void
+take_runner(gateway_t *gateway, const kv_pair_t *pair)
+{
+    const dialect_ops_t *dialect = gateway->dialect->ops;
+    forward_event_t event = {.kind = FORWARD_RUNNER};
+    arena_t arena = {0};
+    err_t err;
+
+    if (pair->create_revision == 0 ||
+        dialect->read_registration(&arena, pair->key, pair->value,
+                                   pair->value_bytes, &event.u.runner,
+                                   &err) < 0) {
+        if (pair->create_revision != 0) {
+            log_event(LOG_WARNING, "runner-refused", "reason=\"%s\"",
+                      err.message);
+        }
+        event.kind = FORWARD_RUNNER_DROPPED;
+        event.u.runner_dropped = pair->key + strlen(dialect->registry_prefix);
+    }
+    forwarding_event(gateway, &event);
+    arena_free(&arena);
+}
+
+static bool
+starts_with(const char *text, const char *prefix)
+{
+    return strncmp(text, prefix, strlen(prefix)) == 0;
+}
--- a/gateway/watcher.c
+++ b/gateway/watcher.c
@@ -1,9 +1,14 @@
-/* watcher.c - what the store holds: routing table, runners, hosts. */
+/*
+ * watcher.c - keeps up with the store: by a watch, or by another host's.
+ *
+ * Whoever follows a host asks it again and again; an answer proves what was
+ * in force when it was asked, less the age that the host states.  Where no
+ * host answers, this one watches by itself.
+ */
 #include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
 
-#include "base/arena.h"
 #include "base/backoff.h"
 #include "base/log.h"
 #include "gateway/gateway.h"
@@ -13,20 +18,51 @@
     /* Between tries to reach the store: what changed must be in force within
      * a second or two of its return. */
     RETRY_MAX_MS = 500,
+    /* The hosts of a fleet that starts are known by then. */
+    SETTLE_MS = 4000,
+    /* An ask is held for half a second. */
+    ASK_TIMEOUT_MS = 1200,
+    /* A host whose own contact is older is no help. */
+    AGE_MAX_MS = 2200,
+    /* A host that failed is not asked, and after several failures this one
+     * watches by itself for so long. */
+    FAILED_MS = 5000,
+    SELF_MS = 10000,
+    FAILURES_MAX = 2,
+    FAILED_HOSTS = 4,
 };
 
+/* A host that did not answer. */
+typedef struct {
+    char *name;
+    int64_t until_us;
+} failed_t;
+
+typedef enum { SOURCE_NONE, SOURCE_READ, SOURCE_WATCH, SOURCE_HOST } source_t;
+
 struct watcher {
     gateway_t *gateway;
     uv_timer_t *timer;
     backoff_t backoff;
-    int64_t revision; /* seen up to here; 0: nothing was read yet */
-    int64_t since_us; /* the call under way began after it */
+    int64_t started_us;
+    int64_t since_us; /* the call or ask under way began then */
+    source_t source;  /* of what is under way */
+    bool reading;     /* the whole list is what is needed next */
     bool away;        /* the store does not answer */
-    bool peer_key_seen;
-    bool reading; /* the whole list, not a watch, is what comes next */
+    char *asked;      /* SOURCE_HOST: who */
+    uint64_t asks;
+    uint32_t failures;     /* of asks, in a row */
+    int64_t self_until_us; /* watches by itself until then */
+    failed_t failed[FAILED_HOSTS];
+    size_t failed_next;
 };
 
 static void next_call(watcher_t *watcher);
+static const char *host_to_ask(watcher_t *watcher, arena_t *arena);
+static bool has_failed(const watcher_t *watcher, const char *name,
+                       int64_t now_us);
+static void ask(watcher_t *watcher, const char *host);
+static void ask_failed(watcher_t *watcher);
 static void on_range(void *context, kv_result_t result, int64_t revision,
                      const kv_pair_t *pairs, size_t count);
 static void on_watch(void *context, kv_result_t result, int64_t revision,
@@ -34,11 +70,6 @@
 static void in_contact(watcher_t *watcher, int64_t contact_us);
 static void retry_later(watcher_t *watcher, const char *what);
 static void on_timer(uv_timer_t *timer);
-static void raise_kind(watcher_t *watcher, forward_event_kind_t kind);
-static void take_pair(watcher_t *watcher, const kv_pair_t *pair);
-static void take_routing(watcher_t *watcher, const kv_pair_t *pair);
-static void take_runner(watcher_t *watcher, const kv_pair_t *pair);
-static bool starts_with(const char *text, const char *prefix);
 
 watcher_t *
 watcher_new(gateway_t *gateway)
@@ -47,6 +78,7 @@
 
     watcher->gateway = gateway;
     watcher->reading = true;
+    watcher->started_us = gateway_now_us();
     watcher->timer = xcalloc(1, sizeof(*watcher->timer));
     (void)uv_timer_init(gateway->loop, watcher->timer);
     watcher->timer->data = watcher;
@@ -57,52 +89,182 @@
 void
 watcher_free(watcher_t *watcher)
 {
+    size_t i;
+
     if (watcher == NULL) {
         return;
     }
     uv_close((uv_handle_t *)watcher->timer, (uv_close_cb)free);
+    for (i = 0; i < FAILED_HOSTS; i++) {
+        free(watcher->failed[i].name);
+    }
+    free(watcher->asked);
     free(watcher);
 }
 
+void
+watcher_told(watcher_t *watcher, const char *host, const store_tell_t *tell)
+{
+    gateway_t *gateway = watcher->gateway;
+    int64_t contact_us =
+        watcher->since_us - (int64_t)tell->contact_age_ms * US_PER_MS;
+    u_int i;
+
+    if (watcher->source != SOURCE_HOST || tell->number != watcher->asks ||
+        strcmp(host, watcher->asked) != 0) {
+        return;
+    }
+    (void)uv_timer_stop(watcher->timer);
+    if (!tell->known) {
+        watcher->reading = true;
+        next_call(watcher);
+        return;
+    }
+    for (i = 0; i < tell->items.items_len; i++) {
+        const store_item_t *item = &tell->items.items_val[i];
+        kv_pair_t pair = {
+            .key = item->key,
+            .value = item->value.value_val,
+            .value_bytes = item->value.value_len,
+            .mod_revision = item->revision,
+            .create_revision = item->removed ? 0 : item->revision,
+        };
+
+        store_view_take(gateway, &pair);
+    }
+    mirror_reached(gateway->mirror, tell->revision);
+    store_relay_changed(gateway->relay);
+    if (tell->contact_age_ms > AGE_MAX_MS) {
+        ask_failed(watcher);
+        return;
+    }
+    watcher->failures = 0;
+    in_contact(watcher, contact_us);
+    next_call(watcher);
+}
+
 /* One watch of all keys is one waiting call, whatever changes. */
 static void
 next_call(watcher_t *watcher)
 {
-    kv_t *kv = watcher->gateway->kv;
+    gateway_t *gateway = watcher->gateway;
+    kv_t *kv = gateway->kv;
+    arena_t arena = {0};
+    const char *host = host_to_ask(watcher, &arena);
 
     watcher->since_us = gateway_now_us();
     if (watcher->reading) {
+        watcher->source = SOURCE_READ;
         kv->ops->range(kv, "", true, on_range, watcher);
-        return;
     }
-    kv->ops->watch(kv, "", watcher->revision + 1, on_watch, watcher);
+    else if (host != NULL) {
+        ask(watcher, host);
+    }
+    else {
+        watcher->source = SOURCE_WATCH;
+        kv->ops->watch(kv, "", mirror_revision(gateway->mirror) + 1, on_watch,
+                       watcher);
+    }
+    arena_free(&arena);
+}
+
+/* NULL: this host watches by itself. */
+static const char *
+host_to_ask(watcher_t *watcher, arena_t *arena)
+{
+    gateway_t *gateway = watcher->gateway;
+    int64_t now_us = gateway_now_us();
+    const follow_host_t *self;
+    const follow_host_t *chosen;
+    follow_host_t *hosts;
+    size_t count;
+    size_t i;
+
+    if (!peering_ready(gateway->peering) ||
+        now_us - watcher->started_us < (int64_t)SETTLE_MS * US_PER_MS ||
+        now_us < watcher->self_until_us) {
+        return NULL;
+    }
+    hosts = directory_hosts(gateway->directory, arena, &count, &self);
+    if (self == NULL || following_watches(hosts, count, self)) {
+        return NULL;
+    }
+    for (i = 0; i < count; i++) {
+        hosts[i].failed = has_failed(watcher, hosts[i].name, now_us);
+    }
+    chosen = following_choose(hosts, count, self);
+    return chosen != NULL ? chosen->name : NULL;
+}
+
+static bool
+has_failed(const watcher_t *watcher, const char *name, int64_t now_us)
+{
+    size_t i;
+
+    for (i = 0; i < FAILED_HOSTS; i++) {
+        if (watcher->failed[i].name != NULL &&
+            now_us < watcher->failed[i].until_us &&
+            strcmp(watcher->failed[i].name, name) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static void
+ask(watcher_t *watcher, const char *host)
+{
+    message_t message = {.kind = MESSAGE_STORE_ASK};
+
+    watcher->source = SOURCE_HOST;
+    watcher->asks++;
+    if (watcher->asked == NULL || strcmp(watcher->asked, host) != 0) {
+        log_event(LOG_INFO, "store-followed", "host=%s", host);
+        free(watcher->asked);
+        watcher->asked = xstrdup(host);
+    }
+    message.message_t_u.store_ask.number = watcher->asks;
+    message.message_t_u.store_ask.after =
+        mirror_revision(watcher->gateway->mirror);
+    (void)uv_timer_start(watcher->timer, on_timer, ASK_TIMEOUT_MS, 0);
+    peering_tell(watcher->gateway->peering, host, &message);
+}
+
+static void
+ask_failed(watcher_t *watcher)
+{
+    failed_t *failed = &watcher->failed[watcher->failed_next % FAILED_HOSTS];
+    int64_t now_us = gateway_now_us();
+
+    log_event(LOG_NOTICE, "store-host-failed", "host=%s failures=%" PRIu32,
+              watcher->asked, watcher->failures + 1);
+    watcher->failed_next++;
+    free(failed->name);
+    failed->name = watcher->asked;
+    failed->until_us = now_us + (int64_t)FAILED_MS * US_PER_MS;
+    watcher->asked = NULL;
+    watcher->failures++;
+    if (watcher->failures >= FAILURES_MAX) {
+        watcher->failures = 0;
+        watcher->self_until_us = now_us + (int64_t)SELF_MS * US_PER_MS;
+    }
+    next_call(watcher);
 }
 
-/* What stood before and is not in the list has gone. */
 static void
 on_range(void *context, kv_result_t result, int64_t revision,
          const kv_pair_t *pairs, size_t count)
 {
     watcher_t *watcher = context;
-    size_t i;
 
     if (result != KV_OK) {
         retry_later(watcher, "read");
         return;
     }
-    raise_kind(watcher, FORWARD_LIST_BEGIN);
-    directory_list_begin(watcher->gateway->directory);
-    for (i = 0; i < count; i++) {
-        take_pair(watcher, &pairs[i]);
-    }
-    directory_list_end(watcher->gateway->directory);
-    if (!watcher->peer_key_seen) {
-        peering_key(watcher->gateway->peering, NULL, 0);
-    }
-    raise_kind(watcher, FORWARD_LIST_END);
+    store_view_list(watcher->gateway, revision, pairs, count);
     log_event(LOG_INFO, "store-read", "revision=%" PRId64 " items=%zu",
               revision, count);
-    watcher->revision = revision;
+    store_relay_changed(watcher->gateway->relay);
     watcher->reading = false;
     in_contact(watcher, watcher->since_us);
     next_call(watcher);
@@ -114,13 +276,18 @@
          const kv_pair_t *pairs, size_t count)
 {
     watcher_t *watcher = context;
+    gateway_t *gateway = watcher->gateway;
     int64_t now_us = gateway_now_us();
     int64_t contact_us = watcher->since_us;
+    arena_t arena = {0};
     size_t i;
 
+    if (watcher->source != SOURCE_WATCH) {
+        return;
+    }
     if (result == KV_INVALID) {
         log_event(LOG_NOTICE, "store-history-lost", "revision=%" PRId64,
-                  watcher->revision);
+                  mirror_revision(gateway->mirror));
         watcher->reading = true;
         next_call(watcher);
         return;
@@ -130,18 +297,23 @@
         return;
     }
     for (i = 0; i < count; i++) {
-        take_pair(watcher, &pairs[i]);
+        store_view_take(gateway, &pairs[i]);
     }
+    mirror_reached(gateway->mirror, revision);
     if (count == 0) {
-        contact_us +=
-            (int64_t)watcher->gateway->settings->watch_ms * US_PER_MS;
+        contact_us += (int64_t)gateway->settings->watch_ms * US_PER_MS;
         contact_us = contact_us < now_us ? contact_us : now_us;
     }
-    if (revision > watcher->revision) {
-        watcher->revision = revision;
-    }
     watcher->since_us = now_us;
     in_contact(watcher, contact_us);
+    if (count > 0) {
+        store_relay_changed(gateway->relay);
+    }
+    if (host_to_ask(watcher, &arena) != NULL) {
+        gateway->kv->ops->watch_end(gateway->kv, watcher);
+        next_call(watcher);
+    }
+    arena_free(&arena);
 }
 
 static void
@@ -153,7 +325,7 @@
     backoff_reset(&watcher->backoff);
     if (watcher->away) {
         log_event(LOG_NOTICE, "store-regained", "revision=%" PRId64,
-                  watcher->revision);
+                  mirror_revision(watcher->gateway->mirror));
         watcher->away = false;
     }
     forwarding_event(watcher->gateway, &event);
@@ -166,9 +338,10 @@
 
     if (!watcher->away) {
         log_event(LOG_WARNING, "store-lost", "call=%s revision=%" PRId64, what,
-                  watcher->revision);
+                  mirror_revision(watcher->gateway->mirror));
         watcher->away = true;
     }
+    watcher->source = SOURCE_NONE;
     (void)uv_timer_start(watcher->timer, on_timer,
                          wait_ms < RETRY_MAX_MS ? wait_ms : RETRY_MAX_MS, 0);
 }
@@ -176,87 +349,11 @@
 static void
 on_timer(uv_timer_t *timer)
 {
-    next_call(timer->data);
-}
-
-static void
-raise_kind(watcher_t *watcher, forward_event_kind_t kind)
-{
-    forward_event_t event = {.kind = kind};
-
-    forwarding_event(watcher->gateway, &event);
-}
-
-static void
-take_pair(watcher_t *watcher, const kv_pair_t *pair)
-{
-    const dialect_ops_t *dialect = watcher->gateway->dialect->ops;
-    bool removed = pair->create_revision == 0;
+    watcher_t *watcher = timer->data;
 
-    if (strcmp(pair->key, dialect->routing_key) == 0) {
-        if (!removed) {
-            take_routing(watcher, pair);
-        }
-    }
-    else if (starts_with(pair->key, dialect->registry_prefix)) {
-        take_runner(watcher, pair);
-    }
-    else if (starts_with(pair->key, directory_prefix())) {
-        directory_put(watcher->gateway->directory, pair->key,
-                      removed ? NULL : pair->value, pair->value_bytes);
-    }
-    else if (strcmp(pair->key, peering_key_name()) == 0 && !removed) {
-        watcher->peer_key_seen = true;
-        peering_key(watcher->gateway->peering, pair->value, pair->value_bytes);
-    }
-}
-
-static void
-take_routing(watcher_t *watcher, const kv_pair_t *pair)
-{
-    err_t err;
-    forward_event_t event = {.kind = FORWARD_ROUTING};
-    routing_t *routing = watcher->gateway->dialect->ops->read_routing(
-        pair->value, pair->value_bytes, &err);
-
-    if (routing == NULL) {
-        log_event(LOG_ERR, "routing-refused",
-                  "revision=%" PRId64 " reason=\"%s\"", pair->mod_revision,
-                  err.message);
+    if (watcher->source == SOURCE_HOST) {
+        ask_failed(watcher);
         return;
     }
-    routing->revision = pair->mod_revision;
-    event.u.routing = routing;
-    forwarding_event(watcher->gateway, &event);
-    front_limits(watcher->gateway->front,
-                 &forward_routing(forwarding_state(watcher->gateway))->limits);
-}
-
-static void
-take_runner(watcher_t *watcher, const kv_pair_t *pair)
-{
-    const dialect_ops_t *dialect = watcher->gateway->dialect->ops;
-    forward_event_t event = {.kind = FORWARD_RUNNER};
-    arena_t arena = {0};
-    err_t err;
-
-    if (pair->create_revision == 0 ||
-        dialect->read_registration(&arena, pair->key, pair->value,
-                                   pair->value_bytes, &event.u.runner,
-                                   &err) < 0) {
-        if (pair->create_revision != 0) {
-            log_event(LOG_WARNING, "runner-refused", "reason=\"%s\"",
-                      err.message);
-        }
-        event.kind = FORWARD_RUNNER_DROPPED;
-        event.u.runner_dropped = pair->key + strlen(dialect->registry_prefix);
-    }
-    forwarding_event(watcher->gateway, &event);
-    arena_free(&arena);
-}
-
-static bool
-starts_with(const char *text, const char *prefix)
-{
-    return strncmp(text, prefix, strlen(prefix)) == 0;
+    next_call(watcher);
 }
--- a/kv/etcd.c
+++ b/kv/etcd.c
@@ -75,6 +75,7 @@
 static void etcd_watch(kv_t *platform, const char *prefix,
                        int64_t start_revision, kv_watch_done_t done,
                        void *context);
+static void etcd_watch_end(kv_t *platform, void *context);
 static void etcd_free(kv_t *platform);
 static etcd_call_t *call_new(etcd_t *etcd, etcd_kind_t kind, const char *path,
                              const char *body, void *context);
@@ -105,6 +106,7 @@
     .lease_keepalive = etcd_lease_keepalive,
     .lease_revoke = etcd_lease_revoke,
     .watch = etcd_watch,
+    .watch_end = etcd_watch_end,
     .free = etcd_free,
 };
 static const http_sink_ops_t call_sink_ops = {
@@ -214,6 +216,22 @@
     arena_free(&arena);
 }
 
+static void
+etcd_watch_end(kv_t *platform, void *context)
+{
+    etcd_t *etcd = (etcd_t *)platform;
+    etcd_call_t *call = LIST_FIRST(&etcd->calls);
+
+    while (call != NULL) {
+        etcd_call_t *next = LIST_NEXT(call, all);
+
+        if (call->kind == ETCD_WATCH && call->context == context) {
+            call_close(call);
+        }
+        call = next;
+    }
+}
+
 static void
 etcd_free(kv_t *platform)
 {
--- a/kv/kv.h
+++ b/kv/kv.h
@@ -97,6 +97,9 @@
     /* Changes under prefix from start_revision on; one at a time each. */
     void (*watch)(kv_t *platform, const char *prefix, int64_t start_revision,
                   kv_watch_done_t done, void *context);
+    /* Ends the watches that were begun with this context; what is already on
+     * its way may still come. */
+    void (*watch_end)(kv_t *platform, void *context);
     /* No callbacks after this. */
     void (*free)(kv_t *platform);
 } kv_ops_t;
--- a/kv/memory.c
+++ b/kv/memory.c
@@ -72,6 +72,7 @@
 static void memory_watch(kv_t *platform, const char *prefix,
                          int64_t start_revision, kv_watch_done_t done,
                          void *context);
+static void memory_watch_end(kv_t *platform, void *context);
 static void memory_free(kv_t *platform);
 static answer_t *answer_new(memory_t *memory, answer_kind_t kind,
                             void *context);
@@ -93,6 +94,7 @@
     .lease_keepalive = memory_lease_keepalive,
     .lease_revoke = memory_lease_revoke,
     .watch = memory_watch,
+    .watch_end = memory_watch_end,
     .free = memory_free,
 };
 
@@ -201,6 +203,24 @@
     free(watch);
 }
 
+static void
+memory_watch_end(kv_t *platform, void *context)
+{
+    memory_t *memory = (memory_t *)platform;
+    watch_t *watch = LIST_FIRST(&memory->watches);
+
+    while (watch != NULL) {
+        watch_t *next = LIST_NEXT(watch, all);
+
+        if (watch->context == context) {
+            LIST_REMOVE(watch, all);
+            free(watch->prefix);
+            free(watch);
+        }
+        watch = next;
+    }
+}
+
 /* The callback that is running may be what frees the platform. */
 static void
 memory_free(kv_t *platform)
--- a/policy/hosts.c
+++ b/policy/hosts.c
@@ -63,7 +63,9 @@
     case MESSAGE_RECORD_GAP:
         record_gap(step, peer->host, &message->message_t_u.record_gap);
         break;
-    case MESSAGE_PLACEMENTS: /* of hosts that forward by routes */
+    case MESSAGE_PLACEMENTS: /* these are of hosts that forward by routes */
+    case MESSAGE_STORE_ASK:
+    case MESSAGE_STORE_TELL:
         return;
     case MESSAGE_RECORD_HELD:
         record_held(step, peer->host, &message->message_t_u.record_held);
--- a/regress/flaky.c
+++ b/regress/flaky.c
@@ -38,6 +38,7 @@
 static void on_watch(kv_t *platform, const char *prefix,
                      int64_t start_revision, kv_watch_done_t done,
                      void *context);
+static void on_watch_end(kv_t *platform, void *context);
 static void on_free(kv_t *platform);
 static void fail_later(flaky_t *flaky, kv_result_t result, kv_swap_done_t done,
                        void *context);
@@ -48,7 +49,7 @@
 
 static const kv_ops_t ops = {
     on_range,        on_swap,  on_lease_grant, on_lease_keepalive,
-    on_lease_revoke, on_watch, on_free};
+    on_lease_revoke, on_watch, on_watch_end,   on_free};
 
 kv_t *
 flaky_new(uv_loop_t *loop, kv_t *inner)
@@ -149,6 +150,14 @@
     inner->ops->watch(inner, prefix, start_revision, done, context);
 }
 
+static void
+on_watch_end(kv_t *platform, void *context)
+{
+    flaky_t *flaky = (flaky_t *)platform;
+
+    flaky->inner->ops->watch_end(flaky->inner, context);
+}
+
 static void
 on_free(kv_t *platform)
 {
--- a/world/link.x
+++ b/world/link.x
@@ -26,7 +26,9 @@
     MESSAGE_SUSPECT = 8,
     MESSAGE_RECORD_GAP = 9,
     MESSAGE_RECORD_HELD = 10,
-    MESSAGE_PLACEMENTS = 11
+    MESSAGE_PLACEMENTS = 11,
+    MESSAGE_STORE_ASK = 12,
+    MESSAGE_STORE_TELL = 13
 };
 
 /*
@@ -219,6 +221,33 @@
     placement_t items<LINK_PLACEMENTS_MAX>;
 };
 
+/* Asks what changed in the store after a revision. */
+struct store_ask_t {
+    uint64_t number;
+    int64_t after;
+};
+
+/* One key of the store. */
+struct store_item_t {
+    name_t key;
+    int64_t revision;
+    bool removed;
+    opaque value<LINK_TEXT_MAX>;
+};
+
+/*
+ * The answer to an ask: all changes up to revision, or known is false and
+ * the store has to be read.  contact_age_ms: so long before it was sent, the
+ * sender knew of every change.
+ */
+struct store_tell_t {
+    uint64_t number;
+    bool known;
+    int64_t revision;
+    uint32_t contact_age_ms;
+    store_item_t items<LINK_ITEMS_MAX>;
+};
+
 union message_t switch (message_kind_t kind) {
 case MESSAGE_HEARTBEAT:
     heartbeat_t heartbeat;
@@ -242,4 +271,8 @@
     record_gap_t record_held;
 case MESSAGE_PLACEMENTS:
     placements_t placements;
+case MESSAGE_STORE_ASK:
+    store_ask_t store_ask;
+case MESSAGE_STORE_TELL:
+    store_tell_t store_tell;
 };
