The retry budget is kept by all hosts together

Change: hosts tell each other requests and repeats of each service; the sum is kept below three quarters of the bound, because all repeat at the same moment. A host that hears nobody keeps to its part as before. Tests: budget_is_of_all_hosts (the second repeat was refused before).

--- a/forward/forward.c
+++ b/forward/forward.c
@@ -296,6 +296,16 @@
     return &budget->budget;
 }
 
+bool
+take_repeat(forward_t *forward, const request_t *request)
+{
+    retry_use_t others = peers_use(forward, request->service);
+
+    return retry_budget_take(budget_of(forward, request->service),
+                             &forward->settings.retries, &others,
+                             forward->hosts, forward->now_us);
+}
+
 static void
 take_request_event(forward_t *forward, const forward_event_t *event)
 {
--- a/forward/private.h
+++ b/forward/private.h
@@ -88,6 +88,8 @@
     int64_t contact_us; /* its routing table was in force then */
     placement_t *placements;
     uint32_t count;
+    budget_use_t budgets[LINK_BUDGETS_MAX];
+    uint32_t budget_count;
     UT_hash_handle hh;
 } peer_view_t;
 
@@ -132,6 +134,8 @@
 /* Ends the request: its attempt is cancelled, its memory freed. */
 void request_forget(forward_t *forward, request_t *request);
 retry_budget_t *budget_of(forward_t *forward, const char *service);
+/* Whether the request may be sent once more; that is then counted. */
+bool take_repeat(forward_t *forward, const request_t *request);
 
 /* --- intake.c --- */
 
@@ -175,6 +179,8 @@
 /* --- sharing.c --- */
 
 void take_peer(forward_t *forward, const forward_peer_t *peer);
+/* What other hosts have used of a service's retry budget. */
+retry_use_t peers_use(const forward_t *forward, const char *service);
 /* Whether the other hosts that were heard lately lack the store, too. */
 bool peers_lack_store(const forward_t *forward);
 /* Forgets hosts that are silent and sessions that are old. */
--- a/forward/recover.c
+++ b/forward/recover.c
@@ -179,9 +179,7 @@
     if (failed && request->type == REQUEST_SAFE && may_repeat(request) &&
         forward->now_us + (int64_t)RETRY_LEFT_MIN_MS * US_PER_MS <
             request->deadline_us &&
-        retry_budget_take(budget_of(forward, request->service),
-                          &forward->settings.retries, forward->hosts,
-                          forward->now_us)) {
+        take_repeat(forward, request)) {
         uint32_t number = attempt->number;
         uint32_t status = attempt->status;
 
@@ -235,9 +233,7 @@
 static void
 resume(forward_t *forward, request_t *request)
 {
-    if (!retry_budget_take(budget_of(forward, request->service),
-                           &forward->settings.retries, forward->hosts,
-                           forward->now_us)) {
+    if (!take_repeat(forward, request)) {
         refuse(forward, request, REFUSE_BUDGET);
         return;
     }
@@ -266,9 +262,7 @@
 static void
 try_elsewhere(forward_t *forward, request_t *request, refuse_reason_t reason)
 {
-    if (!retry_budget_take(budget_of(forward, request->service),
-                           &forward->settings.retries, forward->hosts,
-                           forward->now_us)) {
+    if (!take_repeat(forward, request)) {
         refuse(forward, request, REFUSE_BUDGET);
         return;
     }
--- a/forward/retry_budget.c
+++ b/forward/retry_budget.c
@@ -3,7 +3,14 @@
 
 #include "forward/retry_budget.h"
 
-enum { PERMILLE = 1000, KEPT_PERMILLE = 900 };
+enum {
+    PERMILLE = 1000,
+    /* Alone: a tenth is left for requests that move between windows. */
+    OWN_KEPT_PERMILLE = 900,
+    /* With others: all may repeat before they hear of each other; a zone of
+     * three that fails takes some 15 in 100 of the bound at a time. */
+    SUM_KEPT_PERMILLE = 750,
+};
 
 static uint64_t most_requests(const retry_budget_t *budget,
                               const retry_limits_t *limits, int64_t now_us);
@@ -14,17 +21,36 @@
     rate_add(&budget->requests, now_us);
 }
 
-/* A tenth is left for requests that move between hosts and windows. */
+retry_use_t
+retry_budget_use(const retry_budget_t *budget, const retry_limits_t *limits,
+                 int64_t now_us)
+{
+    return (retry_use_t){
+        .requests = most_requests(budget, limits, now_us),
+        .repeats = rate_count(&budget->repeats, now_us, limits->window_us),
+        .hosts = 1,
+    };
+}
+
+/* Of the fixed number, what belongs to hosts that are not heard is theirs. */
 bool
 retry_budget_take(retry_budget_t *budget, const retry_limits_t *limits,
-                  uint32_t hosts, int64_t now_us)
+                  const retry_use_t *others, uint32_t hosts, int64_t now_us)
 {
-    uint64_t requests = most_requests(budget, limits, now_us);
-    uint64_t repeats = rate_count(&budget->repeats, now_us, limits->window_us);
-    uint64_t allowed = requests * limits->ratio_permille / PERMILLE +
-                       limits->fixed / (hosts > 0 ? hosts : 1);
+    retry_use_t use = retry_budget_use(budget, limits, now_us);
+    uint64_t kept_permille =
+        others->hosts > 0 ? SUM_KEPT_PERMILLE : OWN_KEPT_PERMILLE;
+    uint64_t allowed;
 
-    if (repeats + 1 > allowed * KEPT_PERMILLE / PERMILLE) {
+    use.requests += others->requests;
+    use.repeats += others->repeats;
+    use.hosts += others->hosts;
+    if (hosts < use.hosts) {
+        hosts = use.hosts;
+    }
+    allowed = use.requests * limits->ratio_permille / PERMILLE +
+              (uint64_t)limits->fixed * use.hosts / hosts;
+    if (use.repeats + 1 > allowed * kept_permille / PERMILLE) {
         return false;
     }
     rate_add(&budget->repeats, now_us);
--- a/forward/retry_budget.h
+++ b/forward/retry_budget.h
@@ -5,10 +5,13 @@
  * arrivals at a service beyond the first of each request: a ratio of its
  * requests plus a fixed number.  The requests are those of the window, of the
  * one before it or of the one half a window before, whichever has most.
- * Each host keeps to the ratio of its own
- * requests and to its part of the fixed number, so that the sum holds
- * without a message.  Answers the load of many losses at a time, when
- * repeats would otherwise feed on themselves.
+ * Answers the load of many losses at a time, when repeats would otherwise
+ * feed on themselves.
+ *
+ * Hosts tell each other what they have used.  A host that hears others keeps
+ * the sum well below the bound, since all may repeat at the same moment; one
+ * that hears nobody keeps to the ratio of its own requests and to its part of
+ * the fixed number.
  */
 #ifndef FORWARD_RETRY_BUDGET_H
 #define FORWARD_RETRY_BUDGET_H
@@ -33,8 +36,23 @@
 /* A caller sent a request for the service, whatever became of it. */
 void retry_budget_request(retry_budget_t *budget, int64_t now_us);
 
-/* Whether one more repeat is allowed, which is then counted. */
+/* What one or more hosts have used of it. */
+typedef struct {
+    uint64_t requests;
+    uint64_t repeats;
+    uint32_t hosts;
+} retry_use_t;
+
+/* What this host has used. */
+retry_use_t retry_budget_use(const retry_budget_t *budget,
+                             const retry_limits_t *limits, int64_t now_us);
+
+/*
+ * Whether one more repeat is allowed, which is then counted.  others: what
+ * the other hosts said that they have used; hosts: how many there are.
+ */
 bool retry_budget_take(retry_budget_t *budget, const retry_limits_t *limits,
-                       uint32_t hosts, int64_t now_us);
+                       const retry_use_t *others, uint32_t hosts,
+                       int64_t now_us);
 
 #endif
--- a/forward/sharing.c
+++ b/forward/sharing.c
@@ -10,6 +10,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include <xxhash.h>
+
 #include "forward/private.h"
 
 /* A host repeats its word within half a second while it has streams, or so
@@ -24,6 +26,8 @@
 
 enum { SESSIONS_MAX = 8192, PEER_HOSTS = 10 };
 
+static void write_budgets(const forward_t *forward, arena_t *arena,
+                          placements_t *placements);
 static peer_view_t *view_of(forward_t *forward, const char *host);
 static bool is_silent(const forward_t *forward, const peer_view_t *view);
 static void view_free(forward_t *forward, peer_view_t *view);
@@ -58,9 +62,38 @@
         session_note(forward, view->placements[i].session,
                      view->placements[i].runner);
     }
+    view->budget_count = peer->placements->budgets.budgets_len;
+    for (i = 0; i < view->budget_count; i++) {
+        view->budgets[i] = peer->placements->budgets.budgets_val[i];
+    }
     count_peers(forward);
 }
 
+/* A host that has fallen silent has used no more since. */
+retry_use_t
+peers_use(const forward_t *forward, const char *service)
+{
+    uint64_t hash = XXH3_64bits(service, strlen(service));
+    retry_use_t use = {0};
+    const peer_view_t *view;
+    uint32_t i;
+
+    for (view = forward->peers; view != NULL; view = view->hh.next) {
+        if (forward->now_us - view->heard_us >
+            forward->settings.retries.window_us) {
+            continue;
+        }
+        use.hosts++;
+        for (i = 0; i < view->budget_count; i++) {
+            if (view->budgets[i].service == hash) {
+                use.requests += view->budgets[i].requests;
+                use.repeats += view->budgets[i].repeats;
+            }
+        }
+    }
+    return use;
+}
+
 bool
 peers_lack_store(const forward_t *forward)
 {
@@ -187,12 +220,37 @@
         count++;
     }
     placements->items.items_len = count;
+    write_budgets(forward, arena, placements);
     placements->contact_age_ms =
         forward->contact_us > 0
             ? (uint32_t)((forward->now_us - forward->contact_us) / US_PER_MS)
             : UINT32_MAX;
 }
 
+static void
+write_budgets(const forward_t *forward, arena_t *arena,
+              placements_t *placements)
+{
+    const service_budget_t *budget;
+    u_int count = 0;
+
+    placements->budgets.budgets_val = arena_array(
+        arena, LINK_BUDGETS_MAX, sizeof(*placements->budgets.budgets_val));
+    for (budget = forward->budgets; budget != NULL && count < LINK_BUDGETS_MAX;
+         budget = budget->hh.next) {
+        retry_use_t use = retry_budget_use(
+            &budget->budget, &forward->settings.retries, forward->now_us);
+
+        placements->budgets.budgets_val[count] = (budget_use_t){
+            .service = XXH3_64bits(budget->service, strlen(budget->service)),
+            .requests = (uint32_t)use.requests,
+            .repeats = (uint32_t)use.repeats,
+        };
+        count++;
+    }
+    placements->budgets.budgets_len = count;
+}
+
 static peer_view_t *
 view_of(forward_t *forward, const char *host)
 {
--- a/regress/forwarding.c
+++ b/regress/forwarding.c
@@ -382,6 +382,8 @@
     placements_t placements = {.items.items_val = items};
     forward_event_t event = {.kind = FORWARD_PEER};
     const char *number = value_of(line, "number");
+    const char *use = value_of(line, "use");
+    budget_use_t budget = {.service = XXH3_64bits("r", 1)};
     size_t i;
 
     event.u.peer.host = line->words[1];
@@ -389,6 +391,13 @@
     placements.number =
         number != NULL ? strtoull(number, NULL, DECIMAL) : (uint64_t)at_ms;
     placements.contact_age_ms = has(line, "stale") ? UINT32_MAX : 0;
+    if (use != NULL) {
+        budget.requests = (uint32_t)strtoul(use, NULL, DECIMAL);
+        budget.repeats =
+            (uint32_t)strtoul(strchr(use, ':') + 1, NULL, DECIMAL);
+        placements.budgets.budgets_val = &budget;
+        placements.budgets.budgets_len = 1;
+    }
     for (i = 2; i < line->count && strchr(line->words[i], '/') != NULL; i++) {
         placement_t *item = &items[placements.items.items_len];
         size_t length = strcspn(line->words[i], "/");
--- a/regress/forwarding.h
+++ b/regress/forwarding.h
@@ -21,8 +21,10 @@
  *   contact                   the table is in force now
  *   hosts N
  *   peer HOST gone|RUNNER/SESSION[/reading]... [stale] [number=N]
+ *        [use=REQUESTS:REPEATS]
  *                             what another host has; stale: it lacks the
- *                             store; number: of its message, else the time
+ *                             store; number: of its message, else the time;
+ *                             use: of the engines' retry budget
  *   drain
  *   timer
  */
--- a/regress/test_forward.c
+++ b/regress/test_forward.c
@@ -279,6 +279,21 @@
     {3990, "timer", "copy 1.1 10.17.1.1:80"},
 };
 
+/*
+ * Load: a zone of engines fails, and a host has more of its streams than its
+ * part of the budget.  The hosts together have enough; then they have not.
+ */
+static const forwarding_line_t budget_is_of_all_hosts[] = {
+    OPENED,
+    {1, "hosts 73", ""},
+    {5, "peer h2 rb1/77 use=360:20", ""},
+    {10, "request 1 stream", "send 1.1 rc1 backup=10.17.0.1:80"},
+    {20, "broken 1 1", "cancel 1.1; send 1.2 rb1 backup=10.17.0.1:80"},
+    {25, "broken 1 2", "cancel 1.2; send 1.3 ra1 backup=10.17.2.1:80"},
+    {30, "peer h2 rb1/77 use=360:250", ""},
+    {40, "broken 1 3", "cancel 1.3; refuse 1 retry-budget 502"},
+};
+
 /* Datagrams may overtake each other. */
 static const forwarding_line_t older_word_does_not_count[] = {
     OPENED,
@@ -338,6 +353,7 @@
     SCRIPT(copy_is_dropped_at_the_end),
     SCRIPT(refused_copy_is_asked_again),
     SCRIPT(peers_prompt_is_avoided),
+    SCRIPT(budget_is_of_all_hosts),
     SCRIPT(older_word_does_not_count),
     SCRIPT(peers_word_lapses),
     SCRIPT(session_finds_its_runner),
--- a/world/link.x
+++ b/world/link.x
@@ -12,6 +12,7 @@
 const LINK_NEWS_MAX = 16;
 const LINK_BUCKETS = 64;
 const LINK_PLACEMENTS_MAX = 40;
+const LINK_BUDGETS_MAX = 8;
 
 typedef string name_t<LINK_NAME_MAX>;
 
@@ -208,6 +209,16 @@
     bool reading;
 };
 
+/*
+ * What the sender had of requests for a service, which is named by a hash,
+ * and of repeats, within the window of the retry budget.
+ */
+struct budget_use_t {
+    uint64_t service;
+    uint32_t requests;
+    uint32_t repeats;
+};
+
 /*
  * All streams of the sender; number rises with each message of one
  * incarnation, so that an older one is known.  What does not fit is left out.
@@ -219,6 +230,7 @@
     uint64_t number;
     uint32_t contact_age_ms;
     placement_t items<LINK_PLACEMENTS_MAX>;
+    budget_use_t budgets<LINK_BUDGETS_MAX>;
 };
 
 /* Asks what changed in the store after a revision. */
