--- a/gateway/watcher.c
+++ b/gateway/watcher.c
@@ -19,7 +19,7 @@
      * a second or two of its return. */
     RETRY_MAX_MS = 500,
     /* The hosts of a fleet that starts are known by then. */
-    SETTLE_MS = 4000,
+    SETTLE_MS = 2500,
     /* An ask is held for half a second. */
     ASK_TIMEOUT_MS = 1200,
     /* A host whose own contact is older is no help. */
