--- a/agated/listener.c
+++ b/agated/listener.c
@@ -2,7 +2,6 @@
 #include <poll.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/queue.h>
 #include <sys/socket.h>
 
 #include <xxhash.h>
@@ -10,8 +9,8 @@
 #include "agated/control.h"
 #include "agated/exchange.h"
 #include "agated/tls.h"
-#include "base/address.h"
 #include "base/log.h"
+#include "http/accept.h"
 
 enum {
     BACKLOG = 1024,
@@ -22,12 +21,6 @@
     STATUS_TOO_LARGE = 413
 };
 
-/* An accepted connection; h2o owns what comes in and goes out on it. */
-typedef struct client {
-    uv_tcp_t socket; /* first: it is closed by it */
-    LIST_ENTRY(client) link;
-} client_t;
-
 struct listener {
     daemon_t *daemon;
     uv_tcp_t *socket;
@@ -37,7 +30,7 @@
     h2o_accept_ctx_t accept;
     uv_timer_t *timer;
     uint64_t callers_seen;
-    LIST_HEAD(, client) clients;
+    accepted_list_t clients;
     uint32_t quiet_checks; /* in a row, while stopping */
     exchange_t *callers;   /* by number */
 };
@@ -48,10 +41,8 @@
     listener_t *listener;
 } route_t;
 
-static int bind_socket(listener_t *listener, err_t *err);
 static void configure(listener_t *listener);
 static void on_connection(uv_stream_t *server, int status);
-static void on_client_closed(uv_handle_t *handle);
 static int on_request(h2o_handler_t *handler, h2o_req_t *req);
 static bool answer_view(listener_t *listener, h2o_req_t *req);
 static bool path_is(const h2o_req_t *req, const char *path);
@@ -75,14 +66,14 @@
     listener_t *listener = xcalloc(1, sizeof(*listener));
 
     listener->daemon = daemon;
-    listener->socket = xcalloc(1, sizeof(*listener->socket));
-    (void)uv_tcp_init(daemon->loop, listener->socket);
-    listener->socket->data = listener;
-    if (bind_socket(listener, err) < 0) {
-        uv_close((uv_handle_t *)listener->socket, (uv_close_cb)free);
+    listener->socket =
+        accept_bind(daemon->loop, daemon->settings->listen_address,
+                    listener->address, err);
+    if (listener->socket == NULL) {
         free(listener);
         return NULL;
     }
+    listener->socket->data = listener;
     configure(listener);
     if (listener_reload(listener, err) < 0) {
         listener->timer = NULL;
@@ -144,7 +135,7 @@
     if (listener->socket == NULL) {
         return;
     }
-    uv_close((uv_handle_t *)listener->socket, (uv_close_cb)free);
+    accept_close(listener->socket);
     listener->socket = NULL;
     h2o_context_request_shutdown(&listener->context);
     (void)uv_timer_start(listener->timer, on_stop_check, 0,
@@ -157,9 +148,7 @@
     if (listener == NULL) {
         return;
     }
-    if (listener->socket != NULL) {
-        uv_close((uv_handle_t *)listener->socket, (uv_close_cb)free);
-    }
+    accept_close(listener->socket);
     if (listener->timer != NULL) {
         uv_close((uv_handle_t *)listener->timer, (uv_close_cb)free);
     }
@@ -196,32 +185,6 @@
     return exchange == NULL || exchange->forgotten ? NULL : &exchange->body;
 }
 
-static int
-bind_socket(listener_t *listener, err_t *err)
-{
-    const char *text = listener->daemon->settings->listen_address;
-    struct sockaddr_storage address;
-    int length = sizeof(address);
-    int result;
-
-    if (address_parse(text, &address, err) < 0) {
-        return -1;
-    }
-    result =
-        uv_tcp_bind(listener->socket, (const struct sockaddr *)&address, 0);
-    if (result == 0) {
-        result = uv_tcp_getsockname(listener->socket,
-                                    (struct sockaddr *)&address, &length);
-    }
-    if (result < 0) {
-        return err_set(err, ERR_SYSTEM,
-                       "cannot bind %s: %s: name a free address of this host",
-                       text, uv_strerror(result));
-    }
-    address_format((struct sockaddr *)&address, listener->address);
-    return 0;
-}
-
 static void
 configure(listener_t *listener)
 {
@@ -256,32 +219,8 @@
 on_connection(uv_stream_t *server, int status)
 {
     listener_t *listener = server->data;
-    client_t *client;
 
-    if (status < 0) {
-        log_line(LOG_WARNING, "no connection reason=%s", uv_strerror(status));
-        return;
-    }
-    client = xcalloc(1, sizeof(*client));
-    LIST_INSERT_HEAD(&listener->clients, client, link);
-    (void)uv_tcp_init(server->loop, &client->socket);
-    if (uv_accept(server, (uv_stream_t *)&client->socket) != 0) {
-        uv_close((uv_handle_t *)&client->socket, on_client_closed);
-        return;
-    }
-    (void)uv_tcp_nodelay(&client->socket, 1);
-    h2o_accept(&listener->accept,
-               h2o_uv_socket_create((uv_stream_t *)&client->socket,
-                                    on_client_closed));
-}
-
-static void
-on_client_closed(uv_handle_t *handle)
-{
-    client_t *client = (client_t *)handle;
-
-    LIST_REMOVE(client, link);
-    free(client);
+    accept_connection(server, status, &listener->accept, &listener->clients);
 }
 
 static int
@@ -426,25 +365,15 @@
 on_stop_check(uv_timer_t *timer)
 {
     listener_t *listener = timer->data;
-    client_t *client;
     bool quiet = HASH_COUNT(listener->callers) == 0 &&
-                 listener->daemon->control_calls == 0;
-    uv_os_fd_t fd;
+                 listener->daemon->control_calls == 0 &&
+                 accept_is_flushed(&listener->clients);
 
-    LIST_FOREACH(client, &listener->clients, link)
-    {
-        quiet = quiet && client->socket.write_queue_size == 0;
-    }
     listener->quiet_checks = quiet ? listener->quiet_checks + 1 : 0;
     if (listener->quiet_checks < QUIET_CHECKS) {
         return;
     }
-    LIST_FOREACH(client, &listener->clients, link)
-    {
-        if (uv_fileno((uv_handle_t *)&client->socket, &fd) == 0) {
-            (void)shutdown(fd, SHUT_RD);
-        }
-    }
+    accept_shut(&listener->clients, SHUT_RD);
     if (LIST_EMPTY(&listener->clients)) {
         uv_stop(listener->daemon->loop);
     }
--- a/forward/pool.c
+++ b/forward/pool.c
@@ -5,7 +5,7 @@
 #include <xxhash.h>
 
 #include "base/arena.h"
-#include "forward/pool.h"
+#include "forward/pool_private.h"
 
 enum {
     PERMILLE = 1000,
@@ -13,17 +13,6 @@
     FAILED_SHIFT = 3,
     /* Runners lost together that make a zone rest. */
     ZONE_LOSSES = 2,
-    /* A slot's worth of load for a runner of another zone than this host's:
-     * the bytes cost, and the way is longer. */
-    FAR_PERMILLE = 60,
-    /* What a share of failed requests counts for, against full slots. */
-    FAILED_WEIGHT = 4,
-    /* A prompt that is read slows all other streams of its runner, and a
-     * second one beside it waits; a running stream costs the others little,
-     * and the first few next to nothing. */
-    READING_LOAD = 1000,
-    RUNNING_LOAD = 100,
-    RUNNING_FREE = 2,
 };
 
 /* A crashed runner is back after about a second; doubled on each loss. */
@@ -34,41 +23,11 @@
 #define ZONE_TOGETHER_US ((int64_t)1000000)
 #define ZONE_REST_US ((int64_t)1500000)
 
-struct pool_zone {
-    char *name;
-    uint64_t last_serial; /* the runner that was lost last */
-    int64_t last_us;
-    uint32_t losses; /* of different runners, each soon after the other */
-    int64_t rests_until_us;
-    UT_hash_handle hh;
-};
-
-struct pool {
-    pool_runner_t *runners; /* by id */
-    pool_runner_t *by_hash; /* by id_hash */
-    pool_zone_t *zones;     /* by name */
-    uint64_t serials;
-    bool listing; /* entries come in no order of time */
-};
-
-/* How a runner compares; the least is chosen. */
-typedef struct {
-    uint32_t rank; /* 0 before 1 before ... */
-    uint64_t load;
-    uint64_t cached; /* goes before others of its load */
-    uint64_t tie;
-} score_t;
-
 static pool_zone_t *zone_of(pool_t *pool, const char *name);
 static void keep(pool_runner_t *runner, const registration_t *is);
 static void settle_address(pool_t *pool, pool_runner_t *added);
 static void forget(pool_t *pool, pool_runner_t *runner);
 static void release(pool_runner_t *runner);
-static bool was_tried(const pool_runner_t *runner, const pool_want_t *want);
-static score_t score_of(const pool_runner_t *runner, int64_t now_us,
-                        const pool_want_t *want);
-static uint64_t stream_load(const pool_runner_t *runner);
-static bool is_less(const score_t *left, const score_t *right);
 
 pool_t *
 pool_new(void)
@@ -192,30 +151,6 @@
     }
 }
 
-pool_runner_t *
-pool_choose(const pool_t *pool, int64_t now_us, const pool_want_t *want)
-{
-    pool_runner_t *best = NULL;
-    pool_runner_t *runner;
-    score_t least = {0};
-
-    for (runner = pool->runners; runner != NULL; runner = runner->hh.next) {
-        score_t score;
-
-        if (strcmp(runner->is.service, want->service) != 0 ||
-            !pool_usable(runner, now_us) || was_tried(runner, want) ||
-            (want->not_zone != NULL && runner->zone == want->not_zone)) {
-            continue;
-        }
-        score = score_of(runner, now_us, want);
-        if (best == NULL || is_less(&score, &least)) {
-            best = runner;
-            least = score;
-        }
-    }
-    return best;
-}
-
 uint32_t
 pool_available(const pool_t *pool, int64_t now_us, const char *service)
 {
@@ -421,82 +356,3 @@
     free((char *)(uintptr_t)runner->is.address);
     free((char *)(uintptr_t)runner->is.zone);
 }
-
-static bool
-was_tried(const pool_runner_t *runner, const pool_want_t *want)
-{
-    size_t i;
-
-    for (i = 0; i < want->tried_count; i++) {
-        if (want->tried[i] == runner->serial) {
-            return true;
-        }
-    }
-    return false;
-}
-
-/*
- * A runner that rests, or whose zone does, comes after all others.  Hosts
- * may see the same loads at the same moment, so that runners that are alike
- * are told apart by the request, not by an order that all hosts share; a
- * request that comes again after the loss of its host finds the same runner.
- */
-static score_t
-score_of(const pool_runner_t *runner, int64_t now_us, const pool_want_t *want)
-{
-    uint64_t slots = runner->is.slots > 0 ? runner->is.slots : 1;
-    score_t score = {0};
-
-    score.rank = (pool_zone_rests(runner->zone, now_us) ? 2 : 0) +
-                 (now_us < runner->rests_until_us ? 1 : 0);
-    switch (want->kind) {
-    case WANT_STREAM:
-        score.load = stream_load(runner);
-        if (want->cached_at == runner->id_hash) {
-            score.load = 0;
-            score.cached = 1;
-        }
-        break;
-    case WANT_COPY:
-        score.load = (uint64_t)(runner->running + runner->peers_running +
-                                runner->copies) *
-                     RUNNING_LOAD;
-        break;
-    case WANT_PLAIN:
-        score.load = (uint64_t)runner->running * PERMILLE / slots +
-                     (uint64_t)runner->failed_permille * FAILED_WEIGHT;
-        if (want->zone != NULL && strcmp(runner->is.zone, want->zone) != 0) {
-            score.load += FAR_PERMILLE;
-        }
-        break;
-    }
-    score.tie = XXH3_64bits_withSeed(&runner->id_hash, sizeof(runner->id_hash),
-                                     want->affinity);
-    return score;
-}
-
-static uint64_t
-stream_load(const pool_runner_t *runner)
-{
-    uint64_t reading = (uint64_t)runner->reading + runner->peers_reading;
-    uint64_t running = (uint64_t)runner->running + runner->peers_running;
-
-    return reading * READING_LOAD +
-           (running > RUNNING_FREE ? running - RUNNING_FREE : 0) *
-               RUNNING_LOAD;
-}
-
-static bool
-is_less(const score_t *left, const score_t *right)
-{
-    if (left->rank != right->rank) {
-        return left->rank < right->rank;
-    }
-    if (left->load != right->load) {
-        return left->load < right->load;
-    }
-    if (left->cached != right->cached) {
-        return left->cached > right->cached;
-    }
-    return left->tie < right->tie;
-}
--- a/gateway/forwarding.c
+++ b/gateway/forwarding.c
@@ -168,14 +168,14 @@
         front_break(gateway->front, order->number);
         return;
     case ORDER_TO_PROBE:
-        upstream_probe(gateway->upstreams, order->u.probe.runner,
-                       order->u.probe.address, order->u.probe.timeout_ms);
+        inquire_probe(gateway->inquiries, order->u.probe.runner,
+                      order->u.probe.address, order->u.probe.timeout_ms);
         return;
     case ORDER_TO_COPY:
-        upstream_copy(gateway->upstreams, order->number, &order->u.copy);
+        inquire_copy(gateway->inquiries, order->number, &order->u.copy);
         return;
     case ORDER_TO_DROP_COPY:
-        upstream_drop_copy(gateway->upstreams, &order->u.drop_copy);
+        inquire_drop_copy(gateway->inquiries, &order->u.drop_copy);
         return;
     case ORDER_TO_SHARE:
         peering_share(gateway->peering);
--- a/gateway/front.c
+++ b/gateway/front.c
@@ -2,12 +2,11 @@
 #include <poll.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/queue.h>
 #include <sys/socket.h>
 
-#include "base/address.h"
 #include "base/log.h"
 #include "gateway/inbound.h"
+#include "http/accept.h"
 
 enum {
     BACKLOG = 1024,
@@ -33,15 +32,10 @@
     PORT_COUNT,
 } port_kind_t;
 
-typedef struct client {
-    uv_tcp_t socket; /* first: it is closed by it */
-    LIST_ENTRY(client) link;
-} client_t;
-
 typedef struct {
     front_t *front;
     uv_tcp_t *socket; /* NULL: not listening */
-    const char *address;
+    char address[ADDRESS_TEXT_BYTES];
     h2o_accept_ctx_t accept;
     h2o_hostconf_t *hosts[2]; /* NULL at the end */
 } port_t;
@@ -61,15 +55,14 @@
     uv_timer_t *timer;
     uint64_t callers_seen;
     inbound_t *callers; /* by number */
-    LIST_HEAD(, client) clients;
+    accepted_list_t clients;
 };
 
 static int open_port(front_t *front, port_kind_t kind, const char *address,
                      err_t *err);
 static void configure(front_t *front);
-static void close_port(port_t *port);
+static void close_ports(front_t *front);
 static void on_connection(uv_stream_t *server, int status);
-static void on_client_closed(uv_handle_t *handle);
 static int on_request(h2o_handler_t *handler, h2o_req_t *req);
 static void answer_ready(front_t *front, h2o_req_t *req);
 static void answer_lookup(front_t *front, h2o_req_t *req);
@@ -148,20 +141,10 @@
 bool
 front_stop(front_t *front)
 {
-    client_t *client;
-    uv_os_fd_t fd;
-    size_t i;
-
-    for (i = 0; i < PORT_COUNT; i++) {
-        close_port(&front->ports[i]);
-    }
-    LIST_FOREACH(client, &front->clients, link)
-    {
-        if (HASH_COUNT(front->callers) == 0 &&
-            client->socket.write_queue_size == 0 &&
-            uv_fileno((uv_handle_t *)&client->socket, &fd) == 0) {
-            (void)shutdown(fd, SHUT_RD);
-        }
+    close_ports(front);
+    if (HASH_COUNT(front->callers) == 0 &&
+        accept_is_flushed(&front->clients)) {
+        accept_shut(&front->clients, SHUT_RD);
     }
     return LIST_EMPTY(&front->clients);
 }
@@ -169,14 +152,10 @@
 void
 front_free(front_t *front)
 {
-    size_t i;
-
     if (front == NULL) {
         return;
     }
-    for (i = 0; i < PORT_COUNT; i++) {
-        close_port(&front->ports[i]);
-    }
+    close_ports(front);
     uv_close((uv_handle_t *)front->timer, (uv_close_cb)free);
     cut_clients(front);
     if (!LIST_EMPTY(&front->clients)) {
@@ -264,26 +243,17 @@
 open_port(front_t *front, port_kind_t kind, const char *address, err_t *err)
 {
     port_t *port = &front->ports[kind];
-    struct sockaddr_storage parsed;
-    int result;
 
     if (address == NULL) {
         return 0;
     }
-    if (address_parse(address, &parsed, err) < 0) {
+    port->front = front;
+    port->socket =
+        accept_bind(front->gateway->loop, address, port->address, err);
+    if (port->socket == NULL) {
         return -1;
     }
-    port->front = front;
-    port->address = address;
-    port->socket = xcalloc(1, sizeof(*port->socket));
-    (void)uv_tcp_init(front->gateway->loop, port->socket);
     port->socket->data = port;
-    result = uv_tcp_bind(port->socket, (const struct sockaddr *)&parsed, 0);
-    if (result < 0) {
-        return err_set(err, ERR_SYSTEM,
-                       "cannot bind %s: %s: name a free address of this host",
-                       address, uv_strerror(result));
-    }
     return 0;
 }
 
@@ -322,11 +292,13 @@
 }
 
 static void
-close_port(port_t *port)
+close_ports(front_t *front)
 {
-    if (port->socket != NULL) {
-        uv_close((uv_handle_t *)port->socket, (uv_close_cb)free);
-        port->socket = NULL;
+    size_t i;
+
+    for (i = 0; i < PORT_COUNT; i++) {
+        accept_close(front->ports[i].socket);
+        front->ports[i].socket = NULL;
     }
 }
 
@@ -334,33 +306,8 @@
 on_connection(uv_stream_t *server, int status)
 {
     port_t *port = server->data;
-    client_t *client;
-
-    if (status < 0) {
-        log_event(LOG_WARNING, "accept-failed", "reason=%s",
-                  uv_strerror(status));
-        return;
-    }
-    client = xcalloc(1, sizeof(*client));
-    LIST_INSERT_HEAD(&port->front->clients, client, link);
-    (void)uv_tcp_init(server->loop, &client->socket);
-    if (uv_accept(server, (uv_stream_t *)&client->socket) != 0) {
-        uv_close((uv_handle_t *)&client->socket, on_client_closed);
-        return;
-    }
-    (void)uv_tcp_nodelay(&client->socket, 1);
-    h2o_accept(&port->accept,
-               h2o_uv_socket_create((uv_stream_t *)&client->socket,
-                                    on_client_closed));
-}
-
-static void
-on_client_closed(uv_handle_t *handle)
-{
-    client_t *client = (client_t *)handle;
 
-    LIST_REMOVE(client, link);
-    free(client);
+    accept_connection(server, status, &port->accept, &port->front->clients);
 }
 
 static int
@@ -491,20 +438,13 @@
 {
     inbound_t *caller;
     inbound_t *next;
-    client_t *client;
-    uv_os_fd_t fd;
     int i;
 
     HASH_ITER(hh, front->callers, caller, next)
     {
         inbound_break(caller);
     }
-    LIST_FOREACH(client, &front->clients, link)
-    {
-        if (uv_fileno((uv_handle_t *)&client->socket, &fd) == 0) {
-            (void)shutdown(fd, SHUT_RDWR);
-        }
-    }
+    accept_shut(&front->clients, SHUT_RDWR);
     for (i = 0; i < CUT_TURNS_MAX && !LIST_EMPTY(&front->clients); i++) {
         (void)uv_run(front->gateway->loop, UV_RUN_NOWAIT);
     }
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -32,6 +32,7 @@
     gateway->meters = meters_new();
     gateway->forwarding = forwarding_new(gateway);
     gateway->upstreams = upstreams_new(gateway);
+    gateway->inquiries = inquiries_new(gateway);
     gateway->directory = directory_new(gateway);
     gateway->peering = peering_new(gateway);
     gateway->mirror = mirror_new();
@@ -112,6 +113,7 @@
     store_relay_free(gateway->relay);
     watcher_free(gateway->watcher);
     upstreams_free(gateway->upstreams);
+    inquiries_free(gateway->inquiries);
     http_client_free(gateway->client);
     front_free(gateway->front);
     directory_free(gateway->directory);
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -25,6 +25,7 @@
 
 typedef struct front front_t;
 typedef struct upstreams upstreams_t;
+typedef struct inquiries inquiries_t;
 typedef struct watcher watcher_t;
 typedef struct directory directory_t;
 typedef struct meters meters_t;
@@ -41,6 +42,7 @@
     forwarding_t *forwarding;
     front_t *front;
     upstreams_t *upstreams;
+    inquiries_t *inquiries;
     watcher_t *watcher;
     directory_t *directory;
     peering_t *peering;
@@ -135,11 +137,18 @@
 bool upstream_answer(upstreams_t *upstreams, uint64_t number, uint32_t attempt,
                      runner_answer_t *answer);
 void upstream_forget(upstreams_t *upstreams, uint64_t number);
-void upstream_copy(upstreams_t *upstreams, uint64_t number,
-                   const order_copy_t *copy);
-void upstream_drop_copy(upstreams_t *upstreams, const order_drop_copy_t *drop);
-void upstream_probe(upstreams_t *upstreams, const char *runner,
-                    const char *address, uint32_t timeout_ms);
+/* --- inquiry.c: what runners are asked beside the callers' requests --- */
+
+inquiries_t *inquiries_new(gateway_t *gateway);
+void inquiries_free(inquiries_t *inquiries);
+/* A sign of life; FORWARD_PROBED follows. */
+void inquire_probe(inquiries_t *inquiries, const char *runner,
+                   const char *address, uint32_t timeout_ms);
+/* To copy a stream's memory; FORWARD_COPIED follows. */
+void inquire_copy(inquiries_t *inquiries, uint64_t number,
+                  const order_copy_t *copy);
+/* To free the copy. */
+void inquire_drop_copy(inquiries_t *inquiries, const order_drop_copy_t *drop);
 
 /* --- store_relay.c: what the store holds, told to hosts that follow --- */
 
--- a/gateway/upstream.c
+++ b/gateway/upstream.c
@@ -10,7 +10,6 @@
 enum {
     /* A whole answer is held until it is complete. */
     ANSWER_BYTES_MAX = 16 << 20,
-    INQUIRY_BYTES_MAX = 4096,
     STATUS_FINAL = 200,
 };
 
@@ -35,23 +34,9 @@
     UT_hash_handle hh;
 };
 
-/* A runner that is asked for a sign of life, or to copy a stream's memory. */
-typedef struct inquiry {
-    http_sink_t sink;
-    upstreams_t *upstreams;
-    http_call_t *call;
-    char *runner; /* NULL: a copy is asked for */
-    uint64_t number;
-    uint32_t attempt;
-    uint32_t status;
-    text_t body;
-    struct inquiry *next;
-} inquiry_t;
-
 struct upstreams {
     gateway_t *gateway;
     send_t *sends; /* the last one of each request, by its number */
-    inquiry_t *inquiries;
 };
 
 static void on_field(http_sink_t *sink, uint32_t status, const char *name,
@@ -66,19 +51,8 @@
 static bool is_of_connection(const char *name, size_t length);
 static send_t *find(upstreams_t *upstreams, uint64_t number);
 static void send_free(send_t *send);
-static inquiry_t *inquire(upstreams_t *upstreams, const http_request_t *http);
-static void on_inquiry_head(http_sink_t *sink, uint32_t status,
-                            const char *content_type, uint32_t retry_after_ms);
-static void on_inquiry_body(http_sink_t *sink, const char *bytes,
-                            size_t length);
-static void on_inquiry_done(http_sink_t *sink, http_result_t result);
-static void inquiry_free(inquiry_t *inquiry);
-
 static const http_sink_ops_t sink_ops = {
     .head = on_head, .body = on_body, .done = on_done, .field = on_field};
-static const http_sink_ops_t inquiry_ops = {
-    .head = on_inquiry_head, .body = on_inquiry_body, .done = on_inquiry_done};
-
 upstreams_t *
 upstreams_new(gateway_t *gateway)
 {
@@ -101,12 +75,6 @@
     {
         send_free(send);
     }
-    while (upstreams->inquiries != NULL) {
-        if (upstreams->inquiries->call != NULL) {
-            http_cancel(upstreams->inquiries->call);
-        }
-        inquiry_free(upstreams->inquiries);
-    }
     free(upstreams);
 }
 
@@ -196,89 +164,6 @@
     }
 }
 
-void
-upstream_probe(upstreams_t *upstreams, const char *runner, const char *address,
-               uint32_t timeout_ms)
-{
-    const dialect_ops_t *dialect = upstreams->gateway->dialect->ops;
-    arena_t arena = {0};
-    http_request_t http = {
-        .method = "GET",
-        .url =
-            arena_printf(&arena, "http://%s%s", address, dialect->probe_path),
-        .connect_timeout_ms = timeout_ms,
-        .timeout_ms = timeout_ms,
-        .fresh_connection = true,
-    };
-    inquiry_t *inquiry = inquire(upstreams, &http);
-
-    inquiry->runner = xstrdup(runner);
-    arena_free(&arena);
-}
-
-void
-upstream_copy(upstreams_t *upstreams, uint64_t number,
-              const order_copy_t *copy)
-{
-    const dialect_ops_t *dialect = upstreams->gateway->dialect->ops;
-    static const char *const headers[] = {"Content-Type: application/json",
-                                          NULL};
-    arena_t arena = {0};
-    text_t body = {0};
-    http_request_t http = {
-        .method = "POST",
-        .url = arena_printf(&arena, "http://%s%s", copy->address,
-                            dialect->copy_path),
-        .headers = headers,
-        .connect_timeout_ms = copy->timeout_ms,
-        .timeout_ms = copy->timeout_ms,
-        .fresh_connection = true,
-    };
-    inquiry_t *inquiry;
-
-    dialect->write_copy(&body, copy);
-    http.body = body.bytes;
-    http.body_bytes = body.length;
-    inquiry = inquire(upstreams, &http);
-    inquiry->number = number;
-    inquiry->attempt = copy->attempt;
-    text_free(&body);
-    arena_free(&arena);
-}
-
-/* What becomes of it is not looked at: the copy lapses anyway. */
-void
-upstream_drop_copy(upstreams_t *upstreams, const order_drop_copy_t *drop)
-{
-    const dialect_ops_t *dialect = upstreams->gateway->dialect->ops;
-    arena_t arena = {0};
-    http_request_t http = {
-        .method = "DELETE",
-        .url = arena_printf(&arena, "http://%s%s", drop->address,
-                            dialect->drop_copy_path(&arena, drop->name)),
-        .connect_timeout_ms = drop->timeout_ms,
-        .timeout_ms = drop->timeout_ms,
-        .fresh_connection = true,
-    };
-
-    (void)inquire(upstreams, &http);
-    arena_free(&arena);
-}
-
-static inquiry_t *
-inquire(upstreams_t *upstreams, const http_request_t *http)
-{
-    inquiry_t *inquiry = xcalloc(1, sizeof(*inquiry));
-
-    inquiry->sink.ops = &inquiry_ops;
-    inquiry->upstreams = upstreams;
-    inquiry->next = upstreams->inquiries;
-    upstreams->inquiries = inquiry;
-    inquiry->call =
-        http_start(upstreams->gateway->client, http, &inquiry->sink);
-    return inquiry;
-}
-
 static void
 on_field(http_sink_t *sink, uint32_t status, const char *name,
          size_t name_bytes, const char *value, size_t value_bytes)
@@ -455,67 +340,3 @@
     arena_free(&send->arena);
     free(send);
 }
-
-static void
-on_inquiry_head(http_sink_t *sink, uint32_t status, const char *content_type,
-                uint32_t retry_after_ms)
-{
-    ((inquiry_t *)sink)->status = status;
-}
-
-static void
-on_inquiry_body(http_sink_t *sink, const char *bytes, size_t length)
-{
-    inquiry_t *inquiry = (inquiry_t *)sink;
-
-    if (inquiry->runner == NULL &&
-        inquiry->body.length + length <= INQUIRY_BYTES_MAX) {
-        text_append(&inquiry->body, bytes, length);
-    }
-}
-
-/* Any answer of a runner is a sign of life. */
-static void
-on_inquiry_done(http_sink_t *sink, http_result_t result)
-{
-    inquiry_t *inquiry = (inquiry_t *)sink;
-    gateway_t *gateway = inquiry->upstreams->gateway;
-    forward_event_t event = {.kind = FORWARD_PROBED};
-    arena_t arena = {0};
-
-    if (inquiry->runner != NULL) {
-        event.u.probed = (forward_probed_t){
-            .runner = inquiry->runner,
-            .answered = result == HTTP_DONE,
-        };
-    }
-    else {
-        event.kind = FORWARD_COPIED;
-        event.u.copied = (forward_copied_t){
-            .number = inquiry->number,
-            .attempt = inquiry->attempt,
-        };
-        if (result == HTTP_DONE && inquiry->status == STATUS_FINAL) {
-            event.u.copied.name = gateway->dialect->ops->read_copied(
-                &arena, inquiry->body.bytes, inquiry->body.length);
-        }
-    }
-    forwarding_event(gateway, &event);
-    inquiry->call = NULL;
-    inquiry_free(inquiry);
-    arena_free(&arena);
-}
-
-static void
-inquiry_free(inquiry_t *inquiry)
-{
-    inquiry_t **link = &inquiry->upstreams->inquiries;
-
-    while (*link != inquiry) {
-        link = &(*link)->next;
-    }
-    *link = inquiry->next;
-    free(inquiry->runner);
-    text_free(&inquiry->body);
-    free(inquiry);
-}
--- /dev/null
+++ b/http/accept.c
@@ -0,0 +1,111 @@
+/* accept.c - see accept.h. */
+#include <stdlib.h>
+#include <sys/socket.h>
+
+#include "base/arena.h"
+#include "base/log.h"
+#include "http/accept.h"
+
+struct accepted {
+    uv_tcp_t socket; /* first: it is closed by it */
+    LIST_ENTRY(accepted) link;
+};
+
+static void on_closed(uv_handle_t *handle);
+
+uv_tcp_t *
+accept_bind(uv_loop_t *loop, const char *text, char *bound, err_t *err)
+{
+    struct sockaddr_storage address;
+    int length = sizeof(address);
+    uv_tcp_t *socket;
+    int result;
+
+    if (address_parse(text, &address, err) < 0) {
+        return NULL;
+    }
+    socket = xcalloc(1, sizeof(*socket));
+    (void)uv_tcp_init(loop, socket);
+    result = uv_tcp_bind(socket, (const struct sockaddr *)&address, 0);
+    if (result == 0) {
+        result =
+            uv_tcp_getsockname(socket, (struct sockaddr *)&address, &length);
+    }
+    if (result < 0) {
+        (void)err_set(err, ERR_SYSTEM,
+                      "cannot bind %s: %s: name a free address of this host",
+                      text, uv_strerror(result));
+        accept_close(socket);
+        return NULL;
+    }
+    address_format((struct sockaddr *)&address, bound);
+    return socket;
+}
+
+void
+accept_close(uv_tcp_t *socket)
+{
+    if (socket != NULL) {
+        uv_close((uv_handle_t *)socket, (uv_close_cb)free);
+    }
+}
+
+void
+accept_connection(uv_stream_t *server, int status, h2o_accept_ctx_t *ctx,
+                  accepted_list_t *list)
+{
+    accepted_t *accepted;
+
+    if (status < 0) {
+        log_event(LOG_WARNING, "accept-failed", "reason=%s",
+                  uv_strerror(status));
+        return;
+    }
+    accepted = xcalloc(1, sizeof(*accepted));
+    LIST_INSERT_HEAD(list, accepted, link);
+    (void)uv_tcp_init(server->loop, &accepted->socket);
+    if (uv_accept(server, (uv_stream_t *)&accepted->socket) != 0) {
+        uv_close((uv_handle_t *)&accepted->socket, on_closed);
+        return;
+    }
+    (void)uv_tcp_nodelay(&accepted->socket, 1);
+    h2o_accept(ctx, h2o_uv_socket_create((uv_stream_t *)&accepted->socket,
+                                         on_closed));
+}
+
+bool
+accept_is_flushed(const accepted_list_t *list)
+{
+    const accepted_t *accepted;
+
+    LIST_FOREACH(accepted, list, link)
+    {
+        if (accepted->socket.write_queue_size > 0) {
+            return false;
+        }
+    }
+    return true;
+}
+
+void
+accept_shut(const accepted_list_t *list, int how)
+{
+    const accepted_t *accepted;
+    uv_os_fd_t fd;
+
+    LIST_FOREACH(accepted, list, link)
+    {
+        if (uv_fileno((const uv_handle_t *)&accepted->socket, &fd) == 0) {
+            (void)shutdown(fd, how);
+        }
+    }
+}
+
+static void
+on_closed(uv_handle_t *handle)
+{
+    accepted_t *accepted = (accepted_t *)handle;
+
+    LIST_REMOVE(accepted, link);
+    free(accepted);
+}
