--- a/forward/private.h
+++ b/forward/private.h
@@ -2,8 +2,9 @@
  * private.h - what the files of forward/ share.
  *
  * forward.c takes the events, intake.c decides on a new request, send.c
- * starts and ends its attempts, recover.c goes on after a loss, watchdog.c
- * looks for what is due.
+ * starts and ends its attempts, recover.c goes on after a loss, copies.c
+ * keeps copies of running streams, sharing.c takes the other hosts' word,
+ * watchdog.c looks for what is due.
  */
 #ifndef FORWARD_PRIVATE_H
 #define FORWARD_PRIVATE_H
--- a/kv/etcd.c
+++ b/kv/etcd.c
@@ -27,7 +27,7 @@
 } etcd_kind_t;
 
 typedef struct {
-    kv_t platform;
+    kv_t kv;
     http_client_t *client;
     char **addresses;
     size_t count;
@@ -62,21 +62,20 @@
     void *context;
 } etcd_call_t;
 
-static void etcd_range(kv_t *platform, const char *key, bool prefix,
+static void etcd_range(kv_t *kv, const char *key, bool prefix,
                        kv_range_done_t done, void *context);
-static void etcd_swap(kv_t *platform, const kv_swap_t *swaps, size_t count,
+static void etcd_swap(kv_t *kv, const kv_swap_t *swaps, size_t count,
                       kv_swap_done_t done, void *context);
-static void etcd_lease_grant(kv_t *platform, int64_t ttl_s,
-                             kv_lease_done_t done, void *context);
-static void etcd_lease_keepalive(kv_t *platform, int64_t lease,
-                                 kv_lease_done_t done, void *context);
-static void etcd_lease_revoke(kv_t *platform, int64_t lease,
-                              kv_lease_done_t done, void *context);
-static void etcd_watch(kv_t *platform, const char *prefix,
-                       int64_t start_revision, kv_watch_done_t done,
-                       void *context);
-static void etcd_watch_end(kv_t *platform, void *context);
-static void etcd_free(kv_t *platform);
+static void etcd_lease_grant(kv_t *kv, int64_t ttl_s, kv_lease_done_t done,
+                             void *context);
+static void etcd_lease_keepalive(kv_t *kv, int64_t lease, kv_lease_done_t done,
+                                 void *context);
+static void etcd_lease_revoke(kv_t *kv, int64_t lease, kv_lease_done_t done,
+                              void *context);
+static void etcd_watch(kv_t *kv, const char *prefix, int64_t start_revision,
+                       kv_watch_done_t done, void *context);
+static void etcd_watch_end(kv_t *kv, void *context);
+static void etcd_free(kv_t *kv);
 static etcd_call_t *call_new(etcd_t *etcd, etcd_kind_t kind, const char *path,
                              const char *body, void *context);
 static void call_send(etcd_call_t *call);
@@ -119,7 +118,7 @@
     etcd_t *etcd = xcalloc(1, sizeof(*etcd));
     size_t i;
 
-    etcd->platform.ops = &etcd_ops;
+    etcd->kv.ops = &etcd_ops;
     etcd->client = client;
     etcd->addresses = xcalloc(count, sizeof(*etcd->addresses));
     etcd->count = count;
@@ -128,16 +127,16 @@
     for (i = 0; i < count; i++) {
         etcd->addresses[i] = xstrdup(addresses[i]);
     }
-    return &etcd->platform;
+    return &etcd->kv;
 }
 
 static void
-etcd_range(kv_t *platform, const char *key, bool prefix, kv_range_done_t done,
+etcd_range(kv_t *kv, const char *key, bool prefix, kv_range_done_t done,
            void *context)
 {
     arena_t arena = {0};
     etcd_call_t *call =
-        call_new((etcd_t *)platform, ETCD_RANGE, "/v3/kv/range",
+        call_new((etcd_t *)kv, ETCD_RANGE, "/v3/kv/range",
                  etcd_make_range(&arena, key, prefix), context);
 
     call->done.range = done;
@@ -146,12 +145,12 @@
 }
 
 static void
-etcd_swap(kv_t *platform, const kv_swap_t *swaps, size_t count,
-          kv_swap_done_t done, void *context)
+etcd_swap(kv_t *kv, const kv_swap_t *swaps, size_t count, kv_swap_done_t done,
+          void *context)
 {
     arena_t arena = {0};
     etcd_call_t *call =
-        call_new((etcd_t *)platform, ETCD_SWAP, "/v3/kv/txn",
+        call_new((etcd_t *)kv, ETCD_SWAP, "/v3/kv/txn",
                  etcd_make_swap(&arena, swaps, count), context);
 
     call->swap_count = count;
@@ -161,13 +160,11 @@
 }
 
 static void
-etcd_lease_grant(kv_t *platform, int64_t ttl_s, kv_lease_done_t done,
-                 void *context)
+etcd_lease_grant(kv_t *kv, int64_t ttl_s, kv_lease_done_t done, void *context)
 {
     arena_t arena = {0};
-    etcd_call_t *call =
-        call_new((etcd_t *)platform, ETCD_LEASE, "/v3/lease/grant",
-                 etcd_make_grant(&arena, ttl_s), context);
+    etcd_call_t *call = call_new((etcd_t *)kv, ETCD_LEASE, "/v3/lease/grant",
+                                 etcd_make_grant(&arena, ttl_s), context);
 
     call->done.lease = done;
     call_send(call);
@@ -175,12 +172,12 @@
 }
 
 static void
-etcd_lease_keepalive(kv_t *platform, int64_t lease, kv_lease_done_t done,
+etcd_lease_keepalive(kv_t *kv, int64_t lease, kv_lease_done_t done,
                      void *context)
 {
     arena_t arena = {0};
     etcd_call_t *call =
-        call_new((etcd_t *)platform, ETCD_LEASE, "/v3/lease/keepalive",
+        call_new((etcd_t *)kv, ETCD_LEASE, "/v3/lease/keepalive",
                  etcd_make_lease(&arena, lease), context);
 
     call->done.lease = done;
@@ -189,13 +186,11 @@
 }
 
 static void
-etcd_lease_revoke(kv_t *platform, int64_t lease, kv_lease_done_t done,
-                  void *context)
+etcd_lease_revoke(kv_t *kv, int64_t lease, kv_lease_done_t done, void *context)
 {
     arena_t arena = {0};
-    etcd_call_t *call =
-        call_new((etcd_t *)platform, ETCD_LEASE, "/v3/lease/revoke",
-                 etcd_make_lease(&arena, lease), context);
+    etcd_call_t *call = call_new((etcd_t *)kv, ETCD_LEASE, "/v3/lease/revoke",
+                                 etcd_make_lease(&arena, lease), context);
 
     call->done.lease = done;
     call_send(call);
@@ -203,12 +198,12 @@
 }
 
 static void
-etcd_watch(kv_t *platform, const char *prefix, int64_t start_revision,
+etcd_watch(kv_t *kv, const char *prefix, int64_t start_revision,
            kv_watch_done_t done, void *context)
 {
     arena_t arena = {0};
     etcd_call_t *call =
-        call_new((etcd_t *)platform, ETCD_WATCH, "/v3/watch",
+        call_new((etcd_t *)kv, ETCD_WATCH, "/v3/watch",
                  etcd_make_watch(&arena, prefix, start_revision), context);
 
     call->done.watch = done;
@@ -217,9 +212,9 @@
 }
 
 static void
-etcd_watch_end(kv_t *platform, void *context)
+etcd_watch_end(kv_t *kv, void *context)
 {
-    etcd_t *etcd = (etcd_t *)platform;
+    etcd_t *etcd = (etcd_t *)kv;
     etcd_call_t *call = LIST_FIRST(&etcd->calls);
 
     while (call != NULL) {
@@ -233,9 +228,9 @@
 }
 
 static void
-etcd_free(kv_t *platform)
+etcd_free(kv_t *kv)
 {
-    etcd_t *etcd = (etcd_t *)platform;
+    etcd_t *etcd = (etcd_t *)kv;
     etcd_call_t *call = LIST_FIRST(&etcd->calls);
     size_t i;
 
--- a/kv/kv.h
+++ b/kv/kv.h
@@ -83,25 +83,25 @@
 
 typedef struct {
     /* All keys with this prefix, or the one key when prefix is false. */
-    void (*range)(kv_t *platform, const char *key, bool prefix,
-                  kv_range_done_t done, void *context);
-    void (*swap)(kv_t *platform, const kv_swap_t *swaps, size_t count,
+    void (*range)(kv_t *kv, const char *key, bool prefix, kv_range_done_t done,
+                  void *context);
+    void (*swap)(kv_t *kv, const kv_swap_t *swaps, size_t count,
                  kv_swap_done_t done, void *context);
-    void (*lease_grant)(kv_t *platform, int64_t ttl_s, kv_lease_done_t done,
+    void (*lease_grant)(kv_t *kv, int64_t ttl_s, kv_lease_done_t done,
                         void *context);
     /* ttl_s is 0 in the answer when the lease has lapsed. */
-    void (*lease_keepalive)(kv_t *platform, int64_t lease,
-                            kv_lease_done_t done, void *context);
-    void (*lease_revoke)(kv_t *platform, int64_t lease, kv_lease_done_t done,
+    void (*lease_keepalive)(kv_t *kv, int64_t lease, kv_lease_done_t done,
+                            void *context);
+    void (*lease_revoke)(kv_t *kv, int64_t lease, kv_lease_done_t done,
                          void *context);
     /* Changes under prefix from start_revision on; one at a time each. */
-    void (*watch)(kv_t *platform, const char *prefix, int64_t start_revision,
+    void (*watch)(kv_t *kv, const char *prefix, int64_t start_revision,
                   kv_watch_done_t done, void *context);
     /* Ends the watches that were begun with this context; what is already on
      * its way may still come. */
-    void (*watch_end)(kv_t *platform, void *context);
+    void (*watch_end)(kv_t *kv, void *context);
     /* No callbacks after this. */
-    void (*free)(kv_t *platform);
+    void (*free)(kv_t *kv);
 } kv_ops_t;
 struct kv {
     const kv_ops_t *ops;
--- a/kv/memory.c
+++ b/kv/memory.c
@@ -48,7 +48,7 @@
 } watch_t;
 
 typedef struct memory {
-    kv_t platform;
+    kv_t kv;
     uv_loop_t *loop;
     uv_idle_t turn;
     uv_timer_t expiry;
@@ -59,21 +59,20 @@
     unsigned open_handles;
 } memory_t;
 
-static void memory_range(kv_t *platform, const char *key, bool prefix,
+static void memory_range(kv_t *kv, const char *key, bool prefix,
                          kv_range_done_t done, void *context);
-static void memory_swap(kv_t *platform, const kv_swap_t *swaps, size_t count,
+static void memory_swap(kv_t *kv, const kv_swap_t *swaps, size_t count,
                         kv_swap_done_t done, void *context);
-static void memory_lease_grant(kv_t *platform, int64_t ttl_s,
-                               kv_lease_done_t done, void *context);
-static void memory_lease_keepalive(kv_t *platform, int64_t lease,
+static void memory_lease_grant(kv_t *kv, int64_t ttl_s, kv_lease_done_t done,
+                               void *context);
+static void memory_lease_keepalive(kv_t *kv, int64_t lease,
                                    kv_lease_done_t done, void *context);
-static void memory_lease_revoke(kv_t *platform, int64_t lease,
-                                kv_lease_done_t done, void *context);
-static void memory_watch(kv_t *platform, const char *prefix,
-                         int64_t start_revision, kv_watch_done_t done,
-                         void *context);
-static void memory_watch_end(kv_t *platform, void *context);
-static void memory_free(kv_t *platform);
+static void memory_lease_revoke(kv_t *kv, int64_t lease, kv_lease_done_t done,
+                                void *context);
+static void memory_watch(kv_t *kv, const char *prefix, int64_t start_revision,
+                         kv_watch_done_t done, void *context);
+static void memory_watch_end(kv_t *kv, void *context);
+static void memory_free(kv_t *kv);
 static answer_t *answer_new(memory_t *memory, answer_kind_t kind,
                             void *context);
 static void answer_lease(memory_t *memory, kv_result_t result, int64_t lease,
@@ -103,7 +102,7 @@
 {
     memory_t *memory = xcalloc(1, sizeof(*memory));
 
-    memory->platform.ops = &memory_ops;
+    memory->kv.ops = &memory_ops;
     memory->loop = loop;
     memory->store = store_new(on_changed, memory);
     TAILQ_INIT(&memory->answers);
@@ -116,14 +115,14 @@
     (void)uv_timer_start(&memory->expiry, on_expiry, MEMORY_EXPIRE_MS,
                          MEMORY_EXPIRE_MS);
     uv_unref((uv_handle_t *)&memory->expiry);
-    return &memory->platform;
+    return &memory->kv;
 }
 
 static void
-memory_range(kv_t *platform, const char *key, bool prefix,
-             kv_range_done_t done, void *context)
+memory_range(kv_t *kv, const char *key, bool prefix, kv_range_done_t done,
+             void *context)
 {
-    memory_t *memory = (memory_t *)platform;
+    memory_t *memory = (memory_t *)kv;
     answer_t *answer = answer_new(memory, ANSWER_RANGE, context);
 
     answer->done.range = done;
@@ -133,10 +132,10 @@
 }
 
 static void
-memory_swap(kv_t *platform, const kv_swap_t *swaps, size_t count,
+memory_swap(kv_t *kv, const kv_swap_t *swaps, size_t count,
             kv_swap_done_t done, void *context)
 {
-    memory_t *memory = (memory_t *)platform;
+    memory_t *memory = (memory_t *)kv;
     answer_t *answer = answer_new(memory, ANSWER_SWAP, context);
 
     answer->done.swap = done;
@@ -148,40 +147,40 @@
 }
 
 static void
-memory_lease_grant(kv_t *platform, int64_t ttl_s, kv_lease_done_t done,
+memory_lease_grant(kv_t *kv, int64_t ttl_s, kv_lease_done_t done,
                    void *context)
 {
-    memory_t *memory = (memory_t *)platform;
+    memory_t *memory = (memory_t *)kv;
     int64_t lease = store_grant(memory->store, ttl_s, now_ms(memory));
 
     answer_lease(memory, KV_OK, lease, ttl_s, done, context);
 }
 
 static void
-memory_lease_keepalive(kv_t *platform, int64_t lease, kv_lease_done_t done,
+memory_lease_keepalive(kv_t *kv, int64_t lease, kv_lease_done_t done,
                        void *context)
 {
-    memory_t *memory = (memory_t *)platform;
+    memory_t *memory = (memory_t *)kv;
     int64_t ttl_s = store_keepalive(memory->store, lease, now_ms(memory));
 
     answer_lease(memory, KV_OK, lease, ttl_s, done, context);
 }
 
 static void
-memory_lease_revoke(kv_t *platform, int64_t lease, kv_lease_done_t done,
+memory_lease_revoke(kv_t *kv, int64_t lease, kv_lease_done_t done,
                     void *context)
 {
-    memory_t *memory = (memory_t *)platform;
+    memory_t *memory = (memory_t *)kv;
     bool known = store_revoke(memory->store, lease);
 
     answer_lease(memory, known ? KV_OK : KV_INVALID, lease, 0, done, context);
 }
 
 static void
-memory_watch(kv_t *platform, const char *prefix, int64_t start_revision,
+memory_watch(kv_t *kv, const char *prefix, int64_t start_revision,
              kv_watch_done_t done, void *context)
 {
-    memory_t *memory = (memory_t *)platform;
+    memory_t *memory = (memory_t *)kv;
     answer_t *answer = answer_new(memory, ANSWER_WATCH, context);
     watch_t *watch = xcalloc(1, sizeof(*watch));
 
@@ -204,9 +203,9 @@
 }
 
 static void
-memory_watch_end(kv_t *platform, void *context)
+memory_watch_end(kv_t *kv, void *context)
 {
-    memory_t *memory = (memory_t *)platform;
+    memory_t *memory = (memory_t *)kv;
     watch_t *watch = LIST_FIRST(&memory->watches);
 
     while (watch != NULL) {
@@ -223,9 +222,9 @@
 
 /* The callback that is running may be what frees the platform. */
 static void
-memory_free(kv_t *platform)
+memory_free(kv_t *kv)
 {
-    memory_t *memory = (memory_t *)platform;
+    memory_t *memory = (memory_t *)kv;
     answer_t *answer;
     watch_t *watch;
 
--- a/regress/flaky.c
+++ b/regress/flaky.c
@@ -6,7 +6,7 @@
 #include "regress/flaky.h"
 
 struct flaky {
-    kv_t platform; /* first: it is called by it */
+    kv_t kv; /* first: it is called by it */
     uv_loop_t *loop;
     kv_t *inner;
     const char *prefix;
@@ -25,21 +25,20 @@
     void *context;
 } failure_t;
 
-static void on_range(kv_t *platform, const char *key, bool prefix,
+static void on_range(kv_t *kv, const char *key, bool prefix,
                      kv_range_done_t done, void *context);
-static void on_swap(kv_t *platform, const kv_swap_t *swaps, size_t count,
+static void on_swap(kv_t *kv, const kv_swap_t *swaps, size_t count,
                     kv_swap_done_t done, void *context);
-static void on_lease_grant(kv_t *platform, int64_t ttl_s, kv_lease_done_t done,
+static void on_lease_grant(kv_t *kv, int64_t ttl_s, kv_lease_done_t done,
                            void *context);
-static void on_lease_keepalive(kv_t *platform, int64_t lease,
-                               kv_lease_done_t done, void *context);
-static void on_lease_revoke(kv_t *platform, int64_t lease,
-                            kv_lease_done_t done, void *context);
-static void on_watch(kv_t *platform, const char *prefix,
-                     int64_t start_revision, kv_watch_done_t done,
-                     void *context);
-static void on_watch_end(kv_t *platform, void *context);
-static void on_free(kv_t *platform);
+static void on_lease_keepalive(kv_t *kv, int64_t lease, kv_lease_done_t done,
+                               void *context);
+static void on_lease_revoke(kv_t *kv, int64_t lease, kv_lease_done_t done,
+                            void *context);
+static void on_watch(kv_t *kv, const char *prefix, int64_t start_revision,
+                     kv_watch_done_t done, void *context);
+static void on_watch_end(kv_t *kv, void *context);
+static void on_free(kv_t *kv);
 static void fail_later(flaky_t *flaky, kv_result_t result, kv_swap_done_t done,
                        void *context);
 static void on_failure(uv_timer_t *timer);
@@ -56,17 +55,16 @@
 {
     flaky_t *flaky = xcalloc(1, sizeof(*flaky));
 
-    flaky->platform.ops = &ops;
+    flaky->kv.ops = &ops;
     flaky->loop = loop;
     flaky->inner = inner;
-    return &flaky->platform;
+    return &flaky->kv;
 }
 
 void
-flaky_swaps(kv_t *platform, const char *prefix, flaky_fault_t fault,
-            size_t count)
+flaky_swaps(kv_t *kv, const char *prefix, flaky_fault_t fault, size_t count)
 {
-    flaky_t *flaky = (flaky_t *)platform;
+    flaky_t *flaky = (flaky_t *)kv;
 
     flaky->prefix = prefix;
     flaky->fault = fault;
@@ -74,9 +72,9 @@
 }
 
 void
-flaky_intrude(kv_t *platform, const char *key, const char *value)
+flaky_intrude(kv_t *kv, const char *key, const char *value)
 {
-    flaky_t *flaky = (flaky_t *)platform;
+    flaky_t *flaky = (flaky_t *)kv;
 
     flaky->failed = false;
     flaky->intruder_key = key;
@@ -84,10 +82,10 @@
 }
 
 static void
-on_swap(kv_t *platform, const kv_swap_t *swaps, size_t count,
-        kv_swap_done_t done, void *context)
+on_swap(kv_t *kv, const kv_swap_t *swaps, size_t count, kv_swap_done_t done,
+        void *context)
 {
-    flaky_t *flaky = (flaky_t *)platform;
+    flaky_t *flaky = (flaky_t *)kv;
     bool fails = flaky->left > 0 && strncmp(swaps[0].key, flaky->prefix,
                                             strlen(flaky->prefix)) == 0;
 
@@ -106,62 +104,60 @@
 }
 
 static void
-on_range(kv_t *platform, const char *key, bool prefix, kv_range_done_t done,
+on_range(kv_t *kv, const char *key, bool prefix, kv_range_done_t done,
          void *context)
 {
-    kv_t *inner = ((flaky_t *)platform)->inner;
+    kv_t *inner = ((flaky_t *)kv)->inner;
 
     inner->ops->range(inner, key, prefix, done, context);
 }
 
 static void
-on_lease_grant(kv_t *platform, int64_t ttl_s, kv_lease_done_t done,
-               void *context)
+on_lease_grant(kv_t *kv, int64_t ttl_s, kv_lease_done_t done, void *context)
 {
-    kv_t *inner = ((flaky_t *)platform)->inner;
+    kv_t *inner = ((flaky_t *)kv)->inner;
 
     inner->ops->lease_grant(inner, ttl_s, done, context);
 }
 
 static void
-on_lease_keepalive(kv_t *platform, int64_t lease, kv_lease_done_t done,
+on_lease_keepalive(kv_t *kv, int64_t lease, kv_lease_done_t done,
                    void *context)
 {
-    kv_t *inner = ((flaky_t *)platform)->inner;
+    kv_t *inner = ((flaky_t *)kv)->inner;
 
     inner->ops->lease_keepalive(inner, lease, done, context);
 }
 
 static void
-on_lease_revoke(kv_t *platform, int64_t lease, kv_lease_done_t done,
-                void *context)
+on_lease_revoke(kv_t *kv, int64_t lease, kv_lease_done_t done, void *context)
 {
-    kv_t *inner = ((flaky_t *)platform)->inner;
+    kv_t *inner = ((flaky_t *)kv)->inner;
 
     inner->ops->lease_revoke(inner, lease, done, context);
 }
 
 static void
-on_watch(kv_t *platform, const char *prefix, int64_t start_revision,
+on_watch(kv_t *kv, const char *prefix, int64_t start_revision,
          kv_watch_done_t done, void *context)
 {
-    kv_t *inner = ((flaky_t *)platform)->inner;
+    kv_t *inner = ((flaky_t *)kv)->inner;
 
     inner->ops->watch(inner, prefix, start_revision, done, context);
 }
 
 static void
-on_watch_end(kv_t *platform, void *context)
+on_watch_end(kv_t *kv, void *context)
 {
-    flaky_t *flaky = (flaky_t *)platform;
+    flaky_t *flaky = (flaky_t *)kv;
 
     flaky->inner->ops->watch_end(flaky->inner, context);
 }
 
 static void
-on_free(kv_t *platform)
+on_free(kv_t *kv)
 {
-    flaky_t *flaky = (flaky_t *)platform;
+    flaky_t *flaky = (flaky_t *)kv;
 
     flaky->inner->ops->free(flaky->inner);
     free(flaky);
