--- a/regress/forwarding.c
+++ b/regress/forwarding.c
@@ -27,6 +27,7 @@
 } line_t;
 
 static char printed[FORWARDING_TEXT_BYTES];
+static char noted[FORWARDING_TEXT_BYTES];
 static char ids[WORDS_MAX][WORDS_MAX];
 
 static void step(forward_t *forward, int64_t at_ms,
@@ -41,6 +42,7 @@
 static forward_event_t answer_of(const line_t *line);
 static void do_peer(forward_t *forward, int64_t at_ms, const line_t *line);
 static bool do_registry(forward_t *forward, int64_t at_ms, const line_t *line);
+static void print_line(const forward_order_t *order);
 static void print_order(const forward_order_t *order);
 
 void
@@ -90,6 +92,7 @@
 
     split(&line, text);
     printed[0] = '\0';
+    noted[0] = '\0';
     if (do_registry(forward, at_ms, &line)) {
         return printed;
     }
@@ -134,6 +137,12 @@
     return printed;
 }
 
+const char *
+forwarding_lines(void)
+{
+    return noted;
+}
+
 routing_t *
 forwarding_routing(int64_t version)
 {
@@ -212,6 +221,7 @@
 
     forward_step(forward, at_ms * US_PER_MS, event, &orders);
     for (i = 0; print && i < orders.count; i++) {
+        print_line(&orders.items[i]);
         print_order(&orders.items[i]);
     }
     forward_orders_free(&orders);
@@ -446,6 +456,26 @@
     return true;
 }
 
+static void
+print_line(const forward_order_t *order)
+{
+    const order_ended_t *ended = &order->u.ended;
+    size_t used = strlen(noted);
+    size_t room = sizeof(noted) - used;
+
+    if (order->kind == ORDER_TO_LOG) {
+        (void)snprintf(noted + used, room, "%s %s\n", order->u.log.event,
+                       order->u.log.text);
+    }
+    else if (order->kind == ORDER_TO_NOTE_ENDED) {
+        (void)snprintf(noted + used, room,
+                       "end request=%s outcome=%s reason=%s status=%" PRIu32
+                       " runs=%" PRIu32 " routing=%" PRId64 "\n",
+                       ended->id, ended->outcome, ended->reason, ended->status,
+                       ended->runs, ended->routing_version);
+    }
+}
+
 static void
 print_order(const forward_order_t *order)
 {
--- a/regress/forwarding.h
+++ b/regress/forwarding.h
@@ -53,6 +53,9 @@
 const char *forwarding_do(forward_t *forward, int64_t at_ms,
                           const char *event);
 
+/* The log lines that the last event gave, each ended by a line end. */
+const char *forwarding_lines(void);
+
 /* Two routes to engines and two to a plain service; keys "k1" and "k2". */
 routing_t *forwarding_routing(int64_t version);
 
