Looking for a runner is no repeat; a copy under way to a lost standby is none

Cause 1, found by reading: a begun stream that waits for a runner took one of the retry budget each 100 ms without sending anything. Cause 2: a copy that was ordered to a standby that is lost meanwhile kept its name, and the next standby would have been asked for it. Change: the budget counts what is sent; the late answer orders a new copy. Tests: test_waiting_uses_no_budget, copy_to_a_lost_standby failed first.

--- a/forward/copies.c
+++ b/forward/copies.c
@@ -74,6 +74,12 @@
     }
     attempt = &request->attempt;
     attempt->asking = false;
+    if (attempt->standby == NULL) {
+        attempt->copy_name = NULL;
+        attempt->ask_at_us = forward->now_us;
+        copies_check(forward, request);
+        return;
+    }
     if (copied->name == NULL) {
         if (attempt->standby != NULL) {
             pool_copy_end(attempt->standby);
--- a/forward/forward.c
+++ b/forward/forward.c
@@ -298,13 +298,19 @@
 }
 
 bool
-take_repeat(forward_t *forward, const request_t *request)
+repeat_allowed(forward_t *forward, const request_t *request)
 {
     retry_use_t others = peers_use(forward, request->service);
 
-    return retry_budget_take(budget_of(forward, request->service),
-                             &forward->settings.retries, &others,
-                             forward->hosts, forward->now_us);
+    return retry_budget_allows(budget_of(forward, request->service),
+                               &forward->settings.retries, &others,
+                               forward->hosts, forward->now_us);
+}
+
+void
+repeat_sent(forward_t *forward, const request_t *request)
+{
+    retry_budget_sent(budget_of(forward, request->service), forward->now_us);
 }
 
 static void
--- a/forward/private.h
+++ b/forward/private.h
@@ -135,8 +135,9 @@
 /* Ends the request: its attempt is cancelled, its memory freed. */
 void request_forget(forward_t *forward, request_t *request);
 retry_budget_t *budget_of(forward_t *forward, const char *service);
-/* Whether the request may be sent once more; that is then counted. */
-bool take_repeat(forward_t *forward, const request_t *request);
+/* Whether the request may be sent once more, and that it was. */
+bool repeat_allowed(forward_t *forward, const request_t *request);
+void repeat_sent(forward_t *forward, const request_t *request);
 
 /* --- intake.c --- */
 
--- a/forward/recover.c
+++ b/forward/recover.c
@@ -179,12 +179,13 @@
     if (failed && request->type == REQUEST_SAFE && may_repeat(request) &&
         forward->now_us + (int64_t)RETRY_LEFT_MIN_MS * US_PER_MS <
             request->deadline_us &&
-        take_repeat(forward, request)) {
+        repeat_allowed(forward, request)) {
         uint32_t number = attempt->number;
         uint32_t status = attempt->status;
 
         attempt_end(forward, request, false);
         if (send_request(forward, request)) {
+            repeat_sent(forward, request);
             return;
         }
         order_new(forward, ORDER_TO_ANSWER, request->number)->u.attempt =
@@ -233,7 +234,7 @@
 static void
 resume(forward_t *forward, request_t *request)
 {
-    if (!take_repeat(forward, request)) {
+    if (!repeat_allowed(forward, request)) {
         refuse(forward, request, REFUSE_BUDGET);
         return;
     }
@@ -242,6 +243,7 @@
         return;
     }
     if (send_to_copy(forward, request) || send_request(forward, request)) {
+        repeat_sent(forward, request);
         return;
     }
     if (!request->begun) {
@@ -262,13 +264,15 @@
 static void
 try_elsewhere(forward_t *forward, request_t *request, refuse_reason_t reason)
 {
-    if (!take_repeat(forward, request)) {
+    if (!repeat_allowed(forward, request)) {
         refuse(forward, request, REFUSE_BUDGET);
         return;
     }
     if (!send_request(forward, request)) {
         refuse(forward, request, reason);
+        return;
     }
+    repeat_sent(forward, request);
 }
 
 /* Whether the request may run on one runner more. */
--- a/forward/retry_budget.c
+++ b/forward/retry_budget.c
@@ -34,8 +34,8 @@
 
 /* Of the fixed number, what belongs to hosts that are not heard is theirs. */
 bool
-retry_budget_take(retry_budget_t *budget, const retry_limits_t *limits,
-                  const retry_use_t *others, uint32_t hosts, int64_t now_us)
+retry_budget_allows(const retry_budget_t *budget, const retry_limits_t *limits,
+                    const retry_use_t *others, uint32_t hosts, int64_t now_us)
 {
     retry_use_t use = retry_budget_use(budget, limits, now_us);
     uint64_t kept_permille =
@@ -50,11 +50,13 @@
     }
     allowed = use.requests * limits->ratio_permille / PERMILLE +
               (uint64_t)limits->fixed * use.hosts / hosts;
-    if (use.repeats + 1 > allowed * kept_permille / PERMILLE) {
-        return false;
-    }
+    return use.repeats + 1 <= allowed * kept_permille / PERMILLE;
+}
+
+void
+retry_budget_sent(retry_budget_t *budget, int64_t now_us)
+{
     rate_add(&budget->repeats, now_us);
-    return true;
 }
 
 static uint64_t
--- a/forward/retry_budget.h
+++ b/forward/retry_budget.h
@@ -48,11 +48,15 @@
                              const retry_limits_t *limits, int64_t now_us);
 
 /*
- * Whether one more repeat is allowed, which is then counted.  others: what
- * the other hosts said that they have used; hosts: how many there are.
+ * Whether one more repeat is allowed.  others: what the other hosts said that
+ * they have used; hosts: how many there are.
  */
-bool retry_budget_take(retry_budget_t *budget, const retry_limits_t *limits,
-                       const retry_use_t *others, uint32_t hosts,
-                       int64_t now_us);
+bool retry_budget_allows(const retry_budget_t *budget,
+                         const retry_limits_t *limits,
+                         const retry_use_t *others, uint32_t hosts,
+                         int64_t now_us);
+
+/* One repeat was sent. */
+void retry_budget_sent(retry_budget_t *budget, int64_t now_us);
 
 #endif
--- a/regress/test_forward.c
+++ b/regress/test_forward.c
@@ -254,6 +254,19 @@
      "backup=10.17.0.1:80 resume"},
 };
 
+/* A copy that was under way to a standby that is lost meanwhile is none. */
+static const forwarding_line_t copy_to_a_lost_standby[] = {
+    OPENED,
+    {10, "request 1 stream", "send 1.1 rc1 backup=10.17.0.1:80"},
+    {900, "head 1 1 200", "begin 1.1"},
+    {900, "event 1 1 0", ""},
+    {950, "drop ra1", "copy 1.1 10.17.1.1:80"},
+    {960, "drop rb1", ""},
+    {970, "runner ra2", ""},
+    {980, "copied 1 1 name=h7", "copy 1.1 10.17.0.2:80"},
+    {990, "broken 1 1", "cancel 1.1; send 1.2 ra2 backup=10.17.2.1:80 resume"},
+};
+
 static const forwarding_line_t copy_is_dropped_at_the_end[] = {
     OPENED,
     {10, "request 1 stream", "send 1.1 rc1 backup=10.17.0.1:80"},
@@ -350,6 +363,7 @@
     SCRIPT(address_taken_over),
     SCRIPT(same_id_started_again),
     SCRIPT(lost_standby_is_replaced),
+    SCRIPT(copy_to_a_lost_standby),
     SCRIPT(copy_is_dropped_at_the_end),
     SCRIPT(refused_copy_is_asked_again),
     SCRIPT(peers_prompt_is_avoided),
@@ -405,6 +419,43 @@
 }
 END_TEST
 
+/*
+ * Load: all runners are gone for a moment, and begun streams wait for one.
+ * Looking for a runner is no repeat: the budget is there when one comes.
+ */
+START_TEST(test_waiting_uses_no_budget)
+{
+    forward_t *forward = forwarding_open();
+    char event[64];
+    int64_t at_ms;
+    int i;
+
+    (void)forwarding_do(forward, 0, "routing 1");
+    (void)forwarding_do(forward, 0, "contact");
+    (void)forwarding_do(forward, 0, "list ra1");
+    for (i = 1; i <= 12; i++) {
+        (void)snprintf(event, sizeof(event), "request %d stream", i);
+        (void)forwarding_do(forward, 10, event);
+        (void)snprintf(event, sizeof(event), "head %d 1 200", i);
+        (void)forwarding_do(forward, 10, event);
+        (void)snprintf(event, sizeof(event), "event %d 1 0", i);
+        (void)forwarding_do(forward, 10, event);
+    }
+    (void)forwarding_do(forward, 20, "drop ra1");
+    for (i = 1; i <= 12; i++) {
+        (void)snprintf(event, sizeof(event), "broken %d 1", i);
+        (void)forwarding_do(forward, 30, event);
+    }
+    for (at_ms = 130; at_ms < 1700; at_ms += 100) {
+        ck_assert_str_eq(forwarding_do(forward, at_ms, "timer"), "");
+    }
+    (void)forwarding_do(forward, 1700, "runner rb1");
+    ck_assert(strstr(forwarding_do(forward, 1750, "timer"), "send 12.2 rb1") !=
+              NULL);
+    forward_free(forward);
+}
+END_TEST
+
 /* Load: more callers at once than the host has room for. */
 START_TEST(test_host_full)
 {
@@ -435,6 +486,7 @@
 
     tcase_add_loop_test(tcase, test_script, 0, COUNT(scripts));
     tcase_add_test(tcase, test_budget_counts_what_callers_sent);
+    tcase_add_test(tcase, test_waiting_uses_no_budget);
     tcase_add_test(tcase, test_host_full);
     return fixture_main("forward", tcase);
 }
