--- a/regress/test_following.c
+++ b/regress/test_following.c
@@ -7,7 +7,7 @@
 
 enum { HOSTS_MAX = 340, ZONES = 3, WATCHERS = 2 };
 
-static char names[HOSTS_MAX][16];
+static char names[HOSTS_MAX][32];
 static follow_host_t hosts[HOSTS_MAX];
 
 static void
