One list of per-connection headers; dead code of forwarding removed

Found by reading the whole change: the list stood in gateway/upstream.c and gateway/inbound.c; pool_available() and order_send_t.stream were used by nobody; a comment of forward_step() was wrong. No behaviour changes.

--- a/forward/forward.h
+++ b/forward/forward.h
@@ -167,10 +167,9 @@
     uint32_t attempt;
     const char *runner;
     const char *address;
-    const char *organisation; /* NULL: anonymous */
-    uint32_t deadline_ms;     /* that the runner has; 0: none */
-    uint32_t connect_ms;      /* to be connected within */
-    bool stream;
+    const char *organisation;   /* NULL: anonymous */
+    uint32_t deadline_ms;       /* that the runner has; 0: none */
+    uint32_t connect_ms;        /* to be connected within */
     int64_t last_event_id;      /* go on after it; -1: from the start */
     const char *backup_address; /* copy the run's memory there; or NULL */
     /* Go on from a copy that this runner keeps: the address and the name
@@ -276,7 +275,7 @@
 forward_t *forward_new(const forward_settings_t *settings);
 void forward_free(forward_t *forward);
 
-/* Carries out one event.  Settings may be NULL except for its own. */
+/* Carries out one event: orders is emptied and gets what follows. */
 void forward_step(forward_t *forward, int64_t now_us,
                   const forward_event_t *event, forward_orders_t *orders);
 
--- a/forward/pool.c
+++ b/forward/pool.c
@@ -151,21 +151,6 @@
     }
 }
 
-uint32_t
-pool_available(const pool_t *pool, int64_t now_us, const char *service)
-{
-    const pool_runner_t *runner;
-    uint32_t count = 0;
-
-    for (runner = pool->runners; runner != NULL; runner = runner->hh.next) {
-        if (strcmp(runner->is.service, service) == 0 &&
-            pool_usable(runner, now_us) && now_us >= runner->rests_until_us) {
-            count++;
-        }
-    }
-    return count;
-}
-
 bool
 pool_usable(const pool_runner_t *runner, int64_t now_us)
 {
--- a/forward/pool.h
+++ b/forward/pool.h
@@ -87,10 +87,6 @@
 pool_runner_t *pool_choose(const pool_t *pool, int64_t now_us,
                            const pool_want_t *want);
 
-/* How many runners of the service would be offered a request. */
-uint32_t pool_available(const pool_t *pool, int64_t now_us,
-                        const char *service);
-
 /* Whether it may be sent new requests. */
 bool pool_usable(const pool_runner_t *runner, int64_t now_us);
 
--- a/forward/send.c
+++ b/forward/send.c
@@ -117,7 +117,6 @@
             left_ms > DEADLINE_MIN_MS ? (uint32_t)left_ms : DEADLINE_MIN_MS;
     }
     send->connect_ms = CONNECT_MS;
-    send->stream = request->type == REQUEST_STREAM;
     send->last_event_id = request->last_event_id;
     attempt->restored = restore;
     if (restore) {
--- a/gateway/dialect.h
+++ b/gateway/dialect.h
@@ -40,6 +40,9 @@
 /* The first header of that name, whatever its case, or NULL. */
 const header_t *headers_find(const headers_t *headers, const char *name);
 
+/* Whether it concerns one connection, or the framing on it. */
+bool header_is_of_connection(const char *name, size_t length);
+
 /* What the headers of a caller's request say to the system. */
 typedef struct {
     const char *id; /* "" when it has none */
--- a/gateway/headers.c
+++ b/gateway/headers.c
@@ -48,3 +48,20 @@
     }
     return NULL;
 }
+
+bool
+header_is_of_connection(const char *name, size_t length)
+{
+    static const char *const names[] = {
+        "Connection", "Keep-Alive", "Proxy-Connection",  "TE",
+        "Trailer",    "Upgrade",    "Transfer-Encoding", "Content-Length"};
+    size_t i;
+
+    for (i = 0; i < sizeof(names) / sizeof(names[0]); i++) {
+        if (strlen(names[i]) == length &&
+            strncasecmp(names[i], name, length) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
--- a/gateway/inbound.c
+++ b/gateway/inbound.c
@@ -289,18 +289,13 @@
 static bool
 is_of_connection(const h2o_req_t *req, const h2o_header_t *header)
 {
-    static const char *const names[] = {
-        "connection", "keep-alive", "proxy-connection",  "te",
-        "trailer",    "upgrade",    "transfer-encoding", "content-length",
-        "expect",     "host"};
     ssize_t at = -1;
-    size_t i;
 
-    for (i = 0; i < sizeof(names) / sizeof(names[0]); i++) {
-        if (h2o_memis(header->name->base, header->name->len, names[i],
-                      strlen(names[i]))) {
-            return true;
-        }
+    if (header_is_of_connection(header->name->base, header->name->len) ||
+        h2o_memis(header->name->base, header->name->len,
+                  H2O_STRLIT("expect")) ||
+        h2o_memis(header->name->base, header->name->len, H2O_STRLIT("host"))) {
+        return true;
     }
     while ((at = h2o_find_header(&req->headers, H2O_TOKEN_CONNECTION, at)) >=
            0) {
--- a/gateway/upstream.c
+++ b/gateway/upstream.c
@@ -1,7 +1,6 @@
 /* upstream.c - sends to runners, and signs of life asked of them. */
 #include <stdlib.h>
 #include <string.h>
-#include <strings.h>
 
 #include <uthash.h>
 
@@ -48,7 +47,6 @@
 static void on_event(void *context, const stream_event_t *event);
 static const char **header_lines(send_t *send, const headers_t *headers,
                                  const char *host);
-static bool is_of_connection(const char *name, size_t length);
 static send_t *find(upstreams_t *upstreams, uint64_t number);
 static void send_free(send_t *send);
 static const http_sink_ops_t sink_ops = {
@@ -170,7 +168,7 @@
 {
     send_t *send = (send_t *)sink;
 
-    if (status < STATUS_FINAL || is_of_connection(name, name_bytes)) {
+    if (status < STATUS_FINAL || header_is_of_connection(name, name_bytes)) {
         return;
     }
     headers_add(&send->headers, &send->arena,
@@ -293,24 +291,6 @@
     return lines;
 }
 
-/* Headers that concern one connection, or the framing on it. */
-static bool
-is_of_connection(const char *name, size_t length)
-{
-    static const char *const names[] = {
-        "Connection", "Keep-Alive", "Proxy-Connection",  "TE",
-        "Trailer",    "Upgrade",    "Transfer-Encoding", "Content-Length"};
-    size_t i;
-
-    for (i = 0; i < sizeof(names) / sizeof(names[0]); i++) {
-        if (strlen(names[i]) == length &&
-            strncasecmp(names[i], name, length) == 0) {
-            return true;
-        }
-    }
-    return false;
-}
-
 static send_t *
 find(upstreams_t *upstreams, uint64_t number)
 {
