A host whose watcher fails asks the store once, then follows another

Change: the memory of failures is code without a loop (forward/following.c). A watcher answers at once when its contact is 1.5 s old; an ask has 0.9 s; after one failure the host asks the store itself until it has answered, and then follows another.

Ruled out: watching alone for 5 s after a failure.

--- a/forward/following.c
+++ b/forward/following.c
@@ -10,11 +10,17 @@
     ALL_WATCH = 8,
     /* One may fail, and the other is there at once. */
     WATCHERS_A_ZONE = 2,
+    /* A host that failed is not asked for so long: most faults are over
+     * then. */
+    FAILED_MS = 10000,
+    US_PER_MS = 1000,
 };
 
 static bool is_watcher(const follow_host_t *hosts, size_t count,
                        const follow_host_t *host);
 static uint64_t weight(const char *name, uint64_t seed);
+static bool has_failed(const following_t *following, const char *name,
+                       int64_t now_us);
 
 bool
 following_watches(const follow_host_t *hosts, size_t count,
@@ -53,6 +59,68 @@
     return best;
 }
 
+const char *
+following_host(const following_t *following, follow_host_t *hosts,
+               size_t count, const follow_host_t *self, int64_t now_us)
+{
+    const follow_host_t *chosen;
+    size_t i;
+
+    if (following->alone || self == NULL ||
+        following_watches(hosts, count, self)) {
+        return NULL;
+    }
+    for (i = 0; i < count; i++) {
+        hosts[i].failed = has_failed(following, hosts[i].name, now_us);
+    }
+    chosen = following_choose(hosts, count, self);
+    return chosen != NULL ? chosen->name : NULL;
+}
+
+bool
+following_current(int64_t contact_age_us)
+{
+    return contact_age_us <= (int64_t)FOLLOWING_AGE_MAX_MS * US_PER_MS;
+}
+
+uint32_t
+following_hold_ms(int64_t contact_age_us)
+{
+    int64_t age_ms = contact_age_us / US_PER_MS;
+
+    if (age_ms > FOLLOWING_AGE_MAX_MS) {
+        return 0;
+    }
+    if (age_ms + FOLLOWING_HOLD_MS > FOLLOWING_AGE_MAX_MS) {
+        return (uint32_t)(FOLLOWING_AGE_MAX_MS + 1 - age_ms);
+    }
+    return FOLLOWING_HOLD_MS;
+}
+
+void
+following_failed(following_t *following, const char *host, int64_t now_us)
+{
+    follow_failure_t *failed =
+        &following->failed[following->failed_next % FOLLOWING_FAILED_HOSTS];
+
+    following->failed_next++;
+    failed->name_hash = weight(host, 0);
+    failed->until_us = now_us + (int64_t)FAILED_MS * US_PER_MS;
+    following->alone = true;
+}
+
+void
+following_asked_store(following_t *following)
+{
+    following->alone = false;
+}
+
+bool
+following_starts(size_t hosts)
+{
+    return hosts <= ALL_WATCH;
+}
+
 /* The highest weights of its zone watch. */
 static bool
 is_watcher(const follow_host_t *hosts, size_t count, const follow_host_t *host)
@@ -75,3 +143,17 @@
 {
     return XXH3_64bits_withSeed(name, strlen(name), seed);
 }
+
+static bool
+has_failed(const following_t *following, const char *name, int64_t now_us)
+{
+    size_t i;
+
+    for (i = 0; i < FOLLOWING_FAILED_HOSTS; i++) {
+        if (now_us < following->failed[i].until_us &&
+            following->failed[i].name_hash == weight(name, 0)) {
+            return true;
+        }
+    }
+    return false;
+}
--- a/gateway/settings.h
+++ b/gateway/settings.h
@@ -16,6 +16,7 @@
     const char *peer_address;      /* other hosts' messages; or NULL */
     uint32_t watch_ms; /* a watch of the store returns at least so often */
     uint32_t watch_pause_ms; /* changes within it come in one call */
+    uint32_t settle_ms; /* the hosts of a fleet that starts register in it */
     uint32_t presence_s;   /* a host that is silent for longer is not named */
     uint32_t revoke_ms;    /* see forward_settings_t */
     uint32_t registry_ms;  /* see forward_settings_t */
--- a/gateway/store_relay.c
+++ b/gateway/store_relay.c
@@ -13,9 +13,6 @@
 #include "gateway/gateway.h"
 
 enum {
-    /* Asks are held so long; the contact that an answer proves is no younger
-     * than its ask. */
-    HOLD_MS = 500,
     CHECK_MS = 100,
     ASKS_MAX = 512,
     US_PER_MS = 1000,
@@ -38,6 +35,7 @@
 
 static void answer(store_relay_t *relay, const char *host, uint64_t number,
                    int64_t after);
+static int64_t contact_age_us(const gateway_t *gateway);
 static void ask_free(store_relay_t *relay, ask_t *ask);
 static void on_timer(uv_timer_t *timer);
 
@@ -77,9 +75,10 @@
                   const store_ask_t *asked)
 {
     gateway_t *gateway = relay->gateway;
+    uint32_t hold_ms = following_hold_ms(contact_age_us(gateway));
     ask_t *ask;
 
-    if (asked->after != mirror_revision(gateway->mirror) ||
+    if (asked->after != mirror_revision(gateway->mirror) || hold_ms == 0 ||
         relay->count >= ASKS_MAX) {
         answer(relay, host, asked->number, asked->after);
         return;
@@ -88,7 +87,7 @@
     ask->host = xstrdup(host);
     ask->number = asked->number;
     ask->after = asked->after;
-    ask->due_us = gateway_now_us() + (int64_t)HOLD_MS * US_PER_MS;
+    ask->due_us = gateway_now_us() + (int64_t)hold_ms * US_PER_MS;
     TAILQ_INSERT_TAIL(&relay->asks, ask, link);
     relay->count++;
     if (!uv_is_active((uv_handle_t *)relay->timer)) {
@@ -115,8 +114,6 @@
     gateway_t *gateway = relay->gateway;
     message_t message = {.kind = MESSAGE_STORE_TELL};
     store_tell_t *tell = &message.message_t_u.store_tell;
-    int64_t age_us =
-        forward_contact_age_us(forwarding_state(gateway), gateway_now_us());
     arena_t arena = {0};
     kv_pair_t *pairs;
     size_t count;
@@ -124,7 +121,7 @@
 
     tell->number = number;
     tell->revision = mirror_revision(gateway->mirror);
-    tell->contact_age_ms = (uint32_t)(age_us / US_PER_MS);
+    tell->contact_age_ms = (uint32_t)(contact_age_us(gateway) / US_PER_MS);
     tell->known =
         mirror_changes(gateway->mirror, after, &arena, &pairs, &count) &&
         count <= LINK_ITEMS_MAX;
@@ -146,6 +143,12 @@
     arena_free(&arena);
 }
 
+static int64_t
+contact_age_us(const gateway_t *gateway)
+{
+    return forward_contact_age_us(forwarding_state(gateway), gateway_now_us());
+}
+
 static void
 ask_free(store_relay_t *relay, ask_t *ask)
 {
--- a/gateway/watcher.c
+++ b/gateway/watcher.c
@@ -18,49 +18,26 @@
     /* Between tries to reach the store: what changed must be in force within
      * a second or two of its return. */
     RETRY_MAX_MS = 500,
-    /* The hosts of a fleet that starts are known by then. */
-    SETTLE_MS = 2500,
-    /* An ask is held for half a second. */
-    ASK_TIMEOUT_MS = 1200,
-    /* A host whose own contact is older is no help. */
-    AGE_MAX_MS = 2200,
-    /* A host that failed is not asked, and after several failures this one
-     * watches by itself for so long. */
-    FAILED_MS = 5000,
-    SELF_MS = 10000,
-    FAILURES_MAX = 2,
-    FAILED_HOSTS = 4,
 };
 
-/* A host that did not answer. */
-typedef struct {
-    char *name;
-    int64_t until_us;
-} failed_t;
-
 typedef enum { SOURCE_NONE, SOURCE_READ, SOURCE_WATCH, SOURCE_HOST } source_t;
 
 struct watcher {
     gateway_t *gateway;
     uv_timer_t *timer;
     backoff_t backoff;
-    int64_t started_us;
     int64_t since_us; /* the call or ask under way began then */
     source_t source;  /* of what is under way */
     bool reading;     /* the whole list is what is needed next */
+    bool started;     /* the list has been read once */
     bool away;        /* the store does not answer */
     char *asked;      /* SOURCE_HOST: who */
     uint64_t asks;
-    uint32_t failures;     /* of asks, in a row */
-    int64_t self_until_us; /* watches by itself until then */
-    failed_t failed[FAILED_HOSTS];
-    size_t failed_next;
+    following_t following;
 };
 
 static void next_call(watcher_t *watcher);
 static const char *host_to_ask(watcher_t *watcher, arena_t *arena);
-static bool has_failed(const watcher_t *watcher, const char *name,
-                       int64_t now_us);
 static void ask(watcher_t *watcher, const char *host);
 static void ask_failed(watcher_t *watcher);
 static void on_range(void *context, kv_result_t result, int64_t revision,
@@ -78,7 +55,6 @@
 
     watcher->gateway = gateway;
     watcher->reading = true;
-    watcher->started_us = gateway_now_us();
     watcher->timer = xcalloc(1, sizeof(*watcher->timer));
     (void)uv_timer_init(gateway->loop, watcher->timer);
     watcher->timer->data = watcher;
@@ -89,15 +65,10 @@
 void
 watcher_free(watcher_t *watcher)
 {
-    size_t i;
-
     if (watcher == NULL) {
         return;
     }
     uv_close((uv_handle_t *)watcher->timer, (uv_close_cb)free);
-    for (i = 0; i < FAILED_HOSTS; i++) {
-        free(watcher->failed[i].name);
-    }
     free(watcher->asked);
     free(watcher);
 }
@@ -134,11 +105,10 @@
     }
     mirror_reached(gateway->mirror, tell->revision);
     store_relay_changed(gateway->relay);
-    if (tell->contact_age_ms > AGE_MAX_MS) {
+    if (!following_current((int64_t)tell->contact_age_ms * US_PER_MS)) {
         ask_failed(watcher);
         return;
     }
-    watcher->failures = 0;
     in_contact(watcher, contact_us);
     next_call(watcher);
 }
@@ -175,40 +145,14 @@
     gateway_t *gateway = watcher->gateway;
     int64_t now_us = gateway_now_us();
     const follow_host_t *self;
-    const follow_host_t *chosen;
     follow_host_t *hosts;
     size_t count;
-    size_t i;
 
-    if (!peering_ready(gateway->peering) ||
-        now_us - watcher->started_us < (int64_t)SETTLE_MS * US_PER_MS ||
-        now_us < watcher->self_until_us) {
+    if (!peering_ready(gateway->peering)) {
         return NULL;
     }
     hosts = directory_hosts(gateway->directory, arena, &count, &self);
-    if (self == NULL || following_watches(hosts, count, self)) {
-        return NULL;
-    }
-    for (i = 0; i < count; i++) {
-        hosts[i].failed = has_failed(watcher, hosts[i].name, now_us);
-    }
-    chosen = following_choose(hosts, count, self);
-    return chosen != NULL ? chosen->name : NULL;
-}
-
-static bool
-has_failed(const watcher_t *watcher, const char *name, int64_t now_us)
-{
-    size_t i;
-
-    for (i = 0; i < FAILED_HOSTS; i++) {
-        if (watcher->failed[i].name != NULL &&
-            now_us < watcher->failed[i].until_us &&
-            strcmp(watcher->failed[i].name, name) == 0) {
-            return true;
-        }
-    }
-    return false;
+    return following_host(&watcher->following, hosts, count, self, now_us);
 }
 
 static void
@@ -226,28 +170,17 @@
     message.message_t_u.store_ask.number = watcher->asks;
     message.message_t_u.store_ask.after =
         mirror_revision(watcher->gateway->mirror);
-    (void)uv_timer_start(watcher->timer, on_timer, ASK_TIMEOUT_MS, 0);
+    (void)uv_timer_start(watcher->timer, on_timer, FOLLOWING_ANSWER_MS, 0);
     peering_tell(watcher->gateway->peering, host, &message);
 }
 
 static void
 ask_failed(watcher_t *watcher)
 {
-    failed_t *failed = &watcher->failed[watcher->failed_next % FAILED_HOSTS];
-    int64_t now_us = gateway_now_us();
-
-    log_event(LOG_NOTICE, "store-host-failed", "host=%s failures=%" PRIu32,
-              watcher->asked, watcher->failures + 1);
-    watcher->failed_next++;
-    free(failed->name);
-    failed->name = watcher->asked;
-    failed->until_us = now_us + (int64_t)FAILED_MS * US_PER_MS;
+    log_event(LOG_NOTICE, "store-host-failed", "host=%s", watcher->asked);
+    following_failed(&watcher->following, watcher->asked, gateway_now_us());
+    free(watcher->asked);
     watcher->asked = NULL;
-    watcher->failures++;
-    if (watcher->failures >= FAILURES_MAX) {
-        watcher->failures = 0;
-        watcher->self_until_us = now_us + (int64_t)SELF_MS * US_PER_MS;
-    }
     next_call(watcher);
 }
 
@@ -267,7 +200,16 @@
     store_relay_changed(watcher->gateway->relay);
     watcher->reading = false;
     in_contact(watcher, watcher->since_us);
-    next_call(watcher);
+    if (!watcher->started &&
+        following_starts(directory_count(watcher->gateway->directory))) {
+        watcher->source = SOURCE_NONE;
+        (void)uv_timer_start(watcher->timer, on_timer,
+                             watcher->gateway->settings->settle_ms, 0);
+    }
+    else {
+        next_call(watcher);
+    }
+    watcher->started = true;
 }
 
 /* An empty answer comes when its time is over: nothing had changed. */
@@ -305,6 +247,7 @@
         contact_us = contact_us < now_us ? contact_us : now_us;
     }
     watcher->since_us = now_us;
+    following_asked_store(&watcher->following);
     in_contact(watcher, contact_us);
     if (count > 0) {
         store_relay_changed(gateway->relay);
@@ -341,6 +284,7 @@
                   mirror_revision(watcher->gateway->mirror));
         watcher->away = true;
     }
+    following_asked_store(&watcher->following);
     watcher->source = SOURCE_NONE;
     (void)uv_timer_start(watcher->timer, on_timer,
                          wait_ms < RETRY_MAX_MS ? wait_ms : RETRY_MAX_MS, 0);
--- a/regress/test_following.c
+++ b/regress/test_following.c
@@ -5,7 +5,7 @@
 #include "forward/following.h"
 #include "regress/fixture.h"
 
-enum { HOSTS_MAX = 340, ZONES = 3, WATCHERS = 2 };
+enum { HOSTS_MAX = 340, ZONES = 3, WATCHERS = 2, US_PER_MS = 1000 };
 
 static char names[HOSTS_MAX][32];
 static follow_host_t hosts[HOSTS_MAX];
@@ -108,6 +108,83 @@
 }
 END_TEST
 
+/* What the two watchers of a zone do from time 0 on. */
+typedef enum { WATCHER_CUT, WATCHER_DEAD } watcher_fault_t;
+
+static const struct {
+    const char *name;
+    watcher_fault_t faults[WATCHERS];
+} losses[] = {
+    {"both lose the store", {WATCHER_CUT, WATCHER_CUT}},
+    {"one dies, the other loses the store", {WATCHER_DEAD, WATCHER_CUT}},
+    {"one loses the store, the other dies", {WATCHER_CUT, WATCHER_DEAD}},
+    {"both die", {WATCHER_DEAD, WATCHER_DEAD}},
+};
+
+/* When a host that asked at this time has its answer, or none. */
+static int64_t
+answered_us(watcher_fault_t fault, int64_t asked_us, bool *current)
+{
+    int64_t then_us;
+
+    if (fault == WATCHER_DEAD) {
+        *current = false;
+        return asked_us + (int64_t)FOLLOWING_ANSWER_MS * US_PER_MS;
+    }
+    then_us = asked_us + (int64_t)following_hold_ms(asked_us) * US_PER_MS;
+    *current = following_current(then_us);
+    return then_us;
+}
+
+/*
+ * A runner says that it leaves just as both watchers are lost.  Their contact
+ * and the ask under way are of the moment before.  A follower is to watch by
+ * itself before the runner may stop: 2 s in the users' first deployments.
+ */
+START_TEST(test_both_watchers_lost)
+{
+    enum { COUNT = 30, LEAVE_MS = 2000 };
+    const follow_host_t *self = NULL;
+    following_t following = {0};
+    const char *names_of_watchers[WATCHERS] = {NULL};
+    size_t asks = 0;
+    int64_t now_us = 0;
+    const char *host;
+    size_t i;
+
+    make_hosts(COUNT);
+    for (i = 0; i < COUNT && self == NULL; i++) {
+        if (!following_watches(hosts, COUNT, &hosts[i])) {
+            self = &hosts[i];
+        }
+    }
+    while ((host = following_host(&following, hosts, COUNT, self, now_us)) !=
+           NULL) {
+        size_t which = names_of_watchers[0] == NULL ||
+                               strcmp(names_of_watchers[0], host) == 0
+                           ? 0
+                           : 1;
+        bool current;
+
+        names_of_watchers[which] = host;
+        now_us = answered_us(losses[_i].faults[which], now_us, &current);
+        if (!current) {
+            following_failed(&following, host, now_us);
+        }
+        asks++;
+        ck_assert_msg(asks < 100, "%s: asks without end", losses[_i].name);
+    }
+    ck_assert_msg(now_us < (int64_t)LEAVE_MS * US_PER_MS,
+                  "%s: watches by itself after %lld ms", losses[_i].name,
+                  (long long)(now_us / US_PER_MS));
+    following_asked_store(&following);
+    host = following_host(&following, hosts, COUNT, self, now_us);
+    ck_assert_msg(host != NULL && strcmp(host, names_of_watchers[0]) != 0,
+                  "%s: then follows %s", losses[_i].name,
+                  host != NULL ? host : "nobody");
+}
+END_TEST
+
 int
 main(void)
 {
@@ -116,5 +193,7 @@
     tcase_add_test(tcase, test_count);
     tcase_add_test(tcase, test_choice);
     tcase_add_test(tcase, test_failures);
+    tcase_add_loop_test(tcase, test_both_watchers_lost, 0,
+                        sizeof(losses) / sizeof(losses[0]));
     return fixture_main("following", tcase);
 }
