Requests that crash runners are known to all hosts

Cause: a request whose runs crash each runner was bounded for one attempt only (five runners); its caller comes again, through any host, and each time takes up to five more.

Change: forward/suspicion.c feeds the judge of the sessions (policy/suspect.c) with the losses and answers of forwarding; notes travel with the hosts' placements, numbered, so that one that is told again counts once. A request is known by method, host name, path, body and key. One that lost two runners within a second and has not begun waits until that is judged. The refusal is 503 for what has not run, with the time after which it may come again.

--- a/forward/forward.c
+++ b/forward/forward.c
@@ -39,6 +39,7 @@
     forward->chance = settings->seed;
     forward->hosts = 1;
     forward->pool = pool_new();
+    suspicion_start(forward);
     return forward;
 }
 
@@ -66,6 +67,7 @@
         free(budget);
     }
     sharing_free(forward);
+    suspects_free(forward->suspects);
     routing_free(forward->routing);
     pool_free(forward->pool);
     free(forward->zone);
@@ -83,6 +85,7 @@
     }
     forward->now_us = now_us;
     forward->orders = orders;
+    suspicion_judge(forward);
     switch (event->kind) {
     case FORWARD_ROUTING:
         take_routing(forward, event->u.routing);
@@ -120,6 +123,7 @@
         take_request_event(forward, event);
         break;
     }
+    suspicion_publish(forward);
     if (forward->runs_changed) {
         (void)order_new(forward, ORDER_TO_SHARE, 0);
         forward->runs_changed = false;
@@ -131,7 +135,7 @@
 forward_due_us(const forward_t *forward)
 {
     const request_t *request;
-    int64_t due_us = INT64_MAX;
+    int64_t due_us = suspects_due_us(forward->suspects);
 
     for (request = forward->requests; request != NULL;
          request = request->hh.next) {
@@ -193,6 +197,7 @@
         [REFUSE_FULL] = "runners-full",
         [REFUSE_HOST_FULL] = "host-full",
         [REFUSE_BUDGET] = "retry-budget",
+        [REFUSE_HARMFUL] = "harmful",
         [REFUSE_RUNNER_LOST] = "runner-lost",
         [REFUSE_BAD_ANSWER] = "bad-answer",
         [REFUSE_TIMEOUT] = "timeout",
--- a/forward/forward.h
+++ b/forward/forward.h
@@ -37,6 +37,7 @@
     REFUSE_FULL,        /* all runners said that they have no room */
     REFUSE_HOST_FULL,   /* this host carries all that it can */
     REFUSE_BUDGET,      /* the service's retry budget is spent */
+    REFUSE_HARMFUL,     /* it crashes the runners that run it */
     REFUSE_RUNNER_LOST, /* a runner broke off; the request may have run */
     REFUSE_BAD_ANSWER,  /* a runner's answer is not to be trusted */
     REFUSE_TIMEOUT,     /* the route's or the caller's time is over */
@@ -84,6 +85,7 @@
     uint64_t affinity;      /* requests that share a cached prompt have the
                                same; any number otherwise */
     int64_t last_event_id;  /* the caller has the events up to it; -1: none */
+    uint64_t fingerprint;   /* of what is asked and by whom, whatever the id */
 } forward_request_t;
 
 /* The status line and headers of an answer. */
--- a/forward/intake.c
+++ b/forward/intake.c
@@ -66,6 +66,10 @@
         refuse(forward, request, REFUSE_LEAVING);
         return;
     }
+    if (suspicion_verdict(forward, request) >= SUSPECT_HELD) {
+        refuse(forward, request, REFUSE_HARMFUL);
+        return;
+    }
     if (!send_request(forward, request)) {
         refuse(forward, request, REFUSE_NO_RUNNER);
     }
@@ -112,6 +116,7 @@
     request->prompt_tokens = caller->prompt_tokens;
     request->affinity = caller->affinity;
     request->last_event_id = caller->last_event_id;
+    request->fingerprint = caller->fingerprint;
     request->arrived_us = forward->now_us;
     HASH_ADD(hh, forward->requests, number, sizeof(request->number), request);
     return request;
--- a/forward/pool.c
+++ b/forward/pool.c
@@ -151,6 +151,12 @@
     }
 }
 
+const pool_runner_t *
+pool_first(const pool_t *pool)
+{
+    return pool->runners;
+}
+
 bool
 pool_usable(const pool_runner_t *runner, int64_t now_us)
 {
--- a/forward/pool.h
+++ b/forward/pool.h
@@ -87,6 +87,9 @@
 pool_runner_t *pool_choose(const pool_t *pool, int64_t now_us,
                            const pool_want_t *want);
 
+/* The runners, linked by hh.next. */
+const pool_runner_t *pool_first(const pool_t *pool);
+
 /* Whether it may be sent new requests. */
 bool pool_usable(const pool_runner_t *runner, int64_t now_us);
 
--- a/forward/private.h
+++ b/forward/private.h
@@ -4,7 +4,8 @@
  * forward.c takes the events, intake.c decides on a new request, send.c
  * starts and ends its attempts, recover.c goes on after a loss, copies.c
  * keeps copies of running streams, sharing.c takes the other hosts' word,
- * watchdog.c looks for what is due.
+ * suspicion.c finds requests that crash runners, watchdog.c looks for what is
+ * due.
  */
 #ifndef FORWARD_PRIVATE_H
 #define FORWARD_PRIVATE_H
@@ -15,6 +16,7 @@
 
 #include "forward/forward.h"
 #include "forward/pool.h"
+#include "policy/suspect.h"
 
 enum { US_PER_MS = 1000 };
 
@@ -54,6 +56,7 @@
     uint32_t objective_ms;
     uint32_t prompt_tokens;
     uint64_t affinity;
+    uint64_t fingerprint;
     int64_t arrived_us;
     int64_t deadline_us; /* the earlier of the route's and the caller's */
     int64_t last_event_id;
@@ -85,6 +88,7 @@
     char *host;
     uint64_t incarnation;
     uint64_t number;
+    uint64_t noted; /* number of its last note that was taken */
     int64_t heard_us;
     int64_t contact_us; /* its routing table was in force then */
     placement_t *placements;
@@ -94,6 +98,12 @@
     UT_hash_handle hh;
 } peer_view_t;
 
+/* What is told of a suspect, for some time. */
+typedef struct {
+    suspect_note_t note;
+    int64_t until_us;
+} told_note_t;
+
 /* Where the prompt of a session was read. */
 typedef struct {
     uint64_t session;
@@ -116,6 +126,9 @@
     bool runs_changed;   /* in the step that is running */
     request_t *requests; /* by number */
     service_budget_t *budgets;
+    suspects_t *suspects;              /* requests that crash runners */
+    told_note_t notes[LINK_NOTES_MAX]; /* by number, modulo its size */
+    uint64_t notes_made;
     /* Of the step that is running. */
     int64_t now_us;
     forward_orders_t *orders;
@@ -193,6 +206,28 @@
 /* id_hash of the runner that has read it, or 0. */
 uint64_t session_runner(const forward_t *forward, uint64_t session);
 
+/* --- suspicion.c --- */
+
+void suspicion_start(forward_t *forward);
+/* The attempt under way lost its runner; it was there for so long. */
+void suspicion_lost(forward_t *forward, const request_t *request);
+/* A run came to its end. */
+void suspicion_answered(forward_t *forward, const request_t *request);
+/* Whether the request may be sent to a runner now, later or not. */
+suspect_verdict_t suspicion_verdict(const forward_t *forward,
+                                    const request_t *request);
+/* When a refused one may come again. */
+uint32_t suspicion_wait_ms(const forward_t *forward, const request_t *request);
+/* Judges what is due. */
+void suspicion_judge(forward_t *forward);
+/* Has the other hosts told what is new. */
+void suspicion_publish(forward_t *forward);
+/* What other hosts tell, and what they are told. */
+void suspicion_heard(forward_t *forward, peer_view_t *view,
+                     const placements_t *placements);
+void suspicion_tell(const forward_t *forward, arena_t *arena,
+                    placements_t *placements);
+
 /* --- watchdog.c --- */
 
 /* Does what is due for one request. */
--- a/forward/recover.c
+++ b/forward/recover.c
@@ -84,6 +84,9 @@
          (forward->now_us - attempt->started_us) / US_PER_MS,
          (forward->now_us - attempt->heard_us) / US_PER_MS);
     pool_lost(attempt->runner, forward->now_us);
+    if (result == SEND_BROKEN || result == SEND_SILENT) {
+        suspicion_lost(forward, request);
+    }
     if (not_sent) {
         request->runs--;
     }
@@ -133,7 +136,9 @@
 retry_waiting(forward_t *forward, request_t *request)
 {
     request->retry_at_us = 0;
-    request->tried_count = 0;
+    if (request->begun) {
+        request->tried_count = 0;
+    }
     resume(forward, request);
 }
 
@@ -164,6 +169,7 @@
         return;
     }
     pool_answered(attempt->runner, failed);
+    suspicion_answered(forward, request);
     if (attempt->passing) {
         order_new(forward, ORDER_TO_FINISH, request->number);
         tell_end(forward, request, "served", "whole", attempt->status);
@@ -242,6 +248,16 @@
         refuse(forward, request, REFUSE_RUNNER_LOST);
         return;
     }
+    if (suspicion_verdict(forward, request) == SUSPECT_REFUSED) {
+        refuse(forward, request, REFUSE_HARMFUL);
+        return;
+    }
+    if (!request->begun &&
+        suspicion_verdict(forward, request) == SUSPECT_HELD) {
+        request->retry_at_us =
+            forward->now_us + (int64_t)WAIT_STEP_MS * US_PER_MS;
+        return;
+    }
     if (send_to_copy(forward, request) || send_request(forward, request)) {
         repeat_sent(forward, request);
         return;
@@ -268,6 +284,10 @@
         refuse(forward, request, REFUSE_BUDGET);
         return;
     }
+    if (suspicion_verdict(forward, request) >= SUSPECT_HELD) {
+        refuse(forward, request, REFUSE_HARMFUL);
+        return;
+    }
     if (!send_request(forward, request)) {
         refuse(forward, request, reason);
         return;
--- a/forward/send.c
+++ b/forward/send.c
@@ -28,6 +28,7 @@
                     pool_runner_t *runner, bool restore);
 static uint32_t status_of(refuse_reason_t reason, bool not_run);
 static uint32_t retry_after_ms(const forward_t *forward,
+                               const request_t *request,
                                refuse_reason_t reason);
 
 bool
@@ -203,7 +204,7 @@
         order->not_run = request->runs == 0;
         order->status = status_of(reason, order->not_run);
         order->retry_after_ms = order->status == STATUS_UNAVAILABLE
-                                    ? retry_after_ms(forward, reason)
+                                    ? retry_after_ms(forward, request, reason)
                                     : 0;
         tell_end(forward, request, order->not_run ? "not-run" : "unknown",
                  refuse_reason_name(reason), order->status);
@@ -228,9 +229,12 @@
 }
 
 static uint32_t
-retry_after_ms(const forward_t *forward, refuse_reason_t reason)
+retry_after_ms(const forward_t *forward, const request_t *request,
+               refuse_reason_t reason)
 {
     switch (reason) {
+    case REFUSE_HARMFUL:
+        return suspicion_wait_ms(forward, request);
     case REFUSE_STALE:
         return peers_lack_store(forward) ? RETRY_STORE_MS : RETRY_ELSEWHERE_MS;
     case REFUSE_NO_ROUTING:
--- /dev/null
+++ b/forward/suspicion.c
@@ -0,0 +1,181 @@
+/*
+ * suspicion.c - requests that crash the runners that run them.
+ *
+ * Answers the load of one request that comes again and again, to any host,
+ * and takes a runner with all its streams each time.  policy/suspect.h
+ * judges; here are its inputs.  Hosts tell each other with their placements.
+ */
+#include <inttypes.h>
+#include <string.h>
+#include <syslog.h>
+
+#include "forward/private.h"
+
+enum {
+    /* As policy/suspecting.c has them; docs/design/04-harmful-requests.md. */
+    WINDOW_MS = 1000,
+    MEMORY_MS = 1800000,
+    HOLD_MS = 600000,
+    LOSSES_MAX = 3,
+    COMMON_RUNNERS = 3,
+    /* A note is in this many messages at least, which are half a second to
+     * some four seconds apart. */
+    NOTE_KEPT_MS = 10000,
+};
+
+static void count_runners(const forward_t *forward,
+                          const pool_runner_t *runner, suspect_loss_t *loss);
+static void note_add(forward_t *forward, const suspect_t *suspect);
+
+void
+suspicion_start(forward_t *forward)
+{
+    const suspect_limits_t limits = {
+        .window_us = (int64_t)WINDOW_MS * US_PER_MS,
+        .memory_us = (int64_t)MEMORY_MS * US_PER_MS,
+        .hold_us = (int64_t)HOLD_MS * US_PER_MS,
+        .losses_max = LOSSES_MAX,
+        .common_runners = COMMON_RUNNERS,
+    };
+
+    forward->suspects = suspects_new(0, &limits);
+}
+
+void
+suspicion_lost(forward_t *forward, const request_t *request)
+{
+    const pool_runner_t *runner = request->attempt.runner;
+    int64_t ran_us = forward->now_us - request->attempt.started_us;
+    suspect_loss_t loss = {
+        .runner = runner->is.id,
+        .zone = runner->is.zone,
+        .fingerprints = &request->fingerprint,
+        .ran_us = &ran_us,
+        .count = 1,
+    };
+
+    count_runners(forward, runner, &loss);
+    suspects_loss(forward->suspects, forward->now_us, &loss);
+}
+
+void
+suspicion_answered(forward_t *forward, const request_t *request)
+{
+    suspects_finished(forward->suspects, request->fingerprint);
+}
+
+suspect_verdict_t
+suspicion_verdict(const forward_t *forward, const request_t *request)
+{
+    return suspects_verdict(forward->suspects, forward->now_us,
+                            request->fingerprint, 0);
+}
+
+uint32_t
+suspicion_wait_ms(const forward_t *forward, const request_t *request)
+{
+    int64_t held_us = suspects_held_us(forward->suspects, forward->now_us,
+                                       request->fingerprint);
+
+    return held_us > 0 ? (uint32_t)(held_us / US_PER_MS) : WINDOW_MS;
+}
+
+void
+suspicion_judge(forward_t *forward)
+{
+    if (suspects_due_us(forward->suspects) <= forward->now_us) {
+        suspects_step(forward->suspects, forward->now_us);
+    }
+}
+
+void
+suspicion_publish(forward_t *forward)
+{
+    suspects_t *suspects = forward->suspects;
+    uint64_t fingerprint;
+    suspect_t suspect;
+
+    while (suspects_next_note(suspects, &suspect)) {
+        note_add(forward, &suspect);
+    }
+    while (suspects_next_convicted(suspects, &fingerprint)) {
+        tell(forward, LOG_WARNING, "harmful",
+             "fingerprint=%016" PRIx64 " hold_ms=%" PRId64, fingerprint,
+             suspects_held_us(suspects, forward->now_us, fingerprint) /
+                 US_PER_MS);
+    }
+}
+
+void
+suspicion_heard(forward_t *forward, peer_view_t *view,
+                const placements_t *placements)
+{
+    u_int i;
+
+    for (i = 0; i < placements->notes.notes_len; i++) {
+        const suspect_note_t *note = &placements->notes.notes_val[i];
+
+        if (note->number > view->noted) {
+            view->noted = note->number;
+            suspects_note(forward->suspects, forward->now_us, &note->suspect);
+        }
+    }
+}
+
+/* In the order of their numbers. */
+void
+suspicion_tell(const forward_t *forward, arena_t *arena,
+               placements_t *placements)
+{
+    uint64_t number = forward->notes_made > LINK_NOTES_MAX
+                          ? forward->notes_made - LINK_NOTES_MAX
+                          : 0;
+    u_int count = 0;
+
+    placements->notes.notes_val = arena_array(
+        arena, LINK_NOTES_MAX, sizeof(*placements->notes.notes_val));
+    for (; number < forward->notes_made; number++) {
+        const told_note_t *told = &forward->notes[number % LINK_NOTES_MAX];
+
+        if (forward->now_us < told->until_us) {
+            placements->notes.notes_val[count] = told->note;
+            count++;
+        }
+    }
+    placements->notes.notes_len = count;
+}
+
+static void
+count_runners(const forward_t *forward, const pool_runner_t *lost,
+              suspect_loss_t *loss)
+{
+    const pool_runner_t *runner;
+
+    for (runner = pool_first(forward->pool); runner != NULL;
+         runner = runner->hh.next) {
+        if (!runner->listed ||
+            strcmp(runner->is.service, lost->is.service) != 0) {
+            continue;
+        }
+        loss->fleet_runners++;
+        if (runner->zone == lost->zone) {
+            loss->zone_runners++;
+        }
+    }
+}
+
+static void
+note_add(forward_t *forward, const suspect_t *suspect)
+{
+    told_note_t *told = &forward->notes[forward->notes_made % LINK_NOTES_MAX];
+
+    if (!suspect->convicted && !suspect->withdrawn) {
+        tell(forward, LOG_NOTICE, "accused", "fingerprint=%016" PRIx64,
+             suspect->fingerprint);
+    }
+    forward->notes_made++;
+    told->note.number = forward->notes_made;
+    told->note.suspect = *suspect;
+    told->until_us = forward->now_us + (int64_t)NOTE_KEPT_MS * US_PER_MS;
+    forward->runs_changed = true;
+}
--- a/gateway/inbound.c
+++ b/gateway/inbound.c
@@ -25,6 +25,7 @@
 static bool has_left(const inbound_t *caller);
 static void read_request(inbound_t *caller);
 static void raise_request(inbound_t *caller);
+static uint64_t fingerprint(const caller_request_t *request, const char *key);
 static bool is_of_connection(const h2o_req_t *req, const h2o_header_t *header);
 static bool names_header(h2o_iovec_t list, h2o_iovec_t name);
 static bool is_ambiguous(const h2o_req_t *req);
@@ -281,10 +282,24 @@
                         ? terms.affinity
                         : XXH3_64bits(terms.id, strlen(terms.id)),
         .last_event_id = terms.last_event_id,
+        .fingerprint = fingerprint(request, terms.key),
     };
     forwarding_event(gateway, &event);
 }
 
+/* Of all that makes a repeat of a request the same for a runner. */
+static uint64_t
+fingerprint(const caller_request_t *request, const char *key)
+{
+    uint64_t hash = XXH3_64bits(request->body, request->body_bytes);
+
+    hash =
+        XXH3_64bits_withSeed(request->method, strlen(request->method), hash);
+    hash = XXH3_64bits_withSeed(request->host, strlen(request->host), hash);
+    hash = XXH3_64bits_withSeed(request->path, strlen(request->path), hash);
+    return key != NULL ? XXH3_64bits_withSeed(key, strlen(key), hash) : hash;
+}
+
 /* Those that HTTP names, and those that the Connection header does. */
 static bool
 is_of_connection(const h2o_req_t *req, const h2o_header_t *header)
--- a/gateway/peering.c
+++ b/gateway/peering.c
@@ -42,6 +42,7 @@
                        const message_t *message);
 static void on_lost(peer_listener_t *listener, const char *host);
 static void on_timer(uv_timer_t *timer);
+static bool is_news(const placements_t *placements);
 static void tell_one(void *context, const char *host,
                      const char *peer_address);
 
@@ -218,13 +219,13 @@
     arena_t arena = {0};
 
     forward_placements(forwarding_state(gateway), &arena, placements);
-    if (placements->items.items_len > 0 || peering->told) {
+    if (is_news(placements) || peering->told) {
         peering->number++;
         placements->incarnation = peering->incarnation;
         placements->number = peering->number;
         directory_peers(gateway->directory, tell_one, &telling);
     }
-    peering->told = placements->items.items_len > 0;
+    peering->told = is_news(placements);
     if (peering->told) {
         size_t hosts = directory_count(gateway->directory);
 
@@ -237,6 +238,12 @@
     arena_free(&arena);
 }
 
+static bool
+is_news(const placements_t *placements)
+{
+    return placements->items.items_len > 0 || placements->notes.notes_len > 0;
+}
+
 static void
 tell_one(void *context, const char *host, const char *peer_address)
 {
--- a/regress/forwarding.c
+++ b/regress/forwarding.c
@@ -18,6 +18,7 @@
     REQUESTS_MAX = 100,
     DECIMAL = 10,
     ADDRESS_BYTES = 64,
+    OWN_CONTENTS = 1000, /* of requests that do not say theirs */
 };
 
 typedef struct {
@@ -312,6 +313,7 @@
     const char *key = value_of(line, "key");
     const char *deadline = value_of(line, "deadline");
     const char *after = value_of(line, "after");
+    const char *content = value_of(line, "content");
     bool stream = has(line, "stream") || has(line, "once");
     forward_event_t event = {.kind = FORWARD_REQUEST};
 
@@ -330,6 +332,9 @@
         .prompt_tokens = stream ? 8000 : 0,
         .affinity = (uint64_t)number_of(line, 1),
         .last_event_id = after != NULL ? strtoll(after, NULL, DECIMAL) : -1,
+        .fingerprint = content != NULL
+                           ? strtoull(content, NULL, DECIMAL)
+                           : (uint64_t)number_of(line, 1) + OWN_CONTENTS,
     };
     return event;
 }
--- a/world/link.x
+++ b/world/link.x
@@ -13,6 +13,7 @@
 const LINK_BUCKETS = 64;
 const LINK_PLACEMENTS_MAX = 40;
 const LINK_BUDGETS_MAX = 8;
+const LINK_NOTES_MAX = 6;
 
 typedef string name_t<LINK_NAME_MAX>;
 
@@ -219,11 +220,17 @@
     uint32_t repeats;
 };
 
+/* number rises from note to note of one incarnation of the sender. */
+struct suspect_note_t {
+    uint64_t number;
+    suspect_t suspect;
+};
+
 /*
  * All streams of the sender; number rises with each message of one
  * incarnation, so that an older one is known.  What does not fit is left out.
  * contact_age_ms: so long ago the sender's routing table was known to be in
- * force.
+ * force.  notes are its newest ones, told again in case a message was lost.
  */
 struct placements_t {
     uint64_t incarnation;
@@ -231,6 +238,7 @@
     uint32_t contact_age_ms;
     placement_t items<LINK_PLACEMENTS_MAX>;
     budget_use_t budgets<LINK_BUDGETS_MAX>;
+    suspect_note_t notes<LINK_NOTES_MAX>;
 };
 
 /* Asks what changed in the store after a revision. */
