--- a/forward/forward.c
+++ b/forward/forward.c
@@ -26,8 +26,6 @@
 static void gone(forward_t *forward, uint64_t number);
 static void progress(forward_t *forward, const forward_progress_t *progress);
 static void watch_all(forward_t *forward);
-static void check_copies(forward_t *forward);
-static int64_t lapse_us(const forward_t *forward);
 
 forward_t *
 forward_new(const forward_settings_t *settings)
@@ -91,19 +89,10 @@
         take_routing(forward, event->u.routing);
         break;
     case FORWARD_RUNNER:
-        pool_put(forward->pool, now_us, &event->u.runner);
-        check_copies(forward);
-        break;
     case FORWARD_RUNNER_DROPPED:
-        pool_drop(forward->pool, event->u.runner_dropped, lapse_us(forward));
-        check_copies(forward);
-        break;
     case FORWARD_LIST_BEGIN:
-        pool_list_begin(forward->pool);
-        break;
     case FORWARD_LIST_END:
-        pool_list_end(forward->pool, lapse_us(forward));
-        check_copies(forward);
+        registry_event(forward, event);
         break;
     case FORWARD_CONTACT:
         if (event->u.contact_us > forward->contact_us) {
@@ -433,29 +422,3 @@
         watch_request(forward, request);
     }
 }
-
-/* A standby may have gone, or started anew. */
-static void
-check_copies(forward_t *forward)
-{
-    request_t *request;
-
-    for (request = forward->requests; request != NULL;
-         request = request->hh.next) {
-        copies_check(forward, request);
-    }
-}
-
-/*
- * When an entry that is missing from the registry counts as gone.  After an
- * outage of the store the entries of living runners may have lapsed.
- */
-static int64_t
-lapse_us(const forward_t *forward)
-{
-    int64_t grace_us =
-        (int64_t)forward->settings.limits.registry_ms * US_PER_MS;
-    int64_t away_us = forward->now_us - forward->contact_us;
-
-    return forward->now_us + (away_us > grace_us ? grace_us : 0);
-}
--- a/forward/pool.c
+++ b/forward/pool.c
@@ -59,9 +59,10 @@
     free(pool);
 }
 
-void
+runner_change_t
 pool_put(pool_t *pool, int64_t now_us, const registration_t *is)
 {
+    runner_change_t change = RUNNER_SAME;
     pool_runner_t *runner;
 
     HASH_FIND_STR(pool->runners, is->id, runner);
@@ -76,12 +77,19 @@
                         strlen(runner->is.id), runner);
         HASH_ADD(by_hash, pool->by_hash, id_hash, sizeof(runner->id_hash),
                  runner);
+        change = RUNNER_ADDED;
     }
     else {
         bool again = runner->is.started_ms != is->started_ms ||
                      strcmp(runner->is.address, is->address) != 0;
         char *id = (char *)(uintptr_t)runner->is.id;
 
+        if (is->draining && !runner->is.draining) {
+            change = RUNNER_DRAINING;
+        }
+        else if (runner->drop_at_us != 0) {
+            change = RUNNER_BACK;
+        }
         runner->is.id = NULL;
         release(runner);
         keep(runner, is);
@@ -94,22 +102,26 @@
             runner->losses = 0;
             runner->failed_permille = 0;
             runner->rests_until_us = 0;
+            change = RUNNER_RESTARTED;
         }
     }
     runner->zone = zone_of(pool, is->zone);
     runner->drop_at_us = 0;
     runner->listed = true;
+    return change;
 }
 
-void
+const pool_runner_t *
 pool_drop(pool_t *pool, const char *id, int64_t gone_at_us)
 {
     pool_runner_t *runner;
 
     HASH_FIND_STR(pool->runners, id, runner);
-    if (runner != NULL && runner->drop_at_us == 0) {
-        runner->drop_at_us = gone_at_us;
+    if (runner == NULL || runner->drop_at_us != 0) {
+        return NULL;
     }
+    runner->drop_at_us = gone_at_us;
+    return runner;
 }
 
 void
@@ -234,7 +246,7 @@
         (uint32_t)(was + (sample - was) / (1 << FAILED_SHIFT));
 }
 
-void
+bool
 pool_lost(pool_runner_t *runner, int64_t now_us)
 {
     pool_zone_t *zone = runner->zone;
@@ -248,15 +260,17 @@
     }
     if (zone->last_serial == runner->serial) {
         zone->last_us = now_us;
-        return;
+        return false;
     }
     zone->losses =
         now_us - zone->last_us <= ZONE_TOGETHER_US ? zone->losses + 1 : 1;
     zone->last_us = now_us;
     zone->last_serial = runner->serial;
-    if (zone->losses >= ZONE_LOSSES && now_us >= zone->rests_until_us) {
-        zone->rests_until_us = now_us + ZONE_REST_US;
+    if (zone->losses < ZONE_LOSSES || now_us < zone->rests_until_us) {
+        return false;
     }
+    zone->rests_until_us = now_us + ZONE_REST_US;
+    return true;
 }
 
 void
--- a/forward/pool.h
+++ b/forward/pool.h
@@ -67,14 +67,26 @@
 pool_t *pool_new(void);
 void pool_free(pool_t *pool);
 
+/* What the registry's word on a runner has changed. */
+typedef enum {
+    RUNNER_SAME,
+    RUNNER_ADDED,
+    RUNNER_DRAINING,
+    RUNNER_RESTARTED, /* under the same id, or at another address */
+    RUNNER_BACK,      /* it was not listed any more, and is again */
+} runner_change_t;
+
 /* The registry lists the runner; fields may have changed. */
-void pool_put(pool_t *pool, int64_t now_us, const registration_t *is);
+runner_change_t pool_put(pool_t *pool, int64_t now_us,
+                         const registration_t *is);
 
 /*
  * The registry lists it no more.  It is not chosen from gone_at_us on: at
- * once, or later where an entry may only have lapsed with its store.
+ * once, or later where an entry may only have lapsed with its store.  NULL:
+ * it was not listed.
  */
-void pool_drop(pool_t *pool, const char *id, int64_t gone_at_us);
+const pool_runner_t *pool_drop(pool_t *pool, const char *id,
+                               int64_t gone_at_us);
 
 /* The whole list is about to be put; what is not put then is dropped. */
 void pool_list_begin(pool_t *pool);
@@ -110,8 +122,11 @@
 /* It answered; failed: with an error of its own. */
 void pool_answered(pool_runner_t *runner, bool failed);
 
-/* It broke off, refused a connection or does not answer. */
-void pool_lost(pool_runner_t *runner, int64_t now_us);
+/*
+ * It broke off, refused a connection or does not answer.  True: so many of
+ * its zone were lost together that the zone rests from now on.
+ */
+bool pool_lost(pool_runner_t *runner, int64_t now_us);
 
 /* It has no room. */
 void pool_full(pool_runner_t *runner, int64_t now_us);
--- a/forward/private.h
+++ b/forward/private.h
@@ -1,11 +1,11 @@
 /*
  * private.h - what the files of forward/ share.
  *
- * forward.c takes the events, intake.c decides on a new request, send.c
- * starts and ends its attempts, recover.c goes on after a loss, copies.c
- * keeps copies of running streams, sharing.c takes the other hosts' word,
- * suspicion.c finds requests that crash runners, watchdog.c looks for what is
- * due.
+ * forward.c takes the events, registry.c those on runners, intake.c decides on
+ * a new request, send.c starts and ends its attempts, recover.c goes on after
+ * a loss, copies.c keeps copies of running streams, sharing.c takes the other
+ * hosts' word, suspicion.c finds requests that crash runners, watchdog.c looks
+ * for what is due.
  */
 #ifndef FORWARD_PRIVATE_H
 #define FORWARD_PRIVATE_H
@@ -123,6 +123,7 @@
     pool_t *pool;
     peer_view_t *peers;  /* by host */
     session_t *sessions; /* by session */
+    bool listing;        /* the whole registry is being read */
     bool runs_changed;   /* in the step that is running */
     request_t *requests; /* by number */
     service_budget_t *budgets;
@@ -152,6 +153,10 @@
 bool repeat_allowed(forward_t *forward, const request_t *request);
 void repeat_sent(forward_t *forward, const request_t *request);
 
+/* --- registry.c --- */
+
+void registry_event(forward_t *forward, const forward_event_t *event);
+
 /* --- intake.c --- */
 
 void intake(forward_t *forward, const forward_request_t *caller);
--- a/forward/recover.c
+++ b/forward/recover.c
@@ -83,7 +83,10 @@
          cause_of(result), attempt->status, attempt->events,
          (forward->now_us - attempt->started_us) / US_PER_MS,
          (forward->now_us - attempt->heard_us) / US_PER_MS);
-    pool_lost(attempt->runner, forward->now_us);
+    if (pool_lost(attempt->runner, forward->now_us)) {
+        tell(forward, LOG_NOTICE, "zone-rests", "zone=%s",
+             attempt->runner->is.zone);
+    }
     if (result == SEND_BROKEN || result == SEND_SILENT) {
         suspicion_lost(forward, request);
     }
