What did not arrive uses no retry budget

Change: a request counts its arrivals; a send is a repeat when something has arrived before, and is given back when it did not arrive itself.

Tests: two scripts of test_forward, both of which failed before.

--- a/forward/forward.c
+++ b/forward/forward.c
@@ -297,17 +297,36 @@
 bool
 repeat_allowed(forward_t *forward, const request_t *request)
 {
-    retry_use_t others = peers_use(forward, request->service);
+    retry_use_t others;
 
+    if (request->arrivals == 0) {
+        return true;
+    }
+    others = peers_use(forward, request->service);
     return retry_budget_allows(budget_of(forward, request->service),
                                &forward->settings.limits.retries, &others,
                                forward->hosts, forward->now_us);
 }
 
 void
-repeat_sent(forward_t *forward, const request_t *request)
+repeat_sent(forward_t *forward, request_t *request)
 {
-    retry_budget_sent(budget_of(forward, request->service), forward->now_us);
+    request->attempt.repeat = request->arrivals > 0;
+    request->arrivals++;
+    if (request->attempt.repeat) {
+        retry_budget_sent(budget_of(forward, request->service),
+                          forward->now_us);
+    }
+}
+
+void
+repeat_unsent(forward_t *forward, request_t *request)
+{
+    request->arrivals--;
+    if (request->attempt.repeat) {
+        retry_budget_unsent(budget_of(forward, request->service),
+                            request->attempt.started_us);
+    }
 }
 
 static void
--- a/forward/private.h
+++ b/forward/private.h
@@ -38,6 +38,7 @@
                           the standby is lost */
     bool asking;
     bool restored; /* begun from a copy */
+    bool repeat;   /* counts against the retry budget */
     bool passing;  /* what comes goes to the caller */
     bool probing;
 } attempt_t;
@@ -66,6 +67,7 @@
     int64_t last_us;      /* and its last one */
     int64_t gap_max_us;   /* between two of them */
     uint32_t runs;        /* runners that may have worked on it */
+    uint32_t arrivals;    /* runners that may have got it */
     bool begun;           /* the caller has the answer's head */
     attempt_t attempt;    /* the last one */
     pool_runner_t *copy;  /* keeps the memory of the attempt that was lost */
@@ -149,9 +151,14 @@
 /* Ends the request: its attempt is cancelled, its memory freed. */
 void request_forget(forward_t *forward, request_t *request);
 retry_budget_t *budget_of(forward_t *forward, const char *service);
-/* Whether the request may be sent once more, and that it was. */
+/*
+ * Whether the request may be sent once more.  What has not arrived anywhere
+ * repeats nothing.
+ */
 bool repeat_allowed(forward_t *forward, const request_t *request);
-void repeat_sent(forward_t *forward, const request_t *request);
+/* The attempt that begins, or did not reach its runner, counts or does not. */
+void repeat_sent(forward_t *forward, request_t *request);
+void repeat_unsent(forward_t *forward, request_t *request);
 
 /* --- registry.c --- */
 
--- a/forward/recover.c
+++ b/forward/recover.c
@@ -92,6 +92,7 @@
     }
     if (not_sent) {
         request->runs--;
+        repeat_unsent(forward, request);
     }
     if (attempt->events > 0 && attempt->standby != NULL) {
         keep_copy(request);
@@ -194,7 +195,6 @@
 
         attempt_end(forward, request, false);
         if (send_request(forward, request)) {
-            repeat_sent(forward, request);
             return;
         }
         order_new(forward, ORDER_TO_ANSWER, request->number)->u.attempt =
@@ -262,7 +262,6 @@
         return;
     }
     if (send_to_copy(forward, request) || send_request(forward, request)) {
-        repeat_sent(forward, request);
         return;
     }
     if (!request->begun) {
@@ -293,9 +292,7 @@
     }
     if (!send_request(forward, request)) {
         refuse(forward, request, reason);
-        return;
     }
-    repeat_sent(forward, request);
 }
 
 /* Whether the request may run on one runner more. */
--- a/forward/retry_budget.c
+++ b/forward/retry_budget.c
@@ -59,6 +59,12 @@
     rate_add(&budget->repeats, now_us);
 }
 
+void
+retry_budget_unsent(retry_budget_t *budget, int64_t sent_us)
+{
+    rate_remove(&budget->repeats, sent_us);
+}
+
 static uint64_t
 most_requests(const retry_budget_t *budget, const retry_limits_t *limits,
               int64_t now_us)
--- a/forward/retry_budget.h
+++ b/forward/retry_budget.h
@@ -58,5 +58,7 @@
 
 /* One repeat was sent. */
 void retry_budget_sent(retry_budget_t *budget, int64_t now_us);
+/* The one that was sent at this time has not arrived. */
+void retry_budget_unsent(retry_budget_t *budget, int64_t sent_us);
 
 #endif
--- a/forward/send.c
+++ b/forward/send.c
@@ -88,6 +88,7 @@
     };
     request->retry_at_us = 0;
     request->runs++;
+    repeat_sent(forward, request);
     pool_start(runner, request->type == REQUEST_STREAM);
     if (request->type == REQUEST_STREAM) {
         session_note(forward, request->affinity, runner->id_hash);
--- a/policy/rate.c
+++ b/policy/rate.c
@@ -14,6 +14,17 @@
     rate->counts[at]++;
 }
 
+void
+rate_remove(rate_t *rate, int64_t at_us)
+{
+    int64_t slot = at_us / RATE_SLOT_US;
+    int64_t at = slot % RATE_SLOTS;
+
+    if (rate->slots[at] == slot && rate->counts[at] > 0) {
+        rate->counts[at]--;
+    }
+}
+
 uint64_t
 rate_count(const rate_t *rate, int64_t now_us, int64_t span_us)
 {
--- a/policy/rate.h
+++ b/policy/rate.h
@@ -18,6 +18,9 @@
 /* It happened at now_us. */
 void rate_add(rate_t *rate, int64_t now_us);
 
+/* What was added at this time did not happen after all. */
+void rate_remove(rate_t *rate, int64_t at_us);
+
 /* How often it did in the last span_us, up to RATE_SPAN_US. */
 uint64_t rate_count(const rate_t *rate, int64_t now_us, int64_t span_us);
 
--- a/regress/test_forward.c
+++ b/regress/test_forward.c
@@ -338,6 +338,31 @@
     {1340, "broken 1 3", "cancel 1.3; refuse 1 retry-budget 502"},
 };
 
+/*
+ * Load: a zone of engines is down, so that connections are refused while the
+ * fleet's budget is spent.  What did not arrive repeats nothing.
+ */
+static const forwarding_line_t unsent_uses_no_budget[] = {
+    OPENED,
+    {1, "hosts 73", ""},
+    {5, "peer h2 rb1/77 use=360:250", ""},
+    {10, "request 1 stream", "send 1.1 rc1 backup=10.17.0.1:80"},
+    {20, "unsent 1 1", "cancel 1.1; send 1.2 rb1 backup=10.17.0.1:80"},
+    {30, "unsent 1 2", "cancel 1.2; send 1.3 ra1 backup=10.17.2.1:80"},
+    {900, "broken 1 3", "cancel 1.3; refuse 1 retry-budget 502"},
+};
+
+/* Nor does what was sent again and did not arrive. */
+static const forwarding_line_t unsent_repeat_is_given_back[] = {
+    OPENED,
+    {1, "hosts 2", ""},
+    {5, "peer h2 rb1/77 use=0:111", ""},
+    {10, "request 1 stream", "send 1.1 rc1 backup=10.17.0.1:80"},
+    {900, "broken 1 1", "cancel 1.1; send 1.2 rb1 backup=10.17.0.1:80"},
+    {910, "unsent 1 2", "cancel 1.2; send 1.3 ra1 backup=10.17.2.1:80"},
+    {2800, "broken 1 3", "cancel 1.3; refuse 1 retry-budget 502"},
+};
+
 /* Datagrams may overtake each other. */
 static const forwarding_line_t older_word_does_not_count[] = {
     OPENED,
@@ -401,6 +426,8 @@
     SCRIPT(refused_copy_is_asked_again),
     SCRIPT(peers_prompt_is_avoided),
     SCRIPT(budget_is_of_all_hosts),
+    SCRIPT(unsent_uses_no_budget),
+    SCRIPT(unsent_repeat_is_given_back),
     SCRIPT(older_word_does_not_count),
     SCRIPT(peers_word_lapses),
     SCRIPT(session_finds_its_runner),
