The send line names the session

Cause: attempts of one caller have names of their own, so that nothing in the logs tied a stream that came again to the one that was lost.

Not measured by itself: a field of a line.

--- a/forward/send.c
+++ b/forward/send.c
@@ -127,12 +127,13 @@
     }
     tell(forward, LOG_INFO, "send",
          "request=%s attempt=%" PRIu32 " runner=%s zone=%s running=%" PRIu32
-         " after=%" PRId64 " restore=%d backup=%s deadline_ms=%" PRIu32
-         " routing=%" PRId64 " contact_age_ms=%" PRId64,
+         " after=%" PRId64 " restore=%d backup=%s session=%016" PRIx64
+         " deadline_ms=%" PRIu32 " routing=%" PRId64
+         " contact_age_ms=%" PRId64,
          request->id, attempt->number, send->runner, runner->is.zone,
          runner->running, request->last_event_id, restore,
          attempt->standby != NULL ? attempt->standby->is.id : "none",
-         send->deadline_ms, forward->routing->version,
+         request->affinity, send->deadline_ms, forward->routing->version,
          (forward->now_us - forward->contact_us) / US_PER_MS);
 }
 
