Standbys are spread: all hosts choose at once

When a zone of engines fails, each host chooses new standbys in the same moment; it knows the others' streams, not their copies, and took the least loaded engine.

--- a/forward/pool_choose.c
+++ b/forward/pool_choose.c
@@ -18,6 +18,9 @@
     READING_LOAD = 1000,
     RUNNING_LOAD = 100,
     RUNNING_FREE = 2,
+    /* Streams and copies that a runner may hold before it is a worse standby
+     * than others: half of the ten prompts that its memory has room for. */
+    COPIES_FREE = 5,
 };
 
 /* How a runner compares; the least is chosen. */
@@ -32,6 +35,7 @@
 static score_t score_of(const pool_runner_t *runner, int64_t now_us,
                         const pool_want_t *want);
 static uint64_t stream_load(const pool_runner_t *runner);
+static uint64_t copy_load(const pool_runner_t *runner);
 static bool is_less(const score_t *left, const score_t *right);
 
 pool_runner_t *
@@ -94,9 +98,7 @@
         }
         break;
     case WANT_COPY:
-        score.load = (uint64_t)(runner->running + runner->peers_running +
-                                runner->copies) *
-                     RUNNING_LOAD;
+        score.load = copy_load(runner);
         break;
     case WANT_PLAIN:
         score.load = (uint64_t)runner->running * PERMILLE / slots +
@@ -122,6 +124,19 @@
                RUNNING_LOAD;
 }
 
+/*
+ * Load: a zone of engines fails, and all hosts choose new standbys in the same
+ * moment.  Were the least loaded engine the best one, all would choose that.
+ */
+static uint64_t
+copy_load(const pool_runner_t *runner)
+{
+    uint64_t held =
+        (uint64_t)runner->running + runner->peers_running + runner->copies;
+
+    return held > COPIES_FREE ? (held - COPIES_FREE) * RUNNING_LOAD : 0;
+}
+
 static bool
 is_less(const score_t *left, const score_t *right)
 {
