Hosts tell each other of runners that have moved

Change: what a host finds out travels as a numbered note with its placements (forward/notes.c): a runner that is not at its address any more, and the suspects that had notes of their own before. A note that is told again counts once, so that a runner that has come back meanwhile is not avoided.

--- a/forward/pool.c
+++ b/forward/pool.c
@@ -287,6 +287,17 @@
     runner->misdirected = true;
 }
 
+void
+pool_peer_misdirected(pool_t *pool, uint64_t id_hash)
+{
+    pool_runner_t *runner;
+
+    HASH_FIND(by_hash, pool->by_hash, &id_hash, sizeof(id_hash), runner);
+    if (runner != NULL) {
+        pool_misdirected(runner);
+    }
+}
+
 bool
 pool_zone_rests(const pool_zone_t *zone, int64_t now_us)
 {
--- a/forward/pool.h
+++ b/forward/pool.h
@@ -131,8 +131,9 @@
 /* It has no room. */
 void pool_full(pool_runner_t *runner, int64_t now_us);
 
-/* Its address is another runner's now. */
+/* Its address is another runner's now; by another host's word. */
 void pool_misdirected(pool_runner_t *runner);
+void pool_peer_misdirected(pool_t *pool, uint64_t id_hash);
 
 /* Whether runners of this zone were lost together a moment ago. */
 bool pool_zone_rests(const pool_zone_t *zone, int64_t now_us);
--- a/forward/private.h
+++ b/forward/private.h
@@ -4,8 +4,8 @@
  * forward.c takes the events, registry.c those on runners, intake.c decides on
  * a new request, send.c starts and ends its attempts, recover.c goes on after
  * a loss, copies.c keeps copies of running streams, sharing.c takes the other
- * hosts' word, suspicion.c finds requests that crash runners, watchdog.c looks
- * for what is due.
+ * hosts' word, notes.c what they have found out, suspicion.c finds requests
+ * that crash runners, watchdog.c looks for what is due.
  */
 #ifndef FORWARD_PRIVATE_H
 #define FORWARD_PRIVATE_H
@@ -100,9 +100,9 @@
     UT_hash_handle hh;
 } peer_view_t;
 
-/* What is told of a suspect, for some time. */
+/* What is told for some time. */
 typedef struct {
-    suspect_note_t note;
+    note_t note;
     int64_t until_us;
 } told_note_t;
 
@@ -218,6 +218,16 @@
 /* id_hash of the runner that has read it, or 0. */
 uint64_t session_runner(const forward_t *forward, uint64_t session);
 
+/* --- notes.c --- */
+
+/* Has all other hosts told. */
+void note_add(forward_t *forward, const finding_t *finding);
+/* What another host tells, and what it is told. */
+void notes_heard(forward_t *forward, peer_view_t *view,
+                 const placements_t *placements);
+void notes_tell(const forward_t *forward, arena_t *arena,
+                placements_t *placements);
+
 /* --- suspicion.c --- */
 
 void suspicion_start(forward_t *forward);
@@ -234,11 +244,6 @@
 void suspicion_judge(forward_t *forward);
 /* Has the other hosts told what is new. */
 void suspicion_publish(forward_t *forward);
-/* What other hosts tell, and what they are told. */
-void suspicion_heard(forward_t *forward, peer_view_t *view,
-                     const placements_t *placements);
-void suspicion_tell(const forward_t *forward, arena_t *arena,
-                    placements_t *placements);
 
 /* --- watchdog.c --- */
 
--- a/forward/recover.c
+++ b/forward/recover.c
@@ -224,6 +224,9 @@
     request->runs--;
     if (attempt->status == STATUS_MISDIRECTED) {
         pool_misdirected(attempt->runner);
+        note_add(forward,
+                 &(finding_t){.kind = NOTE_MOVED,
+                              .finding_t_u.runner = attempt->runner->id_hash});
     }
     else {
         pool_full(attempt->runner, forward->now_us);
--- a/forward/sharing.c
+++ b/forward/sharing.c
@@ -69,7 +69,7 @@
     for (i = 0; i < view->budget_count; i++) {
         view->budgets[i] = peer->placements->budgets.budgets_val[i];
     }
-    suspicion_heard(forward, view, peer->placements);
+    notes_heard(forward, view, peer->placements);
     count_peers(forward);
 }
 
@@ -225,7 +225,7 @@
     }
     placements->items.items_len = count;
     write_budgets(forward, arena, placements);
-    suspicion_tell(forward, arena, placements);
+    notes_tell(forward, arena, placements);
     placements->contact_age_ms =
         forward->contact_us > 0
             ? (uint32_t)((forward->now_us - forward->contact_us) / US_PER_MS)
--- a/forward/suspicion.c
+++ b/forward/suspicion.c
@@ -3,7 +3,7 @@
  *
  * Answers the load of one request that comes again and again, to any host,
  * and takes a runner with all its streams each time.  policy/suspect.h
- * judges; here are its inputs.  Hosts tell each other with their placements.
+ * judges; here are its inputs.  Hosts tell each other in notes.
  */
 #include <inttypes.h>
 #include <string.h>
@@ -18,14 +18,10 @@
     HOLD_MS = 600000,
     LOSSES_MAX = 3,
     COMMON_RUNNERS = 3,
-    /* A note is in this many messages at least, which are half a second to
-     * some four seconds apart. */
-    NOTE_KEPT_MS = 10000,
 };
 
 static void count_runners(const forward_t *forward,
                           const pool_runner_t *runner, suspect_loss_t *loss);
-static void note_add(forward_t *forward, const suspect_t *suspect);
 
 void
 suspicion_start(forward_t *forward)
@@ -96,7 +92,12 @@
     suspect_t suspect;
 
     while (suspects_next_note(suspects, &suspect)) {
-        note_add(forward, &suspect);
+        if (!suspect.convicted && !suspect.withdrawn) {
+            tell(forward, LOG_NOTICE, "accused", "fingerprint=%016" PRIx64,
+                 suspect.fingerprint);
+        }
+        note_add(forward, &(finding_t){.kind = NOTE_SUSPECT,
+                                       .finding_t_u.suspect = suspect});
     }
     while (suspects_next_convicted(suspects, &fingerprint)) {
         tell(forward, LOG_WARNING, "harmful",
@@ -106,45 +107,6 @@
     }
 }
 
-void
-suspicion_heard(forward_t *forward, peer_view_t *view,
-                const placements_t *placements)
-{
-    u_int i;
-
-    for (i = 0; i < placements->notes.notes_len; i++) {
-        const suspect_note_t *note = &placements->notes.notes_val[i];
-
-        if (note->number > view->noted) {
-            view->noted = note->number;
-            suspects_note(forward->suspects, forward->now_us, &note->suspect);
-        }
-    }
-}
-
-/* In the order of their numbers. */
-void
-suspicion_tell(const forward_t *forward, arena_t *arena,
-               placements_t *placements)
-{
-    uint64_t number = forward->notes_made > LINK_NOTES_MAX
-                          ? forward->notes_made - LINK_NOTES_MAX
-                          : 0;
-    u_int count = 0;
-
-    placements->notes.notes_val = arena_array(
-        arena, LINK_NOTES_MAX, sizeof(*placements->notes.notes_val));
-    for (; number < forward->notes_made; number++) {
-        const told_note_t *told = &forward->notes[number % LINK_NOTES_MAX];
-
-        if (forward->now_us < told->until_us) {
-            placements->notes.notes_val[count] = told->note;
-            count++;
-        }
-    }
-    placements->notes.notes_len = count;
-}
-
 static void
 count_runners(const forward_t *forward, const pool_runner_t *lost,
               suspect_loss_t *loss)
@@ -163,19 +125,3 @@
         }
     }
 }
-
-static void
-note_add(forward_t *forward, const suspect_t *suspect)
-{
-    told_note_t *told = &forward->notes[forward->notes_made % LINK_NOTES_MAX];
-
-    if (!suspect->convicted && !suspect->withdrawn) {
-        tell(forward, LOG_NOTICE, "accused", "fingerprint=%016" PRIx64,
-             suspect->fingerprint);
-    }
-    forward->notes_made++;
-    told->note.number = forward->notes_made;
-    told->note.suspect = *suspect;
-    told->until_us = forward->now_us + (int64_t)NOTE_KEPT_MS * US_PER_MS;
-    forward->runs_changed = true;
-}
--- a/regress/forwarding.c
+++ b/regress/forwarding.c
@@ -413,6 +413,8 @@
     forward_event_t event = {.kind = FORWARD_PEER};
     const char *number = value_of(line, "number");
     const char *use = value_of(line, "use");
+    const char *moved = value_of(line, "moved");
+    note_t note = {.number = 1, .finding.kind = NOTE_MOVED};
     budget_use_t budget = {.service = XXH3_64bits("r", 1)};
     size_t i;
 
@@ -437,6 +439,11 @@
         item->reading = strstr(line->words[i], "/reading") != NULL;
         placements.items.items_len++;
     }
+    if (moved != NULL) {
+        note.finding.finding_t_u.runner = XXH3_64bits(moved, strlen(moved));
+        placements.notes.notes_val = &note;
+        placements.notes.notes_len = 1;
+    }
     step(forward, at_ms, &event, true);
 }
 
--- a/regress/forwarding.h
+++ b/regress/forwarding.h
@@ -22,10 +22,11 @@
  *   contact                   the table is in force now
  *   hosts N
  *   peer HOST gone|RUNNER/SESSION[/reading]... [stale] [number=N]
- *        [use=REQUESTS:REPEATS]
+ *        [use=REQUESTS:REPEATS] [moved=RUNNER]
  *                             what another host has; stale: it lacks the
  *                             store; number: of its message, else the time;
- *                             use: of the engines' retry budget
+ *                             use: of the engines' retry budget; moved: its
+ *                             first note says that RUNNER is not at its address
  *   revoke MS                 the settings' limit has changed to this
  *   drain
  *   timer
--- a/regress/test_forward.c
+++ b/regress/test_forward.c
@@ -363,6 +363,22 @@
     {2800, "broken 1 3", "cancel 1.3; refuse 1 retry-budget 502"},
 };
 
+/*
+ * Load: engines start again under new ids while the store is away, so that
+ * no host learns of these.  What one host finds out all know.
+ */
+static const forwarding_line_t moved_runner_is_avoided[] = {
+    OPENED,
+    {10, "request 1 stream", "send 1.1 rc1 backup=10.17.0.1:80"},
+    {15, "gone 1", "cancel 1.1"},
+    {20, "peer h2 ra1/77 moved=rc1", ""},
+    {30, "request 1 stream", "send 1.1 rb1 backup=10.17.0.1:80"},
+    {35, "gone 1", "cancel 1.1"},
+    {40, "runner rc1 born=5", ""},
+    {50, "peer h2 ra1/77 moved=rc1", ""},
+    {60, "request 3 stream", "send 3.1 rc1 backup=10.17.0.1:80"},
+};
+
 /* Datagrams may overtake each other. */
 static const forwarding_line_t older_word_does_not_count[] = {
     OPENED,
@@ -428,6 +444,7 @@
     SCRIPT(budget_is_of_all_hosts),
     SCRIPT(unsent_uses_no_budget),
     SCRIPT(unsent_repeat_is_given_back),
+    SCRIPT(moved_runner_is_avoided),
     SCRIPT(older_word_does_not_count),
     SCRIPT(peers_word_lapses),
     SCRIPT(session_finds_its_runner),
--- a/world/link.x
+++ b/world/link.x
@@ -13,7 +13,7 @@
 const LINK_BUCKETS = 64;
 const LINK_PLACEMENTS_MAX = 40;
 const LINK_BUDGETS_MAX = 8;
-const LINK_NOTES_MAX = 6;
+const LINK_NOTES_MAX = 12;
 
 typedef string name_t<LINK_NAME_MAX>;
 
@@ -220,10 +220,27 @@
     uint32_t repeats;
 };
 
+/*
+ * What a host that forwards by routes has found out: of a request that may
+ * crash runners, or that a runner, named by a hash of its id, is not at its
+ * address any more.
+ */
+enum note_kind_t {
+    NOTE_SUSPECT = 1,
+    NOTE_MOVED = 2
+};
+
+union finding_t switch (note_kind_t kind) {
+case NOTE_SUSPECT:
+    suspect_t suspect;
+case NOTE_MOVED:
+    uint64_t runner;
+};
+
 /* number rises from note to note of one incarnation of the sender. */
-struct suspect_note_t {
+struct note_t {
     uint64_t number;
-    suspect_t suspect;
+    finding_t finding;
 };
 
 /*
@@ -238,7 +255,7 @@
     uint32_t contact_age_ms;
     placement_t items<LINK_PLACEMENTS_MAX>;
     budget_use_t budgets<LINK_BUDGETS_MAX>;
-    suspect_note_t notes<LINK_NOTES_MAX>;
+    note_t notes<LINK_NOTES_MAX>;
 };
 
 /* Asks what changed in the store after a revision. */
