A standby that started again under its id has no copy

Cause: a runner may start again under the id that it had; what a standby kept is then gone. copies_check() asked whether the standby is usable, which it is, so the stream went on without a copy and would have been refused there.

Change: an attempt remembers which start of its standby it relies on; copies_set_standby() is the one place that changes a standby.

Test: a script of test_forward, which failed before.

--- a/forward/copies.c
+++ b/forward/copies.c
@@ -35,9 +35,10 @@
     if (!request->backups || attempt->runner == NULL || attempt->events == 0) {
         return;
     }
-    if (attempt->standby != NULL && is_lost(forward, attempt->standby)) {
-        pool_copy_end(attempt->standby);
-        attempt->standby = NULL;
+    if (attempt->standby != NULL &&
+        (is_lost(forward, attempt->standby) ||
+         attempt->standby->serial != attempt->standby_serial)) {
+        copies_set_standby(attempt, NULL);
         attempt->copy_name = NULL;
     }
     if (attempt->asking || forward->now_us < attempt->ask_at_us ||
@@ -81,10 +82,7 @@
         return;
     }
     if (copied->name == NULL) {
-        if (attempt->standby != NULL) {
-            pool_copy_end(attempt->standby);
-            attempt->standby = NULL;
-        }
+        copies_set_standby(attempt, NULL);
         attempt->copy_name = NULL;
         attempt->ask_at_us =
             forward->now_us + (int64_t)ASK_AGAIN_MS * US_PER_MS;
@@ -116,7 +114,20 @@
     attempt->copy_name = NULL;
 }
 
-/* Gone, started anew, or in a zone that has just failed. */
+void
+copies_set_standby(attempt_t *attempt, pool_runner_t *standby)
+{
+    if (attempt->standby != NULL) {
+        pool_copy_end(attempt->standby);
+    }
+    attempt->standby = standby;
+    if (standby != NULL) {
+        attempt->standby_serial = standby->serial;
+        pool_copy_start(standby);
+    }
+}
+
+/* Gone, or in a zone that has just failed. */
 static bool
 is_lost(const forward_t *forward, const pool_runner_t *standby)
 {
@@ -133,14 +144,15 @@
     forward_order_t *order;
 
     if (attempt->standby == NULL) {
-        attempt->standby = choose_standby(forward, request, attempt->runner);
-        if (attempt->standby == NULL || is_lost(forward, attempt->standby)) {
-            attempt->standby = NULL;
+        pool_runner_t *standby =
+            choose_standby(forward, request, attempt->runner);
+
+        if (standby == NULL || is_lost(forward, standby)) {
             attempt->ask_at_us =
                 forward->now_us + (int64_t)ASK_AGAIN_MS * US_PER_MS;
             return;
         }
-        pool_copy_start(attempt->standby);
+        copies_set_standby(attempt, standby);
     }
     attempt->asking = true;
     order = order_new(forward, ORDER_TO_COPY, request->number);
--- a/forward/private.h
+++ b/forward/private.h
@@ -22,9 +22,10 @@
 
 /* One send of a request to a runner. */
 typedef struct {
-    uint32_t number;        /* from 1 on */
-    pool_runner_t *runner;  /* NULL: none is under way */
-    pool_runner_t *standby; /* keeps a copy of the run's memory; or NULL */
+    uint32_t number;         /* from 1 on */
+    pool_runner_t *runner;   /* NULL: none is under way */
+    pool_runner_t *standby;  /* keeps a copy of the run's memory; or NULL */
+    uint64_t standby_serial; /* of its start; a later one has nothing */
     int64_t started_us;
     int64_t heard_us;  /* of its last sign of life */
     int64_t probed_us; /* its runner was asked for a sign of life */
@@ -202,6 +203,8 @@
 void take_copied(forward_t *forward, const forward_copied_t *copied);
 /* A copy that was asked for is wanted no more. */
 void copies_drop(forward_t *forward, request_t *request);
+/* Names the runner that keeps a copy from now on; NULL: none does. */
+void copies_set_standby(attempt_t *attempt, pool_runner_t *standby);
 
 /* --- sharing.c --- */
 
--- a/forward/send.c
+++ b/forward/send.c
@@ -99,10 +99,9 @@
         request->tried_count++;
     }
     if (request->backups) {
-        attempt->standby = choose_standby(forward, request, runner);
+        copies_set_standby(attempt, choose_standby(forward, request, runner));
     }
     if (attempt->standby != NULL) {
-        pool_copy_start(attempt->standby);
         send->backup_address =
             arena_strdup(arena, attempt->standby->is.address);
     }
@@ -180,10 +179,7 @@
         pool_end(attempt->runner, false);
     }
     attempt->runner = NULL;
-    if (attempt->standby != NULL) {
-        pool_copy_end(attempt->standby);
-        attempt->standby = NULL;
-    }
+    copies_set_standby(attempt, NULL);
 }
 
 /* An answer that has begun can only be cut off. */
--- a/regress/test_forward.c
+++ b/regress/test_forward.c
@@ -379,6 +379,19 @@
     {60, "request 3 stream", "send 3.1 rc1 backup=10.17.0.1:80"},
 };
 
+/* A standby that started again under its id has no copy any more. */
+static const forwarding_line_t standby_started_again[] = {
+    OPENED,
+    {10, "request 1 stream", "send 1.1 rc1 backup=10.17.0.1:80"},
+    {900, "head 1 1 200", "begin 1.1"},
+    {900, "event 1 1 0", ""},
+    {950, "runner ra1 born=2", "copy 1.1 10.17.0.1:80"},
+    {980, "copied 1 1 name=h7", ""},
+    {1010, "broken 1 1",
+     "cancel 1.1; send 1.2 ra1 restore=10.17.2.1:80/h7 "
+     "backup=10.17.1.1:80 resume"},
+};
+
 /* Datagrams may overtake each other. */
 static const forwarding_line_t older_word_does_not_count[] = {
     OPENED,
@@ -445,6 +458,7 @@
     SCRIPT(unsent_uses_no_budget),
     SCRIPT(unsent_repeat_is_given_back),
     SCRIPT(moved_runner_is_avoided),
+    SCRIPT(standby_started_again),
     SCRIPT(older_word_does_not_count),
     SCRIPT(peers_word_lapses),
     SCRIPT(session_finds_its_runner),
