A soak of real host processes under faults from outside

Change: regress/soak/: one driver starts agated processes and is all that is around them; see soak.h.

--- a/Makefile
+++ b/Makefile
@@ -6,11 +6,13 @@
 	libssl-dev check libsubunit-dev libbsd-dev mandoc
 JOBS != nproc
 FUZZ_S ?= 20
+SOAK_RUNS ?= 6
+SOAK_S ?= 30
 PREFIX ?= /usr/local
 DESTDIR ?=
 OWN_C != git ls-files '*.c' '*.h' '*.cc' 2>/dev/null | grep -v '/generated/'
 
-.PHONY: all setup build mutants check check-asan unit fuzz lint format generate demo bench \
+.PHONY: all setup build mutants check check-asan unit fuzz lint format generate demo bench soak \
 	install clean
 
 all: build
@@ -67,6 +69,10 @@
 bench: build
 	regress/bench.sh build/release
 
+# Hosts under faults by fresh seeds, SOAK_S seconds each; regress/soak/soak.h.
+soak: build
+	regress/soak/seeds.sh build/release $(SOAK_RUNS) $(SOAK_S)
+
 install: build
 	DESTDIR=$(DESTDIR) cmake --install build/release --prefix $(PREFIX)
 
--- /dev/null
+++ b/regress/soak/caller.h
@@ -0,0 +1,45 @@
+/*
+ * caller.h - what caller.c and answer.c share.
+ */
+#ifndef REGRESS_SOAK_CALLER_H
+#define REGRESS_SOAK_CALLER_H
+
+#include "regress/soak/soak.h"
+
+enum { CALLER_PATH_BYTES = 64 };
+
+typedef enum { KIND_UNSAFE, KIND_SAFE, KIND_STREAM, KINDS } kind_t;
+
+typedef struct {
+    uv_tcp_t tcp; /* first: it is closed by it */
+    uv_timer_t timer;
+    uv_connect_t connect;
+    uv_write_t write;
+    kind_t kind;
+    size_t host;
+    uint32_t key;
+    uint32_t attempts;
+    char path[CALLER_PATH_BYTES];
+    char attempt[SOAK_NAME_BYTES];
+    text_t sent;
+    text_t came;
+    int64_t event;  /* the last one */
+    size_t checked; /* bytes of the stream's body, in came */
+    bool connected;
+    bool open;
+    bool leaves;
+    bool calm;   /* asked for in the calm */
+    bool reused; /* the connection had a request before */
+    uint64_t asked_ms;
+    uint64_t sent_ms;
+    int handles;
+} caller_t;
+
+/* A header's value, or NULL; valid until the next call. */
+const char *answer_header(const caller_t *caller, const char *name);
+/* Takes the events of the body that have come since. */
+void answer_events(caller_t *caller, const char *body);
+/* A whole answer with status 200. */
+void answer_check(const caller_t *caller, const char *body, size_t body_bytes);
+
+#endif
--- /dev/null
+++ b/regress/soak/soak.h
@@ -0,0 +1,165 @@
+/*
+ * soak.h - the real host program under faults that come from outside.
+ *
+ * One driver starts agated processes and is all that is around them: the
+ * platform's store, the runners, the callers, and a proxy on each link.  By a
+ * seed it stops, pauses and kills the processes and harms links, store and
+ * runners, one fault after the other and several at a time; meanwhile it
+ * checks, from what callers and runners see, what the system promises.
+ * Loopback only; it ends only processes that it started, by their ids.
+ */
+#ifndef REGRESS_SOAK_SOAK_H
+#define REGRESS_SOAK_SOAK_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <uthash.h>
+#include <uv.h>
+
+#include "base/text.h"
+
+enum {
+    SOAK_HOSTS_MAX = 64,
+    SOAK_ENGINES_MAX = 64,
+    SOAK_PLAIN = 3,
+    SOAK_RUNNERS_MAX = SOAK_ENGINES_MAX + SOAK_PLAIN,
+    SOAK_NAME_BYTES = 48,
+    SOAK_EVENTS = 90, /* of a stream */
+};
+
+/* The users' bounds, with a second for a machine that is busy. */
+enum {
+    SOAK_LEAVE_MS = 2000 + 1000,
+    SOAK_REVOKE_MS = 5000 + 1000,
+    SOAK_RECOVER_MS = 12000,
+    SOAK_GRACE_MS = 8000 + 2000,
+    SOAK_CALM_MS = 3000, /* a rule with a bound holds for calm hosts */
+    SOAK_STOP_WORK_MS = 500 + 1000,
+};
+
+/* --- soak.c --- */
+
+uv_loop_t *soak_loop(void);
+uint64_t soak_now_ms(void);
+/* A number below the bound, by the seed. */
+uint64_t soak_chance(uint64_t below);
+/* A promise is broken. */
+void soak_broken(const char *promise, const char *format, ...)
+    __attribute__((format(printf, 2, 3)));
+/* What was done, for whoever reads a failed run. */
+void soak_note(const char *format, ...) __attribute__((format(printf, 1, 2)));
+
+/* What is asked decides what is right; the same for every run of it. */
+uint64_t soak_hash(const char *text, uint64_t number);
+
+/* --- proxy.c: one link --- */
+
+typedef enum {
+    LINK_PASSES,
+    LINK_SLOW,    /* each piece is late */
+    LINK_SILENT,  /* nothing comes through, either way */
+    LINK_ONE_WAY, /* nothing comes back */
+    LINK_REFUSES, /* connections are reset */
+} link_mode_t;
+
+typedef struct proxy proxy_t;
+
+proxy_t *proxy_open(uint16_t target);
+uint16_t proxy_port(const proxy_t *proxy);
+void proxy_set_target(proxy_t *proxy, uint16_t target);
+void proxy_set_mode(proxy_t *proxy, link_mode_t mode);
+/* Resets the connections that are open. */
+void proxy_reset(proxy_t *proxy);
+void proxy_close(proxy_t *proxy);
+
+/* --- store.c: the platform's store --- */
+
+void soak_store_open(void);
+uint16_t soak_store_port(void);
+/* As operators and runners write; "" removes the key. */
+void soak_store_put(const char *key, const char *value);
+typedef enum {
+    STORE_ANSWERS,
+    STORE_DOWN,
+    STORE_BUSY,
+    STORE_SLOW
+} store_mode_t;
+void soak_store_mode(store_mode_t mode);
+/* Its answers to the next writes get lost. */
+void soak_store_lose(uint32_t writes);
+/* Forgets its history. */
+void soak_store_compact(void);
+/* Whether it has had no fault since SOAK_CALM_MS before this time. */
+bool soak_store_is_calm(uint64_t before_ms);
+
+/* --- runner.c --- */
+
+void runners_open(uint32_t engines);
+size_t runners_count(void);
+/* Faults; each ends by itself. */
+void runner_crash(size_t runner, bool silent);
+void runner_drain(size_t runner);
+void runner_spoil(size_t runner);
+void runners_heal(void);
+/* The second organisation's key may not be used from now on. */
+void runners_revoked(uint64_t at_ms);
+
+/* --- ledger.c --- */
+
+/* What became of a caller's attempt, by its name. */
+typedef struct {
+    char name[SOAK_NAME_BYTES];
+    uint32_t runs;
+    bool once;        /* it may run once */
+    bool promised;    /* its caller was told that it never runs */
+    uint64_t left_ms; /* its caller has gone; 0: not */
+    size_t host;      /* that its caller left */
+    bool cut;         /* its connection ended without an answer */
+    uint32_t running;
+    UT_hash_handle hh;
+} attempt_t;
+
+attempt_t *ledger_attempt(const char *name);
+/* Its caller was told that it has not run and never will. */
+void ledger_promised(const char *name);
+/* Its caller has left this host. */
+void ledger_left(const char *name, size_t host);
+/* A calm host ended its connection without an answer. */
+void ledger_cut(const char *name);
+/* At the end: what ran, against what was said. */
+void ledger_check(void);
+
+/* --- host.c: the agated processes --- */
+
+void hosts_open(const char *program, const char *folder, uint32_t count);
+size_t hosts_count(void);
+uint16_t host_address(size_t host); /* for callers, through a proxy */
+bool host_is_up(size_t host);
+/* Whether it has run without a fault since SOAK_CALM_MS before this time;
+ * that it is told to stop is none. */
+bool host_is_calm(size_t host, uint64_t before_ms);
+void host_kill(size_t host);
+void host_pause(size_t host, uint64_t for_ms);
+void host_stop(size_t host); /* SIGTERM; it starts again */
+void host_reload(size_t host);
+void host_harm_store(size_t host, link_mode_t mode, uint64_t for_ms);
+void host_harm_callers(size_t host, link_mode_t mode, uint64_t for_ms);
+void hosts_heal(void);
+void hosts_end(void); /* SIGTERM to all */
+bool hosts_ended(void);
+
+/* --- caller.c --- */
+
+void callers_start(uint32_t a_second);
+void callers_calm(void); /* from here on requests should be served */
+void callers_stop(void);
+size_t callers_busy(void);
+/* Whether so many were served in a row since the calm began. */
+bool callers_recovered(void);
+void callers_report(void);
+/* The second organisation's key is going, and has gone. */
+void callers_revoked(void);
+
+#endif
--- a/regress/standin/server.c
+++ b/regress/standin/server.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
+#include <sys/queue.h>
 
 #include "regress/standin/server.h"
 
@@ -15,8 +16,17 @@
     NAME_BYTES = 128,
 };
 
+struct server {
+    uv_tcp_t tcp; /* first, so that the handle is the server */
+    const server_ops_t *ops;
+    void *context;
+    LIST_HEAD(, server_conn) conns;
+};
+
 struct server_conn {
     uv_tcp_t tcp; /* first, so that the handle is the connection */
+    LIST_ENTRY(server_conn) link;
+    server_t *server; /* NULL: it is closed */
     const server_ops_t *ops;
     void *user;
     char *input;
@@ -43,23 +53,64 @@
 static void copy_header(const char *head, const char *name, char *value,
                         size_t size);
 
-void
-server_listen(uv_loop_t *loop, uint16_t port, const server_ops_t *ops)
+server_t *
+server_open(uv_loop_t *loop, uint16_t port, const server_ops_t *ops,
+            void *context)
 {
-    static uv_tcp_t listener;
+    server_t *server = calloc(1, sizeof(*server));
     struct sockaddr_in address;
-    int length = sizeof(address);
 
-    uv_tcp_init(loop, &listener);
-    listener.data = (void *)(uintptr_t)ops;
+    server->ops = ops;
+    server->context = context;
+    LIST_INIT(&server->conns);
+    uv_tcp_init(loop, &server->tcp);
     uv_ip4_addr("127.0.0.1", port, &address);
-    if (uv_tcp_bind(&listener, (struct sockaddr *)&address, 0) != 0 ||
-        uv_listen((uv_stream_t *)&listener, BACKLOG, on_accept) != 0 ||
-        uv_tcp_getsockname(&listener, (struct sockaddr *)&address, &length) !=
-            0) {
+    if (uv_tcp_bind(&server->tcp, (struct sockaddr *)&address, 0) != 0 ||
+        uv_listen((uv_stream_t *)&server->tcp, BACKLOG, on_accept) != 0) {
         errx(1, "port %u cannot be listened on: choose another", port);
     }
-    printf("ready %u\n", (unsigned)ntohs(address.sin_port));
+    return server;
+}
+
+uint16_t
+server_port(const server_t *server)
+{
+    struct sockaddr_in address = {0};
+    int length = sizeof(address);
+
+    uv_tcp_getsockname(&server->tcp, (struct sockaddr *)&address, &length);
+    return ntohs(address.sin_port);
+}
+
+static void
+on_server_closed(uv_handle_t *handle)
+{
+    free(handle);
+}
+
+void
+server_close(server_t *server)
+{
+    server_conn_t *conn;
+
+    while ((conn = LIST_FIRST(&server->conns)) != NULL) {
+        server_reset(conn);
+    }
+    uv_close((uv_handle_t *)&server->tcp, on_server_closed);
+}
+
+void *
+server_context(const server_conn_t *conn)
+{
+    return conn->server->context;
+}
+
+void
+server_listen(uv_loop_t *loop, uint16_t port, const server_ops_t *ops)
+{
+    const server_t *server = server_open(loop, port, ops, NULL);
+
+    printf("ready %u\n", (unsigned)server_port(server));
     fflush(stdout);
 }
 
@@ -72,7 +123,9 @@
         return;
     }
     conn = calloc(1, sizeof(*conn));
-    conn->ops = stream->data;
+    conn->server = (server_t *)stream;
+    conn->ops = conn->server->ops;
+    LIST_INSERT_HEAD(&conn->server->conns, conn, link);
     uv_tcp_init(stream->loop, &conn->tcp);
     uv_accept(stream, (uv_stream_t *)&conn->tcp);
     uv_tcp_nodelay(&conn->tcp, 1);
@@ -105,12 +158,31 @@
         return;
     }
     conn->user = NULL;
+    LIST_REMOVE(conn, link);
     uv_close((uv_handle_t *)&conn->tcp, on_closed);
     if (user != NULL) {
         conn->ops->gone(user);
     }
 }
 
+void
+server_reset(server_conn_t *conn)
+{
+    void *user = conn->user;
+
+    if (uv_is_closing((uv_handle_t *)&conn->tcp)) {
+        return;
+    }
+    conn->user = NULL;
+    LIST_REMOVE(conn, link);
+    if (uv_tcp_close_reset(&conn->tcp, on_closed) != 0) {
+        uv_close((uv_handle_t *)&conn->tcp, on_closed);
+    }
+    if (user != NULL) {
+        conn->ops->gone(user);
+    }
+}
+
 static void
 on_read(uv_stream_t *stream, ssize_t length, const uv_buf_t *buf)
 {
@@ -169,7 +241,7 @@
     server_request_t request = {0};
     char name[NAME_BYTES], length[NAME_BYTES];
     size_t head_bytes, whole_bytes;
-    char *head, *end, *rest;
+    char *head, *end, *rest, *whole;
 
     end = memmem(conn->input, conn->input_bytes, "\r\n\r\n", 4);
     if (end == NULL) {
@@ -194,14 +266,39 @@
         request.query = rest + 1;
     }
     request.name = name;
+    whole = strndup(conn->input, head_bytes);
+    request.head = whole;
     request.body = conn->input + head_bytes;
     request.body_bytes = whole_bytes - head_bytes;
     conn->busy = true;
     conn->ops->request(conn, &request);
+    free(whole);
     free(head);
     return whole_bytes;
 }
 
+void
+server_header(const server_request_t *request, const char *name, char *value,
+              size_t size)
+{
+    char line[NAME_BYTES];
+
+    (void)snprintf(line, sizeof(line), "\r\n%s:", name);
+    copy_header(request->head, line, value, size);
+}
+
+void
+server_write(server_conn_t *conn, const char *bytes, size_t length)
+{
+    send_bytes(conn, bytes, length, NULL, 0, "", false);
+}
+
+void
+server_next(server_conn_t *conn)
+{
+    conn->busy = false;
+}
+
 void
 server_watch(server_conn_t *conn, void *user)
 {
--- a/regress/standin/server.h
+++ b/regress/standin/server.h
@@ -17,6 +17,7 @@
 
 typedef struct {
     const char *method;
+    const char *head;  /* the whole head as it came */
     const char *path;  /* without the query */
     const char *query; /* "" for none */
     const char *name;  /* X-Request-Id, "" for none */
@@ -30,9 +31,26 @@
     void (*gone)(void *user);
 } server_ops_t;
 
-/* Listens on 127.0.0.1 and prints "ready PORT"; ends the process if not. */
+typedef struct server server_t;
+
+/*
+ * Listens on 127.0.0.1, port 0: any; ends the process if it cannot.  context
+ * is what server_context() gives for its connections.
+ */
+server_t *server_open(uv_loop_t *loop, uint16_t port, const server_ops_t *ops,
+                      void *context);
+uint16_t server_port(const server_t *server);
+/* Listens no longer and resets all its connections. */
+void server_close(server_t *server);
+void *server_context(const server_conn_t *conn);
+
+/* Listens for good and prints "ready PORT". */
 void server_listen(uv_loop_t *loop, uint16_t port, const server_ops_t *ops);
 
+/* A header of the request, "" when it is not there. */
+void server_header(const server_request_t *request, const char *name,
+                   char *value, size_t size);
+
 /* gone(user) is called when the connection closes; NULL: no longer. */
 void server_watch(server_conn_t *conn, void *user);
 
@@ -46,7 +64,13 @@
                          size_t length);
 void server_stream_end(server_conn_t *conn);
 
-/* Closes without an answer. */
+/* Bytes as they are; the answer goes on. */
+void server_write(server_conn_t *conn, const char *bytes, size_t length);
+/* The answer is over: the connection takes the next request. */
+void server_next(server_conn_t *conn);
+
+/* Closes without an answer, in order or by a reset. */
 void server_drop(server_conn_t *conn);
+void server_reset(server_conn_t *conn);
 
 #endif
