An engine's report tells whether it still has a request

Change: platform/report.c reads the report, forward/watchdog.c compares: two in a row that cannot have the request, the stream silent meanwhile, end the attempt as "forgotten". What has given nothing yet is counted there and not named, so that it is missed only when nobody else's prompt may be counted.

Tests: two scripts of test_forward, a table of test_platform.

--- a/forward/forward.c
+++ b/forward/forward.c
@@ -410,11 +410,13 @@
                               .restored = attempt->restored};
     }
     if (attempt->events == 0) {
+        attempt->first_us = forward->now_us;
         pool_read(attempt->runner);
         forward->runs_changed = true;
     }
     attempt->events++;
     attempt->heard_us = forward->now_us;
+    attempt->missed = 0;
     request->gap_since_us = 0;
     if (request->first_us == 0) {
         request->first_us = forward->now_us;
--- a/forward/forward.h
+++ b/forward/forward.h
@@ -45,12 +45,13 @@
 
 /* How a send to a runner ended. */
 typedef enum {
-    SEND_WHOLE,    /* a whole answer came */
-    SEND_NOT_SENT, /* no connection: the runner got nothing */
-    SEND_BROKEN,   /* the connection broke; it may have run */
-    SEND_INVALID,  /* what came is no answer to this request */
-    SEND_SILENT,   /* the runner gives no sign of life */
-    SEND_STALLED,  /* the runner lives, but nothing comes */
+    SEND_WHOLE,     /* a whole answer came */
+    SEND_NOT_SENT,  /* no connection: the runner got nothing */
+    SEND_BROKEN,    /* the connection broke; it may have run */
+    SEND_INVALID,   /* what came is no answer to this request */
+    SEND_SILENT,    /* the runner gives no sign of life */
+    SEND_STALLED,   /* the runner lives, but nothing comes */
+    SEND_FORGOTTEN, /* the runner lives, and has nothing of it */
 } send_result_t;
 
 typedef enum {
@@ -111,9 +112,19 @@
     send_result_t result;
 } forward_end_t;
 
+/* What a runner says that it has, as of some hundred ms ago. */
+typedef struct {
+    uint32_t active; /* requests that it has, those in its queue apart */
+    uint32_t queued;
+    const char *const *runs; /* those that have given something, by their
+                                attempts' names */
+    size_t run_count;
+} runner_report_t;
+
 typedef struct {
     const char *runner;
     bool answered;
+    const runner_report_t *report; /* NULL: it gave none */
 } forward_probed_t;
 
 /* A runner has copied the memory of a stream to its standby, or not. */
--- a/forward/private.h
+++ b/forward/private.h
@@ -31,6 +31,8 @@
     int64_t probed_us; /* its runner was asked for a sign of life */
     uint32_t status;   /* of its answer; 0: none yet */
     uint32_t events;   /* of its stream, given to the caller */
+    int64_t first_us;  /* the first of them came then */
+    uint32_t missed;   /* its runner's reports, in a row, that lack it */
     bool genuine;
     bool not_run;
     const char *copy_name; /* the standby's copy was asked for, not sent as the
--- a/forward/recover.c
+++ b/forward/recover.c
@@ -310,9 +310,10 @@
 cause_of(send_result_t result)
 {
     static const char *const names[] = {
-        [SEND_WHOLE] = "whole",   [SEND_NOT_SENT] = "not-sent",
-        [SEND_BROKEN] = "broken", [SEND_INVALID] = "invalid",
-        [SEND_SILENT] = "silent", [SEND_STALLED] = "stalled",
+        [SEND_WHOLE] = "whole",         [SEND_NOT_SENT] = "not-sent",
+        [SEND_BROKEN] = "broken",       [SEND_INVALID] = "invalid",
+        [SEND_SILENT] = "silent",       [SEND_STALLED] = "stalled",
+        [SEND_FORGOTTEN] = "forgotten",
     };
 
     return names[result];
--- a/forward/watchdog.c
+++ b/forward/watchdog.c
@@ -18,8 +18,17 @@
      * taken for dead. */
     STALL_STREAM_MS = 1500,
     STALL_PROMPT_MS = 8000,
+    /* A report is some hundred ms old; what is younger may not be in it. */
+    REPORT_AGE_MS = 800,
+    /* Reports in a row that lack a request before it is taken for lost. */
+    MISSED_MAX = 2,
 };
 
+static void take_report(forward_t *forward, request_t *request,
+                        const runner_report_t *report);
+static bool may_be_missed(const forward_t *forward, const attempt_t *attempt);
+static bool has_request(const runner_report_t *report,
+                        const request_t *request);
 static int64_t probe_after_us(const request_t *request);
 static int64_t stall_after_us(const request_t *request);
 
@@ -122,6 +131,7 @@
         }
         if (probed->answered) {
             attempt->probing = false;
+            take_report(forward, request, probed->report);
             continue;
         }
         if (attempt->heard_us > attempt->probed_us && attempt->probing) {
@@ -135,6 +145,52 @@
     }
 }
 
+/*
+ * Load: runners drop requests without a word, or start again so soon that a
+ * probe finds them well; the caller would wait until the stream has stalled.
+ */
+static void
+take_report(forward_t *forward, request_t *request,
+            const runner_report_t *report)
+{
+    attempt_t *attempt = &request->attempt;
+
+    if (report == NULL || request->type != REQUEST_STREAM ||
+        !may_be_missed(forward, attempt)) {
+        return;
+    }
+    attempt->missed = has_request(report, request) ? 0 : attempt->missed + 1;
+    if (attempt->missed >= MISSED_MAX) {
+        recover(forward, request, SEND_FORGOTTEN);
+    }
+}
+
+static bool
+may_be_missed(const forward_t *forward, const attempt_t *attempt)
+{
+    int64_t since_us =
+        attempt->events > 0 ? attempt->first_us : attempt->started_us;
+
+    return forward->now_us - since_us >= (int64_t)REPORT_AGE_MS * US_PER_MS &&
+           forward->now_us - attempt->heard_us >=
+               (int64_t)PROBE_STREAM_MS * US_PER_MS;
+}
+
+/* What has given nothing yet is counted, and not named. */
+static bool
+has_request(const runner_report_t *report, const request_t *request)
+{
+    size_t i;
+
+    for (i = 0; i < report->run_count; i++) {
+        if (strcmp(report->runs[i], request->id) == 0) {
+            return true;
+        }
+    }
+    return request->attempt.events == 0 &&
+           (uint64_t)report->active + report->queued > report->run_count;
+}
+
 static int64_t
 probe_after_us(const request_t *request)
 {
--- a/gateway/dialect.h
+++ b/gateway/dialect.h
@@ -92,6 +92,9 @@
     const char *(*drop_copy_path)(arena_t *arena, const char *name);
 
     /* The request that asks a runner for a sign of life: its path. */
+    /* What a runner answers to a probe, in arena; false: it is no report. */
+    bool (*read_report)(arena_t *arena, const char *bytes, size_t length,
+                        runner_report_t *report);
     const char *probe_path;
 
     /* Keys of the store: the routing table, and the registry's prefix. */
--- a/gateway/inquiry.c
+++ b/gateway/inquiry.c
@@ -3,7 +3,7 @@
 
 #include "gateway/gateway.h"
 
-enum { INQUIRY_BYTES_MAX = 4096, STATUS_OK = 200 };
+enum { INQUIRY_BYTES_MAX = 16384, STATUS_OK = 200 };
 
 /* A runner that is asked for a sign of life, or to copy a stream's memory. */
 typedef struct inquiry {
@@ -152,8 +152,7 @@
 {
     inquiry_t *inquiry = (inquiry_t *)sink;
 
-    if (inquiry->runner == NULL &&
-        inquiry->body.length + length <= INQUIRY_BYTES_MAX) {
+    if (inquiry->body.length + length <= INQUIRY_BYTES_MAX) {
         text_append(&inquiry->body, bytes, length);
     }
 }
@@ -165,13 +164,20 @@
     inquiry_t *inquiry = (inquiry_t *)sink;
     gateway_t *gateway = inquiry->inquiries->gateway;
     forward_event_t event = {.kind = FORWARD_PROBED};
+    const dialect_ops_t *dialect = gateway->dialect->ops;
     arena_t arena = {0};
+    runner_report_t report;
 
     if (inquiry->runner != NULL) {
         event.u.probed = (forward_probed_t){
             .runner = inquiry->runner,
             .answered = result == HTTP_DONE,
         };
+        if (result == HTTP_DONE && inquiry->status == STATUS_OK &&
+            dialect->read_report(&arena, inquiry->body.bytes,
+                                 inquiry->body.length, &report)) {
+            event.u.probed.report = &report;
+        }
     }
     else {
         event.kind = FORWARD_COPIED;
@@ -180,7 +186,7 @@
             .attempt = inquiry->attempt,
         };
         if (result == HTTP_DONE && inquiry->status == STATUS_OK) {
-            event.u.copied.name = gateway->dialect->ops->read_copied(
+            event.u.copied.name = dialect->read_copied(
                 &arena, inquiry->body.bytes, inquiry->body.length);
         }
     }
--- a/regress/forwarding.c
+++ b/regress/forwarding.c
@@ -39,6 +39,7 @@
 static int64_t number_of(const line_t *line, size_t word);
 static registration_t registration_of(const line_t *line, size_t word,
                                       char *address);
+static const runner_report_t *report_of(const line_t *line);
 static forward_event_t request_of(const line_t *line);
 static forward_event_t answer_of(const line_t *line);
 static void do_peer(forward_t *forward, int64_t at_ms, const line_t *line);
@@ -117,6 +118,9 @@
         event.kind = FORWARD_PROBED;
         event.u.probed.runner = line.words[1];
         event.u.probed.answered = has(&line, "yes");
+        if (value_of(&line, "active") != NULL) {
+            event.u.probed.report = report_of(&line);
+        }
     }
     else if (strcmp(line.words[0], "routing") == 0) {
         event.kind = FORWARD_ROUTING;
@@ -318,6 +322,24 @@
     };
 }
 
+static const runner_report_t *
+report_of(const line_t *line)
+{
+    static const char *run;
+    static runner_report_t report;
+    const char *queued = value_of(line, "queued");
+
+    run = value_of(line, "runs");
+    report = (runner_report_t){
+        .active = (uint32_t)strtoul(value_of(line, "active"), NULL, DECIMAL),
+        .queued =
+            queued != NULL ? (uint32_t)strtoul(queued, NULL, DECIMAL) : 0,
+        .runs = &run,
+        .run_count = run != NULL ? 1 : 0,
+    };
+    return &report;
+}
+
 static forward_event_t
 request_of(const line_t *line)
 {
--- a/regress/forwarding.h
+++ b/regress/forwarding.h
@@ -13,7 +13,7 @@
  *   head N ATTEMPT STATUS [stranger] [not-run]
  *   event N ATTEMPT ID
  *   whole N ATTEMPT | broken N ATTEMPT | unsent N ATTEMPT | invalid N ATTEMPT
- *   probed RUNNER yes|no
+ *   probed RUNNER yes|no [active=N [queued=N] [runs=ID]]   what it reports
  *   copied N ATTEMPT [name=NAME]
  *   runner RUNNER [draining] [born=MS] [as=ID]   as: another id, its address
  *   drop RUNNER
--- a/regress/test_forward.c
+++ b/regress/test_forward.c
@@ -392,6 +392,49 @@
      "backup=10.17.1.1:80 resume"},
 };
 
+/*
+ * Load: an engine drops the prompt that it reads, and lives.  Two reports in a
+ * row that cannot have it are enough; one that may have it begins anew.
+ */
+static const forwarding_line_t prompt_is_forgotten[] = {
+    OPENED,
+    {10, "request 1 stream", "send 1.1 rc1 backup=10.17.0.1:80"},
+    {510, "timer", "probe 1 rc1"},
+    {512, "probed rc1 yes active=0", ""},
+    {1012, "timer", "probe 1 rc1"},
+    {1014, "probed rc1 yes active=0", ""},
+    {1514, "timer", "probe 1 rc1"},
+    {1516, "probed rc1 yes active=1", ""},
+    {2016, "timer", "probe 1 rc1"},
+    {2018, "probed rc1 yes active=1 runs=q9", ""},
+    {2518, "timer", "probe 1 rc1"},
+    {2520, "probed rc1 yes active=2 queued=1 runs=q9", ""},
+    {3020, "timer", "probe 1 rc1"},
+    {3022, "probed rc1 yes active=0", ""},
+    {3522, "timer", "probe 1 rc1"},
+    {3524, "probed rc1 yes active=0",
+     "cancel 1.1; send 1.2 rb1 backup=10.17.0.1:80"},
+};
+
+/* The same of a stream that has begun: it is named. */
+static const forwarding_line_t stream_is_forgotten[] = {
+    OPENED,
+    {10, "request 1 stream", "send 1.1 rc1 backup=10.17.0.1:80"},
+    {900, "head 1 1 200", "begin 1.1"},
+    {900, "event 1 1 0", ""},
+    {1120, "timer", "probe 1 rc1"},
+    {1121, "probed rc1 yes active=1 runs=q9", ""},
+    {1800, "event 1 1 1", ""},
+    {2020, "timer", "probe 1 rc1"},
+    {2021, "probed rc1 yes active=1 runs=q1", ""},
+    {2241, "timer", "probe 1 rc1"},
+    {2242, "probed rc1 yes active=1 runs=q9", ""},
+    {2462, "timer", "probe 1 rc1"},
+    {2463, "probed rc1 yes active=1 runs=q9",
+     "cancel 1.1; send 1.2 ra1 restore=10.17.0.1:80/q1 "
+     "backup=10.17.1.1:80 resume"},
+};
+
 /* Datagrams may overtake each other. */
 static const forwarding_line_t older_word_does_not_count[] = {
     OPENED,
@@ -457,6 +500,8 @@
     SCRIPT(budget_is_of_all_hosts),
     SCRIPT(unsent_uses_no_budget),
     SCRIPT(unsent_repeat_is_given_back),
+    SCRIPT(prompt_is_forgotten),
+    SCRIPT(stream_is_forgotten),
     SCRIPT(moved_runner_is_avoided),
     SCRIPT(standby_started_again),
     SCRIPT(older_word_does_not_count),
--- a/regress/test_platform.c
+++ b/regress/test_platform.c
@@ -1,4 +1,5 @@
 /* test_platform.c - the adapter: documents and headers of the platform. */
+#include <inttypes.h>
 #include <string.h>
 
 #include "platform/documents.h"
@@ -313,6 +314,48 @@
 }
 END_TEST
 
+/* What an engine says that it has; "": it is no report. */
+static const struct {
+    const char *body;
+    const char *read; /* active queued: runs */
+} reports[] = {
+    {"{\"Stage\":\"both\",\"Queued\":1,\"Active\":12,\"Runs\":[]}", "12 1:"},
+    {"{\"Queued\":0,\"Active\":2,\"Runs\":[[\"b4aa\",5833,22,5],"
+     "[\"2cd7\",7137,16,5]]}",
+     "2 0: b4aa 2cd7"},
+    {"{\"Queued\":0,\"Active\":1,\"Runs\":[[],7,[3]]}", "1 0:   "},
+    {"{\"Queued\":1,\"Active\":12}", ""},
+    {"{\"Queued\":\"1\",\"Active\":12,\"Runs\":[]}", ""},
+    {"{\"Active\":12,\"Runs\":[]}", ""},
+    {"{\"Queued\":1,\"Active\":12,\"Runs\":{}}", ""},
+    {"{\"Queued\":1,", ""},
+    {"[]", ""},
+    {"", ""},
+};
+
+START_TEST(test_report)
+{
+    const char *body = reports[_i].body;
+    arena_t arena = {0};
+    runner_report_t report;
+    text_t read = {0};
+    size_t i;
+
+    if (platform_read_report(&arena, body, strlen(body), &report)) {
+        text_printf(&read, "%" PRIu32 " %" PRIu32 ":", report.active,
+                    report.queued);
+        for (i = 0; i < report.run_count; i++) {
+            text_printf(&read, " %s", report.runs[i]);
+        }
+    }
+    text_append(&read, "", 1);
+    ck_assert_msg(strcmp(read.bytes, reports[_i].read) == 0, "%s: %s", body,
+                  read.bytes);
+    text_free(&read);
+    arena_free(&arena);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -325,5 +368,6 @@
     tcase_add_test(tcase, test_affinity);
     tcase_add_loop_test(tcase, test_send, 0, COUNT(sends));
     tcase_add_test(tcase, test_copy_order);
+    tcase_add_loop_test(tcase, test_report, 0, COUNT(reports));
     return fixture_main("platform", tcase);
 }
