What a host has not watched does not count as calm

Cause: forwarding started the judge of suspects at time 0 of the machine's clock, so that a host that had just started took the last half hour as watched and free of losses, and the rate of losses for some hundred times lower than it was. With engines that crash one by one each 300 ms regress/test_suspicion had 1 and 2 innocent requests refused as harmful.

Change: the judge starts with the first step.

Tests: three loads more, on machines that were started an hour before; two failed.

--- a/forward/forward.c
+++ b/forward/forward.c
@@ -37,7 +37,6 @@
     forward->chance = settings->seed;
     forward->hosts = 1;
     forward->pool = pool_new();
-    suspicion_start(forward);
     return forward;
 }
 
@@ -83,6 +82,9 @@
     }
     forward->now_us = now_us;
     forward->orders = orders;
+    if (forward->suspects == NULL) {
+        suspicion_start(forward);
+    }
     suspicion_judge(forward);
     switch (event->kind) {
     case FORWARD_ROUTING:
@@ -127,7 +129,7 @@
 forward_due_us(const forward_t *forward)
 {
     const request_t *request;
-    int64_t due_us = suspects_due_us(forward->suspects);
+    int64_t due_us = suspicion_due_us(forward);
 
     for (request = forward->requests; request != NULL;
          request = request->hh.next) {
--- a/forward/private.h
+++ b/forward/private.h
@@ -235,7 +235,9 @@
 
 /* --- suspicion.c --- */
 
+/* From the first step on: what was before has not been watched. */
 void suspicion_start(forward_t *forward);
+int64_t suspicion_due_us(const forward_t *forward);
 /* The attempt under way lost its runner; it was there for so long. */
 void suspicion_lost(forward_t *forward, const request_t *request);
 /* A run came to its end. */
--- a/forward/suspicion.c
+++ b/forward/suspicion.c
@@ -34,7 +34,14 @@
         .common_runners = COMMON_RUNNERS,
     };
 
-    forward->suspects = suspects_new(0, &limits);
+    forward->suspects = suspects_new(forward->now_us, &limits);
+}
+
+int64_t
+suspicion_due_us(const forward_t *forward)
+{
+    return forward->suspects != NULL ? suspects_due_us(forward->suspects)
+                                     : INT64_MAX;
 }
 
 void
--- a/regress/test_suspicion.c
+++ b/regress/test_suspicion.c
@@ -27,6 +27,7 @@
     STREAM_MS = 4000,    /* until its end */
     CRASH_AFTER_MS = 20, /* of a harmful request's start */
     DOWN_MS = 1200,      /* an engine, after a crash */
+    BOOTED_MS = 3600000, /* the machines, before the hosts start */
     REQUEST_EVERY_MS = 100,
     HARMFUL_CONTENT = 7,
     ZONE_EVERY_MS = 6500, /* a zone falls */
@@ -55,17 +56,53 @@
     int64_t lasts_ms;
     int64_t harmful_every_ms; /* 0: none come */
     bool zones_fall;
+    int64_t single_every_ms; /* an engine crashes by itself; 0: none does */
 } load_t;
 
 static const load_t loads[] = {
-    {"a harmful request comes each second", 1, 40000, 1000, false},
-    {"the same with other luck", 2, 40000, 1000, false},
-    {"it comes each 300 ms", 3, 30000, 300, false},
-    {"it comes each 5 s", 4, 60000, 5000, false},
-    {"zones fall, and nothing is harmful", 5, 60000, 0, true},
-    {"the same with other luck", 6, 60000, 0, true},
-    {"zones fall, and a harmful request comes each second", 7, 40000, 1000,
-     true},
+    {.name = "a harmful request comes each second",
+     .seed = 1,
+     .lasts_ms = 40000,
+     .harmful_every_ms = 1000},
+    {.name = "the same with other luck",
+     .seed = 2,
+     .lasts_ms = 40000,
+     .harmful_every_ms = 1000},
+    {.name = "it comes each 300 ms",
+     .seed = 3,
+     .lasts_ms = 30000,
+     .harmful_every_ms = 300},
+    {.name = "it comes each 5 s",
+     .seed = 4,
+     .lasts_ms = 60000,
+     .harmful_every_ms = 5000},
+    {.name = "zones fall, and nothing is harmful",
+     .seed = 5,
+     .lasts_ms = 60000,
+     .zones_fall = true},
+    {.name = "the same with other luck",
+     .seed = 6,
+     .lasts_ms = 60000,
+     .zones_fall = true},
+    {.name = "zones fall, and a harmful request comes each second",
+     .seed = 7,
+     .lasts_ms = 40000,
+     .harmful_every_ms = 1000,
+     .zones_fall = true},
+    {.name = "engines crash one by one, and nothing is harmful",
+     .seed = 8,
+     .lasts_ms = 60000,
+     .single_every_ms = 300},
+    {.name = "the same with other luck",
+     .seed = 9,
+     .lasts_ms = 60000,
+     .single_every_ms = 300},
+    {.name =
+         "engines crash by themselves, a harmful request comes each second",
+     .seed = 10,
+     .lasts_ms = 40000,
+     .harmful_every_ms = 1000,
+     .single_every_ms = 2000},
 };
 
 typedef struct {
@@ -354,6 +391,10 @@
             crash(i);
         }
     }
+    if (world.load->single_every_ms > 0 &&
+        world.now_ms % world.load->single_every_ms == 0) {
+        crash((size_t)chance(ENGINES));
+    }
     if (world.now_ms % REQUEST_EVERY_MS == 0) {
         request_comes(false);
     }
@@ -373,9 +414,10 @@
     memset(&world, 0, sizeof(world));
     world.load = &loads[_i];
     world.chance = loads[_i].seed;
-    world.now_ms = TICK_MS;
+    world.now_ms = BOOTED_MS;
     open_hosts();
-    for (; world.now_ms < loads[_i].lasts_ms; world.now_ms += TICK_MS) {
+    for (; world.now_ms < BOOTED_MS + loads[_i].lasts_ms;
+         world.now_ms += TICK_MS) {
         tick();
     }
     ck_assert_msg(world.late_sends <= LATE_SENDS_MAX,
