Losses soon after a start count at the rate at which they came

Cause: the judge of suspects never takes a host's watch for shorter than a minute, so that in a fleet that dies all the time the losses of the first ten seconds count for a sixth of their rate; a request that was at three of them, 0.3 s each, was convicted (a rule of test_suspect, which failed).

Change: the rate is the higher one of what was seen in the time watched and of one loss more in a minute at least.

--- a/policy/suspect.c
+++ b/policy/suspect.c
@@ -8,7 +8,7 @@
 #include "policy/suspect_group.h"
 #include "policy/suspect_private.h"
 
-enum { WATCHED_LEAST_US = 60000000, US_PER_MS = 1000 };
+enum { US_PER_MS = 1000 };
 
 #define RAN_MS_MAX INT64_C(0xffffffff)
 
@@ -289,7 +289,7 @@
     if (watched_us > suspects->limits.memory_us) {
         return suspects->limits.memory_us;
     }
-    return watched_us < WATCHED_LEAST_US ? WATCHED_LEAST_US : watched_us;
+    return watched_us;
 }
 
 /*
--- a/policy/suspect_book.c
+++ b/policy/suspect_book.c
@@ -7,6 +7,9 @@
 #include "base/arena.h"
 #include "policy/suspect_book.h"
 
+/* Where little has been seen, one loss in this time is expected. */
+#define WATCHED_LEAST_US INT64_C(60000000)
+
 void
 book_init(suspect_book_t *book)
 {
@@ -290,8 +293,11 @@
 {
     uint32_t losses = book_count(book, accused, false);
     double ran_us = (double)time_run_us(accused);
-    double others =
-        1 + (double)count_others(book, accused->fingerprint, near_us);
+    double others = (double)count_others(book, accused->fingerprint, near_us);
+    double calm_us =
+        (double)(watched_us > WATCHED_LEAST_US ? watched_us
+                                               : WATCHED_LEAST_US);
+    double rate;
     double expected;
     double chance = 1;
     uint32_t i;
@@ -299,7 +305,11 @@
     if (fleet_runners == 0 || watched_us <= 0) {
         return 1;
     }
-    expected = others * ran_us / ((double)watched_us * fleet_runners);
+    rate = (1 + others) / calm_us;
+    if (others / (double)watched_us > rate) {
+        rate = others / (double)watched_us;
+    }
+    expected = rate * ran_us / fleet_runners;
     for (i = 1; i <= losses; i++) {
         chance *= expected / i;
     }
--- a/policy/suspect_book.h
+++ b/policy/suspect_book.h
@@ -92,8 +92,8 @@
 /*
  * The chance that an innocent request would be present at so many losses:
  * that of so many events in the time that it ran, at the rate at which
- * runners were lost without it in the last watched_us.  1 when this host
- * itself saw none of its losses.
+ * runners were lost without it in the last watched_us, or one more in a
+ * minute where that is more.  1 when this host itself saw none of its losses.
  */
 double book_chance(const suspect_book_t *book, const accused_t *accused,
                    uint32_t fleet_runners, int64_t watched_us,
--- a/regress/test_suspect.c
+++ b/regress/test_suspect.c
@@ -37,6 +37,7 @@
     step_t steps[STEPS_MAX];
     int64_t then_ms;
     const char *verdicts; /* of fingerprints 1 to 4, a letter each */
+    uint32_t fleet;       /* runners; 0: 35 */
 } rule_t;
 
 static const rule_t rules[] = {
@@ -45,73 +46,102 @@
       {5000, LOSS, "bN", "13"},
       {9000, LOSS, "cM", "14"}},
      11000,
-     "rfff"},
+     "rfff",
+     0},
     {"two do not",
      {{0, LOSS, "aN", "12"}, {5000, LOSS, "bN", "13"}},
      11000,
-     "aaaf"},
+     "aaaf",
+     0},
     {"three losses of one runner do not",
      {{0, LOSS, "aN", "1"}, {5000, LOSS, "aN", "1"}, {9000, LOSS, "aN", "1"}},
      11000,
-     "afff"},
+     "afff",
+     0},
     {"a zone that falls accuses nobody",
      {{0, LOSS, "aN", "1"}, {100, LOSS, "bN", "2"}, {200, LOSS, "cN", "13"}},
      2000,
-     "ffff"},
+     "ffff",
+     0},
     {"half of a small zone accuses nobody",
      {{0, LOSS, "aS", "1"}, {100, LOSS, "bS", "2"}},
      2000,
-     "ffff"},
+     "ffff",
+     0},
     {"content on all that fell together gets one loss",
      {{0, LOSS, "aN", "14"}, {100, LOSS, "bN", "24"}, {200, LOSS, "cN", "4"}},
      2000,
-     "fffa"},
+     "fffa",
+     0},
     {"held while two losses are judged",
      {{0, LOSS, "aN", "1"}, {100, LOSS, "bN", "1"}},
      500,
-     "hfff"},
+     "hfff",
+     0},
     {"held while the third is judged",
      {{0, LOSS, "aN", "1"}, {5000, LOSS, "bN", "1"}, {9000, LOSS, "cN", "1"}},
      9100,
-     "hfff"},
+     "hfff",
+     0},
     {"a run to the end clears",
      {{0, LOSS, "aN", "1"},
       {5000, LOSS, "bN", "1"},
       {6000, FINISHED, "--", "1"},
       {9000, LOSS, "cN", "1"}},
      11000,
-     "ffff"},
+     "ffff",
+     0},
     {"a tie convicts neither",
      {{0, LOSS, "aN", "12"},
       {5000, LOSS, "bN", "12"},
       {9000, LOSS, "cN", "12"}},
      11000,
-     "aaff"},
+     "aaff",
+     0},
     {"and the next loss settles it",
      {{0, LOSS, "aN", "12"},
       {5000, LOSS, "bN", "12"},
       {9000, LOSS, "cN", "12"},
       {12000, LOSS, "dM", "2"}},
      14000,
-     "frff"},
+     "frff",
+     0},
     {"peers' losses count",
      {{0, LOSS, "aN", "1"}, {5000, NOTE, "b", "1"}, {9000, NOTE, "c", "1"}},
      11000,
-     "rfff"},
+     "rfff",
+     0},
     {"of one loss, once",
      {{0, LOSS, "aN", "1"}, {1100, NOTE, "a", "1"}, {9000, NOTE, "a", "1"}},
      11000,
-     "afff"},
+     "afff",
+     0},
     {"peers' losses of many runners at once accuse nobody",
      {{0, LOSS, "aN", "1"},
       {1100, NOTE, "b", "2"},
       {1200, NOTE, "c", "3"},
       {1300, NOTE, "d", "4"}},
      4000,
-     "ffff"},
-    {"a peer's conviction holds", {{0, CONVICTED, "--", "2"}}, 11000, "frff"},
-    {"a conviction ends", {{0, CONVICTED, "--", "2"}}, 600001, "ffff"},
-    {"losses are forgotten", {{0, LOSS, "aN", "1"}}, 1800001, "ffff"},
+     "ffff",
+     0},
+    {"a fleet of few that die all the time, soon after the start",
+     {{0, LOSS, "aN", "2"},
+      {1500, LOSS, "bN", "1"},
+      {3000, LOSS, "cN", "3"},
+      {4500, LOSS, "dN", "2"},
+      {6000, LOSS, "aN", "1"},
+      {7500, LOSS, "bN", "4"},
+      {9000, LOSS, "cN", "1"}},
+     11000,
+     "aaaa",
+     8},
+    {"a peer's conviction holds",
+     {{0, CONVICTED, "--", "2"}},
+     11000,
+     "frff",
+     0},
+    {"a conviction ends", {{0, CONVICTED, "--", "2"}}, 600001, "ffff", 0},
+    {"losses are forgotten", {{0, LOSS, "aN", "1"}}, 1800001, "ffff", 0},
     {"what a conviction explains is withdrawn from peers' notes too",
      {{0, LOSS, "aN", "1"},
       {1100, NOTE, "a", "2"},
@@ -119,7 +149,8 @@
       {6100, NOTE, "b", "2"},
       {9000, LOSS, "cN", "1"}},
      12000,
-     "rfff"},
+     "rfff",
+     0},
 };
 
 static uint32_t
@@ -129,7 +160,7 @@
 }
 
 static void
-take(suspects_t *suspects, const step_t *step)
+take(suspects_t *suspects, const step_t *step, uint32_t fleet)
 {
     uint64_t on[8] = {0};
     size_t count = 0;
@@ -138,7 +169,7 @@
     static const int64_t ran_us[8] = {RAN, RAN, RAN, RAN, RAN, RAN, RAN, RAN};
     suspect_loss_t loss = {.runner = runner,
                            .zone = step->runner + 1,
-                           .fleet_runners = 35,
+                           .fleet_runners = fleet,
                            .fingerprints = on,
                            .ran_us = ran_us};
     suspect_t note = {0};
@@ -179,7 +210,7 @@
 
     for (const step_t *step = rule->steps; step->what != DONE; step++) {
         step_until(suspects, step->at_ms * US_PER_MS);
-        take(suspects, step);
+        take(suspects, step, rule->fleet > 0 ? rule->fleet : 35);
     }
     step_until(suspects, rule->then_ms * US_PER_MS);
     for (uint64_t f = 1; f <= 4; f++) {
@@ -200,7 +231,7 @@
     const uint64_t others[] = {4, 3};
 
     for (int i = 0; i < 2; i++) {
-        take(suspects, &steps[i]);
+        take(suspects, &steps[i], 35);
         step_until(suspects, (steps[i].at_ms + 2000) * US_PER_MS);
     }
     ck_assert_int_eq(suspects_apart(suspects, 1, &two, 1), COMPANY_BARRED);
