One copy of the limits of suspects

The sessions' and forwarding's were the same seven lines. No change of behaviour; test_suspect, test_suspicion, test_sessions and test_forward pass. Not measured.

--- a/forward/suspicion.c
+++ b/forward/suspicion.c
@@ -11,30 +11,13 @@
 
 #include "forward/private.h"
 
-enum {
-    /* As policy/suspecting.c has them; docs/design/04-harmful-requests.md. */
-    WINDOW_MS = 1000,
-    MEMORY_MS = 1800000,
-    HOLD_MS = 600000,
-    LOSSES_MAX = 3,
-    COMMON_RUNNERS = 3,
-};
-
 static void count_runners(const forward_t *forward,
                           const pool_runner_t *runner, suspect_loss_t *loss);
 
 void
 suspicion_start(forward_t *forward)
 {
-    const suspect_limits_t limits = {
-        .window_us = (int64_t)WINDOW_MS * US_PER_MS,
-        .memory_us = (int64_t)MEMORY_MS * US_PER_MS,
-        .hold_us = (int64_t)HOLD_MS * US_PER_MS,
-        .losses_max = LOSSES_MAX,
-        .common_runners = COMMON_RUNNERS,
-    };
-
-    forward->suspects = suspects_new(forward->now_us, &limits);
+    forward->suspects = suspects_new(forward->now_us, &suspect_limits_usual);
 }
 
 int64_t
@@ -80,7 +63,9 @@
     int64_t held_us = suspects_held_us(forward->suspects, forward->now_us,
                                        request->fingerprint);
 
-    return held_us > 0 ? (uint32_t)(held_us / US_PER_MS) : WINDOW_MS;
+    return (
+        uint32_t)((held_us > 0 ? held_us : suspect_limits_usual.window_us) /
+                  US_PER_MS);
 }
 
 void
--- a/policy/suspect.c
+++ b/policy/suspect.c
@@ -8,7 +8,22 @@
 #include "policy/suspect_group.h"
 #include "policy/suspect_private.h"
 
-enum { US_PER_MS = 1000 };
+enum {
+    US_PER_MS = 1000,
+    WINDOW_MS = 1000,
+    MEMORY_MS = 1800000,
+    HOLD_MS = 600000,
+    LOSSES_MAX = 3,
+    COMMON_RUNNERS = 3,
+};
+
+const suspect_limits_t suspect_limits_usual = {
+    .window_us = (int64_t)WINDOW_MS * US_PER_MS,
+    .memory_us = (int64_t)MEMORY_MS * US_PER_MS,
+    .hold_us = (int64_t)HOLD_MS * US_PER_MS,
+    .losses_max = LOSSES_MAX,
+    .common_runners = COMMON_RUNNERS,
+};
 
 #define RAN_MS_MAX INT64_C(0xffffffff)
 
--- a/policy/suspect.h
+++ b/policy/suspect.h
@@ -27,6 +27,9 @@
     uint32_t common_runners; /* lost in one window: accuse nobody */
 } suspect_limits_t;
 
+/* Those of docs/design/04-harmful-requests.md. */
+extern const suspect_limits_t suspect_limits_usual;
+
 /* A runner was lost while these requests of this host were on it. */
 typedef struct {
     const char *runner;
--- a/policy/suspecting.c
+++ b/policy/suspecting.c
@@ -3,14 +3,6 @@
 
 #include "policy/private.h"
 
-enum {
-    WINDOW_MS = 1000,
-    MEMORY_MS = 1800000,
-    HOLD_MS = 600000,
-    LOSSES_MAX = 3,
-    COMMON_RUNNERS = 3,
-};
-
 static size_t count_copies(const node_t *node, const session_t *session);
 static void refuse_harmful(step_t *step, session_t *session);
 static void refuse_all(step_t *step, uint64_t fingerprint);
@@ -19,16 +11,7 @@
 void
 suspecting_start(step_t *step)
 {
-    const suspect_limits_t limits = {
-        .window_us = (int64_t)WINDOW_MS * US_PER_MS,
-        .memory_us = (int64_t)MEMORY_MS * US_PER_MS,
-        .hold_us = (int64_t)HOLD_MS * US_PER_MS,
-        .losses_max = LOSSES_MAX,
-        .common_runners = COMMON_RUNNERS,
-    };
-    node_t *node = step->node;
-
-    node->suspects = suspects_new(step->now_us, &limits);
+    step->node->suspects = suspects_new(step->now_us, &suspect_limits_usual);
 }
 
 /*
