--- a/regress/forwarding.h
+++ b/regress/forwarding.h
@@ -26,7 +26,7 @@
  *                             what another host has; stale: it lacks the
  *                             store; number: of its message, else the time;
  *                             use: of the engines' retry budget; moved: its
- *                             first note says that RUNNER is not at its address
+ *                             first note says that RUNNER has moved
  *   revoke MS                 the settings' limit has changed to this
  *   drain
  *   timer
