What the judge of suspects finds is told when the registry bears it out

Two hosts had their connections to all runners reset for some seconds; each had one request at a time, which three living runners seemed to have died of, 5 ms after it was sent, a second apart.

Change: a host tells an accusation or a conviction only when the registry shows that the runner has ended: its entry is gone, is another's, or says a later start. What is not borne out in 6 s, the store in reach, is taken back. At once it holds only at the host that found it.

Tests: test_suspicion registers engines again as the platform does, up to 1.2 s after they are back, and has three loads more, a host that is cut off while callers come again elsewhere.

--- a/forward/pool.c
+++ b/forward/pool.c
@@ -163,6 +163,16 @@
     }
 }
 
+bool
+pool_has_ended(const pool_t *pool, uint64_t id_hash, uint64_t serial)
+{
+    const pool_runner_t *runner;
+
+    HASH_FIND(by_hash, pool->by_hash, &id_hash, sizeof(id_hash), runner);
+    return runner == NULL || runner->serial != serial ||
+           runner->drop_at_us != 0 || runner->misdirected;
+}
+
 const pool_runner_t *
 pool_first(const pool_t *pool)
 {
--- a/forward/pool.h
+++ b/forward/pool.h
@@ -99,6 +99,9 @@
 pool_runner_t *pool_choose(const pool_t *pool, int64_t now_us,
                            const pool_want_t *want);
 
+/* Whether this start of a runner is over, by what the registry says. */
+bool pool_has_ended(const pool_t *pool, uint64_t id_hash, uint64_t serial);
+
 /* The runners, linked by hh.next. */
 const pool_runner_t *pool_first(const pool_t *pool);
 
--- a/forward/private.h
+++ b/forward/private.h
@@ -103,6 +103,21 @@
     UT_hash_handle hh;
 } peer_view_t;
 
+enum { EVIDENCE_MAX = 64, FINDINGS_MAX = 32 };
+
+/* A request of this host was at a runner that seemed lost. */
+typedef struct {
+    uint64_t fingerprint;
+    uint64_t runner; /* its id_hash */
+    uint64_t serial;
+} evidence_t;
+
+/* What the judge found, not told until the registry bears it out. */
+typedef struct {
+    suspect_t suspect;
+    int64_t until_us; /* it is dropped then; 0: none */
+} unconfirmed_t;
+
 /* What is told for some time. */
 typedef struct {
     note_t note;
@@ -133,6 +148,9 @@
     request_t *requests; /* by number */
     service_budget_t *budgets;
     suspects_t *suspects;              /* requests that crash runners */
+    evidence_t evidence[EVIDENCE_MAX]; /* in turn */
+    uint64_t evidence_made;
+    unconfirmed_t unconfirmed[FINDINGS_MAX];
     told_note_t notes[LINK_NOTES_MAX]; /* by number, modulo its size */
     uint64_t notes_made;
     /* Of the step that is running. */
--- a/forward/suspicion.c
+++ b/forward/suspicion.c
@@ -3,7 +3,10 @@
  *
  * Answers the load of one request that comes again and again, to any host,
  * and takes a runner with all its streams each time.  policy/suspect.h
- * judges; here are its inputs.  Hosts tell each other in notes.
+ * judges; here are its inputs.  Hosts tell each other in notes, once the
+ * registry has shown that the runners have ended: a host that is cut off from
+ * runners that live sees the same, and must not have others refuse what it
+ * cannot serve.
  */
 #include <inttypes.h>
 #include <string.h>
@@ -11,6 +14,14 @@
 
 #include "forward/private.h"
 
+/* A runner that has crashed starts again, or its entry lapses, within this
+ * time: three heartbeats of 1.2 s, and a second or two for the store. */
+#define CONFIRM_US ((int64_t)6000000)
+
+static void hold(forward_t *forward, const suspect_t *suspect);
+static void release_confirmed(forward_t *forward);
+static bool is_confirmed(const forward_t *forward, const suspect_t *suspect);
+static void publish(forward_t *forward, const suspect_t *suspect);
 static void count_runners(const forward_t *forward,
                           const pool_runner_t *runner, suspect_loss_t *loss);
 
@@ -40,6 +51,12 @@
         .count = 1,
     };
 
+    forward->evidence[forward->evidence_made % EVIDENCE_MAX] = (evidence_t){
+        .fingerprint = request->fingerprint,
+        .runner = runner->id_hash,
+        .serial = runner->serial,
+    };
+    forward->evidence_made++;
     count_runners(forward, runner, &loss);
     suspects_loss(forward->suspects, forward->now_us, &loss);
 }
@@ -84,13 +101,14 @@
     suspect_t suspect;
 
     while (suspects_next_note(suspects, &suspect)) {
-        if (!suspect.convicted && !suspect.withdrawn) {
-            tell(forward, LOG_NOTICE, "accused", "fingerprint=%016" PRIx64,
-                 suspect.fingerprint);
+        if (suspect.withdrawn) {
+            publish(forward, &suspect);
+        }
+        else {
+            hold(forward, &suspect);
         }
-        note_add(forward, &(finding_t){.kind = NOTE_SUSPECT,
-                                       .finding_t_u.suspect = suspect});
     }
+    release_confirmed(forward);
     while (suspects_next_convicted(suspects, &fingerprint)) {
         tell(forward, LOG_WARNING, "harmful",
              "fingerprint=%016" PRIx64 " hold_ms=%" PRId64, fingerprint,
@@ -99,6 +117,83 @@
     }
 }
 
+/* The oldest makes room. */
+static void
+hold(forward_t *forward, const suspect_t *suspect)
+{
+    unconfirmed_t *oldest = &forward->unconfirmed[0];
+    size_t i;
+
+    for (i = 1; i < FINDINGS_MAX; i++) {
+        if (forward->unconfirmed[i].until_us < oldest->until_us) {
+            oldest = &forward->unconfirmed[i];
+        }
+    }
+    oldest->suspect = *suspect;
+    oldest->until_us = forward->now_us + CONFIRM_US;
+}
+
+/*
+ * A conviction that nothing bears out is taken back here, too.  While the
+ * store is away the registry tells nothing.
+ */
+static void
+release_confirmed(forward_t *forward)
+{
+    bool registry_known =
+        forward->now_us - forward->contact_us < CONFIRM_US / 2;
+    size_t i;
+
+    for (i = 0; i < FINDINGS_MAX; i++) {
+        unconfirmed_t *held = &forward->unconfirmed[i];
+
+        if (held->until_us == 0) {
+            continue;
+        }
+        if (is_confirmed(forward, &held->suspect)) {
+            held->until_us = 0;
+            publish(forward, &held->suspect);
+        }
+        else if (registry_known && forward->now_us >= held->until_us) {
+            held->until_us = 0;
+            if (held->suspect.convicted) {
+                suspects_finished(forward->suspects,
+                                  held->suspect.fingerprint);
+            }
+        }
+    }
+}
+
+static bool
+is_confirmed(const forward_t *forward, const suspect_t *suspect)
+{
+    size_t i;
+
+    for (i = 0; i < EVIDENCE_MAX && i < forward->evidence_made; i++) {
+        const evidence_t *evidence = &forward->evidence[i];
+
+        if (evidence->fingerprint == suspect->fingerprint &&
+            (suspect->convicted ||
+             (uint32_t)evidence->runner == suspect->loss >> 32) &&
+            pool_has_ended(forward->pool, evidence->runner,
+                           evidence->serial)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static void
+publish(forward_t *forward, const suspect_t *suspect)
+{
+    if (!suspect->convicted && !suspect->withdrawn) {
+        tell(forward, LOG_NOTICE, "accused", "fingerprint=%016" PRIx64,
+             suspect->fingerprint);
+    }
+    note_add(forward, &(finding_t){.kind = NOTE_SUSPECT,
+                                   .finding_t_u.suspect = *suspect});
+}
+
 static void
 count_runners(const forward_t *forward, const pool_runner_t *lost,
               suspect_loss_t *loss)
--- a/regress/test_suspicion.c
+++ b/regress/test_suspicion.c
@@ -19,6 +19,8 @@
     ENGINES = 36,
     ZONES = 3,
     RUNS_MAX = 4096,
+    AGAIN_MAX = 64,
+    AGAIN_FROM = 1000000, /* numbers of such requests */
     NAME_BYTES = 32,
     US_PER_MS = 1000,
     TICK_MS = 10,
@@ -27,6 +29,12 @@
     STREAM_MS = 4000,    /* until its end */
     CRASH_AFTER_MS = 20, /* of a harmful request's start */
     DOWN_MS = 1200,      /* an engine, after a crash */
+    /* Between two writes of an engine to the registry. */
+    HEARTBEAT_MS = 1200,
+    CUT_HOST = 3,
+    CUT_RESET_MS = 10,
+    CUT_FROM_MS = 10000,
+    CUT_UNTIL_MS = 20000,
     BOOTED_MS = 3600000, /* the machines, before the hosts start */
     REQUEST_EVERY_MS = 100,
     HARMFUL_CONTENT = 7,
@@ -56,7 +64,9 @@
     int64_t lasts_ms;
     int64_t harmful_every_ms; /* 0: none come */
     bool zones_fall;
-    int64_t single_every_ms; /* an engine crashes by itself; 0: none does */
+    int64_t single_every_ms;  /* an engine crashes by itself; 0: none does */
+    bool host_cut;            /* one host's connections to engines are reset */
+    int64_t request_every_ms; /* 0: REQUEST_EVERY_MS */
 } load_t;
 
 static const load_t loads[] = {
@@ -103,6 +113,20 @@
      .lasts_ms = 40000,
      .harmful_every_ms = 1000,
      .single_every_ms = 2000},
+    {.name = "one host is cut off, and nothing is harmful",
+     .seed = 11,
+     .lasts_ms = 40000,
+     .host_cut = true},
+    {.name = "the same with few requests",
+     .seed = 12,
+     .lasts_ms = 40000,
+     .host_cut = true,
+     .request_every_ms = 300},
+    {.name = "the same with other luck",
+     .seed = 13,
+     .lasts_ms = 40000,
+     .host_cut = true,
+     .request_every_ms = 300},
 };
 
 typedef struct {
@@ -112,11 +136,14 @@
     char names[ENGINES][NAME_BYTES];
     char addresses[ENGINES][NAME_BYTES];
     int64_t down_until_ms[ENGINES];
+    int64_t listed_ms[ENGINES]; /* its new start is registered then; 0: is */
     run_t runs[RUNS_MAX];
     size_t run_count;
     uint64_t chance;
     uint64_t requests;
     int64_t now_ms;
+    uint64_t again[AGAIN_MAX]; /* contents that come once more, elsewhere */
+    size_t again_count;
     uint32_t crashes; /* by harmful requests */
     int64_t known_ms; /* the fleet is to know from then on; 0: not yet */
     uint32_t late_sends;
@@ -128,6 +155,8 @@
 static world_t world;
 
 static void raise_event(size_t host, const forward_event_t *event);
+static bool is_cut(size_t host);
+static void comes_again(uint64_t number);
 
 static uint64_t
 chance(uint64_t below)
@@ -159,6 +188,8 @@
     size_t i;
 
     world.down_until_ms[engine] = world.now_ms + DOWN_MS;
+    world.listed_ms[engine] =
+        world.now_ms + DOWN_MS + (int64_t)chance(HEARTBEAT_MS);
     for (i = 0; i < world.run_count; i++) {
         if (world.runs[i].live && world.runs[i].engine == engine) {
             end_run(&world.runs[i], SEND_BROKEN);
@@ -226,6 +257,10 @@
         if (is_harmful(order->number)) {
             world.refused_harmful++;
         }
+        else if (is_cut(host)) {
+            comes_again(order->number);
+            return; /* it reaches nobody */
+        }
         else {
             world.refused_innocent++;
         }
@@ -248,6 +283,47 @@
     forward_orders_free(&orders);
 }
 
+static void
+register_engine(size_t host, size_t engine)
+{
+    forward_event_t event = {.kind = FORWARD_RUNNER};
+
+    event.u.runner = (registration_t){.id = world.names[engine],
+                                      .service = "r",
+                                      .address = world.addresses[engine],
+                                      .zone = zone_names[engine % ZONES],
+                                      .slots = 32,
+                                      .started_ms = world.now_ms};
+    raise_event(host, &event);
+}
+
+/* An engine starts again under its id. */
+static void
+register_restarts(void)
+{
+    size_t engine;
+    size_t host;
+
+    for (engine = 0; engine < ENGINES; engine++) {
+        if (world.listed_ms[engine] > 0 &&
+            world.now_ms >= world.listed_ms[engine]) {
+            world.listed_ms[engine] = 0;
+            for (host = 0; host < HOSTS; host++) {
+                register_engine(host, engine);
+            }
+        }
+    }
+}
+
+static bool
+is_cut(size_t host)
+{
+    int64_t at_ms = world.now_ms - BOOTED_MS;
+
+    return world.load->host_cut && host == CUT_HOST && at_ms >= CUT_FROM_MS &&
+           at_ms < CUT_UNTIL_MS;
+}
+
 static void
 open_hosts(void)
 {
@@ -267,17 +343,21 @@
         event = (forward_event_t){.kind = FORWARD_HOSTS, .u.hosts = HOSTS};
         raise_event(host, &event);
         for (i = 0; i < ENGINES; i++) {
-            event.kind = FORWARD_RUNNER;
-            event.u.runner = (registration_t){.id = world.names[i],
-                                              .service = "r",
-                                              .address = world.addresses[i],
-                                              .zone = zone_names[i % ZONES],
-                                              .slots = 32};
-            raise_event(host, &event);
+            register_engine(host, i);
         }
     }
 }
 
+/* In the next tick. */
+static void
+comes_again(uint64_t number)
+{
+    if (world.again_count < AGAIN_MAX) {
+        world.again[world.again_count] = number;
+        world.again_count++;
+    }
+}
+
 static void
 request_comes(bool harmful)
 {
@@ -299,6 +379,28 @@
     raise_event((size_t)chance(HOSTS), &event);
 }
 
+static void
+request_again(uint64_t number)
+{
+    forward_event_t event = {.kind = FORWARD_REQUEST};
+
+    event.u.request = (forward_request_t){
+        .number = AGAIN_FROM + number,
+        .id = "q",
+        .host = "host.example",
+        .path = "/stream/x",
+        .key = "k1",
+        .prompt_tokens = 8000,
+        .affinity = number,
+        .last_event_id = -1,
+        .fingerprint = HARMFUL_CONTENT + number / 2,
+    };
+    raise_event((CUT_HOST + 1 + number) % HOSTS == CUT_HOST
+                    ? CUT_HOST + 1
+                    : (CUT_HOST + 1 + number) % HOSTS,
+                &event);
+}
+
 static void
 hosts_share(void)
 {
@@ -336,6 +438,12 @@
         end_run(run, SEND_NOT_SENT);
         return;
     }
+    if (is_cut(run->host)) {
+        if (ran_ms >= CUT_RESET_MS) {
+            end_run(run, SEND_BROKEN);
+        }
+        return;
+    }
     if (run->harmful && ran_ms >= CRASH_AFTER_MS) {
         world.crashes++;
         if (world.crashes == CRASHES_TO_KNOW) {
@@ -371,6 +479,8 @@
     size_t host;
     size_t i;
 
+    register_restarts();
+
     for (host = 0; host < HOSTS; host++) {
         forward_event_t event = {.kind = FORWARD_CONTACT};
 
@@ -395,13 +505,20 @@
         world.now_ms % world.load->single_every_ms == 0) {
         crash((size_t)chance(ENGINES));
     }
-    if (world.now_ms % REQUEST_EVERY_MS == 0) {
+    if (world.now_ms % (world.load->request_every_ms > 0
+                            ? world.load->request_every_ms
+                            : REQUEST_EVERY_MS) ==
+        0) {
         request_comes(false);
     }
     if (world.load->harmful_every_ms > 0 &&
         world.now_ms % world.load->harmful_every_ms == 0) {
         request_comes(true);
     }
+    for (i = 0; i < world.again_count; i++) {
+        request_again(world.again[i]);
+    }
+    world.again_count = 0;
     if (world.now_ms % SHARE_MS == 0) {
         hosts_share();
     }
