--- a/regress/soak/caller.c
+++ b/regress/soak/caller.c
@@ -53,7 +53,7 @@
 static void on_written(uv_write_t *write, int status);
 static void on_deadline(uv_timer_t *timer);
 static void on_again(uv_timer_t *timer);
-static void ended(caller_t *caller, bool whole);
+static void ended(caller_t *caller);
 static void attempt_failed(caller_t *caller, bool may_retry);
 static void finish(caller_t *caller, bool served);
 static void close_connection(caller_t *caller);
@@ -147,7 +147,6 @@
         caller->host = (caller->host + 1) % hosts_count();
     }
     caller->attempts++;
-    caller->reused = false;
     caller->came.length = 0;
     caller->checked = 0;
     caller->connected = false;
@@ -285,7 +284,7 @@
     size_t wanted;
 
     if (length < 0) {
-        ended(caller, false);
+        ended(caller);
         return;
     }
     text_append(&caller->came, buf->base, (size_t)length);
@@ -316,7 +315,7 @@
 
 /* The connection ended before its answer was whole. */
 static void
-ended(caller_t *caller, bool whole)
+ended(caller_t *caller)
 {
     uint64_t now_ms = soak_now_ms();
 
@@ -403,7 +402,6 @@
         soak_chance(100) < KEEP_PERCENT) {
         caller->came.length = 0;
         caller->checked = 0;
-        caller->reused = true;
         caller->attempts = 1;
         caller->calm = state.calm;
         state.count++;
--- a/regress/soak/caller.h
+++ b/regress/soak/caller.h
@@ -28,8 +28,7 @@
     bool connected;
     bool open;
     bool leaves;
-    bool calm;   /* asked for in the calm */
-    bool reused; /* the connection had a request before */
+    bool calm; /* asked for in the calm */
     uint64_t asked_ms;
     uint64_t sent_ms;
     int handles;
--- a/regress/soak/proxy.c
+++ b/regress/soak/proxy.c
@@ -123,19 +123,6 @@
     }
 }
 
-static void
-on_proxy_closed(uv_handle_t *handle)
-{
-    free(handle);
-}
-
-void
-proxy_close(proxy_t *proxy)
-{
-    proxy_reset(proxy);
-    uv_close((uv_handle_t *)&proxy->listener, on_proxy_closed);
-}
-
 static void
 on_accept(uv_stream_t *stream, int status)
 {
--- a/regress/soak/soak.h
+++ b/regress/soak/soak.h
@@ -72,7 +72,6 @@
 void proxy_set_mode(proxy_t *proxy, link_mode_t mode);
 /* Resets the connections that are open. */
 void proxy_reset(proxy_t *proxy);
-void proxy_close(proxy_t *proxy);
 
 /* --- store.c: the platform's store --- */
 
