--- a/kv/etcd.c
+++ b/kv/etcd.c
@@ -1,4 +1,4 @@
-/* etcd.c - the platform's service as etcd v3 by JSON; see kv.h. */
+/* etcd.c - a key-value service: etcd v3 by JSON; see kv.h. */
 #include <stdlib.h>
 #include <string.h>
 #include <sys/queue.h>
@@ -6,8 +6,8 @@
 #include "base/arena.h"
 #include "base/log.h"
 #include "http/buffer.h"
+#include "kv/done.h"
 #include "kv/etcd_json.h"
-#include "kv/kv.h"
 
 enum {
     ETCD_ANSWER_BYTES_MAX = 256 << 20,
@@ -19,13 +19,6 @@
     HTTP_STATUS_SERVER_ERROR = 500,
 };
 
-typedef enum {
-    ETCD_RANGE,
-    ETCD_SWAP,
-    ETCD_LEASE,
-    ETCD_WATCH,
-} etcd_kind_t;
-
 typedef struct {
     kv_t kv;
     http_client_t *client;
@@ -41,25 +34,18 @@
     LIST_ENTRY(etcd_call) all;
     etcd_t *etcd;
     http_call_t *http;
-    etcd_kind_t kind;
+    kv_done_t done;
     const char *path;
     char *body;
     size_t address;
     size_t tried;      /* addresses so far */
-    size_t swap_count; /* ETCD_SWAP */
+    size_t swap_count; /* KV_CALL_SWAP */
     uint32_t status;
     buffer_t answer; /* all of it; of a watch, what is no whole line yet */
     size_t scanned;  /* of it, without finding a line's end */
     bool too_long;
     bool feeding; /* its memory is in use up the stack */
     bool over;    /* off the list; freed when no longer feeding */
-    union {
-        kv_range_done_t range;
-        kv_swap_done_t swap;
-        kv_lease_done_t lease;
-        kv_watch_done_t watch;
-    } done;
-    void *context;
 } etcd_call_t;
 
 static void etcd_range(kv_t *kv, const char *key, bool prefix,
@@ -76,12 +62,12 @@
                        kv_watch_done_t done, void *context);
 static void etcd_watch_end(kv_t *kv, void *context);
 static void etcd_free(kv_t *kv);
-static etcd_call_t *call_new(etcd_t *etcd, etcd_kind_t kind, const char *path,
-                             const char *body, void *context);
+static void call_start(kv_t *kv, kv_done_t done, const char *path,
+                       const char *body, size_t swap_count);
 static void call_send(etcd_call_t *call);
 static void call_close(etcd_call_t *call);
 static void call_free(etcd_call_t *call);
-static void call_fail(etcd_call_t *call, kv_result_t result, int64_t revision);
+static void call_end(etcd_call_t *call, const kv_answer_t *answer);
 static void call_leave_address(const etcd_call_t *call);
 static bool call_try_next(etcd_call_t *call);
 static void on_head(http_sink_t *sink, uint32_t status,
@@ -135,12 +121,9 @@
            void *context)
 {
     arena_t arena = {0};
-    etcd_call_t *call =
-        call_new((etcd_t *)kv, ETCD_RANGE, "/v3/kv/range",
-                 etcd_make_range(&arena, key, prefix), context);
 
-    call->done.range = done;
-    call_send(call);
+    call_start(kv, kv_done_range(done, context), "/v3/kv/range",
+               etcd_make_range(&arena, key, prefix), 0);
     arena_free(&arena);
 }
 
@@ -149,13 +132,9 @@
           void *context)
 {
     arena_t arena = {0};
-    etcd_call_t *call =
-        call_new((etcd_t *)kv, ETCD_SWAP, "/v3/kv/txn",
-                 etcd_make_swap(&arena, swaps, count), context);
 
-    call->swap_count = count;
-    call->done.swap = done;
-    call_send(call);
+    call_start(kv, kv_done_swap(done, context), "/v3/kv/txn",
+               etcd_make_swap(&arena, swaps, count), count);
     arena_free(&arena);
 }
 
@@ -163,11 +142,9 @@
 etcd_lease_grant(kv_t *kv, int64_t ttl_s, kv_lease_done_t done, void *context)
 {
     arena_t arena = {0};
-    etcd_call_t *call = call_new((etcd_t *)kv, ETCD_LEASE, "/v3/lease/grant",
-                                 etcd_make_grant(&arena, ttl_s), context);
 
-    call->done.lease = done;
-    call_send(call);
+    call_start(kv, kv_done_lease(done, context), "/v3/lease/grant",
+               etcd_make_grant(&arena, ttl_s), 0);
     arena_free(&arena);
 }
 
@@ -176,12 +153,9 @@
                      void *context)
 {
     arena_t arena = {0};
-    etcd_call_t *call =
-        call_new((etcd_t *)kv, ETCD_LEASE, "/v3/lease/keepalive",
-                 etcd_make_lease(&arena, lease), context);
 
-    call->done.lease = done;
-    call_send(call);
+    call_start(kv, kv_done_lease(done, context), "/v3/lease/keepalive",
+               etcd_make_lease(&arena, lease), 0);
     arena_free(&arena);
 }
 
@@ -189,11 +163,9 @@
 etcd_lease_revoke(kv_t *kv, int64_t lease, kv_lease_done_t done, void *context)
 {
     arena_t arena = {0};
-    etcd_call_t *call = call_new((etcd_t *)kv, ETCD_LEASE, "/v3/lease/revoke",
-                                 etcd_make_lease(&arena, lease), context);
 
-    call->done.lease = done;
-    call_send(call);
+    call_start(kv, kv_done_lease(done, context), "/v3/lease/revoke",
+               etcd_make_lease(&arena, lease), 0);
     arena_free(&arena);
 }
 
@@ -202,12 +174,9 @@
            kv_watch_done_t done, void *context)
 {
     arena_t arena = {0};
-    etcd_call_t *call =
-        call_new((etcd_t *)kv, ETCD_WATCH, "/v3/watch",
-                 etcd_make_watch(&arena, prefix, start_revision), context);
 
-    call->done.watch = done;
-    call_send(call);
+    call_start(kv, kv_done_watch(done, context), "/v3/watch",
+               etcd_make_watch(&arena, prefix, start_revision), 0);
     arena_free(&arena);
 }
 
@@ -220,7 +189,8 @@
     while (call != NULL) {
         etcd_call_t *next = LIST_NEXT(call, all);
 
-        if (call->kind == ETCD_WATCH && call->context == context) {
+        if (call->done.kind == KV_CALL_WATCH &&
+            call->done.context == context) {
             call_close(call);
         }
         call = next;
@@ -247,21 +217,23 @@
     free(etcd);
 }
 
-static etcd_call_t *
-call_new(etcd_t *etcd, etcd_kind_t kind, const char *path, const char *body,
-         void *context)
+/* swap_count is 0 for all but a swap. */
+static void
+call_start(kv_t *kv, kv_done_t done, const char *path, const char *body,
+           size_t swap_count)
 {
+    etcd_t *etcd = (etcd_t *)kv;
     etcd_call_t *call = xcalloc(1, sizeof(*call));
 
     call->sink.ops = &call_sink_ops;
     call->etcd = etcd;
-    call->kind = kind;
+    call->done = done;
     call->path = path;
     call->body = xstrdup(body);
     call->address = etcd->current;
-    call->context = context;
+    call->swap_count = swap_count;
     LIST_INSERT_HEAD(&etcd->calls, call, all);
-    return call;
+    call_send(call);
 }
 
 /* A call that writes must not be sent again on a connection found closed. */
@@ -279,8 +251,8 @@
         .body = call->body,
         .body_bytes = strlen(call->body),
         .connect_timeout_ms = etcd->timeout_ms,
-        .timeout_ms = call->kind == ETCD_WATCH ? 0 : etcd->timeout_ms,
-        .fresh_connection = call->kind != ETCD_RANGE,
+        .timeout_ms = call->done.kind == KV_CALL_WATCH ? 0 : etcd->timeout_ms,
+        .fresh_connection = call->done.kind != KV_CALL_RANGE,
     };
 
     call->tried++;
@@ -314,28 +286,15 @@
     free(call);
 }
 
-/* The call's callback may free the platform: the call is closed first. */
+/* The call's callback may free the service: the call is closed first. */
 static void
-call_fail(etcd_call_t *call, kv_result_t result, int64_t revision)
+call_end(etcd_call_t *call, const kv_answer_t *answer)
 {
     bool feeding = call->feeding;
 
     call->feeding = true;
     call_close(call);
-    switch (call->kind) {
-    case ETCD_RANGE:
-        call->done.range(call->context, result, revision, NULL, 0);
-        break;
-    case ETCD_SWAP:
-        call->done.swap(call->context, result, revision, NULL, 0);
-        break;
-    case ETCD_LEASE:
-        call->done.lease(call->context, result, 0, 0);
-        break;
-    case ETCD_WATCH:
-        call->done.watch(call->context, result, revision, NULL, 0);
-        break;
-    }
+    kv_done_give(&call->done, answer);
     call->feeding = feeding;
     if (!feeding) {
         call_free(call);
@@ -381,7 +340,7 @@
         call->too_long = true;
         return;
     }
-    if (call->kind == ETCD_WATCH && call->status == HTTP_STATUS_OK) {
+    if (call->done.kind == KV_CALL_WATCH && call->status == HTTP_STATUS_OK) {
         feed_watch(call);
     }
 }
@@ -403,7 +362,7 @@
     if (outcome == KV_UNREACHED && call_try_next(call)) {
         return;
     }
-    call_fail(call, outcome, 0);
+    call_end(call, &(kv_answer_t){.result = outcome});
 }
 
 static kv_result_t
@@ -418,14 +377,14 @@
     if (call->status != HTTP_STATUS_OK) {
         return outcome_of_status(call);
     }
-    return call->kind == ETCD_WATCH ? KV_LOST : KV_OK;
+    return call->done.kind == KV_CALL_WATCH ? KV_LOST : KV_OK;
 }
 
 /* A read that failed took no effect, whatever became of it. */
 static kv_result_t
 unclear(const etcd_call_t *call)
 {
-    return call->kind == ETCD_RANGE ? KV_UNREACHED : KV_LOST;
+    return call->done.kind == KV_CALL_RANGE ? KV_UNREACHED : KV_LOST;
 }
 
 /* etcd answers 5xx also to writes that it may yet carry out. */
@@ -451,73 +410,67 @@
     err_t err = {0};
     int result = -1;
 
-    switch (call->kind) {
-    case ETCD_RANGE:
+    switch (call->done.kind) {
+    case KV_CALL_RANGE:
         result = give_range(call, &arena, &err);
         break;
-    case ETCD_SWAP:
+    case KV_CALL_SWAP:
         result = give_swap(call, &arena, &err);
         break;
-    case ETCD_LEASE:
+    case KV_CALL_LEASE:
         result = give_lease(call, &err);
         break;
-    case ETCD_WATCH:
+    case KV_CALL_WATCH:
         break;
     }
     if (result < 0) {
         log_line(LOG_WARNING, "platform call=%s error=\"%s\"", call->path,
                  err.message);
-        call_fail(call, unclear(call), 0);
+        call_end(call, &(kv_answer_t){.result = unclear(call)});
     }
     arena_free(&arena);
 }
 
-/* The callback comes last, because it may free the platform. */
 static int
 give_range(etcd_call_t *call, arena_t *arena, err_t *err)
 {
-    kv_range_done_t done = call->done.range;
-    void *context = call->context;
     etcd_range_t range;
 
     if (etcd_read_range(arena, call->answer.bytes, call->answer.length, &range,
                         err) < 0) {
         return -1;
     }
-    call_close(call);
-    done(context, KV_OK, range.revision, range.pairs, range.count);
+    call_end(call, &(kv_answer_t){.revision = range.revision,
+                                  .pairs = range.pairs,
+                                  .count = range.count});
     return 0;
 }
 
 static int
 give_swap(etcd_call_t *call, arena_t *arena, err_t *err)
 {
-    kv_swap_done_t done = call->done.swap;
-    void *context = call->context;
     etcd_swap_t swap;
 
     if (etcd_read_swap(arena, call->answer.bytes, call->answer.length,
                        call->swap_count, &swap, err) < 0) {
         return -1;
     }
-    call_close(call);
-    done(context, KV_OK, swap.revision, swap.answers, swap.count);
+    call_end(call, &(kv_answer_t){.revision = swap.revision,
+                                  .swaps = swap.answers,
+                                  .count = swap.count});
     return 0;
 }
 
 static int
 give_lease(etcd_call_t *call, err_t *err)
 {
-    kv_lease_done_t done = call->done.lease;
-    void *context = call->context;
     etcd_lease_t lease;
 
     if (etcd_read_lease(call->answer.bytes, call->answer.length, &lease, err) <
         0) {
         return -1;
     }
-    call_close(call);
-    done(context, KV_OK, lease.lease, lease.ttl_s);
+    call_end(call, &(kv_answer_t){.lease = lease.lease, .ttl_s = lease.ttl_s});
     return 0;
 }
 
@@ -559,14 +512,16 @@
     if (etcd_read_watch(&arena, line, length, &watch, &err) < 0) {
         log_line(LOG_WARNING, "platform call=%s error=\"%s\"", call->path,
                  err.message);
-        call_fail(call, KV_LOST, 0);
+        call_end(call, &(kv_answer_t){.result = KV_LOST});
     }
     else if (watch.canceled) {
-        call_fail(call, KV_INVALID, watch.revision);
+        call_end(call, &(kv_answer_t){.result = KV_INVALID,
+                                      .revision = watch.revision});
     }
     else if (watch.created || watch.count > 0) {
-        call->done.watch(call->context, KV_OK, watch.revision, watch.pairs,
-                         watch.count);
+        kv_done_give(&call->done, &(kv_answer_t){.revision = watch.revision,
+                                                 .pairs = watch.pairs,
+                                                 .count = watch.count});
     }
     arena_free(&arena);
 }
--- a/kv/kv.h
+++ b/kv/kv.h
@@ -1,10 +1,11 @@
 /*
- * kv.h - the platform's key-value service, as the system sees it.
+ * kv.h - a key-value service, as the system sees it.
  *
- * Two kinds stand behind one vtable: etcd.c (the etcd v3 JSON mapping over
- * HTTP) and memory.c (one process, for a trial without a platform).  Calls
- * do not block; each answer comes by its callback, later, on the loop.  A
- * call whose answer is lost ends as KV_LOST: it may have taken effect.
+ * Several kinds stand behind one vtable: etcd.c (the etcd v3 JSON mapping
+ * over HTTP), memory.c (one process, for a trial without any service) and
+ * whatever an adapter brings.  Calls do not block; each answer comes by its
+ * callback, later, on the loop.  A call whose answer is lost ends as KV_LOST:
+ * it may have taken effect.
  */
 #ifndef KV_KV_H
 #define KV_KV_H
--- a/kv/memory.c
+++ b/kv/memory.c
@@ -4,47 +4,26 @@
 #include <sys/queue.h>
 
 #include "base/arena.h"
-#include "kv/kv.h"
+#include "kv/done.h"
 #include "kv/store.h"
 
 enum { MEMORY_EXPIRE_MS = 100 };
 
-typedef enum {
-    ANSWER_RANGE,
-    ANSWER_SWAP,
-    ANSWER_LEASE,
-    ANSWER_WATCH,
-} answer_kind_t;
-
 /* One callback to be made on the next turn of the loop. */
-typedef struct answer {
-    TAILQ_ENTRY(answer) all;
-    arena_t arena;
-    answer_kind_t kind;
-    kv_result_t result;
-    int64_t revision;
-    kv_pair_t *pairs;
-    kv_swap_answer_t *swaps;
-    size_t count;
-    int64_t lease;
-    int64_t ttl_s;
-    union {
-        kv_range_done_t range;
-        kv_swap_done_t swap;
-        kv_lease_done_t lease;
-        kv_watch_done_t watch;
-    } done;
-    void *context;
-} answer_t;
-TAILQ_HEAD(answer_queue, answer);
+typedef struct pending {
+    TAILQ_ENTRY(pending) all;
+    arena_t arena; /* what the answer points to */
+    kv_done_t done;
+    kv_answer_t answer;
+} pending_t;
+TAILQ_HEAD(pending_queue, pending);
 
 typedef struct watch {
     LIST_ENTRY(watch) all;
     struct memory *memory;
     char *prefix;
     int64_t start_revision;
-    kv_watch_done_t done;
-    void *context;
+    kv_done_t done;
 } watch_t;
 
 typedef struct memory {
@@ -53,7 +32,7 @@
     uv_idle_t turn;
     uv_timer_t expiry;
     store_t *store;
-    struct answer_queue answers;
+    struct pending_queue pending;
     LIST_HEAD(, watch) watches;
     bool freed;
     unsigned open_handles;
@@ -73,12 +52,8 @@
                          kv_watch_done_t done, void *context);
 static void memory_watch_end(kv_t *kv, void *context);
 static void memory_free(kv_t *kv);
-static answer_t *answer_new(memory_t *memory, answer_kind_t kind,
-                            void *context);
-static void answer_lease(memory_t *memory, kv_result_t result, int64_t lease,
-                         int64_t ttl_s, kv_lease_done_t done, void *context);
-static void answer_free(answer_t *answer);
-static void give(const answer_t *answer);
+static pending_t *pending_new(memory_t *memory, kv_done_t done);
+static void pending_free(pending_t *pending);
 static void on_turn(uv_idle_t *idle);
 static void on_expiry(uv_timer_t *timer);
 static void on_closed(uv_handle_t *handle);
@@ -105,7 +80,7 @@
     memory->kv.ops = &memory_ops;
     memory->loop = loop;
     memory->store = store_new(on_changed, memory);
-    TAILQ_INIT(&memory->answers);
+    TAILQ_INIT(&memory->pending);
     LIST_INIT(&memory->watches);
     (void)uv_idle_init(loop, &memory->turn);
     (void)uv_timer_init(loop, &memory->expiry);
@@ -123,12 +98,11 @@
              void *context)
 {
     memory_t *memory = (memory_t *)kv;
-    answer_t *answer = answer_new(memory, ANSWER_RANGE, context);
+    pending_t *pending = pending_new(memory, kv_done_range(done, context));
 
-    answer->done.range = done;
-    answer->revision = store_revision(memory->store);
-    answer->pairs = store_range(memory->store, &answer->arena, key, prefix,
-                                &answer->count);
+    pending->answer.revision = store_revision(memory->store);
+    pending->answer.pairs = store_range(memory->store, &pending->arena, key,
+                                        prefix, &pending->answer.count);
 }
 
 static void
@@ -136,14 +110,15 @@
             kv_swap_done_t done, void *context)
 {
     memory_t *memory = (memory_t *)kv;
-    answer_t *answer = answer_new(memory, ANSWER_SWAP, context);
-
-    answer->done.swap = done;
-    answer->swaps = arena_array(&answer->arena, count, sizeof(*answer->swaps));
-    answer->result =
-        store_swap(memory->store, &answer->arena, swaps, count, answer->swaps);
-    answer->revision = store_revision(memory->store);
-    answer->count = answer->result == KV_OK ? count : 0;
+    pending_t *pending = pending_new(memory, kv_done_swap(done, context));
+    kv_swap_answer_t *answers =
+        arena_array(&pending->arena, count, sizeof(*answers));
+
+    pending->answer.result =
+        store_swap(memory->store, &pending->arena, swaps, count, answers);
+    pending->answer.revision = store_revision(memory->store);
+    pending->answer.swaps = answers;
+    pending->answer.count = pending->answer.result == KV_OK ? count : 0;
 }
 
 static void
@@ -152,8 +127,10 @@
 {
     memory_t *memory = (memory_t *)kv;
     int64_t lease = store_grant(memory->store, ttl_s, now_ms(memory));
+    pending_t *pending = pending_new(memory, kv_done_lease(done, context));
 
-    answer_lease(memory, KV_OK, lease, ttl_s, done, context);
+    pending->answer.lease = lease;
+    pending->answer.ttl_s = ttl_s;
 }
 
 static void
@@ -162,8 +139,10 @@
 {
     memory_t *memory = (memory_t *)kv;
     int64_t ttl_s = store_keepalive(memory->store, lease, now_ms(memory));
+    pending_t *pending = pending_new(memory, kv_done_lease(done, context));
 
-    answer_lease(memory, KV_OK, lease, ttl_s, done, context);
+    pending->answer.lease = lease;
+    pending->answer.ttl_s = ttl_s;
 }
 
 static void
@@ -172,8 +151,10 @@
 {
     memory_t *memory = (memory_t *)kv;
     bool known = store_revoke(memory->store, lease);
+    pending_t *pending = pending_new(memory, kv_done_lease(done, context));
 
-    answer_lease(memory, known ? KV_OK : KV_INVALID, lease, 0, done, context);
+    pending->answer.result = known ? KV_OK : KV_INVALID;
+    pending->answer.lease = lease;
 }
 
 static void
@@ -181,23 +162,23 @@
              kv_watch_done_t done, void *context)
 {
     memory_t *memory = (memory_t *)kv;
-    answer_t *answer = answer_new(memory, ANSWER_WATCH, context);
+    kv_done_t to = kv_done_watch(done, context);
+    pending_t *pending = pending_new(memory, to);
     watch_t *watch = xcalloc(1, sizeof(*watch));
+    int64_t compacted;
 
     watch->memory = memory;
     watch->prefix = xstrdup(prefix);
     watch->start_revision = start_revision;
-    watch->done = done;
-    watch->context = context;
-    answer->done.watch = done;
-    answer->revision = store_revision(memory->store);
+    watch->done = to;
+    pending->answer.revision = store_revision(memory->store);
     if (store_replay(memory->store, prefix, start_revision, give_change, watch,
-                     &answer->lease)) {
+                     &compacted)) {
         LIST_INSERT_HEAD(&memory->watches, watch, all);
         return;
     }
-    answer->result = KV_INVALID;
-    answer->revision = answer->lease;
+    pending->answer.result = KV_INVALID;
+    pending->answer.revision = compacted;
     free(watch->prefix);
     free(watch);
 }
@@ -211,7 +192,7 @@
     while (watch != NULL) {
         watch_t *next = LIST_NEXT(watch, all);
 
-        if (watch->context == context) {
+        if (watch->done.context == context) {
             LIST_REMOVE(watch, all);
             free(watch->prefix);
             free(watch);
@@ -225,13 +206,13 @@
 memory_free(kv_t *kv)
 {
     memory_t *memory = (memory_t *)kv;
-    answer_t *answer;
+    pending_t *pending;
     watch_t *watch;
 
     memory->freed = true;
-    while ((answer = TAILQ_FIRST(&memory->answers)) != NULL) {
-        TAILQ_REMOVE(&memory->answers, answer, all);
-        answer_free(answer);
+    while ((pending = TAILQ_FIRST(&memory->pending)) != NULL) {
+        TAILQ_REMOVE(&memory->pending, pending, all);
+        pending_free(pending);
     }
     while ((watch = LIST_FIRST(&memory->watches)) != NULL) {
         LIST_REMOVE(watch, all);
@@ -253,35 +234,22 @@
     }
 }
 
-static answer_t *
-answer_new(memory_t *memory, answer_kind_t kind, void *context)
+static pending_t *
+pending_new(memory_t *memory, kv_done_t done)
 {
-    answer_t *answer = xcalloc(1, sizeof(*answer));
+    pending_t *pending = xcalloc(1, sizeof(*pending));
 
-    answer->kind = kind;
-    answer->context = context;
-    TAILQ_INSERT_TAIL(&memory->answers, answer, all);
+    pending->done = done;
+    TAILQ_INSERT_TAIL(&memory->pending, pending, all);
     (void)uv_idle_start(&memory->turn, on_turn);
-    return answer;
-}
-
-static void
-answer_lease(memory_t *memory, kv_result_t result, int64_t lease,
-             int64_t ttl_s, kv_lease_done_t done, void *context)
-{
-    answer_t *answer = answer_new(memory, ANSWER_LEASE, context);
-
-    answer->done.lease = done;
-    answer->result = result;
-    answer->lease = lease;
-    answer->ttl_s = ttl_s;
+    return pending;
 }
 
 static void
-answer_free(answer_t *answer)
+pending_free(pending_t *pending)
 {
-    arena_free(&answer->arena);
-    free(answer);
+    arena_free(&pending->arena);
+    free(pending);
 }
 
 /* Answers that the callbacks bring about come on the turn after. */
@@ -289,45 +257,22 @@
 on_turn(uv_idle_t *idle)
 {
     memory_t *memory = idle->data;
-    answer_t *last = TAILQ_LAST(&memory->answers, answer_queue);
-    answer_t *answer;
+    pending_t *last = TAILQ_LAST(&memory->pending, pending_queue);
+    pending_t *pending;
     bool more = last != NULL;
 
     while (more && !memory->freed) {
-        answer = TAILQ_FIRST(&memory->answers);
-        more = answer != last;
-        TAILQ_REMOVE(&memory->answers, answer, all);
-        give(answer);
-        answer_free(answer);
+        pending = TAILQ_FIRST(&memory->pending);
+        more = pending != last;
+        TAILQ_REMOVE(&memory->pending, pending, all);
+        kv_done_give(&pending->done, &pending->answer);
+        pending_free(pending);
     }
-    if (TAILQ_EMPTY(&memory->answers)) {
+    if (TAILQ_EMPTY(&memory->pending)) {
         (void)uv_idle_stop(idle);
     }
 }
 
-static void
-give(const answer_t *answer)
-{
-    switch (answer->kind) {
-    case ANSWER_RANGE:
-        answer->done.range(answer->context, answer->result, answer->revision,
-                           answer->pairs, answer->count);
-        break;
-    case ANSWER_SWAP:
-        answer->done.swap(answer->context, answer->result, answer->revision,
-                          answer->swaps, answer->count);
-        break;
-    case ANSWER_LEASE:
-        answer->done.lease(answer->context, answer->result, answer->lease,
-                           answer->ttl_s);
-        break;
-    case ANSWER_WATCH:
-        answer->done.watch(answer->context, answer->result, answer->revision,
-                           answer->pairs, answer->count);
-        break;
-    }
-}
-
 static void
 on_expiry(uv_timer_t *timer)
 {
@@ -355,16 +300,16 @@
 give_change(void *context, const kv_pair_t *pair)
 {
     const watch_t *watch = context;
-    answer_t *answer = answer_new(watch->memory, ANSWER_WATCH, watch->context);
-
-    answer->done.watch = watch->done;
-    answer->revision = pair->mod_revision;
-    answer->count = 1;
-    answer->pairs = arena_alloc(&answer->arena, sizeof(*answer->pairs));
-    *answer->pairs = *pair;
-    answer->pairs->key = arena_strdup(&answer->arena, pair->key);
-    answer->pairs->value =
-        arena_memdup(&answer->arena, pair->value, pair->value_bytes);
+    pending_t *pending = pending_new(watch->memory, watch->done);
+    kv_pair_t *copy = arena_alloc(&pending->arena, sizeof(*copy));
+
+    *copy = *pair;
+    copy->key = arena_strdup(&pending->arena, pair->key);
+    copy->value =
+        arena_memdup(&pending->arena, pair->value, pair->value_bytes);
+    pending->answer.revision = pair->mod_revision;
+    pending->answer.pairs = copy;
+    pending->answer.count = 1;
 }
 
 static int64_t
