The rename of kv/ reaches its tests and the last comments

Cause: named the key-value service kv in the code of kv/, but test_kv.c still called itself test_platform.c (another program has that name now), and both tests and three comments still said platform.

Change: names and comments only. The texts of one log line and two errors stay: they speak of the setting [platform], which has that name.

--- a/kv/memory.c
+++ b/kv/memory.c
@@ -1,4 +1,4 @@
-/* memory.c - the platform's service in one process; see kv.h. */
+/* memory.c - a key-value service in one process; see kv.h. */
 #include <stdlib.h>
 #include <string.h>
 #include <sys/queue.h>
@@ -201,7 +201,7 @@
     }
 }
 
-/* The callback that is running may be what frees the platform. */
+/* The callback that is running may be what frees the service. */
 static void
 memory_free(kv_t *kv)
 {
--- a/kv/store.h
+++ b/kv/store.h
@@ -1,5 +1,5 @@
 /*
- * store.h - the state of the in-memory platform: keys, leases, changes.
+ * store.h - the state of the in-memory service: keys, leases, changes.
  *
  * Plain data without a loop; memory.c gives it the time and carries its
  * answers.  The semantics are etcd's: one revision for each call that
--- a/regress/test_etcd.c
+++ b/regress/test_etcd.c
@@ -32,7 +32,7 @@
 typedef enum { CALL_RANGE, CALL_SWAP, CALL_GRANT, CALL_WATCH } call_t;
 
 static fixture_t fixture;
-static kv_t *platform;
+static kv_t *kv;
 static char seen[SEEN_BYTES];
 static bool over;
 
@@ -85,16 +85,16 @@
     over = false;
     switch (call) {
     case CALL_RANGE:
-        platform->ops->range(platform, "a", false, on_range, NULL);
+        kv->ops->range(kv, "a", false, on_range, NULL);
         break;
     case CALL_SWAP:
-        platform->ops->swap(platform, &swap, 1, on_swap, NULL);
+        kv->ops->swap(kv, &swap, 1, on_swap, NULL);
         break;
     case CALL_GRANT:
-        platform->ops->lease_grant(platform, 5, on_lease, NULL);
+        kv->ops->lease_grant(kv, 5, on_lease, NULL);
         break;
     case CALL_WATCH:
-        platform->ops->watch(platform, "a", 0, on_watch, NULL);
+        kv->ops->watch(kv, "a", 0, on_watch, NULL);
         break;
     }
     fixture_wait(&fixture, &over);
@@ -229,7 +229,7 @@
 static void
 close_world(void)
 {
-    platform->ops->free(platform);
+    kv->ops->free(kv);
     fixture_close(&fixture);
 }
 
@@ -265,7 +265,7 @@
                    canned_port(first));
     (void)snprintf(texts[1], sizeof(texts[1]), "127.0.0.1:%d",
                    canned_port(second));
-    platform = kv_etcd_new(fixture.client, addresses, 2, TIMEOUT_MS);
+    kv = kv_etcd_new(fixture.client, addresses, 2, TIMEOUT_MS);
     make_call(fault->call);
     ck_assert_msg(strcmp(seen, fault->seen) == 0, "%s: %s", fault->name, seen);
     ck_assert_uint_eq(canned_requests(first), 1);
@@ -294,7 +294,7 @@
                    canned_port(second));
     canned_free(first);
     (void)uv_run(&fixture.loop, UV_RUN_NOWAIT);
-    platform = kv_etcd_new(fixture.client, addresses, 2, TIMEOUT_MS);
+    kv = kv_etcd_new(fixture.client, addresses, 2, TIMEOUT_MS);
     make_call((call_t)_i);
     make_call((call_t)_i);
     ck_assert_uint_eq(canned_requests(second), 2);
@@ -320,7 +320,7 @@
     open_world();
     server = canned_new(&fixture.loop, replies, 2);
     (void)snprintf(text, sizeof(text), "127.0.0.1:%d", canned_port(server));
-    platform = kv_etcd_new(fixture.client, addresses, 1, TIMEOUT_MS);
+    kv = kv_etcd_new(fixture.client, addresses, 1, TIMEOUT_MS);
     make_call(CALL_RANGE);
     make_call((call_t)_i);
     ck_assert_ptr_nonnull(strstr(seen, " 2 0 0;"));
--- a/regress/test_kv.c
+++ b/regress/test_kv.c
@@ -1,4 +1,4 @@
-/* test_platform.c - one script of calls, the same on every platform. */
+/* test_kv.c - one script of calls, the same on every key-value service. */
 #include <stdarg.h>
 #include <stdio.h>
 #include <string.h>
@@ -18,7 +18,7 @@
 typedef enum { KIND_MEMORY, KIND_ETCD, KIND_COUNT } kind_t;
 
 static fixture_t fixture;
-static kv_t *platform;
+static kv_t *kv;
 static child_t store;
 static char seen[SEEN_BYTES]; /* what the callbacks gave, in order */
 static char watched[SEEN_BYTES];
@@ -35,19 +35,19 @@
 
     fixture_open(&fixture);
     if (kind == KIND_MEMORY) {
-        platform = kv_memory_new(&fixture.loop);
+        kv = kv_memory_new(&fixture.loop);
     }
     else {
         store = child_start(store_argv);
         (void)snprintf(address, sizeof(address), "127.0.0.1:%d", store.port);
-        platform = kv_etcd_new(fixture.client, addresses, 1, CALL_TIMEOUT_MS);
+        kv = kv_etcd_new(fixture.client, addresses, 1, CALL_TIMEOUT_MS);
     }
 }
 
 static void
 close_world(void)
 {
-    platform->ops->free(platform);
+    kv->ops->free(kv);
     fixture_close(&fixture);
     child_kill(&store);
 }
@@ -149,7 +149,7 @@
 static void
 range(const char *key, bool prefix)
 {
-    platform->ops->range(platform, key, prefix, on_range, NULL);
+    kv->ops->range(kv, key, prefix, on_range, NULL);
     wait_for_answer();
 }
 
@@ -170,7 +170,7 @@
     kv_swap_t one = {
         .key = key, .mod_revision = mod_revision, .ops = &op, .op_count = 1};
 
-    platform->ops->swap(platform, &one, 1, on_swap, NULL);
+    kv->ops->swap(kv, &one, 1, on_swap, NULL);
     wait_for_answer();
 }
 
@@ -183,7 +183,7 @@
                      .ops = &op,
                      .op_count = 1};
 
-    platform->ops->swap(platform, &one, 1, on_swap, NULL);
+    kv->ops->swap(kv, &one, 1, on_swap, NULL);
     wait_for_answer();
 }
 
@@ -192,7 +192,7 @@
 {
     size_t used = strlen(watched);
 
-    platform->ops->watch(platform, prefix, start_revision, on_watch, NULL);
+    kv->ops->watch(kv, prefix, start_revision, on_watch, NULL);
     while (strlen(watched) == used) {
         loop_turn(&fixture.loop);
     }
@@ -210,7 +210,7 @@
 lease_call(void (*call)(kv_t *, int64_t, kv_lease_done_t, void *),
            int64_t argument)
 {
-    call(platform, argument, on_lease, NULL);
+    call(kv, argument, on_lease, NULL);
     wait_for_answer();
 }
 
@@ -260,9 +260,9 @@
 
     open_world((kind_t)_i);
     swap("b", 0, put("b", "held", 0));
-    platform->ops->swap(platform, swaps, 3, on_swap, NULL);
+    kv->ops->swap(kv, swaps, 3, on_swap, NULL);
     wait_for_answer();
-    platform->ops->swap(platform, &swaps[2], 2, on_swap, NULL);
+    kv->ops->swap(kv, &swaps[2], 2, on_swap, NULL);
     wait_for_answer();
     range("", true);
     ck_assert_str_eq(seen, "swap 0 won;"
@@ -295,17 +295,17 @@
 START_TEST(leases)
 {
     open_world((kind_t)_i);
-    lease_call(platform->ops->lease_grant, 60);
+    lease_call(kv->ops->lease_grant, 60);
     swap("a", 0, put("a", "1", last_lease));
     swap("b", 0, put("b", "1", last_lease));
     swap("c", 0, put("c", "1", last_lease + 1000));
     range("a", false);
-    lease_call(platform->ops->lease_keepalive, last_lease);
+    lease_call(kv->ops->lease_keepalive, last_lease);
     swap("b", 3, put("b", "2", 0));
-    lease_call(platform->ops->lease_revoke, last_lease);
+    lease_call(kv->ops->lease_revoke, last_lease);
     range("", true);
-    lease_call(platform->ops->lease_keepalive, last_lease);
-    lease_call(platform->ops->lease_revoke, last_lease + 1000);
+    lease_call(kv->ops->lease_keepalive, last_lease);
+    lease_call(kv->ops->lease_revoke, last_lease + 1000);
     ck_assert_str_eq(seen, "lease 0 ttl 60;"
                            "swap 0 won;"
                            "swap 0 won;"
@@ -324,11 +324,11 @@
 START_TEST(lease_lapses)
 {
     open_world((kind_t)_i);
-    lease_call(platform->ops->lease_grant, 1);
+    lease_call(kv->ops->lease_grant, 1);
     swap("a", 0, put("a", "1", last_lease));
     watch("", 3);
     wait_watched("watch 0; a gone@3");
-    lease_call(platform->ops->lease_keepalive, last_lease);
+    lease_call(kv->ops->lease_keepalive, last_lease);
     ck_assert_str_eq(seen, "lease 0 ttl 1;swap 0 won;lease 0 ttl 0;");
     close_world();
 }
@@ -454,13 +454,13 @@
 }
 END_TEST
 
-/* Nothing is called after the platform is freed, also from a callback. */
+/* Nothing is called after the service is freed, also from a callback. */
 static void
 on_range_free(void *context, kv_result_t result, int64_t revision,
               const kv_pair_t *pairs, size_t count)
 {
-    platform->ops->free(platform);
-    platform = NULL;
+    kv->ops->free(kv);
+    kv = NULL;
     answered = true;
 }
 
@@ -468,12 +468,12 @@
 {
     open_world((kind_t)_i);
     watch("", 0);
-    platform->ops->range(platform, "a", false, on_range_free, NULL);
-    platform->ops->range(platform, "a", false, on_range, NULL);
-    platform->ops->range(platform, "a", false, on_range, NULL);
+    kv->ops->range(kv, "a", false, on_range_free, NULL);
+    kv->ops->range(kv, "a", false, on_range, NULL);
+    kv->ops->range(kv, "a", false, on_range, NULL);
     wait_for_answer();
-    ck_assert_ptr_null(platform);
-    platform = kv_memory_new(&fixture.loop);
+    ck_assert_ptr_null(kv);
+    kv = kv_memory_new(&fixture.loop);
     close_world();
     ck_assert_str_eq(seen, "");
 }
@@ -482,7 +482,7 @@
 int
 main(void)
 {
-    TCase *tcase = tcase_create("platform");
+    TCase *tcase = tcase_create("kv");
 
     tcase_add_loop_test(tcase, compare_and_swap, 0, KIND_COUNT);
     tcase_add_loop_test(tcase, many_swaps_in_one_call, 0, KIND_COUNT);
@@ -495,5 +495,5 @@
     tcase_add_test(tcase, lost_answer);
     tcase_add_test(tcase, outage);
     tcase_add_loop_test(tcase, freed_in_a_callback, 0, KIND_COUNT);
-    return fixture_main("platform", tcase);
+    return fixture_main("kv", tcase);
 }
