resume() asks for the verdict on a suspect once

Cause: resume() looked the request up among the suspects twice, for two tests of one answer that cannot change between them.

Change: the verdict is a local variable.

Figures: test_forward and test_suspicion pass.

--- a/forward/recover.c
+++ b/forward/recover.c
@@ -246,6 +246,8 @@
 static void
 resume(forward_t *forward, request_t *request)
 {
+    suspect_verdict_t verdict = suspicion_verdict(forward, request);
+
     if (!repeat_allowed(forward, request)) {
         refuse(forward, request, REFUSE_BUDGET);
         return;
@@ -254,12 +256,11 @@
         refuse(forward, request, REFUSE_RUNNER_LOST);
         return;
     }
-    if (suspicion_verdict(forward, request) == SUSPECT_REFUSED) {
+    if (verdict == SUSPECT_REFUSED) {
         refuse(forward, request, REFUSE_HARMFUL);
         return;
     }
-    if (!request->begun &&
-        suspicion_verdict(forward, request) == SUSPECT_HELD) {
+    if (!request->begun && verdict == SUSPECT_HELD) {
         request->retry_at_us =
             forward->now_us + (int64_t)WAIT_STEP_MS * US_PER_MS;
         return;
