Choosing whom to follow stops once a host is known not to watch

Cause: following_choose(), run before each ask of the store's state, weighed every host against all others of its zone to the end, though two higher weights already settle that it does not watch, and weighed hosts that it then left out.

Change: the search ends at the second higher weight; a host's own weight for this follower is taken only where the host is a watcher.

--- a/forward/following.c
+++ b/forward/following.c
@@ -42,13 +42,15 @@
 
     for (i = 0; i < count; i++) {
         const follow_host_t *host = &hosts[i];
-        bool near = strcmp(host->zone, self->zone) == 0;
-        uint64_t host_weight = weight(host->name, seed);
+        bool near;
+        uint64_t host_weight;
 
         if (host->failed || strcmp(host->name, self->name) == 0 ||
             !is_watcher(hosts, count, host)) {
             continue;
         }
+        near = strcmp(host->zone, self->zone) == 0;
+        host_weight = weight(host->name, seed);
         if (best == NULL || (near && !best_near) ||
             (near == best_near && host_weight > best_weight)) {
             best = host;
@@ -121,7 +123,7 @@
     return hosts <= ALL_WATCH;
 }
 
-/* The highest weights of its zone watch. */
+/* The highest weights of its zone watch: two higher ones end the search. */
 static bool
 is_watcher(const follow_host_t *hosts, size_t count, const follow_host_t *host)
 {
@@ -129,7 +131,7 @@
     size_t before = 0;
     size_t i;
 
-    for (i = 0; i < count; i++) {
+    for (i = 0; i < count && before < WATCHERS_A_ZONE; i++) {
         if (strcmp(hosts[i].zone, host->zone) == 0 &&
             weight(hosts[i].name, 0) > own) {
             before++;
