The watcher chooses a host to ask once, and only when it asks

Cause: next_call() chose whom to ask also before reading the whole list, where nobody is asked, and on_watch() chose a host, dropped it and let next_call() choose again.

Change: next_call() chooses after the test for reading; on_watch() asks the host that it found.

The ask now counts from when the watch's answer came rather than from a moment later, which can only make the proven contact older by that moment.

--- a/gateway/watcher.c
+++ b/gateway/watcher.c
@@ -120,14 +120,16 @@
     gateway_t *gateway = watcher->gateway;
     kv_t *kv = gateway->kv;
     arena_t arena = {0};
-    const char *host = host_to_ask(watcher, &arena);
+    const char *host;
 
     watcher->since_us = gateway_now_us();
     if (watcher->reading) {
         watcher->source = SOURCE_READ;
         kv->ops->range(kv, "", true, on_range, watcher);
+        return;
     }
-    else if (host != NULL) {
+    host = host_to_ask(watcher, &arena);
+    if (host != NULL) {
         ask(watcher, host);
     }
     else {
@@ -222,6 +224,7 @@
     int64_t now_us = gateway_now_us();
     int64_t contact_us = watcher->since_us;
     arena_t arena = {0};
+    const char *host;
     size_t i;
 
     if (watcher->source != SOURCE_WATCH) {
@@ -252,9 +255,10 @@
     if (count > 0) {
         store_relay_changed(gateway->relay);
     }
-    if (host_to_ask(watcher, &arena) != NULL) {
+    host = host_to_ask(watcher, &arena);
+    if (host != NULL) {
         gateway->kv->ops->watch_end(gateway->kv, watcher);
-        next_call(watcher);
+        ask(watcher, host);
     }
     arena_free(&arena);
 }
