A log line is formatted in one place

Cause: log_event(), added beside log_line(), repeated its test of the severity and its formatting.

Change: write_line() takes the format and its arguments and does both.

--- a/base/log.c
+++ b/base/log.c
@@ -39,7 +39,8 @@
 static int log_most = LOG_INFO;
 static log_sink_t sink = {.fd = -1};
 
-static void write_line(int severity, const char *event, const char *text);
+static void write_line(int severity, const char *event, const char *format,
+                       va_list args) __attribute__((format(printf, 3, 0)));
 static void write_structured(int severity, const char *event, const char *text,
                              const char *stamp, long ms);
 static bool take_token(int severity);
@@ -70,31 +71,21 @@
 void
 log_line(int severity, const char *format, ...)
 {
-    char text[LOG_LINE_BYTES];
     va_list args;
 
-    if (severity > log_most) {
-        return;
-    }
     va_start(args, format);
-    (void)vsnprintf(text, sizeof(text), format, args);
+    write_line(severity, NULL, format, args);
     va_end(args);
-    write_line(severity, NULL, text);
 }
 
 void
 log_event(int severity, const char *event, const char *format, ...)
 {
-    char text[LOG_LINE_BYTES];
     va_list args;
 
-    if (severity > log_most) {
-        return;
-    }
     va_start(args, format);
-    (void)vsnprintf(text, sizeof(text), format, args);
+    write_line(severity, event, format, args);
     va_end(args);
-    write_line(severity, event, text);
 }
 
 uint64_t
@@ -104,12 +95,17 @@
 }
 
 static void
-write_line(int severity, const char *event, const char *text)
+write_line(int severity, const char *event, const char *format, va_list args)
 {
+    char text[LOG_LINE_BYTES];
     char stamp[sizeof("2026-12-03T20:35:55")];
     struct timespec now;
     struct tm utc;
 
+    if (severity > log_most) {
+        return;
+    }
+    (void)vsnprintf(text, sizeof(text), format, args);
     (void)clock_gettime(CLOCK_REALTIME, &now);
     (void)gmtime_r(&now.tv_sec, &utc);
     (void)strftime(stamp, sizeof(stamp), "%Y-%m-%dT%H:%M:%S", &utc);
