Names in forward/ that say what they count and what is due

Cause: repeat_sent() and repeat_unsent() count every attempt that may reach a runner, the first one too; runs_changed is also set by notes, and asks for the other hosts to be told.

Change: arrival_count(), arrival_uncount(), share_due; names only.

Figures: tests forward, suspicion, standby and sessions pass.

--- a/forward/forward.c
+++ b/forward/forward.c
@@ -118,9 +118,9 @@
         break;
     }
     suspicion_publish(forward);
-    if (forward->runs_changed) {
+    if (forward->share_due) {
         (void)order_new(forward, ORDER_TO_SHARE, 0);
-        forward->runs_changed = false;
+        forward->share_due = false;
     }
     forward->orders = NULL;
 }
@@ -311,7 +311,7 @@
 }
 
 void
-repeat_sent(forward_t *forward, request_t *request)
+arrival_count(forward_t *forward, request_t *request)
 {
     request->attempt.repeat = request->arrivals > 0;
     request->arrivals++;
@@ -322,7 +322,7 @@
 }
 
 void
-repeat_unsent(forward_t *forward, request_t *request)
+arrival_uncount(forward_t *forward, request_t *request)
 {
     request->arrivals--;
     if (request->attempt.repeat) {
@@ -414,7 +414,7 @@
     if (attempt->events == 0) {
         attempt->first_us = forward->now_us;
         pool_read(attempt->runner);
-        forward->runs_changed = true;
+        forward->share_due = true;
     }
     attempt->events++;
     attempt->heard_us = forward->now_us;
--- a/forward/notes.c
+++ b/forward/notes.c
@@ -22,7 +22,7 @@
     told->note.number = forward->notes_made;
     told->note.finding = *finding;
     told->until_us = forward->now_us + (int64_t)NOTE_KEPT_MS * US_PER_MS;
-    forward->runs_changed = true;
+    forward->share_due = true;
 }
 
 void
--- a/forward/private.h
+++ b/forward/private.h
@@ -144,7 +144,7 @@
     peer_view_t *peers;  /* by host */
     session_t *sessions; /* by session */
     bool listing;        /* the whole registry is being read */
-    bool runs_changed;   /* in the step that is running */
+    bool share_due;      /* the other hosts are told when the step ends */
     request_t *requests; /* by number */
     service_budget_t *budgets;
     suspects_t *suspects;              /* requests that crash runners */
@@ -177,9 +177,9 @@
  * repeats nothing.
  */
 bool repeat_allowed(forward_t *forward, const request_t *request);
-/* The attempt that begins, or did not reach its runner, counts or does not. */
-void repeat_sent(forward_t *forward, request_t *request);
-void repeat_unsent(forward_t *forward, request_t *request);
+/* Counts the attempt that begins; takes back one that reached no runner. */
+void arrival_count(forward_t *forward, request_t *request);
+void arrival_uncount(forward_t *forward, request_t *request);
 
 /* --- registry.c --- */
 
--- a/forward/recover.c
+++ b/forward/recover.c
@@ -92,7 +92,7 @@
     }
     if (not_sent) {
         request->runs--;
-        repeat_unsent(forward, request);
+        arrival_uncount(forward, request);
     }
     if (attempt->events > 0 && attempt->standby != NULL) {
         keep_copy(request);
--- a/forward/send.c
+++ b/forward/send.c
@@ -88,11 +88,11 @@
     };
     request->retry_at_us = 0;
     request->runs++;
-    repeat_sent(forward, request);
+    arrival_count(forward, request);
     pool_start(runner, request->type == REQUEST_STREAM);
     if (request->type == REQUEST_STREAM) {
         session_note(forward, request->affinity, runner->id_hash);
-        forward->runs_changed = true;
+        forward->share_due = true;
     }
     if (request->tried_count < POOL_TRIED_MAX) {
         request->tried[request->tried_count] = runner->serial;
@@ -173,7 +173,7 @@
     }
     if (request->type == REQUEST_STREAM) {
         pool_end(attempt->runner, attempt->events == 0);
-        forward->runs_changed = true;
+        forward->share_due = true;
     }
     else {
         pool_end(attempt->runner, false);
