--- a/regress/forwarding.c
+++ b/regress/forwarding.c
@@ -48,21 +48,21 @@
 static void print_order(const forward_order_t *order);
 
 void
-forwarding_play(const char *name, const forwarding_line_t *lines, size_t count)
+forwarding_play(const forwarding_script_t *script)
 {
     forward_t *forward = forwarding_open();
     size_t i;
 
-    for (i = 0; i < count; i++) {
-        const char *got =
-            forwarding_do(forward, lines[i].at_ms, lines[i].event);
+    for (i = 0; i < script->count; i++) {
+        const forwarding_line_t *line = &script->lines[i];
+        const char *got = forwarding_do(forward, line->at_ms, line->event);
 
-        if (lines[i].orders != NULL) {
-            ck_assert_msg(strcmp(got, lines[i].orders) == 0,
+        if (line->orders != NULL) {
+            ck_assert_msg(strcmp(got, line->orders) == 0,
                           "%s, line %zu, at %" PRId64 " ms, %s:\n  got  %s\n"
                           "  want %s",
-                          name, i + 1, lines[i].at_ms, lines[i].event, got,
-                          lines[i].orders);
+                          script->name, i + 1, line->at_ms, line->event, got,
+                          line->orders);
         }
     }
     forward_free(forward);
--- a/regress/forwarding.h
+++ b/regress/forwarding.h
@@ -47,9 +47,27 @@
     const char *orders; /* "" for none; NULL: not compared */
 } forwarding_line_t;
 
-/* Runs the lines on a fresh forward_t; fails the test where orders differ. */
-void forwarding_play(const char *name, const forwarding_line_t *lines,
-                     size_t count);
+typedef struct {
+    const char *name;
+    const forwarding_line_t *lines;
+    size_t count;
+} forwarding_script_t;
+
+/* A table of lines as a script with its name. */
+#define FORWARDING_SCRIPT(lines)                                              \
+    {                                                                         \
+#lines, lines, sizeof(lines) / sizeof((lines)[0])                     \
+    }
+
+/* The first lines of a script: one engine a zone, and one plain runner. */
+#define FORWARDING_OPENED                                                     \
+    {0, "routing 1", ""}, {0, "contact", ""}, {0, "hosts 1", ""},             \
+    {                                                                         \
+        0, "list ra1 rb1 rc1 sa1", ""                                         \
+    }
+
+/* Runs the script on a fresh forward_t; fails the test where orders differ. */
+void forwarding_play(const forwarding_script_t *script);
 
 /* The same, step by step; the text is valid until the next call. */
 forward_t *forwarding_open(void);
