--- a/regress/fixture.h
+++ b/regress/fixture.h
@@ -12,6 +12,9 @@
 
 #include "http/http.h"
 
+/* Elements of an array, as of a table of cases. */
+#define COUNT(array) (sizeof(array) / sizeof((array)[0]))
+
 typedef struct {
     uv_loop_t loop;
     uv_timer_t limit; /* fails the test after FIXTURE_LIMIT_MS */
--- a/regress/test_copies.c
+++ b/regress/test_copies.c
@@ -4,8 +4,6 @@
 #include "regress/fixture.h"
 #include "regress/forwarding.h"
 
-#define COUNT(array) (sizeof(array) / sizeof((array)[0]))
-
 /* A stream that has outlived its standby gets another copy, in time. */
 static const forwarding_line_t lost_standby_is_replaced[] = {
     FORWARDING_OPENED,
--- a/regress/test_event_stream.c
+++ b/regress/test_event_stream.c
@@ -4,8 +4,6 @@
 #include "forward/event_stream.h"
 #include "regress/fixture.h"
 
-#define COUNT(array) (sizeof(array) / sizeof((array)[0]))
-
 typedef struct {
     const char *name;
     const char *bytes;
--- a/regress/test_forward.c
+++ b/regress/test_forward.c
@@ -7,8 +7,6 @@
 #include "regress/fixture.h"
 #include "regress/forwarding.h"
 
-#define COUNT(array) (sizeof(array) / sizeof((array)[0]))
-
 static const forwarding_line_t plain_answer[] = {
     FORWARDING_OPENED,
     {10, "request 1 unsafe", "send 1.1 sa1"},
--- a/regress/test_forward_log.c
+++ b/regress/test_forward_log.c
@@ -4,8 +4,6 @@
 #include "regress/fixture.h"
 #include "regress/forwarding.h"
 
-#define COUNT(array) (sizeof(array) / sizeof((array)[0]))
-
 enum { EVENTS_MAX = 16, TEXTS_MAX = 5 };
 
 /* The last event's lines must hold each of the texts. */
--- a/regress/test_gateway.c
+++ b/regress/test_gateway.c
@@ -5,10 +5,9 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "regress/fixture.h"
 #include "regress/gateway_host.h"
 
-#define COUNT(array) (sizeof(array) / sizeof((array)[0]))
-
 #define ASK(method, path, more)                                               \
     method " " path " HTTP/1.1\r\nHost: host.example\r\nAttempt-Id: q1\r\n"   \
            "Authorization: Bearer k1\r\n" more "\r\n"
--- a/regress/test_platform.c
+++ b/regress/test_platform.c
@@ -6,8 +6,6 @@
 #include "platform/platform.h"
 #include "regress/fixture.h"
 
-#define COUNT(array) (sizeof(array) / sizeof((array)[0]))
-
 #define WHOLE                                                                 \
     "\"Service\":\"s\",\"Address\":\"10.0.0.1:80\",\"Zone\":\"z\","           \
     "\"BatchSize\":4"
--- a/regress/test_platform_store.c
+++ b/regress/test_platform_store.c
@@ -6,7 +6,6 @@
 #include "regress/canned.h"
 #include "regress/fixture.h"
 
-#define COUNT(array) (sizeof(array) / sizeof((array)[0]))
 #define JSON(status, body)                                                    \
     "HTTP/1.1 " status "\r\nContent-Type: application/json\r\n"               \
     "Connection: close\r\n\r\n" body
--- a/regress/test_retry_budget.c
+++ b/regress/test_retry_budget.c
@@ -7,8 +7,6 @@
 #include "regress/fixture.h"
 #include "regress/forwarding.h"
 
-#define COUNT(array) (sizeof(array) / sizeof((array)[0]))
-
 /*
  * Load: a zone of engines fails, and a host has more of its streams than its
  * part of the budget.  The hosts together have enough; then they have not.
--- a/regress/test_sharing.c
+++ b/regress/test_sharing.c
@@ -4,8 +4,6 @@
 #include "regress/fixture.h"
 #include "regress/forwarding.h"
 
-#define COUNT(array) (sizeof(array) / sizeof((array)[0]))
-
 /* Callers are told when to come back: at once, if another host can serve. */
 static const forwarding_line_t store_away_for_all[] = {
     FORWARDING_OPENED,
