One generator of repeatable random numbers

Change: random_next() in base/random.[ch]; the five call it on their own state. regress/standin/load_plan.c leaves out the last step and keeps its own, since its plans are named by seed; generate.c's is a hash.

The numbers are the same, so seeds stand for what they stood for.

--- a/base/random.c
+++ b/base/random.c
@@ -16,3 +16,15 @@
     }
     return number;
 }
+
+uint64_t
+random_next(uint64_t *state)
+{
+    uint64_t mixed;
+
+    *state += 0x9e3779b97f4a7c15U;
+    mixed = *state;
+    mixed = (mixed ^ (mixed >> 30)) * 0xbf58476d1ce4e5b9U;
+    mixed = (mixed ^ (mixed >> 27)) * 0x94d049bb133111ebU;
+    return mixed ^ (mixed >> 31);
+}
--- a/forward/intake.c
+++ b/forward/intake.c
@@ -2,6 +2,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/random.h"
 #include "forward/private.h"
 
 enum {
@@ -19,7 +20,6 @@
                               const forward_request_t *caller);
 static void apply_route(forward_t *forward, request_t *request,
                         const route_t *route, uint32_t caller_ms);
-static uint64_t next_chance(forward_t *forward);
 
 void
 intake(forward_t *forward, const forward_request_t *caller)
@@ -128,7 +128,7 @@
 apply_route(forward_t *forward, request_t *request, const route_t *route,
             uint32_t caller_ms)
 {
-    const char *name = route_pick(route, next_chance(forward));
+    const char *name = route_pick(route, random_next(&forward->chance));
     const service_t *service = routing_service(forward->routing, name);
     uint32_t limit_ms = route->timeout_ms;
 
@@ -148,16 +148,3 @@
         route->attempts_max > 0 ? route->attempts_max : ATTEMPTS_DEFAULT;
     request->objective_ms = route->objective_ms;
 }
-
-/* SplitMix64. */
-static uint64_t
-next_chance(forward_t *forward)
-{
-    uint64_t mixed;
-
-    forward->chance += 0x9e3779b97f4a7c15U;
-    mixed = forward->chance;
-    mixed = (mixed ^ (mixed >> 30)) * 0xbf58476d1ce4e5b9U;
-    mixed = (mixed ^ (mixed >> 27)) * 0x94d049bb133111ebU;
-    return mixed ^ (mixed >> 31);
-}
--- a/peer/link.c
+++ b/peer/link.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "base/arena.h"
+#include "base/random.h"
 #include "peer/private.h"
 
 enum { BACKOFF_FIRST_MS = 50, BACKOFF_MOST_MS = 5000 };
@@ -207,8 +208,8 @@
     if (link->backoff_ms > BACKOFF_MOST_MS) {
         link->backoff_ms = BACKOFF_MOST_MS;
     }
-    wait_ms = link->backoff_ms / 2 +
-              (uint32_t)(peer_random(peer) % (link->backoff_ms / 2 + 1));
+    wait_ms = link->backoff_ms / 2 + (uint32_t)(random_next(&peer->random) %
+                                                (link->backoff_ms / 2 + 1));
     link->retry_at_ms = uv_now(peer->loop) + wait_ms;
     if (was_up && !peer->closing) {
         peer->listener->ops->lost(peer->listener, link->host);
--- a/peer/peer.c
+++ b/peer/peer.c
@@ -238,19 +238,6 @@
     return key;
 }
 
-/* splitmix64 */
-uint64_t
-peer_random(peer_t *peer)
-{
-    uint64_t word;
-
-    peer->random += 0x9e3779b97f4a7c15u;
-    word = peer->random;
-    word = (word ^ (word >> 30)) * 0xbf58476d1ce4e5b9u;
-    word = (word ^ (word >> 27)) * 0x94d049bb133111ebu;
-    return word ^ (word >> 31);
-}
-
 static void
 on_connection(uv_stream_t *listen, int status)
 {
--- a/peer/private.h
+++ b/peer/private.h
@@ -152,6 +152,5 @@
 wire_key_t peer_key(const peer_t *peer);
 void peer_record(conn_t *conn, const uint8_t *bytes, size_t count);
 void peer_handle_closed(peer_t *peer);
-uint64_t peer_random(peer_t *peer);
 
 #endif
--- a/policy/spread.c
+++ b/policy/spread.c
@@ -5,6 +5,7 @@
 #include <bsd/sys/tree.h>
 #include <xxhash.h>
 
+#include "base/random.h"
 #include "policy/spread.h"
 
 enum { SPREAD_HURRY_US = 200000, WATCH_SALT = 7 };
@@ -31,7 +32,6 @@
     spread_counters_t counters;
 };
 
-static uint64_t random_next(spread_t *spread);
 static entry_t *entry_find(const spread_t *spread, const char *key);
 static entry_t *entry_first(const spread_t *spread);
 static void entry_set(spread_t *spread, const config_t *config);
@@ -91,19 +91,6 @@
     free(spread);
 }
 
-/* splitmix64 */
-static uint64_t
-random_next(spread_t *spread)
-{
-    uint64_t word;
-
-    spread->random += 0x9e3779b97f4a7c15u;
-    word = spread->random;
-    word = (word ^ (word >> 30)) * 0xbf58476d1ce4e5b9u;
-    word = (word ^ (word >> 27)) * 0x94d049bb133111ebu;
-    return word ^ (word >> 31);
-}
-
 static entry_t *
 entry_find(const spread_t *spread, const char *key)
 {
@@ -351,7 +338,7 @@
         return;
     }
     spread->counters.rounds++;
-    i = random_next(spread) % others;
+    i = random_next(&spread->random) % others;
     put_hashes(spread, tell_digest(views[i].host, DIGEST_HASHES, orders),
                orders);
 }
--- a/regress/fleet.c
+++ b/regress/fleet.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/random.h"
 #include "peer/wire.h"
 #include "regress/fleet.h"
 
@@ -36,13 +37,7 @@
 uint64_t
 fleet_random(fleet_t *fleet, uint64_t below)
 {
-    uint64_t word;
-
-    fleet->random += 0x9e3779b97f4a7c15u;
-    word = fleet->random;
-    word = (word ^ (word >> 30)) * 0xbf58476d1ce4e5b9u;
-    word = (word ^ (word >> 27)) * 0x94d049bb133111ebu;
-    return (word ^ (word >> 31)) % below;
+    return random_next(&fleet->random) % below;
 }
 
 static bool
--- a/regress/soak/soak.c
+++ b/regress/soak/soak.c
@@ -17,6 +17,7 @@
 
 #include <xxhash.h>
 
+#include "base/random.h"
 #include "regress/soak/soak.h"
 
 enum {
@@ -121,17 +122,10 @@
     return uv_hrtime() / 1000000;
 }
 
-/* SplitMix64. */
 uint64_t
 soak_chance(uint64_t below)
 {
-    uint64_t mixed;
-
-    soak.random += 0x9e3779b97f4a7c15U;
-    mixed = soak.random;
-    mixed = (mixed ^ (mixed >> 30)) * 0xbf58476d1ce4e5b9U;
-    mixed = (mixed ^ (mixed >> 27)) * 0x94d049bb133111ebU;
-    return (mixed ^ (mixed >> 31)) % below;
+    return random_next(&soak.random) % below;
 }
 
 uint64_t
