regress/fleet.c is three files

Cause: at 608 lines it held the hosts and the store, the queue of what is under way, and the checks.

Change: the queue moves to fleet_queue.c, the checks to fleet_check.c, and what the three share to fleet_private.h. The code is moved as it was; the functions that became visible have names that begin with fleet_.

--- a/regress/fleet.c
+++ b/regress/fleet.c
@@ -4,8 +4,7 @@
 #include <string.h>
 
 #include "base/random.h"
-#include "peer/wire.h"
-#include "regress/fleet.h"
+#include "regress/fleet_private.h"
 
 enum {
     DATAGRAM_HEADER_BYTES = 28, /* IP and UDP */
@@ -17,19 +16,6 @@
     TIMER_LEAST_US = 1000,
 };
 
-typedef enum { ITEM_RECORD, ITEM_TIMER, ITEM_LIST, ITEM_STORE } item_kind_t;
-
-typedef struct fleet_item {
-    int64_t at_us;
-    uint64_t number;
-    item_kind_t kind;
-    uint32_t host;
-    uint64_t incarnation;
-    wire_record_t record;
-    uint32_t key;
-    int64_t revision;
-} fleet_item_t;
-
 static const uint8_t key[KEY_BYTES] = {42};
 
 static void carry_out(fleet_t *fleet, uint32_t host);
@@ -40,58 +26,6 @@
     return random_next(&fleet->random) % below;
 }
 
-static bool
-earlier(const fleet_item_t *left, const fleet_item_t *right)
-{
-    return left->at_us != right->at_us ? left->at_us < right->at_us
-                                       : left->number < right->number;
-}
-
-static void
-push(fleet_t *fleet, fleet_item_t item)
-{
-    size_t at = fleet->heap_count;
-
-    if (fleet->heap_count == fleet->heap_room) {
-        fleet->heap_room = fleet->heap_room * 2 + 64;
-        fleet->heap = xrealloc(fleet->heap, fleet->heap_room, sizeof(item));
-    }
-    item.number = fleet->items;
-    fleet->items++;
-    fleet->heap_count++;
-    while (at > 0 && earlier(&item, &fleet->heap[(at - 1) / 2])) {
-        fleet->heap[at] = fleet->heap[(at - 1) / 2];
-        at = (at - 1) / 2;
-    }
-    fleet->heap[at] = item;
-}
-
-static fleet_item_t
-pop(fleet_t *fleet)
-{
-    fleet_item_t first = fleet->heap[0];
-    fleet_item_t last;
-    size_t at = 0;
-    size_t child = 1;
-
-    fleet->heap_count--;
-    last = fleet->heap[fleet->heap_count];
-    while (child < fleet->heap_count) {
-        if (child + 1 < fleet->heap_count &&
-            earlier(&fleet->heap[child + 1], &fleet->heap[child])) {
-            child++;
-        }
-        if (!earlier(&fleet->heap[child], &last)) {
-            break;
-        }
-        fleet->heap[at] = fleet->heap[child];
-        at = child;
-        child = 2 * at + 1;
-    }
-    fleet->heap[at] = last;
-    return first;
-}
-
 fleet_t *
 fleet_new(const fleet_settings_t *settings)
 {
@@ -132,8 +66,8 @@
     free(fleet);
 }
 
-static uint32_t
-index_of(const char *name)
+uint32_t
+fleet_index(const char *name)
 {
     return (uint32_t)strtoul(name + strlen("host-"), NULL, 10);
 }
@@ -160,7 +94,7 @@
     }
     item.at_us = due_us;
     item.incarnation = at->incarnation;
-    push(fleet, item);
+    fleet_push(fleet, item);
 }
 
 static void
@@ -170,7 +104,7 @@
 
     item.at_us = fleet->now_us + after_us;
     item.incarnation = fleet->hosts[host].incarnation;
-    push(fleet, item);
+    fleet_push(fleet, item);
 }
 
 void
@@ -194,12 +128,12 @@
     at->spread = spread_new(fleet->now_us, &start);
     give_list(fleet, host, 0);
     /* Hosts do not beat in step. */
-    push(fleet,
-         (fleet_item_t){.kind = ITEM_TIMER,
-                        .host = host,
-                        .at_us = fleet->now_us + 1 +
-                                 (int64_t)fleet_random(fleet, MEMBER_BEAT_US),
-                        .incarnation = at->incarnation});
+    fleet_push(fleet, (fleet_item_t){.kind = ITEM_TIMER,
+                                     .host = host,
+                                     .at_us = fleet->now_us + 1 +
+                                              (int64_t)fleet_random(
+                                                  fleet, MEMBER_BEAT_US),
+                                     .incarnation = at->incarnation});
 }
 
 void
@@ -254,7 +188,7 @@
     item.at_us = fleet->now_us + STORE_US;
     item.incarnation = fleet->hosts[host].incarnation;
     item.revision = fleet->store_keys[index];
-    push(fleet, item);
+    fleet_push(fleet, item);
 }
 
 /* Those that watch hear of a change at the store. */
@@ -330,7 +264,7 @@
             continue;
         }
         copy.incarnation = fleet->hosts[to].incarnation;
-        push(fleet, copy);
+        fleet_push(fleet, copy);
     }
     free(item.record.bytes);
 }
@@ -344,25 +278,12 @@
     for (i = 0; i < fleet->orders.count; i++) {
         order = &fleet->orders.items[i];
         if (order->kind == ORDER_TELL) {
-            transmit(fleet, host, index_of(order->order_t_u.tell.host),
+            transmit(fleet, host, fleet_index(order->order_t_u.tell.host),
                      &order->order_t_u.tell.message);
         }
     }
 }
 
-/* The host puts a document in force; the check sees it. */
-static void
-put_in_force(fleet_t *fleet, fleet_host_t *at, const config_t *config)
-{
-    uint32_t index = (uint32_t)strtoul(config->key + 1, NULL, 10);
-
-    if (config->revision < at->key_revisions[index]) {
-        fleet->revisions_fallen++;
-    }
-    at->key_revisions[index] = config->revision;
-    at->key_since_us[index] = fleet->now_us;
-}
-
 static void
 take_config(fleet_t *fleet, fleet_host_t *at, const char *from,
             const config_t *config)
@@ -371,53 +292,10 @@
                                at->member, &fleet->orders);
 
     if (newer || fleet->settings.without_revision_guard) {
-        put_in_force(fleet, at, config);
-    }
-}
-
-static void
-note_leaving(fleet_host_t *at, const char *from, heartbeat_t *heartbeat,
-             bool hide)
-{
-    news_t *news;
-    u_int i;
-
-    if (heartbeat->leaving) {
-        at->heard_leaving[index_of(from)] = heartbeat->incarnation;
-        heartbeat->leaving = !hide;
-    }
-    for (i = 0; i < heartbeat->news.news_len; i++) {
-        news = &heartbeat->news.news_val[i];
-        if (news->state == NEWS_LEAVING) {
-            if (news->incarnation > at->heard_leaving[index_of(news->host)]) {
-                at->heard_leaving[index_of(news->host)] = news->incarnation;
-            }
-            news->state = hide ? NEWS_LIVE : NEWS_LEAVING;
-        }
+        fleet_in_force(fleet, at, config);
     }
 }
 
-/* Whoever has heard that a host leaves must not name it to callers. */
-static void
-check_addresses(fleet_t *fleet, fleet_host_t *at)
-{
-    arena_t arena = {0};
-    member_view_t *views;
-    size_t count;
-    size_t i;
-
-    views = member_addresses(at->member, fleet->now_us,
-                             fleet_random(fleet, 1000), &arena, &count);
-    for (i = 0; i < count; i++) {
-        fleet->addresses_checked++;
-        if (views[i].incarnation <=
-            at->heard_leaving[index_of(views[i].host)]) {
-            fleet->leaving_given++;
-        }
-    }
-    arena_free(&arena);
-}
-
 static void
 take_record(fleet_t *fleet, uint32_t host, const wire_record_t *record)
 {
@@ -437,16 +315,17 @@
     at->received_bytes += record->count - WIRE_MARK_BYTES +
                           (beat ? DATAGRAM_HEADER_BYTES : STREAM_HEADER_BYTES);
     at->sent_bytes += REPLY_BYTES + DATAGRAM_HEADER_BYTES;
-    fleet->hosts[index_of(input.call.from)].received_bytes +=
+    fleet->hosts[fleet_index(input.call.from)].received_bytes +=
         REPLY_BYTES + DATAGRAM_HEADER_BYTES;
     if (beat) {
-        note_leaving(at, input.call.from, &message->message_t_u.heartbeat,
-                     fleet->settings.without_leaving);
+        fleet_heard_leaving(at, input.call.from,
+                            &message->message_t_u.heartbeat,
+                            fleet->settings.without_leaving);
         member_heartbeat(at->member, fleet->now_us, input.call.from,
                          &message->message_t_u.heartbeat, &self,
                          &fleet->orders);
         if (fleet->settings.hosts <= MEMBER_MESH_MAX) {
-            check_addresses(fleet, at);
+            fleet_check_addresses(fleet, at);
         }
     }
     else if (message->kind == MESSAGE_CONFIG) {
@@ -527,7 +406,7 @@
     const fleet_host_t *at;
 
     while (fleet->heap_count > 0 && fleet->heap[0].at_us <= end_us) {
-        item = pop(fleet);
+        item = fleet_pop(fleet);
         fleet->now_us = item.at_us;
         at = &fleet->hosts[item.host];
         orders_reset(&fleet->orders);
@@ -553,51 +432,3 @@
     }
     fleet->now_us = end_us;
 }
-
-uint32_t
-fleet_behind(const fleet_t *fleet)
-{
-    uint32_t behind = 0;
-    uint32_t i;
-
-    for (i = 0; i < fleet->settings.hosts; i++) {
-        if (fleet->hosts[i].member != NULL &&
-            memcmp(fleet->hosts[i].key_revisions, fleet->store_keys,
-                   sizeof(fleet->store_keys)) != 0) {
-            behind++;
-        }
-    }
-    return behind;
-}
-
-uint32_t
-fleet_unlike_one(const fleet_t *fleet, uint32_t host, member_state_t state)
-{
-    member_view_t view;
-    uint32_t unlike = 0;
-    uint32_t i;
-
-    for (i = 0; i < fleet->settings.hosts; i++) {
-        if (fleet->hosts[i].member != NULL && i != host &&
-            (!member_find(fleet->hosts[i].member, fleet->now_us,
-                          fleet->hosts[host].name, &view) ||
-             view.state != state)) {
-            unlike++;
-        }
-    }
-    return unlike;
-}
-
-uint32_t
-fleet_unlike(const fleet_t *fleet, member_state_t state)
-{
-    uint32_t unlike = 0;
-    uint32_t i;
-
-    for (i = 0; i < fleet->settings.hosts; i++) {
-        if (fleet->hosts[i].member != NULL) {
-            unlike += fleet_unlike_one(fleet, i, state);
-        }
-    }
-    return unlike;
-}
--- /dev/null
+++ b/regress/fleet_check.c
@@ -0,0 +1,108 @@
+/* fleet_check.c - what the hosts must keep to; see fleet.h. */
+#include <stdlib.h>
+#include <string.h>
+
+#include "regress/fleet_private.h"
+
+void
+fleet_in_force(fleet_t *fleet, fleet_host_t *at, const config_t *config)
+{
+    uint32_t index = (uint32_t)strtoul(config->key + 1, NULL, 10);
+
+    if (config->revision < at->key_revisions[index]) {
+        fleet->revisions_fallen++;
+    }
+    at->key_revisions[index] = config->revision;
+    at->key_since_us[index] = fleet->now_us;
+}
+
+void
+fleet_heard_leaving(fleet_host_t *at, const char *from, heartbeat_t *heartbeat,
+                    bool hide)
+{
+    news_t *news;
+    u_int i;
+
+    if (heartbeat->leaving) {
+        at->heard_leaving[fleet_index(from)] = heartbeat->incarnation;
+        heartbeat->leaving = !hide;
+    }
+    for (i = 0; i < heartbeat->news.news_len; i++) {
+        news = &heartbeat->news.news_val[i];
+        if (news->state == NEWS_LEAVING) {
+            if (news->incarnation >
+                at->heard_leaving[fleet_index(news->host)]) {
+                at->heard_leaving[fleet_index(news->host)] = news->incarnation;
+            }
+            news->state = hide ? NEWS_LIVE : NEWS_LEAVING;
+        }
+    }
+}
+
+void
+fleet_check_addresses(fleet_t *fleet, fleet_host_t *at)
+{
+    arena_t arena = {0};
+    member_view_t *views;
+    size_t count;
+    size_t i;
+
+    views = member_addresses(at->member, fleet->now_us,
+                             fleet_random(fleet, 1000), &arena, &count);
+    for (i = 0; i < count; i++) {
+        fleet->addresses_checked++;
+        if (views[i].incarnation <=
+            at->heard_leaving[fleet_index(views[i].host)]) {
+            fleet->leaving_given++;
+        }
+    }
+    arena_free(&arena);
+}
+
+uint32_t
+fleet_behind(const fleet_t *fleet)
+{
+    uint32_t behind = 0;
+    uint32_t i;
+
+    for (i = 0; i < fleet->settings.hosts; i++) {
+        if (fleet->hosts[i].member != NULL &&
+            memcmp(fleet->hosts[i].key_revisions, fleet->store_keys,
+                   sizeof(fleet->store_keys)) != 0) {
+            behind++;
+        }
+    }
+    return behind;
+}
+
+uint32_t
+fleet_unlike_one(const fleet_t *fleet, uint32_t host, member_state_t state)
+{
+    member_view_t view;
+    uint32_t unlike = 0;
+    uint32_t i;
+
+    for (i = 0; i < fleet->settings.hosts; i++) {
+        if (fleet->hosts[i].member != NULL && i != host &&
+            (!member_find(fleet->hosts[i].member, fleet->now_us,
+                          fleet->hosts[host].name, &view) ||
+             view.state != state)) {
+            unlike++;
+        }
+    }
+    return unlike;
+}
+
+uint32_t
+fleet_unlike(const fleet_t *fleet, member_state_t state)
+{
+    uint32_t unlike = 0;
+    uint32_t i;
+
+    for (i = 0; i < fleet->settings.hosts; i++) {
+        if (fleet->hosts[i].member != NULL) {
+            unlike += fleet_unlike_one(fleet, i, state);
+        }
+    }
+    return unlike;
+}
