--- a/base/arena.c
+++ b/base/arena.c
@@ -7,7 +7,7 @@
 
 #include "base/arena.h"
 
-enum { ARENA_BLOCK_BYTES = 4096 };
+enum { ARENA_BLOCK_BYTES = 4096, GROW_FIRST = 16 /* elements */ };
 
 struct arena_block {
     arena_block_t *next;
@@ -55,6 +55,23 @@
     return arena_alloc(arena, product);
 }
 
+void *
+arena_grow(arena_t *arena, void *items, size_t count, size_t *size,
+           size_t bytes)
+{
+    void *grown;
+
+    if (count < *size) {
+        return items;
+    }
+    *size = *size == 0 ? GROW_FIRST : 2 * *size;
+    grown = arena_array(arena, *size, bytes);
+    if (count > 0) {
+        memcpy(grown, items, count * bytes);
+    }
+    return grown;
+}
+
 char *
 arena_strdup(arena_t *arena, const char *string)
 {
--- a/base/arena.h
+++ b/base/arena.h
@@ -26,6 +26,13 @@
 /* A zeroed array of count elements; the product is checked. */
 void *arena_array(arena_t *arena, size_t count, size_t bytes);
 
+/*
+ * An array of *size elements, count of them in use, with room for one more:
+ * items itself, or a larger copy.  *size is 0 before the first one.
+ */
+void *arena_grow(arena_t *arena, void *items, size_t count, size_t *size,
+                 size_t bytes);
+
 /* Copies; arena_strndup() and arena_memdup() end the copy with a NUL. */
 char *arena_strdup(arena_t *arena, const char *string);
 char *arena_strndup(arena_t *arena, const char *bytes, size_t length);
--- a/gateway/headers.c
+++ b/gateway/headers.c
@@ -4,21 +4,11 @@
 
 #include "gateway/dialect.h"
 
-enum { HEADERS_FIRST = 16 };
-
 void
 headers_add(headers_t *headers, arena_t *arena, header_t header)
 {
-    if (headers->count == headers->size) {
-        size_t size = headers->size == 0 ? HEADERS_FIRST : 2 * headers->size;
-        header_t *items = arena_array(arena, size, sizeof(*items));
-
-        if (headers->count > 0) {
-            memcpy(items, headers->items, headers->count * sizeof(*items));
-        }
-        headers->items = items;
-        headers->size = size;
-    }
+    headers->items = arena_grow(arena, headers->items, headers->count,
+                                &headers->size, sizeof(*headers->items));
     headers->items[headers->count] = header;
     headers->count++;
 }
