--- a/forward/suspicion.c
+++ b/forward/suspicion.c
@@ -24,6 +24,8 @@
 static void settle_unconfirmed(forward_t *forward);
 static bool is_confirmed(const forward_t *forward,
                          const suspect_report_t *suspect);
+static void log_cleared(forward_t *forward, uint64_t fingerprint,
+                        const char *reason);
 static void publish_note(forward_t *forward, const suspect_report_t *suspect);
 static void count_listed_runners(const forward_t *forward,
                                  const pool_runner_t *runner,
@@ -68,6 +70,9 @@
 void
 suspicion_run_completed(forward_t *forward, const request_t *request)
 {
+    if (suspects_loss_count(forward->suspects, request->fingerprint) > 0) {
+        log_cleared(forward, request->fingerprint, "completed");
+    }
     suspects_clear(forward->suspects, request->fingerprint);
 }
 
@@ -133,6 +138,11 @@
             oldest = &forward->unconfirmed[i];
         }
     }
+    if (oldest->expiry_us != 0) {
+        emit_log(forward, LOG_NOTICE, "suspect-dropped",
+                 "fingerprint=%016" PRIx64 " blocked=%d",
+                 oldest->suspect.fingerprint, oldest->suspect.is_blocked);
+    }
     oldest->suspect = *suspect;
     oldest->expiry_us = forward->now_us + CONFIRM_TIMEOUT_US;
 }
@@ -163,6 +173,8 @@
         else if (registry_current && forward->now_us >= entry->expiry_us) {
             entry->expiry_us = 0;
             if (entry->suspect.is_blocked) {
+                log_cleared(forward, entry->suspect.fingerprint,
+                            "unconfirmed");
                 suspects_clear(forward->suspects, entry->suspect.fingerprint);
             }
         }
@@ -188,6 +200,13 @@
     return false;
 }
 
+static void
+log_cleared(forward_t *forward, uint64_t fingerprint, const char *reason)
+{
+    emit_log(forward, LOG_NOTICE, "suspect-cleared",
+             "fingerprint=%016" PRIx64 " reason=%s", fingerprint, reason);
+}
+
 static void
 publish_note(forward_t *forward, const suspect_report_t *suspect)
 {
