--- /dev/null
+++ b/regress/bench_suspicion.c
@@ -0,0 +1,69 @@
+/*
+ * bench_suspicion.c - measures the detection of harmful requests.
+ *
+ * Runs each load of suspicion_sim.h with several seeds and prints a line for
+ * each: late sends of harmful requests (their users' bound is 3), and
+ * harmless requests refused as harmful.
+ *
+ *     bench_suspicion [SEEDS [LOAD]]
+ */
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "regress/suspicion_sim.h"
+
+enum { SEEDS_DEFAULT = 10, DECIMAL = 10, LATE_SENDS_MAX = 3 };
+
+static void
+run_load(const suspicion_scenario_t *load, uint64_t seeds)
+{
+    suspicion_scenario_t scenario = *load;
+    uint32_t broken = 0;
+    uint32_t late_max = 0;
+    uint64_t late = 0;
+    uint64_t crashes = 0;
+    uint64_t harmless = 0;
+    uint64_t completed = 0;
+    uint64_t failed = 0;
+    uint64_t cleared = 0;
+    uint32_t sends_max = 0;
+
+    for (scenario.seed = 1; scenario.seed <= seeds; scenario.seed++) {
+        suspicion_result_t result = suspicion_simulate(&scenario);
+
+        broken += result.late_sends > LATE_SENDS_MAX ? 1 : 0;
+        late_max = result.late_sends > late_max ? result.late_sends : late_max;
+        late += result.late_sends;
+        crashes += result.harmful_crashes;
+        harmless += result.refused_harmless;
+        completed += result.completed;
+        cleared += result.cleared_harmful;
+        failed += result.failed;
+        sends_max =
+            result.sends_max > sends_max ? result.sends_max : sends_max;
+    }
+    printf("%-22s late %5.1f most %3" PRIu32 " broken %2" PRIu32 "/%" PRIu64
+           " crashes %6.1f harmless refused %3" PRIu64 " failed %4" PRIu64
+           " of %6" PRIu64 " sends at once %" PRIu32 " cleared %" PRIu64 "\n",
+           load->name, (double)late / (double)seeds, late_max, broken, seeds,
+           (double)crashes / (double)seeds, harmless, failed,
+           completed + failed, sends_max, cleared);
+    (void)fflush(stdout);
+}
+
+int
+main(int argc, char **argv)
+{
+    uint64_t seeds =
+        argc > 1 ? strtoull(argv[1], NULL, DECIMAL) : SEEDS_DEFAULT;
+    size_t i;
+
+    for (i = 0; i < suspicion_load_count; i++) {
+        if (argc < 3 || strcmp(argv[2], suspicion_loads[i].name) == 0) {
+            run_load(&suspicion_loads[i], seeds > 0 ? seeds : 1);
+        }
+    }
+    return 0;
+}
--- /dev/null
+++ b/regress/suspicion_private.h
@@ -0,0 +1,100 @@
+/* suspicion_private.h - the state of suspicion_sim.h's simulation. */
+#ifndef REGRESS_SUSPICION_PRIVATE_H
+#define REGRESS_SUSPICION_PRIVATE_H
+
+#include "regress/forwarding.h"
+#include "regress/suspicion_sim.h"
+
+enum {
+    SIM_HOSTS_MAX = 128,
+    SIM_ENGINES_MAX = 256,
+    SIM_CONTENTS_MAX = 8, /* harmful ones, numbered from 0 */
+    SIM_NAME_BYTES = 32,
+    SIM_US_PER_MS = 1000,
+    SIM_TICK_MS = 10,
+    SIM_START_MS = 3600000, /* uptime of the machines when the hosts start */
+    /* The users' requirement: 3 s after the third crash all hosts that have
+     * been up for as long have detected the content. */
+    SIM_DETECTION_CRASHES = 3,
+    SIM_DETECTION_DELAY_MS = 3000,
+};
+
+/* In the number of a request that is sent again. */
+#define SIM_RESENT_BIT (UINT64_C(1) << 40)
+
+/* A request that an engine runs. */
+typedef struct {
+    size_t host;
+    uint64_t number;
+    uint32_t attempt;
+    size_t engine;
+    int64_t start_ms;
+    bool active;
+    bool prefilled;
+} sim_run_t;
+
+typedef struct {
+    uint32_t crashes;
+    uint32_t late_sends;
+    int64_t deadline_ms; /* 0: not yet enough crashes */
+} sim_content_t;
+
+/* A request of a caller. */
+typedef struct {
+    uint64_t number;
+    uint64_t content;
+    size_t host;
+    bool harmful;
+} sim_sent_t;
+
+typedef struct {
+    char name[SIM_NAME_BYTES];
+    char address[SIM_NAME_BYTES];
+    int64_t started_ms;
+    int64_t down_until_ms;
+    int64_t reregister_at_ms; /* after a restart; 0: is registered */
+} sim_engine_t;
+
+typedef struct {
+    forward_t *forward;
+    uint64_t incarnation;
+    int64_t start_ms;
+} sim_host_t;
+
+typedef struct {
+    suspicion_scenario_t scenario;
+    suspicion_result_t result;
+    sim_host_t hosts[SIM_HOSTS_MAX];
+    sim_engine_t engines[SIM_ENGINES_MAX];
+    sim_run_t *runs; /* of this tick, and all active ones */
+    size_t run_count;
+    size_t run_size;
+    size_t tick_runs; /* index of the first run of this tick */
+    sim_sent_t *sent; /* by request number, from 1 */
+    size_t sent_count;
+    size_t sent_size;
+    uint64_t *resend; /* request numbers, for the next tick */
+    size_t resend_count;
+    sim_content_t contents[SIM_CONTENTS_MAX];
+    uint64_t rng_state;
+    int64_t now_ms;
+} simulation_t;
+
+extern simulation_t sim;
+
+uint64_t sim_random_below(uint64_t below);
+const sim_sent_t *sim_find_sent(uint64_t number);
+bool sim_is_partitioned(size_t host);
+bool sim_is_store_away(void);
+void sim_deliver_event(size_t host, const forward_event_t *event);
+
+/* --- suspicion_engine.c --- */
+
+void sim_start_run(size_t host, const forward_action_t *action);
+void sim_cancel_run(size_t host, const forward_action_t *action);
+void sim_crash_engine(size_t engine);
+void sim_register_engine(size_t host, size_t engine);
+/* Advances all engines and their runs by one tick. */
+void sim_advance_engines(void);
+
+#endif
--- /dev/null
+++ b/regress/suspicion_sim.h
@@ -0,0 +1,60 @@
+/*
+ * suspicion_sim.h - simulates hosts, engines and harmful requests.
+ *
+ * Streams arrive at all hosts.  Requests with a few particular contents crash
+ * every engine that runs them, and are sent again to any host.  What is
+ * counted is what callers and engines see.  The same scenario always gives the
+ * same result.
+ */
+#ifndef REGRESS_SUSPICION_SIM_H
+#define REGRESS_SUSPICION_SIM_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+/* A member that is 0 has the default in brackets, or does not occur. */
+typedef struct {
+    const char *name;
+    uint64_t seed;
+    int64_t duration_ms;
+    size_t hosts;                /* (7) */
+    size_t engines;              /* (36) */
+    size_t zones;                /* (3) */
+    int64_t request_interval_ms; /* between harmless requests (100) */
+    int64_t report_interval_ms;  /* between reports of a host (500) */
+    uint32_t reports_lost_percent;
+    int64_t harmful_interval_ms;    /* between harmful requests */
+    uint32_t harmful_contents;      /* that take turns (1) */
+    int64_t harmful_run_ms;         /* until a harmful request crashes (20) */
+    bool harmful_once;              /* harmful requests may run once only */
+    int64_t restart_ms;             /* downtime of a crashed engine (1200) */
+    int64_t zone_crash_interval_ms; /* between crashes of a zone */
+    int64_t single_crash_interval_ms; /* between crashes of one engine */
+    bool host_partitioned;            /* connections of one host are reset */
+    int64_t host_restart_interval_ms; /* a host restarts and forgets */
+    int64_t store_outage_ms;  /* from 5 s on; engines register after it */
+    uint32_t popular_percent; /* of harmless requests have one content */
+    bool callers_resend; /* once, after any failure but a refusal as harmful */
+} suspicion_scenario_t;
+
+typedef struct {
+    uint32_t harmful_crashes;
+    /* Sends of the harmful content with most of them, more than 3 s after its
+     * third crash, by hosts that started at least 3 s before. */
+    uint32_t late_sends;
+    uint32_t refused_harmless;
+    uint32_t refused_harmful;
+    uint32_t completed;
+    uint32_t failed;          /* harmless requests, for any reason */
+    uint32_t cleared_harmful; /* times that a host cleared a harmful content */
+    uint32_t sends_max;       /* of one request by one host within a tick */
+} suspicion_result_t;
+
+/* Loads without seeds; the names begin with the number of hosts. */
+extern const suspicion_scenario_t suspicion_loads[];
+extern const size_t suspicion_load_count;
+
+suspicion_result_t suspicion_simulate(const suspicion_scenario_t *scenario);
+
+#endif
--- /dev/null
+++ b/regress/test_suspicion_load.c
@@ -0,0 +1,45 @@
+/*
+ * test_suspicion_load.c - tests that harmful requests are stopped, and no
+ * others, beside failures of runners, hosts and the store.
+ */
+#include <check.h>
+
+#include "regress/fixture.h"
+#include "regress/suspicion_sim.h"
+
+enum {
+    /* The users' requirement. */
+    LATE_SENDS_MAX = 3,
+    SEEDS = 2,
+};
+
+START_TEST(test_harmful_request_is_not_sent_on_beside_other_failures)
+{
+    suspicion_scenario_t load = suspicion_loads[_i / SEEDS];
+    suspicion_result_t result;
+
+    load.seed = (uint64_t)(_i % SEEDS) + 1;
+    result = suspicion_simulate(&load);
+    ck_assert_msg(result.late_sends <= LATE_SENDS_MAX,
+                  "%s, seed %d: %u late attempts, %u crashes, bound %d",
+                  load.name, (int)load.seed, result.late_sends,
+                  result.harmful_crashes, LATE_SENDS_MAX);
+    ck_assert_msg(result.refused_harmless == 0,
+                  "%s, seed %d: %u harmless requests refused", load.name,
+                  (int)load.seed, result.refused_harmless);
+    ck_assert_msg(load.harmful_interval_ms == 0 || result.refused_harmful > 0,
+                  "%s, seed %d: no harmful request refused", load.name,
+                  (int)load.seed);
+}
+END_TEST
+
+int
+main(void)
+{
+    TCase *tcase = tcase_create("suspicion_load");
+
+    tcase_add_loop_test(
+        tcase, test_harmful_request_is_not_sent_on_beside_other_failures, 0,
+        (int)suspicion_load_count * SEEDS);
+    return fixture_main("suspicion_load", tcase);
+}
