--- a/forward/admission.c
+++ b/forward/admission.c
@@ -68,9 +68,16 @@
         refuse_request(forward, request, REFUSE_DRAINING);
         return;
     }
-    if (suspicion_decide(forward, request) >= SUSPECT_DEFERRED) {
+    switch (suspicion_decide(forward, request)) {
+    case CRASH_BLOCKED:
         refuse_request(forward, request, REFUSE_HARMFUL);
         return;
+    case CRASH_SUSPENDED:
+    case CRASH_DEFERRED:
+        schedule_retry(forward, request);
+        return;
+    case CRASH_ALLOWED:
+        break;
     }
     if (!send_request(forward, request)) {
         refuse_request(forward, request, REFUSE_NO_RUNNER);
--- /dev/null
+++ b/forward/crash_table.c
@@ -0,0 +1,270 @@
+/* crash_table.c - see crash_table.h. */
+#include <stdlib.h>
+#include <string.h>
+
+#include "forward/crash_table.h"
+
+enum {
+    US_PER_MS = 1000,
+    ENTRIES_MAX = 4096,
+    /* Entries with as many records may restrict a request. */
+    RESTRICTING_RECORDS_MIN = 3,
+};
+
+/* A change is in every message for so long, as messages can be lost. */
+#define REPORT_US ((int64_t)5000000)
+/* After that, what may restrict a request is sent at this interval to hosts
+ * that have started since. */
+#define REPEAT_US ((int64_t)1000000)
+
+void
+crash_table_clear(crash_table_t *table)
+{
+    crash_entry_t *entry;
+    crash_entry_t *next;
+
+    HASH_ITER(hh, table->entries, entry, next)
+    {
+        crash_table_delete(table, entry);
+    }
+}
+
+crash_entry_t *
+crash_table_find(const crash_table_t *table, uint64_t fingerprint)
+{
+    crash_entry_t *entry;
+
+    HASH_FIND(hh, table->entries, &fingerprint, sizeof(fingerprint), entry);
+    return entry;
+}
+
+void
+crash_table_delete(crash_table_t *table, crash_entry_t *entry)
+{
+    HASH_DEL(table->entries, entry); /* NOLINT(clang-analyzer-*) */
+    free(entry);
+}
+
+/* Deletes the oldest entry that restricts nothing, else the oldest. */
+static void
+make_room(crash_table_t *table)
+{
+    crash_entry_t *entry;
+
+    if (HASH_COUNT(table->entries) < ENTRIES_MAX) {
+        return;
+    }
+    for (entry = table->entries; entry != NULL; entry = entry->hh.next) {
+        if (entry->count < RESTRICTING_RECORDS_MIN) {
+            crash_table_delete(table, entry);
+            return;
+        }
+    }
+    crash_table_delete(table, table->entries);
+}
+
+crash_entry_t *
+crash_table_find_or_add(crash_table_t *table, uint64_t fingerprint)
+{
+    crash_entry_t *entry = crash_table_find(table, fingerprint);
+
+    if (entry != NULL) {
+        return entry;
+    }
+    make_room(table);
+    entry = xcalloc(1, sizeof(*entry));
+    entry->fingerprint = fingerprint;
+    HASH_ADD(hh, table->entries, fingerprint, sizeof(entry->fingerprint),
+             entry);
+    return entry;
+}
+
+/* Moves the entry to the end of the table, which stays sorted. */
+static void
+mark_changed(crash_table_t *table, crash_entry_t *entry, int64_t now_us)
+{
+    HASH_DEL(table->entries, entry); /* NOLINT(clang-analyzer-*) */
+    entry->changed_us = now_us;
+    entry->sent_us = 0;
+    HASH_ADD(hh, table->entries, fingerprint, sizeof(entry->fingerprint),
+             entry);
+}
+
+bool
+crash_table_add_record(crash_table_t *table, crash_entry_t *entry,
+                       const crash_entry_record_t *record, int64_t now_us)
+{
+    size_t oldest = 0;
+    size_t i;
+
+    for (i = 0; i < entry->count; i++) {
+        const crash_record_t *known = &entry->records[i].shared;
+
+        if (known->runner == record->shared.runner &&
+            known->observer == record->shared.observer &&
+            known->serial == record->shared.serial) {
+            return false;
+        }
+        if (entry->records[i].at_us < entry->records[oldest].at_us) {
+            oldest = i;
+        }
+    }
+    if (entry->count == LINK_CRASHES_MAX) {
+        if (record->at_us <= entry->records[oldest].at_us) {
+            return false;
+        }
+        entry->count--;
+        memmove(&entry->records[oldest], &entry->records[oldest + 1],
+                (entry->count - oldest) * sizeof(entry->records[0]));
+    }
+    entry->records[entry->count] = *record;
+    entry->count++;
+    entry->cleared = false;
+    mark_changed(table, entry, now_us);
+    return true;
+}
+
+void
+crash_table_mark_cleared(crash_table_t *table, crash_entry_t *entry,
+                         int64_t now_us)
+{
+    entry->count = 0;
+    entry->improbable = false;
+    entry->marked = false;
+    entry->cleared = true;
+    mark_changed(table, entry, now_us);
+}
+
+/* A report with fewer crashes restricts nothing by itself; it is sent only
+ * while it is new. */
+static bool
+is_report_due(const crash_entry_t *entry, int64_t now_us)
+{
+    if (now_us - entry->changed_us < REPORT_US) {
+        return true;
+    }
+    return entry->count >= RESTRICTING_RECORDS_MIN &&
+           now_us - entry->sent_us >= REPEAT_US;
+}
+
+/* Whether one report is sent before another if not all fit in a message. */
+static bool
+precedes(const crash_entry_t *one, const crash_entry_t *other)
+{
+    if ((one->sent_us == 0) != (other->sent_us == 0)) {
+        return one->sent_us == 0;
+    }
+    if (one->count != other->count) {
+        return one->count > other->count;
+    }
+    return one->sent_us < other->sent_us;
+}
+
+static void
+write_report(const crash_entry_t *entry, int64_t now_us, arena_t *arena,
+             crash_report_t *report)
+{
+    size_t i;
+
+    *report = (crash_report_t){.fingerprint = entry->fingerprint,
+                               .fleet_runners = entry->fleet_runners,
+                               .cleared = entry->cleared};
+    if (entry->count == 0) {
+        return;
+    }
+    report->crashes.crashes_val =
+        arena_array(arena, entry->count, sizeof(*report->crashes.crashes_val));
+    report->crashes.crashes_len = (u_int)entry->count;
+    for (i = 0; i < entry->count; i++) {
+        crash_record_t *record = &report->crashes.crashes_val[i];
+
+        *record = entry->records[i].shared;
+        record->age_ms =
+            (uint32_t)((now_us - entry->records[i].at_us) / US_PER_MS);
+    }
+}
+
+uint32_t
+crash_table_write(crash_table_t *table, int64_t now_us, arena_t *arena,
+                  crash_report_t *reports)
+{
+    crash_entry_t *due[LINK_CRASH_REPORTS_MAX];
+    crash_entry_t *entry;
+    uint32_t count = 0;
+    uint32_t i;
+
+    for (entry = table->entries; entry != NULL; entry = entry->hh.next) {
+        if (!is_report_due(entry, now_us)) {
+            continue;
+        }
+        for (i = count; i > 0 && precedes(entry, due[i - 1]); i--) {
+            if (i < LINK_CRASH_REPORTS_MAX) {
+                due[i] = due[i - 1];
+            }
+        }
+        if (i < LINK_CRASH_REPORTS_MAX) {
+            due[i] = entry;
+            count += count < LINK_CRASH_REPORTS_MAX ? 1 : 0;
+        }
+    }
+    for (i = 0; i < count; i++) {
+        due[i]->sent_us = now_us;
+        write_report(due[i], now_us, arena, &reports[i]);
+    }
+    return count;
+}
+
+void
+crash_table_expire(crash_table_t *table, int64_t now_us, int64_t retention_us)
+{
+    crash_entry_t *entry;
+    crash_entry_t *next;
+
+    if (now_us < table->expiry_due_us) {
+        return;
+    }
+    table->expiry_due_us = now_us + REPEAT_US;
+    HASH_ITER(hh, table->entries, entry, next)
+    {
+        if (now_us - entry->changed_us >=
+            (entry->cleared ? REPORT_US : retention_us)) {
+            crash_table_delete(table, entry);
+        }
+    }
+}
+
+bool
+crash_entry_is_counted(const crash_entry_t *entry, size_t index,
+                       uint32_t observer, int64_t since_us)
+{
+    const crash_entry_record_t *record = &entry->records[index];
+    size_t i;
+
+    if (record->at_us <= since_us ||
+        (observer != 0 && record->shared.observer != observer)) {
+        return false;
+    }
+    for (i = 0; i < index; i++) {
+        const crash_entry_record_t *other = &entry->records[i];
+
+        if ((observer == 0 || other->shared.observer == observer) &&
+            llabs(other->at_us - record->at_us) <= CRASH_SAME_US &&
+            other->shared.runner == record->shared.runner) {
+            return false;
+        }
+    }
+    return true;
+}
+
+uint32_t
+crash_entry_count(const crash_entry_t *entry, uint32_t observer,
+                  int64_t since_us)
+{
+    uint32_t count = 0;
+    size_t i;
+
+    for (i = 0; i < entry->count; i++) {
+        count += crash_entry_is_counted(entry, i, observer, since_us) ? 1 : 0;
+    }
+    return count;
+}
--- /dev/null
+++ b/forward/crash_table.h
@@ -0,0 +1,82 @@
+/*
+ * crash_table.h - table of the crash records of crashes.h, and the reports in
+ * which hosts exchange them.
+ */
+#ifndef FORWARD_CRASH_TABLE_H
+#define FORWARD_CRASH_TABLE_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <uthash.h>
+
+#include "base/arena.h"
+#include "world/generated/link.h"
+
+/* Records of one runner that are so close are of one crash: a crash without a
+ * reset is detected after up to 0.6 s, and runners need longer to restart. */
+#define CRASH_SAME_US ((int64_t)1000000)
+
+typedef struct {
+    crash_record_t shared; /* age_ms is set when it is sent */
+    int64_t at_us;
+} crash_entry_record_t;
+
+/* The records of a request's content. */
+typedef struct crash_entry {
+    uint64_t fingerprint;
+    crash_entry_record_t records[LINK_CRASHES_MAX]; /* by time of arrival */
+    size_t count;
+    uint32_t fleet_runners;
+    bool improbable;    /* its crashes are not a coincidence */
+    bool marked;        /* crashes_mark_blocked() was called */
+    bool cleared;       /* has completed; there are no records */
+    int64_t changed_us; /* the table is sorted by it */
+    int64_t sent_us;    /* 0: not since the last change */
+    UT_hash_handle hh;
+} crash_entry_t;
+
+typedef struct {
+    crash_entry_t *entries; /* least recently changed first */
+    int64_t expiry_due_us;
+} crash_table_t;
+
+void crash_table_clear(crash_table_t *table);
+
+/* Returns NULL if there is none. */
+crash_entry_t *crash_table_find(const crash_table_t *table,
+                                uint64_t fingerprint);
+crash_entry_t *crash_table_find_or_add(crash_table_t *table,
+                                       uint64_t fingerprint);
+void crash_table_delete(crash_table_t *table, crash_entry_t *entry);
+
+/*
+ * Adds a record, in place of the oldest one if there is no room.  Returns
+ * false if the record is known, or older than all others.
+ */
+bool crash_table_add_record(crash_table_t *table, crash_entry_t *entry,
+                            const crash_entry_record_t *record,
+                            int64_t now_us);
+
+/* Deletes the records and reports that the request has completed. */
+void crash_table_mark_cleared(crash_table_t *table, crash_entry_t *entry,
+                              int64_t now_us);
+
+/*
+ * Returns whether the record is newer than since_us, was made by the observer
+ * (0: by any host) and is the first such record of a crash.
+ */
+bool crash_entry_is_counted(const crash_entry_t *entry, size_t index,
+                            uint32_t observer, int64_t since_us);
+/* Returns the number of different crashes that are counted. */
+uint32_t crash_entry_count(const crash_entry_t *entry, uint32_t observer,
+                           int64_t since_us);
+
+/* See crashes_write() and crashes_expire(). */
+uint32_t crash_table_write(crash_table_t *table, int64_t now_us,
+                           arena_t *arena, crash_report_t *reports);
+void crash_table_expire(crash_table_t *table, int64_t now_us,
+                        int64_t retention_us);
+
+#endif
--- a/forward/forward.c
+++ b/forward/forward.c
@@ -35,6 +35,7 @@
     forward_t *forward = xcalloc(1, sizeof(*forward));
 
     forward->settings = *settings;
+    forward->host = xstrdup(settings->host);
     forward->zone = xstrdup(settings->zone);
     forward->random_state = settings->seed;
     forward->hosts = 1;
@@ -66,9 +67,10 @@
         free(budget);
     }
     sharing_free(forward);
-    suspects_free(forward->suspects);
+    crashes_free(forward->crashes);
     routing_free(forward->routing);
     pool_free(forward->pool);
+    free(forward->host);
     free(forward->zone);
     free(forward);
 }
@@ -84,10 +86,9 @@
     }
     forward->now_us = now_us;
     forward->actions = actions;
-    if (forward->suspects == NULL) {
+    if (forward->crashes == NULL) {
         suspicion_start(forward);
     }
-    suspicion_evaluate(forward);
     switch (event->kind) {
     case FORWARD_ROUTING:
         replace_routing(forward, event->u.routing);
@@ -119,7 +120,6 @@
         handle_request_event(forward, event);
         break;
     }
-    suspicion_publish(forward);
     if (forward->publish_due) {
         (void)action_new(forward, FORWARD_ACTION_PUBLISH, 0);
         forward->publish_due = false;
@@ -131,7 +131,7 @@
 forward_due_us(const forward_t *forward)
 {
     const request_t *request;
-    int64_t due_us = suspicion_due_us(forward);
+    int64_t due_us = INT64_MAX;
 
     for (request = forward->requests; request != NULL;
          request = request->hh.next) {
@@ -445,6 +445,7 @@
 
     pool_free_expired(forward->pool, forward->now_us);
     sharing_expire(forward);
+    crashes_expire(forward->crashes, forward->now_us);
     HASH_ITER(hh, forward->requests, request, next)
     {
         check_request_timers(forward, request);
--- a/forward/forward.h
+++ b/forward/forward.h
@@ -295,6 +295,7 @@
 void forward_actions_free(forward_actions_t *actions);
 
 typedef struct {
+    const char *host; /* the name by which other hosts know this one */
     const char *zone; /* availability zone of this host */
     uint64_t seed;    /* for the random choice between weighted services */
     forward_limits_t limits;
@@ -321,7 +322,7 @@
  * The arrays are allocated in arena.  Incarnation and number are left for
  * the calling code to set.
  */
-void forward_placements(const forward_t *forward, arena_t *arena,
+void forward_placements(forward_t *forward, arena_t *arena,
                         placements_t *placements);
 
 /* Returns the number of requests in progress. */
--- a/forward/notes.c
+++ b/forward/notes.c
@@ -70,10 +70,6 @@
 apply_finding(forward_t *forward, const finding_t *finding)
 {
     switch (finding->kind) {
-    case NOTE_SUSPECT:
-        suspects_handle_report(forward->suspects, forward->now_us,
-                               &finding->finding_t_u.suspect);
-        return;
     case NOTE_ADDRESS_STALE:
         pool_mark_address_stale_by_id(forward->pool,
                                       finding->finding_t_u.runner);
--- a/forward/private.h
+++ b/forward/private.h
@@ -15,9 +15,9 @@
 
 #include <uthash.h>
 
+#include "forward/crashes.h"
 #include "forward/forward.h"
 #include "forward/pool.h"
-#include "policy/suspect.h"
 
 enum { US_PER_MS = 1000 };
 
@@ -105,21 +105,6 @@
     UT_hash_handle hh;
 } peer_state_t;
 
-enum { EVIDENCE_MAX = 64, UNCONFIRMED_MAX = 32 };
-
-/* A request of this host whose runner appeared to fail. */
-typedef struct {
-    uint64_t fingerprint;
-    uint64_t runner; /* its id_hash */
-    uint64_t serial; /* of the runner's start */
-} evidence_t;
-
-/* A suspect that is not announced until the registry confirms the failure. */
-typedef struct {
-    suspect_report_t suspect;
-    int64_t expiry_us; /* expiry; 0: the entry is unused */
-} unconfirmed_suspect_t;
-
 /* A note that is sent to the other hosts until it expires. */
 typedef struct {
     note_t note;
@@ -136,6 +121,7 @@
 
 struct forward {
     forward_settings_t settings;
+    char *host;
     char *zone;
     uint64_t random_state; /* of the generator for weighted choices */
     routing_t *routing;
@@ -149,10 +135,7 @@
     bool publish_due;      /* placements are sent after this step */
     request_t *requests;   /* by number */
     service_budget_t *budgets;
-    suspects_t *suspects;              /* requests that crash runners */
-    evidence_t evidence[EVIDENCE_MAX]; /* ring buffer */
-    uint64_t evidence_count;
-    unconfirmed_suspect_t unconfirmed[UNCONFIRMED_MAX];
+    crashes_t *crashes;                    /* under requests */
     outgoing_note_t notes[LINK_NOTES_MAX]; /* ring buffer, by note number */
     uint64_t note_count;
     /* Valid during forward_step() only. */
@@ -228,6 +211,8 @@
                            send_result_t result);
 /* Looks again for a runner for a request that waits for one. */
 void retry_waiting_request(forward_t *forward, request_t *request);
+/* Lets the request wait until retry_waiting_request() is due. */
+void schedule_retry(forward_t *forward, request_t *request);
 
 /* --- copies.c --- */
 
@@ -275,22 +260,21 @@
 
 /* Starts detection at the first step; the time before it was not observed. */
 void suspicion_start(forward_t *forward);
-/* Returns when suspicion_evaluate() is due. */
-int64_t suspicion_due_us(const forward_t *forward);
 /* Records a failed runner and how long the request had been on it. */
 void suspicion_runner_lost(forward_t *forward, const request_t *request);
 /* Records that a runner completed the request. */
 void suspicion_run_completed(forward_t *forward, const request_t *request);
 /* Returns whether the request may be sent to a runner now, later or never. */
-suspect_decision_t suspicion_decide(const forward_t *forward,
-                                    const request_t *request);
+crash_decision_t suspicion_decide(forward_t *forward,
+                                  const request_t *request);
 /* Returns after which time a refused request may be sent again. */
 uint32_t suspicion_retry_after_ms(const forward_t *forward,
                                   const request_t *request);
-/* Evaluates the failures that are due. */
-void suspicion_evaluate(forward_t *forward);
-/* Queues new suspects and blocked requests for the other hosts. */
-void suspicion_publish(forward_t *forward);
+/* Process the crash reports in another host's report, and write those for a
+ * report of this host. */
+void suspicion_receive(forward_t *forward, const placements_t *placements);
+void suspicion_write(forward_t *forward, arena_t *arena,
+                     placements_t *placements);
 
 /* --- watchdog.c --- */
 
--- a/forward/recover.c
+++ b/forward/recover.c
@@ -255,7 +255,8 @@
 static void
 resume_stream(forward_t *forward, request_t *request)
 {
-    suspect_decision_t decision = suspicion_decide(forward, request);
+    crash_decision_t decision = suspicion_decide(forward, request);
+    bool may_send;
 
     if (!retry_allowed(forward, request)) {
         refuse_request(forward, request, REFUSE_RETRY_BUDGET);
@@ -265,20 +266,23 @@
         refuse_request(forward, request, REFUSE_RUNNER_LOST);
         return;
     }
-    if (decision == SUSPECT_BLOCKED) {
+    if (decision == CRASH_BLOCKED) {
         refuse_request(forward, request, REFUSE_HARMFUL);
         return;
     }
-    if (!request->response_started && decision == SUSPECT_DEFERRED) {
-        request->retry_at_us =
-            forward->now_us + (int64_t)RUNNER_POLL_MS * US_PER_MS;
-        return;
-    }
-    if (resume_from_copy(forward, request) || send_request(forward, request)) {
+    may_send = decision == CRASH_ALLOWED ||
+               (decision == CRASH_DEFERRED && request->response_started);
+    if (may_send && (resume_from_copy(forward, request) ||
+                     send_request(forward, request))) {
         return;
     }
     if (!request->response_started) {
-        refuse_request(forward, request, REFUSE_NO_RUNNER);
+        if (may_send) {
+            refuse_request(forward, request, REFUSE_NO_RUNNER);
+        }
+        else {
+            schedule_retry(forward, request);
+        }
         return;
     }
     if (request->unassigned_since_us == 0) {
@@ -289,6 +293,12 @@
         refuse_request(forward, request, REFUSE_NO_RUNNER);
         return;
     }
+    schedule_retry(forward, request);
+}
+
+void
+schedule_retry(forward_t *forward, request_t *request)
+{
     request->retry_at_us =
         forward->now_us + (int64_t)RUNNER_POLL_MS * US_PER_MS;
 }
@@ -300,9 +310,16 @@
         refuse_request(forward, request, REFUSE_RETRY_BUDGET);
         return;
     }
-    if (suspicion_decide(forward, request) >= SUSPECT_DEFERRED) {
+    switch (suspicion_decide(forward, request)) {
+    case CRASH_BLOCKED:
         refuse_request(forward, request, REFUSE_HARMFUL);
         return;
+    case CRASH_SUSPENDED:
+    case CRASH_DEFERRED:
+        schedule_retry(forward, request);
+        return;
+    case CRASH_ALLOWED:
+        break;
     }
     if (!send_request(forward, request)) {
         refuse_request(forward, request, reason);
--- a/forward/sharing.c
+++ b/forward/sharing.c
@@ -72,6 +72,7 @@
         view->budgets[i] = peer->placements->budgets.budgets_val[i];
     }
     notes_receive(forward, view, peer->placements);
+    suspicion_receive(forward, peer->placements);
     recount_peer_streams(forward);
 }
 
@@ -202,7 +203,7 @@
 }
 
 void
-forward_placements(const forward_t *forward, arena_t *arena,
+forward_placements(forward_t *forward, arena_t *arena,
                    placements_t *placements)
 {
     const request_t *request;
@@ -228,6 +229,7 @@
     placements->items.items_len = count;
     write_budget_use(forward, arena, placements);
     notes_write(forward, arena, placements);
+    suspicion_write(forward, arena, placements);
     placements->contact_age_ms =
         forward->contact_us > 0
             ? (uint32_t)((forward->now_us - forward->contact_us) / US_PER_MS)
--- a/forward/suspicion.c
+++ b/forward/suspicion.c
@@ -2,237 +2,169 @@
  * suspicion.c - detects requests that crash the runners that run them.
  *
  * A single request that is resent to any host, and crashes a runner with all
- * its streams each time, can take down a service.  policy/suspect.h evaluates
- * the losses; this file supplies them, and sends the results to the other
- * hosts in notes.  Withdrawals are sent immediately; all else only after the
- * registry has confirmed that the runners ended: a host that loses its network
- * connection to live runners sees the same losses, and must not cause other
- * hosts to refuse requests that only it cannot serve.
+ * its streams each time, can take down a service.  forward/crashes.h decides;
+ * this file supplies what the requests of this host show.
  */
 #include <inttypes.h>
 #include <string.h>
 #include <syslog.h>
 
+#include <xxhash.h>
+
 #include "forward/private.h"
 
-/* A crashed runner restarts, or its registry entry expires, within this time:
- * three heartbeats of 1.2 s, and a second or two for the store. */
-#define CONFIRM_TIMEOUT_US ((int64_t)6000000)
-
-static void add_unconfirmed(forward_t *forward,
-                            const suspect_report_t *suspect);
-static void settle_unconfirmed(forward_t *forward);
-static bool is_confirmed(const forward_t *forward,
-                         const suspect_report_t *suspect);
-static void log_cleared(forward_t *forward, uint64_t fingerprint,
-                        const char *reason);
-static void publish_note(forward_t *forward, const suspect_report_t *suspect);
-static void count_listed_runners(const forward_t *forward,
-                                 const pool_runner_t *runner,
-                                 suspect_loss_t *loss);
+/* A request that completes after all is not to be turned away for long. */
+enum { RETRY_AFTER_DEFERRED_MS = 1000 };
+
+static uint32_t run_time_ms(const forward_t *forward,
+                            const request_t *request);
+static uint32_t longest_run_time_ms(const forward_t *forward,
+                                    const request_t *request);
+static uint32_t count_fleet_runners(const forward_t *forward,
+                                    const pool_runner_t *lost);
+static void log_blocked(forward_t *forward, uint64_t fingerprint);
 
 void
 suspicion_start(forward_t *forward)
 {
-    forward->suspects = suspects_new(forward->now_us, &suspect_limits_default);
-}
-
-int64_t
-suspicion_due_us(const forward_t *forward)
-{
-    return forward->suspects != NULL ? suspects_due_us(forward->suspects)
-                                     : INT64_MAX;
+    forward->crashes = crashes_new(forward->now_us, forward->host);
 }
 
 void
 suspicion_runner_lost(forward_t *forward, const request_t *request)
 {
     const pool_runner_t *runner = request->attempt.runner;
-    int64_t run_time_us = forward->now_us - request->attempt.started_us;
-    suspect_loss_t loss = {
-        .runner = runner->registration.id,
-        .zone = runner->registration.zone,
-        .fingerprints = &request->fingerprint,
-        .run_time_us = &run_time_us,
-        .count = 1,
-    };
-
-    forward->evidence[forward->evidence_count % EVIDENCE_MAX] = (evidence_t){
-        .fingerprint = request->fingerprint,
-        .runner = runner->id_hash,
-        .serial = runner->serial,
-    };
-    forward->evidence_count++;
-    count_listed_runners(forward, runner, &loss);
-    suspects_add_loss(forward->suspects, forward->now_us, &loss);
+    const char *zone = runner->registration.zone;
+
+    crashes_add(
+        forward->crashes, forward->now_us,
+        &(crash_t){.fingerprint = request->fingerprint,
+                   .runner = runner->id_hash,
+                   .zone = (uint32_t)XXH3_64bits(zone, strlen(zone)),
+                   .run_time_ms = run_time_ms(forward, request),
+                   .fleet_runners = count_fleet_runners(forward, runner)});
+    emit_log(forward, LOG_NOTICE, "suspect-reported",
+             "fingerprint=%016" PRIx64 " crashes=%" PRIu32,
+             request->fingerprint,
+             crashes_count(forward->crashes, forward->now_us,
+                           request->fingerprint));
+    forward->publish_due = true;
 }
 
 void
 suspicion_run_completed(forward_t *forward, const request_t *request)
 {
-    if (suspects_loss_count(forward->suspects, request->fingerprint) > 0) {
-        log_cleared(forward, request->fingerprint, "completed");
+    if (crashes_clear(forward->crashes, forward->now_us,
+                      request->fingerprint)) {
+        emit_log(forward, LOG_NOTICE, "suspect-cleared",
+                 "fingerprint=%016" PRIx64, request->fingerprint);
+        forward->publish_due = true;
     }
-    suspects_clear(forward->suspects, request->fingerprint);
 }
 
-suspect_decision_t
-suspicion_decide(const forward_t *forward, const request_t *request)
+crash_decision_t
+suspicion_decide(forward_t *forward, const request_t *request)
 {
-    return suspects_decide(forward->suspects, forward->now_us,
-                           request->fingerprint, 0);
+    crash_decision_t decision =
+        crashes_decide(forward->crashes, forward->now_us, request->fingerprint,
+                       longest_run_time_ms(forward, request));
+
+    if (decision == CRASH_BLOCKED &&
+        crashes_mark_blocked(forward->crashes, request->fingerprint)) {
+        log_blocked(forward, request->fingerprint);
+    }
+    return decision;
 }
 
 uint32_t
 suspicion_retry_after_ms(const forward_t *forward, const request_t *request)
 {
-    int64_t remaining_us = suspects_blocked_us(
-        forward->suspects, forward->now_us, request->fingerprint);
+    int64_t blocked_us = crashes_blocked_us(forward->crashes, forward->now_us,
+                                            request->fingerprint);
 
-    return (uint32_t)((remaining_us > 0 ? remaining_us
-                                        : suspect_limits_default.window_us) /
-                      US_PER_MS);
+    return blocked_us > 0 ? (uint32_t)(blocked_us / US_PER_MS)
+                          : RETRY_AFTER_DEFERRED_MS;
 }
 
 void
-suspicion_evaluate(forward_t *forward)
+suspicion_receive(forward_t *forward, const placements_t *placements)
 {
-    if (suspects_due_us(forward->suspects) <= forward->now_us) {
-        suspects_step(forward->suspects, forward->now_us);
-    }
-}
+    u_int i;
 
-void
-suspicion_publish(forward_t *forward)
-{
-    suspects_t *suspects = forward->suspects;
-    uint64_t fingerprint;
-    suspect_report_t suspect;
+    for (i = 0; i < placements->crash_reports.crash_reports_len; i++) {
+        const crash_report_t *report =
+            &placements->crash_reports.crash_reports_val[i];
 
-    while (suspects_next_report(suspects, &suspect)) {
-        if (suspect.withdrawn) {
-            publish_note(forward, &suspect);
-        }
-        else {
-            add_unconfirmed(forward, &suspect);
-        }
-    }
-    settle_unconfirmed(forward);
-    while (suspects_next_blocked(suspects, &fingerprint)) {
-        emit_log(forward, LOG_WARNING, "harmful",
-                 "fingerprint=%016" PRIx64 " hold_ms=%" PRId64, fingerprint,
-                 suspects_blocked_us(suspects, forward->now_us, fingerprint) /
-                     US_PER_MS);
+        crashes_merge(forward->crashes, forward->now_us, report);
     }
 }
 
-/* Replaces the oldest entry when the table is full. */
-static void
-add_unconfirmed(forward_t *forward, const suspect_report_t *suspect)
+void
+suspicion_write(forward_t *forward, arena_t *arena, placements_t *placements)
 {
-    unconfirmed_suspect_t *oldest = &forward->unconfirmed[0];
-    size_t i;
-
-    for (i = 1; i < UNCONFIRMED_MAX; i++) {
-        if (forward->unconfirmed[i].expiry_us < oldest->expiry_us) {
-            oldest = &forward->unconfirmed[i];
-        }
+    if (forward->crashes == NULL) {
+        return; /* before the first step */
     }
-    if (oldest->expiry_us != 0) {
-        emit_log(forward, LOG_NOTICE, "suspect-dropped",
-                 "fingerprint=%016" PRIx64 " blocked=%d",
-                 oldest->suspect.fingerprint, oldest->suspect.is_blocked);
-    }
-    oldest->suspect = *suspect;
-    oldest->expiry_us = forward->now_us + CONFIRM_TIMEOUT_US;
+    placements->crash_reports.crash_reports_val =
+        arena_array(arena, LINK_CRASH_REPORTS_MAX,
+                    sizeof(*placements->crash_reports.crash_reports_val));
+    placements->crash_reports.crash_reports_len =
+        crashes_write(forward->crashes, forward->now_us, arena,
+                      placements->crash_reports.crash_reports_val);
 }
 
-/*
- * Sends the findings that the registry has confirmed and drops those that it
- * has not confirmed in time; a block of the request is then lifted on this
- * host as well.  Nothing is dropped while the store is unavailable, since the
- * registry cannot confirm anything.
- */
 static void
-settle_unconfirmed(forward_t *forward)
+log_blocked(forward_t *forward, uint64_t fingerprint)
 {
-    bool registry_current =
-        forward->now_us - forward->contact_us < CONFIRM_TIMEOUT_US / 2;
-    size_t i;
-
-    for (i = 0; i < UNCONFIRMED_MAX; i++) {
-        unconfirmed_suspect_t *entry = &forward->unconfirmed[i];
-
-        if (entry->expiry_us == 0) {
-            continue;
-        }
-        if (is_confirmed(forward, &entry->suspect)) {
-            entry->expiry_us = 0;
-            publish_note(forward, &entry->suspect);
-        }
-        else if (registry_current && forward->now_us >= entry->expiry_us) {
-            entry->expiry_us = 0;
-            if (entry->suspect.is_blocked) {
-                log_cleared(forward, entry->suspect.fingerprint,
-                            "unconfirmed");
-                suspects_clear(forward->suspects, entry->suspect.fingerprint);
-            }
-        }
-    }
+    emit_log(
+        forward, LOG_WARNING, "harmful",
+        "fingerprint=%016" PRIx64 " crashes=%" PRIu32 " hold_ms=%" PRId64,
+        fingerprint,
+        crashes_count(forward->crashes, forward->now_us, fingerprint),
+        crashes_blocked_us(forward->crashes, forward->now_us, fingerprint) /
+            US_PER_MS);
 }
 
-static bool
-is_confirmed(const forward_t *forward, const suspect_report_t *suspect)
+static uint32_t
+run_time_ms(const forward_t *forward, const request_t *request)
 {
-    size_t i;
-
-    for (i = 0; i < EVIDENCE_MAX && i < forward->evidence_count; i++) {
-        const evidence_t *evidence = &forward->evidence[i];
-
-        if (evidence->fingerprint == suspect->fingerprint &&
-            (suspect->is_blocked ||
-             (uint32_t)evidence->runner == suspect->loss >> 32) &&
-            pool_runner_has_ended(forward->pool, evidence->runner,
-                                  evidence->serial)) {
-            return true;
-        }
-    }
-    return false;
+    return (uint32_t)((forward->now_us - request->attempt.started_us) /
+                      US_PER_MS);
 }
 
-static void
-log_cleared(forward_t *forward, uint64_t fingerprint, const char *reason)
+/* Returns the longest run time of other requests with the same content. */
+static uint32_t
+longest_run_time_ms(const forward_t *forward, const request_t *request)
 {
-    emit_log(forward, LOG_NOTICE, "suspect-cleared",
-             "fingerprint=%016" PRIx64 " reason=%s", fingerprint, reason);
-}
+    const request_t *other;
+    uint32_t longest_ms = 0;
 
-static void
-publish_note(forward_t *forward, const suspect_report_t *suspect)
-{
-    if (!suspect->is_blocked && !suspect->withdrawn) {
-        emit_log(forward, LOG_NOTICE, "suspect-reported",
-                 "fingerprint=%016" PRIx64, suspect->fingerprint);
+    if (crashes_count(forward->crashes, forward->now_us,
+                      request->fingerprint) == 0) {
+        return 0;
+    }
+    for (other = forward->requests; other != NULL; other = other->hh.next) {
+        if (other != request && other->attempt.runner != NULL &&
+            other->fingerprint == request->fingerprint &&
+            run_time_ms(forward, other) > longest_ms) {
+            longest_ms = run_time_ms(forward, other);
+        }
     }
-    note_queue(forward, &(finding_t){.kind = NOTE_SUSPECT,
-                                     .finding_t_u.suspect = *suspect});
+    return longest_ms;
 }
 
-static void
-count_listed_runners(const forward_t *forward, const pool_runner_t *lost,
-                     suspect_loss_t *loss)
+static uint32_t
+count_fleet_runners(const forward_t *forward, const pool_runner_t *lost)
 {
     const pool_runner_t *runner;
+    uint32_t count = 0;
 
     for (runner = pool_first_runner(forward->pool); runner != NULL;
          runner = runner->hh.next) {
-        if (!runner->listed || strcmp(runner->registration.service,
-                                      lost->registration.service) != 0) {
-            continue;
-        }
-        loss->fleet_runners++;
-        if (runner->zone == lost->zone) {
-            loss->zone_runners++;
+        if (runner->listed && strcmp(runner->registration.service,
+                                     lost->registration.service) == 0) {
+            count++;
         }
     }
+    return count;
 }
--- a/gateway/forwarding.c
+++ b/gateway/forwarding.c
@@ -50,6 +50,7 @@
     const gateway_settings_t *settings = gateway->settings;
     forwarding_t *forwarding = xcalloc(1, sizeof(*forwarding));
     forward_settings_t forward_settings = {
+        .host = settings->host,
         .zone = settings->zone,
         .seed = random_u64(),
         .limits = to_forward_limits(&settings->limits),
@@ -119,6 +120,13 @@
     return gateway->forwarding->forward;
 }
 
+void
+forwarding_write_placements(gateway_t *gateway, arena_t *arena,
+                            placements_t *placements)
+{
+    forward_placements(gateway->forwarding->forward, arena, placements);
+}
+
 int64_t
 gateway_now_us(void)
 {
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -82,6 +82,9 @@
 /* Applies gateway->limits after a change. */
 void forwarding_apply_limits(gateway_t *gateway);
 const forward_t *forwarding_state(const gateway_t *gateway);
+/* Writes this host's report to the others; see forward_placements(). */
+void forwarding_write_placements(gateway_t *gateway, arena_t *arena,
+                                 placements_t *placements);
 /* Returns a monotonic time that includes time spent stopped or suspended. */
 int64_t gateway_now_us(void);
 
--- a/gateway/peering.c
+++ b/gateway/peering.c
@@ -231,7 +231,7 @@
     send_context_t send_context = {.peering = peering, .message = &message};
     arena_t arena = {0};
 
-    forward_placements(forwarding_state(gateway), &arena, placements);
+    forwarding_write_placements(gateway, &arena, placements);
     if (has_content(placements) || peering->streams_reported) {
         peering->number++;
         placements->incarnation = peering->incarnation;
@@ -254,7 +254,9 @@
 static bool
 has_content(const placements_t *placements)
 {
-    return placements->items.items_len > 0 || placements->notes.notes_len > 0;
+    return placements->items.items_len > 0 ||
+           placements->notes.notes_len > 0 ||
+           placements->crash_reports.crash_reports_len > 0;
 }
 
 static void
--- a/regress/forwarding.c
+++ b/regress/forwarding.c
@@ -85,8 +85,15 @@
 
 forward_t *
 forwarding_open(void)
+{
+    return forwarding_open_host("h1");
+}
+
+forward_t *
+forwarding_open_host(const char *host)
 {
     forward_settings_t settings = {
+        .host = host,
         .zone = "a",
         .seed = 1,
         .limits = limits_with_revoke(REVOKE_MS),
--- a/regress/forwarding.h
+++ b/regress/forwarding.h
@@ -71,6 +71,7 @@
 
 /* The same, step by step; the text is valid until the next call. */
 forward_t *forwarding_open(void);
+forward_t *forwarding_open_host(const char *host);
 const char *forwarding_do(forward_t *forward, int64_t at_ms,
                           const char *event);
 
--- a/regress/suspicion_sim.c
+++ b/regress/suspicion_sim.c
@@ -68,13 +68,14 @@
 count_refusal(size_t host, const forward_action_t *action)
 {
     const sim_sent_t *sent = sim_find_sent(action->number);
-    bool blamed = action->u.refuse.reason == REFUSE_HARMFUL;
+    /* The caller of a partitioned host does not get its refusals. */
+    bool blamed =
+        action->u.refuse.reason == REFUSE_HARMFUL && !sim_is_partitioned(host);
 
     if (sent->harmful) {
         sim.result.refused_harmful += blamed ? 1 : 0;
         return;
     }
-    /* The caller of a partitioned host does not get its refusals. */
     if ((action->number & SIM_RESENT_BIT) == 0 &&
         (sim_is_partitioned(host) ||
          (sim.scenario.callers_resend && !blamed))) {
@@ -144,10 +145,12 @@
 start_host(size_t host)
 {
     forward_event_t event = {.kind = FORWARD_ROUTING};
+    char name[SIM_NAME_BYTES];
     size_t i;
 
+    (void)snprintf(name, sizeof(name), "h%zu", host);
     sim.hosts[host] =
-        (sim_host_t){.forward = forwarding_open(),
+        (sim_host_t){.forward = forwarding_open_host(name),
                      .incarnation = sim.hosts[host].incarnation + 1,
                      .start_ms = sim.now_ms};
     event.u.routing = forwarding_routing(1);
--- /dev/null
+++ b/regress/test_crashes.c
@@ -0,0 +1,341 @@
+/*
+ * test_crashes.c - tests when a request that crashes runners is blocked, and
+ * how hosts merge their records of it.
+ */
+#include <string.h>
+
+#include <check.h>
+
+#include "forward/crashes.h"
+#include "regress/fixture.h"
+
+enum {
+    US_PER_MS = 1000,
+    STEPS_MAX = 12,
+    CONTENT = 7,
+    OTHER_CONTENT = 1000, /* and above */
+    FLEET_RUNNERS = 36,
+    HOSTS = 4,
+    SHORT_MS = 20,
+    LONG_MS = 2500,
+};
+
+typedef enum {
+    END,
+    CRASH,       /* host's run of the request crashes its runner */
+    LONG_CRASH,  /* the same, after LONG_MS */
+    OTHER_CRASH, /* a runner crashes under another request of the host */
+    REPORT,      /* the host's report reaches all others */
+    RESTART,     /* the host restarts */
+    COMPLETE,    /* the host's run of the request completes */
+} step_kind_t;
+
+typedef struct {
+    int64_t at_ms;
+    step_kind_t kind;
+    size_t host;
+    const char *runner; /* its letter, then that of its zone */
+} step_t;
+
+typedef struct {
+    const char *name;
+    step_t steps[STEPS_MAX];
+    int64_t check_ms;
+    uint32_t run_time_ms;   /* of another run on each host */
+    const char *decisions;  /* of each host: a, d, s or b */
+    uint32_t fleet_runners; /* (36) */
+} case_t;
+
+static const case_t cases[] = {
+    {"two crashes long ago do not restrict",
+     {{0, CRASH, 0, "aN"}, {1500, CRASH, 0, "bM"}},
+     3000,
+     0,
+     "aaaa",
+     0},
+    {"two crashes within a second defer",
+     {{0, CRASH, 0, "aN"}, {50, CRASH, 0, "bM"}},
+     500,
+     0,
+     "daaa",
+     0},
+    {"three crashes after short runs block at once",
+     {{0, CRASH, 0, "aN"}, {50, CRASH, 0, "bM"}, {1200, CRASH, 0, "cO"}},
+     1200,
+     0,
+     "baaa",
+     0},
+    {"two crashes of one runner at one time count once",
+     {{0, CRASH, 0, "aN"}, {10, CRASH, 0, "aN"}, {1200, CRASH, 0, "cO"}},
+     3000,
+     0,
+     "aaaa",
+     0},
+    {"crashes that one host sees do not block on others",
+     {{0, CRASH, 0, "aN"},
+      {50, CRASH, 0, "bM"},
+      {1200, CRASH, 0, "cO"},
+      {1300, REPORT, 0, ""}},
+     5000,
+     0,
+     "baaa",
+     0},
+    {"crashes that three hosts see block on all",
+     {{0, CRASH, 0, "aN"},
+      {300, CRASH, 1, "bM"},
+      {700, CRASH, 2, "cO"},
+      {800, REPORT, 0, ""},
+      {800, REPORT, 1, ""},
+      {800, REPORT, 2, ""}},
+     5000,
+     0,
+     "bbbb",
+     0},
+    {"another run may complete until 3 s after the last crash",
+     {{0, CRASH, 0, "aN"},
+      {300, CRASH, 1, "bM"},
+      {700, CRASH, 2, "cO"},
+      {800, REPORT, 0, ""},
+      {800, REPORT, 1, ""},
+      {800, REPORT, 2, ""}},
+     3600,
+     0,
+     "ssss",
+     0},
+    {"a host that has restarted learns from any other",
+     {{0, CRASH, 0, "aN"},
+      {300, CRASH, 1, "bM"},
+      {700, CRASH, 2, "cO"},
+      {800, REPORT, 0, ""},
+      {800, REPORT, 1, ""},
+      {800, REPORT, 2, ""},
+      {20000, RESTART, 0, ""},
+      {20000, RESTART, 1, ""},
+      {20000, RESTART, 2, ""},
+      {20100, REPORT, 3, ""}},
+     25000,
+     0,
+     "bbbb",
+     0},
+    {"reports that arrive again change nothing",
+     {{0, CRASH, 0, "aN"},
+      {1500, CRASH, 1, "bM"},
+      {1600, REPORT, 0, ""},
+      {2100, REPORT, 0, ""},
+      {2600, REPORT, 1, ""},
+      {3100, REPORT, 1, ""}},
+     5000,
+     0,
+     "aaaa",
+     0},
+    {"a completed run clears on all hosts",
+     {{0, CRASH, 0, "aN"},
+      {300, CRASH, 1, "bM"},
+      {700, CRASH, 2, "cO"},
+      {800, REPORT, 0, ""},
+      {800, REPORT, 1, ""},
+      {800, REPORT, 2, ""},
+      {2000, COMPLETE, 3, ""},
+      {2100, REPORT, 3, ""},
+      {2200, REPORT, 0, ""}},
+     5000,
+     0,
+     "aaaa",
+     0},
+    {"a host that has seen it complete clears it on others",
+     {{0, COMPLETE, 3, ""},
+      {100, CRASH, 0, "aN"},
+      {300, CRASH, 1, "bM"},
+      {700, CRASH, 2, "cO"},
+      {800, REPORT, 0, ""},
+      {800, REPORT, 1, ""},
+      {800, REPORT, 2, ""},
+      {900, REPORT, 3, ""}},
+     5000,
+     0,
+     "aaaa",
+     0},
+    {"crashes together with other runners are no evidence",
+     {{0, CRASH, 0, "aN"},
+      {10, OTHER_CRASH, 0, "dN"},
+      {10, OTHER_CRASH, 0, "eN"},
+      {2000, CRASH, 0, "bM"},
+      {2010, OTHER_CRASH, 0, "fM"},
+      {2010, OTHER_CRASH, 0, "gM"},
+      {4000, CRASH, 0, "cO"}},
+     9000,
+     0,
+     "aaaa",
+     0},
+    {"crashes after long runs block only at the limit",
+     {{0, LONG_CRASH, 0, "aN"},
+      {4000, LONG_CRASH, 0, "bM"},
+      {8000, LONG_CRASH, 0, "cO"},
+      {12000, LONG_CRASH, 0, "dN"},
+      {12100, OTHER_CRASH, 0, "eN"}},
+     20000,
+     0,
+     "aaaa",
+     .fleet_runners = 4},
+    {"five crashes are the limit whatever the cause",
+     {{0, LONG_CRASH, 0, "aN"},
+      {4000, LONG_CRASH, 0, "bM"},
+      {8000, LONG_CRASH, 0, "cO"},
+      {12000, LONG_CRASH, 0, "dN"},
+      {16000, LONG_CRASH, 0, "eN"}},
+     20000,
+     0,
+     "baaa",
+     .fleet_runners = 4},
+    {"a longer run shows that the request is harmless",
+     {{0, CRASH, 0, "aN"},
+      {300, CRASH, 1, "bM"},
+      {700, CRASH, 2, "cO"},
+      {800, REPORT, 0, ""},
+      {800, REPORT, 1, ""},
+      {800, REPORT, 2, ""}},
+     5000,
+     1000,
+     "aaaa",
+     0},
+    {"a block ends when its crashes are too old",
+     {{0, CRASH, 0, "aN"}, {50, CRASH, 0, "bM"}, {1200, CRASH, 0, "cO"}},
+     600001,
+     0,
+     "aaaa",
+     0},
+};
+
+static const char *const host_names[HOSTS] = {"h0", "h1", "h2", "h3"};
+
+static void
+add_crash(crashes_t *crashes, const step_t *step, uint64_t content,
+          uint32_t fleet_runners)
+{
+    crashes_add(crashes, step->at_ms * US_PER_MS,
+                &(crash_t){.fingerprint = content,
+                           .runner = (uint64_t)step->runner[0],
+                           .zone = (uint32_t)step->runner[1],
+                           .run_time_ms =
+                               step->kind == LONG_CRASH ? LONG_MS : SHORT_MS,
+                           .fleet_runners = fleet_runners});
+}
+
+static void
+send_report(crashes_t *const *hosts, const step_t *step)
+{
+    crash_report_t reports[LINK_CRASH_REPORTS_MAX];
+    arena_t arena = {0};
+    int64_t now_us = step->at_ms * US_PER_MS;
+    uint32_t count = crashes_write(hosts[step->host], now_us, &arena, reports);
+    uint32_t i;
+    size_t host;
+
+    for (host = 0; host < HOSTS; host++) {
+        for (i = 0; host != step->host && i < count; i++) {
+            crashes_merge(hosts[host], now_us, &reports[i]);
+        }
+    }
+    arena_free(&arena);
+}
+
+static void
+apply_step(crashes_t **hosts, const step_t *step, size_t index,
+           uint32_t fleet_runners)
+{
+    crashes_t **crashes = &hosts[step->host];
+    int64_t now_us = step->at_ms * US_PER_MS;
+
+    switch (step->kind) {
+    case CRASH:
+    case LONG_CRASH:
+        add_crash(*crashes, step, CONTENT, fleet_runners);
+        return;
+    case OTHER_CRASH:
+        add_crash(*crashes, step, OTHER_CONTENT + index, fleet_runners);
+        return;
+    case REPORT:
+        send_report(hosts, step);
+        return;
+    case RESTART:
+        crashes_free(*crashes);
+        *crashes = crashes_new(now_us, host_names[step->host]);
+        return;
+    case COMPLETE:
+        (void)crashes_clear(*crashes, now_us, CONTENT);
+        return;
+    case END:
+        return;
+    }
+}
+
+START_TEST(test_decisions)
+{
+    const case_t *test = &cases[_i];
+    crashes_t *hosts[HOSTS];
+    char decisions[HOSTS + 1] = "";
+    size_t i;
+
+    for (i = 0; i < HOSTS; i++) {
+        hosts[i] = crashes_new(0, host_names[i]);
+    }
+    for (i = 0; i < STEPS_MAX && test->steps[i].kind != END; i++) {
+        apply_step(hosts, &test->steps[i], i,
+                   test->fleet_runners > 0 ? test->fleet_runners
+                                           : FLEET_RUNNERS);
+    }
+    for (i = 0; i < HOSTS; i++) {
+        crashes_expire(hosts[i], test->check_ms * US_PER_MS);
+        decisions[i] = "adsb"[crashes_decide(
+            hosts[i], test->check_ms * US_PER_MS, CONTENT, test->run_time_ms)];
+        crashes_free(hosts[i]);
+    }
+    ck_assert_msg(strcmp(decisions, test->decisions) == 0, "%s: %s",
+                  test->name, decisions);
+}
+END_TEST
+
+/* A blocked request stays known while many others lose one runner each. */
+START_TEST(test_block_outlasts_many_single_crashes)
+{
+    crashes_t *crashes = crashes_new(0, "h0");
+    step_t step = {.kind = CRASH, .runner = "aN"};
+    crash_report_t reports[LINK_CRASH_REPORTS_MAX];
+    arena_t arena = {0};
+    uint32_t count;
+    uint32_t i;
+    bool reported = false;
+
+    for (i = 0; i < 3; i++) {
+        step.at_ms = (int64_t)i * 1200;
+        step.runner = ((const char *[]){"aN", "bM", "cO"})[i];
+        add_crash(crashes, &step, CONTENT, FLEET_RUNNERS);
+    }
+    for (i = 0; i < 10000; i++) {
+        step.at_ms = 10000 + i;
+        step.runner = "dN";
+        add_crash(crashes, &step, OTHER_CONTENT + i, FLEET_RUNNERS);
+    }
+    ck_assert_int_eq(
+        crashes_decide(crashes, step.at_ms * US_PER_MS, CONTENT, 0),
+        CRASH_BLOCKED);
+    count = crashes_write(crashes, step.at_ms * US_PER_MS, &arena, reports);
+    for (i = 0; i < count; i++) {
+        reported = reported || reports[i].fingerprint == CONTENT;
+    }
+    ck_assert(reported);
+    arena_free(&arena);
+    crashes_free(crashes);
+}
+END_TEST
+
+int
+main(void)
+{
+    TCase *tcase = tcase_create("crashes");
+
+    tcase_add_loop_test(tcase, test_decisions, 0,
+                        sizeof(cases) / sizeof(cases[0]));
+    tcase_add_test(tcase, test_block_outlasts_many_single_crashes);
+    return fixture_main("crashes", tcase);
+}
--- a/world/link.x
+++ b/world/link.x
@@ -15,6 +15,8 @@
 const LINK_PLACEMENTS_MAX = 40;
 const LINK_BUDGETS_MAX = 8;
 const LINK_NOTES_MAX = 12;
+const LINK_CRASH_REPORTS_MAX = 32;
+const LINK_CRASHES_MAX = 8;
 
 typedef string name_t<LINK_NAME_MAX>;
 
@@ -233,18 +235,40 @@
 };
 
 /*
- * Reports between hosts that forward requests by routes: a request may crash
- * runners, or the address of a runner is stale because another runner uses it.
- * runner is a hash of the id of the runner.
+ * A runner crashed run_time_ms after it got a request from the host observer.
+ * runner, zone and observer are hashes of their ids.  serial is chosen by the observer and
+ * distinguishes its records of one runner.
+ */
+struct crash_record_t {
+    uint32_t runner;
+    uint32_t zone;
+    uint32_t observer;
+    uint32_t serial;
+    uint32_t run_time_ms;
+    uint32_t age_ms;
+};
+
+/*
+ * The crashes under requests with this fingerprint, as far as the sender knows
+ * them.  fleet_runners is the number of runners of the service.  cleared means that such a request has completed.
+ */
+struct crash_report_t {
+    uint64_t fingerprint;
+    uint32_t fleet_runners;
+    bool cleared;
+    crash_record_t crashes<LINK_CRASHES_MAX>;
+};
+
+/*
+ * Reports between hosts that forward requests by routes: the address of a
+ * runner is stale because another runner uses it.  runner is a hash of the id
+ * of the runner.
  */
 enum note_kind_t {
-    NOTE_SUSPECT = 1,
     NOTE_ADDRESS_STALE = 2
 };
 
 union finding_t switch (note_kind_t kind) {
-case NOTE_SUSPECT:
-    suspect_report_t suspect;
 case NOTE_ADDRESS_STALE:
     uint64_t runner;
 };
@@ -260,7 +284,8 @@
  * message of an incarnation, so that receivers can discard older messages.
  * contact_age_ms is the time since the routing table of the sender was last
  * confirmed to be current.  notes contains the latest notes, which are sent
- * repeatedly because a message can be lost.
+ * repeatedly because a message can be lost.  crash_reports contains the state
+ * of requests that may crash runners, not only what is new.
  */
 struct placements_t {
     uint64_t incarnation;
@@ -269,6 +294,7 @@
     placement_t items<LINK_PLACEMENTS_MAX>;
     budget_use_t budgets<LINK_BUDGETS_MAX>;
     note_t notes<LINK_NOTES_MAX>;
+    crash_report_t crash_reports<LINK_CRASH_REPORTS_MAX>;
 };
 
 /* Requests the changes of the store after a revision. */
