--- a/forward/send.c
+++ b/forward/send.c
@@ -45,9 +45,13 @@
         .tried = request->tried,
         .tried_count = request->tried_count,
     };
-    pool_runner_t *runner =
-        pool_choose_runner(forward->pool, forward->now_us, &query);
+    pool_runner_t *runner;
 
+    /* With all of them unreachable, the next one is likely to be so, too. */
+    if (request->tried_count == POOL_TRIED_MAX) {
+        return false;
+    }
+    runner = pool_choose_runner(forward->pool, forward->now_us, &query);
     if (runner == NULL) {
         return false;
     }
--- a/regress/test_forward.c
+++ b/regress/test_forward.c
@@ -92,6 +92,27 @@
     {2600, "request 3 stream content=8", NULL},
 };
 
+/* Runners that refuse connections are each tried once, and not all of them. */
+static const forwarding_line_t unreachable_runners_are_not_tried_again[] = {
+    FORWARDING_OPENED,
+    {1, "list ra1 ra2 ra3 ra4 ra5 rb1 rb2 rb3 rb4 rb5 rc1 rc2 rc3 rc4 rc5 sa1",
+     ""},
+    {10, "request 1 stream", NULL},
+    {20, "unsent 1 1", NULL},
+    {20, "unsent 1 2", NULL},
+    {20, "unsent 1 3", NULL},
+    {20, "unsent 1 4", NULL},
+    {20, "unsent 1 5", NULL},
+    {20, "unsent 1 6", NULL},
+    {20, "unsent 1 7", NULL},
+    {20, "unsent 1 8", NULL},
+    {20, "unsent 1 9", NULL},
+    {20, "unsent 1 10", NULL},
+    {20, "unsent 1 11", NULL},
+    {20, "unsent 1 12",
+     "cancel 1.12; refuse 1 no-runner 503 not-run after=500"},
+};
+
 /* A response to another request, or without a valid runner signature. */
 static const forwarding_line_t unauthentic_response_is_refused[] = {
     FORWARDING_OPENED,
@@ -275,6 +296,7 @@
     FORWARDING_SCRIPT(refuses_unknown_path_or_key),
     FORWARDING_SCRIPT(refuses_with_stale_routing_table),
     FORWARDING_SCRIPT(changed_revoke_limit_takes_effect),
+    FORWARDING_SCRIPT(unreachable_runners_are_not_tried_again),
     FORWARDING_SCRIPT(request_that_crashes_runners_is_refused),
     FORWARDING_SCRIPT(broken_unsafe_request_is_not_retried),
     FORWARDING_SCRIPT(unsent_unsafe_request_is_retried),
--- a/regress/test_suspicion_load.c
+++ b/regress/test_suspicion_load.c
@@ -11,6 +11,7 @@
     /* The users' requirement. */
     LATE_SENDS_MAX = 3,
     SEEDS = 2,
+    ENGINES_MIN = 12, /* of the smallest fleet */
 };
 
 START_TEST(test_harmful_request_is_not_sent_on_beside_other_failures)
@@ -27,6 +28,9 @@
     ck_assert_msg(result.refused_harmless == 0,
                   "%s, seed %d: %u harmless requests refused", load.name,
                   (int)load.seed, result.refused_harmless);
+    ck_assert_msg(result.sends_max <= ENGINES_MIN,
+                  "%s, seed %d: a request was sent %u times at once",
+                  load.name, (int)load.seed, result.sends_max);
     ck_assert_msg(load.harmful_interval_ms == 0 || result.refused_harmful > 0,
                   "%s, seed %d: no harmful request refused", load.name,
                   (int)load.seed);
