--- a/forward/recover.c
+++ b/forward/recover.c
@@ -181,7 +181,9 @@
         return;
     }
     pool_record_response(attempt->runner, failed);
-    suspicion_run_completed(forward, request);
+    if (attempt->authentic && !failed) {
+        suspicion_run_completed(forward, request);
+    }
     if (attempt->relaying) {
         action_new(forward, FORWARD_ACTION_FINISH, request->number);
         emit_request_end(forward, request, "served", "whole", attempt->status);
--- a/regress/test_forward.c
+++ b/regress/test_forward.c
@@ -92,6 +92,21 @@
     {2600, "request 3 stream content=8", NULL},
 };
 
+/* An error of a runner does not show that the request can complete. */
+static const forwarding_line_t error_response_does_not_clear_a_request[] = {
+    FORWARDING_OPENED,
+    {1, "list ra1 ra2 ra3 ra4 ra5 rb1 rb2 rb3 rb4 rb5 rc1 rc2 rc3 rc4 sa1",
+     ""},
+    {10, "request 1 stream content=7", NULL},
+    {60, "broken 1 1", NULL},
+    {110, "broken 1 2", "cancel 1.2"},
+    {1200, "timer", NULL},
+    {1250, "head 1 3 500", ""},
+    {1250, "whole 1 3", "answer 1.3"},
+    {1300, "request 2 stream content=7", NULL},
+    {1350, "broken 2 1", "cancel 2.1; refuse 2 harmful 502"},
+};
+
 /* Runners that refuse connections are each tried once, and not all of them. */
 static const forwarding_line_t unreachable_runners_are_not_tried_again[] = {
     FORWARDING_OPENED,
@@ -296,6 +311,7 @@
     FORWARDING_SCRIPT(refuses_unknown_path_or_key),
     FORWARDING_SCRIPT(refuses_with_stale_routing_table),
     FORWARDING_SCRIPT(changed_revoke_limit_takes_effect),
+    FORWARDING_SCRIPT(error_response_does_not_clear_a_request),
     FORWARDING_SCRIPT(unreachable_runners_are_not_tried_again),
     FORWARDING_SCRIPT(request_that_crashes_runners_is_refused),
     FORWARDING_SCRIPT(broken_unsafe_request_is_not_retried),
