--- a/regress/suspicion_engine.c
+++ b/regress/suspicion_engine.c
@@ -66,7 +66,9 @@
     if (sent->harmful) {
         sim_content_t *content = &sim.contents[sent->content];
 
+        /* A refused connection does not reach the engine. */
         if (content->deadline_ms > 0 && sim.now_ms > content->deadline_ms &&
+            sim.now_ms >= sim.engines[run->engine].down_until_ms &&
             !sim_is_partitioned(run->host) &&
             sim.now_ms - sim.hosts[run->host].start_ms >=
                 SIM_DETECTION_DELAY_MS) {
