--- a/forward/crashes.c
+++ b/forward/crashes.c
@@ -28,7 +28,7 @@
 #define RETENTION_US ((int64_t)600000000)
 #define BURST_US ((int64_t)1000000)
 /* After the last crash other runs of the request may still complete. */
-#define HOLD_US ((int64_t)3000000)
+#define HOLD_US ((int64_t)5000000)
 
 struct crashes {
     uint32_t host; /* hash of this host's name */
