--- a/forward/private.h
+++ b/forward/private.h
@@ -25,6 +25,7 @@
 typedef struct {
     uint32_t number;         /* starts at 1 */
     pool_runner_t *runner;   /* NULL: no attempt is active */
+    uint64_t runner_serial;  /* differs after a restart: the run is lost */
     pool_runner_t *standby;  /* holds a copy of the KV cache; or NULL */
     uint64_t standby_serial; /* differs after a restart: the copy is lost */
     int64_t started_us;
--- a/forward/recover.c
+++ b/forward/recover.c
@@ -18,6 +18,7 @@
     RUNNER_WAIT_MAX_MS = 1900,
 };
 
+static bool runner_crashed(const attempt_t *attempt, send_result_t result);
 static void retain_copy(request_t *request);
 static request_t *find_active_request(forward_t *forward, uint64_t number,
                                       uint32_t attempt);
@@ -93,7 +94,7 @@
         emit_log(forward, LOG_NOTICE, "zone-cooldown", "zone=%s",
                  attempt->runner->registration.zone);
     }
-    if (result == SEND_BROKEN || result == SEND_UNRESPONSIVE) {
+    if (runner_crashed(attempt, result)) {
         suspicion_runner_lost(forward, request);
     }
     if (not_sent) {
@@ -117,6 +118,23 @@
     retry_or_refuse(forward, request, REFUSE_RUNNER_LOST);
 }
 
+/* A crash without a reset is only seen as silence by the time that the runner
+ * has restarted and answers probes again. */
+static bool
+runner_crashed(const attempt_t *attempt, send_result_t result)
+{
+    switch (result) {
+    case SEND_BROKEN:
+    case SEND_UNRESPONSIVE:
+        return true;
+    case SEND_STALLED:
+    case SEND_DROPPED:
+        return attempt->runner->serial != attempt->runner_serial;
+    default:
+        return false;
+    }
+}
+
 /*
  * Keeps the standby's copy for the next attempt.  A copy that was updated as
  * the stream ran is identified by the standby and the request id, one that
--- a/forward/send.c
+++ b/forward/send.c
@@ -89,6 +89,7 @@
     *attempt = (attempt_t){
         .number = attempt->number + 1,
         .runner = runner,
+        .runner_serial = runner->serial,
         .started_us = forward->now_us,
         .last_activity_us = forward->now_us,
     };
