--- a/forward/crash_table.c
+++ b/forward/crash_table.c
@@ -90,32 +90,78 @@
              entry);
 }
 
-bool
-crash_table_add_record(crash_table_t *table, crash_entry_t *entry,
-                       const crash_entry_record_t *record, int64_t now_us)
+/* Whether both records are of the same crash. */
+static bool
+is_same_crash(const crash_entry_record_t *one,
+              const crash_entry_record_t *other)
+{
+    return one->shared.runner == other->shared.runner &&
+           llabs(one->at_us - other->at_us) <= CRASH_SAME_US;
+}
+
+/*
+ * Whether the record adds nothing: it is known, or the observer had several
+ * runs of the request on the runner.  Another host's view of a known crash
+ * adds a host, but must not displace a record of another crash.
+ */
+static bool
+is_redundant(const crash_entry_t *entry, const crash_entry_record_t *record)
 {
-    size_t oldest = 0;
     size_t i;
 
     for (i = 0; i < entry->count; i++) {
-        const crash_record_t *known = &entry->records[i].shared;
+        const crash_entry_record_t *known = &entry->records[i];
 
-        if (known->runner == record->shared.runner &&
-            known->observer == record->shared.observer &&
-            known->serial == record->shared.serial) {
-            return false;
+        if (known->shared.runner == record->shared.runner &&
+            known->shared.observer == record->shared.observer &&
+            known->shared.serial == record->shared.serial) {
+            return true;
+        }
+        if (is_same_crash(known, record) &&
+            (known->shared.observer == record->shared.observer ||
+             entry->count == LINK_CRASHES_MAX)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Returns a record of a crash of which there is an earlier one, else the
+ * oldest record. */
+static size_t
+find_least_useful(const crash_entry_t *entry)
+{
+    size_t oldest = 0;
+    size_t i;
+
+    for (i = 0; i < entry->count; i++) {
+        if (!crash_entry_is_counted(entry, i, 0, INT64_MIN)) {
+            return i;
         }
         if (entry->records[i].at_us < entry->records[oldest].at_us) {
             oldest = i;
         }
     }
+    return oldest;
+}
+
+bool
+crash_table_add_record(crash_table_t *table, crash_entry_t *entry,
+                       const crash_entry_record_t *record, int64_t now_us)
+{
+    if (is_redundant(entry, record)) {
+        return false;
+    }
     if (entry->count == LINK_CRASHES_MAX) {
-        if (record->at_us <= entry->records[oldest].at_us) {
+        size_t index = find_least_useful(entry);
+
+        if (crash_entry_is_counted(entry, index, 0, INT64_MIN) &&
+            record->at_us <= entry->records[index].at_us) {
             return false;
         }
         entry->count--;
-        memmove(&entry->records[oldest], &entry->records[oldest + 1],
-                (entry->count - oldest) * sizeof(entry->records[0]));
+        memmove(&entry->records[index], &entry->records[index + 1],
+                (entry->count - index) * sizeof(entry->records[0]));
     }
     entry->records[entry->count] = *record;
     entry->count++;
@@ -248,8 +294,7 @@
         const crash_entry_record_t *other = &entry->records[i];
 
         if ((observer == 0 || other->shared.observer == observer) &&
-            llabs(other->at_us - record->at_us) <= CRASH_SAME_US &&
-            other->shared.runner == record->shared.runner) {
+            is_same_crash(other, record)) {
             return false;
         }
     }
--- a/forward/crash_table.h
+++ b/forward/crash_table.h
@@ -52,8 +52,8 @@
 void crash_table_delete(crash_table_t *table, crash_entry_t *entry);
 
 /*
- * Adds a record, in place of the oldest one if there is no room.  Returns
- * false if the record is known, or older than all others.
+ * Adds a record, in place of the least useful one if there is no room.
+ * Returns false if the record adds nothing to those that are there.
  */
 bool crash_table_add_record(crash_table_t *table, crash_entry_t *entry,
                             const crash_entry_record_t *record,
