--- a/forward/crash_table.c
+++ b/forward/crash_table.c
@@ -2,6 +2,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include <xxhash.h>
+
 #include "forward/crash_table.h"
 
 enum {
@@ -11,11 +13,15 @@
     RESTRICTING_RECORDS_MIN = 3,
 };
 
-/* A change is in every message for so long, as messages can be lost. */
+/* What this host has seen is sent at this interval for so long, as messages
+ * can be lost. */
 #define REPORT_US ((int64_t)5000000)
-/* After that, what may restrict a request is sent at this interval to hosts
- * that have started since. */
-#define REPEAT_US ((int64_t)1000000)
+#define RESEND_US ((int64_t)1500000)
+/* What may restrict a request is sent to hosts that have started since.  Each
+ * host does so at this interval times the number of hosts, so that the load
+ * does not grow with the square of it. */
+#define RELAY_US ((int64_t)500000)
+#define EXPIRY_INTERVAL_US ((int64_t)1000000)
 
 void
 crash_table_clear(crash_table_t *table)
@@ -85,7 +91,6 @@
 {
     HASH_DEL(table->entries, entry); /* NOLINT(clang-analyzer-*) */
     entry->changed_us = now_us;
-    entry->sent_us = 0;
     HASH_ADD(hh, table->entries, fingerprint, sizeof(entry->fingerprint),
              entry);
 }
@@ -166,6 +171,9 @@
     entry->records[entry->count] = *record;
     entry->count++;
     entry->cleared = false;
+    if (record->shared.observer == table->host) {
+        entry->own_changed_us = now_us;
+    }
     mark_changed(table, entry, now_us);
     return true;
 }
@@ -178,28 +186,55 @@
     entry->improbable = false;
     entry->marked = false;
     entry->cleared = true;
+    entry->own_changed_us = now_us;
     mark_changed(table, entry, now_us);
 }
 
-/* A report with fewer crashes restricts nothing by itself; it is sent only
- * while it is new. */
+/* The time between two relays, of which hosts start at different times. */
+static int64_t
+relay_interval_us(const crash_table_t *table)
+{
+    return RELAY_US * (table->hosts > 2 ? table->hosts : 2);
+}
+
+static int64_t
+first_relay_us(const crash_table_t *table, const crash_entry_t *entry)
+{
+    uint64_t hash = XXH3_64bits_withSeed(
+        &entry->fingerprint, sizeof(entry->fingerprint), table->host);
+
+    return entry->changed_us +
+           (int64_t)(hash % (uint64_t)relay_interval_us(table));
+}
+
+/* Other hosts' records are relayed only if they may restrict the request. */
+static bool
+is_relay_due(const crash_table_t *table, const crash_entry_t *entry,
+             int64_t now_us)
+{
+    return entry->count >= RESTRICTING_RECORDS_MIN &&
+           now_us >= (entry->sent_us > entry->changed_us
+                          ? entry->sent_us + relay_interval_us(table)
+                          : first_relay_us(table, entry));
+}
+
 static bool
-is_report_due(const crash_entry_t *entry, int64_t now_us)
+is_report_due(const crash_table_t *table, const crash_entry_t *entry,
+              int64_t now_us)
 {
-    if (now_us - entry->changed_us < REPORT_US) {
+    if (entry->own_changed_us != 0 &&
+        now_us - entry->own_changed_us < REPORT_US &&
+        (entry->sent_us < entry->own_changed_us ||
+         now_us - entry->sent_us >= RESEND_US)) {
         return true;
     }
-    return entry->count >= RESTRICTING_RECORDS_MIN &&
-           now_us - entry->sent_us >= REPEAT_US;
+    return is_relay_due(table, entry, now_us);
 }
 
 /* Whether one report is sent before another if not all fit in a message. */
 static bool
 precedes(const crash_entry_t *one, const crash_entry_t *other)
 {
-    if ((one->sent_us == 0) != (other->sent_us == 0)) {
-        return one->sent_us == 0;
-    }
     if (one->count != other->count) {
         return one->count > other->count;
     }
@@ -207,26 +242,27 @@
 }
 
 static void
-write_report(const crash_entry_t *entry, int64_t now_us, arena_t *arena,
-             crash_report_t *report)
+write_report(const crash_table_t *table, const crash_entry_t *entry,
+             int64_t now_us, arena_t *arena, crash_report_t *report)
 {
+    bool relays = entry->count >= RESTRICTING_RECORDS_MIN;
     size_t i;
 
     *report = (crash_report_t){.fingerprint = entry->fingerprint,
                                .fleet_runners = entry->fleet_runners,
                                .cleared = entry->cleared};
-    if (entry->count == 0) {
-        return;
-    }
-    report->crashes.crashes_val =
-        arena_array(arena, entry->count, sizeof(*report->crashes.crashes_val));
-    report->crashes.crashes_len = (u_int)entry->count;
+    report->crashes.crashes_val = arena_array(
+        arena, LINK_CRASHES_MAX, sizeof(*report->crashes.crashes_val));
     for (i = 0; i < entry->count; i++) {
-        crash_record_t *record = &report->crashes.crashes_val[i];
-
-        *record = entry->records[i].shared;
-        record->age_ms =
-            (uint32_t)((now_us - entry->records[i].at_us) / US_PER_MS);
+        crash_record_t *record =
+            &report->crashes.crashes_val[report->crashes.crashes_len];
+
+        if (relays || entry->records[i].shared.observer == table->host) {
+            *record = entry->records[i].shared;
+            record->age_ms =
+                (uint32_t)((now_us - entry->records[i].at_us) / US_PER_MS);
+            report->crashes.crashes_len++;
+        }
     }
 }
 
@@ -240,7 +276,7 @@
     uint32_t i;
 
     for (entry = table->entries; entry != NULL; entry = entry->hh.next) {
-        if (!is_report_due(entry, now_us)) {
+        if (!is_report_due(table, entry, now_us)) {
             continue;
         }
         for (i = count; i > 0 && precedes(entry, due[i - 1]); i--) {
@@ -255,7 +291,7 @@
     }
     for (i = 0; i < count; i++) {
         due[i]->sent_us = now_us;
-        write_report(due[i], now_us, arena, &reports[i]);
+        write_report(table, due[i], now_us, arena, &reports[i]);
     }
     return count;
 }
@@ -269,7 +305,7 @@
     if (now_us < table->expiry_due_us) {
         return;
     }
-    table->expiry_due_us = now_us + REPEAT_US;
+    table->expiry_due_us = now_us + EXPIRY_INTERVAL_US;
     HASH_ITER(hh, table->entries, entry, next)
     {
         if (now_us - entry->changed_us >=
--- a/forward/crash_table.h
+++ b/forward/crash_table.h
@@ -29,15 +29,18 @@
     crash_entry_record_t records[LINK_CRASHES_MAX]; /* by time of arrival */
     size_t count;
     uint32_t fleet_runners;
-    bool improbable;    /* its crashes are not a coincidence */
-    bool marked;        /* crashes_mark_blocked() was called */
-    bool cleared;       /* has completed; there are no records */
-    int64_t changed_us; /* the table is sorted by it */
-    int64_t sent_us;    /* 0: not since the last change */
+    bool improbable;        /* its crashes are not a coincidence */
+    bool marked;            /* crashes_mark_blocked() was called */
+    bool cleared;           /* has completed; there are no records */
+    int64_t changed_us;     /* the table is sorted by it */
+    int64_t own_changed_us; /* by a crash or completion on this host */
+    int64_t sent_us;
     UT_hash_handle hh;
 } crash_entry_t;
 
 typedef struct {
+    uint32_t host;          /* the observer of this host's records */
+    uint32_t hosts;         /* number of hosts in the system */
     crash_entry_t *entries; /* least recently changed first */
     int64_t expiry_due_us;
 } crash_table_t;
--- a/forward/crashes.c
+++ b/forward/crashes.c
@@ -31,7 +31,6 @@
 #define HOLD_US ((int64_t)5000000)
 
 struct crashes {
-    uint32_t host; /* hash of this host's name */
     uint32_t serial;
     crash_table_t table;
     crash_losses_t losses;
@@ -53,7 +52,7 @@
     crashes_t *crashes = xcalloc(1, sizeof(*crashes));
     uint64_t slot;
 
-    crashes->host = hash_name(host);
+    crashes->table.host = hash_name(host);
     crashes->serial = (uint32_t)(now_us / US_PER_MS);
     crashes->losses.started_us = now_us;
     /* No fingerprint in an unused slot may match it. */
@@ -83,22 +82,22 @@
 count_other_hosts(const crashes_t *crashes, const crash_entry_t *entry,
                   int64_t since_us)
 {
-    uint32_t first = crashes->host;
+    uint32_t first = crashes->table.host;
     size_t i;
 
     for (i = 0; i < entry->count; i++) {
         uint32_t observer = entry->records[i].shared.observer;
 
-        if (entry->records[i].at_us <= since_us || observer == crashes->host ||
-            observer == first) {
+        if (entry->records[i].at_us <= since_us ||
+            observer == crashes->table.host || observer == first) {
             continue;
         }
-        if (first != crashes->host) {
+        if (first != crashes->table.host) {
             return 2;
         }
         first = observer;
     }
-    return first != crashes->host ? 1 : 0;
+    return first != crashes->table.host ? 1 : 0;
 }
 
 /* Whether a run has lasted longer than all those that ended in a crash. */
@@ -138,7 +137,7 @@
         return;
     }
     entry->improbable =
-        crash_is_unlikely(&crashes->losses, entry, crashes->host,
+        crash_is_unlikely(&crashes->losses, entry, crashes->table.host,
                           hosts == 1 ? CRASHES_MIN - 1 : CRASHES_MIN,
                           now_us - RETENTION_US, now_us);
 }
@@ -149,10 +148,10 @@
 {
     switch (count_other_hosts(crashes, entry, since_us)) {
     case 0:
-        return crash_entry_count(entry, crashes->host, since_us) >=
+        return crash_entry_count(entry, crashes->table.host, since_us) >=
                OWN_CRASHES_MAX;
     case 1:
-        return crash_entry_count(entry, crashes->host, since_us) >=
+        return crash_entry_count(entry, crashes->table.host, since_us) >=
                OWN_CRASHES_MAX_IF_SHARED;
     default:
         return count >= CRASHES_MAX;
@@ -177,7 +176,7 @@
     crash_entry_record_t record = {
         .shared = {.runner = (uint32_t)crash->runner,
                    .zone = crash->zone,
-                   .observer = crashes->host,
+                   .observer = crashes->table.host,
                    .run_time_ms = crash->run_time_ms},
         .at_us = now_us};
     crash_entry_t *entry;
@@ -208,6 +207,10 @@
         }
         return;
     }
+    if (has_completed(crashes, report->fingerprint) &&
+        report->crashes.crashes_len < CRASHES_MIN - 1) {
+        return; /* restricts nothing */
+    }
     entry = crash_table_find_or_add(&crashes->table, report->fingerprint);
     if (has_completed(crashes, report->fingerprint)) {
         crash_table_mark_cleared(&crashes->table, entry, now_us);
@@ -312,9 +315,10 @@
 }
 
 uint32_t
-crashes_write(crashes_t *crashes, int64_t now_us, arena_t *arena,
-              crash_report_t *reports)
+crashes_write(crashes_t *crashes, int64_t now_us, uint32_t hosts,
+              arena_t *arena, crash_report_t *reports)
 {
+    crashes->table.hosts = hosts;
     return crash_table_write(&crashes->table, now_us, arena, reports);
 }
 
--- a/forward/crashes.h
+++ b/forward/crashes.h
@@ -3,8 +3,9 @@
  *
  * A request is identified by the fingerprint of its content.  Each host
  * records the runners that crashed while they ran it and sends these records
- * to all other hosts, as long as they restrict the request, so that a host
- * that missed a report or has restarted learns them from any other.  Records
+ * to all other hosts.  As long as they may restrict the request, all hosts
+ * relay them, so that a host that missed a report or has restarted learns them
+ * from any other.  Records
  * are merged: they can arrive in any order and more than once.
  *
  * Runners also crash by themselves, and a host that loses its network
@@ -78,11 +79,12 @@
                        uint64_t fingerprint);
 
 /*
- * Writes up to LINK_CRASH_REPORTS_MAX reports for the other hosts.  Returns
- * their number.  The records are allocated in arena.
+ * Writes the reports that are due, up to LINK_CRASH_REPORTS_MAX, for the other
+ * hosts.  hosts is the number of hosts in the system.  Returns the number of
+ * reports.  The records are allocated in arena.
  */
-uint32_t crashes_write(crashes_t *crashes, int64_t now_us, arena_t *arena,
-                       crash_report_t *reports);
+uint32_t crashes_write(crashes_t *crashes, int64_t now_us, uint32_t hosts,
+                       arena_t *arena, crash_report_t *reports);
 
 /* Deletes records that are too old to count. */
 void crashes_expire(crashes_t *crashes, int64_t now_us);
--- a/forward/suspicion.c
+++ b/forward/suspicion.c
@@ -109,7 +109,7 @@
         arena_array(arena, LINK_CRASH_REPORTS_MAX,
                     sizeof(*placements->crash_reports.crash_reports_val));
     placements->crash_reports.crash_reports_len =
-        crashes_write(forward->crashes, forward->now_us, arena,
+        crashes_write(forward->crashes, forward->now_us, forward->hosts, arena,
                       placements->crash_reports.crash_reports_val);
 }
 
--- a/regress/test_crashes.c
+++ b/regress/test_crashes.c
@@ -11,6 +11,7 @@
 
 enum {
     US_PER_MS = 1000,
+    START_MS = 1000, /* uptime of the hosts */
     STEPS_MAX = 14,
     CONTENT = 7,
     OTHER_CONTENT = 1000, /* and above */
@@ -247,7 +248,7 @@
 add_crash(crashes_t *crashes, const step_t *step, uint64_t content,
           uint32_t fleet_runners)
 {
-    crashes_add(crashes, step->at_ms * US_PER_MS,
+    crashes_add(crashes, (START_MS + step->at_ms) * US_PER_MS,
                 &(crash_t){.fingerprint = content,
                            .runner = (uint64_t)step->runner[0],
                            .zone = (uint32_t)step->runner[1],
@@ -261,8 +262,9 @@
 {
     crash_report_t reports[LINK_CRASH_REPORTS_MAX];
     arena_t arena = {0};
-    int64_t now_us = step->at_ms * US_PER_MS;
-    uint32_t count = crashes_write(hosts[step->host], now_us, &arena, reports);
+    int64_t now_us = (START_MS + step->at_ms) * US_PER_MS;
+    uint32_t count =
+        crashes_write(hosts[step->host], now_us, HOSTS, &arena, reports);
     uint32_t i;
     size_t host;
 
@@ -279,7 +281,7 @@
            uint32_t fleet_runners)
 {
     crashes_t **crashes = &hosts[step->host];
-    int64_t now_us = step->at_ms * US_PER_MS;
+    int64_t now_us = (START_MS + step->at_ms) * US_PER_MS;
 
     switch (step->kind) {
     case CRASH:
@@ -312,7 +314,7 @@
     size_t i;
 
     for (i = 0; i < HOSTS; i++) {
-        hosts[i] = crashes_new(0, host_names[i]);
+        hosts[i] = crashes_new(START_MS * US_PER_MS, host_names[i]);
     }
     for (i = 0; i < STEPS_MAX && test->steps[i].kind != END; i++) {
         apply_step(hosts, &test->steps[i], i,
@@ -320,9 +322,10 @@
                                            : FLEET_RUNNERS);
     }
     for (i = 0; i < HOSTS; i++) {
-        crashes_expire(hosts[i], test->check_ms * US_PER_MS);
+        crashes_expire(hosts[i], (START_MS + test->check_ms) * US_PER_MS);
         decisions[i] = "adsb"[crashes_decide(
-            hosts[i], test->check_ms * US_PER_MS, CONTENT, test->run_time_ms)];
+            hosts[i], (START_MS + test->check_ms) * US_PER_MS, CONTENT,
+            test->run_time_ms)];
         crashes_free(hosts[i]);
     }
     ck_assert_msg(strcmp(decisions, test->decisions) == 0, "%s: %s",
@@ -333,7 +336,7 @@
 /* A blocked request stays known while many others lose one runner each. */
 START_TEST(test_block_outlasts_many_single_crashes)
 {
-    crashes_t *crashes = crashes_new(0, "h0");
+    crashes_t *crashes = crashes_new(START_MS * US_PER_MS, "h0");
     step_t step = {.kind = CRASH, .runner = "aN"};
     crash_report_t reports[LINK_CRASH_REPORTS_MAX];
     arena_t arena = {0};
@@ -351,10 +354,12 @@
         step.runner = "dN";
         add_crash(crashes, &step, OTHER_CONTENT + i, FLEET_RUNNERS);
     }
-    ck_assert_int_eq(
-        crashes_decide(crashes, step.at_ms * US_PER_MS, CONTENT, 0),
-        CRASH_BLOCKED);
-    count = crashes_write(crashes, step.at_ms * US_PER_MS, &arena, reports);
+    ck_assert_int_eq(crashes_decide(crashes,
+                                    (START_MS + step.at_ms) * US_PER_MS,
+                                    CONTENT, 0),
+                     CRASH_BLOCKED);
+    count = crashes_write(crashes, (START_MS + step.at_ms) * US_PER_MS, HOSTS,
+                          &arena, reports);
     for (i = 0; i < count; i++) {
         reported = reported || reports[i].fingerprint == CONTENT;
     }
