--- a/regress/soak/caller.c
+++ b/regress/soak/caller.c
@@ -18,6 +18,7 @@
     CONNECT_MS = 1000,
     ATTEMPTS = 4,
     AGAIN_MS = 150,
+    HARMFUL_PERCENT = 5, /* of the streams */
     LEAVE_PERCENT = 6,
     KEEP_PERCENT = 50,
     SECOND_KEY_PERCENT = 20,
@@ -127,6 +128,12 @@
     state.count++;
     (void)snprintf(caller->path, sizeof(caller->path), "/%s/p%" PRIu64,
                    kind_names[caller->kind], state.count);
+    if (caller->kind == KIND_STREAM && !state.calm &&
+        soak_chance(100) < HARMFUL_PERCENT) {
+        caller->key = 1;
+        (void)snprintf(caller->path, sizeof(caller->path), "%s",
+                       SOAK_HARMFUL_PATH);
+    }
     (void)uv_timer_init(soak_loop(), &caller->timer);
     caller->timer.data = caller;
     caller->handles = 1;
--- a/regress/soak/ledger.c
+++ b/regress/soak/ledger.c
@@ -6,6 +6,12 @@
 #include "regress/soak/soak.h"
 
 static attempt_t *attempts;
+static struct {
+    uint32_t crashes;
+    uint32_t all_crashes;
+    uint32_t late_sends;
+    uint64_t detected_ms; /* when all calm hosts should refuse it; 0: never */
+} harmful;
 
 attempt_t *
 ledger_attempt(const char *name)
@@ -42,11 +48,50 @@
     ledger_attempt(name)->cut = true;
 }
 
+void
+ledger_harmful_crash(void)
+{
+    harmful.crashes++;
+    harmful.all_crashes++;
+    if (harmful.crashes == SOAK_HARMFUL_CRASHES) {
+        harmful.detected_ms = soak_now_ms() + SOAK_HARMFUL_MS;
+    }
+}
+
+void
+ledger_harmful_arrival(size_t host)
+{
+    if (harmful.detected_ms == 0 || soak_now_ms() <= harmful.detected_ms ||
+        !host_is_calm(host, soak_now_ms())) {
+        return;
+    }
+    harmful.late_sends++;
+    soak_note("late harmful request from host %zu", host);
+    if (harmful.late_sends > SOAK_HARMFUL_SENDS_MAX) {
+        soak_broken("harmful",
+                    "sent %" PRIu32 " times after %" PRIu32
+                    " crashes were known",
+                    harmful.late_sends, harmful.crashes);
+    }
+}
+
+void
+ledger_harmful_forgotten(void)
+{
+    if (getenv("HERD") == NULL) { /* KNOWN-RED.txt, case 8 */
+        harmful.crashes = 0;
+        harmful.late_sends = 0;
+        harmful.detected_ms = 0;
+    }
+}
+
 void
 ledger_check(void)
 {
     attempt_t *attempt;
 
+    printf("harmful request: %" PRIu32 " crashes, %" PRIu32 " late sends\n",
+           harmful.all_crashes, harmful.late_sends);
     for (attempt = attempts; attempt != NULL; attempt = attempt->hh.next) {
         if (attempt->once && attempt->runs > 1) {
             soak_broken("at most once", "%s ran %" PRIu32 " times",
--- a/regress/soak/runner.c
+++ b/regress/soak/runner.c
@@ -314,6 +314,10 @@
         reply(conn, 503, true, "");
         return;
     }
+    if (strcmp(request->path, SOAK_HARMFUL_PATH) == 0) {
+        server_header(request, "X-Host", value, sizeof(value));
+        ledger_harmful_arrival(strtoul(value, NULL, 10));
+    }
     attempt->runs++;
     attempt->running++;
     attempt->once = strncmp(request->path, "/unsafe/", 8) == 0;
@@ -433,6 +437,12 @@
         run_end(run);
         return;
     }
+    if (strcmp(run->path, SOAK_HARMFUL_PATH) == 0) {
+        ledger_harmful_crash();
+        runner_crash((size_t)(run->runner - runners), soak_chance(4) == 0);
+        run_end(run);
+        return;
+    }
     if (run->attempt->left_ms > 0 &&
         soak_now_ms() > run->attempt->left_ms + SOAK_STOP_WORK_MS) {
         if (host_is_calm(run->attempt->host, run->attempt->left_ms)) {
--- a/regress/soak/soak.c
+++ b/regress/soak/soak.c
@@ -269,6 +269,7 @@
         for (i = 0; i < hosts_count(); i++) {
             host_kill(i);
         }
+        ledger_harmful_forgotten();
         return;
     case FAULT_CRASH:
         runner_crash(runner, soak_chance(2) == 0);
--- a/regress/soak/soak.h
+++ b/regress/soak/soak.h
@@ -37,6 +37,9 @@
     SOAK_GRACE_MS = 8000 + 2000,
     SOAK_CALM_MS = 3000, /* a rule with a bound holds for calm hosts */
     SOAK_STOP_WORK_MS = 500 + 1000,
+    SOAK_HARMFUL_CRASHES = 3, /* then hosts have this time to detect it */
+    SOAK_HARMFUL_MS = SOAK_CALM_MS + 1000,
+    SOAK_HARMFUL_SENDS_MAX = 3, /* after that */
 };
 
 /* --- soak.c --- */
@@ -51,6 +54,9 @@
 /* What was done, for whoever reads a failed run. */
 void soak_note(const char *format, ...) __attribute__((format(printf, 1, 2)));
 
+/* A request with this path crashes every engine that runs it. */
+#define SOAK_HARMFUL_PATH "/stream/p0"
+
 /* What is asked decides what is right; the same for every run of it. */
 uint64_t soak_hash(const char *text, uint64_t number);
 
@@ -127,6 +133,11 @@
 void ledger_left(const char *name, size_t host);
 /* A calm host ended its connection without an answer. */
 void ledger_cut(const char *name);
+/* A harmful request has reached a runner from this host, or crashed one. */
+void ledger_harmful_arrival(size_t host);
+void ledger_harmful_crash(void);
+/* All hosts were killed at once, and have forgotten the crashes. */
+void ledger_harmful_forgotten(void);
 /* At the end: what ran, against what was said. */
 void ledger_check(void);
 
