--- a/forward/admission.c
+++ b/forward/admission.c
@@ -68,16 +68,8 @@
         refuse_request(forward, request, REFUSE_DRAINING);
         return;
     }
-    switch (suspicion_decide(forward, request)) {
-    case CRASH_BLOCKED:
-        refuse_request(forward, request, REFUSE_HARMFUL);
+    if (!suspicion_allows(forward, request)) {
         return;
-    case CRASH_SUSPENDED:
-    case CRASH_DEFERRED:
-        schedule_retry(forward, request);
-        return;
-    case CRASH_ALLOWED:
-        break;
     }
     if (!send_request(forward, request)) {
         refuse_request(forward, request, REFUSE_NO_RUNNER);
--- a/forward/crash_table.c
+++ b/forward/crash_table.c
@@ -184,7 +184,7 @@
 {
     entry->count = 0;
     entry->improbable = false;
-    entry->marked = false;
+    entry->logged = false;
     entry->cleared = true;
     entry->own_changed_us = now_us;
     mark_changed(table, entry, now_us);
--- a/forward/crash_table.h
+++ b/forward/crash_table.h
@@ -30,7 +30,7 @@
     size_t count;
     uint32_t fleet_runners;
     bool improbable;        /* its crashes are not a coincidence */
-    bool marked;            /* crashes_mark_blocked() was called */
+    bool logged;            /* crashes_mark_logged() was called */
     bool cleared;           /* has completed; there are no records */
     int64_t changed_us;     /* the table is sorted by it */
     int64_t own_changed_us; /* by a crash or completion on this host */
--- a/forward/crashes.c
+++ b/forward/crashes.c
@@ -131,15 +131,13 @@
         return;
     }
     if (hosts >= 2) {
-        entry->improbable =
-            crash_is_unlikely(&crashes->losses, entry, 0, CRASHES_MIN,
-                              now_us - RETENTION_US, now_us);
+        entry->improbable = crash_is_unlikely(&crashes->losses, entry, 0,
+                                              CRASHES_MIN, since_us, now_us);
         return;
     }
-    entry->improbable =
-        crash_is_unlikely(&crashes->losses, entry, crashes->table.host,
-                          hosts == 1 ? CRASHES_MIN - 1 : CRASHES_MIN,
-                          now_us - RETENTION_US, now_us);
+    entry->improbable = crash_is_unlikely(
+        &crashes->losses, entry, crashes->table.host,
+        hosts == 1 ? CRASHES_MIN - 1 : CRASHES_MIN, since_us, now_us);
 }
 
 static bool
@@ -197,6 +195,7 @@
 {
     crash_entry_t *entry =
         crash_table_find(&crashes->table, report->fingerprint);
+    bool completed = has_completed(crashes, report->fingerprint);
     u_int i;
 
     if (report->cleared) {
@@ -207,12 +206,11 @@
         }
         return;
     }
-    if (has_completed(crashes, report->fingerprint) &&
-        report->crashes.crashes_len < CRASHES_MIN - 1) {
+    if (completed && report->crashes.crashes_len < CRASHES_MIN - 1) {
         return; /* restricts nothing */
     }
     entry = crash_table_find_or_add(&crashes->table, report->fingerprint);
-    if (has_completed(crashes, report->fingerprint)) {
+    if (completed) {
         crash_table_mark_cleared(&crashes->table, entry, now_us);
         return;
     }
@@ -270,14 +268,14 @@
 }
 
 bool
-crashes_mark_blocked(crashes_t *crashes, uint64_t fingerprint)
+crashes_mark_logged(crashes_t *crashes, uint64_t fingerprint)
 {
     crash_entry_t *entry = crash_table_find(&crashes->table, fingerprint);
 
-    if (entry == NULL || entry->marked) {
+    if (entry == NULL || entry->logged) {
         return false;
     }
-    entry->marked = true;
+    entry->logged = true;
     return true;
 }
 
--- a/forward/crashes.h
+++ b/forward/crashes.h
@@ -68,7 +68,7 @@
                                 uint64_t fingerprint, uint32_t run_time_ms);
 
 /* Returns true the first time that it is called for a request. */
-bool crashes_mark_blocked(crashes_t *crashes, uint64_t fingerprint);
+bool crashes_mark_logged(crashes_t *crashes, uint64_t fingerprint);
 
 /* Returns how long the request stays blocked; 0 if it is not. */
 int64_t crashes_blocked_us(const crashes_t *crashes, int64_t now_us,
--- a/forward/private.h
+++ b/forward/private.h
@@ -268,6 +268,9 @@
 /* Returns whether the request may be sent to a runner now, later or never. */
 crash_decision_t suspicion_decide(forward_t *forward,
                                   const request_t *request);
+/* Returns whether a request without a response may be sent now.  If not, it is
+ * refused or waits for retry_waiting_request(). */
+bool suspicion_allows(forward_t *forward, request_t *request);
 /* Returns after which time a refused request may be sent again. */
 uint32_t suspicion_retry_after_ms(const forward_t *forward,
                                   const request_t *request);
--- a/forward/recover.c
+++ b/forward/recover.c
@@ -330,16 +330,8 @@
         refuse_request(forward, request, REFUSE_RETRY_BUDGET);
         return;
     }
-    switch (suspicion_decide(forward, request)) {
-    case CRASH_BLOCKED:
-        refuse_request(forward, request, REFUSE_HARMFUL);
-        return;
-    case CRASH_SUSPENDED:
-    case CRASH_DEFERRED:
-        schedule_retry(forward, request);
+    if (!suspicion_allows(forward, request)) {
         return;
-    case CRASH_ALLOWED:
-        break;
     }
     if (!send_request(forward, request)) {
         refuse_request(forward, request, reason);
--- a/forward/suspicion.c
+++ b/forward/suspicion.c
@@ -70,12 +70,29 @@
                        longest_run_time_ms(forward, request));
 
     if (decision == CRASH_BLOCKED &&
-        crashes_mark_blocked(forward->crashes, request->fingerprint)) {
+        crashes_mark_logged(forward->crashes, request->fingerprint)) {
         log_blocked(forward, request->fingerprint);
     }
     return decision;
 }
 
+bool
+suspicion_allows(forward_t *forward, request_t *request)
+{
+    switch (suspicion_decide(forward, request)) {
+    case CRASH_BLOCKED:
+        refuse_request(forward, request, REFUSE_HARMFUL);
+        return false;
+    case CRASH_SUSPENDED:
+    case CRASH_DEFERRED:
+        schedule_retry(forward, request);
+        return false;
+    case CRASH_ALLOWED:
+        break;
+    }
+    return true;
+}
+
 uint32_t
 suspicion_retry_after_ms(const forward_t *forward, const request_t *request)
 {
