--- a/regress/gateway_host.c
+++ b/regress/gateway_host.c
@@ -38,7 +38,8 @@
     "{\"Name\":\"plain\"}],"
     "\"Tenants\":[{\"Name\":\"o1\",\"ApiKeys\":[\"k1\"]}]}";
 
-static void free_address(char *text, size_t size);
+static void find_free_addresses(gateway_host_t *host);
+static int find_free_address(char *text, size_t size);
 static void on_put(void *context, kv_result_t result, int64_t revision,
                    const kv_swap_result_t *answers, size_t count);
 static void on_connected(uv_connect_t *connect, int status);
@@ -53,10 +54,7 @@
 
     memset(host, 0, sizeof(*host));
     fixture_open(&host->fixture);
-    free_address(host->listen_address, sizeof(host->listen_address));
-    free_address(host->readiness_address, sizeof(host->readiness_address));
-    free_address(host->lookup_address, sizeof(host->lookup_address));
-    free_address(host->metrics_address, sizeof(host->metrics_address));
+    find_free_addresses(host);
     host->settings = (gateway_settings_t){
         .host = "h1",
         .zone = "a",
@@ -208,7 +206,27 @@
 
 /* A port that was free a moment ago. */
 static void
-free_address(char *text, size_t size)
+find_free_addresses(gateway_host_t *host)
+{
+    /* Closed together, so that no port is found twice. */
+    int fds[] = {
+        find_free_address(host->listen_address, sizeof(host->listen_address)),
+        find_free_address(host->readiness_address,
+                          sizeof(host->readiness_address)),
+        find_free_address(host->lookup_address, sizeof(host->lookup_address)),
+        find_free_address(host->metrics_address,
+                          sizeof(host->metrics_address)),
+    };
+    size_t i;
+
+    for (i = 0; i < sizeof(fds) / sizeof(fds[0]); i++) {
+        (void)close(fds[i]);
+    }
+}
+
+/* Returns a socket that is bound to the address. */
+static int
+find_free_address(char *text, size_t size)
 {
     struct sockaddr_in address = {.sin_family = AF_INET};
     socklen_t length = sizeof(address);
@@ -219,7 +237,7 @@
                      0);
     ck_assert_int_eq(getsockname(fd, (struct sockaddr *)&address, &length), 0);
     (void)snprintf(text, size, "127.0.0.1:%d", ntohs(address.sin_port));
-    (void)close(fd);
+    return fd;
 }
 
 static void
