Draw fleets for the simulation of harmful requests; the bound is broken

The rows of suspicion_loads.c have 12 engines or more, callers that go to any host, contents that are harmful from the start, and ids that last.

--- a/regress/bench_suspicion.c
+++ b/regress/bench_suspicion.c
@@ -6,6 +6,10 @@
  * harmless requests refused as harmful.
  *
  *     bench_suspicion [SEEDS [LOAD]]
+ *     bench_suspicion drawn FIRST LAST
+ *
+ * The second form runs the scenarios that suspicion_draw() gives for the seeds
+ * FIRST to LAST and prints those that break a bound.
  */
 #include <inttypes.h>
 #include <stdio.h>
@@ -14,7 +18,12 @@
 
 #include "regress/suspicion_sim.h"
 
-enum { SEEDS_DEFAULT = 10, DECIMAL = 10, LATE_SENDS_MAX = 3 };
+enum {
+    SEEDS_DEFAULT = 10,
+    DECIMAL = 10,
+    LATE_SENDS_MAX = 3,
+    DESCRIPTION_BYTES = 512
+};
 
 static void
 run_load(const suspicion_scenario_t *load, uint64_t seeds)
@@ -53,6 +62,51 @@
     (void)fflush(stdout);
 }
 
+static void
+run_drawn(uint64_t first, uint64_t last)
+{
+    uint64_t seed;
+    uint32_t harmful_loads = 0;
+    uint32_t broken = 0;
+    uint32_t late_max = 0;
+    uint32_t refusing = 0;
+    uint64_t crashes = 0;
+    uint64_t late = 0;
+    uint64_t refused = 0;
+    uint64_t requests = 0;
+    char text[DESCRIPTION_BYTES];
+
+    for (seed = first; seed <= last; seed++) {
+        suspicion_scenario_t scenario = suspicion_draw(seed);
+        suspicion_result_t result = suspicion_simulate(&scenario);
+
+        harmful_loads += scenario.harmful_interval_ms > 0 ? 1 : 0;
+        broken += result.late_sends > LATE_SENDS_MAX ? 1 : 0;
+        late_max = result.late_sends > late_max ? result.late_sends : late_max;
+        late += result.late_sends;
+        crashes += result.harmful_crashes;
+        refusing += result.refused_harmless > 0 ? 1 : 0;
+        refused += result.refused_harmless;
+        requests += result.completed + result.failed;
+        if (result.late_sends > LATE_SENDS_MAX ||
+            result.refused_harmless > 0) {
+            suspicion_describe(&scenario, text, sizeof(text));
+            printf("late %3" PRIu32 " crashes %3" PRIu32 " refused %3" PRIu32
+                   " of %5" PRIu32 "  %s\n",
+                   result.late_sends, result.harmful_crashes,
+                   result.refused_harmless, result.completed + result.failed,
+                   text);
+        }
+    }
+    printf("seeds %" PRIu64 " to %" PRIu64 ": %" PRIu32 " with a harmful "
+           "request, %" PRIu32 " over the bound, late sends %" PRIu64
+           " (most %" PRIu32 "), crashes %" PRIu64
+           "; harmless refused %" PRIu64 " of %" PRIu64 " in %" PRIu32
+           " loads\n",
+           first, last, harmful_loads, broken, late, late_max, crashes,
+           refused, requests, refusing);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -60,6 +114,11 @@
         argc > 1 ? strtoull(argv[1], NULL, DECIMAL) : SEEDS_DEFAULT;
     size_t i;
 
+    if (argc > 3 && strcmp(argv[1], "drawn") == 0) {
+        run_drawn(strtoull(argv[2], NULL, DECIMAL),
+                  strtoull(argv[3], NULL, DECIMAL));
+        return 0;
+    }
     for (i = 0; i < suspicion_load_count; i++) {
         if (argc < 3 || strcmp(argv[2], suspicion_loads[i].name) == 0) {
             run_load(&suspicion_loads[i], seeds > 0 ? seeds : 1);
--- a/regress/suspicion_engine.c
+++ b/regress/suspicion_engine.c
@@ -1,5 +1,7 @@
 /* suspicion_engine.c - the engines of suspicion_sim.h. */
+#include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 
 #include "regress/suspicion_private.h"
 
@@ -7,6 +9,7 @@
     PREFILL_MS = 400,          /* until the first event of a stream */
     STREAM_DURATION_MS = 4000, /* until the end of a stream */
     HEARTBEAT_MS = 1200, /* between two writes of an engine to the registry */
+    EXPIRY_HEARTBEATS = 3, /* of a registry entry */
     PARTITION_RESET_MS = 10,
     RUNS_SIZE_INITIAL = 256,
     TICK_RUNS_MAX = 1000, /* the rest waits for the next tick */
@@ -27,6 +30,19 @@
     sim_deliver_event(run->host, &event);
 }
 
+void
+sim_name_engine(size_t engine)
+{
+    char *name = sim.engines[engine].name;
+
+    if (sim.engines[engine].restarts > 0) {
+        (void)snprintf(name, SIM_NAME_BYTES, "e%zu-%u", engine,
+                       sim.engines[engine].restarts);
+        return;
+    }
+    (void)snprintf(name, SIM_NAME_BYTES, "e%zu", engine);
+}
+
 void
 sim_crash_engine(size_t engine)
 {
@@ -40,6 +56,14 @@
     sim.engines[engine].reregister_at_ms =
         sim.now_ms + sim.scenario.restart_ms +
         (int64_t)sim_random_below(HEARTBEAT_MS);
+    if (sim.scenario.restart_new_id) {
+        memcpy(sim.engines[engine].previous_name, sim.engines[engine].name,
+               SIM_NAME_BYTES);
+        sim.engines[engine].deregister_at_ms =
+            sim.now_ms + (int64_t)EXPIRY_HEARTBEATS * HEARTBEAT_MS;
+        sim.engines[engine].restarts++;
+        sim_name_engine(engine);
+    }
     for (i = 0; i < count; i++) {
         if (sim.runs[i].active && sim.runs[i].engine == engine) {
             end_run(i, SEND_BROKEN);
@@ -121,7 +145,7 @@
 
     event.u.runner =
         (registration_t){.id = sim.engines[engine].name,
-                         .service = "r",
+                         .service = sim.scenario.plain ? "s" : "r",
                          .address = sim.engines[engine].address,
                          .zone = zone_names[engine % sim.scenario.zones],
                          .slots = 32,
@@ -129,7 +153,21 @@
     sim_deliver_event(host, &event);
 }
 
-/* Restarted engines register with their previous ids. */
+static void
+deregister_engine(size_t engine)
+{
+    size_t host;
+
+    sim.engines[engine].deregister_at_ms = 0;
+    for (host = 0; host < sim.scenario.hosts; host++) {
+        forward_event_t event = {.kind = FORWARD_RUNNER_DEREGISTERED,
+                                 .u.deregistered_id =
+                                     sim.engines[engine].previous_name};
+
+        sim_deliver_event(host, &event);
+    }
+}
+
 static void
 register_restarted_engines(void)
 {
@@ -139,6 +177,10 @@
     for (i = 0; i < sim.scenario.engines; i++) {
         sim_engine_t *engine = &sim.engines[i];
 
+        if (engine->deregister_at_ms > 0 &&
+            sim.now_ms >= engine->deregister_at_ms && !sim_is_store_away()) {
+            deregister_engine(i);
+        }
         if (engine->reregister_at_ms > 0 &&
             sim.now_ms >= engine->reregister_at_ms && !sim_is_store_away()) {
             engine->reregister_at_ms = 0;
@@ -179,6 +221,9 @@
         sim_deliver_event(run->host, &event);
         run = &sim.runs[index];
     }
+    if (sim.scenario.plain) {
+        return;
+    }
     event.kind = FORWARD_STREAM_PROGRESS;
     event.u.progress =
         (forward_progress_t){.number = run->number,
@@ -187,6 +232,14 @@
     sim_deliver_event(run->host, &event);
 }
 
+/* Whether the run began after its content turned harmful. */
+static bool
+is_harmful_run(const sim_run_t *run)
+{
+    return sim_find_sent(run->number)->harmful &&
+           run->start_ms - SIM_START_MS >= sim.scenario.harmless_until_ms;
+}
+
 /* The runs may move in memory whenever an event is delivered. */
 static void
 advance_run(size_t index)
@@ -204,11 +257,17 @@
         }
         return;
     }
-    if (ran_ms >= sim.scenario.harmful_run_ms &&
-        sim_find_sent(run->number)->harmful) {
+    if (ran_ms >= sim.scenario.harmful_run_ms && is_harmful_run(run)) {
         crash_by_harmful_run(run);
         return;
     }
+    if (sim.scenario.plain) {
+        if (ran_ms >= SIM_PLAIN_RUN_MS && !is_harmful_run(run)) {
+            send_progress(index, ran_ms);
+            end_run(index, SEND_COMPLETE);
+        }
+        return;
+    }
     if (ran_ms >= PREFILL_MS) {
         send_progress(index, ran_ms);
     }
--- a/regress/suspicion_private.h
+++ b/regress/suspicion_private.h
@@ -53,6 +53,9 @@
     int64_t started_ms;
     int64_t down_until_ms;
     int64_t reregister_at_ms; /* after a restart; 0: is registered */
+    uint32_t restarts;        /* in its id, if restarts change that */
+    char previous_name[SIM_NAME_BYTES];
+    int64_t deregister_at_ms; /* of its previous id; 0: none */
 } sim_engine_t;
 
 typedef struct {
@@ -80,6 +83,9 @@
     int64_t now_ms;
 } simulation_t;
 
+/* A harmless run of plain requests. */
+#define SIM_PLAIN_RUN_MS ((int64_t)30)
+
 extern simulation_t sim;
 
 uint64_t sim_random_below(uint64_t below);
@@ -93,6 +99,8 @@
 void sim_start_run(size_t host, const forward_action_t *action);
 void sim_cancel_run(size_t host, const forward_action_t *action);
 void sim_crash_engine(size_t engine);
+/* Sets its id, by the number of its restarts if these change it. */
+void sim_name_engine(size_t engine);
 void sim_register_engine(size_t host, size_t engine);
 /* Advances all engines and their runs by one tick. */
 void sim_advance_engines(void);
--- a/regress/suspicion_sim.c
+++ b/regress/suspicion_sim.c
@@ -178,6 +178,31 @@
     start_host(host);
 }
 
+static const char *
+choose_path(const sim_sent_t *sent)
+{
+    if (sim.scenario.plain) {
+        return "/safe/x";
+    }
+    return sent->harmful && sim.scenario.harmful_once ? "/once/x"
+                                                      : "/stream/x";
+}
+
+/* Callers of a harmful content change the host together, if they stay. */
+static size_t
+choose_host(const sim_sent_t *sent)
+{
+    int64_t sticky_ms = sim.scenario.sticky_ms;
+    int64_t turn = sticky_ms > 0 ? (sim.now_ms - SIM_START_MS) / sticky_ms : 0;
+
+    if (!sent->harmful || sticky_ms == 0 ||
+        (sim.scenario.sticky_first && turn > 0)) {
+        return sim_random_below(sim.scenario.hosts);
+    }
+    return (size_t)(sim.scenario.seed + sent->content + (uint64_t)turn) %
+           sim.scenario.hosts;
+}
+
 static void
 send_request(uint64_t number, size_t host)
 {
@@ -188,8 +213,7 @@
         .number = number,
         .id = "q",
         .host = "host.example",
-        .path = sent->harmful && sim.scenario.harmful_once ? "/once/x"
-                                                           : "/stream/x",
+        .path = choose_path(sent),
         .key = "k1",
         .prompt_tokens = 8000,
         .affinity = sent->number,
@@ -226,8 +250,8 @@
     sent = &sim.sent[sim.sent_count];
     *sent = (sim_sent_t){.number = number,
                          .content = choose_content(number, harmful),
-                         .host = sim_random_below(sim.scenario.hosts),
                          .harmful = harmful};
+    sent->host = choose_host(sent);
     sim.sent_count++;
     send_request(number, sent->host);
 }
@@ -364,7 +388,7 @@
     for (i = 0; i < sim.scenario.engines; i++) {
         sim_engine_t *engine = &sim.engines[i];
 
-        (void)snprintf(engine->name, SIM_NAME_BYTES, "e%zu", i);
+        sim_name_engine(i);
         (void)snprintf(engine->address, SIM_NAME_BYTES, "10.0.0.%zu:80", i);
         engine->started_ms = SIM_START_MS;
     }
--- a/regress/suspicion_sim.h
+++ b/regress/suspicion_sim.h
@@ -2,8 +2,9 @@
  * suspicion_sim.h - simulates hosts, engines and harmful requests.
  *
  * Streams arrive at all hosts.  Requests with a few particular contents crash
- * every engine that runs them, and are sent again to any host.  What is
- * counted is what callers and engines see.  The same scenario always gives the
+ * every engine that runs them, at once or from some time on, and are sent
+ * again to any host or to one for a time.  What is counted is what callers and
+ * engines see.  The same scenario always gives the
  * same result.
  */
 #ifndef REGRESS_SUSPICION_SIM_H
@@ -24,11 +25,16 @@
     int64_t request_interval_ms; /* between harmless requests (100) */
     int64_t report_interval_ms;  /* between reports of a host (500) */
     uint32_t reports_lost_percent;
-    int64_t harmful_interval_ms;    /* between harmful requests */
-    uint32_t harmful_contents;      /* that take turns (1) */
-    int64_t harmful_run_ms;         /* until a harmful request crashes (20) */
-    bool harmful_once;              /* harmful requests may run once only */
-    int64_t restart_ms;             /* downtime of a crashed engine (1200) */
+    int64_t harmful_interval_ms; /* between harmful requests */
+    uint32_t harmful_contents;   /* that take turns (1) */
+    int64_t harmful_run_ms;      /* until a harmful request crashes (20) */
+    bool harmful_once;           /* harmful requests may run once only */
+    int64_t harmless_until_ms;   /* until then harmful requests complete */
+    int64_t sticky_ms;  /* a harmful content is sent to one host for so long */
+    bool sticky_first;  /* only the first time, then to any host */
+    bool plain;         /* all requests are short and safe, and no streams */
+    int64_t restart_ms; /* downtime of a crashed engine (1200) */
+    bool restart_new_id;            /* the engine registers with another id */
     int64_t zone_crash_interval_ms; /* between crashes of a zone */
     int64_t single_crash_interval_ms; /* between crashes of one engine */
     bool host_partitioned;            /* connections of one host are reset */
@@ -57,4 +63,13 @@
 
 suspicion_result_t suspicion_simulate(const suspicion_scenario_t *scenario);
 
+/*
+ * Draws fleet, load and faults.  The same seed always gives the same scenario;
+ * every fourth one has no harmful request.
+ */
+suspicion_scenario_t suspicion_draw(uint64_t seed);
+/* Writes the members that are not 0 to text, which has size_bytes. */
+void suspicion_describe(const suspicion_scenario_t *scenario, char *text,
+                        size_t size_bytes);
+
 #endif
