A runner that drains stays so until it restarts

Cause: pool_update_runner() took whatever entry came last. An older entry of the same start, which says that the runner is ready, undid draining.

Change: draining lasts for one start of a runner. Start times are not ordered: they are times of another machine's clock, which may be set back.

test_forward, older_entry_does_not_undo_draining, failed before: request 1 was sent to the draining runner (send 1.1 sb1, want refuse).

--- a/forward/pool.c
+++ b/forward/pool.c
@@ -88,6 +88,7 @@
         bool restarted =
             runner->registration.started_ms != entry->started_ms ||
             strcmp(runner->registration.address, entry->address) != 0;
+        bool was_draining = runner->registration.draining;
         char *id = (char *)(uintptr_t)runner->registration.id;
 
         if (entry->draining && !runner->registration.draining) {
@@ -101,6 +102,8 @@
         copy_registration(runner, entry);
         free((char *)(uintptr_t)runner->registration.id);
         runner->registration.id = id;
+        /* A runner that drains does not become ready again. */
+        runner->registration.draining |= was_draining && !restarted;
         if (restarted) {
             pool->serial_count++;
             runner->serial = pool->serial_count;
--- a/regress/test_forward.c
+++ b/regress/test_forward.c
@@ -229,6 +229,17 @@
     {12, "request 2 unsafe", "refuse 2 no-runner 503 not-run after=500"},
 };
 
+static const forwarding_line_t older_entry_does_not_undo_draining[] = {
+    FORWARDING_OPENED,
+    {1, "runner sb1 born=1", ""},
+    {2, "runner sa1 draining", ""},
+    {3, "runner sb1 born=2 draining", ""},
+    {12, "runner sb1 born=2", ""},
+    {13, "request 1 unsafe", "refuse 1 no-runner 503 not-run after=500"},
+    {14, "runner sb1 born=3", ""},
+    {15, "request 2 unsafe", "send 2.1 sb1"},
+};
+
 /* Entries that expired in an outage of the store are used for two seconds. */
 static const forwarding_line_t entries_expired_in_outage_have_grace[] = {
     FORWARDING_OPENED,
@@ -327,6 +338,7 @@
     FORWARDING_SCRIPT(expired_deadline_ends_request),
     FORWARDING_SCRIPT(draining_host_refuses_streams),
     FORWARDING_SCRIPT(draining_runner_gets_no_requests),
+    FORWARDING_SCRIPT(older_entry_does_not_undo_draining),
     FORWARDING_SCRIPT(entries_expired_in_outage_have_grace),
     FORWARDING_SCRIPT(reused_address_replaces_old_entry),
     FORWARDING_SCRIPT(restarted_runner_is_used_again),
