--- a/forward/crash_table.c
+++ b/forward/crash_table.c
@@ -416,7 +416,7 @@
 crash_entry_time_of(const crash_entry_t *entry, uint32_t number,
                     int64_t since_us)
 {
-    int64_t times_us[LINK_CRASHES_MAX];
+    int64_t times_us[LINK_CRASHES_MAX] = {0};
     uint32_t count = 0;
     size_t i;
 
