--- a/forward/crashes.h
+++ b/forward/crashes.h
@@ -13,7 +13,8 @@
  * request.  Shortly after the third crash the limit of a host depends on how
  * many other hosts have seen the request crash runners.  After that, or above
  * the limit, the request is restricted: all hosts together may start
- * CRASH_TRIALS_MAX runs of it, one after the other, whoever has seen the crashes.
+ * CRASH_TRIALS_MAX runs of it, one after the other, whoever has seen the
+ * crashes.
  *
  * A run that completes shows that the crashes of earlier runs were no fault of
  * the request.  It shows nothing about runs that started later.
