--- a/forward/crash_table.c
+++ b/forward/crash_table.c
@@ -97,6 +97,13 @@
              entry);
 }
 
+/* Returns the start of the last run of the request on the runner. */
+static int64_t
+newest_start_us(const crash_entry_record_t *record)
+{
+    return record->at_us - (int64_t)record->shared.newest_run_ms * US_PER_MS;
+}
+
 /* Whether both records are of the same crash. */
 static bool
 is_same_crash(const crash_entry_record_t *one,
@@ -134,13 +141,6 @@
     return NULL;
 }
 
-/* Returns the start of the last run of the request on the runner. */
-static int64_t
-newest_start_us(const crash_entry_record_t *record)
-{
-    return record->at_us - (int64_t)record->shared.newest_run_ms * US_PER_MS;
-}
-
 /* Returns a record of a crash of which there is an earlier one, else the first
  * one that a completed run would explain. */
 static size_t
@@ -395,8 +395,7 @@
 crash_record_is_explained(const crash_entry_record_t *record,
                           int64_t completed_us)
 {
-    return record->at_us - (int64_t)record->shared.newest_run_ms * US_PER_MS <=
-           completed_us;
+    return newest_start_us(record) <= completed_us;
 }
 
 uint32_t
