--- a/regress/test_suspicion_fleet.c
+++ b/regress/test_suspicion_fleet.c
@@ -31,38 +31,16 @@
     return false;
 }
 
-/* Each seed is simulated once, for both tests. */
-static suspicion_result_t
-simulate(uint64_t seed, char text[DESCRIPTION_BYTES])
-{
-    static suspicion_result_t results[SEEDS + 1];
-    static bool known[SEEDS + 1];
-    suspicion_scenario_t scenario = suspicion_draw(seed);
-
-    suspicion_describe(&scenario, text, DESCRIPTION_BYTES);
-    if (!known[seed]) {
-        results[seed] = suspicion_simulate(&scenario);
-        known[seed] = true;
-    }
-    return results[seed];
-}
-
 START_TEST(test_harmful_request_is_not_sent_on_in_any_fleet)
 {
+    suspicion_scenario_t scenario = suspicion_draw((uint64_t)_i);
+    suspicion_result_t result = suspicion_simulate(&scenario);
     char text[DESCRIPTION_BYTES];
-    suspicion_result_t result = simulate((uint64_t)_i, text);
 
+    suspicion_describe(&scenario, text, sizeof(text));
     ck_assert_msg(result.late_sends <= LATE_SENDS_MAX,
                   "%u late sends, %u crashes, bound %d: %s", result.late_sends,
                   result.harmful_crashes, LATE_SENDS_MAX, text);
-}
-END_TEST
-
-START_TEST(test_harmless_request_is_not_refused_in_any_fleet)
-{
-    char text[DESCRIPTION_BYTES];
-    suspicion_result_t result = simulate((uint64_t)_i, text);
-
     ck_assert_msg(
         result.refused_harmless == 0 || is_known_refusal((uint64_t)_i),
         "%u harmless requests refused: %s", result.refused_harmless, text);
@@ -76,8 +54,5 @@
 
     tcase_add_loop_test(
         tcase, test_harmful_request_is_not_sent_on_in_any_fleet, 1, SEEDS + 1);
-    tcase_add_loop_test(tcase,
-                        test_harmless_request_is_not_refused_in_any_fleet, 1,
-                        SEEDS + 1);
     return fixture_main("suspicion_fleet", tcase);
 }
