Log the parts of the prompts of requests that are lost

Cause: the log names a request's content and one hash of its prompt, that of the last part. Whether crashes have an inner part in common cannot be seen in it.

Change: the platform's adapter decodes the parts in front of the last into hashes, at most 16; forward/ keeps them by service and adds parts= to the line "lost". Nothing else uses them.

Tests: test_platform, test_forward_log.

--- a/forward/admission.c
+++ b/forward/admission.c
@@ -2,6 +2,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include <xxhash.h>
+
 #include "base/random.h"
 #include "forward/private.h"
 
@@ -112,6 +114,7 @@
 request_new(forward_t *forward, const forward_request_t *incoming)
 {
     request_t *request = xcalloc(1, sizeof(*request));
+    uint32_t i;
 
     request->number = incoming->number;
     request->id = arena_strdup(&request->arena, incoming->id);
@@ -119,6 +122,14 @@
     request->affinity = incoming->affinity;
     request->last_event_id = incoming->last_event_id;
     request->fingerprint = incoming->fingerprint;
+    request->part_count = incoming->part_count < FORWARD_PARTS_MAX
+                              ? incoming->part_count
+                              : FORWARD_PARTS_MAX;
+    request->parts = arena_array(&request->arena, request->part_count + 1,
+                                 sizeof(*request->parts));
+    for (i = 0; i < request->part_count; i++) {
+        request->parts[i] = incoming->parts[i];
+    }
     request->arrived_us = forward->now_us;
     HASH_ADD(hh, forward->requests, number, sizeof(request->number), request);
     return request;
@@ -132,6 +143,7 @@
         route_choose_service(route, random_next_from(&forward->random_state));
     const service_t *service = routing_find_service(forward->routing, name);
     uint32_t limit_ms = route->timeout_ms;
+    uint32_t i;
 
     if (caller_deadline_ms > 0 &&
         (limit_ms == 0 || caller_deadline_ms < limit_ms)) {
@@ -141,6 +153,10 @@
         limit_ms == 0 ? INT64_MAX
                       : forward->now_us + (int64_t)limit_ms * US_PER_MS;
     request->service = arena_strdup(&request->arena, name);
+    for (i = 0; i < request->part_count; i++) {
+        request->parts[i] =
+            XXH3_64bits_withSeed(name, strlen(name), request->parts[i]);
+    }
     request->type = route->type;
     request->resumable = route->resumable;
     request->replicated = service != NULL && service->engine &&
--- a/forward/forward.c
+++ b/forward/forward.c
@@ -10,7 +10,7 @@
 
 enum {
     ACTIONS_SIZE_INITIAL = 8,
-    LOG_TEXT_BYTES = 512,
+    LOG_TEXT_BYTES = 1024,
     /* Percentage of settings.limits.revoke_ms after which a host without
      * contact with the store reports that it is not ready.  It still serves
      * callers until revoke_ms. */
--- a/forward/forward.h
+++ b/forward/forward.h
@@ -78,6 +78,9 @@
     FORWARD_TIMER,
 } forward_event_kind_t;
 
+/* Further parts of a prompt are not examined. */
+enum { FORWARD_PARTS_MAX = 16 };
+
 /* A complete request from a caller. */
 typedef struct {
     uint64_t number; /* identifies the request in later events and actions */
@@ -91,6 +94,10 @@
                               arbitrary otherwise */
     int64_t last_event_id; /* last event the caller received; -1: none */
     uint64_t fingerprint;  /* hash of caller and content, not of the id */
+    /* Hashes of the parts of the prompt that other requests may share, from
+     * its start on: at most FORWARD_PARTS_MAX. */
+    const uint64_t *parts;
+    uint32_t part_count;
 } forward_request_t;
 
 /* The head of a response from a runner. */
--- a/forward/private.h
+++ b/forward/private.h
@@ -64,6 +64,8 @@
     uint32_t prompt_tokens;
     uint64_t affinity;
     uint64_t fingerprint;
+    uint64_t *parts; /* as in forward_request_t, for this service */
+    uint32_t part_count;
     int64_t arrived_us;
     int64_t deadline_us; /* the earlier of the route's and the caller's */
     int64_t last_event_id;
@@ -274,6 +276,8 @@
 /* Returns after which time a refused request may be sent again. */
 uint32_t suspicion_retry_after_ms(const forward_t *forward,
                                   const request_t *request);
+/* Returns the parts of the prompt for the log, valid in this step. */
+const char *suspicion_part_names(forward_t *forward, const request_t *request);
 /* Process the crash reports in another host's report, and write those for a
  * report of this host. */
 void suspicion_receive(forward_t *forward, const placements_t *placements);
--- a/forward/recover.c
+++ b/forward/recover.c
@@ -84,12 +84,13 @@
     emit_log(forward, LOG_INFO, "lost",
              "request=%s attempt=%" PRIu32
              " runner=%s cause=%s status=%" PRIu32 " events=%" PRIu32
-             " ran_ms=%" PRId64 " idle_ms=%" PRId64 " fingerprint=%016" PRIx64,
+             " ran_ms=%" PRId64 " idle_ms=%" PRId64 " fingerprint=%016" PRIx64
+             " parts=%s",
              request->id, attempt->number, attempt->runner->registration.id,
              send_result_name(result), attempt->status, attempt->events,
              (forward->now_us - attempt->started_us) / US_PER_MS,
              (forward->now_us - attempt->last_activity_us) / US_PER_MS,
-             request->fingerprint);
+             request->fingerprint, suspicion_part_names(forward, request));
     if (pool_record_loss(attempt->runner, forward->now_us)) {
         emit_log(forward, LOG_NOTICE, "zone-cooldown", "zone=%s",
                  attempt->runner->registration.zone);
--- a/forward/suspicion.c
+++ b/forward/suspicion.c
@@ -108,6 +108,19 @@
                           : RETRY_AFTER_DEFERRED_MS;
 }
 
+const char *
+suspicion_part_names(forward_t *forward, const request_t *request)
+{
+    const char *names = "";
+    uint32_t i;
+
+    for (i = 0; i < request->part_count; i++) {
+        names = arena_printf(&forward->actions->arena, "%s%s%016" PRIx64,
+                             names, i > 0 ? "," : "", request->parts[i]);
+    }
+    return request->part_count > 0 ? names : "none";
+}
+
 void
 suspicion_receive(forward_t *forward, const placements_t *placements)
 {
--- a/gateway/dialect.h
+++ b/gateway/dialect.h
@@ -52,6 +52,8 @@
     uint32_t prompt_tokens;
     uint64_t affinity;
     bool has_affinity;
+    const uint64_t *parts; /* see forward_request_t */
+    uint32_t part_count;
     int64_t last_event_id; /* -1: none */
 } caller_options_t;
 
--- a/gateway/inbound.c
+++ b/gateway/inbound.c
@@ -288,6 +288,8 @@
                         : XXH3_64bits(terms.id, strlen(terms.id)),
         .last_event_id = terms.last_event_id,
         .fingerprint = fingerprint(request, terms.key),
+        .parts = terms.parts,
+        .part_count = terms.part_count,
     };
     forwarding_handle_event(gateway, &event);
 }
--- a/regress/forwarding.c
+++ b/regress/forwarding.c
@@ -357,9 +357,18 @@
     const char *deadline = value_of(line, "deadline");
     const char *after = value_of(line, "after");
     const char *content = value_of(line, "content");
+    const char *part = value_of(line, "parts");
+    static uint64_t parts[FORWARD_PARTS_MAX];
+    uint32_t part_count = 0;
     bool stream = has(line, "stream") || has(line, "once");
     forward_event_t event = {.kind = FORWARD_REQUEST};
 
+    while (part != NULL && part_count < FORWARD_PARTS_MAX) {
+        parts[part_count] = strtoull(part, NULL, DECIMAL);
+        part_count++;
+        part = strchr(part, ',');
+        part = part != NULL ? part + 1 : NULL;
+    }
     (void)snprintf(id, sizeof(id), "q%s", line->words[1]);
     (void)snprintf(path, sizeof(path), "/%s/x", line->words[2]);
     event.u.request = (forward_request_t){
@@ -378,6 +387,8 @@
         .fingerprint = content != NULL
                            ? strtoull(content, NULL, DECIMAL)
                            : (uint64_t)number_of(line, 1) + OWN_CONTENTS,
+        .parts = parts,
+        .part_count = part_count,
     };
     return event;
 }
--- a/regress/forwarding.h
+++ b/regress/forwarding.h
@@ -9,6 +9,7 @@
  * Events:
  *   request N stream|safe|unsafe|missing [key=K] [deadline=MS] [after=ID]
  *        [content=C]          those with the same content ask the same
+ *        [parts=P,...]        the parts of its prompt that others may share
  *   gone N
  *   head N ATTEMPT STATUS [stranger] [not-run]
  *   event N ATTEMPT ID
--- a/regress/test_platform.c
+++ b/regress/test_platform.c
@@ -246,6 +246,53 @@
 }
 END_TEST
 
+typedef struct {
+    const char *name;
+    const char *header;
+    const char *same; /* has the same parts in front of the last */
+    uint32_t part_count;
+} parts_case_t;
+
+static const parts_case_t parts_cases[] = {
+    {"a single part is not shared", "Prefix-Hash: a:200", "X: 1", 0},
+    {"the last part is not shared", "Prefix-Hash: a:200,b:300",
+     "Prefix-Hash: a:200,c:300", 1},
+    {"the parts keep their order", "Prefix-Hash: a:1,b:2,c:3",
+     "Prefix-Hash: a:1,b:2,d:3", 2},
+    {"blanks and numbers of tokens make no difference",
+     "Prefix-Hash: a:1, b:2, c:3", "Prefix-Hash: a,b:9,\tc", 2},
+    {"parts beyond the limit are left out",
+     "Prefix-Hash: 1,2,3,4,5,6,7,8,9,a,b,c,d,e,f,10,11,12",
+     "Prefix-Hash: 1,2,3,4,5,6,7,8,9,a,b,c,d,e,f,10,13", FORWARD_PARTS_MAX},
+};
+
+START_TEST(test_prompt_parts)
+{
+    const parts_case_t *test = &parts_cases[_i];
+    const char *const lines[] = {test->header, NULL};
+    const char *const same_lines[] = {test->same, NULL};
+    arena_t arena = {0};
+    headers_t headers = make_headers(&arena, lines);
+    caller_options_t terms;
+    caller_options_t same;
+    uint32_t i;
+
+    platform_dialect()->ops->parse_caller_headers(&arena, &headers, &terms);
+    headers = make_headers(&arena, same_lines);
+    platform_dialect()->ops->parse_caller_headers(&arena, &headers, &same);
+    ck_assert_msg(terms.part_count == test->part_count &&
+                      same.part_count == test->part_count,
+                  "%s: %u and %u parts", test->name, terms.part_count,
+                  same.part_count);
+    for (i = 0; i < test->part_count; i++) {
+        ck_assert_msg(terms.parts[i] == same.parts[i], "%s", test->name);
+        ck_assert_msg(i == 0 || terms.parts[i] != terms.parts[i - 1], "%s",
+                      test->name);
+    }
+    arena_free(&arena);
+}
+END_TEST
+
 typedef struct {
     send_action_t send;
     const char *caller[3];
@@ -373,6 +420,7 @@
     tcase_add_test(tcase, test_full_routing);
     tcase_add_loop_test(tcase, test_caller, 0, COUNT(caller_cases));
     tcase_add_test(tcase, test_affinity);
+    tcase_add_loop_test(tcase, test_prompt_parts, 0, COUNT(parts_cases));
     tcase_add_loop_test(tcase, test_send, 0, COUNT(send_cases));
     tcase_add_test(tcase, test_copy_request);
     tcase_add_loop_test(tcase, test_report, 0, COUNT(report_cases));
