--- a/forward/admission.c
+++ b/forward/admission.c
@@ -70,6 +70,7 @@
         refuse_request(forward, request, REFUSE_DRAINING);
         return;
     }
+    suspicion_add_request(forward, request);
     if (!suspicion_allows(forward, request)) {
         return;
     }
--- a/forward/crash_table.c
+++ b/forward/crash_table.c
@@ -82,6 +82,7 @@
     entry = xcalloc(1, sizeof(*entry));
     entry->fingerprint = fingerprint;
     entry->completed_us = INT64_MIN;
+    entry->third_us = INT64_MAX;
     HASH_ADD(hh, table->entries, fingerprint, sizeof(entry->fingerprint),
              entry);
     return entry;
@@ -104,15 +105,6 @@
     return record->at_us - (int64_t)record->shared.newest_run_ms * US_PER_MS;
 }
 
-/* Whether both records are of the same crash. */
-static bool
-is_same_crash(const crash_entry_record_t *one,
-              const crash_entry_record_t *other)
-{
-    return one->shared.runner == other->shared.runner &&
-           llabs(one->at_us - other->at_us) <= CRASH_SAME_US;
-}
-
 /*
  * Returns the known record that has what is in this one: it is the same, or
  * the observer had several runs of the request on the runner.  Another host's
@@ -132,7 +124,7 @@
             known->shared.serial == record->shared.serial) {
             return known;
         }
-        if (is_same_crash(known, record) &&
+        if (crash_record_is_same(known, record) &&
             (known->shared.observer == record->shared.observer ||
              entry->count == LINK_CRASHES_MAX)) {
             return known;
@@ -194,6 +186,9 @@
     if (record->shared.observer == table->host) {
         entry->own_changed_us = now_us;
     }
+    if (entry->third_us == INT64_MAX) {
+        entry->third_us = crash_entry_time_of(entry, 3, INT64_MIN);
+    }
     mark_changed(table, entry, now_us);
     return true;
 }
@@ -218,6 +213,9 @@
     }
     deleted = entry->count - kept;
     entry->count = kept;
+    if (deleted > 0) {
+        entry->third_us = crash_entry_time_of(entry, 3, INT64_MIN);
+    }
     if (kept < RESTRICTING_RECORDS_MIN) {
         entry->improbable = false;
         entry->logged = false;
@@ -298,6 +296,8 @@
 
     *report = (crash_report_t){
         .fingerprint = entry->fingerprint,
+        .depth = entry->depth,
+        .requests = entry->requests,
         .fleet_runners = entry->fleet_runners,
         .completed_age_ms =
             entry->completed_us != INT64_MIN
@@ -384,13 +384,21 @@
         const crash_entry_record_t *other = &entry->records[i];
 
         if ((observer == 0 || other->shared.observer == observer) &&
-            is_same_crash(other, record)) {
+            crash_record_is_same(other, record)) {
             return false;
         }
     }
     return true;
 }
 
+bool
+crash_record_is_same(const crash_entry_record_t *one,
+                     const crash_entry_record_t *other)
+{
+    return one->shared.runner == other->shared.runner &&
+           llabs(one->at_us - other->at_us) <= CRASH_SAME_US;
+}
+
 bool
 crash_record_is_explained(const crash_entry_record_t *record,
                           int64_t completed_us)
--- a/forward/crash_table.h
+++ b/forward/crash_table.h
@@ -23,16 +23,22 @@
     int64_t at_us;
 } crash_entry_record_t;
 
-/* The records of a request's content. */
+/* The records of the content of requests, or of a part of their prompts. */
 typedef struct crash_entry {
     uint64_t fingerprint;
+    uint32_t depth;    /* of a part: how many are in front of it */
+    uint32_t requests; /* that came since the first crash, to the host to which
+                          most of them did */
     crash_entry_record_t records[LINK_CRASHES_MAX]; /* by time of arrival */
     size_t count;
+    int64_t third_us; /* time of the third crash; INT64_MAX: there are fewer.
+                         The records of the first ones may have been dropped */
     uint32_t fleet_runners;
     bool improbable;        /* its crashes are not a coincidence */
     bool logged;            /* crashes_mark_logged() was called */
-    int64_t completed_us;   /* start of the last run that completed, or
-                               INT64_MIN */
+    int64_t completed_us;   /* start of the last run that completed, for a
+                               part the first event of the last that went on;
+                               or INT64_MIN */
     crash_trial_t trial;    /* the last; without its age */
     int64_t trial_us;       /* when it was claimed or started */
     int64_t changed_us;     /* the table is sorted by it */
@@ -83,6 +89,10 @@
 void crash_table_report(crash_table_t *table, crash_entry_t *entry,
                         int64_t now_us);
 
+/* Whether both records are of the same crash. */
+bool crash_record_is_same(const crash_entry_record_t *one,
+                          const crash_entry_record_t *other);
+
 /*
  * Returns whether the record is newer than since_us, was made by the observer
  * (0: by any host) and is the first such record of a crash.
--- a/forward/crashes.c
+++ b/forward/crashes.c
@@ -4,34 +4,20 @@
 
 #include <xxhash.h>
 
+#include "forward/crash_cause.h"
 #include "forward/crash_evidence.h"
+#include "forward/crash_limit.h"
 #include "forward/crash_trial.h"
 #include "forward/crashes.h"
 
 enum {
     US_PER_MS = 1000,
     COMPLETED_SLOTS = 16384,
-    /* A request that has crashed fewer runners is not restricted. */
-    CRASHES_MIN = 3,
-    /* Limits that hold even if all crashes may be a coincidence: until
-     * RESTRICTED_US for those that a host has seen itself, if no or one other
-     * host has seen some, and for those of all hosts. */
-    OWN_CRASHES_MAX = 5,
-    OWN_CRASHES_MAX_IF_SHARED = 3,
-    CRASHES_MAX = 5,
-    /* A run that is longer by this than those that crashed shows that they did
-     * not crash because of the request. */
-    SURVIVAL_MS = 500,
+    CRASHES_MIN = CRASH_LIMIT_MIN,
     BURST_CRASHES = 2, /* within BURST_US, before a request is deferred */
 };
 
-/* How long a crash counts. */
-#define RETENTION_US ((int64_t)600000000)
 #define BURST_US ((int64_t)1000000)
-/* From so long after the third crash on a request is restricted by one limit
- * for all hosts.  The users' bound begins after 3 s, and reports take up to
- * half a second. */
-#define RESTRICTED_US ((int64_t)2000000)
 
 /* A run that completed. */
 typedef struct {
@@ -111,97 +97,6 @@
     return entry;
 }
 
-/* Returns the number of other hosts with records, up to two. */
-static uint32_t
-count_other_hosts(const crashes_t *crashes, const crash_entry_t *entry,
-                  int64_t since_us)
-{
-    uint32_t first = crashes->table.host;
-    size_t i;
-
-    for (i = 0; i < entry->count; i++) {
-        uint32_t observer = entry->records[i].shared.observer;
-
-        if (entry->records[i].at_us <= since_us ||
-            observer == crashes->table.host || observer == first) {
-            continue;
-        }
-        if (first != crashes->table.host) {
-            return 2;
-        }
-        first = observer;
-    }
-    return first != crashes->table.host ? 1 : 0;
-}
-
-/* Whether a run has lasted longer than all those that ended in a crash. */
-static bool
-has_survived(const crash_entry_t *entry, uint32_t run_time_ms)
-{
-    size_t i;
-
-    for (i = 0; i < entry->count; i++) {
-        if (run_time_ms <=
-            entry->records[i].shared.run_time_ms + SURVIVAL_MS) {
-            return false;
-        }
-    }
-    return true;
-}
-
-/*
- * Crashes that only one other host has seen may be due to its network.  They
- * are no evidence here.
- */
-static void
-evaluate(const crashes_t *crashes, crash_entry_t *entry, uint32_t run_time_ms,
-         int64_t now_us)
-{
-    int64_t since_us = now_us - RETENTION_US;
-    uint32_t hosts = count_other_hosts(crashes, entry, since_us);
-
-    if (entry->improbable || has_survived(entry, run_time_ms) ||
-        crash_entry_count(entry, 0, since_us) < CRASHES_MIN) {
-        return;
-    }
-    if (hosts >= 2) {
-        entry->improbable = crash_is_unlikely(&crashes->losses, entry, 0,
-                                              CRASHES_MIN, since_us, now_us);
-        return;
-    }
-    entry->improbable = crash_is_unlikely(
-        &crashes->losses, entry, crashes->table.host,
-        hosts == 1 ? CRASHES_MIN - 1 : CRASHES_MIN, since_us, now_us);
-}
-
-static bool
-is_limit_reached(const crashes_t *crashes, const crash_entry_t *entry,
-                 uint32_t count, int64_t since_us)
-{
-    switch (count_other_hosts(crashes, entry, since_us)) {
-    case 0:
-        return crash_entry_count(entry, crashes->table.host, since_us) >=
-               OWN_CRASHES_MAX;
-    case 1:
-        return crash_entry_count(entry, crashes->table.host, since_us) >=
-               OWN_CRASHES_MAX_IF_SHARED;
-    default:
-        return count >= CRASHES_MAX;
-    }
-}
-
-static bool
-is_blocked(const crashes_t *crashes, const crash_entry_t *entry,
-           int64_t now_us)
-{
-    int64_t since_us = now_us - RETENTION_US;
-    uint32_t count = crash_entry_count(entry, 0, since_us);
-
-    return count >= CRASHES_MIN &&
-           (entry->improbable ||
-            is_limit_reached(crashes, entry, count, since_us));
-}
-
 void
 crashes_add(crashes_t *crashes, int64_t now_us, const crash_t *crash)
 {
@@ -210,14 +105,17 @@
                    .zone = crash->zone,
                    .observer = crashes->table.host,
                    .run_time_ms = crash->run_time_ms,
-                   .newest_run_ms = crash->run_time_ms},
+                   .newest_run_ms = crash->newest_run_ms},
         .at_us = now_us};
     crash_entry_t *entry;
 
     crash_losses_add(&crashes->losses, &record);
     entry = find_or_add_entry(crashes, crash->fingerprint);
+    entry->depth = crash->depth;
     entry->fleet_runners = crash->fleet_runners;
-    crashes->serial++;
+    if (crash->depth == LINK_CONTENT_DEPTH) {
+        crashes->serial++;
+    }
     record.shared.serial = crashes->serial;
     (void)crash_table_add_record(&crashes->table, entry, &record, now_us);
 }
@@ -246,6 +144,10 @@
     entry = find_or_add_entry(crashes, report->fingerprint);
     if (entry->fleet_runners == 0) {
         entry->fleet_runners = report->fleet_runners;
+        entry->depth = report->depth;
+    }
+    if (entry->requests < report->requests) {
+        entry->requests = report->requests;
     }
     crash_trial_merge(entry, &report->trial, now_us);
     for (i = 0; i < report->crashes.crashes_len; i++) {
@@ -256,7 +158,7 @@
         if (crash_record_is_explained(&record, entry->completed_us)) {
             explained = true;
         }
-        else if (record.at_us > now_us - RETENTION_US &&
+        else if (record.at_us > now_us - CRASH_RETENTION_US &&
                  crash_table_add_record(&crashes->table, entry, &record,
                                         now_us)) {
             crash_losses_add(&crashes->losses, &record);
@@ -282,18 +184,80 @@
     return true;
 }
 
-/* Returns since when one limit for all hosts holds; INT64_MAX if none does. */
+void
+crashes_add_request(crashes_t *crashes, uint64_t fingerprint)
+{
+    crash_entry_t *entry = crash_table_find(&crashes->table, fingerprint);
+
+    if (entry != NULL) {
+        entry->requests++;
+    }
+}
+
+/* Returns how long ago crashes may be to count. */
 static int64_t
-restricted_since_us(const crash_entry_t *entry, int64_t now_us)
+counted_since_us(int64_t now_us)
 {
-    int64_t third_us =
-        crash_entry_time_of(entry, CRASHES_MIN, now_us - RETENTION_US);
+    return now_us - CRASH_RETENTION_US;
+}
 
-    return third_us != INT64_MAX ? third_us + RESTRICTED_US : INT64_MAX;
+static bool
+is_bystander(const crashes_t *crashes, const crash_entry_t *entry,
+             int64_t now_us)
+{
+    return crash_cause_is_other(&crashes->table, entry, CRASHES_MIN,
+                                counted_since_us(now_us));
+}
+
+static bool
+is_restricted(const crashes_t *crashes, crash_entry_t *entry,
+              const crash_runs_t *others, int64_t now_us)
+{
+    if (now_us >= crash_limit_since_us(entry, now_us)) {
+        return true;
+    }
+    if (crash_limit_went_on(entry, now_us)) {
+        return false;
+    }
+    crash_limit_evaluate(&crashes->table, &crashes->losses, entry,
+                         others->longest_ms, now_us);
+    return crash_limit_is_reached(&crashes->table, entry, now_us);
+}
+
+/* Whether trials are over, or this host alone has seen enough. */
+static bool
+is_exhausted(const crashes_t *crashes, const crash_entry_t *entry,
+             const crash_runs_t *others, int64_t now_us)
+{
+    if (now_us < crash_limit_since_us(entry, now_us) && entry->improbable &&
+        crash_limit_count_hosts(&crashes->table, entry, now_us) == 0) {
+        return true;
+    }
+    return others->count == 0 &&
+           crash_trial_is_over(&crashes->table, entry, now_us) &&
+           entry->trial.starts >= CRASH_TRIALS_MAX;
+}
+
+/* Decides about a subject that is not restricted. */
+static crash_decision_t
+decide_unrestricted(const crash_entry_t *entry, const crash_runs_t *others,
+                    int64_t now_us)
+{
+    if (crash_limit_went_on(entry, now_us)) {
+        return CRASH_ALLOWED;
+    }
+    /* One run shows as much as several. */
+    if (others->newest_start_us >
+        crash_entry_time_of(entry, CRASHES_MIN, counted_since_us(now_us))) {
+        return CRASH_SUSPENDED;
+    }
+    return crash_entry_count(entry, 0, now_us - BURST_US) >= BURST_CRASHES
+               ? CRASH_DEFERRED
+               : CRASH_ALLOWED;
 }
 
 /*
- * Decides about a restricted request.  A host claims the next trial, and
+ * Decides about a restricted subject.  A host claims the next trial, and
  * starts it if no other host's claim has precedence.
  */
 static crash_decision_t
@@ -308,41 +272,66 @@
                    ? CRASH_ALLOWED
                    : CRASH_SUSPENDED;
     }
-    if (entry->trial.starts >= CRASH_TRIALS_MAX) {
-        return CRASH_BLOCKED;
-    }
     crash_trial_claim(&crashes->table, entry, now_us);
     return CRASH_SUSPENDED;
 }
 
-crash_decision_t
-crashes_decide(crashes_t *crashes, int64_t now_us, uint64_t fingerprint,
-               const crash_runs_t *others)
+/* Whether a run with both subjects is a trial of the first. */
+static bool
+is_trial_preferred(const crash_entry_t *entry, const crash_entry_t *other,
+                   int64_t now_us)
 {
-    crash_entry_t *entry = crash_table_find(&crashes->table, fingerprint);
+    int64_t since_us = counted_since_us(now_us);
+    uint32_t crashes = crash_entry_count(entry, 0, since_us);
+    uint32_t other_crashes = crash_entry_count(other, 0, since_us);
 
-    if (entry == NULL) {
-        return CRASH_ALLOWED;
-    }
-    if (now_us >= restricted_since_us(entry, now_us)) {
-        return decide_restricted(crashes, entry, others, now_us);
+    if (crashes != other_crashes) {
+        return crashes > other_crashes;
     }
-    /* One run shows as much as several. */
-    if (others->newest_start_us >
-        crash_entry_time_of(entry, CRASHES_MIN, now_us - RETENTION_US)) {
-        return CRASH_SUSPENDED;
-    }
-    evaluate(crashes, entry, others->longest_ms, now_us);
-    if (is_blocked(crashes, entry, now_us)) {
-        if (entry->improbable &&
-            count_other_hosts(crashes, entry, now_us - RETENTION_US) == 0) {
+    return entry->requests < other->requests;
+}
+
+/* A run is a trial of one subject only: the most likely cause of crashes. */
+crash_decision_t
+crashes_decide(crashes_t *crashes, int64_t now_us,
+               const crash_subject_t *subjects, size_t count, uint64_t *due_to)
+{
+    crash_decision_t decision = CRASH_ALLOWED;
+    crash_entry_t *restricted = NULL;
+    const crash_runs_t *restricted_others = NULL;
+    size_t i;
+
+    *due_to = 0;
+    for (i = 0; i < count; i++) {
+        const crash_runs_t *others = &subjects[i].others;
+        crash_entry_t *entry =
+            crash_table_find(&crashes->table, subjects[i].fingerprint);
+
+        if (entry == NULL || is_bystander(crashes, entry, now_us)) {
+            continue;
+        }
+        if (!is_restricted(crashes, entry, others, now_us)) {
+            crash_decision_t other =
+                decide_unrestricted(entry, others, now_us);
+
+            decision = other > decision ? other : decision;
+            continue;
+        }
+        if (is_exhausted(crashes, entry, others, now_us)) {
+            *due_to = entry->fingerprint;
             return CRASH_BLOCKED;
         }
-        return decide_restricted(crashes, entry, others, now_us);
+        if (restricted == NULL ||
+            is_trial_preferred(entry, restricted, now_us)) {
+            restricted = entry;
+            restricted_others = others;
+        }
     }
-    return crash_entry_count(entry, 0, now_us - BURST_US) >= BURST_CRASHES
-               ? CRASH_DEFERRED
-               : CRASH_ALLOWED;
+    if (restricted == NULL) {
+        return decision;
+    }
+    *due_to = restricted->fingerprint;
+    return decide_restricted(crashes, restricted, restricted_others, now_us);
 }
 
 bool
@@ -395,13 +384,13 @@
 
     /* The block ends when too few records are left. */
     while (entry != NULL &&
-           (is_blocked(crashes, entry, until_us) ||
-            until_us >= restricted_since_us(entry, until_us))) {
+           (crash_limit_is_reached(&crashes->table, entry, until_us) ||
+            until_us >= crash_limit_since_us(entry, until_us))) {
         int64_t next_us = INT64_MAX;
         size_t i;
 
         for (i = 0; i < entry->count; i++) {
-            int64_t end_us = entry->records[i].at_us + RETENTION_US;
+            int64_t end_us = entry->records[i].at_us + CRASH_RETENTION_US;
 
             next_us = end_us > until_us && end_us < next_us ? end_us : next_us;
         }
@@ -410,14 +399,26 @@
     return until_us - now_us;
 }
 
+int64_t
+crashes_age_us(const crashes_t *crashes, int64_t now_us, uint64_t fingerprint)
+{
+    const crash_entry_t *entry =
+        crash_table_find(&crashes->table, fingerprint);
+
+    return entry != NULL && entry->count > 0
+               ? now_us - crash_entry_time_of(entry, 1, INT64_MIN)
+               : 0;
+}
+
 uint32_t
 crashes_count(const crashes_t *crashes, int64_t now_us, uint64_t fingerprint)
 {
     const crash_entry_t *entry =
         crash_table_find(&crashes->table, fingerprint);
 
-    return entry == NULL ? 0
-                         : crash_entry_count(entry, 0, now_us - RETENTION_US);
+    return entry == NULL
+               ? 0
+               : crash_entry_count(entry, 0, now_us - CRASH_RETENTION_US);
 }
 
 uint32_t
@@ -431,5 +432,5 @@
 void
 crashes_expire(crashes_t *crashes, int64_t now_us)
 {
-    crash_table_expire(&crashes->table, now_us, RETENTION_US);
+    crash_table_expire(&crashes->table, now_us, CRASH_RETENTION_US);
 }
--- a/forward/forward.c
+++ b/forward/forward.c
@@ -435,6 +435,7 @@
     if (progress->last_event_id > request->last_event_id) {
         request->last_event_id = progress->last_event_id;
     }
+    suspicion_run_progress(forward, request);
 }
 
 static void
--- a/forward/private.h
+++ b/forward/private.h
@@ -31,8 +31,9 @@
     int64_t started_us;
     int64_t last_activity_us; /* last data or response to a probe */
     int64_t last_probe_us;
-    uint32_t status; /* HTTP status; 0: no response head yet */
-    uint32_t events; /* of its stream, delivered to the caller */
+    uint32_t status;     /* HTTP status; 0: no response head yet */
+    int64_t response_us; /* of its head; 0: none yet */
+    uint32_t events;     /* of its stream, delivered to the caller */
     int64_t first_event_us;
     uint32_t missing_reports; /* consecutive runner reports without it */
     bool authentic;
@@ -43,6 +44,7 @@
     /* When to request or refresh a copy; 0: when the standby fails. */
     int64_t copy_due_us;
     bool copy_pending; /* a copy was requested, without result yet */
+    bool went_on;      /* it is no suspect because of its prompt */
     bool restored;     /* started from a copy of the KV cache */
     bool is_retry;     /* counted against the retry budget */
     bool relaying;     /* the response is relayed to the caller */
@@ -66,6 +68,8 @@
     uint64_t fingerprint;
     uint64_t *parts; /* as in forward_request_t, for this service */
     uint32_t part_count;
+    uint64_t
+        suspect; /* of the last suspicion_decide(): see crashes_decide() */
     int64_t arrived_us;
     int64_t deadline_us; /* the earlier of the route's and the caller's */
     int64_t last_event_id;
@@ -263,13 +267,15 @@
 
 /* Starts detection at the first step; the time before it was not observed. */
 void suspicion_start(forward_t *forward);
+/* Counts a request that is admitted. */
+void suspicion_add_request(forward_t *forward, const request_t *request);
 /* Records a failed runner and how long the request had been on it. */
 void suspicion_runner_lost(forward_t *forward, const request_t *request);
-/* Records that a runner completed the request. */
-void suspicion_run_completed(forward_t *forward, const request_t *request);
+/* Record that a runner completed the request, or that it sent an event. */
+void suspicion_run_completed(forward_t *forward, request_t *request);
+void suspicion_run_progress(forward_t *forward, request_t *request);
 /* Returns whether the request may be sent to a runner now, later or never. */
-crash_decision_t suspicion_decide(forward_t *forward,
-                                  const request_t *request);
+crash_decision_t suspicion_decide(forward_t *forward, request_t *request);
 /* Returns whether a request without a response may be sent now.  If not, it is
  * refused or waits for retry_waiting_request(). */
 bool suspicion_allows(forward_t *forward, request_t *request);
--- a/forward/recover.c
+++ b/forward/recover.c
@@ -45,6 +45,7 @@
     attempt->authentic = head->authentic;
     attempt->not_run = head->not_run;
     attempt->last_activity_us = forward->now_us;
+    attempt->response_us = forward->now_us;
     if (request->type == REQUEST_STREAM && head->status == STATUS_OK &&
         head->authentic) {
         attempt->relaying = true;
@@ -102,7 +103,7 @@
         request->runs--;
         uncount_delivery(forward, request);
         crashes_run_not_sent(forward->crashes, forward->now_us,
-                             request->fingerprint);
+                             request->suspect);
     }
     if (attempt->events > 0 && attempt->standby != NULL) {
         retain_copy(request);
--- a/forward/send.c
+++ b/forward/send.c
@@ -97,7 +97,7 @@
     request->runs++;
     count_delivery(forward, request);
     if (crashes_run_started(forward->crashes, forward->now_us,
-                            request->fingerprint)) {
+                            request->suspect)) {
         forward->publish_due = true;
     }
     pool_request_started(runner, request->type == REQUEST_STREAM);
--- a/forward/suspicion.c
+++ b/forward/suspicion.c
@@ -1,9 +1,10 @@
 /*
  * suspicion.c - detects requests that crash the runners that run them.
  *
- * A single request that is resent to any host, and crashes a runner with all
- * its streams each time, can take down a service.  forward/crashes.h decides;
- * this file supplies what the requests of this host show.
+ * A single request that is resent to any host, or requests that have a part of
+ * their prompt in common, can take down a service: each crashes a runner with
+ * all its streams.  forward/crashes.h decides; this file supplies what the
+ * requests of this host show.
  */
 #include <inttypes.h>
 #include <string.h>
@@ -16,13 +17,23 @@
 /* A request that completes after all is not to be turned away for long. */
 enum { RETRY_AFTER_DEFERRED_MS = 1000 };
 
+/* A run whose first event is older has not crashed because of its prompt. */
+#define SURVIVAL_US ((int64_t)500000)
+
+static void log_blocked(forward_t *forward, const request_t *request);
+static void clear_subject(forward_t *forward, uint64_t fingerprint,
+                          int64_t start_us);
+static void clear_parts(forward_t *forward, request_t *request,
+                        int64_t start_us);
 static uint32_t run_time_ms(const forward_t *forward,
                             const request_t *request);
+static bool is_writing(const request_t *request);
+static uint32_t writing_time_ms(const forward_t *forward,
+                                const request_t *request);
 static crash_runs_t other_runs(const forward_t *forward,
-                               const request_t *request);
+                               const request_t *request, uint64_t fingerprint);
 static uint32_t count_fleet_runners(const forward_t *forward,
                                     const pool_runner_t *lost);
-static void log_blocked(forward_t *forward, uint64_t fingerprint);
 
 void
 suspicion_start(forward_t *forward)
@@ -30,53 +41,98 @@
     forward->crashes = crashes_new(forward->now_us, forward->host);
 }
 
+void
+suspicion_add_request(forward_t *forward, const request_t *request)
+{
+    uint32_t i;
+
+    crashes_add_request(forward->crashes, request->fingerprint);
+    for (i = 0; i < request->part_count; i++) {
+        crashes_add_request(forward->crashes, request->parts[i]);
+    }
+}
+
 void
 suspicion_runner_lost(forward_t *forward, const request_t *request)
 {
     const pool_runner_t *runner = request->attempt.runner;
     const char *zone = runner->registration.zone;
+    crash_t crash = {.fingerprint = request->fingerprint,
+                     .depth = LINK_CONTENT_DEPTH,
+                     .runner = runner->id_hash,
+                     .zone = (uint32_t)XXH3_64bits(zone, strlen(zone)),
+                     .run_time_ms = run_time_ms(forward, request),
+                     .newest_run_ms = run_time_ms(forward, request),
+                     .fleet_runners = count_fleet_runners(forward, runner)};
+    uint32_t i;
 
-    crashes_add(
-        forward->crashes, forward->now_us,
-        &(crash_t){.fingerprint = request->fingerprint,
-                   .runner = runner->id_hash,
-                   .zone = (uint32_t)XXH3_64bits(zone, strlen(zone)),
-                   .run_time_ms = run_time_ms(forward, request),
-                   .fleet_runners = count_fleet_runners(forward, runner)});
+    crashes_add(forward->crashes, forward->now_us, &crash);
     emit_log(forward, LOG_NOTICE, "suspect-reported",
              "fingerprint=%016" PRIx64 " crashes=%" PRIu32,
              request->fingerprint,
              crashes_count(forward->crashes, forward->now_us,
                            request->fingerprint));
     forward->publish_due = true;
+    if (!is_writing(request)) {
+        return;
+    }
+    crash.run_time_ms = writing_time_ms(forward, request);
+    crash.newest_run_ms = 0;
+    for (i = 0; i < request->part_count; i++) {
+        crash.fingerprint = request->parts[i];
+        crash.depth = i;
+        crashes_add(forward->crashes, forward->now_us, &crash);
+    }
 }
 
 void
-suspicion_run_completed(forward_t *forward, const request_t *request)
+suspicion_run_completed(forward_t *forward, request_t *request)
 {
-    if (crashes_complete(forward->crashes, forward->now_us,
-                         request->fingerprint, request->attempt.started_us)) {
-        emit_log(forward, LOG_NOTICE, "suspect-cleared",
-                 "fingerprint=%016" PRIx64, request->fingerprint);
-        forward->publish_due = true;
+    clear_subject(forward, request->fingerprint, request->attempt.started_us);
+    if (!request->attempt.went_on) {
+        clear_parts(forward, request,
+                    request->attempt.first_event_us > 0
+                        ? request->attempt.first_event_us
+                        : request->attempt.started_us);
+    }
+}
+
+void
+suspicion_run_progress(forward_t *forward, request_t *request)
+{
+    const attempt_t *attempt = &request->attempt;
+
+    if (!attempt->went_on &&
+        forward->now_us - attempt->first_event_us >= SURVIVAL_US) {
+        clear_parts(forward, request, attempt->first_event_us);
     }
 }
 
 crash_decision_t
-suspicion_decide(forward_t *forward, const request_t *request)
+suspicion_decide(forward_t *forward, request_t *request)
 {
-    crash_runs_t others = other_runs(forward, request);
-    crash_decision_t decision = crashes_decide(
-        forward->crashes, forward->now_us, request->fingerprint, &others);
+    crash_subject_t subjects[FORWARD_PARTS_MAX + 1];
+    crash_decision_t decision;
+    uint32_t i;
 
+    subjects[0].fingerprint = request->fingerprint;
+    for (i = 0; i < request->part_count; i++) {
+        subjects[i + 1].fingerprint = request->parts[i];
+    }
+    for (i = 0; i <= request->part_count; i++) {
+        subjects[i].others =
+            other_runs(forward, request, subjects[i].fingerprint);
+    }
+    decision =
+        crashes_decide(forward->crashes, forward->now_us, subjects,
+                       (size_t)request->part_count + 1, &request->suspect);
     if (crashes_has_news(forward->crashes, forward->now_us,
-                         request->fingerprint)) {
+                         request->suspect)) {
         forward->publish_due = true;
     }
-
     if (decision == CRASH_BLOCKED &&
-        crashes_mark_logged(forward->crashes, request->fingerprint)) {
-        log_blocked(forward, request->fingerprint);
+        crashes_mark_logged(forward->crashes, request->suspect)) {
+        log_blocked(forward, request);
     }
     return decision;
 }
@@ -102,7 +158,7 @@
 suspicion_retry_after_ms(const forward_t *forward, const request_t *request)
 {
     int64_t blocked_us = crashes_blocked_us(forward->crashes, forward->now_us,
-                                            request->fingerprint);
+                                            request->suspect);
 
     return blocked_us > 0 ? (uint32_t)(blocked_us / US_PER_MS)
                           : RETRY_AFTER_DEFERRED_MS;
@@ -149,15 +205,41 @@
 }
 
 static void
-log_blocked(forward_t *forward, uint64_t fingerprint)
+log_blocked(forward_t *forward, const request_t *request)
 {
-    emit_log(
-        forward, LOG_WARNING, "harmful",
-        "fingerprint=%016" PRIx64 " crashes=%" PRIu32 " hold_ms=%" PRId64,
-        fingerprint,
-        crashes_count(forward->crashes, forward->now_us, fingerprint),
-        crashes_blocked_us(forward->crashes, forward->now_us, fingerprint) /
-            US_PER_MS);
+    uint64_t suspect = request->suspect;
+
+    emit_log(forward, LOG_WARNING, "harmful",
+             "fingerprint=%016" PRIx64 " subject=%s crashes=%" PRIu32
+             " age_ms=%" PRId64 " hold_ms=%" PRId64,
+             suspect, suspect == request->fingerprint ? "content" : "part",
+             crashes_count(forward->crashes, forward->now_us, suspect),
+             crashes_age_us(forward->crashes, forward->now_us, suspect) /
+                 US_PER_MS,
+             crashes_blocked_us(forward->crashes, forward->now_us, suspect) /
+                 US_PER_MS);
+}
+
+static void
+clear_subject(forward_t *forward, uint64_t fingerprint, int64_t start_us)
+{
+    if (crashes_complete(forward->crashes, forward->now_us, fingerprint,
+                         start_us)) {
+        emit_log(forward, LOG_NOTICE, "suspect-cleared",
+                 "fingerprint=%016" PRIx64, fingerprint);
+        forward->publish_due = true;
+    }
+}
+
+static void
+clear_parts(forward_t *forward, request_t *request, int64_t start_us)
+{
+    uint32_t i;
+
+    request->attempt.went_on = true;
+    for (i = 0; i < request->part_count; i++) {
+        clear_subject(forward, request->parts[i], start_us);
+    }
 }
 
 static uint32_t
@@ -167,27 +249,64 @@
                       US_PER_MS);
 }
 
-/* Returns the runs of other requests with the same content. */
+/* Whether the runner has begun to respond, and may crash because of it.  Other
+ * requests than streams have no response before it is complete. */
+static bool
+is_writing(const request_t *request)
+{
+    return !request->attempt.went_on && (request->type != REQUEST_STREAM ||
+                                         request->attempt.response_us > 0);
+}
+
+static uint32_t
+writing_time_ms(const forward_t *forward, const request_t *request)
+{
+    return request->attempt.response_us > 0
+               ? (uint32_t)((forward->now_us - request->attempt.response_us) /
+                            US_PER_MS)
+               : run_time_ms(forward, request);
+}
+
+/* Whether the subject is the request's content, or a part with which its run
+ * has not gone on yet. */
+static bool
+is_run_of(const request_t *request, uint64_t fingerprint)
+{
+    uint32_t i;
+
+    if (request->fingerprint == fingerprint) {
+        return true;
+    }
+    for (i = 0; !request->attempt.went_on && i < request->part_count; i++) {
+        if (request->parts[i] == fingerprint) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Returns the runs of other requests with the subject. */
 static crash_runs_t
-other_runs(const forward_t *forward, const request_t *request)
+other_runs(const forward_t *forward, const request_t *request,
+           uint64_t fingerprint)
 {
     crash_runs_t runs = {0};
     const request_t *other;
 
-    if (crashes_count(forward->crashes, forward->now_us,
-                      request->fingerprint) == 0) {
+    if (crashes_count(forward->crashes, forward->now_us, fingerprint) == 0) {
         return runs;
     }
     for (other = forward->requests; other != NULL; other = other->hh.next) {
         if (other == request || other->attempt.runner == NULL ||
-            other->fingerprint != request->fingerprint) {
+            !is_run_of(other, fingerprint)) {
             continue;
         }
         runs.count++;
         if (other->attempt.started_us > runs.newest_start_us) {
             runs.newest_start_us = other->attempt.started_us;
         }
-        if (run_time_ms(forward, other) > runs.longest_ms) {
+        if (fingerprint == request->fingerprint &&
+            run_time_ms(forward, other) > runs.longest_ms) {
             runs.longest_ms = run_time_ms(forward, other);
         }
     }
--- a/regress/bench_suspicion.c
+++ b/regress/bench_suspicion.c
@@ -7,9 +7,11 @@
  *
  *     bench_suspicion [SEEDS [LOAD]]
  *     bench_suspicion drawn FIRST LAST
+ *     bench_suspicion parts FIRST LAST
  *
  * The second form runs the scenarios that suspicion_draw() gives for the seeds
- * FIRST to LAST and prints those that break a bound.
+ * FIRST to LAST and prints those that break a bound, the third those of
+ * suspicion_draw_part().
  */
 #include <inttypes.h>
 #include <stdio.h>
@@ -109,6 +111,54 @@
            refused, requests, refusing, failed);
 }
 
+static void
+run_parts(uint64_t first, uint64_t last)
+{
+    uint64_t seed;
+    uint32_t over = 0;
+    uint32_t lost = 0;
+    uint64_t late = 0;
+    uint64_t crashes = 0;
+    suspicion_begun_t before = {0};
+    suspicion_begun_t after = {0};
+    char text[DESCRIPTION_BYTES];
+
+    for (seed = first; seed <= last; seed++) {
+        suspicion_scenario_t scenario = suspicion_draw_part(seed);
+        suspicion_result_t result = suspicion_simulate(&scenario);
+        bool begins =
+            suspicion_begins(&result.first_before, &result.first_after) &&
+            suspicion_begins(&result.all_before, &result.all_after);
+
+        over += result.late_sends > LATE_SENDS_MAX ? 1 : 0;
+        lost += begins ? 0 : 1;
+        late += result.late_sends;
+        crashes += result.harmful_crashes;
+        before.requests += result.all_before.requests;
+        before.begun += result.all_before.begun;
+        after.requests += result.all_after.requests;
+        after.begun += result.all_after.begun;
+        if (result.late_sends > LATE_SENDS_MAX || !begins) {
+            suspicion_describe(&scenario, text, sizeof(text));
+            printf("late %3" PRIu32 " crashes %3" PRIu32 " first %" PRIu32
+                   "/%" PRIu32 " then %" PRIu32 "/%" PRIu32 " all %" PRIu32
+                   "/%" PRIu32 " then %" PRIu32 "/%" PRIu32 "  %s\n",
+                   result.late_sends, result.harmful_crashes,
+                   result.first_before.begun, result.first_before.requests,
+                   result.first_after.begun, result.first_after.requests,
+                   result.all_before.begun, result.all_before.requests,
+                   result.all_after.begun, result.all_after.requests, text);
+        }
+    }
+    printf("seeds %" PRIu64 " to %" PRIu64 ": %" PRIu32
+           " over the bound, late sends %" PRIu64 ", crashes %" PRIu64
+           "; %" PRIu32 " where harmless requests do not begin; begun %" PRIu64
+           "/%" PRIu64 " before, %" PRIu64 "/%" PRIu64 " after\n",
+           first, last, over, late, crashes, lost, (uint64_t)before.begun,
+           (uint64_t)before.requests, (uint64_t)after.begun,
+           (uint64_t)after.requests);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -121,6 +171,11 @@
                   strtoull(argv[3], NULL, DECIMAL));
         return 0;
     }
+    if (argc > 3 && strcmp(argv[1], "parts") == 0) {
+        run_parts(strtoull(argv[2], NULL, DECIMAL),
+                  strtoull(argv[3], NULL, DECIMAL));
+        return 0;
+    }
     for (i = 0; i < suspicion_load_count; i++) {
         if (argc < 3 || strcmp(argv[2], suspicion_loads[i].name) == 0) {
             run_load(&suspicion_loads[i], seeds > 0 ? seeds : 1);
--- a/regress/suspicion_draw.c
+++ b/regress/suspicion_draw.c
@@ -111,6 +111,37 @@
     return scenario;
 }
 
+suspicion_scenario_t
+suspicion_draw_part(uint64_t seed)
+{
+    static const int64_t intervals_ms[] = {50, 100, 150, 300, 600, 1500, 3000};
+    static const int64_t writes_ms[] = {10, 50, 100, 200};
+    static const int64_t until_ms[] = {5000, 8000};
+    static const int64_t delays_ms[] = {200, 700, 1500};
+    uint64_t state = seed * 2654435761U + 7;
+    suspicion_scenario_t scenario = suspicion_draw(seed);
+
+    (void)draw(&state, 2);
+    scenario.harmful_part = true;
+    scenario.plain = false;
+    scenario.popular_percent = 0;
+    scenario.harmful_interval_ms =
+        one_in(&state, 8) ? 0 : PICK(&state, intervals_ms);
+    scenario.harmful_run_ms = PICK(&state, writes_ms);
+    scenario.harmful_contents = one_in(&state, 3) ? 2 : 1;
+    scenario.harmful_once = one_in(&state, 8);
+    scenario.harmful_after_event = one_in(&state, 4);
+    scenario.harmless_until_ms =
+        one_in(&state, 2) ? PICK(&state, until_ms) : 0;
+    scenario.parts = 1 + (uint32_t)draw(&state, 5);
+    scenario.part_depth = (uint32_t)draw(&state, scenario.parts + 1);
+    scenario.parts_kind = (parts_kind_t)draw(&state, PARTS_UNIQUE + 1);
+    scenario.first_parts = 1 + (uint32_t)draw(&state, 12);
+    scenario.sessions = 2 + (uint32_t)draw(&state, 30);
+    scenario.report_delay_ms = one_in(&state, 4) ? PICK(&state, delays_ms) : 0;
+    return scenario;
+}
+
 void
 suspicion_describe(const suspicion_scenario_t *scenario, char *text,
                    size_t size_bytes)
@@ -140,6 +171,14 @@
         {"outage", scenario->store_outage_ms},
         {"partitioned", scenario->host_partitioned},
         {"popular", scenario->popular_percent},
+        {"harmful_part", scenario->harmful_part},
+        {"depth", scenario->part_depth},
+        {"parts", scenario->parts},
+        {"kind", scenario->parts_kind},
+        {"first_parts", scenario->first_parts},
+        {"sessions", scenario->sessions},
+        {"after_event", scenario->harmful_after_event},
+        {"delay", scenario->report_delay_ms},
     };
     size_t used = 0;
     size_t i;
--- a/regress/suspicion_engine.c
+++ b/regress/suspicion_engine.c
@@ -200,12 +200,42 @@
 
     sim.result.harmful_crashes++;
     content->crashes++;
-    if (content->crashes == SIM_DETECTION_CRASHES) {
+    content->last_crash_ms = sim.now_ms;
+    if (content->crashes == 1) {
+        content->first_crash_ms = sim.now_ms;
+    }
+    if (content->crashes == (sim.scenario.harmful_part
+                                 ? SIM_DETECTION_PART_CRASHES
+                                 : SIM_DETECTION_CRASHES)) {
         content->deadline_ms = sim.now_ms + SIM_DETECTION_DELAY_MS;
     }
     sim_crash_engine(run->engine);
 }
 
+/* Whether the run began after its content turned harmful. */
+static bool
+is_harmful_run(const sim_run_t *run)
+{
+    return sim_find_sent(run->number)->harmful &&
+           run->start_ms - SIM_START_MS >= sim.scenario.harmless_until_ms;
+}
+
+/* Whether the run began to write after a part of its prompt turned harmful. */
+static bool
+is_harmful_writer(const sim_run_t *run)
+{
+    return sim.scenario.harmful_part && run->prefilled &&
+           sim_find_sent(run->number)->harmful &&
+           run->prefilled_ms - SIM_START_MS >= sim.scenario.harmless_until_ms;
+}
+
+/* Whether the run sends no event before it crashes. */
+static bool
+is_held_back(const sim_run_t *run)
+{
+    return is_harmful_writer(run) && !sim.scenario.harmful_after_event;
+}
+
 static void
 send_progress(size_t index, int64_t ran_ms)
 {
@@ -214,6 +244,9 @@
 
     if (!run->prefilled) {
         run->prefilled = true;
+        run->prefilled_ms = sim.now_ms;
+        sim.sent[(run->number & ~SIM_RESENT_BIT) - 1].begun |=
+            (run->number & SIM_RESENT_BIT) == 0;
         event.u.head = (forward_response_head_t){.number = run->number,
                                                  .attempt = run->attempt,
                                                  .status = 200,
@@ -221,7 +254,7 @@
         sim_deliver_event(run->host, &event);
         run = &sim.runs[index];
     }
-    if (sim.scenario.plain) {
+    if (sim.scenario.plain || is_held_back(run)) {
         return;
     }
     event.kind = FORWARD_STREAM_PROGRESS;
@@ -232,14 +265,6 @@
     sim_deliver_event(run->host, &event);
 }
 
-/* Whether the run began after its content turned harmful. */
-static bool
-is_harmful_run(const sim_run_t *run)
-{
-    return sim_find_sent(run->number)->harmful &&
-           run->start_ms - SIM_START_MS >= sim.scenario.harmless_until_ms;
-}
-
 /* The runs may move in memory whenever an event is delivered. */
 static void
 advance_run(size_t index)
@@ -257,7 +282,10 @@
         }
         return;
     }
-    if (ran_ms >= sim.scenario.harmful_run_ms && is_harmful_run(run)) {
+    if (sim.scenario.harmful_part
+            ? is_harmful_writer(run) &&
+                  sim.now_ms - run->prefilled_ms >= sim.scenario.harmful_run_ms
+            : ran_ms >= sim.scenario.harmful_run_ms && is_harmful_run(run)) {
         crash_by_harmful_run(run);
         return;
     }
--- a/regress/suspicion_private.h
+++ b/regress/suspicion_private.h
@@ -16,7 +16,11 @@
     /* The users' requirement: 3 s after the third crash all hosts that have
      * been up for as long have detected the content. */
     SIM_DETECTION_CRASHES = 3,
+    SIM_DETECTION_PART_CRASHES = 5,
     SIM_DETECTION_DELAY_MS = 3000,
+    /* From then on harmless requests have to begin. */
+    SIM_BEGIN_DELAY_MS = 6000,
+    SIM_PARTS_MAX = 8,
 };
 
 /* In the number of a request that is sent again. */
@@ -31,12 +35,15 @@
     int64_t start_ms;
     bool active;
     bool prefilled;
+    int64_t prefilled_ms;
 } sim_run_t;
 
 typedef struct {
     uint32_t crashes;
     uint32_t late_sends;
     int64_t deadline_ms; /* 0: not yet enough crashes */
+    int64_t first_crash_ms;
+    int64_t last_crash_ms;
 } sim_content_t;
 
 /* A request of a caller. */
@@ -45,8 +52,20 @@
     uint64_t content;
     size_t host;
     bool harmful;
+    uint32_t first_part;
+    uint32_t session;
+    int64_t sent_ms;
+    bool begun; /* a response has begun at the first attempt */
 } sim_sent_t;
 
+/* A report on its way, delivered at once if at_ms is 0. */
+typedef struct {
+    int64_t at_ms;
+    size_t from;
+    placements_t placements;
+    arena_t arena;
+} sim_report_t;
+
 typedef struct {
     char name[SIM_NAME_BYTES];
     char address[SIM_NAME_BYTES];
@@ -81,6 +100,8 @@
     uint64_t *resend; /* request numbers, for the next tick */
     size_t resend_count;
     sim_content_t contents[SIM_CONTENTS_MAX];
+    sim_report_t *delayed;
+    size_t delayed_count;
     uint64_t rng_state;
     int64_t now_ms;
 } simulation_t;
@@ -96,6 +117,15 @@
 bool sim_is_store_away(void);
 void sim_deliver_event(size_t host, const forward_event_t *event);
 
+/* --- suspicion_parts.c --- */
+
+/* Draws the parts of the request's prompt. */
+void sim_draw_parts(sim_sent_t *sent);
+/* Returns the number of parts, which are written to parts. */
+uint32_t sim_list_parts(const sim_sent_t *sent, uint64_t *parts);
+/* Counts the harmless requests that began. */
+void sim_count_begun(void);
+
 /* --- suspicion_engine.c --- */
 
 void sim_start_run(size_t host, const forward_action_t *action);
--- a/regress/suspicion_sim.c
+++ b/regress/suspicion_sim.c
@@ -13,6 +13,8 @@
     REQUEST_INTERVAL_MS = 100,
     REPORT_INTERVAL_MS = 500,
     HARMFUL_RUN_MS = 20,
+    SESSIONS_DEFAULT = 8,
+    DELAYED_ONE_IN = 3,
     RESTART_MS = 1200,
     PARTITIONED_HOST = 3,
     PARTITION_START_MS = 10000,
@@ -211,6 +213,8 @@
 {
     const sim_sent_t *sent = sim_find_sent(number);
     forward_event_t event = {.kind = FORWARD_REQUEST};
+    uint64_t parts[SIM_PARTS_MAX];
+    uint32_t part_count = sim_list_parts(sent, parts);
 
     event.u.request = (forward_request_t){
         .number = number,
@@ -221,7 +225,11 @@
         .prompt_tokens = 8000,
         .affinity = sent->number,
         .last_event_id = -1,
-        .fingerprint = sent->content + HARMFUL_CONTENT,
+        .fingerprint = sim.scenario.harmful_part
+                           ? number + HARMLESS_CONTENT
+                           : sent->content + HARMFUL_CONTENT,
+        .parts = parts,
+        .part_count = part_count,
     };
     sim_deliver_event(host, &event);
 }
@@ -253,7 +261,9 @@
     sent = &sim.sent[sim.sent_count];
     *sent = (sim_sent_t){.number = number,
                          .content = choose_content(number, harmful),
-                         .harmful = harmful};
+                         .harmful = harmful,
+                         .sent_ms = sim.now_ms};
+    sim_draw_parts(sent);
     sent->host = choose_host(sent);
     sim.sent_count++;
     send_request(number, sent->host);
@@ -279,31 +289,67 @@
     free(numbers);
 }
 
-/* Sends the host's report to all others. */
+/* Delivers the report to all others and frees it. */
 static void
-send_report(size_t from)
+deliver_report(sim_report_t *report)
 {
-    arena_t arena = {0};
-    placements_t placements = {.incarnation = sim.hosts[from].incarnation};
     char name[SIM_NAME_BYTES];
     forward_event_t event = {.kind = FORWARD_PEER_REPORT};
     size_t to;
 
-    sim.hosts[from].reports++;
-    sim.hosts[from].report_due = false;
-    placements.number = sim.hosts[from].reports;
-    forward_placements(sim.hosts[from].forward, &arena, &placements);
-    (void)snprintf(name, sizeof(name), "h%zu", from);
+    (void)snprintf(name, sizeof(name), "h%zu", report->from);
     event.u.peer.host = name;
-    event.u.peer.placements = &placements;
+    event.u.peer.placements = &report->placements;
     for (to = 0; to < sim.scenario.hosts; to++) {
-        if (to != from &&
+        if (to != report->from &&
             (sim.scenario.reports_lost_percent == 0 ||
              sim_random_below(PERCENT) >= sim.scenario.reports_lost_percent)) {
             sim_deliver_event(to, &event);
         }
     }
-    arena_free(&arena);
+    arena_free(&report->arena);
+}
+
+static void
+send_report(size_t from)
+{
+    sim_report_t report = {.from = from};
+
+    sim.hosts[from].reports++;
+    sim.hosts[from].report_due = false;
+    report.placements.incarnation = sim.hosts[from].incarnation;
+    report.placements.number = sim.hosts[from].reports;
+    forward_placements(sim.hosts[from].forward, &report.arena,
+                       &report.placements);
+    if (sim.scenario.report_delay_ms == 0 ||
+        sim_random_below(DELAYED_ONE_IN) > 0) {
+        deliver_report(&report);
+        return;
+    }
+    report.at_ms = sim.now_ms + sim.scenario.report_delay_ms;
+    sim.delayed =
+        xrealloc(sim.delayed, sim.delayed_count + 1, sizeof(*sim.delayed));
+    sim.delayed[sim.delayed_count] = report;
+    sim.delayed_count++;
+}
+
+/* Reports that are overtaken by a later one of their host have no effect. */
+static void
+deliver_delayed_reports(void)
+{
+    size_t kept = 0;
+    size_t i;
+
+    for (i = 0; i < sim.delayed_count; i++) {
+        if (sim.now_ms >= sim.delayed[i].at_ms) {
+            deliver_report(&sim.delayed[i]);
+        }
+        else {
+            sim.delayed[kept] = sim.delayed[i];
+            kept++;
+        }
+    }
+    sim.delayed_count = kept;
 }
 
 static void
@@ -312,6 +358,7 @@
     bool all = is_due(sim.scenario.report_interval_ms);
     size_t host;
 
+    deliver_delayed_reports();
     for (host = 0; host < sim.scenario.hosts; host++) {
         if (all ||
             (sim.scenario.reports_at_once && sim.hosts[host].report_due)) {
@@ -385,6 +432,7 @@
     DEFAULT(report_interval_ms, REPORT_INTERVAL_MS);
     DEFAULT(harmful_contents, 1);
     DEFAULT(harmful_run_ms, HARMFUL_RUN_MS);
+    DEFAULT(sessions, SESSIONS_DEFAULT);
     DEFAULT(restart_ms, RESTART_MS);
 #undef DEFAULT
 }
@@ -413,9 +461,16 @@
          sim.now_ms += SIM_TICK_MS) {
         simulate_tick();
     }
+    if (sim.scenario.harmful_part) {
+        sim_count_begun();
+    }
     for (i = 0; i < sim.scenario.hosts; i++) {
         forward_free(sim.hosts[i].forward);
     }
+    for (i = 0; i < sim.delayed_count; i++) {
+        arena_free(&sim.delayed[i].arena);
+    }
+    free(sim.delayed);
     free(sim.runs);
     free(sim.sent);
     free(sim.resend);
--- a/regress/test_crashes.c
+++ b/regress/test_crashes.c
@@ -332,15 +332,30 @@
 add_crash(crashes_t *crashes, const step_t *step, uint64_t content,
           uint32_t fleet_runners)
 {
+    uint32_t run_ms = step->kind == LONG_CRASH ? LONG_MS : SHORT_MS;
+
     crashes_add(crashes, (START_MS + step->at_ms) * US_PER_MS,
                 &(crash_t){.fingerprint = content,
                            .runner = (uint64_t)step->runner[0],
                            .zone = (uint32_t)step->runner[1],
-                           .run_time_ms =
-                               step->kind == LONG_CRASH ? LONG_MS : SHORT_MS,
+                           .run_time_ms = run_ms,
+                           .newest_run_ms = run_ms,
+                           .depth = LINK_CONTENT_DEPTH,
                            .fleet_runners = fleet_runners});
 }
 
+static crash_decision_t
+decide(crashes_t *crashes, int64_t at_ms, uint32_t longest_ms)
+{
+    crash_subject_t subject = {
+        .fingerprint = CONTENT,
+        .others = {.count = longest_ms > 0 ? 1 : 0, .longest_ms = longest_ms}};
+    uint64_t due_to;
+
+    return crashes_decide(crashes, (START_MS + at_ms) * US_PER_MS, &subject, 1,
+                          &due_to);
+}
+
 static void
 send_report(crashes_t *const *hosts, const step_t *step)
 {
@@ -366,13 +381,9 @@
     crashes_t *crashes = hosts[step->host];
     step_t crash = *step;
 
-    (void)crashes_decide(crashes, (START_MS + step->at_ms) * US_PER_MS,
-                         CONTENT, &(crash_runs_t){0});
+    (void)decide(crashes, step->at_ms, 0);
     crash.at_ms += CLAIM_MS;
-    ck_assert_int_eq(crashes_decide(crashes,
-                                    (START_MS + crash.at_ms) * US_PER_MS,
-                                    CONTENT, &(crash_runs_t){0}),
-                     CRASH_ALLOWED);
+    ck_assert_int_eq(decide(crashes, crash.at_ms, 0), CRASH_ALLOWED);
     ck_assert(crashes_run_started(
         crashes, (START_MS + crash.at_ms) * US_PER_MS, CONTENT));
     crash.at_ms += SHORT_MS;
@@ -403,7 +414,7 @@
         *crashes = crashes_new(now_us, host_names[step->host]);
         return;
     case CLAIM:
-        (void)crashes_decide(*crashes, now_us, CONTENT, &(crash_runs_t){0});
+        (void)decide(*crashes, step->at_ms, 0);
         return;
     case TRIAL:
         run_trial(hosts, step, fleet_runners);
@@ -434,10 +445,8 @@
     }
     for (i = 0; i < HOSTS; i++) {
         crashes_expire(hosts[i], (START_MS + test->check_ms) * US_PER_MS);
-        decisions[i] = "adsb"[crashes_decide(
-            hosts[i], (START_MS + test->check_ms) * US_PER_MS, CONTENT,
-            &(crash_runs_t){.count = test->run_time_ms > 0 ? 1 : 0,
-                            .longest_ms = test->run_time_ms})];
+        decisions[i] =
+            "adsb"[decide(hosts[i], test->check_ms, test->run_time_ms)];
         crashes_free(hosts[i]);
     }
     ck_assert_msg(strcmp(decisions, test->decisions) == 0, "%s: %s",
@@ -466,10 +475,7 @@
         step.runner = "dN";
         add_crash(crashes, &step, OTHER_CONTENT + i, FLEET_RUNNERS);
     }
-    ck_assert_int_eq(crashes_decide(crashes,
-                                    (START_MS + step.at_ms) * US_PER_MS,
-                                    CONTENT, &(crash_runs_t){0}),
-                     CRASH_SUSPENDED);
+    ck_assert_int_eq(decide(crashes, step.at_ms, 0), CRASH_SUSPENDED);
     count = crashes_write(crashes, (START_MS + step.at_ms) * US_PER_MS, HOSTS,
                           &arena, reports);
     for (i = 0; i < count; i++) {
--- a/regress/test_forward_log.c
+++ b/regress/test_forward_log.c
@@ -4,7 +4,7 @@
 #include "regress/fixture.h"
 #include "regress/forwarding.h"
 
-enum { EVENTS_MAX = 16, EXPECTED_MAX = 5 };
+enum { EVENTS_MAX = 20, EXPECTED_MAX = 5 };
 
 /* The log lines of the last event must contain each expected text. */
 typedef struct {
@@ -24,6 +24,15 @@
         900, "event 1 1 3", NULL                                              \
     }
 
+/* Its runner crashes after the head of the response. */
+#define PART_CRASH(number, at_ms)                                             \
+    {(at_ms), "request " #number " stream parts=1,2", NULL},                  \
+        {(at_ms) + 400, "head " #number " 1 200", NULL},                      \
+        {(at_ms) + 450, "broken " #number " 1", NULL},                        \
+    {                                                                         \
+        (at_ms) + 450, "gone " #number, NULL                                  \
+    }
+
 static const log_case_t cases[] = {
     {"new routing table",
      {{0, "routing 7", NULL}},
@@ -101,8 +110,36 @@
       {1310, "broken 1 2", NULL},
       {2600, "timer", NULL},
       {2610, "broken 1 3", NULL}},
-     {"harmful fingerprint=00000000000000ff crashes=3 hold_ms=",
+     {"harmful fingerprint=00000000000000ff subject=content crashes=3 "
+      "age_ms=2590 hold_ms=",
       "end request=q1 outcome=unknown reason=harmful status=502 "}},
+    {"request with a part that crashed three runners is refused",
+     {SETUP,
+      {0, "list ra1 ra2 ra3 rb1 rb2 rb3 rc1 rc2 rc3 sa1", NULL},
+      PART_CRASH(1, 10),
+      PART_CRASH(2, 2000),
+      PART_CRASH(3, 4000),
+      {5000, "contact", NULL},
+      {5000, "request 4 stream parts=1,2", NULL}},
+     {"end request=q4 outcome=not-run reason=harmful status=503 "}},
+    {"third crash of a part names the part",
+     {SETUP,
+      {0, "list ra1 ra2 ra3 rb1 rb2 rb3 rc1 rc2 rc3 sa1", NULL},
+      PART_CRASH(1, 10),
+      PART_CRASH(2, 2000),
+      {4000, "request 3 stream parts=1,2", NULL},
+      {4400, "head 3 1 200", NULL},
+      {4450, "broken 3 1", NULL}},
+     {"harmful fingerprint=bb6abc85e98fa900 subject=part crashes=3 "}},
+    {"request without the part that crashed three runners is sent",
+     {SETUP,
+      {0, "list ra1 ra2 ra3 rb1 rb2 rb3 rc1 rc2 rc3 sa1", NULL},
+      PART_CRASH(1, 10),
+      PART_CRASH(2, 2000),
+      PART_CRASH(3, 4000),
+      {5000, "contact", NULL},
+      {5000, "request 4 stream parts=1", NULL}},
+     {"send request=q4 attempt=1 "}},
     {"suspect completes on another runner",
      {SETUP,
       {10, "request 1 stream content=255", NULL},
--- a/world/link.x
+++ b/world/link.x
@@ -237,9 +237,11 @@
 /*
  * A runner crashed run_time_ms after it got a request from the host observer.
  * If it ran several with this content, newest_run_ms is the time since the
- * last of them started.
- * runner, zone and observer are hashes of their ids.  serial is chosen by the observer and
- * distinguishes its records of one runner.
+ * last of them started.  With a part of a prompt, run_time_ms is the time since
+ * the runner began to respond, and newest_run_ms is 0.
+ * runner, zone and observer are hashes of their ids.  serial is chosen by the
+ * observer and distinguishes its records of one runner; all records of one run
+ * have the same.
  */
 struct crash_record_t {
     uint32_t runner;
@@ -269,14 +271,23 @@
     uint32_t age_ms;
 };
 
+/* In depth: the content of a request. */
+const LINK_CONTENT_DEPTH = 4294967295;
+
 /*
- * The crashes under requests with this fingerprint, as far as the sender knows
- * them.  fleet_runners is the number of runners of the service.
- * completed_age_ms is the time since the start of the run that started last of
- * those that have completed, trial the last trial.
+ * The crashes under requests with this fingerprint, of their content or of a
+ * part of their prompt, as far as the sender knows them.  depth is the number
+ * of parts in front of that part, requests the most requests that have come to
+ * one host since the first crash.  fleet_runners is the number of runners of
+ * the service.  completed_age_ms is the time since the start of the run that
+ * started last of those that have completed, trial the last trial.  With a
+ * part it is the time since the first event of such a run, which need not have
+ * ended.
  */
 struct crash_report_t {
     uint64_t fingerprint;
+    uint32_t depth;
+    uint32_t requests;
     uint32_t fleet_runners;
     uint32_t completed_age_ms;
     crash_trial_t trial;
