Take only a clear difference of requests to tell a harmful part from others

Cause: the harmful part and the first part of its requests had the same crashes. A claim of a trial makes a host report one part at once, with a new count of its requests; until the other is reported, the counts of two parts in one request differ at the hosts that hear it. One host took the first part for the cause and the others the harmful one, and each part had trials of its own.

Change: a part counts as one that more requests contain from twice as many and two on; else the later part of the prompt is the cause.

--- a/forward/crash_cause.c
+++ b/forward/crash_cause.c
@@ -2,7 +2,7 @@
 #include "forward/crash_cause.h"
 
 /* Crashes more than this that another subject does not explain are its own. */
-enum { UNEXPLAINED_MAX = 1 };
+enum { UNEXPLAINED_MAX = 1, REQUESTS_MIN = 2 };
 
 /* Hosts do not know of all runs that go on, but of the first in this time. */
 #define DIFFERENCE_US ((int64_t)2000000)
@@ -22,6 +22,14 @@
     return entry->completed_us > other->completed_us + DIFFERENCE_US;
 }
 
+/* The counts of two subjects reach a host in different reports. */
+static bool
+has_clearly_more_requests(const crash_entry_t *entry,
+                          const crash_entry_t *other)
+{
+    return entry->requests >= 2 * (uint64_t)other->requests + REQUESTS_MIN;
+}
+
 /* Whether a run with both subjects was on the runner that crashed. */
 static bool
 includes_run(const crash_entry_t *entry, const crash_record_t *run)
@@ -85,10 +93,11 @@
     if (!explains_crashes(entry, cause, since_us)) {
         return true;
     }
-    if (cause->requests != entry->requests) {
-        return cause->requests < entry->requests;
+    if (has_clearly_more_requests(entry, cause)) {
+        return true;
     }
-    return cause->depth > entry->depth;
+    return !has_clearly_more_requests(cause, entry) &&
+           cause->depth > entry->depth;
 }
 
 bool
--- a/forward/crash_cause.h
+++ b/forward/crash_cause.h
@@ -12,7 +12,8 @@
  * crashes or more since since_us, is the more likely cause of its crashes: but
  * for one crash at most, runs with both of them were on the runners.  The
  * cause is the part with which no run has gone on for clearly longer, else the
- * one with more crashes, else the one that fewer requests contain.
+ * one with more crashes, else the one that clearly fewer requests contain,
+ * else the later one in the prompt.
  */
 bool crash_cause_is_other(const crash_table_t *table,
                           const crash_entry_t *entry, uint32_t count_min,
