--- a/forward/versions.c
+++ b/forward/versions.c
@@ -17,6 +17,8 @@
 
 /* Longer than callers wait for a response. */
 #define STREAM_TTL_US ((int64_t)60000000)
+/* Reports of a stream within this time do not extend its entry. */
+#define REFRESH_US ((int64_t)10000000)
 
 static void
 remove_oldest(forward_t *forward)
@@ -46,6 +48,10 @@
         return;
     }
     HASH_FIND(hh, forward->stream_versions, &stream, sizeof(stream), entry);
+    if (entry != NULL &&
+        entry->expiry_us - forward->now_us > STREAM_TTL_US - REFRESH_US) {
+        return;
+    }
     if (entry != NULL) {
         HASH_DEL(forward->stream_versions,
                  entry); /* NOLINT(clang-analyzer-*) */
