--- a/forward/crash_cause.c
+++ b/forward/crash_cause.c
@@ -1,8 +1,13 @@
 /* crash_cause.c - see crash_cause.h. */
 #include "forward/crash_cause.h"
 
-/* Crashes more than this that another subject does not explain are its own. */
-enum { UNEXPLAINED_MAX = 1, REQUESTS_MIN = 2 };
+enum {
+    /* A part with more crashes than this that another one does not explain has
+     * crashes of its own. */
+    UNEXPLAINED_MAX = 1,
+    /* Smaller differences of two counts are no evidence. */
+    REQUESTS_MIN = 2,
+};
 
 /* Hosts do not know of all runs that go on, but of the first in this time. */
 #define DIFFERENCE_US ((int64_t)2000000)
@@ -78,8 +83,7 @@
     return unexplained <= UNEXPLAINED_MAX;
 }
 
-/* Whether the cause is more likely than the entry, whose crashes it explains.
- */
+/* Whether the cause is more likely than the entry that it explains. */
 static bool
 precedes(const crash_entry_t *cause, const crash_entry_t *entry,
          int64_t since_us)
--- a/forward/private.h
+++ b/forward/private.h
@@ -69,8 +69,7 @@
     uint64_t fingerprint;
     uint64_t *parts; /* as in forward_request_t, for this service */
     uint32_t part_count;
-    uint64_t
-        suspect; /* of the last suspicion_decide(): see crashes_decide() */
+    uint64_t suspect; /* due_to of the last crashes_decide() */
     int64_t arrived_us;
     int64_t deadline_us; /* the earlier of the route's and the caller's */
     int64_t last_event_id;
