--- a/regress/forwarding.c
+++ b/regress/forwarding.c
@@ -69,8 +69,8 @@
 }
 
 /* As the users' bounds are, but for the one that scripts change. */
-static forward_limits_t
-limits_with_revoke(uint32_t revoke_ms)
+forward_limits_t
+forwarding_limits(uint32_t revoke_ms)
 {
     return (forward_limits_t){
         .revoke_ms = revoke_ms,
@@ -96,7 +96,7 @@
         .host = host,
         .zone = "a",
         .seed = 1,
-        .limits = limits_with_revoke(REVOKE_MS),
+        .limits = forwarding_limits(REVOKE_MS),
     };
 
     return forward_new(&settings);
@@ -147,7 +147,7 @@
     }
     else if (strcmp(line.words[0], "revoke") == 0) {
         event.kind = FORWARD_LIMITS;
-        event.u.limits = limits_with_revoke((uint32_t)number_of(&line, 1));
+        event.u.limits = forwarding_limits((uint32_t)number_of(&line, 1));
     }
     else if (strcmp(line.words[0], "drain") == 0) {
         event.kind = FORWARD_DRAIN;
--- a/regress/forwarding.h
+++ b/regress/forwarding.h
@@ -84,4 +84,7 @@
 /* Two routes to engines and two to a plain service; keys "k1" and "k2". */
 routing_t *forwarding_routing(int64_t version);
 
+/* The limits of these hosts, but for the age limit of the routing table. */
+forward_limits_t forwarding_limits(uint32_t revoke_ms);
+
 #endif
--- a/regress/version_sim.c
+++ b/regress/version_sim.c
@@ -9,6 +9,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "regress/sim_hosts.h"
 #include "regress/version_private.h"
 #include "regress/version_sim.h"
 
@@ -17,9 +18,7 @@
 static uint64_t
 draw(uint64_t below)
 {
-    sim.rng_state =
-        sim.rng_state * 6364136223846793005U + 1442695040888963407U;
-    return below > 0 ? (sim.rng_state >> 33) % below : 0;
+    return sim_draw(&sim.rng_state, below);
 }
 
 static void deliver(size_t host, const forward_event_t *event);
@@ -310,25 +309,19 @@
 static void
 send_report(size_t from)
 {
-    arena_t arena = {0};
-    placements_t placements = {.incarnation = sim.hosts[from].incarnation};
-    char name[NAME_BYTES];
-    forward_event_t event = {.kind = FORWARD_PEER_REPORT};
+    sim_report_t report;
     size_t to;
 
     sim.hosts[from].reports++;
     sim.hosts[from].report_due = false;
-    placements.number = sim.hosts[from].reports;
-    forward_placements(sim.hosts[from].forward, &arena, &placements);
-    (void)snprintf(name, sizeof(name), "h%zu", from);
-    event.u.peer.host = name;
-    event.u.peer.placements = &placements;
+    sim_report_write(&report, sim.hosts[from].forward, from,
+                     sim.hosts[from].incarnation, sim.hosts[from].reports);
     for (to = 0; to < sim.host_count; to++) {
         if (to != from && draw(PERCENT) >= sim.lost_percent) {
-            deliver(to, &event);
+            deliver(to, &report.event);
         }
     }
-    arena_free(&arena);
+    sim_report_free(&report);
 }
 
 static void
