--- a/regress/silence_fault.c
+++ b/regress/silence_fault.c
@@ -43,6 +43,7 @@
 
     memset(&silence, 0, sizeof(silence));
     silence.rng_state = seed * 0x9E3779B97F4A7C15U;
+    silence.reset_rng_state = seed;
     silence.now_ms = START_MS;
     (void)silence_draw(2);
     (void)silence_draw(2);
@@ -130,13 +131,16 @@
     onset_t onset = silence_draw(PERCENT) < silence.onset_percent
                         ? (onset_t)silence_draw(ONSET_COUNT)
                         : ONSET_NONE;
+    bool accepts = silence_draw(2) == 0;
+    bool works = silence_draw(2) == 0;
+    bool hears = silence_draw(2) == 0;
 
     if (runner->loss != LOSS_NONE || silence_is_silent(runner)) {
         return;
     }
-    runner->accepts = silence_draw(2) == 0;
-    runner->works = silence_draw(2) == 0;
-    runner->hears = silence_draw(2) == 0;
+    runner->accepts = accepts;
+    runner->works = works;
+    runner->hears = hears;
     if (onset == ONSET_NONE) {
         begin_silence(runner, for_ms);
         return;
--- a/regress/silence_private.h
+++ b/regress/silence_private.h
@@ -145,6 +145,7 @@
 
 typedef struct {
     uint64_t rng_state;
+    uint64_t reset_rng_state; /* its use depends on what hosts do */
     int64_t now_ms;
     size_t host_count;
     size_t runner_count;
--- a/regress/silence_runner.c
+++ b/regress/silence_runner.c
@@ -396,7 +396,8 @@
             run->reset_ms == 0) {
             run->reset_ms =
                 (silence.now_ms > idle_ms ? silence.now_ms : idle_ms) +
-                (int64_t)silence_draw(KEEPALIVE_INTERVAL_MS);
+                (int64_t)sim_draw(&silence.reset_rng_state,
+                                  KEEPALIVE_INTERVAL_MS);
         }
     }
 }
