Give a simulated run without events left a response head

A stream that is taken up after its last event has a head and an end at a real engine; the simulation gave the end alone, which a host takes for a malformed response.

--- a/regress/silence_runner.c
+++ b/regress/silence_runner.c
@@ -285,7 +285,8 @@
     if (silence_is_silent(runner)) {
         return;
     }
-    if (!run->head_sent && run->work_ms >= run->head_ms) {
+    if (!run->head_sent &&
+        (run->work_ms >= run->head_ms || run->work_ms >= run->total_ms)) {
         deliver_head(run, STATUS_OK);
         silence_begin_onset(runner, ONSET_HEAD);
     }
