Do not end requests because their runner is silent

Cause: one probe without an answer within 100 ms, after 220 to 500 ms of silence, counted as the loss of every request at that runner. Unsafe requests were answered with 502; streams used up runs and retry budget at each silence, and were aborted when one of these ran out.

Now silence may move a request and never ends it. A probe tells three cases: an answer; a connection that is accepted without an answer, so the runner is alive and only pauses, and its streams stay for up to 3 s; and no connection, as with a crash without a reset. A stream is moved if a copy can take it up, or after 600 ms (1,000 ms before its first event) if another runner is free; the last run of its route is left for a real loss. What cannot be moved stays where it is until its deadline. A request that was moved waits up to 4 s for a runner.

--- a/forward/forward.c
+++ b/forward/forward.c
@@ -434,6 +434,8 @@
     }
     attempt->events++;
     attempt->last_activity_us = forward->now_us;
+    attempt->held_until_us = 0;
+    attempt->probed = PROBE_ANSWERED;
     attempt->missing_reports = 0;
     request->unassigned_since_us = 0;
     if (request->first_event_us == 0) {
--- a/forward/forward.h
+++ b/forward/forward.h
@@ -54,8 +54,8 @@
     SEND_NOT_SENT,     /* no connection: the runner received nothing */
     SEND_BROKEN,       /* the connection failed; the request may have run */
     SEND_INVALID,      /* the response is malformed or for another request */
-    SEND_UNRESPONSIVE, /* the runner does not answer probes */
-    SEND_STALLED,      /* the runner answers probes but sends no data */
+    SEND_UNRESPONSIVE, /* the runner cannot be reached by probes */
+    SEND_STALLED,      /* the runner can be reached but sends no data */
     SEND_DROPPED,      /* the runner's reports no longer list the request */
 } send_result_t;
 
@@ -134,9 +134,15 @@
     size_t run_count;
 } runner_report_t;
 
+typedef enum {
+    PROBE_ANSWERED,
+    PROBE_SILENT,      /* connected, but no response in time */
+    PROBE_UNREACHABLE, /* no connection in time, or it was reset */
+} probe_outcome_t;
+
 typedef struct {
     const char *runner;
-    bool answered;
+    probe_outcome_t outcome;
     const runner_report_t *report; /* NULL: none was included */
 } forward_probe_result_t;
 
--- a/forward/pool.c
+++ b/forward/pool.c
@@ -313,6 +313,14 @@
     return true;
 }
 
+void
+pool_record_silence(pool_runner_t *runner, int64_t now_us)
+{
+    if (runner->cooldown_until_us < now_us + COOLDOWN_FIRST_US) {
+        runner->cooldown_until_us = now_us + COOLDOWN_FIRST_US;
+    }
+}
+
 void
 pool_record_full(pool_runner_t *runner, int64_t now_us)
 {
--- a/forward/pool.h
+++ b/forward/pool.h
@@ -153,6 +153,9 @@
  */
 bool pool_record_loss(pool_runner_t *runner, int64_t now_us);
 
+/* Records that the runner is silent. */
+void pool_record_silence(pool_runner_t *runner, int64_t now_us);
+
 /* Records that the runner rejected a request because it is full. */
 void pool_record_full(pool_runner_t *runner, int64_t now_us);
 
--- a/forward/private.h
+++ b/forward/private.h
@@ -50,6 +50,8 @@
     bool is_retry;     /* counted against the retry budget */
     bool relaying;     /* the response is relayed to the caller */
     bool probe_pending;
+    probe_outcome_t probed; /* of the last probe since the last activity */
+    int64_t held_until_us;  /* when handle_silence() is due again */
 } attempt_t;
 
 /* A caller's request in progress. */
@@ -83,6 +85,7 @@
     uint32_t runs;              /* runners that may have run it */
     uint32_t deliveries;        /* runners that may have received it */
     bool response_started;      /* the response head was sent to the caller */
+    bool moved;                 /* from a runner that was only silent */
     attempt_t attempt;          /* the latest */
     pool_runner_t *copy_holder; /* holds the failed attempt's KV cache */
     const char *copy_address; /* the copy is identified by this address ... */
@@ -211,6 +214,11 @@
 bool send_request(forward_t *forward, request_t *request);
 /* Resumes on the runner that holds a copy; returns false if it is unusable. */
 bool resume_from_copy(forward_t *forward, request_t *request);
+/* Returns whether a runner that has not been tried for the request is likely
+ * to be available. */
+bool has_untried_runner(const forward_t *forward, const request_t *request);
+/* Returns whether a runner holds a copy for another attempt. */
+bool has_usable_copy(const forward_t *forward, const request_t *request);
 /* Returns a runner in another zone than runner's, else any other runner, else
  * NULL. */
 pool_runner_t *choose_standby(const forward_t *forward,
@@ -232,6 +240,13 @@
 /* Retries, resumes or refuses a request after its attempt failed. */
 void handle_failed_attempt(forward_t *forward, request_t *request,
                            send_result_t result);
+/*
+ * Handles the silence of the attempt's runner, which does not show that its
+ * run has ended.  The request is moved to another runner if one can take it
+ * up; otherwise the attempt goes on.
+ */
+void handle_silence(forward_t *forward, request_t *request,
+                    send_result_t result);
 /* Looks again for a runner for a request that waits for one. */
 void retry_waiting_request(forward_t *forward, request_t *request);
 /* Lets the request wait until retry_waiting_request() is due. */
--- a/forward/recover.c
+++ b/forward/recover.c
@@ -16,15 +16,30 @@
     RUNNER_POLL_MS = 100,
     /* Callers close a stream after a gap of two seconds or more. */
     RUNNER_WAIT_MAX_MS = 1900,
+    /* The same if the runner before was only silent: it may go on. */
+    MOVED_WAIT_MAX_MS = 4000,
+    /* Silence after which a request is moved although the next runner has to
+     * prefill its prompt, before the first event and after it. */
+    RESTART_PROMPT_IDLE_MS = 1000,
+    RESTART_STREAM_IDLE_MS = 600,
+    /* Interval between checks whether a silent request can be moved. */
+    SILENCE_POLL_MS = 100,
+    /* Runs of a stream that are left for the loss of a runner. */
+    RUNS_RESERVED = 1,
 };
 
-static bool runner_crashed(const attempt_t *attempt, send_result_t result);
+static bool may_move(forward_t *forward, request_t *request);
+static bool may_restart(const forward_t *forward, const request_t *request);
+static void record_crash(forward_t *forward, const request_t *request,
+                         send_result_t result);
 static void retain_copy(request_t *request);
 static request_t *find_active_request(forward_t *forward, uint64_t number,
                                       uint32_t attempt);
 static void handle_response(forward_t *forward, request_t *request);
 static void handle_rejection(forward_t *forward, request_t *request);
 static void resume_stream(forward_t *forward, request_t *request);
+static void wait_or_refuse(forward_t *forward, request_t *request,
+                           refuse_reason_t reason);
 static void retry_or_refuse(forward_t *forward, request_t *request,
                             refuse_reason_t reason);
 static bool may_run_again(const request_t *request);
@@ -45,6 +60,8 @@
     attempt->authentic = head->authentic;
     attempt->not_run = head->not_run;
     attempt->last_activity_us = forward->now_us;
+    attempt->held_until_us = 0;
+    attempt->probed = PROBE_ANSWERED;
     attempt->response_us = forward->now_us;
     if (request->type == REQUEST_STREAM && head->status == STATUS_OK &&
         head->authentic) {
@@ -99,9 +116,7 @@
         emit_log(forward, LOG_NOTICE, "zone-cooldown", "zone=%s",
                  attempt->runner->registration.zone);
     }
-    if (runner_crashed(attempt, result)) {
-        suspicion_runner_lost(forward, request);
-    }
+    record_crash(forward, request, result);
     if (not_sent) {
         request->runs--;
         uncount_delivery(forward, request);
@@ -125,20 +140,96 @@
     retry_or_refuse(forward, request, REFUSE_RUNNER_LOST);
 }
 
-/* A crash without a reset is only seen as silence by the time that the runner
- * has restarted and answers probes again. */
+void
+handle_silence(forward_t *forward, request_t *request, send_result_t result)
+{
+    attempt_t *attempt = &request->attempt;
+
+    if (may_move(forward, request)) {
+        request->moved = true;
+        handle_failed_attempt(forward, request, result);
+        return;
+    }
+    if (attempt->held_until_us == 0) {
+        emit_log(
+            forward, LOG_INFO, "held",
+            "request=%s attempt=%" PRIu32 " runner=%s cause=%s events=%" PRIu32
+            " idle_ms=%" PRId64 " runs=%" PRIu32,
+            request->id, attempt->number, attempt->runner->registration.id,
+            send_result_name(result), attempt->events,
+            (forward->now_us - attempt->last_activity_us) / US_PER_MS,
+            request->runs);
+    }
+    attempt->held_until_us =
+        forward->now_us + (int64_t)SILENCE_POLL_MS * US_PER_MS;
+}
+
+/* All that could end the request in place of moving it is checked here. */
+static bool
+may_move(forward_t *forward, request_t *request)
+{
+    crash_decision_t decision;
+
+    if (request->type == REQUEST_STREAM) {
+        if (!request->resumable ||
+            request->runs + RUNS_RESERVED >= request->attempts_max) {
+            return false;
+        }
+    }
+    else if (!may_run_again(request)) {
+        return false;
+    }
+    if (!retry_allowed(forward, request) ||
+        (!has_usable_copy(forward, request) &&
+         !may_restart(forward, request))) {
+        return false;
+    }
+    decision = suspicion_decide(forward, request);
+    return decision == CRASH_ALLOWED ||
+           (decision == CRASH_DEFERRED && request->response_started);
+}
+
+/*
+ * Returns whether the request may start over.  The same runner may be used if
+ * it answers probes: then only the connection has failed.
+ */
 static bool
-runner_crashed(const attempt_t *attempt, send_result_t result)
+may_restart(const forward_t *forward, const request_t *request)
 {
+    const attempt_t *attempt = &request->attempt;
+    int64_t idle_us = forward->now_us - attempt->last_activity_us;
+    int64_t limit_ms =
+        attempt->events > 0 ? RESTART_STREAM_IDLE_MS : RESTART_PROMPT_IDLE_MS;
+
+    if (request->type == REQUEST_STREAM && idle_us < limit_ms * US_PER_MS) {
+        return false;
+    }
+    return has_untried_runner(forward, request) ||
+           (request->response_started && attempt->probed == PROBE_ANSWERED &&
+            pool_runner_usable(attempt->runner, forward->now_us));
+}
+
+/* A crash without a reset is only seen as silence, possibly by the time that
+ * the runner has restarted and answers probes again. */
+static void
+record_crash(forward_t *forward, const request_t *request,
+             send_result_t result)
+{
+    const attempt_t *attempt = &request->attempt;
+
     switch (result) {
     case SEND_BROKEN:
     case SEND_UNRESPONSIVE:
-        return true;
+        suspicion_runner_lost(forward, request);
+        return;
     case SEND_STALLED:
     case SEND_DROPPED:
-        return attempt->runner->serial != attempt->runner_serial;
+        if (attempt->runner->serial != attempt->runner_serial) {
+            suspicion_runner_lost(forward, request);
+        }
+        return;
     default:
-        return false;
+        return;
     }
 }
 
@@ -173,7 +264,7 @@
 retry_waiting_request(forward_t *forward, request_t *request)
 {
     request->retry_at_us = 0;
-    if (request->response_started) {
+    if (request->response_started || request->moved) {
         request->tried_count = 0;
     }
     resume_stream(forward, request);
@@ -286,6 +377,10 @@
     bool may_send;
 
     if (!retry_allowed(forward, request)) {
+        if (request->moved) {
+            wait_or_refuse(forward, request, REFUSE_RETRY_BUDGET);
+            return;
+        }
         refuse_request(forward, request, REFUSE_RETRY_BUDGET);
         return;
     }
@@ -303,21 +398,29 @@
                      send_request(forward, request))) {
         return;
     }
-    if (!request->response_started) {
-        if (may_send) {
-            refuse_request(forward, request, REFUSE_NO_RUNNER);
-        }
-        else {
-            schedule_retry(forward, request);
-        }
+    if (!request->response_started && !may_send) {
+        schedule_retry(forward, request);
         return;
     }
+    wait_or_refuse(forward, request, REFUSE_NO_RUNNER);
+}
+
+/*
+ * Lets a stream that has started, or a request that was moved from a silent
+ * runner, wait for a runner for some time.
+ */
+static void
+wait_or_refuse(forward_t *forward, request_t *request, refuse_reason_t reason)
+{
+    int64_t limit_ms = request->moved ? MOVED_WAIT_MAX_MS : RUNNER_WAIT_MAX_MS;
+
     if (request->unassigned_since_us == 0) {
         request->unassigned_since_us = forward->now_us;
     }
-    if (forward->now_us - request->unassigned_since_us >
-        (int64_t)RUNNER_WAIT_MAX_MS * US_PER_MS) {
-        refuse_request(forward, request, REFUSE_NO_RUNNER);
+    if ((!request->response_started && !request->moved) ||
+        forward->now_us - request->unassigned_since_us >
+            limit_ms * US_PER_MS) {
+        refuse_request(forward, request, reason);
         return;
     }
     schedule_retry(forward, request);
@@ -341,7 +444,7 @@
         return;
     }
     if (!send_request(forward, request)) {
-        refuse_request(forward, request, reason);
+        wait_or_refuse(forward, request, reason);
     }
 }
 
--- a/forward/send.c
+++ b/forward/send.c
@@ -24,6 +24,10 @@
     DEADLINE_MIN_MS = 1,
 };
 
+static pool_runner_t *choose_runner(const forward_t *forward,
+                                    const request_t *request);
+static bool is_available(const forward_t *forward,
+                         const pool_runner_t *runner);
 static void start_attempt(forward_t *forward, request_t *request,
                           pool_runner_t *runner, bool restore);
 static uint32_t refusal_status(refuse_reason_t reason, bool not_run);
@@ -33,6 +37,26 @@
 
 bool
 send_request(forward_t *forward, request_t *request)
+{
+    pool_runner_t *runner = choose_runner(forward, request);
+
+    if (runner == NULL) {
+        return false;
+    }
+    start_attempt(forward, request, runner, false);
+    return true;
+}
+
+bool
+has_untried_runner(const forward_t *forward, const request_t *request)
+{
+    const pool_runner_t *runner = choose_runner(forward, request);
+
+    return runner != NULL && is_available(forward, runner);
+}
+
+static pool_runner_t *
+choose_runner(const forward_t *forward, const request_t *request)
 {
     bool stream = request->type == REQUEST_STREAM;
     pool_query_t query = {
@@ -46,18 +70,33 @@
         .tried = request->tried,
         .tried_count = request->tried_count,
     };
-    pool_runner_t *runner;
 
     /* With all of them unreachable, the next one is likely to be so, too. */
     if (request->tried_count == POOL_TRIED_MAX) {
-        return false;
-    }
-    runner = pool_choose_runner(forward->pool, forward->now_us, &query);
-    if (runner == NULL) {
-        return false;
+        return NULL;
     }
-    start_attempt(forward, request, runner, false);
-    return true;
+    return pool_choose_runner(forward->pool, forward->now_us, &query);
+}
+
+/* Returns whether neither the runner nor its zone is in a cooldown. */
+static bool
+is_available(const forward_t *forward, const pool_runner_t *runner)
+{
+    return pool_runner_usable(runner, forward->now_us) &&
+           forward->now_us >= runner->cooldown_until_us &&
+           !pool_zone_in_cooldown(runner->zone, forward->now_us);
+}
+
+bool
+has_usable_copy(const forward_t *forward, const request_t *request)
+{
+    const attempt_t *attempt = &request->attempt;
+
+    return attempt->events > 0 && attempt->standby != NULL &&
+           (attempt->copy_name != NULL || !attempt->copy_pending) &&
+           attempt->standby->serial == attempt->standby_serial &&
+           attempt->standby->version == request->version &&
+           is_available(forward, attempt->standby);
 }
 
 bool
--- a/forward/watchdog.c
+++ b/forward/watchdog.c
@@ -1,4 +1,10 @@
-/* watchdog.c - handles timeouts and probes runners that send nothing. */
+/*
+ * watchdog.c - handles timeouts and probes runners that send nothing.
+ *
+ * A runner that accepts the connection of a probe without a response is alive
+ * and may only pause; one that does not accept it has crashed, or the path to
+ * it is cut.
+ */
 #include <string.h>
 
 #include "forward/private.h"
@@ -18,6 +24,9 @@
      * although its runner answers probes. */
     STALL_STREAM_IDLE_MS = 1500,
     STALL_PROMPT_IDLE_MS = 8000,
+    /* The same if the runner only accepts connections.  Runners pause for a
+     * second or so. */
+    PAUSE_IDLE_MS = 3000,
     /* A report is some hundred ms old and may lack newer requests. */
     REPORT_AGE_MAX_MS = 800,
     /* Consecutive reports without a request before it counts as dropped. */
@@ -31,7 +40,8 @@
 static bool report_includes(const runner_report_t *report,
                             const request_t *request);
 static int64_t probe_idle_limit_us(const request_t *request);
-static int64_t stall_idle_limit_us(const request_t *request);
+static int64_t stall_due_us(const request_t *request);
+static bool is_probed(const request_t *request);
 
 void
 check_request_timers(forward_t *forward, request_t *request)
@@ -52,16 +62,19 @@
         return;
     }
     if (request->type == REQUEST_STREAM &&
-        forward->now_us - attempt->last_activity_us >=
-            stall_idle_limit_us(request)) {
-        handle_failed_attempt(forward, request, SEND_STALLED);
-        return;
+        forward->now_us >= stall_due_us(request)) {
+        uint32_t number = attempt->number;
+
+        handle_silence(forward, request, SEND_STALLED);
+        if (attempt->number != number) {
+            return;
+        }
     }
     copies_update(forward, request);
     since_us = attempt->last_probe_us > attempt->last_activity_us
                    ? attempt->last_probe_us
                    : attempt->last_activity_us;
-    if (attempt->probe_pending ||
+    if (!is_probed(request) || attempt->probe_pending ||
         forward->now_us - since_us < probe_idle_limit_us(request)) {
         return;
     }
@@ -103,12 +116,12 @@
         return at_us < due_us ? at_us : due_us;
     }
     if (request->type == REQUEST_STREAM) {
-        at_us = attempt->last_activity_us + stall_idle_limit_us(request);
+        at_us = stall_due_us(request);
         due_us = at_us < due_us ? at_us : due_us;
     }
     at_us = copies_due_us(request);
     due_us = at_us < due_us ? at_us : due_us;
-    if (!attempt->probe_pending) {
+    if (is_probed(request) && !attempt->probe_pending) {
         at_us = (attempt->last_probe_us > attempt->last_activity_us
                      ? attempt->last_probe_us
                      : attempt->last_activity_us) +
@@ -118,7 +131,7 @@
     return due_us;
 }
 
-/* A runner that does not answer a probe has lost all its requests. */
+/* A runner that cannot be reached is silent for all its requests. */
 void
 handle_probe_result(forward_t *forward, const forward_probe_result_t *probed)
 {
@@ -133,8 +146,9 @@
             strcmp(attempt->runner->registration.id, probed->runner) != 0) {
             continue;
         }
-        if (probed->answered) {
+        if (probed->outcome == PROBE_ANSWERED) {
             attempt->probe_pending = false;
+            attempt->probed = PROBE_ANSWERED;
             check_report(forward, request, probed->report);
             continue;
         }
@@ -143,10 +157,17 @@
             attempt->probe_pending = false;
             continue;
         }
-        if (attempt->probe_pending ||
-            forward->now_us - attempt->last_activity_us >=
+        if (!attempt->probe_pending &&
+            forward->now_us - attempt->last_activity_us <
                 (int64_t)PROBE_TIMEOUT_MS * US_PER_MS) {
-            handle_failed_attempt(forward, request, SEND_UNRESPONSIVE);
+            continue;
+        }
+        attempt->probe_pending = false;
+        attempt->probed = probed->outcome;
+        pool_record_silence(attempt->runner, forward->now_us);
+        if (probed->outcome == PROBE_UNREACHABLE ||
+            request->type != REQUEST_STREAM) {
+            handle_silence(forward, request, SEND_UNRESPONSIVE);
         }
     }
 }
@@ -211,10 +232,28 @@
            US_PER_MS;
 }
 
+/* Returns when handle_silence() is due for a stream without a probe. */
 static int64_t
-stall_idle_limit_us(const request_t *request)
+stall_due_us(const request_t *request)
 {
-    return (int64_t)(request->attempt.events > 0 ? STALL_STREAM_IDLE_MS
-                                                 : STALL_PROMPT_IDLE_MS) *
-           US_PER_MS;
+    const attempt_t *attempt = &request->attempt;
+    int64_t limit_ms =
+        attempt->events > 0 ? STALL_STREAM_IDLE_MS : STALL_PROMPT_IDLE_MS;
+    int64_t due_us;
+
+    if (attempt->probed == PROBE_SILENT) {
+        limit_ms = PAUSE_IDLE_MS;
+    }
+    due_us = attempt->last_activity_us + limit_ms * US_PER_MS;
+    return due_us > attempt->held_until_us ? due_us : attempt->held_until_us;
+}
+
+/* Returns whether the request could be moved if its runner is silent. */
+static bool
+is_probed(const request_t *request)
+{
+    return request->type == REQUEST_STREAM
+               ? request->resumable
+               : request->type == REQUEST_SAFE &&
+                     request->runs < request->attempts_max;
 }
--- a/gateway/runner_calls.c
+++ b/gateway/runner_calls.c
@@ -165,6 +165,19 @@
 }
 
 /* A response with any status shows that a probed runner is alive. */
+static probe_outcome_t
+probe_outcome(http_result_t result)
+{
+    switch (result) {
+    case HTTP_DONE:
+        return PROBE_ANSWERED;
+    case HTTP_TIMEOUT:
+        return PROBE_SILENT;
+    default:
+        return PROBE_UNREACHABLE;
+    }
+}
+
 static void
 on_response_end(http_sink_t *sink, http_result_t result)
 {
@@ -178,7 +191,7 @@
     if (runner_call->runner != NULL) {
         event.u.probed = (forward_probe_result_t){
             .runner = runner_call->runner,
-            .answered = result == HTTP_DONE,
+            .outcome = probe_outcome(result),
         };
         if (result == HTTP_DONE && runner_call->status == STATUS_OK &&
             dialect->parse_probe_response(&arena, runner_call->body.bytes,
--- a/regress/forwarding.c
+++ b/regress/forwarding.c
@@ -124,7 +124,9 @@
     else if (strcmp(line.words[0], "probed") == 0) {
         event.kind = FORWARD_PROBE_RESULT;
         event.u.probed.runner = line.words[1];
-        event.u.probed.answered = has(&line, "yes");
+        event.u.probed.outcome = has(&line, "yes")      ? PROBE_ANSWERED
+                                 : has(&line, "silent") ? PROBE_SILENT
+                                                        : PROBE_UNREACHABLE;
         if (value_of(&line, "active") != NULL) {
             event.u.probed.report = report_of(&line);
         }
--- a/regress/forwarding.h
+++ b/regress/forwarding.h
@@ -15,7 +15,8 @@
  *   head N ATTEMPT STATUS [stranger] [not-run]
  *   event N ATTEMPT ID
  *   whole N ATTEMPT | broken N ATTEMPT | unsent N ATTEMPT | invalid N ATTEMPT
- *   probed RUNNER yes|no [active=N [queued=N] [runs=ID]]   what it reports
+ *   probed RUNNER yes|no|silent [active=N [queued=N] [runs=ID]]
+ *                             its outcome, and what it reports
  *   copied N ATTEMPT [name=NAME]
  *   runner RUNNER [draining] [born=MS] [as=ID] [version=V]
  *                             as: another id, its address
--- a/regress/silence_call.c
+++ b/regress/silence_call.c
@@ -71,7 +71,7 @@
 }
 
 static void
-finish_probe(const call_t *call, bool answered)
+finish_probe(const call_t *call, probe_outcome_t outcome)
 {
     const char *ids[REQUESTS_MAX];
     runner_report_t report = {.runs = ids};
@@ -93,9 +93,11 @@
     }
     event.u.probed = (forward_probe_result_t){
         .runner = call->runner_id,
-        .answered = answered,
+        .outcome = outcome,
         .report =
-            answered && silence.runners[call->runner].engine ? &report : NULL};
+            outcome == PROBE_ANSWERED && silence.runners[call->runner].engine
+                ? &report
+                : NULL};
     silence_deliver(call->host, &event);
 }
 
@@ -117,6 +119,15 @@
     silence_deliver(call->host, &event);
 }
 
+static probe_outcome_t
+failed_outcome(const call_t *call)
+{
+    const runner_t *runner = &silence.runners[call->runner];
+
+    return runner->loss == LOSS_NONE && runner->accepts ? PROBE_SILENT
+                                                        : PROBE_UNREACHABLE;
+}
+
 static void
 advance_call(call_t *call)
 {
@@ -136,7 +147,7 @@
         finish_copy(call, done);
     }
     else {
-        finish_probe(call, done);
+        finish_probe(call, done ? PROBE_ANSWERED : failed_outcome(call));
     }
 }
 
--- a/regress/test_forward_log.c
+++ b/regress/test_forward_log.c
@@ -101,6 +101,13 @@
       {1520, "probed rc1 yes active=0", NULL}},
      {"lost request=q1 attempt=1 runner=rc1 cause=dropped ",
       "suspect-reported fingerprint=00000000000000ff crashes=1"}},
+    {"request that was on a silent runner is held",
+     {SETUP,
+      {10, "request 1 stream", NULL},
+      {510, "timer", NULL},
+      {610, "probed rc1 no", NULL}},
+     {"held request=q1 attempt=1 runner=rc1 cause=unresponsive events=0 "
+      "idle_ms=600 runs=1"}},
     {"request that crashed three runners is refused",
      {SETUP,
       {0, "list ra1 ra2 ra3 rb1 rb2 rb3 rc1 rc2 rc3 sa1", NULL},
