Record a crash after silence only if the runner has ended

The silence of a sound runner was recorded as its crash, under the content and the parts of the prompt of each request that was moved, and reported to all hosts: three silences made a harmless content restricted, and a stream with it was broken off (test_silence with the code before: 'break 1 harmful').

A loss by silence is now kept for 5 s, and recorded once the registry shows that the runner has ended: it started again, is gone, or another one has its address. A reset is recorded at once, as before.

silent_runners_make_a_content_harmful fails without the change (the second request waits); a runner that went dark and has restarted is still recorded (test_forward_log). test_suspicion_fleet, _load and _part pass as before. Of a crash without a reset other hosts hear later, by up to three intervals of its registration.

--- a/forward/forward.c
+++ b/forward/forward.c
@@ -40,6 +40,7 @@
     forward->random_state = settings->seed;
     forward->hosts = 1;
     forward->pool = pool_new();
+    TAILQ_INIT(&forward->silent_losses);
     return forward;
 }
 
@@ -68,7 +69,7 @@
     }
     sharing_free(forward);
     versions_free(forward);
-    crashes_free(forward->crashes);
+    suspicion_free(forward);
     routing_free(forward->routing);
     pool_free(forward->pool);
     free(forward->host);
@@ -460,6 +461,7 @@
     pool_free_expired(forward->pool, forward->now_us);
     sharing_expire(forward);
     versions_expire(forward);
+    suspicion_check_silent(forward);
     crashes_expire(forward->crashes, forward->now_us);
     HASH_ITER(hh, forward->requests, request, next)
     {
--- a/forward/private.h
+++ b/forward/private.h
@@ -133,6 +133,16 @@
     UT_hash_handle hh;
 } session_t;
 
+/* What suspicion.c records if a silent runner turns out to have ended. */
+typedef struct silent_loss {
+    TAILQ_ENTRY(silent_loss) link;
+    uint64_t runner; /* its id_hash */
+    uint64_t serial;
+    int64_t expiry_us;
+    crash_t crashes[FORWARD_PARTS_MAX + 1];
+    uint32_t count;
+} silent_loss_t;
+
 /* The version of the software that began a stream. */
 typedef struct {
     uint64_t stream;
@@ -159,8 +169,9 @@
     bool publish_due;      /* placements are sent after this step */
     request_t *requests;   /* by number */
     service_budget_t *budgets;
-    crashes_t *crashes;                    /* under requests */
-    outgoing_note_t notes[LINK_NOTES_MAX]; /* ring buffer, by note number */
+    crashes_t *crashes;                      /* under requests */
+    TAILQ_HEAD(, silent_loss) silent_losses; /* oldest first */
+    outgoing_note_t notes[LINK_NOTES_MAX];   /* ring buffer, by note number */
     uint64_t note_count;
     /* Valid during forward_step() only. */
     int64_t now_us;
@@ -320,6 +331,12 @@
 void suspicion_add_request(forward_t *forward, const request_t *request);
 /* Records a failed runner and how long the request had been on it. */
 void suspicion_runner_lost(forward_t *forward, const request_t *request);
+/* Records the same of a runner that is silent, and has failed only if its
+ * registration shows so within some seconds. */
+void suspicion_runner_silent(forward_t *forward, const request_t *request);
+/* Records the failures of silent runners that have ended since. */
+void suspicion_check_silent(forward_t *forward);
+void suspicion_free(forward_t *forward);
 /* Record that a runner completed the request, or that it sent an event. */
 void suspicion_run_completed(forward_t *forward, request_t *request);
 void suspicion_run_progress(forward_t *forward, request_t *request);
--- a/forward/recover.c
+++ b/forward/recover.c
@@ -219,14 +219,17 @@
 
     switch (result) {
     case SEND_BROKEN:
-    case SEND_UNRESPONSIVE:
         suspicion_runner_lost(forward, request);
         return;
+    case SEND_UNRESPONSIVE:
     case SEND_STALLED:
     case SEND_DROPPED:
         if (attempt->runner->serial != attempt->runner_serial) {
             suspicion_runner_lost(forward, request);
         }
+        else if (result == SEND_UNRESPONSIVE) {
+            suspicion_runner_silent(forward, request);
+        }
         return;
     default:
         return;
--- a/forward/registry.c
+++ b/forward/registry.c
@@ -32,6 +32,7 @@
         return;
     }
     check_all_copies(forward);
+    suspicion_check_silent(forward);
 }
 
 /* A complete list is logged once, by the code that reads it. */
--- a/forward/suspicion.c
+++ b/forward/suspicion.c
@@ -7,6 +7,7 @@
  * requests of this host show.
  */
 #include <inttypes.h>
+#include <stdlib.h>
 #include <string.h>
 #include <syslog.h>
 
@@ -17,9 +18,18 @@
 /* A request that completes after all is not to be turned away for long. */
 enum { RETRY_AFTER_DEFERRED_MS = 1000 };
 
+/* A runner that has ended is registered anew, or no longer registered, after
+ * at most a few of its intervals between registrations. */
+#define SILENT_LOSS_TTL_US ((int64_t)5000000)
+
 /* A run whose first event is older has not crashed because of its prompt. */
 #define SURVIVAL_US ((int64_t)500000)
 
+static uint32_t list_crashes(const forward_t *forward,
+                             const request_t *request, crash_t *crashes);
+static void add_crashes(forward_t *forward, const crash_t *crashes,
+                        uint32_t count);
+static void free_silent_loss(forward_t *forward, silent_loss_t *loss);
 static void log_blocked(forward_t *forward, const request_t *request);
 static void clear_subject(forward_t *forward, uint64_t fingerprint,
                           int64_t start_us);
@@ -55,34 +65,52 @@
 void
 suspicion_runner_lost(forward_t *forward, const request_t *request)
 {
-    const pool_runner_t *runner = request->attempt.runner;
-    const char *zone = runner->registration.zone;
-    crash_t crash = {.fingerprint = request->fingerprint,
-                     .depth = LINK_CONTENT_DEPTH,
-                     .runner = runner->id_hash,
-                     .zone = (uint32_t)XXH3_64bits(zone, strlen(zone)),
-                     .run_time_ms = run_time_ms(forward, request),
-                     .newest_run_ms = run_time_ms(forward, request),
-                     .fleet_runners = count_fleet_runners(forward, runner)};
-    uint32_t i;
+    crash_t crashes[FORWARD_PARTS_MAX + 1];
+    uint32_t count = list_crashes(forward, request, crashes);
 
-    crashes_add(forward->crashes, forward->now_us, &crash);
-    emit_log(forward, LOG_NOTICE, "suspect-reported",
-             "fingerprint=%016" PRIx64 " crashes=%" PRIu32,
-             request->fingerprint,
-             crashes_count(forward->crashes, forward->now_us,
-                           request->fingerprint));
-    forward->publish_due = true;
-    if (!is_writing(request)) {
-        return;
+    add_crashes(forward, crashes, count);
+}
+
+void
+suspicion_runner_silent(forward_t *forward, const request_t *request)
+{
+    silent_loss_t *loss = xcalloc(1, sizeof(*loss));
+
+    loss->runner = request->attempt.runner->id_hash;
+    loss->serial = request->attempt.runner_serial;
+    loss->expiry_us = forward->now_us + SILENT_LOSS_TTL_US;
+    loss->count = list_crashes(forward, request, loss->crashes);
+    TAILQ_INSERT_TAIL(&forward->silent_losses, loss, link);
+    suspicion_check_silent(forward);
+}
+
+void
+suspicion_check_silent(forward_t *forward)
+{
+    silent_loss_t *loss = TAILQ_FIRST(&forward->silent_losses);
+
+    while (loss != NULL) {
+        silent_loss_t *next = TAILQ_NEXT(loss, link);
+        bool ended =
+            pool_runner_has_ended(forward->pool, loss->runner, loss->serial);
+
+        if (ended) {
+            add_crashes(forward, loss->crashes, loss->count);
+        }
+        if (ended || forward->now_us >= loss->expiry_us) {
+            free_silent_loss(forward, loss);
+        }
+        loss = next;
     }
-    crash.run_time_ms = writing_time_ms(forward, request);
-    crash.newest_run_ms = 0;
-    for (i = 0; i < request->part_count; i++) {
-        crash.fingerprint = request->parts[i];
-        crash.depth = i;
-        crashes_add(forward->crashes, forward->now_us, &crash);
+}
+
+void
+suspicion_free(forward_t *forward)
+{
+    while (!TAILQ_EMPTY(&forward->silent_losses)) {
+        free_silent_loss(forward, TAILQ_FIRST(&forward->silent_losses));
     }
+    crashes_free(forward->crashes);
 }
 
 void
@@ -204,6 +232,59 @@
                       placements->crash_reports.crash_reports_val);
 }
 
+/* Returns the number of crashes: of the content, and of the parts of the
+ * prompt that may have caused it. */
+static uint32_t
+list_crashes(const forward_t *forward, const request_t *request,
+             crash_t *crashes)
+{
+    const pool_runner_t *runner = request->attempt.runner;
+    const char *zone = runner->registration.zone;
+    crash_t crash = {.fingerprint = request->fingerprint,
+                     .depth = LINK_CONTENT_DEPTH,
+                     .runner = runner->id_hash,
+                     .zone = (uint32_t)XXH3_64bits(zone, strlen(zone)),
+                     .run_time_ms = run_time_ms(forward, request),
+                     .newest_run_ms = run_time_ms(forward, request),
+                     .fleet_runners = count_fleet_runners(forward, runner)};
+    uint32_t i;
+
+    crashes[0] = crash;
+    if (!is_writing(request)) {
+        return 1;
+    }
+    crash.run_time_ms = writing_time_ms(forward, request);
+    crash.newest_run_ms = 0;
+    for (i = 0; i < request->part_count; i++) {
+        crash.fingerprint = request->parts[i];
+        crash.depth = i;
+        crashes[i + 1] = crash;
+    }
+    return request->part_count + 1;
+}
+
+static void
+add_crashes(forward_t *forward, const crash_t *crashes, uint32_t count)
+{
+    uint64_t content = crashes[0].fingerprint;
+    uint32_t i;
+
+    for (i = 0; i < count; i++) {
+        crashes_add(forward->crashes, forward->now_us, &crashes[i]);
+    }
+    emit_log(forward, LOG_NOTICE, "suspect-reported",
+             "fingerprint=%016" PRIx64 " crashes=%" PRIu32, content,
+             crashes_count(forward->crashes, forward->now_us, content));
+    forward->publish_due = true;
+}
+
+static void
+free_silent_loss(forward_t *forward, silent_loss_t *loss)
+{
+    TAILQ_REMOVE(&forward->silent_losses, loss, link);
+    free(loss);
+}
+
 static void
 log_blocked(forward_t *forward, const request_t *request)
 {
--- a/regress/test_silence.c
+++ b/regress/test_silence.c
@@ -160,6 +160,26 @@
     {1110, "probed rc1 no", "cancel 1.1; send 1.2 rb1 backup=10.17.0.1:80"},
 };
 
+/* Four runners of which each is silent in turn. */
+static const forwarding_line_t silent_runners_make_a_content_harmful[] = {
+    FORWARDING_OPENED,
+    {1, "list ra1 rb1 rc1 ra2 rb2 rc2 sa1", ""},
+    {10, "request 1 stream content=7", NULL},
+    {510, "timer", NULL},
+    {610, "probed rc1 no", NULL},
+    {1010, "timer", NULL},
+    {1110, "probed rc1 no", "cancel 1.1; send 1.2 rb2 backup=10.17.2.2:80"},
+    {1610, "timer", NULL},
+    {1710, "probed rb2 no", NULL},
+    {2110, "timer", NULL},
+    {2210, "probed rb2 no", "cancel 1.2; send 1.3 rb1 backup=10.17.2.2:80"},
+    {2710, "timer", NULL},
+    {2810, "probed rb1 no", NULL},
+    {3210, "timer", NULL},
+    {3310, "probed rb1 no", "cancel 1.3; send 1.4 rc2 backup=10.17.1.2:80"},
+    {3900, "request 2 stream content=7", "send 2.1 rb2 backup=10.17.0.2:80"},
+};
+
 static const forwarding_script_t scripts[] = {
     FORWARDING_SCRIPT(unsafe_request_is_ended_by_silence),
     FORWARDING_SCRIPT(silent_unsafe_request_outlives_deadline),
@@ -172,6 +192,7 @@
     FORWARDING_SCRIPT(stream_without_runs_is_broken_off),
     FORWARDING_SCRIPT(silent_prompt_is_restarted_at_once),
     FORWARDING_SCRIPT(lost_prompt_is_never_restarted),
+    FORWARDING_SCRIPT(silent_runners_make_a_content_harmful),
 };
 
 START_TEST(test_script)
