--- a/regress/silence_fault.c
+++ b/regress/silence_fault.c
@@ -17,6 +17,8 @@
     STREAMS_PER_ENGINE = 3,
     STREAM_TYPICAL_MS = 4500,
     STREAM_INTERVAL_MIN_MS = 50,
+    LARGE_FLEET_HOSTS = 40,
+    LARGE_FLEET_INTERVAL_MIN_MS = 125,
     DRAINING_PERMILLE = 250,
     PERMILLE = 1000,
     LIMIT_REQUESTS = 100,
@@ -39,6 +41,7 @@
 {
     static const size_t hosts[] = {3, 4, 6, 7, 12, 24, 40, 88};
     static const size_t engines[] = {1, 2, 3, 4, 6, 9, 12, 18, 36, 60};
+    int64_t interval_min_ms;
     size_t i;
 
     memset(&silence, 0, sizeof(silence));
@@ -60,11 +63,14 @@
     silence.same_id = silence_draw(2) == 0;
     silence.resets_old = silence_draw(2) == 0;
     silence.sends_head_early = silence_draw(2) == 0;
+    interval_min_ms = silence.host_count > LARGE_FLEET_HOSTS
+                          ? LARGE_FLEET_INTERVAL_MIN_MS
+                          : STREAM_INTERVAL_MIN_MS;
     silence.stream_interval_ms =
         STREAM_TYPICAL_MS /
         (STREAMS_PER_ENGINE * (int64_t)silence.engine_count);
-    if (silence.stream_interval_ms < STREAM_INTERVAL_MIN_MS) {
-        silence.stream_interval_ms = STREAM_INTERVAL_MIN_MS;
+    if (silence.stream_interval_ms < interval_min_ms) {
+        silence.stream_interval_ms = interval_min_ms;
     }
     silence.plain_interval_ms = silence_draw_between(30, 60);
     for (i = 0; i < silence.runner_count; i++) {
@@ -226,7 +232,7 @@
         (runner->loss == LOSS_RESET
              ? RESET_RESTART_MS
              : silence_draw_between(RESET_RESTART_MS, DARK_RESTART_MAX_MS));
-    (void)snprintf(runner->old_id, SIM_NAME_BYTES, "%s", runner->id);
+    memcpy(runner->old_id, runner->id, sizeof(runner->old_id));
     runner->old_until_ms =
         silence.now_ms + silence_draw_between(RESET_RESTART_MS, ENTRY_MAX_MS);
     silence_lose_runs(index);
