Take up a stream at once when its silent runner has ended

Silence has a file of its own, forward/silence.c.

stream_of_ended_runner_is_held and restarted_runner_keeps_its_stream fail without has_ended() (mutants).

--- a/forward/private.h
+++ b/forward/private.h
@@ -225,9 +225,10 @@
 bool send_request(forward_t *forward, request_t *request);
 /* Resumes on the runner that holds a copy; returns false if it is unusable. */
 bool resume_from_copy(forward_t *forward, request_t *request);
-/* Returns whether a runner that has not been tried for the request is likely
- * to be available. */
-bool has_untried_runner(const forward_t *forward, const request_t *request);
+/* Returns whether there is a runner that has not been tried for the request;
+ * available: one that is in no cooldown. */
+bool has_untried_runner(const forward_t *forward, const request_t *request,
+                        bool available);
 /* Returns whether a runner holds a copy for another attempt. */
 bool has_usable_copy(const forward_t *forward, const request_t *request);
 /* Returns a runner in another zone than runner's, else any other runner, else
@@ -251,18 +252,26 @@
 /* Retries, resumes or refuses a request after its attempt failed. */
 void handle_failed_attempt(forward_t *forward, request_t *request,
                            send_result_t result);
-/*
- * Handles the silence of the attempt's runner, which does not show that its
- * run has ended.  The request is moved to another runner if one can take it
- * up; otherwise the attempt goes on.
- */
-void handle_silence(forward_t *forward, request_t *request,
-                    send_result_t result);
 /* Looks again for a runner for a request that waits for one. */
 void retry_waiting_request(forward_t *forward, request_t *request);
 /* Lets the request wait until retry_waiting_request() is due. */
 void schedule_retry(forward_t *forward, request_t *request);
 
+/* Returns whether the request is safe and may run on another runner. */
+bool may_run_again(const request_t *request);
+/* Returns the name of the result in the log. */
+const char *send_result_name(send_result_t result);
+
+/* --- silence.c --- */
+
+/* Moves the request of a silent runner to another one if that can take it up;
+ * otherwise its attempt goes on. */
+void handle_silence(forward_t *forward, request_t *request,
+                    send_result_t result);
+/* Ends the attempts that go on although the registry now shows that their
+ * runners have ended. */
+void silence_check_ended(forward_t *forward);
+
 /* --- copies.c --- */
 
 /* Replaces a failed standby and refreshes a copy that is about to expire. */
--- a/forward/recover.c
+++ b/forward/recover.c
@@ -18,18 +18,8 @@
     RUNNER_WAIT_MAX_MS = 1900,
     /* The same if the runner before was only silent: it may go on. */
     MOVED_WAIT_MAX_MS = 4000,
-    /* Silence after which a request is moved although the next runner has to
-     * prefill its prompt, before the first event and after it. */
-    RESTART_PROMPT_IDLE_MS = 1000,
-    RESTART_STREAM_IDLE_MS = 600,
-    /* Interval between checks whether a silent request can be moved. */
-    SILENCE_POLL_MS = 100,
-    /* Runs of a stream that are left for the loss of a runner. */
-    RUNS_RESERVED = 1,
 };
 
-static bool may_move(forward_t *forward, request_t *request);
-static bool may_restart(const forward_t *forward, const request_t *request);
 static void record_crash(forward_t *forward, const request_t *request,
                          send_result_t result);
 static void retain_copy(request_t *request);
@@ -42,8 +32,6 @@
                            refuse_reason_t reason);
 static void retry_or_refuse(forward_t *forward, request_t *request,
                             refuse_reason_t reason);
-static bool may_run_again(const request_t *request);
-static const char *send_result_name(send_result_t result);
 
 void
 handle_response_head(forward_t *forward, const forward_response_head_t *head)
@@ -140,75 +128,6 @@
     retry_or_refuse(forward, request, REFUSE_RUNNER_LOST);
 }
 
-void
-handle_silence(forward_t *forward, request_t *request, send_result_t result)
-{
-    attempt_t *attempt = &request->attempt;
-
-    if (may_move(forward, request)) {
-        request->moved = true;
-        handle_failed_attempt(forward, request, result);
-        return;
-    }
-    if (attempt->held_until_us == 0) {
-        emit_log(
-            forward, LOG_INFO, "held",
-            "request=%s attempt=%" PRIu32 " runner=%s cause=%s events=%" PRIu32
-            " idle_ms=%" PRId64 " runs=%" PRIu32,
-            request->id, attempt->number, attempt->runner->registration.id,
-            send_result_name(result), attempt->events,
-            (forward->now_us - attempt->last_activity_us) / US_PER_MS,
-            request->runs);
-    }
-    attempt->held_until_us =
-        forward->now_us + (int64_t)SILENCE_POLL_MS * US_PER_MS;
-}
-
-/* All that could end the request in place of moving it is checked here. */
-static bool
-may_move(forward_t *forward, request_t *request)
-{
-    crash_decision_t decision;
-
-    if (request->type == REQUEST_STREAM) {
-        if (!request->resumable ||
-            request->runs + RUNS_RESERVED >= request->attempts_max) {
-            return false;
-        }
-    }
-    else if (!may_run_again(request)) {
-        return false;
-    }
-    if (!retry_allowed(forward, request) ||
-        (!has_usable_copy(forward, request) &&
-         !may_restart(forward, request))) {
-        return false;
-    }
-    decision = suspicion_decide(forward, request);
-    return decision == CRASH_ALLOWED ||
-           (decision == CRASH_DEFERRED && request->response_started);
-}
-
-/*
- * Returns whether the request may start over.  The same runner may be used if
- * it answers probes: then only the connection has failed.
- */
-static bool
-may_restart(const forward_t *forward, const request_t *request)
-{
-    const attempt_t *attempt = &request->attempt;
-    int64_t idle_us = forward->now_us - attempt->last_activity_us;
-    int64_t limit_ms =
-        attempt->events > 0 ? RESTART_STREAM_IDLE_MS : RESTART_PROMPT_IDLE_MS;
-
-    if (request->type == REQUEST_STREAM && idle_us < limit_ms * US_PER_MS) {
-        return false;
-    }
-    return has_untried_runner(forward, request) ||
-           (request->response_started && attempt->probed == PROBE_ANSWERED &&
-            pool_runner_usable(attempt->runner, forward->now_us));
-}
-
 /* A crash without a reset is only seen as silence, possibly by the time that
  * the runner has restarted and answers probes again. */
 static void
@@ -451,15 +370,14 @@
     }
 }
 
-/* Returns whether the request may run on another runner. */
-static bool
+bool
 may_run_again(const request_t *request)
 {
     return request->type == REQUEST_SAFE &&
            request->runs < request->attempts_max;
 }
 
-static const char *
+const char *
 send_result_name(send_result_t result)
 {
     static const char *const names[] = {
--- a/forward/registry.c
+++ b/forward/registry.c
@@ -32,6 +32,7 @@
         return;
     }
     check_all_copies(forward);
+    silence_check_ended(forward);
     suspicion_check_silent(forward);
 }
 
--- a/forward/send.c
+++ b/forward/send.c
@@ -48,11 +48,12 @@
 }
 
 bool
-has_untried_runner(const forward_t *forward, const request_t *request)
+has_untried_runner(const forward_t *forward, const request_t *request,
+                   bool available)
 {
     const pool_runner_t *runner = choose_runner(forward, request);
 
-    return runner != NULL && is_available(forward, runner);
+    return runner != NULL && (!available || is_available(forward, runner));
 }
 
 static pool_runner_t *
--- a/regress/test_silence.c
+++ b/regress/test_silence.c
@@ -120,6 +120,33 @@
     {3900, "whole 1 1", "finish 1"},
 };
 
+static const forwarding_line_t restarted_runner_keeps_its_stream[] = {
+    {0, "routing 1", ""},
+    {0, "contact", ""},
+    {0, "hosts 1", ""},
+    {0, "list ra1", ""},
+    {10, "request 1 stream", "send 1.1 ra1"},
+    {900, "head 1 1 200", "begin 1.1"},
+    {900, "event 1 1 0", ""},
+    {1120, "timer", NULL},
+    {1220, "probed ra1 no", ""},
+    {1300, "runner ra1 born=5", "cancel 1.1; send 1.2 ra1 resume"},
+};
+
+/* It had restarted before its silence was noticed. */
+static const forwarding_line_t stream_of_ended_runner_is_held[] = {
+    {0, "routing 1", ""},
+    {0, "contact", ""},
+    {0, "hosts 1", ""},
+    {0, "list ra1", ""},
+    {10, "request 1 stream", "send 1.1 ra1"},
+    {900, "head 1 1 200", "begin 1.1"},
+    {900, "event 1 1 0", ""},
+    {1100, "runner ra1 born=5", ""},
+    {1120, "timer", NULL},
+    {1220, "probed ra1 no", "cancel 1.1; send 1.2 ra1 resume"},
+};
+
 /* Four of the five runs that its route allows have been used up. */
 static const forwarding_line_t stream_without_runs_is_broken_off[] = {
     FORWARDING_OPENED,
@@ -189,6 +216,8 @@
     FORWARDING_SCRIPT(hung_runner_keeps_its_stream),
     FORWARDING_SCRIPT(unreachable_runner_keeps_its_stream),
     FORWARDING_SCRIPT(stream_without_other_runner_is_broken_off),
+    FORWARDING_SCRIPT(restarted_runner_keeps_its_stream),
+    FORWARDING_SCRIPT(stream_of_ended_runner_is_held),
     FORWARDING_SCRIPT(stream_without_runs_is_broken_off),
     FORWARDING_SCRIPT(silent_prompt_is_restarted_at_once),
     FORWARDING_SCRIPT(lost_prompt_is_never_restarted),
