--- a/forward/forward.c
+++ b/forward/forward.c
@@ -110,6 +110,8 @@
     case FORWARD_HOST_COUNT:
         forward->hosts = event->u.hosts > 0 ? event->u.hosts : 1;
         break;
+    case FORWARD_HOSTS:
+        break;
     case FORWARD_PEER_REPORT:
         handle_peer_report(forward, &event->u.peer);
         break;
@@ -163,6 +165,12 @@
            (limit_us == 0 || now_us - forward->contact_us < limit_us);
 }
 
+bool
+forward_host_reaches_runners(const forward_t *forward, const char *host)
+{
+    return true;
+}
+
 size_t
 forward_request_count(const forward_t *forward)
 {
--- a/forward/forward.h
+++ b/forward/forward.h
@@ -74,6 +74,7 @@
     FORWARD_REGISTRY_END,
     FORWARD_STORE_CONTACT,
     FORWARD_HOST_COUNT,
+    FORWARD_HOSTS,
     FORWARD_PEER_REPORT,
     FORWARD_LIMITS,
     FORWARD_DRAIN,
@@ -102,6 +103,7 @@
      * its start on: at most FORWARD_PARTS_MAX. */
     const uint64_t *parts;
     uint32_t part_count;
+    bool relayed; /* by another host: it is not relayed again */
 } forward_request_t;
 
 /* The head of a response from a runner. */
@@ -110,7 +112,11 @@
     uint32_t attempt;
     uint32_t status;
     bool authentic; /* names this request and has a valid runner signature */
-    bool not_run;   /* the runner states that it has not run the request */
+    bool not_run;   /* the runner or host states that it has not run */
+    /* The host that it was relayed to refused it, for this reason. */
+    bool refused_by_host;
+    refuse_reason_t refusal;
+    uint32_t retry_after_ms; /* of that refusal; 0: not stated */
 } forward_response_head_t;
 
 /* Complete events of a stream were received, up to last_event_id. */
@@ -153,6 +159,19 @@
     const char *name; /* of the copy; NULL: the copy failed */
 } forward_copy_result_t;
 
+/* A host that accepts callers' requests. */
+typedef struct {
+    const char *name;
+    const char *address; /* for callers' requests */
+    const char *zone;
+} forward_host_t;
+
+/* All hosts, in place of those known before. */
+typedef struct {
+    const forward_host_t *items;
+    size_t count;
+} forward_hosts_t;
+
 /* The requests of another host at runners, as that host reports them. */
 typedef struct {
     const char *host;
@@ -189,6 +208,7 @@
         const char *deregistered_id;
         int64_t contact_us; /* when the routing table was current */
         uint32_t hosts;     /* number of hosts that share the retry budgets */
+        forward_hosts_t host_list;
         forward_peer_report_t peer;
         forward_limits_t limits;
     } u;
@@ -211,10 +231,11 @@
     FORWARD_ACTION_PUBLISH, /* send forward_placements() to the other hosts */
 } forward_action_kind_t;
 
-/* Sends the request to a runner. */
+/* Sends the request to a runner, or relays it to another host. */
 typedef struct {
     uint32_t attempt;
-    const char *runner;
+    const char *host;   /* to which it is relayed; NULL: none */
+    const char *runner; /* NULL: it is relayed */
     const char *address;
     const char *organisation; /* NULL: anonymous */
     uint32_t deadline_ms;     /* time that the runner has left; 0: unlimited */
@@ -334,6 +355,10 @@
 /* Returns whether this host should receive new callers. */
 bool forward_ready(const forward_t *forward, int64_t now_us);
 
+/* Returns false if the host of that name, this one or another, is known to
+ * reach no runner. */
+bool forward_host_reaches_runners(const forward_t *forward, const char *host);
+
 /*
  * Writes the streams of this host to placements, to be sent to other hosts.
  * The arrays are allocated in arena.  Incarnation and number are left for
--- a/world/link.x
+++ b/world/link.x
@@ -325,12 +325,14 @@
  * contact_age_ms is the time since the routing table of the sender was last
  * confirmed to be current.  notes contains the latest notes, which are sent
  * repeatedly because a message can be lost.  crash_reports contains the state
- * of requests that may crash runners, not only what is new.
+ * of requests that may crash runners, not only what is new.  isolated is set
+ * while the sender reaches no runner.
  */
 struct placements_t {
     uint64_t incarnation;
     uint64_t number;
     uint32_t contact_age_ms;
+    bool isolated;
     placement_t items<LINK_PLACEMENTS_MAX>;
     budget_use_t budgets<LINK_BUDGETS_MAX>;
     note_t notes<LINK_NOTES_MAX>;
