Relay a request to another host, with a mark that callers cannot forge

A relayed request carries the caller's key, id and remaining time, and two headers: X-Relayed-By, which agated/relay.c has sent so far, and X-Relay-Tag, an HMAC with the hosts' shared key. A host that refuses such a request says why in X-Relay-Refusal. None of these reaches a runner or a caller. The directory leaves out hosts that reach no runner, and reports all hosts to the forwarding logic, which does not use either yet.

--- a/agated/exchange.c
+++ b/agated/exchange.c
@@ -8,6 +8,7 @@
 
 #include "agated/exchange.h"
 #include "base/log.h"
+#include "peer/relay_mark.h"
 
 enum {
     HTTP2_VERSION = 0x200,
@@ -410,8 +411,8 @@
         .message = "the host is leaving: ask GET /v1/hosts for another",
     };
 
-    if (copy_request_header(exchange->req, &exchange->arena, "x-relayed-by") !=
-        NULL) {
+    if (copy_request_header(exchange->req, &exchange->arena,
+                            relay_mark_host_header_lower) != NULL) {
         refuse_request(exchange, &refusal);
         return;
     }
--- a/agated/relay.c
+++ b/agated/relay.c
@@ -3,6 +3,7 @@
 
 #include "agated/exchange.h"
 #include "base/log.h"
+#include "peer/relay_mark.h"
 
 enum { CONNECT_TIMEOUT_MS = 1000, HEADERS_MAX = 8 };
 
@@ -77,7 +78,7 @@
         {"Last-Event-ID", input->last_event_id},
         {"X-Request-Kind", input->request_kind},
         {"Idempotency-Key", exchange->response.name},
-        {"X-Relayed-By", exchange->daemon->settings->host},
+        {relay_mark_host_header, exchange->daemon->settings->host},
     };
     size_t count = 0;
     size_t i;
--- a/gateway/dialect.h
+++ b/gateway/dialect.h
@@ -41,6 +41,10 @@
 /* Returns the first header of that name (any case), or NULL. */
 const header_t *headers_find(const headers_t *headers, const char *name);
 
+/* Remove all headers of that name (any case), or the first one. */
+void headers_remove(headers_t *headers, const char *name);
+void headers_remove_first(headers_t *headers, const char *name);
+
 /* Returns true for hop-by-hop headers and those that frame the message. */
 bool header_is_hop_by_hop(const char *name, size_t length);
 
@@ -62,7 +66,8 @@
 typedef struct {
     const char *id; /* of the request it belongs to, or NULL */
     bool signed_by_runner;
-    bool not_run; /* the runner did not execute the request */
+    bool not_run;            /* the runner did not execute the request */
+    uint32_t retry_after_ms; /* 0: not stated */
 } response_properties_t;
 
 /* A caller's query for host addresses. */
@@ -83,6 +88,13 @@
     void (*write_runner_headers)(arena_t *arena, const headers_t *caller,
                                  const send_action_t *send, headers_t *out);
 
+    /*
+     * Sets the headers of a request that is relayed to another host: the
+     * caller's with its key, without those that only the system may set.
+     */
+    void (*write_relay_headers)(arena_t *arena, const headers_t *caller,
+                                const send_action_t *send, headers_t *out);
+
     void (*parse_response_headers)(arena_t *arena, const headers_t *headers,
                                    response_properties_t *terms);
 
--- a/gateway/directory.c
+++ b/gateway/directory.c
@@ -7,7 +7,11 @@
 #include "base/random.h"
 #include "gateway/gateway.h"
 
-enum { ADDRESSES_MAX = 64 };
+enum {
+    ADDRESSES_MAX = 64,
+    /* Callers need another address when one host fails. */
+    HOSTS_LISTED_MIN = 2,
+};
 
 static const char prefix[] = "agatevale/hosts/";
 
@@ -22,14 +26,17 @@
 
 struct directory {
     gateway_t *gateway;
-    host_t *hosts; /* indexed by key */
+    host_t *hosts;  /* indexed by key */
+    bool reloading; /* between directory_reload_begin() and _end() */
 };
 
 static void host_free(directory_t *directory, host_t *host);
 static void host_clear(host_t *host);
 static void parse_value(host_t *host, const char *value, size_t value_bytes);
 static const char *host_name(const host_t *host);
-static void report_host_count(directory_t *directory);
+static void report_hosts(directory_t *directory);
+static bool reaches_runners(const directory_t *directory, const host_t *host);
+static bool lists_isolated_hosts(const directory_t *directory);
 
 directory_t *
 directory_new(gateway_t *gateway)
@@ -84,7 +91,7 @@
         host_free(directory, host);
     }
     if (value == NULL) {
-        report_host_count(directory);
+        report_hosts(directory);
         return;
     }
     if (host == NULL) {
@@ -95,7 +102,7 @@
     }
     parse_value(host, value, value_bytes);
     host->in_list = true;
-    report_host_count(directory);
+    report_hosts(directory);
 }
 
 void
@@ -103,6 +110,7 @@
 {
     host_t *host;
 
+    directory->reloading = true;
     for (host = directory->hosts; host != NULL; host = host->hh.next) {
         host->in_list = false;
     }
@@ -120,7 +128,8 @@
             host_free(directory, host);
         }
     }
-    report_host_count(directory);
+    directory->reloading = false;
+    report_hosts(directory);
 }
 
 size_t
@@ -182,7 +191,8 @@
 }
 
 /*
- * If there are more hosts than a response can hold, starts at a random one so
+ * Leaves out hosts that reach no runner, if enough others are left.  If there
+ * are more hosts than a response can hold, starts at a random one so
  * that callers are spread over all hosts.
  */
 bool
@@ -191,6 +201,7 @@
 {
     const gateway_t *gateway = directory->gateway;
     size_t host_count = HASH_COUNT(directory->hosts);
+    bool lists_isolated = lists_isolated_hosts(directory);
     const char *addresses[ADDRESSES_MAX];
     size_t skip = host_count > ADDRESSES_MAX ? random_u64() % host_count : 0;
     size_t count = 0;
@@ -202,8 +213,10 @@
     }
     for (i = 0; i < host_count && count < ADDRESSES_MAX; i++) {
         host = host != NULL ? host : directory->hosts;
-        addresses[count] = host->address;
-        count++;
+        if (lists_isolated || reaches_runners(directory, host)) {
+            addresses[count] = host->address;
+            count++;
+        }
         host = host->hh.next;
     }
     if (count == 0 &&
@@ -263,13 +276,57 @@
     free(text);
 }
 
+/* During a reload the list is incomplete: it is reported at the end. */
 static void
-report_host_count(directory_t *directory)
+report_hosts(directory_t *directory)
 {
-    forward_event_t event = {
-        .kind = FORWARD_HOST_COUNT,
-        .u.hosts = HASH_COUNT(directory->hosts), /* NOLINT(clang-analyzer-*) */
-    };
+    size_t count = HASH_COUNT(directory->hosts); /* NOLINT(clang-analyzer-*) */
+    forward_event_t event = {.kind = FORWARD_HOST_COUNT,
+                             .u.hosts = (uint32_t)count};
+    arena_t arena = {0};
+    forward_host_t *items;
+    const host_t *host;
+    size_t i = 0;
 
     forwarding_handle_event(directory->gateway, &event);
+    if (directory->reloading) {
+        return;
+    }
+    items = arena_array(&arena, count + 1, sizeof(*items));
+    for (host = directory->hosts; host != NULL; host = host->hh.next) {
+        items[i] = (forward_host_t){.name = host_name(host),
+                                    .address = host->address,
+                                    .zone = host->zone};
+        i++;
+    }
+    event = (forward_event_t){.kind = FORWARD_HOSTS,
+                              .u.host_list = {.items = items, .count = count}};
+    forwarding_handle_event(directory->gateway, &event);
+    arena_free(&arena);
+}
+
+static bool
+reaches_runners(const directory_t *directory, const host_t *host)
+{
+    return forward_host_reaches_runners(forwarding_state(directory->gateway),
+                                        host_name(host));
+}
+
+/*
+ * Returns whether too few hosts reach runners to serve all callers: an
+ * isolated host relays its callers' requests.
+ */
+static bool
+lists_isolated_hosts(const directory_t *directory)
+{
+    size_t count = HASH_COUNT(directory->hosts);
+    size_t reaching = 0;
+    const host_t *host;
+
+    for (host = directory->hosts; host != NULL; host = host->hh.next) {
+        if (reaches_runners(directory, host)) {
+            reaching++;
+        }
+    }
+    return reaching < HOSTS_LISTED_MIN || reaching * 2 < count;
 }
--- a/gateway/forwarding.c
+++ b/gateway/forwarding.c
@@ -76,7 +76,10 @@
     free(forwarding);
 }
 
-/* Only FORWARD_CALLER_DISCONNECTED is raised during a step. */
+/*
+ * Only FORWARD_CALLER_DISCONNECTED, and FORWARD_SEND_END of a request that
+ * was not sent, are raised during a step.
+ */
 void
 forwarding_handle_event(gateway_t *gateway, const forward_event_t *event)
 {
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -23,6 +23,7 @@
 #include "http/http.h"
 #include "kv/kv.h"
 #include "kv/presence.h"
+#include "peer/wire.h"
 
 typedef struct front front_t;
 typedef struct upstreams upstreams_t;
@@ -138,7 +139,7 @@
 /* Aborts the response, so that the caller sees it as incomplete. */
 void front_abort_response(front_t *front, uint64_t number);
 
-/* --- upstream.c: sends requests to runners --- */
+/* --- upstream.c: sends requests to runners and to other hosts --- */
 
 upstreams_t *upstreams_new(gateway_t *gateway);
 void upstreams_free(upstreams_t *upstreams);
@@ -159,6 +160,26 @@
 /* Cancels and frees the attempt of a request, if there is one. */
 void upstream_release(upstreams_t *upstreams, uint64_t number);
 
+/* --- host_relay.c: headers of requests and responses between hosts --- */
+
+/*
+ * Removes the headers of a relay from a request whose id is set.  Returns true
+ * if they show that another host relayed it.
+ */
+bool host_relay_accept(gateway_t *gateway, arena_t *arena,
+                       caller_request_t *request);
+/* Marks a request as relayed by this host; false if no key is known. */
+bool host_relay_write_mark(gateway_t *gateway, arena_t *arena,
+                           const caller_request_t *request, headers_t *out);
+/* Returns the header that tells the relaying host of a refusal. */
+header_t host_relay_refusal_header(arena_t *arena,
+                                   const refuse_action_t *refusal);
+/* Completes the head of a response that the other host itself has made. */
+void host_relay_read_refusal(arena_t *arena, const headers_t *headers,
+                             forward_response_head_t *head);
+/* Removes what callers are not to receive; from_host: another host sent it. */
+void host_relay_remove_headers(headers_t *headers, bool from_host);
+
 /* --- runner_calls.c: the gateway's own calls to runners --- */
 
 runner_calls_t *runner_calls_new(gateway_t *gateway);
@@ -241,6 +262,8 @@
 void meters_free(meters_t *meters);
 /* Updates the metrics for an action. */
 void meters_count_action(meters_t *meters, const forward_action_t *order);
+/* Counts a request that another host relayed to this one. */
+void meters_count_relay_received(meters_t *meters);
 /* Appends all metrics in the Prometheus text format. */
 void meters_write(meters_t *meters, int64_t contact_age_us, text_t *text);
 
@@ -261,6 +284,8 @@
  */
 void peering_set_key(peering_t *peering, const char *value,
                      size_t value_bytes);
+/* Returns the shared key; without bytes until it is known. */
+wire_key_t peering_key(const peering_t *peering);
 /* Returns true if messages can be sent. */
 bool peering_ready(const peering_t *peering);
 /* Sends a message to a host; logs a failure. */
--- a/gateway/headers.c
+++ b/gateway/headers.c
@@ -39,6 +39,29 @@
     return NULL;
 }
 
+void
+headers_remove(headers_t *headers, const char *name)
+{
+    while (headers_find(headers, name) != NULL) {
+        headers_remove_first(headers, name);
+    }
+}
+
+void
+headers_remove_first(headers_t *headers, const char *name)
+{
+    const header_t *header = headers_find(headers, name);
+    size_t at;
+
+    if (header == NULL) {
+        return;
+    }
+    at = (size_t)(header - headers->items);
+    headers->count--;
+    memmove(&headers->items[at], &headers->items[at + 1],
+            (headers->count - at) * sizeof(*headers->items));
+}
+
 bool
 header_is_hop_by_hop(const char *name, size_t length)
 {
--- a/gateway/inbound.c
+++ b/gateway/inbound.c
@@ -35,6 +35,7 @@
 static void on_stop(h2o_generator_t *generator, h2o_req_t *req);
 static void start_response(inbound_t *inbound,
                            const runner_response_t *response);
+static void add_header(h2o_req_t *req, const header_t *header);
 static void send_pending(inbound_t *inbound);
 
 void
@@ -164,6 +165,11 @@
         h2o_add_header(&inbound->req->pool, &inbound->req->res.headers,
                        H2O_TOKEN_RETRY_AFTER, NULL, value, strlen(value));
     }
+    if (inbound->relayed) {
+        header_t mark = host_relay_refusal_header(&inbound->arena, refusal);
+
+        add_header(inbound->req, &mark);
+    }
     body = arena_printf(&inbound->arena,
                         "{\"error\":{\"kind\":\"%s\",\"run\":\"%s\"}}\n",
                         refuse_reason_name(refusal->reason),
@@ -274,6 +280,7 @@
     gateway->dialect->ops->parse_caller_headers(&inbound->arena,
                                                 &request->headers, &terms);
     request->id = terms.id;
+    inbound->relayed = host_relay_accept(gateway, &inbound->arena, request);
     inbound->last_event_id = terms.last_event_id;
     event.u.request = (forward_request_t){
         .number = inbound->number,
@@ -291,6 +298,7 @@
         .fingerprint = fingerprint(request, terms.key),
         .parts = terms.parts,
         .part_count = terms.part_count,
+        .relayed = inbound->relayed,
     };
     forwarding_handle_event(gateway, &event);
 }
@@ -443,23 +451,28 @@
     req->res.status = (int)response->status;
     req->res.reason = "OK";
     for (i = 0; i < response->headers->count; i++) {
-        const header_t *header = &response->headers->items[i];
-        h2o_iovec_t name =
-            h2o_strdup(&req->pool, header->name, header->name_bytes);
-        h2o_iovec_t value =
-            h2o_strdup(&req->pool, header->value, header->value_bytes);
-        h2o_iovec_t original =
-            h2o_strdup(&req->pool, header->name, header->name_bytes);
-
-        (void)h2o_strtolower(name.base, name.len);
-        h2o_add_header_by_str(&req->pool, &req->res.headers, name.base,
-                              name.len, 1, original.base, value.base,
-                              value.len);
+        add_header(req, &response->headers->items[i]);
     }
     inbound->response_started = true;
     h2o_start_response(req, &inbound->generator);
 }
 
+/* Adds a header to the response; copies its strings. */
+static void
+add_header(h2o_req_t *req, const header_t *header)
+{
+    h2o_iovec_t name =
+        h2o_strdup(&req->pool, header->name, header->name_bytes);
+    h2o_iovec_t value =
+        h2o_strdup(&req->pool, header->value, header->value_bytes);
+    h2o_iovec_t original =
+        h2o_strdup(&req->pool, header->name, header->name_bytes);
+
+    (void)h2o_strtolower(name.base, name.len);
+    h2o_add_header_by_str(&req->pool, &req->res.headers, name.base, name.len,
+                          1, original.base, value.base, value.len);
+}
+
 /* The last send may dispose of the request and free inbound. */
 static void
 send_pending(inbound_t *inbound)
--- a/gateway/inbound.h
+++ b/gateway/inbound.h
@@ -19,6 +19,7 @@
     h2o_req_t *req;
     arena_t arena;
     caller_request_t request;
+    bool relayed;          /* by another host */
     int64_t last_event_id; /* sent to the caller; -1: none */
     text_t pending;        /* to send once in_flight has been sent */
     text_t in_flight;
--- a/gateway/meters.c
+++ b/gateway/meters.c
@@ -15,6 +15,7 @@
     metric_family_t *longest_gap;
     metric_family_t *resume_gap;
     metric_family_t *sends;
+    metric_family_t *relays;
     metric_family_t *probes;
     metric_family_t *copies;
     metric_family_t *routing_age;
@@ -24,6 +25,7 @@
 static metric_family_t *new_histogram(metric_set_t *set, const char *name,
                                       const char *help, const char *label);
 static const char *request_type_name(request_type_t type);
+static void count_relay(meters_t *meters, const char *direction);
 
 meters_t *
 meters_new(void)
@@ -51,6 +53,11 @@
                               .name = "agatevale_sends_total",
                               .help = "Requests sent to runners.",
                               .labels = {"attempt"}});
+    meters->relays = metric_family_new(
+        set, &(metric_spec_t){.kind = METRIC_COUNTER,
+                              .name = "agatevale_relays_total",
+                              .help = "Requests relayed between hosts.",
+                              .labels = {"direction"}});
     meters->probes = metric_family_new(
         set, &(metric_spec_t){.kind = METRIC_COUNTER,
                               .name = "agatevale_probes_total",
@@ -88,6 +95,10 @@
 
     switch (action->kind) {
     case FORWARD_ACTION_SEND:
+        if (action->u.send.host != NULL) {
+            count_relay(meters, "sent");
+            return;
+        }
         metric_add(metric_series(meters->sends,
                                  (const char *[]){action->u.send.attempt == 1
                                                       ? "first"
@@ -129,6 +140,12 @@
     }
 }
 
+void
+meters_count_relay_received(meters_t *meters)
+{
+    count_relay(meters, "received");
+}
+
 void
 meters_write(meters_t *meters, int64_t contact_age_us, text_t *text)
 {
@@ -167,3 +184,9 @@
 
     return names[type];
 }
+
+static void
+count_relay(meters_t *meters, const char *direction)
+{
+    metric_add(metric_series(meters->relays, (const char *[]){direction}), 1);
+}
--- a/gateway/peering.c
+++ b/gateway/peering.c
@@ -32,6 +32,8 @@
     peer_listener_t listener; /* must be first: callbacks cast it */
     gateway_t *gateway;
     peer_t *peer; /* NULL until the key is known */
+    char *key;    /* NULL until it is known */
+    size_t key_bytes;
     uv_timer_t *timer;
     uint64_t incarnation;
     uint64_t number;       /* of the last message sent */
@@ -85,6 +87,7 @@
         peer_free(peering->peer);
     }
     uv_close((uv_handle_t *)peering->timer, (uv_close_cb)free);
+    free(peering->key);
     free(peering);
 }
 
@@ -115,6 +118,10 @@
         create_key(peering);
         return;
     }
+    free(peering->key);
+    peering->key = xcalloc(1, value_bytes + 1);
+    memcpy(peering->key, value, value_bytes);
+    peering->key_bytes = value_bytes;
     peering->peer = peer_new(peering->gateway->loop, &peer_settings,
                              &peering->listener, &err);
     if (peering->peer == NULL) {
@@ -131,6 +138,13 @@
     }
 }
 
+wire_key_t
+peering_key(const peering_t *peering)
+{
+    return (wire_key_t){.bytes = (const uint8_t *)peering->key,
+                        .count = peering->key_bytes};
+}
+
 bool
 peering_ready(const peering_t *peering)
 {
@@ -254,7 +268,7 @@
 static bool
 has_content(const placements_t *placements)
 {
-    return placements->items.items_len > 0 ||
+    return placements->isolated || placements->items.items_len > 0 ||
            placements->notes.notes_len > 0 ||
            placements->crash_reports.crash_reports_len > 0;
 }
--- a/gateway/upstream.c
+++ b/gateway/upstream.c
@@ -1,26 +1,33 @@
-/* upstream.c - sends requests to runners and receives their responses. */
+/*
+ * upstream.c - sends requests to runners, relays them to other hosts, and
+ * receives the responses.
+ */
+#include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include <uthash.h>
 
+#include "base/log.h"
 #include "gateway/gateway.h"
 
 enum {
     /* A response that is not streamed is buffered until it is complete. */
     RESPONSE_BODY_MAX_BYTES = 16 << 20,
     STATUS_FINAL_MIN = 200,
+    STATUS_ERROR_MIN = 400,
 };
 
 typedef struct exchange exchange_t;
 
-/* One HTTP request to a runner and its response. */
+/* One HTTP request to a runner or another host, and its response. */
 struct exchange {
     http_sink_t sink; /* must be first: passed to HTTP callbacks */
     upstreams_t *upstreams;
     http_call_t *call; /* NULL: ended */
     uint64_t number;   /* of the request; key of the table */
     uint32_t attempt;
+    const char *to_host; /* that it is relayed to; NULL: none */
     arena_t arena;
     const char *id; /* of the request; an authentic response repeats it */
     headers_t headers;
@@ -38,6 +45,12 @@
     exchange_t *exchanges; /* the latest of each request, by its number */
 };
 
+static bool write_headers(exchange_t *exchange,
+                          const caller_request_t *request,
+                          const send_action_t *action, headers_t *headers);
+static void raise_send_end(const exchange_t *exchange, send_result_t result);
+static void log_refusal(const exchange_t *exchange,
+                        const forward_response_head_t *head);
 static void on_header_field(http_sink_t *sink, uint32_t status,
                             const char *name, size_t name_bytes,
                             const char *value, size_t value_bytes);
@@ -108,10 +121,15 @@
     exchange->number = number;
     exchange->attempt = action->attempt;
     exchange->id = arena_strdup(&exchange->arena, request->id);
+    if (action->host != NULL) {
+        exchange->to_host = arena_strdup(&exchange->arena, action->host);
+    }
     HASH_ADD(hh, upstreams->exchanges, number, sizeof(exchange->number),
              exchange);
-    gateway->dialect->ops->write_runner_headers(
-        &exchange->arena, &request->headers, action, &headers);
+    if (!write_headers(exchange, request, action, &headers)) {
+        raise_send_end(exchange, SEND_NOT_SENT);
+        return;
+    }
     http.method = request->method;
     http.url = arena_printf(&exchange->arena, "http://%s/", action->address);
     http.target = request->path;
@@ -174,6 +192,32 @@
     }
 }
 
+/*
+ * Returns false if the request cannot be marked as relayed: it is not sent,
+ * since the other host might relay it again.
+ */
+static bool
+write_headers(exchange_t *exchange, const caller_request_t *request,
+              const send_action_t *action, headers_t *headers)
+{
+    gateway_t *gateway = exchange->upstreams->gateway;
+    const dialect_ops_t *dialect = gateway->dialect->ops;
+
+    if (action->host == NULL) {
+        dialect->write_runner_headers(&exchange->arena, &request->headers,
+                                      action, headers);
+        return true;
+    }
+    dialect->write_relay_headers(&exchange->arena, &request->headers, action,
+                                 headers);
+    if (!host_relay_write_mark(gateway, &exchange->arena, request, headers)) {
+        log_event(LOG_NOTICE, "relay-unmarked", "request=%s host=%s",
+                  request->id, action->host);
+        return false;
+    }
+    return true;
+}
+
 static void
 on_header_field(http_sink_t *sink, uint32_t status, const char *name,
                 size_t name_bytes, const char *value, size_t value_bytes)
@@ -213,6 +257,14 @@
                      strcmp(terms.id, exchange->id) == 0,
         .not_run = terms.not_run,
     };
+    if (exchange->to_host != NULL && !terms.signed_by_runner &&
+        status >= STATUS_ERROR_MIN) {
+        event.u.head.retry_after_ms = terms.retry_after_ms;
+        host_relay_read_refusal(&exchange->arena, &exchange->headers,
+                                &event.u.head);
+        log_refusal(exchange, &event.u.head);
+    }
+    host_relay_remove_headers(&exchange->headers, exchange->to_host != NULL);
     exchange->in_callback = true;
     forwarding_handle_event(gateway, &event);
     exchange->in_callback = false;
@@ -264,24 +316,42 @@
 on_response_end(http_sink_t *sink, http_result_t result)
 {
     exchange_t *exchange = (exchange_t *)sink;
-    forward_event_t event = {.kind = FORWARD_SEND_END};
     bool truncated =
         exchange->relaying && (event_stream_has_partial(&exchange->events) ||
                                exchange->events.event_too_long);
 
     exchange->call = NULL;
-    event.u.end = (forward_send_end_t){.number = exchange->number,
-                                       .attempt = exchange->attempt};
     if (result == HTTP_DONE) {
-        event.u.end.result = truncated ? SEND_BROKEN : SEND_COMPLETE;
+        raise_send_end(exchange, truncated ? SEND_BROKEN : SEND_COMPLETE);
     }
     else {
-        event.u.end.result =
-            result == HTTP_NOT_SENT ? SEND_NOT_SENT : SEND_BROKEN;
+        raise_send_end(exchange,
+                       result == HTTP_NOT_SENT ? SEND_NOT_SENT : SEND_BROKEN);
     }
+}
+
+static void
+raise_send_end(const exchange_t *exchange, send_result_t result)
+{
+    forward_event_t event = {.kind = FORWARD_SEND_END,
+                             .u.end = {.number = exchange->number,
+                                       .attempt = exchange->attempt,
+                                       .result = result}};
+
     forwarding_handle_event(exchange->upstreams->gateway, &event);
 }
 
+static void
+log_refusal(const exchange_t *exchange, const forward_response_head_t *head)
+{
+    log_event(LOG_INFO, "relay-refused",
+              "request=%s attempt=%" PRIu32 " host=%s status=%" PRIu32
+              " reason=%s run=%s retry_after_ms=%" PRIu32,
+              exchange->id, head->attempt, exchange->to_host, head->status,
+              refuse_reason_name(head->refusal),
+              head->not_run ? "not-run" : "unknown", head->retry_after_ms);
+}
+
 /* Returns "Name: value" lines for the HTTP client, NULL-terminated. */
 static const char **
 format_header_lines(exchange_t *exchange, const headers_t *headers,
--- a/peer/wire.c
+++ b/peer/wire.c
@@ -19,8 +19,6 @@
 
 static bool_t xdr_empty_result(XDR *xdrs, ...);
 static void write_record_mark(wire_record_t *record);
-static bool compute_tag(wire_key_t key, const uint8_t *bytes, size_t count,
-                        uint8_t *tag);
 static void decode_argument(const uint8_t *bytes, size_t count, wire_key_t key,
                             wire_input_t *input);
 static void decode_call(XDR *xdrs, const struct rpc_msg *header,
@@ -43,9 +41,9 @@
     memcpy(record->bytes, &word, sizeof(word));
 }
 
-/* Computes the tag of an encoded call: all zeroes without a key. */
-static bool
-compute_tag(wire_key_t key, const uint8_t *bytes, size_t count, uint8_t *tag)
+bool
+wire_compute_tag(wire_key_t key, const uint8_t *bytes, size_t count,
+                 uint8_t *tag)
 {
     unsigned int tag_bytes = 0;
 
@@ -82,11 +80,12 @@
     xdrmem_create(&xdrs, (char *)record->bytes + WIRE_RECORD_MARK_BYTES,
                   (u_int)(record->count - WIRE_RECORD_MARK_BYTES), XDR_ENCODE);
     argument = record->bytes + WIRE_RECORD_MARK_BYTES + CALL_HEADER_BYTES;
-    encoded = xdr_callmsg(&xdrs, &header) &&
-              xdr_getpos(&xdrs) == CALL_HEADER_BYTES &&
-              xdr_peer_call_t(&xdrs, (peer_call_t *)call) &&
-              xdr_getpos(&xdrs) == CALL_HEADER_BYTES + call_bytes &&
-              compute_tag(key, argument, call_bytes, argument + call_bytes);
+    encoded =
+        xdr_callmsg(&xdrs, &header) &&
+        xdr_getpos(&xdrs) == CALL_HEADER_BYTES &&
+        xdr_peer_call_t(&xdrs, (peer_call_t *)call) &&
+        xdr_getpos(&xdrs) == CALL_HEADER_BYTES + call_bytes &&
+        wire_compute_tag(key, argument, call_bytes, argument + call_bytes);
     xdr_destroy(&xdrs);
     if (!encoded) {
         free(record->bytes);
@@ -143,7 +142,7 @@
         return;
     }
     call_bytes = count - PEER_TAG_BYTES;
-    if (!compute_tag(key, bytes, call_bytes, tag) ||
+    if (!wire_compute_tag(key, bytes, call_bytes, tag) ||
         CRYPTO_memcmp(tag, bytes + call_bytes, sizeof(tag)) != 0) {
         input->kind = WIRE_BAD_TAG;
         return;
--- a/peer/wire.h
+++ b/peer/wire.h
@@ -41,6 +41,13 @@
     peer_call_t call;        /* for WIRE_CALL; free with wire_input_free() */
 } wire_input_t;
 
+/*
+ * Computes the HMAC of the bytes, of PEER_TAG_BYTES: all zeroes without a key.
+ * Returns false on failure.
+ */
+bool wire_compute_tag(wire_key_t key, const uint8_t *bytes, size_t count,
+                      uint8_t *tag);
+
 /* Encodes a call as a record of one fragment.  Returns false on failure. */
 bool wire_encode_call(uint32_t xid, const peer_call_t *call, wire_key_t key,
                       wire_record_t *record);
