--- a/gateway/directory.c
+++ b/gateway/directory.c
@@ -36,7 +36,9 @@
 static const char *host_name(const host_t *host);
 static void report_hosts(directory_t *directory);
 static bool reaches_runners(const directory_t *directory, const host_t *host);
-static bool lists_isolated_hosts(const directory_t *directory);
+static size_t count_reaching(const directory_t *directory);
+static forward_hosts_t list_hosts(const directory_t *directory,
+                                  arena_t *arena);
 
 directory_t *
 directory_new(gateway_t *gateway)
@@ -201,7 +203,8 @@
 {
     const gateway_t *gateway = directory->gateway;
     size_t host_count = HASH_COUNT(directory->hosts);
-    bool lists_isolated = lists_isolated_hosts(directory);
+    bool lists_isolated =
+        directory_lists_isolated(host_count, count_reaching(directory));
     const char *addresses[ADDRESSES_MAX];
     size_t skip = host_count > ADDRESSES_MAX ? random_u64() % host_count : 0;
     size_t count = 0;
@@ -232,6 +235,15 @@
     return true;
 }
 
+/* An isolated host relays its callers' requests, which the others must bear.
+ */
+bool
+directory_lists_isolated(size_t host_count, size_t reaching_count)
+{
+    return reaching_count < HOSTS_LISTED_MIN ||
+           reaching_count * 2 < host_count;
+}
+
 static const char *
 host_name(const host_t *host)
 {
@@ -280,31 +292,40 @@
 static void
 report_hosts(directory_t *directory)
 {
-    size_t count = HASH_COUNT(directory->hosts); /* NOLINT(clang-analyzer-*) */
-    forward_event_t event = {.kind = FORWARD_HOST_COUNT,
-                             .u.hosts = (uint32_t)count};
+    forward_event_t event = {
+        .kind = FORWARD_HOST_COUNT,
+        .u.hosts = HASH_COUNT(directory->hosts), /* NOLINT(clang-analyzer-*) */
+    };
     arena_t arena = {0};
-    forward_host_t *items;
-    const host_t *host;
-    size_t i = 0;
 
     forwarding_handle_event(directory->gateway, &event);
     if (directory->reloading) {
         return;
     }
-    items = arena_array(&arena, count + 1, sizeof(*items));
-    for (host = directory->hosts; host != NULL; host = host->hh.next) {
-        items[i] = (forward_host_t){.name = host_name(host),
-                                    .address = host->address,
-                                    .zone = host->zone};
-        i++;
-    }
     event = (forward_event_t){.kind = FORWARD_HOSTS,
-                              .u.host_list = {.items = items, .count = count}};
+                              .u.host_list = list_hosts(directory, &arena)};
     forwarding_handle_event(directory->gateway, &event);
     arena_free(&arena);
 }
 
+static forward_hosts_t
+list_hosts(const directory_t *directory, arena_t *arena)
+{
+    forward_host_t *items =
+        arena_array(arena, directory_count(directory) + 1, sizeof(*items));
+    size_t count = 0;
+    const host_t *host;
+
+    for (host = directory->hosts; host != NULL; host = host->hh.next) {
+        /* NOLINTNEXTLINE(clang-analyzer-*) */
+        items[count] = (forward_host_t){.name = host_name(host),
+                                        .address = host->address,
+                                        .zone = host->zone};
+        count++;
+    }
+    return (forward_hosts_t){.items = items, .count = count};
+}
+
 static bool
 reaches_runners(const directory_t *directory, const host_t *host)
 {
@@ -312,21 +333,14 @@
                                         host_name(host));
 }
 
-/*
- * Returns whether too few hosts reach runners to serve all callers: an
- * isolated host relays its callers' requests.
- */
-static bool
-lists_isolated_hosts(const directory_t *directory)
+static size_t
+count_reaching(const directory_t *directory)
 {
-    size_t count = HASH_COUNT(directory->hosts);
-    size_t reaching = 0;
+    size_t count = 0;
     const host_t *host;
 
     for (host = directory->hosts; host != NULL; host = host->hh.next) {
-        if (reaches_runners(directory, host)) {
-            reaching++;
-        }
+        count += reaches_runners(directory, host) ? 1 : 0;
     }
-    return reaching < HOSTS_LISTED_MIN || reaching * 2 < count;
+    return count;
 }
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -252,6 +252,9 @@
                          void (*callback)(void *context, const char *host,
                                           const char *peer_address),
                          void *context);
+/* Returns whether callers get the addresses of hosts that reach no runner,
+ * because too few hosts reach runners. */
+bool directory_lists_isolated(size_t host_count, size_t reaching_count);
 /* Appends the response to a lookup; returns false if no address is known. */
 bool directory_write_addresses(directory_t *directory,
                                const address_lookup_t *lookup, text_t *body);
--- a/regress/gateway_host.c
+++ b/regress/gateway_host.c
@@ -62,6 +62,7 @@
         .readiness_address = host->readiness_address,
         .lookup_address = host->lookup_address,
         .metrics_address = host->metrics_address,
+        .peer_address = host->peer_address,
         .watch_ms = WATCH_MS,
         .presence_s = PRESENCE_S,
         .limits = {.registry_ms = 2000,
@@ -79,6 +80,7 @@
     host->gateway.kv = kv_memory_new(&host->fixture.loop);
     ck_assert_msg(gateway_open(&host->gateway, &err) == 0, "%s", err.message);
     gateway_host_put(host, "op/config", routing_text);
+    gateway_host_put(host, peering_key_name(), GATEWAY_HOST_PEER_KEY);
     gateway_start(&host->gateway);
 }
 
@@ -216,6 +218,7 @@
         find_free_address(host->lookup_address, sizeof(host->lookup_address)),
         find_free_address(host->metrics_address,
                           sizeof(host->metrics_address)),
+        find_free_address(host->peer_address, sizeof(host->peer_address)),
     };
     size_t i;
 
--- a/regress/gateway_host.h
+++ b/regress/gateway_host.h
@@ -14,6 +14,10 @@
 
 enum { GATEWAY_RUNNERS_MAX = 4 };
 
+/* The key that hosts share. */
+#define GATEWAY_HOST_PEER_KEY                                                 \
+    "0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef"
+
 typedef struct {
     fixture_t fixture;
     gateway_settings_t settings;
@@ -24,9 +28,13 @@
     char readiness_address[64];
     char lookup_address[64];
     char metrics_address[64];
+    char peer_address[64];
 } gateway_host_t;
 
-/* Starts a gateway that knows the routes of gateway_routing_text. */
+/*
+ * Starts a gateway.  It knows its routes and the shared key once it has
+ * settled.
+ */
 void gateway_host_open(gateway_host_t *host);
 void gateway_host_close(gateway_host_t *host);
 
--- a/regress/test_platform.c
+++ b/regress/test_platform.c
@@ -295,7 +295,7 @@
 
 typedef struct {
     send_action_t send;
-    const char *caller[3];
+    const char *caller[6];
     const char *expected; /* all headers, in order, each followed by "|" */
 } send_case_t;
 
@@ -315,25 +315,91 @@
      "Kv-Backup: 10.0.0.2:80|Kv-From: 10.0.0.3:80/q1|"},
 };
 
+/* Relays to another host. */
+static const send_case_t relay_cases[] = {
+    {{.host = "h2",
+      .organisation = "o1",
+      .deadline_ms = 600,
+      .last_event_id = 7,
+      .backup_address = "10.0.0.2:80",
+      .restore_address = "10.0.0.3:80",
+      .restore_name = "q1"},
+     {"Attempt-Id: q1", "Last-Event-Id: 3", "authorization: Bearer k1",
+      "Deadline-Ms: 900", "Resumes: q0"},
+     "Attempt-Id: q1|Resumes: q0|authorization: Bearer k1|Deadline-Ms: 600|"
+     "Last-Event-Id: 7|"},
+    {{.host = "h2", .last_event_id = -1},
+     {"Tenant: o2", "Last-Event-Id: 3", "Kv-Backup: a", "Hold: 2", "X-Own: 1"},
+     "X-Own: 1|"},
+};
+
+static void
+check_written(arena_t *arena, const headers_t *out, const char *expected)
+{
+    text_t text = {0};
+    size_t i;
+
+    for (i = 0; i < out->count; i++) {
+        text_printf(&text, "%.*s: %.*s|", (int)out->items[i].name_bytes,
+                    out->items[i].name, (int)out->items[i].value_bytes,
+                    out->items[i].value);
+    }
+    text_append(&text, "", 1);
+    ck_assert_str_eq(text.bytes, expected);
+    text_free(&text);
+    arena_free(arena);
+}
+
 START_TEST(test_send)
 {
     const send_case_t *test = &send_cases[_i];
     arena_t arena = {0};
     headers_t caller = make_headers(&arena, test->caller);
     headers_t out = {0};
-    text_t text = {0};
-    size_t i;
 
     platform_dialect()->ops->write_runner_headers(&arena, &caller, &test->send,
                                                   &out);
-    for (i = 0; i < out.count; i++) {
-        text_printf(&text, "%.*s: %.*s|", (int)out.items[i].name_bytes,
-                    out.items[i].name, (int)out.items[i].value_bytes,
-                    out.items[i].value);
-    }
-    text_append(&text, "", 1);
-    ck_assert_str_eq(text.bytes, test->expected);
-    text_free(&text);
+    check_written(&arena, &out, test->expected);
+}
+END_TEST
+
+START_TEST(test_relay)
+{
+    const send_case_t *test = &relay_cases[_i];
+    arena_t arena = {0};
+    headers_t caller = make_headers(&arena, test->caller);
+    headers_t out = {0};
+
+    platform_dialect()->ops->write_relay_headers(&arena, &caller, &test->send,
+                                                 &out);
+    check_written(&arena, &out, test->expected);
+}
+END_TEST
+
+/* Hosts write fractions of a second. */
+static const struct {
+    const char *header;
+    uint32_t retry_after_ms;
+} retry_after_cases[] = {
+    {"Retry-After: 0.050", 50},
+    {"Retry-After: 2", 2000},
+    {"Retry-After: 1.5", 1500},
+    {"Retry-After: 0.0509", 50},
+    {"Retry-After: 9999999.0", UINT32_MAX},
+    {"Retry-After: soon", 0},
+    {"X-Own: 1", 0},
+};
+
+START_TEST(test_retry_after)
+{
+    const char *const lines[] = {retry_after_cases[_i].header, NULL};
+    arena_t arena = {0};
+    headers_t headers = make_headers(&arena, lines);
+    response_properties_t terms;
+
+    platform_dialect()->ops->parse_response_headers(&arena, &headers, &terms);
+    ck_assert_msg(terms.retry_after_ms == retry_after_cases[_i].retry_after_ms,
+                  "%s: %" PRIu32, lines[0], terms.retry_after_ms);
     arena_free(&arena);
 }
 END_TEST
@@ -422,6 +488,8 @@
     tcase_add_test(tcase, test_affinity);
     tcase_add_loop_test(tcase, test_prompt_parts, 0, COUNT(parts_cases));
     tcase_add_loop_test(tcase, test_send, 0, COUNT(send_cases));
+    tcase_add_loop_test(tcase, test_relay, 0, COUNT(relay_cases));
+    tcase_add_loop_test(tcase, test_retry_after, 0, COUNT(retry_after_cases));
     tcase_add_test(tcase, test_copy_request);
     tcase_add_loop_test(tcase, test_report, 0, COUNT(report_cases));
     return fixture_main("platform", tcase);
