--- a/regress/test_gateway_relay.c
+++ b/regress/test_gateway_relay.c
@@ -217,9 +217,27 @@
 }
 END_TEST
 
-/* The host relays to itself, and so both handles and sends a relay. */
-START_TEST(test_response_passes_unchanged)
+/* A runner's response, and what a relaying host gets of it. */
+typedef struct {
+    const char *name;
+    const canned_reply_t *reply;
+    uint32_t status;
+    const char *headers; /* in order, each followed by "|" */
+    const char *body;
+} response_case_t;
+
+static const response_case_t response_cases[] = {
+    {"a response passes unchanged", &complete_reply, 200,
+     "Attempt-Id: q1|Server-Stamp: s1|Server: r|Date: d|X-Own: y|", "hello"},
+    {"a refusal has none of the headers between hosts", &at_capacity_reply,
+     503, "retry-after: 0.500|content-type: application/json|",
+     "{\"error\":{\"kind\":\"runners-full\",\"run\":\"not-run\"}}\n"},
+};
+
+/* The host relays to itself, and so both sends and handles a relay. */
+START_TEST(test_relayed_response)
 {
+    const response_case_t *test = &response_cases[_i];
     gateway_host_t host;
     arena_t arena = {0};
     runner_response_t response = {0};
@@ -227,12 +245,12 @@
     size_t i;
 
     gateway_host_open(&host);
-    gateway_host_runner(&host, "plain-1", "plain", "a", &complete_reply, 1);
+    gateway_host_runner(&host, "plain-1", "plain", "a", test->reply, 1);
     gateway_host_settle(&host);
     relay(&host, &arena, host.listen_address);
     while (!upstream_get_response(host.gateway.upstreams, RELAYED_NUMBER, 1,
                                   &response) ||
-           response.body_bytes < strlen("hello")) {
+           response.body_bytes < strlen(test->body)) {
         gateway_host_settle(&host);
     }
     for (i = 0; i < response.headers->count; i++) {
@@ -242,17 +260,44 @@
                     header->name, (int)header->value_bytes, header->value);
     }
     text_append(&text, "", 1);
-    ck_assert_uint_eq(response.status, 200);
-    ck_assert_str_eq(text.bytes, "Attempt-Id: q1|Server-Stamp: s1|Server: r|"
-                                 "Date: d|X-Own: y|");
-    ck_assert_msg(strncmp(response.body, "hello", response.body_bytes) == 0,
-                  "the body is %.*s", (int)response.body_bytes, response.body);
+    ck_assert_uint_eq(response.status, test->status);
+    ck_assert_str_eq(text.bytes, test->headers);
+    ck_assert_msg(response.body_bytes == strlen(test->body) &&
+                      memcmp(response.body, test->body, response.body_bytes) ==
+                          0,
+                  "%s: the body is %.*s", test->name, (int)response.body_bytes,
+                  response.body);
     text_free(&text);
     gateway_host_close(&host);
     arena_free(&arena);
 }
 END_TEST
 
+/* The other host must not go on with a request whose caller has left. */
+START_TEST(test_cancelled_relay_ends_at_other_host)
+{
+    static const canned_reply_t no_reply = {"", 0, CANNED_KEEP};
+    gateway_host_t host;
+    arena_t arena = {0};
+
+    gateway_host_open(&host);
+    gateway_host_runner(&host, "plain-1", "plain", "a", &no_reply, 1);
+    gateway_host_settle(&host);
+    relay(&host, &arena, host.listen_address);
+    while (canned_requests(host.runners[0]) == 0) {
+        gateway_host_settle(&host);
+    }
+    ck_assert_uint_eq(forward_request_count(forwarding_state(&host.gateway)),
+                      1);
+    upstream_cancel(host.gateway.upstreams, RELAYED_NUMBER, 1);
+    while (forward_request_count(forwarding_state(&host.gateway)) > 0) {
+        gateway_host_settle(&host);
+    }
+    gateway_host_close(&host);
+    arena_free(&arena);
+}
+END_TEST
+
 /* A response that another host itself has made. */
 typedef struct {
     const char *name;
@@ -360,7 +405,9 @@
     tcase_add_loop_test(tcase, test_mark_of_request, 0, COUNT(mark_cases));
     tcase_add_test(tcase, test_relayed_request);
     tcase_add_test(tcase, test_request_that_cannot_be_marked_is_not_sent);
-    tcase_add_test(tcase, test_response_passes_unchanged);
+    tcase_add_loop_test(tcase, test_relayed_response, 0,
+                        COUNT(response_cases));
+    tcase_add_test(tcase, test_cancelled_relay_ends_at_other_host);
     tcase_add_loop_test(tcase, test_refusal_of_host, 0, COUNT(refusal_cases));
     tcase_add_test(tcase, test_metrics_count_relays);
     tcase_add_loop_test(tcase, test_isolated_hosts_in_directory, 0,
