--- a/gateway/directory.c
+++ b/gateway/directory.c
@@ -194,8 +194,8 @@
 
 /*
  * Leaves out hosts that reach no runner, if enough others are left.  If there
- * are more hosts than a response can hold, starts at a random one so
- * that callers are spread over all hosts.
+ * are more hosts than a response can hold, starts at a random one so that
+ * callers are spread over all hosts.
  */
 bool
 directory_write_addresses(directory_t *directory,
@@ -235,8 +235,7 @@
     return true;
 }
 
-/* An isolated host relays its callers' requests, which the others must bear.
- */
+/* If all callers went to few hosts, these would be overloaded. */
 bool
 directory_lists_isolated(size_t host_count, size_t reaching_count)
 {
