--- a/regress/partition_caller.c
+++ b/regress/partition_caller.c
@@ -10,8 +10,6 @@
 
 enum {
     SESSIONS_PER_ENGINE = 24,
-    DEADLINE_MIN_MS = 600,
-    DEADLINE_RANGE_MS = 1901,
     RETRY_MIN_MS = 50,
     ATTEMPTS_SAFE = 2, /* as forwarding_routing() has them */
     ATTEMPTS_UNSAFE = 1,
@@ -83,7 +81,8 @@
     if (type != REQUEST_STREAM) {
         caller->session = CUT_CALLERS_MAX + index;
         caller->deadline_ms =
-            DEADLINE_MIN_MS + (uint32_t)cut_draw(DEADLINE_RANGE_MS);
+            CUT_DEADLINE_MIN_MS +
+            (uint32_t)cut_draw(CUT_DEADLINE_MAX_MS - CUT_DEADLINE_MIN_MS + 1);
     }
     send_try(index);
 }
--- a/regress/partition_private.h
+++ b/regress/partition_private.h
@@ -11,6 +11,7 @@
     CUT_HOSTS_MAX = 88,
     CUT_RUNNERS_MAX = 42,
     CUT_SLOTS_MAX = 32,
+    CUT_CRASHES_MAX = 8,
     CUT_TRIES = 2, /* of a caller, with the first */
     CUT_CALLERS_MAX = 16384,
     CUT_HOPS_MAX = 131072,
@@ -20,6 +21,8 @@
     CUT_US_PER_MS = 1000,
     CUT_START_MS = 3600000, /* uptime of the machines when the hosts start */
     CUT_ARRIVALS_END_MS = 24000,
+    CUT_DEADLINE_MIN_MS = 600, /* of plain requests */
+    CUT_DEADLINE_MAX_MS = 2500,
     CUT_CONTACT_MS = 3000, /* from then on the users' bound holds */
     CUT_ONE_WAY_MS = 1,    /* between a host and a runner or host */
     CUT_STATUS_OK = 200,
@@ -73,7 +76,6 @@
     bool up;
     uint32_t slots;
     int64_t started_ms;
-    int64_t crashed_ms;         /* 0: never */
     size_t runs[CUT_SLOTS_MAX]; /* legs */
     size_t run_count;
 } cut_runner_t;
@@ -163,6 +165,7 @@
     int64_t now_ms;
     int64_t version; /* of the routing table */
     uint32_t lost_percent;
+    int64_t crashes_ms[CUT_CRASHES_MAX];
     cut_host_t hosts[CUT_HOSTS_MAX];
     size_t host_count;
     cut_runner_t runners[CUT_RUNNERS_MAX];
--- a/regress/partition_report.c
+++ b/regress/partition_report.c
@@ -12,11 +12,9 @@
 {
     size_t i;
 
-    for (i = 0; i < cut_sim.runner_count; i++) {
-        int64_t crashed_ms = cut_sim.runners[i].crashed_ms;
-
-        if (crashed_ms > 0 && at_ms >= crashed_ms - CRASH_DOUBT_MS &&
-            at_ms <= crashed_ms + CRASH_DOUBT_MS) {
+    for (i = 0; i < cut_sim.result.crashes; i++) {
+        if (at_ms >= cut_sim.crashes_ms[i] - CRASH_DOUBT_MS &&
+            at_ms <= cut_sim.crashes_ms[i] + CRASH_DOUBT_MS) {
             return true;
         }
     }
--- a/regress/partition_sim.c
+++ b/regress/partition_sim.c
@@ -141,6 +141,21 @@
     cut_deliver(host, &event);
 }
 
+/* The callers' deadlines are the shorter ones. */
+static routing_t *
+routing_with_deadlines(void)
+{
+    routing_t *routing = forwarding_routing(cut_sim.version);
+    size_t i;
+
+    for (i = 0; i < routing->route_count; i++) {
+        if (routing->routes[i].type != REQUEST_STREAM) {
+            routing->routes[i].timeout_ms = CUT_DEADLINE_MAX_MS;
+        }
+    }
+    return routing;
+}
+
 static void
 start_host(size_t index)
 {
@@ -163,7 +178,7 @@
     host->incarnation++;
     host->reports = 0;
     host->up = true;
-    event.u.routing = forwarding_routing(cut_sim.version);
+    event.u.routing = routing_with_deadlines();
     cut_deliver(index, &event);
     touch_store(index);
     announce_hosts(index);
@@ -192,6 +207,18 @@
     cut_push(DOWN_MS, CUT_EVENT_BOOT, index, 0);
 }
 
+static void
+announce_exit(size_t index)
+{
+    forward_event_t event = {.kind = FORWARD_PEER_REPORT,
+                             .u.peer.host = cut_sim.hosts[index].name};
+    size_t i;
+
+    for (i = 0; i < cut_sim.host_count; i++) {
+        cut_deliver(i, &event);
+    }
+}
+
 static void
 drain_host(size_t index)
 {
@@ -213,9 +240,10 @@
     if (!runner->up) {
         return;
     }
+    ck_assert_uint_lt(cut_sim.result.crashes, CUT_CRASHES_MAX);
+    cut_sim.crashes_ms[cut_sim.result.crashes] = cut_sim.now_ms;
     cut_sim.result.crashes++;
     runner->up = false;
-    runner->crashed_ms = cut_sim.now_ms;
     cut_runner_lost(index);
     cut_push(RESTART_MS, CUT_EVENT_RESTART, index, 0);
 }
@@ -242,7 +270,7 @@
         forward_event_t event = {.kind = FORWARD_ROUTING};
 
         if (cut_sim.hosts[host].up) {
-            event.u.routing = forwarding_routing(cut_sim.version);
+            event.u.routing = routing_with_deadlines();
             cut_deliver(host, &event);
         }
     }
@@ -320,6 +348,7 @@
         return;
     case CUT_EVENT_EXIT:
         stop_host(event->subject);
+        announce_exit(event->subject);
         return;
     case CUT_EVENT_DRAIN:
         cut_sim.result.drains++;
@@ -373,7 +402,6 @@
                                          [CUT_MOST_HOSTS] = "most",
                                          [CUT_ZONE] = "zone"};
     uint64_t sum_ms = 0;
-    uint32_t count = 0;
     size_t i;
 
     result->kind = kinds[cut->kind];
@@ -387,11 +415,13 @@
             continue;
         }
         sum_ms += ms;
-        count++;
+        result->direct_hosts++;
         result->direct_max_ms =
             ms > result->direct_max_ms ? ms : result->direct_max_ms;
     }
-    result->direct_mean_ms = count > 0 ? (uint32_t)(sum_ms / count) : 0;
+    result->direct_mean_ms = result->direct_hosts > 0
+                                 ? (uint32_t)(sum_ms / result->direct_hosts)
+                                 : 0;
 }
 
 partition_result_t
--- a/regress/partition_sim.h
+++ b/regress/partition_sim.h
@@ -28,7 +28,8 @@
     uint32_t length_ms;
     partition_share_t cut_off[2];
     partition_share_t others[2];
-    /* Time from the end of the cut until a host sends to a runner again. */
+    /* Hosts that send to a runner after the cut, and how long after. */
+    uint32_t direct_hosts;
     uint32_t direct_mean_ms;
     uint32_t direct_max_ms;
 } partition_cut_result_t;
--- a/regress/test_partition_fleet.c
+++ b/regress/test_partition_fleet.c
@@ -53,14 +53,15 @@
         const partition_cut_result_t *cut = &result->cuts[i];
 
         printf("  cut %s %s (%u hosts, %u ms): first 3 s %u of %u, others %u "
-               "of %u; later %u of %u, others %u of %u; direct after %u ms, "
-               "at most %u%s\n",
+               "of %u; later %u of %u, others %u of %u; %u direct "
+               "after %u ms, at most %u%s\n",
                cut->kind, cut->scope, cut->hosts, cut->length_ms,
                cut->cut_off[0].served, cut->cut_off[0].sent,
                cut->others[0].served, cut->others[0].sent,
                cut->cut_off[1].served, cut->cut_off[1].sent,
-               cut->others[1].served, cut->others[1].sent, cut->direct_mean_ms,
-               cut->direct_max_ms, is_recovered(cut) ? "" : "; BROKEN");
+               cut->others[1].served, cut->others[1].sent, cut->direct_hosts,
+               cut->direct_mean_ms, cut->direct_max_ms,
+               is_recovered(cut) ? "" : "; BROKEN");
     }
     (void)fflush(stdout);
 }
