--- a/regress/partition_path.c
+++ b/regress/partition_path.c
@@ -282,8 +282,12 @@
         }
     }
     event.u.probed.runner = runner->name;
-    event.u.probed.answered = probe_passes(host, index);
-    event.u.probed.report = event.u.probed.answered ? &report : NULL;
+    if (probe_passes(host, index)) {
+        event.u.probed.report = &report;
+    }
+    else {
+        event.u.probed.outcome = PROBE_UNREACHABLE;
+    }
     cut_deliver(host, &event);
 }
 
