Leave a request alone after its silent attempt has ended

A stream that stalled without another runner waits without an attempt, or is gone; check_request_timers() went on with it and dereferenced its runner when a probe was due at the same time.

stalled_stream_without_runner_is_used crashes before and passes now.

--- a/forward/private.h
+++ b/forward/private.h
@@ -264,9 +264,9 @@
 
 /* --- silence.c --- */
 
-/* Moves the request of a silent runner to another one if that can take it up;
- * otherwise its attempt goes on. */
-void handle_silence(forward_t *forward, request_t *request,
+/* Moves the request of a silent runner to another one if that can take it up.
+ * Returns whether its attempt goes on; otherwise the request may be gone. */
+bool handle_silence(forward_t *forward, request_t *request,
                     send_result_t result);
 /* Ends the attempts that go on although the registry now shows that their
  * runners have ended. */
--- a/forward/silence.c
+++ b/forward/silence.c
@@ -26,19 +26,19 @@
 static bool may_move(forward_t *forward, request_t *request);
 static bool may_restart(const forward_t *forward, const request_t *request);
 
-void
+bool
 handle_silence(forward_t *forward, request_t *request, send_result_t result)
 {
     attempt_t *attempt = &request->attempt;
 
     if (has_ended(forward, attempt)) {
         handle_failed_attempt(forward, request, result);
-        return;
+        return false;
     }
     if (may_move(forward, request)) {
         request->moved = true;
         handle_failed_attempt(forward, request, result);
-        return;
+        return false;
     }
     if (attempt->held_until_us == 0) {
         emit_log(
@@ -52,6 +52,7 @@
     }
     attempt->held_until_us =
         forward->now_us + (int64_t)SILENCE_POLL_MS * US_PER_MS;
+    return true;
 }
 
 /* Returns whether the registry shows that the run of a silent runner is lost.
--- a/forward/watchdog.c
+++ b/forward/watchdog.c
@@ -63,10 +63,7 @@
     }
     if (request->type == REQUEST_STREAM &&
         forward->now_us >= stall_due_us(request)) {
-        uint32_t number = attempt->number;
-
-        handle_silence(forward, request, SEND_STALLED);
-        if (attempt->number != number) {
+        if (!handle_silence(forward, request, SEND_STALLED)) {
             return;
         }
     }
@@ -167,7 +164,7 @@
         pool_record_silence(attempt->runner, forward->now_us);
         if (probed->outcome == PROBE_UNREACHABLE ||
             request->type != REQUEST_STREAM) {
-            handle_silence(forward, request, SEND_UNRESPONSIVE);
+            (void)handle_silence(forward, request, SEND_UNRESPONSIVE);
         }
     }
 }
--- a/regress/test_silence.c
+++ b/regress/test_silence.c
@@ -147,6 +147,29 @@
     {1220, "probed ra1 no", "cancel 1.1; send 1.2 ra1 resume"},
 };
 
+/* Its next probe is due as well. */
+static const forwarding_line_t stalled_stream_without_runner_is_used[] = {
+    {0, "routing 1", ""},
+    {0, "contact", ""},
+    {0, "hosts 1", ""},
+    {0, "list ra1", ""},
+    {10, "request 1 stream", "send 1.1 ra1"},
+    {900, "head 1 1 200", "begin 1.1"},
+    {900, "event 1 1 0", ""},
+    {1120, "timer", NULL},
+    {1130, "probed ra1 yes", ""},
+    {1340, "timer", NULL},
+    {1350, "probed ra1 yes", ""},
+    {1560, "timer", NULL},
+    {1570, "probed ra1 yes", ""},
+    {1780, "timer", NULL},
+    {1790, "probed ra1 yes", ""},
+    {2000, "timer", NULL},
+    {2010, "probed ra1 yes", ""},
+    {2400, "timer", "cancel 1.1"},
+    {2500, "timer", "send 1.2 ra1 resume"},
+};
+
 /* Four of the five runs that its route allows have been used up. */
 static const forwarding_line_t stream_without_runs_is_broken_off[] = {
     FORWARDING_OPENED,
@@ -218,6 +241,7 @@
     FORWARDING_SCRIPT(stream_without_other_runner_is_broken_off),
     FORWARDING_SCRIPT(restarted_runner_keeps_its_stream),
     FORWARDING_SCRIPT(stream_of_ended_runner_is_held),
+    FORWARDING_SCRIPT(stalled_stream_without_runner_is_used),
     FORWARDING_SCRIPT(stream_without_runs_is_broken_off),
     FORWARDING_SCRIPT(silent_prompt_is_restarted_at_once),
     FORWARDING_SCRIPT(lost_prompt_is_never_restarted),
