Free silent losses without unlinking them

The static analyzer takes TAILQ_FIRST() after TAILQ_REMOVE() for a use after free. The list ends with forward_t, so its entries need no unlinking.

--- a/forward/suspicion.c
+++ b/forward/suspicion.c
@@ -107,8 +107,13 @@
 void
 suspicion_free(forward_t *forward)
 {
-    while (!TAILQ_EMPTY(&forward->silent_losses)) {
-        free_silent_loss(forward, TAILQ_FIRST(&forward->silent_losses));
+    silent_loss_t *loss = TAILQ_FIRST(&forward->silent_losses);
+
+    while (loss != NULL) {
+        silent_loss_t *next = TAILQ_NEXT(loss, link);
+
+        free(loss);
+        loss = next;
     }
     crashes_free(forward->crashes);
 }
