Relay requests to other hosts while a host reaches no runner

A host counts the different runners to which no new connection could be made since the last one that could. Three of them, two in a fleet of two, not all in one of several zones, isolate it. It then relays each request to another host in one hop, its own zone first; it says so in its reports, so that others do not relay to it and leave it out of the directory; it records no crashes; and it probes one runner each 0.5 s and uses runners again after two successes. A request that no runner received after two attempts is relayed, too, so that the first ones after a cut are served as well. What was sent on a path that then died is not relayed unless it may run again. The host that a request is relayed to decides on routes, keys, limits, runners, copies and harmful requests, and counts them; the relaying host adds nothing to the retry budget's requests.

--- a/forward/admission.c
+++ b/forward/admission.c
@@ -43,8 +43,11 @@
     route = match_route(forward, incoming);
     if (route != NULL) {
         apply_route(forward, request, route, incoming->deadline_ms);
-        retry_budget_add_request(
-            service_retry_budget(forward, request->service), forward->now_us);
+        if (!request->relayed) {
+            retry_budget_add_request(
+                service_retry_budget(forward, request->service),
+                forward->now_us);
+        }
     }
     if (routing_is_stale(forward, route)) {
         refuse_request(forward, request, REFUSE_ROUTING_STALE);
@@ -137,6 +140,7 @@
     request->prompt_tokens = incoming->prompt_tokens;
     request->affinity = incoming->affinity;
     request->last_event_id = incoming->last_event_id;
+    request->relayed = incoming->relayed;
     request->stream = hash_stream(incoming);
     request->fingerprint = incoming->fingerprint;
     request->part_count = incoming->part_count < FORWARD_PARTS_MAX
--- a/forward/copies.c
+++ b/forward/copies.c
@@ -33,7 +33,7 @@
 {
     attempt_t *attempt = &request->attempt;
 
-    if (!request->replicated || attempt->runner == NULL ||
+    if (!request->replicated || attempt->runner == NULL || attempt->relayed ||
         attempt->events == 0) {
         return;
     }
@@ -55,7 +55,7 @@
 {
     const attempt_t *attempt = &request->attempt;
 
-    if (!request->replicated || attempt->runner == NULL ||
+    if (!request->replicated || attempt->runner == NULL || attempt->relayed ||
         attempt->copy_pending || attempt->copy_due_us == 0) {
         return INT64_MAX;
     }
--- a/forward/forward.c
+++ b/forward/forward.c
@@ -40,6 +40,7 @@
     forward->random_state = settings->seed;
     forward->hosts = 1;
     forward->pool = pool_new();
+    forward->host_pool = pool_new();
     TAILQ_INIT(&forward->silent_losses);
     return forward;
 }
@@ -72,6 +73,7 @@
     suspicion_free(forward);
     routing_free(forward->routing);
     pool_free(forward->pool);
+    pool_free(forward->host_pool);
     free(forward->host);
     free(forward->zone);
     free(forward);
@@ -111,6 +113,7 @@
         forward->hosts = event->u.hosts > 0 ? event->u.hosts : 1;
         break;
     case FORWARD_HOSTS:
+        relay_set_hosts(forward, &event->u.host_list);
         break;
     case FORWARD_PEER_REPORT:
         handle_peer_report(forward, &event->u.peer);
@@ -136,7 +139,7 @@
 forward_due_us(const forward_t *forward)
 {
     const request_t *request;
-    int64_t due_us = INT64_MAX;
+    int64_t due_us = relay_due_us(forward);
 
     for (request = forward->requests; request != NULL;
          request = request->hh.next) {
@@ -165,12 +168,6 @@
            (limit_us == 0 || now_us - forward->contact_us < limit_us);
 }
 
-bool
-forward_host_reaches_runners(const forward_t *forward, const char *host)
-{
-    return true;
-}
-
 size_t
 forward_request_count(const forward_t *forward)
 {
@@ -467,6 +464,8 @@
     request_t *next;
 
     pool_free_expired(forward->pool, forward->now_us);
+    pool_free_expired(forward->host_pool, forward->now_us);
+    relay_probe_paths(forward);
     sharing_expire(forward);
     versions_expire(forward);
     suspicion_check_silent(forward);
--- a/forward/private.h
+++ b/forward/private.h
@@ -4,9 +4,10 @@
  * forward.c dispatches events; registry.c handles those about runners.
  * admission.c admits or refuses new requests, send.c starts and ends attempts,
  * recover.c handles responses and failed attempts, copies.c maintains copies
- * of streams' KV caches and watchdog.c handles timeouts.  sharing.c exchanges
- * load with other hosts, notes.c their findings; suspicion.c detects requests
- * that crash runners.
+ * of streams' KV caches, watchdog.c handles timeouts and silence.c silent
+ * runners.  relay.c relays requests to other hosts.  sharing.c exchanges load
+ * with other hosts, notes.c their findings; suspicion.c detects requests that
+ * crash runners.
  */
 #ifndef FORWARD_PRIVATE_H
 #define FORWARD_PRIVATE_H
@@ -19,7 +20,12 @@
 #include "forward/forward.h"
 #include "forward/pool.h"
 
-enum { US_PER_MS = 1000 };
+enum {
+    US_PER_MS = 1000,
+    PATH_LOST_MAX = 4,
+    HOSTS_EXCLUDED_MAX = 512,
+    RELAYED_TO_MAX = 4,
+};
 
 /* One send of a request to a runner. */
 typedef struct {
@@ -49,6 +55,9 @@
     bool restored;     /* started from a copy of the KV cache */
     bool is_retry;     /* counted against the retry budget */
     bool relaying;     /* the response is relayed to the caller */
+    bool relayed;      /* runner stands for another host, which handles it */
+    bool refused_by_host;
+    refuse_reason_t refusal; /* of that host */
     bool probe_pending;
     probe_outcome_t probed; /* of the last probe since the last activity */
     int64_t held_until_us;  /* when handle_silence() is due again */
@@ -92,6 +101,10 @@
     const char *copy_name;    /* ... and this name */
     uint64_t tried[POOL_TRIED_MAX]; /* serials of runners already tried */
     size_t tried_count;
+    uint32_t unsent_count;               /* attempts that reached no runner */
+    uint64_t relayed_to[RELAYED_TO_MAX]; /* serials of hosts */
+    uint32_t relay_count;
+    bool relayed; /* another host relayed it to this one */
     UT_hash_handle hh;
 } request_t;
 
@@ -110,6 +123,7 @@
     uint64_t incarnation;
     uint64_t number;           /* of the report */
     uint64_t last_note_number; /* number of its last note that was processed */
+    bool isolated;             /* it reaches no runner */
     int64_t received_us;       /* when the report was received */
     int64_t contact_us; /* when its routing table was known to be current */
     placement_t *placements;
@@ -151,6 +165,19 @@
     UT_hash_handle hh;
 } stream_version_t;
 
+/* What new connections show of this host's paths to runners. */
+typedef struct {
+    uint64_t lost[PATH_LOST_MAX]; /* serials of runners that could not be
+                                     reached since the last connection */
+    const pool_zone_t *lost_zones[PATH_LOST_MAX];
+    uint32_t lost_count;
+    int64_t last_loss_us;
+    bool isolated;
+    int64_t probe_due_us;
+    uint32_t probe_count;
+    uint32_t probes_answered; /* consecutive */
+} path_state_t;
+
 struct forward {
     forward_settings_t settings;
     char *host;
@@ -162,6 +189,8 @@
     int64_t started_us; /* time of the first step */
     int64_t draining_since_us; /* 0: not draining */
     pool_t *pool;
+    pool_t *host_pool; /* the hosts, in the place of runners */
+    path_state_t path;
     peer_state_t *peers;               /* by host */
     session_t *sessions;               /* by session */
     stream_version_t *stream_versions; /* by stream, sorted by expiry */
@@ -272,6 +301,25 @@
  * runners have ended. */
 void silence_check_ended(forward_t *forward);
 
+/* --- relay.c --- */
+
+/* Replaces the known hosts. */
+void relay_set_hosts(forward_t *forward, const forward_hosts_t *hosts);
+/* Record that a new connection to a runner failed, or that one that was
+ * started then succeeded. */
+void relay_record_loss(forward_t *forward, const pool_runner_t *runner);
+void relay_record_connection(forward_t *forward, int64_t started_us);
+/* Probes a runner if this host is isolated and that is due. */
+void relay_probe_paths(forward_t *forward);
+/* Returns when relay_probe_paths() is due; INT64_MAX: never. */
+int64_t relay_due_us(const forward_t *forward);
+/* Returns whether a host can be asked, and should be before a runner. */
+bool relay_is_preferred(const forward_t *forward, const request_t *request);
+/* Returns whether a host can be asked if there is no runner. */
+bool relay_is_possible(const forward_t *forward, const request_t *request);
+/* Returns the host to which the request is relayed next, or NULL. */
+pool_runner_t *relay_choose_host(const forward_t *forward, request_t *request);
+
 /* --- copies.c --- */
 
 /* Replaces a failed standby and refreshes a copy that is about to expire. */
--- a/forward/recover.c
+++ b/forward/recover.c
@@ -28,6 +28,9 @@
 static void handle_response(forward_t *forward, request_t *request);
 static void handle_rejection(forward_t *forward, request_t *request);
 static void resume_stream(forward_t *forward, request_t *request);
+static void handle_host_refusal(forward_t *forward, request_t *request);
+static bool other_host_may_serve(refuse_reason_t refusal);
+static bool find_stream_version(forward_t *forward, request_t *request);
 static void wait_or_refuse(forward_t *forward, request_t *request,
                            refuse_reason_t reason);
 static void retry_or_refuse(forward_t *forward, request_t *request,
@@ -51,6 +54,11 @@
     attempt->held_until_us = 0;
     attempt->probed = PROBE_ANSWERED;
     attempt->response_us = forward->now_us;
+    attempt->refused_by_host = head->refused_by_host;
+    attempt->refusal = head->refusal;
+    if (!attempt->relayed) {
+        relay_record_connection(forward, attempt->started_us);
+    }
     if (request->type == REQUEST_STREAM && head->status == STATUS_OK &&
         head->authentic) {
         attempt->relaying = true;
@@ -76,6 +84,10 @@
         handle_failed_attempt(forward, request, end->result);
         return;
     }
+    if (request->attempt.refused_by_host) {
+        handle_host_refusal(forward, request);
+        return;
+    }
     if (request->attempt.not_run) {
         handle_rejection(forward, request);
         return;
@@ -100,7 +112,12 @@
              (forward->now_us - attempt->started_us) / US_PER_MS,
              (forward->now_us - attempt->last_activity_us) / US_PER_MS,
              request->fingerprint, suspicion_part_names(forward, request));
-    if (pool_record_loss(attempt->runner, forward->now_us)) {
+    if (not_sent && !attempt->relayed) {
+        request->unsent_count++;
+        relay_record_loss(forward, attempt->runner);
+    }
+    if (pool_record_loss(attempt->runner, forward->now_us) &&
+        !attempt->relayed) {
         emit_log(forward, LOG_NOTICE, "zone-cooldown", "zone=%s",
                  attempt->runner->registration.zone);
     }
@@ -108,8 +125,10 @@
     if (not_sent) {
         request->runs--;
         uncount_delivery(forward, request);
-        crashes_run_not_sent(forward->crashes, forward->now_us,
-                             request->suspect);
+        if (!attempt->relayed) {
+            crashes_run_not_sent(forward->crashes, forward->now_us,
+                                 request->suspect);
+        }
     }
     if (attempt->events > 0 && attempt->standby != NULL) {
         retain_copy(request);
@@ -136,6 +155,9 @@
 {
     const attempt_t *attempt = &request->attempt;
 
+    if (attempt->relayed || forward->path.isolated) {
+        return;
+    }
     switch (result) {
     case SEND_BROKEN:
         suspicion_runner_lost(forward, request);
@@ -219,7 +241,7 @@
         return;
     }
     pool_record_response(attempt->runner, failed);
-    if (attempt->authentic && !failed) {
+    if (attempt->authentic && !failed && !attempt->relayed) {
         suspicion_run_completed(forward, request);
     }
     if (attempt->relaying) {
@@ -234,7 +256,7 @@
         resume_stream(forward, request);
         return;
     }
-    if (failed && request->type == REQUEST_SAFE && may_run_again(request) &&
+    if (failed && may_run_again(request) &&
         forward->now_us + (int64_t)RETRY_TIME_LEFT_MIN_MS * US_PER_MS <
             request->deadline_us &&
         retry_allowed(forward, request)) {
@@ -287,6 +309,53 @@
     retry_or_refuse(forward, request, REFUSE_RUNNERS_FULL);
 }
 
+/* Handles the refusal of the host that the request was relayed to. */
+static void
+handle_host_refusal(forward_t *forward, request_t *request)
+{
+    attempt_t *attempt = &request->attempt;
+    refuse_reason_t refusal = attempt->refusal;
+    bool not_run = attempt->not_run;
+
+    emit_log(forward, LOG_INFO, "host-refused",
+             "request=%s attempt=%" PRIu32 " host=%s reason=%s run=%d",
+             request->id, attempt->number, attempt->runner->registration.id,
+             refuse_reason_name(refusal), !not_run);
+    if (not_run) {
+        request->runs--;
+        uncount_delivery(forward, request);
+        pool_record_full(attempt->runner, forward->now_us);
+    }
+    attempt_end(forward, request, false);
+    if (request->response_started) {
+        resume_stream(forward, request);
+        return;
+    }
+    if (not_run && other_host_may_serve(refusal) &&
+        send_request(forward, request)) {
+        return;
+    }
+    refuse_request(forward, request, refusal);
+}
+
+/* Returns whether the reason lies with the host that refused. */
+static bool
+other_host_may_serve(refuse_reason_t refusal)
+{
+    switch (refusal) {
+    case REFUSE_NO_ROUTING:
+    case REFUSE_ROUTING_STALE:
+    case REFUSE_DRAINING:
+    case REFUSE_NO_RUNNER:
+    case REFUSE_NO_VERSION:
+    case REFUSE_HOST_FULL:
+    case REFUSE_RUNNER_LOST:
+        return true;
+    default:
+        return false;
+    }
+}
+
 /*
  * Resumes the stream on the runner that holds the copy of its KV cache, else
  * on any runner, which prefills the prompt again.  If there is no runner, a
@@ -316,6 +385,10 @@
     }
     may_send = decision == CRASH_ALLOWED ||
                (decision == CRASH_DEFERRED && request->response_started);
+    if (!find_stream_version(forward, request)) {
+        wait_or_refuse(forward, request, REFUSE_NO_VERSION);
+        return;
+    }
     if (may_send && (resume_from_copy(forward, request) ||
                      send_request(forward, request))) {
         return;
@@ -327,6 +400,18 @@
     wait_or_refuse(forward, request, REFUSE_NO_RUNNER);
 }
 
+/*
+ * Another host has chosen the runner of a stream that it began, so that only
+ * its reports show the version.  A host that it is relayed to asks for itself.
+ */
+static bool
+find_stream_version(forward_t *forward, request_t *request)
+{
+    return request->version != 0 || !request->response_started ||
+           relay_is_preferred(forward, request) ||
+           versions_find(forward, request);
+}
+
 /*
  * Lets a stream that has started, or a request that was moved from a silent
  * runner, wait for a runner for some time.
@@ -370,10 +455,11 @@
     }
 }
 
+/* A host that it was relayed to may have used all of its attempts. */
 bool
 may_run_again(const request_t *request)
 {
-    return request->type == REQUEST_SAFE &&
+    return request->type == REQUEST_SAFE && !request->attempt.relayed &&
            request->runs < request->attempts_max;
 }
 
--- a/forward/send.c
+++ b/forward/send.c
@@ -28,6 +28,10 @@
                                     const request_t *request);
 static bool is_available(const forward_t *forward,
                          const pool_runner_t *runner);
+static void start_relay(forward_t *forward, request_t *request,
+                        pool_runner_t *host);
+static uint32_t remaining_ms(const forward_t *forward,
+                             const request_t *request);
 static void start_attempt(forward_t *forward, request_t *request,
                           pool_runner_t *runner, bool restore);
 static uint32_t refusal_status(refuse_reason_t reason, bool not_run);
@@ -38,12 +42,24 @@
 bool
 send_request(forward_t *forward, request_t *request)
 {
-    pool_runner_t *runner = choose_runner(forward, request);
+    pool_runner_t *runner = NULL;
 
-    if (runner == NULL) {
+    if (relay_is_preferred(forward, request)) {
+        start_relay(forward, request, relay_choose_host(forward, request));
+        return true;
+    }
+    if (!forward->path.isolated || !request->relayed) {
+        runner = choose_runner(forward, request);
+    }
+    if (runner == NULL && !relay_is_possible(forward, request)) {
         return false;
     }
-    start_attempt(forward, request, runner, false);
+    if (runner == NULL) {
+        start_relay(forward, request, relay_choose_host(forward, request));
+    }
+    else {
+        start_attempt(forward, request, runner, false);
+    }
     return true;
 }
 
@@ -53,6 +69,9 @@
 {
     const pool_runner_t *runner = choose_runner(forward, request);
 
+    if (relay_is_preferred(forward, request)) {
+        return true;
+    }
     return runner != NULL && (!available || is_available(forward, runner));
 }
 
@@ -93,7 +112,8 @@
 {
     const attempt_t *attempt = &request->attempt;
 
-    return attempt->events > 0 && attempt->standby != NULL &&
+    return !relay_is_preferred(forward, request) && attempt->events > 0 &&
+           attempt->standby != NULL &&
            (attempt->copy_name != NULL || !attempt->copy_pending) &&
            attempt->standby->serial == attempt->standby_serial &&
            attempt->standby->version == request->version &&
@@ -110,7 +130,8 @@
     }
     request->copy_holder = NULL;
     pool_remove_copy(copy_holder);
-    if (!pool_runner_usable(copy_holder, forward->now_us) ||
+    if (relay_is_preferred(forward, request) ||
+        !pool_runner_usable(copy_holder, forward->now_us) ||
         copy_holder->version != request->version ||
         forward->now_us < copy_holder->cooldown_until_us) {
         return false;
@@ -165,14 +186,7 @@
     send->organisation = request->organisation != NULL
                              ? arena_strdup(arena, request->organisation)
                              : NULL;
-    if (request->deadline_us != INT64_MAX) {
-        int64_t remaining_ms =
-            (request->deadline_us - forward->now_us) / US_PER_MS;
-
-        send->deadline_ms = remaining_ms > DEADLINE_MIN_MS
-                                ? (uint32_t)remaining_ms
-                                : DEADLINE_MIN_MS;
-    }
+    send->deadline_ms = remaining_ms(forward, request);
     send->connect_ms = CONNECT_TIMEOUT_MS;
     send->last_event_id = request->last_event_id;
     attempt->restored = restore;
@@ -194,6 +208,54 @@
         (forward->now_us - forward->contact_us) / US_PER_MS);
 }
 
+/* The other host decides on runners, copies, and what crashes them. */
+static void
+start_relay(forward_t *forward, request_t *request, pool_runner_t *host)
+{
+    arena_t *arena = &forward->actions->arena;
+    attempt_t *attempt = &request->attempt;
+    send_action_t *send =
+        &action_new(forward, FORWARD_ACTION_SEND, request->number)->u.send;
+
+    *attempt = (attempt_t){
+        .number = attempt->number + 1,
+        .runner = host,
+        .runner_serial = host->serial,
+        .started_us = forward->now_us,
+        .last_activity_us = forward->now_us,
+        .relayed = true,
+    };
+    request->retry_at_us = 0;
+    request->runs++;
+    count_delivery(forward, request);
+    pool_request_started(host, request->type == REQUEST_STREAM);
+    send->attempt = attempt->number;
+    send->host = arena_strdup(arena, host->registration.id);
+    send->address = arena_strdup(arena, host->registration.address);
+    send->deadline_ms = remaining_ms(forward, request);
+    send->connect_ms = CONNECT_TIMEOUT_MS;
+    send->last_event_id = request->last_event_id;
+    emit_log(forward, LOG_INFO, "relay",
+             "request=%s attempt=%" PRIu32 " host=%s zone=%s running=%" PRIu32
+             " after=%" PRId64 " isolated=%d unsent=%" PRIu32
+             " deadline_ms=%" PRIu32,
+             request->id, attempt->number, send->host, host->registration.zone,
+             host->running, request->last_event_id, forward->path.isolated,
+             request->unsent_count, send->deadline_ms);
+}
+
+/* Returns the time that the runner has left; 0: unlimited. */
+static uint32_t
+remaining_ms(const forward_t *forward, const request_t *request)
+{
+    int64_t left_ms = (request->deadline_us - forward->now_us) / US_PER_MS;
+
+    if (request->deadline_us == INT64_MAX) {
+        return 0;
+    }
+    return left_ms > DEADLINE_MIN_MS ? (uint32_t)left_ms : DEADLINE_MIN_MS;
+}
+
 pool_runner_t *
 choose_standby(const forward_t *forward, const request_t *request,
                const pool_runner_t *runner)
--- a/forward/sharing.c
+++ b/forward/sharing.c
@@ -59,6 +59,7 @@
     view->received_us = forward->now_us;
     view->contact_us = forward->now_us -
                        (int64_t)peer->placements->contact_age_ms * US_PER_MS;
+    view->isolated = peer->placements->isolated;
     view->count = peer->placements->items.items_len;
     view->placements =
         xrealloc(view->placements, view->count + 1, sizeof(*view->placements));
@@ -218,7 +219,7 @@
          request != NULL && count < LINK_PLACEMENTS_MAX;
          request = request->hh.next) {
         if (request->type != REQUEST_STREAM ||
-            request->attempt.runner == NULL) {
+            request->attempt.runner == NULL || request->attempt.relayed) {
             continue;
         }
         placements->items.items_val[count] = (placement_t){
@@ -235,6 +236,7 @@
     write_budget_use(forward, arena, placements);
     notes_write(forward, arena, placements);
     suspicion_write(forward, arena, placements);
+    placements->isolated = forward->path.isolated;
     placements->contact_age_ms =
         forward->contact_us > 0
             ? (uint32_t)((forward->now_us - forward->contact_us) / US_PER_MS)
--- a/forward/suspicion.c
+++ b/forward/suspicion.c
@@ -135,7 +135,7 @@
 {
     const attempt_t *attempt = &request->attempt;
 
-    if (!attempt->went_on &&
+    if (!attempt->relayed && !attempt->went_on &&
         forward->now_us - attempt->first_event_us >= SURVIVAL_US) {
         clear_parts(forward, request, attempt->first_event_us);
     }
@@ -384,7 +384,7 @@
     }
     for (other = forward->requests; other != NULL; other = other->hh.next) {
         if (other == request || other->attempt.runner == NULL ||
-            !is_run_of(other, fingerprint)) {
+            other->attempt.relayed || !is_run_of(other, fingerprint)) {
             continue;
         }
         runs.count++;
--- a/forward/watchdog.c
+++ b/forward/watchdog.c
@@ -27,6 +27,8 @@
     /* The same if the runner only accepts connections.  Runners pause for a
      * second or so. */
     PAUSE_IDLE_MS = 3000,
+    /* The same for a host, which waits for its runners as long. */
+    RELAY_IDLE_MS = 6000,
     /* A report is some hundred ms old and may lack newer requests. */
     REPORT_AGE_MAX_MS = 800,
     /* Consecutive reports without a request before it counts as dropped. */
@@ -135,11 +137,14 @@
     request_t *request;
     request_t *next;
 
+    if (probed->outcome != PROBE_UNREACHABLE) {
+        relay_record_connection(forward, forward->now_us);
+    }
     HASH_ITER(hh, forward->requests, request, next)
     {
         attempt_t *attempt = &request->attempt;
 
-        if (attempt->runner == NULL ||
+        if (attempt->runner == NULL || attempt->relayed ||
             strcmp(attempt->runner->registration.id, probed->runner) != 0) {
             continue;
         }
@@ -162,6 +167,9 @@
         attempt->probe_pending = false;
         attempt->probed = probed->outcome;
         pool_record_silence(attempt->runner, forward->now_us);
+        if (probed->outcome == PROBE_UNREACHABLE) {
+            relay_record_loss(forward, attempt->runner);
+        }
         if (probed->outcome == PROBE_UNREACHABLE ||
             request->type != REQUEST_STREAM) {
             (void)handle_silence(forward, request, SEND_UNRESPONSIVE);
@@ -241,6 +249,9 @@
     if (attempt->probed == PROBE_SILENT) {
         limit_ms = PAUSE_IDLE_MS;
     }
+    if (attempt->relayed && limit_ms < RELAY_IDLE_MS) {
+        limit_ms = RELAY_IDLE_MS;
+    }
     due_us = attempt->last_activity_us + limit_ms * US_PER_MS;
     return due_us > attempt->held_until_us ? due_us : attempt->held_until_us;
 }
@@ -249,6 +260,9 @@
 static bool
 is_probed(const request_t *request)
 {
+    if (request->attempt.relayed) {
+        return false;
+    }
     return request->type == REQUEST_STREAM
                ? request->resumable
                : request->type == REQUEST_SAFE &&
