Refuse at once what all hosts have refused

An isolated host whose relays were all refused tried its own runners next, each for 250 ms, though it knows that it reaches none.

--- a/forward/send.c
+++ b/forward/send.c
@@ -48,7 +48,8 @@
         start_relay(forward, request, relay_choose_host(forward, request));
         return true;
     }
-    if (!forward->path.isolated || !request->relayed) {
+    if (!forward->path.isolated ||
+        (!request->relayed && request->relay_count == 0)) {
         runner = choose_runner(forward, request);
     }
     if (runner == NULL && !relay_is_possible(forward, request)) {
--- a/regress/forwarding.c
+++ b/regress/forwarding.c
@@ -42,6 +42,7 @@
 static const runner_report_t *report_of(const line_t *line);
 static forward_event_t request_of(const line_t *line);
 static forward_event_t answer_of(const line_t *line);
+static void do_fleet(forward_t *forward, int64_t at_ms, const line_t *line);
 static void do_peer(forward_t *forward, int64_t at_ms, const line_t *line);
 static bool do_registry(forward_t *forward, int64_t at_ms, const line_t *line);
 static void print_line(const forward_action_t *order);
@@ -139,6 +140,10 @@
         event.kind = FORWARD_STORE_CONTACT;
         event.u.contact_us = at_ms * US_PER_MS;
     }
+    else if (strcmp(line.words[0], "fleet") == 0) {
+        do_fleet(forward, at_ms, &line);
+        return printed;
+    }
     else if (strcmp(line.words[0], "peer") == 0) {
         do_peer(forward, at_ms, &line);
         return printed;
@@ -378,6 +383,7 @@
     event.u.request = (forward_request_t){
         .number = (uint64_t)number_of(line, 1),
         .id = id,
+        .relayed = has(line, "relayed"),
         .host = "host.example:80",
         .path = path,
         .key = key == NULL      ? "k1"
@@ -420,7 +426,9 @@
                                       .attempt = attempt,
                                       .status = (uint32_t)number_of(line, 3),
                                       .authentic = !has(line, "stranger"),
-                                      .not_run = has(line, "not-run")};
+                                      .not_run = has(line, "not-run"),
+                                      .refused_by_host = has(line, "refused"),
+                                      .refusal = REFUSE_NO_RUNNER};
         return event;
     }
     if (strcmp(line->words[0], "copied") == 0) {
@@ -453,6 +461,26 @@
 }
 
 /* Each further word is RUNNER/SESSION, with "/reading" or without. */
+/* The letter before the digit of a host's name is its zone. */
+static void
+do_fleet(forward_t *forward, int64_t at_ms, const line_t *line)
+{
+    forward_host_t hosts[WORDS_MAX];
+    char zones[WORDS_MAX][2] = {0};
+    forward_event_t event = {.kind = FORWARD_HOSTS};
+    size_t i;
+
+    for (i = 1; i < line->count; i++) {
+        zones[i][0] = line->words[i][1];
+        hosts[i - 1] = (forward_host_t){.name = line->words[i],
+                                        .address = "10.9.0.1:80",
+                                        .zone = zones[i]};
+    }
+    event.u.host_list.items = hosts;
+    event.u.host_list.count = line->count - 1;
+    step(forward, at_ms, &event, true);
+}
+
 static void
 do_peer(forward_t *forward, int64_t at_ms, const line_t *line)
 {
@@ -471,6 +499,7 @@
     placements.number =
         number != NULL ? strtoull(number, NULL, DECIMAL) : (uint64_t)at_ms;
     placements.contact_age_ms = has(line, "stale") ? UINT32_MAX : 0;
+    placements.isolated = has(line, "isolated");
     if (use != NULL) {
         budget.requests = (uint32_t)strtoul(use, NULL, DECIMAL);
         budget.retry_count =
@@ -583,7 +612,8 @@
     case FORWARD_ACTION_SEND:
         (void)snprintf(
             at, room, ".%" PRIu32 " %s%s%s%s%s%s%s%s", send->attempt,
-            send->runner, send->restore_address != NULL ? " restore=" : "",
+            send->host != NULL ? send->host : send->runner,
+            send->restore_address != NULL ? " restore=" : "",
             send->restore_address != NULL ? send->restore_address : "",
             send->restore_address != NULL ? "/" : "",
             send->restore_address != NULL ? send->restore_name : "",
--- a/regress/forwarding.h
+++ b/regress/forwarding.h
@@ -11,8 +11,10 @@
  *        [content=C]          those with the same content ask the same
  *        [parts=P,...]        the parts of its prompt that others may share
  *        [resumes=ID]         the request that began its stream
+ *        [relayed]            by another host
  *   gone N
- *   head N ATTEMPT STATUS [stranger] [not-run]
+ *   head N ATTEMPT STATUS [stranger] [not-run] [refused]
+ *                             refused: by the host that it was relayed to
  *   event N ATTEMPT ID
  *   whole N ATTEMPT | broken N ATTEMPT | unsent N ATTEMPT | invalid N ATTEMPT
  *   probed RUNNER yes|no|silent [active=N [queued=N] [runs=ID]]
@@ -25,7 +27,9 @@
  *   routing VERSION           the table of forwarding_routing()
  *   contact                   the table is in force now
  *   hosts N
+ *   fleet HOST...             all hosts; named as in "ha2", a is the zone
  *   peer HOST gone|RUNNER/SESSION[/reading]... [stale] [number=N]
+ *        [isolated]
  *        [use=REQUESTS:REPEATS] [moved=RUNNER]
  *                             what another host has; stale: it lacks the
  *                             store; number: of its message, else the time;
