--- a/forward/recover.c
+++ b/forward/recover.c
@@ -155,7 +155,8 @@
 {
     const attempt_t *attempt = &request->attempt;
 
-    if (attempt->relayed || forward->path.isolated) {
+    /* If no other host reaches runners, these have failed and not a path. */
+    if (attempt->relayed || relay_is_preferred(forward, request)) {
         return;
     }
     switch (result) {
