Do not take a missing registry entry for the end of a runner

A silent runner whose entry was missing counted as ended, although runners may leave without a word and serve on, and entries expire while the store is away: requests at it got 502, and crashes were recorded under their contents (found in review). Only a later start, or another runner at its address, shows the end now, and a loss that has expired is not recorded. As a runner that never comes back then shows nothing, a stream may use its last run after 3 s of silence.

--- a/forward/pool.c
+++ b/forward/pool.c
@@ -182,6 +182,16 @@
            runner->expires_at_us != 0 || runner->address_stale;
 }
 
+bool
+pool_runner_is_replaced(const pool_t *pool, uint64_t id_hash, uint64_t serial)
+{
+    const pool_runner_t *runner;
+
+    HASH_FIND(by_hash, pool->by_hash, &id_hash, sizeof(id_hash), runner);
+    return runner != NULL &&
+           (runner->serial != serial || runner->address_stale);
+}
+
 const pool_runner_t *
 pool_first_runner(const pool_t *pool)
 {
--- a/forward/pool.h
+++ b/forward/pool.h
@@ -115,6 +115,11 @@
 bool pool_runner_has_ended(const pool_t *pool, uint64_t id_hash,
                            uint64_t serial);
 
+/* Returns true if the registry shows that a later start of the runner, or
+ * another runner, uses its address. */
+bool pool_runner_is_replaced(const pool_t *pool, uint64_t id_hash,
+                             uint64_t serial);
+
 /* Returns the first runner; the others follow through hh.next. */
 const pool_runner_t *pool_first_runner(const pool_t *pool);
 
--- a/forward/silence.c
+++ b/forward/silence.c
@@ -18,11 +18,13 @@
     RESTART_ANYWHERE_IDLE_MS = 1500,
     /* Interval between checks whether a silent request can be moved. */
     SILENCE_POLL_MS = 100,
-    /* Runs of a stream that are left for the loss of a runner. */
+    /* Runs of a stream that are left for the loss of a runner, while its
+     * silence may be a pause. */
     RUNS_RESERVED = 1,
+    PAUSE_MAX_MS = 3000,
 };
 
-static bool has_ended(const forward_t *forward, const attempt_t *attempt);
+static bool has_ended(const attempt_t *attempt);
 static bool may_move(forward_t *forward, request_t *request);
 static bool may_restart(const forward_t *forward, const request_t *request);
 
@@ -31,7 +33,7 @@
 {
     attempt_t *attempt = &request->attempt;
 
-    if (has_ended(forward, attempt)) {
+    if (has_ended(attempt)) {
         handle_failed_attempt(forward, request, result);
         return false;
     }
@@ -58,25 +60,25 @@
 /* Returns whether the registry shows that the run of a silent runner is lost.
  * A runner that is no longer registered may still serve. */
 static bool
-has_ended(const forward_t *forward, const attempt_t *attempt)
+has_ended(const attempt_t *attempt)
 {
-    const pool_runner_t *runner = attempt->runner;
-
-    return runner->serial != attempt->runner_serial || runner->address_stale ||
-           (attempt->probed == PROBE_UNREACHABLE &&
-            pool_runner_has_ended(forward->pool, runner->id_hash,
-                                  attempt->runner_serial));
+    return attempt->runner->serial != attempt->runner_serial ||
+           attempt->runner->address_stale;
 }
 
 /* All that could end the request in place of moving it is checked here. */
 static bool
 may_move(forward_t *forward, request_t *request)
 {
+    int64_t idle_us = forward->now_us - request->attempt.last_activity_us;
     crash_decision_t decision;
 
     if (request->type == REQUEST_STREAM) {
+        uint32_t reserved =
+            idle_us < (int64_t)PAUSE_MAX_MS * US_PER_MS ? RUNS_RESERVED : 0;
+
         if (!request->resumable ||
-            request->runs + RUNS_RESERVED >= request->attempts_max) {
+            request->runs + reserved >= request->attempts_max) {
             return false;
         }
     }
@@ -125,7 +127,7 @@
     {
         if (request->attempt.runner != NULL &&
             request->attempt.held_until_us > 0 &&
-            has_ended(forward, &request->attempt)) {
+            has_ended(&request->attempt)) {
             handle_failed_attempt(forward, request, SEND_UNRESPONSIVE);
         }
     }
--- a/forward/suspicion.c
+++ b/forward/suspicion.c
@@ -91,13 +91,14 @@
 
     while (loss != NULL) {
         silent_loss_t *next = TAILQ_NEXT(loss, link);
-        bool ended =
-            pool_runner_has_ended(forward->pool, loss->runner, loss->serial);
+        bool expired = forward->now_us >= loss->expiry_us;
+        bool replaced =
+            pool_runner_is_replaced(forward->pool, loss->runner, loss->serial);
 
-        if (ended) {
+        if (replaced && !expired) {
             add_crashes(forward, loss->crashes, loss->count);
         }
-        if (ended || forward->now_us >= loss->expiry_us) {
+        if (replaced || expired) {
             free_silent_loss(forward, loss);
         }
         loss = next;
--- a/regress/test_silence.c
+++ b/regress/test_silence.c
@@ -170,6 +170,19 @@
     {2500, "timer", "send 1.2 ra1 resume"},
 };
 
+static const forwarding_line_t missing_entry_ends_silent_requests[] = {
+    FORWARDING_OPENED,
+    {10, "request 1 unsafe deadline=600", "send 1.1 sa1"},
+    {12, "request 2 safe deadline=600", "send 2.1 sa1"},
+    {312, "timer", "probe 2 sa1"},
+    {412, "probed sa1 no", ""},
+    {500, "drop sa1", ""},
+    {510, "head 1 1 200", ""},
+    {510, "whole 1 1", "answer 1.1"},
+    {510, "head 2 1 200", ""},
+    {510, "whole 2 1", "answer 2.1"},
+};
+
 /* Four of the five runs that its route allows have been used up. */
 static const forwarding_line_t stream_without_runs_is_broken_off[] = {
     FORWARDING_OPENED,
@@ -242,6 +255,7 @@
     FORWARDING_SCRIPT(restarted_runner_keeps_its_stream),
     FORWARDING_SCRIPT(stream_of_ended_runner_is_held),
     FORWARDING_SCRIPT(stalled_stream_without_runner_is_used),
+    FORWARDING_SCRIPT(missing_entry_ends_silent_requests),
     FORWARDING_SCRIPT(stream_without_runs_is_broken_off),
     FORWARDING_SCRIPT(silent_prompt_is_restarted_at_once),
     FORWARDING_SCRIPT(lost_prompt_is_never_restarted),
