Split the soak's files; its proxies tell hosts apart

fault.c (the table of faults) and run.c (what runners have run) are taken out of them, unchanged. links.c sets what befalls the connections of one host to all runners; with PARTITION set, the proxies of runners ask the kernel whose socket connects to them (client.c). An address of its own for each host was tried first: hosts of fleets of more than eight, and hosts without the store, read it from each other, and used foreign links. LINK_NO_NEW lets open connections go on and resets new ones.

The checks "drain", "revoked" and "harmful" go by the earliest time at which a request that arrives may have been sent, since what a silent link holds back comes when it passes again; "gone" counts from when it passes again. No fault uses the links yet, so nothing is judged differently.

--- a/regress/soak/host.c
+++ b/regress/soak/host.c
@@ -107,6 +107,12 @@
            host->calm_ms + SOAK_CALM_MS <= before_ms;
 }
 
+int
+host_process(size_t host)
+{
+    return hosts[host].up ? hosts[host].process.pid : 0;
+}
+
 void
 host_kill(size_t number)
 {
--- a/regress/soak/ledger.c
+++ b/regress/soak/ledger.c
@@ -59,9 +59,9 @@
 }
 
 void
-ledger_harmful_arrival(size_t host)
+ledger_harmful_arrival(size_t host, uint64_t sent_ms)
 {
-    if (harmful.detected_ms == 0 || soak_now_ms() <= harmful.detected_ms ||
+    if (harmful.detected_ms == 0 || sent_ms <= harmful.detected_ms ||
         !host_is_calm(host, soak_now_ms())) {
         return;
     }
--- a/regress/soak/proxy.c
+++ b/regress/soak/proxy.c
@@ -25,6 +25,7 @@
     proxy_t *proxy;
     end_t near; /* who connected */
     end_t far;
+    size_t host; /* that connected; SOAK_HOSTS_MAX: not known */
     uv_connect_t connect;
     bool waiting; /* for the link to pass, to be connected */
     bool connecting;
@@ -35,6 +36,8 @@
     uv_tcp_t listener; /* first: it is closed by it */
     uint16_t target;
     link_mode_t mode;
+    bool knows_hosts;
+    link_mode_t host_modes[SOAK_HOSTS_MAX + 1];
     LIST_HEAD(, link) links;
 };
 
@@ -56,6 +59,8 @@
 static void on_late(uv_timer_t *timer);
 static void on_written(uv_write_t *write, int status);
 static void on_shut(uv_shutdown_t *shut, int status);
+static link_mode_t mode_of(const link_t *link);
+static size_t who_connected(const link_t *link);
 static void link_reset(link_t *link);
 static void link_connect(link_t *link);
 static void link_flow(link_t *link);
@@ -113,6 +118,43 @@
     }
 }
 
+void
+proxy_know_hosts(proxy_t *proxy)
+{
+    proxy->knows_hosts = true;
+}
+
+void
+proxy_set_host_mode(proxy_t *proxy, size_t host, link_mode_t mode)
+{
+    link_t *link;
+    link_t *next;
+
+    proxy->host_modes[host] = mode;
+    for (link = LIST_FIRST(&proxy->links); link != NULL; link = next) {
+        next = LIST_NEXT(link, entry);
+        if (link->host != host) {
+            continue;
+        }
+        if (mode == LINK_REFUSES) {
+            link_reset(link);
+        }
+        else {
+            link_flow(link);
+        }
+    }
+}
+
+/* What befalls this connection. */
+static link_mode_t
+mode_of(const link_t *link)
+{
+    const proxy_t *proxy = link->proxy;
+
+    return proxy->mode != LINK_PASSES ? proxy->mode
+                                      : proxy->host_modes[link->host];
+}
+
 void
 proxy_reset(proxy_t *proxy)
 {
@@ -140,7 +182,8 @@
     link->near.open = true;
     link->far.open = true;
     LIST_INSERT_HEAD(&proxy->links, link, entry);
-    if (proxy->mode == LINK_REFUSES) {
+    link->host = proxy->knows_hosts ? who_connected(link) : SOAK_HOSTS_MAX;
+    if (mode_of(link) == LINK_REFUSES || mode_of(link) == LINK_NO_NEW) {
         link_reset(link);
         return;
     }
@@ -148,6 +191,17 @@
     link_flow(link);
 }
 
+static size_t
+who_connected(const link_t *link)
+{
+    struct sockaddr_in address = {0};
+    int length = sizeof(address);
+
+    (void)uv_tcp_getpeername(&link->near.tcp, (struct sockaddr *)&address,
+                             &length);
+    return client_host(ntohs(address.sin_port), proxy_port(link->proxy));
+}
+
 static void
 link_connect(link_t *link)
 {
@@ -185,7 +239,7 @@
 static void
 link_flow(link_t *link)
 {
-    link_mode_t mode = link->proxy->mode;
+    link_mode_t mode = mode_of(link);
 
     if (link->waiting && mode != LINK_SILENT) {
         link_connect(link);
@@ -248,7 +302,7 @@
     link->handles++;
     (void)uv_timer_init(soak_loop(), &piece->timer);
     /* What comes later may not overtake. */
-    if (link->proxy->mode == LINK_SLOW || to->late > 0) {
+    if (mode_of(link) == LINK_SLOW || to->late > 0) {
         to->late++;
         (void)uv_timer_start(&piece->timer, on_late, LATE_MS, 0);
     }
--- a/regress/soak/soak.c
+++ b/regress/soak/soak.c
@@ -28,9 +28,6 @@
     STEP_MS = 50,
     FAULT_LEAST_MS = 100,
     FAULT_SPREAD_MS = 700,
-    /* Hosts, links and store are left alone for so long, and then not, by
-     * turns: what holds for calm hosts only is seen as well. */
-    TURN_MS = 7000,
     /* The second key goes at this part of the run, in hundredths. */
     REVOKE_PERCENT = 40,
     REVOKED_LINK_MS = 9000,
@@ -40,45 +37,6 @@
     PATH_BYTES = 256,
 };
 
-typedef enum {
-    FAULT_KILL,
-    FAULT_PAUSE,
-    FAULT_STOP,
-    FAULT_RELOAD,
-    FAULT_STORE_LINK,
-    FAULT_CALLERS_LINK,
-    FAULT_HERD,
-    FAULT_CRASH,
-    FAULT_ZONE,
-    FAULT_DRAIN,
-    FAULT_SPOIL,
-    FAULT_STORE,
-    FAULT_STORE_LOSES,
-    FAULT_STORE_FORGETS,
-    FAULTS,
-} fault_t;
-
-static const struct {
-    const char *name;
-    uint32_t weight;
-    bool runners; /* it leaves hosts, links and store alone */
-} faults[FAULTS] = {
-    [FAULT_KILL] = {"kill", 6},
-    [FAULT_PAUSE] = {"pause", 6},
-    [FAULT_STOP] = {"stop", 6, true},
-    [FAULT_RELOAD] = {"reload", 3, true},
-    [FAULT_STORE_LINK] = {"store-link", 6},
-    [FAULT_CALLERS_LINK] = {"callers-link", 6},
-    [FAULT_HERD] = {"herd", 1},
-    [FAULT_CRASH] = {"crash", 14, true},
-    [FAULT_ZONE] = {"zone", 4, true},
-    [FAULT_DRAIN] = {"drain", 6, true},
-    [FAULT_SPOIL] = {"spoil", 6, true},
-    [FAULT_STORE] = {"store", 5},
-    [FAULT_STORE_LOSES] = {"store-loses", 3},
-    [FAULT_STORE_FORGETS] = {"store-forgets", 2},
-};
-
 typedef enum {
     PHASE_SETTLE,
     PHASE_FAULTS,
@@ -94,9 +52,7 @@
     phase_t phase;
     uint64_t phase_ms; /* began then */
     uint64_t lasts_ms;
-    uint64_t next_ms;  /* the next fault */
-    uint64_t store_ms; /* the store heals then; 0: it is well */
-    uint32_t done[FAULTS];
+    uint64_t next_ms; /* the next fault */
     uint32_t broken;
     int64_t version;
     bool revoked;
@@ -106,7 +62,6 @@
 } soak;
 
 static void on_step(uv_timer_t *timer);
-static void make_fault(void);
 static void write_routes(bool second_key);
 static void next_phase(phase_t phase);
 
@@ -189,114 +144,6 @@
     soak_store_put("op/config", document);
 }
 
-static fault_t
-pick_fault(void)
-{
-    uint32_t sum = 0;
-    uint64_t dice;
-    fault_t fault;
-
-    for (fault = 0; fault < FAULTS; fault++) {
-        sum += faults[fault].weight;
-    }
-    dice = soak_chance(sum);
-    for (fault = 0; fault < FAULTS - 1 && dice >= faults[fault].weight;
-         fault++) {
-        dice -= faults[fault].weight;
-    }
-    return fault;
-}
-
-static void
-crash_zone(void)
-{
-    uint64_t zone = soak_chance(3);
-    bool silent = soak_chance(2) == 0;
-    size_t i;
-
-    for (i = zone; i + SOAK_PLAIN < runners_count(); i += 3) {
-        runner_crash(i, silent);
-    }
-}
-
-static void
-harm_store(void)
-{
-    static const store_mode_t modes[] = {STORE_DOWN, STORE_BUSY, STORE_SLOW};
-
-    soak.store_ms = soak_now_ms() + 300 + soak_chance(4000);
-    soak_store_mode(modes[soak_chance(3)]);
-    soak_note("store is harmed");
-}
-
-static void
-make_fault(void)
-{
-    static const link_mode_t modes[] = {LINK_SLOW, LINK_SILENT, LINK_ONE_WAY,
-                                        LINK_REFUSES};
-    size_t host = soak_chance(hosts_count());
-    size_t runner = soak_chance(runners_count());
-    link_mode_t mode = modes[soak_chance(4)];
-    uint64_t for_ms = 200 + soak_chance(5000);
-    fault_t fault = pick_fault();
-    size_t i;
-
-    if (!faults[fault].runners &&
-        (soak_now_ms() - soak.phase_ms) / TURN_MS % 2 == 1) {
-        return;
-    }
-    soak.done[fault]++;
-    switch (fault) {
-    case FAULT_KILL:
-        host_kill(host);
-        return;
-    case FAULT_PAUSE:
-        host_pause(host, for_ms);
-        return;
-    case FAULT_STOP:
-        host_stop(host);
-        return;
-    case FAULT_RELOAD:
-        host_reload(host);
-        return;
-    case FAULT_STORE_LINK:
-        host_harm_store(host, mode, for_ms);
-        return;
-    case FAULT_CALLERS_LINK:
-        host_harm_callers(host, mode, for_ms);
-        return;
-    case FAULT_HERD:
-        for (i = 0; i < hosts_count(); i++) {
-            host_kill(i);
-        }
-        ledger_harmful_forgotten();
-        return;
-    case FAULT_CRASH:
-        runner_crash(runner, soak_chance(2) == 0);
-        return;
-    case FAULT_ZONE:
-        crash_zone();
-        return;
-    case FAULT_DRAIN:
-        runner_drain(runner);
-        return;
-    case FAULT_SPOIL:
-        runner_spoil(runner);
-        return;
-    case FAULT_STORE:
-        harm_store();
-        return;
-    case FAULT_STORE_LOSES:
-        soak_store_lose(3);
-        return;
-    case FAULT_STORE_FORGETS:
-        soak_store_compact();
-        return;
-    case FAULTS:
-        return;
-    }
-}
-
 /* While one host cannot hear of it. */
 static void
 revoke_key(void)
@@ -321,10 +168,7 @@
 static void
 heal(void)
 {
-    hosts_heal();
-    runners_heal();
-    soak_store_mode(STORE_ANSWERS);
-    soak_store_lose(0);
+    faults_heal();
     callers_calm();
     soak_note("calm");
 }
@@ -335,10 +179,7 @@
     uint64_t now_ms = soak_now_ms();
     uint64_t spent_ms = now_ms - soak.phase_ms;
 
-    if (soak.store_ms > 0 && now_ms >= soak.store_ms) {
-        soak.store_ms = 0;
-        soak_store_mode(STORE_ANSWERS);
-    }
+    faults_tick();
     switch (soak.phase) {
     case PHASE_SETTLE:
         if (spent_ms >= SETTLE_MS) {
@@ -356,7 +197,7 @@
             revoke_key();
         }
         else if (now_ms >= soak.next_ms) {
-            make_fault();
+            faults_make(spent_ms);
             soak.next_ms =
                 now_ms + FAULT_LEAST_MS + soak_chance(FAULT_SPREAD_MS);
         }
@@ -395,11 +236,8 @@
     size_t i;
 
     callers_report();
-    printf("faults:");
-    for (i = 0; i < FAULTS; i++) {
-        printf(" %s %" PRIu32, faults[i].name, soak.done[i]);
-    }
-    printf("\nseed %" PRIu64 ": %s\n", seed,
+    faults_report();
+    printf("seed %" PRIu64 ": %s\n", seed,
            soak.broken == 0 ? "all promises kept" : "BROKEN");
     if (soak.broken == 0) {
         return;
--- a/regress/soak/soak.h
+++ b/regress/soak/soak.h
@@ -37,6 +37,8 @@
     SOAK_GRACE_MS = 8000 + 2000,
     SOAK_CALM_MS = 3000, /* a rule with a bound holds for calm hosts */
     SOAK_STOP_WORK_MS = 500 + 1000,
+    SOAK_CUT_MS =
+        SOAK_CALM_MS + 1000,  /* then others serve for cut-off hosts */
     SOAK_HARMFUL_CRASHES = 3, /* then hosts have this time to detect it */
     SOAK_HARMFUL_MS = SOAK_CALM_MS + 1000,
     SOAK_HARMFUL_SENDS_MAX = 3, /* after that */
@@ -68,6 +70,7 @@
     LINK_SILENT,  /* nothing comes through, either way */
     LINK_ONE_WAY, /* nothing comes back */
     LINK_REFUSES, /* connections are reset */
+    LINK_NO_NEW,  /* those that are open go on */
 } link_mode_t;
 
 typedef struct proxy proxy_t;
@@ -76,9 +79,28 @@
 uint16_t proxy_port(const proxy_t *proxy);
 void proxy_set_target(proxy_t *proxy, uint16_t target);
 void proxy_set_mode(proxy_t *proxy, link_mode_t mode);
+/*
+ * Only the connections of this host, while the proxy itself passes.  It knows
+ * them once it is told to ask who connects.
+ */
+void proxy_know_hosts(proxy_t *proxy);
+void proxy_set_host_mode(proxy_t *proxy, size_t host, link_mode_t mode);
 /* Resets the connections that are open. */
 void proxy_reset(proxy_t *proxy);
 
+/* --- fault.c --- */
+
+/* Environment variable: runners' proxies know which host connects. */
+#define SOAK_PARTITION "PARTITION"
+
+bool soak_plays(const char *variable);
+
+/* The next one, so long after the first. */
+void faults_make(uint64_t spent_ms);
+void faults_tick(void);
+void faults_heal(void);
+void faults_report(void);
+
 /* --- store.c: the platform's store --- */
 
 void soak_store_open(void);
@@ -99,14 +121,42 @@
 /* Whether it has had no fault since SOAK_CALM_MS before this time. */
 bool soak_store_is_calm(uint64_t before_ms);
 
-/* --- runner.c --- */
+/* --- client.c --- */
+
+/* The host whose process connected from this port to that one;
+ * SOAK_HOSTS_MAX: none. */
+size_t client_host(uint16_t from, uint16_t to);
+
+/* --- links.c: between hosts and runners --- */
+
+/* All links of the host to runners. */
+void links_cut(size_t host, link_mode_t mode);
+void links_heal(size_t host);
+/* When the host was last cut off: now, while it is; 0: never. */
+uint64_t links_cut_ms(size_t host);
+/* When the link between them last passed nothing, also for its runner's
+ * silence: now, while it does not; 0: never. */
+uint64_t links_harmed_ms(size_t host, size_t runner);
+/* What comes through the link now was sent no sooner than this. */
+uint64_t links_sent_ms(size_t host, size_t runner);
+
+/* --- runner.c and run.c --- */
 
 void runners_open(uint32_t engines);
 size_t runners_count(void);
+proxy_t *runner_proxy(size_t runner);
+bool runner_is_engine(size_t runner);
+/* Neither down, leaving nor spoilt at any time since then. */
+bool runner_is_sound(size_t runner, uint64_t since_ms);
+/* When it last fell silent (0: never), and when that ends or ended. */
+uint64_t runner_silent_ms(size_t runner);
+uint64_t runner_silent_until_ms(size_t runner);
 /* Faults; each ends by itself. */
 void runner_crash(size_t runner, bool silent);
 void runner_drain(size_t runner);
 void runner_spoil(size_t runner);
+/* Its links pass nothing for so long; it works on. */
+void runner_silence(size_t runner, uint64_t for_ms);
 void runners_heal(void);
 /* The second organisation's key may not be used from now on. */
 void runners_revoked(uint64_t at_ms);
@@ -123,6 +173,7 @@
     size_t host;      /* that its caller left */
     bool cut;         /* its connection ended without an answer */
     uint32_t running;
+    size_t runner; /* of its last run */
     UT_hash_handle hh;
 } attempt_t;
 
@@ -133,8 +184,9 @@
 void ledger_left(const char *name, size_t host);
 /* A calm host ended its connection without an answer. */
 void ledger_cut(const char *name);
-/* A harmful request has reached a runner from this host, or crashed one. */
-void ledger_harmful_arrival(size_t host);
+/* A harmful request has reached a runner from this host, sent no sooner than
+ * this, or crashed one. */
+void ledger_harmful_arrival(size_t host, uint64_t sent_ms);
 void ledger_harmful_crash(void);
 /* All hosts were killed at once, and have forgotten the crashes. */
 void ledger_harmful_forgotten(void);
@@ -150,6 +202,7 @@
 /* Whether it has run without a fault since SOAK_CALM_MS before this time;
  * that it is told to stop is none. */
 bool host_is_calm(size_t host, uint64_t before_ms);
+int host_process(size_t host); /* its id; 0: it is down */
 void host_kill(size_t host);
 void host_pause(size_t host, uint64_t for_ms);
 void host_stop(size_t host); /* SIGTERM; it starts again */
