Soak: sound runners that fall silent

No fault of the soak was of this kind: its silent runners had crashed.

With SILENCE=1, a tenth to two fifths of the runners pass nothing for 0.2 to 3 s and work on; what was sent arrives when it ends. The first 12 s of a run then have these faults and reloads only, and all or those of runners follow. Promise "silent": no request ends with 500, 502, 504 or a closed connection before its caller's deadline if its host was calm and not cut off, and either its only run was at a runner that was silent and otherwise sound while it went on, or all runners of its service were sound and one was silent. A stream at a host that is told to stop is not judged.

--- a/regress/soak/caller.c
+++ b/regress/soak/caller.c
@@ -26,6 +26,16 @@
     MS_PER_S = 1000,
 };
 
+/* What an attempt has come to. */
+typedef enum {
+    VERDICT_SERVED,
+    VERDICT_REFUSED, /* and has not run */
+    VERDICT_FAILED,
+    VERDICT_CUT,
+    VERDICT_LATE,
+    VERDICT_NONE,
+} verdict_t;
+
 static const char *const kind_names[KINDS] = {"unsafe", "safe", "stream"};
 
 static struct {
@@ -55,6 +65,7 @@
 static void on_deadline(uv_timer_t *timer);
 static void on_again(uv_timer_t *timer);
 static void ended(caller_t *caller);
+static void judge(caller_t *caller, verdict_t verdict, int status);
 static void attempt_failed(caller_t *caller, bool may_retry);
 static void finish(caller_t *caller, bool served);
 static void close_connection(caller_t *caller);
@@ -108,6 +119,7 @@
            state.count, state.served[KIND_UNSAFE], state.served[KIND_SAFE],
            state.served[KIND_STREAM], state.refused, state.failed, state.cut,
            state.late, state.left, state.denied);
+    silence_report();
 }
 
 static void
@@ -218,6 +230,7 @@
                                  ? "Content-Length: 4\r\n\r\nbody"
                                  : "\r\n");
     caller->sent_ms = soak_now_ms();
+    caller->deadline_ms = caller->sent_ms + deadline_ms;
     buf = uv_buf_init(caller->sent.bytes, (unsigned)caller->sent.length);
     (void)uv_write(&caller->write, (uv_stream_t *)&caller->tcp, &buf, 1,
                    on_written);
@@ -250,6 +263,7 @@
     case 200:
         answer_check(caller, body, body_bytes);
         state.served[caller->kind]++;
+        judge(caller, VERDICT_SERVED, status);
         finish(caller, true);
         return;
     case 401:
@@ -258,6 +272,7 @@
                         caller->key);
         }
         state.denied++;
+        judge(caller, VERDICT_NONE, status);
         finish(caller, true);
         return;
     case 408:
@@ -266,16 +281,19 @@
     case 503:
         ledger_promised(caller->attempt);
         state.refused++;
+        judge(caller, VERDICT_REFUSED, status);
         attempt_failed(caller, true);
         return;
     case 500:
     case 502:
     case 504:
         state.failed++;
+        judge(caller, VERDICT_FAILED, status);
         attempt_failed(caller, caller->kind != KIND_UNSAFE);
         return;
     default:
         soak_broken("denied", "%s got %d", caller->attempt, status);
+        judge(caller, VERDICT_NONE, status);
         finish(caller, false);
         return;
     }
@@ -332,6 +350,7 @@
         ledger_cut(caller->attempt);
     }
     state.cut++;
+    judge(caller, VERDICT_CUT, 0);
     attempt_failed(caller, caller->kind != KIND_UNSAFE);
 }
 
@@ -343,6 +362,7 @@
     if (caller->leaves && caller->connected) {
         ledger_left(caller->attempt, caller->host);
         state.left++;
+        judge(caller, VERDICT_NONE, 0);
         finish(caller, false);
         return;
     }
@@ -351,10 +371,34 @@
         return;
     }
     state.late++;
+    judge(caller, VERDICT_LATE, 0);
     ledger_left(caller->attempt, caller->host);
     finish(caller, false);
 }
 
+/* For the checks that go by how attempts end. */
+static void
+judge(caller_t *caller, verdict_t verdict, int status)
+{
+    bool harmful = strcmp(caller->path, SOAK_HARMFUL_PATH) == 0;
+    attempt_end_t end = {
+        .attempt = caller->attempt,
+        .path = caller->path,
+        .host = caller->host,
+        .stream = caller->kind == KIND_STREAM,
+        .status = status,
+        .served = verdict == VERDICT_SERVED,
+        .incomplete = verdict == VERDICT_FAILED || verdict == VERDICT_CUT,
+        .no_verdict = verdict == VERDICT_NONE || harmful,
+        .sent_ms = caller->sent_ms,
+        .deadline_ms = caller->deadline_ms,
+    };
+
+    if (!end.no_verdict) {
+        silence_ended(&end);
+    }
+}
+
 /* Once more a little later, elsewhere, while there are attempts left. */
 static void
 attempt_failed(caller_t *caller, bool may_retry)
--- a/regress/soak/caller.h
+++ b/regress/soak/caller.h
@@ -31,6 +31,7 @@
     bool calm; /* asked for in the calm */
     uint64_t asked_ms;
     uint64_t sent_ms;
+    uint64_t deadline_ms;
     int handles;
 } caller_t;
 
--- a/regress/soak/fault.c
+++ b/regress/soak/fault.c
@@ -9,6 +9,9 @@
     /* Hosts, links and store are left alone for so long, and then not, by
      * turns: what holds for calm hosts only is seen as well. */
     TURN_MS = 7000,
+    /* With silences or partitions: these alone, all, those of runners. */
+    LONG_TURN_MS = 12000,
+    LONG_TURNS = 3,
 };
 
 typedef enum {
@@ -26,6 +29,7 @@
     FAULT_STORE,
     FAULT_STORE_LOSES,
     FAULT_STORE_FORGETS,
+    FAULT_SILENCE,
     FAULTS,
 } fault_t;
 
@@ -33,11 +37,13 @@
     const char *name;
     uint32_t weight;
     bool runners; /* it leaves hosts, links and store alone */
+    bool links;   /* it harms links between hosts and runners at most */
+    const char *variable; /* that turns it on; NULL: it is on */
 } faults[FAULTS] = {
     [FAULT_KILL] = {"kill", 6},
     [FAULT_PAUSE] = {"pause", 6},
     [FAULT_STOP] = {"stop", 6, true},
-    [FAULT_RELOAD] = {"reload", 3, true},
+    [FAULT_RELOAD] = {"reload", 3, true, true},
     [FAULT_STORE_LINK] = {"store-link", 6},
     [FAULT_CALLERS_LINK] = {"callers-link", 6},
     [FAULT_HERD] = {"herd", 1},
@@ -48,33 +54,69 @@
     [FAULT_STORE] = {"store", 5},
     [FAULT_STORE_LOSES] = {"store-loses", 3},
     [FAULT_STORE_FORGETS] = {"store-forgets", 2},
+    [FAULT_SILENCE] = {"silence", 10, true, true, SOAK_SILENCE},
 };
 
+typedef enum {
+    TURN_ALL,
+    TURN_RUNNERS,
+    TURN_LINKS,
+} turn_t;
+
 static struct {
     uint32_t done[FAULTS];
     uint64_t store_ms; /* the store heals then; 0: it is well */
 } state;
 
+static bool is_wanted(fault_t fault);
+
 bool
 soak_plays(const char *variable)
 {
     return getenv(variable) != NULL;
 }
 
+static turn_t
+turn_at(uint64_t spent_ms)
+{
+    static const turn_t turns[LONG_TURNS] = {TURN_LINKS, TURN_ALL,
+                                             TURN_RUNNERS};
+
+    if (soak_plays(SOAK_SILENCE)) {
+        return turns[spent_ms / LONG_TURN_MS % LONG_TURNS];
+    }
+    return spent_ms / TURN_MS % 2 == 1 ? TURN_RUNNERS : TURN_ALL;
+}
+
+static bool
+is_wanted(fault_t fault)
+{
+    return faults[fault].variable == NULL ||
+           soak_plays(faults[fault].variable);
+}
+
+static uint32_t
+weight_of(fault_t fault, turn_t turn)
+{
+    return !is_wanted(fault) || (turn == TURN_LINKS && !faults[fault].links)
+               ? 0
+               : faults[fault].weight;
+}
+
 static fault_t
-pick_fault(void)
+pick_fault(turn_t turn)
 {
     uint32_t sum = 0;
     uint64_t dice;
     fault_t fault;
 
     for (fault = 0; fault < FAULTS; fault++) {
-        sum += faults[fault].weight;
+        sum += weight_of(fault, turn);
     }
     dice = soak_chance(sum);
-    for (fault = 0; fault < FAULTS - 1 && dice >= faults[fault].weight;
+    for (fault = 0; fault < FAULTS - 1 && dice >= weight_of(fault, turn);
          fault++) {
-        dice -= faults[fault].weight;
+        dice -= weight_of(fault, turn);
     }
     return fault;
 }
@@ -110,10 +152,11 @@
     size_t runner = soak_chance(runners_count());
     link_mode_t mode = modes[soak_chance(4)];
     uint64_t for_ms = 200 + soak_chance(5000);
-    fault_t fault = pick_fault();
+    turn_t turn = turn_at(spent_ms);
+    fault_t fault = pick_fault(turn);
     size_t i;
 
-    if (!faults[fault].runners && spent_ms / TURN_MS % 2 == 1) {
+    if (turn == TURN_RUNNERS && !faults[fault].runners) {
         return;
     }
     state.done[fault]++;
@@ -163,6 +206,9 @@
     case FAULT_STORE_FORGETS:
         soak_store_compact();
         return;
+    case FAULT_SILENCE:
+        silence_begin();
+        return;
     case FAULTS:
         return;
     }
--- a/regress/soak/soak.h
+++ b/regress/soak/soak.h
@@ -90,7 +90,8 @@
 
 /* --- fault.c --- */
 
-/* Environment variable: runners' proxies know which host connects. */
+/* Environment variables that turn faults on. */
+#define SOAK_SILENCE "SILENCE"
 #define SOAK_PARTITION "PARTITION"
 
 bool soak_plays(const char *variable);
@@ -161,6 +162,28 @@
 /* The second organisation's key may not be used from now on. */
 void runners_revoked(uint64_t at_ms);
 
+/* --- silence.c --- */
+
+/* How a caller's attempt ended. */
+typedef struct {
+    const char *attempt;
+    size_t host;
+    const char *path;
+    bool stream;
+    int status;      /* 0: no answer */
+    bool served;     /* status 200, whole */
+    bool incomplete; /* failed or cut */
+    bool no_verdict; /* its caller left or may not ask, or it is harmful */
+    uint64_t sent_ms;
+    uint64_t deadline_ms;
+} attempt_end_t;
+
+/* Several sound runners fall silent. */
+void silence_begin(void);
+/* Checks that silence alone has not ended it. */
+void silence_ended(const attempt_end_t *end);
+void silence_report(void);
+
 /* --- ledger.c --- */
 
 /* What became of a caller's attempt, by its name. */
