Soak: hosts cut off from all runners

The soak had no fault that hits the links of some hosts only.

With PARTITION=1, one to all but one of the hosts lose their links to all runners for 3 to 9 s: silent, reset, or live connections go on while new ones are reset. The first 12 s of a run then have this fault and reloads only. Promise "partition": of the first tries that are sent from 4 s after its beginning to its end, those at cut-off hosts are served at least two thirds as often as those at the others, where both have 20; and no more of them fail than 10 and 1 in 50 of all. Harmful requests, callers that leave and keys that went give no verdict, nor do hosts that are not calm. A partition is not judged if the store was not calm, a host was killed, paused or told to stop from 3 s before it to its end, or no host that keeps its links was calm.

--- a/regress/soak/caller.c
+++ b/regress/soak/caller.c
@@ -120,6 +120,7 @@
            state.served[KIND_STREAM], state.refused, state.failed, state.cut,
            state.late, state.left, state.denied);
     silence_report();
+    partition_report();
 }
 
 static void
@@ -231,6 +232,8 @@
                                  : "\r\n");
     caller->sent_ms = soak_now_ms();
     caller->deadline_ms = caller->sent_ms + deadline_ms;
+    caller->partition =
+        caller->attempts == 1 ? partition_try(caller->host) : NULL;
     buf = uv_buf_init(caller->sent.bytes, (unsigned)caller->sent.length);
     (void)uv_write(&caller->write, (uv_stream_t *)&caller->tcp, &buf, 1,
                    on_written);
@@ -394,6 +397,10 @@
         .deadline_ms = caller->deadline_ms,
     };
 
+    if (caller->partition != NULL) {
+        partition_tried(caller->partition, &end);
+        caller->partition = NULL;
+    }
     if (!end.no_verdict) {
         silence_ended(&end);
     }
--- a/regress/soak/caller.h
+++ b/regress/soak/caller.h
@@ -28,7 +28,8 @@
     bool connected;
     bool open;
     bool leaves;
-    bool calm; /* asked for in the calm */
+    bool calm;              /* asked for in the calm */
+    partition_t *partition; /* that its attempt counts for, or NULL */
     uint64_t asked_ms;
     uint64_t sent_ms;
     uint64_t deadline_ms;
--- a/regress/soak/fault.c
+++ b/regress/soak/fault.c
@@ -30,6 +30,7 @@
     FAULT_STORE_LOSES,
     FAULT_STORE_FORGETS,
     FAULT_SILENCE,
+    FAULT_PARTITION,
     FAULTS,
 } fault_t;
 
@@ -55,6 +56,7 @@
     [FAULT_STORE_LOSES] = {"store-loses", 3},
     [FAULT_STORE_FORGETS] = {"store-forgets", 2},
     [FAULT_SILENCE] = {"silence", 10, true, true, SOAK_SILENCE},
+    [FAULT_PARTITION] = {"partition", 8, false, true, SOAK_PARTITION},
 };
 
 typedef enum {
@@ -82,7 +84,7 @@
     static const turn_t turns[LONG_TURNS] = {TURN_LINKS, TURN_ALL,
                                              TURN_RUNNERS};
 
-    if (soak_plays(SOAK_SILENCE)) {
+    if (soak_plays(SOAK_SILENCE) || soak_plays(SOAK_PARTITION)) {
         return turns[spent_ms / LONG_TURN_MS % LONG_TURNS];
     }
     return spent_ms / TURN_MS % 2 == 1 ? TURN_RUNNERS : TURN_ALL;
@@ -209,6 +211,9 @@
     case FAULT_SILENCE:
         silence_begin();
         return;
+    case FAULT_PARTITION:
+        partition_begin();
+        return;
     case FAULTS:
         return;
     }
@@ -221,6 +226,7 @@
         state.store_ms = 0;
         soak_store_mode(STORE_ANSWERS);
     }
+    partition_tick();
 }
 
 void
@@ -228,6 +234,7 @@
 {
     hosts_heal();
     runners_heal();
+    partition_heal();
     soak_store_mode(STORE_ANSWERS);
     soak_store_lose(0);
 }
--- a/regress/soak/host.c
+++ b/regress/soak/host.c
@@ -46,6 +46,7 @@
 static size_t count;
 static const char *program;
 static uv_timer_t timer;
+static uint64_t disturbed_ms;
 
 static uint16_t free_port(void);
 static void write_settings(const host_t *host, size_t number,
@@ -113,12 +114,19 @@
     return hosts[host].up ? hosts[host].process.pid : 0;
 }
 
+uint64_t
+hosts_disturbed_ms(void)
+{
+    return disturbed_ms;
+}
+
 void
 host_kill(size_t number)
 {
     host_t *host = &hosts[number];
 
     if (host->up && !host->for_good) {
+        disturbed_ms = soak_now_ms();
         host->killed = true;
         soak_note("kill h%zu", number);
         tell(host, SIGKILL);
@@ -131,6 +139,7 @@
     host_t *host = &hosts[number];
 
     if (host->up && host->paused_ms == 0 && !host->for_good) {
+        disturbed_ms = soak_now_ms();
         host->paused_ms = soak_now_ms() + for_ms;
         soak_note("pause h%zu %" PRIu64, number, for_ms);
         tell(host, SIGSTOP);
@@ -143,6 +152,7 @@
     host_t *host = &hosts[number];
 
     if (host->up && !host->ending) {
+        disturbed_ms = soak_now_ms();
         host->ending = true;
         host->ending_ms = soak_now_ms();
         soak_note("stop h%zu", number);
--- a/regress/soak/soak.h
+++ b/regress/soak/soak.h
@@ -162,7 +162,7 @@
 /* The second organisation's key may not be used from now on. */
 void runners_revoked(uint64_t at_ms);
 
-/* --- silence.c --- */
+/* --- silence.c and partition.c --- */
 
 /* How a caller's attempt ended. */
 typedef struct {
@@ -184,6 +184,18 @@
 void silence_ended(const attempt_end_t *end);
 void silence_report(void);
 
+typedef struct partition partition_t;
+
+/* Some hosts, not all, lose their links to all runners for a while. */
+void partition_begin(void);
+void partition_tick(void);
+void partition_heal(void);
+/* A request is sent to this host for the first time.  NULL: it does not count;
+ * otherwise partition_tried() has to be called. */
+partition_t *partition_try(size_t host);
+void partition_tried(partition_t *partition, const attempt_end_t *end);
+void partition_report(void);
+
 /* --- ledger.c --- */
 
 /* What became of a caller's attempt, by its name. */
@@ -226,6 +238,8 @@
  * that it is told to stop is none. */
 bool host_is_calm(size_t host, uint64_t before_ms);
 int host_process(size_t host); /* its id; 0: it is down */
+/* When one was last killed, paused or told to stop; 0: never. */
+uint64_t hosts_disturbed_ms(void);
 void host_kill(size_t host);
 void host_pause(size_t host, uint64_t for_ms);
 void host_stop(size_t host); /* SIGTERM; it starts again */
