Judge the paths of each service by themselves

Losses and connections are now kept for each service, and a connection shows that the losses before it were not those of all paths. Reports say which services a host does not reach.

--- a/forward/pool.c
+++ b/forward/pool.c
@@ -192,6 +192,15 @@
            (runner->serial != serial || runner->address_stale);
 }
 
+const pool_runner_t *
+pool_find_runner(const pool_t *pool, const char *id)
+{
+    const pool_runner_t *runner;
+
+    HASH_FIND_STR(pool->runners, id, runner);
+    return runner;
+}
+
 const pool_runner_t *
 pool_first_runner(const pool_t *pool)
 {
--- a/forward/private.h
+++ b/forward/private.h
@@ -108,12 +108,34 @@
     UT_hash_handle hh;
 } request_t;
 
-/* This host's use of a service's retry budget, and the versions it saw. */
+/* A runner to which no connection could be made. */
+typedef struct {
+    uint64_t serial;
+    const pool_zone_t *zone;
+    int64_t lost_us;
+} lost_path_t;
+
+/* What new connections show of this host's paths to a service's runners. */
+typedef struct {
+    lost_path_t lost[PATH_LOST_MAX]; /* since the last connection */
+    uint32_t lost_count;
+    bool isolated;
+    int64_t isolated_us;  /* since when */
+    int64_t suspected_us; /* time of its first loss before that */
+    int64_t connected_us; /* start of the latest connection; 0: none */
+    int64_t probe_due_us;
+    uint32_t probe_count;
+    uint32_t connections; /* since the last loss, while it is isolated */
+} path_state_t;
+
+/* This host's use of a service's retry budget, the versions it saw, and its
+ * paths. */
 typedef struct {
     char *service;
     retry_budget_t budget;
     int64_t versions_us; /* when runners of several versions of it were seen
                             last; INT64_MIN: never */
+    path_state_t path;
     UT_hash_handle hh;
 } service_budget_t;
 
@@ -123,7 +145,7 @@
     uint64_t incarnation;
     uint64_t number;           /* of the report */
     uint64_t last_note_number; /* number of its last note that was processed */
-    bool isolated;             /* it reaches no runner */
+    bool isolated;             /* it reaches no runner of some service */
     int64_t received_us;       /* when the report was received */
     int64_t contact_us; /* when its routing table was known to be current */
     placement_t *placements;
@@ -165,19 +187,6 @@
     UT_hash_handle hh;
 } stream_version_t;
 
-/* What new connections show of this host's paths to runners. */
-typedef struct {
-    uint64_t lost[PATH_LOST_MAX]; /* serials of runners that could not be
-                                     reached since the last connection */
-    const pool_zone_t *lost_zones[PATH_LOST_MAX];
-    uint32_t lost_count;
-    int64_t last_loss_us;
-    bool isolated;
-    int64_t probe_due_us;
-    uint32_t probe_count;
-    uint32_t probes_answered; /* consecutive */
-} path_state_t;
-
 struct forward {
     forward_settings_t settings;
     char *host;
@@ -189,8 +198,7 @@
     int64_t started_us; /* time of the first step */
     int64_t draining_since_us; /* 0: not draining */
     pool_t *pool;
-    pool_t *host_pool; /* the hosts, in the place of runners */
-    path_state_t path;
+    pool_t *host_pool;                 /* the hosts, in the place of runners */
     peer_state_t *peers;               /* by host */
     session_t *sessions;               /* by session */
     stream_version_t *stream_versions; /* by stream, sorted by expiry */
@@ -308,8 +316,14 @@
 /* Record that a new connection to a runner failed, or that one that was
  * started then succeeded. */
 void relay_record_loss(forward_t *forward, const pool_runner_t *runner);
-void relay_record_connection(forward_t *forward, int64_t started_us);
-/* Probes a runner if this host is isolated and that is due. */
+void relay_record_connection(forward_t *forward, const pool_runner_t *runner,
+                             int64_t started_us);
+/* Returns whether this host reaches no runner of the service.  It is assumed
+ * if no connection was made since the paths to another service were lost. */
+bool relay_is_isolated(const forward_t *forward, const char *service);
+/* The same, of any service. */
+bool relay_is_isolated_at_all(const forward_t *forward);
+/* Probes a runner of each service without paths if that is due. */
 void relay_probe_paths(forward_t *forward);
 /* Returns when relay_probe_paths() is due; INT64_MAX: never. */
 int64_t relay_due_us(const forward_t *forward);
--- a/forward/recover.c
+++ b/forward/recover.c
@@ -57,7 +57,7 @@
     attempt->refused_by_host = head->refused_by_host;
     attempt->refusal = head->refusal;
     if (!attempt->relayed) {
-        relay_record_connection(forward, attempt->started_us);
+        relay_record_connection(forward, attempt->runner, attempt->started_us);
     }
     if (request->type == REQUEST_STREAM && head->status == STATUS_OK &&
         head->authentic) {
--- a/forward/relay.c
+++ b/forward/relay.c
@@ -3,14 +3,17 @@
  *
  * The paths of a host may be cut while callers, the store and the other hosts
  * still reach it.  Each new connection to a runner shows whether its path
- * works.  When those to several runners have failed in a row the host is
- * isolated: it relays requests at once, and probes runners until connections
- * succeed again.  A request is relayed one hop at most.
+ * works.  When those to several runners of a service have failed, with none
+ * that succeeded since, the host is isolated from the service: it relays
+ * requests at once, and probes runners until connections succeed again.  A
+ * request is relayed one hop at most.
  */
 #include <inttypes.h>
 #include <string.h>
 #include <syslog.h>
 
+#include <xxhash.h>
+
 #include "forward/private.h"
 
 enum {
@@ -24,8 +27,8 @@
     RELAYS_MAX = 3,
     PROBE_INTERVAL_MS = 500,
     PROBE_TIMEOUT_MS = 100,
-    /* Consecutive probes that succeed before runners are used again. */
-    PROBES_ANSWERED_MIN = 2,
+    /* Consecutive connections before runners are used again. */
+    CONNECTIONS_MIN = 2,
     /* Concurrent requests of a host whose load counts as full. */
     HOST_SLOTS = 64,
 };
@@ -33,9 +36,15 @@
 /* The service of all hosts in the pool of hosts. */
 static const char hosts_service[] = "hosts";
 
-static uint32_t count_usable_runners(const forward_t *forward);
-static bool spans_one_zone(const forward_t *forward);
-static void set_isolated(forward_t *forward, bool isolated);
+static uint32_t count_usable_runners(const forward_t *forward,
+                                     const char *service);
+static bool spans_one_zone(const forward_t *forward,
+                           const service_budget_t *service);
+static void set_isolated(forward_t *forward, service_budget_t *service,
+                         bool isolated);
+static void probe_path(forward_t *forward, service_budget_t *service);
+static bool host_is_isolated(const forward_t *forward, const char *host,
+                             const char *service);
 static pool_runner_t *choose_host(const forward_t *forward,
                                   const request_t *request);
 
@@ -60,95 +69,134 @@
 void
 relay_record_loss(forward_t *forward, const pool_runner_t *runner)
 {
-    path_state_t *path = &forward->path;
-    uint32_t needed = count_usable_runners(forward);
+    service_budget_t *service =
+        find_or_add_service(forward, runner->registration.service);
+    path_state_t *path = &service->path;
+    uint32_t needed =
+        count_usable_runners(forward, runner->registration.service);
     uint32_t i;
 
-    path->last_loss_us = forward->now_us;
-    path->probes_answered = 0;
+    path->connections = 0;
     for (i = 0; i < path->lost_count; i++) {
-        if (path->lost[i] == runner->serial) {
+        if (path->lost[i].serial == runner->serial) {
+            path->lost[i].lost_us = forward->now_us;
             return;
         }
     }
     if (path->lost_count == PATH_LOST_MAX) {
         path->lost_count--;
     }
-    path->lost[path->lost_count] = runner->serial;
-    path->lost_zones[path->lost_count] = runner->zone;
+    path->lost[path->lost_count] = (lost_path_t){.serial = runner->serial,
+                                                 .zone = runner->zone,
+                                                 .lost_us = forward->now_us};
     path->lost_count++;
     if (needed < LOST_RUNNERS_FEW) {
         needed = LOST_RUNNERS_FEW;
     }
     if (!path->isolated && path->lost_count >= needed &&
-        !spans_one_zone(forward)) {
-        set_isolated(forward, true);
+        !spans_one_zone(forward, service)) {
+        set_isolated(forward, service, true);
     }
 }
 
+/* A connection that was started later than a loss shows that the loss was not
+ * one of all paths. */
 void
-relay_record_connection(forward_t *forward, int64_t started_us)
+relay_record_connection(forward_t *forward, const pool_runner_t *runner,
+                        int64_t started_us)
 {
-    path_state_t *path = &forward->path;
+    service_budget_t *service =
+        find_or_add_service(forward, runner->registration.service);
+    path_state_t *path = &service->path;
+    uint32_t kept = 0;
+    uint32_t i;
 
-    if (started_us <= path->last_loss_us) {
-        return;
+    if (started_us > path->connected_us) {
+        path->connected_us = started_us;
     }
     if (path->isolated) {
-        path->probes_answered++;
-        if (path->probes_answered < PROBES_ANSWERED_MIN) {
+        path->connections += started_us > path->isolated_us ? 1 : 0;
+        if (path->connections < CONNECTIONS_MIN) {
             return;
         }
-        set_isolated(forward, false);
+        set_isolated(forward, service, false);
+    }
+    for (i = 0; i < path->lost_count; i++) {
+        if (path->lost[i].lost_us >= started_us) {
+            path->lost[kept] = path->lost[i];
+            kept++;
+        }
     }
-    path->lost_count = 0;
+    path->lost_count = kept;
 }
 
-/* Runners take turns, in the order of the registry. */
-void
-relay_probe_paths(forward_t *forward)
+bool
+relay_is_isolated(const forward_t *forward, const char *service)
 {
-    arena_t *arena = &forward->actions->arena;
-    path_state_t *path = &forward->path;
-    const pool_runner_t *first = pool_first_runner(forward->pool);
-    const pool_runner_t *runner = first;
-    forward_action_t *action;
-    uint32_t skip;
+    const service_budget_t *entry;
+    const service_budget_t *other;
 
-    if (!path->isolated || forward->now_us < path->probe_due_us) {
-        return;
+    HASH_FIND_STR(forward->budgets, service, entry);
+    if (entry == NULL || entry->path.isolated) {
+        return entry != NULL;
     }
-    path->probe_due_us =
-        forward->now_us + (int64_t)PROBE_INTERVAL_MS * US_PER_MS;
-    for (skip = path->probe_count; skip > 0 && runner != NULL; skip--) {
-        runner = runner->hh.next;
-        if (runner == NULL) {
-            path->probe_count = 0;
-            runner = first;
-            break;
+    for (other = forward->budgets; other != NULL; other = other->hh.next) {
+        if (other->path.isolated &&
+            entry->path.connected_us < other->path.suspected_us) {
+            return true;
         }
     }
-    path->probe_count++;
-    if (runner == NULL) {
-        return;
+    return false;
+}
+
+bool
+relay_is_isolated_at_all(const forward_t *forward)
+{
+    const service_budget_t *service;
+
+    for (service = forward->budgets; service != NULL;
+         service = service->hh.next) {
+        if (service->path.isolated) {
+            return true;
+        }
+    }
+    return false;
+}
+
+void
+relay_probe_paths(forward_t *forward)
+{
+    service_budget_t *service;
+
+    for (service = forward->budgets; service != NULL;
+         service = service->hh.next) {
+        if (forward->now_us >= service->path.probe_due_us &&
+            relay_is_isolated(forward, service->service)) {
+            probe_path(forward, service);
+        }
     }
-    action = action_new(forward, FORWARD_ACTION_PROBE, 0);
-    action->u.probe.runner = arena_strdup(arena, runner->registration.id);
-    action->u.probe.address =
-        arena_strdup(arena, runner->registration.address);
-    action->u.probe.timeout_ms = PROBE_TIMEOUT_MS;
 }
 
 int64_t
 relay_due_us(const forward_t *forward)
 {
-    return forward->path.isolated ? forward->path.probe_due_us : INT64_MAX;
+    const service_budget_t *service;
+    int64_t due_us = INT64_MAX;
+
+    for (service = forward->budgets; service != NULL;
+         service = service->hh.next) {
+        if (service->path.probe_due_us < due_us &&
+            relay_is_isolated(forward, service->service)) {
+            due_us = service->path.probe_due_us;
+        }
+    }
+    return due_us;
 }
 
 bool
 relay_is_preferred(const forward_t *forward, const request_t *request)
 {
-    return (forward->path.isolated ||
+    return (relay_is_isolated(forward, request->service) ||
             request->unsent_count >= UNSENT_ATTEMPTS_MAX) &&
            relay_is_possible(forward, request);
 }
@@ -156,7 +204,8 @@
 bool
 relay_is_possible(const forward_t *forward, const request_t *request)
 {
-    return (forward->path.isolated || request->unsent_count > 0) &&
+    return (relay_is_isolated(forward, request->service) ||
+            request->unsent_count > 0) &&
            choose_host(forward, request) != NULL;
 }
 
@@ -178,14 +227,31 @@
     const peer_state_t *view;
 
     if (strcmp(host, forward->host) == 0) {
-        return !forward->path.isolated;
+        return !relay_is_isolated_at_all(forward);
     }
     HASH_FIND_STR(forward->peers, host, view);
     return view == NULL || !view->isolated;
 }
 
+static bool
+host_is_isolated(const forward_t *forward, const char *host,
+                 const char *service)
+{
+    uint64_t hash = XXH3_64bits(service, strlen(service));
+    const peer_state_t *view;
+    uint32_t i;
+
+    HASH_FIND_STR(forward->peers, host, view);
+    for (i = 0; view != NULL && i < view->budget_count; i++) {
+        if (view->budgets[i].service == hash) {
+            return view->budgets[i].isolated;
+        }
+    }
+    return false;
+}
+
 static uint32_t
-count_usable_runners(const forward_t *forward)
+count_usable_runners(const forward_t *forward, const char *service)
 {
     const pool_runner_t *runner;
     uint32_t count = 0;
@@ -193,27 +259,31 @@
     for (runner = pool_first_runner(forward->pool);
          runner != NULL && count < LOST_RUNNERS_MIN;
          runner = runner->hh.next) {
-        count += pool_runner_usable(runner, forward->now_us) ? 1 : 0;
+        if (strcmp(runner->registration.service, service) == 0 &&
+            pool_runner_usable(runner, forward->now_us)) {
+            count++;
+        }
     }
     return count;
 }
 
 /* Returns whether only one of several availability zones has failed. */
 static bool
-spans_one_zone(const forward_t *forward)
+spans_one_zone(const forward_t *forward, const service_budget_t *service)
 {
-    const path_state_t *path = &forward->path;
+    const path_state_t *path = &service->path;
     const pool_runner_t *runner;
     uint32_t i;
 
     for (i = 1; i < path->lost_count; i++) {
-        if (path->lost_zones[i] != path->lost_zones[0]) {
+        if (path->lost[i].zone != path->lost[0].zone) {
             return false;
         }
     }
     for (runner = pool_first_runner(forward->pool); runner != NULL;
          runner = runner->hh.next) {
-        if (runner->zone != path->lost_zones[0] &&
+        if (strcmp(runner->registration.service, service->service) == 0 &&
+            runner->zone != path->lost[0].zone &&
             pool_runner_usable(runner, forward->now_us)) {
             return true;
         }
@@ -222,17 +292,61 @@
 }
 
 static void
-set_isolated(forward_t *forward, bool isolated)
+set_isolated(forward_t *forward, service_budget_t *service, bool isolated)
 {
-    path_state_t *path = &forward->path;
+    path_state_t *path = &service->path;
+    uint32_t i;
 
     path->isolated = isolated;
-    path->probes_answered = 0;
+    path->isolated_us = forward->now_us;
+    path->suspected_us = forward->now_us;
+    for (i = 0; i < path->lost_count; i++) {
+        if (path->lost[i].lost_us < path->suspected_us) {
+            path->suspected_us = path->lost[i].lost_us;
+        }
+    }
+    path->connections = 0;
     path->probe_due_us =
         forward->now_us + (int64_t)PROBE_INTERVAL_MS * US_PER_MS;
     forward->publish_due = true;
     emit_log(forward, LOG_NOTICE, isolated ? "isolated" : "reachable",
-             "lost_runners=%" PRIu32, path->lost_count);
+             "service=%s lost_runners=%" PRIu32, service->service,
+             path->lost_count);
+}
+
+/* The service's runners take turns, in the order of the registry. */
+static void
+probe_path(forward_t *forward, service_budget_t *service)
+{
+    arena_t *arena = &forward->actions->arena;
+    path_state_t *path = &service->path;
+    const pool_runner_t *probed = NULL;
+    const pool_runner_t *runner;
+    uint32_t index = 0;
+    forward_action_t *action;
+
+    path->probe_due_us =
+        forward->now_us + (int64_t)PROBE_INTERVAL_MS * US_PER_MS;
+    for (runner = pool_first_runner(forward->pool); runner != NULL;
+         runner = runner->hh.next) {
+        if (strcmp(runner->registration.service, service->service) != 0 ||
+            !pool_runner_usable(runner, forward->now_us)) {
+            continue;
+        }
+        if (probed == NULL || index == path->probe_count) {
+            probed = runner;
+        }
+        index++;
+    }
+    path->probe_count = path->probe_count < index ? path->probe_count + 1 : 0;
+    if (probed == NULL) {
+        return;
+    }
+    action = action_new(forward, FORWARD_ACTION_PROBE, 0);
+    action->u.probe.runner = arena_strdup(arena, probed->registration.id);
+    action->u.probe.address =
+        arena_strdup(arena, probed->registration.address);
+    action->u.probe.timeout_ms = PROBE_TIMEOUT_MS;
 }
 
 /* Leaves out this host, those that the request was relayed to, and those that
@@ -261,7 +375,8 @@
         }
         if (query.tried_count < HOSTS_EXCLUDED_MAX &&
             (tried || strcmp(host->registration.id, forward->host) == 0 ||
-             !forward_host_reaches_runners(forward, host->registration.id))) {
+             host_is_isolated(forward, host->registration.id,
+                              request->service))) {
             excluded[query.tried_count] = host->serial;
             query.tried_count++;
         }
--- a/forward/send.c
+++ b/forward/send.c
@@ -48,7 +48,7 @@
         start_relay(forward, request, relay_choose_host(forward, request));
         return true;
     }
-    if (!forward->path.isolated ||
+    if (!relay_is_isolated(forward, request->service) ||
         (!request->relayed && request->relay_count == 0)) {
         runner = choose_runner(forward, request);
     }
@@ -242,7 +242,8 @@
              " after=%" PRId64 " isolated=%d unsent=%" PRIu32
              " deadline_ms=%" PRIu32,
              request->id, attempt->number, send->host, host->registration.zone,
-             host->running, request->last_event_id, forward->path.isolated,
+             host->running, request->last_event_id,
+             relay_is_isolated(forward, request->service),
              request->unsent_count, send->deadline_ms);
 }
 
--- a/forward/sharing.c
+++ b/forward/sharing.c
@@ -236,7 +236,7 @@
     write_budget_use(forward, arena, placements);
     notes_write(forward, arena, placements);
     suspicion_write(forward, arena, placements);
-    placements->isolated = forward->path.isolated;
+    placements->isolated = relay_is_isolated_at_all(forward);
     placements->contact_age_ms =
         forward->contact_us > 0
             ? (uint32_t)((forward->now_us - forward->contact_us) / US_PER_MS)
@@ -262,6 +262,7 @@
             .service = XXH3_64bits(budget->service, strlen(budget->service)),
             .requests = (uint32_t)use.requests,
             .retry_count = (uint32_t)use.retries,
+            .isolated = relay_is_isolated(forward, budget->service),
             .versions_age_ms =
                 budget->versions_us != INT64_MIN
                     ? (uint32_t)((forward->now_us - budget->versions_us) /
--- a/forward/watchdog.c
+++ b/forward/watchdog.c
@@ -35,6 +35,8 @@
     MISSING_REPORTS_MAX = 2,
 };
 
+static void record_path(forward_t *forward,
+                        const forward_probe_result_t *probed);
 static void check_report(forward_t *forward, request_t *request,
                          const runner_report_t *report);
 static bool is_report_expected(const forward_t *forward,
@@ -130,6 +132,24 @@
     return due_us;
 }
 
+/* A connection that a probe made is as good as one of a request. */
+static void
+record_path(forward_t *forward, const forward_probe_result_t *probed)
+{
+    const pool_runner_t *runner =
+        pool_find_runner(forward->pool, probed->runner);
+
+    if (runner == NULL) {
+        return;
+    }
+    if (probed->outcome == PROBE_UNREACHABLE) {
+        relay_record_loss(forward, runner);
+    }
+    else {
+        relay_record_connection(forward, runner, forward->now_us);
+    }
+}
+
 /* A runner that cannot be reached is silent for all its requests. */
 void
 handle_probe_result(forward_t *forward, const forward_probe_result_t *probed)
@@ -137,9 +157,7 @@
     request_t *request;
     request_t *next;
 
-    if (probed->outcome != PROBE_UNREACHABLE) {
-        relay_record_connection(forward, forward->now_us);
-    }
+    record_path(forward, probed);
     HASH_ITER(hh, forward->requests, request, next)
     {
         attempt_t *attempt = &request->attempt;
@@ -167,9 +185,6 @@
         attempt->probe_pending = false;
         attempt->probed = probed->outcome;
         pool_record_silence(attempt->runner, forward->now_us);
-        if (probed->outcome == PROBE_UNREACHABLE) {
-            relay_record_loss(forward, attempt->runner);
-        }
         if (probed->outcome == PROBE_UNREACHABLE ||
             request->type != REQUEST_STREAM) {
             (void)handle_silence(forward, request, SEND_UNRESPONSIVE);
--- a/regress/forwarding.c
+++ b/regress/forwarding.c
@@ -491,7 +491,8 @@
     const char *use = value_of(line, "use");
     const char *moved = value_of(line, "moved");
     note_t note = {.number = 1, .finding.kind = NOTE_ADDRESS_STALE};
-    budget_use_t budget = {.service = XXH3_64bits("r", 1)};
+    budget_use_t budgets[] = {{.service = XXH3_64bits("r", 1)},
+                              {.service = XXH3_64bits("s", 1)}};
     size_t i;
 
     event.u.peer.host = line->words[1];
@@ -499,12 +500,18 @@
     placements.number =
         number != NULL ? strtoull(number, NULL, DECIMAL) : (uint64_t)at_ms;
     placements.contact_age_ms = has(line, "stale") ? UINT32_MAX : 0;
-    placements.isolated = has(line, "isolated");
+    if (has(line, "isolated")) {
+        placements.isolated = true;
+        budgets[0].isolated = true;
+        budgets[1].isolated = true;
+        placements.budgets.budgets_val = budgets;
+        placements.budgets.budgets_len = 2;
+    }
     if (use != NULL) {
-        budget.requests = (uint32_t)strtoul(use, NULL, DECIMAL);
-        budget.retry_count =
+        budgets[0].requests = (uint32_t)strtoul(use, NULL, DECIMAL);
+        budgets[0].retry_count =
             (uint32_t)strtoul(strchr(use, ':') + 1, NULL, DECIMAL);
-        placements.budgets.budgets_val = &budget;
+        placements.budgets.budgets_val = budgets;
         placements.budgets.budgets_len = 1;
     }
     for (i = 2; i < line->count && strchr(line->words[i], '/') != NULL; i++) {
--- a/world/link.x
+++ b/world/link.x
@@ -233,13 +233,15 @@
  * The number of requests and retries that the sender handled for a service
  * within the window of the retry budget.  service is a hash of its name.
  * versions_age_ms is the time since the sender has seen runners of several
- * software versions of it; LINK_NEVER: never.
+ * software versions of it; LINK_NEVER: never.  isolated is set while the sender
+ * reaches none of its runners.
  */
 struct budget_use_t {
     uint64_t service;
     uint32_t requests;
     uint32_t retry_count;
     uint32_t versions_age_ms;
+    bool isolated;
 };
 
 /*
@@ -326,7 +328,7 @@
  * confirmed to be current.  notes contains the latest notes, which are sent
  * repeatedly because a message can be lost.  crash_reports contains the state
  * of requests that may crash runners, not only what is new.  isolated is set
- * while the sender reaches no runner.
+ * while the sender reaches no runner of some service.
  */
 struct placements_t {
     uint64_t incarnation;
