Count a reset before the response as a lost path

In the soak a host that was cut off from all runners connected, sent, and was reset (PARTITION=1, seed 4: 6 of 37 first tries served, 15 of 15 at the others): only connections that failed counted, so that it isolated itself late and answered each unsafe request with 502. The reset of a new connection counts now, after the crash that it may be is recorded.

--- a/forward/recover.c
+++ b/forward/recover.c
@@ -114,7 +114,6 @@
              request->fingerprint, suspicion_part_names(forward, request));
     if (not_sent && !attempt->relayed) {
         request->unsent_count++;
-        relay_record_loss(forward, attempt->runner);
     }
     if (pool_record_loss(attempt->runner, forward->now_us) &&
         !attempt->relayed) {
@@ -122,6 +121,10 @@
                  attempt->runner->registration.zone);
     }
     record_crash(forward, request, result);
+    if (!attempt->relayed &&
+        (not_sent || (result == SEND_BROKEN && attempt->status == 0))) {
+        relay_record_loss(forward, attempt->runner);
+    }
     if (not_sent) {
         request->runs--;
         uncount_delivery(forward, request);
