--- a/regress/test_silence.c
+++ b/regress/test_silence.c
@@ -62,9 +62,10 @@
 
 /* A probe without a response, and the next one. */
 #define PAUSED(at_ms)                                                         \
-    {at_ms - 120, "probed rc1 silent", ""}, {at_ms, "timer", "probe 1 rc1"},  \
+    {(at_ms)-120, "probed rc1 silent", ""},                                   \
+        {(at_ms), "timer", "probe 1 rc1"},                                    \
     {                                                                         \
-        at_ms + 220, "timer", ""                                              \
+        (at_ms) + 220, "timer", ""                                            \
     }
 
 static const forwarding_line_t hung_runner_keeps_its_stream[] = {
