One limit of a pause, and no unused query of ended runners

From reading the change again: pool_runner_has_ended() had no caller left; watchdog.c and silence.c each had the 3 s up to which silence may be a pause; and has_untried_runner() chose a runner before it asked whether one is needed.

--- a/forward/pool.c
+++ b/forward/pool.c
@@ -172,16 +172,6 @@
     }
 }
 
-bool
-pool_runner_has_ended(const pool_t *pool, uint64_t id_hash, uint64_t serial)
-{
-    const pool_runner_t *runner;
-
-    HASH_FIND(by_hash, pool->by_hash, &id_hash, sizeof(id_hash), runner);
-    return runner == NULL || runner->serial != serial ||
-           runner->expires_at_us != 0 || runner->address_stale;
-}
-
 bool
 pool_runner_is_replaced(const pool_t *pool, uint64_t id_hash, uint64_t serial)
 {
--- a/forward/pool.h
+++ b/forward/pool.h
@@ -109,13 +109,6 @@
 pool_runner_t *pool_choose_runner(const pool_t *pool, int64_t now_us,
                                   const pool_query_t *query);
 
-/*
- * Returns true if the registry shows that this start of a runner has ended:
- * the runner is unregistered or restarted, or another one uses its address.
- */
-bool pool_runner_has_ended(const pool_t *pool, uint64_t id_hash,
-                           uint64_t serial);
-
 /* Returns true if the registry shows that a later start of the runner, or
  * another runner, uses its address. */
 bool pool_runner_is_replaced(const pool_t *pool, uint64_t id_hash,
--- a/forward/private.h
+++ b/forward/private.h
@@ -22,6 +22,8 @@
 
 enum {
     US_PER_MS = 1000,
+    /* Idle time up to which a silent runner may only pause. */
+    PAUSE_IDLE_MS = 3000,
     PATH_LOST_MAX = 4,
     HOSTS_EXCLUDED_MAX = 512,
     RELAYED_TO_MAX = 4,
--- a/forward/send.c
+++ b/forward/send.c
@@ -68,11 +68,12 @@
 has_untried_runner(const forward_t *forward, const request_t *request,
                    bool available)
 {
-    const pool_runner_t *runner = choose_runner(forward, request);
+    const pool_runner_t *runner;
 
     if (relay_is_preferred(forward, request)) {
         return true;
     }
+    runner = choose_runner(forward, request);
     return runner != NULL && (!available || is_available(forward, runner));
 }
 
--- a/forward/silence.c
+++ b/forward/silence.c
@@ -21,7 +21,6 @@
     /* Runs of a stream that are left for the loss of a runner, while its
      * silence may be a pause. */
     RUNS_RESERVED = 1,
-    PAUSE_MAX_MS = 3000,
 };
 
 static bool has_ended(const attempt_t *attempt);
@@ -76,7 +75,7 @@
 
     if (request->type == REQUEST_STREAM) {
         uint32_t reserved =
-            idle_us < (int64_t)PAUSE_MAX_MS * US_PER_MS ? RUNS_RESERVED : 0;
+            idle_us < (int64_t)PAUSE_IDLE_MS * US_PER_MS ? RUNS_RESERVED : 0;
 
         if (!request->resumable ||
             request->runs + reserved >= request->attempts_max) {
--- a/forward/watchdog.c
+++ b/forward/watchdog.c
@@ -24,10 +24,7 @@
      * although its runner answers probes. */
     STALL_STREAM_IDLE_MS = 1500,
     STALL_PROMPT_IDLE_MS = 8000,
-    /* The same if the runner only accepts connections.  Runners pause for a
-     * second or so. */
-    PAUSE_IDLE_MS = 3000,
-    /* The same for a host, which waits for its runners as long. */
+    /* The same for a host, which waits for paused runners. */
     RELAY_IDLE_MS = 6000,
     /* A report is some hundred ms old and may lack newer requests. */
     REPORT_AGE_MAX_MS = 800,
