--- a/regress/forwarding.c
+++ b/regress/forwarding.c
@@ -7,46 +7,23 @@
 #include <check.h>
 #include <xxhash.h>
 
-#include "regress/forwarding.h"
+#include "regress/forwarding_private.h"
 
 enum {
-    WORDS_MAX = 32,
-    US_PER_MS = 1000,
     REVOKE_MS = 5000,
     REGISTRY_MS = 2000,
     ACCEPT_MS = 1600,
     REQUESTS_MAX = 100,
-    DECIMAL = 10,
-    ADDRESS_BYTES = 64,
     OWN_CONTENTS = 1000, /* of requests that do not say theirs */
 };
 
-typedef struct {
-    char text[FORWARDING_TEXT_BYTES]; /* its words end in NULs */
-    char *words[WORDS_MAX];
-    size_t count;
-} line_t;
-
-static char printed[FORWARDING_TEXT_BYTES];
-static char noted[FORWARDING_TEXT_BYTES];
-static char ids[WORDS_MAX][WORDS_MAX];
-
 static void step(forward_t *forward, int64_t at_ms,
                  const forward_event_t *event, bool print);
-static void split(line_t *line, const char *text);
-static const char *value_of(const line_t *line, const char *name);
-static bool has(const line_t *line, const char *word);
-static int64_t number_of(const line_t *line, size_t word);
-static registration_t registration_of(const line_t *line, size_t word,
-                                      char *address);
-static const runner_report_t *report_of(const line_t *line);
 static forward_event_t request_of(const line_t *line);
 static forward_event_t answer_of(const line_t *line);
 static void do_fleet(forward_t *forward, int64_t at_ms, const line_t *line);
 static void do_peer(forward_t *forward, int64_t at_ms, const line_t *line);
 static bool do_registry(forward_t *forward, int64_t at_ms, const line_t *line);
-static void print_line(const forward_action_t *order);
-static void print_order(const forward_action_t *order);
 
 void
 forwarding_play(const forwarding_script_t *script)
@@ -109,32 +86,32 @@
     forward_event_t event = {0};
     line_t line;
 
-    split(&line, text);
-    printed[0] = '\0';
-    noted[0] = '\0';
+    line_split(&line, text);
+    actions_clear();
     if (do_registry(forward, at_ms, &line)) {
-        return printed;
+        return actions_printed();
     }
     if (strcmp(line.words[0], "request") == 0) {
         event = request_of(&line);
     }
     else if (strcmp(line.words[0], "gone") == 0) {
         event.kind = FORWARD_CALLER_DISCONNECTED;
-        event.u.disconnected = (uint64_t)number_of(&line, 1);
+        event.u.disconnected = (uint64_t)line_number(&line, 1);
     }
     else if (strcmp(line.words[0], "probed") == 0) {
         event.kind = FORWARD_PROBE_RESULT;
         event.u.probed.runner = line.words[1];
-        event.u.probed.outcome = has(&line, "yes")      ? PROBE_ANSWERED
-                                 : has(&line, "silent") ? PROBE_SILENT
-                                                        : PROBE_UNREACHABLE;
-        if (value_of(&line, "active") != NULL) {
-            event.u.probed.report = report_of(&line);
+        event.u.probed.outcome = line_has(&line, "yes") ? PROBE_ANSWERED
+                                 : line_has(&line, "silent")
+                                     ? PROBE_SILENT
+                                     : PROBE_UNREACHABLE;
+        if (line_value(&line, "active") != NULL) {
+            event.u.probed.report = line_report(&line);
         }
     }
     else if (strcmp(line.words[0], "routing") == 0) {
         event.kind = FORWARD_ROUTING;
-        event.u.routing = forwarding_routing(number_of(&line, 1));
+        event.u.routing = forwarding_routing(line_number(&line, 1));
     }
     else if (strcmp(line.words[0], "contact") == 0) {
         event.kind = FORWARD_STORE_CONTACT;
@@ -142,19 +119,19 @@
     }
     else if (strcmp(line.words[0], "fleet") == 0) {
         do_fleet(forward, at_ms, &line);
-        return printed;
+        return actions_printed();
     }
     else if (strcmp(line.words[0], "peer") == 0) {
         do_peer(forward, at_ms, &line);
-        return printed;
+        return actions_printed();
     }
     else if (strcmp(line.words[0], "hosts") == 0) {
         event.kind = FORWARD_HOST_COUNT;
-        event.u.hosts = (uint32_t)number_of(&line, 1);
+        event.u.hosts = (uint32_t)line_number(&line, 1);
     }
     else if (strcmp(line.words[0], "revoke") == 0) {
         event.kind = FORWARD_LIMITS;
-        event.u.limits = forwarding_limits((uint32_t)number_of(&line, 1));
+        event.u.limits = forwarding_limits((uint32_t)line_number(&line, 1));
     }
     else if (strcmp(line.words[0], "drain") == 0) {
         event.kind = FORWARD_DRAIN;
@@ -166,13 +143,13 @@
         event = answer_of(&line);
     }
     step(forward, at_ms, &event, true);
-    return printed;
+    return actions_printed();
 }
 
 const char *
 forwarding_lines(void)
 {
-    return noted;
+    return actions_logged();
 }
 
 routing_t *
@@ -254,122 +231,24 @@
 
     forward_step(forward, at_ms * US_PER_MS, event, &orders);
     for (i = 0; print && i < orders.count; i++) {
-        print_line(&orders.items[i]);
-        print_order(&orders.items[i]);
+        actions_print(&orders.items[i]);
     }
     forward_actions_free(&orders);
 }
 
-static void
-split(line_t *line, const char *text)
-{
-    char *rest = line->text;
-    char *word;
-
-    (void)snprintf(line->text, sizeof(line->text), "%s", text);
-    line->count = 0;
-    while ((word = strsep(&rest, " ")) != NULL && line->count < WORDS_MAX) {
-        line->words[line->count] = word;
-        line->count++;
-    }
-}
-
-/* Of "name=value". */
-static const char *
-value_of(const line_t *line, const char *name)
-{
-    size_t length = strlen(name);
-    size_t i;
-
-    for (i = 0; i < line->count; i++) {
-        if (strncmp(line->words[i], name, length) == 0 &&
-            line->words[i][length] == '=') {
-            return line->words[i] + length + 1;
-        }
-    }
-    return NULL;
-}
-
-static bool
-has(const line_t *line, const char *word)
-{
-    size_t i;
-
-    for (i = 0; i < line->count; i++) {
-        if (strcmp(line->words[i], word) == 0) {
-            return true;
-        }
-    }
-    return false;
-}
-
-static int64_t
-number_of(const line_t *line, size_t word)
-{
-    ck_assert_msg(word < line->count, "%s: a number is missing",
-                  line->words[0]);
-    return strtoll(line->words[word], NULL, DECIMAL);
-}
-
-static registration_t
-registration_of(const line_t *line, size_t word, char *address)
-{
-    const char *name = line->words[word];
-    const char *id = value_of(line, "as");
-    const char *born = value_of(line, "born");
-    const char *version = value_of(line, "version");
-    static char zones[WORDS_MAX][2];
-    static char services[WORDS_MAX][2];
-
-    ck_assert_msg(strlen(name) == 3, "no runner: %s", name);
-    (void)snprintf(zones[word], sizeof(zones[word]), "%c", name[1]);
-    (void)snprintf(services[word], sizeof(services[word]), "%c", name[0]);
-    (void)snprintf(address, ADDRESS_BYTES, "10.%d.%d.%c:80", name[0] - 'a',
-                   name[1] - 'a', name[2]);
-    (void)snprintf(ids[word], sizeof(ids[word]), "%s", id != NULL ? id : name);
-    return (registration_t){
-        .id = ids[word],
-        .service = services[word],
-        .address = address,
-        .zone = zones[word],
-        .version = version,
-        .slots = 6,
-        .draining = has(line, "draining"),
-        .started_ms = born != NULL ? strtoll(born, NULL, DECIMAL) : 0,
-    };
-}
-
-static const runner_report_t *
-report_of(const line_t *line)
-{
-    static const char *run;
-    static runner_report_t report;
-    const char *queued = value_of(line, "queued");
-
-    run = value_of(line, "runs");
-    report = (runner_report_t){
-        .active = (uint32_t)strtoul(value_of(line, "active"), NULL, DECIMAL),
-        .queued =
-            queued != NULL ? (uint32_t)strtoul(queued, NULL, DECIMAL) : 0,
-        .runs = &run,
-        .run_count = run != NULL ? 1 : 0,
-    };
-    return &report;
-}
-
 static forward_event_t
 request_of(const line_t *line)
 {
     static char id[WORDS_MAX];
     static char path[WORDS_MAX];
-    const char *key = value_of(line, "key");
-    const char *deadline = value_of(line, "deadline");
-    const char *after = value_of(line, "after");
-    const char *content = value_of(line, "content");
-    const char *part = value_of(line, "parts");
+    const char *key = line_value(line, "key");
+    const char *deadline = line_value(line, "deadline");
+    const char *after = line_value(line, "after");
+    const char *content = line_value(line, "content");
+    const char *part = line_value(line, "parts");
     static uint64_t parts[FORWARD_PARTS_MAX];
     uint32_t part_count = 0;
-    bool stream = has(line, "stream") || has(line, "once");
+    bool stream = line_has(line, "stream") || line_has(line, "once");
     forward_event_t event = {.kind = FORWARD_REQUEST};
 
     while (part != NULL && part_count < FORWARD_PARTS_MAX) {
@@ -381,9 +260,9 @@
     (void)snprintf(id, sizeof(id), "q%s", line->words[1]);
     (void)snprintf(path, sizeof(path), "/%s/x", line->words[2]);
     event.u.request = (forward_request_t){
-        .number = (uint64_t)number_of(line, 1),
+        .number = (uint64_t)line_number(line, 1),
         .id = id,
-        .relayed = has(line, "relayed"),
+        .relayed = line_has(line, "relayed"),
         .host = "host.example:80",
         .path = path,
         .key = key == NULL      ? "k1"
@@ -392,12 +271,12 @@
         .deadline_ms =
             deadline != NULL ? (uint32_t)strtoul(deadline, NULL, DECIMAL) : 0,
         .prompt_tokens = stream ? 8000 : 0,
-        .affinity = (uint64_t)number_of(line, 1),
+        .affinity = (uint64_t)line_number(line, 1),
         .last_event_id = after != NULL ? strtoll(after, NULL, DECIMAL) : -1,
-        .resumed_id = value_of(line, "resumes"),
+        .resumed_id = line_value(line, "resumes"),
         .fingerprint = content != NULL
                            ? strtoull(content, NULL, DECIMAL)
-                           : (uint64_t)number_of(line, 1) + OWN_CONTENTS,
+                           : (uint64_t)line_number(line, 1) + OWN_CONTENTS,
         .parts = parts,
         .part_count = part_count,
     };
@@ -414,21 +293,21 @@
                 {"broken", SEND_BROKEN},
                 {"unsent", SEND_NOT_SENT},
                 {"invalid", SEND_INVALID}};
-    uint64_t number = (uint64_t)number_of(line, 1);
-    uint32_t attempt = (uint32_t)number_of(line, 2);
+    uint64_t number = (uint64_t)line_number(line, 1);
+    uint32_t attempt = (uint32_t)line_number(line, 2);
     forward_event_t event = {0};
     size_t i;
 
     if (strcmp(line->words[0], "head") == 0) {
         event.kind = FORWARD_RESPONSE_HEAD;
-        event.u.head =
-            (forward_response_head_t){.number = number,
-                                      .attempt = attempt,
-                                      .status = (uint32_t)number_of(line, 3),
-                                      .authentic = !has(line, "stranger"),
-                                      .not_run = has(line, "not-run"),
-                                      .refused_by_host = has(line, "refused"),
-                                      .refusal = REFUSE_NO_RUNNER};
+        event.u.head = (forward_response_head_t){
+            .number = number,
+            .attempt = attempt,
+            .status = (uint32_t)line_number(line, 3),
+            .authentic = !line_has(line, "stranger"),
+            .not_run = line_has(line, "not-run"),
+            .refused_by_host = line_has(line, "refused"),
+            .refusal = REFUSE_NO_RUNNER};
         return event;
     }
     if (strcmp(line->words[0], "copied") == 0) {
@@ -436,7 +315,7 @@
         event.u.copied =
             (forward_copy_result_t){.number = number,
                                     .attempt = attempt,
-                                    .name = value_of(line, "name")};
+                                    .name = line_value(line, "name")};
         return event;
     }
     if (strcmp(line->words[0], "event") == 0) {
@@ -444,7 +323,7 @@
         event.u.progress =
             (forward_progress_t){.number = number,
                                  .attempt = attempt,
-                                 .last_event_id = number_of(line, 3)};
+                                 .last_event_id = line_number(line, 3)};
         return event;
     }
     for (i = 0; i < sizeof(ends) / sizeof(ends[0]); i++) {
@@ -487,20 +366,20 @@
     placement_t items[WORDS_MAX] = {0};
     placements_t placements = {.items.items_val = items};
     forward_event_t event = {.kind = FORWARD_PEER_REPORT};
-    const char *number = value_of(line, "number");
-    const char *use = value_of(line, "use");
-    const char *moved = value_of(line, "moved");
+    const char *number = line_value(line, "number");
+    const char *use = line_value(line, "use");
+    const char *moved = line_value(line, "moved");
     note_t note = {.number = 1, .finding.kind = NOTE_ADDRESS_STALE};
     budget_use_t budgets[] = {{.service = XXH3_64bits("r", 1)},
                               {.service = XXH3_64bits("s", 1)}};
     size_t i;
 
     event.u.peer.host = line->words[1];
-    event.u.peer.placements = has(line, "gone") ? NULL : &placements;
+    event.u.peer.placements = line_has(line, "gone") ? NULL : &placements;
     placements.number =
         number != NULL ? strtoull(number, NULL, DECIMAL) : (uint64_t)at_ms;
-    placements.contact_age_ms = has(line, "stale") ? UINT32_MAX : 0;
-    if (has(line, "isolated")) {
+    placements.contact_age_ms = line_has(line, "stale") ? UINT32_MAX : 0;
+    if (line_has(line, "isolated")) {
         placements.isolated = true;
         budgets[0].isolated = true;
         budgets[1].isolated = true;
@@ -546,7 +425,7 @@
     }
     if (strcmp(line->words[0], "runner") == 0) {
         event.kind = FORWARD_RUNNER_REGISTERED;
-        event.u.runner = registration_of(line, 1, address);
+        event.u.runner = line_registration(line, 1, address);
         step(forward, at_ms, &event, true);
         return true;
     }
@@ -557,104 +436,10 @@
     step(forward, at_ms, &event, true);
     for (i = 1; i < line->count; i++) {
         event.kind = FORWARD_RUNNER_REGISTERED;
-        event.u.runner = registration_of(line, i, address);
+        event.u.runner = line_registration(line, i, address);
         step(forward, at_ms, &event, true);
     }
     event.kind = FORWARD_REGISTRY_END;
     step(forward, at_ms, &event, true);
     return true;
 }
-
-static void
-print_line(const forward_action_t *order)
-{
-    const request_record_t *ended = &order->u.ended;
-    size_t used = strlen(noted);
-    size_t room = sizeof(noted) - used;
-
-    if (order->kind == FORWARD_ACTION_LOG) {
-        (void)snprintf(noted + used, room, "%s %s\n", order->u.log.event,
-                       order->u.log.text);
-    }
-    else if (order->kind == FORWARD_ACTION_RECORD_END) {
-        (void)snprintf(noted + used, room,
-                       "end request=%s outcome=%s reason=%s status=%" PRIu32
-                       " runs=%" PRIu32 " routing=%" PRId64 "\n",
-                       ended->id, ended->outcome, ended->reason, ended->status,
-                       ended->runs, ended->routing_version);
-    }
-}
-
-static void
-print_order(const forward_action_t *order)
-{
-    static const char *const words[] = {
-        [FORWARD_ACTION_SEND] = "send",
-        [FORWARD_ACTION_CANCEL] = "cancel",
-        [FORWARD_ACTION_RELAY_HEAD] = "begin",
-        [FORWARD_ACTION_RELAY_RESPONSE] = "answer",
-        [FORWARD_ACTION_FINISH] = "finish",
-        [FORWARD_ACTION_REFUSE] = "refuse",
-        [FORWARD_ACTION_COPY] = "copy",
-        [FORWARD_ACTION_FREE_COPY] = "drop",
-        [FORWARD_ACTION_ABORT] = "break",
-        [FORWARD_ACTION_PROBE] = "probe",
-    };
-    size_t used = strlen(printed);
-    char *at = printed + used;
-    size_t room = sizeof(printed) - used;
-    const send_action_t *send = &order->u.send;
-
-    if (order->kind == FORWARD_ACTION_LOG ||
-        order->kind == FORWARD_ACTION_PUBLISH ||
-        order->kind == FORWARD_ACTION_RECORD_RESUME ||
-        order->kind == FORWARD_ACTION_RECORD_END) {
-        return;
-    }
-    used += (size_t)snprintf(at, room, "%s%s %" PRIu64, used > 0 ? "; " : "",
-                             words[order->kind], order->number);
-    at = printed + used;
-    room = sizeof(printed) - used;
-    switch (order->kind) {
-    case FORWARD_ACTION_SEND:
-        (void)snprintf(
-            at, room, ".%" PRIu32 " %s%s%s%s%s%s%s%s", send->attempt,
-            send->host != NULL ? send->host : send->runner,
-            send->restore_address != NULL ? " restore=" : "",
-            send->restore_address != NULL ? send->restore_address : "",
-            send->restore_address != NULL ? "/" : "",
-            send->restore_address != NULL ? send->restore_name : "",
-            send->backup_address != NULL ? " backup=" : "",
-            send->backup_address != NULL ? send->backup_address : "",
-            send->last_event_id >= 0 ? " resume" : "");
-        return;
-    case FORWARD_ACTION_REFUSE:
-    case FORWARD_ACTION_ABORT:
-        (void)snprintf(at, room, " %s %" PRIu32 "%s",
-                       refuse_reason_name(order->u.refuse.reason),
-                       order->u.refuse.status,
-                       order->u.refuse.not_run ? " not-run" : "");
-        if (order->u.refuse.retry_after_ms > 0) {
-            used = strlen(printed);
-            (void)snprintf(printed + used, sizeof(printed) - used,
-                           " after=%" PRIu32, order->u.refuse.retry_after_ms);
-        }
-        return;
-    case FORWARD_ACTION_PROBE:
-        (void)snprintf(at, room, " %s", order->u.probe.runner);
-        return;
-    case FORWARD_ACTION_FREE_COPY:
-        (void)snprintf(at, room, " %s/%s", order->u.drop_copy.address,
-                       order->u.drop_copy.name);
-        return;
-    case FORWARD_ACTION_COPY:
-        (void)snprintf(at, room, ".%" PRIu32 " %s", order->u.copy.attempt,
-                       order->u.copy.to);
-        return;
-    case FORWARD_ACTION_FINISH:
-        return;
-    default:
-        (void)snprintf(at, room, ".%" PRIu32, order->u.attempt);
-        return;
-    }
-}
--- /dev/null
+++ b/regress/forwarding_line.c
@@ -0,0 +1,106 @@
+/* forwarding_line.c - reads the words of a script's line. */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <check.h>
+
+#include "regress/forwarding_private.h"
+
+static char ids[WORDS_MAX][WORDS_MAX];
+
+void
+line_split(line_t *line, const char *text)
+{
+    char *rest = line->text;
+    char *word;
+
+    (void)snprintf(line->text, sizeof(line->text), "%s", text);
+    line->count = 0;
+    while ((word = strsep(&rest, " ")) != NULL && line->count < WORDS_MAX) {
+        line->words[line->count] = word;
+        line->count++;
+    }
+}
+
+const char *
+line_value(const line_t *line, const char *name)
+{
+    size_t length = strlen(name);
+    size_t i;
+
+    for (i = 0; i < line->count; i++) {
+        if (strncmp(line->words[i], name, length) == 0 &&
+            line->words[i][length] == '=') {
+            return line->words[i] + length + 1;
+        }
+    }
+    return NULL;
+}
+
+bool
+line_has(const line_t *line, const char *word)
+{
+    size_t i;
+
+    for (i = 0; i < line->count; i++) {
+        if (strcmp(line->words[i], word) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+int64_t
+line_number(const line_t *line, size_t word)
+{
+    ck_assert_msg(word < line->count, "%s: a number is missing",
+                  line->words[0]);
+    return strtoll(line->words[word], NULL, DECIMAL);
+}
+
+registration_t
+line_registration(const line_t *line, size_t word, char *address)
+{
+    const char *name = line->words[word];
+    const char *id = line_value(line, "as");
+    const char *born = line_value(line, "born");
+    const char *version = line_value(line, "version");
+    static char zones[WORDS_MAX][2];
+    static char services[WORDS_MAX][2];
+
+    ck_assert_msg(strlen(name) == 3, "no runner: %s", name);
+    (void)snprintf(zones[word], sizeof(zones[word]), "%c", name[1]);
+    (void)snprintf(services[word], sizeof(services[word]), "%c", name[0]);
+    (void)snprintf(address, ADDRESS_BYTES, "10.%d.%d.%c:80", name[0] - 'a',
+                   name[1] - 'a', name[2]);
+    (void)snprintf(ids[word], sizeof(ids[word]), "%s", id != NULL ? id : name);
+    return (registration_t){
+        .id = ids[word],
+        .service = services[word],
+        .address = address,
+        .zone = zones[word],
+        .version = version,
+        .slots = 6,
+        .draining = line_has(line, "draining"),
+        .started_ms = born != NULL ? strtoll(born, NULL, DECIMAL) : 0,
+    };
+}
+
+const runner_report_t *
+line_report(const line_t *line)
+{
+    static const char *run;
+    static runner_report_t report;
+    const char *queued = line_value(line, "queued");
+
+    run = line_value(line, "runs");
+    report = (runner_report_t){
+        .active = (uint32_t)strtoul(line_value(line, "active"), NULL, DECIMAL),
+        .queued =
+            queued != NULL ? (uint32_t)strtoul(queued, NULL, DECIMAL) : 0,
+        .runs = &run,
+        .run_count = run != NULL ? 1 : 0,
+    };
+    return &report;
+}
--- /dev/null
+++ b/regress/forwarding_private.h
@@ -0,0 +1,46 @@
+/* forwarding_private.h - shared by the files of forwarding.h. */
+#ifndef REGRESS_FORWARDING_PRIVATE_H
+#define REGRESS_FORWARDING_PRIVATE_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "regress/forwarding.h"
+
+enum {
+    WORDS_MAX = 32,
+    US_PER_MS = 1000,
+    DECIMAL = 10,
+    ADDRESS_BYTES = 64,
+};
+
+/* --- forwarding_line.c --- */
+
+/* A line of a script. */
+typedef struct {
+    char text[FORWARDING_TEXT_BYTES]; /* its words end in NULs */
+    char *words[WORDS_MAX];
+    size_t count;
+} line_t;
+
+void line_split(line_t *line, const char *text);
+/* Returns the value of "name=value", or NULL. */
+const char *line_value(const line_t *line, const char *name);
+bool line_has(const line_t *line, const char *word);
+int64_t line_number(const line_t *line, size_t word);
+/* Returns the runner that a word names, such as "ra1": service r, zone a.
+ * address has room for ADDRESS_BYTES. */
+registration_t line_registration(const line_t *line, size_t word,
+                                 char *address);
+const runner_report_t *line_report(const line_t *line);
+
+/* --- forwarding_print.c --- */
+
+void actions_clear(void);
+/* Appends an action to what is printed, or to the log. */
+void actions_print(const forward_action_t *action);
+const char *actions_printed(void);
+const char *actions_logged(void);
+
+#endif
