Count only the changed streams at the report of a host

A report now takes the streams of the host's last report out and adds its own. All are counted anew only at the first report after a start of a runner, which earlier reports may have named, so the counts are the same as before. Hosts are kept in the order of their last report, so that a timer step reads only those that have timed out.

--- a/forward/pool.c
+++ b/forward/pool.c
@@ -282,6 +282,24 @@
     }
 }
 
+void
+pool_uncount_peer_stream(pool_t *pool, uint64_t id_hash, bool prefilling)
+{
+    pool_runner_t *runner;
+
+    HASH_FIND(by_hash, pool->by_hash, &id_hash, sizeof(id_hash), runner);
+    if (runner != NULL) {
+        runner->peers_running--;
+        runner->peers_prefilling -= prefilling ? 1 : 0;
+    }
+}
+
+uint64_t
+pool_start_count(const pool_t *pool)
+{
+    return pool->serial_count;
+}
+
 void
 pool_record_response(pool_runner_t *runner, bool failed)
 {
--- a/forward/pool.h
+++ b/forward/pool.h
@@ -142,9 +142,14 @@
 void pool_add_copy(pool_runner_t *runner);
 void pool_remove_copy(pool_runner_t *runner);
 
-/* Reset and count the streams that other hosts have at the runners. */
+/* Reset, count and uncount the streams that other hosts have at the runners.
+ * Those at an unknown runner are not counted. */
 void pool_clear_peer_streams(pool_t *pool);
 void pool_count_peer_stream(pool_t *pool, uint64_t id_hash, bool prefilling);
+void pool_uncount_peer_stream(pool_t *pool, uint64_t id_hash, bool prefilling);
+
+/* Returns the number of starts of runners that the pool has seen. */
+uint64_t pool_start_count(const pool_t *pool);
 
 /* Records a response; failed: it was an error of the runner. */
 void pool_record_response(pool_runner_t *runner, bool failed);
--- a/forward/private.h
+++ b/forward/private.h
@@ -201,7 +201,9 @@
     int64_t draining_since_us; /* 0: not draining */
     pool_t *pool;
     pool_t *host_pool;                 /* the hosts, in the place of runners */
-    peer_state_t *peers;               /* by host */
+    peer_state_t *peers;               /* by host, sorted by the last report */
+    uint64_t counted_starts;           /* pool_start_count() when all peers'
+                                          streams were counted last */
     session_t *sessions;               /* by session */
     stream_version_t *stream_versions; /* by stream, sorted by expiry */
     bool list_in_progress; /* the full list of runners is being read */
--- a/forward/sharing.c
+++ b/forward/sharing.c
@@ -31,9 +31,12 @@
 static void write_budget_use(const forward_t *forward, arena_t *arena,
                              placements_t *placements);
 static peer_state_t *find_or_add_view(forward_t *forward, const char *host);
+static void record_receipt(forward_t *forward, peer_state_t *view);
 static bool is_timed_out(const forward_t *forward, const peer_state_t *view);
 static void view_free(forward_t *forward, peer_state_t *view);
-static void recount_peer_streams(forward_t *forward);
+static void remove_streams(forward_t *forward, peer_state_t *view);
+static void add_streams(forward_t *forward, const peer_state_t *view);
+static void recount_after_start(forward_t *forward);
 
 void
 handle_peer_report(forward_t *forward, const forward_peer_report_t *peer)
@@ -42,8 +45,9 @@
     u_int i;
 
     if (peer->placements == NULL) {
+        remove_streams(forward, view);
         view_free(forward, view);
-        recount_peer_streams(forward);
+        recount_after_start(forward);
         return;
     }
     if (peer->placements->incarnation < view->incarnation ||
@@ -56,10 +60,11 @@
     }
     view->incarnation = peer->placements->incarnation;
     view->number = peer->placements->number;
-    view->received_us = forward->now_us;
+    record_receipt(forward, view);
     view->contact_us = forward->now_us -
                        (int64_t)peer->placements->contact_age_ms * US_PER_MS;
     view->isolated = peer->placements->isolated;
+    remove_streams(forward, view);
     view->count = peer->placements->items.items_len;
     view->placements =
         xrealloc(view->placements, view->count + 1, sizeof(*view->placements));
@@ -70,6 +75,7 @@
         versions_record(forward, view->placements[i].stream,
                         view->placements[i].software);
     }
+    add_streams(forward, view);
     view->budget_count = peer->placements->budgets.budgets_len;
     for (i = 0; i < view->budget_count; i++) {
         view->budgets[i] = peer->placements->budgets.budgets_val[i];
@@ -77,7 +83,6 @@
     }
     notes_receive(forward, view, peer->placements);
     suspicion_receive(forward, peer->placements);
-    recount_peer_streams(forward);
 }
 
 /* The last report of a host that stopped sending counts for one window. */
@@ -134,13 +139,16 @@
 
     HASH_ITER(hh, forward->peers, view, next)
     {
-        if (view->count > 0 && is_timed_out(forward, view)) {
-            view->count = 0;
+        if (!is_timed_out(forward, view)) {
+            break; /* sorted by the time of the last report */
+        }
+        if (view->count > 0) {
+            remove_streams(forward, view);
             timed_out = true;
         }
     }
     if (timed_out) {
-        recount_peer_streams(forward);
+        recount_after_start(forward);
     }
     HASH_ITER(hh, forward->sessions, session, next_session)
     {
@@ -289,6 +297,15 @@
     return view;
 }
 
+/* Moves the view to the end of the table, which stays sorted. */
+static void
+record_receipt(forward_t *forward, peer_state_t *view)
+{
+    HASH_DEL(forward->peers, view); /* NOLINT(clang-analyzer-*) */
+    view->received_us = forward->now_us;
+    HASH_ADD_KEYPTR(hh, forward->peers, view->host, strlen(view->host), view);
+}
+
 int64_t
 sharing_timeout_us(const forward_t *forward)
 {
@@ -312,17 +329,58 @@
     free(view);
 }
 
+/* Whether the streams are counted at all runners of the pool.  Those at a
+ * runner that has started since are not. */
+static bool
+is_counted(const forward_t *forward)
+{
+    return forward->counted_starts == pool_start_count(forward->pool);
+}
+
 static void
-recount_peer_streams(forward_t *forward)
+count_streams(forward_t *forward, const peer_state_t *view)
+{
+    uint32_t i;
+
+    for (i = 0; i < view->count; i++) {
+        pool_count_peer_stream(forward->pool, view->placements[i].runner,
+                               view->placements[i].prefilling);
+    }
+}
+
+/* Precedes add_streams() or recount_after_start(). */
+static void
+remove_streams(forward_t *forward, peer_state_t *view)
 {
-    const peer_state_t *view;
     uint32_t i;
 
+    for (i = 0; is_counted(forward) && i < view->count; i++) {
+        pool_uncount_peer_stream(forward->pool, view->placements[i].runner,
+                                 view->placements[i].prefilling);
+    }
+    view->count = 0;
+}
+
+static void
+add_streams(forward_t *forward, const peer_state_t *view)
+{
+    if (is_counted(forward)) {
+        count_streams(forward, view);
+    }
+    recount_after_start(forward);
+}
+
+static void
+recount_after_start(forward_t *forward)
+{
+    const peer_state_t *view;
+
+    if (is_counted(forward)) {
+        return;
+    }
+    forward->counted_starts = pool_start_count(forward->pool);
     pool_clear_peer_streams(forward->pool);
     for (view = forward->peers; view != NULL; view = view->hh.next) {
-        for (i = 0; i < view->count; i++) {
-            pool_count_peer_stream(forward->pool, view->placements[i].runner,
-                                   view->placements[i].prefilling);
-        }
+        count_streams(forward, view);
     }
 }
--- a/regress/test_sharing.c
+++ b/regress/test_sharing.c
@@ -68,6 +68,19 @@
     {26501, "request 1 stream", "send 1.1 rc1 backup=10.17.0.1:80"},
 };
 
+/* The second host has reported streams at a runner before it started. */
+static const forwarding_line_t streams_reported_before_a_start_count[] = {
+    FORWARDING_OPENED,
+    {5, "peer h2 rc2/77/reading rc1/78/reading ra1/79/reading", ""},
+    {6, "runner rc2", ""},
+    {7, "peer h3 rb1/80", ""},
+    {10, "request 1 stream", "send 1.1 rb1 backup=10.17.2.2:80"},
+    {11, "gone 1", "cancel 1.1"},
+    {12, "peer h2", ""},
+    {13, "peer h3 rc1/78/reading ra1/79/reading rb1/80/reading", ""},
+    {14, "request 2 stream", "send 2.1 rc2 backup=10.17.1.1:80"},
+};
+
 /* A caller of a lost host resumes here; the runner has its prompt cached. */
 static const forwarding_line_t session_of_lost_host_keeps_its_runner[] = {
     FORWARDING_OPENED,
@@ -83,6 +96,7 @@
     FORWARDING_SCRIPT(moved_runner_is_avoided_until_restart),
     FORWARDING_SCRIPT(older_report_is_ignored),
     FORWARDING_SCRIPT(report_of_lost_or_silent_host_expires),
+    FORWARDING_SCRIPT(streams_reported_before_a_start_count),
     FORWARDING_SCRIPT(session_of_lost_host_keeps_its_runner),
 };
 
