--- a/agated/agated.c
+++ b/agated/agated.c
@@ -7,12 +7,11 @@
 
 #include "agated/agated.h"
 #include "agated/run_gateway.h"
+#include "agated/signals.h"
 #include "agated/tls.h"
 #include "base/log.h"
 #include "peer/peer.h"
 
-enum { SIGNAL_COUNT = 3 };
-
 typedef struct {
     const char *file;
     bool check_only;
@@ -48,6 +47,7 @@
     err_t err;
     int status = EXIT_FAILURE;
 
+    signals_block_reload();
     if (argp_parse(&argp, argc, argv, 0, NULL, &options) != 0) {
         return EXIT_FAILURE;
     }
@@ -119,12 +119,10 @@
 static int
 run_daemon(const settings_t *settings)
 {
-    static const int signal_numbers[SIGNAL_COUNT] = {SIGTERM, SIGINT, SIGHUP};
     daemon_t daemon = {.settings = settings};
-    uv_signal_t signals[SIGNAL_COUNT];
+    signals_t signals;
     uv_loop_t loop;
     err_t err;
-    size_t i;
     int status = EXIT_FAILURE;
 
     (void)signal(SIGPIPE, SIG_IGN);
@@ -134,16 +132,10 @@
         (void)fprintf(stderr, "%s\n", err.message);
         goto done;
     }
-    for (i = 0; i < SIGNAL_COUNT; i++) {
-        (void)uv_signal_init(&loop, &signals[i]);
-        signals[i].data = &daemon;
-        (void)uv_signal_start(&signals[i], on_signal, signal_numbers[i]);
-    }
+    signals_start(&signals, &loop, on_signal, &daemon);
     daemon_start(&daemon);
     (void)uv_run(&loop, UV_RUN_DEFAULT);
-    for (i = 0; i < SIGNAL_COUNT; i++) {
-        uv_close((uv_handle_t *)&signals[i], NULL);
-    }
+    signals_close(&signals);
     log_line(LOG_NOTICE, "stopped");
     status = EXIT_SUCCESS;
 done:
--- a/agated/run_gateway.c
+++ b/agated/run_gateway.c
@@ -7,12 +7,12 @@
 
 #include "agated/run_gateway.h"
 #include "agated/settings_watch.h"
+#include "agated/signals.h"
 #include "base/log.h"
 #include "gateway/gateway.h"
 #include "platform/platform.h"
 
 enum {
-    SIGNAL_COUNT = 3,
     /* Twice the peak load of a host, 30 requests/s with 4 lines each; more
      * cost the host more than they help an operator. */
     LOG_LINES_PER_S = 250,
@@ -36,7 +36,6 @@
 int
 run_gateway(const settings_t *settings, const char *path)
 {
-    static const int numbers[SIGNAL_COUNT] = {SIGTERM, SIGINT, SIGHUP};
     uv_loop_t loop;
     gateway_process_t process = {.settings = settings};
     platform_kv_settings_t kv_settings = {
@@ -47,9 +46,8 @@
         .pause_ms = settings->gateway.watch_pause_ms,
     };
     gateway_t *gateway = &process.gateway;
-    uv_signal_t signals[SIGNAL_COUNT];
+    signals_t signals;
     err_t err;
-    size_t i;
 
     (void)signal(SIGPIPE, SIG_IGN);
     log_open_structured(STDOUT_FILENO, LOG_LINES_PER_S);
@@ -65,20 +63,14 @@
         gateway_close(gateway);
         return EXIT_FAILURE;
     }
-    for (i = 0; i < SIGNAL_COUNT; i++) {
-        (void)uv_signal_init(&loop, &signals[i]);
-        signals[i].data = &process;
-        (void)uv_signal_start(&signals[i], on_signal, numbers[i]);
-    }
     process.watch = settings_watch_new(&loop, path, SETTINGS_POLL_MS,
                                        on_settings, &process);
+    signals_start(&signals, &loop, on_signal, &process);
     gateway_start(gateway);
     log_event(LOG_NOTICE, "start", "host=%s zone=%s", settings->host,
               settings->zone);
     (void)uv_run(&loop, UV_RUN_DEFAULT);
-    for (i = 0; i < SIGNAL_COUNT; i++) {
-        uv_close((uv_handle_t *)&signals[i], NULL);
-    }
+    signals_close(&signals);
     settings_watch_free(process.watch);
     log_event(LOG_NOTICE, "stop", "host=%s", settings->host);
     gateway_close(gateway);
