End the trial of a suspected request that a runner rejects

A rejection now ends the trial. It still counts as one of the three, because it has reached a runner. The next trial is claimed at once.

--- a/forward/crash_trial.c
+++ b/forward/crash_trial.c
@@ -107,6 +107,15 @@
     }
 }
 
+void
+crash_trial_end_rejected(const crash_table_t *table, crash_entry_t *entry,
+                         int64_t now_us)
+{
+    if (entry->trial.started && has_trial(table, entry, now_us)) {
+        entry->trial_us = now_us - TRIAL_TIMEOUT_US;
+    }
+}
+
 /* Whether one trial replaces another, on all hosts alike. */
 static bool
 is_trial_newer(const crash_trial_t *one, const crash_trial_t *other)
--- a/forward/crash_trial.h
+++ b/forward/crash_trial.h
@@ -28,6 +28,10 @@
 /* Records that the run did not reach a runner. */
 void crash_trial_undo_start(const crash_table_t *table, crash_entry_t *entry,
                             int64_t now_us);
+/* Records that a runner rejected the run.  The trial still counts, because it
+ * has reached a runner. */
+void crash_trial_end_rejected(const crash_table_t *table, crash_entry_t *entry,
+                              int64_t now_us);
 /* Replaces the trial if another host's is newer, or has precedence. */
 void crash_trial_merge(crash_entry_t *entry, const crash_trial_t *trial,
                        int64_t now_us);
--- a/forward/crashes.c
+++ b/forward/crashes.c
@@ -352,6 +352,16 @@
     }
 }
 
+void
+crashes_run_rejected(crashes_t *crashes, int64_t now_us, uint64_t fingerprint)
+{
+    crash_entry_t *entry = crash_table_find(&crashes->table, fingerprint);
+
+    if (entry != NULL) {
+        crash_trial_end_rejected(&crashes->table, entry, now_us);
+    }
+}
+
 bool
 crashes_has_news(const crashes_t *crashes, int64_t now_us,
                  uint64_t fingerprint)
--- a/forward/crashes.h
+++ b/forward/crashes.h
@@ -113,6 +113,9 @@
                          uint64_t fingerprint);
 void crashes_run_not_sent(crashes_t *crashes, int64_t now_us,
                           uint64_t fingerprint);
+/* Ends a trial that a runner rejected. */
+void crashes_run_rejected(crashes_t *crashes, int64_t now_us,
+                          uint64_t fingerprint);
 
 /* Returns whether the last call has changed what the other hosts are told. */
 bool crashes_has_news(const crashes_t *crashes, int64_t now_us,
--- a/forward/recover.c
+++ b/forward/recover.c
@@ -296,6 +296,10 @@
              request->id, attempt->number, attempt->runner->registration.id,
              attempt->status);
     request->runs--;
+    if (!attempt->relayed) {
+        crashes_run_rejected(forward->crashes, forward->now_us,
+                             request->suspect);
+    }
     if (attempt->status == STATUS_MISDIRECTED) {
         pool_mark_address_stale(attempt->runner);
         note_queue(forward, &(finding_t){.kind = NOTE_ADDRESS_STALE,
