Soak: pass over SIGHUP only before a host's main() has begun

The soak now reads from the kernel whether SIGHUP is blocked or handled when it sends it. An end by SIGHUP counts as the host's unless neither was the case and the host was started in the last 500 ms.

--- a/regress/soak/host.c
+++ b/regress/soak/host.c
@@ -18,6 +18,8 @@
     TICK_MS = 50,
     /* A process that is told to stop sooner has not opened its ports. */
     OPEN_MS = 500,
+    /* The kernel and the loader need no longer to begin main(). */
+    LOAD_MS = 500,
     PORT_FIRST = 10000,
     PORT_RUNS = 80,
     PORTS_A_RUN = 280,
@@ -29,6 +31,7 @@
     bool killed;   /* by the driver */
     bool ending;   /* told to stop */
     bool for_good; /* and not to start again */
+    bool reloaded_early;
     uint64_t ending_ms;
     uint64_t start_ms;  /* starts again then; 0: it is up */
     uint64_t up_ms;     /* started then */
@@ -57,6 +60,7 @@
 static void on_tick(uv_timer_t *tick);
 static void tell(host_t *host, int number);
 static bool is_harmed(const host_t *host);
+static bool is_loading(const host_t *host);
 
 void
 hosts_open(const char *path, const char *folder, uint32_t wanted)
@@ -166,7 +170,8 @@
     host_t *host = &hosts[number];
 
     if (host->up) {
-        soak_note("reload h%zu", number);
+        host->reloaded_early = is_loading(host);
+        soak_note("reload h%zu early=%d", number, host->reloaded_early);
         tell(host, SIGHUP);
     }
 }
@@ -310,6 +315,7 @@
     host->up = true;
     host->killed = false;
     host->ending = false;
+    host->reloaded_early = false;
     host->start_ms = 0;
     host->up_ms = soak_now_ms();
     host->calm_ms = host->up_ms;
@@ -322,7 +328,8 @@
 
     host->up = false;
     host->paused_ms = 0;
-    if (!host->killed && !host->ending) {
+    if (!host->killed && !host->ending &&
+        !(number == SIGHUP && host->reloaded_early)) {
         soak_broken("up", "h%zu ended by itself, status %" PRId64 " signal %d",
                     (size_t)(host - hosts), status, number);
     }
@@ -392,3 +399,33 @@
 {
     return host->paused_ms > 0 || host->store_ms > 0 || host->callers_ms > 0;
 }
+
+/* Whether main() has not begun, so that SIGHUP is neither blocked nor handled.
+ */
+static bool
+is_loading(const host_t *host)
+{
+    static const char *const names[] = {"SigBlk:", "SigCgt:"};
+    char path[PATH_BYTES];
+    char line[PATH_BYTES];
+    bool handled = false;
+    FILE *file;
+    size_t i;
+
+    (void)snprintf(path, sizeof(path), "/proc/%d/status", host->process.pid);
+    file = fopen(path, "re");
+    while (file != NULL && fgets(line, sizeof(line), file) != NULL) {
+        for (i = 0; i < sizeof(names) / sizeof(names[0]); i++) {
+            size_t length = strlen(names[i]);
+
+            if (strncmp(line, names[i], length) == 0 &&
+                (strtoull(line + length, NULL, 16) >> (SIGHUP - 1) & 1) != 0) {
+                handled = true;
+            }
+        }
+    }
+    if (file != NULL) {
+        (void)fclose(file);
+    }
+    return !handled && soak_now_ms() < host->up_ms + LOAD_MS;
+}
