--- a/regress/soak/caller.c
+++ b/regress/soak/caller.c
@@ -36,6 +36,7 @@
     VERDICT_NONE,
 } verdict_t;
 
+static LIST_HEAD(, caller) callers = LIST_HEAD_INITIALIZER(callers);
 static const char *const kind_names[KINDS] = {"unsafe", "safe", "stream"};
 
 static struct {
@@ -97,6 +98,21 @@
     return state.busy;
 }
 
+void
+callers_note(void)
+{
+    const caller_t *caller;
+
+    for (caller = LIST_FIRST(&callers); caller != NULL;
+         caller = LIST_NEXT(caller, entry)) {
+        soak_note("waits: %s %s, attempt %" PRIu32 " of its caller, event "
+                  "%" PRId64 ", at h%zu for %" PRIu64 " ms",
+                  caller->attempt, caller->path, caller->attempts,
+                  caller->event, caller->host,
+                  soak_now_ms() - caller->sent_ms);
+    }
+}
+
 bool
 callers_recovered(void)
 {
@@ -151,6 +167,7 @@
     caller->timer.data = caller;
     caller->handles = 1;
     state.busy++;
+    LIST_INSERT_HEAD(&callers, caller, entry);
     begin(caller);
 }
 
@@ -469,6 +486,7 @@
         return;
     }
     state.busy--;
+    LIST_REMOVE(caller, entry);
     close_connection(caller);
     uv_close((uv_handle_t *)&caller->timer, on_caller_closed);
 }
--- a/regress/soak/caller.h
+++ b/regress/soak/caller.h
@@ -4,14 +4,17 @@
 #ifndef REGRESS_SOAK_CALLER_H
 #define REGRESS_SOAK_CALLER_H
 
+#include <sys/queue.h>
+
 #include "regress/soak/soak.h"
 
 enum { CALLER_PATH_BYTES = 64 };
 
 typedef enum { KIND_UNSAFE, KIND_SAFE, KIND_STREAM, KINDS } kind_t;
 
-typedef struct {
+typedef struct caller {
     uv_tcp_t tcp; /* first: it is closed by it */
+    LIST_ENTRY(caller) entry;
     uv_timer_t timer;
     uv_connect_t connect;
     uv_write_t write;
--- a/regress/soak/soak.c
+++ b/regress/soak/soak.c
@@ -217,6 +217,7 @@
         if (callers_busy() == 0 || spent_ms > BUSY_MS) {
             if (callers_busy() > 0) {
                 soak_broken("answered", "%zu callers wait", callers_busy());
+                callers_note();
             }
             hosts_end();
             next_phase(PHASE_END);
--- a/regress/soak/soak.h
+++ b/regress/soak/soak.h
@@ -256,6 +256,8 @@
 void callers_calm(void); /* from here on requests should be served */
 void callers_stop(void);
 size_t callers_busy(void);
+/* Notes who still waits for an answer. */
+void callers_note(void);
 /* Whether so many were served in a row since the calm began. */
 bool callers_recovered(void);
 void callers_report(void);
