Let a non-idempotent request outlive a pause of its engine

A request that may not run again and had run for 10 s ended 0.3 s (the silence floor) after its stream had been reattached, although its engine had only paused: the 10 s counted from the start of the session, not from the silence. Its caller got backend-lost and the engine went on for nobody.

The silence that ends such a request now counts from the reattachment, 10 s as before; a refused connection, a reset or an unknown stream after it still end it at once.

Golden session silence-at-most-once: last piece at 10,220 ms, engine goes on at 12,900 ms. Before: refused at 11,520 ms, so the file differed. Now the answer goes on, and real silence ends it 10 s after the reattachment. The mutant in regress/mutants.txt fails the same file.

--- a/policy/resume.c
+++ b/policy/resume.c
@@ -4,8 +4,8 @@
 enum {
     BUSY_BACKOFF_MS =
         200, /* least time without work for a runner that refused */
-    AT_MOST_ONCE_SILENCE_MS =
-        10000, /* silence that ends a non-idempotent request */
+    AT_MOST_ONCE_SILENCE_MS = 10000, /* silence after reattaching that ends a
+                                        non-idempotent request */
 };
 
 static void end_lost_attempt(step_t *step, attempt_t *attempt,
@@ -248,7 +248,8 @@
  * silent stream stays open, another runner continues from the same position,
  * and the first of the two to send tokens wins.  If the team weighs extra
  * work more than latency, or the request must not run again, reattaches to
- * the same engine first.
+ * the same engine first.  A request that must not run again ends only if the
+ * reattached stream stays silent too: an engine may pause and go on.
  */
 static void
 handle_silence(step_t *step, session_t *session, attempt_t *attempt)
@@ -262,17 +263,14 @@
         "position=%u",
         session->key, session->organisation, attempt->runner->name,
         attempt->number, session->answer.token_count);
-    if (!session->idempotent &&
-        step->now_us - session->state_since_us >=
-            (int64_t)AT_MOST_ONCE_SILENCE_MS * US_PER_MS &&
-        attempt->reattached) {
+    if (!session->idempotent && attempt->reattached) {
         refuse_second_run(step, session);
         return;
     }
     if (reattach_first && !attempt->reattached) {
         attempt_reattach(step, attempt);
     }
-    else if (session->idempotent) {
+    else {
         if (attempt->runner->down_until_us <= step->now_us) {
             runner_record_failure(attempt->runner, step->now_us);
         }
@@ -322,7 +320,9 @@
     int64_t prefill_us = (int64_t)start->prefill_limit_ms * US_PER_MS;
 
     if (attempt->reattached) {
-        return floor_us;
+        return attempt->session->idempotent
+                   ? floor_us
+                   : (int64_t)AT_MOST_ONCE_SILENCE_MS * US_PER_MS;
     }
     if (attempt->last_chunk_us == 0) {
         return silence_limit_us(&attempt->runner->prefill, ceiling_us,
