Go on with the stored record of another run of a request that runs here too

Two callers came with one key at the same moment, and two hosts started the request.

A host that runs the request itself now looks into its record store, too, and takes the record up if it has the tokens that the caller has received. A caller that comes to a third host is still refused there (docs/PROOFS.md).

--- a/policy/caller.c
+++ b/policy/caller.c
@@ -113,6 +113,33 @@
                session->resume_hash;
 }
 
+/*
+ * Returns whether a record and the event id's tail contain the tokens that
+ * the caller has received.
+ */
+bool
+caller_matches_record(const session_t *session, const record_t *record)
+{
+    answer_t stored = {.token_ids = record->token_ids.token_ids_val,
+                       .token_count = record->token_ids.token_ids_len};
+    answer_t tail = {.token_ids = session->tail_ids,
+                     .token_count = session->tail_count};
+    uint32_t end = session->resume_position;
+    uint64_t hash;
+
+    if (end <= stored.token_count) {
+        return answer_hash(&stored, 0, end, 0) == session->resume_hash;
+    }
+    if (session->tail_from > stored.token_count ||
+        session->tail_from + session->tail_count != end) {
+        return false;
+    }
+    hash = answer_hash(&stored, 0, stored.token_count, 0);
+    hash = answer_hash(&tail, stored.token_count - session->tail_from,
+                       session->tail_count, hash);
+    return hash == session->resume_hash;
+}
+
 /*
  * Returns whether the caller is still waiting at its position although the
  * answer has reached it or has ended: the caller cannot be resumed.
--- a/policy/intake.c
+++ b/policy/intake.c
@@ -201,7 +201,7 @@
     set_request_properties(session, contract, kind);
     caller_attach(step, session, request->caller, 0, 0);
     if (run[0] != '\0') {
-        takeover_not_found(step, session);
+        takeover_search_run(step, session);
         return;
     }
     if (request->has_key || request->has_event_id) {
--- a/policy/private.h
+++ b/policy/private.h
@@ -70,6 +70,7 @@
 void caller_detach(step_t *step, session_t *session);
 void caller_send(step_t *step, session_t *session);
 bool caller_hash_matches(const session_t *session);
+bool caller_matches_record(const session_t *session, const record_t *record);
 bool caller_position_missed(const session_t *session);
 void caller_refuse(step_t *step, uint64_t caller, refusal_t refusal,
                    execution_t run, uint32_t retry_after_ms,
@@ -162,6 +163,7 @@
 
 /* takeover.c: taking over sessions from other hosts. */
 void takeover_send_lookups(step_t *step, session_t *session);
+void takeover_search_run(step_t *step, session_t *session);
 void takeover_not_found(step_t *step, session_t *session);
 bool takeover_append_tail(session_t *session);
 bool takeover_restore_from_prompt(session_t *session, attempt_t *attempt,
--- a/policy/takeover.c
+++ b/policy/takeover.c
@@ -49,6 +49,27 @@
     search_own_store(step, session);
 }
 
+/*
+ * The caller has part of another run than the one of this host's session: two
+ * hosts started the request.  The other host may have stored its record here.
+ */
+void
+takeover_search_run(step_t *step, session_t *session)
+{
+    request_name_t name = {session->organisation, session->key};
+    const record_t *record =
+        record_store_find(step->node->record_store, &name);
+
+    if (record == NULL || record->state == RECORD_DISCARDED ||
+        !caller_matches_record(session, record)) {
+        takeover_not_found(step, session);
+        return;
+    }
+    session->lookup_id = ++step->node->next_lookup_id;
+    session->lookups_pending = 1;
+    search_own_store(step, session);
+}
+
 /*
  * No host has a record of the request, or none replied in time.  The engine
  * that the caller's event id names may still have the complete stream.
