Do not rely on a replica host whose connection broke

An event id leaves out the tokens that a replica host has acknowledged. When that host ended, its acknowledgements went on counting until its heartbeats were missed for 1.4 s, and each update in between was sent to nobody. A router and an engine lost in that time took the rest of the answer along.

The broken connection is now an event: event ids contain the tokens again (up to 256) until a host has acknowledged the complete record, which the next update sends. Nothing is concluded about the host itself.

--- a/agated/peers.c
+++ b/agated/peers.c
@@ -210,7 +210,12 @@
 static void
 on_lost(peer_listener_t *listener, const char *host)
 {
+    peers_t *peers = (peers_t *)listener;
+    event_t event = {.kind = EVENT_PEER_LOST};
+
     log_line(LOG_NOTICE, "peer connection lost host=%s", host);
+    event.event_t_u.peer_lost.host = (char *)(uintptr_t)host;
+    dispatch_event(peers->daemon->dispatch, &event);
 }
 
 /* With port 0 in the settings the kernel chooses the port. */
--- a/policy/event.x
+++ b/policy/event.x
@@ -48,7 +48,8 @@
     EVENT_HOST_LIST = 12,
     EVENT_TIMER = 13,
     EVENT_DRAIN = 14,
-    EVENT_CONFIG_READ = 15
+    EVENT_CONFIG_READ = 15,
+    EVENT_PEER_LOST = 16
 };
 
 /* Identity and limits of this host; the first event of every event log. */
@@ -161,6 +162,11 @@
     message_t message;
 };
 
+/* The connection to a host broke; the host may have ended, or not. */
+struct peer_lost_event_t {
+    name_t host;
+};
+
 enum claim_result_t {
     CLAIM_WON = 0,     /* this host holds the claim */
     CLAIM_HELD_BY_OTHER = 1,    /* another attempt holds the claim */
@@ -231,6 +237,8 @@
     void;
 case EVENT_CONFIG_READ: /* all documents have been read from the store */
     void;
+case EVENT_PEER_LOST:
+    peer_lost_event_t peer_lost;
 };
 
 enum action_kind_t {
--- a/policy/node.c
+++ b/policy/node.c
@@ -115,6 +115,9 @@
     case EVENT_PEER_MESSAGE:
         hosts_handle_message(step, &event->event_t_u.peer);
         break;
+    case EVENT_PEER_LOST:
+        replication_handle_peer_lost(step, event->event_t_u.peer_lost.host);
+        break;
     case EVENT_HOST_LIST:
         hosts_handle_list(step, &event->event_t_u.hosts);
         break;
--- a/policy/private.h
+++ b/policy/private.h
@@ -155,6 +155,7 @@
                             const record_position_t *gap);
 void replication_handle_ack(step_t *step, const char *from,
                             const record_position_t *ack);
+void replication_handle_peer_lost(step_t *step, const char *host);
 void replication_fill_resume_info(session_t *session,
                                   send_tokens_action_t *action);
 void replication_fill_record(step_t *step, const session_t *session,
--- a/policy/replication.c
+++ b/policy/replication.c
@@ -121,6 +121,25 @@
     }
 }
 
+/*
+ * The connection to a host broke, which may have ended with the records that
+ * it stored.  Until it acknowledges the complete record, which the next update
+ * sends, event ids contain the tokens again.
+ */
+void
+replication_handle_peer_lost(step_t *step, const char *host)
+{
+    session_t *session;
+
+    for (session = step->node->sessions; session != NULL;
+         session = session->hh.next) {
+        if (strcmp(session->replica_host, host) == 0) {
+            session->replicated_boundary = 0;
+            session->acknowledged_boundary = 0;
+        }
+    }
+}
+
 /*
  * Fills in what the event id of sent segments contains: the stream and the
  * hash of the tokens up to there, and the ids of the tokens that the replica
--- a/regress/script_event.c
+++ b/regress/script_event.c
@@ -325,17 +325,27 @@
     return 0;
 }
 
+static int
+build_peer_lost(arena_t *arena, const line_t *line, event_t *event)
+{
+    (void)arena;
+    event->kind = EVENT_PEER_LOST;
+    event->event_t_u.peer_lost.host = (char *)script_text(line, "peer", "");
+    return 0;
+}
+
 static const struct {
     const char *kind;
     build_t build;
 } builders[] = {
-    {"start", build_start},     {"config", build_config},
-    {"request", build_request}, {"caller-gone", build_caller_gone},
-    {"piece", build_piece},     {"end", build_end},
-    {"loss", build_loss},       {"reply", build_reply},
-    {"load", build_load},       {"claimed", build_claimed},
-    {"until", build_timer},     {"drain", build_drain},
-    {"hosts", build_hosts},     {"ready", build_ready},
+    {"start", build_start},         {"config", build_config},
+    {"request", build_request},     {"caller-gone", build_caller_gone},
+    {"piece", build_piece},         {"end", build_end},
+    {"loss", build_loss},           {"reply", build_reply},
+    {"load", build_load},           {"claimed", build_claimed},
+    {"until", build_timer},         {"drain", build_drain},
+    {"hosts", build_hosts},         {"ready", build_ready},
+    {"peer-lost", build_peer_lost},
 };
 
 int
