Send a caller from its own position, not from the previous caller's

Two callers had one key. The first came back after the loss of its router with part of the answer, and the host waited for the engine's stream to reach its position. The second, without any token, came to the same host and took its place.

The position that is waited for belongs to one caller and ends with its place. If the stream that is taken up lacks the text before it and its caller has left, the request is run anew instead.

--- a/policy/caller.c
+++ b/policy/caller.c
@@ -42,6 +42,7 @@
     }
     session->caller = caller;
     session->orphaned_us = 0;
+    session->resume_position = 0; /* was the previous caller's */
     session->sent_boundary = (uint32_t)boundary;
     HASH_ADD(hh_caller, step->node->by_caller, caller, sizeof(session->caller),
              session);
--- a/policy/intake.c
+++ b/policy/intake.c
@@ -200,6 +200,7 @@
     session = session_new(step, request, organisation, run);
     set_request_properties(session, contract, kind);
     caller_attach(step, session, request->caller, 0, 0);
+    session->resume_position = request->position;
     if (run[0] != '\0') {
         takeover_search_run(step, session);
         return;
--- a/policy/session.c
+++ b/policy/session.c
@@ -47,7 +47,6 @@
     session->prefix_hashes =
         arena_memdup(arena, request->prefix_hashes.prefix_hashes_val,
                      session->prefix_count * sizeof(uint64_t));
-    session->resume_position = request->position;
     session->resume_attempt = request->attempt;
     session->resume_hash = request->hash;
     session->resume_location = request->location;
--- a/policy/takeover.c
+++ b/policy/takeover.c
@@ -118,7 +118,8 @@
 /*
  * Handles the first chunk of a stream that was reattached from its start.
  * The stream's prompt is the request's prompt and the answer before the
- * stream; both are restored from it.
+ * stream; both are restored from it.  Fails if the text of that answer is
+ * missing and the caller, another one by now, does not have it.
  */
 bool
 takeover_restore_from_prompt(session_t *session, attempt_t *attempt,
@@ -129,7 +130,8 @@
 
     attempt->restores_answer = false;
     if (chunk->prompt_ids.prompt_ids_len !=
-        own_tokens + attempt->start_position) {
+            own_tokens + attempt->start_position ||
+        session->resume_position < attempt->start_position) {
         return false;
     }
     session_set_prompt(session, ids, own_tokens);
