Let a caller come again while the host waits for its position

A caller came back with part of an answer after the loss of its router, and the host took up the engine's stream. When its connection broke once more, or it came again after 2 s of silence, before the stream had reached its position, it was refused as invalid ("Last-Event-ID is not a position of this answer"), which tells callers to give up.

It now takes its own place again and goes on waiting.

--- a/policy/caller.c
+++ b/policy/caller.c
@@ -19,15 +19,17 @@
     const answer_t *answer = &session->answer;
     int64_t boundary = answer_boundary_at(answer, position);
     uint64_t previous = session->caller;
+    bool comes_again = position > 0 && position == session->resume_position &&
+                       hash == session->resume_hash;
 
-    if (boundary < answer->first_boundary ||
-        boundary > answer->ready_boundary) {
+    if (!comes_again && (boundary < answer->first_boundary ||
+                         boundary > answer->ready_boundary)) {
         caller_refuse(step, caller, REFUSAL_INVALID, RUN_UNKNOWN, 0,
                       "Last-Event-ID is not a position of this answer: send "
                       "the id of the last event that came whole");
         return;
     }
-    if (answer_hash(answer, 0, position, 0) != hash) {
+    if (!comes_again && answer_hash(answer, 0, position, 0) != hash) {
         caller_refuse(step, caller, REFUSAL_SUPERSEDED, RUN_UNKNOWN, 0,
                       "the request has been run anew, and what came before "
                       "is not part of that answer: send it again without "
@@ -42,8 +44,10 @@
     }
     session->caller = caller;
     session->orphaned_us = 0;
-    session->resume_position = 0; /* was the previous caller's */
-    session->sent_boundary = (uint32_t)boundary;
+    if (!comes_again) {
+        session->resume_position = 0; /* was the previous caller's */
+        session->sent_boundary = (uint32_t)boundary;
+    }
     HASH_ADD(hh_caller, step->node->by_caller, caller, sizeof(session->caller),
              session);
     if (session->state == SESSION_REFUSED) {
