Serve a caller from its own stream where the answer here lacks its text

Two callers of one request held parts of one generation. The one with more came first, and its host went on from the token ids of its event id, whose text only that caller has. A caller at another position than the one that a host waits for met the same.

Such a caller is now treated as one of another run: its own stream or record is taken up beside that answer.

--- a/policy/intake.c
+++ b/policy/intake.c
@@ -164,7 +164,8 @@
 /*
  * Returns whether the caller has received part of the answer from another
  * run of the request: two hosts may have started it at the same time.  The
- * engine may still have the stream of that run.
+ * engine may still have the stream of that run.  The same holds if the answer
+ * here lacks the text after the caller's position, or waits for another one.
  */
 static bool
 is_of_another_run(const session_t *session, const request_event_t *request)
@@ -177,9 +178,12 @@
     }
     if (session->resume_position > 0) {
         return strcmp(session->resume_location.stream_name,
-                      request->location.stream_name) != 0;
+                      request->location.stream_name) != 0 ||
+               session->resume_position != request->position;
     }
     return request->position > answer->token_count ||
+           answer_boundary_at(answer, request->position) <
+               answer->first_boundary ||
            answer_hash(answer, 0, request->position, 0) != request->hash;
 }
 
