Store a record at another host as soon as it is taken over

A host that takes over a stream from the record that it stored itself has the only copy: the owner before it drops the session, and the event id leaves out the tokens of the record.

The new owner now sends the record when it reattaches.

Golden sessions: router-alive, router-and-engine-lost, router-lost-record and router-lost-whole failed with the change and now expect the record at the takeover; event ids after it are as short as before it. The mutant in regress/mutants.txt, which is the code before, fails them.

--- a/policy/takeover.c
+++ b/policy/takeover.c
@@ -463,7 +463,11 @@
     resume_on_new_attempt(step, session, NULL);
 }
 
-/* Reattaches to the stream that the previous owner had at the engine. */
+/*
+ * Reattaches to the stream that the previous owner had at the engine.  This
+ * host may be the one that stored the record; another one has to store it
+ * before the stream gives more, because the previous owner may have gone.
+ */
 static void
 reattach_stream(step_t *step, session_t *session,
                 const stream_location_t *location, runner_state_t *runner,
@@ -480,4 +484,5 @@
     attempt_reattach(step, attempt);
     session_set_state(step, session, SESSION_RUNNING);
     caller_send(step, session);
+    replication_update(step, session);
 }
