--- a/policy/takeover.c
+++ b/policy/takeover.c
@@ -118,7 +118,8 @@
 /*
  * Handles the first chunk of a stream that was reattached from its start.
  * The stream's prompt is the request's prompt and the answer before the
- * stream; both are restored from it.
+ * stream; both are restored from it.  Fails if the text of that answer is
+ * missing and the caller, another one by now, does not have it.
  */
 bool
 takeover_restore_from_prompt(session_t *session, attempt_t *attempt,
@@ -129,7 +130,8 @@
 
     attempt->restores_answer = false;
     if (chunk->prompt_ids.prompt_ids_len !=
-        own_tokens + attempt->start_position) {
+            own_tokens + attempt->start_position ||
+        session->resume_position < attempt->start_position) {
         return false;
     }
     session_set_prompt(session, ids, own_tokens);
@@ -461,7 +463,11 @@
     resume_on_new_attempt(step, session, NULL);
 }
 
-/* Reattaches to the stream that the previous owner had at the engine. */
+/*
+ * Reattaches to the stream that the previous owner had at the engine.  This
+ * host may be the one that stored the record; another one has to store it
+ * before the stream gives more, because the previous owner may have gone.
+ */
 static void
 reattach_stream(step_t *step, session_t *session,
                 const stream_location_t *location, runner_state_t *runner,
@@ -478,4 +484,5 @@
     attempt_reattach(step, attempt);
     session_set_state(step, session, SESSION_RUNNING);
     caller_send(step, session);
+    replication_update(step, session);
 }
