Do not put a zone into cooldown because its runners are silent

Cause: pool_record_loss() counted a silence that moves a request as a loss.

Change: a silence still puts its runner into cooldown, but no zone.

Test: silent_runners_put_zone_into_cooldown; with the change taken out it fails (got "send 3.1 sb1").

--- a/forward/pool.c
+++ b/forward/pool.c
@@ -294,7 +294,7 @@
 }
 
 bool
-pool_record_loss(pool_runner_t *runner, int64_t now_us)
+pool_record_loss(pool_runner_t *runner, int64_t now_us, bool silent)
 {
     pool_zone_t *zone = runner->zone;
     int64_t cooldown_us = COOLDOWN_FIRST_US
@@ -306,6 +306,9 @@
             now_us +
             (cooldown_us < COOLDOWN_MAX_US ? cooldown_us : COOLDOWN_MAX_US);
     }
+    if (silent) {
+        return false;
+    }
     if (zone->last_lost_serial == runner->serial) {
         zone->last_loss_us = now_us;
         return false;
--- a/forward/pool.h
+++ b/forward/pool.h
@@ -151,9 +151,10 @@
 
 /*
  * Records that the runner closed or refused a connection, or does not
- * respond.  Returns true if this loss puts the whole zone into cooldown.
+ * respond.  Returns true if this loss puts the whole zone into cooldown;
+ * silent: it may only pause, and says nothing about its zone.
  */
-bool pool_record_loss(pool_runner_t *runner, int64_t now_us);
+bool pool_record_loss(pool_runner_t *runner, int64_t now_us, bool silent);
 
 /* Records that the runner is silent. */
 void pool_record_silence(pool_runner_t *runner, int64_t now_us);
--- a/forward/recover.c
+++ b/forward/recover.c
@@ -101,6 +101,7 @@
 {
     attempt_t *attempt = &request->attempt;
     bool not_sent = result == SEND_NOT_SENT;
+    bool silent = result == SEND_UNRESPONSIVE || result == SEND_STALLED;
 
     emit_log(forward, LOG_INFO, "lost",
              "request=%s attempt=%" PRIu32
@@ -115,7 +116,7 @@
     if (not_sent && !attempt->relayed) {
         request->unsent_count++;
     }
-    if (pool_record_loss(attempt->runner, forward->now_us) &&
+    if (pool_record_loss(attempt->runner, forward->now_us, silent) &&
         !attempt->relayed) {
         emit_log(forward, LOG_NOTICE, "zone-cooldown", "zone=%s",
                  attempt->runner->registration.zone);
--- a/regress/test_silence.c
+++ b/regress/test_silence.c
@@ -94,6 +94,18 @@
      "backup=10.17.1.1:80 resume"},
 };
 
+static const forwarding_line_t silent_runners_put_zone_into_cooldown[] = {
+    FORWARDING_OPENED,
+    {1, "list sa1 sa2 sa3 sb1", ""},
+    {10, "request 1 safe", NULL},
+    {10, "request 2 safe", NULL},
+    {310, "timer", NULL},
+    {410, "probed sa1 no", NULL},
+    {410, "probed sa2 no", NULL},
+    {410, "probed sa3 no", NULL},
+    {900, "request 3 safe", "send 3.1 sa2"},
+};
+
 static const forwarding_line_t stream_without_other_runner_is_broken_off[] = {
     {0, "routing 1", ""},
     {0, "contact", ""},
@@ -262,6 +274,7 @@
     FORWARDING_SCRIPT(paused_runner_loses_its_stream),
     FORWARDING_SCRIPT(hung_runner_keeps_its_stream),
     FORWARDING_SCRIPT(unreachable_runner_keeps_its_stream),
+    FORWARDING_SCRIPT(silent_runners_put_zone_into_cooldown),
     FORWARDING_SCRIPT(stream_without_other_runner_is_broken_off),
     FORWARDING_SCRIPT(restarted_runner_keeps_its_stream),
     FORWARDING_SCRIPT(stream_of_ended_runner_is_held),
