Leave room on the link beside the reports to other hosts

Cause: a host tells all others 4 ms after each start, first event and end of a stream. With the streams of five hosts that were 15 to 20 broadcasts and 1.1 to 1.5 MB a second at most helping hosts (trial that logged the bytes): the whole link of 10 Mbit/s. Probes and connections of 16 of the 17 hosts that had paths timed out, these took it for a cut, refused the relays and gave up streams.

Change: a broadcast comes the later, the more bytes the last one had: 256 kB/s on average. The first one after a pause is sent at once, as before.

--- a/gateway/peering.c
+++ b/gateway/peering.c
@@ -15,6 +15,9 @@
 enum {
     /* Changes within this time are sent in one message. */
     BROADCAST_DELAY_MS = 4,
+    /* A host whose streams change often would fill its link with reports to
+     * many hosts.  On average they take no more than this. */
+    BROADCAST_BYTES_PER_MS = 256,
     /* Streams are sent again at this interval, in case a datagram was lost.
      * With more than REBROADCAST_HOSTS hosts the interval grows in proportion
      * to their number. */
@@ -37,6 +40,7 @@
     uv_timer_t *timer;
     uint64_t incarnation;
     uint64_t number;       /* of the last message sent */
+    uint64_t due_ms;       /* earliest time of the next broadcast */
     bool key_put_pending;  /* a write of a new key is in progress */
     bool streams_reported; /* the last message listed streams */
 };
@@ -133,8 +137,15 @@
 void
 peering_schedule_broadcast(peering_t *peering)
 {
+    uint64_t due_ms =
+        uv_now(peering->gateway->loop) + (uint64_t)BROADCAST_DELAY_MS;
+
+    if (due_ms < peering->due_ms) {
+        due_ms = peering->due_ms;
+    }
     if (peering->peer != NULL) {
-        (void)uv_timer_start(peering->timer, on_timer, BROADCAST_DELAY_MS, 0);
+        (void)uv_timer_start(peering->timer, on_timer,
+                             due_ms - uv_now(peering->gateway->loop), 0);
     }
 }
 
@@ -247,10 +258,15 @@
 
     forwarding_write_placements(gateway, &arena, placements);
     if (has_content(placements) || peering->streams_reported) {
+        uint64_t sent_bytes = peer_counters(peering->peer)->bytes_sent;
+
         peering->number++;
         placements->incarnation = peering->incarnation;
         placements->number = peering->number;
         directory_each_peer(gateway->directory, send_to_peer, &send_context);
+        sent_bytes = peer_counters(peering->peer)->bytes_sent - sent_bytes;
+        peering->due_ms =
+            uv_now(gateway->loop) + sent_bytes / BROADCAST_BYTES_PER_MS;
     }
     peering->streams_reported = has_content(placements);
     if (peering->streams_reported) {
