Bound the pause between reports to other hosts

With large reports the pause of is up to 2.5 s (9 KB to 72 hosts, by calculation), and reports also carry crash records, claims of trials and isolation, which have to be in force within 3 s. Now it is 1 s at most.

--- a/gateway/peering.c
+++ b/gateway/peering.c
@@ -18,6 +18,8 @@
     /* A host whose streams change often would fill its link with reports to
      * many hosts.  On average they take no more than this. */
     BROADCAST_BYTES_PER_MS = 256,
+    /* Reports also carry findings that have to be in force within seconds. */
+    BROADCAST_PAUSE_MAX_MS = 1000,
     /* Streams are sent again at this interval, in case a datagram was lost.
      * With more than REBROADCAST_HOSTS hosts the interval grows in proportion
      * to their number. */
@@ -259,14 +261,18 @@
     forwarding_write_placements(gateway, &arena, placements);
     if (has_content(placements) || peering->streams_reported) {
         uint64_t sent_bytes = peer_counters(peering->peer)->bytes_sent;
+        uint64_t pause_ms;
 
         peering->number++;
         placements->incarnation = peering->incarnation;
         placements->number = peering->number;
         directory_each_peer(gateway->directory, send_to_peer, &send_context);
         sent_bytes = peer_counters(peering->peer)->bytes_sent - sent_bytes;
-        peering->due_ms =
-            uv_now(gateway->loop) + sent_bytes / BROADCAST_BYTES_PER_MS;
+        pause_ms = sent_bytes / BROADCAST_BYTES_PER_MS;
+        if (pause_ms > BROADCAST_PAUSE_MAX_MS) {
+            pause_ms = BROADCAST_PAUSE_MAX_MS;
+        }
+        peering->due_ms = uv_now(gateway->loop) + pause_ms;
     }
     peering->streams_reported = has_content(placements);
     if (peering->streams_reported) {
