Leave trials of suspected requests to hosts that stay

A draining host has left the directory, so that the others no longer send it crashes and trials.

A draining host now claims no trial. A caller without a response is refused at once and can go to another host; one whose response has begun is served as before.

draining_host_makes_no_trials: 503 with Retry-After for another host; before, the request was held.

--- a/forward/crashes.c
+++ b/forward/crashes.c
@@ -262,7 +262,7 @@
  */
 static crash_decision_t
 decide_restricted(crashes_t *crashes, crash_entry_t *entry,
-                  const crash_runs_t *others, int64_t now_us)
+                  const crash_runs_t *others, bool may_claim, int64_t now_us)
 {
     if (others->count > 0) {
         return CRASH_SUSPENDED;
@@ -272,6 +272,9 @@
                    ? CRASH_ALLOWED
                    : CRASH_SUSPENDED;
     }
+    if (!may_claim) {
+        return CRASH_REFERRED;
+    }
     crash_trial_claim(&crashes->table, entry, now_us);
     return CRASH_SUSPENDED;
 }
@@ -294,7 +297,8 @@
 /* A run is a trial of one subject only: the most likely cause of crashes. */
 crash_decision_t
 crashes_decide(crashes_t *crashes, int64_t now_us,
-               const crash_subject_t *subjects, size_t count, uint64_t *due_to)
+               const crash_subject_t *subjects, size_t count, bool may_claim,
+               uint64_t *due_to)
 {
     crash_decision_t decision = CRASH_ALLOWED;
     crash_entry_t *restricted = NULL;
@@ -331,7 +335,8 @@
         return decision;
     }
     *due_to = restricted->fingerprint;
-    return decide_restricted(crashes, restricted, restricted_others, now_us);
+    return decide_restricted(crashes, restricted, restricted_others, may_claim,
+                             now_us);
 }
 
 bool
--- a/forward/crashes.h
+++ b/forward/crashes.h
@@ -71,6 +71,7 @@
                         crashed two runners within a second */
     CRASH_SUSPENDED, /* wait: another run of it may complete */
     CRASH_BLOCKED,   /* it is not to be sent */
+    CRASH_REFERRED,  /* it needs a trial, which this host may not claim */
 } crash_decision_t;
 
 /* host identifies this host among all hosts. */
@@ -105,7 +106,7 @@
  */
 crash_decision_t crashes_decide(crashes_t *crashes, int64_t now_us,
                                 const crash_subject_t *subjects, size_t count,
-                                uint64_t *due_to);
+                                bool may_claim, uint64_t *due_to);
 
 /* Count a trial of a subject that starts, and undo that if it reached no
  * runner. */
--- a/forward/recover.c
+++ b/forward/recover.c
@@ -387,8 +387,10 @@
         refuse_request(forward, request, REFUSE_RUNNER_LOST);
         return;
     }
-    if (decision == CRASH_BLOCKED) {
-        refuse_request(forward, request, REFUSE_HARMFUL);
+    if (decision == CRASH_BLOCKED || decision == CRASH_REFERRED) {
+        refuse_request(forward, request,
+                       decision == CRASH_BLOCKED ? REFUSE_HARMFUL
+                                                 : REFUSE_DRAINING);
         return;
     }
     may_send = decision == CRASH_ALLOWED ||
--- a/forward/suspicion.c
+++ b/forward/suspicion.c
@@ -44,6 +44,8 @@
                                const request_t *request, uint64_t fingerprint);
 static uint32_t count_fleet_runners(const forward_t *forward,
                                     const pool_runner_t *lost);
+static bool may_claim_trial(const forward_t *forward,
+                            const request_t *request);
 
 void
 suspicion_start(forward_t *forward)
@@ -159,7 +161,8 @@
     }
     decision =
         crashes_decide(forward->crashes, forward->now_us, subjects,
-                       (size_t)request->part_count + 1, &request->suspect);
+                       (size_t)request->part_count + 1,
+                       may_claim_trial(forward, request), &request->suspect);
     if (crashes_has_news(forward->crashes, forward->now_us,
                          request->suspect)) {
         forward->publish_due = true;
@@ -178,6 +181,9 @@
     case CRASH_BLOCKED:
         refuse_request(forward, request, REFUSE_HARMFUL);
         return false;
+    case CRASH_REFERRED:
+        refuse_request(forward, request, REFUSE_DRAINING);
+        return false;
     case CRASH_SUSPENDED:
     case CRASH_DEFERRED:
         schedule_retry(forward, request);
@@ -415,3 +421,14 @@
     }
     return count;
 }
+
+/*
+ * A draining host has left the directory, so that no other host tells it of
+ * crashes and trials.  A caller that has no response yet can be served by
+ * another host.
+ */
+static bool
+may_claim_trial(const forward_t *forward, const request_t *request)
+{
+    return forward->draining_since_us == 0 || request->response_started;
+}
--- a/regress/test_crashes.c
+++ b/regress/test_crashes.c
@@ -353,7 +353,7 @@
     uint64_t due_to;
 
     return crashes_decide(crashes, (START_MS + at_ms) * US_PER_MS, &subject, 1,
-                          &due_to);
+                          true, &due_to);
 }
 
 static void
--- a/regress/test_forward.c
+++ b/regress/test_forward.c
@@ -108,6 +108,21 @@
     {5702, "timer", "probe 0 rb1; send 2.2 rc2 backup=10.17.1.4:80"},
 };
 
+/* Other hosts tell a draining host of no trials. */
+static const forwarding_line_t draining_host_makes_no_trials[] = {
+    FORWARDING_OPENED,
+    {1, "list ra1 ra2 ra3 ra4 ra5 rb1 rb2 rb3 rb4 rb5 rc1 rc2 rc3 rc4 sa1",
+     ""},
+    {10, "request 1 stream content=7", NULL},
+    {60, "broken 1 1", NULL},
+    {110, "broken 1 2", "cancel 1.2"},
+    {1200, "timer", NULL},
+    {1250, "broken 1 3", "cancel 1.3; refuse 1 harmful 502"},
+    {3200, "drain", ""},
+    {3300, "request 2 stream content=7",
+     "refuse 2 leaving 503 not-run after=50"},
+};
+
 /* An error of a runner does not show that the request can complete. */
 static const forwarding_line_t error_response_does_not_clear_a_request[] = {
     FORWARDING_OPENED,
@@ -339,6 +354,7 @@
     FORWARDING_SCRIPT(refuses_with_stale_routing_table),
     FORWARDING_SCRIPT(changed_revoke_limit_takes_effect),
     FORWARDING_SCRIPT(rejected_trial_is_followed_by_another),
+    FORWARDING_SCRIPT(draining_host_makes_no_trials),
     FORWARDING_SCRIPT(error_response_does_not_clear_a_request),
     FORWARDING_SCRIPT(unreachable_runners_are_not_tried_again),
     FORWARDING_SCRIPT(request_that_crashes_runners_is_refused),
