Do not take a connect time-out for the end of an engine

After a break of its connection a stream is asked for again. When that connection was not made within 1 s, or the host itself was paused meanwhile, the loss counted as if the engine had refused it: a crash under the content of the request, three of which hold other callers' requests back as harmful, and the end of a request that may not run again.

A reattachment that was not reached in time is now told apart from one that was refused (LOSS_UNREACHED). It is no crash. A request that may run again goes on elsewhere as before; one that may not asks its engine again until 10 s have passed since the first reattachment.

Not changed: a connection whose peer acknowledges nothing for 6 s ends as a reset.

--- a/backend/backend.h
+++ b/backend/backend.h
@@ -39,6 +39,8 @@
     BACKEND_STREAM_NOT_FOUND =
         5,               /* 404 to a reattach: the stream is unknown */
     BACKEND_INVALID = 6, /* 400 or 422: the request is invalid */
+    BACKEND_UNREACHED =
+        7, /* reattaching: no connection in time, and none refused */
 } backend_loss_t;
 
 /*
--- a/backend/engine.c
+++ b/backend/engine.c
@@ -407,10 +407,14 @@
 on_done(http_sink_t *sink, http_result_t result)
 {
     engine_stream_t *stream = (engine_stream_t *)sink;
+    backend_loss_t kind =
+        result == HTTP_NOT_SENT ? BACKEND_NOT_SENT : BACKEND_RESET;
 
+    if (stream->reattached && http_connect_timed_out(stream->call)) {
+        kind = BACKEND_UNREACHED;
+    }
     stream->call = NULL;
-    report_loss(stream,
-                result == HTTP_NOT_SENT ? BACKEND_NOT_SENT : BACKEND_RESET, 0);
+    report_loss(stream, kind, 0);
 }
 
 static void
--- a/http/client.c
+++ b/http/client.c
@@ -35,6 +35,7 @@
     bool cancelled;      /* no more callbacks; freed after libcurl returns */
     bool in_done;        /* done() is running; the call is freed after it */
     bool head_delivered; /* head() has been called */
+    bool timed_out;      /* before the request was sent */
     int64_t send_deadline_ms; /* CLOCK_BOOTTIME; 0: no limit */
 };
 TAILQ_HEAD(call_queue, http_call);
@@ -495,12 +496,20 @@
     }
     (void)curl_easy_getinfo(call->easy, CURLINFO_REQUEST_SIZE, &sent_bytes);
     if (sent_bytes == 0) {
+        call->timed_out = code == CURLE_OPERATION_TIMEDOUT ||
+                          code == CURLE_ABORTED_BY_CALLBACK;
         return HTTP_NOT_SENT;
     }
     return code == CURLE_OPERATION_TIMEDOUT ? HTTP_TIMEOUT
                                             : HTTP_CONNECTION_LOST;
 }
 
+bool
+http_connect_timed_out(const http_call_t *call)
+{
+    return call->timed_out;
+}
+
 static void
 call_free(http_call_t *call)
 {
--- a/http/http.h
+++ b/http/http.h
@@ -88,6 +88,12 @@
 http_call_t *http_start(http_client_t *client, const http_request_t *request,
                         http_sink_t *sink);
 
+/*
+ * Returns in done() whether HTTP_NOT_SENT means that connect_timeout_ms passed
+ * without a sign of the peer, and not that the connection was refused.
+ */
+bool http_connect_timed_out(const http_call_t *call);
+
 /* Cancels a call: closes its connection; no further callback runs. */
 void http_cancel(http_call_t *call);
 
--- a/policy/attempt.c
+++ b/policy/attempt.c
@@ -61,6 +61,9 @@
         attempt->restores_answer
             ? 0
             : session->answer.token_count - attempt->start_position;
+    if (!attempt->reattached) {
+        attempt->reattached_us = step->now_us;
+    }
     attempt->reattached = true;
     attempt->opened_us = step->now_us;
     action->stream = attempt->stream;
--- a/policy/event.x
+++ b/policy/event.x
@@ -138,7 +138,8 @@
     LOSS_REFUSED = 3,   /* the backend responded that it did not execute it */
     LOSS_FAILED = 4,    /* the backend responded with an internal error */
     LOSS_STREAM_UNKNOWN = 5, /* reattaching: the backend lacks the stream */
-    LOSS_INVALID = 6    /* the backend rejected the request as invalid */
+    LOSS_INVALID = 6,   /* the backend rejected the request as invalid */
+    LOSS_UNREACHED = 7  /* reattaching: no connection in time, none refused */
 };
 
 /* A stream failed before its end. */
--- a/policy/resume.c
+++ b/policy/resume.c
@@ -146,6 +146,10 @@
     if (attempt->session->service) {
         return 0;
     }
+    if (attempt->reattached && !attempt->session->idempotent) {
+        return attempt->reattached_us +
+               (int64_t)AT_MOST_ONCE_SILENCE_MS * US_PER_MS;
+    }
     if (attempt->last_chunk_us > since_us) {
         since_us = attempt->last_chunk_us;
     }
@@ -184,11 +188,15 @@
 /*
  * Returns whether to reattach after a loss.  A broken connection does not
  * mean that the engine failed: it may still have the stream, and reattaching
- * costs it no work.  If it did fail, the connection is refused at once.
+ * costs it no work.  If it did fail, the connection is refused at once.  A
+ * request that must not run again has no other engine to wait for.
  */
 static bool
 may_reattach(const attempt_t *attempt, const loss_event_t *loss)
 {
+    if (loss->kind == LOSS_UNREACHED) {
+        return !attempt->session->idempotent;
+    }
     return loss->kind == LOSS_RESET && !attempt->reattached &&
            !attempt->session->service;
 }
@@ -320,9 +328,7 @@
     int64_t prefill_us = (int64_t)start->prefill_limit_ms * US_PER_MS;
 
     if (attempt->reattached) {
-        return attempt->session->idempotent
-                   ? floor_us
-                   : (int64_t)AT_MOST_ONCE_SILENCE_MS * US_PER_MS;
+        return floor_us;
     }
     if (attempt->last_chunk_us == 0) {
         return silence_limit_us(&attempt->runner->prefill, ceiling_us,
--- a/policy/session.h
+++ b/policy/session.h
@@ -50,9 +50,10 @@
     int64_t opened_us;
     int64_t last_chunk_us;      /* 0: no tokens received yet */
     int64_t silence_handled_us; /* last reaction to silence; 0: none */
-    bool restores_answer; /* its prompt contains the answer's known tokens */
-    bool probe;           /* opened only to learn the prompt's token ids */
-    bool reattached;      /* nothing received since it was reattached */
+    bool restores_answer;  /* its prompt contains the answer's known tokens */
+    bool probe;            /* opened only to learn the prompt's token ids */
+    bool reattached;       /* nothing received since it was reattached */
+    int64_t reattached_us; /* the first of these times; set if reattached */
     UT_hash_handle hh;
 } attempt_t;
 
--- a/policy/suspecting.c
+++ b/policy/suspecting.c
@@ -17,7 +17,8 @@
 
 /*
  * Whether the loss of the attempt's stream indicates an engine crash: its
- * connection was reset and an attempt to reattach to the stream failed.
+ * connection was reset and an attempt to reattach to the stream failed.  An
+ * engine that was not reached in time (LOSS_UNREACHED) may only be paused.
  */
 static bool
 engine_crashed(const attempt_t *attempt, const loss_event_t *loss)
--- a/regress/script_event.c
+++ b/regress/script_event.c
@@ -207,7 +207,8 @@
 build_loss(arena_t *arena, const line_t *line, event_t *event)
 {
     static const char *const kinds[] = {
-        "not-sent", "reset", "refused", "failed", "gone", "invalid",
+        "not-sent", "reset",   "refused",   "failed",
+        "gone",     "invalid", "unreached",
     };
     const char *kind = script_text(line, "kind", "");
 
--- a/regress/test_http.c
+++ b/regress/test_http.c
@@ -34,6 +34,7 @@
     char text[TEXT_BYTES]; /* head() callbacks, in order */
     char body[TEXT_BYTES];
     bool done;
+    bool timed_out;
     http_result_t result;
 } call_t;
 
@@ -99,6 +100,7 @@
     ck_assert(!call->done);
     call->done = true;
     call->result = result;
+    call->timed_out = http_connect_timed_out(call->http);
     if (call->action == CANCEL_IN_DONE) {
         http_cancel(call->http);
     }
@@ -289,6 +291,7 @@
     start_plain(&call);
     fixture_wait(&fixture, &call.done);
     ck_assert_int_eq(call.result, HTTP_NOT_SENT);
+    ck_assert(!call.timed_out);
     server = canned_new(&fixture.loop, &hello, 1);
     teardown();
 }
@@ -317,6 +320,7 @@
     start(&call, &request);
     fixture_wait(&fixture, &call.done);
     ck_assert_int_eq(call.result, HTTP_NOT_SENT);
+    ck_assert(call.timed_out);
     teardown();
     (void)close(queued);
     (void)close(listener);
@@ -335,6 +339,7 @@
     (void)usleep(300 * 1000);
     fixture_wait(&fixture, &call.done);
     ck_assert_int_eq(call.result, HTTP_NOT_SENT);
+    ck_assert(call.timed_out);
     ck_assert_uint_eq(canned_requests(server), 0);
     teardown();
 }
