--- a/policy/replication.c
+++ b/policy/replication.c
@@ -303,6 +303,9 @@
     if (count > 0) {
         (void)snprintf(session->replica_host, sizeof(session->replica_host),
                        "%s", hosts[0]);
+        actions_append_log(step->actions, LOG_INFO,
+                           "replica request=%s organisation=%s host=%s",
+                           session->key, session->organisation, hosts[0]);
     }
 }
 
