Keep a session that was handed to a host that no longer waits for it

A reply that nobody waits for is now stored as a record, if the host has no session of the request.

Golden session recover-late-reply (the caller leaves before the reply comes): before, the second request got "refuse caller=3 refusal=9" when the engine was gone; now it goes on from the record. The mutant in regress/mutants.txt, which is the code before, fails it.

--- a/policy/hosts.c
+++ b/policy/hosts.c
@@ -79,7 +79,7 @@
         takeover_handle_lookup(step, peer->host, &message->message_t_u.lookup);
         break;
     case MESSAGE_LOOKUP_REPLY:
-        takeover_handle_found(step, &message->message_t_u.found);
+        takeover_handle_found(step, peer->host, &message->message_t_u.found);
         break;
     case MESSAGE_SUPERSEDED:
         takeover_handle_superseded(step, &message->message_t_u.superseded);
--- a/policy/private.h
+++ b/policy/private.h
@@ -156,6 +156,8 @@
 void replication_handle_ack(step_t *step, const char *from,
                             const record_position_t *ack);
 void replication_handle_peer_lost(step_t *step, const char *host);
+void replication_keep_late_record(step_t *step, const char *from,
+                                  const lookup_reply_t *found);
 void replication_fill_resume_info(session_t *session,
                                   send_tokens_action_t *action);
 void replication_fill_record(step_t *step, const session_t *session,
@@ -173,7 +175,8 @@
 int64_t takeover_deadline_us(const session_t *session);
 void takeover_handle_lookup(step_t *step, const char *from,
                             const lookup_t *lookup);
-void takeover_handle_found(step_t *step, const lookup_reply_t *found);
+void takeover_handle_found(step_t *step, const char *from,
+                           const lookup_reply_t *found);
 void takeover_handle_superseded(step_t *step, const superseded_t *superseded);
 
 /* hosts.c: the other hosts and the shared configuration. */
--- a/policy/replication.c
+++ b/policy/replication.c
@@ -140,6 +140,23 @@
     }
 }
 
+/*
+ * A reply that comes after the lookup has timed out may be a session that its
+ * owner has handed over: its record is stored here, for there may be no other.
+ */
+void
+replication_keep_late_record(step_t *step, const char *from,
+                             const lookup_reply_t *found)
+{
+    const request_name_t *name = &found->record.request;
+
+    if (found->found && found->record.state == RECORD_RUNNING &&
+        session_find(step->node, name->organisation, name->key, "") == NULL) {
+        record_store_update(step->node->record_store, step->now_us, from,
+                            &found->record, step->actions);
+    }
+}
+
 /*
  * Fills in what the event id of sent segments contains: the stream and the
  * hash of the tokens up to there, and the ids of the tokens that the replica
--- a/policy/takeover.c
+++ b/policy/takeover.c
@@ -188,7 +188,8 @@
 }
 
 void
-takeover_handle_found(step_t *step, const lookup_reply_t *found)
+takeover_handle_found(step_t *step, const char *from,
+                      const lookup_reply_t *found)
 {
     session_t *session;
 
@@ -200,6 +201,7 @@
         }
     }
     if (session == NULL) {
+        replication_keep_late_record(step, from, found);
         return;
     }
     if (!found->found) {
@@ -309,7 +311,7 @@
             strcmp(action->action_t_u.send_message.host, node->start.host) ==
                 0) {
             takeover_handle_found(
-                step,
+                step, node->start.host,
                 &action->action_t_u.send_message.message.message_t_u.found);
             continue;
         }
