Use a runner at once after it has restarted

What callers saw: after a probe without an answer, a runner that had restarted and registered anew was still passed over for up to 0.4 s, although the registry shows that the silent run of it is gone.

Cause: a restart reset cooldown_until_us, but not silent_until_us.

Change: it resets both.

--- a/forward/pool.c
+++ b/forward/pool.c
@@ -111,6 +111,7 @@
             runner->losses = 0;
             runner->failed_permille = 0;
             runner->cooldown_until_us = 0;
+            runner->silent_until_us = 0;
             change = RUNNER_RESTARTED;
         }
     }
--- a/regress/test_silence.c
+++ b/regress/test_silence.c
@@ -279,6 +279,16 @@
     {3900, "request 2 stream content=7", "send 2.1 rb2 backup=10.17.0.2:80"},
 };
 
+static const forwarding_line_t restarted_runner_counts_as_silent[] = {
+    FORWARDING_OPENED,
+    {1, "runner sb1", ""},
+    {10, "request 1 safe", "send 1.1 sa1"},
+    {310, "timer", "probe 1 sa1; probe 1 sb1"},
+    {410, "probed sa1 no", "cancel 1.1; send 1.2 sb1"},
+    {450, "runner sa1 born=5", ""},
+    {460, "request 2 safe", "send 2.1 sa1"},
+};
+
 static const forwarding_script_t scripts[] = {
     FORWARDING_SCRIPT(unsafe_request_is_ended_by_silence),
     FORWARDING_SCRIPT(silent_unsafe_request_outlives_deadline),
@@ -299,6 +309,7 @@
     FORWARDING_SCRIPT(silent_prompt_is_restarted_at_once),
     FORWARDING_SCRIPT(lost_prompt_is_never_restarted),
     FORWARDING_SCRIPT(silent_runners_make_a_content_harmful),
+    FORWARDING_SCRIPT(restarted_runner_counts_as_silent),
 };
 
 START_TEST(test_script)
