--- a/regress/test_silence.c
+++ b/regress/test_silence.c
@@ -289,6 +289,29 @@
     {460, "request 2 safe", "send 2.1 sa1"},
 };
 
+static const forwarding_line_t silent_next_runner_loses_other_requests[] = {
+    FORWARDING_OPENED,
+    {1, "runner sb1", ""},
+    {10, "request 1 safe", "send 1.1 sa1"},
+    {200, "request 2 safe", "send 2.1 sb1"},
+    {310, "timer", "probe 1 sa1; probe 1 sb1"},
+    {390, "probed sb1 silent", ""},
+    {410, "probed sa1 yes", ""},
+    {450, "head 2 1 200", ""},
+    {450, "whole 2 1", "answer 2.1"},
+};
+
+static const forwarding_line_t silent_next_runner_loses_other_streams[] = {
+    FORWARDING_OPENED,
+    STREAM_STARTED,
+    {910, "request 2 stream", NULL},
+    {1000, "head 2 1 200", "begin 2.1"},
+    {1020, "event 2 1 0", NULL},
+    {1120, "timer", NULL},
+    {1200, "probed ra1 no", ""},
+    {1210, "event 2 1 1", ""},
+};
+
 static const forwarding_script_t scripts[] = {
     FORWARDING_SCRIPT(unsafe_request_is_ended_by_silence),
     FORWARDING_SCRIPT(silent_unsafe_request_outlives_deadline),
@@ -310,6 +333,8 @@
     FORWARDING_SCRIPT(lost_prompt_is_never_restarted),
     FORWARDING_SCRIPT(silent_runners_make_a_content_harmful),
     FORWARDING_SCRIPT(restarted_runner_counts_as_silent),
+    FORWARDING_SCRIPT(silent_next_runner_loses_other_requests),
+    FORWARDING_SCRIPT(silent_next_runner_loses_other_streams),
 };
 
 START_TEST(test_script)
