--- a/forward/watchdog.c
+++ b/forward/watchdog.c
@@ -39,8 +39,6 @@
                   const pool_runner_t *runner, uint32_t timeout_ms);
 static void record_path(forward_t *forward,
                         const forward_probe_result_t *probed);
-static bool is_suspected(const forward_t *forward,
-                         const pool_runner_t *runner);
 static void check_report(forward_t *forward, request_t *request,
                          const runner_report_t *report);
 static bool is_report_expected(const forward_t *forward,
@@ -149,11 +147,7 @@
     return due_us;
 }
 
-/*
- * A connection that a probe made is as good as one of a request.  A runner
- * that was only probed as the next one may be silent without a sign of its
- * requests, so that it says nothing about this host's paths.
- */
+/* A connection that a probe made is as good as one of a request. */
 static void
 record_path(forward_t *forward, const forward_probe_result_t *probed)
 {
@@ -164,32 +158,13 @@
         return;
     }
     if (probed->outcome == PROBE_UNREACHABLE) {
-        if (is_suspected(forward, runner) ||
-            relay_is_isolated(forward, runner->registration.service)) {
-            relay_record_loss(forward, runner);
-        }
+        relay_record_loss(forward, runner);
     }
     else {
         relay_record_connection(forward, runner, forward->now_us);
     }
 }
 
-/* Returns whether a request waits for the result of a probe of its runner. */
-static bool
-is_suspected(const forward_t *forward, const pool_runner_t *runner)
-{
-    const request_t *request;
-
-    for (request = forward->requests; request != NULL;
-         request = request->hh.next) {
-        if (request->attempt.runner == runner &&
-            request->attempt.probe_pending) {
-            return true;
-        }
-    }
-    return false;
-}
-
 /* A runner that cannot be reached is silent for all its requests. */
 void
 handle_probe_result(forward_t *forward, const forward_probe_result_t *probed)
