Do not take a pause of the host for the silence of runners

Cause: a probe's limit expires while the host itself does not run, so that its failure shows nothing. Such a pause is only noticed if a timer was due.

Now a failure that comes later than 200 ms after the probe of a request was sent is dropped, and the request is probed again.

--- a/forward/watchdog.c
+++ b/forward/watchdog.c
@@ -23,6 +23,8 @@
     /* The same for the runner to which a request may be moved, so that its
      * silence is known when the other's is. */
     PROBE_NEXT_TIMEOUT_MS = 80,
+    /* Probes that fail later than this show a pause of this host. */
+    PROBE_LATE_MS = 200,
     /* Idle time after which the connection of a stream is assumed dead
      * although its runner answers probes. */
     STALL_STREAM_IDLE_MS = 1500,
@@ -39,6 +41,7 @@
                   const pool_runner_t *runner, uint32_t timeout_ms);
 static void record_path(forward_t *forward,
                         const forward_probe_result_t *probed);
+static bool drop_late_probe(forward_t *forward, const char *runner);
 static void check_report(forward_t *forward, request_t *request,
                          const runner_report_t *report);
 static bool is_report_expected(const forward_t *forward,
@@ -165,6 +168,31 @@
     }
 }
 
+/* Returns whether probes fail late, so that this one says nothing about its
+ * runner.  Requests that wait for it are probed again. */
+static bool
+drop_late_probe(forward_t *forward, const char *runner)
+{
+    request_t *request;
+    bool late = false;
+
+    for (request = forward->requests; request != NULL;
+         request = request->hh.next) {
+        attempt_t *attempt = &request->attempt;
+
+        if (attempt->runner == NULL || !attempt->probe_pending ||
+            forward->now_us - attempt->last_probe_us <=
+                (int64_t)PROBE_LATE_MS * US_PER_MS) {
+            continue;
+        }
+        late = true;
+        if (strcmp(attempt->runner->registration.id, runner) == 0) {
+            attempt->probe_pending = false;
+        }
+    }
+    return late;
+}
+
 /* A runner that cannot be reached is silent for all its requests. */
 void
 handle_probe_result(forward_t *forward, const forward_probe_result_t *probed)
@@ -172,6 +200,10 @@
     request_t *request;
     request_t *next;
 
+    if (probed->outcome != PROBE_ANSWERED &&
+        drop_late_probe(forward, probed->runner)) {
+        return;
+    }
     record_path(forward, probed);
     pool_record_probe(forward->pool, probed->runner,
                       probed->outcome == PROBE_ANSWERED, forward->now_us);
--- a/regress/test_silence.c
+++ b/regress/test_silence.c
@@ -312,6 +312,19 @@
     {1210, "event 2 1 1", ""},
 };
 
+static const forwarding_line_t own_pause_loses_probed_stream[] = {
+    FORWARDING_OPENED,
+    STREAM_STARTED,
+    {1120, "timer", "probe 1 rc1; probe 1 ra1"},
+    {2100, "probed ra1 no", ""},
+    {2100, "probed rc1 no", ""},
+    {2101, "timer", ""},
+    {2321, "timer", "probe 1 rc1; probe 1 ra1"},
+    {2421, "probed rc1 no",
+     "cancel 1.1; send 1.2 ra1 restore=10.17.0.1:80/q1 "
+     "backup=10.17.1.1:80 resume"},
+};
+
 static const forwarding_script_t scripts[] = {
     FORWARDING_SCRIPT(unsafe_request_is_ended_by_silence),
     FORWARDING_SCRIPT(silent_unsafe_request_outlives_deadline),
@@ -335,6 +348,7 @@
     FORWARDING_SCRIPT(restarted_runner_counts_as_silent),
     FORWARDING_SCRIPT(silent_next_runner_loses_other_requests),
     FORWARDING_SCRIPT(silent_next_runner_loses_other_streams),
+    FORWARDING_SCRIPT(own_pause_loses_probed_stream),
 };
 
 START_TEST(test_script)
