--- a/forward/crashes.h
+++ b/forward/crashes.h
@@ -102,7 +102,8 @@
 
 /*
  * Decides whether a request with these subjects may be sent.  Sets *due_to to
- * the one that is blocked, or that the run is a trial of; 0: none.
+ * the one that is blocked, or that the run is a trial of; 0: none.  may_claim:
+ * this host may claim a trial; if not, CRASH_REFERRED takes the place of one.
  */
 crash_decision_t crashes_decide(crashes_t *crashes, int64_t now_us,
                                 const crash_subject_t *subjects, size_t count,
