Give hosts of test_signals the default action of SIGHUP

The row was killed where SIGHUP was not ignored.

Now the host of the test starts with the default action.

--- a/regress/test_signals.c
+++ b/regress/test_signals.c
@@ -50,6 +50,7 @@
         return;
     }
     (void)prctl(PR_SET_PDEATHSIG, SIGKILL);
+    (void)signal(SIGHUP, SIG_DFL); /* may be ignored, as under nohup(1) */
     (void)dup2(ends[1], STDOUT_FILENO);
     (void)dup2(ends[1], STDERR_FILENO);
     if (blocked) {
