Count the attempts of a relayed request once over all hosts

A host that relayed a request after a run of its own handed it over without what it had spent: the other host began with all attempts of the route.

The relaying host now grants a part of the attempts that are left and counts them as runs until the other host tells what it has used: runs, deliveries, the version of the stream and the runners that received it. These go with a tag of their own, so that a host that does not know the header still accepts the relay; one that answers without telling has used all that the route allows. Retries are counted at the host that makes them, runners that received the request are not sent it again, and a request that is relayed claims no trial at the host that relays it.

--- a/forward/admission.c
+++ b/forward/admission.c
@@ -43,6 +43,9 @@
     route = match_route(forward, incoming);
     if (route != NULL) {
         apply_route(forward, request, route, incoming->deadline_ms);
+        if (request->relayed) {
+            grant_accept(forward, request, &incoming->grant);
+        }
         if (!request->relayed) {
             retry_budget_add_request(
                 service_retry_budget(forward, request->service),
--- a/forward/forward.h
+++ b/forward/forward.h
@@ -81,6 +81,32 @@
     FORWARD_TIMER,
 } forward_event_kind_t;
 
+/*
+ * What a host that relays a request grants to the other host, and what it has
+ * used before.  runners are the hashes of the ids of those that have received
+ * the request; they are not sent it again.
+ */
+typedef struct {
+    uint32_t attempts;   /* runners that may run it; 0: as the route says */
+    uint32_t deliveries; /* that were made before */
+    uint64_t version;    /* of the software that began it; 0: none yet */
+    const uint64_t *runners;
+    uint32_t runner_count;
+} relay_grant_t;
+
+/* What the other host has used of a grant. */
+typedef struct {
+    bool stated;         /* false: it did not tell */
+    uint32_t runs;       /* runners that may have run the request */
+    uint32_t deliveries; /* runners that may have received it */
+    uint64_t version;    /* of the software that began it; 0: none yet */
+    const uint64_t *runners;
+    uint32_t runner_count;
+} relay_usage_t;
+
+/* Runners in a grant or in a usage. */
+enum { RELAY_RUNNERS_MAX = 12 };
+
 /* Further parts of a prompt are not examined. */
 enum { FORWARD_PARTS_MAX = 16 };
 
@@ -103,7 +129,8 @@
      * its start on: at most FORWARD_PARTS_MAX. */
     const uint64_t *parts;
     uint32_t part_count;
-    bool relayed; /* by another host: it is not relayed again */
+    bool relayed;        /* by another host: it is not relayed again */
+    relay_grant_t grant; /* of that host */
 } forward_request_t;
 
 /* The head of a response from a runner. */
@@ -117,6 +144,7 @@
     bool refused_by_host;
     refuse_reason_t refusal;
     uint32_t retry_after_ms; /* of that refusal; 0: not stated */
+    relay_usage_t usage;     /* of the host that it was relayed to */
 } forward_response_head_t;
 
 /* Complete events of a stream were received, up to last_event_id. */
@@ -234,8 +262,9 @@
 /* Sends the request to a runner, or relays it to another host. */
 typedef struct {
     uint32_t attempt;
-    const char *host;   /* to which it is relayed; NULL: none */
-    const char *runner; /* NULL: it is relayed */
+    const char *host;    /* to which it is relayed; NULL: none */
+    const char *runner;  /* NULL: it is relayed */
+    relay_grant_t grant; /* to that host */
     const char *address;
     const char *organisation; /* NULL: anonymous */
     uint32_t deadline_ms;     /* time that the runner has left; 0: unlimited */
@@ -299,6 +328,9 @@
 typedef struct {
     forward_action_kind_t kind;
     uint64_t number; /* of the request */
+    /* FORWARD_ACTION_RELAY_HEAD, FORWARD_ACTION_RELAY_RESPONSE and
+     * FORWARD_ACTION_REFUSE of a request that another host relayed. */
+    relay_usage_t usage;
     union {
         send_action_t send;
         /* FORWARD_ACTION_CANCEL; FORWARD_ACTION_RELAY_HEAD: relay the response
--- a/forward/pool.c
+++ b/forward/pool.c
@@ -183,6 +183,15 @@
            (runner->serial != serial || runner->address_stale);
 }
 
+const pool_runner_t *
+pool_find_hash(const pool_t *pool, uint64_t id_hash)
+{
+    const pool_runner_t *runner;
+
+    HASH_FIND(by_hash, pool->by_hash, &id_hash, sizeof(id_hash), runner);
+    return runner;
+}
+
 const pool_runner_t *
 pool_find_runner(const pool_t *pool, const char *id)
 {
--- a/forward/pool.h
+++ b/forward/pool.h
@@ -117,6 +117,9 @@
 /* Returns the runner with that id, or NULL. */
 const pool_runner_t *pool_find_runner(const pool_t *pool, const char *id);
 
+/* Returns the runner whose id has this hash, or NULL. */
+const pool_runner_t *pool_find_hash(const pool_t *pool, uint64_t id_hash);
+
 /* Returns the first runner; the others follow through hh.next. */
 const pool_runner_t *pool_first_runner(const pool_t *pool);
 
--- a/forward/private.h
+++ b/forward/private.h
@@ -52,12 +52,14 @@
     const char *copy_name;
     /* When to request or refresh a copy; 0: when the standby fails. */
     int64_t copy_due_us;
-    bool copy_pending; /* a copy was requested, without result yet */
-    bool went_on;      /* it is no suspect because of its prompt */
-    bool restored;     /* started from a copy of the KV cache */
-    bool is_retry;     /* counted against the retry budget */
-    bool relaying;     /* the response is relayed to the caller */
-    bool relayed;      /* runner stands for another host, which handles it */
+    bool copy_pending;   /* a copy was requested, without result yet */
+    bool went_on;        /* it is no suspect because of its prompt */
+    bool restored;       /* started from a copy of the KV cache */
+    bool is_retry;       /* counted against the retry budget */
+    bool relaying;       /* the response is relayed to the caller */
+    bool relayed;        /* runner stands for another host, which handles it */
+    uint32_t granted;    /* attempts, to that host; counted as runs */
+    relay_usage_t usage; /* of that host, without the runners */
     bool refused_by_host;
     refuse_reason_t refusal; /* of that host */
     bool probe_pending;
@@ -102,11 +104,14 @@
     const char *copy_address; /* the copy is identified by this address ... */
     const char *copy_name;    /* ... and this name */
     uint64_t tried[POOL_TRIED_MAX]; /* serials of runners already tried */
+    /* Hashes of their ids; 0: it did not receive the request. */
+    uint64_t received_by[POOL_TRIED_MAX];
     size_t tried_count;
     uint32_t unsent_count;               /* attempts that reached no runner */
     uint64_t relayed_to[RELAYED_TO_MAX]; /* serials of hosts */
     uint32_t relay_count;
-    bool relayed; /* another host relayed it to this one */
+    bool relayed;                /* another host relayed it to this one */
+    uint32_t granted_deliveries; /* made by that host before */
     UT_hash_handle hh;
 } request_t;
 
@@ -375,6 +380,34 @@
 /* Returns the id_hash of the runner that has prefilled the prompt, or 0. */
 uint64_t session_runner(const forward_t *forward, uint64_t session);
 
+/* --- grant.c --- */
+
+/* How a relay has ended. */
+typedef enum {
+    GRANT_UNUSED, /* the other host did not receive the request */
+    GRANT_LOST,   /* it is not known what it has used */
+    GRANT_USED,   /* it has answered */
+} grant_end_t;
+
+/* Grants attempts to the host that the request is relayed to. */
+void grant_attempts(const forward_t *forward, request_t *request,
+                    relay_grant_t *grant);
+/* Applies the grant of the host that relayed the request to this one. */
+void grant_accept(const forward_t *forward, request_t *request,
+                  const relay_grant_t *grant);
+/* Returns what this host has used, valid in this step. */
+relay_usage_t grant_usage(const forward_t *forward, const request_t *request);
+/* Keeps what the other host has told. */
+void grant_record_usage(const forward_t *forward, request_t *request,
+                        const relay_usage_t *usage);
+/* Counts what the other host has used, and takes back the rest.  One that has
+ * answered and did not tell may have used all attempts of the route. */
+void grant_settle(request_t *request, grant_end_t end);
+/* Keeps the runner from being chosen again; it may have received it. */
+void request_add_tried(request_t *request, const pool_runner_t *runner);
+/* Records that the runner of that serial did not receive the request. */
+void request_mark_not_received(request_t *request, uint64_t serial);
+
 /* --- versions.c --- */
 
 /* Records the version that began the stream of a request. */
@@ -421,6 +454,9 @@
 void suspicion_run_progress(forward_t *forward, request_t *request);
 /* Returns whether the request may be sent to a runner now, later or never. */
 crash_decision_t suspicion_decide(forward_t *forward, request_t *request);
+/* The same before it is sent or relayed: the host that it is relayed to
+ * decides for itself, and claims the trial if it is one. */
+crash_decision_t suspicion_decide_send(forward_t *forward, request_t *request);
 /* Returns whether a request without a response may be sent now.  If not, it is
  * refused or waits for retry_waiting_request(). */
 bool suspicion_allows(forward_t *forward, request_t *request);
--- a/forward/recover.c
+++ b/forward/recover.c
@@ -25,10 +25,13 @@
 static void retain_copy(request_t *request);
 static request_t *find_active_request(forward_t *forward, uint64_t number,
                                       uint32_t attempt);
+static void emit_response(forward_t *forward, const request_t *request,
+                          forward_action_kind_t kind);
 static void handle_response(forward_t *forward, request_t *request);
 static void handle_rejection(forward_t *forward, request_t *request);
 static void resume_stream(forward_t *forward, request_t *request);
 static void handle_host_refusal(forward_t *forward, request_t *request);
+static bool may_go_on(const request_t *request);
 static bool other_host_may_serve(refuse_reason_t refusal);
 static bool find_stream_version(forward_t *forward, request_t *request);
 static void wait_or_refuse(forward_t *forward, request_t *request,
@@ -56,7 +59,10 @@
     attempt->response_us = forward->now_us;
     attempt->refused_by_host = head->refused_by_host;
     attempt->refusal = head->refusal;
-    if (!attempt->relayed) {
+    if (attempt->relayed) {
+        grant_record_usage(forward, request, &head->usage);
+    }
+    else {
         relay_record_connection(forward, attempt->runner, attempt->started_us);
     }
     if (request->type == REQUEST_STREAM && head->status == STATUS_OK &&
@@ -66,8 +72,7 @@
             request->version = attempt->version;
         }
         request->response_started = true;
-        action_new(forward, FORWARD_ACTION_RELAY_HEAD, request->number)
-            ->u.attempt = attempt->number;
+        emit_response(forward, request, FORWARD_ACTION_RELAY_HEAD);
     }
 }
 
@@ -84,6 +89,9 @@
         handle_failed_attempt(forward, request, end->result);
         return;
     }
+    if (request->attempt.relayed) {
+        grant_settle(request, GRANT_USED);
+    }
     if (request->attempt.refused_by_host) {
         handle_host_refusal(forward, request);
         return;
@@ -126,13 +134,15 @@
         (not_sent || (result == SEND_BROKEN && attempt->status == 0))) {
         relay_record_loss(forward, attempt->runner);
     }
-    if (not_sent) {
+    if (attempt->relayed) {
+        grant_settle(request, not_sent ? GRANT_UNUSED : GRANT_LOST);
+    }
+    else if (not_sent) {
         request->runs--;
         uncount_delivery(forward, request);
-        if (!attempt->relayed) {
-            crashes_run_not_sent(forward->crashes, forward->now_us,
-                                 request->suspect);
-        }
+        request_mark_not_received(request, attempt->runner_serial);
+        crashes_run_not_sent(forward->crashes, forward->now_us,
+                             request->suspect);
     }
     if (attempt->events > 0 && attempt->standby != NULL) {
         retain_copy(request);
@@ -232,6 +242,17 @@
     return request;
 }
 
+/* Passes on the response of the latest attempt, or its head. */
+static void
+emit_response(forward_t *forward, const request_t *request,
+              forward_action_kind_t kind)
+{
+    forward_action_t *action = action_new(forward, kind, request->number);
+
+    action->u.attempt = request->attempt.number;
+    action->usage = grant_usage(forward, request);
+}
+
 /* Handles a complete response of a runner that has run the request. */
 static void
 handle_response(forward_t *forward, request_t *request)
@@ -265,21 +286,18 @@
         forward->now_us + (int64_t)RETRY_TIME_LEFT_MIN_MS * US_PER_MS <
             request->deadline_us &&
         retry_allowed(forward, request)) {
-        uint32_t number = attempt->number;
         uint32_t status = attempt->status;
 
         attempt_end(forward, request, false);
         if (send_request(forward, request)) {
             return;
         }
-        action_new(forward, FORWARD_ACTION_RELAY_RESPONSE, request->number)
-            ->u.attempt = number;
+        emit_response(forward, request, FORWARD_ACTION_RELAY_RESPONSE);
         emit_request_end(forward, request, "served", "runner-error", status);
         request_delete(forward, request);
         return;
     }
-    action_new(forward, FORWARD_ACTION_RELAY_RESPONSE, request->number)
-        ->u.attempt = attempt->number;
+    emit_response(forward, request, FORWARD_ACTION_RELAY_RESPONSE);
     emit_request_end(forward, request, "served",
                      failed ? "runner-error" : "whole", attempt->status);
     attempt_end(forward, request, false);
@@ -296,8 +314,8 @@
              "request=%s attempt=%" PRIu32 " runner=%s status=%" PRIu32,
              request->id, attempt->number, attempt->runner->registration.id,
              attempt->status);
-    request->runs--;
     if (!attempt->relayed) {
+        request->runs--;
         crashes_run_rejected(forward->crashes, forward->now_us,
                              request->suspect);
     }
@@ -331,8 +349,6 @@
              request->id, attempt->number, attempt->runner->registration.id,
              refuse_reason_name(refusal), !not_run);
     if (not_run) {
-        request->runs--;
-        uncount_delivery(forward, request);
         pool_record_full(attempt->runner, forward->now_us);
     }
     attempt_end(forward, request, false);
@@ -340,13 +356,22 @@
         resume_stream(forward, request);
         return;
     }
-    if (not_run && other_host_may_serve(refusal) &&
-        send_request(forward, request)) {
+    if (other_host_may_serve(refusal) && may_go_on(request) &&
+        retry_allowed(forward, request) && send_request(forward, request)) {
         return;
     }
     refuse_request(forward, request, refusal);
 }
 
+/* Returns whether the request may be sent to a runner after a refusal. */
+static bool
+may_go_on(const request_t *request)
+{
+    return request->runs == 0 || may_run_again(request) ||
+           (request->type == REQUEST_STREAM && request->resumable &&
+            request->runs < request->attempts_max);
+}
+
 /* Returns whether the reason lies with the host that refused. */
 static bool
 other_host_may_serve(refuse_reason_t refusal)
@@ -373,7 +398,7 @@
 static void
 resume_stream(forward_t *forward, request_t *request)
 {
-    crash_decision_t decision = suspicion_decide(forward, request);
+    crash_decision_t decision = suspicion_decide_send(forward, request);
     bool may_send;
 
     if (!retry_allowed(forward, request)) {
@@ -466,11 +491,10 @@
     }
 }
 
-/* A host that it was relayed to may have used all of its attempts. */
 bool
 may_run_again(const request_t *request)
 {
-    return request->type == REQUEST_SAFE && !request->attempt.relayed &&
+    return request->type == REQUEST_SAFE &&
            request->runs < request->attempts_max;
 }
 
--- a/forward/send.c
+++ b/forward/send.c
@@ -189,10 +189,7 @@
         record_session(forward, request->affinity, runner->id_hash);
         forward->publish_due = true;
     }
-    if (request->tried_count < POOL_TRIED_MAX) {
-        request->tried[request->tried_count] = runner->serial;
-        request->tried_count++;
-    }
+    request_add_tried(request, runner);
     if (request->replicated) {
         copies_set_standby(attempt, choose_standby(forward, request, runner));
     }
@@ -246,8 +243,7 @@
         .relayed = true,
     };
     request->retry_at_us = 0;
-    request->runs++;
-    count_delivery(forward, request);
+    grant_attempts(forward, request, &send->grant);
     pool_request_started(host, request->type == REQUEST_STREAM);
     send->attempt = attempt->number;
     send->host = arena_strdup(arena, host->registration.id);
@@ -257,10 +253,11 @@
     send->last_event_id = request->last_event_id;
     emit_log(forward, LOG_INFO, "relay",
              "request=%s attempt=%" PRIu32 " host=%s zone=%s running=%" PRIu32
-             " after=%" PRId64 " isolated=%d unsent=%" PRIu32
-             " deadline_ms=%" PRIu32,
+             " granted=%" PRIu32 " runs=%" PRIu32 " after=%" PRId64
+             " isolated=%d unsent=%" PRIu32 " deadline_ms=%" PRIu32,
              request->id, attempt->number, send->host, host->registration.zone,
-             host->running, request->last_event_id,
+             host->running, attempt->granted, request->runs - attempt->granted,
+             request->last_event_id,
              relay_is_isolated(forward, request->service),
              request->unsent_count, send->deadline_ms);
 }
@@ -339,10 +336,11 @@
                          refuse_reason_name(reason), 0);
     }
     else {
-        refuse_action_t *refusal =
-            &action_new(forward, FORWARD_ACTION_REFUSE, request->number)
-                 ->u.refuse;
+        forward_action_t *action =
+            action_new(forward, FORWARD_ACTION_REFUSE, request->number);
+        refuse_action_t *refusal = &action->u.refuse;
 
+        action->usage = grant_usage(forward, request);
         refusal->reason = reason;
         refusal->not_run = request->runs == 0;
         refusal->status = refusal_status(reason, refusal->not_run);
--- a/forward/suspicion.c
+++ b/forward/suspicion.c
@@ -174,10 +174,18 @@
     return decision;
 }
 
+crash_decision_t
+suspicion_decide_send(forward_t *forward, request_t *request)
+{
+    return relay_is_preferred(forward, request)
+               ? CRASH_ALLOWED
+               : suspicion_decide(forward, request);
+}
+
 bool
 suspicion_allows(forward_t *forward, request_t *request)
 {
-    switch (suspicion_decide(forward, request)) {
+    switch (suspicion_decide_send(forward, request)) {
     case CRASH_BLOCKED:
         refuse_request(forward, request, REFUSE_HARMFUL);
         return false;
--- a/forward/versions.c
+++ b/forward/versions.c
@@ -83,7 +83,8 @@
     const service_budget_t *service;
     stream_version_t *entry;
 
-    if (request->type != REQUEST_STREAM || request->last_event_id < 0) {
+    if (request->type != REQUEST_STREAM || request->last_event_id < 0 ||
+        request->version != 0) {
         return true;
     }
     HASH_FIND(hh, forward->stream_versions, &request->stream,
--- a/gateway/forwarding.c
+++ b/gateway/forwarding.c
@@ -194,7 +194,8 @@
         return;
     case FORWARD_ACTION_REFUSE:
         upstream_release(gateway->upstreams, action->number);
-        front_send_refusal(gateway->front, action->number, &action->u.refuse);
+        front_send_refusal(gateway->front, action->number, &action->u.refuse,
+                           &action->usage);
         return;
     case FORWARD_ACTION_ABORT:
         upstream_release(gateway->upstreams, action->number);
@@ -251,6 +252,7 @@
 
     if (upstream_get_response(gateway->upstreams, action->number,
                               action->u.attempt, &response)) {
+        response.usage = &action->usage;
         front_send_response(gateway->front, action->number, &response);
     }
     upstream_release(gateway->upstreams, action->number);
@@ -263,6 +265,7 @@
 
     if (upstream_get_response(gateway->upstreams, action->number,
                               action->u.attempt, &response)) {
+        response.usage = &action->usage;
         front_start_stream(gateway->front, action->number, &response);
         upstream_start_passthrough(gateway->upstreams, action->number,
                                    action->u.attempt);
--- a/gateway/front.c
+++ b/gateway/front.c
@@ -228,12 +228,12 @@
 
 void
 front_send_refusal(front_t *front, uint64_t number,
-                   const refuse_action_t *refusal)
+                   const refuse_action_t *refusal, const relay_usage_t *usage)
 {
     inbound_t *inbound = find_inbound(front, number);
 
     if (inbound != NULL) {
-        inbound_send_refusal(inbound, refusal);
+        inbound_send_refusal(inbound, refusal, usage);
     }
 }
 
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -121,6 +121,8 @@
     const headers_t *headers;
     const char *body;
     size_t body_bytes;
+    /* What this host has used, for the host that relayed the request. */
+    const relay_usage_t *usage;
 } runner_response_t;
 
 /* Sends a complete response. */
@@ -135,7 +137,8 @@
 /* Ends a stream as complete. */
 void front_end_stream(front_t *front, uint64_t number);
 void front_send_refusal(front_t *front, uint64_t number,
-                        const refuse_action_t *refusal);
+                        const refuse_action_t *refusal,
+                        const relay_usage_t *usage);
 /* Aborts the response, so that the caller sees it as incomplete. */
 void front_abort_response(front_t *front, uint64_t number);
 
@@ -164,19 +167,26 @@
 
 /*
  * Removes the headers of a relay from a request whose id is set.  Returns true
- * if they show that another host relayed it.
+ * if they show that another host relayed it.  *grant is what this host may
+ * use; it is empty if the other host did not state it.
  */
 bool host_relay_accept(gateway_t *gateway, arena_t *arena,
-                       caller_request_t *request);
+                       caller_request_t *request, relay_grant_t *grant);
 /* Marks a request as relayed by this host; false if no key is known. */
 bool host_relay_write_mark(gateway_t *gateway, arena_t *arena,
-                           const caller_request_t *request, headers_t *out);
-/* Returns the header that tells the relaying host of a refusal. */
+                           const caller_request_t *request,
+                           const relay_grant_t *grant, headers_t *out);
+/* Return the headers that tell the relaying host of a refusal, and of what
+ * this host has used. */
 header_t host_relay_refusal_header(arena_t *arena,
                                    const refuse_action_t *refusal);
+header_t host_relay_usage_header(arena_t *arena, const relay_usage_t *usage);
 /* Completes the head of a response that the other host itself has made. */
 void host_relay_read_refusal(arena_t *arena, const headers_t *headers,
                              forward_response_head_t *head);
+/* Reads what the other host has used. */
+void host_relay_read_usage(arena_t *arena, const headers_t *headers,
+                           relay_usage_t *usage);
 /* Removes what callers are not to receive; from_host: another host sent it. */
 void host_relay_remove_headers(headers_t *headers, bool from_host);
 
--- a/gateway/inbound.c
+++ b/gateway/inbound.c
@@ -35,6 +35,7 @@
 static void on_stop(h2o_generator_t *generator, h2o_req_t *req);
 static void start_response(inbound_t *inbound,
                            const runner_response_t *response);
+static void add_usage(inbound_t *inbound, const relay_usage_t *usage);
 static void add_header(h2o_req_t *req, const header_t *header);
 static void send_pending(inbound_t *inbound);
 
@@ -149,7 +150,8 @@
 }
 
 void
-inbound_send_refusal(inbound_t *inbound, const refuse_action_t *refusal)
+inbound_send_refusal(inbound_t *inbound, const refuse_action_t *refusal,
+                     const relay_usage_t *usage)
 {
     const dialect_ops_t *dialect = inbound->gateway->dialect->ops;
     const char *body;
@@ -169,6 +171,7 @@
         header_t mark = host_relay_refusal_header(&inbound->arena, refusal);
 
         add_header(inbound->req, &mark);
+        add_usage(inbound, usage);
     }
     body = arena_printf(&inbound->arena,
                         "{\"error\":{\"kind\":\"%s\",\"run\":\"%s\"}}\n",
@@ -276,11 +279,13 @@
     forward_event_t event = {.kind = FORWARD_REQUEST};
     size_t length = strcspn(request->path, "?");
     caller_options_t terms;
+    relay_grant_t grant;
 
     gateway->dialect->ops->parse_caller_headers(&inbound->arena,
                                                 &request->headers, &terms);
     request->id = terms.id;
-    inbound->relayed = host_relay_accept(gateway, &inbound->arena, request);
+    inbound->relayed =
+        host_relay_accept(gateway, &inbound->arena, request, &grant);
     inbound->last_event_id = terms.last_event_id;
     event.u.request = (forward_request_t){
         .number = inbound->number,
@@ -299,6 +304,7 @@
         .parts = terms.parts,
         .part_count = terms.part_count,
         .relayed = inbound->relayed,
+        .grant = grant,
     };
     forwarding_handle_event(gateway, &event);
 }
@@ -453,10 +459,24 @@
     for (i = 0; i < response->headers->count; i++) {
         add_header(req, &response->headers->items[i]);
     }
+    add_usage(inbound, response->usage);
     inbound->response_started = true;
     h2o_start_response(req, &inbound->generator);
 }
 
+/* Tells the host that relayed the request. */
+static void
+add_usage(inbound_t *inbound, const relay_usage_t *usage)
+{
+    header_t header;
+
+    if (!inbound->relayed || usage == NULL) {
+        return;
+    }
+    header = host_relay_usage_header(&inbound->arena, usage);
+    add_header(inbound->req, &header);
+}
+
 /* Adds a header to the response; copies its strings. */
 static void
 add_header(h2o_req_t *req, const header_t *header)
--- a/gateway/inbound.h
+++ b/gateway/inbound.h
@@ -60,7 +60,8 @@
 void inbound_end_stream(inbound_t *inbound);
 
 /* Sends a response with the reason, unless a response has been started. */
-void inbound_send_refusal(inbound_t *inbound, const refuse_action_t *refusal);
+void inbound_send_refusal(inbound_t *inbound, const refuse_action_t *refusal,
+                          const relay_usage_t *usage);
 
 /* Closes the connection, so that the response does not look complete. */
 void inbound_abort_response(inbound_t *inbound);
--- a/gateway/upstream.c
+++ b/gateway/upstream.c
@@ -210,7 +210,8 @@
     }
     dialect->write_relay_headers(&exchange->arena, &request->headers, action,
                                  headers);
-    if (!host_relay_write_mark(gateway, &exchange->arena, request, headers)) {
+    if (!host_relay_write_mark(gateway, &exchange->arena, request,
+                               &action->grant, headers)) {
         log_event(LOG_NOTICE, "relay-unmarked", "request=%s host=%s",
                   request->id, action->host);
         return false;
@@ -257,6 +258,10 @@
                      strcmp(terms.id, exchange->id) == 0,
         .not_run = terms.not_run,
     };
+    if (exchange->to_host != NULL) {
+        host_relay_read_usage(&exchange->arena, &exchange->headers,
+                              &event.u.head.usage);
+    }
     if (exchange->to_host != NULL && !terms.signed_by_runner &&
         status >= STATUS_ERROR_MIN) {
         event.u.head.retry_after_ms = terms.retry_after_ms;
--- a/peer/relay_mark.c
+++ b/peer/relay_mark.c
@@ -9,6 +9,8 @@
 const char relay_mark_host_header[] = "X-Relayed-By";
 const char relay_mark_host_header_lower[] = "x-relayed-by";
 const char relay_mark_tag_header[] = "X-Relay-Tag";
+const char relay_mark_grant_header[] = "X-Relay-Grant";
+const char relay_mark_grant_tag_header[] = "X-Relay-Grant-Tag";
 
 /* Keeps a tag from being valid for a message between hosts. */
 static const char tag_context[] = "agatevale relayed request";
@@ -32,6 +34,9 @@
     append_field(&input, mark->host);
     append_field(&input, mark->request_id);
     append_field(&input, mark->path);
+    if (mark->grant != NULL) {
+        append_field(&input, mark->grant);
+    }
     computed = wire_compute_tag(key, (const uint8_t *)input.bytes,
                                 input.length, bytes);
     text_free(&input);
--- a/peer/relay_mark.h
+++ b/peer/relay_mark.h
@@ -15,9 +15,12 @@
 /* Two hexadecimal digits for each byte, and a NUL. */
 enum { RELAY_TAG_TEXT_BYTES = 2 * PEER_TAG_BYTES + 1 };
 
-/* The name of the relaying host, and the tag. */
+/* The name of the relaying host, and the tag; the grant, and the tag of a mark
+ * that covers it. */
 extern const char relay_mark_host_header[];
 extern const char relay_mark_tag_header[];
+extern const char relay_mark_grant_header[];
+extern const char relay_mark_grant_tag_header[];
 /* relay_mark_host_header in lower case. */
 extern const char relay_mark_host_header_lower[];
 
@@ -25,7 +28,8 @@
 typedef struct {
     const char *host; /* that relays the request */
     const char *request_id;
-    const char *path; /* with the query */
+    const char *path;  /* with the query */
+    const char *grant; /* what the other host may use; NULL: not covered */
 } relay_mark_t;
 
 /* Returns false if there is no key. */
--- a/regress/forwarding.c
+++ b/regress/forwarding.c
@@ -249,8 +249,10 @@
     static uint64_t parts[FORWARD_PARTS_MAX];
     uint32_t part_count = 0;
     bool stream = line_has(line, "stream") || line_has(line, "once");
+    static line_counts_t grant;
     forward_event_t event = {.kind = FORWARD_REQUEST};
 
+    (void)line_counts(line, "grant", &grant);
     while (part != NULL && part_count < FORWARD_PARTS_MAX) {
         parts[part_count] = strtoull(part, NULL, DECIMAL);
         part_count++;
@@ -263,6 +265,10 @@
         .number = (uint64_t)line_number(line, 1),
         .id = id,
         .relayed = line_has(line, "relayed"),
+        .grant = {.attempts = grant.count,
+                  .deliveries = grant.deliveries,
+                  .runners = grant.runners,
+                  .runner_count = grant.runner_count},
         .host = "host.example:80",
         .path = path,
         .key = key == NULL      ? "k1"
@@ -295,10 +301,13 @@
                 {"invalid", SEND_INVALID}};
     uint64_t number = (uint64_t)line_number(line, 1);
     uint32_t attempt = (uint32_t)line_number(line, 2);
+    static line_counts_t used;
     forward_event_t event = {0};
     size_t i;
 
     if (strcmp(line->words[0], "head") == 0) {
+        bool stated = line_counts(line, "used", &used);
+
         event.kind = FORWARD_RESPONSE_HEAD;
         event.u.head = (forward_response_head_t){
             .number = number,
@@ -307,7 +316,12 @@
             .authentic = !line_has(line, "stranger"),
             .not_run = line_has(line, "not-run"),
             .refused_by_host = line_has(line, "refused"),
-            .refusal = REFUSE_NO_RUNNER};
+            .refusal = REFUSE_NO_RUNNER,
+            .usage = {.stated = stated,
+                      .runs = used.count,
+                      .deliveries = used.deliveries,
+                      .runners = used.runners,
+                      .runner_count = used.runner_count}};
         return event;
     }
     if (strcmp(line->words[0], "copied") == 0) {
--- a/regress/forwarding.h
+++ b/regress/forwarding.h
@@ -12,9 +12,13 @@
  *        [parts=P,...]        the parts of its prompt that others may share
  *        [resumes=ID]         the request that began its stream
  *        [relayed]            by another host
+ *        [grant=ATTEMPTS:DELIVERIES[:RUNNER,...]]
+ *                             what that host grants, and who received it
  *   gone N
  *   head N ATTEMPT STATUS [stranger] [not-run] [refused]
- *                             refused: by the host that it was relayed to
+ *        [used=RUNS:DELIVERIES[:RUNNER,...]]
+ *                             refused: by the host that it was relayed to;
+ *                             used: what that host has used
  *   event N ATTEMPT ID
  *   whole N ATTEMPT | broken N ATTEMPT | unsent N ATTEMPT | invalid N ATTEMPT
  *   probed RUNNER yes|no|silent [active=N [queued=N] [runs=ID]]
--- a/regress/forwarding_line.c
+++ b/regress/forwarding_line.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include <check.h>
+#include <xxhash.h>
 
 #include "regress/forwarding_private.h"
 
@@ -104,3 +105,26 @@
     };
     return &report;
 }
+
+bool
+line_counts(const line_t *line, const char *name, line_counts_t *counts)
+{
+    const char *text = line_value(line, name);
+    char *rest;
+
+    *counts = (line_counts_t){0};
+    if (text == NULL) {
+        return false;
+    }
+    counts->count = (uint32_t)strtoul(text, &rest, DECIMAL);
+    ck_assert_msg(*rest == ':', "%s=%s: deliveries are missing", name, text);
+    counts->deliveries = (uint32_t)strtoul(rest + 1, &rest, DECIMAL);
+    while (*rest == ':' || *rest == ',') {
+        size_t length = strcspn(rest + 1, ",");
+
+        counts->runners[counts->runner_count] = XXH3_64bits(rest + 1, length);
+        counts->runner_count++;
+        rest += length + 1;
+    }
+    return true;
+}
--- a/regress/forwarding_print.c
+++ b/regress/forwarding_print.c
@@ -9,6 +9,7 @@
 static char noted[FORWARDING_TEXT_BYTES];
 
 static void print_line(const forward_action_t *action);
+static void print_grant(const send_action_t *send);
 static void print_action(const forward_action_t *action);
 
 void
@@ -57,6 +58,20 @@
     }
 }
 
+/* What the host that a request is relayed to may use. */
+static void
+print_grant(const send_action_t *send)
+{
+    size_t used = strlen(printed);
+
+    if (send->host != NULL) {
+        (void)snprintf(printed + used, sizeof(printed) - used,
+                       " grant=%" PRIu32 ":%" PRIu32 ":%" PRIu32,
+                       send->grant.attempts, send->grant.deliveries,
+                       send->grant.runner_count);
+    }
+}
+
 static void
 print_action(const forward_action_t *action)
 {
@@ -99,6 +114,7 @@
             send->backup_address != NULL ? " backup=" : "",
             send->backup_address != NULL ? send->backup_address : "",
             send->last_event_id >= 0 ? " resume" : "");
+        print_grant(send);
         return;
     case FORWARD_ACTION_REFUSE:
     case FORWARD_ACTION_ABORT:
--- a/regress/forwarding_private.h
+++ b/regress/forwarding_private.h
@@ -24,6 +24,14 @@
     size_t count;
 } line_t;
 
+/* A grant to another host, or what it has used. */
+typedef struct {
+    uint32_t count;
+    uint32_t deliveries;
+    uint64_t runners[RELAY_RUNNERS_MAX];
+    uint32_t runner_count;
+} line_counts_t;
+
 void line_split(line_t *line, const char *text);
 /* Returns the value of "name=value", or NULL. */
 const char *line_value(const line_t *line, const char *name);
@@ -34,6 +42,8 @@
 registration_t line_registration(const line_t *line, size_t word,
                                  char *address);
 const runner_report_t *line_report(const line_t *line);
+/* Reads NAME=COUNT:DELIVERIES[:RUNNER,...]; false: it is not stated. */
+bool line_counts(const line_t *line, const char *name, line_counts_t *counts);
 
 /* --- forwarding_print.c --- */
 
--- a/regress/partition_caller.c
+++ b/regress/partition_caller.c
@@ -3,6 +3,7 @@
  * became of their requests.
  */
 #include <stdio.h>
+#include <string.h>
 
 #include <check.h>
 
@@ -131,7 +132,9 @@
 
     switch (action->kind) {
     case FORWARD_ACTION_RELAY_RESPONSE:
-        end_try(hop, leg->status == CUT_STATUS_OK ? TRY_SERVED : TRY_FAILED);
+        /* A runner's error is a response of that runner. */
+        end_try(hop, leg->status < CUT_STATUS_UNAVAILABLE ? TRY_SERVED
+                                                          : TRY_FAILED);
         return;
     case FORWARD_ACTION_FINISH:
         end_try(hop, TRY_SERVED);
@@ -147,9 +150,22 @@
     }
 }
 
+static relay_usage_t
+copy_usage(cut_hop_t *hop, const relay_usage_t *usage)
+{
+    relay_usage_t copy = *usage;
+
+    if (usage->runner_count > 0) {
+        memcpy(hop->usage_runners, usage->runners,
+               usage->runner_count * sizeof(*usage->runners));
+    }
+    copy.runners = hop->usage_runners;
+    return copy;
+}
+
 /* To the host that relayed the request. */
 static void
-answer_host(const cut_hop_t *hop, const forward_action_t *action)
+answer_host(cut_hop_t *hop, const forward_action_t *action)
 {
     const refuse_action_t *refuse = &action->u.refuse;
     forward_event_t head = {.kind = FORWARD_RESPONSE_HEAD};
@@ -158,6 +174,7 @@
 
     head.u.head.authentic = true;
     head.u.head.status = CUT_STATUS_OK;
+    head.u.head.usage = copy_usage(hop, &action->usage);
     switch (action->kind) {
     case FORWARD_ACTION_RELAY_HEAD:
         cut_push_reply(CUT_ONE_WAY_MS, hop->parent, &head);
@@ -167,12 +184,14 @@
         cut_push_reply(CUT_ONE_WAY_MS, hop->parent, &head);
         break;
     case FORWARD_ACTION_REFUSE:
-        head.u.head = (forward_response_head_t){.status = refuse->status,
-                                                .not_run = refuse->not_run,
-                                                .refused_by_host = true,
-                                                .refusal = refuse->reason,
-                                                .retry_after_ms =
-                                                    refuse->retry_after_ms};
+        head.u.head = (forward_response_head_t){
+            .status = refuse->status,
+            .not_run = refuse->not_run,
+            .refused_by_host = true,
+            .refusal = refuse->reason,
+            .retry_after_ms = refuse->retry_after_ms,
+            .usage = head.u.head.usage,
+        };
         cut_push_reply(CUT_ONE_WAY_MS, hop->parent, &head);
         break;
     case FORWARD_ACTION_ABORT:
--- a/regress/partition_path.c
+++ b/regress/partition_path.c
@@ -89,6 +89,10 @@
     cut_sim.hops[hop].leg = index;
     if (send->host != NULL) {
         leg->host = find_host(send->host);
+        leg->grant = send->grant;
+        memcpy(leg->grant_runners, send->grant.runners,
+               send->grant.runner_count * sizeof(*leg->grant_runners));
+        leg->grant.runners = leg->grant_runners;
         note_relayed(&cut_sim.hops[hop], leg->host);
         cut_push(RELAY_MS, CUT_EVENT_REACH, index, 0);
         return;
@@ -187,7 +191,8 @@
                             .fingerprint = hop->caller,
                             .parts = &caller->session,
                             .part_count = 1,
-                            .relayed = true};
+                            .relayed = true,
+                            .grant = leg->grant};
     cut_deliver(leg->host, &event);
 }
 
@@ -242,14 +247,14 @@
 static bool
 probe_passes(size_t host, size_t runner)
 {
-    return cut_of_host(host) == NULL && cut_sim.runners[runner].up;
+    return cut_of_path(host, runner) == NULL && cut_sim.runners[runner].up;
 }
 
 void
 cut_probe(size_t host, const char *runner, uint32_t timeout_ms)
 {
     size_t index = find_runner(runner);
-    const cut_t *cut = cut_of_host(host);
+    const cut_t *cut = cut_of_path(host, index);
     int64_t delay_ms = RESET_MS;
 
     if (cut != NULL && (cut->kind == CUT_HANGS || cut->kind == CUT_ONE_WAY)) {
@@ -300,7 +305,7 @@
         cut_leg_t *leg = &cut_sim.legs[i];
 
         if (leg->runner == CUT_NONE || !leg->running ||
-            !cut->hosts[cut_sim.hops[leg->hop].host]) {
+            cut_of_leg(leg) != cut) {
             continue;
         }
         if (cut->kind != CUT_REFUSES_NEW) {
--- a/regress/partition_private.h
+++ b/regress/partition_private.h
@@ -26,6 +26,7 @@
     CUT_CONTACT_MS = 3000, /* from then on the users' bound holds */
     CUT_ONE_WAY_MS = 1,    /* between a host and a runner or host */
     CUT_STATUS_OK = 200,
+    CUT_STATUS_ERROR = 500, /* of a runner */
     CUT_STATUS_UNAVAILABLE = 503,
 };
 
@@ -110,6 +111,7 @@
     size_t parent; /* leg by which it was relayed; CUT_NONE: of a caller */
     size_t leg;    /* the last one */
     bool active;
+    uint64_t usage_runners[RELAY_RUNNERS_MAX];
 } cut_hop_t;
 
 /* An attempt of a host: at a runner, or relayed to another host. */
@@ -128,6 +130,8 @@
     uint32_t connect_ms;
     uint32_t deadline_ms;
     int64_t last_event_id;
+    relay_grant_t grant;
+    uint64_t grant_runners[RELAY_RUNNERS_MAX];
 } cut_leg_t;
 
 typedef enum {
@@ -165,6 +169,7 @@
     int64_t now_ms;
     int64_t version; /* of the routing table */
     uint32_t lost_percent;
+    uint32_t reached_percent; /* runners that are not cut off */
     int64_t crashes_ms[CUT_CRASHES_MAX];
     cut_host_t hosts[CUT_HOSTS_MAX];
     size_t host_count;
@@ -194,6 +199,8 @@
 uint64_t cut_draw(uint64_t below);
 /* Returns the cut that separates the host from the runners, or NULL. */
 cut_t *cut_of_host(size_t host);
+/* Returns the cut that separates it from this runner, or NULL. */
+cut_t *cut_of_path(size_t host, size_t runner);
 /* Delivers an event to a host and carries out its actions. */
 void cut_deliver(size_t host, const forward_event_t *event);
 
--- a/regress/partition_runner.c
+++ b/regress/partition_runner.c
@@ -9,13 +9,24 @@
     PLAIN_RANGE_MS = 16,
     EVENT_MS = 40,
     EVENTS = 75,
+    FAILED_RATIO = 8, /* one in so many plain runs ends in an error */
 };
 
+/* Drawn apart, so that the other draws of a seed stay as they are. */
+static bool
+run_fails(size_t leg)
+{
+    uint64_t hash = (uint64_t)leg * 0x9e3779b97f4a7c15U;
+
+    return (hash >> 33) % FAILED_RATIO == 0;
+}
+
 cut_t *
 cut_of_leg(const cut_leg_t *leg)
 {
-    return leg->runner != CUT_NONE ? cut_of_host(cut_sim.hops[leg->hop].host)
-                                   : NULL;
+    return leg->runner != CUT_NONE
+               ? cut_of_path(cut_sim.hops[leg->hop].host, leg->runner)
+               : NULL;
 }
 
 void
@@ -123,7 +134,11 @@
     }
     if (!leg->began) {
         leg->began = true;
-        cut_push_head(index, CUT_STATUS_OK, false);
+        cut_push_head(index,
+                      !cut_sim.runners[leg->runner].engine && run_fails(index)
+                          ? CUT_STATUS_ERROR
+                          : CUT_STATUS_OK,
+                      false);
     }
     if (cut_sim.runners[leg->runner].engine) {
         leg->last_event_id++;
--- a/regress/partition_sim.c
+++ b/regress/partition_sim.c
@@ -48,6 +48,17 @@
     return NULL;
 }
 
+/* Drawn apart, so that the other draws of a seed stay as they are. */
+cut_t *
+cut_of_path(size_t host, size_t runner)
+{
+    uint64_t hash = ((uint64_t)runner + 1) * 0x9e3779b97f4a7c15U;
+
+    return (hash >> 33) % CUT_PERCENT < cut_sim.reached_percent
+               ? NULL
+               : cut_of_host(host);
+}
+
 static void
 handle_action(size_t host, const forward_action_t *action)
 {
@@ -425,11 +436,12 @@
 }
 
 partition_result_t
-partition_simulate(uint64_t seed)
+partition_simulate(uint64_t seed, uint32_t reached_percent)
 {
     size_t i;
 
     cut_draw_all(seed);
+    cut_sim.reached_percent = reached_percent;
     for (i = 0; i < cut_sim.host_count; i++) {
         start_host(i);
     }
--- a/regress/partition_sim.h
+++ b/regress/partition_sim.h
@@ -60,6 +60,8 @@
     uint32_t refused_harmless;
 } partition_result_t;
 
-partition_result_t partition_simulate(uint64_t seed);
+/* reached_percent: of the runners, those to which hosts that are cut off still
+ * have a path. */
+partition_result_t partition_simulate(uint64_t seed, uint32_t reached_percent);
 
 #endif
