Keep in the store which version began each stream

After a power loss of all hosts no host remembers streams.

The store now has, for each service whose runners state versions, the versions at which streams may have begun, and the streams of each host by version while there are several. New streams go to recorded versions only, a second after they were recorded. A stream that nobody knows goes on if one version is recorded, and is refused at once if there are several. One host writes what is new of a service; the others follow in steps of 300 ms if it does not. A host that has just started does not record a new version for 5 s while the recorded one serves, so that callers can come back.

--- a/forward/forward.c
+++ b/forward/forward.c
@@ -39,6 +39,7 @@
     forward->zone = xstrdup(settings->zone);
     forward->random_state = settings->seed;
     forward->hosts = 1;
+    forward->records_due_us = INT64_MAX;
     forward->pool = pool_new();
     forward->host_pool = pool_new();
     TAILQ_INIT(&forward->silent_losses);
@@ -70,6 +71,7 @@
     }
     sharing_free(forward);
     versions_free(forward);
+    version_record_free(forward);
     suspicion_free(forward);
     routing_free(forward->routing);
     pool_free(forward->pool);
@@ -121,6 +123,12 @@
     case FORWARD_LIMITS:
         forward->settings.limits = event->u.limits;
         break;
+    case FORWARD_RECORD:
+        version_record_apply(forward, &event->u.record);
+        break;
+    case FORWARD_PUT_RESULT:
+        version_record_written(forward, &event->u.put);
+        break;
     case FORWARD_DRAIN:
         forward->draining_since_us = now_us;
         break;
@@ -128,6 +136,9 @@
         handle_request_event(forward, event);
         break;
     }
+    if (forward->records_changed || now_us >= forward->records_due_us) {
+        version_record_check(forward);
+    }
     if (forward->publish_due) {
         (void)action_new(forward, FORWARD_ACTION_PUBLISH, 0);
         forward->publish_due = false;
@@ -141,6 +152,9 @@
     const request_t *request;
     int64_t due_us = relay_due_us(forward);
 
+    if (forward->records_due_us < due_us) {
+        due_us = forward->records_due_us;
+    }
     for (request = forward->requests; request != NULL;
          request = request->hh.next) {
         int64_t at_us = request_due_us(request);
--- a/forward/forward.h
+++ b/forward/forward.h
@@ -72,6 +72,8 @@
     FORWARD_RUNNER_DEREGISTERED,
     FORWARD_REGISTRY_BEGIN,
     FORWARD_REGISTRY_END,
+    FORWARD_RECORD,
+    FORWARD_PUT_RESULT,
     FORWARD_STORE_CONTACT,
     FORWARD_HOST_COUNT,
     FORWARD_HOSTS,
@@ -206,6 +208,27 @@
     const placements_t *placements; /* NULL: the host has left */
 } forward_peer_report_t;
 
+/* A key of the store for which forward_is_record() holds, as it is there, or
+ * as it is to be written. */
+typedef struct {
+    const char *key;
+    const char *value; /* NULL: the key does not exist, or is to be removed */
+    int64_t revision;  /* of its last change; 0: it does not exist.  It is only
+                          written if it has this revision */
+} forward_record_t;
+
+typedef enum {
+    FORWARD_PUT_DONE,
+    FORWARD_PUT_CONFLICT, /* the key has another revision */
+    FORWARD_PUT_FAILED,   /* it is not known whether it was written */
+} forward_put_outcome_t;
+
+/* How FORWARD_ACTION_PUT_RECORD has ended. */
+typedef struct {
+    forward_put_outcome_t outcome;
+    forward_record_t record; /* as it is now; only the key if it has failed */
+} forward_put_result_t;
+
 /* Limits that may change while the process runs. */
 typedef struct {
     /* How long a routing table is used after it was last known to be
@@ -234,6 +257,8 @@
         routing_t *routing; /* forward_step() takes ownership */
         registration_t runner;
         const char *deregistered_id;
+        forward_record_t record;
+        forward_put_result_t put;
         int64_t contact_us; /* when the routing table was current */
         uint32_t hosts;     /* number of hosts that share the retry budgets */
         forward_hosts_t host_list;
@@ -256,6 +281,7 @@
     FORWARD_ACTION_LOG,
     FORWARD_ACTION_RECORD_RESUME,
     FORWARD_ACTION_RECORD_END,
+    FORWARD_ACTION_PUT_RECORD, /* write to the store */
     FORWARD_ACTION_PUBLISH, /* send forward_placements() to the other hosts */
 } forward_action_kind_t;
 
@@ -341,6 +367,7 @@
         request_record_t ended;
         copy_action_t copy;
         free_copy_action_t drop_copy;
+        forward_record_t record;
         struct {
             const char *runner;
             const char *address;
@@ -399,6 +426,11 @@
 void forward_placements(forward_t *forward, arena_t *arena,
                         placements_t *placements);
 
+/* Returns whether the key of the store is one of FORWARD_RECORD, or one that
+ * only hosts without reports of the others need. */
+bool forward_is_record(const char *key);
+bool forward_is_stream_record(const char *key);
+
 /* Returns the number of requests in progress. */
 size_t forward_request_count(const forward_t *forward);
 
--- a/forward/pool.c
+++ b/forward/pool.c
@@ -207,21 +207,43 @@
     return pool->runners;
 }
 
-bool
-pool_has_versions(const pool_t *pool, int64_t now_us, const char *service)
+uint32_t
+pool_list_versions(const pool_t *pool, int64_t now_us, const char *service,
+                   bool usable, uint64_t *versions)
 {
     const pool_runner_t *runner;
-    uint64_t version = 0;
+    uint32_t count = 0;
+    uint32_t i;
 
-    for (runner = pool->runners; runner != NULL; runner = runner->hh.next) {
-        if (strcmp(runner->registration.service, service) != 0 ||
-            !pool_runner_usable(runner, now_us)) {
+    for (runner = pool->runners; runner != NULL && count < POOL_VERSIONS_MAX;
+         runner = runner->hh.next) {
+        bool chosen = usable ? pool_runner_usable(runner, now_us)
+                             : runner->expires_at_us == 0 ||
+                                   now_us < runner->expires_at_us;
+
+        if (!chosen || strcmp(runner->registration.service, service) != 0) {
             continue;
         }
-        if (version != 0 && runner->version != version) {
+        for (i = 0; i < count && versions[i] != runner->version; i++) {
+        }
+        if (i == count) {
+            versions[count] = runner->version;
+            count++;
+        }
+    }
+    return count;
+}
+
+bool
+pool_states_version(const pool_t *pool, const char *service)
+{
+    const pool_runner_t *runner;
+
+    for (runner = pool->runners; runner != NULL; runner = runner->hh.next) {
+        if (runner->registration.version[0] != '\0' &&
+            strcmp(runner->registration.service, service) == 0) {
             return true;
         }
-        version = runner->version;
     }
     return false;
 }
--- a/forward/pool.h
+++ b/forward/pool.h
@@ -20,7 +20,7 @@
 
 #include "world/registration.h"
 
-enum { POOL_TRIED_MAX = 12 };
+enum { POOL_TRIED_MAX = 12, POOL_VERSIONS_MAX = 8 };
 
 typedef struct pool pool_t;
 typedef struct pool_zone pool_zone_t;
@@ -63,6 +63,8 @@
     const char *zone;                 /* preferred zone; or NULL */
     const pool_zone_t *excluded_zone; /* excluded zone; or NULL */
     uint64_t version;                 /* of its software; 0: any */
+    const uint64_t *versions;         /* of its software, one of these ... */
+    uint32_t version_count;           /* ... unless there are none */
     uint64_t affinity;                /* breaks ties between equal runners */
     uint64_t cached_runner; /* id_hash of the runner that has the prompt
                            in its cache; 0: none */
@@ -123,10 +125,15 @@
 /* Returns the first runner; the others follow through hh.next. */
 const pool_runner_t *pool_first_runner(const pool_t *pool);
 
-/* Returns whether runners of several versions may be chosen for the service.
+/* Lists the versions of the service's runners: of those that may be chosen,
+ * or of all that are registered.  versions has room for POOL_VERSIONS_MAX. */
+uint32_t pool_list_versions(const pool_t *pool, int64_t now_us,
+                            const char *service, bool usable,
+                            uint64_t *versions);
+
+/* Returns whether a runner of the service states the version of its software.
  */
-bool pool_has_versions(const pool_t *pool, int64_t now_us,
-                       const char *service);
+bool pool_states_version(const pool_t *pool, const char *service);
 
 /* Returns true if new requests may be sent to the runner. */
 bool pool_runner_usable(const pool_runner_t *runner, int64_t now_us);
--- a/forward/pool_choose.c
+++ b/forward/pool_choose.c
@@ -33,6 +33,8 @@
     uint64_t tie_break;
 } score_t;
 
+static bool has_version(const pool_runner_t *runner,
+                        const pool_query_t *query);
 static bool was_tried(const pool_runner_t *runner, const pool_query_t *query);
 static score_t score_of(const pool_runner_t *runner, int64_t now_us,
                         const pool_query_t *query);
@@ -53,7 +55,7 @@
 
         if (strcmp(runner->registration.service, query->service) != 0 ||
             !pool_runner_usable(runner, now_us) || was_tried(runner, query) ||
-            (query->version != 0 && runner->version != query->version) ||
+            !has_version(runner, query) ||
             (query->excluded_zone != NULL &&
              runner->zone == query->excluded_zone)) {
             continue;
@@ -67,6 +69,22 @@
     return best;
 }
 
+static bool
+has_version(const pool_runner_t *runner, const pool_query_t *query)
+{
+    uint32_t i;
+
+    if (query->version != 0) {
+        return runner->version == query->version;
+    }
+    for (i = 0; i < query->version_count; i++) {
+        if (runner->version == query->versions[i]) {
+            return true;
+        }
+    }
+    return query->version_count == 0;
+}
+
 static bool
 was_tried(const pool_runner_t *runner, const pool_query_t *query)
 {
--- a/forward/private.h
+++ b/forward/private.h
@@ -16,6 +16,7 @@
 
 #include <uthash.h>
 
+#include "base/text.h"
 #include "forward/crashes.h"
 #include "forward/forward.h"
 #include "forward/pool.h"
@@ -27,6 +28,7 @@
     PATH_LOST_MAX = 4,
     HOSTS_EXCLUDED_MAX = 512,
     RELAYED_TO_MAX = 4,
+    VERSIONS_RECORDED_MAX = POOL_VERSIONS_MAX,
 };
 
 /* One send of a request to a runner. */
@@ -135,13 +137,43 @@
     uint32_t connections; /* since the last loss, while it is isolated */
 } path_state_t;
 
+/* The versions at which streams of a service may have begun, as the store has
+ * them. */
+typedef struct {
+    char *service;
+    uint64_t versions[VERSIONS_RECORDED_MAX];
+    int64_t seen_us[VERSIONS_RECORDED_MAX]; /* a runner of it was registered */
+    int64_t usable_from_us[VERSIONS_RECORDED_MAX]; /* by new streams */
+    uint32_t count;
+    int64_t revision;    /* of the key; 0: it does not exist */
+    bool listed;         /* in the full list that is being read */
+    bool wanted;         /* it lacks a change */
+    int64_t wanted_us;   /* since when */
+    int64_t retry_at_us; /* after a failed write */
+    int64_t due_us;      /* when this host writes that change */
+    bool pending;        /* it is being written */
+    uint32_t failures;   /* consecutive */
+    UT_hash_handle hh;
+} version_record_t;
+
+/* The streams of this host in the store. */
+typedef struct {
+    int64_t revision; /* of the key; 0: it does not exist */
+    bool listed;      /* in the full list that is being read */
+    bool dirty;
+    bool pending;
+    int64_t put_us; /* time of the last write; 0: none */
+    int64_t due_us;
+    uint32_t failures; /* consecutive */
+} streams_record_t;
+
 /* This host's use of a service's retry budget, the versions it saw, and its
  * paths. */
 typedef struct {
     char *service;
     retry_budget_t budget;
-    int64_t versions_us; /* when runners of several versions of it were seen
-                            last; INT64_MIN: never */
+    int64_t versions_us; /* when several versions of it were recorded last;
+                            INT64_MIN: never */
     path_state_t path;
     UT_hash_handle hh;
 } service_budget_t;
@@ -190,6 +222,7 @@
 typedef struct {
     uint64_t stream;
     uint64_t version;
+    bool own; /* this host began it, and it has not ended as complete */
     int64_t expiry_us;
     UT_hash_handle hh;
 } stream_version_t;
@@ -211,9 +244,14 @@
                                           streams were counted last */
     session_t *sessions;               /* by session */
     stream_version_t *stream_versions; /* by stream, sorted by expiry */
-    bool list_in_progress; /* the full list of runners is being read */
-    bool publish_due;      /* placements are sent after this step */
-    request_t *requests;   /* by number */
+    version_record_t *version_records; /* by service */
+    streams_record_t streams_record;
+    bool records_known;     /* the store was read */
+    bool records_changed;   /* they are checked at the end of the step */
+    int64_t records_due_us; /* when they are checked next */
+    bool list_in_progress;  /* the full list of runners is being read */
+    bool publish_due;       /* placements are sent after this step */
+    request_t *requests;    /* by number */
     service_budget_t *budgets;
     crashes_t *crashes;                      /* under requests */
     TAILQ_HEAD(, silent_loss) silent_losses; /* oldest first */
@@ -412,18 +450,46 @@
 
 /* Records the version that began the stream of a request. */
 void versions_begin_stream(forward_t *forward, request_t *request);
-/* Records the version that began a stream of any host. */
-void versions_record(forward_t *forward, uint64_t stream, uint64_t version);
-/* Records that runners of several versions of a service may be chosen now, if
- * so, or that another host has seen some. */
-void versions_check_service(forward_t *forward, const char *service);
+/* Records that the stream of a request has ended as complete. */
+void versions_end_stream(forward_t *forward, const request_t *request);
+/* Records the version that began a stream of any host; own: of this one. */
+void versions_record(forward_t *forward, uint64_t stream, uint64_t version,
+                     bool own);
+/* Records that another host knows several versions to be recorded. */
 void versions_merge_seen(forward_t *forward, const budget_use_t *use);
 /* Sets the version with which a caller's request goes on.  Returns false if it
  * is unknown and makes a difference. */
 bool versions_find(forward_t *forward, request_t *request);
+/* Appends the streams of this host that may be taken up again, the newest
+ * ones; returns their number. */
+size_t versions_write_own(const forward_t *forward, text_t *text, size_t max);
 void versions_expire(forward_t *forward);
 void versions_free(forward_t *forward);
 
+/* --- version_record.c --- */
+
+/* Bracket a full read of the store. */
+void version_record_list_begin(forward_t *forward);
+void version_record_list_end(forward_t *forward);
+void version_record_apply(forward_t *forward, const forward_record_t *record);
+void version_record_written(forward_t *forward,
+                            const forward_put_result_t *result);
+/* Makes the versions of a service's runners be recorded. */
+void version_record_add_service(forward_t *forward, const char *service);
+/* Records that a stream of this host has begun. */
+void version_record_stream_begun(forward_t *forward);
+/* Writes what is due. */
+void version_record_check(forward_t *forward);
+void version_record_free(forward_t *forward);
+/* Lists the recorded versions that have runners for new streams; 0: any may be
+ * used.  versions has room for VERSIONS_RECORDED_MAX. */
+uint32_t version_record_list_usable(const forward_t *forward,
+                                    const char *service, uint64_t *versions);
+/* Sets *version to the one that has begun all streams of the service, 0 if its
+ * runners state no version.  Returns false if that is not known. */
+bool version_record_find_only(const forward_t *forward, const char *service,
+                              uint64_t *version);
+
 /* --- notes.c --- */
 
 /* Queues the finding for all other hosts. */
--- a/forward/recover.c
+++ b/forward/recover.c
@@ -272,6 +272,7 @@
     }
     if (attempt->relaying) {
         action_new(forward, FORWARD_ACTION_FINISH, request->number);
+        versions_end_stream(forward, request);
         emit_request_end(forward, request, "served", "whole", attempt->status);
         attempt_end(forward, request, false);
         request_delete(forward, request);
--- a/forward/registry.c
+++ b/forward/registry.c
@@ -23,10 +23,12 @@
     case FORWARD_REGISTRY_BEGIN:
         forward->list_in_progress = true;
         pool_list_begin(forward->pool);
+        version_record_list_begin(forward);
         return;
     case FORWARD_REGISTRY_END:
         forward->list_in_progress = false;
         pool_list_end(forward->pool, expiry_us(forward));
+        version_record_list_end(forward);
         break;
     default:
         return;
@@ -49,7 +51,8 @@
         pool_update_runner(forward->pool, forward->now_us, entry);
 
     if (change != RUNNER_UNCHANGED) {
-        versions_check_service(forward, entry->service);
+        version_record_add_service(forward, entry->service);
+        forward->records_changed = true;
     }
     if (change != RUNNER_UNCHANGED && !forward->list_in_progress) {
         emit_log(forward, LOG_INFO, "runner",
@@ -66,6 +69,7 @@
     const pool_runner_t *runner =
         pool_remove_runner(forward->pool, id, expires_at_us);
 
+    forward->records_changed = true;
     if (runner != NULL) {
         emit_log(forward, LOG_INFO, "runner",
                  "runner=%s state=gone service=%s zone=%s after_ms=%lld", id,
--- a/forward/relay.c
+++ b/forward/relay.c
@@ -64,6 +64,7 @@
         (void)pool_update_runner(forward->host_pool, forward->now_us, &entry);
     }
     pool_list_end(forward->host_pool, forward->now_us);
+    forward->records_changed = true;
 }
 
 void
--- a/forward/send.c
+++ b/forward/send.c
@@ -92,6 +92,7 @@
 choose_runner(const forward_t *forward, const request_t *request)
 {
     bool stream = request->type == REQUEST_STREAM;
+    uint64_t versions[VERSIONS_RECORDED_MAX];
     pool_query_t query = {
         .kind = stream ? WORKLOAD_STREAM : WORKLOAD_PLAIN,
         .service = request->service,
@@ -104,6 +105,11 @@
         .tried_count = request->tried_count,
     };
 
+    if (stream && request->resumable && request->version == 0) {
+        query.versions = versions;
+        query.version_count =
+            version_record_list_usable(forward, request->service, versions);
+    }
     /* With all of them unreachable, the next one is likely to be so, too. */
     if (request->tried_count == POOL_TRIED_MAX) {
         return NULL;
--- a/forward/sharing.c
+++ b/forward/sharing.c
@@ -73,7 +73,7 @@
         record_session(forward, view->placements[i].session,
                        view->placements[i].runner);
         versions_record(forward, view->placements[i].stream,
-                        view->placements[i].software);
+                        view->placements[i].software, false);
     }
     add_streams(forward, view);
     view->budget_count = peer->placements->budgets.budgets_len;
--- a/forward/versions.c
+++ b/forward/versions.c
@@ -4,8 +4,9 @@
  * What two versions write does not fit together, so a stream goes on only at
  * the version that began it.  A caller that takes up a stream may come to any
  * host, after the loss of its own; so each host keeps the versions of all
- * hosts' streams for some time.
+ * hosts' streams for some time, and version_record.c keeps them in the store.
  */
+#include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -20,6 +21,10 @@
 /* Reports of a stream within this time do not extend its entry. */
 #define REFRESH_US ((int64_t)10000000)
 
+static bool is_first_of_version(const stream_version_t *first,
+                                const stream_version_t *entry);
+static void write_version(text_t *text, const stream_version_t *entry);
+
 static void
 remove_oldest(forward_t *forward)
 {
@@ -35,12 +40,27 @@
     if (request->version == 0) {
         request->version = request->attempt.version;
     }
-    versions_record(forward, request->stream, request->version);
+    versions_record(forward, request->stream, request->version,
+                    !request->attempt.relayed);
+    version_record_stream_begun(forward);
+}
+
+void
+versions_end_stream(forward_t *forward, const request_t *request)
+{
+    stream_version_t *entry;
+
+    HASH_FIND(hh, forward->stream_versions, &request->stream,
+              sizeof(request->stream), entry);
+    if (entry != NULL) {
+        entry->own = false;
+    }
 }
 
 /* The first version that is recorded stays. */
 void
-versions_record(forward_t *forward, uint64_t stream, uint64_t version)
+versions_record(forward_t *forward, uint64_t stream, uint64_t version,
+                bool own)
 {
     stream_version_t *entry;
 
@@ -48,6 +68,9 @@
         return;
     }
     HASH_FIND(hh, forward->stream_versions, &stream, sizeof(stream), entry);
+    if (entry != NULL) {
+        entry->own = entry->own || own;
+    }
     if (entry != NULL &&
         entry->expiry_us - forward->now_us > STREAM_TTL_US - REFRESH_US) {
         return;
@@ -63,25 +86,21 @@
         entry = xcalloc(1, sizeof(*entry));
         entry->stream = stream;
         entry->version = version;
+        entry->own = own;
     }
     entry->expiry_us = forward->now_us + STREAM_TTL_US;
     HASH_ADD(hh, forward->stream_versions, stream, sizeof(entry->stream),
              entry);
 }
 
-/* Whether the reports of all other hosts have come since this one started. */
-static bool
-has_heard_peers(const forward_t *forward)
-{
-    return forward->hosts <= 1 || forward->now_us - forward->started_us >=
-                                      sharing_timeout_us(forward);
-}
-
+/* Where several versions are recorded, or were until a short time ago, a
+ * stream that no host knows may be of any of them. */
 bool
 versions_find(forward_t *forward, request_t *request)
 {
     const service_budget_t *service;
     stream_version_t *entry;
+    uint64_t version;
 
     if (request->type != REQUEST_STREAM || request->last_event_id < 0 ||
         request->version != 0) {
@@ -93,19 +112,65 @@
         request->version = entry->version;
         return true;
     }
-    versions_check_service(forward, request->service);
     service = find_or_add_service(forward, request->service);
-    return has_heard_peers(forward) &&
-           (service->versions_us == INT64_MIN ||
-            forward->now_us - service->versions_us >= STREAM_TTL_US);
+    if (!version_record_find_only(forward, request->service, &version) ||
+        (version != 0 && service->versions_us != INT64_MIN &&
+         forward->now_us - service->versions_us < STREAM_TTL_US)) {
+        return false;
+    }
+    request->version = version;
+    return true;
 }
 
-void
-versions_check_service(forward_t *forward, const char *service)
+size_t
+versions_write_own(const forward_t *forward, text_t *text, size_t max)
+{
+    const stream_version_t *entry;
+    const stream_version_t *first;
+    size_t count = 0;
+
+    for (entry = forward->stream_versions; entry != NULL;
+         entry = entry->hh.next) {
+        count += entry->own ? 1 : 0;
+    }
+    for (first = forward->stream_versions; first != NULL && count > max;
+         first = first->hh.next) {
+        count -= first->own ? 1 : 0;
+    }
+    for (entry = first; entry != NULL; entry = entry->hh.next) {
+        if (entry->own && is_first_of_version(first, entry)) {
+            write_version(text, entry);
+        }
+    }
+    return count;
+}
+
+/* Whether no stream of the version stands before this one. */
+static bool
+is_first_of_version(const stream_version_t *first,
+                    const stream_version_t *entry)
 {
-    if (pool_has_versions(forward->pool, forward->now_us, service)) {
-        find_or_add_service(forward, service)->versions_us = forward->now_us;
+    for (; first != entry; first = first->hh.next) {
+        if (first->own && first->version == entry->version) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/* Appends a line of the version and its streams from this one on. */
+static void
+write_version(text_t *text, const stream_version_t *entry)
+{
+    uint64_t version = entry->version;
+
+    text_printf(text, "%" PRIx64, version);
+    for (; entry != NULL; entry = entry->hh.next) {
+        if (entry->own && entry->version == version) {
+            text_printf(text, " %" PRIx64, entry->stream);
+        }
     }
+    text_puts(text, "\n");
 }
 
 /* A host that has just started may not have seen the other version. */
--- a/gateway/forwarding.c
+++ b/gateway/forwarding.c
@@ -212,6 +212,9 @@
     case FORWARD_ACTION_FREE_COPY:
         runner_call_free_copy(gateway->runner_calls, &action->u.drop_copy);
         return;
+    case FORWARD_ACTION_PUT_RECORD:
+        records_put(gateway->records, &action->u.record);
+        return;
     case FORWARD_ACTION_PUBLISH:
         peering_schedule_broadcast(gateway->peering);
         return;
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -39,6 +39,7 @@
     gateway->peering = peering_new(gateway);
     gateway->mirror = mirror_new();
     gateway->relay = store_relay_new(gateway);
+    gateway->records = records_new(gateway);
     return 0;
 }
 
@@ -120,6 +121,7 @@
     presence_free(gateway->presence);
     peering_free(gateway->peering);
     store_relay_free(gateway->relay);
+    records_free(gateway->records);
     watcher_free(gateway->watcher);
     upstreams_free(gateway->upstreams);
     runner_calls_free(gateway->runner_calls);
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -34,6 +34,7 @@
 typedef struct store_relay store_relay_t;
 typedef struct peering peering_t;
 typedef struct forwarding forwarding_t;
+typedef struct records records_t;
 
 typedef struct gateway {
     uv_loop_t *loop;
@@ -53,6 +54,7 @@
     store_relay_t *relay;
     meters_t *meters;
     presence_t *presence;
+    records_t *records;
 } gateway_t;
 
 /* --- gateway.c: opens, starts, drains and closes all modules --- */
@@ -204,6 +206,13 @@
 void runner_call_free_copy(runner_calls_t *runner_calls,
                            const free_copy_action_t *drop);
 
+/* --- records.c: writes records to the store --- */
+
+records_t *records_new(gateway_t *gateway);
+void records_free(records_t *records);
+/* Writes or removes a key; raises FORWARD_PUT_RESULT when done. */
+void records_put(records_t *records, const forward_record_t *record);
+
 /* --- store_relay.c: sends changes of the store to hosts that poll --- */
 
 store_relay_t *store_relay_new(gateway_t *gateway);
--- a/gateway/meters.c
+++ b/gateway/meters.c
@@ -1,5 +1,6 @@
 /* meters.c - the metrics of the gateway: counters, gauges and histograms. */
 #include <stdlib.h>
+#include <string.h>
 
 #include "base/arena.h"
 #include "base/log.h"
@@ -18,6 +19,8 @@
     metric_family_t *relays;
     metric_family_t *probes;
     metric_family_t *copies;
+    metric_family_t *records;
+    metric_family_t *record_bytes;
     metric_family_t *routing_age;
     metric_family_t *log_lines_dropped;
 };
@@ -26,6 +29,7 @@
                                       const char *help, const char *label);
 static const char *request_type_name(request_type_t type);
 static void count_relay(meters_t *meters, const char *direction);
+static void count_record(meters_t *meters, const forward_record_t *record);
 
 meters_t *
 meters_new(void)
@@ -66,6 +70,17 @@
         set, &(metric_spec_t){.kind = METRIC_COUNTER,
                               .name = "agatevale_copies_total",
                               .help = "Copies of memory asked for."});
+    meters->records = metric_family_new(
+        set, &(metric_spec_t){.kind = METRIC_COUNTER,
+                              .name = "agatevale_records_written_total",
+                              .help = "Records of versions and streams "
+                                      "written to the store.",
+                              .labels = {"kind"}});
+    meters->record_bytes = metric_family_new(
+        set, &(metric_spec_t){.kind = METRIC_COUNTER,
+                              .name = "agatevale_record_bytes_total",
+                              .help = "Bytes of these records.",
+                              .labels = {"kind"}});
     meters->routing_age = metric_family_new(
         set, &(metric_spec_t){.kind = METRIC_GAUGE,
                               .name = "agatevale_routing_age_seconds",
@@ -111,6 +126,9 @@
     case FORWARD_ACTION_COPY:
         metric_add(metric_series(meters->copies, NULL), 1);
         return;
+    case FORWARD_ACTION_PUT_RECORD:
+        count_record(meters, &action->u.record);
+        return;
     case FORWARD_ACTION_RECORD_RESUME:
         metric_observe(
             metric_series(
@@ -140,6 +158,19 @@
     }
 }
 
+static void
+count_record(meters_t *meters, const forward_record_t *record)
+{
+    const char *const labels[] = {
+        forward_is_stream_record(record->key) ? "streams" : "versions"};
+
+    metric_add(metric_series(meters->records, labels), 1);
+    if (record->value != NULL) {
+        metric_add(metric_series(meters->record_bytes, labels),
+                   (double)strlen(record->value));
+    }
+}
+
 void
 meters_count_relay_received(meters_t *meters)
 {
--- a/gateway/store_view.c
+++ b/gateway/store_view.c
@@ -8,6 +8,7 @@
 static void raise_event(gateway_t *gateway, forward_event_kind_t kind);
 static void apply_routing(gateway_t *gateway, const kv_pair_t *pair);
 static void apply_runner(gateway_t *gateway, const kv_pair_t *pair);
+static void apply_record(gateway_t *gateway, const kv_pair_t *pair);
 static bool starts_with(const char *text, const char *prefix);
 
 /* Keys that are known but absent from the list have been removed. */
@@ -39,7 +40,9 @@
     const dialect_ops_t *dialect = gateway->dialect->ops;
     bool removed = pair->create_revision == 0;
 
-    mirror_apply(gateway->mirror, pair);
+    if (!forward_is_stream_record(pair->key)) {
+        mirror_apply(gateway->mirror, pair);
+    }
     if (strcmp(pair->key, dialect->routing_key) == 0) {
         if (!removed) {
             apply_routing(gateway, pair);
@@ -52,6 +55,9 @@
         directory_update(gateway->directory, pair->key,
                          removed ? NULL : pair->value, pair->value_bytes);
     }
+    else if (forward_is_record(pair->key)) {
+        apply_record(gateway, pair);
+    }
     else if (strcmp(pair->key, peering_key_name()) == 0 && !removed) {
         peering_set_key(gateway->peering, pair->value, pair->value_bytes);
     }
@@ -109,6 +115,24 @@
     arena_free(&arena);
 }
 
+static void
+apply_record(gateway_t *gateway, const kv_pair_t *pair)
+{
+    arena_t arena = {0};
+    bool removed = pair->create_revision == 0;
+    forward_event_t event = {.kind = FORWARD_RECORD};
+
+    event.u.record = (forward_record_t){
+        .key = pair->key,
+        .value = removed
+                     ? NULL
+                     : arena_strndup(&arena, pair->value, pair->value_bytes),
+        .revision = removed ? 0 : pair->mod_revision,
+    };
+    forwarding_handle_event(gateway, &event);
+    arena_free(&arena);
+}
+
 static bool
 starts_with(const char *text, const char *prefix)
 {
--- a/regress/forwarding.c
+++ b/regress/forwarding.c
@@ -91,6 +91,10 @@
     if (do_registry(forward, at_ms, &line)) {
         return actions_printed();
     }
+    if (line_record(&line, &event)) {
+        step(forward, at_ms, &event, true);
+        return actions_printed();
+    }
     if (strcmp(line.words[0], "request") == 0) {
         event = request_of(&line);
     }
@@ -449,6 +453,9 @@
     event.kind = FORWARD_REGISTRY_BEGIN;
     step(forward, at_ms, &event, true);
     for (i = 1; i < line->count; i++) {
+        if (strchr(line->words[i], '=') != NULL) {
+            continue;
+        }
         event.kind = FORWARD_RUNNER_REGISTERED;
         event.u.runner = line_registration(line, i, address);
         step(forward, at_ms, &event, true);
--- a/regress/forwarding.h
+++ b/regress/forwarding.h
@@ -27,7 +27,7 @@
  *   runner RUNNER [draining] [born=MS] [as=ID] [version=V]
  *                             as: another id, its address
  *   drop RUNNER
- *   list RUNNER...            the whole registry
+ *   list RUNNER... [version=V]  the whole registry, without records
  *   routing VERSION           the table of forwarding_routing()
  *   contact                   the table is in force now
  *   hosts N
@@ -39,6 +39,10 @@
  *                             store; number: of its message, else the time;
  *                             use: of the engines' retry budget; moved: its
  *                             first note says that RUNNER has moved
+ *   record versions/SERVICE|streams/HOST rev=N [VERSION[:REQUEST,...]]...
+ *                             what the store has; rev: revision of the key
+ *   written KEY ok|conflict|failed rev=N [VERSION[:REQUEST,...]]...
+ *                             how a write of a record has ended
  *   revoke MS                 the settings' limit has changed to this
  *   drain
  *   timer
--- a/regress/forwarding_print.c
+++ b/regress/forwarding_print.c
@@ -98,6 +98,13 @@
         action->kind == FORWARD_ACTION_RECORD_END) {
         return;
     }
+    if (action->kind == FORWARD_ACTION_PUT_RECORD) {
+        (void)snprintf(at, room, "%s", used > 0 ? "; " : "");
+        used = strlen(printed);
+        record_print(&action->u.record, printed + used,
+                     sizeof(printed) - used);
+        return;
+    }
     used += (size_t)snprintf(at, room, "%s%s %" PRIu64, used > 0 ? "; " : "",
                              words[action->kind], action->number);
     at = printed + used;
--- a/regress/forwarding_private.h
+++ b/regress/forwarding_private.h
@@ -45,6 +45,13 @@
 /* Reads NAME=COUNT:DELIVERIES[:RUNNER,...]; false: it is not stated. */
 bool line_counts(const line_t *line, const char *name, line_counts_t *counts);
 
+/* --- forwarding_record.c --- */
+
+/* Reads an event about a record of the store; false: it is another one. */
+bool line_record(const line_t *line, forward_event_t *event);
+/* Prints what is to be written. */
+void record_print(const forward_record_t *record, char *text, size_t room);
+
 /* --- forwarding_print.c --- */
 
 void actions_clear(void);
--- a/regress/test_versions_fleet.c
+++ b/regress/test_versions_fleet.c
@@ -20,7 +20,7 @@
 
 START_TEST(test_stream_does_not_go_on_at_another_version)
 {
-    version_result_t result = version_simulate((uint64_t)_i);
+    version_result_t result = version_simulate((uint64_t)_i, false);
 
     if (getenv("VERBOSE") != NULL) {
         printf("seed %d: hosts %u engines %u mixed %u begun %u of %u, went on "
@@ -40,6 +40,29 @@
 }
 END_TEST
 
+/* What the store could not be told is refused, and no more. */
+START_TEST(test_stream_is_lost_or_mixed_after_a_power_loss)
+{
+    version_result_t result = version_simulate((uint64_t)_i, true);
+
+    if (getenv("VERBOSE") != NULL) {
+        printf("seed %d: store %s hosts %u engines %u mixed %u begun %u of "
+               "%u, went on %u of %u, writes %u\n",
+               _i, result.store, result.hosts, result.engines, result.mixed,
+               result.begun, result.streams, result.went_on, result.resumed,
+               result.writes);
+    }
+    ck_assert_msg(result.mixed == 0, "seed %d: %u streams of two versions", _i,
+                  result.mixed);
+    ck_assert_msg(!result.store_well || result.resumed < RESUMED_MIN ||
+                      2 * (uint64_t)result.went_on * result.streams >=
+                          (uint64_t)result.begun * result.resumed,
+                  "seed %d: %u of %u resumed streams go on, %u of %u begin",
+                  _i, result.went_on, result.resumed, result.begun,
+                  result.streams);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -47,5 +70,7 @@
 
     tcase_add_loop_test(tcase, test_stream_does_not_go_on_at_another_version,
                         1, SEEDS + 1);
+    tcase_add_loop_test(tcase, test_stream_is_lost_or_mixed_after_a_power_loss,
+                        1, SEEDS + 1);
     return fixture_main("versions_fleet", tcase);
 }
--- a/regress/version_private.h
+++ b/regress/version_private.h
@@ -28,6 +28,9 @@
     PERCENT = 100,
     US_PER_MS = 1000,
     START_MS = 3600000,
+    RECORD_KEY_BYTES = 64,
+    STORED_MAX = 96,
+    TRANSFERS_MAX = 4096,
 };
 
 typedef struct {
@@ -36,6 +39,7 @@
     uint64_t reports;
     bool report_due;
     int64_t start_ms;
+    bool down;
 } host_t;
 
 typedef struct {
@@ -65,6 +69,24 @@
     bool counted; /* among those that are taken up */
 } stream_t;
 
+/* A record of the store. */
+typedef struct {
+    char key[RECORD_KEY_BYTES];
+    char *value; /* NULL: the key does not exist */
+    int64_t revision;
+} stored_t;
+
+/* A write on its way to the store, or a change to the hosts. */
+typedef struct {
+    int64_t at_ms; /* 0: free */
+    bool change;
+    size_t host; /* that writes */
+    uint64_t incarnation;
+    stored_t record;
+} transfer_t;
+
+typedef enum { STORE_WELL, STORE_SLOW, STORE_AWAY, STORE_STATES } store_t;
+
 typedef struct {
     uint64_t rng_state;
     int64_t now_ms;
@@ -85,6 +107,32 @@
     uint32_t begun;
     uint32_t resumed;
     uint32_t went_on;
+    bool power_loss;
+    int64_t power_at_ms;
+    int64_t power_ms;
+    store_t store;
+    int64_t store_from_ms;
+    int64_t store_to_ms;
+    int64_t revision;
+    uint32_t writes;
+    stored_t stored[STORED_MAX];
+    size_t stored_count;
+    transfer_t transfers[TRANSFERS_MAX];
 } version_state_t;
 
+/* --- version_store.c --- */
+
+/* Reads all records at the start of a host. */
+void version_store_read(version_state_t *sim, size_t host);
+void version_store_put(version_state_t *sim, size_t host,
+                       const forward_record_t *record);
+/* Delivers what has arrived by now. */
+void version_store_run(version_state_t *sim);
+void version_store_free(version_state_t *sim);
+
+/* --- version_sim.c --- */
+
+/* Delivers an event to a host and carries out its actions. */
+void version_deliver(size_t host, const forward_event_t *event);
+
 #endif
--- a/regress/version_sim.c
+++ b/regress/version_sim.c
@@ -21,8 +21,6 @@
     return sim_draw(&sim.rng_state, below);
 }
 
-static void deliver(size_t host, const forward_event_t *event);
-
 /* The last try that is given up was not taken up again. */
 static void
 leave(stream_t *stream)
@@ -59,6 +57,11 @@
     case FORWARD_ACTION_ABORT:
         leave(stream);
         return;
+    case FORWARD_ACTION_PUT_RECORD:
+        if (sim.power_loss) {
+            version_store_put(&sim, host, &action->u.record);
+        }
+        return;
     case FORWARD_ACTION_PUBLISH:
         sim.hosts[host].report_due = true;
         return;
@@ -67,12 +70,15 @@
     }
 }
 
-static void
-deliver(size_t host, const forward_event_t *event)
+void
+version_deliver(size_t host, const forward_event_t *event)
 {
     forward_actions_t actions = {0};
     size_t i;
 
+    if (sim.hosts[host].down) {
+        return;
+    }
     forward_step(sim.hosts[host].forward, sim.now_ms * US_PER_MS, event,
                  &actions);
     for (i = 0; i < actions.count; i++) {
@@ -94,7 +100,7 @@
         .version = sim.engines[engine].version == 1 ? "v1" : "v2",
         .slots = 32,
         .started_ms = sim.engines[engine].started_ms};
-    deliver(host, &event);
+    version_deliver(host, &event);
 }
 
 static void
@@ -109,19 +115,28 @@
                                .incarnation = sim.hosts[host].incarnation + 1,
                                .start_ms = sim.now_ms};
     event.u.routing = forwarding_routing(1);
-    deliver(host, &event);
+    version_deliver(host, &event);
     event = (forward_event_t){.kind = FORWARD_HOST_COUNT,
                               .u.hosts = (uint32_t)sim.host_count};
-    deliver(host, &event);
+    version_deliver(host, &event);
+    if (sim.power_loss) {
+        event.kind = FORWARD_REGISTRY_BEGIN;
+        version_deliver(host, &event);
+    }
     for (i = 0; i < sim.engine_count; i++) {
         if (sim.engines[i].down_until_ms == 0) {
             register_engine(host, i);
         }
     }
+    if (sim.power_loss) {
+        version_store_read(&sim, host);
+        event.kind = FORWARD_REGISTRY_END;
+        version_deliver(host, &event);
+    }
 }
 
 static void
-kill_host(size_t host)
+end_host(size_t host)
 {
     size_t i;
 
@@ -131,7 +146,23 @@
         }
     }
     forward_free(sim.hosts[host].forward);
-    start_host(host);
+    sim.hosts[host].forward = NULL;
+    sim.hosts[host].down = true;
+}
+
+static void
+lose_power(void)
+{
+    size_t i;
+
+    for (i = 0; i < sim.host_count; i++) {
+        if (sim.now_ms == sim.power_at_ms && !sim.hosts[i].down) {
+            end_host(i);
+        }
+        if (sim.now_ms == sim.power_at_ms + sim.power_ms) {
+            start_host(i);
+        }
+    }
 }
 
 static void
@@ -163,7 +194,7 @@
                                      .attempt = stream->attempt,
                                      .result = SEND_BROKEN};
             stream->attempt = 0;
-            deliver(stream->host, &event);
+            version_deliver(stream->host, &event);
         }
     }
     stopped->version = next_version;
@@ -205,8 +236,9 @@
             count++;
         }
     }
-    return count >= 2 &&
-           sim.now_ms - sim.hosts[stream->host].start_ms >= IN_TOUCH_MS;
+    return count >= 2 && !sim.hosts[stream->host].down &&
+           (sim.power_loss ||
+            sim.now_ms - sim.hosts[stream->host].start_ms >= IN_TOUCH_MS);
 }
 
 static void
@@ -232,13 +264,17 @@
         .fingerprint = index,
     };
     stream->host = draw(sim.host_count);
+    if (sim.hosts[stream->host].down) {
+        stream->retry_at_ms = sim.now_ms + RETRY_MS;
+        return;
+    }
     stream->counted = stream->version != 0 && can_go_on(stream);
     sim.resumed += stream->counted ? 1 : 0;
     stream->tries++;
     stream->active = true;
     stream->retry_at_ms = 0;
     stream->try_began = false;
-    deliver(stream->host, &event);
+    version_deliver(stream->host, &event);
 }
 
 static void
@@ -274,7 +310,7 @@
                                            .attempt = stream->attempt,
                                            .result = SEND_NOT_SENT};
         stream->attempt = 0;
-        deliver(stream->host, &event);
+        version_deliver(stream->host, &event);
         return;
     }
     if (ran_ms < PREFILL_MS || ran_ms % EVENT_MS != 0) {
@@ -286,7 +322,7 @@
                                                  .attempt = stream->attempt,
                                                  .status = 200,
                                                  .authentic = true};
-        deliver(stream->host, &event);
+        version_deliver(stream->host, &event);
     }
     count_event(stream);
     stream->last_event_id++;
@@ -295,14 +331,14 @@
         (forward_progress_t){.number = number,
                              .attempt = stream->attempt,
                              .last_event_id = stream->last_event_id};
-    deliver(stream->host, &event);
+    version_deliver(stream->host, &event);
     if (stream->last_event_id * EVENT_MS >= STREAM_MS && stream->attempt > 0) {
         event.kind = FORWARD_SEND_END;
         event.u.end = (forward_send_end_t){.number = number,
                                            .attempt = stream->attempt,
                                            .result = SEND_COMPLETE};
         stream->attempt = 0;
-        deliver(stream->host, &event);
+        version_deliver(stream->host, &event);
     }
 }
 
@@ -318,7 +354,7 @@
                      sim.hosts[from].incarnation, sim.hosts[from].reports);
     for (to = 0; to < sim.host_count; to++) {
         if (to != from && draw(PERCENT) >= sim.lost_percent) {
-            deliver(to, &report.event);
+            version_deliver(to, &report.event);
         }
     }
     sim_report_free(&report);
@@ -336,10 +372,13 @@
     for (host = 0; host < sim.host_count; host++) {
         forward_event_t event = {.kind = FORWARD_STORE_CONTACT};
 
+        if (sim.hosts[host].down) {
+            continue;
+        }
         event.u.contact_us = sim.now_ms * US_PER_MS;
-        deliver(host, &event);
+        version_deliver(host, &event);
         event = (forward_event_t){.kind = FORWARD_TIMER};
-        deliver(host, &event);
+        version_deliver(host, &event);
         if (sim.hosts[host].report_due || sim.now_ms % interval_ms == 0) {
             send_report(host);
         }
@@ -364,8 +403,9 @@
     }
     for (i = 0; i < sim.host_count; i++) {
         if (at_ms > 0 && at_ms % sim.fault_ms == 2 * TICK_MS &&
-            draw(PERCENT) < sim.kill_percent) {
-            kill_host(i);
+            draw(PERCENT) < sim.kill_percent && !sim.hosts[i].down) {
+            end_host(i);
+            start_host(i);
         }
     }
 }
@@ -377,6 +417,8 @@
 
     restart_engines();
     cause_faults();
+    lose_power();
+    version_store_run(&sim);
     run_hosts();
     if (sim.now_ms % ARRIVAL_MS == 0 && sim.stream_count < STREAMS_MAX) {
         sim.stream_count++;
@@ -393,8 +435,27 @@
     }
 }
 
+/* Before, within and after the time in which engines are replaced. */
 static void
-draw_fleet(uint64_t seed)
+draw_power_loss(void)
+{
+    int64_t release_ms = (int64_t)sim.engine_count * 2 * RETRY_MS;
+
+    sim.kill_percent = 0;
+    sim.power_at_ms =
+        START_MS + RELEASE_START_MS - 500 +
+        (int64_t)draw((uint64_t)(release_ms + 3000) / TICK_MS) * TICK_MS;
+    sim.power_ms = 200 + (int64_t)draw(24) * 100;
+    sim.store = (store_t)draw(STORE_STATES);
+    sim.store_from_ms = sim.power_at_ms - 1500 + (int64_t)draw(3000);
+    sim.store_to_ms = sim.store_from_ms + 1000 + (int64_t)draw(2000);
+    if (draw(2) == 0) {
+        sim.released_percent = PERCENT;
+    }
+}
+
+static void
+draw_fleet(uint64_t seed, bool power_loss)
 {
     static const size_t hosts[] = {3, 4, 6, 7, 12, 24, 40, 88};
     static const size_t engines[] = {4, 6, 9, 12, 18, 36, 60};
@@ -412,14 +473,20 @@
     sim.fault_ms = 1500 + (int64_t)draw(50) * 100;
     sim.restart_ms = 400 + (int64_t)draw(20) * 100;
     sim.same_id = draw(2) == 0;
+    sim.power_loss = power_loss;
+    if (power_loss) {
+        draw_power_loss();
+    }
 }
 
 version_result_t
-version_simulate(uint64_t seed)
+version_simulate(uint64_t seed, bool power_loss)
 {
+    static const char *const stores[] = {
+        [STORE_WELL] = "well", [STORE_SLOW] = "slow", [STORE_AWAY] = "away"};
     size_t i;
 
-    draw_fleet(seed);
+    draw_fleet(seed, power_loss);
     for (i = 0; i < sim.engine_count; i++) {
         sim.engines[i].version = 1;
         sim.engines[i].started_ms = START_MS;
@@ -433,13 +500,19 @@
         simulate_tick();
     }
     for (i = 0; i < sim.host_count; i++) {
-        forward_free(sim.hosts[i].forward);
+        if (!sim.hosts[i].down) {
+            forward_free(sim.hosts[i].forward);
+        }
     }
+    version_store_free(&sim);
     return (version_result_t){.hosts = (uint32_t)sim.host_count,
                               .engines = (uint32_t)sim.engine_count,
                               .mixed = sim.mixed,
                               .streams = (uint32_t)sim.stream_count,
                               .begun = sim.begun,
                               .resumed = sim.resumed,
-                              .went_on = sim.went_on};
+                              .went_on = sim.went_on,
+                              .store = stores[sim.store],
+                              .store_well = sim.store == STORE_WELL,
+                              .writes = sim.writes};
 }
--- a/regress/version_sim.h
+++ b/regress/version_sim.h
@@ -4,10 +4,14 @@
  * Fleet and faults are drawn: engines crash and hosts are killed while the
  * release goes on.  Callers whose host is gone, or whose stream is broken off,
  * take it up at any host.  The same seed always gives the same result.
+ *
+ * With a power loss, all hosts are killed at a drawn moment of the release,
+ * and have the store to tell them what they knew; it may be slow or away.
  */
 #ifndef REGRESS_VERSION_SIM_H
 #define REGRESS_VERSION_SIM_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
 typedef struct {
@@ -16,12 +20,17 @@
     uint32_t streams;
     uint32_t begun; /* streams with an event */
     uint32_t mixed; /* streams with events of two versions */
-    /* Streams taken up at hosts that have run for 3 s, while two engines of
-     * their version serve, and those of them that got another event. */
+    /* Streams taken up while two engines of their version serve, and those of
+     * them that got another event; without a power loss, at hosts that have
+     * run for 3 s. */
     uint32_t resumed;
     uint32_t went_on;
+    /* Of the store, with a power loss. */
+    const char *store;
+    bool store_well;
+    uint32_t writes;
 } version_result_t;
 
-version_result_t version_simulate(uint64_t seed);
+version_result_t version_simulate(uint64_t seed, bool power_loss);
 
 #endif
