--- a/forward/follower.c
+++ b/forward/follower.c
@@ -1,6 +1,7 @@
 /*
  * follower.c - selects the hosts that watch the store; see follower.h.
  */
+#include <stdlib.h>
 #include <string.h>
 
 #include <xxhash.h>
@@ -11,16 +12,32 @@
     /* Up to this many watches cost less than the polls that would replace
      * them. */
     ALL_WATCH_HOSTS_MAX = 8,
-    /* When one fails, the other is available immediately. */
-    WATCHERS_PER_ZONE = 2,
+    /* When one fails, another is available immediately. */
+    WATCHERS_MIN = 3,
+    /* A watcher on a slow link sends a large change to so many in time. */
+    HOSTS_PER_WATCHER = 60,
+    WATCHERS_MAX = 64,
+    ZONES_MAX = 32, /* hosts of further zones are no watchers */
     /* A failed host is not polled for this time; most faults are over by
      * then. */
     FAILED_HOST_SKIP_MS = 10000,
     US_PER_MS = 1000,
 };
 
-static bool is_watcher(const watcher_candidate_t *hosts, size_t count,
-                       const watcher_candidate_t *host);
+/* A zone while its watchers are being selected. */
+typedef struct {
+    const char *name;
+    uint64_t hash;
+} zone_t;
+
+static size_t select_watchers(const watcher_candidate_t *hosts, size_t count,
+                              const watcher_candidate_t **watchers);
+static size_t list_zones(const watcher_candidate_t *hosts, size_t count,
+                         zone_t *zones);
+static const watcher_candidate_t *
+next_watcher(const watcher_candidate_t *hosts, size_t count, const char *zone,
+             const watcher_candidate_t *previous);
+static int compare_zones(const void *left, const void *right);
 static uint64_t hash_name(const char *name, uint64_t seed);
 static bool failed_recently(const follower_t *following, const char *name,
                             int64_t now_us);
@@ -29,7 +46,20 @@
 follower_is_watcher(const watcher_candidate_t *hosts, size_t count,
                     const watcher_candidate_t *self)
 {
-    return count <= ALL_WATCH_HOSTS_MAX || is_watcher(hosts, count, self);
+    const watcher_candidate_t *watchers[WATCHERS_MAX];
+    size_t watcher_count;
+    size_t i;
+
+    if (count <= ALL_WATCH_HOSTS_MAX) {
+        return true;
+    }
+    watcher_count = select_watchers(hosts, count, watchers);
+    for (i = 0; i < watcher_count; i++) {
+        if (strcmp(watchers[i]->name, self->name) == 0) {
+            return true;
+        }
+    }
+    return false;
 }
 
 /*
@@ -40,19 +70,20 @@
 follower_choose_watcher(const watcher_candidate_t *hosts, size_t count,
                         const watcher_candidate_t *self)
 {
+    const watcher_candidate_t *watchers[WATCHERS_MAX];
+    size_t watcher_count = select_watchers(hosts, count, watchers);
     uint64_t seed = hash_name(self->name, 0);
     const watcher_candidate_t *best = NULL;
     bool best_same_zone = false;
     uint64_t best_hash = 0;
     size_t i;
 
-    for (i = 0; i < count; i++) {
-        const watcher_candidate_t *host = &hosts[i];
+    for (i = 0; i < watcher_count; i++) {
+        const watcher_candidate_t *host = watchers[i];
         bool same_zone;
         uint64_t host_hash;
 
-        if (host->failed || strcmp(host->name, self->name) == 0 ||
-            !is_watcher(hosts, count, host)) {
+        if (host->failed || strcmp(host->name, self->name) == 0) {
             continue;
         }
         same_zone = strcmp(host->zone, self->zone) == 0;
@@ -131,23 +162,101 @@
     return hosts <= ALL_WATCH_HOSTS_MAX;
 }
 
-/* The watchers of a zone are the WATCHERS_PER_ZONE hosts with the highest
- * hashes. */
-static bool
-is_watcher(const watcher_candidate_t *hosts, size_t count,
-           const watcher_candidate_t *host)
+/* The watchers of a zone are its hosts with the highest hashes.  If there are
+ * more zones than watchers, those with the highest hashes have one. */
+static size_t
+select_watchers(const watcher_candidate_t *hosts, size_t count,
+                const watcher_candidate_t **watchers)
 {
-    uint64_t own_hash = hash_name(host->name, 0);
-    size_t higher = 0;
+    zone_t zones[ZONES_MAX];
+    size_t zone_count = list_zones(hosts, count, zones);
+    size_t wanted = (count + HOSTS_PER_WATCHER - 1) / HOSTS_PER_WATCHER;
+    size_t selected = 0;
+    size_t per_zone;
     size_t i;
 
-    for (i = 0; i < count && higher < WATCHERS_PER_ZONE; i++) {
-        if (strcmp(hosts[i].zone, host->zone) == 0 &&
-            hash_name(hosts[i].name, 0) > own_hash) {
-            higher++;
+    if (wanted < WATCHERS_MIN) {
+        wanted = WATCHERS_MIN;
+    }
+    if (zone_count > wanted) {
+        zone_count = wanted;
+    }
+    per_zone = zone_count > 0 ? (wanted + zone_count - 1) / zone_count : 0;
+    for (i = 0; i < zone_count; i++) {
+        const watcher_candidate_t *host = NULL;
+        size_t j;
+
+        for (j = 0; j < per_zone && selected < WATCHERS_MAX; j++) {
+            host = next_watcher(hosts, count, zones[i].name, host);
+            if (host == NULL) {
+                break;
+            }
+            watchers[selected] = host;
+            selected++;
+        }
+    }
+    return selected;
+}
+
+/* Lists the zones with the highest hashes first. */
+static size_t
+list_zones(const watcher_candidate_t *hosts, size_t count, zone_t *zones)
+{
+    size_t zone_count = 0;
+    size_t i;
+    size_t j;
+
+    for (i = 0; i < count; i++) {
+        for (j = 0;
+             j < zone_count && strcmp(zones[j].name, hosts[i].zone) != 0;
+             j++) {
         }
+        if (j == zone_count && zone_count < ZONES_MAX) {
+            zones[zone_count] = (zone_t){.name = hosts[i].zone,
+                                         .hash = hash_name(hosts[i].zone, 0)};
+            zone_count++;
+        }
+    }
+    qsort(zones, zone_count, sizeof(zones[0]), compare_zones);
+    return zone_count;
+}
+
+/* Returns the host of the zone with the next lower hash; NULL: none. */
+static const watcher_candidate_t *
+next_watcher(const watcher_candidate_t *hosts, size_t count, const char *zone,
+             const watcher_candidate_t *previous)
+{
+    uint64_t limit = previous != NULL ? hash_name(previous->name, 0) : 0;
+    const watcher_candidate_t *best = NULL;
+    uint64_t best_hash = 0;
+    size_t i;
+
+    for (i = 0; i < count; i++) {
+        uint64_t hash;
+
+        if (strcmp(hosts[i].zone, zone) != 0) {
+            continue;
+        }
+        hash = hash_name(hosts[i].name, 0);
+        if ((previous == NULL || hash < limit) &&
+            (best == NULL || hash > best_hash)) {
+            best = &hosts[i];
+            best_hash = hash;
+        }
+    }
+    return best;
+}
+
+static int
+compare_zones(const void *left, const void *right)
+{
+    const zone_t *a = left;
+    const zone_t *b = right;
+
+    if (a->hash != b->hash) {
+        return a->hash > b->hash ? -1 : 1;
     }
-    return higher < WATCHERS_PER_ZONE;
+    return strcmp(a->name, b->name);
 }
 
 static uint64_t
--- a/forward/follower.h
+++ b/forward/follower.h
@@ -4,8 +4,8 @@
  *
  * Limits the load on the store: if every host watched it, each change would
  * cost one call per host.  In a small fleet all hosts watch the store.  In a
- * larger one two hosts of each availability zone are watchers, and the other
- * hosts (followers) poll a watcher, preferably one of their own zone.  The
+ * larger one few hosts are watchers, spread over the availability zones; the
+ * other hosts (followers) poll one of them, preferably of their own zone.  The
  * selection is deterministic: hosts with the same list of hosts select the
  * same watchers.
  *
