Let few hosts of a starting fleet write the shared key

295 hosts that started together made 293 writes of the key, all but one in vain: each had found none in its first read. They now wait up to 2 s, drawn by each host, and the key of the first one stops the others.

--- a/gateway/peering.c
+++ b/gateway/peering.c
@@ -25,6 +25,9 @@
      * to their number. */
     REBROADCAST_MS = 500,
     REBROADCAST_HOSTS = 10,
+    /* Hosts that find no shared key wait for different times, so that few of
+     * those that start together write one. */
+    KEY_WAIT_MAX_MS = 2000,
     KEY_WORDS = 4, /* 64-bit words */
     KEY_TEXT_BYTES = 64,
     US_PER_S = 1000000,
@@ -40,6 +43,7 @@
     char *key;    /* NULL until it is known */
     size_t key_bytes;
     uv_timer_t *timer;
+    uv_timer_t *key_timer;
     uint64_t incarnation;
     uint64_t number;       /* of the last message sent */
     uint64_t due_ms;       /* earliest time of the next broadcast */
@@ -54,6 +58,7 @@
                        const message_t *message);
 static void on_lost(peer_listener_t *listener, const char *host);
 static void on_timer(uv_timer_t *timer);
+static void on_key_timer(uv_timer_t *timer);
 static bool has_content(const placements_t *placements);
 static void send_to_peer(void *context, const char *host,
                          const char *peer_address);
@@ -80,6 +85,9 @@
     peering->timer = xcalloc(1, sizeof(*peering->timer));
     (void)uv_timer_init(gateway->loop, peering->timer);
     peering->timer->data = peering;
+    peering->key_timer = xcalloc(1, sizeof(*peering->key_timer));
+    (void)uv_timer_init(gateway->loop, peering->key_timer);
+    peering->key_timer->data = peering;
     return peering;
 }
 
@@ -93,6 +101,7 @@
         peer_free(peering->peer);
     }
     uv_close((uv_handle_t *)peering->timer, (uv_close_cb)free);
+    uv_close((uv_handle_t *)peering->key_timer, (uv_close_cb)free);
     free(peering->key);
     free(peering);
 }
@@ -121,9 +130,11 @@
         return;
     }
     if (value == NULL) {
-        create_key(peering);
+        (void)uv_timer_start(peering->key_timer, on_key_timer,
+                             random_u64() % KEY_WAIT_MAX_MS, 0);
         return;
     }
+    (void)uv_timer_stop(peering->key_timer);
     free(peering->key);
     peering->key = xcalloc(1, value_bytes + 1);
     memcpy(peering->key, value, value_bytes);
@@ -217,6 +228,12 @@
     }
 }
 
+static void
+on_key_timer(uv_timer_t *timer)
+{
+    create_key(timer->data);
+}
+
 static void
 on_message(peer_listener_t *listener, const char *from,
            const message_t *message)
