Renew the lease of a host half as often, and replace its entry at once

A lease now lasts 6 s and is renewed every 3 s; it outlives a short outage of the store, too. A host writes its entry after its first read, so that it knows the revision of the entry that it has left behind and need not try twice after a restart.

--- a/agated/settings.c
+++ b/agated/settings.c
@@ -30,7 +30,7 @@
     WATCH_PAUSE_DEFAULT_MS = 200,
     /* 3 times the 0.3 s within which all hosts of a fleet start. */
     SETTLE_DEFAULT_MS = 1000,
-    PRESENCE_DEFAULT_S = 3,
+    PRESENCE_DEFAULT_S = 6,
     PRESENCE_MAX_S = 600,
     REGISTRY_DEFAULT_MS = 2000,
     GRACE_DEFAULT_MS = 8000,
@@ -232,7 +232,7 @@
      .offset = offsetof(settings_t, gateway.presence_s),
      .min = 1,
      .max = PRESENCE_MAX_S,
-     .remedy = "presence_s = 3"},
+     .remedy = "presence_s = 6"},
     {.key = "revoke_ms",
      .type = FIELD_U32,
      .offset = offsetof(settings_t, gateway.limits.revoke_ms),
--- a/gateway/directory.c
+++ b/gateway/directory.c
@@ -82,6 +82,12 @@
                         gateway->settings->zone);
 }
 
+char *
+directory_own_key(const gateway_t *gateway, arena_t *arena)
+{
+    return arena_printf(arena, "%s%s", prefix, gateway->settings->host);
+}
+
 void
 directory_update(directory_t *directory, const char *key, const char *value,
                  size_t value_bytes)
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -6,7 +6,7 @@
 
 enum {
     /* Renewals of a lease within its time to live. */
-    RENEWALS_PER_LEASE = 3,
+    RENEWALS_PER_LEASE = 2,
     MS_PER_S = 1000,
     US_PER_MS = 1000,
     DRAIN_CHECK_MS = 50,
@@ -45,22 +45,29 @@
 
 void
 gateway_start(gateway_t *gateway)
+{
+    gateway->watcher = watcher_new(gateway);
+    front_start(gateway->front);
+}
+
+void
+gateway_register(gateway_t *gateway, int64_t revision)
 {
     const gateway_settings_t *settings = gateway->settings;
     arena_t arena = {0};
     presence_settings_t presence = {
         .loop = gateway->loop,
         .kv = gateway->kv,
-        .key =
-            arena_printf(&arena, "%s%s", directory_prefix(), settings->host),
+        .key = directory_own_key(gateway, &arena),
+        .revision = revision,
         .ttl_s = settings->presence_s,
         .interval_ms = settings->presence_s * MS_PER_S / RENEWALS_PER_LEASE,
     };
 
-    gateway->watcher = watcher_new(gateway);
-    gateway->presence =
-        presence_new(&presence, directory_own_value(gateway, &arena));
-    front_start(gateway->front);
+    if (gateway->presence == NULL && !gateway->draining) {
+        gateway->presence =
+            presence_new(&presence, directory_own_value(gateway, &arena));
+    }
     arena_free(&arena);
 }
 
@@ -79,7 +86,10 @@
     drain_t *drain = xcalloc(1, sizeof(*drain));
 
     forwarding_handle_event(gateway, &event);
-    presence_stop(gateway->presence);
+    gateway->draining = true;
+    if (gateway->presence != NULL) {
+        presence_stop(gateway->presence);
+    }
     front_drain(gateway->front);
     drain->gateway = gateway;
     drain->start_us = gateway_now_us();
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -53,7 +53,8 @@
     mirror_t *mirror;
     store_relay_t *relay;
     meters_t *meters;
-    presence_t *presence;
+    presence_t *presence; /* NULL until the store was read */
+    bool draining;
     records_t *records;
 } gateway_t;
 
@@ -67,6 +68,9 @@
  */
 int gateway_open(gateway_t *gateway, err_t *err);
 void gateway_start(gateway_t *gateway);
+/* Enters this host into the directory, unless it has been done; revision: of
+ * the entry that an earlier incarnation has left, or 0. */
+void gateway_register(gateway_t *gateway, int64_t revision);
 /* Replaces the limits in force. */
 void gateway_set_limits(gateway_t *gateway, const gateway_limits_t *limits);
 /* Starts draining; stops the loop when no work is left. */
@@ -242,9 +246,11 @@
 
 directory_t *directory_new(gateway_t *gateway);
 void directory_free(directory_t *directory);
-/* Return the key prefix of host entries, and the value of this host's. */
+/* Return the key prefix of host entries, and the value and the key of this
+ * host's. */
 const char *directory_prefix(void);
 char *directory_own_value(const gateway_t *gateway, arena_t *arena);
+char *directory_own_key(const gateway_t *gateway, arena_t *arena);
 /* Adds or replaces a host's entry; removes it if value is NULL. */
 void directory_update(directory_t *directory, const char *key,
                       const char *value, size_t value_bytes);
--- a/gateway/store_view.c
+++ b/gateway/store_view.c
@@ -17,6 +17,9 @@
                 size_t count)
 {
     bool peer_key_found = false;
+    arena_t arena = {0};
+    const char *own_key = directory_own_key(gateway, &arena);
+    int64_t own_revision = 0;
     size_t i;
 
     mirror_reset(gateway->mirror, revision);
@@ -25,6 +28,9 @@
     for (i = 0; i < count; i++) {
         peer_key_found =
             peer_key_found || strcmp(pairs[i].key, peering_key_name()) == 0;
+        if (strcmp(pairs[i].key, own_key) == 0) {
+            own_revision = pairs[i].mod_revision;
+        }
         store_view_apply(gateway, &pairs[i]);
     }
     directory_reload_end(gateway->directory);
@@ -32,6 +38,8 @@
         peering_set_key(gateway->peering, NULL, 0);
     }
     raise_event(gateway, FORWARD_REGISTRY_END);
+    gateway_register(gateway, own_revision);
+    arena_free(&arena);
 }
 
 void
--- a/kv/presence.c
+++ b/kv/presence.c
@@ -42,6 +42,7 @@
     presence->settings = *settings;
     presence->key = xstrdup(settings->key);
     presence->value = xstrdup(value);
+    presence->revision = settings->revision;
     presence->timer = xcalloc(1, sizeof(*presence->timer));
     (void)uv_timer_init(settings->loop, presence->timer);
     presence->timer->data = presence;
