--- a/kv/kv.h
+++ b/kv/kv.h
@@ -75,11 +75,7 @@
                                    size_t count);
 typedef void (*kv_lease_callback_t)(void *context, kv_result_t result,
                                     int64_t lease, int64_t ttl_s);
-/*
- * Called with KV_OK and count 0 once the watch is established, then for each
- * change.  A deleted key has create_revision 0.  Any other result ends the
- * watch.
- */
+
 /*
  * A watch by polls may also call back with count 0 when a poll has ended
  * without a change.  A poll that follows a change is this part of the others:
@@ -88,6 +84,11 @@
  */
 enum { KV_WATCH_CHANGED_PART = 4 };
 
+/*
+ * Called with KV_OK and count 0 once the watch is established, then for each
+ * change.  A deleted key has create_revision 0.  Any other result ends the
+ * watch.
+ */
 typedef void (*kv_watch_callback_t)(void *context, kv_result_t result,
                                     int64_t revision, const kv_pair_t *pairs,
                                     size_t count);
--- a/regress/test_platform_store.c
+++ b/regress/test_platform_store.c
@@ -5,12 +5,13 @@
 #include "platform/platform.h"
 #include "regress/canned.h"
 #include "regress/fixture.h"
+#include "regress/turn.h"
 
 #define JSON_RESPONSE(status, body)                                           \
     "HTTP/1.1 " status "\r\nContent-Type: application/json\r\n"               \
     "Connection: close\r\n\r\n" body
 
-enum { TIMEOUT_MS = 300, WATCH_MS = 50 };
+enum { TIMEOUT_MS = 300, WATCH_MS = 50, PAUSE_MS = 1 };
 
 /* A client and a server with canned responses; collects callback arguments. */
 typedef struct {
@@ -23,10 +24,11 @@
 } store_test_t;
 
 static void
-open_test(store_test_t *state, const canned_reply_t *replies, size_t count)
+open_test(store_test_t *state, uint32_t pause_ms,
+          const canned_reply_t *replies, size_t count)
 {
-    platform_kv_settings_t settings = {.timeout_ms = TIMEOUT_MS,
-                                       .watch_ms = WATCH_MS};
+    platform_kv_settings_t settings = {
+        .timeout_ms = TIMEOUT_MS, .watch_ms = WATCH_MS, .pause_ms = pause_ms};
     arena_t arena = {0};
 
     memset(state, 0, sizeof(*state));
@@ -299,7 +301,7 @@
     store_test_t state;
     const kv_ops_t *ops;
 
-    open_test(&state, test->replies, test->count);
+    open_test(&state, 0, test->replies, test->count);
     ops = state.kv->ops;
     switch (test->operation) {
     case OP_RANGE:
@@ -332,11 +334,42 @@
 }
 END_TEST
 
+/* A host would take its view of the store for older than it is. */
+START_TEST(test_poll_after_a_change_takes_the_whole_time)
+{
+    static const canned_reply_t replies[] = {
+        {JSON_RESPONSE("200 OK",
+                       "{\"events\":[{\"Key\":\"a\",\"Value\":\"eA==\","
+                       "\"Revision\":7,\"Created\":7}],"
+                       "\"StoreRevision\":7}"),
+         0, CANNED_CLOSE},
+        {JSON_RESPONSE("200 OK", "{\"events\":[],\"StoreRevision\":7}"), 0,
+         CANNED_CLOSE},
+        {"", 0, CANNED_KEEP}};
+    static const char *const expected[] = {"WaitMs=50", "WaitMs=12",
+                                           "WaitMs=50"};
+    store_test_t state;
+    size_t i;
+
+    open_test(&state, PAUSE_MS, replies, COUNT(replies));
+    state.kv->ops->watch(state.kv, "p/", 7, on_pairs, &state);
+    for (i = 0; i < COUNT(expected); i++) {
+        while (canned_requests(state.server) <= i) {
+            loop_turn(&state.fixture.loop);
+        }
+        ck_assert_msg(strstr(canned_last(state.server), expected[i]) != NULL,
+                      "poll %zu: sent %s", i, canned_last(state.server));
+    }
+    close_test(&state);
+}
+END_TEST
+
 int
 main(void)
 {
     TCase *tcase = tcase_create("platform_store");
 
+    tcase_add_test(tcase, test_poll_after_a_change_takes_the_whole_time);
     tcase_add_loop_test(tcase, test_call, 0, COUNT(store_cases));
     return fixture_main("platform_store", tcase);
 }
