--- a/gateway/records.c
+++ b/gateway/records.c
@@ -34,11 +34,15 @@
 void
 records_free(records_t *records)
 {
+    write_t *write;
+    write_t *next;
+
     if (records == NULL) {
         return;
     }
-    while (!LIST_EMPTY(&records->writes)) {
-        write_free(LIST_FIRST(&records->writes));
+    for (write = LIST_FIRST(&records->writes); write != NULL; write = next) {
+        next = LIST_NEXT(write, link);
+        write_free(write);
     }
     free(records);
 }
@@ -89,6 +93,7 @@
                 ? arena_strndup(&arena, held->value, held->value_bytes)
                 : NULL;
     }
+    LIST_REMOVE(write, link);
     forwarding_handle_event(write->records->gateway, &event);
     write_free(write);
     arena_free(&arena);
@@ -97,7 +102,6 @@
 static void
 write_free(write_t *write)
 {
-    LIST_REMOVE(write, link);
     free(write->key);
     free(write->value);
     free(write);
--- a/regress/forwarding_print.c
+++ b/regress/forwarding_print.c
@@ -9,6 +9,7 @@
 static char noted[FORWARDING_TEXT_BYTES];
 
 static void print_line(const forward_action_t *action);
+static void print_record(const forward_record_t *record);
 static void print_grant(const send_action_t *send);
 static void print_action(const forward_action_t *action);
 
@@ -23,7 +24,12 @@
 actions_print(const forward_action_t *action)
 {
     print_line(action);
-    print_action(action);
+    if (action->kind == FORWARD_ACTION_PUT_RECORD) {
+        print_record(&action->u.record);
+    }
+    else {
+        print_action(action);
+    }
 }
 
 const char *
@@ -58,6 +64,17 @@
     }
 }
 
+static void
+print_record(const forward_record_t *record)
+{
+    size_t used = strlen(printed);
+
+    (void)snprintf(printed + used, sizeof(printed) - used, "%s",
+                   used > 0 ? "; " : "");
+    used = strlen(printed);
+    record_print(record, printed + used, sizeof(printed) - used);
+}
+
 /* What the host that a request is relayed to may use. */
 static void
 print_grant(const send_action_t *send)
@@ -98,13 +115,6 @@
         action->kind == FORWARD_ACTION_RECORD_END) {
         return;
     }
-    if (action->kind == FORWARD_ACTION_PUT_RECORD) {
-        (void)snprintf(at, room, "%s", used > 0 ? "; " : "");
-        used = strlen(printed);
-        record_print(&action->u.record, printed + used,
-                     sizeof(printed) - used);
-        return;
-    }
     used += (size_t)snprintf(at, room, "%s%s %" PRIu64, used > 0 ? "; " : "",
                              words[action->kind], action->number);
     at = printed + used;
