--- a/regress/forwarding_print.c
+++ b/regress/forwarding_print.c
@@ -10,6 +10,7 @@
 
 static void print_line(const forward_action_t *action);
 static void print_record(const forward_record_t *record);
+static void print_send(const send_action_t *send);
 static void print_grant(const send_action_t *send);
 static void print_action(const forward_action_t *action);
 
@@ -89,6 +90,24 @@
     }
 }
 
+static void
+print_send(const send_action_t *send)
+{
+    size_t used = strlen(printed);
+
+    (void)snprintf(printed + used, sizeof(printed) - used,
+                   ".%" PRIu32 " %s%s%s%s%s%s%s%s", send->attempt,
+                   send->host != NULL ? send->host : send->runner,
+                   send->restore_address != NULL ? " restore=" : "",
+                   send->restore_address != NULL ? send->restore_address : "",
+                   send->restore_address != NULL ? "/" : "",
+                   send->restore_address != NULL ? send->restore_name : "",
+                   send->backup_address != NULL ? " backup=" : "",
+                   send->backup_address != NULL ? send->backup_address : "",
+                   send->last_event_id >= 0 ? " resume" : "");
+    print_grant(send);
+}
+
 static void
 print_action(const forward_action_t *action)
 {
@@ -107,7 +126,6 @@
     size_t used = strlen(printed);
     char *at = printed + used;
     size_t room = sizeof(printed) - used;
-    const send_action_t *send = &action->u.send;
 
     if (action->kind == FORWARD_ACTION_LOG ||
         action->kind == FORWARD_ACTION_PUBLISH ||
@@ -121,17 +139,7 @@
     room = sizeof(printed) - used;
     switch (action->kind) {
     case FORWARD_ACTION_SEND:
-        (void)snprintf(
-            at, room, ".%" PRIu32 " %s%s%s%s%s%s%s%s", send->attempt,
-            send->host != NULL ? send->host : send->runner,
-            send->restore_address != NULL ? " restore=" : "",
-            send->restore_address != NULL ? send->restore_address : "",
-            send->restore_address != NULL ? "/" : "",
-            send->restore_address != NULL ? send->restore_name : "",
-            send->backup_address != NULL ? " backup=" : "",
-            send->backup_address != NULL ? send->backup_address : "",
-            send->last_event_id >= 0 ? " resume" : "");
-        print_grant(send);
+        print_send(&action->u.send);
         return;
     case FORWARD_ACTION_REFUSE:
     case FORWARD_ACTION_ABORT:
