Send reports of streams to other availability zones once

A host of a large fleet sent each report to all other hosts. Each report takes another way, so that a host that is lost and still listed does not keep all reports from its zone. The pace of reports is as before.

--- a/gateway/directory.c
+++ b/gateway/directory.c
@@ -181,21 +181,25 @@
     return NULL;
 }
 
-void
-directory_each_peer(const directory_t *directory,
-                    void (*callback)(void *context, const char *host,
-                                     const char *peer_address),
-                    void *context)
+spread_host_t *
+directory_peers(const directory_t *directory, arena_t *arena, size_t *count)
 {
     const char *own_name = directory->gateway->settings->host;
+    spread_host_t *peers =
+        arena_array(arena, directory_count(directory) + 1, sizeof(*peers));
     const host_t *host;
 
+    *count = 0;
     for (host = directory->hosts; host != NULL; host = host->hh.next) {
         if (host->peer_address[0] != '\0' &&
             strcmp(host_name(host), own_name) != 0) {
-            callback(context, host_name(host), host->peer_address);
+            peers[*count] = (spread_host_t){.name = host_name(host),
+                                            .address = host->peer_address,
+                                            .zone = host->zone};
+            (*count)++;
         }
     }
+    return peers;
 }
 
 /*
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -17,6 +17,7 @@
 #include "forward/event_stream.h"
 #include "forward/follower.h"
 #include "forward/forward.h"
+#include "forward/spread.h"
 #include "gateway/dialect.h"
 #include "gateway/mirror.h"
 #include "gateway/settings.h"
@@ -272,11 +273,9 @@
  * unknown. */
 const char *directory_peer_address(const directory_t *directory,
                                    const char *host);
-/* Calls callback for each other host that has a peer address. */
-void directory_each_peer(const directory_t *directory,
-                         void (*callback)(void *context, const char *host,
-                                          const char *peer_address),
-                         void *context);
+/* Returns the other hosts that have a peer address, in arena. */
+spread_host_t *directory_peers(const directory_t *directory, arena_t *arena,
+                               size_t *count);
 /* Returns whether callers get the addresses of hosts that reach no runner,
  * because too few hosts reach runners. */
 bool directory_lists_isolated(size_t host_count, size_t reaching_count);
--- a/gateway/peering.c
+++ b/gateway/peering.c
@@ -60,17 +60,13 @@
 static void on_timer(uv_timer_t *timer);
 static void on_key_timer(uv_timer_t *timer);
 static bool has_content(const placements_t *placements);
-static void send_to_peer(void *context, const char *host,
-                         const char *peer_address);
+static size_t send_report(peering_t *peering, const placements_t *placements);
+static void send_on(peering_t *peering, const spread_placements_t *spread);
+static void send_to_peer(peering_t *peering, const char *host,
+                         const char *peer_address, const message_t *message);
 
 static const peer_listener_ops_t listener_ops = {on_message, on_lost};
 
-/* Argument of send_to_peer(). */
-typedef struct {
-    peering_t *peering;
-    const message_t *message;
-} send_context_t;
-
 peering_t *
 peering_new(gateway_t *gateway)
 {
@@ -180,10 +176,9 @@
 {
     const char *address =
         directory_peer_address(peering->gateway->directory, host);
-    send_context_t send_context = {.peering = peering, .message = message};
 
     if (peering->peer != NULL && address != NULL && address[0] != '\0') {
-        send_to_peer(&send_context, host, address);
+        send_to_peer(peering, host, address, message);
     }
 }
 
@@ -252,6 +247,20 @@
                              &message->message_t_u.store_changes);
         return;
     }
+    if (message->kind == MESSAGE_SPREAD) {
+        const spread_placements_t *spread = &message->message_t_u.spread;
+
+        if (strcmp(spread->origin, gateway->settings->host) == 0) {
+            return;
+        }
+        event.u.peer.host = spread->origin;
+        event.u.peer.placements = &spread->placements;
+        forwarding_handle_event(gateway, &event);
+        if (spread->spread) {
+            send_on(peering, spread);
+        }
+        return;
+    }
     if (message->kind != MESSAGE_PLACEMENTS) {
         return;
     }
@@ -270,28 +279,30 @@
 {
     peering_t *peering = timer->data;
     gateway_t *gateway = peering->gateway;
-    message_t message = {.kind = MESSAGE_PLACEMENTS};
-    placements_t *placements = &message.message_t_u.placements;
-    send_context_t send_context = {.peering = peering, .message = &message};
+    placements_t placements = {0};
     arena_t arena = {0};
 
-    forwarding_write_placements(gateway, &arena, placements);
-    if (has_content(placements) || peering->streams_reported) {
+    forwarding_write_placements(gateway, &arena, &placements);
+    if (has_content(&placements) || peering->streams_reported) {
         uint64_t sent_bytes = peer_counters(peering->peer)->bytes_sent;
         uint64_t pause_ms;
+        size_t copies;
 
         peering->number++;
-        placements->incarnation = peering->incarnation;
-        placements->number = peering->number;
-        directory_each_peer(gateway->directory, send_to_peer, &send_context);
+        placements.incarnation = peering->incarnation;
+        placements.number = peering->number;
+        copies = send_report(peering, &placements);
         sent_bytes = peer_counters(peering->peer)->bytes_sent - sent_bytes;
-        pause_ms = sent_bytes / BROADCAST_BYTES_PER_MS;
+        pause_ms = copies > 0 ? sent_bytes / copies *
+                                    directory_count(gateway->directory) /
+                                    BROADCAST_BYTES_PER_MS
+                              : 0;
         if (pause_ms > BROADCAST_PAUSE_MAX_MS) {
             pause_ms = BROADCAST_PAUSE_MAX_MS;
         }
         peering->due_ms = uv_now(gateway->loop) + pause_ms;
     }
-    peering->streams_reported = has_content(placements);
+    peering->streams_reported = has_content(&placements);
     if (peering->streams_reported) {
         size_t hosts = directory_count(gateway->directory);
 
@@ -312,14 +323,69 @@
            placements->crash_reports.crash_reports_len > 0;
 }
 
+/* Returns the number of messages.  Each is sent on to all hosts of a zone, so
+ * that the hosts together send as much as if each of them got its own. */
+static size_t
+send_report(peering_t *peering, const placements_t *placements)
+{
+    gateway_t *gateway = peering->gateway;
+    message_t direct = {.kind = MESSAGE_PLACEMENTS,
+                        .message_t_u.placements = *placements};
+    message_t spread = {.kind = MESSAGE_SPREAD};
+    arena_t arena = {0};
+    spread_host_t *hosts;
+    size_t count;
+    size_t sent = 0;
+    size_t i;
+
+    spread.message_t_u.spread = (spread_placements_t){
+        .origin = arena_strdup(&arena, gateway->settings->host),
+        .spread = true,
+        .placements = *placements,
+    };
+    hosts = directory_peers(gateway->directory, &arena, &count);
+    spread_plan_report(hosts, count, gateway->settings->zone,
+                       peering->incarnation + peering->number);
+    for (i = 0; i < count; i++) {
+        if (hosts[i].how != SPREAD_NONE) {
+            send_to_peer(peering, hosts[i].name, hosts[i].address,
+                         hosts[i].how == SPREAD_ON ? &spread : &direct);
+            sent++;
+        }
+    }
+    arena_free(&arena);
+    return sent;
+}
+
+static void
+send_on(peering_t *peering, const spread_placements_t *spread)
+{
+    gateway_t *gateway = peering->gateway;
+    message_t message = {.kind = MESSAGE_SPREAD,
+                         .message_t_u.spread = *spread};
+    arena_t arena = {0};
+    spread_host_t *hosts;
+    size_t count;
+    size_t i;
+
+    message.message_t_u.spread.spread = false;
+    hosts = directory_peers(gateway->directory, &arena, &count);
+    spread_plan_relay(hosts, count, gateway->settings->zone, spread->origin);
+    for (i = 0; i < count; i++) {
+        if (hosts[i].how != SPREAD_NONE) {
+            send_to_peer(peering, hosts[i].name, hosts[i].address, &message);
+        }
+    }
+    arena_free(&arena);
+}
+
 static void
-send_to_peer(void *context, const char *host, const char *peer_address)
+send_to_peer(peering_t *peering, const char *host, const char *peer_address,
+             const message_t *message)
 {
-    const send_context_t *send_context = context;
     err_t err;
 
-    if (peer_send(send_context->peering->peer, host, peer_address,
-                  send_context->message, &err) < 0) {
+    if (peer_send(peering->peer, host, peer_address, message, &err) < 0) {
         log_event(LOG_NOTICE, "peer-send-failed", "host=%s reason=\"%s\"",
                   host, err.message);
     }
--- a/peer/peer.c
+++ b/peer/peer.c
@@ -367,7 +367,8 @@
     call.incarnation = peer->settings.incarnation;
     call.sequence = peer->sequence;
     call.channel = message->kind == MESSAGE_HEARTBEAT ||
-                           message->kind == MESSAGE_PLACEMENTS
+                           message->kind == MESSAGE_PLACEMENTS ||
+                           message->kind == MESSAGE_SPREAD
                        ? PEER_DATAGRAM
                        : PEER_STREAM;
     call.message = *message;
--- a/world/link.x
+++ b/world/link.x
@@ -34,7 +34,8 @@
     MESSAGE_RECORD_ACK = 10,
     MESSAGE_PLACEMENTS = 11,
     MESSAGE_STORE_POLL = 12,
-    MESSAGE_STORE_CHANGES = 13
+    MESSAGE_STORE_CHANGES = 13,
+    MESSAGE_SPREAD = 14
 };
 
 /*
@@ -341,6 +342,16 @@
     crash_report_t crash_reports<LINK_CRASH_REPORTS_MAX>;
 };
 
+/*
+ * The placements of a third host, origin.  If spread is set, the receiver sends
+ * them to the other hosts of its availability zone.
+ */
+struct spread_placements_t {
+    name_t origin;
+    bool spread;
+    placements_t placements;
+};
+
 /* Requests the changes of the store after a revision. */
 struct store_poll_t {
     uint64_t number;
@@ -396,4 +407,6 @@
     store_poll_t store_poll;
 case MESSAGE_STORE_CHANGES:
     store_changes_t store_changes;
+case MESSAGE_SPREAD:
+    spread_placements_t spread;
 };
