Ask a store that is away less often, and followers only once when it is back

While the store did not answer, each host of a fleet called it twice in three seconds, and when it was back all followers went on watching it for the ten seconds in which they skipped their watchers: each host that registered again woke all of them. A host now takes its watchers for available again when the store is, and a follower of a large fleet waits up to 2.5 s between calls. The watchers keep 0.5 s.

--- a/forward/follower.c
+++ b/forward/follower.c
@@ -21,6 +21,10 @@
     /* A failed host is not polled for this time; most faults are over by
      * then. */
     FAILED_HOST_SKIP_MS = 10000,
+    /* Longest delay between attempts to reach the store: changes must be in
+     * force within one or two seconds after it is available again. */
+    RETRY_MAX_MS = 500,
+    FOLLOWER_RETRY_MAX_MS = 2500,
     US_PER_MS = 1000,
 };
 
@@ -156,6 +160,24 @@
     following->must_watch_store = false;
 }
 
+void
+follower_store_regained(follower_t *following)
+{
+    memset(following->failed, 0, sizeof(following->failed));
+}
+
+uint32_t
+follower_retry_max_ms(size_t hosts, bool is_watcher)
+{
+    size_t retry_ms = RETRY_MAX_MS;
+
+    if (!is_watcher && hosts > HOSTS_PER_WATCHER) {
+        retry_ms = RETRY_MAX_MS * hosts / HOSTS_PER_WATCHER;
+    }
+    return retry_ms < FOLLOWER_RETRY_MAX_MS ? (uint32_t)retry_ms
+                                            : FOLLOWER_RETRY_MAX_MS;
+}
+
 bool
 follower_fleet_is_small(size_t hosts)
 {
--- a/forward/follower.h
+++ b/forward/follower.h
@@ -95,6 +95,17 @@
 /* Records that a call to the store has completed or failed. */
 void follower_store_called(follower_t *following);
 
+/* Records that the store is available to this host again.  Watchers that had
+ * lost it are likely to have it, too, and are polled again. */
+void follower_store_regained(follower_t *following);
+
+/*
+ * Returns the longest delay between calls of a host to a store that does not
+ * answer.  Few hosts call it often; the others of a large fleet call it less
+ * often, and learn from them that it is back.
+ */
+uint32_t follower_retry_max_ms(size_t hosts, bool is_watcher);
+
 /*
  * Returns true if so few hosts are known that the fleet may just be starting.
  * Each host that registers then changes a key, and watching every one of
--- a/gateway/watcher.c
+++ b/gateway/watcher.c
@@ -16,9 +16,6 @@
 
 enum {
     US_PER_MS = 1000,
-    /* Longest delay between attempts to reach the store: changes must be in
-     * force within one or two seconds after it is available again. */
-    RETRY_MAX_MS = 500,
 };
 
 typedef enum { SOURCE_NONE, SOURCE_READ, SOURCE_WATCH, SOURCE_HOST } source_t;
@@ -47,6 +44,7 @@
 static void on_watch(void *context, kv_result_t result, int64_t revision,
                      const kv_pair_t *pairs, size_t count);
 static void record_contact(watcher_t *watcher, int64_t contact_us);
+static uint32_t retry_max_ms(const watcher_t *watcher);
 static void schedule_retry(watcher_t *watcher, const char *call_name);
 static void on_timer(uv_timer_t *timer);
 
@@ -291,14 +289,31 @@
         log_event(LOG_NOTICE, "store-available", "revision=%" PRId64,
                   mirror_revision(watcher->gateway->mirror));
         watcher->store_unavailable = false;
+        follower_store_regained(&watcher->follower);
     }
     forwarding_handle_event(watcher->gateway, &event);
 }
 
+static uint32_t
+retry_max_ms(const watcher_t *watcher)
+{
+    const watcher_candidate_t *self;
+    arena_t arena = {0};
+    size_t count;
+    const watcher_candidate_t *hosts =
+        directory_hosts(watcher->gateway->directory, &arena, &count, &self);
+    uint32_t limit_ms = follower_retry_max_ms(
+        count, self == NULL || follower_is_watcher(hosts, count, self));
+
+    arena_free(&arena);
+    return limit_ms;
+}
+
 static void
 schedule_retry(watcher_t *watcher, const char *call_name)
 {
     uint32_t wait_ms = backoff_next_ms(&watcher->backoff);
+    uint32_t wait_max_ms = retry_max_ms(watcher);
 
     if (!watcher->store_unavailable) {
         log_event(LOG_WARNING, "store-unavailable",
@@ -309,7 +324,7 @@
     follower_store_called(&watcher->follower);
     watcher->source = SOURCE_NONE;
     (void)uv_timer_start(watcher->timer, on_timer,
-                         wait_ms < RETRY_MAX_MS ? wait_ms : RETRY_MAX_MS, 0);
+                         wait_ms < wait_max_ms ? wait_ms : wait_max_ms, 0);
 }
 
 static void
--- a/regress/test_follower.c
+++ b/regress/test_follower.c
@@ -218,6 +218,53 @@
 }
 END_TEST
 
+/* All followers would watch the store for ten seconds more. */
+START_TEST(test_watchers_stay_failed_when_the_store_is_back)
+{
+    enum { COUNT = 30 };
+    follower_t following = {0};
+    const watcher_candidate_t *self = NULL;
+    size_t failed = 0;
+    const char *host;
+    size_t i;
+
+    make_hosts(COUNT);
+    for (i = 0; i < COUNT && self == NULL; i++) {
+        if (!follower_is_watcher(hosts, COUNT, &hosts[i])) {
+            self = &hosts[i];
+        }
+    }
+    while ((host = follower_host_to_poll(&following, hosts, COUNT, self, 1)) !=
+           NULL) {
+        follower_host_failed(&following, host, 1);
+        follower_store_called(&following);
+        failed++;
+    }
+    ck_assert_uint_eq(failed, WATCHERS * ZONES);
+    follower_store_regained(&following);
+    ck_assert_ptr_nonnull(
+        follower_host_to_poll(&following, hosts, COUNT, self, 1));
+}
+END_TEST
+
+START_TEST(test_all_hosts_call_a_store_that_is_away)
+{
+    static const struct {
+        size_t hosts;
+        bool is_watcher;
+        uint32_t wait_ms;
+    } retries[] = {{6, true, 500},     {60, false, 500}, {90, false, 750},
+                   {295, false, 2458}, {295, true, 500}, {1000, false, 2500}};
+    size_t i;
+
+    for (i = 0; i < sizeof(retries) / sizeof(retries[0]); i++) {
+        ck_assert_uint_eq(
+            follower_retry_max_ms(retries[i].hosts, retries[i].is_watcher),
+            retries[i].wait_ms);
+    }
+}
+END_TEST
+
 int
 main(void)
 {
@@ -226,6 +273,8 @@
     tcase_add_test(tcase, test_number_of_watchers_is_bounded);
     tcase_add_test(tcase, test_followers_poll_watchers_of_their_zone_evenly);
     tcase_add_test(tcase, test_failed_watchers_are_skipped_own_zone_first);
+    tcase_add_test(tcase, test_watchers_stay_failed_when_the_store_is_back);
+    tcase_add_test(tcase, test_all_hosts_call_a_store_that_is_away);
     tcase_add_loop_test(tcase, test_follower_watches_store_before_runner_stops,
                         0, sizeof(fault_cases) / sizeof(fault_cases[0]));
     return fixture_main("following", tcase);
