--- a/forward/version_record.c
+++ b/forward/version_record.c
@@ -28,8 +28,10 @@
     HEXADECIMAL = 16,
     /* Streams in one value; the oldest ones are left out. */
     STREAMS_WRITTEN_MAX = 1024,
-    /* Streams that begin within this time are written together. */
-    STREAMS_DELAY_MS = 20,
+    /* Streams that begin within this time are written together.  Each write
+     * wakes all hosts that watch the store, so hosts write at the same time.
+     */
+    STREAMS_DELAY_MS = 150,
     /* Between two writes. */
     STREAMS_INTERVAL_MS = 200,
     /* The hosts write one after the other, until one of them has written. */
@@ -399,6 +401,9 @@
         forward->streams_record.revision = record->revision;
         forward->streams_record.listed = true;
     }
+    else if (forward->streams_record.dirty) {
+        set_streams_due(forward, forward->now_us);
+    }
     while (*text != '\0') {
         uint64_t number = strtoull(text, &end, HEXADECIMAL);
 
