--- a/kv/presence.h
+++ b/kv/presence.h
@@ -21,7 +21,7 @@
     const char *key; /* copied */
     int64_t ttl_s;
     uint32_t interval_ms; /* between renewals */
-    int64_t revision; /* of the key, if it is known to exist; or 0 */
+    int64_t revision;     /* of the key, if it is known to exist; or 0 */
 } presence_settings_t;
 
 presence_t *presence_new(const presence_settings_t *settings,
