--- a/regress/faults.sh
+++ b/regress/faults.sh
@@ -22,7 +22,10 @@
 ! grep -E '^request [^ ]+: ' "$out" | grep -qvE "$harmful|$lost" || exit 1
 ! grep -qE 'did not stop|has died' "$out" || exit 1
 for request in $(sed -nE "s/^request ([^ ]+): $lost/\1/p" "$out"); do
-    regress/lost_together.sh "$kept/logs" "$out" "$request" || exit 1
+    regress/lost_together.sh "$kept/logs" "$out" "$request" || {
+        grep -rhF "$request" "$kept/logs" | tail -n 80
+        exit 1
+    }
     echo "known red, case 7: $request"
 done
 echo "known red, case 5: $(grep -cE "$harmful" "$out") innocents refused"
