Count a runner that was tried once, whatever tells of it

Each refusal of another host named the runners of the grant again, and the relaying host added them to those that it had tried: one, two, four, eight. With twelve no other runner is looked for.

--- a/forward/grant.c
+++ b/forward/grant.c
@@ -162,6 +162,14 @@
 void
 request_add_tried(request_t *request, const pool_runner_t *runner)
 {
+    size_t i;
+
+    for (i = 0; i < request->tried_count; i++) {
+        if (request->tried[i] == runner->serial) {
+            request->received_by[i] = runner->id_hash;
+            return;
+        }
+    }
     if (request->tried_count < POOL_TRIED_MAX) {
         request->tried[request->tried_count] = runner->serial;
         request->received_by[request->tried_count] = runner->id_hash;
--- a/regress/test_relay_usage.c
+++ b/regress/test_relay_usage.c
@@ -85,6 +85,17 @@
     {120, "whole 1 1", "send 1.2 hc2 grant=1:2:2"},
 };
 
+/* Twelve runners that were tried would end the search for another one. */
+static const forwarding_line_t runner_counts_as_tried_again[] = {
+    FLEET,
+    ISOLATED,
+    {110, "request 1 unsafe", "send 1.1 ha2 grant=1:0:0"},
+    {120, "head 1 1 503 stranger refused not-run used=0:1:sb1", ""},
+    {120, "whole 1 1", "send 1.2 hc2 grant=1:1:1"},
+    {130, "head 1 2 503 stranger refused not-run used=0:1:sb1", ""},
+    {130, "whole 1 2", "send 1.3 hb2 grant=1:2:1"},
+};
+
 static const forwarding_line_t run_of_a_refused_unsafe_request_is_forgotten[] =
     {
         FLEET,
@@ -178,6 +189,7 @@
     FORWARDING_SCRIPT(stream_gets_a_sixth_attempt),
     FORWARDING_SCRIPT(refusal_without_a_run_uses_an_attempt),
     FORWARDING_SCRIPT(rejected_deliveries_are_not_repeats),
+    FORWARDING_SCRIPT(runner_counts_as_tried_again),
     FORWARDING_SCRIPT(run_of_a_refused_unsafe_request_is_forgotten),
     FORWARDING_SCRIPT(refused_safe_request_starts_anew),
     FORWARDING_SCRIPT(refused_stream_starts_anew),
