Do not check a service without runners for ever

A host that waited to record a version, while all runners of the service expired after an outage of the store, kept the due time in the past: its timer ran again at once, and each step took that for a pause of the process. Found in review; the test had the due time in the past before.

--- a/forward/version_record.c
+++ b/forward/version_record.c
@@ -478,6 +478,7 @@
     uint32_t j;
 
     if (!is_versioned(forward, record->service)) {
+        record->wanted = false;
         return;
     }
     if (record->count > 1) {
--- a/regress/test_version_record.c
+++ b/regress/test_version_record.c
@@ -294,11 +294,37 @@
 }
 END_TEST
 
+/* The timer would be due again at once, for ever. */
+START_TEST(test_service_without_runners_stays_due)
+{
+    static const forwarding_line_t lines[] = {
+        RECORDED,
+        {2, "fleet h1 hc1 hb2 hc2 hb3 hc3 ha4 hc4 hb5", ""},
+        {3900, "contact", ""},
+        {6000, "runner rc1 version=2", ""},
+        /* Those that are missing may be back within two seconds. */
+        {6100, "list sa1", ""},
+        {8200, "timer", ""},
+        {8400, "timer", ""},
+        {8401, "timer", ""},
+    };
+    forward_t *forward = forwarding_open();
+    size_t i;
+
+    for (i = 0; i < COUNT(lines); i++) {
+        (void)forwarding_do(forward, lines[i].at_ms, lines[i].event);
+    }
+    ck_assert_int_gt(forward_due_us(forward), 8401 * (int64_t)1000);
+    forward_free(forward);
+}
+END_TEST
+
 int
 main(void)
 {
     TCase *tcase = tcase_create("version_record");
 
+    tcase_add_test(tcase, test_service_without_runners_stays_due);
     tcase_add_loop_test(tcase, test_script, 0, COUNT(scripts));
     return fixture_main("version_record", tcase);
 }
