List what was used only for requests that were relayed

Each response and refusal collected the runners that had received the request, also those of callers, for whom nobody reads it. The relay tests pass as before (16, 10, 80 and 37 checks).

--- a/forward/grant.c
+++ b/forward/grant.c
@@ -48,13 +48,17 @@
 relay_usage_t
 grant_usage(const forward_t *forward, const request_t *request)
 {
-    relay_usage_t usage = {
+    relay_usage_t usage = {0};
+
+    if (!request->relayed) {
+        return usage;
+    }
+    usage = (relay_usage_t){
         .stated = true,
         .runs = request->runs,
         .deliveries = request->deliveries - request->granted_deliveries,
         .version = request->version,
     };
-
     usage.runners =
         list_receivers(request, &forward->actions->arena, &usage.runner_count);
     return usage;
--- a/forward/private.h
+++ b/forward/private.h
@@ -433,7 +433,8 @@
 /* Applies the grant of the host that relayed the request to this one. */
 void grant_accept(const forward_t *forward, request_t *request,
                   const relay_grant_t *grant);
-/* Returns what this host has used, valid in this step. */
+/* Returns what this host has used, valid in this step; empty if the request is
+ * of a caller. */
 relay_usage_t grant_usage(const forward_t *forward, const request_t *request);
 /* Keeps what the other host has told. */
 void grant_record_usage(const forward_t *forward, request_t *request,
