--- a/forward/version_record.c
+++ b/forward/version_record.c
@@ -61,11 +61,13 @@
 static void apply_streams(forward_t *forward, const forward_record_t *record);
 static const char *own_streams_key(const forward_t *forward, arena_t *arena);
 static bool is_versioned(const forward_t *forward, const char *service);
-static bool record_has(const version_record_t *record, uint64_t version);
+static bool contains(const uint64_t *versions, uint32_t count,
+                     uint64_t version);
 static void check_record(forward_t *forward, version_record_t *record);
 static uint32_t list_wanted(const forward_t *forward,
                             const version_record_t *record,
-                            uint64_t *versions);
+                            const uint64_t *registered,
+                            uint32_t registered_count, uint64_t *versions);
 static bool differs(const version_record_t *record, const uint64_t *versions,
                     uint32_t count);
 static int64_t write_due_us(const forward_t *forward,
@@ -291,7 +293,6 @@
     uint32_t registered_count;
     uint32_t count = 0;
     uint32_t i;
-    uint32_t j;
 
     HASH_FIND_STR(forward->version_records, name, record);
     if (record == NULL || record->count == 0) {
@@ -303,11 +304,9 @@
         if (forward->now_us < record->usable_from_us[i]) {
             continue;
         }
-        for (j = 0; j < registered_count; j++) {
-            if (registered[j] == record->versions[i]) {
-                versions[count] = registered[j];
-                count++;
-            }
+        if (contains(registered, registered_count, record->versions[i])) {
+            versions[count] = record->versions[i];
+            count++;
         }
     }
     return count;
@@ -455,12 +454,12 @@
 }
 
 static bool
-record_has(const version_record_t *record, uint64_t version)
+contains(const uint64_t *versions, uint32_t count, uint64_t version)
 {
     uint32_t i;
 
-    for (i = 0; i < record->count; i++) {
-        if (record->versions[i] == version) {
+    for (i = 0; i < count; i++) {
+        if (versions[i] == version) {
             return true;
         }
     }
@@ -475,7 +474,6 @@
     uint32_t registered_count;
     uint32_t count;
     uint32_t i;
-    uint32_t j;
 
     if (!is_versioned(forward, record->service)) {
         record->wanted = false;
@@ -488,13 +486,12 @@
     registered_count = pool_list_versions(forward->pool, forward->now_us,
                                           record->service, false, registered);
     for (i = 0; i < record->count; i++) {
-        for (j = 0; j < registered_count; j++) {
-            if (registered[j] == record->versions[i]) {
-                record->seen_us[i] = forward->now_us;
-            }
+        if (contains(registered, registered_count, record->versions[i])) {
+            record->seen_us[i] = forward->now_us;
         }
     }
-    count = list_wanted(forward, record, versions);
+    count =
+        list_wanted(forward, record, registered, registered_count, versions);
     if (!differs(record, versions, count)) {
         record->wanted = false;
         return;
@@ -513,11 +510,9 @@
  * had no runner for a long time. */
 static uint32_t
 list_wanted(const forward_t *forward, const version_record_t *record,
+            const uint64_t *registered, uint32_t registered_count,
             uint64_t *versions)
 {
-    uint64_t registered[VERSIONS_RECORDED_MAX];
-    uint32_t registered_count = pool_list_versions(
-        forward->pool, forward->now_us, record->service, false, registered);
     uint32_t count = 0;
     uint32_t i;
 
@@ -528,7 +523,7 @@
         }
     }
     for (i = 0; i < registered_count && count < VERSIONS_RECORDED_MAX; i++) {
-        if (!record_has(record, registered[i])) {
+        if (!contains(record->versions, record->count, registered[i])) {
             versions[count] = registered[i];
             count++;
         }
@@ -546,7 +541,7 @@
         return count > 0;
     }
     for (i = 0; i < count; i++) {
-        if (!record_has(record, versions[i])) {
+        if (!contains(record->versions, record->count, versions[i])) {
             return true;
         }
     }
