--- a/forward/forward.h
+++ b/forward/forward.h
@@ -426,8 +426,8 @@
 void forward_placements(forward_t *forward, arena_t *arena,
                         placements_t *placements);
 
-/* Returns whether the key of the store is one of FORWARD_RECORD, or one that
- * only hosts without reports of the others need. */
+/* Return whether the store's key is one of FORWARD_RECORD, and whether it
+ * holds the streams of a host, which hosts that get reports do not need. */
 bool forward_is_record(const char *key);
 bool forward_is_stream_record(const char *key);
 
--- a/forward/private.h
+++ b/forward/private.h
@@ -5,7 +5,9 @@
  * admission.c admits or refuses new requests, send.c starts and ends attempts,
  * recover.c handles responses and failed attempts, copies.c maintains copies
  * of streams' KV caches, watchdog.c handles timeouts and silence.c silent
- * runners.  relay.c relays requests to other hosts.  sharing.c exchanges load
+ * runners.  relay.c relays requests to other hosts, and grant.c counts what
+ * these use of them.  versions.c keeps the versions of streams in memory,
+ * version_record.c and stream_record.c in the store.  sharing.c exchanges load
  * with other hosts, notes.c their findings; suspicion.c detects requests that
  * crash runners.
  */
@@ -477,8 +479,6 @@
                             const forward_put_result_t *result);
 /* Makes the versions of a service's runners be recorded. */
 void version_record_add_service(forward_t *forward, const char *service);
-/* Records that a stream of this host has begun. */
-void version_record_stream_begun(forward_t *forward);
 /* Writes what is due. */
 void version_record_check(forward_t *forward);
 void version_record_free(forward_t *forward);
@@ -491,6 +491,29 @@
 bool version_record_find_only(const forward_t *forward, const char *service,
                               uint64_t *version);
 
+/* Returns whether streams of some service may be of several versions. */
+bool version_record_has_several(const forward_t *forward);
+/* Writes a key, or removes it if value is NULL, if it has this revision. */
+void version_record_put(forward_t *forward, const char *key, const char *value,
+                        int64_t revision);
+/* Returns the delay of the next try after consecutive failures. */
+int64_t version_record_retry_us(forward_t *forward, uint32_t failures);
+
+/* --- stream_record.c; version_record.c calls it, but for the first --- */
+
+/* Records that a stream of this host has begun. */
+void stream_record_begun(forward_t *forward);
+void stream_record_set_due(forward_t *forward, int64_t due_us);
+void stream_record_list_begin(forward_t *forward);
+void stream_record_list_end(forward_t *forward);
+void stream_record_apply(forward_t *forward, const forward_record_t *record);
+/* Returns the number of consecutive failures. */
+uint32_t stream_record_written(forward_t *forward,
+                               const forward_put_result_t *result);
+void stream_record_check(forward_t *forward);
+/* Returns when a write is due; INT64_MAX: never. */
+int64_t stream_record_due_us(const forward_t *forward);
+
 /* --- notes.c --- */
 
 /* Queues the finding for all other hosts. */
--- /dev/null
+++ b/forward/stream_record.c
@@ -0,0 +1,185 @@
+/*
+ * stream_record.c - keeps in the store at which version this host has begun
+ * its streams; see version_record.c.
+ */
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+#include <syslog.h>
+
+#include "forward/private.h"
+
+enum {
+    HEXADECIMAL = 16,
+    /* Streams in one value; the oldest ones are left out. */
+    STREAMS_WRITTEN_MAX = 1024,
+    /* Streams that begin within this time are written together.  Each write
+     * wakes all hosts that watch the store, so hosts write at the same time.
+     */
+    STREAMS_DELAY_MS = 150,
+    /* Between two writes. */
+    STREAMS_INTERVAL_MS = 200,
+};
+
+static const char streams_prefix[] = "agatevale/streams/";
+
+static void write_streams(forward_t *forward);
+static const char *own_streams_key(const forward_t *forward, arena_t *arena);
+
+bool
+forward_is_stream_record(const char *key)
+{
+    return strncmp(key, streams_prefix, strlen(streams_prefix)) == 0;
+}
+
+void
+stream_record_list_begin(forward_t *forward)
+{
+    forward->streams_record.listed = false;
+}
+
+void
+stream_record_list_end(forward_t *forward)
+{
+    if (!forward->streams_record.listed) {
+        forward->streams_record.revision = 0;
+    }
+}
+
+/* Parses "VERSION STREAM..." on each line.  What an earlier incarnation of
+ * this host has written stays in its record. */
+void
+stream_record_apply(forward_t *forward, const forward_record_t *record)
+{
+    bool own =
+        strcmp(record->key + strlen(streams_prefix), forward->host) == 0;
+    const char *text = record->value != NULL ? record->value : "";
+    uint64_t version = 0;
+    bool line_start = true;
+    char *end;
+
+    if (own) {
+        forward->streams_record.revision = record->revision;
+        forward->streams_record.listed = true;
+    }
+    else if (forward->streams_record.dirty) {
+        stream_record_set_due(forward, forward->now_us);
+    }
+    while (*text != '\0') {
+        uint64_t number = strtoull(text, &end, HEXADECIMAL);
+
+        if (end == text) {
+            emit_log(forward, LOG_WARNING, "record-invalid", "key=%s",
+                     record->key);
+            return;
+        }
+        if (line_start) {
+            version = number;
+        }
+        else {
+            versions_record(forward, number, version, own);
+        }
+        line_start = *end == '\n';
+        text = line_start ? end + 1 : end;
+    }
+}
+
+void
+stream_record_begun(forward_t *forward)
+{
+    if (!forward->streams_record.dirty &&
+        version_record_has_several(forward)) {
+        stream_record_set_due(
+            forward, forward->now_us + (int64_t)STREAMS_DELAY_MS * US_PER_MS);
+    }
+}
+
+void
+stream_record_set_due(forward_t *forward, int64_t due_us)
+{
+    streams_record_t *streams = &forward->streams_record;
+    int64_t next_us =
+        streams->put_us + (int64_t)STREAMS_INTERVAL_MS * US_PER_MS;
+
+    streams->dirty = true;
+    streams->due_us =
+        streams->put_us != 0 && due_us < next_us ? next_us : due_us;
+    forward->records_changed = true;
+}
+
+static void
+write_streams(forward_t *forward)
+{
+    arena_t *arena = &forward->actions->arena;
+    const char *key = own_streams_key(forward, arena);
+    text_t value = {0};
+
+    forward->streams_record.dirty = false;
+    forward->streams_record.put_us = forward->now_us;
+    if (!version_record_has_several(forward)) {
+        if (forward->streams_record.revision != 0) {
+            forward->streams_record.pending = true;
+            version_record_put(forward, key, NULL,
+                               forward->streams_record.revision);
+        }
+        return;
+    }
+    if (versions_write_own(forward, &value, STREAMS_WRITTEN_MAX) == 0) {
+        text_free(&value);
+        return;
+    }
+    forward->streams_record.pending = true;
+    version_record_put(forward, key,
+                       arena_strndup(arena, value.bytes, value.length),
+                       forward->streams_record.revision);
+    text_free(&value);
+}
+
+uint32_t
+stream_record_written(forward_t *forward, const forward_put_result_t *result)
+{
+    streams_record_t *streams = &forward->streams_record;
+    bool failed = result->outcome == FORWARD_PUT_FAILED;
+
+    streams->pending = false;
+    if (!failed) {
+        streams->failures = 0;
+        stream_record_apply(forward, &result->record);
+    }
+    if (result->outcome != FORWARD_PUT_DONE) {
+        streams->due_us = forward->now_us +
+                          version_record_retry_us(forward, streams->failures);
+        streams->failures += failed ? 1 : 0;
+        streams->dirty = true;
+    }
+    return streams->failures;
+}
+
+void
+stream_record_check(forward_t *forward)
+{
+    streams_record_t *streams = &forward->streams_record;
+
+    if (streams->revision != 0 && !streams->dirty &&
+        !version_record_has_several(forward)) {
+        stream_record_set_due(forward, forward->now_us);
+    }
+    if (streams->dirty && !streams->pending &&
+        forward->now_us >= streams->due_us) {
+        write_streams(forward);
+    }
+}
+
+int64_t
+stream_record_due_us(const forward_t *forward)
+{
+    const streams_record_t *streams = &forward->streams_record;
+
+    return streams->dirty && !streams->pending ? streams->due_us : INT64_MAX;
+}
+
+static const char *
+own_streams_key(const forward_t *forward, arena_t *arena)
+{
+    return arena_printf(arena, "%s%s", streams_prefix, forward->host);
+}
--- a/forward/version_record.c
+++ b/forward/version_record.c
@@ -1,6 +1,5 @@
 /*
- * version_record.c - keeps in the store which versions serve, and which of
- * them began each stream.
+ * version_record.c - keeps in the store which versions serve.
  *
  * Hosts remember the versions of streams together, but all of them may lose
  * power at the same moment.  Two kinds of keys outlive that:
@@ -10,7 +9,8 @@
  *
  * New streams go only to versions that are recorded, so that a stream that
  * nobody knows was begun at the recorded version if there is only one.  The
- * streams themselves are written only while there are several.
+ * streams themselves are written only while there are several; see
+ * stream_record.c.
  */
 #include <inttypes.h>
 #include <stdlib.h>
@@ -26,14 +26,6 @@
     /* Of the store's keys, after the prefix. */
     KEY_BYTES_MAX = 200,
     HEXADECIMAL = 16,
-    /* Streams in one value; the oldest ones are left out. */
-    STREAMS_WRITTEN_MAX = 1024,
-    /* Streams that begin within this time are written together.  Each write
-     * wakes all hosts that watch the store, so hosts write at the same time.
-     */
-    STREAMS_DELAY_MS = 150,
-    /* Between two writes. */
-    STREAMS_INTERVAL_MS = 200,
     /* The hosts write one after the other, until one of them has written. */
     WRITER_STEP_MS = 300,
     /* Until then a host that has started may not know all hosts. */
@@ -54,12 +46,11 @@
 #define SEEN_CHECK_US ((int64_t)1000000)
 
 static const char versions_prefix[] = "agatevale/versions/";
-static const char streams_prefix[] = "agatevale/streams/";
 
 static version_record_t *find_or_add(forward_t *forward, const char *service);
 static void apply_versions(forward_t *forward, const forward_record_t *record);
-static void apply_streams(forward_t *forward, const forward_record_t *record);
-static const char *own_streams_key(const forward_t *forward, arena_t *arena);
+static uint32_t versions_written(forward_t *forward,
+                                 const forward_put_result_t *result);
 static bool is_versioned(const forward_t *forward, const char *service);
 static bool contains(const uint64_t *versions, uint32_t count,
                      uint64_t version);
@@ -74,12 +65,6 @@
                             const version_record_t *record);
 static void write_versions(forward_t *forward, version_record_t *record,
                            const uint64_t *versions, uint32_t count);
-static bool several_recorded(const forward_t *forward);
-static void write_streams(forward_t *forward);
-static void set_streams_due(forward_t *forward, int64_t due_us);
-static void put_record(forward_t *forward, const char *key, const char *value,
-                       int64_t revision);
-static int64_t retry_delay_us(forward_t *forward, uint32_t failures);
 static void set_due(forward_t *forward);
 
 void
@@ -125,12 +110,6 @@
            forward_is_stream_record(key);
 }
 
-bool
-forward_is_stream_record(const char *key)
-{
-    return strncmp(key, streams_prefix, strlen(streams_prefix)) == 0;
-}
-
 void
 version_record_list_begin(forward_t *forward)
 {
@@ -140,7 +119,7 @@
          record = record->hh.next) {
         record->listed = false;
     }
-    forward->streams_record.listed = false;
+    stream_record_list_begin(forward);
 }
 
 void
@@ -155,9 +134,7 @@
             record->revision = 0;
         }
     }
-    if (!forward->streams_record.listed) {
-        forward->streams_record.revision = 0;
-    }
+    stream_record_list_end(forward);
     forward->records_known = true;
     forward->records_changed = true;
 }
@@ -166,7 +143,7 @@
 version_record_apply(forward_t *forward, const forward_record_t *record)
 {
     if (forward_is_stream_record(record->key)) {
-        apply_streams(forward, record);
+        stream_record_apply(forward, record);
     }
     else {
         apply_versions(forward, record);
@@ -177,69 +154,44 @@
 void
 version_record_written(forward_t *forward, const forward_put_result_t *result)
 {
-    arena_t *arena = &forward->actions->arena;
-    const char *own_key = own_streams_key(forward, arena);
-    version_record_t *record;
-    uint32_t *failures = &forward->streams_record.failures;
-    int64_t *retry_at_us = &forward->streams_record.due_us;
+    uint32_t failures = forward_is_stream_record(result->record.key)
+                            ? stream_record_written(forward, result)
+                            : versions_written(forward, result);
 
-    if (strcmp(result->record.key, own_key) == 0) {
-        forward->streams_record.pending = false;
-    }
-    else {
-        record =
-            find_or_add(forward, result->record.key + strlen(versions_prefix));
-        record->pending = false;
-        failures = &record->failures;
-        retry_at_us = &record->retry_at_us;
-    }
-    if (result->outcome != FORWARD_PUT_FAILED) {
-        *failures = 0;
-        version_record_apply(forward, &result->record);
-    }
-    if (result->outcome != FORWARD_PUT_DONE) {
-        *retry_at_us = forward->now_us + retry_delay_us(forward, *failures);
-        *failures += result->outcome == FORWARD_PUT_FAILED ? 1 : 0;
-        forward->streams_record.dirty =
-            forward->streams_record.dirty ||
-            retry_at_us == &forward->streams_record.due_us;
-    }
     emit_log(forward, LOG_INFO, "record-written",
              "key=%s outcome=%s revision=%" PRId64 " failures=%" PRIu32,
              result->record.key,
              result->outcome == FORWARD_PUT_DONE       ? "done"
              : result->outcome == FORWARD_PUT_CONFLICT ? "conflict"
                                                        : "failed",
-             result->record.revision, *failures);
+             result->record.revision, failures);
     forward->records_changed = true;
 }
 
-void
-version_record_stream_begun(forward_t *forward)
-{
-    if (!forward->streams_record.dirty && several_recorded(forward)) {
-        set_streams_due(forward, forward->now_us +
-                                     (int64_t)STREAMS_DELAY_MS * US_PER_MS);
-    }
-}
-
-static void
-set_streams_due(forward_t *forward, int64_t due_us)
+/* Returns the number of consecutive failures. */
+static uint32_t
+versions_written(forward_t *forward, const forward_put_result_t *result)
 {
-    streams_record_t *streams = &forward->streams_record;
-    int64_t next_us =
-        streams->put_us + (int64_t)STREAMS_INTERVAL_MS * US_PER_MS;
+    version_record_t *record =
+        find_or_add(forward, result->record.key + strlen(versions_prefix));
+    bool failed = result->outcome == FORWARD_PUT_FAILED;
 
-    streams->dirty = true;
-    streams->due_us =
-        streams->put_us != 0 && due_us < next_us ? next_us : due_us;
-    forward->records_changed = true;
+    record->pending = false;
+    if (!failed) {
+        record->failures = 0;
+        apply_versions(forward, &result->record);
+    }
+    if (result->outcome != FORWARD_PUT_DONE) {
+        record->retry_at_us = forward->now_us + version_record_retry_us(
+                                                    forward, record->failures);
+        record->failures += failed ? 1 : 0;
+    }
+    return record->failures;
 }
 
 void
 version_record_check(forward_t *forward)
 {
-    streams_record_t *streams = &forward->streams_record;
     version_record_t *record;
 
     forward->records_changed = false;
@@ -251,27 +203,16 @@
          record = record->hh.next) {
         check_record(forward, record);
     }
-    if (streams->revision != 0 && !streams->dirty &&
-        !several_recorded(forward)) {
-        set_streams_due(forward, forward->now_us);
-    }
-    if (streams->dirty && !streams->pending &&
-        forward->now_us >= streams->due_us) {
-        write_streams(forward);
-    }
+    stream_record_check(forward);
     set_due(forward);
 }
 
 static void
 set_due(forward_t *forward)
 {
-    const streams_record_t *streams = &forward->streams_record;
     const version_record_t *record;
-    int64_t due_us = INT64_MAX;
+    int64_t due_us = stream_record_due_us(forward);
 
-    if (streams->dirty && !streams->pending) {
-        due_us = streams->due_us;
-    }
     for (record = forward->version_records; record != NULL;
          record = record->hh.next) {
         if (record->wanted && !record->pending && record->due_us < due_us) {
@@ -375,7 +316,7 @@
             forward->now_us;
     }
     if (next.count > 1 && next.count != current->count) {
-        set_streams_due(forward, forward->now_us);
+        stream_record_set_due(forward, forward->now_us);
     }
     *current = next;
     emit_log(forward, LOG_INFO, "versions-recorded",
@@ -384,50 +325,6 @@
              record->revision);
 }
 
-/* Parses "VERSION STREAM..." on each line.  What an earlier incarnation of
- * this host has written stays in its record. */
-static void
-apply_streams(forward_t *forward, const forward_record_t *record)
-{
-    bool own =
-        strcmp(record->key + strlen(streams_prefix), forward->host) == 0;
-    const char *text = record->value != NULL ? record->value : "";
-    uint64_t version = 0;
-    bool line_start = true;
-    char *end;
-
-    if (own) {
-        forward->streams_record.revision = record->revision;
-        forward->streams_record.listed = true;
-    }
-    else if (forward->streams_record.dirty) {
-        set_streams_due(forward, forward->now_us);
-    }
-    while (*text != '\0') {
-        uint64_t number = strtoull(text, &end, HEXADECIMAL);
-
-        if (end == text) {
-            emit_log(forward, LOG_WARNING, "record-invalid", "key=%s",
-                     record->key);
-            return;
-        }
-        if (line_start) {
-            version = number;
-        }
-        else {
-            versions_record(forward, number, version, own);
-        }
-        line_start = *end == '\n';
-        text = line_start ? end + 1 : end;
-    }
-}
-
-static const char *
-own_streams_key(const forward_t *forward, arena_t *arena)
-{
-    return arena_printf(arena, "%s%s", streams_prefix, forward->host);
-}
-
 /* Whether streams of the service are resumable, and its runners state their
  * versions. */
 static bool
@@ -594,13 +491,13 @@
                              versions[i]);
     }
     record->pending = true;
-    put_record(forward,
-               arena_printf(arena, "%s%s", versions_prefix, record->service),
-               value, record->revision);
+    version_record_put(
+        forward, arena_printf(arena, "%s%s", versions_prefix, record->service),
+        value, record->revision);
 }
 
-static bool
-several_recorded(const forward_t *forward)
+bool
+version_record_has_several(const forward_t *forward)
 {
     const version_record_t *record;
 
@@ -613,43 +510,17 @@
     return false;
 }
 
-static void
-write_streams(forward_t *forward)
-{
-    arena_t *arena = &forward->actions->arena;
-    const char *key = own_streams_key(forward, arena);
-    text_t value = {0};
-
-    forward->streams_record.dirty = false;
-    forward->streams_record.put_us = forward->now_us;
-    if (!several_recorded(forward)) {
-        if (forward->streams_record.revision != 0) {
-            forward->streams_record.pending = true;
-            put_record(forward, key, NULL, forward->streams_record.revision);
-        }
-        return;
-    }
-    if (versions_write_own(forward, &value, STREAMS_WRITTEN_MAX) == 0) {
-        text_free(&value);
-        return;
-    }
-    forward->streams_record.pending = true;
-    put_record(forward, key, arena_strndup(arena, value.bytes, value.length),
-               forward->streams_record.revision);
-    text_free(&value);
-}
-
-static void
-put_record(forward_t *forward, const char *key, const char *value,
-           int64_t revision)
+void
+version_record_put(forward_t *forward, const char *key, const char *value,
+                   int64_t revision)
 {
     action_new(forward, FORWARD_ACTION_PUT_RECORD, 0)->u.record =
         (forward_record_t){.key = key, .value = value, .revision = revision};
 }
 
 /* Hosts that fail together do not come again together. */
-static int64_t
-retry_delay_us(forward_t *forward, uint32_t failures)
+int64_t
+version_record_retry_us(forward_t *forward, uint32_t failures)
 {
     int64_t limit_us = (int64_t)RETRY_MIN_MS * US_PER_MS;
 
--- a/forward/versions.c
+++ b/forward/versions.c
@@ -4,7 +4,7 @@
  * What two versions write does not fit together, so a stream goes on only at
  * the version that began it.  A caller that takes up a stream may come to any
  * host, after the loss of its own; so each host keeps the versions of all
- * hosts' streams for some time, and version_record.c keeps them in the store.
+ * hosts' streams for some time, and stream_record.c keeps them in the store.
  */
 #include <inttypes.h>
 #include <stdlib.h>
@@ -42,7 +42,7 @@
     }
     versions_record(forward, request->stream, request->version,
                     !request->attempt.relayed);
-    version_record_stream_begun(forward);
+    stream_record_begun(forward);
 }
 
 void
