Take the decisions on following the store out of the module that does the I/O

gateway/watcher.c decided when to read, watch or poll, and could only be tested with sockets. forward/store_sync.c has the same decisions as a state machine without I/O, so that a simulation can run many hosts. Behaviour as before: test_gateway, test_gateway_relay, test_peering, test_outage and test_follower pass.

--- a/base/backoff.h
+++ b/base/backoff.h
@@ -16,6 +16,8 @@
  * doubles with each failure up to a maximum and has random jitter.
  */
 uint32_t backoff_next_ms(backoff_t *backoff);
+/* The same with a random number that the caller has drawn. */
+uint32_t backoff_delay_ms(backoff_t *backoff, uint64_t random);
 void backoff_reset(backoff_t *backoff);
 
 #endif
--- a/gateway/watcher.c
+++ b/gateway/watcher.c
@@ -2,63 +2,61 @@
  * watcher.c - follows the changes of the store, by a watch or by polling
  * another host.
  *
- * A follower polls its watcher host repeatedly.  A reply confirms the store's
- * state as of the time of the poll, less the contact age that the reply
- * states.  If no host replies, this host watches the store itself.
+ * Carries out the steps of forward/store_sync.h.
  */
 #include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
 
-#include "base/backoff.h"
 #include "base/log.h"
+#include "base/random.h"
+#include "forward/store_sync.h"
 #include "gateway/gateway.h"
 
-enum {
-    US_PER_MS = 1000,
-};
-
-typedef enum { SOURCE_NONE, SOURCE_READ, SOURCE_WATCH, SOURCE_HOST } source_t;
-
 struct watcher {
     gateway_t *gateway;
     uv_timer_t *timer;
-    backoff_t backoff;
-    int64_t call_start_us; /* start of the current call or poll */
-    source_t source;       /* of the current call */
-    bool watch_changed;    /* the last callback of the watch had changes */
-    bool needs_full_read;  /* the next call reads all keys */
-    bool initial_read_done;
-    bool store_unavailable; /* the last call to the store failed */
-    char *polled_host;      /* used with SOURCE_HOST */
-    uint64_t poll_number;   /* of the last poll */
-    follower_t follower;
+    store_sync_t *sync;
 };
 
-static void start_next_call(watcher_t *watcher);
-static const char *select_host_to_poll(watcher_t *watcher, arena_t *arena);
-static void poll_host(watcher_t *watcher, const char *host);
-static void handle_poll_failure(watcher_t *watcher);
+static store_sync_fleet_t fleet_now(const watcher_t *watcher, arena_t *arena);
+static void execute_step(watcher_t *watcher, const store_sync_step_t *step);
+static void start_call(watcher_t *watcher, const store_sync_step_t *step);
+static void poll_host(watcher_t *watcher, const store_sync_step_t *step);
+static void log_store_change(const watcher_t *watcher,
+                             const store_sync_step_t *step);
+static store_sync_result_t sync_result(kv_result_t result);
 static void on_range(void *context, kv_result_t result, int64_t revision,
                      const kv_pair_t *pairs, size_t count);
 static void on_watch(void *context, kv_result_t result, int64_t revision,
                      const kv_pair_t *pairs, size_t count);
-static void record_contact(watcher_t *watcher, int64_t contact_us);
-static uint32_t retry_max_ms(const watcher_t *watcher);
-static void schedule_retry(watcher_t *watcher, const char *call_name);
 static void on_timer(uv_timer_t *timer);
 
 watcher_t *
 watcher_new(gateway_t *gateway)
 {
+    const gateway_settings_t *settings = gateway->settings;
+    store_sync_settings_t sync_settings = {
+        .watch_ms = settings->watch_ms,
+        .changed_watch_ms = settings->watch_pause_ms > 0
+                                ? settings->watch_ms / KV_WATCH_CHANGED_PART
+                                : settings->watch_ms,
+        .settle_ms = settings->settle_ms,
+    };
     watcher_t *watcher = xcalloc(1, sizeof(*watcher));
+    arena_t arena = {0};
+    store_sync_fleet_t fleet;
+    store_sync_step_t step;
 
     watcher->gateway = gateway;
-    watcher->needs_full_read = true;
+    watcher->sync = store_sync_new(&sync_settings);
     watcher->timer = xcalloc(1, sizeof(*watcher->timer));
     (void)uv_timer_init(gateway->loop, watcher->timer);
     watcher->timer->data = watcher;
-    start_next_call(watcher);
+    fleet = fleet_now(watcher, &arena);
+    step = store_sync_start(watcher->sync, &fleet);
+    execute_step(watcher, &step);
+    arena_free(&arena);
     return watcher;
 }
 
@@ -69,7 +67,7 @@
         return;
     }
     uv_close((uv_handle_t *)watcher->timer, (uv_close_cb)free);
-    free(watcher->polled_host);
+    store_sync_free(watcher->sync);
     free(watcher);
 }
 
@@ -78,22 +76,15 @@
                      const store_changes_t *reply)
 {
     gateway_t *gateway = watcher->gateway;
-    int64_t contact_us =
-        watcher->call_start_us - (int64_t)reply->contact_age_ms * US_PER_MS;
+    arena_t arena = {0};
+    store_sync_fleet_t fleet;
+    store_sync_step_t step;
     u_int i;
 
-    if (watcher->source != SOURCE_HOST ||
-        reply->number != watcher->poll_number ||
-        strcmp(host, watcher->polled_host) != 0) {
+    if (!store_sync_is_polling(watcher->sync, host, reply->number)) {
         return;
     }
-    (void)uv_timer_stop(watcher->timer);
-    if (!reply->known) {
-        watcher->needs_full_read = true;
-        start_next_call(watcher);
-        return;
-    }
-    for (i = 0; i < reply->items.items_len; i++) {
+    for (i = 0; reply->known && i < reply->items.items_len; i++) {
         const store_item_t *item = &reply->items.items_val[i];
         kv_pair_t pair = {
             .key = item->key,
@@ -105,94 +96,128 @@
 
         store_view_apply(gateway, &pair);
     }
-    mirror_advance(gateway->mirror, reply->revision);
-    store_relay_reply_to_all(gateway->relay);
-    if (!follower_contact_is_fresh((int64_t)reply->contact_age_ms *
-                                   US_PER_MS)) {
-        handle_poll_failure(watcher);
-        return;
+    if (reply->known) {
+        mirror_advance(gateway->mirror, reply->revision);
+        store_relay_reply_to_all(gateway->relay);
     }
-    record_contact(watcher, contact_us);
-    start_next_call(watcher);
+    fleet = fleet_now(watcher, &arena);
+    step = store_sync_poll_done(watcher->sync, reply->known,
+                                reply->contact_age_ms, &fleet);
+    execute_step(watcher, &step);
+    arena_free(&arena);
 }
 
-/* A single watch of all keys needs only one open call to the store. */
+static store_sync_fleet_t
+fleet_now(const watcher_t *watcher, arena_t *arena)
+{
+    const gateway_t *gateway = watcher->gateway;
+    store_sync_fleet_t fleet = {
+        .now_us = gateway_now_us(),
+        .peers_ready = peering_ready(gateway->peering),
+        .random = random_u64(),
+    };
+
+    fleet.hosts =
+        directory_hosts(gateway->directory, arena, &fleet.count, &fleet.self);
+    return fleet;
+}
+
+/* The contact is recorded before the next call: it may fail at once. */
 static void
-start_next_call(watcher_t *watcher)
+execute_step(watcher_t *watcher, const store_sync_step_t *step)
+{
+    gateway_t *gateway = watcher->gateway;
+
+    if (step->failed_host != NULL) {
+        log_event(LOG_NOTICE, "store-poll-failed", "host=%s",
+                  step->failed_host);
+    }
+    log_store_change(watcher, step);
+    if (step->has_contact) {
+        forward_event_t event = {.kind = FORWARD_STORE_CONTACT,
+                                 .u.contact_us = step->contact_us};
+
+        forwarding_handle_event(gateway, &event);
+    }
+    if (step->ends_watch) {
+        gateway->kv->ops->watch_cancel(gateway->kv, watcher);
+    }
+    if (step->timer_ms > 0) {
+        (void)uv_timer_start(watcher->timer, on_timer, step->timer_ms, 0);
+    }
+    else if (step->call != SYNC_NONE) {
+        (void)uv_timer_stop(watcher->timer);
+    }
+    start_call(watcher, step);
+}
+
+static void
+start_call(watcher_t *watcher, const store_sync_step_t *step)
 {
     gateway_t *gateway = watcher->gateway;
     kv_t *kv = gateway->kv;
-    arena_t arena = {0};
-    const char *host;
 
-    watcher->call_start_us = gateway_now_us();
-    if (watcher->needs_full_read) {
-        watcher->source = SOURCE_READ;
+    switch (step->call) {
+    case SYNC_NONE:
+        return;
+    case SYNC_READ:
         kv->ops->range(kv, "", true, on_range, watcher);
         return;
-    }
-    host = select_host_to_poll(watcher, &arena);
-    if (host != NULL) {
-        poll_host(watcher, host);
-    }
-    else {
-        watcher->source = SOURCE_WATCH;
-        watcher->watch_changed = false;
+    case SYNC_WATCH:
         kv->ops->watch(kv, "", mirror_revision(gateway->mirror) + 1, on_watch,
                        watcher);
+        return;
+    case SYNC_POLL:
+        poll_host(watcher, step);
+        return;
     }
-    arena_free(&arena);
 }
 
-/* Returns NULL if this host must watch the store itself. */
-static const char *
-select_host_to_poll(watcher_t *watcher, arena_t *arena)
+static void
+poll_host(watcher_t *watcher, const store_sync_step_t *step)
 {
     gateway_t *gateway = watcher->gateway;
-    int64_t now_us = gateway_now_us();
-    const watcher_candidate_t *self;
-    watcher_candidate_t *hosts;
-    size_t count;
+    message_t message = {.kind = MESSAGE_STORE_POLL};
 
-    if (!peering_ready(gateway->peering)) {
-        return NULL;
+    if (step->new_host) {
+        log_event(LOG_INFO, "store-poll-host", "host=%s", step->host);
     }
-    hosts = directory_hosts(gateway->directory, arena, &count, &self);
-    return follower_host_to_poll(&watcher->follower, hosts, count, self,
-                                 now_us);
+    message.message_t_u.store_poll.number = step->poll_number;
+    message.message_t_u.store_poll.after = mirror_revision(gateway->mirror);
+    peering_send(gateway->peering, step->host, &message);
 }
 
 static void
-poll_host(watcher_t *watcher, const char *host)
+log_store_change(const watcher_t *watcher, const store_sync_step_t *step)
 {
-    message_t message = {.kind = MESSAGE_STORE_POLL};
+    int64_t revision = mirror_revision(watcher->gateway->mirror);
 
-    watcher->source = SOURCE_HOST;
-    watcher->poll_number++;
-    if (watcher->polled_host == NULL ||
-        strcmp(watcher->polled_host, host) != 0) {
-        log_event(LOG_INFO, "store-poll-host", "host=%s", host);
-        free(watcher->polled_host);
-        watcher->polled_host = xstrdup(host);
+    switch (step->store) {
+    case SYNC_STORE_SAME:
+        return;
+    case SYNC_STORE_LOST:
+        log_event(LOG_WARNING, "store-unavailable",
+                  "call=%s revision=%" PRId64,
+                  step->lost_call == SYNC_READ ? "read" : "watch", revision);
+        return;
+    case SYNC_STORE_REGAINED:
+        log_event(LOG_NOTICE, "store-available", "revision=%" PRId64,
+                  revision);
+        return;
     }
-    message.message_t_u.store_poll.number = watcher->poll_number;
-    message.message_t_u.store_poll.after =
-        mirror_revision(watcher->gateway->mirror);
-    (void)uv_timer_start(watcher->timer, on_timer, FOLLOWER_POLL_TIMEOUT_MS,
-                         0);
-    peering_send(watcher->gateway->peering, host, &message);
 }
 
-static void
-handle_poll_failure(watcher_t *watcher)
+static store_sync_result_t
+sync_result(kv_result_t result)
 {
-    log_event(LOG_NOTICE, "store-poll-failed", "host=%s",
-              watcher->polled_host);
-    follower_host_failed(&watcher->follower, watcher->polled_host,
-                         gateway_now_us());
-    free(watcher->polled_host);
-    watcher->polled_host = NULL;
-    start_next_call(watcher);
+    switch (result) {
+    case KV_OK:
+        return SYNC_OK;
+    case KV_INVALID:
+        return SYNC_COMPACTED;
+    default:
+        return SYNC_FAILED;
+    }
 }
 
 static void
@@ -200,141 +225,67 @@
          const kv_pair_t *pairs, size_t count)
 {
     watcher_t *watcher = context;
+    gateway_t *gateway = watcher->gateway;
+    arena_t arena = {0};
+    store_sync_fleet_t fleet;
+    store_sync_step_t step;
 
-    if (result != KV_OK) {
-        schedule_retry(watcher, "read");
-        return;
-    }
-    store_view_load(watcher->gateway, revision, pairs, count);
-    log_event(LOG_INFO, "store-read", "revision=%" PRId64 " items=%zu",
-              revision, count);
-    store_relay_reply_to_all(watcher->gateway->relay);
-    watcher->needs_full_read = false;
-    record_contact(watcher, watcher->call_start_us);
-    if (!watcher->initial_read_done && follower_fleet_is_small(directory_count(
-                                           watcher->gateway->directory))) {
-        watcher->source = SOURCE_NONE;
-        (void)uv_timer_start(watcher->timer, on_timer,
-                             watcher->gateway->settings->settle_ms, 0);
-    }
-    else {
-        start_next_call(watcher);
+    if (result == KV_OK) {
+        store_view_load(gateway, revision, pairs, count);
+        log_event(LOG_INFO, "store-read", "revision=%" PRId64 " items=%zu",
+                  revision, count);
+        store_relay_reply_to_all(gateway->relay);
     }
-    watcher->initial_read_done = true;
+    fleet = fleet_now(watcher, &arena);
+    step = store_sync_read_done(
+        watcher->sync, result == KV_OK ? SYNC_OK : SYNC_FAILED, &fleet);
+    execute_step(watcher, &step);
+    arena_free(&arena);
 }
 
-/* An empty result means that the watch timed out without any change. */
+/* An empty result means that a poll has returned without any change. */
 static void
 on_watch(void *context, kv_result_t result, int64_t revision,
          const kv_pair_t *pairs, size_t count)
 {
     watcher_t *watcher = context;
     gateway_t *gateway = watcher->gateway;
-    int64_t now_us = gateway_now_us();
-    int64_t contact_us = watcher->call_start_us;
     arena_t arena = {0};
-    const char *host;
+    store_sync_fleet_t fleet;
+    store_sync_step_t step;
     size_t i;
 
-    if (watcher->source != SOURCE_WATCH) {
+    if (!store_sync_is_watching(watcher->sync)) {
         return;
     }
     if (result == KV_INVALID) {
         log_event(LOG_NOTICE, "store-revision-compacted", "revision=%" PRId64,
                   mirror_revision(gateway->mirror));
-        watcher->needs_full_read = true;
-        start_next_call(watcher);
-        return;
-    }
-    if (result != KV_OK) {
-        schedule_retry(watcher, "watch");
-        return;
-    }
-    for (i = 0; i < count; i++) {
-        store_view_apply(gateway, &pairs[i]);
     }
-    mirror_advance(gateway->mirror, revision);
-    if (count == 0) {
-        int64_t wait_ms = gateway->settings->watch_ms;
-
-        if (watcher->watch_changed && gateway->settings->watch_pause_ms > 0) {
-            wait_ms /= KV_WATCH_CHANGED_PART;
+    if (result == KV_OK) {
+        for (i = 0; i < count; i++) {
+            store_view_apply(gateway, &pairs[i]);
+        }
+        mirror_advance(gateway->mirror, revision);
+        if (count > 0) {
+            store_relay_reply_to_all(gateway->relay);
         }
-        contact_us += wait_ms * US_PER_MS;
-        contact_us = contact_us < now_us ? contact_us : now_us;
-    }
-    watcher->watch_changed = count > 0;
-    watcher->call_start_us = now_us;
-    follower_store_called(&watcher->follower);
-    record_contact(watcher, contact_us);
-    if (count > 0) {
-        store_relay_reply_to_all(gateway->relay);
-    }
-    host = select_host_to_poll(watcher, &arena);
-    if (host != NULL) {
-        gateway->kv->ops->watch_cancel(gateway->kv, watcher);
-        poll_host(watcher, host);
-    }
-    arena_free(&arena);
-}
-
-static void
-record_contact(watcher_t *watcher, int64_t contact_us)
-{
-    forward_event_t event = {.kind = FORWARD_STORE_CONTACT,
-                             .u.contact_us = contact_us};
-
-    backoff_reset(&watcher->backoff);
-    if (watcher->store_unavailable) {
-        log_event(LOG_NOTICE, "store-available", "revision=%" PRId64,
-                  mirror_revision(watcher->gateway->mirror));
-        watcher->store_unavailable = false;
-        follower_store_regained(&watcher->follower);
     }
-    forwarding_handle_event(watcher->gateway, &event);
-}
-
-static uint32_t
-retry_max_ms(const watcher_t *watcher)
-{
-    const watcher_candidate_t *self;
-    arena_t arena = {0};
-    size_t count;
-    const watcher_candidate_t *hosts =
-        directory_hosts(watcher->gateway->directory, &arena, &count, &self);
-    uint32_t limit_ms = follower_retry_max_ms(
-        count, self == NULL || follower_is_watcher(hosts, count, self));
-
+    fleet = fleet_now(watcher, &arena);
+    step = store_sync_watch_done(watcher->sync, sync_result(result), count > 0,
+                                 &fleet);
+    execute_step(watcher, &step);
     arena_free(&arena);
-    return limit_ms;
-}
-
-static void
-schedule_retry(watcher_t *watcher, const char *call_name)
-{
-    uint32_t wait_ms = backoff_next_ms(&watcher->backoff);
-    uint32_t wait_max_ms = retry_max_ms(watcher);
-
-    if (!watcher->store_unavailable) {
-        log_event(LOG_WARNING, "store-unavailable",
-                  "call=%s revision=%" PRId64, call_name,
-                  mirror_revision(watcher->gateway->mirror));
-        watcher->store_unavailable = true;
-    }
-    follower_store_called(&watcher->follower);
-    watcher->source = SOURCE_NONE;
-    (void)uv_timer_start(watcher->timer, on_timer,
-                         wait_ms < wait_max_ms ? wait_ms : wait_max_ms, 0);
 }
 
 static void
 on_timer(uv_timer_t *timer)
 {
     watcher_t *watcher = timer->data;
+    arena_t arena = {0};
+    store_sync_fleet_t fleet = fleet_now(watcher, &arena);
+    store_sync_step_t step = store_sync_timer(watcher->sync, &fleet);
 
-    if (watcher->source == SOURCE_HOST) {
-        handle_poll_failure(watcher);
-        return;
-    }
-    start_next_call(watcher);
+    execute_step(watcher, &step);
+    arena_free(&arena);
 }
