--- a/regress/gateway_host.c
+++ b/regress/gateway_host.c
@@ -40,6 +40,8 @@
 
 static void find_free_addresses(gateway_host_t *host);
 static int find_free_address(char *text, size_t size);
+static void on_found(void *context, kv_result_t result, int64_t revision,
+                     const kv_pair_t *pairs, size_t count);
 static void on_put(void *context, kv_result_t result, int64_t revision,
                    const kv_swap_result_t *answers, size_t count);
 static void on_connected(uv_connect_t *connect, int status);
@@ -122,9 +124,15 @@
                   .key = key,
                   .value = value,
                   .value_bytes = strlen(value)};
-    kv_swap_t swap = {.key = key, .ops = &op, .op_count = 1};
+    kv_swap_t swap = {
+        .key = key, .mod_revision = -1, .ops = &op, .op_count = 1};
     bool done = false;
 
+    host->gateway.kv->ops->range(host->gateway.kv, key, false, on_found,
+                                 &swap.mod_revision);
+    while (swap.mod_revision < 0) {
+        loop_turn(&host->fixture.loop);
+    }
     host->gateway.kv->ops->swap(host->gateway.kv, &swap, 1, on_put, &done);
     fixture_wait(&host->fixture, &done);
 }
@@ -243,6 +251,16 @@
     return fd;
 }
 
+static void
+on_found(void *context, kv_result_t result, int64_t revision,
+         const kv_pair_t *pairs, size_t count)
+{
+    int64_t *found = context;
+
+    ck_assert_int_eq(result, KV_OK);
+    *found = count > 0 ? pairs[0].mod_revision : 0;
+}
+
 static void
 on_put(void *context, kv_result_t result, int64_t revision,
        const kv_swap_result_t *answers, size_t count)
--- a/regress/gateway_host.h
+++ b/regress/gateway_host.h
@@ -43,7 +43,7 @@
                          const char *service, const char *zone,
                          const canned_reply_t *replies, size_t count);
 
-/* Puts a key of the store. */
+/* Creates or replaces a key of the store. */
 void gateway_host_put(gateway_host_t *host, const char *key,
                       const char *value);
 
--- a/regress/test_gateway_relay.c
+++ b/regress/test_gateway_relay.c
@@ -155,38 +155,76 @@
     {"a caller forges a grant", &other_key, "hello"},
 };
 
-START_TEST(test_grant_of_request)
+/* A grant that names the routing table of the host that relays. */
+typedef struct {
+    const char *name;
+    const char *grant;
+    const char *expected;
+} table_case_t;
+
+static const table_case_t table_cases[] = {
+    {"an older table judges a relayed request", "1 0 0 @999", "routing-stale"},
+    {"a table as new is not used", "1 0 0 @1", "hello"},
+    {"a host of an older build is refused", "1 0 0 ", "hello"},
+    {"a malformed revision is refused", "1 0 0 @", "hello"},
+};
+
+/* Returns the response to a request that host h2 relays with this grant. */
+static raw_caller_t *
+relay_with_grant(gateway_host_t *host, const char *grant,
+                 const wire_key_t *key)
 {
-    const grant_case_t *test = &grant_cases[_i];
-    char grant[GRANT_BYTES];
     relay_mark_t mark = MARK;
     char tag[RELAY_TAG_TEXT_BYTES];
     char grant_tag[RELAY_TAG_TEXT_BYTES];
     text_t request = {0};
-    gateway_host_t host;
     raw_caller_t *caller;
 
-    (void)snprintf(grant, sizeof(grant), "1 1 0 %" PRIx64 ",",
-                   (uint64_t)XXH3_64bits("plain-1", strlen("plain-1")));
     ck_assert(relay_mark_write_tag(shared_key, &mark, tag));
     mark.grant = grant;
-    ck_assert(relay_mark_write_tag(*test->key, &mark, grant_tag));
+    ck_assert(relay_mark_write_tag(*key, &mark, grant_tag));
     text_printf(&request,
                 "GET /unsafe/p?a=b HTTP/1.1\r\nHost: host.example\r\n"
                 "Attempt-Id: q1\r\nAuthorization: Bearer k1\r\n"
                 "X-Relayed-By: h2\r\nX-Relay-Tag: %s\r\n"
                 "X-Relay-Grant: %s\r\nX-Relay-Grant-Tag: %s\r\n\r\n",
                 tag, grant, grant_tag);
-    gateway_host_open(&host);
-    gateway_host_runner(&host, "plain-1", "plain", "a", &complete_reply, 1);
-    gateway_host_settle(&host);
-    caller = raw_caller_new(&host, host.listen_address);
+    gateway_host_open(host);
+    gateway_host_runner(host, "plain-1", "plain", "a", &complete_reply, 1);
+    gateway_host_settle(host);
+    caller = raw_caller_new(host, host->listen_address);
     raw_caller_send(caller, request.bytes);
+    text_free(&request);
+    return caller;
+}
+
+START_TEST(test_grant_of_request)
+{
+    const grant_case_t *test = &grant_cases[_i];
+    char grant[GRANT_BYTES];
+    gateway_host_t host;
+    raw_caller_t *caller;
+
+    (void)snprintf(grant, sizeof(grant), "1 1 0 %" PRIx64 ",",
+                   (uint64_t)XXH3_64bits("plain-1", strlen("plain-1")));
+    caller = relay_with_grant(&host, grant, test->key);
+    ck_assert_msg(raw_caller_wait(caller, test->expected), "%s: got\n%s",
+                  test->name, raw_caller_bytes(caller));
+    raw_caller_free(caller);
+    gateway_host_close(&host);
+}
+END_TEST
+
+START_TEST(test_table_of_relaying_host)
+{
+    const table_case_t *test = &table_cases[_i];
+    gateway_host_t host;
+    raw_caller_t *caller = relay_with_grant(&host, test->grant, &shared_key);
+
     ck_assert_msg(raw_caller_wait(caller, test->expected), "%s: got\n%s",
                   test->name, raw_caller_bytes(caller));
     raw_caller_free(caller);
     gateway_host_close(&host);
-    text_free(&request);
 }
 END_TEST
 
@@ -468,6 +506,8 @@
 
     (void)signal(SIGPIPE, SIG_IGN); /* as the daemon does */
     tcase_add_loop_test(tcase, test_grant_of_request, 0, COUNT(grant_cases));
+    tcase_add_loop_test(tcase, test_table_of_relaying_host, 0,
+                        COUNT(table_cases));
     tcase_add_loop_test(tcase, test_mark_of_request, 0, COUNT(mark_cases));
     tcase_add_test(tcase, test_relayed_request);
     tcase_add_test(tcase, test_request_that_cannot_be_marked_is_not_sent);
