--- a/forward/forward.c
+++ b/forward/forward.c
@@ -23,6 +23,8 @@
 
 static void handle_request_event(forward_t *forward,
                                  const forward_event_t *event);
+static void record_contact(forward_t *forward,
+                           const forward_contact_t *contact);
 static void replace_routing(forward_t *forward, routing_t *routing);
 static void handle_caller_disconnected(forward_t *forward, uint64_t number);
 static void handle_progress(forward_t *forward,
@@ -107,9 +109,7 @@
         handle_registry_event(forward, event);
         break;
     case FORWARD_STORE_CONTACT:
-        if (event->u.contact_us > forward->contact_us) {
-            forward->contact_us = event->u.contact_us;
-        }
+        record_contact(forward, &event->u.contact);
         break;
     case FORWARD_HOST_COUNT:
         forward->hosts = event->u.hosts > 0 ? event->u.hosts : 1;
@@ -398,6 +398,18 @@
     }
 }
 
+static void
+record_contact(forward_t *forward, const forward_contact_t *contact)
+{
+    if (contact->contact_us <= forward->contact_us) {
+        return;
+    }
+    forward->contact_us = contact->contact_us;
+    forward->view_revision = contact->revision;
+    (void)snprintf(forward->view_source, sizeof(forward->view_source), "%s",
+                   contact->source != NULL ? contact->source : "");
+}
+
 /* A routing table is never replaced by an older one. */
 static void
 replace_routing(forward_t *forward, routing_t *routing)
--- a/forward/forward.h
+++ b/forward/forward.h
@@ -229,6 +229,14 @@
     forward_record_t record; /* as it is now; only the key if it has failed */
 } forward_put_result_t;
 
+/* How this host knows the state of the store. */
+typedef struct {
+    int64_t contact_us; /* as of when all changes are known */
+    int64_t revision;   /* of the store; up to it changes are applied */
+    const char *source; /* "read", "watch", or the host that was polled; NULL:
+                           not stated */
+} forward_contact_t;
+
 /* Limits that may change while the process runs. */
 typedef struct {
     /* How long a routing table is used after it was last known to be
@@ -259,8 +267,8 @@
         const char *deregistered_id;
         forward_record_t record;
         forward_put_result_t put;
-        int64_t contact_us; /* when the routing table was current */
-        uint32_t hosts;     /* number of hosts that share the retry budgets */
+        forward_contact_t contact;
+        uint32_t hosts; /* number of hosts that share the retry budgets */
         forward_hosts_t host_list;
         forward_peer_report_t peer;
         forward_limits_t limits;
--- a/forward/private.h
+++ b/forward/private.h
@@ -28,6 +28,7 @@
     /* Idle time up to which a silent runner may only pause. */
     PAUSE_IDLE_MS = 3000,
     PATH_LOST_MAX = 4,
+    VIEW_SOURCE_BYTES = 64, /* longer names are cut off */
     HOSTS_EXCLUDED_MAX = 512,
     RELAYED_TO_MAX = 4,
     VERSIONS_RECORDED_MAX = POOL_VERSIONS_MAX,
@@ -235,10 +236,12 @@
     char *zone;
     uint64_t random_state; /* of the generator for weighted choices */
     routing_t *routing;
-    int64_t contact_us; /* when the routing table was current; 0: never */
-    uint32_t hosts;     /* number of hosts in the system */
-    int64_t started_us; /* time of the first step */
-    int64_t draining_since_us; /* 0: not draining */
+    int64_t contact_us;    /* when the routing table was current; 0: never */
+    int64_t view_revision; /* of the store at that time */
+    char view_source[VIEW_SOURCE_BYTES]; /* see forward_contact_t */
+    uint32_t hosts;                      /* number of hosts in the system */
+    int64_t started_us;                  /* time of the first step */
+    int64_t draining_since_us;           /* 0: not draining */
     pool_t *pool;
     pool_t *host_pool;                 /* the hosts, in the place of runners */
     peer_state_t *peers;               /* by host, sorted by the last report */
--- a/forward/store_sync.c
+++ b/forward/store_sync.c
@@ -2,6 +2,7 @@
  * store_sync.c - decides how a host learns of the store's changes; see
  * store_sync.h.
  */
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -9,7 +10,7 @@
 #include "base/backoff.h"
 #include "forward/store_sync.h"
 
-enum { US_PER_MS = 1000 };
+enum { US_PER_MS = 1000, SOURCE_BYTES = 64 };
 
 struct store_sync {
     store_sync_settings_t settings;
@@ -22,7 +23,8 @@
     bool store_unavailable; /* the last call to the store failed */
     char *polled_host;      /* NULL: none, or it has failed */
     char *failed_host;
-    uint64_t poll_number; /* of the last poll */
+    char source[SOURCE_BYTES]; /* of the last contact */
+    uint64_t poll_number;      /* of the last poll */
     follower_t follower;
 };
 
@@ -37,7 +39,7 @@
                                 const store_sync_fleet_t *fleet,
                                 store_sync_step_t *step);
 static void record_contact(store_sync_t *sync, int64_t contact_us,
-                           store_sync_step_t *step);
+                           const char *source, store_sync_step_t *step);
 static void schedule_retry(store_sync_t *sync, const store_sync_fleet_t *fleet,
                            store_sync_step_t *step);
 
@@ -81,7 +83,7 @@
         return step;
     }
     sync->needs_full_read = false;
-    record_contact(sync, sync->call_start_us, &step);
+    record_contact(sync, sync->call_start_us, "read", &step);
     if (!sync->initial_read_done && sync->settings.settle_ms > 0 &&
         follower_fleet_is_small(fleet->count)) {
         sync->call = SYNC_NONE;
@@ -128,7 +130,7 @@
     sync->watch_changed = changes;
     sync->call_start_us = fleet->now_us;
     follower_store_called(&sync->follower);
-    record_contact(sync, contact_us, &step);
+    record_contact(sync, contact_us, "watch", &step);
     host = select_host(sync, fleet);
     if (host != NULL) {
         step.ends_watch = true;
@@ -161,7 +163,8 @@
         handle_poll_failure(sync, fleet, &step);
         return step;
     }
-    record_contact(sync, sync->call_start_us - age_us, &step);
+    record_contact(sync, sync->call_start_us - age_us, sync->polled_host,
+                   &step);
     start_next_call(sync, fleet, &step);
     return step;
 }
@@ -243,7 +246,8 @@
 }
 
 static void
-record_contact(store_sync_t *sync, int64_t contact_us, store_sync_step_t *step)
+record_contact(store_sync_t *sync, int64_t contact_us, const char *source,
+               store_sync_step_t *step)
 {
     backoff_reset(&sync->backoff);
     if (sync->store_unavailable) {
@@ -253,6 +257,8 @@
     }
     step->has_contact = true;
     step->contact_us = contact_us;
+    (void)snprintf(sync->source, sizeof(sync->source), "%s", source);
+    step->source = sync->source;
 }
 
 static void
--- a/forward/store_sync.h
+++ b/forward/store_sync.h
@@ -63,6 +63,8 @@
     store_sync_call_t lost_call; /* with SYNC_STORE_LOST: that has failed */
     bool has_contact;
     int64_t contact_us; /* as of when all changes are known */
+    const char *source; /* "read", "watch" or a host; valid until the next
+                           call */
 } store_sync_step_t;
 
 typedef enum {
--- a/gateway/watcher.c
+++ b/gateway/watcher.c
@@ -134,8 +134,13 @@
     }
     log_store_change(watcher, step);
     if (step->has_contact) {
-        forward_event_t event = {.kind = FORWARD_STORE_CONTACT,
-                                 .u.contact_us = step->contact_us};
+        forward_event_t event = {
+            .kind = FORWARD_STORE_CONTACT,
+            .u.contact = {
+                .contact_us = step->contact_us,
+                .revision = mirror_revision(gateway->mirror),
+                .source = step->source,
+            }};
 
         forwarding_handle_event(gateway, &event);
     }
--- a/regress/forwarding.c
+++ b/regress/forwarding.c
@@ -19,6 +19,7 @@
 
 static void step(forward_t *forward, int64_t at_ms,
                  const forward_event_t *event, bool print);
+static forward_contact_t contact_of(const line_t *line, int64_t at_ms);
 static forward_event_t request_of(const line_t *line);
 static forward_event_t answer_of(const line_t *line);
 static void do_fleet(forward_t *forward, int64_t at_ms, const line_t *line);
@@ -119,7 +120,7 @@
     }
     else if (strcmp(line.words[0], "contact") == 0) {
         event.kind = FORWARD_STORE_CONTACT;
-        event.u.contact_us = at_ms * US_PER_MS;
+        event.u.contact = contact_of(&line, at_ms);
     }
     else if (strcmp(line.words[0], "fleet") == 0) {
         do_fleet(forward, at_ms, &line);
@@ -293,6 +294,18 @@
     return event;
 }
 
+static forward_contact_t
+contact_of(const line_t *line, int64_t at_ms)
+{
+    const char *revision = line_value(line, "revision");
+
+    return (forward_contact_t){
+        .contact_us = at_ms * US_PER_MS,
+        .revision = revision != NULL ? strtoll(revision, NULL, DECIMAL) : 0,
+        .source = line_value(line, "source"),
+    };
+}
+
 static forward_event_t
 answer_of(const line_t *line)
 {
--- a/regress/forwarding.h
+++ b/regress/forwarding.h
@@ -29,7 +29,8 @@
  *   drop RUNNER
  *   list RUNNER... [version=V]  the whole registry, without records
  *   routing VERSION           the table of forwarding_routing()
- *   contact                   the table is in force now
+ *   contact [revision=N] [source=NAME]
+ *                             the table is in force now
  *   hosts N
  *   fleet HOST...             all hosts; named as in "ha2", a is the zone
  *   peer HOST gone|RUNNER/SESSION[/reading]... [stale] [number=N]
--- a/regress/partition_sim.c
+++ b/regress/partition_sim.c
@@ -148,7 +148,7 @@
 {
     forward_event_t event = {.kind = FORWARD_STORE_CONTACT};
 
-    event.u.contact_us = cut_sim.now_ms * CUT_US_PER_MS;
+    event.u.contact.contact_us = cut_sim.now_ms * CUT_US_PER_MS;
     cut_deliver(host, &event);
 }
 
--- a/regress/silence_sim.c
+++ b/regress/silence_sim.c
@@ -281,7 +281,7 @@
         host_t *host = &silence.hosts[i];
         forward_event_t event = {.kind = FORWARD_STORE_CONTACT};
 
-        event.u.contact_us = silence.now_ms * US_PER_MS;
+        event.u.contact.contact_us = silence.now_ms * US_PER_MS;
         silence_deliver(i, &event);
         event = (forward_event_t){.kind = FORWARD_TIMER};
         if (silence.now_ms % TIMER_MS == 0 ||
--- a/regress/suspicion_sim.c
+++ b/regress/suspicion_sim.c
@@ -375,7 +375,7 @@
     for (host = 0; host < sim.scenario.hosts; host++) {
         forward_event_t event = {.kind = FORWARD_STORE_CONTACT};
 
-        event.u.contact_us = sim.now_ms * SIM_US_PER_MS;
+        event.u.contact.contact_us = sim.now_ms * SIM_US_PER_MS;
         if (!sim_is_store_away()) {
             sim_deliver_event(host, &event);
         }
--- a/regress/version_sim.c
+++ b/regress/version_sim.c
@@ -375,7 +375,7 @@
         if (sim.hosts[host].down) {
             continue;
         }
-        event.u.contact_us = sim.now_ms * US_PER_MS;
+        event.u.contact.contact_us = sim.now_ms * US_PER_MS;
         version_deliver(host, &event);
         event = (forward_event_t){.kind = FORWARD_TIMER};
         version_deliver(host, &event);
--- a/regress/view_store.c
+++ b/regress/view_store.c
@@ -212,8 +212,9 @@
     event_t event = {.kind = EVENT_TIMER, .host = host};
 
     if (step->has_contact) {
-        forward_event_t contact = {.kind = FORWARD_STORE_CONTACT,
-                                   .u.contact_us = step->contact_us};
+        forward_event_t contact = {
+            .kind = FORWARD_STORE_CONTACT,
+            .u.contact = {.contact_us = step->contact_us}};
 
         view_deliver(host, &contact);
     }
