Bound the age of the view of the store by the limits in the settings

What callers saw: requests reached servers later than the bound after the store had acknowledged that they leave, from hosts that nothing disturbed.

Cause: what a host knows came by a chain of limits that were set one by one (a watcher's contact, the hold and the timeout of a poll, the timeout of a call, back-offs), and nothing compared their sum with the time within which a change must be in force, nor asked for the age when a request was sent.

Now that time is a setting (apply_ms, leave_ms; from ConfigApplyMs and DrainMs): - A view that is 600 ms from the limit is confirmed with the store itself, whatever poll or watch is in progress (forward/view.c, store_sync_confirm()). The first poll of a watch returns at once, so that one short call confirms. - A request that arrives while the view is older than the limit less 300 ms waits up to 600 ms for that, and is then decided by the new state. It does not wait while calls of this host to the store fail: others may serve no better. - A host whose calls to the store fail polls a host that has it, also if it is a watcher itself, instead of waiting with what it knows. - The oldest contact of a watcher that is used follows from the same limit.

--- a/forward/admission.c
+++ b/forward/admission.c
@@ -15,6 +15,8 @@
     HOST_NAME_BYTES = 256,
 };
 
+static void admit(forward_t *forward, request_t *request,
+                  const forward_request_t *incoming);
 static bool routing_is_stale(const forward_t *forward, const route_t *route);
 static const route_t *match_route(const forward_t *forward,
                                   const forward_request_t *incoming);
@@ -26,7 +28,23 @@
 void
 admit_request(forward_t *forward, const forward_request_t *incoming)
 {
-    request_t *request = request_new(forward, incoming);
+    admit(forward, request_new(forward, incoming), incoming);
+}
+
+void
+admit_held_request(forward_t *forward, request_t *request)
+{
+    const forward_request_t *incoming = request->held;
+
+    request->held = NULL;
+    request->retry_at_us = 0;
+    admit(forward, request, incoming);
+}
+
+static void
+admit(forward_t *forward, request_t *request,
+      const forward_request_t *incoming)
+{
     const route_t *route;
     const key_owner_t *owner = NULL;
 
@@ -40,6 +58,10 @@
         refuse_request(forward, request, REFUSE_HOST_FULL);
         return;
     }
+    if (view_holds_request(forward, request)) {
+        view_hold_admission(forward, request, incoming);
+        return;
+    }
     route = match_route(forward, incoming);
     if (route != NULL) {
         apply_route(forward, request, route, incoming->deadline_ms);
@@ -175,7 +197,7 @@
     }
     request->deadline_us =
         limit_ms == 0 ? INT64_MAX
-                      : forward->now_us + (int64_t)limit_ms * US_PER_MS;
+                      : request->arrived_us + (int64_t)limit_ms * US_PER_MS;
     request->service = arena_strdup(&request->arena, name);
     for (i = 0; i < request->part_count; i++) {
         request->parts[i] =
--- a/forward/follower.c
+++ b/forward/follower.c
@@ -25,6 +25,9 @@
      * force within one or two seconds after it is available again. */
     RETRY_MAX_MS = 500,
     FOLLOWER_RETRY_MAX_MS = 2500,
+    /* From the reply of a watcher whose contact is as old as possible until
+     * the next one. */
+    CONFIRM_SLACK_MS = 200,
     US_PER_MS = 1000,
 };
 
@@ -43,6 +46,9 @@
              const watcher_candidate_t *previous);
 static int compare_zones(const void *left, const void *right);
 static uint64_t hash_name(const char *name, uint64_t seed);
+static void mark_failed(const follower_t *following,
+                        watcher_candidate_t *hosts, size_t count,
+                        int64_t now_us);
 static bool failed_recently(const follower_t *following, const char *name,
                             int64_t now_us);
 
@@ -107,40 +113,59 @@
                       size_t count, const watcher_candidate_t *self,
                       int64_t now_us)
 {
-    const watcher_candidate_t *chosen;
-    size_t i;
-
     if (following->must_watch_store || self == NULL ||
         follower_is_watcher(hosts, count, self)) {
         return NULL;
     }
-    for (i = 0; i < count; i++) {
-        hosts[i].failed = failed_recently(following, hosts[i].name, now_us);
-    }
-    chosen = follower_choose_watcher(hosts, count, self);
-    return chosen != NULL ? chosen->name : NULL;
+    return follower_substitute(following, hosts, count, self, now_us);
 }
 
 bool
-follower_contact_is_fresh(int64_t contact_age_us)
+follower_contact_is_fresh(int64_t contact_age_us, uint32_t age_max_ms)
 {
-    return contact_age_us <= (int64_t)FOLLOWER_CONTACT_AGE_MAX_MS * US_PER_MS;
+    return contact_age_us <= (int64_t)age_max_ms * US_PER_MS;
 }
 
 uint32_t
-follower_poll_hold_ms(int64_t contact_age_us)
+follower_poll_hold_ms(int64_t contact_age_us, uint32_t age_max_ms)
 {
     int64_t age_ms = contact_age_us / US_PER_MS;
 
-    if (age_ms > FOLLOWER_CONTACT_AGE_MAX_MS) {
+    if (age_ms > age_max_ms) {
         return 0;
     }
-    if (age_ms + FOLLOWER_POLL_HOLD_MS > FOLLOWER_CONTACT_AGE_MAX_MS) {
-        return (uint32_t)(FOLLOWER_CONTACT_AGE_MAX_MS + 1 - age_ms);
+    if (age_ms + FOLLOWER_POLL_HOLD_MS > age_max_ms) {
+        return (uint32_t)(age_max_ms + 1 - age_ms);
     }
     return FOLLOWER_POLL_HOLD_MS;
 }
 
+uint32_t
+follower_contact_age_max_ms(uint32_t confirm_ms)
+{
+    if (confirm_ms == 0 ||
+        confirm_ms > FOLLOWER_CONTACT_AGE_MAX_MS + CONFIRM_SLACK_MS) {
+        return FOLLOWER_CONTACT_AGE_MAX_MS;
+    }
+    return confirm_ms > CONFIRM_SLACK_MS ? confirm_ms - CONFIRM_SLACK_MS
+                                         : confirm_ms;
+}
+
+const char *
+follower_substitute(const follower_t *following, watcher_candidate_t *hosts,
+                    size_t count, const watcher_candidate_t *self,
+                    int64_t now_us)
+{
+    const watcher_candidate_t *chosen;
+
+    if (self == NULL) {
+        return NULL;
+    }
+    mark_failed(following, hosts, count, now_us);
+    chosen = follower_choose_watcher(hosts, count, self);
+    return chosen != NULL ? chosen->name : NULL;
+}
+
 void
 follower_host_failed(follower_t *following, const char *host, int64_t now_us)
 {
@@ -287,6 +312,17 @@
     return XXH3_64bits_withSeed(name, strlen(name), seed);
 }
 
+static void
+mark_failed(const follower_t *following, watcher_candidate_t *hosts,
+            size_t count, int64_t now_us)
+{
+    size_t i;
+
+    for (i = 0; i < count; i++) {
+        hosts[i].failed = failed_recently(following, hosts[i].name, now_us);
+    }
+}
+
 static bool
 failed_recently(const follower_t *following, const char *name, int64_t now_us)
 {
--- a/forward/follower.h
+++ b/forward/follower.h
@@ -79,14 +79,27 @@
                                   int64_t now_us);
 
 /* Returns true if a watcher whose contact is this old may be used. */
-bool follower_contact_is_fresh(int64_t contact_age_us);
+bool follower_contact_is_fresh(int64_t contact_age_us, uint32_t age_max_ms);
 
 /*
  * Returns how long a watcher holds a poll while nothing changes, or 0 to
  * reply immediately.  The hold ends as soon as the watcher's contact becomes
  * too old, so that followers learn of it without delay.
  */
-uint32_t follower_poll_hold_ms(int64_t contact_age_us);
+uint32_t follower_poll_hold_ms(int64_t contact_age_us, uint32_t age_max_ms);
+
+/*
+ * Returns the longest age of the contact of a watcher that is used, in hosts
+ * that confirm their view at an age of confirm_ms; 0: they never do.
+ */
+uint32_t follower_contact_age_max_ms(uint32_t confirm_ms);
+
+/* Returns a watcher that self may poll while its own calls to the store fail;
+ * NULL if there is none. */
+const char *follower_substitute(const follower_t *following,
+                                watcher_candidate_t *hosts, size_t count,
+                                const watcher_candidate_t *self,
+                                int64_t now_us);
 
 /* Records that a polled host did not reply, or had no recent contact. */
 void follower_host_failed(follower_t *following, const char *host,
--- a/forward/forward.c
+++ b/forward/forward.c
@@ -23,8 +23,6 @@
 
 static void handle_request_event(forward_t *forward,
                                  const forward_event_t *event);
-static void record_contact(forward_t *forward,
-                           const forward_contact_t *contact);
 static void replace_routing(forward_t *forward, routing_t *routing);
 static void handle_caller_disconnected(forward_t *forward, uint64_t number);
 static void handle_progress(forward_t *forward,
@@ -109,7 +107,10 @@
         handle_registry_event(forward, event);
         break;
     case FORWARD_STORE_CONTACT:
-        record_contact(forward, &event->u.contact);
+        view_record_contact(forward, &event->u.contact);
+        break;
+    case FORWARD_STORE_LOST:
+        view_record_store_lost(forward);
         break;
     case FORWARD_STORE_REGAINED:
         registry_start_grace(forward);
@@ -142,6 +143,7 @@
     if (forward->records_changed || now_us >= forward->records_due_us) {
         version_record_check(forward);
     }
+    view_check(forward);
     if (forward->publish_due) {
         (void)action_new(forward, FORWARD_ACTION_PUBLISH, 0);
         forward->publish_due = false;
@@ -158,6 +160,9 @@
     if (forward->records_due_us < due_us) {
         due_us = forward->records_due_us;
     }
+    if (view_due_us(forward) < due_us) {
+        due_us = view_due_us(forward);
+    }
     for (request = forward->requests; request != NULL;
          request = request->hh.next) {
         int64_t at_us = request_due_us(request);
@@ -401,18 +406,6 @@
     }
 }
 
-static void
-record_contact(forward_t *forward, const forward_contact_t *contact)
-{
-    if (contact->contact_us <= forward->contact_us) {
-        return;
-    }
-    forward->contact_us = contact->contact_us;
-    forward->view_revision = contact->revision;
-    (void)snprintf(forward->view_source, sizeof(forward->view_source), "%s",
-                   contact->source != NULL ? contact->source : "");
-}
-
 /* A routing table is never replaced by an older one. */
 static void
 replace_routing(forward_t *forward, routing_t *routing)
--- a/forward/forward.h
+++ b/forward/forward.h
@@ -75,6 +75,7 @@
     FORWARD_RECORD,
     FORWARD_PUT_RESULT,
     FORWARD_STORE_CONTACT,
+    FORWARD_STORE_LOST,     /* a call of this host to it has failed */
     FORWARD_STORE_REGAINED, /* it answers this host after failed calls */
     FORWARD_HOST_COUNT,
     FORWARD_HOSTS,
@@ -246,6 +247,10 @@
     /* Time after an outage of the store within which runners whose entries
      * expired meanwhile register again. */
     uint32_t registry_ms;
+    /* Times within which a new routing table has to be in force, and a runner
+     * that leaves has to get no more requests; 0: no limit. */
+    uint32_t apply_ms;
+    uint32_t leave_ms;
     /* How long a draining host accepts new streams. */
     uint32_t accept_ms;
 
@@ -292,6 +297,7 @@
     FORWARD_ACTION_RECORD_END,
     FORWARD_ACTION_PUT_RECORD, /* write to the store */
     FORWARD_ACTION_PUBLISH, /* send forward_placements() to the other hosts */
+    FORWARD_ACTION_CONFIRM_VIEW, /* ask the store at once what has changed */
 } forward_action_kind_t;
 
 /* Sends the request to a runner, or relays it to another host. */
@@ -420,6 +426,10 @@
 /* Returns the time since the routing table was last known to be current. */
 int64_t forward_contact_age_us(const forward_t *forward, int64_t now_us);
 
+/* Returns the age at which the view of the store is to be confirmed with the
+ * store itself, in ms; 0: no limit is set. */
+uint32_t forward_view_confirm_ms(const forward_limits_t *limits);
+
 /* Returns whether this host should receive new callers. */
 bool forward_ready(const forward_t *forward, int64_t now_us);
 
--- a/forward/private.h
+++ b/forward/private.h
@@ -1,7 +1,8 @@
 /*
  * private.h - internal types and functions of forward/.
  *
- * forward.c dispatches events; registry.c handles those about runners.
+ * forward.c dispatches events; registry.c handles those about runners, view.c
+ * those about the contact with the store.
  * admission.c admits or refuses new requests, send.c starts and ends attempts,
  * recover.c handles responses and failed attempts, copies.c maintains copies
  * of streams' KV caches, watchdog.c handles timeouts and silence.c silent
@@ -117,6 +118,10 @@
     uint32_t relay_count;
     bool relayed;                /* another host relayed it to this one */
     uint32_t granted_deliveries; /* made by that host before */
+    /* It waits to be admitted; NULL: it has been.  held_since_us: first time
+     * that the view was too old for it; 0: never. */
+    const forward_request_t *held;
+    int64_t held_since_us;
     UT_hash_handle hh;
 } request_t;
 
@@ -240,9 +245,12 @@
     int64_t view_revision; /* of the store at that time */
     char view_source[VIEW_SOURCE_BYTES]; /* see forward_contact_t */
     int64_t registry_grace_until_us;     /* after an outage of the store */
-    uint32_t hosts;                      /* number of hosts in the system */
-    int64_t started_us;                  /* time of the first step */
-    int64_t draining_since_us;           /* 0: not draining */
+    int64_t
+        confirmed_contact_us;  /* contact whose confirmation was asked for */
+    bool store_lost;           /* the last call of this host to it failed */
+    uint32_t hosts;            /* number of hosts in the system */
+    int64_t started_us;        /* time of the first step */
+    int64_t draining_since_us; /* 0: not draining */
     pool_t *pool;
     pool_t *host_pool;                 /* the hosts, in the place of runners */
     peer_state_t *peers;               /* by host, sorted by the last report */
@@ -307,6 +315,24 @@
 
 /* Validates a new request and sends it to a runner, or refuses it. */
 void admit_request(forward_t *forward, const forward_request_t *incoming);
+/* Admits a request that has waited for a confirmation of the view. */
+void admit_held_request(forward_t *forward, request_t *request);
+
+/* --- view.c --- */
+
+void view_record_contact(forward_t *forward, const forward_contact_t *contact);
+void view_record_store_lost(forward_t *forward);
+/* Asks for a confirmation of the view if it is due. */
+void view_check(forward_t *forward);
+int64_t view_due_us(const forward_t *forward);
+/* Returns whether the view is too old to decide on the request, and a
+ * confirmation may come in time. */
+bool view_holds_request(forward_t *forward, request_t *request);
+/* Lets a new request wait to be admitted. */
+void view_hold_admission(forward_t *forward, request_t *request,
+                         const forward_request_t *incoming);
+/* Admits the requests that wait for a confirmation. */
+void view_release_requests(forward_t *forward);
 
 /* --- send.c --- */
 
--- a/forward/send.c
+++ b/forward/send.c
@@ -45,6 +45,10 @@
 {
     pool_runner_t *runner = NULL;
 
+    if (view_holds_request(forward, request)) {
+        schedule_retry(forward, request);
+        return true;
+    }
     if (relay_is_preferred(forward, request)) {
         start_relay(forward, request, relay_choose_host(forward, request));
         return true;
--- a/forward/store_sync.c
+++ b/forward/store_sync.c
@@ -17,10 +17,12 @@
     backoff_t backoff;
     int64_t call_start_us;  /* start of the current call or poll */
     store_sync_call_t call; /* SYNC_NONE: waits for the timer */
+    bool watch_begun;       /* the first poll of the watch has returned */
     bool watch_changed;     /* the last poll of the watch had changes */
     bool needs_full_read;   /* the next call reads all keys */
     bool initial_read_done;
     bool store_unavailable; /* the last call to the store failed */
+    int64_t retry_due_us;   /* of the next call after that */
     char *polled_host;      /* NULL: none, or it has failed */
     char *failed_host;
     char source[SOURCE_BYTES]; /* of the last contact */
@@ -31,6 +33,10 @@
 static void start_next_call(store_sync_t *sync,
                             const store_sync_fleet_t *fleet,
                             store_sync_step_t *step);
+static void start_watch(store_sync_t *sync, const store_sync_fleet_t *fleet,
+                        store_sync_step_t *step);
+static void start_or_wait(store_sync_t *sync, const store_sync_fleet_t *fleet,
+                          store_sync_step_t *step);
 static const char *select_host(const store_sync_t *sync,
                                const store_sync_fleet_t *fleet);
 static void poll_host(store_sync_t *sync, const char *host,
@@ -40,8 +46,12 @@
                                 store_sync_step_t *step);
 static void record_contact(store_sync_t *sync, int64_t contact_us,
                            const char *source, store_sync_step_t *step);
-static void schedule_retry(store_sync_t *sync, const store_sync_fleet_t *fleet,
-                           store_sync_step_t *step);
+static void record_store_answer(store_sync_t *sync, store_sync_step_t *step);
+static const char *copy_source(store_sync_t *sync, const char *source);
+static bool is_watcher(const store_sync_fleet_t *fleet);
+static void handle_call_failure(store_sync_t *sync,
+                                const store_sync_fleet_t *fleet,
+                                store_sync_step_t *step);
 
 store_sync_t *
 store_sync_new(const store_sync_settings_t *settings)
@@ -85,7 +95,7 @@
     store_sync_step_t step = {0};
 
     if (result != SYNC_OK) {
-        schedule_retry(sync, fleet, &step);
+        handle_call_failure(sync, fleet, &step);
         return step;
     }
     sync->needs_full_read = false;
@@ -108,7 +118,10 @@
     return sync->call == SYNC_WATCH;
 }
 
-/* Without changes, the store had none until it answered. */
+/*
+ * Without changes, the store had none until it answered.  The first poll of a
+ * watch returns at once.
+ */
 store_sync_step_t
 store_sync_watch_done(store_sync_t *sync, store_sync_result_t result,
                       bool changes, const store_sync_fleet_t *fleet)
@@ -123,16 +136,17 @@
         return step;
     }
     if (result != SYNC_OK) {
-        schedule_retry(sync, fleet, &step);
+        handle_call_failure(sync, fleet, &step);
         return step;
     }
-    if (!changes) {
+    if (!changes && sync->watch_begun) {
         contact_us +=
             (int64_t)(sync->watch_changed ? sync->settings.changed_watch_ms
                                           : sync->settings.watch_ms) *
             US_PER_MS;
         contact_us = contact_us < fleet->now_us ? contact_us : fleet->now_us;
     }
+    sync->watch_begun = true;
     sync->watch_changed = changes;
     sync->call_start_us = fleet->now_us;
     follower_store_called(&sync->follower);
@@ -162,19 +176,40 @@
 
     if (!known) {
         sync->needs_full_read = true;
-        start_next_call(sync, fleet, &step);
+        start_or_wait(sync, fleet, &step);
         return step;
     }
-    if (!follower_contact_is_fresh(age_us)) {
+    if (!follower_contact_is_fresh(age_us, fleet->contact_age_max_ms)) {
         handle_poll_failure(sync, fleet, &step);
         return step;
     }
-    record_contact(sync, sync->call_start_us - age_us, sync->polled_host,
-                   &step);
+    step.has_contact = true;
+    step.contact_us = sync->call_start_us - age_us;
+    step.source = copy_source(sync, sync->polled_host);
+    if (is_watcher(fleet)) {
+        start_or_wait(sync, fleet, &step);
+        return step;
+    }
+    record_store_answer(sync, &step);
     start_next_call(sync, fleet, &step);
     return step;
 }
 
+store_sync_step_t
+store_sync_confirm(store_sync_t *sync, const store_sync_fleet_t *fleet)
+{
+    store_sync_step_t step = {0};
+
+    if (sync->call == SYNC_POLL) {
+        handle_poll_failure(sync, fleet, &step);
+    }
+    else if (sync->call == SYNC_WATCH) {
+        step.ends_watch = true;
+        start_watch(sync, fleet, &step);
+    }
+    return step;
+}
+
 store_sync_step_t
 store_sync_timer(store_sync_t *sync, const store_sync_fleet_t *fleet)
 {
@@ -207,11 +242,49 @@
         poll_host(sync, host, step);
         return;
     }
+    start_watch(sync, fleet, step);
+}
+
+static void
+start_watch(store_sync_t *sync, const store_sync_fleet_t *fleet,
+            store_sync_step_t *step)
+{
+    sync->call_start_us = fleet->now_us;
     sync->call = SYNC_WATCH;
+    sync->watch_begun = false;
     sync->watch_changed = false;
     step->call = SYNC_WATCH;
 }
 
+/*
+ * Calls the store when that is due.  Until then, polls a host that may have
+ * it, unless all keys have to be read.
+ */
+static void
+start_or_wait(store_sync_t *sync, const store_sync_fleet_t *fleet,
+              store_sync_step_t *step)
+{
+    int64_t wait_us = sync->retry_due_us - fleet->now_us;
+    const char *host = NULL;
+
+    if (!sync->store_unavailable || wait_us <= 0) {
+        start_next_call(sync, fleet, step);
+        return;
+    }
+    if (fleet->peers_ready && !sync->needs_full_read) {
+        host = follower_substitute(&sync->follower, fleet->hosts, fleet->count,
+                                   fleet->self, fleet->now_us);
+    }
+    if (host != NULL) {
+        sync->call_start_us = fleet->now_us;
+        poll_host(sync, host, step);
+        return;
+    }
+    sync->call = SYNC_NONE;
+    step->call = SYNC_NONE;
+    step->timer_ms = (uint32_t)(wait_us / US_PER_MS) + 1;
+}
+
 /* Returns NULL if this host must watch the store itself. */
 static const char *
 select_host(const store_sync_t *sync, const store_sync_fleet_t *fleet)
@@ -248,12 +321,22 @@
     sync->failed_host = sync->polled_host;
     sync->polled_host = NULL;
     step->failed_host = sync->failed_host;
-    start_next_call(sync, fleet, step);
+    start_or_wait(sync, fleet, step);
 }
 
 static void
 record_contact(store_sync_t *sync, int64_t contact_us, const char *source,
                store_sync_step_t *step)
+{
+    record_store_answer(sync, step);
+    step->has_contact = true;
+    step->contact_us = contact_us;
+    step->source = copy_source(sync, source);
+}
+
+/* The store has answered this host, or a host that it polls as a follower. */
+static void
+record_store_answer(store_sync_t *sync, store_sync_step_t *step)
 {
     backoff_reset(&sync->backoff);
     if (sync->store_unavailable) {
@@ -261,21 +344,29 @@
         step->store = SYNC_STORE_REGAINED;
         follower_store_regained(&sync->follower);
     }
-    step->has_contact = true;
-    step->contact_us = contact_us;
+}
+
+static const char *
+copy_source(store_sync_t *sync, const char *source)
+{
     (void)snprintf(sync->source, sizeof(sync->source), "%s", source);
-    step->source = sync->source;
+    return sync->source;
+}
+
+static bool
+is_watcher(const store_sync_fleet_t *fleet)
+{
+    return fleet->self == NULL ||
+           follower_is_watcher(fleet->hosts, fleet->count, fleet->self);
 }
 
 static void
-schedule_retry(store_sync_t *sync, const store_sync_fleet_t *fleet,
-               store_sync_step_t *step)
+handle_call_failure(store_sync_t *sync, const store_sync_fleet_t *fleet,
+                    store_sync_step_t *step)
 {
     uint32_t wait_ms = backoff_delay_ms(&sync->backoff, fleet->random);
-    uint32_t wait_max_ms = follower_retry_max_ms(
-        fleet->count,
-        fleet->self == NULL ||
-            follower_is_watcher(fleet->hosts, fleet->count, fleet->self));
+    uint32_t wait_max_ms =
+        follower_retry_max_ms(fleet->count, is_watcher(fleet));
 
     if (!sync->store_unavailable) {
         sync->store_unavailable = true;
@@ -283,6 +374,9 @@
         step->lost_call = sync->call;
     }
     follower_store_called(&sync->follower);
-    sync->call = SYNC_NONE;
-    step->timer_ms = wait_ms < wait_max_ms ? wait_ms : wait_max_ms;
+    if (wait_ms > wait_max_ms) {
+        wait_ms = wait_max_ms;
+    }
+    sync->retry_due_us = fleet->now_us + (int64_t)wait_ms * US_PER_MS;
+    start_or_wait(sync, fleet, step);
 }
--- a/forward/store_sync.h
+++ b/forward/store_sync.h
@@ -9,7 +9,8 @@
  *
  * A follower polls its watcher repeatedly.  A reply confirms the store's state
  * as of the time of the poll, less the contact age that the reply states.  If
- * no host replies, this host watches the store itself.
+ * no host replies, this host watches the store itself.  While calls of a host
+ * to the store fail, it polls a host that may have the store.
  */
 #ifndef FORWARD_STORE_SYNC_H
 #define FORWARD_STORE_SYNC_H
@@ -31,7 +32,8 @@
 /* The fleet at the time of a call.  Its strings are not kept. */
 typedef struct {
     int64_t now_us;
-    bool peers_ready; /* other hosts can be polled */
+    bool peers_ready;            /* other hosts can be polled */
+    uint32_t contact_age_max_ms; /* see follower_contact_age_max_ms() */
     watcher_candidate_t *hosts;
     size_t count;
     const watcher_candidate_t *self; /* one of hosts; NULL: not registered */
@@ -103,6 +105,10 @@
                                        uint32_t contact_age_ms,
                                        const store_sync_fleet_t *fleet);
 
+/* The view is about to be too old: whatever is in progress takes too long. */
+store_sync_step_t store_sync_confirm(store_sync_t *sync,
+                                     const store_sync_fleet_t *fleet);
+
 store_sync_step_t store_sync_timer(store_sync_t *sync,
                                    const store_sync_fleet_t *fleet);
 
--- a/forward/watchdog.c
+++ b/forward/watchdog.c
@@ -59,6 +59,12 @@
     const pool_runner_t *next;
     int64_t since_us;
 
+    if (request->held != NULL) {
+        if (forward->now_us >= request->retry_at_us) {
+            admit_held_request(forward, request);
+        }
+        return;
+    }
     if (forward->now_us >= request->deadline_us) {
         refuse_request(forward, request, REFUSE_TIMEOUT);
         return;
--- a/gateway/forwarding.c
+++ b/gateway/forwarding.c
@@ -34,7 +34,6 @@
     size_t queue_length;
 };
 
-static forward_limits_t to_forward_limits(const gateway_limits_t *limits);
 static void run_step(forwarding_t *forwarding, const forward_event_t *event);
 static void execute_action(gateway_t *gateway, const forward_action_t *action);
 static void log_request_end(const request_record_t *ended);
@@ -53,7 +52,7 @@
         .host = settings->host,
         .zone = settings->zone,
         .seed = random_u64(),
-        .limits = to_forward_limits(&settings->limits),
+        .limits = forwarding_limits_of(&settings->limits),
     };
 
     forwarding->gateway = gateway;
@@ -112,7 +111,8 @@
 forwarding_apply_limits(gateway_t *gateway)
 {
     forward_event_t event = {.kind = FORWARD_LIMITS,
-                             .u.limits = to_forward_limits(&gateway->limits)};
+                             .u.limits =
+                                 forwarding_limits_of(&gateway->limits)};
 
     forwarding_handle_event(gateway, &event);
 }
@@ -139,12 +139,14 @@
     return (int64_t)now.tv_sec * US_PER_S + now.tv_nsec / NS_PER_US;
 }
 
-static forward_limits_t
-to_forward_limits(const gateway_limits_t *limits)
+forward_limits_t
+forwarding_limits_of(const gateway_limits_t *limits)
 {
     return (forward_limits_t){
         .revoke_ms = limits->revoke_ms,
         .registry_ms = limits->registry_ms,
+        .apply_ms = limits->apply_ms,
+        .leave_ms = limits->leave_ms,
         .accept_ms = limits->grace_ms * ACCEPT_GRACE_PERCENT / PERCENT,
         .requests_max = limits->requests_max,
         .retries = {.ratio_permille = limits->retry_ratio_permille,
@@ -218,6 +220,9 @@
     case FORWARD_ACTION_PUBLISH:
         peering_schedule_broadcast(gateway->peering);
         return;
+    case FORWARD_ACTION_CONFIRM_VIEW:
+        watcher_confirm(gateway->watcher);
+        return;
     case FORWARD_ACTION_RECORD_RESUME:
         return;
     case FORWARD_ACTION_RECORD_END:
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -87,6 +87,7 @@
  * are executed is queued.
  */
 void forwarding_handle_event(gateway_t *gateway, const forward_event_t *event);
+forward_limits_t forwarding_limits_of(const gateway_limits_t *limits);
 /* Applies gateway->limits after a change. */
 void forwarding_apply_limits(gateway_t *gateway);
 const forward_t *forwarding_state(const gateway_t *gateway);
@@ -239,6 +240,10 @@
 
 watcher_t *watcher_new(gateway_t *gateway);
 void watcher_free(watcher_t *watcher);
+/* Asks the store what has changed, once the current event is handled. */
+void watcher_confirm(watcher_t *watcher);
+/* Longest age of the contact of a host that is polled, in ms. */
+uint32_t watcher_contact_age_max_ms(const gateway_t *gateway);
 /* Handles a reply of the host that this one polls. */
 void watcher_handle_reply(watcher_t *watcher, const char *host,
                           const store_changes_t *tell);
--- a/gateway/settings.h
+++ b/gateway/settings.h
@@ -10,6 +10,8 @@
 typedef struct {
     uint32_t revoke_ms;    /* see forward_limits_t */
     uint32_t registry_ms;  /* see forward_limits_t */
+    uint32_t apply_ms;     /* see forward_limits_t */
+    uint32_t leave_ms;     /* see forward_limits_t */
     uint32_t grace_ms;     /* time allowed for a drain */
     uint32_t requests_max; /* concurrent requests */
     uint32_t drain_ms;     /* callers stop sending new requests within it */
--- a/gateway/store_relay.c
+++ b/gateway/store_relay.c
@@ -75,7 +75,8 @@
                         const store_poll_t *request)
 {
     gateway_t *gateway = relay->gateway;
-    uint32_t hold_ms = follower_poll_hold_ms(contact_age_us(gateway));
+    uint32_t hold_ms = follower_poll_hold_ms(
+        contact_age_us(gateway), watcher_contact_age_max_ms(gateway));
     held_poll_t *entry;
 
     if (request->after != mirror_revision(gateway->mirror) || hold_ms == 0 ||
--- a/gateway/watcher.c
+++ b/gateway/watcher.c
@@ -16,6 +16,7 @@
 struct watcher {
     gateway_t *gateway;
     uv_timer_t *timer;
+    uv_timer_t *confirm_timer;
     store_sync_t *sync;
 };
 
@@ -32,6 +33,7 @@
 static void on_watch(void *context, kv_result_t result, int64_t revision,
                      const kv_pair_t *pairs, size_t count);
 static void on_timer(uv_timer_t *timer);
+static void on_confirm_timer(uv_timer_t *timer);
 
 watcher_t *
 watcher_new(gateway_t *gateway)
@@ -54,6 +56,9 @@
     watcher->timer = xcalloc(1, sizeof(*watcher->timer));
     (void)uv_timer_init(gateway->loop, watcher->timer);
     watcher->timer->data = watcher;
+    watcher->confirm_timer = xcalloc(1, sizeof(*watcher->confirm_timer));
+    (void)uv_timer_init(gateway->loop, watcher->confirm_timer);
+    watcher->confirm_timer->data = watcher;
     fleet = fleet_now(watcher, &arena);
     step = store_sync_start(watcher->sync, &fleet);
     execute_step(watcher, &step);
@@ -68,10 +73,26 @@
         return;
     }
     uv_close((uv_handle_t *)watcher->timer, (uv_close_cb)free);
+    uv_close((uv_handle_t *)watcher->confirm_timer, (uv_close_cb)free);
     store_sync_free(watcher->sync);
     free(watcher);
 }
 
+/* Not from within a step: the event that gave the order may have its own. */
+void
+watcher_confirm(watcher_t *watcher)
+{
+    (void)uv_timer_start(watcher->confirm_timer, on_confirm_timer, 0, 0);
+}
+
+uint32_t
+watcher_contact_age_max_ms(const gateway_t *gateway)
+{
+    forward_limits_t limits = forwarding_limits_of(&gateway->limits);
+
+    return follower_contact_age_max_ms(forward_view_confirm_ms(&limits));
+}
+
 void
 watcher_handle_reply(watcher_t *watcher, const char *host,
                      const store_changes_t *reply)
@@ -118,6 +139,7 @@
     store_sync_fleet_t fleet = {
         .now_us = gateway_now_us(),
         .peers_ready = peering_ready(gateway->peering),
+        .contact_age_max_ms = watcher_contact_age_max_ms(gateway),
         .random = random_u64(),
     };
 
@@ -148,6 +170,11 @@
                   step->failed_host);
     }
     log_store_change(watcher, step);
+    if (step->store == SYNC_STORE_LOST) {
+        forward_event_t event = {.kind = FORWARD_STORE_LOST};
+
+        forwarding_handle_event(gateway, &event);
+    }
     if (step->has_contact) {
         forward_event_t event = {
             .kind = FORWARD_STORE_CONTACT,
@@ -311,3 +338,15 @@
     execute_step(watcher, &step);
     arena_free(&arena);
 }
+
+static void
+on_confirm_timer(uv_timer_t *timer)
+{
+    watcher_t *watcher = timer->data;
+    arena_t arena = {0};
+    store_sync_fleet_t fleet = fleet_now(watcher, &arena);
+    store_sync_step_t step = store_sync_confirm(watcher->sync, &fleet);
+
+    execute_step(watcher, &step);
+    arena_free(&arena);
+}
--- a/regress/forwarding.c
+++ b/regress/forwarding.c
@@ -122,6 +122,15 @@
         event.kind = FORWARD_STORE_CONTACT;
         event.u.contact = contact_of(&line, at_ms);
     }
+    else if (strcmp(line.words[0], "lost-store") == 0) {
+        event.kind = FORWARD_STORE_LOST;
+    }
+    else if (strcmp(line.words[0], "bound") == 0) {
+        event.kind = FORWARD_LIMITS;
+        event.u.limits = forwarding_limits(REVOKE_MS);
+        event.u.limits.apply_ms = (uint32_t)line_number(&line, 1);
+        event.u.limits.leave_ms = (uint32_t)line_number(&line, 2);
+    }
     else if (strcmp(line.words[0], "regained") == 0) {
         event.kind = FORWARD_STORE_REGAINED;
     }
--- a/regress/forwarding.h
+++ b/regress/forwarding.h
@@ -31,6 +31,8 @@
  *   routing VERSION           the table of forwarding_routing()
  *   contact [revision=N] [source=NAME]
  *                             the table is in force now
+ *   bound APPLY LEAVE         the limits on the age of the view, in ms
+ *   lost-store                a call to the store has failed
  *   regained                  the store answers after failed calls
  *   hosts N
  *   fleet HOST...             all hosts; named as in "ha2", a is the zone
--- a/regress/forwarding_print.c
+++ b/regress/forwarding_print.c
@@ -122,6 +122,7 @@
         [FORWARD_ACTION_FREE_COPY] = "drop",
         [FORWARD_ACTION_ABORT] = "break",
         [FORWARD_ACTION_PROBE] = "probe",
+        [FORWARD_ACTION_CONFIRM_VIEW] = "confirm",
     };
     size_t used = strlen(printed);
     char *at = printed + used;
@@ -165,6 +166,7 @@
                        action->u.copy.to);
         return;
     case FORWARD_ACTION_FINISH:
+    case FORWARD_ACTION_CONFIRM_VIEW:
         return;
     default:
         (void)snprintf(at, room, ".%" PRIu32, action->u.attempt);
--- a/regress/test_follower.c
+++ b/regress/test_follower.c
@@ -160,9 +160,10 @@
         *fresh = false;
         return polled_us + (int64_t)FOLLOWER_POLL_TIMEOUT_MS * US_PER_MS;
     }
-    reply_us =
-        polled_us + (int64_t)follower_poll_hold_ms(polled_us) * US_PER_MS;
-    *fresh = follower_contact_is_fresh(reply_us);
+    reply_us = polled_us + (int64_t)follower_poll_hold_ms(
+                               polled_us, FOLLOWER_CONTACT_AGE_MAX_MS) *
+                               US_PER_MS;
+    *fresh = follower_contact_is_fresh(reply_us, FOLLOWER_CONTACT_AGE_MAX_MS);
     return reply_us;
 }
 
--- a/regress/test_forward.c
+++ b/regress/test_forward.c
@@ -308,6 +308,72 @@
     {1901, "request 1 unsafe", "refuse 1 no-runner 503 not-run after=500"},
 };
 
+static const forwarding_line_t old_view_is_confirmed_before_it_is_too_old[] = {
+    FORWARDING_OPENED,
+    {1, "bound 2000 3000", ""},
+    {1, "contact", ""},
+    {1400, "timer", ""},
+    {1401, "timer", "confirm 0"},
+    {1402, "timer", ""},
+    {1410, "contact", ""},
+    {2809, "timer", ""},
+    {2810, "timer", "confirm 0"},
+};
+
+/* The shorter limit counts, also if the other one is not set. */
+static const forwarding_line_t shortest_limit_bounds_the_view[] = {
+    FORWARDING_OPENED,    {1, "bound 3000 1000", ""},
+    {1, "contact", ""},   {401, "timer", "confirm 0"},
+    {402, "contact", ""}, {403, "bound 0 2000", ""},
+    {1801, "timer", ""},  {1802, "timer", "confirm 0"},
+};
+
+/* A host that was short of processor time reads requests before changes. */
+static const forwarding_line_t request_waits_for_a_current_view[] = {
+    FORWARDING_OPENED,
+    {1, "bound 2000 2000", ""},
+    {1, "contact", ""},
+    {2500, "request 1 unsafe", "confirm 0"},
+    {2501, "request 2 missing", ""},
+    {2510, "runner sb1", ""},
+    {2510, "runner sa1 draining", ""},
+    {2511, "contact", "send 1.1 sb1; refuse 2 no-route 404 not-run"},
+    {2512, "request 3 unsafe", "send 3.1 sb1"},
+};
+
+static const forwarding_line_t request_waits_no_longer_than_a_call[] = {
+    FORWARDING_OPENED,
+    {1, "bound 2000 2000", ""},
+    {1, "contact", ""},
+    {2500, "request 1 unsafe", "confirm 0"},
+    {3099, "timer", ""},
+    {3100, "timer", "send 1.1 sa1"},
+    {3101, "request 2 unsafe", ""},
+    {3102, "gone 2", ""},
+};
+
+/* All hosts may lack the store: it would serve no better elsewhere. */
+static const forwarding_line_t request_is_served_while_the_store_is_away[] = {
+    FORWARDING_OPENED,
+    {1, "bound 2000 2000", ""},
+    {1, "contact", ""},
+    {1401, "timer", "confirm 0"},
+    {2500, "request 1 unsafe", ""},
+    {2600, "lost-store", "send 1.1 sa1"},
+    {2601, "request 2 unsafe", "send 2.1 sa1"},
+};
+
+/* Time that it has waited is not added to its deadline. */
+static const forwarding_line_t waiting_request_keeps_its_deadline[] = {
+    FORWARDING_OPENED,
+    {1, "bound 2000 2000", ""},
+    {1, "contact", ""},
+    {2500, "request 1 unsafe deadline=500", "confirm 0"},
+    {2600, "contact", "send 1.1 sa1"},
+    {2999, "timer", ""},
+    {3000, "timer", "cancel 1.1; refuse 1 timeout 504"},
+};
+
 /* A runner that restarts at its address leaves a stale entry behind. */
 static const forwarding_line_t reused_address_replaces_old_entry[] = {
     FORWARDING_OPENED,
@@ -403,6 +469,12 @@
     FORWARDING_SCRIPT(entries_expired_in_outage_have_grace),
     FORWARDING_SCRIPT(old_view_is_not_taken_for_an_outage),
     FORWARDING_SCRIPT(grace_ends_after_outage),
+    FORWARDING_SCRIPT(old_view_is_confirmed_before_it_is_too_old),
+    FORWARDING_SCRIPT(shortest_limit_bounds_the_view),
+    FORWARDING_SCRIPT(request_waits_for_a_current_view),
+    FORWARDING_SCRIPT(request_waits_no_longer_than_a_call),
+    FORWARDING_SCRIPT(request_is_served_while_the_store_is_away),
+    FORWARDING_SCRIPT(waiting_request_keeps_its_deadline),
     FORWARDING_SCRIPT(short_outage_gives_no_grace),
     FORWARDING_SCRIPT(reused_address_replaces_old_entry),
     FORWARDING_SCRIPT(restarted_runner_is_used_again),
--- a/regress/test_platform_store.c
+++ b/regress/test_platform_store.c
@@ -259,7 +259,7 @@
       {"", 0, CANNED_KEEP}},
      2,
      "0@8 a=x@7 b=@8-;",
-     "After=6&WaitMs=50"},
+     "After=6&WaitMs=1"},
     {"a watch without changes reports no pairs",
      OP_WATCH,
      {{JSON_RESPONSE("200 OK", "{\"events\":[],\"StoreRevision\":6}"), 0,
@@ -346,7 +346,8 @@
         {JSON_RESPONSE("200 OK", "{\"events\":[],\"StoreRevision\":7}"), 0,
          CANNED_CLOSE},
         {"", 0, CANNED_KEEP}};
-    static const char *const expected[] = {"WaitMs=50", "WaitMs=12",
+    /* The first poll of a watch confirms the state of the store at once. */
+    static const char *const expected[] = {"WaitMs=1", "WaitMs=12",
                                            "WaitMs=50"};
     store_test_t state;
     size_t i;
--- a/regress/view_private.h
+++ b/regress/view_private.h
@@ -18,6 +18,7 @@
     VIEW_US_PER_MS = 1000,
     VIEW_START_MS = 3600000, /* uptime of the machines when the hosts start */
     VIEW_WATCH_MS = 1000,
+    VIEW_BEGIN_MS = 1,   /* of the first poll of a watch */
     VIEW_PAUSE_MS = 200, /* between a change and the next poll */
     VIEW_CALL_MS = 400,  /* timeout of a call to the store */
     VIEW_SETTLE_MS = 1000,
@@ -67,7 +68,8 @@
     EVENT_POLL,         /* from another host; peer, number, detail: after */
     EVENT_POLL_EXPIRE,  /* held polls are checked */
     EVENT_REPLY,        /* of another host; detail: revision, age_ms */
-    EVENT_TIMER,        /* of store_sync_t; number: generation */
+    EVENT_CONFIRM,
+    EVENT_TIMER, /* of store_sync_t; number: generation */
     EVENT_FORWARD_TIMER,
     EVENT_SEND, /* a caller's request */
 } event_kind_t;
@@ -149,6 +151,8 @@
 /* --- view_sim.c --- */
 
 uint64_t view_draw(uint64_t below);
+/* Returns the limits of all hosts. */
+forward_limits_t view_limits(void);
 /* Returns whether a fault of that kind is in progress at the host. */
 const fault_t *view_fault(size_t host, fault_kind_t kind);
 void view_deliver(size_t host, const forward_event_t *event);
--- a/regress/view_sim.c
+++ b/regress/view_sim.c
@@ -25,6 +25,16 @@
     return sim_draw(&view_sim.rng_state, below);
 }
 
+forward_limits_t
+view_limits(void)
+{
+    forward_limits_t limits = forwarding_limits(REVOKE_MS);
+
+    limits.apply_ms = view_sim.bound_ms;
+    limits.leave_ms = view_sim.bound_ms;
+    return limits;
+}
+
 static int64_t
 draw_between(int64_t low, int64_t high)
 {
@@ -123,6 +133,11 @@
 static void
 handle_action(size_t host, const forward_action_t *action)
 {
+    event_t confirm = {.kind = EVENT_CONFIRM, .host = host};
+
+    if (action->kind == FORWARD_ACTION_CONFIRM_VIEW) {
+        view_push(0, &confirm);
+    }
     if (action->kind == FORWARD_ACTION_REFUSE) {
         view_sim.result.refused += is_judged(host) ? 1 : 0;
     }
@@ -345,7 +360,7 @@
         .host = host->name,
         .zone = host->zone,
         .seed = index + 1,
-        .limits = forwarding_limits(REVOKE_MS),
+        .limits = view_limits(),
     };
 
     (void)snprintf(host->name, sizeof(host->name), "h%zu", index);
--- a/regress/view_store.c
+++ b/regress/view_store.c
@@ -82,9 +82,13 @@
 store_sync_fleet_t
 view_fleet(size_t host)
 {
+    forward_limits_t limits = view_limits();
+
     return (store_sync_fleet_t){
         .now_us = view_sim.now_ms * VIEW_US_PER_MS,
         .peers_ready = true,
+        .contact_age_max_ms =
+            follower_contact_age_max_ms(forward_view_confirm_ms(&limits)),
         .hosts = view_sim.candidates,
         .count = view_sim.host_count,
         .self = &view_sim.candidates[host],
@@ -190,8 +194,10 @@
                       .host = event->host,
                       .peer = event->peer,
                       .number = event->number};
-    uint32_t hold_ms = follower_poll_hold_ms(forward_contact_age_us(
-        self->forward, view_sim.now_ms * VIEW_US_PER_MS));
+    uint32_t hold_ms = follower_poll_hold_ms(
+        forward_contact_age_us(self->forward,
+                               view_sim.now_ms * VIEW_US_PER_MS),
+        view_fleet(event->host).contact_age_max_ms);
 
     *poll = (poll_t){.held = true,
                      .host = event->peer,
@@ -211,6 +217,11 @@
     host_t *self = &view_sim.hosts[host];
     event_t event = {.kind = EVENT_TIMER, .host = host};
 
+    if (step->store == SYNC_STORE_LOST) {
+        forward_event_t lost = {.kind = FORWARD_STORE_LOST};
+
+        view_deliver(host, &lost);
+    }
     if (step->has_contact) {
         forward_event_t contact = {
             .kind = FORWARD_STORE_CONTACT,
@@ -235,7 +246,7 @@
         send_call(host, true, 0);
         return;
     case SYNC_WATCH:
-        send_call(host, false, VIEW_WATCH_MS);
+        send_call(host, false, VIEW_BEGIN_MS);
         return;
     case SYNC_POLL:
         event = (event_t){.kind = EVENT_POLL,
@@ -374,6 +385,11 @@
     case EVENT_REPLY:
         handle_reply(event);
         return;
+    case EVENT_CONFIRM:
+        fleet = view_fleet(event->host);
+        step = store_sync_confirm(self->sync, &fleet);
+        view_execute(event->host, &step);
+        return;
     case EVENT_TIMER:
         if (event->number == self->timer) {
             fleet = view_fleet(event->host);
