--- a/regress/test_platform.c
+++ b/regress/test_platform.c
@@ -443,6 +443,11 @@
      "[\"2cd7\",7137,16,5]]}",
      "2 0: b4aa 2cd7"},
     {"{\"Queued\":0,\"Active\":1,\"Runs\":[[],7,[3]]}", "1 0:   "},
+    {"{\"Queued\":0,\"Active\":0,\"Runs\":[],\"State\":\"draining\"}",
+     "0 0: leaving"},
+    {"{\"Queued\":0,\"Active\":0,\"Runs\":[],\"State\":\"ready\"}", "0 0:"},
+    {"{\"Queued\":0,\"Active\":0,\"Runs\":[],\"State\":1}", "0 0:"},
+    {"{\"Queued\":0,\"Active\":0,\"Runs\":[],\"leaves_ms\":0}", "0 0:"},
     {"{\"Queued\":1,\"Active\":12}", ""},
     {"{\"Queued\":\"1\",\"Active\":12,\"Runs\":[]}", ""},
     {"{\"Active\":12,\"Runs\":[]}", ""},
@@ -466,6 +471,7 @@
         for (i = 0; i < report.run_count; i++) {
             text_printf(&summary, " %s", report.runs[i]);
         }
+        text_puts(&summary, report.leaving ? " leaving" : "");
     }
     text_append(&summary, "", 1);
     ck_assert_msg(strcmp(summary.bytes, report_cases[_i].expected) == 0,
