Judge a relayed request by no older routing table than that of the first host

What callers saw (CONFIG): a request was handled by version N or older, although version N had been acknowledged for longer than the bound.

Cause, suspected: a host without a path to runners relays requests, and the host that helps decides by its own routing table. That one may be cut off from the store, or late; nobody compared the two tables.

Now the grant of a relay names the revision of the first host's table, with the tag of the grant. A host with an older one asks the store, holds the request for 600 ms at most, and then refuses it as not run, so that another host is asked. A response tells the revision of the other host; the first one asks the store if its own is older, so that it does not fall back behind what callers have seen. Hosts that reported an old view get no relays from a host whose own is current. Hosts of older builds stop reading before the new field.

--- a/forward/admission.c
+++ b/forward/admission.c
@@ -58,10 +58,15 @@
         refuse_request(forward, request, REFUSE_HOST_FULL);
         return;
     }
-    if (view_holds_request(forward, request)) {
+    if (view_holds_request(forward, request) ||
+        view_holds_relay(forward, request, incoming->grant.routing_revision)) {
         view_hold_admission(forward, request, incoming);
         return;
     }
+    if (incoming->grant.routing_revision > forward->routing->revision) {
+        refuse_request(forward, request, REFUSE_ROUTING_STALE);
+        return;
+    }
     route = match_route(forward, incoming);
     if (route != NULL) {
         apply_route(forward, request, route, incoming->deadline_ms);
--- a/forward/forward.h
+++ b/forward/forward.h
@@ -96,6 +96,8 @@
     uint64_t version;    /* of the software that began it; 0: none yet */
     const uint64_t *runners;
     uint32_t runner_count;
+    int64_t routing_revision; /* of the routing table by which the host relays;
+                                 0: not stated */
 } relay_grant_t;
 
 /* What the other host has used of a grant. */
@@ -106,6 +108,7 @@
     uint64_t version;    /* of the software that began it; 0: none yet */
     const uint64_t *runners;
     uint32_t runner_count;
+    int64_t routing_revision; /* as in relay_grant_t, of the other host */
 } relay_usage_t;
 
 /* Runners in a grant or in a usage. */
--- a/forward/grant.c
+++ b/forward/grant.c
@@ -24,7 +24,8 @@
     request->runs += request->attempt.granted;
     *grant = (relay_grant_t){.attempts = request->attempt.granted,
                              .deliveries = request->deliveries,
-                             .version = request->version};
+                             .version = request->version,
+                             .routing_revision = forward->routing->revision};
     grant->runners = list_receivers(request, &forward->actions->arena,
                                     &grant->runner_count);
 }
@@ -58,6 +59,8 @@
         .runs = request->runs,
         .deliveries = request->deliveries - request->granted_deliveries,
         .version = request->version,
+        .routing_revision =
+            forward->routing != NULL ? forward->routing->revision : 0,
     };
     usage.runners =
         list_receivers(request, &forward->actions->arena, &usage.runner_count);
@@ -65,9 +68,12 @@
 }
 
 void
-grant_record_usage(const forward_t *forward, request_t *request,
+grant_record_usage(forward_t *forward, request_t *request,
                    const relay_usage_t *usage)
 {
+    if (usage->routing_revision > forward->routing->revision) {
+        view_ask(forward);
+    }
     request->attempt.usage = *usage;
     request->attempt.usage.runners = NULL;
     request->attempt.usage.runner_count = 0;
--- a/forward/private.h
+++ b/forward/private.h
@@ -326,12 +326,21 @@
 
 void view_record_contact(forward_t *forward, const forward_contact_t *contact);
 void view_record_store_lost(forward_t *forward);
-/* Asks for a confirmation of the view if it is due. */
+/* Asks for a confirmation of the view if it is due, or now. */
 void view_check(forward_t *forward);
+void view_ask(forward_t *forward);
+/* Returns whether the view is as current as the settings demand. */
+bool view_is_current(const forward_t *forward);
+/* The same for that of another host, as it was when it last reported. */
+bool view_of_peer_is_current(const forward_t *forward,
+                             const peer_state_t *peer);
 int64_t view_due_us(const forward_t *forward);
 /* Returns whether the view is too old to decide on the request, and a
  * confirmation may come in time. */
 bool view_holds_request(forward_t *forward, request_t *request);
+/* The same if the host that relayed it has a newer routing table. */
+bool view_holds_relay(forward_t *forward, request_t *request,
+                      int64_t routing_revision);
 /* Lets a new request wait to be admitted. */
 void view_hold_admission(forward_t *forward, request_t *request,
                          const forward_request_t *incoming);
@@ -475,7 +484,7 @@
  * of a caller. */
 relay_usage_t grant_usage(const forward_t *forward, const request_t *request);
 /* Keeps what the other host has told. */
-void grant_record_usage(const forward_t *forward, request_t *request,
+void grant_record_usage(forward_t *forward, request_t *request,
                         const relay_usage_t *usage);
 /* Counts what the other host has used, and takes back the rest.  One that has
  * answered and did not tell may have used all attempts of the route. */
--- a/forward/relay.c
+++ b/forward/relay.c
@@ -45,6 +45,7 @@
 static void probe_path(forward_t *forward, service_budget_t *service);
 static bool host_is_isolated(const forward_t *forward, const char *host,
                              const char *service);
+static bool host_is_behind(const forward_t *forward, const char *host);
 static pool_runner_t *choose_host(const forward_t *forward,
                                   const request_t *request);
 
@@ -251,6 +252,17 @@
     return false;
 }
 
+/* If this host lacks the store itself, others are taken as they are. */
+static bool
+host_is_behind(const forward_t *forward, const char *host)
+{
+    const peer_state_t *view;
+
+    HASH_FIND_STR(forward->peers, host, view);
+    return view != NULL && view_is_current(forward) &&
+           !view_of_peer_is_current(forward, view);
+}
+
 static uint32_t
 count_usable_runners(const forward_t *forward, const char *service)
 {
@@ -376,6 +388,7 @@
         }
         if (query.tried_count < HOSTS_EXCLUDED_MAX &&
             (tried || strcmp(host->registration.id, forward->host) == 0 ||
+             host_is_behind(forward, host->registration.id) ||
              host_is_isolated(forward, host->registration.id,
                               request->service))) {
             excluded[query.tried_count] = host->serial;
--- a/forward/view.c
+++ b/forward/view.c
@@ -21,7 +21,8 @@
 };
 
 static uint32_t limit_ms(const forward_limits_t *limits);
-static bool is_too_old(const forward_t *forward);
+static bool is_too_old(const forward_t *forward, int64_t age_us);
+static bool may_wait(forward_t *forward, request_t *request);
 static forward_request_t *copy_incoming(arena_t *arena,
                                         const forward_request_t *incoming);
 
@@ -44,7 +45,7 @@
     (void)snprintf(forward->view_source, sizeof(forward->view_source), "%s",
                    contact->source != NULL ? contact->source : "");
     forward->store_lost = false;
-    if (!is_too_old(forward)) {
+    if (view_is_current(forward)) {
         view_release_requests(forward);
     }
 }
@@ -56,15 +57,34 @@
     view_release_requests(forward);
 }
 
-/* Each contact is confirmed once; after that, failed calls are repeated. */
 void
 view_check(forward_t *forward)
 {
-    if (forward->now_us < view_due_us(forward)) {
-        return;
+    if (forward->now_us >= view_due_us(forward)) {
+        view_ask(forward);
     }
-    forward->confirmed_contact_us = forward->contact_us;
-    (void)action_new(forward, FORWARD_ACTION_CONFIRM_VIEW, 0);
+}
+
+/* Each contact is confirmed once; after that, failed calls are repeated. */
+void
+view_ask(forward_t *forward)
+{
+    if (forward->confirmed_contact_us != forward->contact_us) {
+        forward->confirmed_contact_us = forward->contact_us;
+        (void)action_new(forward, FORWARD_ACTION_CONFIRM_VIEW, 0);
+    }
+}
+
+bool
+view_is_current(const forward_t *forward)
+{
+    return !is_too_old(forward, forward->now_us - forward->contact_us);
+}
+
+bool
+view_of_peer_is_current(const forward_t *forward, const peer_state_t *peer)
+{
+    return !is_too_old(forward, peer->received_us - peer->contact_us);
 }
 
 int64_t
@@ -82,7 +102,26 @@
 bool
 view_holds_request(forward_t *forward, request_t *request)
 {
-    if (!is_too_old(forward) || forward->store_lost) {
+    return !view_is_current(forward) && may_wait(forward, request);
+}
+
+bool
+view_holds_relay(forward_t *forward, request_t *request,
+                 int64_t routing_revision)
+{
+    if (routing_revision <= forward->routing->revision ||
+        !may_wait(forward, request)) {
+        return false;
+    }
+    view_ask(forward);
+    return true;
+}
+
+/* Returns whether a confirmation may come while the request waits. */
+static bool
+may_wait(forward_t *forward, request_t *request)
+{
+    if (forward->store_lost) {
         return false;
     }
     if (request->held_since_us == 0) {
@@ -134,12 +173,12 @@
 }
 
 static bool
-is_too_old(const forward_t *forward)
+is_too_old(const forward_t *forward, int64_t age_us)
 {
     uint32_t max_ms = limit_ms(&forward->settings.limits);
 
     return max_ms > 0 && forward->contact_us > 0 &&
-           forward->now_us - forward->contact_us > (int64_t)max_ms * US_PER_MS;
+           age_us > (int64_t)max_ms * US_PER_MS;
 }
 
 /* The request itself has copies of the id and the parts. */
--- a/gateway/host_relay.c
+++ b/gateway/host_relay.c
@@ -23,7 +23,9 @@
 static const char usage_header[] = "X-Relay-Usage";
 
 /* A grant or a usage as text: attempts or runs, deliveries, the version in
- * hexadecimal, and the runners in the same, each ended by a comma. */
+ * hexadecimal, the runners in the same, each ended by a comma, and the
+ * revision of the routing table behind an '@'.  Hosts of older builds stop
+ * before it. */
 #define COUNTS_FORMAT "%" PRIu32 " %" PRIu32 " %" PRIx64 " "
 #define COUNTS_SCAN "%" SCNu32 " %" SCNu32 " %" SCNx64 " %n"
 
@@ -35,7 +37,9 @@
 static const char *write_runners(arena_t *arena, const uint64_t *runners,
                                  uint32_t count);
 static uint64_t *read_runners(arena_t *arena, const char *text,
-                              uint32_t *count);
+                              uint32_t *count, const char **end);
+static const char *write_revision(arena_t *arena, int64_t revision);
+static int64_t read_revision(const char *text);
 
 /* The headers are removed in any case: no runner is to receive them. */
 bool
@@ -148,10 +152,11 @@
 header_t
 host_relay_usage_header(arena_t *arena, const relay_usage_t *usage)
 {
-    const char *value = arena_printf(
-        arena, COUNTS_FORMAT "%s", usage->runs, usage->deliveries,
-        usage->version,
-        write_runners(arena, usage->runners, usage->runner_count));
+    const char *value =
+        arena_printf(arena, COUNTS_FORMAT "%s%s", usage->runs,
+                     usage->deliveries, usage->version,
+                     write_runners(arena, usage->runners, usage->runner_count),
+                     write_revision(arena, usage->routing_revision));
 
     return (header_t){.name = usage_header,
                       .name_bytes = strlen(usage_header),
@@ -164,6 +169,7 @@
                       relay_usage_t *usage)
 {
     const char *value = copy_value(arena, headers, usage_header);
+    const char *rest;
     int length = 0;
 
     *usage = (relay_usage_t){0};
@@ -174,7 +180,9 @@
         return;
     }
     usage->stated = true;
-    usage->runners = read_runners(arena, value + length, &usage->runner_count);
+    usage->runners =
+        read_runners(arena, value + length, &usage->runner_count, &rest);
+    usage->routing_revision = read_revision(rest);
 }
 
 /* A host sends its own Server and Date before the headers of a runner. */
@@ -220,14 +228,16 @@
 write_grant(arena_t *arena, const relay_grant_t *grant)
 {
     return arena_printf(
-        arena, COUNTS_FORMAT "%s", grant->attempts, grant->deliveries,
+        arena, COUNTS_FORMAT "%s%s", grant->attempts, grant->deliveries,
         grant->version,
-        write_runners(arena, grant->runners, grant->runner_count));
+        write_runners(arena, grant->runners, grant->runner_count),
+        write_revision(arena, grant->routing_revision));
 }
 
 static void
 read_grant(arena_t *arena, const char *text, relay_grant_t *grant)
 {
+    const char *rest;
     int length = 0;
 
     if (sscanf(text, COUNTS_SCAN, &grant->attempts, &grant->deliveries,
@@ -235,7 +245,25 @@
         *grant = (relay_grant_t){0};
         return;
     }
-    grant->runners = read_runners(arena, text + length, &grant->runner_count);
+    grant->runners =
+        read_runners(arena, text + length, &grant->runner_count, &rest);
+    grant->routing_revision = read_revision(rest);
+}
+
+static const char *
+write_revision(arena_t *arena, int64_t revision)
+{
+    return revision > 0 ? arena_printf(arena, "@%" PRId64, revision) : "";
+}
+
+/* Returns 0 if there is none. */
+static int64_t
+read_revision(const char *text)
+{
+    int64_t revision = 0;
+
+    return sscanf(text, "@%" SCNd64, &revision) == 1 && revision > 0 ? revision
+                                                                     : 0;
 }
 
 static const char *
@@ -251,7 +279,8 @@
 }
 
 static uint64_t *
-read_runners(arena_t *arena, const char *text, uint32_t *count)
+read_runners(arena_t *arena, const char *text, uint32_t *count,
+             const char **rest)
 {
     uint64_t *runners =
         arena_array(arena, RELAY_RUNNERS_MAX, sizeof(*runners));
@@ -268,5 +297,6 @@
         (*count)++;
         text = end + 1;
     }
+    *rest = text;
     return runners;
 }
--- a/regress/forwarding.c
+++ b/regress/forwarding.c
@@ -254,6 +254,14 @@
     forward_actions_free(&orders);
 }
 
+static int64_t
+line_table(const line_t *line)
+{
+    const char *revision = line_value(line, "table");
+
+    return revision != NULL ? strtoll(revision, NULL, DECIMAL) : 0;
+}
+
 static forward_event_t
 request_of(const line_t *line)
 {
@@ -286,7 +294,8 @@
         .grant = {.attempts = grant.count,
                   .deliveries = grant.deliveries,
                   .runners = grant.runners,
-                  .runner_count = grant.runner_count},
+                  .runner_count = grant.runner_count,
+                  .routing_revision = line_table(line)},
         .host = "host.example:80",
         .path = path,
         .key = key == NULL      ? "k1"
@@ -352,7 +361,8 @@
                       .runs = used.count,
                       .deliveries = used.deliveries,
                       .runners = used.runners,
-                      .runner_count = used.runner_count}};
+                      .runner_count = used.runner_count,
+                      .routing_revision = line_table(line)}};
         return event;
     }
     if (strcmp(line->words[0], "copied") == 0) {
--- a/regress/forwarding.h
+++ b/regress/forwarding.h
@@ -14,11 +14,13 @@
  *        [relayed]            by another host
  *        [grant=ATTEMPTS:DELIVERIES[:RUNNER,...]]
  *                             what that host grants, and who received it
+ *        [table=REVISION]      the routing table of that host
  *   gone N
  *   head N ATTEMPT STATUS [stranger] [not-run] [refused] [leaving]
  *        [used=RUNS:DELIVERIES[:RUNNER,...]]
  *                             refused: by the host that it was relayed to;
  *                             used: what that host has used
+ *        [table=REVISION]      the routing table of that host
  *   event N ATTEMPT ID
  *   whole N ATTEMPT | broken N ATTEMPT | unsent N ATTEMPT | invalid N ATTEMPT
  *   probed RUNNER yes|no|silent [leaving] [active=N [queued=N] [runs=ID]]
--- a/regress/test_relay_hosts.c
+++ b/regress/test_relay_hosts.c
@@ -51,6 +51,48 @@
     {820, "request 4 unsafe deadline=600", "send 4.1 sa1"},
 };
 
+/* It may be cut off from the store, and would judge by what it has. */
+static const forwarding_line_t host_with_an_old_view_is_asked[] = {
+    ISOLATED,
+    {800, "bound 2000 2000", ""},
+    {801, "contact", ""},
+    {810, "peer ha2 stale", ""},
+    {811, "request 3 unsafe", "send 3.1 hb2 grant=1:0:0"},
+    {812, "lost-store", ""},
+    {4000, "request 4 unsafe", "send 4.1 ha2 grant=1:0:0"},
+};
+
+static const forwarding_line_t newer_table_of_a_host_is_not_asked_for[] = {
+    ISOLATED,
+    {801, "contact", ""},
+    {810, "request 3 unsafe", "send 3.1 ha2 grant=1:0:0"},
+    {820, "head 3 1 200 used=1:1 table=2", "confirm 0"},
+    {821, "whole 3 1", "answer 3.1"},
+    {830, "request 4 unsafe", "send 4.1 ha2 grant=1:0:0"},
+    {840, "head 4 1 200 used=1:1 table=2", ""},
+    {850, "contact", ""},
+    {860, "request 5 unsafe", "send 5.1 ha2 grant=1:0:0"},
+    {870, "head 5 1 200 used=1:1 table=1", ""},
+};
+
+static const forwarding_line_t older_table_judges_a_relayed_request[] = {
+    FORWARDING_OPENED,
+    {1, "contact", ""},
+    {10, "request 1 unsafe relayed grant=1:0 table=2", "confirm 0"},
+    {20, "routing 2", ""},
+    {21, "contact", "send 1.1 sa1"},
+    {22, "head 1 1 200", ""},
+    {22, "whole 1 1", "answer 1.1"},
+    {30, "request 2 unsafe relayed grant=1:0 table=3", "confirm 0"},
+    {40, "contact", "confirm 0"},
+    {629, "timer", ""},
+    {630, "timer", "refuse 2 routing-stale 503 not-run after=50"},
+    {640, "lost-store", ""},
+    {650, "request 3 unsafe relayed grant=1:0 table=3",
+     "refuse 3 routing-stale 503 not-run after=50"},
+    {660, "request 4 unsafe relayed grant=1:0 table=2", "send 4.1 sa1"},
+};
+
 static const forwarding_line_t refusal_of_a_host_is_final[] = {
     ISOLATED,
     {800, "request 3 unsafe", "send 3.1 ha2 grant=1:0:0"},
@@ -123,6 +165,9 @@
     FORWARDING_SCRIPT(isolated_host_tries_runners_first),
     FORWARDING_SCRIPT(relayed_request_is_relayed_again),
     FORWARDING_SCRIPT(isolated_host_is_asked),
+    FORWARDING_SCRIPT(host_with_an_old_view_is_asked),
+    FORWARDING_SCRIPT(newer_table_of_a_host_is_not_asked_for),
+    FORWARDING_SCRIPT(older_table_judges_a_relayed_request),
     FORWARDING_SCRIPT(refusal_of_a_host_is_final),
     FORWARDING_SCRIPT(lost_unsafe_relay_is_sent_again),
     FORWARDING_SCRIPT(failed_safe_relay_is_sent_again),
