Tell followers only what has changed after the store was read again

When the store drops its history, a watcher reads it in full. Its copy then knew no change before that read, so that all hosts that poll it read the store in full as well, at the same moment: on 88 hosts some 85 times three pages, and a view that is as old as the last of them takes.

The copy now keeps what it had, and a key that the read lacks counts as removed at the revision of the read. Followers get what has changed since.

--- a/gateway/mirror.c
+++ b/gateway/mirror.c
@@ -18,6 +18,7 @@
     size_t value_bytes;
     int64_t revision; /* of the last change of the key */
     bool removed;
+    bool loaded; /* by the full read in progress */
     UT_hash_handle hh;
 } entry_t;
 
@@ -26,8 +27,10 @@
     size_t removed_count;
     int64_t compacted_revision; /* changes up to it are not known */
     int64_t revision;
+    int64_t load_revision; /* of the full read in progress */
 };
 
+static void set_removed(mirror_t *mirror, entry_t *entry, int64_t revision);
 static void entry_free(mirror_t *mirror, entry_t *entry);
 static void compact_removed_keys(mirror_t *mirror);
 
@@ -40,25 +43,47 @@
 void
 mirror_free(mirror_t *mirror)
 {
-    if (mirror != NULL) {
-        mirror_reset(mirror, 0);
-        free(mirror);
+    entry_t *entry;
+    entry_t *next;
+
+    if (mirror == NULL) {
+        return;
+    }
+    HASH_ITER(hh, mirror->entries, entry, next)
+    {
+        entry_free(mirror, entry);
     }
+    free(mirror);
 }
 
 void
-mirror_reset(mirror_t *mirror, int64_t revision)
+mirror_load_begin(mirror_t *mirror, int64_t revision)
 {
     entry_t *entry;
-    entry_t *next;
 
-    HASH_ITER(hh, mirror->entries, entry, next)
-    {
-        entry_free(mirror, entry);
+    if (mirror->revision == 0) {
+        mirror->compacted_revision = revision;
+    }
+    mirror->load_revision = revision;
+    for (entry = mirror->entries; entry != NULL; entry = entry->hh.next) {
+        entry->loaded = false;
     }
-    mirror->removed_count = 0;
-    mirror->compacted_revision = revision;
-    mirror->revision = revision;
+}
+
+/* The revision of a removal is not known.  No host that lacks it has that of
+ * the read. */
+void
+mirror_load_end(mirror_t *mirror)
+{
+    entry_t *entry;
+
+    for (entry = mirror->entries; entry != NULL; entry = entry->hh.next) {
+        if (!entry->loaded && !entry->removed) {
+            set_removed(mirror, entry, mirror->load_revision);
+        }
+    }
+    compact_removed_keys(mirror);
+    mirror->revision = mirror->load_revision;
 }
 
 void
@@ -76,16 +101,15 @@
     else if (entry->removed) {
         mirror->removed_count--;
     }
-    free(entry->value);
-    entry->value = NULL;
-    entry->value_bytes = 0;
-    entry->revision = pair->mod_revision;
-    entry->removed = pair->create_revision == 0;
-    if (entry->removed) {
-        mirror->removed_count++;
+    entry->loaded = true;
+    if (pair->create_revision == 0) {
+        set_removed(mirror, entry, pair->mod_revision);
         compact_removed_keys(mirror);
         return;
     }
+    free(entry->value);
+    entry->revision = pair->mod_revision;
+    entry->removed = false;
     entry->value = xcalloc(1, pair->value_bytes + 1);
     memcpy(entry->value, pair->value, pair->value_bytes);
     entry->value_bytes = pair->value_bytes;
@@ -133,6 +157,18 @@
     return true;
 }
 
+/* Does not compact, and so frees no other entry. */
+static void
+set_removed(mirror_t *mirror, entry_t *entry, int64_t revision)
+{
+    free(entry->value);
+    entry->value = NULL;
+    entry->value_bytes = 0;
+    entry->revision = revision;
+    entry->removed = true;
+    mirror->removed_count++;
+}
+
 static void
 entry_free(mirror_t *mirror, entry_t *entry)
 {
--- a/gateway/mirror.h
+++ b/gateway/mirror.h
@@ -20,10 +20,12 @@
 void mirror_free(mirror_t *mirror);
 
 /*
- * Removes all keys before the store is read in full at revision.  Changes
- * before this revision are no longer known.
+ * Bracket a full read of the store at revision, of which mirror_apply() is
+ * called for each key; the others have been removed.  The first one does not
+ * tell what has been removed before it; later ones leave no gap.
  */
-void mirror_reset(mirror_t *mirror, int64_t revision);
+void mirror_load_begin(mirror_t *mirror, int64_t revision);
+void mirror_load_end(mirror_t *mirror);
 
 /* Records a key's value, or its removal if create_revision is 0. */
 void mirror_apply(mirror_t *mirror, const kv_pair_t *pair);
--- a/gateway/store_view.c
+++ b/gateway/store_view.c
@@ -22,7 +22,7 @@
     int64_t own_revision = 0;
     size_t i;
 
-    mirror_reset(gateway->mirror, revision);
+    mirror_load_begin(gateway->mirror, revision);
     raise_event(gateway, FORWARD_REGISTRY_BEGIN);
     directory_reload_begin(gateway->directory);
     for (i = 0; i < count; i++) {
@@ -33,6 +33,7 @@
         }
         store_view_apply(gateway, &pairs[i]);
     }
+    mirror_load_end(gateway->mirror);
     directory_reload_end(gateway->directory);
     if (!peer_key_found) {
         peering_set_key(gateway->peering, NULL, 0);
