Pass on nothing but events in a stream, and go on only with a stream

What callers saw elsewhere (report of other operators): after a stream broke off and the next runner answered with an error, they found the text of the error, or the whole head of a response, in the middle of their stream, or the stream ended as if it were complete.

It could happen here. Whatever a signed 200 held up to an empty line was passed on as an event, and a body without events ended the stream.

Now an event needs an id (or has nothing but comments) and fields with names in lower case; anything else ends the attempt as invalid, and the stream goes on elsewhere. An attempt goes on in a stream that has begun only if its response is said to be an event stream.

--- a/forward/event_stream.c
+++ b/forward/event_stream.c
@@ -7,6 +7,7 @@
 
 static size_t find_event_end(const char *bytes, size_t length, size_t from);
 static stream_event_t parse_event(const char *bytes, size_t length);
+static bool is_field(const char *line, size_t length);
 static bool parse_id(const char *line, size_t length, int64_t *id);
 
 void
@@ -80,6 +81,8 @@
     stream_event_t event = {.bytes = bytes, .length = length};
     const char *line = bytes;
     const char *end = bytes + length;
+    bool has_fields = false;
+    bool fields_valid = true;
 
     while (line < end) {
         const char *line_end = memchr(line, '\n', (size_t)(end - line));
@@ -89,11 +92,29 @@
         if (parse_id(line, line_bytes, &event.id)) {
             event.has_id = true;
         }
+        if (line_bytes > 0 && line[0] != ':' && line[0] != '\r') {
+            has_fields = true;
+            fields_valid &= is_field(line, line_bytes);
+        }
         line += line_bytes + 1;
     }
+    event.valid = fields_valid && (event.has_id || !has_fields);
     return event;
 }
 
+/* Returns whether the line begins with a field name and a colon. */
+static bool
+is_field(const char *line, size_t length)
+{
+    size_t i = 0;
+
+    while (i < length &&
+           ((line[i] >= 'a' && line[i] <= 'z') || line[i] == '-')) {
+        i++;
+    }
+    return i > 0 && i < length && line[i] == ':';
+}
+
 static bool
 parse_id(const char *line, size_t length, int64_t *id)
 {
--- a/forward/event_stream.h
+++ b/forward/event_stream.h
@@ -4,7 +4,7 @@
  * Takes the bytes of one runner's stream and passes on complete events in
  * order, each with its id.  A partial event is never passed on, so that a
  * stream whose runner fails can be resumed on another runner with the next
- * event.  The id of an event without an id is the previous id plus one.
+ * event.
  */
 #ifndef FORWARD_EVENT_STREAM_H
 #define FORWARD_EVENT_STREAM_H
@@ -31,6 +31,8 @@
     size_t length;
     bool has_id;
     int64_t id;
+    bool valid; /* it has an id, or nothing but comments, and all of its lines
+                   are fields with names in lower case, or comments */
 } stream_event_t;
 
 typedef void (*stream_event_handler_t)(void *context,
--- a/forward/forward.h
+++ b/forward/forward.h
@@ -148,6 +148,7 @@
     bool authentic; /* names this request and has a valid runner signature */
     bool not_run;   /* the runner or host states that it has not run */
     bool leaving;   /* the runner states that it leaves */
+    bool event_stream; /* its body is stated to be one */
     /* The host that it was relayed to refused it, for this reason. */
     bool refused_by_host;
     refuse_reason_t refusal;
--- a/forward/recover.c
+++ b/forward/recover.c
@@ -69,7 +69,8 @@
         }
     }
     if (request->type == REQUEST_STREAM && head->status == STATUS_OK &&
-        head->authentic) {
+        head->authentic &&
+        (head->event_stream || !request->response_started)) {
         attempt->relaying = true;
         if (request->version == 0) {
             request->version = attempt->version;
--- a/gateway/upstream.c
+++ b/gateway/upstream.c
@@ -5,6 +5,7 @@
 #include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
+#include <strings.h>
 
 #include <uthash.h>
 
@@ -18,6 +19,8 @@
     STATUS_ERROR_MIN = 400,
 };
 
+static const char event_stream_type[] = "text/event-stream";
+
 typedef struct exchange exchange_t;
 
 /* One HTTP request to a runner or another host, and its response. */
@@ -35,6 +38,7 @@
     text_t body;
     event_stream_t events;
     bool relaying;    /* events are sent to the caller as they arrive */
+    bool malformed;   /* it has sent something that is no event */
     bool in_callback; /* a callback up the stack uses it */
     bool released;    /* to be freed when the callback returns */
     UT_hash_handle hh;
@@ -258,6 +262,8 @@
                      strcmp(terms.id, exchange->id) == 0,
         .not_run = terms.not_run,
         .leaving = terms.leaving,
+        .event_stream = strncasecmp(content_type, event_stream_type,
+                                    strlen(event_stream_type)) == 0,
     };
     if (exchange->to_host != NULL) {
         host_relay_read_usage(&exchange->arena, &exchange->headers,
@@ -293,6 +299,9 @@
     exchange->in_callback = true;
     event_stream_feed(&exchange->events, bytes, length, on_stream_event,
                       exchange);
+    if (exchange->malformed && !exchange->released) {
+        raise_send_end(exchange, SEND_INVALID);
+    }
     exchange->in_callback = false;
     if (exchange->released) {
         release_exchange(exchange);
@@ -306,7 +315,11 @@
     gateway_t *gateway = exchange->upstreams->gateway;
     forward_event_t progress = {.kind = FORWARD_STREAM_PROGRESS};
 
-    if (exchange->released) {
+    if (exchange->released || exchange->malformed) {
+        return;
+    }
+    if (!event->valid) {
+        exchange->malformed = true;
         return;
     }
     (void)front_send_event(gateway->front, exchange->number, event);
--- a/regress/forwarding.c
+++ b/regress/forwarding.c
@@ -355,6 +355,7 @@
             .authentic = !line_has(line, "stranger"),
             .not_run = line_has(line, "not-run"),
             .leaving = line_has(line, "leaving"),
+            .event_stream = !line_has(line, "text"),
             .refused_by_host = line_has(line, "refused"),
             .refusal = REFUSE_NO_RUNNER,
             .usage = {.stated = stated,
--- a/regress/forwarding.h
+++ b/regress/forwarding.h
@@ -17,7 +17,9 @@
  *        [table=REVISION]      the routing table of that host
  *   gone N
  *   head N ATTEMPT STATUS [stranger] [not-run] [refused] [leaving]
+ *        [text]
  *        [used=RUNS:DELIVERIES[:RUNNER,...]]
+ *                             text: its body is no event stream;
  *                             refused: by the host that it was relayed to;
  *                             used: what that host has used
  *        [table=REVISION]      the routing table of that host
--- a/regress/partition_caller.c
+++ b/regress/partition_caller.c
@@ -173,6 +173,7 @@
                            .u.end.result = SEND_COMPLETE};
 
     head.u.head.authentic = true;
+    head.u.head.event_stream = true;
     head.u.head.status = CUT_STATUS_OK;
     head.u.head.usage = copy_usage(hop, &action->usage);
     switch (action->kind) {
--- a/regress/partition_runner.c
+++ b/regress/partition_runner.c
@@ -42,8 +42,10 @@
 {
     forward_event_t reply = {.kind = FORWARD_RESPONSE_HEAD};
 
-    reply.u.head = (forward_response_head_t){
-        .status = status, .authentic = true, .not_run = not_run};
+    reply.u.head = (forward_response_head_t){.status = status,
+                                             .authentic = true,
+                                             .event_stream = true,
+                                             .not_run = not_run};
     cut_push_reply(CUT_ONE_WAY_MS, leg, &reply);
 }
 
--- a/regress/silence_runner.c
+++ b/regress/silence_runner.c
@@ -139,6 +139,7 @@
                                              .attempt = run->attempt,
                                              .status = status,
                                              .authentic = true,
+                                             .event_stream = true,
                                              .not_run = status != STATUS_OK};
     deliver_run(run, &event);
 }
--- a/regress/suspicion_engine.c
+++ b/regress/suspicion_engine.c
@@ -250,7 +250,8 @@
         event.u.head = (forward_response_head_t){.number = run->number,
                                                  .attempt = run->attempt,
                                                  .status = 200,
-                                                 .authentic = true};
+                                                 .authentic = true,
+                                                 .event_stream = true};
         sim_deliver_event(run->host, &event);
         run = &sim.runs[index];
     }
--- a/regress/test_event_stream.c
+++ b/regress/test_event_stream.c
@@ -7,7 +7,7 @@
 typedef struct {
     const char *name;
     const char *bytes;
-    const char *events; /* each as "ID[bytes]" */
+    const char *events; /* each as "ID[bytes]", after "!" if it is not valid */
     bool partial;
 } stream_case_t;
 
@@ -18,11 +18,18 @@
     {"event without an empty line", "id: 0\n", "", true},
     {"lines that end in CR LF", "id: 3\r\ndata: a\r\n\r\n",
      "3[id: 3\r\ndata: a\r\n\r\n]", false},
-    {"event without an id", "data: a\n\n", "-[data: a\n\n]", false},
+    {"event without an id", "data: a\n\n", "!-[data: a\n\n]", false},
     {"id without a space", "id:12\n\n", "12[id:12\n\n]", false},
-    {"id that is not a number is ignored", "id: x\n\n", "-[id: x\n\n]", false},
+    {"id that is not a number is ignored", "id: x\n\n", "!-[id: x\n\n]",
+     false},
     {"id that overflows is ignored", "id: 99999999999999999999\n\n",
-     "-[id: 99999999999999999999\n\n]", false},
+     "!-[id: 99999999999999999999\n\n]", false},
+    {"comment", ": ping\n\n", "-[: ping\n\n]", false},
+    {"text before the id", "oops\nid: 4\n\n", "!4[oops\nid: 4\n\n]", false},
+    {"head of a response", "HTTP/1.1 500 x\r\nA: b\r\n\r\n",
+     "!-[HTTP/1.1 500 x\r\nA: b\r\n\r\n]", false},
+    {"header before the id", "Date: x\nid: 4\n\n", "!4[Date: x\nid: 4\n\n]",
+     false},
     {"field before the id", "weight-versions: 2\nid: 4\n\n",
      "4[weight-versions: 2\nid: 4\n\n]", false},
     {"empty stream", "", "", false},
@@ -33,6 +40,7 @@
 {
     text_t *text = context;
 
+    text_puts(text, event->valid ? "" : "!");
     if (event->has_id) {
         text_printf(text, "%lld", (long long)event->id);
     }
--- a/regress/version_sim.c
+++ b/regress/version_sim.c
@@ -321,7 +321,8 @@
         event.u.head = (forward_response_head_t){.number = number,
                                                  .attempt = stream->attempt,
                                                  .status = 200,
-                                                 .authentic = true};
+                                                 .authentic = true,
+                                                 .event_stream = true};
         version_deliver(stream->host, &event);
     }
     count_event(stream);
--- a/regress/view_sim.c
+++ b/regress/view_sim.c
@@ -122,7 +122,8 @@
     event.u.head = (forward_response_head_t){.number = number,
                                              .attempt = attempt,
                                              .status = STATUS_OK,
-                                             .authentic = true};
+                                             .authentic = true,
+                                             .event_stream = true};
     view_deliver(host, &event);
     event = (forward_event_t){.kind = FORWARD_SEND_END};
     event.u.end = (forward_send_end_t){
