Take a rejection for one only if it is of this request, and no bare status

What callers saw elsewhere (report of other operators): a faulty runner wrote an earlier refusal once more on a kept connection, and clients were told "not run, try again" for requests that had run.

As reported it cannot happen here: each request to a runner has a connection of its own; test_rejection_after_a_response_answers_nothing shows it, and passed on the code before.

The promise itself could be false, though. A rejection that names another request in Attempt-Id counted as one of this request, and an unsigned 408, 421, 429 or 503 without Not-Executed was passed on, which callers take for a promise. Both now count as invalid answers: a request that may not run twice ends with 502, a safe one is tried elsewhere. What a runner signs is still passed on unchanged.

Evidence: three new cases of test_gateway failed before.

--- a/forward/recover.c
+++ b/forward/recover.c
@@ -9,7 +9,10 @@
     STATUS_OK = 200,
     STATUS_MULTIPLE_CHOICES = 300,
     STATUS_SERVER_ERROR = 500,
+    STATUS_REQUEST_TIMEOUT = 408,
     STATUS_MISDIRECTED = 421,
+    STATUS_TOO_MANY = 429,
+    STATUS_UNAVAILABLE = 503,
     /* A safe request with less time left than this is not sent again. */
     RETRY_TIME_LEFT_MIN_MS = 20,
     /* Interval between searches for a runner for a waiting request. */
@@ -257,6 +260,15 @@
     action->usage = grant_usage(forward, request);
 }
 
+/* Returns whether callers take the status for a promise that the request has
+ * not run.  Only a runner that says so in a header can give it. */
+static bool
+promises_not_run(uint32_t status)
+{
+    return status == STATUS_REQUEST_TIMEOUT || status == STATUS_MISDIRECTED ||
+           status == STATUS_TOO_MANY || status == STATUS_UNAVAILABLE;
+}
+
 /* Handles a complete response of a runner that has run the request. */
 static void
 handle_response(forward_t *forward, request_t *request)
@@ -266,7 +278,8 @@
     bool success = attempt->status >= STATUS_OK &&
                    attempt->status < STATUS_MULTIPLE_CHOICES;
 
-    if (!attempt->authentic && (success || request->response_started)) {
+    if (!attempt->authentic && (success || request->response_started ||
+                                promises_not_run(attempt->status))) {
         handle_failed_attempt(forward, request, SEND_INVALID);
         return;
     }
--- a/gateway/upstream.c
+++ b/gateway/upstream.c
@@ -250,17 +250,19 @@
     gateway_t *gateway = exchange->upstreams->gateway;
     forward_event_t event = {.kind = FORWARD_RESPONSE_HEAD};
     response_properties_t terms;
+    bool names_other;
 
     exchange->status = status;
     gateway->dialect->ops->parse_response_headers(&exchange->arena,
                                                   &exchange->headers, &terms);
+    names_other = terms.id != NULL && strcmp(terms.id, exchange->id) != 0;
     event.u.head = (forward_response_head_t){
         .number = exchange->number,
         .attempt = exchange->attempt,
         .status = status,
-        .authentic = terms.signed_by_runner && terms.id != NULL &&
-                     strcmp(terms.id, exchange->id) == 0,
-        .not_run = terms.not_run,
+        .authentic =
+            terms.signed_by_runner && terms.id != NULL && !names_other,
+        .not_run = terms.not_run && !names_other,
         .leaving = terms.leaving,
         .event_stream = strncasecmp(content_type, event_stream_type,
                                     strlen(event_stream_type)) == 0,
--- a/regress/test_gateway.c
+++ b/regress/test_gateway.c
@@ -29,6 +29,28 @@
      CANNED_KEEP},
 };
 
+/* A rejection of an earlier request, and statuses that promise as much. */
+static const canned_reply_t rejection_of_other[] = {
+    {"HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nAttempt-Id: q0\r\n"
+     "Content-Length: 0\r\n\r\n",
+     0, CANNED_KEEP},
+};
+static const canned_reply_t unsigned_503[] = {
+    {"HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n", 0, CANNED_KEEP},
+};
+static const canned_reply_t unsigned_429[] = {
+    {"HTTP/1.1 429 Many\r\nAttempt-Id: q1\r\nContent-Length: 0\r\n\r\n", 0,
+     CANNED_KEEP},
+};
+static const canned_reply_t unsigned_500[] = {
+    {"HTTP/1.1 500 Error\r\nContent-Length: 0\r\n\r\n", 0, CANNED_KEEP},
+};
+static const canned_reply_t reply_and_rejection[] = {
+    {"HTTP/1.1 200 OK\r\n" RUNNER_HEADERS "Content-Length: 5\r\n\r\nhello"
+     "HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+     0, CANNED_KEEP},
+};
+
 /* One exchange on one connection, with one runner of each service. */
 typedef struct {
     const char *name;
@@ -83,6 +105,15 @@
     {"a service at capacity is refused with 503", "plain", at_capacity_reply,
      REQUEST("GET", "/unsafe/p", ""), "HTTP/1.1 503", "Server-Stamp", "",
      NULL},
+    {"a rejection of another request is none of this one", "plain",
+     rejection_of_other, REQUEST("GET", "/unsafe/p", ""), "HTTP/1.1 502",
+     "503", "", NULL},
+    {"503 without a signature is no promise", "plain", unsigned_503,
+     REQUEST("GET", "/unsafe/p", ""), "HTTP/1.1 502", "503", "", NULL},
+    {"429 without a signature is no promise", "plain", unsigned_429,
+     REQUEST("GET", "/unsafe/p", ""), "HTTP/1.1 502", "429", "", NULL},
+    {"an error without a signature is passed on", "plain", unsigned_500,
+     REQUEST("GET", "/unsafe/p", ""), "HTTP/1.1 500", "502", "", NULL},
     {"an unknown API key is refused with 401", "plain", complete_reply,
      "GET /unsafe/p HTTP/1.1\r\nHost: host.example\r\n"
      "Authorization: Bearer no\r\n\r\n",
@@ -177,6 +208,33 @@
 }
 END_TEST
 
+/* It would answer the next request on the same connection. */
+START_TEST(test_rejection_after_a_response_answers_nothing)
+{
+    enum { REQUESTS = 3 };
+    gateway_host_t host;
+    int i;
+
+    gateway_host_open(&host);
+    gateway_host_runner(&host, "plain-1", "plain", "a", reply_and_rejection,
+                        1);
+    gateway_host_settle(&host);
+    for (i = 0; i < REQUESTS; i++) {
+        raw_caller_t *caller = raw_caller_new(&host, host.listen_address);
+
+        raw_caller_send(caller,
+                        REQUEST("POST", "/unsafe/p", "Content-Length: 0\r\n"));
+        ck_assert_msg(raw_caller_wait(caller, "\r\n\r\nhello") &&
+                          strstr(raw_caller_bytes(caller), "503") == NULL,
+                      "request %d: got\n%s", i, raw_caller_bytes(caller));
+        raw_caller_free(caller);
+    }
+    ck_assert_uint_eq(canned_connections(host.runners[0]), REQUESTS);
+    ck_assert_uint_eq(canned_requests(host.runners[0]), REQUESTS);
+    gateway_host_close(&host);
+}
+END_TEST
+
 START_TEST(test_metrics_count_request)
 {
     gateway_host_t host;
@@ -237,6 +295,7 @@
     tcase_add_loop_test(tcase, test_request_and_response, 0, COUNT(exchanges));
     tcase_add_test(tcase, test_broken_stream_is_aborted);
     tcase_add_test(tcase, test_closed_caller_is_not_forwarded);
+    tcase_add_test(tcase, test_rejection_after_a_response_answers_nothing);
     tcase_add_test(tcase, test_metrics_count_request);
     tcase_add_test(tcase, test_readiness_and_address_lookup);
     return fixture_main("gateway", tcase);
