Follow the store past entries that a sound runner would not write

What operators of other systems saw: one odd entry among those of the runners, deeply nested, with a number too large or a port out of range, and machines ended again and again or stopped following the list.

Following could stop, though: keys of the store have up to 200 bytes and those in messages between hosts 128, so that one longer key made every reply of a watcher fail, and all followers watched the store themselves. Its keys have a bound of their own now.

--- a/world/link.x
+++ b/world/link.x
@@ -18,6 +18,7 @@
 const LINK_CRASH_REPORTS_MAX = 32;
 const LINK_CRASHES_MAX = 8;
 const LINK_NEVER = 4294967295; /* as an age */
+const LINK_KEY_MAX = 256;      /* longer than any key of the store */
 
 typedef string name_t<LINK_NAME_MAX>;
 
@@ -362,7 +363,7 @@
 
 /* A changed key of the store. */
 struct store_item_t {
-    name_t key;
+    string key<LINK_KEY_MAX>;
     int64_t revision;
     bool removed;
     opaque value<LINK_TEXT_MAX>;
