--- a/regress/forwarding.c
+++ b/regress/forwarding.c
@@ -10,7 +10,6 @@
 #include "regress/forwarding_private.h"
 
 enum {
-    REVOKE_MS = 5000,
     REGISTRY_MS = 2000,
     ACCEPT_MS = 1600,
     REQUESTS_MAX = 100,
@@ -19,7 +18,6 @@
 
 static void step(forward_t *forward, int64_t at_ms,
                  const forward_event_t *event, bool print);
-static forward_contact_t contact_of(const line_t *line, int64_t at_ms);
 static forward_event_t request_of(const line_t *line);
 static forward_event_t answer_of(const line_t *line);
 static void do_fleet(forward_t *forward, int64_t at_ms, const line_t *line);
@@ -92,7 +90,7 @@
     if (do_registry(forward, at_ms, &line)) {
         return actions_printed();
     }
-    if (line_record(&line, &event)) {
+    if (line_record(&line, &event) || line_view(&line, at_ms, &event)) {
         step(forward, at_ms, &event, true);
         return actions_printed();
     }
@@ -119,22 +117,6 @@
         event.kind = FORWARD_ROUTING;
         event.u.routing = forwarding_routing(line_number(&line, 1));
     }
-    else if (strcmp(line.words[0], "contact") == 0) {
-        event.kind = FORWARD_STORE_CONTACT;
-        event.u.contact = contact_of(&line, at_ms);
-    }
-    else if (strcmp(line.words[0], "lost-store") == 0) {
-        event.kind = FORWARD_STORE_LOST;
-    }
-    else if (strcmp(line.words[0], "bound") == 0) {
-        event.kind = FORWARD_LIMITS;
-        event.u.limits = forwarding_limits(REVOKE_MS);
-        event.u.limits.apply_ms = (uint32_t)line_number(&line, 1);
-        event.u.limits.leave_ms = (uint32_t)line_number(&line, 2);
-    }
-    else if (strcmp(line.words[0], "regained") == 0) {
-        event.kind = FORWARD_STORE_REGAINED;
-    }
     else if (strcmp(line.words[0], "fleet") == 0) {
         do_fleet(forward, at_ms, &line);
         return actions_printed();
@@ -147,10 +129,6 @@
         event.kind = FORWARD_HOST_COUNT;
         event.u.hosts = (uint32_t)line_number(&line, 1);
     }
-    else if (strcmp(line.words[0], "revoke") == 0) {
-        event.kind = FORWARD_LIMITS;
-        event.u.limits = forwarding_limits((uint32_t)line_number(&line, 1));
-    }
     else if (strcmp(line.words[0], "drain") == 0) {
         event.kind = FORWARD_DRAIN;
     }
@@ -316,18 +294,6 @@
     return event;
 }
 
-static forward_contact_t
-contact_of(const line_t *line, int64_t at_ms)
-{
-    const char *revision = line_value(line, "revision");
-
-    return (forward_contact_t){
-        .contact_us = at_ms * US_PER_MS,
-        .revision = revision != NULL ? strtoll(revision, NULL, DECIMAL) : 0,
-        .source = line_value(line, "source"),
-    };
-}
-
 static forward_event_t
 answer_of(const line_t *line)
 {
--- a/regress/forwarding_private.h
+++ b/regress/forwarding_private.h
@@ -13,6 +13,7 @@
     US_PER_MS = 1000,
     DECIMAL = 10,
     ADDRESS_BYTES = 64,
+    REVOKE_MS = 5000,
 };
 
 /* --- forwarding_line.c --- */
@@ -52,6 +53,12 @@
 /* Prints what is to be written. */
 void record_print(const forward_record_t *record, char *text, size_t room);
 
+/* --- forwarding_view.c --- */
+
+/* Reads an event about the view of the store, or its limits; false: it is
+ * another one. */
+bool line_view(const line_t *line, int64_t at_ms, forward_event_t *event);
+
 /* --- forwarding_print.c --- */
 
 void actions_clear(void);
