Tell other hosts of a leaving runner only what the registry has not told

A runner that drains says so in each answer, so that each host sent a note of it although all had its entry; in a release of 120 runners on 88 hosts these would have been some ten thousand reports. Notes go out only for runners that were usable. A sign of an attempt counts for the incarnation that it was sent to. Confirmations of views are counted in a metric.

--- a/forward/copies.c
+++ b/forward/copies.c
@@ -77,7 +77,7 @@
     }
     attempt = &request->attempt;
     attempt->copy_pending = false;
-    if (copied->leaving) {
+    if (copied->leaving && attempt->runner->serial == attempt->runner_serial) {
         registry_record_leaving(forward, attempt->runner);
     }
     if (attempt->standby == NULL) {
--- a/forward/pool.c
+++ b/forward/pool.c
@@ -199,10 +199,10 @@
     return runner;
 }
 
-const pool_runner_t *
+pool_runner_t *
 pool_find_runner(const pool_t *pool, const char *id)
 {
-    const pool_runner_t *runner;
+    pool_runner_t *runner;
 
     HASH_FIND_STR(pool->runners, id, runner);
     return runner;
--- a/forward/pool.h
+++ b/forward/pool.h
@@ -119,7 +119,7 @@
                              uint64_t serial);
 
 /* Returns the runner with that id, or NULL. */
-const pool_runner_t *pool_find_runner(const pool_t *pool, const char *id);
+pool_runner_t *pool_find_runner(const pool_t *pool, const char *id);
 
 /* Returns the runner whose id has this hash, or NULL. */
 pool_runner_t *pool_find_hash(const pool_t *pool, uint64_t id_hash);
--- a/forward/private.h
+++ b/forward/private.h
@@ -245,8 +245,7 @@
     int64_t view_revision; /* of the store at that time */
     char view_source[VIEW_SOURCE_BYTES]; /* see forward_contact_t */
     int64_t registry_grace_until_us;     /* after an outage of the store */
-    int64_t
-        confirmed_contact_us;  /* contact whose confirmation was asked for */
+    int64_t confirmed_contact_us;        /* that was to be confirmed */
     bool store_lost;           /* the last call of this host to it failed */
     uint32_t hosts;            /* number of hosts in the system */
     int64_t started_us;        /* time of the first step */
--- a/forward/recover.c
+++ b/forward/recover.c
@@ -67,7 +67,8 @@
     }
     else {
         relay_record_connection(forward, attempt->runner, attempt->started_us);
-        if (head->leaving) {
+        if (head->leaving &&
+            attempt->runner->serial == attempt->runner_serial) {
             registry_record_leaving(forward, attempt->runner);
         }
     }
--- a/forward/registry.c
+++ b/forward/registry.c
@@ -30,16 +30,21 @@
 
 /*
  * A host is bound by what a runner has told it, with or without the store. The
- * other hosts may hear of it from the registry only later.
+ * other hosts are told, unless the registry has done so.
  */
 void
 registry_record_leaving(forward_t *forward, pool_runner_t *runner)
 {
+    bool usable = pool_runner_usable(runner, forward->now_us);
+
     if (!pool_mark_leaving(runner)) {
         return;
     }
-    note_queue(forward, &(finding_t){.kind = NOTE_RUNNER_LEAVES,
-                                     .finding_t_u.runner = runner->id_hash});
+    if (usable) {
+        note_queue(forward,
+                   &(finding_t){.kind = NOTE_RUNNER_LEAVES,
+                                .finding_t_u.runner = runner->id_hash});
+    }
     log_leaving(forward, runner, "runner");
 }
 
--- a/forward/watchdog.c
+++ b/forward/watchdog.c
@@ -160,11 +160,10 @@
 static void
 record_leaving(forward_t *forward, const char *id)
 {
-    const pool_runner_t *runner = pool_find_runner(forward->pool, id);
+    pool_runner_t *runner = pool_find_runner(forward->pool, id);
 
     if (runner != NULL) {
-        registry_record_leaving(
-            forward, pool_find_hash(forward->pool, runner->id_hash));
+        registry_record_leaving(forward, runner);
     }
 }
 
--- a/gateway/meters.c
+++ b/gateway/meters.c
@@ -21,6 +21,7 @@
     metric_family_t *copies;
     metric_family_t *records;
     metric_family_t *record_bytes;
+    metric_family_t *view_confirmations;
     metric_family_t *routing_age;
     metric_family_t *log_lines_dropped;
 };
@@ -81,6 +82,11 @@
                               .name = "agatevale_record_bytes_total",
                               .help = "Bytes of these records.",
                               .labels = {"kind"}});
+    meters->view_confirmations = metric_family_new(
+        set, &(metric_spec_t){.kind = METRIC_COUNTER,
+                              .name = "agatevale_view_confirmations_total",
+                              .help = "Views of the store that got too old "
+                                      "and were confirmed with it."});
     meters->routing_age = metric_family_new(
         set, &(metric_spec_t){.kind = METRIC_GAUGE,
                               .name = "agatevale_routing_age_seconds",
@@ -126,6 +132,9 @@
     case FORWARD_ACTION_COPY:
         metric_add(metric_series(meters->copies, NULL), 1);
         return;
+    case FORWARD_ACTION_CONFIRM_VIEW:
+        metric_add(metric_series(meters->view_confirmations, NULL), 1);
+        return;
     case FORWARD_ACTION_PUT_RECORD:
         count_record(meters, &action->u.record);
         return;
