--- a/regress/test_store_sync.c
+++ b/regress/test_store_sync.c
@@ -111,7 +111,7 @@
       {10, "unknown", "read"}}},
 };
 
-static char names[HOSTS_MAX][8];
+static char names[HOSTS_MAX][32];
 static watcher_candidate_t hosts[HOSTS_MAX];
 
 static store_sync_fleet_t
