Roll a service out to a new version of its software under a capped share

Change: forward/canary.c judges the new version by a sequential test against the old one, forward/rollout.c has the phases and what is written to the store, forward/rollouts.c applies both: each host sends a share of new requests to a tenth of the new version's runners, hosts add up their evidence in reports, and any of them writes the next phase by a conditional write.

--- a/forward/admission.c
+++ b/forward/admission.c
@@ -186,6 +186,14 @@
     return request;
 }
 
+static uint64_t
+hash_route(const route_t *route)
+{
+    const char *name = route->name != NULL ? route->name : route->prefix;
+
+    return XXH3_64bits(name, strlen(name));
+}
+
 static void
 apply_route(forward_t *forward, request_t *request, const route_t *route,
             uint32_t caller_deadline_ms)
@@ -208,6 +216,7 @@
         request->parts[i] =
             XXH3_64bits_withSeed(name, strlen(name), request->parts[i]);
     }
+    request->route = hash_route(route);
     request->type = route->type;
     request->resumable = route->resumable;
     request->replicated = service != NULL && service->engine &&
--- a/forward/forward.c
+++ b/forward/forward.c
@@ -40,6 +40,7 @@
     forward->random_state = settings->seed;
     forward->hosts = 1;
     forward->records_due_us = INT64_MAX;
+    forward->rollouts_due_us = INT64_MAX;
     forward->pool = pool_new();
     forward->host_pool = pool_new();
     TAILQ_INIT(&forward->silent_losses);
@@ -69,6 +70,7 @@
         free(budget->service);
         free(budget);
     }
+    rollouts_free(forward);
     sharing_free(forward);
     versions_free(forward);
     version_record_free(forward);
@@ -133,6 +135,15 @@
     case FORWARD_PUT_RESULT:
         version_record_written(forward, &event->u.put);
         break;
+    case FORWARD_ROLLOUT_ORDER:
+        rollouts_apply_order(forward, &event->u.order);
+        break;
+    case FORWARD_ROLLOUT_STATUS:
+        rollouts_apply_status(forward, &event->u.status);
+        break;
+    case FORWARD_ROLLOUT_WRITTEN:
+        rollouts_status_written(forward, &event->u.rollout_written);
+        break;
     case FORWARD_DRAIN:
         forward->draining_since_us = now_us;
         break;
@@ -143,6 +154,9 @@
     if (forward->records_changed || now_us >= forward->records_due_us) {
         version_record_check(forward);
     }
+    if (forward->rollouts_changed || now_us >= forward->rollouts_due_us) {
+        rollouts_check(forward);
+    }
     view_check(forward);
     if (forward->publish_due) {
         (void)action_new(forward, FORWARD_ACTION_PUBLISH, 0);
@@ -160,6 +174,9 @@
     if (forward->records_due_us < due_us) {
         due_us = forward->records_due_us;
     }
+    if (forward->rollouts_due_us < due_us) {
+        due_us = forward->rollouts_due_us;
+    }
     if (view_due_us(forward) < due_us) {
         due_us = view_due_us(forward);
     }
@@ -455,6 +472,7 @@
                                             .restored = attempt->restored};
     }
     if (attempt->events == 0) {
+        rollouts_count_event(forward, request);
         versions_begin_stream(forward, request);
         attempt->first_event_us = forward->now_us;
         pool_prefill_done(attempt->runner);
--- a/forward/forward.h
+++ b/forward/forward.h
@@ -23,6 +23,7 @@
 
 #include "base/arena.h"
 #include "forward/retry_budget.h"
+#include "forward/rollout.h"
 #include "world/generated/link.h"
 #include "world/registration.h"
 #include "world/routing.h"
@@ -74,6 +75,9 @@
     FORWARD_REGISTRY_END,
     FORWARD_RECORD,
     FORWARD_PUT_RESULT,
+    FORWARD_ROLLOUT_ORDER,
+    FORWARD_ROLLOUT_STATUS,
+    FORWARD_ROLLOUT_WRITTEN,
     FORWARD_STORE_CONTACT,
     FORWARD_STORE_LOST,     /* a call of this host to it has failed */
     FORWARD_STORE_REGAINED, /* it answers this host after failed calls */
@@ -239,6 +243,12 @@
     forward_record_t record; /* as it is now; only the key if it has failed */
 } forward_put_result_t;
 
+/* How FORWARD_ACTION_PUT_ROLLOUT has ended. */
+typedef struct {
+    forward_put_outcome_t outcome;
+    rollout_status_t status; /* as it is now; only the service if it failed */
+} forward_rollout_written_t;
+
 /* How this host knows the state of the store. */
 typedef struct {
     int64_t contact_us; /* as of when all changes are known */
@@ -264,6 +274,7 @@
 
     uint32_t requests_max; /* concurrent; 0: no limit */
     retry_limits_t retries;
+    rollout_limits_t rollouts;
 } forward_limits_t;
 
 typedef struct {
@@ -281,6 +292,9 @@
         const char *deregistered_id;
         forward_record_t record;
         forward_put_result_t put;
+        rollout_order_t order;   /* revision 0: it has been removed */
+        rollout_status_t status; /* the same */
+        forward_rollout_written_t rollout_written;
         forward_contact_t contact;
         uint32_t hosts; /* number of hosts that share the retry budgets */
         forward_hosts_t host_list;
@@ -303,7 +317,8 @@
     FORWARD_ACTION_LOG,
     FORWARD_ACTION_RECORD_RESUME,
     FORWARD_ACTION_RECORD_END,
-    FORWARD_ACTION_PUT_RECORD, /* write to the store */
+    FORWARD_ACTION_PUT_RECORD,  /* write to the store */
+    FORWARD_ACTION_PUT_ROLLOUT, /* write the status of a roll-out there */
     FORWARD_ACTION_PUBLISH, /* send forward_placements() to the other hosts */
     FORWARD_ACTION_CONFIRM_VIEW, /* ask the store at once what has changed */
 } forward_action_kind_t;
@@ -391,6 +406,7 @@
         copy_action_t copy;
         free_copy_action_t drop_copy;
         forward_record_t record;
+        rollout_status_t rollout; /* if its key has this revision */
         struct {
             const char *runner;
             const char *address;
@@ -458,6 +474,19 @@
 bool forward_is_record(const char *key);
 bool forward_is_stream_record(const char *key);
 
+/* A roll-out, for the metrics; valid until the next step. */
+typedef struct {
+    const char *service;
+    const char *version;
+    const char *phase;
+    canary_arm_t new_version; /* responses to this host */
+    canary_arm_t old_version;
+} forward_rollout_view_t;
+
+/* Writes up to max roll-outs to views; returns their number. */
+size_t forward_rollouts(const forward_t *forward,
+                        forward_rollout_view_t *views, size_t max);
+
 /* Returns the number of requests in progress. */
 size_t forward_request_count(const forward_t *forward);
 
--- a/forward/pool.c
+++ b/forward/pool.c
@@ -255,6 +255,12 @@
     return false;
 }
 
+uint64_t
+pool_runner_order(const pool_runner_t *runner)
+{
+    return XXH3_64bits(&runner->id_hash, sizeof(runner->id_hash));
+}
+
 bool
 pool_runner_usable(const pool_runner_t *runner, int64_t now_us)
 {
@@ -449,8 +455,8 @@
 }
 
 /* 0 stands for any version. */
-static uint64_t
-hash_version(const char *version)
+uint64_t
+pool_hash_version(const char *version)
 {
     uint64_t hash = XXH3_64bits(version, strlen(version));
 
@@ -467,7 +473,7 @@
     runner->registration.zone = xstrdup(entry->zone);
     runner->registration.version =
         xstrdup(entry->version != NULL ? entry->version : "");
-    runner->version = hash_version(runner->registration.version);
+    runner->version = pool_hash_version(runner->registration.version);
 }
 
 /*
--- a/forward/pool.h
+++ b/forward/pool.h
@@ -64,12 +64,15 @@
     const char *zone;                 /* preferred zone; or NULL */
     const pool_zone_t *excluded_zone; /* excluded zone; or NULL */
     uint64_t version;                 /* of its software; 0: any */
-    const uint64_t *versions;         /* of its software, one of these ... */
-    uint32_t version_count;           /* ... unless there are none */
-    uint64_t affinity;                /* breaks ties between equal runners */
-    uint64_t cached_runner; /* id_hash of the runner that has the prompt
-                           in its cache; 0: none */
-    const uint64_t *tried;  /* serials of excluded runners */
+    uint64_t excluded_version;        /* of its software; 0: none */
+    uint64_t id_order_max; /* only runners up to this pool_runner_order(); 0:
+                              all */
+    const uint64_t *versions; /* of its software, one of these ... */
+    uint32_t version_count;   /* ... unless there are none */
+    uint64_t affinity;        /* breaks ties between equal runners */
+    uint64_t cached_runner;   /* id_hash of the runner that has the prompt
+                             in its cache; 0: none */
+    const uint64_t *tried;    /* serials of excluded runners */
     size_t tried_count;
 } pool_query_t;
 
@@ -133,6 +136,12 @@
                             const char *service, bool usable,
                             uint64_t *versions);
 
+/* Returns the version of pool_runner_t for its name. */
+uint64_t pool_hash_version(const char *version);
+
+/* Returns the runner's place in an order that is the same on every host. */
+uint64_t pool_runner_order(const pool_runner_t *runner);
+
 /* Returns whether a runner of the service states the version of its software.
  */
 bool pool_states_version(const pool_t *pool, const char *service);
--- a/forward/pool_choose.c
+++ b/forward/pool_choose.c
@@ -74,6 +74,14 @@
 {
     uint32_t i;
 
+    if (query->excluded_version != 0 &&
+        runner->version == query->excluded_version) {
+        return false;
+    }
+    if (query->id_order_max != 0 &&
+        pool_runner_order(runner) > query->id_order_max) {
+        return false;
+    }
     if (query->version != 0) {
         return runner->version == query->version;
     }
--- a/forward/private.h
+++ b/forward/private.h
@@ -8,7 +8,8 @@
  * of streams' KV caches, watchdog.c handles timeouts and silence.c silent
  * runners.  relay.c relays requests to other hosts, and grant.c counts what
  * these use of them.  versions.c keeps the versions of streams in memory,
- * version_record.c and stream_record.c in the store.  sharing.c exchanges load
+ * version_record.c and stream_record.c in the store; rollouts.c moves services
+ * from one version to another.  sharing.c exchanges load
  * with other hosts, notes.c their findings; suspicion.c detects requests that
  * crash runners.
  */
@@ -23,6 +24,7 @@
 #include "forward/crashes.h"
 #include "forward/forward.h"
 #include "forward/pool.h"
+#include "forward/rollout.h"
 
 enum {
     US_PER_MS = 1000,
@@ -68,6 +70,7 @@
     relay_usage_t usage; /* of that host, without the runners */
     bool refused_by_host;
     refuse_reason_t refusal; /* of that host */
+    bool judged;             /* its response counts for a roll-out */
     bool probe_pending;
     probe_outcome_t probed; /* of the last probe since the last activity */
     int64_t held_until_us;  /* when handle_silence() is due again */
@@ -87,6 +90,9 @@
     uint32_t latency_objective_ms;
     uint32_t prompt_tokens;
     uint64_t affinity;
+    uint64_t route;     /* hash of its name */
+    bool canary;        /* for the new version, while that is judged */
+    bool failed_at_new; /* the new version has responded with an error */
     uint64_t fingerprint;
     uint64_t *parts; /* as in forward_request_t, for this service */
     uint32_t part_count;
@@ -186,6 +192,34 @@
     UT_hash_handle hh;
 } service_budget_t;
 
+/* What another host has told of a roll-out. */
+typedef struct {
+    uint64_t service; /* hash of its name */
+    int64_t order_revision;
+    bool bad;
+    canary_evidence_t evidence;
+} peer_rollout_t;
+
+/* The roll-out of a service, as this host sees it. */
+typedef struct {
+    char *service;
+    uint64_t service_hash;
+    uint64_t version; /* to move to; as in pool_runner_t */
+    rollout_t state;
+    canary_evidence_t own; /* of this host */
+    canary_evidence_t sum; /* of all hosts, at the last check */
+    canary_test_t test;
+    uint32_t new_runners; /* that may be chosen, at the last check */
+    uint32_t old_runners;
+    int64_t acted_us; /* since when the new version is excluded; 0: not */
+    rollout_phase_t logged_phase;
+    int64_t logged_revision;
+    bool order_listed; /* in the full list that is being read */
+    bool record_listed;
+    bool status_listed;
+    UT_hash_handle hh;
+} service_rollout_t;
+
 /* The latest report from another host about its streams. */
 typedef struct {
     char *host;
@@ -199,6 +233,8 @@
     uint32_t count;
     budget_use_t budgets[LINK_BUDGETS_MAX];
     uint32_t budget_count;
+    peer_rollout_t *rollouts;
+    uint32_t rollout_count;
     UT_hash_handle hh;
 } peer_state_t;
 
@@ -259,12 +295,15 @@
     stream_version_t *stream_versions; /* by stream, sorted by expiry */
     version_record_t *version_records; /* by service */
     streams_record_t streams_record;
-    bool records_known;     /* the store was read */
-    bool records_changed;   /* they are checked at the end of the step */
-    int64_t records_due_us; /* when they are checked next */
-    bool list_in_progress;  /* the full list of runners is being read */
-    bool publish_due;       /* placements are sent after this step */
-    request_t *requests;    /* by number */
+    bool records_known;          /* the store was read */
+    bool records_changed;        /* they are checked at the end of the step */
+    int64_t records_due_us;      /* when they are checked next */
+    service_rollout_t *rollouts; /* by service */
+    bool rollouts_changed;       /* they are checked at the end of the step */
+    int64_t rollouts_due_us;     /* when they are checked next */
+    bool list_in_progress;       /* the full list of runners is being read */
+    bool publish_due;            /* placements are sent after this step */
+    request_t *requests;         /* by number */
     service_budget_t *budgets;
     crashes_t *crashes;                      /* under requests */
     TAILQ_HEAD(, silent_loss) silent_losses; /* oldest first */
@@ -451,6 +490,8 @@
 void handle_peer_report(forward_t *forward, const forward_peer_report_t *peer);
 /* Returns how much of a service's retry budget other hosts have used. */
 retry_use_t peers_retry_use(const forward_t *forward, const char *service);
+/* Returns whether the host has not reported for too long. */
+bool sharing_is_silent(const forward_t *forward, const peer_state_t *peer);
 /* Returns whether all hosts that reported recently have lost contact with the
  * store, too; false if none has reported. */
 bool peers_lack_store(const forward_t *forward);
@@ -542,6 +583,47 @@
                         int64_t revision);
 /* Returns the delay of the next try after consecutive failures. */
 int64_t version_record_retry_us(forward_t *forward, uint32_t failures);
+/* Returns how many hosts write the records of the service before this one. */
+uint32_t record_writers_before(const forward_t *forward, const char *service);
+
+/* --- rollouts.c --- */
+
+/* Bracket a full read of the store. */
+void rollouts_list_begin(forward_t *forward);
+void rollouts_list_end(forward_t *forward);
+void rollouts_apply_order(forward_t *forward, const rollout_order_t *order);
+void rollouts_apply_status(forward_t *forward, const rollout_status_t *status);
+void rollouts_status_written(forward_t *forward,
+                             const forward_rollout_written_t *written);
+bool rollouts_is_record(const char *key);
+void rollouts_apply_record(forward_t *forward, const forward_record_t *record);
+void rollouts_record_written(forward_t *forward,
+                             const forward_put_result_t *result);
+/* Draws whether a new request is one for the new version. */
+void rollouts_assign(forward_t *forward, request_t *request);
+/* Restricts the choice of a runner to the versions that the request may be
+ * sent to.  Returns true if that is a preference: rollouts_relax() takes it
+ * back where no runner meets it. */
+bool rollouts_restrict(const forward_t *forward, const request_t *request,
+                       pool_query_t *query);
+void rollouts_relax(const forward_t *forward, const request_t *request,
+                    pool_query_t *query);
+/* Returns whether a stream to which the new version has responded with an
+ * error may be sent to another runner. */
+bool rollouts_may_retry(const forward_t *forward, const request_t *request);
+/* Count a send, the first event of a stream, and a whole response. */
+void rollouts_count_send(forward_t *forward, const request_t *request);
+void rollouts_count_event(forward_t *forward, request_t *request);
+void rollouts_count_response(forward_t *forward, request_t *request,
+                             bool failed);
+/* Process what another host has told, and write that for a report. */
+void rollouts_receive(forward_t *forward, peer_state_t *view,
+                      const placements_t *placements);
+void rollouts_write(const forward_t *forward, arena_t *arena,
+                    placements_t *placements);
+/* Decides on all roll-outs; due at rollouts_due_us. */
+void rollouts_check(forward_t *forward);
+void rollouts_free(forward_t *forward);
 
 /* --- stream_record.c; version_record.c calls it, but for the first --- */
 
--- a/forward/recover.c
+++ b/forward/recover.c
@@ -285,6 +285,7 @@
         return;
     }
     pool_record_response(attempt->runner, failed);
+    rollouts_count_response(forward, request, failed);
     if (attempt->authentic && !failed && !attempt->relayed) {
         suspicion_run_completed(forward, request);
     }
@@ -301,7 +302,8 @@
         resume_stream(forward, request);
         return;
     }
-    if (failed && may_run_again(request) &&
+    if (failed &&
+        (may_run_again(request) || rollouts_may_retry(forward, request)) &&
         forward->now_us + (int64_t)RETRY_TIME_LEFT_MIN_MS * US_PER_MS <
             request->deadline_us &&
         retry_allowed(forward, request)) {
--- a/forward/send.c
+++ b/forward/send.c
@@ -49,6 +49,7 @@
         schedule_retry(forward, request);
         return true;
     }
+    rollouts_assign(forward, request);
     if (relay_is_preferred(forward, request)) {
         start_relay(forward, request, relay_choose_host(forward, request));
         return true;
@@ -97,6 +98,8 @@
 {
     bool stream = request->type == REQUEST_STREAM;
     uint64_t versions[VERSIONS_RECORDED_MAX];
+    pool_runner_t *runner;
+    bool preferred;
     pool_query_t query = {
         .kind = stream ? WORKLOAD_STREAM : WORKLOAD_PLAIN,
         .service = request->service,
@@ -118,7 +121,13 @@
     if (request->tried_count == POOL_TRIED_MAX) {
         return NULL;
     }
-    return pool_choose_runner(forward->pool, forward->now_us, &query);
+    preferred = rollouts_restrict(forward, request, &query);
+    runner = pool_choose_runner(forward->pool, forward->now_us, &query);
+    if (runner == NULL && preferred) {
+        rollouts_relax(forward, request, &query);
+        runner = pool_choose_runner(forward->pool, forward->now_us, &query);
+    }
+    return runner;
 }
 
 /* Returns whether neither the runner nor its zone is in a cooldown. */
@@ -190,6 +199,7 @@
     request->retry_at_us = 0;
     request->runs++;
     count_delivery(forward, request);
+    rollouts_count_send(forward, request);
     if (crashes_run_started(forward->crashes, forward->now_us,
                             request->suspect)) {
         forward->publish_due = true;
--- a/forward/sharing.c
+++ b/forward/sharing.c
@@ -32,7 +32,6 @@
                              placements_t *placements);
 static peer_state_t *find_or_add_view(forward_t *forward, const char *host);
 static void record_receipt(forward_t *forward, peer_state_t *view);
-static bool is_timed_out(const forward_t *forward, const peer_state_t *view);
 static void view_free(forward_t *forward, peer_state_t *view);
 static void remove_streams(forward_t *forward, peer_state_t *view);
 static void add_streams(forward_t *forward, const peer_state_t *view);
@@ -82,6 +81,7 @@
         versions_merge_seen(forward, &view->budgets[i]);
     }
     notes_receive(forward, view, peer->placements);
+    rollouts_receive(forward, view, peer->placements);
     suspicion_receive(forward, peer->placements);
 }
 
@@ -117,7 +117,7 @@
     bool report_received = false;
 
     for (view = forward->peers; view != NULL; view = view->hh.next) {
-        if (is_timed_out(forward, view)) {
+        if (sharing_is_silent(forward, view)) {
             continue;
         }
         report_received = true;
@@ -139,7 +139,7 @@
 
     HASH_ITER(hh, forward->peers, view, next)
     {
-        if (!is_timed_out(forward, view)) {
+        if (!sharing_is_silent(forward, view)) {
             break; /* sorted by the time of the last report */
         }
         if (view->count > 0) {
@@ -243,6 +243,7 @@
     placements->items.items_len = count;
     write_budget_use(forward, arena, placements);
     notes_write(forward, arena, placements);
+    rollouts_write(forward, arena, placements);
     suspicion_write(forward, arena, placements);
     placements->isolated = relay_is_isolated_at_all(forward);
     placements->contact_age_ms =
@@ -314,8 +315,8 @@
                : PEER_TIMEOUT_US;
 }
 
-static bool
-is_timed_out(const forward_t *forward, const peer_state_t *view)
+bool
+sharing_is_silent(const forward_t *forward, const peer_state_t *view)
 {
     return forward->now_us - view->received_us > sharing_timeout_us(forward);
 }
@@ -325,6 +326,7 @@
 {
     HASH_DEL(forward->peers, view); /* NOLINT(clang-analyzer-*) */
     free(view->placements);
+    free(view->rollouts);
     free(view->host);
     free(view);
 }
--- a/forward/version_record.c
+++ b/forward/version_record.c
@@ -107,7 +107,7 @@
 forward_is_record(const char *key)
 {
     return strncmp(key, versions_prefix, strlen(versions_prefix)) == 0 ||
-           forward_is_stream_record(key);
+           rollouts_is_record(key) || forward_is_stream_record(key);
 }
 
 void
@@ -120,6 +120,7 @@
         record->listed = false;
     }
     stream_record_list_begin(forward);
+    rollouts_list_begin(forward);
 }
 
 void
@@ -135,6 +136,7 @@
         }
     }
     stream_record_list_end(forward);
+    rollouts_list_end(forward);
     forward->records_known = true;
     forward->records_changed = true;
 }
@@ -142,6 +144,10 @@
 void
 version_record_apply(forward_t *forward, const forward_record_t *record)
 {
+    if (rollouts_is_record(record->key)) {
+        rollouts_apply_record(forward, record);
+        return;
+    }
     if (forward_is_stream_record(record->key)) {
         stream_record_apply(forward, record);
     }
@@ -154,9 +160,17 @@
 void
 version_record_written(forward_t *forward, const forward_put_result_t *result)
 {
-    uint32_t failures = forward_is_stream_record(result->record.key)
-                            ? stream_record_written(forward, result)
-                            : versions_written(forward, result);
+    uint32_t failures = 0;
+
+    if (rollouts_is_record(result->record.key)) {
+        rollouts_record_written(forward, result);
+    }
+    else if (forward_is_stream_record(result->record.key)) {
+        failures = stream_record_written(forward, result);
+    }
+    else {
+        failures = versions_written(forward, result);
+    }
 
     emit_log(forward, LOG_INFO, "record-written",
              "key=%s outcome=%s revision=%" PRId64 " failures=%" PRIu32,
@@ -445,17 +459,12 @@
     return false;
 }
 
-/* The order of the hosts is drawn by the service's name. */
 static int64_t
 write_due_us(const forward_t *forward, const version_record_t *record)
 {
-    uint64_t seed = XXH3_64bits(record->service, strlen(record->service));
-    uint64_t own_hash =
-        XXH3_64bits_withSeed(forward->host, strlen(forward->host), seed);
     uint64_t usable[VERSIONS_RECORDED_MAX];
     int64_t first_ms = FIRST_WRITE_MS;
     int64_t due_us = record->wanted_us;
-    const pool_runner_t *host;
 
     if (record->count > 0) {
         first_ms =
@@ -466,16 +475,31 @@
     if (due_us < forward->started_us + first_ms * US_PER_MS) {
         due_us = forward->started_us + first_ms * US_PER_MS;
     }
+    due_us += (int64_t)record_writers_before(forward, record->service) *
+              WRITER_STEP_MS * US_PER_MS;
+    return due_us > record->retry_at_us ? due_us : record->retry_at_us;
+}
+
+/* The order of the hosts is drawn by the service's name. */
+uint32_t
+record_writers_before(const forward_t *forward, const char *service)
+{
+    uint64_t seed = XXH3_64bits(service, strlen(service));
+    uint64_t own_hash =
+        XXH3_64bits_withSeed(forward->host, strlen(forward->host), seed);
+    const pool_runner_t *host;
+    uint32_t count = 0;
+
     for (host = pool_first_runner(forward->host_pool); host != NULL;
          host = host->hh.next) {
         const char *name = host->registration.id;
 
         if (pool_runner_usable(host, forward->now_us) &&
             XXH3_64bits_withSeed(name, strlen(name), seed) > own_hash) {
-            due_us += (int64_t)WRITER_STEP_MS * US_PER_MS;
+            count++;
         }
     }
-    return due_us > record->retry_at_us ? due_us : record->retry_at_us;
+    return count;
 }
 
 static void
--- a/gateway/dialect.h
+++ b/gateway/dialect.h
@@ -18,6 +18,7 @@
 #include "base/text.h"
 #include "forward/forward.h"
 #include "world/registration.h"
+#include "world/rollout.h"
 #include "world/routing.h"
 
 typedef struct {
@@ -131,6 +132,23 @@
                                 const char *bytes, size_t length,
                                 registration_t *out, err_t *err);
 
+    /*
+     * Roll-outs: the prefixes of operators' orders and of their status in the
+     * store, followed by the name of the service.  The parsers set all but
+     * service and revision; what cannot be read is left out, with *err set and
+     * -1 returned.
+     */
+    const char *rollout_order_prefix;
+    const char *rollout_status_prefix;
+    int (*parse_rollout_order)(arena_t *arena, const char *bytes,
+                               size_t length, rollout_order_t *out,
+                               err_t *err);
+    int (*parse_rollout_status)(arena_t *arena, const char *bytes,
+                                size_t length, rollout_status_t *out,
+                                err_t *err);
+    void (*write_rollout_status)(text_t *value,
+                                 const rollout_status_t *status);
+
     /* Paths of the readiness check and of the address lookup, its query, and
      * the response body of a lookup. */
     const char *ready_path;
--- a/gateway/forwarding.c
+++ b/gateway/forwarding.c
@@ -152,6 +152,9 @@
         .retries = {.ratio_permille = limits->retry_ratio_permille,
                     .fixed = limits->retry_fixed_permille / PERMILLE,
                     .window_us = (int64_t)limits->retry_window_ms * US_PER_MS},
+        .rollouts = {.share_permille = limits->canary_share_permille,
+                     .slack = limits->canary_slack,
+                     .rollback_ms = limits->rollback_ms},
     };
 }
 
@@ -217,6 +220,9 @@
     case FORWARD_ACTION_PUT_RECORD:
         records_put(gateway->records, &action->u.record);
         return;
+    case FORWARD_ACTION_PUT_ROLLOUT:
+        records_put_status(gateway->records, &action->u.rollout);
+        return;
     case FORWARD_ACTION_PUBLISH:
         peering_schedule_broadcast(gateway->peering);
         return;
--- a/gateway/front.c
+++ b/gateway/front.c
@@ -391,6 +391,7 @@
     const forward_t *forward = forwarding_state(front->gateway);
     text_t text = {0};
 
+    meters_set_rollouts(front->gateway->meters, forward);
     meters_write(front->gateway->meters,
                  forward_contact_age_us(forward, gateway_now_us()), &text);
     inbound_respond(req, STATUS_OK, "text/plain; version=0.0.4", text.bytes,
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -218,6 +218,12 @@
 void records_free(records_t *records);
 /* Writes or removes a key; raises FORWARD_PUT_RESULT when done. */
 void records_put(records_t *records, const forward_record_t *record);
+/* Writes the status of a roll-out; raises FORWARD_ROLLOUT_WRITTEN when done.
+ */
+void records_put_status(records_t *records, const rollout_status_t *status);
+/* Reads such a status; create_revision 0: it does not exist. */
+void records_read_status(const gateway_t *gateway, arena_t *arena,
+                         const kv_pair_t *pair, rollout_status_t *status);
 
 /* --- store_relay.c: sends changes of the store to hosts that poll --- */
 
@@ -296,6 +302,8 @@
 void meters_count_action(meters_t *meters, const forward_action_t *order);
 /* Counts a request that another host relayed to this one. */
 void meters_count_relay_received(meters_t *meters);
+/* Sets the metrics of roll-outs. */
+void meters_set_rollouts(meters_t *meters, const forward_t *forward);
 /* Appends all metrics in the Prometheus text format. */
 void meters_write(meters_t *meters, int64_t contact_age_us, text_t *text);
 
--- a/gateway/meters.c
+++ b/gateway/meters.c
@@ -7,7 +7,7 @@
 #include "base/metric.h"
 #include "gateway/gateway.h"
 
-enum { US_PER_S = 1000000 };
+enum { US_PER_S = 1000000, ROLLOUTS_SHOWN_MAX = 16 };
 
 struct meters {
     metric_set_t *set;
@@ -22,6 +22,8 @@
     metric_family_t *records;
     metric_family_t *record_bytes;
     metric_family_t *view_confirmations;
+    metric_family_t *rollout_responses;
+    metric_family_t *rollout_phases;
     metric_family_t *routing_age;
     metric_family_t *log_lines_dropped;
 };
@@ -87,6 +89,17 @@
                               .name = "agatevale_view_confirmations_total",
                               .help = "Views of the store that got too old "
                                       "and were confirmed with it."});
+    meters->rollout_responses = metric_family_new(
+        set, &(metric_spec_t){.kind = METRIC_GAUGE,
+                              .name = "agatevale_rollout_responses",
+                              .help = "Responses judged since the order of "
+                                      "the last roll-out.",
+                              .labels = {"service", "version", "result"}});
+    meters->rollout_phases = metric_family_new(
+        set, &(metric_spec_t){.kind = METRIC_GAUGE,
+                              .name = "agatevale_rollout_phase",
+                              .help = "1 for the phase of the last roll-out.",
+                              .labels = {"service", "phase"}});
     meters->routing_age = metric_family_new(
         set, &(metric_spec_t){.kind = METRIC_GAUGE,
                               .name = "agatevale_routing_age_seconds",
@@ -186,6 +199,44 @@
     count_relay(meters, "received");
 }
 
+static void
+set_responses(meters_t *meters, const char *service, const char *version,
+              const canary_arm_t *arm)
+{
+    metric_set_value(
+        metric_series(meters->rollout_responses,
+                      (const char *[]){service, version, "failed"}),
+        arm->failed);
+    metric_set_value(metric_series(meters->rollout_responses,
+                                   (const char *[]){service, version, "slow"}),
+                     arm->slow);
+    metric_set_value(metric_series(meters->rollout_responses,
+                                   (const char *[]){service, version, "good"}),
+                     (double)arm->responses - arm->failed - arm->slow);
+}
+
+void
+meters_set_rollouts(meters_t *meters, const forward_t *forward)
+{
+    forward_rollout_view_t views[ROLLOUTS_SHOWN_MAX];
+    size_t count = forward_rollouts(forward, views, ROLLOUTS_SHOWN_MAX);
+    size_t i;
+    int phase;
+
+    for (i = 0; i < count; i++) {
+        set_responses(meters, views[i].service, "new", &views[i].new_version);
+        set_responses(meters, views[i].service, "old", &views[i].old_version);
+        for (phase = ROLLOUT_CANARY; phase <= ROLLOUT_ROLLED_BACK; phase++) {
+            const char *name = rollout_phase_name((rollout_phase_t)phase);
+
+            metric_set_value(
+                metric_series(meters->rollout_phases,
+                              (const char *[]){views[i].service, name}),
+                strcmp(name, views[i].phase) == 0 ? 1 : 0);
+        }
+    }
+}
+
 void
 meters_write(meters_t *meters, int64_t contact_age_us, text_t *text)
 {
--- a/gateway/peering.c
+++ b/gateway/peering.c
@@ -320,6 +320,7 @@
 {
     return placements->isolated || placements->items.items_len > 0 ||
            placements->notes.notes_len > 0 ||
+           placements->rollouts.rollouts_len > 0 ||
            placements->crash_reports.crash_reports_len > 0;
 }
 
--- a/gateway/records.c
+++ b/gateway/records.c
@@ -3,6 +3,7 @@
 #include <string.h>
 #include <sys/queue.h>
 
+#include "base/log.h"
 #include "gateway/gateway.h"
 
 typedef struct write {
@@ -10,6 +11,7 @@
     records_t *records;
     char *key;
     char *value; /* NULL: the key is removed */
+    bool status; /* of a roll-out */
 } write_t;
 
 struct records {
@@ -17,8 +19,13 @@
     LIST_HEAD(, write) writes; /* in progress */
 };
 
+static write_t *write_new(records_t *records, const char *key,
+                          const char *value);
+static void write_send(write_t *write, int64_t revision);
 static void on_written(void *context, kv_result_t result, int64_t revision,
                        const kv_swap_result_t *answers, size_t count);
+static void raise_status(const write_t *write, const forward_put_result_t *put,
+                         arena_t *arena);
 static void write_free(write_t *write);
 
 records_t *
@@ -50,20 +57,78 @@
 void
 records_put(records_t *records, const forward_record_t *record)
 {
-    kv_t *kv = records->gateway->kv;
+    write_send(write_new(records, record->key, record->value),
+               record->revision);
+}
+
+void
+records_put_status(records_t *records, const rollout_status_t *status)
+{
+    const dialect_ops_t *dialect = records->gateway->dialect->ops;
+    arena_t arena = {0};
+    text_t value = {0};
+    write_t *write;
+
+    dialect->write_rollout_status(&value, status);
+    write =
+        write_new(records,
+                  arena_printf(&arena, "%s%s", dialect->rollout_status_prefix,
+                               status->service),
+                  arena_strndup(&arena, value.bytes, value.length));
+    write->status = true;
+    text_free(&value);
+    arena_free(&arena);
+    write_send(write, status->revision);
+}
+
+void
+records_read_status(const gateway_t *gateway, arena_t *arena,
+                    const kv_pair_t *pair, rollout_status_t *status)
+{
+    const dialect_ops_t *dialect = gateway->dialect->ops;
+    err_t err;
+
+    *status = (rollout_status_t){
+        .service = arena_strdup(
+            arena, pair->key + strlen(dialect->rollout_status_prefix))};
+    if (pair->create_revision == 0) {
+        return;
+    }
+    status->revision = pair->mod_revision;
+    if (dialect->parse_rollout_status(arena, pair->value, pair->value_bytes,
+                                      status, &err) < 0) {
+        log_event(LOG_WARNING, "rollout-status-invalid",
+                  "key=%s reason=\"%s\"", pair->key, err.message);
+    }
+}
+
+static write_t *
+write_new(records_t *records, const char *key, const char *value)
+{
     write_t *write = xcalloc(1, sizeof(*write));
-    kv_op_t op = {.verb = record->value != NULL ? KV_PUT : KV_DELETE};
-    kv_swap_t swap = {
-        .mod_revision = record->revision, .ops = &op, .op_count = 1};
 
     write->records = records;
-    write->key = xstrdup(record->key);
-    write->value = record->value != NULL ? xstrdup(record->value) : NULL;
+    write->key = xstrdup(key);
+    write->value = value != NULL ? xstrdup(value) : NULL;
     LIST_INSERT_HEAD(&records->writes, write, link);
-    swap.key = write->key;
-    op.key = write->key;
-    op.value = write->value;
-    op.value_bytes = write->value != NULL ? strlen(write->value) : 0;
+    return write;
+}
+
+static void
+write_send(write_t *write, int64_t revision)
+{
+    kv_t *kv = write->records->gateway->kv;
+    kv_op_t op = {
+        .verb = write->value != NULL ? KV_PUT : KV_DELETE,
+        .key = write->key,
+        .value = write->value,
+        .value_bytes = write->value != NULL ? strlen(write->value) : 0,
+    };
+    kv_swap_t swap = {.key = write->key,
+                      .mod_revision = revision,
+                      .ops = &op,
+                      .op_count = 1};
+
     kv->ops->swap(kv, &swap, 1, on_written, write);
 }
 
@@ -93,12 +158,38 @@
                 ? arena_strndup(&arena, held->value, held->value_bytes)
                 : NULL;
     }
+    if (write->status) {
+        raise_status(write, put, &arena);
+    }
+    else {
+        forwarding_handle_event(write->records->gateway, &event);
+    }
     LIST_REMOVE(write, link);
-    forwarding_handle_event(write->records->gateway, &event);
     write_free(write);
     arena_free(&arena);
 }
 
+static void
+raise_status(const write_t *write, const forward_put_result_t *put,
+             arena_t *arena)
+{
+    gateway_t *gateway = write->records->gateway;
+    forward_event_t event = {.kind = FORWARD_ROLLOUT_WRITTEN};
+    const char *value = put->record.value;
+    kv_pair_t pair = {
+        .key = write->key,
+        .value = value,
+        .value_bytes = value != NULL ? strlen(value) : 0,
+        .mod_revision = put->record.revision,
+        .create_revision = put->record.revision,
+    };
+
+    event.u.rollout_written.outcome = put->outcome;
+    records_read_status(gateway, arena, &pair,
+                        &event.u.rollout_written.status);
+    forwarding_handle_event(gateway, &event);
+}
+
 static void
 write_free(write_t *write)
 {
--- a/gateway/settings.h
+++ b/gateway/settings.h
@@ -18,6 +18,9 @@
     uint32_t retry_ratio_permille;
     uint32_t retry_fixed_permille; /* in requests: 150,000 are 150 */
     uint32_t retry_window_ms;
+    uint32_t canary_share_permille; /* see rollout_limits_t */
+    uint32_t canary_slack;
+    uint32_t rollback_ms;
     uint32_t address_ttl_s; /* TTL of addresses in lookups */
 } gateway_limits_t;
 
--- a/gateway/store_view.c
+++ b/gateway/store_view.c
@@ -9,6 +9,8 @@
 static void apply_routing(gateway_t *gateway, const kv_pair_t *pair);
 static void apply_runner(gateway_t *gateway, const kv_pair_t *pair);
 static void apply_record(gateway_t *gateway, const kv_pair_t *pair);
+static void apply_rollout_order(gateway_t *gateway, const kv_pair_t *pair);
+static void apply_rollout_status(gateway_t *gateway, const kv_pair_t *pair);
 static bool starts_with(const char *text, const char *prefix);
 
 /* Keys that are known but absent from the list have been removed. */
@@ -67,6 +69,12 @@
     else if (forward_is_record(pair->key)) {
         apply_record(gateway, pair);
     }
+    else if (starts_with(pair->key, dialect->rollout_order_prefix)) {
+        apply_rollout_order(gateway, pair);
+    }
+    else if (starts_with(pair->key, dialect->rollout_status_prefix)) {
+        apply_rollout_status(gateway, pair);
+    }
     else if (strcmp(pair->key, peering_key_name()) == 0 && !removed) {
         peering_set_key(gateway->peering, pair->value, pair->value_bytes);
     }
@@ -142,6 +150,41 @@
     arena_free(&arena);
 }
 
+/* An order that cannot be read is passed on as far as it can. */
+static void
+apply_rollout_order(gateway_t *gateway, const kv_pair_t *pair)
+{
+    const dialect_ops_t *dialect = gateway->dialect->ops;
+    forward_event_t event = {.kind = FORWARD_ROLLOUT_ORDER};
+    arena_t arena = {0};
+    err_t err;
+
+    event.u.order = (rollout_order_t){
+        .service = pair->key + strlen(dialect->rollout_order_prefix)};
+    if (pair->create_revision != 0) {
+        event.u.order.revision = pair->mod_revision;
+        if (dialect->parse_rollout_order(&arena, pair->value,
+                                         pair->value_bytes, &event.u.order,
+                                         &err) < 0) {
+            log_event(LOG_WARNING, "rollout-order-invalid",
+                      "key=%s reason=\"%s\"", pair->key, err.message);
+        }
+    }
+    forwarding_handle_event(gateway, &event);
+    arena_free(&arena);
+}
+
+static void
+apply_rollout_status(gateway_t *gateway, const kv_pair_t *pair)
+{
+    arena_t arena = {0};
+    forward_event_t event = {.kind = FORWARD_ROLLOUT_STATUS};
+
+    records_read_status(gateway, &arena, pair, &event.u.status);
+    forwarding_handle_event(gateway, &event);
+    arena_free(&arena);
+}
+
 static bool
 starts_with(const char *text, const char *prefix)
 {
--- a/world/link.x
+++ b/world/link.x
@@ -17,6 +17,8 @@
 const LINK_NOTES_MAX = 12;
 const LINK_CRASH_REPORTS_MAX = 32;
 const LINK_CRASHES_MAX = 8;
+const LINK_ROLLOUTS_MAX = 2;
+const LINK_ROLLOUT_ROUTES_MAX = 8;
 const LINK_NEVER = 4294967295; /* as an age */
 const LINK_KEY_MAX = 256;      /* longer than any key of the store */
 
@@ -325,6 +327,41 @@
     finding_t finding;
 };
 
+/*
+ * The responses that the sender has judged of one version of a service's
+ * software on one route since the order of the roll-out; see
+ * forward/canary.h.
+ */
+struct rollout_arm_t {
+    uint32_t sent;
+    uint32_t responses;
+    uint32_t failed;
+    uint32_t slow;
+    uint32_t timed;
+    uint32_t log_ms_sum;
+    uint64_t runners;
+    uint64_t bad_runners;
+};
+
+struct rollout_route_t {
+    uint64_t route;
+    rollout_arm_t old_version;
+    rollout_arm_t new_version;
+};
+
+/*
+ * What the sender knows of a roll-out.  service is a hash of its name,
+ * order_revision the revision of the order in the store, elapsed_ms the time
+ * since then.  bad is set if the new version is to get no more requests.
+ */
+struct rollout_report_t {
+    uint64_t service;
+    int64_t order_revision;
+    uint32_t elapsed_ms;
+    bool bad;
+    rollout_route_t routes<LINK_ROLLOUT_ROUTES_MAX>;
+};
+
 /*
  * The streams of the sender, as far as they fit.  number increases with each
  * message of an incarnation, so that receivers can discard older messages.
@@ -332,7 +369,8 @@
  * confirmed to be current.  notes contains the latest notes, which are sent
  * repeatedly because a message can be lost.  crash_reports contains the state
  * of requests that may crash runners, not only what is new.  isolated is set
- * while the sender reaches no runner of some service.
+ * while the sender reaches no runner of some service.  rollouts has those that
+ * are in progress.
  */
 struct placements_t {
     uint64_t incarnation;
@@ -343,6 +381,7 @@
     budget_use_t budgets<LINK_BUDGETS_MAX>;
     note_t notes<LINK_NOTES_MAX>;
     crash_report_t crash_reports<LINK_CRASH_REPORTS_MAX>;
+    rollout_report_t rollouts<LINK_ROLLOUTS_MAX>;
 };
 
 /*
