Load the canaries of a new version as all runners may be loaded

Services with little traffic had 3 judged responses when they were promoted.

Change: a 24th of the new runners gets the canary's requests, the fullest one first; the slack is spread over the time in which the version is judged.

--- a/forward/pool.h
+++ b/forward/pool.h
@@ -65,6 +65,7 @@
     const pool_zone_t *excluded_zone; /* excluded zone; or NULL */
     uint64_t version;                 /* of its software; 0: any */
     uint64_t excluded_version;        /* of its software; 0: none */
+    bool pack;                        /* the most loaded one with free slots */
     uint64_t id_order_max; /* only runners up to this pool_runner_order(); 0:
                               all */
     const uint64_t *versions; /* of its software, one of these ... */
--- a/forward/pool_choose.c
+++ b/forward/pool_choose.c
@@ -39,6 +39,7 @@
 static score_t score_of(const pool_runner_t *runner, int64_t now_us,
                         const pool_query_t *query);
 static uint64_t stream_load(const pool_runner_t *runner);
+static uint64_t packed_load(const pool_runner_t *runner, uint64_t slots);
 static uint64_t copy_load(const pool_runner_t *runner);
 static bool score_is_better(const score_t *left, const score_t *right);
 
@@ -133,6 +134,9 @@
             score.load = 0;
             score.cached = 1;
         }
+        if (query->pack) {
+            score.load = packed_load(runner, slots);
+        }
         break;
     case WORKLOAD_COPY:
         score.load = copy_load(runner);
@@ -163,6 +167,19 @@
                RUNNING_LOAD;
 }
 
+/* A runner that is full or reads a prompt comes after all others. */
+static uint64_t
+packed_load(const pool_runner_t *runner, uint64_t slots)
+{
+    uint64_t running = (uint64_t)runner->running + runner->peers_running;
+    uint64_t prefilling =
+        (uint64_t)runner->prefilling + runner->peers_prefilling;
+
+    return running >= slots || prefilling > 0
+               ? slots + running + prefilling * PREFILL_LOAD
+               : slots - running;
+}
+
 /*
  * When a zone of engines fails, all hosts choose new standbys at the same
  * time.  If the engine with the lowest load always had the best score, all of
--- a/forward/rollout.c
+++ b/forward/rollout.c
@@ -11,13 +11,15 @@
     /* Of the share that the new version may get: leaves room for chance and
      * for hosts that have restarted. */
     SHARE_USED_PERMILLE = 800,
-    /* In its first seconds the new version gets twice the share, so that a
-     * version that is bad from the start is found early.  The slack covers
-     * that. */
-    EARLY_MS = 3000,
-    EARLY_FACTOR = 2,
-    /* Of the slack, what may be used beyond the share. */
+    /* Of the slack, what may be used beyond the share, and what is meant to be
+     * used while the version is judged: services with little traffic need it
+     * for evidence. */
     SLACK_USED_PERMILLE = 600,
+    SLACK_SPREAD_PERMILLE = 500,
+    SHARE_MAX_PERMILLE = 500,
+    /* Until the rate of requests is known. */
+    RATE_MIN_MS = 500,
+    FIRST_SHARE_FACTOR = 2,
     /* The earliest time to promote, after the order and after the first
      * runner: some versions turn bad seconds after their start. */
     PROMOTE_AFTER_PERMILLE = 400, /* of the duration */
@@ -55,6 +57,9 @@
 static void apply_record(rollout_t *rollout, int64_t now_us);
 static void set_phase(rollout_t *rollout, int64_t now_us,
                       rollout_phase_t phase);
+static uint32_t add_slack(const rollout_t *rollout, int64_t now_us,
+                          const rollout_limits_t *limits, uint32_t share,
+                          uint32_t sent);
 static rollout_phase_t next_phase(const rollout_t *rollout,
                                   const rollout_view_t *view);
 static rollout_phase_t after_canary(const rollout_t *rollout,
@@ -232,14 +237,34 @@
     if (new_total.sent >= allowed && new_total.sent > 0) {
         return 0;
     }
-    if (limits->slack > 0 && rollout->early &&
-        (rollout->runners_us == 0 ||
-         now_us - rollout->runners_us < (int64_t)EARLY_MS * US_PER_MS)) {
-        share *= EARLY_FACTOR;
+    if (limits->slack > 0 && rollout->early) {
+        share = add_slack(rollout, now_us, limits, share,
+                          new_total.sent + old_total.sent);
     }
     return canary_route_share(evidence, route, share);
 }
 
+/* Adds to the share what spreads the slack over the requests that are expected
+ * while the version is judged. */
+static uint32_t
+add_slack(const rollout_t *rollout, int64_t now_us,
+          const rollout_limits_t *limits, uint32_t share, uint32_t sent)
+{
+    int64_t since_ms = elapsed_ms(rollout, now_us);
+    uint64_t expected;
+
+    if (since_ms < RATE_MIN_MS || sent == 0) {
+        return share * FIRST_SHARE_FACTOR;
+    }
+    expected = (uint64_t)sent * rollout->duration_ms * PROMOTE_AFTER_PERMILLE /
+               PERMILLE / (uint64_t)since_ms;
+    share += expected > 0
+                 ? (uint32_t)(limits->slack * (uint64_t)SLACK_SPREAD_PERMILLE /
+                              expected)
+                 : SHARE_MAX_PERMILLE;
+    return share < SHARE_MAX_PERMILLE ? share : SHARE_MAX_PERMILLE;
+}
+
 void
 rollout_check(rollout_t *rollout, const rollout_view_t *view,
               rollout_writes_t *writes)
--- a/forward/rollouts.c
+++ b/forward/rollouts.c
@@ -18,8 +18,9 @@
 enum {
     PERMILLE = 1000,
     /* Part of the new version's runners that get its requests while it is
-     * judged, so that they have the load that all of them would have. */
-    CANARY_RUNNERS_PART = 10,
+     * judged: their load is at least that of all of them later, so that a
+     * version that is bad under load is found. */
+    CANARY_RUNNERS_PART = 24,
     CANARY_RUNNERS_MIN = 3,
     CANARY_RUNNERS_MAX = 32,
     /* Part of the limit on acting on a bad version in which its own streams
@@ -299,6 +300,7 @@
 
     query->version = request->version;
     query->id_order_max = 0;
+    query->pack = false;
     query->excluded_version = entry != NULL &&
                                       entry->state.phase == ROLLOUT_CANARY &&
                                       entry->old_runners > 0
@@ -368,6 +370,7 @@
         }
         orders[at] = order;
     }
+    query->pack = true;
     query->id_order_max = count > 0 ? orders[count - 1] : 0;
 }
 
