--- a/forward/admission.c
+++ b/forward/admission.c
@@ -96,6 +96,9 @@
             return;
         }
         request->organisation = arena_strdup(&request->arena, owner->name);
+        if (owner->priority >= 0) {
+            request->priority = (uint32_t)owner->priority;
+        }
     }
     if (forward->draining_since_us > 0 && route->type == REQUEST_STREAM &&
         forward->now_us - forward->draining_since_us >=
@@ -167,7 +170,7 @@
 
     request->number = incoming->number;
     request->id = arena_strdup(&request->arena, incoming->id);
-    request->prompt_tokens = incoming->prompt_tokens;
+    request->tokens = incoming->prompt_tokens + incoming->output_tokens;
     request->affinity = incoming->affinity;
     request->last_event_id = incoming->last_event_id;
     request->relayed = incoming->relayed;
@@ -217,6 +220,11 @@
             XXH3_64bits_withSeed(name, strlen(name), request->parts[i]);
     }
     request->route = hash_route(route);
+    request->priority = route->priority;
+    request->capacity_tokens =
+        service != NULL && service->engine && route->type == REQUEST_STREAM
+            ? service->capabilities.kv_capacity_tokens
+            : 0;
     request->type = route->type;
     request->resumable = route->resumable;
     request->replicated = service != NULL && service->engine &&
--- a/forward/forward.h
+++ b/forward/forward.h
@@ -130,6 +130,7 @@
     const char *key;        /* NULL: none */
     uint32_t deadline_ms;   /* how long the caller waits; 0: not stated */
     uint32_t prompt_tokens; /* 0: not stated */
+    uint32_t output_tokens; /* of its longest response; 0: not stated */
     uint64_t affinity;     /* the same for requests that share a cached prompt;
                               arbitrary otherwise */
     int64_t last_event_id; /* last event the caller received; -1: none */
@@ -333,6 +334,7 @@
     const char *organisation; /* NULL: anonymous */
     uint32_t deadline_ms;     /* time that the runner has left; 0: unlimited */
     uint32_t connect_ms;      /* connection timeout */
+    int32_t urgency;          /* 0 to ROOM_URGENCY_MAX; -1: not stated */
     int64_t last_event_id;    /* resume after this event; -1: from the start */
     const char *backup_address; /* runner to copy the KV cache to; or NULL */
     /* Copy of the KV cache at this runner to resume from; or NULL.  A copy is
--- a/forward/pool.c
+++ b/forward/pool.c
@@ -270,17 +270,19 @@
 }
 
 void
-pool_request_started(pool_runner_t *runner, bool stream)
+pool_request_started(pool_runner_t *runner, bool stream, uint32_t tokens)
 {
     runner->running++;
+    runner->tokens += tokens;
     runner->prefilling += stream ? 1 : 0;
     runner->ref_count++;
 }
 
 void
-pool_request_ended(pool_runner_t *runner, bool prefilling)
+pool_request_ended(pool_runner_t *runner, bool prefilling, uint32_t tokens)
 {
     runner->running--;
+    runner->tokens -= tokens;
     runner->prefilling -= prefilling ? 1 : 0;
     runner->ref_count--;
 }
@@ -292,16 +294,18 @@
 }
 
 void
-pool_add_copy(pool_runner_t *runner)
+pool_add_copy(pool_runner_t *runner, uint32_t tokens)
 {
     runner->copies++;
+    runner->tokens += tokens;
     runner->ref_count++;
 }
 
 void
-pool_remove_copy(pool_runner_t *runner)
+pool_remove_copy(pool_runner_t *runner, uint32_t tokens)
 {
     runner->copies--;
+    runner->tokens -= tokens;
     runner->ref_count--;
 }
 
@@ -313,11 +317,13 @@
     for (runner = pool->runners; runner != NULL; runner = runner->hh.next) {
         runner->peers_running = 0;
         runner->peers_prefilling = 0;
+        runner->peers_tokens = 0;
     }
 }
 
 void
-pool_count_peer_stream(pool_t *pool, uint64_t id_hash, bool prefilling)
+pool_count_peer_stream(pool_t *pool, uint64_t id_hash, bool prefilling,
+                       uint32_t tokens)
 {
     pool_runner_t *runner;
 
@@ -325,11 +331,13 @@
     if (runner != NULL) {
         runner->peers_running++;
         runner->peers_prefilling += prefilling ? 1 : 0;
+        runner->peers_tokens += tokens;
     }
 }
 
 void
-pool_uncount_peer_stream(pool_t *pool, uint64_t id_hash, bool prefilling)
+pool_uncount_peer_stream(pool_t *pool, uint64_t id_hash, bool prefilling,
+                         uint32_t tokens)
 {
     pool_runner_t *runner;
 
@@ -337,6 +345,27 @@
     if (runner != NULL) {
         runner->peers_running--;
         runner->peers_prefilling -= prefilling ? 1 : 0;
+        runner->peers_tokens -= tokens;
+    }
+}
+
+void
+pool_count_peer_copy(pool_t *pool, uint64_t id_hash, uint32_t tokens)
+{
+    pool_runner_t *runner = pool_find_hash(pool, id_hash);
+
+    if (runner != NULL) {
+        runner->peers_tokens += tokens;
+    }
+}
+
+void
+pool_uncount_peer_copy(pool_t *pool, uint64_t id_hash, uint32_t tokens)
+{
+    pool_runner_t *runner = pool_find_hash(pool, id_hash);
+
+    if (runner != NULL) {
+        runner->peers_tokens -= tokens;
     }
 }
 
--- a/forward/private.h
+++ b/forward/private.h
@@ -43,6 +43,7 @@
     pool_runner_t *runner;   /* NULL: no attempt is active */
     uint64_t runner_serial;  /* differs after a restart: the run is lost */
     uint64_t version;        /* of the runner's software when it started */
+    uint32_t tokens;         /* of the request */
     pool_runner_t *standby;  /* holds a copy of the KV cache; or NULL */
     uint64_t standby_serial; /* differs after a restart: the copy is lost */
     int64_t started_us;
@@ -88,7 +89,9 @@
     bool replicated; /* the engines copy the KV cache to a standby */
     uint32_t attempts_max;
     uint32_t latency_objective_ms;
-    uint32_t prompt_tokens;
+    uint32_t tokens;          /* of its prompt and its longest response */
+    uint32_t capacity_tokens; /* of a runner of its service; 0: not known */
+    uint32_t priority;        /* of its organisation, or of its route */
     uint64_t affinity;
     uint64_t route;     /* hash of its name */
     bool canary;        /* for the new version, while that is judged */
@@ -189,6 +192,9 @@
     int64_t versions_us; /* when several versions of it were recorded last;
                             INT64_MIN: never */
     path_state_t path;
+    /* Its routes and organisations have several priorities; the highest. */
+    bool ranked;
+    uint32_t first_priority;
     UT_hash_handle hh;
 } service_budget_t;
 
@@ -400,12 +406,14 @@
                         bool available);
 /* Returns whether a runner holds a copy for another attempt. */
 bool has_usable_copy(const forward_t *forward, const request_t *request);
+/* Returns whether a runner that has not been tried has room for it. */
+bool has_runner_with_room(const forward_t *forward, const request_t *request);
 /* Returns the runner to which the request would be moved, if it serves; NULL:
  * none is known. */
 const pool_runner_t *next_runner(const forward_t *forward,
                                  const request_t *request);
 /* Returns a runner in another zone than runner's, else any other runner, else
- * NULL. */
+ * NULL.  Where no runner has room for a copy there is none. */
 pool_runner_t *choose_standby(const forward_t *forward,
                               const request_t *request,
                               const pool_runner_t *runner);
--- a/forward/send.c
+++ b/forward/send.c
@@ -31,6 +31,7 @@
                          const pool_runner_t *runner);
 static void start_relay(forward_t *forward, request_t *request,
                         pool_runner_t *host);
+static int32_t urgency_of(forward_t *forward, const request_t *request);
 static uint32_t remaining_ms(const forward_t *forward,
                              const request_t *request);
 static void start_attempt(forward_t *forward, request_t *request,
@@ -93,6 +94,37 @@
                                : choose_runner(forward, request);
 }
 
+bool
+has_runner_with_room(const forward_t *forward, const request_t *request)
+{
+    const pool_runner_t *runner = choose_runner(forward, request);
+    pool_query_t query = {
+        .kind = WORKLOAD_STREAM,
+        .tokens = request->tokens,
+        .capacity_tokens = request->capacity_tokens,
+    };
+
+    return runner != NULL && is_available(forward, runner) &&
+           pool_runner_fits(runner, &query);
+}
+
+/* Stated only where the configuration ranks the requests of a service. */
+static int32_t
+urgency_of(forward_t *forward, const request_t *request)
+{
+    const service_budget_t *service =
+        find_or_add_service(forward, request->service);
+
+    if (!service->ranked || request->type != REQUEST_STREAM) {
+        return -1;
+    }
+    return (int32_t)room_urgency(request->priority > service->first_priority
+                                     ? request->priority -
+                                           service->first_priority
+                                     : 0,
+                                 request->last_event_id >= 0);
+}
+
 static pool_runner_t *
 choose_runner(const forward_t *forward, const request_t *request)
 {
@@ -108,6 +140,8 @@
         .affinity = request->affinity,
         .cached_runner =
             stream ? session_runner(forward, request->affinity) : 0,
+        .tokens = request->tokens,
+        .capacity_tokens = request->capacity_tokens,
         .tried = request->tried,
         .tried_count = request->tried_count,
     };
@@ -168,7 +202,7 @@
         return false;
     }
     request->copy_holder = NULL;
-    pool_remove_copy(copy_holder);
+    pool_remove_copy(copy_holder, request->tokens);
     if (relay_is_preferred(forward, request) ||
         !pool_runner_usable(copy_holder, forward->now_us) ||
         copy_holder->version != request->version ||
@@ -193,6 +227,7 @@
         .runner = runner,
         .runner_serial = runner->serial,
         .version = runner->version,
+        .tokens = request->tokens,
         .started_us = forward->now_us,
         .last_activity_us = forward->now_us,
     };
@@ -204,7 +239,8 @@
                             request->suspect)) {
         forward->publish_due = true;
     }
-    pool_request_started(runner, request->type == REQUEST_STREAM);
+    pool_request_started(runner, request->type == REQUEST_STREAM,
+                         request->tokens);
     if (request->type == REQUEST_STREAM) {
         record_session(forward, request->affinity, runner->id_hash);
         forward->publish_due = true;
@@ -225,6 +261,7 @@
                              : NULL;
     send->deadline_ms = remaining_ms(forward, request);
     send->connect_ms = CONNECT_TIMEOUT_MS;
+    send->urgency = urgency_of(forward, request);
     send->last_event_id = request->last_event_id;
     attempt->restored = restore;
     if (restore) {
@@ -266,7 +303,8 @@
     };
     request->retry_at_us = 0;
     grant_attempts(forward, request, &send->grant);
-    pool_request_started(host, request->type == REQUEST_STREAM);
+    pool_request_started(host, request->type == REQUEST_STREAM,
+                         request->tokens);
     send->attempt = attempt->number;
     send->host = arena_strdup(arena, host->registration.id);
     send->address = arena_strdup(arena, host->registration.address);
@@ -306,6 +344,8 @@
         .excluded_zone = runner->zone,
         .version = request->attempt.version,
         .affinity = request->affinity + 1,
+        .tokens = request->tokens,
+        .capacity_tokens = request->capacity_tokens,
         .tried = &runner->serial,
         .tried_count = 1,
     };
@@ -316,7 +356,8 @@
         query.excluded_zone = NULL;
         standby = pool_choose_runner(forward->pool, forward->now_us, &query);
     }
-    return standby;
+    return standby != NULL && pool_runner_fits(standby, &query) ? standby
+                                                                : NULL;
 }
 
 void
@@ -333,11 +374,12 @@
             ->u.attempt = attempt->number;
     }
     if (request->type == REQUEST_STREAM) {
-        pool_request_ended(attempt->runner, attempt->events == 0);
+        pool_request_ended(attempt->runner, attempt->events == 0,
+                           request->tokens);
         forward->publish_due = true;
     }
     else {
-        pool_request_ended(attempt->runner, false);
+        pool_request_ended(attempt->runner, false, request->tokens);
     }
     attempt->runner = NULL;
     copies_set_standby(attempt, NULL);
--- a/forward/sharing.c
+++ b/forward/sharing.c
@@ -235,7 +235,10 @@
             .session = request->affinity,
             .stream = request->stream,
             .software = request->version,
-            .prompt_tokens = request->prompt_tokens,
+            .standby = request->attempt.standby != NULL
+                           ? request->attempt.standby->id_hash
+                           : 0,
+            .tokens = request->tokens,
             .prefilling = request->attempt.events == 0,
         };
         count++;
@@ -345,8 +348,11 @@
     uint32_t i;
 
     for (i = 0; i < view->count; i++) {
-        pool_count_peer_stream(forward->pool, view->placements[i].runner,
-                               view->placements[i].prefilling);
+        const placement_t *placed = &view->placements[i];
+
+        pool_count_peer_stream(forward->pool, placed->runner,
+                               placed->prefilling, placed->tokens);
+        pool_count_peer_copy(forward->pool, placed->standby, placed->tokens);
     }
 }
 
@@ -357,8 +363,11 @@
     uint32_t i;
 
     for (i = 0; is_counted(forward) && i < view->count; i++) {
-        pool_uncount_peer_stream(forward->pool, view->placements[i].runner,
-                                 view->placements[i].prefilling);
+        const placement_t *placed = &view->placements[i];
+
+        pool_uncount_peer_stream(forward->pool, placed->runner,
+                                 placed->prefilling, placed->tokens);
+        pool_uncount_peer_copy(forward->pool, placed->standby, placed->tokens);
     }
     view->count = 0;
 }
--- a/forward/watchdog.c
+++ b/forward/watchdog.c
@@ -31,6 +31,9 @@
     STALL_PROMPT_IDLE_MS = 8000,
     /* The same for a host, which waits for paused runners. */
     RELAY_IDLE_MS = 6000,
+    /* Idle time before the first event after which a request at a runner with
+     * a queue is taken to wait there: longer than two prompts take. */
+    QUEUED_IDLE_MS = 1500,
     /* A report is some hundred ms old and may lack newer requests. */
     REPORT_AGE_MAX_MS = 800,
     /* Consecutive reports without a request before it counts as dropped. */
@@ -45,6 +48,8 @@
 static bool drop_late_probe(forward_t *forward, const char *runner);
 static void check_report(forward_t *forward, request_t *request,
                          const runner_report_t *report);
+static bool is_queued(const forward_t *forward, const request_t *request,
+                      const runner_report_t *report);
 static bool is_report_expected(const forward_t *forward,
                                const attempt_t *attempt);
 static bool report_includes(const runner_report_t *report,
@@ -279,9 +284,28 @@
         report_includes(report, request) ? 0 : attempt->missing_reports + 1;
     if (attempt->missing_reports >= MISSING_REPORTS_MAX) {
         handle_failed_attempt(forward, request, SEND_DROPPED);
+        return;
+    }
+    if (is_queued(forward, request, report)) {
+        (void)handle_silence(forward, request, SEND_STALLED);
     }
 }
 
+/* Returns whether the request waits in its runner's queue, while another
+ * runner has room for it. */
+static bool
+is_queued(const forward_t *forward, const request_t *request,
+          const runner_report_t *report)
+{
+    const attempt_t *attempt = &request->attempt;
+
+    return attempt->events == 0 && report->queued > 0 &&
+           request->capacity_tokens > 0 &&
+           forward->now_us - attempt->last_activity_us >=
+               (int64_t)QUEUED_IDLE_MS * US_PER_MS &&
+           has_runner_with_room(forward, request);
+}
+
 static bool
 is_report_expected(const forward_t *forward, const attempt_t *attempt)
 {
