--- a/forward/admission.c
+++ b/forward/admission.c
@@ -96,9 +96,6 @@
             return;
         }
         request->organisation = arena_strdup(&request->arena, owner->name);
-        if (owner->priority >= 0) {
-            request->priority = (uint32_t)owner->priority;
-        }
     }
     if (forward->draining_since_us > 0 && route->type == REQUEST_STREAM &&
         forward->now_us - forward->draining_since_us >=
@@ -220,12 +217,13 @@
             XXH3_64bits_withSeed(name, strlen(name), request->parts[i]);
     }
     request->route = hash_route(route);
-    request->priority = route->priority;
     request->capacity_tokens =
         service != NULL && service->engine && route->type == REQUEST_STREAM
             ? service->capabilities.kv_capacity_tokens
             : 0;
     request->type = route->type;
+    request->event_tokens =
+        service != NULL ? service->capabilities.event_tokens : 0;
     request->resumable = route->resumable;
     request->replicated = service != NULL && service->engine &&
                           service->capabilities.kv_replication &&
--- a/forward/forward.c
+++ b/forward/forward.c
@@ -24,7 +24,6 @@
 static void handle_request_event(forward_t *forward,
                                  const forward_event_t *event);
 static void replace_routing(forward_t *forward, routing_t *routing);
-static void rank_services(forward_t *forward);
 static void handle_caller_disconnected(forward_t *forward, uint64_t number);
 static void handle_progress(forward_t *forward,
                             const forward_progress_t *progress);
@@ -343,7 +342,6 @@
         budget = xcalloc(1, sizeof(*budget));
         budget->service = xstrdup(service);
         budget->versions_us = INT64_MIN;
-        budget->first_priority = UINT32_MAX;
         HASH_ADD_KEYPTR(hh, forward->budgets, budget->service,
                         strlen(budget->service), budget);
     }
@@ -437,40 +435,11 @@
     }
     routing_free(forward->routing);
     forward->routing = routing;
-    rank_services(forward);
     emit_log(forward, LOG_INFO, "routing",
              "version=%" PRId64 " revision=%" PRId64 " routes=%zu",
              routing->version, routing->revision, routing->route_count);
 }
 
-/* Records which services get requests of several priorities. */
-static void
-rank_services(forward_t *forward)
-{
-    const routing_t *routing = forward->routing;
-    service_budget_t *service;
-    size_t i;
-    size_t j;
-
-    for (service = forward->budgets; service != NULL;
-         service = service->hh.next) {
-        service->ranked = false;
-        service->first_priority = UINT32_MAX;
-    }
-    for (i = 0; i < routing->route_count; i++) {
-        const route_t *route = &routing->routes[i];
-
-        for (j = 0; j < route->share_count; j++) {
-            service = find_or_add_service(forward, route->shares[j].service);
-            service->ranked |= service->first_priority != UINT32_MAX &&
-                               service->first_priority != route->priority;
-            if (route->priority < service->first_priority) {
-                service->first_priority = route->priority;
-            }
-        }
-    }
-}
-
 static void
 handle_caller_disconnected(forward_t *forward, uint64_t number)
 {
--- a/forward/forward.h
+++ b/forward/forward.h
@@ -334,7 +334,6 @@
     const char *organisation; /* NULL: anonymous */
     uint32_t deadline_ms;     /* time that the runner has left; 0: unlimited */
     uint32_t connect_ms;      /* connection timeout */
-    int32_t urgency;          /* 0 to ROOM_URGENCY_MAX; -1: not stated */
     int64_t last_event_id;    /* resume after this event; -1: from the start */
     const char *backup_address; /* runner to copy the KV cache to; or NULL */
     /* Copy of the KV cache at this runner to resume from; or NULL.  A copy is
--- a/forward/pool.h
+++ b/forward/pool.h
@@ -18,7 +18,6 @@
 
 #include <uthash.h>
 
-#include "forward/room.h"
 #include "world/registration.h"
 
 enum { POOL_TRIED_MAX = 12, POOL_VERSIONS_MAX = 8 };
@@ -122,9 +121,6 @@
 pool_runner_t *pool_choose_runner(const pool_t *pool, int64_t now_us,
                                   const pool_query_t *query);
 
-/* Returns whether the query's request or copy fits into the runner. */
-bool pool_runner_fits(const pool_runner_t *runner, const pool_query_t *query);
-
 /* Returns true if the registry shows that a later start of the runner, or
  * another runner, uses its address. */
 bool pool_runner_is_replaced(const pool_t *pool, uint64_t id_hash,
--- a/forward/pool_choose.c
+++ b/forward/pool_choose.c
@@ -6,6 +6,7 @@
 #include <xxhash.h>
 
 #include "forward/pool_private.h"
+#include "forward/room.h"
 
 enum {
     PERMILLE = 1000,
@@ -27,8 +28,7 @@
 
 /* The sort key of a runner, most significant member first. */
 typedef struct {
-    uint32_t rank;     /* by cooldown; lower is better */
-    uint64_t overflow; /* of its memory; 0: the work fits */
+    uint32_t rank; /* by cooldown; lower is better */
     uint64_t load;
     uint64_t cached; /* 1: the prompt is in its cache; higher is better */
     uint64_t tie_break;
@@ -39,10 +39,9 @@
 static bool was_tried(const pool_runner_t *runner, const pool_query_t *query);
 static score_t score_of(const pool_runner_t *runner, int64_t now_us,
                         const pool_query_t *query);
-static room_size_t size_of(const pool_runner_t *runner,
-                           const pool_query_t *query);
-static room_use_t use_of(const pool_runner_t *runner);
 static uint64_t stream_load(const pool_runner_t *runner);
+static uint64_t memory_load(const pool_runner_t *runner,
+                            const pool_query_t *query);
 static uint64_t packed_load(const pool_runner_t *runner, uint64_t slots);
 static uint64_t copy_load(const pool_runner_t *runner);
 static bool score_is_better(const score_t *left, const score_t *right);
@@ -74,33 +73,6 @@
     return best;
 }
 
-bool
-pool_runner_fits(const pool_runner_t *runner, const pool_query_t *query)
-{
-    room_size_t size = size_of(runner, query);
-    room_use_t use = use_of(runner);
-
-    return query->kind == WORKLOAD_COPY
-               ? room_fits_copy(&size, &use, query->tokens)
-               : room_fits_request(&size, &use, query->tokens);
-}
-
-static room_size_t
-size_of(const pool_runner_t *runner, const pool_query_t *query)
-{
-    return (room_size_t){.slots = runner->registration.slots,
-                         .tokens = query->capacity_tokens};
-}
-
-static room_use_t
-use_of(const pool_runner_t *runner)
-{
-    return (room_use_t){
-        .requests = (uint64_t)runner->running + runner->peers_running,
-        .tokens = runner->tokens + runner->peers_tokens,
-    };
-}
-
 static bool
 has_version(const pool_runner_t *runner, const pool_query_t *query)
 {
@@ -158,15 +130,9 @@
         (now_us < runner->cooldown_until_us || now_us < runner->silent_until_us
              ? 1
              : 0);
-    if (query->kind != WORKLOAD_PLAIN && !pool_runner_fits(runner, query)) {
-        room_size_t size = size_of(runner, query);
-        room_use_t use = use_of(runner);
-
-        score.overflow = 1 + room_use_permille(&size, &use, query->tokens);
-    }
     switch (query->kind) {
     case WORKLOAD_STREAM:
-        score.load = stream_load(runner);
+        score.load = stream_load(runner) + memory_load(runner, query);
         if (query->cached_runner == runner->id_hash) {
             score.load = 0;
             score.cached = 1;
@@ -192,6 +158,15 @@
     return score;
 }
 
+/* Not a limit: hosts that see the same few runners with room at the same time
+ * would all choose these. */
+static uint64_t
+memory_load(const pool_runner_t *runner, const pool_query_t *query)
+{
+    return room_load(runner->tokens + runner->peers_tokens, query->tokens,
+                     query->capacity_tokens);
+}
+
 static uint64_t
 stream_load(const pool_runner_t *runner)
 {
@@ -237,9 +212,6 @@
     if (left->rank != right->rank) {
         return left->rank < right->rank;
     }
-    if (left->overflow != right->overflow) {
-        return left->overflow < right->overflow;
-    }
     if (left->load != right->load) {
         return left->load < right->load;
     }
--- a/forward/private.h
+++ b/forward/private.h
@@ -91,7 +91,7 @@
     uint32_t latency_objective_ms;
     uint32_t tokens;          /* of its prompt and its longest response */
     uint32_t capacity_tokens; /* of a runner of its service; 0: not known */
-    uint32_t priority;        /* of its organisation, or of its route */
+    uint32_t event_tokens;    /* of an event of its stream; 0: not known */
     uint64_t affinity;
     uint64_t route;     /* hash of its name */
     bool canary;        /* for the new version, while that is judged */
@@ -192,9 +192,6 @@
     int64_t versions_us; /* when several versions of it were recorded last;
                             INT64_MIN: never */
     path_state_t path;
-    /* Its routes and organisations have several priorities; the highest. */
-    bool ranked;
-    uint32_t first_priority;
     UT_hash_handle hh;
 } service_budget_t;
 
@@ -406,14 +403,12 @@
                         bool available);
 /* Returns whether a runner holds a copy for another attempt. */
 bool has_usable_copy(const forward_t *forward, const request_t *request);
-/* Returns whether a runner that has not been tried has room for it. */
-bool has_runner_with_room(const forward_t *forward, const request_t *request);
 /* Returns the runner to which the request would be moved, if it serves; NULL:
  * none is known. */
 const pool_runner_t *next_runner(const forward_t *forward,
                                  const request_t *request);
 /* Returns a runner in another zone than runner's, else any other runner, else
- * NULL.  Where no runner has room for a copy there is none. */
+ * NULL. */
 pool_runner_t *choose_standby(const forward_t *forward,
                               const request_t *request,
                               const pool_runner_t *runner);
--- a/forward/send.c
+++ b/forward/send.c
@@ -31,7 +31,6 @@
                          const pool_runner_t *runner);
 static void start_relay(forward_t *forward, request_t *request,
                         pool_runner_t *host);
-static int32_t urgency_of(forward_t *forward, const request_t *request);
 static uint32_t remaining_ms(const forward_t *forward,
                              const request_t *request);
 static void start_attempt(forward_t *forward, request_t *request,
@@ -94,37 +93,6 @@
                                : choose_runner(forward, request);
 }
 
-bool
-has_runner_with_room(const forward_t *forward, const request_t *request)
-{
-    const pool_runner_t *runner = choose_runner(forward, request);
-    pool_query_t query = {
-        .kind = WORKLOAD_STREAM,
-        .tokens = request->tokens,
-        .capacity_tokens = request->capacity_tokens,
-    };
-
-    return runner != NULL && is_available(forward, runner) &&
-           pool_runner_fits(runner, &query);
-}
-
-/* Stated only where the configuration ranks the requests of a service. */
-static int32_t
-urgency_of(forward_t *forward, const request_t *request)
-{
-    const service_budget_t *service =
-        find_or_add_service(forward, request->service);
-
-    if (!service->ranked || request->type != REQUEST_STREAM) {
-        return -1;
-    }
-    return (int32_t)room_urgency(request->priority > service->first_priority
-                                     ? request->priority -
-                                           service->first_priority
-                                     : 0,
-                                 request->last_event_id >= 0);
-}
-
 static pool_runner_t *
 choose_runner(const forward_t *forward, const request_t *request)
 {
@@ -261,7 +229,6 @@
                              : NULL;
     send->deadline_ms = remaining_ms(forward, request);
     send->connect_ms = CONNECT_TIMEOUT_MS;
-    send->urgency = urgency_of(forward, request);
     send->last_event_id = request->last_event_id;
     attempt->restored = restore;
     if (restore) {
@@ -356,8 +323,7 @@
         query.excluded_zone = NULL;
         standby = pool_choose_runner(forward->pool, forward->now_us, &query);
     }
-    return standby != NULL && pool_runner_fits(standby, &query) ? standby
-                                                                : NULL;
+    return standby;
 }
 
 void
--- a/forward/watchdog.c
+++ b/forward/watchdog.c
@@ -11,11 +11,16 @@
 
 enum {
     /* Idle time of a running stream after which its runner is probed.  Longer
-     * than the gap while the engine prefills another prompt (about 180 ms at
-     * six steps per event), and short enough to resume within 700 ms. */
+     * than the gap while the engine prefills another prompt (about 30 ms for
+     * each token of an event), and short enough to resume within 700 ms. */
     PROBE_STREAM_IDLE_MS = 220,
-    /* The same, before the first event, during prefill. */
-    PROBE_PROMPT_IDLE_MS = 500,
+    PROBE_TOKEN_IDLE_MS = 31,
+    PROBE_STREAM_IDLE_MAX_MS = 350,
+    /* The same, before the first event, during prefill: just before a request
+     * may be moved, so that the answer is known by then.  Then at intervals.
+     */
+    PROBE_PROMPT_IDLE_MS = 900,
+    PROBE_PROMPT_INTERVAL_MS = 500,
     PROBE_PLAIN_IDLE_MS = 300,
     /* A live runner answers within a round trip.  The rest allows for this
      * host being busy and reading the answer late. */
@@ -31,9 +36,6 @@
     STALL_PROMPT_IDLE_MS = 8000,
     /* The same for a host, which waits for paused runners. */
     RELAY_IDLE_MS = 6000,
-    /* Idle time before the first event after which a request at a runner with
-     * a queue is taken to wait there: longer than two prompts take. */
-    QUEUED_IDLE_MS = 1500,
     /* A report is some hundred ms old and may lack newer requests. */
     REPORT_AGE_MAX_MS = 800,
     /* Consecutive reports without a request before it counts as dropped. */
@@ -48,8 +50,6 @@
 static bool drop_late_probe(forward_t *forward, const char *runner);
 static void check_report(forward_t *forward, request_t *request,
                          const runner_report_t *report);
-static bool is_queued(const forward_t *forward, const request_t *request,
-                      const runner_report_t *report);
 static bool is_report_expected(const forward_t *forward,
                                const attempt_t *attempt);
 static bool report_includes(const runner_report_t *report,
@@ -284,28 +284,9 @@
         report_includes(report, request) ? 0 : attempt->missing_reports + 1;
     if (attempt->missing_reports >= MISSING_REPORTS_MAX) {
         handle_failed_attempt(forward, request, SEND_DROPPED);
-        return;
-    }
-    if (is_queued(forward, request, report)) {
-        (void)handle_silence(forward, request, SEND_STALLED);
     }
 }
 
-/* Returns whether the request waits in its runner's queue, while another
- * runner has room for it. */
-static bool
-is_queued(const forward_t *forward, const request_t *request,
-          const runner_report_t *report)
-{
-    const attempt_t *attempt = &request->attempt;
-
-    return attempt->events == 0 && report->queued > 0 &&
-           request->capacity_tokens > 0 &&
-           forward->now_us - attempt->last_activity_us >=
-               (int64_t)QUEUED_IDLE_MS * US_PER_MS &&
-           has_runner_with_room(forward, request);
-}
-
 static bool
 is_report_expected(const forward_t *forward, const attempt_t *attempt)
 {
@@ -336,12 +317,25 @@
 static int64_t
 probe_idle_limit_us(const request_t *request)
 {
+    const attempt_t *attempt = &request->attempt;
+    int64_t limit_ms = (int64_t)request->event_tokens * PROBE_TOKEN_IDLE_MS;
+
     if (request->type != REQUEST_STREAM) {
         return (int64_t)PROBE_PLAIN_IDLE_MS * US_PER_MS;
     }
-    return (int64_t)(request->attempt.events > 0 ? PROBE_STREAM_IDLE_MS
-                                                 : PROBE_PROMPT_IDLE_MS) *
-           US_PER_MS;
+    if (attempt->events == 0) {
+        return (int64_t)(attempt->last_probe_us > attempt->last_activity_us
+                             ? PROBE_PROMPT_INTERVAL_MS
+                             : PROBE_PROMPT_IDLE_MS) *
+               US_PER_MS;
+    }
+    if (limit_ms < PROBE_STREAM_IDLE_MS) {
+        limit_ms = PROBE_STREAM_IDLE_MS;
+    }
+    if (limit_ms > PROBE_STREAM_IDLE_MAX_MS) {
+        limit_ms = PROBE_STREAM_IDLE_MAX_MS;
+    }
+    return limit_ms * US_PER_MS;
 }
 
 /* Returns when handle_silence() is due for a stream without a probe. */
--- a/world/routing.h
+++ b/world/routing.h
@@ -48,6 +48,7 @@
 /* Capabilities of the model engines of a service; zero for a plain service. */
 typedef struct {
     uint32_t kv_capacity_tokens; /* size of the KV cache of a runner */
+    uint32_t event_tokens;       /* of an event of a stream */
     uint32_t kv_bytes_per_token; /* transferred when a KV cache is copied */
     bool kv_replication; /* copies the KV cache of a run continuously */
     bool kv_migration;   /* copies the KV cache of a run on request */
