Stop a draining host 500 ms before the end of its grace time

Change: the loop stops STOP_MARGIN_MS (500 ms) before the end. Listeners and connections without requests close CLOSE_MARGIN_MS (600 ms) before the stop, as before, thus 1,100 ms before the end of the grace time.

Measured: test_endless_stream_does_not_outlive_grace_time fails before the change ("the loop was running at the end of the grace time"), and test_gateway passes 21 of 21 after it.

--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -10,8 +10,12 @@
     MS_PER_S = 1000,
     US_PER_MS = 1000,
     DRAIN_CHECK_MS = 50,
-    /* Part of the grace period that is reserved for closing connections. */
-    GRACE_MARGIN_MS = 600,
+    /* The platform kills the process at the end of the grace period.  On a
+     * host with 0.09 of a core this is 45 ms of processor time for the
+     * handling of a late signal, closing what is still open, and freeing. */
+    STOP_MARGIN_MS = 500,
+    /* Time before the stop in which connections without requests close. */
+    CLOSE_MARGIN_MS = 600,
 };
 
 static void on_drain_check(uv_timer_t *timer);
@@ -100,7 +104,8 @@
 
 /*
  * Callers that have cached the address keep sending requests for a while.
- * Requests are served until the grace period is nearly over.
+ * Requests are served until the grace period is nearly over.  What is still
+ * open STOP_MARGIN_MS before its end is aborted by gateway_close().
  */
 static void
 on_drain_check(uv_timer_t *timer)
@@ -108,14 +113,14 @@
     drain_t *drain = (drain_t *)timer;
     gateway_t *gateway = drain->gateway;
     int64_t elapsed_ms = (gateway_now_us() - drain->start_us) / US_PER_MS;
+    int64_t stop_ms = (int64_t)gateway->limits.grace_ms - STOP_MARGIN_MS;
     bool idle = forward_request_count(forwarding_state(gateway)) == 0;
 
     if (!(idle && elapsed_ms >= gateway->limits.drain_ms) &&
-        elapsed_ms < (int64_t)gateway->limits.grace_ms - GRACE_MARGIN_MS) {
+        elapsed_ms < stop_ms - CLOSE_MARGIN_MS) {
         return;
     }
-    if (front_close_idle(gateway->front) ||
-        elapsed_ms >= (int64_t)gateway->limits.grace_ms) {
+    if (front_close_idle(gateway->front) || elapsed_ms >= stop_ms) {
         uv_close((uv_handle_t *)timer, (uv_close_cb)free);
         uv_stop(gateway->loop);
     }
--- a/regress/test_gateway.c
+++ b/regress/test_gateway.c
@@ -24,6 +24,12 @@
      "14\r\nid: 0\ndata: zero\n\nid\r\n",
      0, CANNED_RESET},
 };
+static const canned_reply_t endless_stream[] = {
+    {"HTTP/1.1 200 OK\r\n" RUNNER_HEADERS
+     "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+     "12\r\nid: 0\ndata: zero\n\n\r\n",
+     0, CANNED_KEEP},
+};
 static const canned_reply_t at_capacity_reply[] = {
     {"HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n", 0,
      CANNED_KEEP},
@@ -286,6 +292,58 @@
 }
 END_TEST
 
+/* The end of the grace time, at which the platform kills the process. */
+typedef struct {
+    uv_timer_t timer;
+    bool stopped; /* the loop had been stopped by then */
+    bool fired;
+} grace_end_t;
+
+static void
+on_grace_end(uv_timer_t *timer)
+{
+    grace_end_t *end = timer->data;
+
+    end->stopped = timer->loop->stop_flag != 0;
+    end->fired = true;
+    uv_stop(timer->loop);
+}
+
+/*
+ * A host that stops its loop only at the end of the grace time is killed
+ * before it has closed its connections.  The order of two timers decides, so
+ * that a slow machine does not.
+ */
+START_TEST(test_endless_stream_does_not_outlive_grace_time)
+{
+    gateway_host_t host;
+    grace_end_t end = {0};
+    raw_caller_t *caller;
+
+    gateway_host_open(&host);
+    gateway_host_runner(&host, "engine-1", "engine", "a", endless_stream, 1);
+    gateway_host_settle(&host);
+    caller = raw_caller_new(&host, host.listen_address);
+    raw_caller_send(caller, REQUEST("GET", "/stream/p", ""));
+    ck_assert(raw_caller_wait(caller, "data: zero\n\n"));
+    end.timer.data = &end;
+    (void)uv_timer_init(&host.fixture.loop, &end.timer);
+    uv_update_time(&host.fixture.loop);
+    (void)uv_timer_start(&end.timer, on_grace_end,
+                         host.settings.limits.grace_ms, 0);
+    gateway_drain(&host.gateway);
+    (void)uv_run(&host.fixture.loop, UV_RUN_DEFAULT);
+    ck_assert_msg(!end.fired || end.stopped,
+                  "the loop was running at the end of the grace time");
+    uv_close((uv_handle_t *)&end.timer, NULL);
+    gateway_close(&host.gateway);
+    raw_caller_wait_end(caller);
+    raw_caller_free(caller);
+    canned_free(host.runners[0]);
+    fixture_close(&host.fixture);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -298,5 +356,6 @@
     tcase_add_test(tcase, test_rejection_after_a_response_answers_nothing);
     tcase_add_test(tcase, test_metrics_count_request);
     tcase_add_test(tcase, test_readiness_and_address_lookup);
+    tcase_add_test(tcase, test_endless_stream_does_not_outlive_grace_time);
     return fixture_main("gateway", tcase);
 }
