Judge a canary's routes by their own rates in the total, too

The score of all routes compared the new version's bad responses with the old version's rate over all routes. Rare routes get more than their part of the new version's requests, so a route that fails at both versions counted against the new one. The total now adds what each route adds by its own rate.

test_canary, "a route that fails at both versions does not condemn by the other's rate": doubtful before, good after.

--- a/forward/canary.c
+++ b/forward/canary.c
@@ -52,8 +52,7 @@
 static uint32_t log2_scaled(uint64_t value);
 static uint64_t exp2_scaled(uint32_t scaled);
 static const likelihood_t *likelihood_of(const canary_arm_t *old_version);
-static int32_t next_score(int32_t score, const likelihood_t *likelihood,
-                          uint32_t bad, uint32_t good);
+static int32_t next_score(int32_t score, int64_t change);
 static bool runners_are_bad(const canary_arm_t *arm);
 static uint32_t bad_count(const canary_arm_t *arm);
 static uint32_t grown(uint32_t now, uint32_t before);
@@ -158,8 +157,7 @@
 {
     canary_arm_t old_total = canary_total(sum, false);
     canary_arm_t new_total = canary_total(sum, true);
-    uint32_t bad_sum = 0;
-    uint32_t good_sum = 0;
+    int64_t change = 0;
     bool leans_to_bad = false;
     uint32_t i;
 
@@ -173,20 +171,22 @@
         size_t slot = (size_t)(canary_route(&test->seen, route->route) -
                                test->seen.routes);
         bool known = route->old_version.responses >= ROUTE_RESPONSES_MIN;
+        const likelihood_t *likelihood =
+            likelihood_of(known ? &route->old_version : &old_total);
+        int64_t route_change =
+            (int64_t)bad * likelihood->bad + (int64_t)good * likelihood->good;
 
         *seen = route->new_version;
-        bad_sum += bad;
-        good_sum += good;
+        change += route_change;
         test->route_scores[slot] =
-            next_score(test->route_scores[slot],
-                       likelihood_of(known ? &route->old_version : &old_total),
-                       bad, good);
+            next_score(test->route_scores[slot], route_change);
         test->bad |= test->route_scores[slot] >= BAD_SCORE &&
                      runners_are_bad(&route->new_version);
         leans_to_bad |= test->route_scores[slot] > GOOD_SCORE_MAX;
     }
-    test->score =
-        next_score(test->score, likelihood_of(&old_total), bad_sum, good_sum);
+    /* Each route by its own rate: the versions have different parts of the
+     * routes' requests, see canary_route_share(). */
+    test->score = next_score(test->score, change);
     test->bad |= test->score >= BAD_SCORE && runners_are_bad(&new_total);
     leans_to_bad |= test->score > GOOD_SCORE_MAX;
     if (test->bad) {
@@ -268,11 +268,9 @@
 }
 
 static int32_t
-next_score(int32_t score, const likelihood_t *likelihood, uint32_t bad,
-           uint32_t good)
+next_score(int32_t score, int64_t change)
 {
-    int64_t next = (int64_t)score + (int64_t)bad * likelihood->bad +
-                   (int64_t)good * likelihood->good;
+    int64_t next = (int64_t)score + change;
 
     return next < 0 ? 0 : next > INT32_MAX ? INT32_MAX : (int32_t)next;
 }
