Condemn a new version on four bad responses in a row, not three

Three bad responses in a row crossed the limit of the score where the old version's rate is low. With a share of failures that both versions have, that happens by chance to more than 1 good version in 20.

--- a/forward/canary.c
+++ b/forward/canary.c
@@ -16,8 +16,10 @@
     /* The old version's rate on a route is used if it has as many responses
      * there, else that of all routes. */
     ROUTE_RESPONSES_MIN = 10,
-    /* ln(100): of 100 good versions about one crosses it by chance. */
-    BAD_SCORE = 4600,
+    /* More than three bad responses in a row add.  ln(100) = 4.6 was crossed
+     * by more than 1 in 20 good versions where both versions failed 5 in
+     * 100. */
+    BAD_SCORE = 5400,
     /* Less than a single bad response adds. */
     GOOD_SCORE_MAX = 1000,
     /* A version with a bad response rate of 0.3 gives none of 10 in 3 of 100
