Do not doubt a new version for the fault of one of its runners

A runner that fails 45 in 100 of its requests raised the score without end; too few runners were bad for a verdict, so that the version stayed doubtful until it was rolled back. From four bad responses on, these have to come from as many runners as a verdict needs.

--- a/forward/canary.c
+++ b/forward/canary.c
@@ -28,6 +28,8 @@
     /* Of the runners of the new version that have responded. */
     BAD_RUNNERS_PERCENT = 30,
     BAD_RUNNERS_MIN = 2,
+    /* So many bad responses of fewer runners are a fault of these runners. */
+    RUNNER_FAULT_RESPONSES = 4,
     PERCENT = 100,
     /* Of the share of a service, this part is the same for each route. */
     EVEN_PERMILLE = 600,
@@ -55,6 +57,7 @@
 static uint64_t exp2_scaled(uint32_t scaled);
 static const likelihood_t *likelihood_of(const canary_arm_t *old_version);
 static int32_t next_score(int32_t score, int64_t change);
+static bool is_doubtful(int32_t score, const canary_arm_t *arm);
 static bool runners_are_bad(const canary_arm_t *arm);
 static uint32_t bad_count(const canary_arm_t *arm);
 static uint32_t grown(uint32_t now, uint32_t before);
@@ -184,13 +187,14 @@
             next_score(test->route_scores[slot], route_change);
         test->bad |= test->route_scores[slot] >= BAD_SCORE &&
                      runners_are_bad(&route->new_version);
-        leans_to_bad |= test->route_scores[slot] > GOOD_SCORE_MAX;
+        leans_to_bad |=
+            is_doubtful(test->route_scores[slot], &route->new_version);
     }
     /* Each route by its own rate: the versions have different parts of the
      * routes' requests, see canary_route_share(). */
     test->score = next_score(test->score, change);
     test->bad |= test->score >= BAD_SCORE && runners_are_bad(&new_total);
-    leans_to_bad |= test->score > GOOD_SCORE_MAX;
+    leans_to_bad |= is_doubtful(test->score, &new_total);
     if (test->bad) {
         return CANARY_BAD;
     }
@@ -277,6 +281,13 @@
     return next < 0 ? 0 : next > INT32_MAX ? INT32_MAX : (int32_t)next;
 }
 
+static bool
+is_doubtful(int32_t score, const canary_arm_t *arm)
+{
+    return score > GOOD_SCORE_MAX &&
+           (runners_are_bad(arm) || bad_count(arm) < RUNNER_FAULT_RESPONSES);
+}
+
 static bool
 runners_are_bad(const canary_arm_t *arm)
 {
