Ignore an older order of a rollout

An older copy of the store can hold an earlier order. It was taken as a new one, and a completed rollout began anew for the earlier version.

test_rollout, "an older copy of the order does not start the older one": phase canary before, completed after.

--- a/forward/rollout.c
+++ b/forward/rollout.c
@@ -82,6 +82,9 @@
         rollout->withdrawn = true;
         return;
     }
+    if (order->revision < rollout->order_revision) {
+        return; /* of an older copy of the store */
+    }
     start(rollout, now_us, order, early);
 }
 
