Promote no version whose runners have just started

Without evidence a version is promoted from 0.55 of the duration on, also when its first runner had started just before, so that a bad version got all requests unjudged. That promotion, too, now needs runners for 4.5 s.

test_rollout, "a version is not promoted before its runners had requests" (first runner 100 ms before the time): promoted at once before, after 4.5 s now.

--- a/forward/rollout.c
+++ b/forward/rollout.c
@@ -360,7 +360,8 @@
                    ? ROLLOUT_ROLLED_BACK
                    : ROLLOUT_CANARY;
     }
-    return elapsed >= duration * DECIDE_BY_PERMILLE / PERMILLE
+    return judged_ms >= JUDGED_MIN_MS &&
+                   elapsed >= duration * DECIDE_BY_PERMILLE / PERMILLE
                ? ROLLOUT_PROMOTE
                : ROLLOUT_CANARY;
 }
