Use a host's part of the slack while other hosts are not heard

The slack adds to the canary share by the requests of all hosts that are heard. Hosts that were cut off each took all of it for the few requests that they knew of.

--- a/forward/private.h
+++ b/forward/private.h
@@ -212,6 +212,7 @@
     canary_evidence_t own; /* of this host */
     canary_evidence_t sum; /* of all hosts, at the last check */
     canary_test_t test;
+    uint32_t hosts_heard; /* whose evidence is in sum, this one included */
     uint32_t new_runners; /* that may be chosen, at the last check */
     uint32_t old_runners;
     int64_t acted_us; /* since when the new version is excluded; 0: not */
--- a/forward/rollouts.c
+++ b/forward/rollouts.c
@@ -239,6 +239,7 @@
 rollouts_assign(forward_t *forward, request_t *request)
 {
     service_rollout_t *entry = find_of_request(forward, request);
+    rollout_limits_t limits = forward->settings.limits.rollouts;
     uint64_t draw;
 
     if (entry == NULL || entry->state.phase != ROLLOUT_CANARY) {
@@ -248,10 +249,15 @@
         request->canary = false;
         return;
     }
+    /* The slack is that of all hosts: those that do not hear of each other
+     * each use a part of it. */
+    if (entry->hosts_heard < forward->hosts) {
+        limits.slack = limits.slack * entry->hosts_heard / forward->hosts;
+    }
     draw = random_next_from(&forward->random_state) % PERMILLE;
-    request->canary = draw < rollout_share(&entry->state, forward->now_us,
-                                           &forward->settings.limits.rollouts,
-                                           &entry->sum, request->route);
+    request->canary =
+        draw < rollout_share(&entry->state, forward->now_us, &limits,
+                             &entry->sum, request->route);
 }
 
 bool
@@ -608,6 +614,7 @@
             }
         }
     }
+    entry->hosts_heard = hosts;
     view->hosts_heard = 2 * hosts >= forward->hosts;
 }
 
