Serve on when an order names the only version of a service

An order for the version that serves, invalid, withdrawn or rolled back, excluded all runners of the service. A version is now excluded only while a runner of another one is registered.

test_rollouts, "order_for_the_only_version_does_not_stop_it": the request was refused with no-runner before, and is sent now.

--- a/forward/rollouts.c
+++ b/forward/rollouts.c
@@ -34,6 +34,8 @@
 static service_rollout_t *find_or_add(forward_t *forward, const char *service);
 static service_rollout_t *find_of_request(const forward_t *forward,
                                           const request_t *request);
+static bool is_only_version(const forward_t *forward,
+                            const service_rollout_t *entry);
 static bool is_past_resume(const forward_t *forward,
                            const service_rollout_t *entry);
 static bool new_version_is_usable(const forward_t *forward,
@@ -277,6 +279,9 @@
         return false;
     }
     if (rollout_excludes_new(&entry->state) || request->failed_at_new) {
+        if (is_only_version(forward, entry)) {
+            return false;
+        }
         query->excluded_version = entry->version;
         return request->failed_at_new && !rollout_excludes_new(&entry->state);
     }
@@ -314,6 +319,22 @@
                                   : 0;
 }
 
+/* An order can name the version that serves: without it, nothing would. */
+static bool
+is_only_version(const forward_t *forward, const service_rollout_t *entry)
+{
+    const pool_runner_t *runner;
+
+    for (runner = pool_first_runner(forward->pool); runner != NULL;
+         runner = runner->hh.next) {
+        if (runner->version != entry->version &&
+            strcmp(runner->registration.service, entry->service) == 0) {
+            return false;
+        }
+    }
+    return true;
+}
+
 static bool
 is_past_resume(const forward_t *forward, const service_rollout_t *entry)
 {
