Test where requests go during a rollout

Scripts have events for orders, statuses, phases and their writes, and print the statuses that are to be written.

--- a/regress/forwarding.c
+++ b/regress/forwarding.c
@@ -90,7 +90,8 @@
     if (do_registry(forward, at_ms, &line)) {
         return actions_printed();
     }
-    if (line_record(&line, &event) || line_view(&line, at_ms, &event)) {
+    if (line_record(&line, &event) || line_view(&line, at_ms, &event) ||
+        line_rollout(&line, at_ms, &event)) {
         step(forward, at_ms, &event, true);
         return actions_printed();
     }
--- a/regress/forwarding.h
+++ b/regress/forwarding.h
@@ -52,6 +52,20 @@
  *                             what the store has; rev: revision of the key
  *   written KEY ok|conflict|failed rev=N [VERSION[:REQUEST,...]]...
  *                             how a write of a record has ended
+ *   order SERVICE to=VERSION duration=MS rev=N | order SERVICE gone
+ *                             an order to move a service to a version
+ *   status SERVICE STATE to=VERSION rev=N | status SERVICE gone
+ *                             its status in the store; STATE is in_progress,
+ *                             completed or rolled_back
+ *   status-written SERVICE ok|conflict|failed [STATE to=VERSION rev=N]
+ *                             how a write of a status has ended
+ *   phase SERVICE [phase=PHASE order=N elapsed=MS rev=N]
+ *                             the record of a rollout in the store
+ *   phase-written SERVICE ok|conflict|failed [phase=...]
+ *                             how a write of that record has ended
+ *   told HOST SERVICE order=N [elapsed=MS] [bad]
+ *                             what another host tells of a rollout
+ *   share PERMILLE SLACK      the limits on what a new version may get
  *   revoke MS                 the settings' limit has changed to this
  *   drain
  *   timer
--- a/regress/forwarding_print.c
+++ b/regress/forwarding_print.c
@@ -10,6 +10,7 @@
 
 static void print_line(const forward_action_t *action);
 static void print_record(const forward_record_t *record);
+static void print_rollout(const rollout_status_t *status);
 static void print_send(const send_action_t *send);
 static void print_grant(const send_action_t *send);
 static void print_action(const forward_action_t *action);
@@ -28,6 +29,9 @@
     if (action->kind == FORWARD_ACTION_PUT_RECORD) {
         print_record(&action->u.record);
     }
+    else if (action->kind == FORWARD_ACTION_PUT_ROLLOUT) {
+        print_rollout(&action->u.rollout);
+    }
     else {
         print_action(action);
     }
@@ -76,6 +80,17 @@
     record_print(record, printed + used, sizeof(printed) - used);
 }
 
+static void
+print_rollout(const rollout_status_t *status)
+{
+    size_t used = strlen(printed);
+
+    (void)snprintf(printed + used, sizeof(printed) - used, "%s",
+                   used > 0 ? "; " : "");
+    used = strlen(printed);
+    rollout_print(status, printed + used, sizeof(printed) - used);
+}
+
 /* What the host that a request is relayed to may use. */
 static void
 print_grant(const send_action_t *send)
--- a/regress/forwarding_private.h
+++ b/regress/forwarding_private.h
@@ -53,6 +53,13 @@
 /* Prints what is to be written. */
 void record_print(const forward_record_t *record, char *text, size_t room);
 
+/* --- forwarding_rollout.c --- */
+
+/* Reads an event about a rollout; false: it is another one. */
+bool line_rollout(const line_t *line, int64_t at_ms, forward_event_t *event);
+/* Prints the status that is to be written. */
+void rollout_print(const rollout_status_t *status, char *text, size_t room);
+
 /* --- forwarding_view.c --- */
 
 /* Reads an event about the view of the store, or its limits; false: it is
--- a/regress/forwarding_record.c
+++ b/regress/forwarding_record.c
@@ -83,6 +83,12 @@
     uint32_t words = 0;
     const char *at = record->value;
 
+    if (at != NULL && strstr(record->key, "/rollouts/") != NULL) {
+        (void)snprintf(text, room, "put %s \"%s\" rev=%" PRId64,
+                       record->key + strlen("agatevale/"), at,
+                       record->revision);
+        return;
+    }
     while (at != NULL && *(at += strspn(at, " \n")) != '\0') {
         words++;
         at += strcspn(at, " \n");
