--- a/regress/test_platform.c
+++ b/regress/test_platform.c
@@ -502,6 +502,135 @@
 }
 END_TEST
 
+typedef struct {
+    const char *name;
+    const char *bytes;
+    bool is_valid;
+    const char *version; /* also of an invalid one; NULL: none */
+    uint32_t duration_ms;
+} order_case_t;
+
+/* Operators write orders by hand: what can be read is needed for the status,
+ * and what cannot must not stop the rest. */
+static const order_case_t order_cases[] = {
+    {"an order", "{\"Service\":\"s\",\"To\":\"v2\",\"DurationS\":16}", true,
+     "v2", 16000},
+    {"a duration with a fraction", "{\"To\":\"v2\",\"DurationS\":12.5}", true,
+     "v2", 12500},
+    {"unknown fields are ignored",
+     "{\"To\":\"v2\",\"DurationS\":16,\"More\":[1]}", true, "v2", 16000},
+    {"a duration of 0", "{\"To\":\"v2\",\"DurationS\":0}", false, "v2", 0},
+    {"a negative duration", "{\"To\":\"v2\",\"DurationS\":-5}", false, "v2",
+     0},
+    {"a duration as text", "{\"To\":\"v2\",\"DurationS\":\"16\"}", false, "v2",
+     0},
+    {"a duration that is too long", "{\"To\":\"v2\",\"DurationS\":1e300}",
+     false, "v2", 0},
+    {"a duration under a millisecond", "{\"To\":\"v2\",\"DurationS\":1e-9}",
+     false, "v2", 0},
+    {"no duration", "{\"To\":\"v2\"}", false, "v2", 0},
+    {"no version", "{\"DurationS\":16}", false, NULL, 16000},
+    {"an empty version", "{\"To\":\"\",\"DurationS\":16}", false, "", 16000},
+    {"a numeric version", "{\"To\":2,\"DurationS\":16}", false, NULL, 16000},
+    {"a damaged order", "{\"To\":\"v2\",\"Dura", false, NULL, 0},
+    {"an array", "[\"v2\",16]", false, NULL, 0},
+    {"no bytes", "", false, NULL, 0},
+};
+
+static void
+check_version(const char *name, const char *got, const char *expected)
+{
+    ck_assert_msg((got == NULL) == (expected == NULL) &&
+                      (got == NULL || strcmp(got, expected) == 0),
+                  "%s: version %s", name, got != NULL ? got : "(none)");
+}
+
+START_TEST(test_rollout_order)
+{
+    const order_case_t *test = &order_cases[_i];
+    rollout_order_t out = {0};
+    arena_t arena = {0};
+    err_t err = {0};
+    int result = platform_read_rollout_order(&arena, test->bytes,
+                                             strlen(test->bytes), &out, &err);
+
+    ck_assert_msg((result == 0) == test->is_valid, "%s: %s", test->name,
+                  err.message);
+    ck_assert_msg(test->is_valid || err.message[0] != '\0', "%s: no message",
+                  test->name);
+    check_version(test->name, out.version, test->version);
+    ck_assert_msg(out.duration_ms == test->duration_ms, "%s: %" PRIu32 " ms",
+                  test->name, out.duration_ms);
+    arena_free(&arena);
+}
+END_TEST
+
+typedef struct {
+    const char *name;
+    const char *bytes;
+    rollout_state_t state; /* NONE: invalid */
+    const char *version;
+} status_case_t;
+
+/* A damaged status is written again, so it must not be taken for a valid
+ * one. */
+static const status_case_t status_cases[] = {
+    {"in progress", "{\"State\":\"in_progress\",\"To\":\"v2\"}",
+     ROLLOUT_STATUS_IN_PROGRESS, "v2"},
+    {"completed", "{\"State\":\"completed\",\"To\":\"v2\"}",
+     ROLLOUT_STATUS_COMPLETED, "v2"},
+    {"rolled back", "{\"State\":\"rolled_back\",\"To\":\"v2\"}",
+     ROLLOUT_STATUS_ROLLED_BACK, "v2"},
+    {"an unknown State", "{\"State\":\"odd\",\"To\":\"v2\"}",
+     ROLLOUT_STATUS_NONE, "v2"},
+    {"an empty State", "{\"State\":\"\",\"To\":\"v2\"}", ROLLOUT_STATUS_NONE,
+     "v2"},
+    {"a numeric State", "{\"State\":1,\"To\":\"v2\"}", ROLLOUT_STATUS_NONE,
+     "v2"},
+    {"a damaged status", "{\"State\":\"comple", ROLLOUT_STATUS_NONE, NULL},
+    {"no bytes", "", ROLLOUT_STATUS_NONE, NULL},
+};
+
+START_TEST(test_rollout_status)
+{
+    const status_case_t *test = &status_cases[_i];
+    bool is_valid = test->state != ROLLOUT_STATUS_NONE;
+    rollout_status_t out = {0};
+    arena_t arena = {0};
+    text_t text = {0};
+    err_t err = {0};
+    int result = platform_read_rollout_status(&arena, test->bytes,
+                                              strlen(test->bytes), &out, &err);
+
+    ck_assert_msg((result == 0) == is_valid, "%s: %s", test->name,
+                  err.message);
+    ck_assert_msg(out.state == test->state, "%s: %d", test->name, out.state);
+    check_version(test->name, out.version, test->version);
+    if (is_valid) {
+        platform_write_rollout_status(&text, &out);
+        text_append(&text, "", 1);
+        ck_assert_str_eq(text.bytes, test->bytes);
+    }
+    text_free(&text);
+    arena_free(&arena);
+}
+END_TEST
+
+/* Without a To the states alone do not say which order has ended. */
+START_TEST(test_rollout_status_without_version)
+{
+    static const char bytes[] = "{\"State\":\"completed\"}";
+    rollout_status_t out = {0};
+    arena_t arena = {0};
+    err_t err = {0};
+
+    ck_assert_int_lt(
+        platform_read_rollout_status(&arena, bytes, strlen(bytes), &out, &err),
+        0);
+    arena_free(&arena);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -519,5 +648,8 @@
     tcase_add_loop_test(tcase, test_retry_after, 0, COUNT(retry_after_cases));
     tcase_add_test(tcase, test_copy_request);
     tcase_add_loop_test(tcase, test_report, 0, COUNT(report_cases));
+    tcase_add_loop_test(tcase, test_rollout_order, 0, COUNT(order_cases));
+    tcase_add_loop_test(tcase, test_rollout_status, 0, COUNT(status_cases));
+    tcase_add_test(tcase, test_rollout_status_without_version);
     return fixture_main("platform", tcase);
 }
