--- a/regress/test_rollout.c
+++ b/regress/test_rollout.c
@@ -113,9 +113,10 @@
     {                                                                         \
         at, STEP_CHECK, writes, 0, 0, 0,                                      \
         {                                                                     \
-            .verdict = CANARY_##verdict_, .new_runners = runners,             \
-            .old_runners = 4, .old_streams = streams, .hosts_heard = heard,   \
-            .writers_before = before, .bad_told = told                        \
+            .verdict = CANARY_##verdict_, .new_runners = (runners),           \
+            .old_runners = 4, .old_streams = (streams),                       \
+            .hosts_heard = (heard), .writers_before = (before),               \
+            .bad_told = (told)                                                \
         }                                                                     \
     }
 /* All runners are there, and enough hosts are heard. */
