--- a/forward/rollout.c
+++ b/forward/rollout.c
@@ -82,6 +82,9 @@
         rollout->withdrawn = true;
         return;
     }
+    if (order->revision < rollout->order_revision) {
+        return; /* of an older copy of the store */
+    }
     start(rollout, now_us, order, early);
 }
 
@@ -357,7 +360,8 @@
                    ? ROLLOUT_ROLLED_BACK
                    : ROLLOUT_CANARY;
     }
-    return elapsed >= duration * DECIDE_BY_PERMILLE / PERMILLE
+    return judged_ms >= JUDGED_MIN_MS &&
+                   elapsed >= duration * DECIDE_BY_PERMILLE / PERMILLE
                ? ROLLOUT_PROMOTE
                : ROLLOUT_CANARY;
 }
