--- a/forward/admission.c
+++ b/forward/admission.c
@@ -167,7 +167,7 @@
 
     request->number = incoming->number;
     request->id = arena_strdup(&request->arena, incoming->id);
-    request->tokens = incoming->prompt_tokens + incoming->output_tokens;
+    request->prompt_tokens = incoming->prompt_tokens;
     request->affinity = incoming->affinity;
     request->last_event_id = incoming->last_event_id;
     request->relayed = incoming->relayed;
@@ -217,10 +217,6 @@
             XXH3_64bits_withSeed(name, strlen(name), request->parts[i]);
     }
     request->route = hash_route(route);
-    request->capacity_tokens =
-        service != NULL && service->engine && route->type == REQUEST_STREAM
-            ? service->capabilities.kv_capacity_tokens
-            : 0;
     request->type = route->type;
     request->event_tokens =
         service != NULL ? service->capabilities.event_tokens : 0;
--- a/forward/copies.c
+++ b/forward/copies.c
@@ -124,12 +124,12 @@
 copies_set_standby(attempt_t *attempt, pool_runner_t *standby)
 {
     if (attempt->standby != NULL) {
-        pool_remove_copy(attempt->standby, attempt->tokens);
+        pool_remove_copy(attempt->standby);
     }
     attempt->standby = standby;
     if (standby != NULL) {
         attempt->standby_serial = standby->serial;
-        pool_add_copy(standby, attempt->tokens);
+        pool_add_copy(standby);
     }
 }
 
--- a/forward/forward.c
+++ b/forward/forward.c
@@ -325,7 +325,7 @@
 {
     attempt_end(forward, request, true);
     if (request->copy_holder != NULL) {
-        pool_remove_copy(request->copy_holder, request->tokens);
+        pool_remove_copy(request->copy_holder);
     }
     HASH_DEL(forward->requests, request); /* NOLINT(clang-analyzer-*) */
     arena_free(&request->arena);
--- a/forward/forward.h
+++ b/forward/forward.h
@@ -130,7 +130,6 @@
     const char *key;        /* NULL: none */
     uint32_t deadline_ms;   /* how long the caller waits; 0: not stated */
     uint32_t prompt_tokens; /* 0: not stated */
-    uint32_t output_tokens; /* of its longest response; 0: not stated */
     uint64_t affinity;     /* the same for requests that share a cached prompt;
                               arbitrary otherwise */
     int64_t last_event_id; /* last event the caller received; -1: none */
--- a/forward/pool.c
+++ b/forward/pool.c
@@ -270,19 +270,17 @@
 }
 
 void
-pool_request_started(pool_runner_t *runner, bool stream, uint32_t tokens)
+pool_request_started(pool_runner_t *runner, bool stream)
 {
     runner->running++;
-    runner->tokens += tokens;
     runner->prefilling += stream ? 1 : 0;
     runner->ref_count++;
 }
 
 void
-pool_request_ended(pool_runner_t *runner, bool prefilling, uint32_t tokens)
+pool_request_ended(pool_runner_t *runner, bool prefilling)
 {
     runner->running--;
-    runner->tokens -= tokens;
     runner->prefilling -= prefilling ? 1 : 0;
     runner->ref_count--;
 }
@@ -294,18 +292,16 @@
 }
 
 void
-pool_add_copy(pool_runner_t *runner, uint32_t tokens)
+pool_add_copy(pool_runner_t *runner)
 {
     runner->copies++;
-    runner->tokens += tokens;
     runner->ref_count++;
 }
 
 void
-pool_remove_copy(pool_runner_t *runner, uint32_t tokens)
+pool_remove_copy(pool_runner_t *runner)
 {
     runner->copies--;
-    runner->tokens -= tokens;
     runner->ref_count--;
 }
 
@@ -317,13 +313,11 @@
     for (runner = pool->runners; runner != NULL; runner = runner->hh.next) {
         runner->peers_running = 0;
         runner->peers_prefilling = 0;
-        runner->peers_tokens = 0;
     }
 }
 
 void
-pool_count_peer_stream(pool_t *pool, uint64_t id_hash, bool prefilling,
-                       uint32_t tokens)
+pool_count_peer_stream(pool_t *pool, uint64_t id_hash, bool prefilling)
 {
     pool_runner_t *runner;
 
@@ -331,13 +325,11 @@
     if (runner != NULL) {
         runner->peers_running++;
         runner->peers_prefilling += prefilling ? 1 : 0;
-        runner->peers_tokens += tokens;
     }
 }
 
 void
-pool_uncount_peer_stream(pool_t *pool, uint64_t id_hash, bool prefilling,
-                         uint32_t tokens)
+pool_uncount_peer_stream(pool_t *pool, uint64_t id_hash, bool prefilling)
 {
     pool_runner_t *runner;
 
@@ -345,27 +337,6 @@
     if (runner != NULL) {
         runner->peers_running--;
         runner->peers_prefilling -= prefilling ? 1 : 0;
-        runner->peers_tokens -= tokens;
-    }
-}
-
-void
-pool_count_peer_copy(pool_t *pool, uint64_t id_hash, uint32_t tokens)
-{
-    pool_runner_t *runner = pool_find_hash(pool, id_hash);
-
-    if (runner != NULL) {
-        runner->peers_tokens += tokens;
-    }
-}
-
-void
-pool_uncount_peer_copy(pool_t *pool, uint64_t id_hash, uint32_t tokens)
-{
-    pool_runner_t *runner = pool_find_hash(pool, id_hash);
-
-    if (runner != NULL) {
-        runner->peers_tokens -= tokens;
     }
 }
 
--- a/forward/pool.h
+++ b/forward/pool.h
@@ -37,8 +37,6 @@
     uint32_t copies;        /* KV cache copies of this host's streams */
     uint32_t peers_running; /* streams that other hosts reported */
     uint32_t peers_prefilling;
-    uint64_t tokens;           /* of this host's streams and copies */
-    uint64_t peers_tokens;     /* of those of other hosts */
     int64_t cooldown_until_us; /* until then it is a last resort */
     int64_t silent_until_us;   /* the same, but its copies remain */
     uint32_t losses;           /* consecutive */
@@ -75,8 +73,6 @@
     uint64_t affinity;        /* breaks ties between equal runners */
     uint64_t cached_runner;   /* id_hash of the runner that has the prompt
                              in its cache; 0: none */
-    uint32_t tokens;          /* that the request or the copy takes up */
-    uint32_t capacity_tokens; /* of a runner of the service; 0: not known */
     const uint64_t *tried;    /* serials of excluded runners */
     size_t tried_count;
 } pool_query_t;
@@ -159,26 +155,20 @@
  * it counts as prefilling until its first event; prefilling: it has ended
  * before that event.
  */
-void pool_request_started(pool_runner_t *runner, bool stream, uint32_t tokens);
-void pool_request_ended(pool_runner_t *runner, bool prefilling,
-                        uint32_t tokens);
+void pool_request_started(pool_runner_t *runner, bool stream);
+void pool_request_ended(pool_runner_t *runner, bool prefilling);
 /* Records the first event of a stream, which ends its prefill. */
 void pool_prefill_done(pool_runner_t *runner);
 
 /* Count a copy of a stream's KV cache that the runner keeps or drops. */
-void pool_add_copy(pool_runner_t *runner, uint32_t tokens);
-void pool_remove_copy(pool_runner_t *runner, uint32_t tokens);
+void pool_add_copy(pool_runner_t *runner);
+void pool_remove_copy(pool_runner_t *runner);
 
 /* Reset, count and uncount the streams that other hosts have at the runners.
  * Those at an unknown runner are not counted. */
 void pool_clear_peer_streams(pool_t *pool);
-void pool_count_peer_stream(pool_t *pool, uint64_t id_hash, bool prefilling,
-                            uint32_t tokens);
-void pool_uncount_peer_stream(pool_t *pool, uint64_t id_hash, bool prefilling,
-                              uint32_t tokens);
-/* The same for their copies. */
-void pool_count_peer_copy(pool_t *pool, uint64_t id_hash, uint32_t tokens);
-void pool_uncount_peer_copy(pool_t *pool, uint64_t id_hash, uint32_t tokens);
+void pool_count_peer_stream(pool_t *pool, uint64_t id_hash, bool prefilling);
+void pool_uncount_peer_stream(pool_t *pool, uint64_t id_hash, bool prefilling);
 
 /* Returns the number of starts of runners that the pool has seen. */
 uint64_t pool_start_count(const pool_t *pool);
--- a/forward/pool_choose.c
+++ b/forward/pool_choose.c
@@ -6,7 +6,6 @@
 #include <xxhash.h>
 
 #include "forward/pool_private.h"
-#include "forward/room.h"
 
 enum {
     PERMILLE = 1000,
@@ -40,8 +39,6 @@
 static score_t score_of(const pool_runner_t *runner, int64_t now_us,
                         const pool_query_t *query);
 static uint64_t stream_load(const pool_runner_t *runner);
-static uint64_t memory_load(const pool_runner_t *runner,
-                            const pool_query_t *query);
 static uint64_t packed_load(const pool_runner_t *runner, uint64_t slots);
 static uint64_t copy_load(const pool_runner_t *runner);
 static bool score_is_better(const score_t *left, const score_t *right);
@@ -132,7 +129,7 @@
              : 0);
     switch (query->kind) {
     case WORKLOAD_STREAM:
-        score.load = stream_load(runner) + memory_load(runner, query);
+        score.load = stream_load(runner);
         if (query->cached_runner == runner->id_hash) {
             score.load = 0;
             score.cached = 1;
@@ -158,15 +155,6 @@
     return score;
 }
 
-/* Not a limit: hosts that see the same few runners with room at the same time
- * would all choose these. */
-static uint64_t
-memory_load(const pool_runner_t *runner, const pool_query_t *query)
-{
-    return room_load(runner->tokens + runner->peers_tokens, query->tokens,
-                     query->capacity_tokens);
-}
-
 static uint64_t
 stream_load(const pool_runner_t *runner)
 {
--- a/forward/private.h
+++ b/forward/private.h
@@ -43,7 +43,6 @@
     pool_runner_t *runner;   /* NULL: no attempt is active */
     uint64_t runner_serial;  /* differs after a restart: the run is lost */
     uint64_t version;        /* of the runner's software when it started */
-    uint32_t tokens;         /* of the request */
     pool_runner_t *standby;  /* holds a copy of the KV cache; or NULL */
     uint64_t standby_serial; /* differs after a restart: the copy is lost */
     int64_t started_us;
@@ -89,9 +88,8 @@
     bool replicated; /* the engines copy the KV cache to a standby */
     uint32_t attempts_max;
     uint32_t latency_objective_ms;
-    uint32_t tokens;          /* of its prompt and its longest response */
-    uint32_t capacity_tokens; /* of a runner of its service; 0: not known */
-    uint32_t event_tokens;    /* of an event of its stream; 0: not known */
+    uint32_t prompt_tokens;
+    uint32_t event_tokens; /* of an event of its stream; 0: not known */
     uint64_t affinity;
     uint64_t route;     /* hash of its name */
     bool canary;        /* for the new version, while that is judged */
--- a/forward/recover.c
+++ b/forward/recover.c
@@ -216,10 +216,10 @@
         return;
     }
     if (request->copy_holder != NULL) {
-        pool_remove_copy(request->copy_holder, request->tokens);
+        pool_remove_copy(request->copy_holder);
     }
     request->copy_holder = attempt->standby;
-    pool_add_copy(request->copy_holder, request->tokens);
+    pool_add_copy(request->copy_holder);
     request->copy_address =
         arena_strdup(&request->arena, naming_runner->registration.address);
     request->copy_name =
--- a/forward/send.c
+++ b/forward/send.c
@@ -108,8 +108,6 @@
         .affinity = request->affinity,
         .cached_runner =
             stream ? session_runner(forward, request->affinity) : 0,
-        .tokens = request->tokens,
-        .capacity_tokens = request->capacity_tokens,
         .tried = request->tried,
         .tried_count = request->tried_count,
     };
@@ -170,7 +168,7 @@
         return false;
     }
     request->copy_holder = NULL;
-    pool_remove_copy(copy_holder, request->tokens);
+    pool_remove_copy(copy_holder);
     if (relay_is_preferred(forward, request) ||
         !pool_runner_usable(copy_holder, forward->now_us) ||
         copy_holder->version != request->version ||
@@ -195,7 +193,6 @@
         .runner = runner,
         .runner_serial = runner->serial,
         .version = runner->version,
-        .tokens = request->tokens,
         .started_us = forward->now_us,
         .last_activity_us = forward->now_us,
     };
@@ -207,8 +204,7 @@
                             request->suspect)) {
         forward->publish_due = true;
     }
-    pool_request_started(runner, request->type == REQUEST_STREAM,
-                         request->tokens);
+    pool_request_started(runner, request->type == REQUEST_STREAM);
     if (request->type == REQUEST_STREAM) {
         record_session(forward, request->affinity, runner->id_hash);
         forward->publish_due = true;
@@ -270,8 +266,7 @@
     };
     request->retry_at_us = 0;
     grant_attempts(forward, request, &send->grant);
-    pool_request_started(host, request->type == REQUEST_STREAM,
-                         request->tokens);
+    pool_request_started(host, request->type == REQUEST_STREAM);
     send->attempt = attempt->number;
     send->host = arena_strdup(arena, host->registration.id);
     send->address = arena_strdup(arena, host->registration.address);
@@ -311,8 +306,6 @@
         .excluded_zone = runner->zone,
         .version = request->attempt.version,
         .affinity = request->affinity + 1,
-        .tokens = request->tokens,
-        .capacity_tokens = request->capacity_tokens,
         .tried = &runner->serial,
         .tried_count = 1,
     };
@@ -340,12 +333,11 @@
             ->u.attempt = attempt->number;
     }
     if (request->type == REQUEST_STREAM) {
-        pool_request_ended(attempt->runner, attempt->events == 0,
-                           request->tokens);
+        pool_request_ended(attempt->runner, attempt->events == 0);
         forward->publish_due = true;
     }
     else {
-        pool_request_ended(attempt->runner, false, request->tokens);
+        pool_request_ended(attempt->runner, false);
     }
     attempt->runner = NULL;
     copies_set_standby(attempt, NULL);
--- a/forward/sharing.c
+++ b/forward/sharing.c
@@ -235,10 +235,7 @@
             .session = request->affinity,
             .stream = request->stream,
             .software = request->version,
-            .standby = request->attempt.standby != NULL
-                           ? request->attempt.standby->id_hash
-                           : 0,
-            .tokens = request->tokens,
+            .prompt_tokens = request->prompt_tokens,
             .prefilling = request->attempt.events == 0,
         };
         count++;
@@ -348,11 +345,8 @@
     uint32_t i;
 
     for (i = 0; i < view->count; i++) {
-        const placement_t *placed = &view->placements[i];
-
-        pool_count_peer_stream(forward->pool, placed->runner,
-                               placed->prefilling, placed->tokens);
-        pool_count_peer_copy(forward->pool, placed->standby, placed->tokens);
+        pool_count_peer_stream(forward->pool, view->placements[i].runner,
+                               view->placements[i].prefilling);
     }
 }
 
@@ -363,11 +357,8 @@
     uint32_t i;
 
     for (i = 0; is_counted(forward) && i < view->count; i++) {
-        const placement_t *placed = &view->placements[i];
-
-        pool_uncount_peer_stream(forward->pool, placed->runner,
-                                 placed->prefilling, placed->tokens);
-        pool_uncount_peer_copy(forward->pool, placed->standby, placed->tokens);
+        pool_uncount_peer_stream(forward->pool, view->placements[i].runner,
+                                 view->placements[i].prefilling);
     }
     view->count = 0;
 }
--- a/gateway/dialect.h
+++ b/gateway/dialect.h
@@ -55,7 +55,6 @@
     const char *key;
     uint32_t deadline_ms;
     uint32_t prompt_tokens;
-    uint32_t output_tokens; /* of its longest response */
     uint64_t affinity;
     bool has_affinity;
     const uint64_t *parts; /* see forward_request_t */
--- a/gateway/inbound.c
+++ b/gateway/inbound.c
@@ -295,7 +295,6 @@
         .key = terms.key,
         .deadline_ms = terms.deadline_ms,
         .prompt_tokens = terms.prompt_tokens,
-        .output_tokens = terms.output_tokens,
         .affinity = terms.has_affinity
                         ? terms.affinity
                         : XXH3_64bits(terms.id, strlen(terms.id)),
--- a/world/link.x
+++ b/world/link.x
@@ -222,16 +222,14 @@
  * share.  stream is a hash of the id of the caller's request that began the
  * stream, software one of the version of the software that began it; 0: none
  * yet.  prefilling is set until the first event, while the prompt is being
- * prefilled.  tokens is the size of its prompt and its longest response, standby
- * a hash of the id of the runner that holds a copy; 0: none.
+ * prefilled.
  */
 struct placement_t {
     uint64_t runner;
     uint64_t session;
     uint64_t stream;
     uint64_t software;
-    uint64_t standby;
-    uint32_t tokens;
+    uint32_t prompt_tokens;
     bool prefilling;
 };
 
