Keep the doubt where the only runner is bad, or most responses are

Four bad responses of too few runners ended the doubt about a version, also when it had a single runner or when half of its responses were bad: it was good, and would have been promoted. The doubt now ends only if another runner responds, too, and at most a quarter of the responses is bad.

test_canary, "bad responses by the only runner raise doubt" and "many bad responses by ... raise doubt": good before, doubtful now.

--- a/forward/canary.c
+++ b/forward/canary.c
@@ -28,8 +28,11 @@
     /* Of the runners of the new version that have responded. */
     BAD_RUNNERS_PERCENT = 30,
     BAD_RUNNERS_MIN = 2,
-    /* So many bad responses of fewer runners are a fault of these runners. */
+    /* So many bad responses of fewer runners are a fault of these runners, if
+     * others respond, too, and the bad ones are a small part: a runner of
+     * three that fails 45 in 100 gives 15, a bad version 50. */
     RUNNER_FAULT_RESPONSES = 4,
+    RUNNER_FAULT_PERCENT = 25,
     PERCENT = 100,
     /* Of the share of a service, this part is the same for each route. */
     EVEN_PERMILLE = 600,
@@ -284,8 +287,13 @@
 static bool
 is_doubtful(int32_t score, const canary_arm_t *arm)
 {
-    return score > GOOD_SCORE_MAX &&
-           (runners_are_bad(arm) || bad_count(arm) < RUNNER_FAULT_RESPONSES);
+    uint64_t bad = bad_count(arm);
+    bool runner_fault =
+        bad >= RUNNER_FAULT_RESPONSES && !runners_are_bad(arm) &&
+        __builtin_popcountll(arm->runners) >= BAD_RUNNERS_MIN &&
+        bad * PERCENT <= (uint64_t)arm->responses * RUNNER_FAULT_PERCENT;
+
+    return score > GOOD_SCORE_MAX && !runner_fault;
 }
 
 static bool
