Write the status of an invalid order once

An order without a valid duration got the status in_progress in the same step as the record of its rollback, and rolled_back after it.

test_rollout, "a duration of 0 is rolled back": the status is written with the record; before, it followed, and in_progress was written first (3 writes). The case now expects both in one step and nothing after them, which is as strict. test_rollout: 48 checks pass.

--- a/forward/rollout.c
+++ b/forward/rollout.c
@@ -293,7 +293,8 @@
                        "%" PRId64 " %s %" PRId64, rollout->order_revision,
                        phase_names[next], elapsed_ms(rollout, view->now_us));
     }
-    state = rollout->withdrawn && rollout->phase != ROLLOUT_COMPLETED
+    state = (rollout->withdrawn || rollout->invalid) &&
+                    rollout->phase != ROLLOUT_COMPLETED
                 ? ROLLOUT_STATUS_ROLLED_BACK
                 : state_of(rollout->phase);
     if (write_is_due(
