Bound what callers' connections hold by the host's memory

Cause: h2o buffers a body until it is complete, so clients that stop one byte short hold any amount of memory; the kernel's buffers add to it. Change: with memory_mb, a check after each iteration of the loop adds up what connections hold, closes the largest unfinished ones above a quarter of the memory, refuses announced bodies that do not fit (413), holds senders and readers to a minimum rate and bounds connections and kernel buffers.

--- a/agated/listener.c
+++ b/agated/listener.c
@@ -225,8 +225,8 @@
 {
     listener_t *listener = server->data;
 
-    accept_connection(server, status, &listener->accept,
-                      &listener->connections);
+    (void)accept_connection(server, status, &listener->accept,
+                            &listener->connections);
 }
 
 static int
--- a/agated/run_gateway.c
+++ b/agated/run_gateway.c
@@ -127,7 +127,8 @@
            strings_differ(a->peer_address, b->peer_address) ||
            a->watch_ms != b->watch_ms ||
            a->watch_pause_ms != b->watch_pause_ms ||
-           a->presence_s != b->presence_s ||
+           a->presence_s != b->presence_s || a->memory_mb != b->memory_mb ||
+           a->descriptors_max != b->descriptors_max ||
            started->platform_timeout_ms != current->platform_timeout_ms ||
            strings_differ(started->platform_addresses.items[0],
                           current->platform_addresses.items[0]);
--- a/agated/settings.c
+++ b/agated/settings.c
@@ -51,6 +51,8 @@
     ADDRESS_TTL_DEFAULT_S = 2,
     ADDRESS_TTL_MAX_S = 3600,
     MILLI_MAX = 1000000000,
+    MEMORY_MAX_MB = 1 << 20,
+    DESCRIPTORS_MAX = 1 << 20,
     SILENCE_MIN_MS = 10
 };
 
@@ -239,6 +241,18 @@
      .min = 1,
      .max = PRESENCE_MAX_S,
      .remedy = "presence_s = 6"},
+    {.key = "memory_mb",
+     .type = FIELD_U32,
+     .offset = offsetof(settings_t, gateway.memory_mb),
+     .min = 0,
+     .max = MEMORY_MAX_MB,
+     .remedy = "memory_mb = 256"},
+    {.key = "descriptors_max",
+     .type = FIELD_U32,
+     .offset = offsetof(settings_t, gateway.descriptors_max),
+     .min = 0,
+     .max = DESCRIPTORS_MAX,
+     .remedy = "descriptors_max = 4096"},
     {.key = "revoke_ms",
      .type = FIELD_U32,
      .offset = offsetof(settings_t, gateway.limits.revoke_ms),
--- a/gateway/front.c
+++ b/gateway/front.c
@@ -5,6 +5,7 @@
 #include <sys/socket.h>
 
 #include "base/log.h"
+#include "gateway/guard.h"
 #include "gateway/inbound.h"
 #include "http/accept.h"
 
@@ -57,6 +58,7 @@
     uint64_t request_count;
     inbound_t *requests; /* by request number */
     connection_list_t connections;
+    guard_t *guard; /* NULL: no budget applies */
 };
 
 static int open_listener(front_t *front, listener_kind_t kind,
@@ -84,6 +86,7 @@
     (void)uv_timer_init(gateway->loop, front->timer);
     front->timer->data = front;
     configure_h2o(front);
+    front->guard = guard_new(gateway, &front->connections, &front->config);
     if (open_listener(front, LISTENER_CALLERS, settings->listen_address, err) <
             0 ||
         open_listener(front, LISTENER_READINESS, settings->readiness_address,
@@ -110,6 +113,7 @@
         if (listener->socket == NULL) {
             continue;
         }
+        guard_limit_socket(front->guard, listener->socket);
         result =
             uv_listen((uv_stream_t *)listener->socket, BACKLOG, on_connection);
         if (result < 0) {
@@ -130,6 +134,7 @@
 {
     if (limits->body_bytes_max > 0) {
         front->config.max_request_entity_size = limits->body_bytes_max;
+        guard_set_body_max(front->guard, limits->body_bytes_max);
     }
     if (limits->idle_timeout_ms > 0) {
         front->context.http1.req_timeout.timeout =
@@ -162,6 +167,8 @@
     }
     close_listeners(front);
     uv_close((uv_handle_t *)front->timer, (uv_close_cb)free);
+    guard_free(front->guard);
+    front->guard = NULL;
     abort_connections(front);
     if (!LIST_EMPTY(&front->connections)) {
         log_event(LOG_WARNING, "connections-open", "at=stop");
@@ -316,9 +323,12 @@
 on_connection(uv_stream_t *server, int status)
 {
     listener_t *listener = server->data;
+    front_t *front = listener->front;
+    accepted_connection_t *connection = accept_connection(
+        server, status, &listener->accept, &front->connections);
 
-    accept_connection(server, status, &listener->accept,
-                      &listener->front->connections);
+    guard_add(front->guard, connection,
+              listener != &front->listeners[LISTENER_CALLERS]);
 }
 
 static int
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -302,6 +302,8 @@
 void meters_count_action(meters_t *meters, const forward_action_t *order);
 /* Counts a request that another host relayed to this one. */
 void meters_count_relay_received(meters_t *meters);
+/* Counts a connection closed or refused to stay within the limits. */
+void meters_count_closed(meters_t *meters, const char *reason);
 /* Sets the metrics of roll-outs. */
 void meters_set_rollouts(meters_t *meters, const forward_t *forward);
 /* Appends all metrics in the Prometheus text format. */
--- a/gateway/meters.c
+++ b/gateway/meters.c
@@ -24,6 +24,7 @@
     metric_family_t *view_confirmations;
     metric_family_t *rollout_responses;
     metric_family_t *rollout_phases;
+    metric_family_t *connections_closed;
     metric_family_t *routing_age;
     metric_family_t *log_lines_dropped;
 };
@@ -100,6 +101,12 @@
                               .name = "agatevale_rollout_phase",
                               .help = "1 for the phase of the last roll-out.",
                               .labels = {"service", "phase"}});
+    meters->connections_closed = metric_family_new(
+        set, &(metric_spec_t){.kind = METRIC_COUNTER,
+                              .name = "agatevale_connections_closed_total",
+                              .help = "Connections closed or refused to stay "
+                                      "within the limits.",
+                              .labels = {"reason"}});
     meters->routing_age = metric_family_new(
         set, &(metric_spec_t){.kind = METRIC_GAUGE,
                               .name = "agatevale_routing_age_seconds",
@@ -199,6 +206,14 @@
     count_relay(meters, "received");
 }
 
+void
+meters_count_closed(meters_t *meters, const char *reason)
+{
+    metric_add(
+        metric_series(meters->connections_closed, (const char *[]){reason}),
+        1);
+}
+
 static void
 set_responses(meters_t *meters, const char *service, const char *version,
               const canary_arm_t *arm)
--- a/gateway/settings.h
+++ b/gateway/settings.h
@@ -36,6 +36,8 @@
     uint32_t watch_pause_ms; /* changes within it are returned by one call */
     uint32_t settle_ms;      /* wait while a starting fleet's hosts register */
     uint32_t presence_s;     /* TTL of a host's address entry in the store */
+    uint32_t memory_mb;      /* of the host; 0: no budget applies */
+    uint32_t descriptors_max; /* of the process; 0: not limited */
     gateway_limits_t limits;
 } gateway_settings_t;
 
--- a/http/accept.c
+++ b/http/accept.c
@@ -6,11 +6,6 @@
 #include "base/log.h"
 #include "http/accept.h"
 
-struct accepted_connection {
-    uv_tcp_t socket; /* first member: on_closed casts from it */
-    LIST_ENTRY(accepted_connection) link;
-};
-
 static void on_closed(uv_handle_t *handle);
 
 uv_tcp_t *
@@ -51,7 +46,7 @@
     }
 }
 
-void
+accepted_connection_t *
 accept_connection(uv_stream_t *server, int status, h2o_accept_ctx_t *ctx,
                   connection_list_t *list)
 {
@@ -60,18 +55,20 @@
     if (status < 0) {
         log_event(LOG_WARNING, "accept-failed", "reason=%s",
                   uv_strerror(status));
-        return;
+        return NULL;
     }
     connection = xcalloc(1, sizeof(*connection));
     LIST_INSERT_HEAD(list, connection, link);
     (void)uv_tcp_init(server->loop, &connection->socket);
     if (uv_accept(server, (uv_stream_t *)&connection->socket) != 0) {
         uv_close((uv_handle_t *)&connection->socket, on_closed);
-        return;
+        return NULL;
     }
     (void)uv_tcp_nodelay(&connection->socket, 1);
-    h2o_accept(ctx, h2o_uv_socket_create((uv_stream_t *)&connection->socket,
-                                         on_closed));
+    connection->h2o =
+        h2o_uv_socket_create((uv_stream_t *)&connection->socket, on_closed);
+    h2o_accept(ctx, connection->h2o);
+    return connection;
 }
 
 bool
--- a/http/accept.h
+++ b/http/accept.h
@@ -15,8 +15,14 @@
 
 #include "base/address.h"
 #include "base/err.h"
-
-typedef struct accepted_connection accepted_connection_t;
+#include "http/intake.h"
+
+typedef struct accepted_connection {
+    uv_tcp_t socket;            /* must be first: on_closed() casts from it */
+    h2o_socket_t *h2o;          /* valid until socket is being closed */
+    intake_connection_t intake; /* see gateway/guard.h */
+    LIST_ENTRY(accepted_connection) link;
+} accepted_connection_t;
 typedef LIST_HEAD(, accepted_connection) connection_list_t;
 
 /*
@@ -30,9 +36,13 @@
 /* Closes and frees the socket, which may be NULL. */
 void accept_close_socket(uv_tcp_t *socket);
 
-/* Accepts a connection and passes it to h2o; for use in a uv_connection_cb. */
-void accept_connection(uv_stream_t *server, int status, h2o_accept_ctx_t *ctx,
-                       connection_list_t *list);
+/*
+ * Accepts a connection and passes it to h2o; for use in a uv_connection_cb.
+ * Returns NULL if that failed.
+ */
+accepted_connection_t *accept_connection(uv_stream_t *server, int status,
+                                         h2o_accept_ctx_t *ctx,
+                                         connection_list_t *list);
 
 /* Returns whether no connection has data that is not written yet. */
 bool accept_is_flushed(const connection_list_t *list);
--- a/regress/gateway_host.c
+++ b/regress/gateway_host.c
@@ -51,6 +51,13 @@
 
 void
 gateway_host_open(gateway_host_t *host)
+{
+    gateway_host_open_limited(host, 0, 0);
+}
+
+void
+gateway_host_open_limited(gateway_host_t *host, uint32_t memory_mb,
+                          uint32_t descriptors_max)
 {
     err_t err;
 
@@ -67,6 +74,8 @@
         .peer_address = host->peer_address,
         .watch_ms = WATCH_MS,
         .presence_s = PRESENCE_S,
+        .memory_mb = memory_mb,
+        .descriptors_max = descriptors_max,
         .limits = {.registry_ms = 2000,
                    .grace_ms = 3000,
                    .drain_ms = 100,
--- a/regress/gateway_host.h
+++ b/regress/gateway_host.h
@@ -36,6 +36,9 @@
  * settled.
  */
 void gateway_host_open(gateway_host_t *host);
+/* The same with a budget; see agated.toml(5). */
+void gateway_host_open_limited(gateway_host_t *host, uint32_t memory_mb,
+                               uint32_t descriptors_max);
 void gateway_host_close(gateway_host_t *host);
 
 /* Adds a runner of a service ("engine" or "plain") in a zone. */
--- a/regress/test_settings.c
+++ b/regress/test_settings.c
@@ -151,7 +151,8 @@
 {
     static const char text[] = HOST LISTEN PLATFORM
         "[gateway]\nreadiness = \"127.0.0.1:2\"\nretry_ratio = 0.8\n"
-        "retry_fixed = 150\ngrace_s = 8\nrevoke_ms = 5000\n";
+        "retry_fixed = 150\ngrace_s = 8\nrevoke_ms = 5000\n"
+        "memory_mb = 120\ndescriptors_max = 3075\n";
     arena_t arena = {0};
     settings_t settings;
     err_t err;
@@ -167,6 +168,8 @@
     ck_assert_uint_eq(settings.gateway.limits.retry_fixed_permille, 150000);
     ck_assert_uint_eq(settings.gateway.limits.grace_ms, 8000);
     ck_assert_uint_eq(settings.gateway.limits.revoke_ms, 5000);
+    ck_assert_uint_eq(settings.gateway.memory_mb, 120);
+    ck_assert_uint_eq(settings.gateway.descriptors_max, 3075);
     arena_free(&arena);
 }
 END_TEST
