--- a/gateway/guard.c
+++ b/gateway/guard.c
@@ -225,7 +225,7 @@
     {
         count++;
     }
-    candidates = arena_array(&arena, count + 1, sizeof(*candidates));
+    candidates = arena_array(&arena, count + 1, sizeof(intake_connection_t *));
     count = 0;
     LIST_FOREACH(connection, guard->connections, link)
     {
--- a/gateway/meters.c
+++ b/gateway/meters.c
@@ -31,6 +31,7 @@
 
 static metric_family_t *new_histogram(metric_set_t *set, const char *name,
                                       const char *help, const char *label);
+static void add_rollout_families(meters_t *meters);
 static const char *request_type_name(request_type_t type);
 static void count_relay(meters_t *meters, const char *direction);
 static void count_record(meters_t *meters, const forward_record_t *record);
@@ -90,17 +91,7 @@
                               .name = "agatevale_view_confirmations_total",
                               .help = "Views of the store that got too old "
                                       "and were confirmed with it."});
-    meters->rollout_responses = metric_family_new(
-        set, &(metric_spec_t){.kind = METRIC_GAUGE,
-                              .name = "agatevale_rollout_responses",
-                              .help = "Responses judged since the order of "
-                                      "the last roll-out.",
-                              .labels = {"service", "version", "result"}});
-    meters->rollout_phases = metric_family_new(
-        set, &(metric_spec_t){.kind = METRIC_GAUGE,
-                              .name = "agatevale_rollout_phase",
-                              .help = "1 for the phase of the last roll-out.",
-                              .labels = {"service", "phase"}});
+    add_rollout_families(meters);
     meters->connections_closed = metric_family_new(
         set, &(metric_spec_t){.kind = METRIC_COUNTER,
                               .name = "agatevale_connections_closed_total",
@@ -119,6 +110,24 @@
     return meters;
 }
 
+static void
+add_rollout_families(meters_t *meters)
+{
+    metric_set_t *set = meters->set;
+
+    meters->rollout_responses = metric_family_new(
+        set, &(metric_spec_t){.kind = METRIC_GAUGE,
+                              .name = "agatevale_rollout_responses",
+                              .help = "Responses judged since the order of "
+                                      "the last roll-out.",
+                              .labels = {"service", "version", "result"}});
+    meters->rollout_phases = metric_family_new(
+        set, &(metric_spec_t){.kind = METRIC_GAUGE,
+                              .name = "agatevale_rollout_phase",
+                              .help = "1 for the phase of the last roll-out.",
+                              .labels = {"service", "phase"}});
+}
+
 void
 meters_free(meters_t *meters)
 {
--- a/http/intake.c
+++ b/http/intake.c
@@ -147,7 +147,7 @@
     size_t start;
     size_t end;
 
-    qsort(connections, count, sizeof(*connections), compare_peers);
+    qsort(connections, count, sizeof(intake_connection_t *), compare_peers);
     for (start = 0; start < count; start = end) {
         intake_connection_t *worst = NULL;
         size_t peer_bytes = 0;
--- a/regress/test_rude_clients.c
+++ b/regress/test_rude_clients.c
@@ -228,8 +228,10 @@
     memset(unit, 'x', UNIT_MAX_BYTES);
     unit_bytes = PIECE_BYTES;
     if (kind->unit != NULL && strcmp(kind->unit, "chunk") == 0) {
-        memcpy(unit, "4000\r\n", 6);
-        memcpy(unit + 6 + PIECE_BYTES, "\r\n", 2);
+        (void)snprintf(unit, 7, "%x\r\n", PIECE_BYTES);
+        unit[6] = 'x';
+        unit[6 + PIECE_BYTES] = '\r';
+        unit[7 + PIECE_BYTES] = '\n';
         unit_bytes = PIECE_BYTES + 8;
     }
     else if (kind->unit != NULL) {
