--- a/gateway/meters.c
+++ b/gateway/meters.c
@@ -24,12 +24,14 @@
     metric_family_t *view_confirmations;
     metric_family_t *rollout_responses;
     metric_family_t *rollout_phases;
+    metric_family_t *connections_closed;
     metric_family_t *routing_age;
     metric_family_t *log_lines_dropped;
 };
 
 static metric_family_t *new_histogram(metric_set_t *set, const char *name,
                                       const char *help, const char *label);
+static void add_rollout_families(meters_t *meters);
 static const char *request_type_name(request_type_t type);
 static void count_relay(meters_t *meters, const char *direction);
 static void count_record(meters_t *meters, const forward_record_t *record);
@@ -89,6 +91,30 @@
                               .name = "agatevale_view_confirmations_total",
                               .help = "Views of the store that got too old "
                                       "and were confirmed with it."});
+    add_rollout_families(meters);
+    meters->connections_closed = metric_family_new(
+        set, &(metric_spec_t){.kind = METRIC_COUNTER,
+                              .name = "agatevale_connections_closed_total",
+                              .help = "Connections closed or refused to stay "
+                                      "within the limits.",
+                              .labels = {"reason"}});
+    meters->routing_age = metric_family_new(
+        set, &(metric_spec_t){.kind = METRIC_GAUGE,
+                              .name = "agatevale_routing_age_seconds",
+                              .help = "Since the routing table was last known "
+                                      "to be in force."});
+    meters->log_lines_dropped = metric_family_new(
+        set, &(metric_spec_t){.kind = METRIC_GAUGE,
+                              .name = "agatevale_log_lines_dropped",
+                              .help = "Log lines that were left out."});
+    return meters;
+}
+
+static void
+add_rollout_families(meters_t *meters)
+{
+    metric_set_t *set = meters->set;
+
     meters->rollout_responses = metric_family_new(
         set, &(metric_spec_t){.kind = METRIC_GAUGE,
                               .name = "agatevale_rollout_responses",
@@ -100,16 +126,6 @@
                               .name = "agatevale_rollout_phase",
                               .help = "1 for the phase of the last roll-out.",
                               .labels = {"service", "phase"}});
-    meters->routing_age = metric_family_new(
-        set, &(metric_spec_t){.kind = METRIC_GAUGE,
-                              .name = "agatevale_routing_age_seconds",
-                              .help = "Since the routing table was last known "
-                                      "to be in force."});
-    meters->log_lines_dropped = metric_family_new(
-        set, &(metric_spec_t){.kind = METRIC_GAUGE,
-                              .name = "agatevale_log_lines_dropped",
-                              .help = "Log lines that were left out."});
-    return meters;
 }
 
 void
@@ -199,6 +215,14 @@
     count_relay(meters, "received");
 }
 
+void
+meters_count_closed(meters_t *meters, const char *reason)
+{
+    metric_add(
+        metric_series(meters->connections_closed, (const char *[]){reason}),
+        1);
+}
+
 static void
 set_responses(meters_t *meters, const char *service, const char *version,
               const canary_arm_t *arm)
