--- a/forward/watchdog.c
+++ b/forward/watchdog.c
@@ -11,11 +11,16 @@
 
 enum {
     /* Idle time of a running stream after which its runner is probed.  Longer
-     * than the gap while the engine prefills another prompt (about 180 ms at
-     * six steps per event), and short enough to resume within 700 ms. */
+     * than the gap while the engine prefills another prompt (about 30 ms for
+     * each token of an event), and short enough to resume within 700 ms. */
     PROBE_STREAM_IDLE_MS = 220,
-    /* The same, before the first event, during prefill. */
-    PROBE_PROMPT_IDLE_MS = 500,
+    PROBE_TOKEN_IDLE_MS = 31,
+    PROBE_STREAM_IDLE_MAX_MS = 350,
+    /* The same, before the first event, during prefill: just before a request
+     * may be moved, so that the answer is known by then.  Then at intervals.
+     */
+    PROBE_PROMPT_IDLE_MS = 900,
+    PROBE_PROMPT_INTERVAL_MS = 500,
     PROBE_PLAIN_IDLE_MS = 300,
     /* A live runner answers within a round trip.  The rest allows for this
      * host being busy and reading the answer late. */
@@ -312,12 +317,25 @@
 static int64_t
 probe_idle_limit_us(const request_t *request)
 {
+    const attempt_t *attempt = &request->attempt;
+    int64_t limit_ms = (int64_t)request->event_tokens * PROBE_TOKEN_IDLE_MS;
+
     if (request->type != REQUEST_STREAM) {
         return (int64_t)PROBE_PLAIN_IDLE_MS * US_PER_MS;
     }
-    return (int64_t)(request->attempt.events > 0 ? PROBE_STREAM_IDLE_MS
-                                                 : PROBE_PROMPT_IDLE_MS) *
-           US_PER_MS;
+    if (attempt->events == 0) {
+        return (int64_t)(attempt->last_probe_us > attempt->last_activity_us
+                             ? PROBE_PROMPT_INTERVAL_MS
+                             : PROBE_PROMPT_IDLE_MS) *
+               US_PER_MS;
+    }
+    if (limit_ms < PROBE_STREAM_IDLE_MS) {
+        limit_ms = PROBE_STREAM_IDLE_MS;
+    }
+    if (limit_ms > PROBE_STREAM_IDLE_MAX_MS) {
+        limit_ms = PROBE_STREAM_IDLE_MAX_MS;
+    }
+    return limit_ms * US_PER_MS;
 }
 
 /* Returns when handle_silence() is due for a stream without a probe. */
--- a/gateway/meters.c
+++ b/gateway/meters.c
@@ -7,7 +7,7 @@
 #include "base/metric.h"
 #include "gateway/gateway.h"
 
-enum { US_PER_S = 1000000 };
+enum { US_PER_S = 1000000, ROLLOUTS_SHOWN_MAX = 16 };
 
 struct meters {
     metric_set_t *set;
@@ -22,12 +22,16 @@
     metric_family_t *records;
     metric_family_t *record_bytes;
     metric_family_t *view_confirmations;
+    metric_family_t *rollout_responses;
+    metric_family_t *rollout_phases;
+    metric_family_t *connections_closed;
     metric_family_t *routing_age;
     metric_family_t *log_lines_dropped;
 };
 
 static metric_family_t *new_histogram(metric_set_t *set, const char *name,
                                       const char *help, const char *label);
+static void add_rollout_families(meters_t *meters);
 static const char *request_type_name(request_type_t type);
 static void count_relay(meters_t *meters, const char *direction);
 static void count_record(meters_t *meters, const forward_record_t *record);
@@ -87,6 +91,13 @@
                               .name = "agatevale_view_confirmations_total",
                               .help = "Views of the store that got too old "
                                       "and were confirmed with it."});
+    add_rollout_families(meters);
+    meters->connections_closed = metric_family_new(
+        set, &(metric_spec_t){.kind = METRIC_COUNTER,
+                              .name = "agatevale_connections_closed_total",
+                              .help = "Connections closed or refused to stay "
+                                      "within the limits.",
+                              .labels = {"reason"}});
     meters->routing_age = metric_family_new(
         set, &(metric_spec_t){.kind = METRIC_GAUGE,
                               .name = "agatevale_routing_age_seconds",
@@ -99,6 +110,24 @@
     return meters;
 }
 
+static void
+add_rollout_families(meters_t *meters)
+{
+    metric_set_t *set = meters->set;
+
+    meters->rollout_responses = metric_family_new(
+        set, &(metric_spec_t){.kind = METRIC_GAUGE,
+                              .name = "agatevale_rollout_responses",
+                              .help = "Responses judged since the order of "
+                                      "the last roll-out.",
+                              .labels = {"service", "version", "result"}});
+    meters->rollout_phases = metric_family_new(
+        set, &(metric_spec_t){.kind = METRIC_GAUGE,
+                              .name = "agatevale_rollout_phase",
+                              .help = "1 for the phase of the last roll-out.",
+                              .labels = {"service", "phase"}});
+}
+
 void
 meters_free(meters_t *meters)
 {
@@ -186,6 +215,52 @@
     count_relay(meters, "received");
 }
 
+void
+meters_count_closed(meters_t *meters, const char *reason)
+{
+    metric_add(
+        metric_series(meters->connections_closed, (const char *[]){reason}),
+        1);
+}
+
+static void
+set_responses(meters_t *meters, const char *service, const char *version,
+              const canary_arm_t *arm)
+{
+    metric_set_value(
+        metric_series(meters->rollout_responses,
+                      (const char *[]){service, version, "failed"}),
+        arm->failed);
+    metric_set_value(metric_series(meters->rollout_responses,
+                                   (const char *[]){service, version, "slow"}),
+                     arm->slow);
+    metric_set_value(metric_series(meters->rollout_responses,
+                                   (const char *[]){service, version, "good"}),
+                     (double)arm->responses - arm->failed - arm->slow);
+}
+
+void
+meters_set_rollouts(meters_t *meters, const forward_t *forward)
+{
+    forward_rollout_view_t views[ROLLOUTS_SHOWN_MAX];
+    size_t count = forward_rollouts(forward, views, ROLLOUTS_SHOWN_MAX);
+    size_t i;
+    int phase;
+
+    for (i = 0; i < count; i++) {
+        set_responses(meters, views[i].service, "new", &views[i].new_version);
+        set_responses(meters, views[i].service, "old", &views[i].old_version);
+        for (phase = ROLLOUT_CANARY; phase <= ROLLOUT_ROLLED_BACK; phase++) {
+            const char *name = rollout_phase_name((rollout_phase_t)phase);
+
+            metric_set_value(
+                metric_series(meters->rollout_phases,
+                              (const char *[]){views[i].service, name}),
+                strcmp(name, views[i].phase) == 0 ? 1 : 0);
+        }
+    }
+}
+
 void
 meters_write(meters_t *meters, int64_t contact_age_us, text_t *text)
 {
