--- a/forward/rollouts.c
+++ b/forward/rollouts.c
@@ -1,9 +1,9 @@
 /*
  * rollouts.c - moves services to new versions of their software.
  *
- * Applies canary.h and rollout.h to the requests and runners of a host: which
- * version a request may be sent to, what its response says of the version,
- * what the hosts tell each other, and what is written to the store.
+ * Applies rollout.h to what the store says, decides on the next phases, and
+ * writes them.  rollout_routing.c chooses the version that a request is sent
+ * to, rollout_evidence.c counts what responses say of it.
  */
 #include <inttypes.h>
 #include <stdlib.h>
@@ -12,46 +12,12 @@
 
 #include <xxhash.h>
 
-#include "base/random.h"
 #include "forward/private.h"
 
-enum {
-    PERMILLE = 1000,
-    /* Part of the new version's runners that get its requests while it is
-     * judged: their load is at least that of all of them later, so that a
-     * version that is bad under load is found. */
-    CANARY_RUNNERS_PART = 24,
-    CANARY_RUNNERS_MIN = 3,
-    CANARY_RUNNERS_MAX = 32,
-    /* Part of the limit on acting on a bad version in which its own streams
-     * are still taken up at other runners of it. */
-    RESUME_PERMILLE = 800,
-    LOG_BYTES = 256,
-};
-
 static const char records_prefix[] = "agatevale/rollouts/";
 
 static service_rollout_t *find_or_add(forward_t *forward, const char *service);
-static service_rollout_t *find_of_request(const forward_t *forward,
-                                          const request_t *request);
-static bool is_only_version(const forward_t *forward,
-                            const service_rollout_t *entry);
-static bool is_past_resume(const forward_t *forward,
-                           const service_rollout_t *entry);
-static bool new_version_is_usable(const forward_t *forward,
-                                  const service_rollout_t *entry,
-                                  const pool_query_t *query);
-static void select_canary_runners(const forward_t *forward,
-                                  const service_rollout_t *entry,
-                                  pool_query_t *query);
-static canary_arm_t *arm_of(service_rollout_t *entry, uint64_t route,
-                            uint64_t version);
-static void count_response(forward_t *forward, request_t *request,
-                           canary_response_t response);
 static void check_entry(forward_t *forward, service_rollout_t *entry);
-static void sum_evidence(const forward_t *forward, service_rollout_t *entry,
-                         rollout_view_t *view);
-static void count_slow_requests(forward_t *forward, service_rollout_t *entry);
 static void count_runners(const forward_t *forward,
                           const service_rollout_t *entry,
                           rollout_view_t *view);
@@ -95,8 +61,6 @@
     return entry;
 }
 
-/* --- what the store says --- */
-
 void
 rollouts_list_begin(forward_t *forward)
 {
@@ -220,356 +184,6 @@
     }
 }
 
-/* --- where requests are sent --- */
-
-static service_rollout_t *
-find_of_request(const forward_t *forward, const request_t *request)
-{
-    service_rollout_t *entry;
-
-    if (forward->rollouts == NULL || request->service == NULL) {
-        return NULL;
-    }
-    HASH_FIND_STR(forward->rollouts, request->service, entry);
-    return entry != NULL && rollout_is_known(&entry->state) &&
-                   entry->state.version[0] != '\0'
-               ? entry
-               : NULL;
-}
-
-void
-rollouts_assign(forward_t *forward, request_t *request)
-{
-    service_rollout_t *entry = find_of_request(forward, request);
-    rollout_limits_t limits = forward->settings.limits.rollouts;
-    uint64_t draw;
-
-    if (entry == NULL || entry->state.phase != ROLLOUT_CANARY) {
-        return;
-    }
-    if (request->deliveries > 0 || request->tried_count > 0) {
-        request->canary = false;
-        return;
-    }
-    /* The slack is that of all hosts: those that do not hear of each other
-     * each use a part of it. */
-    if (entry->hosts_heard < forward->hosts) {
-        limits.slack = limits.slack * entry->hosts_heard / forward->hosts;
-    }
-    draw = random_next_from(&forward->random_state) % PERMILLE;
-    request->canary =
-        draw < rollout_share(&entry->state, forward->now_us, &limits,
-                             &entry->sum, request->route);
-}
-
-bool
-rollouts_restrict(const forward_t *forward, const request_t *request,
-                  pool_query_t *query)
-{
-    const service_rollout_t *entry = find_of_request(forward, request);
-
-    if (entry == NULL) {
-        return false;
-    }
-    if (request->version != 0) {
-        if (request->version == entry->version &&
-            is_past_resume(forward, entry)) {
-            query->excluded_version = entry->version;
-        }
-        return false;
-    }
-    if (rollout_excludes_new(&entry->state) || request->failed_at_new) {
-        if (is_only_version(forward, entry)) {
-            return false;
-        }
-        query->excluded_version = entry->version;
-        return request->failed_at_new && !rollout_excludes_new(&entry->state);
-    }
-    if (entry->state.phase == ROLLOUT_CANARY && !request->canary) {
-        query->excluded_version = entry->version;
-        return entry->old_runners == 0;
-    }
-    if (!new_version_is_usable(forward, entry, query)) {
-        query->excluded_version =
-            entry->state.phase == ROLLOUT_CANARY ? entry->version : 0;
-        return false;
-    }
-    query->version = entry->version;
-    if (entry->state.phase == ROLLOUT_CANARY) {
-        select_canary_runners(forward, entry, query);
-    }
-    return true;
-}
-
-/* The request may go where it would without the preference that
- * rollouts_restrict() has set. */
-void
-rollouts_relax(const forward_t *forward, const request_t *request,
-               pool_query_t *query)
-{
-    const service_rollout_t *entry = find_of_request(forward, request);
-
-    query->version = request->version;
-    query->id_order_max = 0;
-    query->pack = false;
-    query->excluded_version = entry != NULL &&
-                                      entry->state.phase == ROLLOUT_CANARY &&
-                                      entry->old_runners > 0
-                                  ? entry->version
-                                  : 0;
-}
-
-/* An order can name the version that serves: without it, nothing would. */
-static bool
-is_only_version(const forward_t *forward, const service_rollout_t *entry)
-{
-    const pool_runner_t *runner;
-
-    for (runner = pool_first_runner(forward->pool); runner != NULL;
-         runner = runner->hh.next) {
-        if (runner->version != entry->version &&
-            strcmp(runner->registration.service, entry->service) == 0) {
-            return false;
-        }
-    }
-    return true;
-}
-
-static bool
-is_past_resume(const forward_t *forward, const service_rollout_t *entry)
-{
-    int64_t limit_us = (int64_t)forward->settings.limits.rollouts.rollback_ms *
-                       US_PER_MS * RESUME_PERMILLE / PERMILLE;
-
-    return rollout_excludes_new(&entry->state) && entry->acted_us > 0 &&
-           forward->now_us - entry->acted_us >= limit_us;
-}
-
-/* Streams begin only at versions that the store has; see version_record.c. */
-static bool
-new_version_is_usable(const forward_t *forward, const service_rollout_t *entry,
-                      const pool_query_t *query)
-{
-    uint32_t i;
-
-    if (entry->new_runners == 0) {
-        return false;
-    }
-    for (i = 0; i < query->version_count; i++) {
-        if (query->versions[i] == entry->version) {
-            return true;
-        }
-    }
-    return query->version_count == 0;
-}
-
-/* The same ones at all hosts: those whose ids come first by a hash. */
-static void
-select_canary_runners(const forward_t *forward, const service_rollout_t *entry,
-                      pool_query_t *query)
-{
-    uint64_t orders[CANARY_RUNNERS_MAX];
-    uint32_t wanted = entry->new_runners / CANARY_RUNNERS_PART;
-    uint32_t count = 0;
-    const pool_runner_t *runner;
-
-    if (wanted < CANARY_RUNNERS_MIN) {
-        wanted = CANARY_RUNNERS_MIN;
-    }
-    if (wanted > CANARY_RUNNERS_MAX) {
-        wanted = CANARY_RUNNERS_MAX;
-    }
-    for (runner = pool_first_runner(forward->pool); runner != NULL;
-         runner = runner->hh.next) {
-        uint64_t order = pool_runner_order(runner);
-        uint32_t at = count;
-
-        if (runner->version != entry->version ||
-            !pool_runner_usable(runner, forward->now_us) ||
-            strcmp(runner->registration.service, entry->service) != 0 ||
-            (count == wanted && order >= orders[count - 1])) {
-            continue;
-        }
-        count += count < wanted ? 1 : 0;
-        at = at < count ? at : count - 1;
-        for (; at > 0 && orders[at - 1] > order; at--) {
-            orders[at] = orders[at - 1];
-        }
-        orders[at] = order;
-    }
-    query->pack = true;
-    query->id_order_max = count > 0 ? orders[count - 1] : 0;
-}
-
-bool
-rollouts_may_retry(const forward_t *forward, const request_t *request)
-{
-    const service_rollout_t *entry = find_of_request(forward, request);
-
-    return entry != NULL && request->type == REQUEST_STREAM &&
-           request->resumable && !request->response_started &&
-           request->last_event_id < 0 &&
-           request->runs < request->attempts_max &&
-           !request->attempt.relayed &&
-           request->attempt.version == entry->version &&
-           entry->state.phase != ROLLOUT_COMPLETED;
-}
-
-/* --- what responses say --- */
-
-static canary_arm_t *
-arm_of(service_rollout_t *entry, uint64_t route, uint64_t version)
-{
-    canary_route_t *counts = canary_route(&entry->own, route);
-
-    return version == entry->version ? &counts->new_version
-                                     : &counts->old_version;
-}
-
-void
-rollouts_count_send(forward_t *forward, const request_t *request)
-{
-    service_rollout_t *entry = find_of_request(forward, request);
-
-    if (entry != NULL && rollout_is_open(&entry->state) &&
-        request->deliveries == 1) {
-        arm_of(entry, request->route, request->attempt.version)->sent++;
-    }
-}
-
-/* A stream that is resumed says little: most of its prompt is not read. */
-static void
-count_response(forward_t *forward, request_t *request,
-               canary_response_t response)
-{
-    service_rollout_t *entry = find_of_request(forward, request);
-    attempt_t *attempt = &request->attempt;
-    int64_t latency_us = forward->now_us - attempt->started_us;
-    canary_arm_t *arm;
-
-    if (entry == NULL || attempt->judged || attempt->relayed ||
-        attempt->runner == NULL || request->last_event_id >= 0 ||
-        !rollout_is_open(&entry->state)) {
-        return;
-    }
-    attempt->judged = true;
-    if (response == CANARY_RESPONSE_GOOD &&
-        latency_us >= canary_slow_limit_us(&entry->sum, request->route)) {
-        response = CANARY_RESPONSE_SLOW;
-    }
-    arm = arm_of(entry, request->route, attempt->version);
-    canary_count(arm, attempt->runner->id_hash, latency_us, response);
-    if (attempt->version == entry->version) {
-        request->failed_at_new |= response == CANARY_RESPONSE_FAILED;
-        forward->publish_due = true;
-        forward->rollouts_changed |= response != CANARY_RESPONSE_GOOD;
-    }
-}
-
-void
-rollouts_count_event(forward_t *forward, request_t *request)
-{
-    count_response(forward, request, CANARY_RESPONSE_GOOD);
-}
-
-void
-rollouts_count_response(forward_t *forward, request_t *request, bool failed)
-{
-    count_response(forward, request,
-                   failed ? CANARY_RESPONSE_FAILED : CANARY_RESPONSE_GOOD);
-}
-
-/* --- what hosts tell each other --- */
-
-void
-rollouts_receive(forward_t *forward, peer_state_t *view,
-                 const placements_t *placements)
-{
-    u_int count = placements->rollouts.rollouts_len;
-    service_rollout_t *entry;
-    u_int i;
-
-    view->rollout_count = count;
-    if (count == 0) {
-        free(view->rollouts);
-        view->rollouts = NULL;
-        return;
-    }
-    view->rollouts = xrealloc(view->rollouts, count, sizeof(*view->rollouts));
-    for (i = 0; i < count; i++) {
-        const rollout_report_t *report = &placements->rollouts.rollouts_val[i];
-        peer_rollout_t *told = &view->rollouts[i];
-        u_int j;
-
-        *told = (peer_rollout_t){.service = report->service,
-                                 .order_revision = report->order_revision,
-                                 .bad = report->bad,
-                                 .evidence.count = report->routes.routes_len};
-        for (j = 0; j < report->routes.routes_len; j++) {
-            const rollout_route_t *route = &report->routes.routes_val[j];
-
-            told->evidence.routes[j].route = route->route;
-            memcpy(&told->evidence.routes[j].old_version, &route->old_version,
-                   sizeof(route->old_version));
-            memcpy(&told->evidence.routes[j].new_version, &route->new_version,
-                   sizeof(route->new_version));
-        }
-        for (entry = forward->rollouts; entry != NULL;
-             entry = entry->hh.next) {
-            if (entry->service_hash == report->service) {
-                rollout_set_elapsed(&entry->state, forward->now_us,
-                                    report->order_revision,
-                                    report->elapsed_ms);
-                forward->rollouts_changed |= report->bad && !entry->state.bad;
-            }
-        }
-    }
-}
-
-void
-rollouts_write(const forward_t *forward, arena_t *arena,
-               placements_t *placements)
-{
-    const service_rollout_t *entry;
-    u_int count = 0;
-
-    placements->rollouts.rollouts_val = arena_array(
-        arena, LINK_ROLLOUTS_MAX, sizeof(*placements->rollouts.rollouts_val));
-    for (entry = forward->rollouts; entry != NULL && count < LINK_ROLLOUTS_MAX;
-         entry = entry->hh.next) {
-        rollout_report_t *report = &placements->rollouts.rollouts_val[count];
-        uint32_t i;
-
-        if (!rollout_is_open(&entry->state)) {
-            continue;
-        }
-        *report = (rollout_report_t){
-            .service = entry->service_hash,
-            .order_revision = entry->state.order_revision,
-            .elapsed_ms =
-                (uint32_t)((forward->now_us - entry->state.started_us) /
-                           US_PER_MS),
-            .bad = entry->state.bad,
-        };
-        report->routes.routes_len = entry->own.count;
-        report->routes.routes_val = arena_array(
-            arena, entry->own.count, sizeof(*report->routes.routes_val));
-        for (i = 0; i < entry->own.count; i++) {
-            rollout_route_t *route = &report->routes.routes_val[i];
-
-            route->route = entry->own.routes[i].route;
-            memcpy(&route->old_version, &entry->own.routes[i].old_version,
-                   sizeof(route->old_version));
-            memcpy(&route->new_version, &entry->own.routes[i].new_version,
-                   sizeof(route->new_version));
-        }
-        count++;
-    }
-    placements->rollouts.rollouts_len = count;
-}
-
-/* --- decisions --- */
-
 void
 rollouts_check(forward_t *forward)
 {
@@ -603,8 +217,8 @@
     entry->new_runners = view.new_runners;
     entry->old_runners = view.old_runners;
     if (rollout_is_open(&entry->state)) {
-        count_slow_requests(forward, entry);
-        sum_evidence(forward, entry, &view);
+        rollouts_count_slow(forward, entry);
+        rollouts_sum_evidence(forward, entry, &view);
         view.verdict = canary_judge(&entry->test, &entry->sum);
         view.old_streams = count_old_streams(forward, entry);
     }
@@ -614,52 +228,6 @@
     write_due(forward, entry, &writes);
 }
 
-static void
-sum_evidence(const forward_t *forward, service_rollout_t *entry,
-             rollout_view_t *view)
-{
-    const peer_state_t *peer;
-    uint32_t hosts = 1;
-    uint32_t i;
-
-    entry->sum = entry->own;
-    for (peer = forward->peers; peer != NULL; peer = peer->hh.next) {
-        for (i = 0; i < peer->rollout_count; i++) {
-            const peer_rollout_t *told = &peer->rollouts[i];
-
-            if (told->service == entry->service_hash &&
-                told->order_revision == entry->state.order_revision) {
-                canary_add(&entry->sum, &told->evidence);
-                view->bad_told |= told->bad;
-                hosts += sharing_is_silent(forward, peer) ? 0 : 1;
-            }
-        }
-    }
-    entry->hosts_heard = hosts;
-    view->hosts_heard = 2 * hosts >= forward->hosts;
-}
-
-/* Requests that still wait for their response after the time in which others
- * get one. */
-static void
-count_slow_requests(forward_t *forward, service_rollout_t *entry)
-{
-    request_t *request;
-
-    for (request = forward->requests; request != NULL;
-         request = request->hh.next) {
-        attempt_t *attempt = &request->attempt;
-
-        if (attempt->runner != NULL && !attempt->judged &&
-            attempt->events == 0 && request->service != NULL &&
-            strcmp(request->service, entry->service) == 0 &&
-            forward->now_us - attempt->started_us >=
-                canary_slow_limit_us(&entry->sum, request->route)) {
-            count_response(forward, request, CANARY_RESPONSE_SLOW);
-        }
-    }
-}
-
 static void
 count_runners(const forward_t *forward, const service_rollout_t *entry,
               rollout_view_t *view)
