--- a/forward/forward.c
+++ b/forward/forward.c
@@ -21,6 +21,8 @@
 /* If a timer is this late, the process itself was paused. */
 #define PAUSE_MIN_US ((int64_t)400000)
 
+static bool handle_store_event(forward_t *forward,
+                               const forward_event_t *event);
 static void handle_request_event(forward_t *forward,
                                  const forward_event_t *event);
 static void replace_routing(forward_t *forward, routing_t *routing);
@@ -108,15 +110,6 @@
     case FORWARD_REGISTRY_END:
         handle_registry_event(forward, event);
         break;
-    case FORWARD_STORE_CONTACT:
-        view_record_contact(forward, &event->u.contact);
-        break;
-    case FORWARD_STORE_LOST:
-        view_record_store_lost(forward);
-        break;
-    case FORWARD_STORE_REGAINED:
-        registry_start_grace(forward);
-        break;
     case FORWARD_HOST_COUNT:
         forward->hosts = event->u.hosts > 0 ? event->u.hosts : 1;
         break;
@@ -129,26 +122,13 @@
     case FORWARD_LIMITS:
         forward->settings.limits = event->u.limits;
         break;
-    case FORWARD_RECORD:
-        version_record_apply(forward, &event->u.record);
-        break;
-    case FORWARD_PUT_RESULT:
-        version_record_written(forward, &event->u.put);
-        break;
-    case FORWARD_ROLLOUT_ORDER:
-        rollouts_apply_order(forward, &event->u.order);
-        break;
-    case FORWARD_ROLLOUT_STATUS:
-        rollouts_apply_status(forward, &event->u.status);
-        break;
-    case FORWARD_ROLLOUT_WRITTEN:
-        rollouts_status_written(forward, &event->u.rollout_written);
-        break;
     case FORWARD_DRAIN:
         forward->draining_since_us = now_us;
         break;
     default:
-        handle_request_event(forward, event);
+        if (!handle_store_event(forward, event)) {
+            handle_request_event(forward, event);
+        }
         break;
     }
     if (forward->records_changed || now_us >= forward->records_due_us) {
@@ -390,6 +370,41 @@
     }
 }
 
+/* Returns whether the event is about the contact with the store, or about its
+ * records and roll-outs. */
+static bool
+handle_store_event(forward_t *forward, const forward_event_t *event)
+{
+    switch (event->kind) {
+    case FORWARD_STORE_CONTACT:
+        view_record_contact(forward, &event->u.contact);
+        return true;
+    case FORWARD_STORE_LOST:
+        view_record_store_lost(forward);
+        return true;
+    case FORWARD_STORE_REGAINED:
+        registry_start_grace(forward);
+        return true;
+    case FORWARD_RECORD:
+        version_record_apply(forward, &event->u.record);
+        return true;
+    case FORWARD_PUT_RESULT:
+        version_record_written(forward, &event->u.put);
+        return true;
+    case FORWARD_ROLLOUT_ORDER:
+        rollouts_apply_order(forward, &event->u.order);
+        return true;
+    case FORWARD_ROLLOUT_STATUS:
+        rollouts_apply_status(forward, &event->u.status);
+        return true;
+    case FORWARD_ROLLOUT_WRITTEN:
+        rollouts_status_written(forward, &event->u.rollout_written);
+        return true;
+    default:
+        return false;
+    }
+}
+
 static void
 handle_request_event(forward_t *forward, const forward_event_t *event)
 {
