--- a/review/2/case.py
+++ b/review/2/case.py
@@ -146,7 +146,7 @@
     sound = {run[1] for runner in runners + engines[1:]
              for run in runner.runs}
     lost = [a for _, _, a in results
-            if a.kept and a.status == 0 and a.attempt in sound]
+            if a.kept and a.closed and a.status == 0 and a.attempt in sound]
     served = [a for _, _, a in results if a.status == 200 and a.complete]
     record.write(f"requests: {len(results)}, served: {len(served)}, processes "
                  f"killed: {len(kills)} {sorted(kills)}", show=True)
--- a/review/standins.py
+++ b/review/standins.py
@@ -582,6 +582,7 @@
         self.headers = {}
         self.body = b""
         self.complete = False
+        self.closed = False  # the gateway ended the connection before that
         self.kept = False  # it was sent on a kept connection
 
 
@@ -622,6 +623,7 @@
         except (OSError, Gone, ConnectionError, asyncio.TimeoutError,
                 ValueError) as error:
             self.close()
+            answer.closed = not isinstance(error, asyncio.TimeoutError)
             if not quiet:
                 self.record.write(f"client: {attempt} ends without a complete "
                                   f"answer: {type(error).__name__}")
