--- a/review/standins.py
+++ b/review/standins.py
@@ -377,6 +377,7 @@
         self.id, self.service, self.zone = name, service, zone
         self.slots, self.work_s = slots, work_s
         self.sequence = 0
+        self.born = int(time.time() * 1000)
         self.active = {}
         self.runs = []  # (time, attempt id, tenant, path)
         self.beating = None
@@ -391,7 +392,9 @@
         self.store.put_text("servers/" + self.id, json.dumps({
             "Service": self.service, "Address": self.address(),
             "Zone": self.zone, "Version": "v1", "BatchSize": self.slots,
-            "State": "ready", "WarmupLeftMs": 0, "Sequence": self.sequence}))
+            "State": "ready", "WarmupLeftMs": 0, "Stage": "both",
+            "Models": [{"Name": "m", "Version": 1, "Adapters": []}],
+            "Sequence": self.sequence, "born": self.born}))
 
     async def beat(self):
         while True:
@@ -404,7 +407,7 @@
                                              "Adapters": []}],
                 "Busy": False, "Sequence": 0, "Queued": 0,
                 "Active": len(self.active), "KvUsed": 0, "KvTotal": 88000,
-                "Handles": 0, "Runs": [[i, 8000, 0, 5] for i in self.active]}
+                "Handles": 0, "born": self.born, "Runs": [[i, 8000, 0, 5] for i in self.active]}
 
     async def handle(self, method, target, headers, body, writer):
         if target == "/v1/report":
