--- a/review/standins.py
+++ b/review/standins.py
@@ -9,6 +9,7 @@
 import base64
 import json
 import os
+import random
 import re
 import shutil
 import signal
@@ -478,12 +479,18 @@
 
 
 def free_ports(count):
-    sockets = [socket.socket() for _ in range(count)]
-    for each in sockets:
-        each.bind((ADDRESS, 0))
-    ports = [each.getsockname()[1] for each in sockets]
-    for each in sockets:
-        each.close()
+    """Below the range from which the system draws ports for connections, so
+    that none takes one of them before the gateway listens on it."""
+    ports = []
+    while len(ports) < count:
+        port = random.randrange(12000, 32000)
+        with socket.socket() as each:
+            try:
+                each.bind((ADDRESS, port))
+            except OSError:
+                continue
+        if port not in ports:
+            ports.append(port)
     return ports
 
 
