Bound all that a call receives from a runner

Seen: one runner that ends a chunked body and then sends lines without end takes a host over its memory in some 3 s.

Cause: no bound held for the bytes of a response as they arrive.

Fix: http_request_t.response_max_bytes counts all bytes of a response before they are decoded; lines that are no body are bounded in number and size as well. A call over a bound ends with HTTP_TOO_LARGE, also when no callback of the library sees the bytes. A stream gets as many again with each event that has a higher id. The responses that a host buffers are bounded together by an eighth of its memory: the largest is cut. Probes, calls about copies, the store and the backends of the project's own interface have bounds, too. What is cut counts as an invalid response: the runner as failing, the request is tried elsewhere where it may be, and ends with 502 otherwise.

--- a/backend/engine.c
+++ b/backend/engine.c
@@ -165,6 +165,7 @@
     http_request_t call = {
         .method = "POST",
         .connect_timeout_ms = ENGINE_CONNECT_TIMEOUT_MS,
+        .response_max_bytes = SSE_EVENT_BYTES_MAX,
         .timeout_ms = ENGINE_CANCEL_TIMEOUT_MS,
     };
     engine_stream_t *stream;
@@ -269,6 +270,7 @@
     request->url = url;
     request->connect_timeout_ms = ENGINE_CONNECT_TIMEOUT_MS;
     request->fresh_connection = true;
+    request->response_max_bytes = SSE_EVENT_BYTES_MAX;
     stream->call = http_start(stream->engine->client, request, &stream->sink);
     free(url);
 }
@@ -399,6 +401,7 @@
     chunk.stream = stream->number;
     chunk.position = stream->position;
     stream->position += chunk.token_count;
+    http_renew_limit(stream->call);
     engine->listener->ops->stream_chunk(engine->listener, &chunk);
     return !stream->closed;
 }
--- a/backend/service.c
+++ b/backend/service.c
@@ -90,6 +90,7 @@
         .body = request->body_bytes > 0 ? request->body : NULL,
         .body_bytes = request->body_bytes,
         .connect_timeout_ms = SERVICE_CONNECT_TIMEOUT_MS,
+        .response_max_bytes = SERVICE_REPLY_BYTES_MAX,
         .fresh_connection = true,
     };
 
--- a/gateway/dialect.h
+++ b/gateway/dialect.h
@@ -45,6 +45,9 @@
 /* Remove all headers of that name (any case), or the first one. */
 void headers_remove(headers_t *headers, const char *name);
 void headers_remove_first(headers_t *headers, const char *name);
+/* Returns "Name: value" lines for the HTTP client, NULL-terminated. */
+const char **headers_format_lines(arena_t *arena, const headers_t *headers,
+                                  const char *host);
 
 /* Returns true for hop-by-hop headers and those that frame the message. */
 bool header_is_hop_by_hop(const char *name, size_t length);
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -306,6 +306,7 @@
 void meters_count_relay_received(meters_t *meters);
 /* Counts a connection closed or refused to stay within the limits. */
 void meters_count_closed(meters_t *meters, const char *reason);
+void meters_count_response_too_large(meters_t *meters, const char *limit);
 /* Sets the metrics of roll-outs. */
 void meters_set_rollouts(meters_t *meters, const forward_t *forward);
 /* Appends all metrics in the Prometheus text format. */
--- a/gateway/headers.c
+++ b/gateway/headers.c
@@ -78,3 +78,27 @@
     }
     return false;
 }
+
+const char **
+headers_format_lines(arena_t *arena, const headers_t *headers,
+                     const char *host)
+{
+    const char **lines =
+        arena_array(arena, headers->count + 2, sizeof(*lines));
+    size_t i;
+
+    lines[0] = arena_printf(arena, "Host: %s", host);
+    for (i = 0; i < headers->count; i++) {
+        const header_t *header = &headers->items[i];
+
+        /* libcurl sends a header with an empty value if it ends in ";". */
+        lines[i + 1] =
+            header->value_bytes > 0
+                ? arena_printf(arena, "%.*s: %.*s", (int)header->name_bytes,
+                               header->name, (int)header->value_bytes,
+                               header->value)
+                : arena_printf(arena, "%.*s;", (int)header->name_bytes,
+                               header->name);
+    }
+    return lines;
+}
--- a/gateway/meters.c
+++ b/gateway/meters.c
@@ -25,12 +25,14 @@
     metric_family_t *rollout_responses;
     metric_family_t *rollout_phases;
     metric_family_t *connections_closed;
+    metric_family_t *responses_too_large;
     metric_family_t *routing_age;
     metric_family_t *log_lines_dropped;
 };
 
 static metric_family_t *new_histogram(metric_set_t *set, const char *name,
                                       const char *help, const char *label);
+static void add_limit_families(meters_t *meters);
 static void add_rollout_families(meters_t *meters);
 static const char *request_type_name(request_type_t type);
 static void count_relay(meters_t *meters, const char *direction);
@@ -92,12 +94,7 @@
                               .help = "Views of the store that got too old "
                                       "and were confirmed with it."});
     add_rollout_families(meters);
-    meters->connections_closed = metric_family_new(
-        set, &(metric_spec_t){.kind = METRIC_COUNTER,
-                              .name = "agatevale_connections_closed_total",
-                              .help = "Connections closed or refused to stay "
-                                      "within the limits.",
-                              .labels = {"reason"}});
+    add_limit_families(meters);
     meters->routing_age = metric_family_new(
         set, &(metric_spec_t){.kind = METRIC_GAUGE,
                               .name = "agatevale_routing_age_seconds",
@@ -110,6 +107,25 @@
     return meters;
 }
 
+static void
+add_limit_families(meters_t *meters)
+{
+    meters->connections_closed = metric_family_new(
+        meters->set,
+        &(metric_spec_t){.kind = METRIC_COUNTER,
+                         .name = "agatevale_connections_closed_total",
+                         .help = "Connections closed or refused to stay "
+                                 "within the limits.",
+                         .labels = {"reason"}});
+    meters->responses_too_large = metric_family_new(
+        meters->set,
+        &(metric_spec_t){.kind = METRIC_COUNTER,
+                         .name = "agatevale_responses_too_large_total",
+                         .help = "Responses of runners that were cut off "
+                                 "at a limit.",
+                         .labels = {"limit"}});
+}
+
 static void
 add_rollout_families(meters_t *meters)
 {
@@ -223,6 +239,14 @@
         1);
 }
 
+void
+meters_count_response_too_large(meters_t *meters, const char *limit)
+{
+    metric_add(
+        metric_series(meters->responses_too_large, (const char *[]){limit}),
+        1);
+}
+
 static void
 set_responses(meters_t *meters, const char *service, const char *version,
               const canary_arm_t *arm)
--- a/gateway/runner_calls.c
+++ b/gateway/runner_calls.c
@@ -2,9 +2,10 @@
  */
 #include <stdlib.h>
 
+#include "base/log.h"
 #include "gateway/gateway.h"
 
-enum { RESPONSE_BODY_MAX_BYTES = 16384, STATUS_OK = 200 };
+enum { RESPONSE_MAX_BYTES = 128 << 10, STATUS_OK = 200 };
 
 /* A request to probe a runner, or to create or free a copy of a KV cache. */
 typedef struct runner_call {
@@ -142,14 +143,16 @@
 static runner_call_t *
 start_runner_call(runner_calls_t *runner_calls, const http_request_t *http)
 {
+    http_request_t limited = *http;
     runner_call_t *runner_call = xcalloc(1, sizeof(*runner_call));
 
     runner_call->sink.ops = &sink_ops;
     runner_call->runner_calls = runner_calls;
     runner_call->next = runner_calls->first;
     runner_calls->first = runner_call;
-    runner_call->call =
-        http_start(runner_calls->gateway->client, http, &runner_call->sink);
+    limited.response_max_bytes = RESPONSE_MAX_BYTES;
+    runner_call->call = http_start(runner_calls->gateway->client, &limited,
+                                   &runner_call->sink);
     return runner_call;
 }
 
@@ -181,9 +184,7 @@
 {
     runner_call_t *runner_call = (runner_call_t *)sink;
 
-    if (runner_call->body.length + length <= RESPONSE_BODY_MAX_BYTES) {
-        text_append(&runner_call->body, bytes, length);
-    }
+    text_append(&runner_call->body, bytes, length);
 }
 
 /* A response with any status shows that a probed runner is alive. */
@@ -211,6 +212,14 @@
     response_properties_t terms;
     runner_report_t report;
 
+    if (result == HTTP_TOO_LARGE) {
+        log_event(LOG_WARNING, "runner-response-too-large",
+                  "runner=%s request=%llu status=%u bytes=%llu",
+                  runner_call->runner != NULL ? runner_call->runner : "",
+                  (unsigned long long)runner_call->number, runner_call->status,
+                  (unsigned long long)http_received_bytes(runner_call->call));
+        meters_count_response_too_large(gateway->meters, "call");
+    }
     dialect->parse_response_headers(&arena, &runner_call->headers, &terms);
     if (runner_call->runner != NULL) {
         event.u.probed = (forward_probe_result_t){
--- a/gateway/upstream.c
+++ b/gateway/upstream.c
@@ -11,10 +11,13 @@
 
 #include "base/log.h"
 #include "gateway/gateway.h"
+#include "http/intake.h"
 
 enum {
-    /* A response that is not streamed is buffered until it is complete. */
-    RESPONSE_BODY_MAX_BYTES = 16 << 20,
+    /* Of a response, whatever the bytes are; of a stream, between two events
+     * that let it go on.  A response that is not streamed is buffered until it
+     * is complete. */
+    RESPONSE_MAX_BYTES = 16 << 20,
     STATUS_FINAL_MIN = 200,
     STATUS_ERROR_MIN = 400,
 };
@@ -37,22 +40,32 @@
     uint32_t status;
     text_t body;
     event_stream_t events;
-    bool relaying;    /* events are sent to the caller as they arrive */
-    bool malformed;   /* it has sent something that is no event */
-    bool in_callback; /* a callback up the stack uses it */
-    bool released;    /* to be freed when the callback returns */
+    size_t held_bytes;     /* by body and events */
+    int64_t last_event_id; /* of events of this response; -1: none */
+    bool relaying;         /* events are sent to the caller as they arrive */
+    bool malformed;        /* it has sent something that is no event */
+    bool failed;           /* it was ended before its end */
+    bool in_callback;      /* a callback up the stack uses it */
+    bool released;         /* to be freed when the callback returns */
     UT_hash_handle hh;
 };
 
 struct upstreams {
     gateway_t *gateway;
     exchange_t *exchanges; /* the latest of each request, by its number */
+    size_t held_bytes;     /* by all of them */
+    size_t held_max_bytes;
 };
 
 static bool write_headers(exchange_t *exchange,
                           const caller_request_t *request,
                           const send_action_t *action, headers_t *headers);
 static void raise_send_end(const exchange_t *exchange, send_result_t result);
+static void update_held(exchange_t *exchange);
+static void limit_held(upstreams_t *upstreams);
+static void fail_exchange(exchange_t *exchange);
+static void log_too_large(const exchange_t *exchange, uint64_t bytes,
+                          const char *limit);
 static void log_refusal(const exchange_t *exchange,
                         const forward_response_head_t *head);
 static void on_header_field(http_sink_t *sink, uint32_t status,
@@ -65,9 +78,6 @@
                              size_t length);
 static void on_response_end(http_sink_t *sink, http_result_t result);
 static void on_stream_event(void *context, const stream_event_t *event);
-static const char **format_header_lines(exchange_t *exchange,
-                                        const headers_t *headers,
-                                        const char *host);
 static exchange_t *find_exchange(upstreams_t *upstreams, uint64_t number);
 static void release_exchange(exchange_t *exchange);
 
@@ -82,6 +92,8 @@
     upstreams_t *upstreams = xcalloc(1, sizeof(*upstreams));
 
     upstreams->gateway = gateway;
+    upstreams->held_max_bytes =
+        intake_responses_max_bytes(gateway->settings->memory_mb);
     return upstreams;
 }
 
@@ -124,6 +136,7 @@
     exchange->upstreams = upstreams;
     exchange->number = number;
     exchange->attempt = action->attempt;
+    exchange->last_event_id = -1;
     exchange->id = arena_strdup(&exchange->arena, request->id);
     if (action->host != NULL) {
         exchange->to_host = arena_strdup(&exchange->arena, action->host);
@@ -137,10 +150,12 @@
     http.method = request->method;
     http.url = arena_printf(&exchange->arena, "http://%s/", action->address);
     http.target = request->path;
-    http.headers = format_header_lines(exchange, &headers, request->host);
+    http.headers =
+        headers_format_lines(&exchange->arena, &headers, request->host);
     http.body = request->body_bytes > 0 ? request->body : NULL;
     http.body_bytes = request->body_bytes;
     http.connect_timeout_ms = action->connect_ms;
+    http.response_max_bytes = RESPONSE_MAX_BYTES;
     http.fresh_connection = true;
     http.no_default_headers = true;
     exchange->call = http_start(gateway->client, &http, &exchange->sink);
@@ -292,17 +307,21 @@
 {
     exchange_t *exchange = (exchange_t *)sink;
 
-    if (!exchange->relaying) {
-        if (exchange->body.length + length <= RESPONSE_BODY_MAX_BYTES) {
-            text_append(&exchange->body, bytes, length);
+    exchange->in_callback = true;
+    if (exchange->relaying) {
+        event_stream_feed(&exchange->events, bytes, length, on_stream_event,
+                          exchange);
+        if ((exchange->malformed || exchange->events.event_too_long) &&
+            !exchange->released) {
+            fail_exchange(exchange);
         }
-        return;
     }
-    exchange->in_callback = true;
-    event_stream_feed(&exchange->events, bytes, length, on_stream_event,
-                      exchange);
-    if (exchange->malformed && !exchange->released) {
-        raise_send_end(exchange, SEND_INVALID);
+    else {
+        text_append(&exchange->body, bytes, length);
+    }
+    if (!exchange->released) {
+        update_held(exchange);
+        limit_held(exchange->upstreams);
     }
     exchange->in_callback = false;
     if (exchange->released) {
@@ -317,13 +336,17 @@
     gateway_t *gateway = exchange->upstreams->gateway;
     forward_event_t progress = {.kind = FORWARD_STREAM_PROGRESS};
 
-    if (exchange->released || exchange->malformed) {
+    if (exchange->released || exchange->malformed || exchange->failed) {
         return;
     }
     if (!event->valid) {
         exchange->malformed = true;
         return;
     }
+    if (event->has_id && event->id > exchange->last_event_id) {
+        exchange->last_event_id = event->id;
+        http_renew_limit(exchange->call);
+    }
     (void)front_send_event(gateway->front, exchange->number, event);
     progress.u.progress = (forward_progress_t){
         .number = exchange->number,
@@ -336,19 +359,86 @@
 static void
 on_response_end(http_sink_t *sink, http_result_t result)
 {
+    static const send_result_t results[] = {
+        [HTTP_DONE] = SEND_COMPLETE,          [HTTP_NOT_SENT] = SEND_NOT_SENT,
+        [HTTP_CONNECTION_LOST] = SEND_BROKEN, [HTTP_TIMEOUT] = SEND_BROKEN,
+        [HTTP_TOO_LARGE] = SEND_INVALID,
+    };
     exchange_t *exchange = (exchange_t *)sink;
     bool truncated =
-        exchange->relaying && (event_stream_has_partial(&exchange->events) ||
-                               exchange->events.event_too_long);
+        exchange->relaying && event_stream_has_partial(&exchange->events);
 
+    if (result == HTTP_TOO_LARGE) {
+        log_too_large(exchange, http_received_bytes(exchange->call),
+                      "response");
+    }
     exchange->call = NULL;
-    if (result == HTTP_DONE) {
-        raise_send_end(exchange, truncated ? SEND_BROKEN : SEND_COMPLETE);
+    raise_send_end(exchange, result == HTTP_DONE && truncated
+                                 ? SEND_BROKEN
+                                 : results[result]);
+}
+
+static void
+update_held(exchange_t *exchange)
+{
+    upstreams_t *upstreams = exchange->upstreams;
+
+    upstreams->held_bytes -= exchange->held_bytes;
+    exchange->held_bytes =
+        exchange->body.capacity + exchange->events.buffer.capacity;
+    upstreams->held_bytes += exchange->held_bytes;
+}
+
+/* Ends the largest responses until the others fit. */
+static void
+limit_held(upstreams_t *upstreams)
+{
+    while (upstreams->held_bytes > upstreams->held_max_bytes) {
+        exchange_t *largest = NULL;
+        exchange_t *exchange;
+
+        for (exchange = upstreams->exchanges; exchange != NULL;
+             exchange = exchange->hh.next) {
+            if (exchange->call != NULL &&
+                (largest == NULL ||
+                 exchange->held_bytes > largest->held_bytes)) {
+                largest = exchange;
+            }
+        }
+        if (largest == NULL) {
+            return;
+        }
+        log_too_large(largest, largest->held_bytes, "all-responses");
+        text_free(&largest->body);
+        event_stream_free(&largest->events);
+        update_held(largest);
+        fail_exchange(largest);
     }
-    else {
-        raise_send_end(exchange,
-                       result == HTTP_NOT_SENT ? SEND_NOT_SENT : SEND_BROKEN);
+}
+
+/* Closes the connection, and reports that the response is of no use. */
+static void
+fail_exchange(exchange_t *exchange)
+{
+    if (exchange->failed) {
+        return;
     }
+    exchange->failed = true;
+    http_cancel(exchange->call);
+    exchange->call = NULL;
+    raise_send_end(exchange, SEND_INVALID);
+}
+
+static void
+log_too_large(const exchange_t *exchange, uint64_t bytes, const char *limit)
+{
+    log_event(LOG_WARNING, "response-too-large",
+              "request=%s attempt=%" PRIu32 " status=%" PRIu32
+              " last_event=%" PRId64 " bytes=%" PRIu64 " limit=%s",
+              exchange->id, exchange->attempt, exchange->status,
+              exchange->last_event_id, bytes, limit);
+    meters_count_response_too_large(exchange->upstreams->gateway->meters,
+                                    limit);
 }
 
 static void
@@ -373,32 +463,6 @@
               head->not_run ? "not-run" : "unknown", head->retry_after_ms);
 }
 
-/* Returns "Name: value" lines for the HTTP client, NULL-terminated. */
-static const char **
-format_header_lines(exchange_t *exchange, const headers_t *headers,
-                    const char *host)
-{
-    arena_t *arena = &exchange->arena;
-    const char **lines =
-        arena_array(arena, headers->count + 2, sizeof(*lines));
-    size_t i;
-
-    lines[0] = arena_printf(arena, "Host: %s", host);
-    for (i = 0; i < headers->count; i++) {
-        const header_t *header = &headers->items[i];
-
-        /* libcurl sends a header with an empty value if it ends in ";". */
-        lines[i + 1] =
-            header->value_bytes > 0
-                ? arena_printf(arena, "%.*s: %.*s", (int)header->name_bytes,
-                               header->name, (int)header->value_bytes,
-                               header->value)
-                : arena_printf(arena, "%.*s;", (int)header->name_bytes,
-                               header->name);
-    }
-    return lines;
-}
-
 static exchange_t *
 find_exchange(upstreams_t *upstreams, uint64_t number)
 {
@@ -419,6 +483,8 @@
         /* NOLINTNEXTLINE(clang-analyzer-*) */
         HASH_DEL(exchange->upstreams->exchanges, exchange);
         exchange->released = true;
+        exchange->upstreams->held_bytes -= exchange->held_bytes;
+        exchange->held_bytes = 0;
         if (exchange->call != NULL) {
             http_cancel(exchange->call);
             exchange->call = NULL;
--- a/http/http.h
+++ b/http/http.h
@@ -25,8 +25,16 @@
     HTTP_CONNECTION_LOST, /* the connection failed after sending began, or the
                     peer acknowledged no data for 6 s */
     HTTP_TIMEOUT,         /* timeout_ms passed; the request may have run */
+    HTTP_TOO_LARGE,       /* the response exceeds response_max_bytes, or its
+                    fields exceed HTTP_FIELDS_MAX or HTTP_FIELD_BYTES_MAX */
 } http_result_t;
 
+/*
+ * Largest number and size of the lines that a call keeps: of interim
+ * responses, of the head and of the trailers, all together.
+ */
+enum { HTTP_FIELDS_MAX = 256, HTTP_FIELD_BYTES_MAX = 64 << 10 };
+
 /* Receives the response of a call; embedded as the first member. */
 typedef struct http_sink http_sink_t;
 typedef struct {
@@ -66,6 +74,12 @@
      */
     uint32_t connect_timeout_ms;
     uint32_t timeout_ms; /* for the whole call; 0: none */
+    /*
+     * Bytes that the peer may send in response, whatever they are: interim
+     * responses, head, framing of chunks, body, trailers.  http_renew_limit()
+     * allows as many again.  0: no limit.
+     */
+    uint64_t response_max_bytes;
     /*
      * Use a new connection and close it afterwards.  The request is then
      * sent at most once; on a kept connection that turns out to be closed,
@@ -94,6 +108,11 @@
  */
 bool http_connect_timed_out(const http_call_t *call);
 
+/* Starts the count for response_max_bytes anew: the response is of use. */
+void http_renew_limit(http_call_t *call);
+/* Returns the bytes received since then, or since the start of the call. */
+uint64_t http_received_bytes(const http_call_t *call);
+
 /* Cancels a call: closes its connection; no further callback runs. */
 void http_cancel(http_call_t *call);
 
--- a/http/intake.c
+++ b/http/intake.c
@@ -10,6 +10,8 @@
      * kernel buffers and the copies that growing buffers need. */
     HELD_SHARE = 4,
     KERNEL_SHARE = 4,
+    RESPONSES_SHARE = 8,
+    RESPONSES_DEFAULT_BYTES = 128 << 20,
     /* A prompt of 8,200 tokens takes about 40 KB. */
     RESERVED_BODY_BYTES = 64 << 10,
     /* A head of the legal 16 KB, and a few KB of body. */
@@ -69,6 +71,13 @@
     return limits;
 }
 
+size_t
+intake_responses_max_bytes(uint32_t memory_mb)
+{
+    return memory_mb > 0 ? (size_t)memory_mb * BYTES_PER_MB / RESPONSES_SHARE
+                         : (size_t)RESPONSES_DEFAULT_BYTES;
+}
+
 void
 intake_open(intake_connection_t *connection, uint32_t peer_address,
             bool service, int64_t now_us)
--- a/http/intake.h
+++ b/http/intake.h
@@ -56,6 +56,9 @@
  */
 intake_limits_t intake_limits_of(uint32_t memory_mb, uint32_t descriptors_max);
 
+/* Returns how much the responses of runners may hold together. */
+size_t intake_responses_max_bytes(uint32_t memory_mb);
+
 void intake_open(intake_connection_t *connection, uint32_t peer_address,
                  bool service, int64_t now_us);
 
--- a/regress/canned.c
+++ b/regress/canned.c
@@ -7,7 +7,12 @@
 #include "base/arena.h"
 #include "regress/canned.h"
 
-enum { REQUEST_BYTES_MAX = 65536, BACKLOG = 64, DECIMAL = 10 };
+enum {
+    REQUEST_BYTES_MAX = 65536,
+    BLOCK_BYTES = 65536,
+    BACKLOG = 64,
+    DECIMAL = 10
+};
 
 typedef struct client {
     uv_tcp_t tcp;
@@ -18,6 +23,8 @@
     size_t length;
     const canned_reply_t *reply;
     size_t sent;
+    char block[BLOCK_BYTES]; /* of an endless reply */
+    size_t block_bytes;
     int open_handles;
 } client_t;
 
@@ -30,12 +37,15 @@
     size_t requests;
     char last[REQUEST_BYTES_MAX];
     bool cancelled;
+    size_t endless_bytes;
 };
 
 static void on_connection(uv_stream_t *server, int status);
 static void on_room(uv_handle_t *handle, size_t hint, uv_buf_t *buf);
 static void on_read(uv_stream_t *stream, ssize_t got, const uv_buf_t *buf);
 static void on_turn(uv_idle_t *idle);
+static void fill_block(client_t *client);
+static void send_block(client_t *client);
 static void on_closed(uv_handle_t *handle);
 static void on_canned_closed(uv_handle_t *handle);
 static size_t request_length(const client_t *client);
@@ -84,6 +94,18 @@
     return canned->connections;
 }
 
+size_t
+canned_clients(const canned_t *canned)
+{
+    const client_t *client;
+    size_t count = 0;
+
+    for (client = canned->clients; client != NULL; client = client->next) {
+        count++;
+    }
+    return count;
+}
+
 size_t
 canned_requests(const canned_t *canned)
 {
@@ -96,6 +118,12 @@
     return canned->last;
 }
 
+size_t
+canned_endless_bytes(const canned_t *canned)
+{
+    return canned->endless_bytes;
+}
+
 bool
 canned_cancelled(const canned_t *canned)
 {
@@ -181,6 +209,9 @@
     client->length = 0;
     client->reply = &canned->replies[index];
     client->sent = 0;
+    if (client->reply->end == CANNED_ENDLESS) {
+        fill_block(client);
+    }
     (void)uv_idle_start(&client->idle, on_turn);
 }
 
@@ -195,6 +226,13 @@
     uv_buf_t buf =
         uv_buf_init((char *)reply->bytes + client->sent, (unsigned)part);
 
+    if (reply->end == CANNED_ENDLESS && left == 0) {
+        send_block(client);
+        return;
+    }
+    if (reply->end == CANNED_ENDLESS) {
+        buf.len = part = left;
+    }
     if (part > 0) {
         client->sent += part;
         (void)uv_try_write((uv_stream_t *)&client->tcp, &buf, 1);
@@ -209,6 +247,40 @@
     }
 }
 
+static void
+fill_block(client_t *client)
+{
+    const canned_reply_t *reply = client->reply;
+    const char *tail = reply->bytes + strlen(reply->bytes) - reply->split;
+
+    for (client->block_bytes = 0;
+         client->block_bytes + reply->split <= BLOCK_BYTES;
+         client->block_bytes += reply->split) {
+        memcpy(client->block + client->block_bytes, tail, reply->split);
+    }
+}
+
+/* What the socket does not take is sent first in the next turn. */
+static void
+send_block(client_t *client)
+{
+    uv_buf_t bufs[] = {
+        uv_buf_init(client->block, (unsigned)client->block_bytes),
+        uv_buf_init(client->block, (unsigned)client->block_bytes)};
+    size_t skip =
+        (client->sent - strlen(client->reply->bytes)) % client->block_bytes;
+    int taken;
+
+    bufs[0].base += skip;
+    bufs[0].len -= skip;
+    bufs[1].len = skip;
+    taken = uv_try_write((uv_stream_t *)&client->tcp, bufs, 2);
+    if (taken > 0) {
+        client->sent += (size_t)taken;
+        client->canned->endless_bytes += (size_t)taken;
+    }
+}
+
 static void
 client_close(client_t *client)
 {
--- a/regress/canned.h
+++ b/regress/canned.h
@@ -15,9 +15,11 @@
 #include <uv.h>
 
 typedef enum {
-    CANNED_KEEP,  /* the connection stays open for more */
-    CANNED_CLOSE, /* an orderly end after the bytes */
-    CANNED_RESET, /* a reset after the bytes */
+    CANNED_KEEP,    /* the connection stays open for more */
+    CANNED_CLOSE,   /* an orderly end after the bytes */
+    CANNED_RESET,   /* a reset after the bytes */
+    CANNED_ENDLESS, /* the last split bytes once more and again, until the peer
+                       closes */
 } canned_end_t;
 
 typedef struct {
@@ -35,10 +37,14 @@
 int canned_port(const canned_t *canned);
 size_t canned_connections(const canned_t *canned);
 size_t canned_requests(const canned_t *canned);
+size_t canned_clients(const canned_t *canned); /* connections that are open */
 
 /* The last whole request, head and body. */
 const char *canned_last(const canned_t *canned);
 
+/* Bytes that the peers have taken of endless replies. */
+size_t canned_endless_bytes(const canned_t *canned);
+
 /* Whether a request so far was an order to cancel a stream. */
 bool canned_cancelled(const canned_t *canned);
 
