Take only what a host that stops can finish

Cause: a host that stops refused streams after a fifth of the grace time and took everything else until it closed its connections, whatever a request may last. Besides, it shut the reading side of idle connections and took the end of what it read for a caller that had left, so that a request that arrived at that moment was read and dropped.

Fix: a request is taken if its time is over before the host ends its requests, and refused at once otherwise: 503, not run, for another host. What a runner still has at the end is told so with 502 before connections close. Connections are shut only if nothing of a further request has arrived, and what this host has shut is not taken for a caller's doing.

test_forward: the script of a draining host expected a stream of 25 s to be taken 0.5 s after the start of a drain of 8 s; it now names both sides of the bound for streams and other requests. The script about trials states a time that is short enough for the host, so that it tests what it did.

--- a/forward/admission.c
+++ b/forward/admission.c
@@ -17,6 +17,7 @@
 
 static void admit(forward_t *forward, request_t *request,
                   const forward_request_t *incoming);
+static bool outlives_drain(const forward_t *forward, const request_t *request);
 static bool routing_is_stale(const forward_t *forward, const route_t *route);
 static const route_t *match_route(const forward_t *forward,
                                   const forward_request_t *incoming);
@@ -97,9 +98,7 @@
         }
         request->organisation = arena_strdup(&request->arena, owner->name);
     }
-    if (forward->draining_since_us > 0 && route->type == REQUEST_STREAM &&
-        forward->now_us - forward->draining_since_us >=
-            (int64_t)forward->settings.limits.accept_ms * US_PER_MS) {
+    if (outlives_drain(forward, request)) {
         refuse_request(forward, request, REFUSE_DRAINING);
         return;
     }
@@ -116,6 +115,29 @@
     }
 }
 
+/* A runner may take all the time that a request has. */
+static bool
+outlives_drain(const forward_t *forward, const request_t *request)
+{
+    return forward->draining_since_us > 0 &&
+           request->deadline_us >
+               forward->draining_since_us +
+                   (int64_t)forward->settings.limits.serve_ms * US_PER_MS;
+}
+
+/* Callers that are told so may ask another host at once. */
+void
+admission_stop(forward_t *forward)
+{
+    request_t *request;
+    request_t *next;
+
+    HASH_ITER(hh, forward->requests, request, next)
+    {
+        refuse_request(forward, request, REFUSE_DRAINING);
+    }
+}
+
 /*
  * Returns whether the last contact with the store is too old.  A key may have
  * been revoked since.  The same limit applies to an unknown path, since a
--- a/forward/forward.c
+++ b/forward/forward.c
@@ -6,7 +6,6 @@
 #include <string.h>
 #include <syslog.h>
 
-#include "base/revision.h"
 #include "forward/private.h"
 
 enum {
@@ -26,8 +25,6 @@
                                const forward_event_t *event);
 static void handle_request_event(forward_t *forward,
                                  const forward_event_t *event);
-static bool supersedes(const routing_t *next, const routing_t *current);
-static void replace_routing(forward_t *forward, routing_t *routing);
 static void handle_caller_disconnected(forward_t *forward, uint64_t number);
 static void handle_progress(forward_t *forward,
                             const forward_progress_t *progress);
@@ -104,7 +101,7 @@
     }
     switch (event->kind) {
     case FORWARD_ROUTING:
-        replace_routing(forward, event->u.routing);
+        routing_replace(forward, event->u.routing);
         break;
     case FORWARD_RUNNER_REGISTERED:
     case FORWARD_RUNNER_DEREGISTERED:
@@ -127,6 +124,9 @@
     case FORWARD_DRAIN:
         forward->draining_since_us = now_us;
         break;
+    case FORWARD_STOP:
+        admission_stop(forward);
+        break;
     default:
         if (!handle_store_event(forward, event)) {
             handle_request_event(forward, event);
@@ -443,45 +443,6 @@
     }
 }
 
-static void
-replace_routing(forward_t *forward, routing_t *routing)
-{
-    if (forward->routing != NULL && !supersedes(routing, forward->routing)) {
-        if (routing->revision != forward->routing->revision) {
-            emit_log(forward, LOG_INFO, "routing-kept",
-                     "version=%" PRId64 " read=%" PRId64 " era=%" PRId64
-                     " revision=%" PRId64,
-                     forward->routing->version, routing->version,
-                     revision_era(routing->revision),
-                     revision_number(routing->revision));
-        }
-        routing_free(routing);
-        return;
-    }
-    routing_free(forward->routing);
-    forward->routing = routing;
-    emit_log(forward, LOG_INFO, "routing",
-             "version=%" PRId64 " revision=%" PRId64 " era=%" PRId64
-             " routes=%zu",
-             routing->version, revision_number(routing->revision),
-             revision_era(routing->revision), routing->route_count);
-}
-
-/*
- * Operators number their tables in order.  Revisions order only writes of one
- * version, and only within an era: a store that was restored from a copy gives
- * them out again.
- */
-static bool
-supersedes(const routing_t *next, const routing_t *current)
-{
-    if (next->version != current->version) {
-        return next->version > current->version;
-    }
-    return next->revision != current->revision &&
-           !revision_is_older(next->revision, current->revision);
-}
-
 static void
 handle_caller_disconnected(forward_t *forward, uint64_t number)
 {
--- a/forward/forward.h
+++ b/forward/forward.h
@@ -87,6 +87,7 @@
     FORWARD_PEER_REPORT,
     FORWARD_LIMITS,
     FORWARD_DRAIN,
+    FORWARD_STOP, /* the host is about to close all connections */
     FORWARD_TIMER,
 } forward_event_kind_t;
 
@@ -270,9 +271,9 @@
      * that leaves has to get no more requests; 0: no limit. */
     uint32_t apply_ms;
     uint32_t leave_ms;
-    /* How long a draining host accepts new streams. */
-    uint32_t accept_ms;
-
+    /* Time from the start of a drain until a host has to have ended all of its
+     * requests.  It accepts those whose time is over before that. */
+    uint32_t serve_ms;
     uint32_t requests_max; /* concurrent; 0: no limit */
     retry_limits_t retries;
     rollout_limits_t rollouts;
--- a/forward/private.h
+++ b/forward/private.h
@@ -342,6 +342,12 @@
 /* Asks for a confirmation of the view if it is due, or now. */
 void view_check(forward_t *forward);
 void view_ask(forward_t *forward);
+/* Puts a table in force, or frees it if it does not replace the one that is.
+ */
+void routing_replace(forward_t *forward, routing_t *routing);
+/* Ends all requests: refuses those whose response has not started. */
+void admission_stop(forward_t *forward);
+
 /* Returns whether the view is as current as the settings demand. */
 bool view_is_current(const forward_t *forward);
 /* The same for that of another host, as it was when it last reported. */
--- a/gateway/forwarding.c
+++ b/gateway/forwarding.c
@@ -18,10 +18,6 @@
     NS_PER_US = 1000,
     PERMILLE = 1000,
     QUEUE_LENGTH_MAX = 64,
-    /* Initial part of the grace period in which a draining host accepts
-     * requests: their streams are likely to end before the period does. */
-    ACCEPT_GRACE_PERCENT = 20,
-    PERCENT = 100,
 };
 
 struct forwarding {
@@ -147,7 +143,7 @@
         .registry_ms = limits->registry_ms,
         .apply_ms = limits->apply_ms,
         .leave_ms = limits->leave_ms,
-        .accept_ms = limits->grace_ms * ACCEPT_GRACE_PERCENT / PERCENT,
+        .serve_ms = gateway_serve_ms(limits),
         .requests_max = limits->requests_max,
         .retries = {.ratio_permille = limits->retry_ratio_permille,
                     .fixed = limits->retry_fixed_permille / PERMILLE,
--- a/gateway/front.c
+++ b/gateway/front.c
@@ -154,11 +154,18 @@
     close_listeners(front);
     if (HASH_COUNT(front->requests) == 0 &&
         accept_is_flushed(&front->connections)) {
-        accept_shutdown(&front->connections, SHUT_RD);
+        accept_close_idle(&front->connections);
     }
     return LIST_EMPTY(&front->connections);
 }
 
+bool
+front_has_shut(const front_t *front, const inbound_t *inbound)
+{
+    return front->gateway->draining &&
+           accept_is_read_shut(&front->connections, inbound_socket(inbound));
+}
+
 void
 front_free(front_t *front)
 {
@@ -440,7 +447,7 @@
     numbers = arena_array(&arena, count, sizeof(*numbers));
     for (inbound = front->requests; inbound != NULL;
          inbound = inbound->hh.next) {
-        if (!inbound->done) {
+        if (!inbound->done && !front_has_shut(front, inbound)) {
             numbers[pollfd_count] = inbound->number;
             pollfds[pollfd_count].fd = inbound_socket_fd(inbound);
             pollfds[pollfd_count].events = POLLRDHUP;
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -16,15 +16,20 @@
     STOP_MARGIN_MS = 500,
     /* Time before the stop in which connections without requests close. */
     CLOSE_MARGIN_MS = 600,
+    /* Time before the stop in which refusals and answers are sent, also those
+     * of requests whose time has just passed. */
+    FLUSH_MARGIN_MS = 200,
 };
 
 static void on_drain_check(uv_timer_t *timer);
+static void drain_end(gateway_t *gateway);
 
 /* State of a host that is draining. */
-typedef struct {
+typedef struct drain {
     uv_timer_t timer; /* must be first: closing it frees the drain_t */
     gateway_t *gateway;
     int64_t start_us;
+    bool ending; /* requests have been ended */
 } drain_t;
 
 int
@@ -78,6 +83,14 @@
     arena_free(&arena);
 }
 
+uint32_t
+gateway_serve_ms(const gateway_limits_t *limits)
+{
+    uint32_t margin_ms = STOP_MARGIN_MS + FLUSH_MARGIN_MS;
+
+    return limits->grace_ms > margin_ms ? limits->grace_ms - margin_ms : 0;
+}
+
 void
 gateway_set_limits(gateway_t *gateway, const gateway_limits_t *limits)
 {
@@ -98,6 +111,7 @@
         presence_stop(gateway->presence);
     }
     front_drain(gateway->front);
+    gateway->drain = drain;
     drain->gateway = gateway;
     drain->start_us = gateway_now_us();
     (void)uv_timer_init(gateway->loop, &drain->timer);
@@ -107,8 +121,9 @@
 
 /*
  * Callers that have cached the address keep sending requests for a while.
- * Requests are served until the grace period is nearly over.  What is still
- * open STOP_MARGIN_MS before its end is aborted by gateway_close().
+ * Those that can end in time are served until the grace period is nearly over.
+ * What is still open then is refused or broken off, and STOP_MARGIN_MS before
+ * its end gateway_close() closes all connections.
  */
 static void
 on_drain_check(uv_timer_t *timer)
@@ -119,20 +134,36 @@
     int64_t stop_ms = (int64_t)gateway->limits.grace_ms - STOP_MARGIN_MS;
     bool idle = forward_request_count(forwarding_state(gateway)) == 0;
 
+    if (elapsed_ms >= gateway_serve_ms(&gateway->limits) && !drain->ending) {
+        forward_event_t event = {.kind = FORWARD_STOP};
+
+        drain->ending = true;
+        forwarding_handle_event(gateway, &event);
+    }
     if (!(idle && elapsed_ms >= gateway->limits.drain_ms) &&
         elapsed_ms < stop_ms - CLOSE_MARGIN_MS) {
         return;
     }
     if (front_close_idle(gateway->front) || elapsed_ms >= stop_ms) {
-        uv_close((uv_handle_t *)timer, (uv_close_cb)free);
+        drain_end(gateway);
         uv_stop(gateway->loop);
     }
 }
 
+static void
+drain_end(gateway_t *gateway)
+{
+    if (gateway->drain != NULL) {
+        uv_close((uv_handle_t *)&gateway->drain->timer, (uv_close_cb)free);
+        gateway->drain = NULL;
+    }
+}
+
 /* Frees the kv first: its callbacks would use modules already freed. */
 void
 gateway_close(gateway_t *gateway)
 {
+    drain_end(gateway);
     if (gateway->kv != NULL) {
         gateway->kv->ops->free(gateway->kv);
     }
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -56,6 +56,7 @@
     meters_t *meters;
     presence_t *presence; /* NULL until the store was read */
     bool draining;
+    struct drain *drain; /* NULL: not draining, or at its end */
     records_t *records;
 } gateway_t;
 
@@ -73,6 +74,8 @@
  * the entry that an earlier incarnation has left, or 0. */
 void gateway_register(gateway_t *gateway, int64_t revision);
 /* Replaces the limits in force. */
+/* Returns how long after the start of a drain requests may last. */
+uint32_t gateway_serve_ms(const gateway_limits_t *limits);
 void gateway_set_limits(gateway_t *gateway, const gateway_limits_t *limits);
 /* Starts draining; stops the loop when no work is left. */
 void gateway_drain(gateway_t *gateway);
--- a/gateway/inbound.c
+++ b/gateway/inbound.c
@@ -64,7 +64,7 @@
     inbound->gateway = gateway;
     inbound->req = req;
     HASH_ADD(hh, *table, number, sizeof(inbound->number), inbound);
-    if (is_disconnected(inbound)) {
+    if (!front_has_shut(gateway->front, inbound) && is_disconnected(inbound)) {
         log_event(LOG_INFO, "caller-disconnected", "at=accept");
         inbound_abort_response(inbound);
         return;
@@ -86,12 +86,18 @@
     inbound_abort_response(inbound);
 }
 
-int
-inbound_socket_fd(const inbound_t *inbound)
+h2o_socket_t *
+inbound_socket(const inbound_t *inbound)
 {
     h2o_conn_t *conn = inbound->req->conn;
 
-    return h2o_socket_get_fd(conn->callbacks->get_socket(conn));
+    return conn->callbacks->get_socket(conn);
+}
+
+int
+inbound_socket_fd(const inbound_t *inbound)
+{
+    return h2o_socket_get_fd(inbound_socket(inbound));
 }
 
 void
--- a/gateway/inbound.h
+++ b/gateway/inbound.h
@@ -42,8 +42,16 @@
 void inbound_disconnect(inbound_t *inbound);
 
 /* Returns the socket of the connection; h2o owns it. */
+h2o_socket_t *inbound_socket(const inbound_t *inbound);
 int inbound_socket_fd(const inbound_t *inbound);
 
+/* --- front.c --- */
+
+/* Returns whether this host itself no longer reads from the connection. */
+bool front_has_shut(const front_t *front, const inbound_t *inbound);
+
+/* --- inbound.c --- */
+
 /* Sends a complete response, unless one has been started. */
 void inbound_send_response(inbound_t *inbound,
                            const runner_response_t *response);
--- a/http/accept.c
+++ b/http/accept.c
@@ -85,6 +85,41 @@
     return true;
 }
 
+void
+accept_close_idle(const connection_list_t *list)
+{
+    accepted_connection_t *connection;
+    uv_os_fd_t fd;
+    char byte;
+
+    LIST_FOREACH(connection, list, link)
+    {
+        if (uv_is_closing((const uv_handle_t *)&connection->socket) ||
+            uv_fileno((const uv_handle_t *)&connection->socket, &fd) != 0 ||
+            connection->h2o->input->size > 0 ||
+            recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0) {
+            continue;
+        }
+        connection->read_shut = true;
+        (void)shutdown(fd, SHUT_RD);
+    }
+}
+
+bool
+accept_is_read_shut(const connection_list_t *list, const h2o_socket_t *socket)
+{
+    const accepted_connection_t *connection;
+
+    LIST_FOREACH(connection, list, link)
+    {
+        if (!uv_is_closing((const uv_handle_t *)&connection->socket) &&
+            connection->h2o == socket) {
+            return connection->read_shut;
+        }
+    }
+    return false;
+}
+
 void
 accept_shutdown(const connection_list_t *list, int how)
 {
--- a/http/accept.h
+++ b/http/accept.h
@@ -20,6 +20,7 @@
 typedef struct accepted_connection {
     uv_tcp_t socket;            /* must be first: on_closed() casts from it */
     h2o_socket_t *h2o;          /* valid until socket is being closed */
+    bool read_shut;             /* by accept_close_idle() */
     intake_connection_t intake; /* see gateway/guard.h */
     LIST_ENTRY(accepted_connection) link;
 } accepted_connection_t;
@@ -47,6 +48,17 @@
 /* Returns whether no connection has data that is not written yet. */
 bool accept_is_flushed(const connection_list_t *list);
 
+/*
+ * Makes h2o close the connections on which nothing has been received of a
+ * further request.  For use while no request is being served.  A request that
+ * arrives at the same moment is still read and can be answered.
+ */
+void accept_close_idle(const connection_list_t *list);
+
+/* Returns whether the end of what h2o reads from the socket is due to that. */
+bool accept_is_read_shut(const connection_list_t *list,
+                         const h2o_socket_t *socket);
+
 /* Calls shutdown(2) on each connection; h2o then closes it. */
 void accept_shutdown(const connection_list_t *list, int how);
 
--- a/regress/forwarding.c
+++ b/regress/forwarding.c
@@ -11,7 +11,7 @@
 
 enum {
     REGISTRY_MS = 2000,
-    ACCEPT_MS = 1600,
+    SERVE_MS = 7300,
     REQUESTS_MAX = 100,
     OWN_CONTENTS = 1000, /* of requests that do not say theirs */
 };
@@ -52,7 +52,7 @@
     return (forward_limits_t){
         .revoke_ms = revoke_ms,
         .registry_ms = REGISTRY_MS,
-        .accept_ms = ACCEPT_MS,
+        .serve_ms = SERVE_MS,
         .requests_max = REQUESTS_MAX,
         .retries = {.ratio_permille = 800,
                     .fixed = 150,
@@ -133,6 +133,9 @@
     else if (strcmp(line.words[0], "drain") == 0) {
         event.kind = FORWARD_DRAIN;
     }
+    else if (strcmp(line.words[0], "stop") == 0) {
+        event.kind = FORWARD_STOP;
+    }
     else if (strcmp(line.words[0], "timer") == 0) {
         event.kind = FORWARD_TIMER;
     }
--- a/regress/partition_sim.c
+++ b/regress/partition_sim.c
@@ -178,7 +178,7 @@
         .seed = index + 1,
         .limits = {.revoke_ms = 5000,
                    .registry_ms = 2000,
-                   .accept_ms = 1600,
+                   .serve_ms = 7300,
                    .requests_max = REQUESTS_MAX,
                    .retries = {.ratio_permille = 800,
                                .fixed = 150,
--- a/regress/test_forward.c
+++ b/regress/test_forward.c
@@ -119,7 +119,7 @@
     {1200, "timer", NULL},
     {1250, "broken 1 3", "cancel 1.3; refuse 1 harmful 502"},
     {3200, "drain", ""},
-    {3300, "request 2 stream content=7",
+    {3300, "request 2 stream content=7 deadline=3000",
      "refuse 2 leaving 503 not-run after=50"},
 };
 
@@ -243,12 +243,32 @@
     {310, "timer", "cancel 1.1; refuse 1 timeout 504"},
 };
 
-static const forwarding_line_t draining_host_refuses_streams[] = {
+/* What lasts longer would be broken off at the end of the drain. */
+static const forwarding_line_t draining_host_takes_what_outlives_it[] = {
     FORWARDING_OPENED,
     {1000, "drain", ""},
-    {1500, "request 1 stream", "send 1.1 rc1 backup=10.17.0.1:80"},
-    {2700, "request 2 stream", "refuse 2 leaving 503 not-run after=50"},
-    {2700, "request 3 unsafe", "send 3.1 sa1"},
+    {1500, "request 1 stream", "refuse 1 leaving 503 not-run after=50"},
+    {1500, "request 2 stream deadline=6800",
+     "send 2.1 ra1 backup=10.17.2.1:80"},
+    {1501, "request 3 stream deadline=6800",
+     "refuse 3 leaving 503 not-run after=50"},
+    {7999, "contact", ""},
+    {8000, "request 4 unsafe deadline=300", "send 4.1 sa1"},
+    {8001, "request 5 unsafe deadline=300",
+     "refuse 5 leaving 503 not-run after=50"},
+    {8290, "request 6 safe deadline=10", "send 6.1 sa1"},
+    {8290, "request 7 safe deadline=11",
+     "refuse 7 leaving 503 not-run after=50"},
+};
+
+/* Callers of requests that wait would be told nothing. */
+static const forwarding_line_t host_that_stops_drops_requests[] = {
+    FORWARDING_OPENED,
+    {10, "request 1 stream", "send 1.1 rc1 backup=10.17.0.1:80"},
+    {11, "request 2 unsafe", "send 2.1 sa1"},
+    {1000, "drain", ""},
+    {1001, "stop",
+     "cancel 1.1; refuse 1 leaving 502; cancel 2.1; refuse 2 leaving 502"},
 };
 
 static const forwarding_line_t draining_runner_gets_no_requests[] = {
@@ -511,7 +531,8 @@
     FORWARDING_SCRIPT(own_pause_restarts_timeouts),
     FORWARDING_SCRIPT(closed_caller_cancels_attempt),
     FORWARDING_SCRIPT(expired_deadline_ends_request),
-    FORWARDING_SCRIPT(draining_host_refuses_streams),
+    FORWARDING_SCRIPT(draining_host_takes_what_outlives_it),
+    FORWARDING_SCRIPT(host_that_stops_drops_requests),
     FORWARDING_SCRIPT(draining_runner_gets_no_requests),
     FORWARDING_SCRIPT(older_entry_does_not_undo_draining),
     FORWARDING_SCRIPT(entries_expired_in_outage_have_grace),
