Test that a host stops in time beside a connection that stays open

Since a host ends its requests by itself, no connection was open at the end of the test's grace time, and the loop stopped for that reason. A caller that has sent a part of a head now stays open beside the endless stream.

--- a/regress/test_gateway.c
+++ b/regress/test_gateway.c
@@ -319,6 +319,7 @@
     gateway_host_t host;
     grace_end_t end = {0};
     raw_caller_t *caller;
+    raw_caller_t *slow;
 
     gateway_host_open(&host);
     gateway_host_runner(&host, "engine-1", "engine", "a", endless_stream, 1);
@@ -326,6 +327,9 @@
     caller = raw_caller_new(&host, host.listen_address);
     raw_caller_send(caller, REQUEST("GET", "/stream/p", ""));
     ck_assert(raw_caller_wait(caller, "data: zero\n\n"));
+    slow = raw_caller_new(&host, host.listen_address);
+    raw_caller_send(slow, "GET /stream/p HTTP/1.1\r\nHost: ho");
+    gateway_host_settle(&host);
     end.timer.data = &end;
     (void)uv_timer_init(&host.fixture.loop, &end.timer);
     uv_update_time(&host.fixture.loop);
@@ -339,6 +343,7 @@
     gateway_close(&host.gateway);
     raw_caller_wait_end(caller);
     raw_caller_free(caller);
+    raw_caller_free(slow);
     canned_free(host.runners[0]);
     fixture_close(&host.fixture);
 }
