Bound a call to the store by its progress, not by its duration

Callers were routed by an old table, or refused, for up to 20 s after large changes. Cause: a call had 400 ms for its whole response. A watch that returns two versions of a table of 350 KB takes 700 ms on a link of 10 Mbit/s; it was cut off, asked for again from the same revision, and could not end until the store compacted.

The timeout now bounds the time to the first byte; after it each such time has to bring 4 KB. A response that moves is not begun anew. A store that is silent or trickles is lost as fast as before.

--- a/http/client.c
+++ b/http/client.c
@@ -13,13 +13,16 @@
 static int on_timer_request(CURLM *multi, long timeout_ms, void *context);
 static void on_timer(uv_timer_t *timer);
 static void on_socket_event(uv_poll_t *poll, int status, int events);
-static void on_poll_closed(uv_handle_t *handle);
+static void on_handle_closed(uv_handle_t *handle);
 static void on_client_closed(uv_handle_t *handle);
 static void run_socket_action(http_client_t *client, curl_socket_t fd,
                               int flags);
 static void run_deferred_work(http_client_t *client);
 static void complete_call(http_call_t *call, CURLcode code);
 static http_result_t call_result(http_call_t *call, CURLcode code);
+static void start_stall_timer(http_call_t *call,
+                              const http_request_t *request);
+static void on_stall_timer(uv_timer_t *timer);
 static void call_free(http_call_t *call);
 
 http_client_t *
@@ -79,6 +82,9 @@
     LIST_INSERT_HEAD(&client->calls, call, link);
     http_set_request(call, request);
     http_set_response(call, request);
+    if (request->stall_timeout_ms > 0) {
+        start_stall_timer(call, request);
+    }
     if (client->in_curl) {
         TAILQ_INSERT_TAIL(&client->deferred_starts, call, deferred);
     }
@@ -122,7 +128,7 @@
     if (what == CURL_POLL_REMOVE) {
         if (poll != NULL) {
             (void)curl_multi_assign(client->multi, fd, NULL);
-            uv_close((uv_handle_t *)poll, on_poll_closed);
+            uv_close((uv_handle_t *)poll, on_handle_closed);
         }
         return 0;
     }
@@ -159,7 +165,7 @@
 }
 
 static void
-on_poll_closed(uv_handle_t *handle)
+on_handle_closed(uv_handle_t *handle)
 {
     free(handle);
 }
@@ -245,6 +251,37 @@
     call_free(call);
 }
 
+static void
+start_stall_timer(http_call_t *call, const http_request_t *request)
+{
+    call->stall_timeout_ms = request->stall_timeout_ms;
+    call->stall_timer = xcalloc(1, sizeof(*call->stall_timer));
+    (void)uv_timer_init(call->client->loop, call->stall_timer);
+    call->stall_timer->data = call;
+    (void)uv_timer_start(call->stall_timer, on_stall_timer,
+                         request->timeout_ms, 0);
+}
+
+/* Any byte counts as progress up to the first one. */
+static void
+on_stall_timer(uv_timer_t *timer)
+{
+    http_call_t *call = timer->data;
+    uint64_t wanted_bytes = call->stall_mark_bytes == 0
+                                ? 1
+                                : call->stall_mark_bytes + HTTP_STALL_BYTES;
+
+    if (call->cancelled) {
+        return;
+    }
+    if (call->received_bytes < wanted_bytes) {
+        complete_call(call, CURLE_OPERATION_TIMEDOUT);
+        return;
+    }
+    call->stall_mark_bytes = call->received_bytes;
+    (void)uv_timer_start(timer, on_stall_timer, call->stall_timeout_ms, 0);
+}
+
 static http_result_t
 call_result(http_call_t *call, CURLcode code)
 {
@@ -291,6 +328,9 @@
     if (call->added) {
         (void)curl_multi_remove_handle(call->client->multi, call->easy);
     }
+    if (call->stall_timer != NULL) {
+        uv_close((uv_handle_t *)call->stall_timer, on_handle_closed);
+    }
     curl_easy_cleanup(call->easy);
     curl_slist_free_all(call->headers);
     if (call->end_pending) {
--- a/http/client_private.h
+++ b/http/client_private.h
@@ -33,6 +33,9 @@
     uint64_t received_bytes; /* of the response, since http_renew_limit() */
     uint64_t response_max_bytes;
     int64_t send_deadline_ms; /* CLOCK_BOOTTIME; 0: no limit */
+    uv_timer_t *stall_timer;  /* NULL: the call has no stall timeout */
+    uint32_t stall_timeout_ms;
+    uint64_t stall_mark_bytes; /* received when it was started */
 };
 TAILQ_HEAD(call_queue, http_call);
 
--- a/http/client_request.c
+++ b/http/client_request.c
@@ -44,7 +44,9 @@
     curl_easy_setopt(easy, CURLOPT_BUFFERSIZE, (long)RECEIVE_BUFFER_BYTES);
     curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
                      (long)request->connect_timeout_ms);
-    curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, (long)request->timeout_ms);
+    if (request->stall_timeout_ms == 0) {
+        curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, (long)request->timeout_ms);
+    }
     if (request->connect_timeout_ms > 0) {
         call->send_deadline_ms = now_ms() + request->connect_timeout_ms;
         curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, on_before_send);
--- a/http/http.h
+++ b/http/http.h
@@ -24,7 +24,8 @@
     HTTP_NOT_SENT,        /* no byte of the request was sent */
     HTTP_CONNECTION_LOST, /* the connection failed after sending began, or the
                     peer acknowledged no data for 6 s */
-    HTTP_TIMEOUT,         /* timeout_ms passed; the request may have run */
+    HTTP_TIMEOUT,         /* timeout_ms passed, or the response stalled; the
+                    request may have run */
     HTTP_TOO_LARGE,       /* the response exceeds response_max_bytes, or its
                     fields exceed HTTP_FIELDS_MAX or HTTP_FIELD_BYTES_MAX */
 } http_result_t;
@@ -35,6 +36,9 @@
  */
 enum { HTTP_FIELDS_MAX = 256, HTTP_FIELD_BYTES_MAX = 64 << 10 };
 
+/* Slowest progress of a call with a stall timeout, within each of them. */
+enum { HTTP_STALL_BYTES = 4096 };
+
 /* Receives the response of a call; embedded as the first member. */
 typedef struct http_sink http_sink_t;
 typedef struct {
@@ -74,6 +78,14 @@
      */
     uint32_t connect_timeout_ms;
     uint32_t timeout_ms; /* for the whole call; 0: none */
+    /*
+     * Not 0: timeout_ms bounds only the time to the first byte of the
+     * response.  From then on, each stall_timeout_ms has to bring
+     * HTTP_STALL_BYTES, or the end of the response; the call ends with
+     * HTTP_TIMEOUT otherwise.  Requires response_max_bytes, which bounds the
+     * duration of the call.
+     */
+    uint32_t stall_timeout_ms;
     /*
      * Bytes that the peer may send in response, whatever they are: interim
      * responses, head, framing of chunks, body, trailers.  http_renew_limit()
--- a/regress/canned.c
+++ b/regress/canned.c
@@ -23,6 +23,7 @@
     size_t length;
     const canned_reply_t *reply;
     size_t sent;
+    uint64_t next_ms; /* when the next part is due */
     char block[BLOCK_BYTES]; /* of an endless reply */
     size_t block_bytes;
     int open_handles;
@@ -38,6 +39,7 @@
     char last[REQUEST_BYTES_MAX];
     bool cancelled;
     size_t endless_bytes;
+    uint32_t gap_ms; /* between the parts of a reply */
 };
 
 static void on_connection(uv_stream_t *server, int status);
@@ -194,6 +196,12 @@
            strtoul(field + strlen("content-length:"), NULL, DECIMAL);
 }
 
+void
+canned_pace(canned_t *canned, uint32_t gap_ms)
+{
+    canned->gap_ms = gap_ms;
+}
+
 static void
 take_request(client_t *client, size_t length)
 {
@@ -209,6 +217,7 @@
     client->length = 0;
     client->reply = &canned->replies[index];
     client->sent = 0;
+    client->next_ms = 0;
     if (client->reply->end == CANNED_ENDLESS) {
         fill_block(client);
     }
@@ -233,6 +242,10 @@
     if (reply->end == CANNED_ENDLESS) {
         buf.len = part = left;
     }
+    if (uv_now(idle->loop) < client->next_ms) {
+        return;
+    }
+    client->next_ms = uv_now(idle->loop) + client->canned->gap_ms;
     if (part > 0) {
         client->sent += part;
         (void)uv_try_write((uv_stream_t *)&client->tcp, &buf, 1);
--- a/regress/canned.h
+++ b/regress/canned.h
@@ -34,6 +34,9 @@
                      size_t count);
 void canned_free(canned_t *canned); /* the loop must run once more */
 
+/* Sends the parts of replies with split at least gap_ms apart. */
+void canned_pace(canned_t *canned, uint32_t gap_ms);
+
 int canned_port(const canned_t *canned);
 size_t canned_connections(const canned_t *canned);
 size_t canned_requests(const canned_t *canned);
