Send hosts what has changed of a large value, in pieces, after what is small

Cause: a watcher of the store sent each changed value whole to each follower. One line of a table of 350 KB cost 10 MB on a link of 1.25 MB/s; followers gave up after 900 ms, began anew, and turned to the store all at once, for the same bytes. Entries of runners were in the same messages. The class is congestion collapse: work that is given up and repeated fills the link.

Polls state what the host has, down to the byte, so that nothing is sent twice and any host can go on where another one ended. Small values are sent at once, and at most 64 KB of patches are on the way from a host. A host that is sent a table does not give up its watcher; one that gets superseded versions from the store reads the newest instead of all of them. Hosts of the build before get whole values as before (docs/design/16).

test_feed_fleet has the old way as a row, which collapses; test_store_feed and test_patch hold the parts.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PACKAGES = cmake make g++ gcc pkg-config clang clang-format clang-tidy \
 	libh2o-dev libuv1-dev libtomlplusplus-dev libtirpc-dev rpcsvc-proto \
 	libcurl4-openssl-dev libjansson-dev libxxhash-dev uthash-dev \
-	libssl-dev check libsubunit-dev libbsd-dev mandoc
+	libssl-dev libzstd-dev check libsubunit-dev libbsd-dev mandoc
 JOBS != nproc
 FUZZ_S ?= 20
 SOAK_RUNS ?= 6
--- a/forward/store_sync.c
+++ b/forward/store_sync.c
@@ -20,6 +20,8 @@
     bool watch_begun;       /* the first poll of the watch has returned */
     bool watch_changed;     /* the last poll of the watch had changes */
     bool needs_full_read;   /* the next call reads all keys */
+    bool skips_history;     /* it does so after the current call */
+    bool receiving; /* the last reply to a poll was part of the changes */
     bool initial_read_done;
     bool store_unavailable; /* the last call to the store failed */
     int64_t retry_due_us;   /* of the next call after that */
@@ -44,6 +46,9 @@
 static void handle_poll_failure(store_sync_t *sync,
                                 const store_sync_fleet_t *fleet,
                                 store_sync_step_t *step);
+static void continue_polling(store_sync_t *sync,
+                             const store_sync_fleet_t *fleet,
+                             store_sync_step_t *step);
 static void record_contact(store_sync_t *sync, int64_t contact_us,
                            const char *source, store_sync_step_t *step);
 static void record_store_answer(store_sync_t *sync, store_sync_step_t *step);
@@ -98,7 +103,8 @@
         handle_call_failure(sync, fleet, &step);
         return step;
     }
-    sync->needs_full_read = false;
+    sync->needs_full_read = sync->skips_history;
+    sync->skips_history = false;
     record_contact(sync, sync->call_start_us, "read", &step);
     if (!sync->initial_read_done && sync->settings.settle_ms > 0 &&
         follower_fleet_is_small(fleet->count)) {
@@ -128,8 +134,10 @@
 {
     store_sync_step_t step = {0};
     int64_t contact_us = sync->call_start_us;
+    bool skips_history = sync->skips_history;
     const char *host;
 
+    sync->skips_history = false;
     if (result == SYNC_COMPACTED) {
         sync->needs_full_read = true;
         start_next_call(sync, fleet, &step);
@@ -156,6 +164,11 @@
         step.ends_watch = true;
         poll_host(sync, host, &step);
     }
+    else if (skips_history) {
+        step.ends_watch = true;
+        sync->needs_full_read = true;
+        start_next_call(sync, fleet, &step);
+    }
     return step;
 }
 
@@ -184,6 +197,11 @@
         handle_poll_failure(sync, fleet, &step);
         return step;
     }
+    sync->receiving = reply == SYNC_REPLY_PARTIAL;
+    if (sync->receiving) {
+        continue_polling(sync, fleet, &step);
+        return step;
+    }
     step.has_contact = true;
     step.contact_us = sync->call_start_us - age_us;
     step.source = copy_source(sync, sync->polled_host);
@@ -196,12 +214,22 @@
     return step;
 }
 
+void
+store_sync_skip_history(store_sync_t *sync)
+{
+    sync->skips_history = true;
+}
+
 store_sync_step_t
 store_sync_confirm(store_sync_t *sync, const store_sync_fleet_t *fleet)
 {
     store_sync_step_t step = {0};
 
-    if (sync->call == SYNC_POLL) {
+    if (sync->call == SYNC_POLL && sync->receiving) {
+        sync->receiving = false;
+        start_watch(sync, fleet, &step);
+    }
+    else if (sync->call == SYNC_POLL) {
         handle_poll_failure(sync, fleet, &step);
     }
     else if (sync->call == SYNC_WATCH) {
@@ -225,6 +253,21 @@
     return step;
 }
 
+/* The host that sends a large change is not given up.  A host that is to watch
+ * the store calls it when that is due. */
+static void
+continue_polling(store_sync_t *sync, const store_sync_fleet_t *fleet,
+                 store_sync_step_t *step)
+{
+    if (is_watcher(fleet)) {
+        start_or_wait(sync, fleet, step);
+        return;
+    }
+    record_store_answer(sync, step);
+    sync->call_start_us = fleet->now_us;
+    poll_host(sync, sync->polled_host, step);
+}
+
 /* A single watch of all keys needs only one open call to the store. */
 static void
 start_next_call(store_sync_t *sync, const store_sync_fleet_t *fleet,
@@ -303,6 +346,7 @@
     sync->call = SYNC_POLL;
     sync->poll_number++;
     if (sync->polled_host == NULL || strcmp(sync->polled_host, host) != 0) {
+        sync->receiving = false;
         free(sync->polled_host);
         sync->polled_host = xstrdup(host);
         step->new_host = true;
--- a/forward/store_sync.h
+++ b/forward/store_sync.h
@@ -102,6 +102,7 @@
                            uint64_t number);
 typedef enum {
     SYNC_REPLY_CHANGES, /* all changes since the revision of the poll */
+    SYNC_REPLY_PARTIAL, /* some of them: more are to be polled for */
     SYNC_REPLY_UNKNOWN, /* the host no longer has them: the store has to be
                            read */
     SYNC_REPLY_BEHIND,  /* the host has not seen that the store was restored */
@@ -112,6 +113,13 @@
                                        uint32_t contact_age_ms,
                                        const store_sync_fleet_t *fleet);
 
+/*
+ * The next call to the store reads all keys, and so does not replay versions
+ * of values that have been superseded.  Precedes the result of the call that
+ * shows this.
+ */
+void store_sync_skip_history(store_sync_t *sync);
+
 /* The view is about to be too old: whatever is in progress takes too long. */
 store_sync_step_t store_sync_confirm(store_sync_t *sync,
                                      const store_sync_fleet_t *fleet);
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -21,6 +21,8 @@
 #include "gateway/dialect.h"
 #include "gateway/mirror.h"
 #include "gateway/settings.h"
+#include "gateway/store_feed.h"
+#include "gateway/store_intake.h"
 #include "http/http.h"
 #include "kv/kv.h"
 #include "kv/presence.h"
@@ -233,16 +235,19 @@
 store_relay_t *store_relay_new(gateway_t *gateway);
 void store_relay_free(store_relay_t *relay);
 void store_relay_handle_poll(store_relay_t *relay, const char *host,
-                             const store_poll_t *asked);
-/* Replies to all held polls after the mirror has changed. */
-void store_relay_reply_to_all(store_relay_t *relay);
+                             const store_poll_t *poll);
+void store_relay_handle_fetch(store_relay_t *relay, const char *host,
+                              const store_fetch_t *fetch);
+/* Sends what is due after the mirror has changed. */
+void store_relay_run(store_relay_t *relay);
 
 /* --- store_view.c: passes the store's keys to the modules --- */
 
 /* Replaces all known keys by those of a full read. */
 void store_view_load(gateway_t *gateway, int64_t revision,
                      const kv_pair_t *pairs, size_t count);
-/* Applies a change; create_revision is 0 if the key was removed. */
+/* Applies a change unless a later one of the key is known; create_revision is
+ * 0 if the key was removed. */
 void store_view_apply(gateway_t *gateway, const kv_pair_t *pair);
 
 /* --- watcher.c: follows the store by a watch or by polling a host --- */
@@ -253,9 +258,12 @@
 void watcher_confirm(watcher_t *watcher);
 /* Longest age of the contact of a host that is polled, in ms. */
 uint32_t watcher_contact_age_max_ms(const gateway_t *gateway);
-/* Handles a reply of the host that this one polls. */
+/* Handle a reply of the host that this one polls; store_changes_t: one of an
+ * earlier build. */
 void watcher_handle_reply(watcher_t *watcher, const char *host,
-                          const store_changes_t *tell);
+                          const store_changes_t *reply);
+void watcher_handle_parts(watcher_t *watcher, const char *host,
+                          const store_parts_t *parts);
 
 /* --- directory.c: the addresses of the hosts --- */
 
@@ -310,6 +318,11 @@
 /* Counts a connection closed or refused to stay within the limits. */
 void meters_count_closed(meters_t *meters, const char *reason);
 void meters_count_response_too_large(meters_t *meters, const char *limit);
+/* Sets the bytes of values that other hosts were sent. */
+void meters_set_store_bytes(meters_t *meters, const feed_counters_t *sent);
+/* Sets those of the large values that patches of other hosts have made. */
+void meters_set_store_received(meters_t *meters,
+                               const intake_counters_t *received);
 /* Sets the metrics of roll-outs. */
 void meters_set_rollouts(meters_t *meters, const forward_t *forward);
 /* Appends all metrics in the Prometheus text format. */
--- a/gateway/meters.c
+++ b/gateway/meters.c
@@ -26,6 +26,9 @@
     metric_family_t *rollout_phases;
     metric_family_t *connections_closed;
     metric_family_t *responses_too_large;
+    metric_family_t *store_bytes;
+    metric_family_t *values_received;
+    metric_family_t *received_bytes;
     metric_family_t *routing_age;
     metric_family_t *log_lines_dropped;
 };
@@ -34,6 +37,7 @@
                                       const char *help, const char *label);
 static void add_limit_families(meters_t *meters);
 static void add_rollout_families(meters_t *meters);
+static void add_store_families(meters_t *meters);
 static const char *request_type_name(request_type_t type);
 static void count_relay(meters_t *meters, const char *direction);
 static void count_record(meters_t *meters, const forward_record_t *record);
@@ -95,6 +99,7 @@
                                       "and were confirmed with it."});
     add_rollout_families(meters);
     add_limit_families(meters);
+    add_store_families(meters);
     meters->routing_age = metric_family_new(
         set, &(metric_spec_t){.kind = METRIC_GAUGE,
                               .name = "agatevale_routing_age_seconds",
@@ -126,6 +131,31 @@
                          .labels = {"limit"}});
 }
 
+static void
+add_store_families(meters_t *meters)
+{
+    metric_set_t *set = meters->set;
+
+    meters->store_bytes = metric_family_new(
+        set, &(metric_spec_t){.kind = METRIC_GAUGE,
+                              .name = "agatevale_store_sent_bytes",
+                              .help = "Values of the store that other hosts "
+                                      "were sent, since the start.",
+                              .labels = {"form"}});
+    meters->values_received = metric_family_new(
+        set, &(metric_spec_t){.kind = METRIC_GAUGE,
+                              .name = "agatevale_store_values_received",
+                              .help = "Large values of the store made by "
+                                      "patches of other hosts, since the "
+                                      "start."});
+    meters->received_bytes = metric_family_new(
+        set, &(metric_spec_t){.kind = METRIC_GAUGE,
+                              .name = "agatevale_store_received_bytes",
+                              .help = "Bytes of these patches, and of the "
+                                      "values that they made.",
+                              .labels = {"of"}});
+}
+
 static void
 add_rollout_families(meters_t *meters)
 {
@@ -247,6 +277,38 @@
         1);
 }
 
+void
+meters_set_store_bytes(meters_t *meters, const feed_counters_t *sent)
+{
+    const struct {
+        const char *form;
+        uint64_t bytes;
+    } rows[] = {{"small", sent->small_bytes},
+                {"patch", sent->patch_bytes},
+                {"whole", sent->whole_bytes},
+                {"legacy", sent->legacy_bytes}};
+    size_t i;
+
+    for (i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
+        metric_set_value(
+            metric_series(meters->store_bytes, (const char *[]){rows[i].form}),
+            (double)rows[i].bytes);
+    }
+}
+
+void
+meters_set_store_received(meters_t *meters, const intake_counters_t *received)
+{
+    metric_set_value(metric_series(meters->values_received, NULL),
+                     (double)received->values);
+    metric_set_value(
+        metric_series(meters->received_bytes, (const char *[]){"patches"}),
+        (double)received->patch_bytes);
+    metric_set_value(
+        metric_series(meters->received_bytes, (const char *[]){"values"}),
+        (double)received->value_bytes);
+}
+
 static void
 set_responses(meters_t *meters, const char *service, const char *version,
               const canary_arm_t *arm)
--- a/gateway/mirror.c
+++ b/gateway/mirror.c
@@ -11,7 +11,13 @@
  * Removed keys that are kept.  A host that needs older changes has to read the
  * store in full.
  */
-enum { REMOVED_KEYS_MAX = 2048 };
+enum {
+    REMOVED_KEYS_MAX = 2048,
+    VALUE_BYTES_MAX = 8 << 20,
+    /* The patches of a value are worth sending up to this part of its size;
+     * compressed, it is a few times smaller than it is. */
+    PATH_PART = 8,
+};
 
 typedef struct {
     char *key;
@@ -19,21 +25,38 @@
     size_t value_bytes;
     int64_t revision; /* of the last change of the key */
     bool removed;
-    bool loaded; /* by the full read in progress */
+    bool loaded;              /* by the full read in progress */
+    value_history_t *history; /* NULL: there is none */
     UT_hash_handle hh;
 } entry_t;
 
+/* A patch that another host has sent, until its value is applied. */
+typedef struct {
+    char *key; /* NULL: there is none */
+    int64_t base;
+    int64_t revision;
+    patch_t patch;
+} received_t;
+
 struct mirror {
     entry_t *entries;
     size_t removed_count;
     int64_t compacted_revision; /* changes up to it are not known */
     int64_t revision;
     int64_t load_revision; /* of the full read in progress */
+    int64_t seen;          /* small values are known up to it, if later */
+    bool keeps_history;
+    received_t received;
 };
 
 static void set_removed(mirror_t *mirror, entry_t *entry, int64_t revision);
 static void entry_free(mirror_t *mirror, entry_t *entry);
 static void compact_removed_keys(mirror_t *mirror);
+static void record_patch(mirror_t *mirror, entry_t *entry,
+                         const kv_pair_t *pair);
+static value_history_t *entry_history(entry_t *entry);
+static bool is_large(const entry_t *entry);
+static void forget_received(mirror_t *mirror);
 
 mirror_t *
 mirror_new(void)
@@ -54,6 +77,7 @@
     {
         entry_free(mirror, entry);
     }
+    forget_received(mirror);
     free(mirror);
 }
 
@@ -109,6 +133,7 @@
         compact_removed_keys(mirror);
         return;
     }
+    record_patch(mirror, entry, pair);
     free(entry->value);
     entry->revision = pair->mod_revision;
     entry->removed = false;
@@ -131,6 +156,31 @@
     return mirror->revision;
 }
 
+void
+mirror_advance_seen(mirror_t *mirror, int64_t revision)
+{
+    if (revision > mirror->seen) {
+        mirror->seen = revision;
+    }
+}
+
+int64_t
+mirror_seen(const mirror_t *mirror)
+{
+    return revision_is_older(mirror->revision, mirror->seen)
+               ? mirror->seen
+               : mirror->revision;
+}
+
+int64_t
+mirror_key_revision(const mirror_t *mirror, const char *key)
+{
+    const entry_t *entry;
+
+    HASH_FIND_STR(mirror->entries, key, entry);
+    return entry != NULL ? entry->revision : 0;
+}
+
 bool
 mirror_is_removed(const mirror_t *mirror, const char *key)
 {
@@ -169,11 +219,192 @@
     return true;
 }
 
+bool
+mirror_is_superseded(const kv_pair_t *pairs, size_t count, size_t index)
+{
+    size_t i;
+
+    if (pairs[index].value_bytes < MIRROR_LARGE_BYTES) {
+        return false;
+    }
+    for (i = index + 1; i < count; i++) {
+        if (strcmp(pairs[i].key, pairs[index].key) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+bool
+mirror_has_large_changes(const mirror_t *mirror, const kv_pair_t *pairs,
+                         size_t count)
+{
+    size_t i;
+
+    for (i = 0; i < count; i++) {
+        if (pairs[i].value_bytes >= MIRROR_LARGE_BYTES &&
+            pairs[i].mod_revision !=
+                mirror_key_revision(mirror, pairs[i].key)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+void
+mirror_keep_history(mirror_t *mirror, bool keep)
+{
+    mirror->keeps_history = keep;
+}
+
+kv_pair_t *
+mirror_large_values(const mirror_t *mirror, arena_t *arena, size_t *count)
+{
+    kv_pair_t *pairs =
+        arena_array(arena, HASH_COUNT(mirror->entries) + 1, sizeof(*pairs));
+    const entry_t *entry;
+
+    *count = 0;
+    for (entry = mirror->entries; entry != NULL; entry = entry->hh.next) {
+        if (is_large(entry)) {
+            pairs[*count] = (kv_pair_t){.key = entry->key,
+                                        .mod_revision = entry->revision};
+            (*count)++;
+        }
+    }
+    return pairs;
+}
+
+size_t
+mirror_patches(mirror_t *mirror, const char *key, int64_t held,
+               const value_patch_t **list)
+{
+    value_history_t *history;
+    size_t bytes = 0;
+    size_t count;
+    size_t i;
+    entry_t *entry;
+
+    HASH_FIND_STR(mirror->entries, key, entry);
+    if (entry == NULL || !is_large(entry) || entry->revision == held) {
+        return 0;
+    }
+    history = entry_history(entry);
+    count = value_history_path(history, held, entry->revision, list);
+    for (i = 0; i < count; i++) {
+        bytes += list[i]->patch.count;
+    }
+    if (count > 0 && bytes <= entry->value_bytes / PATH_PART) {
+        return count;
+    }
+    list[0] = value_history_find(history, 0, entry->revision);
+    if (list[0] == NULL) {
+        value_history_add(
+            history, 0, entry->revision,
+            patch_make(NULL, 0, entry->value, entry->value_bytes));
+        list[0] = value_history_find(history, 0, entry->revision);
+    }
+    return 1;
+}
+
+const value_patch_t *
+mirror_find_patch(const mirror_t *mirror, const char *key, int64_t base,
+                  int64_t revision)
+{
+    const entry_t *entry;
+
+    HASH_FIND_STR(mirror->entries, key, entry);
+    return entry != NULL && entry->history != NULL
+               ? value_history_find(entry->history, base, revision)
+               : NULL;
+}
+
+int
+mirror_patch_value(mirror_t *mirror, const char *key, int64_t base,
+                   int64_t revision, const uint8_t *patch, size_t patch_bytes,
+                   char **value, size_t *value_bytes, err_t *err)
+{
+    const entry_t *entry;
+
+    HASH_FIND_STR(mirror->entries, key, entry);
+    if (base != 0 &&
+        (entry == NULL || entry->removed || entry->revision != base)) {
+        return err_set(err, ERR_PROTOCOL,
+                       "a patch of %s is of another version than the present "
+                       "one: read the whole value",
+                       key);
+    }
+    if (patch_apply(base != 0 ? entry->value : NULL,
+                    base != 0 ? entry->value_bytes : 0, patch, patch_bytes,
+                    VALUE_BYTES_MAX, value, value_bytes, err) < 0) {
+        return -1;
+    }
+    forget_received(mirror);
+    mirror->received = (received_t){
+        .key = xstrdup(key),
+        .base = base,
+        .revision = revision,
+        .patch = {.bytes = xcalloc(1, patch_bytes + 1), .count = patch_bytes}};
+    memcpy(mirror->received.patch.bytes, patch, patch_bytes);
+    return 0;
+}
+
+/* Keeps the patch from the present value of the entry to that of the pair. */
+static void
+record_patch(mirror_t *mirror, entry_t *entry, const kv_pair_t *pair)
+{
+    received_t *received = &mirror->received;
+
+    if (pair->mod_revision == entry->revision) {
+        return;
+    }
+    if (received->key != NULL && strcmp(received->key, pair->key) == 0 &&
+        received->revision == pair->mod_revision) {
+        value_history_add(entry_history(entry), received->base,
+                          received->revision, received->patch);
+        received->patch = (patch_t){0};
+        forget_received(mirror);
+        return;
+    }
+    if (mirror->keeps_history && is_large(entry) &&
+        pair->value_bytes >= MIRROR_LARGE_BYTES) {
+        value_history_add(entry_history(entry), entry->revision,
+                          pair->mod_revision,
+                          patch_make(entry->value, entry->value_bytes,
+                                     pair->value, pair->value_bytes));
+    }
+}
+
+static value_history_t *
+entry_history(entry_t *entry)
+{
+    if (entry->history == NULL) {
+        entry->history = value_history_new();
+    }
+    return entry->history;
+}
+
+static bool
+is_large(const entry_t *entry)
+{
+    return !entry->removed && entry->value_bytes >= MIRROR_LARGE_BYTES;
+}
+
+static void
+forget_received(mirror_t *mirror)
+{
+    free(mirror->received.key);
+    free(mirror->received.patch.bytes);
+    mirror->received = (received_t){0};
+}
+
 /* Does not compact, and so frees no other entry. */
 static void
 set_removed(mirror_t *mirror, entry_t *entry, int64_t revision)
 {
     free(entry->value);
+    value_history_free(entry->history);
+    entry->history = NULL;
     entry->value = NULL;
     entry->value_bytes = 0;
     entry->revision = revision;
@@ -185,6 +416,7 @@
 entry_free(mirror_t *mirror, entry_t *entry)
 {
     HASH_DEL(mirror->entries, entry); /* NOLINT(clang-analyzer-*) */
+    value_history_free(entry->history);
     free(entry->key);
     free(entry->value);
     free(entry);
--- a/gateway/peering.c
+++ b/gateway/peering.c
@@ -242,6 +242,16 @@
                                 &message->message_t_u.store_poll);
         return;
     }
+    if (message->kind == MESSAGE_STORE_FETCH) {
+        store_relay_handle_fetch(gateway->relay, from,
+                                 &message->message_t_u.store_fetch);
+        return;
+    }
+    if (message->kind == MESSAGE_STORE_PARTS) {
+        watcher_handle_parts(gateway->watcher, from,
+                             &message->message_t_u.store_parts);
+        return;
+    }
     if (message->kind == MESSAGE_STORE_CHANGES) {
         watcher_handle_reply(gateway->watcher, from,
                              &message->message_t_u.store_changes);
--- /dev/null
+++ b/gateway/store_intake.c
@@ -0,0 +1,237 @@
+/* store_intake.c - see store_intake.h. */
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/revision.h"
+#include "gateway/store_intake.h"
+
+/* Largest patch that is received. */
+enum { PATCH_BYTES_MAX = 2 << 20 };
+
+struct store_intake {
+    mirror_t *mirror;
+    intake_apply_t apply;
+    void *context;
+    store_patch_t patch; /* that is being received; key NULL: none */
+    uint8_t *bytes;
+    size_t received;
+    size_t room;
+    intake_counters_t counters;
+};
+
+static int handle_piece(store_intake_t *intake, const store_piece_t *piece,
+                        err_t *err);
+static bool continues(const store_intake_t *intake,
+                      const store_piece_t *piece);
+static void begin(store_intake_t *intake, const store_patch_t *patch);
+static int finish(store_intake_t *intake, err_t *err);
+static void drop(store_intake_t *intake);
+
+store_intake_t *
+store_intake_new(mirror_t *mirror, intake_apply_t apply, void *context)
+{
+    store_intake_t *intake = xcalloc(1, sizeof(*intake));
+
+    intake->mirror = mirror;
+    intake->apply = apply;
+    intake->context = context;
+    return intake;
+}
+
+void
+store_intake_free(store_intake_t *intake)
+{
+    if (intake != NULL) {
+        drop(intake);
+        free(intake);
+    }
+}
+
+void
+store_intake_write_fetch(const store_intake_t *intake, arena_t *arena,
+                         store_fetch_t *fetch)
+{
+    size_t count;
+    kv_pair_t *pairs = mirror_large_values(intake->mirror, arena, &count);
+    size_t i;
+
+    fetch->after = mirror_revision(intake->mirror);
+    fetch->seen = mirror_seen(intake->mirror);
+    if (count > LINK_VALUES_MAX) {
+        count = LINK_VALUES_MAX;
+    }
+    fetch->values.values_val =
+        arena_array(arena, count + 1, sizeof(*fetch->values.values_val));
+    fetch->values.values_len = (u_int)count;
+    for (i = 0; i < count; i++) {
+        fetch->values.values_val[i] =
+            (store_value_t){.key = (char *)(uintptr_t)pairs[i].key,
+                            .revision = pairs[i].mod_revision};
+    }
+    if (intake->patch.key != NULL &&
+        revision_same_era(intake->patch.revision, fetch->after)) {
+        store_partial_t *partial = arena_alloc(arena, sizeof(*partial));
+
+        *partial = (store_partial_t){.patch = intake->patch,
+                                     .offset = (uint32_t)intake->received};
+        fetch->partial.partial_len = 1;
+        fetch->partial.partial_val = partial;
+    }
+}
+
+int
+store_intake_handle(store_intake_t *intake, const store_parts_t *parts,
+                    err_t *err)
+{
+    u_int i;
+
+    for (i = 0; i < parts->items.items_len; i++) {
+        const store_item_t *item = &parts->items.items_val[i];
+        kv_pair_t pair = {
+            .key = item->key,
+            .value = item->value.value_val,
+            .value_bytes = item->value.value_len,
+            .mod_revision = item->revision,
+            .create_revision = item->removed ? 0 : item->revision,
+        };
+
+        if (!store_intake_is_stale(intake->mirror, &pair)) {
+            intake->apply(intake->context, &pair);
+        }
+    }
+    mirror_advance_seen(intake->mirror, parts->seen);
+    for (i = 0; i < parts->pieces.pieces_len; i++) {
+        if (handle_piece(intake, &parts->pieces.pieces_val[i], err) < 0) {
+            drop(intake);
+            return -1;
+        }
+    }
+    if (parts->complete) {
+        mirror_advance(intake->mirror, parts->revision);
+    }
+    return 0;
+}
+
+size_t
+store_intake_pending(const store_intake_t *intake, size_t *patch_bytes)
+{
+    *patch_bytes = intake->patch.bytes;
+    return intake->received;
+}
+
+const intake_counters_t *
+store_intake_counters(const store_intake_t *intake)
+{
+    return &intake->counters;
+}
+
+bool
+store_intake_is_stale(const mirror_t *mirror, const kv_pair_t *pair)
+{
+    int64_t known = mirror_key_revision(mirror, pair->key);
+
+    return known == pair->mod_revision ||
+           revision_is_older(pair->mod_revision, known);
+}
+
+static int
+handle_piece(store_intake_t *intake, const store_piece_t *piece, err_t *err)
+{
+    if (!revision_same_era(piece->patch.revision,
+                           mirror_revision(intake->mirror))) {
+        return err_set(err, ERR_PROTOCOL,
+                       "a patch of %s is from before the store was restored: "
+                       "read the whole value",
+                       piece->patch.key);
+    }
+    if (piece->patch.bytes > PATCH_BYTES_MAX ||
+        piece->bytes.bytes_len > piece->patch.bytes) {
+        return err_set(err, ERR_LIMIT,
+                       "a patch of %s has %u bytes: read the whole value",
+                       piece->patch.key, piece->patch.bytes);
+    }
+    if (!continues(intake, piece)) {
+        if (piece->offset != 0) {
+            return err_set(err, ERR_PROTOCOL,
+                           "a piece of a patch of %s does not follow the "
+                           "previous one: read the whole value",
+                           piece->patch.key);
+        }
+        begin(intake, &piece->patch);
+    }
+    if (piece->bytes.bytes_len > intake->patch.bytes - intake->received) {
+        return err_set(err, ERR_PROTOCOL,
+                       "a patch of %s is longer than stated: read the whole "
+                       "value",
+                       piece->patch.key);
+    }
+    if (intake->received + piece->bytes.bytes_len > intake->room) {
+        intake->room = 2 * (intake->received + piece->bytes.bytes_len);
+        intake->bytes = xrealloc(intake->bytes, intake->room, 1);
+    }
+    memcpy(intake->bytes + intake->received, piece->bytes.bytes_val,
+           piece->bytes.bytes_len);
+    intake->received += piece->bytes.bytes_len;
+    return intake->received == intake->patch.bytes ? finish(intake, err) : 0;
+}
+
+static bool
+continues(const store_intake_t *intake, const store_piece_t *piece)
+{
+    const store_patch_t *patch = &intake->patch;
+
+    return patch->key != NULL && strcmp(patch->key, piece->patch.key) == 0 &&
+           patch->base == piece->patch.base &&
+           patch->revision == piece->patch.revision &&
+           patch->digest == piece->patch.digest &&
+           patch->bytes == piece->patch.bytes &&
+           intake->received == piece->offset;
+}
+
+static void
+begin(store_intake_t *intake, const store_patch_t *patch)
+{
+    drop(intake);
+    intake->patch = *patch;
+    intake->patch.key = xstrdup(patch->key);
+}
+
+/* A value that has come another way meanwhile is left alone. */
+static int
+finish(store_intake_t *intake, err_t *err)
+{
+    const store_patch_t *patch = &intake->patch;
+    kv_pair_t pair = {.key = patch->key,
+                      .mod_revision = patch->revision,
+                      .create_revision = patch->revision};
+    char *value;
+
+    if (store_intake_is_stale(intake->mirror, &pair)) {
+        drop(intake);
+        return 0;
+    }
+    if (mirror_patch_value(intake->mirror, patch->key, patch->base,
+                           patch->revision, intake->bytes, intake->received,
+                           &value, &pair.value_bytes, err) < 0) {
+        return -1;
+    }
+    pair.value = value;
+    intake->counters.values++;
+    intake->counters.patch_bytes += intake->received;
+    intake->counters.value_bytes += pair.value_bytes;
+    intake->apply(intake->context, &pair);
+    free(value);
+    drop(intake);
+    return 0;
+}
+
+static void
+drop(store_intake_t *intake)
+{
+    free(intake->patch.key);
+    free(intake->bytes);
+    intake->patch = (store_patch_t){0};
+    intake->bytes = NULL;
+    intake->received = 0;
+    intake->room = 0;
+}
--- a/gateway/watcher.c
+++ b/gateway/watcher.c
@@ -13,16 +13,29 @@
 #include "base/revision.h"
 #include "forward/store_sync.h"
 #include "gateway/gateway.h"
+#include "gateway/store_intake.h"
+
+enum { US_PER_MS = 1000 };
+#define POLL_PARTS ((uint64_t)1 << LINK_POLL_PARTS_BIT)
 
 struct watcher {
     gateway_t *gateway;
     uv_timer_t *timer;
     uv_timer_t *confirm_timer;
     store_sync_t *sync;
+    store_intake_t *intake;
+    char *fetch_host;      /* polled host that understands store_fetch_t */
+    int64_t receive_us;    /* since when a patch is being received; 0: none */
+    bool skipping_history; /* the store changes faster than it can be read */
 };
 
-static sync_reply_t reply_kind(const watcher_t *watcher,
-                               const store_changes_t *reply);
+static sync_reply_t reply_kind(const watcher_t *watcher, bool known,
+                               int64_t revision);
+static void finish_poll(watcher_t *watcher, sync_reply_t kind,
+                        uint32_t contact_age_ms);
+static void apply_pair(void *context, const kv_pair_t *pair);
+static void log_receiving(watcher_t *watcher, const char *host);
+static void keep_history(gateway_t *gateway);
 static store_sync_fleet_t fleet_now(const watcher_t *watcher, arena_t *arena);
 static void announce_store(watcher_t *watcher);
 static void execute_step(watcher_t *watcher, const store_sync_step_t *step);
@@ -56,6 +69,7 @@
 
     watcher->gateway = gateway;
     watcher->sync = store_sync_new(&sync_settings);
+    watcher->intake = store_intake_new(gateway->mirror, apply_pair, gateway);
     watcher->timer = xcalloc(1, sizeof(*watcher->timer));
     (void)uv_timer_init(gateway->loop, watcher->timer);
     watcher->timer->data = watcher;
@@ -78,6 +92,8 @@
     uv_close((uv_handle_t *)watcher->timer, (uv_close_cb)free);
     uv_close((uv_handle_t *)watcher->confirm_timer, (uv_close_cb)free);
     store_sync_free(watcher->sync);
+    store_intake_free(watcher->intake);
+    free(watcher->fetch_host);
     free(watcher);
 }
 
@@ -101,16 +117,14 @@
                      const store_changes_t *reply)
 {
     gateway_t *gateway = watcher->gateway;
-    arena_t arena = {0};
-    store_sync_fleet_t fleet;
-    store_sync_step_t step;
     sync_reply_t kind;
     u_int i;
 
-    if (!store_sync_is_polling(watcher->sync, host, reply->number)) {
+    if (!store_sync_is_polling(watcher->sync, host,
+                               reply->number & ~POLL_PARTS)) {
         return;
     }
-    kind = reply_kind(watcher, reply);
+    kind = reply_kind(watcher, reply->known, reply->revision);
     if (kind == SYNC_REPLY_CHANGES) {
         announce_store(watcher);
     }
@@ -129,27 +143,97 @@
     }
     if (kind == SYNC_REPLY_CHANGES) {
         mirror_advance(gateway->mirror, reply->revision);
-        store_relay_reply_to_all(gateway->relay);
+        store_relay_run(gateway->relay);
     }
-    fleet = fleet_now(watcher, &arena);
-    step = store_sync_poll_done(watcher->sync, kind, reply->contact_age_ms,
-                                &fleet);
+    finish_poll(watcher, kind, reply->contact_age_ms);
+}
+
+void
+watcher_handle_parts(watcher_t *watcher, const char *host,
+                     const store_parts_t *parts)
+{
+    gateway_t *gateway = watcher->gateway;
+    sync_reply_t kind;
+    err_t err;
+
+    if (!store_sync_is_polling(watcher->sync, host,
+                               parts->number & ~POLL_PARTS)) {
+        return;
+    }
+    if (watcher->fetch_host == NULL ||
+        strcmp(watcher->fetch_host, host) != 0) {
+        free(watcher->fetch_host);
+        watcher->fetch_host = xstrdup(host);
+    }
+    kind = reply_kind(watcher, parts->known, parts->revision);
+    if (kind == SYNC_REPLY_CHANGES) {
+        announce_store(watcher);
+        if (store_intake_handle(watcher->intake, parts, &err) < 0) {
+            log_event(LOG_WARNING, "store-patch-failed",
+                      "host=%s reason=\"%s\"", host, err.message);
+            kind = SYNC_REPLY_UNKNOWN;
+        }
+        else if (!parts->complete) {
+            kind = SYNC_REPLY_PARTIAL;
+        }
+        meters_set_store_received(gateway->meters,
+                                  store_intake_counters(watcher->intake));
+        log_receiving(watcher, host);
+        store_relay_run(gateway->relay);
+    }
+    finish_poll(watcher, kind, parts->contact_age_ms);
+}
+
+static void
+finish_poll(watcher_t *watcher, sync_reply_t kind, uint32_t contact_age_ms)
+{
+    arena_t arena = {0};
+    store_sync_fleet_t fleet = fleet_now(watcher, &arena);
+    store_sync_step_t step =
+        store_sync_poll_done(watcher->sync, kind, contact_age_ms, &fleet);
+
     execute_step(watcher, &step);
     arena_free(&arena);
 }
 
 /* Eras rise; an earlier one is of a host that has not read the store anew. */
 static sync_reply_t
-reply_kind(const watcher_t *watcher, const store_changes_t *reply)
+reply_kind(const watcher_t *watcher, bool known, int64_t revision)
 {
     int64_t own = mirror_revision(watcher->gateway->mirror);
 
-    if (revision_era(reply->revision) < revision_era(own)) {
+    if (revision_era(revision) < revision_era(own)) {
         return SYNC_REPLY_BEHIND;
     }
-    return reply->known && revision_same_era(reply->revision, own)
-               ? SYNC_REPLY_CHANGES
-               : SYNC_REPLY_UNKNOWN;
+    return known && revision_same_era(revision, own) ? SYNC_REPLY_CHANGES
+                                                     : SYNC_REPLY_UNKNOWN;
+}
+
+static void
+apply_pair(void *context, const kv_pair_t *pair)
+{
+    store_view_apply(context, pair);
+}
+
+/* Says once that this host is behind, and when it no longer is. */
+static void
+log_receiving(watcher_t *watcher, const char *host)
+{
+    int64_t now_us = gateway_now_us();
+    size_t patch_bytes;
+    size_t received = store_intake_pending(watcher->intake, &patch_bytes);
+
+    if (received > 0 && watcher->receive_us == 0) {
+        watcher->receive_us = now_us;
+        log_event(LOG_INFO, "store-value-behind",
+                  "host=%s received=%zu patch_bytes=%zu", host, received,
+                  patch_bytes);
+    }
+    else if (received == 0 && watcher->receive_us != 0) {
+        log_event(LOG_INFO, "store-value-received", "host=%s ms=%" PRId64,
+                  host, (now_us - watcher->receive_us) / US_PER_MS);
+        watcher->receive_us = 0;
+    }
 }
 
 static store_sync_fleet_t
@@ -186,6 +270,8 @@
     gateway_t *gateway = watcher->gateway;
 
     if (step->failed_host != NULL) {
+        free(watcher->fetch_host);
+        watcher->fetch_host = NULL;
         log_event(LOG_NOTICE, "store-poll-failed", "host=%s",
                   step->failed_host);
     }
@@ -244,14 +330,26 @@
 poll_host(watcher_t *watcher, const store_sync_step_t *step)
 {
     gateway_t *gateway = watcher->gateway;
-    message_t message = {.kind = MESSAGE_STORE_POLL};
+    uint64_t number = step->poll_number | POLL_PARTS;
+    message_t message = {.kind = MESSAGE_STORE_FETCH};
+    arena_t arena = {0};
 
     if (step->new_host) {
         log_event(LOG_INFO, "store-poll-host", "host=%s", step->host);
     }
-    message.message_t_u.store_poll.number = step->poll_number;
-    message.message_t_u.store_poll.after = mirror_revision(gateway->mirror);
+    if (watcher->fetch_host != NULL &&
+        strcmp(watcher->fetch_host, step->host) == 0) {
+        message.message_t_u.store_fetch.number = number;
+        store_intake_write_fetch(watcher->intake, &arena,
+                                 &message.message_t_u.store_fetch);
+    }
+    else {
+        message.kind = MESSAGE_STORE_POLL;
+        message.message_t_u.store_poll = (store_poll_t){
+            .number = number, .after = mirror_revision(gateway->mirror)};
+    }
     peering_send(gateway->peering, step->host, &message);
+    arena_free(&arena);
 }
 
 static void
@@ -301,11 +399,18 @@
 
     if (result == KV_OK) {
         announce_store(watcher);
+        watcher->skipping_history =
+            watcher->skipping_history &&
+            mirror_has_large_changes(gateway->mirror, pairs, count);
+        if (watcher->skipping_history) {
+            store_sync_skip_history(watcher->sync);
+        }
+        keep_history(gateway);
         store_view_load(gateway, revision, pairs, count);
         log_event(LOG_INFO, "store-read",
                   "era=%" PRId64 " revision=%" PRId64 " items=%zu",
                   revision_era(revision), revision_number(revision), count);
-        store_relay_reply_to_all(gateway->relay);
+        store_relay_run(gateway->relay);
     }
     fleet = fleet_now(watcher, &arena);
     step = store_sync_read_done(
@@ -338,12 +443,18 @@
     }
     if (result == KV_OK) {
         announce_store(watcher);
+        keep_history(gateway);
         for (i = 0; i < count; i++) {
+            if (mirror_is_superseded(pairs, count, i)) {
+                watcher->skipping_history = true;
+                store_sync_skip_history(watcher->sync);
+                continue;
+            }
             store_view_apply(gateway, &pairs[i]);
         }
         mirror_advance(gateway->mirror, revision);
         if (count > 0) {
-            store_relay_reply_to_all(gateway->relay);
+            store_relay_run(gateway->relay);
         }
     }
     fleet = fleet_now(watcher, &arena);
@@ -353,6 +464,15 @@
     arena_free(&arena);
 }
 
+/* In a small fleet, no host polls another one. */
+static void
+keep_history(gateway_t *gateway)
+{
+    mirror_keep_history(
+        gateway->mirror,
+        !follower_fleet_is_small(directory_count(gateway->directory)));
+}
+
 static void
 on_timer(uv_timer_t *timer)
 {
--- a/policy/hosts.c
+++ b/policy/hosts.c
@@ -70,6 +70,8 @@
     case MESSAGE_PLACEMENTS: /* used only between hosts in gateway mode */
     case MESSAGE_STORE_POLL:
     case MESSAGE_STORE_CHANGES:
+    case MESSAGE_STORE_FETCH:
+    case MESSAGE_STORE_PARTS:
     case MESSAGE_SPREAD:
         return;
     case MESSAGE_RECORD_ACK:
--- a/regress/test_store_sync.c
+++ b/regress/test_store_sync.c
@@ -17,7 +17,8 @@
 /*
  * What happens at a time, and the step that follows.  Events:
  *   start | read ok|failed | empty | changes | compacted | failed
- *   reply AGE_MS | unknown | behind | timer | confirm
+ *   reply AGE_MS | part AGE_MS | unknown | behind | timer | confirm
+ *   "replayed" before "changes" or "read": versions that are superseded
  * Steps: the call ("read", "watch", "poll"), then "contact=AGE_MS",
  * "ended" (the watch), "lost" or "regained" (the store), "wait=MS".
  */
@@ -116,6 +117,55 @@
       {5, "read ok", "poll contact=5 wait=900"},
       {10, "behind", "watch"},
       {15, "empty", "poll contact=5 ended wait=900"}}},
+    {"a host that sends a large change is not given up",
+     30,
+     false,
+     {{0, "start", "read"},
+      {5, "read ok", "poll contact=5 wait=900"},
+      {400, "part 100", "poll wait=900"},
+      {800, "part 100", "poll wait=900"},
+      {1600, "part 100", "poll wait=900"},
+      {2000, "reply 100", "poll contact=500 wait=900"}}},
+    {"a large change that is late is read from the store meanwhile",
+     30,
+     false,
+     {{0, "start", "read"},
+      {5, "read ok", "poll contact=5 wait=900"},
+      {1600, "part 100", "poll wait=900"},
+      {2400, "confirm", "watch"},
+      {2500, "changes", "poll contact=100 ended wait=900"}}},
+    {"a host that sends a large change and has lost the store is given up",
+     30,
+     false,
+     {{0, "start", "read"},
+      {5, "read ok", "poll contact=5 wait=900"},
+      {400, "part 1501", "watch"}}},
+    {"a watcher that is sent a large change goes back to the store",
+     6,
+     true,
+     {{0, "start", "read"},
+      {5, "read ok", "watch contact=5"},
+      {10, "empty", "contact=5"},
+      {20, "failed", "poll lost wait=900"},
+      {30, "part 100", "poll wait=900"},
+      {300, "part 100", "watch"},
+      {305, "empty", "contact=5 regained"}}},
+    {"a watcher that gets superseded versions reads until nothing changes",
+     6,
+     true,
+     {{0, "start", "read"},
+      {5, "read ok", "watch contact=5"},
+      {10, "empty", "contact=5"},
+      {400, "replayed changes", "read contact=390 ended"},
+      {700, "replayed read ok", "read contact=300"},
+      {900, "read ok", "watch contact=200"}}},
+    {"a follower that gets superseded versions polls",
+     30,
+     false,
+     {{0, "start", "read"},
+      {5, "read ok", "poll contact=5 wait=900"},
+      {905, "timer", "watch"},
+      {1200, "replayed changes", "poll contact=295 ended wait=900"}}},
 };
 
 static char names[HOSTS_MAX][32];
@@ -151,6 +201,10 @@
 static store_sync_step_t
 play(store_sync_t *sync, const char *event, const store_sync_fleet_t *fleet)
 {
+    if (strncmp(event, "replayed ", 9) == 0) {
+        store_sync_skip_history(sync);
+        return play(sync, event + 9, fleet);
+    }
     if (strcmp(event, "start") == 0) {
         return store_sync_start(sync, fleet);
     }
@@ -164,6 +218,11 @@
                                     (uint32_t)strtoul(event + 6, NULL, 10),
                                     fleet);
     }
+    if (strncmp(event, "part ", 5) == 0) {
+        return store_sync_poll_done(sync, SYNC_REPLY_PARTIAL,
+                                    (uint32_t)strtoul(event + 5, NULL, 10),
+                                    fleet);
+    }
     if (strcmp(event, "unknown") == 0) {
         return store_sync_poll_done(sync, SYNC_REPLY_UNKNOWN, 0, fleet);
     }
--- a/world/link.x
+++ b/world/link.x
@@ -21,6 +21,9 @@
 const LINK_ROLLOUT_ROUTES_MAX = 8;
 const LINK_NEVER = 4294967295; /* as an age */
 const LINK_KEY_MAX = 256;      /* longer than any key of the store */
+const LINK_PIECE_MAX = 16384;  /* of a patch, in one message */
+const LINK_PIECES_MAX = 64;
+const LINK_VALUES_MAX = 64;    /* large values of the store */
 
 typedef string name_t<LINK_NAME_MAX>;
 
@@ -39,7 +42,9 @@
     MESSAGE_SPREAD = 14,
     /* 12 and 13 are those of builds whose revisions have no era. */
     MESSAGE_STORE_POLL = 15,
-    MESSAGE_STORE_CHANGES = 16
+    MESSAGE_STORE_CHANGES = 16,
+    MESSAGE_STORE_FETCH = 17,
+    MESSAGE_STORE_PARTS = 18
 };
 
 /*
@@ -395,6 +400,13 @@
     placements_t placements;
 };
 
+/*
+ * In the number of a store_poll_t: the sender understands MESSAGE_STORE_PARTS.
+ * Hosts of earlier builds return the number and reply with
+ * MESSAGE_STORE_CHANGES.
+ */
+const LINK_POLL_PARTS_BIT = 63;
+
 /*
  * Requests the changes of the store after a revision.  Revisions of the store
  * are as in base/revision.h.
@@ -427,6 +439,67 @@
     store_item_t items<LINK_ITEMS_MAX>;
 };
 
+/* A large value of the store that the sender has, as of its revision. */
+struct store_value_t {
+    string key<LINK_KEY_MAX>;
+    int64_t revision;
+};
+
+/*
+ * A patch (base/patch.h) that makes the value of a key as of revision of that
+ * as of base; 0: of nothing.  bytes and digest are the size and the hash
+ * (XXH3) of the whole patch.
+ */
+struct store_patch_t {
+    string key<LINK_KEY_MAX>;
+    int64_t base;
+    int64_t revision;
+    uint32_t bytes;
+    uint64_t digest;
+};
+
+/* The patch of which the sender has the first bytes, up to offset. */
+struct store_partial_t {
+    store_patch_t patch;
+    uint32_t offset;
+};
+
+/*
+ * A poll that states what the sender already has: all changes up to after, all
+ * changes of small values up to seen, the large values, and part of a patch.
+ */
+struct store_fetch_t {
+    uint64_t number;
+    int64_t after;
+    int64_t seen;
+    store_value_t values<LINK_VALUES_MAX>;
+    store_partial_t partial<1>;
+};
+
+/* Bytes of a patch, from offset on. */
+struct store_piece_t {
+    store_patch_t patch;
+    uint32_t offset;
+    opaque bytes<LINK_PIECE_MAX>;
+};
+
+/*
+ * The reply to a poll, or a part of it.  items are changes of small values, all
+ * up to seen; pieces change large ones, in that order.  complete is set if the
+ * receiver then has all changes up to revision.  Otherwise it polls again at
+ * once.  known, revision and contact_age_ms are as in store_changes_t.
+ */
+struct store_parts_t {
+    uint64_t number;
+    bool known;
+    bool complete;
+    int64_t revision;
+    int64_t seen;
+    uint32_t contact_age_ms;
+    store_item_t items<LINK_ITEMS_MAX>;
+    store_piece_t pieces<LINK_PIECES_MAX>;
+};
+
 union message_t switch (message_kind_t kind) {
 case MESSAGE_HEARTBEAT:
     heartbeat_t heartbeat;
@@ -454,6 +527,10 @@
     store_poll_t store_poll;
 case MESSAGE_STORE_CHANGES:
     store_changes_t store_changes;
+case MESSAGE_STORE_FETCH:
+    store_fetch_t store_fetch;
+case MESSAGE_STORE_PARTS:
+    store_parts_t store_parts;
 case MESSAGE_SPREAD:
     spread_placements_t spread;
 };
