Decide in one place where a body ends, and refuse heads with two readings

Cause: the check for ambiguous lengths scanned the head apart from the parser, which skips empty lines before it; the scan ended at them.

http/framing.h now reads the bytes of the head strictly, for requests and for responses: one length in digits, or chunked alone; no folded lines, control bytes, blanks before colons, lines ended by a line feed only, or chunks in HTTP/1.0.

--- a/gateway/inbound.c
+++ b/gateway/inbound.c
@@ -9,6 +9,7 @@
 
 #include "base/log.h"
 #include "gateway/inbound.h"
+#include "http/framing.h"
 
 enum {
     STATUS_BAD_REQUEST = 400,
@@ -49,8 +50,8 @@
     if (has_ambiguous_length(req)) {
         req->http1_is_persistent = 0;
         inbound_respond(req, STATUS_BAD_REQUEST, "text/plain",
-                        H2O_STRLIT("the length of the body is stated twice: "
-                                   "state it once\n"));
+                        H2O_STRLIT("the end of the body is not clear: state "
+                                   "its length once, in digits\n"));
         return;
     }
     inbound = xcalloc(1, sizeof(*inbound));
@@ -380,37 +381,28 @@
 }
 
 /*
- * Returns whether two HTTP parsers could disagree on the end of the body.
- * h2o uses the first length field and ignores the others, so this scans the
- * raw request head.
+ * Returns whether two HTTP parsers could disagree on the end of the body.  h2o
+ * uses the first length and ignores others, and does not keep the lines that
+ * it skips or joins, so this checks the bytes that it took as the head.
  */
 static bool
 has_ambiguous_length(const h2o_req_t *req)
 {
-    static const char length_name[] = "content-length:";
-    static const char coding_name[] = "transfer-encoding:";
     h2o_socket_t *socket = req->conn->callbacks->get_socket(req->conn);
-    const char *cursor = socket->input->bytes;
-    const char *end = cursor + socket->input->size;
-    uint32_t length_fields = 0;
+    uint64_t length_bytes = 0;
 
-    while (cursor < end) {
-        const char *newline = memchr(cursor, '\n', (size_t)(end - cursor));
-        size_t line_bytes =
-            (size_t)((newline != NULL ? newline : end) - cursor);
-
-        if (line_bytes == 0 || (line_bytes == 1 && *cursor == '\r')) {
-            break;
-        }
-        if ((line_bytes > strlen(length_name) &&
-             strncasecmp(cursor, length_name, strlen(length_name)) == 0) ||
-            (line_bytes > strlen(coding_name) &&
-             strncasecmp(cursor, coding_name, strlen(coding_name)) == 0)) {
-            length_fields++;
-        }
-        cursor += line_bytes + 1;
+    switch (framing_of_request(socket->input->bytes, socket->input->size,
+                               &length_bytes)) {
+    case FRAMING_LENGTH:
+        return length_bytes != req->entity.len;
+    case FRAMING_CHUNKED:
+        return false;
+    case FRAMING_NO_BODY:
+        return req->entity.len > 0;
+    case FRAMING_AMBIGUOUS:
+        return true;
     }
-    return length_fields > 1;
+    return true;
 }
 
 static void
--- a/http/client_private.h
+++ b/http/client_private.h
@@ -11,6 +11,7 @@
 
 #include <curl/curl.h>
 
+#include "http/framing.h"
 #include "http/http.h"
 
 struct http_call {
@@ -28,7 +29,8 @@
     bool timed_out;      /* before the request was sent */
     bool too_large;      /* the response exceeds a limit */
     bool end_pending;    /* for that reason */
-    uint32_t fields;     /* lines received that are no part of the body */
+    framing_fields_t framing; /* of the head that is being received */
+    uint32_t fields;          /* lines received that are no part of the body */
     uint32_t field_bytes;
     uint64_t received_bytes; /* of the response, since http_renew_limit() */
     uint64_t response_max_bytes;
--- a/http/client_response.c
+++ b/http/client_response.c
@@ -9,6 +9,7 @@
                        size_t length, void *context);
 static void mark_too_large(http_call_t *call);
 static size_t on_header(char *bytes, size_t size, size_t count, void *context);
+static void check_framing(http_call_t *call, const char *bytes, size_t length);
 static void deliver_header_field(http_call_t *call, uint32_t status,
                                  const char *bytes, size_t length);
 static size_t on_body(char *bytes, size_t size, size_t count, void *context);
@@ -81,12 +82,16 @@
     }
     (void)curl_easy_getinfo(call->easy, CURLINFO_RESPONSE_CODE, &status);
     if (length > 2 || (bytes[0] != '\r' && bytes[0] != '\n')) {
+        check_framing(call, bytes, length);
         deliver_header_field(call, (uint32_t)status, bytes, length);
         return length;
     }
     if (status < HTTP_STATUS_FINAL_MIN) {
         return length;
     }
+    if (framing_result(&call->framing, false) == FRAMING_AMBIGUOUS) {
+        return 0;
+    }
     (void)curl_easy_getinfo(call->easy, CURLINFO_CONTENT_TYPE, &content_type);
     (void)curl_easy_getinfo(call->easy, CURLINFO_RETRY_AFTER, &retry_after_s);
     if (retry_after_s > UINT32_MAX / MS_PER_S) {
@@ -99,6 +104,24 @@
     return call->cancelled ? 0 : length;
 }
 
+/* A status line begins a head: that of an interim response is forgotten. */
+static void
+check_framing(http_call_t *call, const char *bytes, size_t length)
+{
+    static const char status_line[] = "HTTP/";
+
+    if (length > strlen(status_line) &&
+        memcmp(bytes, status_line, strlen(status_line)) == 0) {
+        call->framing = (framing_fields_t){0};
+        return;
+    }
+    while (length > 0 &&
+           (bytes[length - 1] == '\r' || bytes[length - 1] == '\n')) {
+        length--;
+    }
+    framing_add_line(&call->framing, bytes, length);
+}
+
 /* Ignores the status line, which has no colon before its first space. */
 static void
 deliver_header_field(http_call_t *call, uint32_t status, const char *bytes,
--- a/regress/test_gateway.c
+++ b/regress/test_gateway.c
@@ -108,6 +108,19 @@
              "Content-Length: 0\r\nContent-Length: 99\r\n")
          REQUEST("GET", "/unsafe/smuggled", ""),
      "HTTP/1.1 400", "200", NULL, NULL},
+    {"two lengths after an empty line are refused with 400", "plain",
+     complete_reply,
+     "\r\n" REQUEST("POST", "/unsafe/p",
+                    "Content-Length: 0\r\nContent-Length: 99\r\n")
+         REQUEST("GET", "/unsafe/smuggled", ""),
+     "HTTP/1.1 400", "200", NULL, NULL},
+    {"a folded length is refused with 400", "plain", complete_reply,
+     REQUEST("POST", "/unsafe/p", "Content-Length: 0\r\n 99\r\n")
+         REQUEST("GET", "/unsafe/smuggled", ""),
+     "HTTP/1.1 400", "200", NULL, NULL},
+    {"a request after empty lines is served", "plain", complete_reply,
+     "\r\n" REQUEST("GET", "/unsafe/p", ""), "hello", NULL,
+     "Expect-Instance: plain-1", NULL},
     {"a service at capacity is refused with 503", "plain", at_capacity_reply,
      REQUEST("GET", "/unsafe/p", ""), "HTTP/1.1 503", "Server-Stamp", "",
      NULL},
