Confirm a large response at once, and take changes as of an old contact

With a table of 460 KB on 100 hosts (simulated, 10 Mbit/s) all followers turned to the store: a watch that had waited for a second and then took half a second to arrive left the watcher's contact 1.5 s old, so that its replies, which had the new table, were taken for those of a host that has lost the store. A line was in force after 5.8 s.

A watcher in a fleet where others poll now begins a new watch after such a response, whose first poll returns at once. Changes are taken however old the contact is, and confirmed by the next poll; polls are held for 150 ms while the contact is too old, and for 200 ms while they wait for their turn.

--- a/forward/store_sync.c
+++ b/forward/store_sync.c
@@ -169,6 +169,15 @@
         sync->needs_full_read = true;
         start_next_call(sync, fleet, &step);
     }
+    else if (changes && !follower_fleet_is_small(fleet->count) &&
+             follower_poll_hold_ms(fleet->now_us - contact_us,
+                                   fleet->contact_age_max_ms) <
+                 FOLLOWER_POLL_HOLD_MS) {
+        /* The response took long.  The first poll of a watch returns at once,
+         * and confirms what followers are told. */
+        step.ends_watch = true;
+        start_watch(sync, fleet, &step);
+    }
     return step;
 }
 
@@ -192,16 +201,16 @@
         start_or_wait(sync, fleet, &step);
         return step;
     }
-    if (reply == SYNC_REPLY_BEHIND ||
-        !follower_contact_is_fresh(age_us, fleet->contact_age_max_ms)) {
-        handle_poll_failure(sync, fleet, &step);
-        return step;
-    }
     sync->receiving = reply == SYNC_REPLY_PARTIAL;
     if (sync->receiving) {
         continue_polling(sync, fleet, &step);
         return step;
     }
+    if (reply == SYNC_REPLY_BEHIND ||
+        !follower_contact_is_fresh(age_us, fleet->contact_age_max_ms)) {
+        handle_poll_failure(sync, fleet, &step);
+        return step;
+    }
     step.has_contact = true;
     step.contact_us = sync->call_start_us - age_us;
     step.source = copy_source(sync, sync->polled_host);
--- a/forward/store_sync.h
+++ b/forward/store_sync.h
@@ -102,7 +102,8 @@
                            uint64_t number);
 typedef enum {
     SYNC_REPLY_CHANGES, /* all changes since the revision of the poll */
-    SYNC_REPLY_PARTIAL, /* some of them: more are to be polled for */
+    SYNC_REPLY_PARTIAL, /* some of them, or all as of an old contact: more
+                           are to be polled for */
     SYNC_REPLY_UNKNOWN, /* the host no longer has them: the store has to be
                            read */
     SYNC_REPLY_BEHIND,  /* the host has not seen that the store was restored */
--- a/gateway/store_feed.c
+++ b/gateway/store_feed.c
@@ -36,6 +36,7 @@
                         const held_poll_t *poll);
 static bool send_parts(store_feed_t *feed, const feed_time_t *time,
                        held_poll_t *poll);
+static void hold_for_turn(held_poll_t *poll, int64_t now_us);
 static void count_bytes(store_feed_t *feed, const store_parts_t *parts);
 static receiver_t *free_receiver(store_feed_t *feed, int64_t now_us);
 
@@ -55,11 +56,13 @@
 store_feed_free(store_feed_t *feed)
 {
     held_poll_t *poll;
+    held_poll_t *next;
 
     if (feed == NULL) {
         return;
     }
-    while ((poll = TAILQ_FIRST(&feed->polls)) != NULL) {
+    for (poll = TAILQ_FIRST(&feed->polls); poll != NULL; poll = next) {
+        next = TAILQ_NEXT(poll, link);
         poll_free(feed, poll);
     }
     free(feed);
@@ -134,6 +137,9 @@
     poll = xcalloc(1, sizeof(*poll));
     poll->kind = kind;
     poll->host = arena_strdup(&poll->arena, host);
+    if (hold_ms < FEED_STALE_HOLD_MS && kind == POLL_FETCH) {
+        hold_ms = FEED_STALE_HOLD_MS;
+    }
     if (feed->count >= FEED_POLLS_MAX || kind == POLL_HELLO) {
         hold_ms = 0;
     }
@@ -271,6 +277,7 @@
         parts->pieces.pieces_len = 0;
         parts->complete = false;
         if (!expired && parts->items.items_len == 0) {
+            hold_for_turn(poll, time->now_us);
             poll->checked_seen = mirror_seen(mirror);
             arena_free(&arena);
             return false;
@@ -287,6 +294,18 @@
     return true;
 }
 
+/* The next poll may wait behind a response of the store on this host's link,
+ * so that less of the receiver's timeout is left for this one. */
+static void
+hold_for_turn(held_poll_t *poll, int64_t now_us)
+{
+    int64_t expires_us = now_us + (int64_t)FEED_TURN_HOLD_MS * US_PER_MS;
+
+    if (poll->expires_us > expires_us) {
+        poll->expires_us = expires_us;
+    }
+}
+
 static void
 count_bytes(store_feed_t *feed, const store_parts_t *parts)
 {
--- a/gateway/store_feed.h
+++ b/gateway/store_feed.h
@@ -26,6 +26,11 @@
     FEED_WINDOW_PIECES = 4, /* 64 KB: 52 ms of a link of 10 Mbit/s */
     /* Patches up to this size are not counted. */
     FEED_SMALL_PATCH_BYTES = 2048,
+    /* Longest time that a poll waits for its turn to get a patch. */
+    FEED_TURN_HOLD_MS = 200,
+    /* Longest time that a poll is held while this host's contact with the
+     * store is too old.  A call that confirms it takes less. */
+    FEED_STALE_HOLD_MS = 150,
     /* A host that has not polled again for this time has failed. */
     FEED_RECEIVE_TIMEOUT_MS = 1000,
 };
--- a/gateway/store_intake.c
+++ b/gateway/store_intake.c
@@ -112,6 +112,15 @@
     return 0;
 }
 
+bool
+store_intake_is_final(const store_parts_t *parts, uint32_t contact_age_max_ms)
+{
+    bool changes = parts->items.items_len > 0 || parts->pieces.pieces_len > 0;
+
+    return parts->complete &&
+           (!changes || parts->contact_age_ms <= contact_age_max_ms);
+}
+
 size_t
 store_intake_pending(const store_intake_t *intake, size_t *patch_bytes)
 {
@@ -144,11 +153,13 @@
                        "read the whole value",
                        piece->patch.key);
     }
-    if (piece->patch.bytes > PATCH_BYTES_MAX ||
+    if (piece->patch.bytes > PATCH_BYTES_MAX || piece->bytes.bytes_len == 0 ||
         piece->bytes.bytes_len > piece->patch.bytes) {
         return err_set(err, ERR_LIMIT,
-                       "a patch of %s has %u bytes: read the whole value",
-                       piece->patch.key, piece->patch.bytes);
+                       "a piece of %u bytes of a patch of %s with %u: read "
+                       "the whole value",
+                       piece->bytes.bytes_len, piece->patch.key,
+                       piece->patch.bytes);
     }
     if (!continues(intake, piece)) {
         if (piece->offset != 0) {
--- a/gateway/store_intake.h
+++ b/gateway/store_intake.h
@@ -39,6 +39,11 @@
 int store_intake_handle(store_intake_t *intake, const store_parts_t *parts,
                         err_t *err);
 
+/* Returns whether a reply is all that is wanted: complete, and not changes as
+ * of a contact that is too old to confirm them. */
+bool store_intake_is_final(const store_parts_t *parts,
+                           uint32_t contact_age_max_ms);
+
 /* Returns the bytes received of a patch that is not complete, and its size in
  * *patch_bytes; 0: there is none. */
 size_t store_intake_pending(const store_intake_t *intake, size_t *patch_bytes);
--- a/gateway/watcher.c
+++ b/gateway/watcher.c
@@ -173,7 +173,8 @@
                       "host=%s reason=\"%s\"", host, err.message);
             kind = SYNC_REPLY_UNKNOWN;
         }
-        else if (!parts->complete) {
+        else if (!store_intake_is_final(parts,
+                                        watcher_contact_age_max_ms(gateway))) {
             kind = SYNC_REPLY_PARTIAL;
         }
         meters_set_store_received(gateway->meters,
--- a/regress/bench_feed.c
+++ b/regress/bench_feed.c
@@ -1,67 +1,104 @@
 /*
- * bench_feed.c - prints what a change of the routing table costs, by the
- * number of hosts and the size of the table, for this build and for one that
- * sends whole tables.
+ * bench_feed.c - measures what changes of the routing table cost, by number of
+ * hosts and size of the table, in the simulation of feed_sim.h.
+ *
+ * Figures with "whole" in their name are those of a build that sends whole
+ * tables.  -1 ms: some host never had a change.
  */
 #include <inttypes.h>
+#include <stdbool.h>
 #include <stdio.h>
 
 #include "regress/feed_sim.h"
 
-enum { LINK_KBYTES = 1250 };
+enum {
+    LINK_KBYTES = 1250, /* 10 Mbit/s */
+    FIRST_ROUTES = 48,
+    SMALL_CHANGES = 6,
+    GROWTH_MAX_MS = 4000, /* a site's bound for a change to be in force */
+    LINE_MAX_MS = 2000,
+};
 
+typedef struct {
+    size_t hosts;
+    uint32_t routes; /* more */
+    bool whole;
+} feed_row_t;
+
+static const feed_row_t rows[] = {
+    {30, 100, true},    {30, 700, true},    {30, 1400, true},
+    {100, 100, true},   {100, 700, true},   {100, 1400, true},
+    {300, 100, true},   {300, 700, true},   {30, 100, false},
+    {30, 700, false},   {30, 1400, false},  {30, 2800, false},
+    {100, 100, false},  {100, 700, false},  {100, 1400, false},
+    {100, 2800, false}, {300, 100, false},  {300, 700, false},
+    {300, 1400, false}, {300, 2800, false},
+};
+
+/* max 0: there is no bound. */
 static void
-print_ms(uint32_t ms)
+print_figure(const feed_row_t *row, const char *name, int64_t value,
+             const char *unit, int64_t max)
 {
-    if (ms == FEED_SIM_NEVER) {
-        printf(" never");
-    }
-    else {
-        printf(" %" PRIu32, ms);
+    printf("feed_%s%s_%zu_hosts_%" PRIu32 "_routes %" PRId64 " %s ",
+           row->whole ? "whole_" : "", name, row->hosts, row->routes, value,
+           unit);
+    if (max == 0) {
+        printf("- ok\n");
+        return;
     }
+    printf("%" PRId64 " %s\n", max,
+           value >= 0 && value <= max ? "ok" : "short");
+}
+
+static int64_t
+ms_or_never(uint32_t ms)
+{
+    return ms == FEED_SIM_NEVER ? -1 : (int64_t)ms;
+}
+
+static void
+measure(const feed_row_t *row)
+{
+    const feed_sim_settings_t settings = {
+        .hosts = row->hosts,
+        .link_kbytes_per_s = LINK_KBYTES,
+        .first_routes = FIRST_ROUTES,
+        .growth_routes = row->routes,
+        .small_changes = SMALL_CHANGES,
+        .small_gap_ms = 1000,
+        .entry_gap_ms = 500,
+        .legacy_hosts = row->whole ? row->hosts : 0,
+        .short_calls = row->whole,
+    };
+    feed_sim_result_t result = feed_simulate(&settings);
+    int64_t bounded = row->whole ? 0 : 1;
+
+    print_figure(row, "growth", ms_or_never(result.growth_ms), "ms",
+                 bounded * GROWTH_MAX_MS);
+    print_figure(row, "line", ms_or_never(result.small_ms), "ms",
+                 bounded * LINE_MAX_MS);
+    print_figure(row, "entry", ms_or_never(result.entry_ms), "ms",
+                 bounded * LINE_MAX_MS);
+    print_figure(row, "host_kbytes", (int64_t)(result.host_bytes / 1000), "kB",
+                 0);
+    print_figure(row, "busiest_host", (int64_t)(result.busiest_bytes / 1000),
+                 "kB/s", bounded * LINK_KBYTES);
+    print_figure(row, "store_kbytes", (int64_t)(result.store_bytes / 1000),
+                 "kB", 0);
+    print_figure(row, "store_calls", result.store_calls, "calls", 0);
+    print_figure(row, "failed", result.failed_polls + result.failed_calls,
+                 "calls", 0);
+    (void)fflush(stdout);
 }
 
 int
 main(void)
 {
-    static const size_t fleets[] = {30, 100, 300};
-    static const uint32_t tables[] = {100, 700, 1400, 2800};
     size_t i;
-    size_t j;
-    int legacy;
-
-    printf("hosts routes build table_B growth_ms small_ms entry_ms "
-           "host_KB busiest_KB/s store_KB store_calls calls/s failed\n");
-    for (i = 0; i < sizeof(fleets) / sizeof(fleets[0]); i++) {
-        for (j = 0; j < sizeof(tables) / sizeof(tables[0]); j++) {
-            for (legacy = 1; legacy >= 0; legacy--) {
-                feed_sim_settings_t settings = {
-                    .hosts = fleets[i],
-                    .link_kbytes_per_s = LINK_KBYTES,
-                    .first_routes = 48,
-                    .growth_routes = tables[j],
-                    .small_changes = 6,
-                    .small_gap_ms = 1000,
-                    .entry_gap_ms = 500,
-                    .legacy_hosts = legacy ? fleets[i] : 0,
-                    .short_calls = legacy != 0,
-                };
-                feed_sim_result_t result = feed_simulate(&settings);
 
-                printf("%zu %" PRIu32 " %s %" PRIu32, fleets[i], tables[j],
-                       legacy ? "whole" : "patch", result.table_bytes);
-                print_ms(result.growth_ms);
-                print_ms(result.small_ms);
-                print_ms(result.entry_ms);
-                printf(" %" PRIu64 " %" PRIu64 " %" PRIu64 " %" PRIu32
-                       " %" PRIu32 " %" PRIu32 "\n",
-                       result.host_bytes / 1000, result.busiest_bytes / 1000,
-                       result.store_bytes / 1000, result.store_calls,
-                       result.calls_per_s,
-                       result.failed_polls + result.failed_calls);
-                (void)fflush(stdout);
-            }
-        }
+    for (i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
+        measure(&rows[i]);
     }
     return 0;
 }
--- a/regress/canned.c
+++ b/regress/canned.c
@@ -23,7 +23,7 @@
     size_t length;
     const canned_reply_t *reply;
     size_t sent;
-    uint64_t next_ms; /* when the next part is due */
+    uint64_t next_ms;        /* when the next part is due */
     char block[BLOCK_BYTES]; /* of an endless reply */
     size_t block_bytes;
     int open_handles;
--- a/regress/feed_sim.c
+++ b/regress/feed_sim.c
@@ -384,7 +384,8 @@
         if (store_intake_handle(host->intake, parts, &err) < 0) {
             kind = SYNC_REPLY_UNKNOWN;
         }
-        else if (!parts->complete) {
+        else if (!store_intake_is_final(
+                     parts, feed_fleet(index).contact_age_max_ms)) {
             kind = SYNC_REPLY_PARTIAL;
         }
         feed_run(index);
--- a/regress/test_feed_fleet.c
+++ b/regress/test_feed_fleet.c
@@ -40,6 +40,8 @@
      LINE_MS, LINK_KBYTES, 0, false},
     {"700 routes more on 30 hosts", SETTINGS(30, 700, 0), 3000, LINE_MS,
      LINE_MS, LINK_KBYTES, 0, false},
+    {"2,800 routes more on 100 hosts", SETTINGS(100, 2800, 0), 4000, LINE_MS,
+     LINE_MS, LINK_KBYTES, 0, false},
     {"hosts of two builds", SETTINGS(30, 100, 15), 3000, LINE_MS, LINE_MS,
      LINK_KBYTES, 0, false},
     /* The links are what breaks a build that sends whole tables. */
--- a/regress/test_framing.c
+++ b/regress/test_framing.c
@@ -148,7 +148,7 @@
         size_t count = strlen(from);
         uint64_t length_bytes;
 
-        memcpy(head, from, count);
+        memcpy(head, from, count + 1);
         count = mutate(head, count, &rng_state);
         accepted += framing_of_request(head, count, &length_bytes) !=
                     FRAMING_AMBIGUOUS;
--- a/regress/test_store_feed.c
+++ b/regress/test_store_feed.c
@@ -2,6 +2,7 @@
  * test_store_feed.c - tests what hosts that poll for changes of the store are
  * sent, and when.
  */
+#include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -163,8 +164,8 @@
         uint64_t draw = (uint64_t)(i + 1) * 0x9e3779b97f4a7c15U;
 
         draw ^= i < variant ? draw >> 29 : 0;
-        text_printf(&text, "{\"path\":\"/%016llx/\",\"ms\":2500},\n",
-                    (unsigned long long)(draw * 0xbf58476d1ce4e5b9U));
+        text_printf(&text, "{\"path\":\"/%016" PRIx64 "/\",\"ms\":2500},\n",
+                    draw * UINT64_C(0xbf58476d1ce4e5b9));
     }
     return text;
 }
