--- a/regress/test_platform_store.c
+++ b/regress/test_platform_store.c
@@ -15,7 +15,12 @@
     "HTTP/1.1 " status "\r\nContent-Type: application/json\r\n"               \
     "Store-Era: " era "\r\nConnection: close\r\n\r\n" body
 
-enum { TIMEOUT_MS = 300, WATCH_MS = 50, PAUSE_MS = 1, VALUE_BYTES = 400 << 10 };
+enum {
+    TIMEOUT_MS = 300,
+    WATCH_MS = 50,
+    PAUSE_MS = 1,
+    VALUE_BYTES = 400 << 10
+};
 
 /* A client and a server with canned responses; collects callback arguments. */
 typedef struct {
@@ -419,17 +424,9 @@
 
 static const slow_case_t slow_cases[] = {
     {"a long response over a slow link takes longer than the timeout",
-     16 << 10,
-     20,
-     "0@9 a="},
-    {"a response that stalls ends",
-     64 << 10,
-     60000,
-     "1@0;"},
-    {"a response that trickles ends",
-     100,
-     50,
-     "1@0;"},
+     16 << 10, 20, "0@9 a="},
+    {"a response that stalls ends", 64 << 10, 60000, "1@0;"},
+    {"a response that trickles ends", 100, 50, "1@0;"},
 };
 
 START_TEST(test_long_response_is_not_cut_off)
