Send the rest of a patch that has begun alone

Found by reading: the patches that follow one that has begun were looked up in the same reply. That may make the whole value anew, which moves the patches in the history and may free the one that is being sent. A whole value that another host was sent meanwhile was then begun anew.

--- a/gateway/store_reply.c
+++ b/gateway/store_reply.c
@@ -81,35 +81,37 @@
     }
 }
 
-/* Returns the bytes of the pieces. */
+/*
+ * Returns the bytes of the pieces.  A patch that has begun comes alone:
+ * looking for those that follow it may drop it from the history.
+ */
 static size_t
 add_pieces(mirror_t *mirror, store_parts_t *parts, const held_poll_t *poll,
            const kv_pair_t *pairs, size_t count)
 {
-    const value_patch_t *patches[HISTORY_PATCHES_MAX + 1];
+    const value_patch_t *patches[HISTORY_PATCHES_MAX];
     size_t bytes = 0;
     size_t i;
 
     for (i = 0; i < count; i++) {
         const char *key = pairs[i].key;
         int64_t held = held_revision(poll, key);
-        const value_patch_t *begun;
-        size_t found = 0;
+        size_t found = 1;
 
         if (!is_large(&pairs[i]) || held >= pairs[i].mod_revision) {
             continue;
         }
-        begun = partial_patch(mirror, poll, key);
-        if (begun != NULL) {
-            patches[0] = begun;
-            found = 1;
-            held = begun->revision;
+        patches[0] = partial_patch(mirror, poll, key);
+        if (patches[0] == NULL) {
+            found = mirror_patches(mirror, key, held, patches);
         }
-        found += mirror_patches(mirror, key, held, &patches[found]);
         if (!add_patches(parts, poll, key, patches, found, &bytes)) {
             parts->complete = false;
             break;
         }
+        if (patches[found - 1]->revision != pairs[i].mod_revision) {
+            parts->complete = false;
+        }
     }
     return bytes;
 }
