State new large values in polls before others

A poll has room for 64 large values. With more of them, one that a host had received but did not state would be sent to it again and again, so that no reply was ever complete. Found by reading; test_poll_states_new_values_before_others fails before.

--- a/gateway/store_intake.c
+++ b/gateway/store_intake.c
@@ -19,6 +19,8 @@
     intake_counters_t counters;
 };
 
+static void add_values(store_fetch_t *fetch, const kv_pair_t *pairs,
+                       size_t count, bool after_position);
 static int handle_piece(store_intake_t *intake, const store_piece_t *piece,
                         err_t *err);
 static bool continues(const store_intake_t *intake,
@@ -53,21 +55,13 @@
 {
     size_t count;
     kv_pair_t *pairs = mirror_large_values(intake->mirror, arena, &count);
-    size_t i;
 
     fetch->after = mirror_revision(intake->mirror);
     fetch->seen = mirror_seen(intake->mirror);
-    if (count > LINK_VALUES_MAX) {
-        count = LINK_VALUES_MAX;
-    }
     fetch->values.values_val =
-        arena_array(arena, count + 1, sizeof(*fetch->values.values_val));
-    fetch->values.values_len = (u_int)count;
-    for (i = 0; i < count; i++) {
-        fetch->values.values_val[i] =
-            (store_value_t){.key = (char *)(uintptr_t)pairs[i].key,
-                            .revision = pairs[i].mod_revision};
-    }
+        arena_array(arena, LINK_VALUES_MAX, sizeof(*fetch->values.values_val));
+    add_values(fetch, pairs, count, true);
+    add_values(fetch, pairs, count, false);
     if (intake->patch.key != NULL &&
         revision_same_era(intake->patch.revision, fetch->after)) {
         store_partial_t *partial = arena_alloc(arena, sizeof(*partial));
@@ -79,6 +73,24 @@
     }
 }
 
+/* Those after the position first: without them it would never be complete. The
+ * others are bases of patches. */
+static void
+add_values(store_fetch_t *fetch, const kv_pair_t *pairs, size_t count,
+           bool after_position)
+{
+    size_t i;
+
+    for (i = 0; i < count && fetch->values.values_len < LINK_VALUES_MAX; i++) {
+        if ((pairs[i].mod_revision > fetch->after) == after_position) {
+            fetch->values.values_val[fetch->values.values_len] =
+                (store_value_t){.key = (char *)(uintptr_t)pairs[i].key,
+                                .revision = pairs[i].mod_revision};
+            fetch->values.values_len++;
+        }
+    }
+}
+
 int
 store_intake_handle(store_intake_t *intake, const store_parts_t *parts,
                     err_t *err)
--- a/regress/test_store_feed.c
+++ b/regress/test_store_feed.c
@@ -436,6 +436,40 @@
 }
 END_TEST
 
+/* There is no room for all of them. */
+START_TEST(test_poll_states_new_values_before_others)
+{
+    mirror_t *mirror = open_mirror(false);
+    store_intake_t *intake = store_intake_new(mirror, apply, mirror);
+    store_fetch_t fetch = {0};
+    text_t table = make_table(0);
+    arena_t arena = {0};
+    bool found = false;
+    u_int i;
+
+    for (i = 0; i < LINK_VALUES_MAX; i++) {
+        put(mirror, arena_printf(&arena, "old%u", i), 4, table.bytes,
+            MIRROR_LARGE_BYTES);
+    }
+    apply(mirror, &(kv_pair_t){.key = "new",
+                               .value = table.bytes,
+                               .value_bytes = MIRROR_LARGE_BYTES,
+                               .mod_revision = 9,
+                               .create_revision = 9});
+    store_intake_write_fetch(intake, &arena, &fetch);
+    ck_assert_int_eq(fetch.after, 5);
+    ck_assert_uint_eq(fetch.values.values_len, LINK_VALUES_MAX);
+    for (i = 0; i < fetch.values.values_len; i++) {
+        found = found || strcmp(fetch.values.values_val[i].key, "new") == 0;
+    }
+    ck_assert(found);
+    arena_free(&arena);
+    text_free(&table);
+    store_intake_free(intake);
+    mirror_free(mirror);
+}
+END_TEST
+
 /* The store went back to a copy while half of a patch had come. */
 START_TEST(test_patch_of_an_earlier_era_is_not_finished)
 {
@@ -475,6 +509,7 @@
     tcase_add_loop_test(tcase, test_large_values_hold_nothing_up, 0,
                         COUNT(cases));
     tcase_add_test(tcase, test_late_reply_does_not_bring_an_old_value_back);
+    tcase_add_test(tcase, test_poll_states_new_values_before_others);
     tcase_add_test(tcase, test_patch_of_an_earlier_era_is_not_finished);
     return fixture_main("store_feed", tcase);
 }
