--- a/regress/feed_sim.c
+++ b/regress/feed_sim.c
@@ -12,7 +12,6 @@
     ZONES = 4,
     ONE_WAY_MS = 1,
     CHECK_MS = 50,
-    MESSAGE_BYTES_MAX = 8 << 20,
     MESSAGE_HEAD_BYTES = 160, /* RPC, tag, TCP */
     SETTLE_MS = 1000,
     KBYTE = 1000,
@@ -211,16 +210,16 @@
     feed_event_t event = {.kind = FEED_EVENT_MESSAGE,
                           .host = (size_t)strtoul(name + 1, NULL, 10),
                           .from = (size_t)(from - feed_sim.hosts)};
-    char *buffer = xcalloc(1, MESSAGE_BYTES_MAX);
+    message_t *encoded = (message_t *)(uintptr_t)message;
     size_t bytes;
     XDR xdr;
 
-    xdrmem_create(&xdr, buffer, MESSAGE_BYTES_MAX, XDR_ENCODE);
-    if (!xdr_message_t(&xdr, (message_t *)(uintptr_t)message)) {
+    event.count = xdr_sizeof((xdrproc_t)xdr_message_t, encoded);
+    event.bytes = xcalloc(1, event.count + 1);
+    xdrmem_create(&xdr, event.bytes, (u_int)event.count, XDR_ENCODE);
+    if (!xdr_message_t(&xdr, encoded)) {
         abort();
     }
-    event.count = xdr_getpos(&xdr);
-    event.bytes = xrealloc(buffer, event.count + 1, 1);
     bytes = event.count + MESSAGE_HEAD_BYTES;
     count_bytes(&from->up, bytes);
     if (feed_sim.now_us >= (int64_t)FEED_GROWTH_MS * FEED_US_PER_MS) {
