Take only a whole reply for a sign that the store is back

A part says nothing of the store now, and a reply without changes is judged by its contact, complete or not.

--- a/forward/store_sync.c
+++ b/forward/store_sync.c
@@ -262,8 +262,8 @@
     return step;
 }
 
-/* The host that sends a large change is not given up.  A host that is to watch
- * the store calls it when that is due. */
+/* The host that sends a large change is not given up, and may have lost the
+ * store.  A host that is to watch the store calls it when that is due. */
 static void
 continue_polling(store_sync_t *sync, const store_sync_fleet_t *fleet,
                  store_sync_step_t *step)
@@ -272,7 +272,6 @@
         start_or_wait(sync, fleet, step);
         return;
     }
-    record_store_answer(sync, step);
     sync->call_start_us = fleet->now_us;
     poll_host(sync, sync->polled_host, step);
 }
--- a/gateway/store_intake.c
+++ b/gateway/store_intake.c
@@ -129,8 +129,8 @@
 {
     bool changes = parts->items.items_len > 0 || parts->pieces.pieces_len > 0;
 
-    return parts->complete &&
-           (!changes || parts->contact_age_ms <= contact_age_max_ms);
+    return parts->contact_age_ms > contact_age_max_ms ? !changes
+                                                      : parts->complete;
 }
 
 size_t
--- a/gateway/store_intake.h
+++ b/gateway/store_intake.h
@@ -39,8 +39,11 @@
 int store_intake_handle(store_intake_t *intake, const store_parts_t *parts,
                         err_t *err);
 
-/* Returns whether a reply is all that is wanted: complete, and not changes as
- * of a contact that is too old to confirm them. */
+/*
+ * Returns whether a reply is final, and its contact is to be judged.  With a
+ * contact that is too old, one with changes is not: the next reply confirms
+ * them.  One without changes is, complete or not.
+ */
 bool store_intake_is_final(const store_parts_t *parts,
                            uint32_t contact_age_max_ms);
 
--- a/regress/test_store_feed.c
+++ b/regress/test_store_feed.c
@@ -436,6 +436,41 @@
 }
 END_TEST
 
+typedef struct {
+    const char *name;
+    bool complete;
+    uint32_t contact_age_ms;
+    u_int items;
+    bool expected;
+} final_case_t;
+
+static const final_case_t final_cases[] = {
+    {"complete, recent", true, 100, 0, true},
+    {"complete, recent, with changes", true, 100, 1, true},
+    {"a part, recent", false, 100, 1, false},
+    {"a first reply, recent", false, 100, 0, false},
+    {"changes as of an old contact", true, 1501, 1, false},
+    {"a part as of an old contact", false, 1501, 1, false},
+    {"nothing, as of an old contact", true, 1501, 0, true},
+    {"a first reply of a host that has lost the store", false, 1501, 0, true},
+};
+
+START_TEST(test_host_that_lost_the_store_is_not_polled_on)
+{
+    const final_case_t *test = &final_cases[_i];
+    store_item_t item = {.key = (char *)"a"};
+    store_parts_t parts = {
+        .known = true,
+        .complete = test->complete,
+        .contact_age_ms = test->contact_age_ms,
+        .items = {.items_len = test->items, .items_val = &item}};
+
+    ck_assert_msg(store_intake_is_final(&parts, CONTACT_AGE_MAX_MS) ==
+                      test->expected,
+                  "%s", test->name);
+}
+END_TEST
+
 /* There is no room for all of them. */
 START_TEST(test_poll_states_new_values_before_others)
 {
@@ -509,6 +544,8 @@
     tcase_add_loop_test(tcase, test_large_values_hold_nothing_up, 0,
                         COUNT(cases));
     tcase_add_test(tcase, test_late_reply_does_not_bring_an_old_value_back);
+    tcase_add_loop_test(tcase, test_host_that_lost_the_store_is_not_polled_on,
+                        0, COUNT(final_cases));
     tcase_add_test(tcase, test_poll_states_new_values_before_others);
     tcase_add_test(tcase, test_patch_of_an_earlier_era_is_not_finished);
     return fixture_main("store_feed", tcase);
