--- a/gateway/store_reply.c
+++ b/gateway/store_reply.c
@@ -130,14 +130,6 @@
         size_t offset = received_bytes(poll, key, patch);
         size_t length;
 
-        if (poll->partial != NULL &&
-            poll->partial->patch.base == patch->base &&
-            poll->partial->patch.revision == patch->revision &&
-            poll->partial->patch.digest == patch->digest &&
-            strcmp(poll->partial->patch.key, key) == 0 &&
-            poll->partial->offset <= patch->patch.count) {
-            offset = poll->partial->offset;
-        }
         if (*bytes == LINK_PIECE_MAX ||
             parts->pieces.pieces_len == LINK_PIECES_MAX) {
             return false;
