--- a/regress/test_store_feed.c
+++ b/regress/test_store_feed.c
@@ -510,10 +510,15 @@
 {
     mirror_t *mirror = open_mirror(false);
     store_intake_t *intake = store_intake_new(mirror, apply, mirror);
+    text_t table = make_table(1);
+    patch_t patch = patch_make(NULL, 0, table.bytes, table.length);
     store_fetch_t fetch = {0};
     store_piece_t piece = {
-        .patch = {.key = (char *)"t", .revision = 6, .bytes = 2, .digest = 1},
-        .bytes = {.bytes_len = 1, .bytes_val = (char *)"x"}};
+        .patch = {.key = (char *)"t",
+                  .revision = 6,
+                  .bytes = (uint32_t)patch.count,
+                  .digest = 1},
+        .bytes = {.bytes_len = 1, .bytes_val = (char *)patch.bytes}};
     store_parts_t parts = {.known = true,
                            .revision = 6,
                            .pieces = {.pieces_len = 1, .pieces_val = &piece}};
@@ -529,8 +534,13 @@
     store_intake_write_fetch(intake, &arena, &fetch);
     ck_assert_uint_eq(fetch.partial.partial_len, 0);
     piece.offset = 1;
+    piece.bytes.bytes_len = (u_int)patch.count - 1;
+    piece.bytes.bytes_val = (char *)patch.bytes + 1;
     ck_assert_int_eq(store_intake_handle(intake, &parts, &err), -1);
+    ck_assert(mirror_is_removed(mirror, "t"));
     arena_free(&arena);
+    free(patch.bytes);
+    text_free(&table);
     store_intake_free(intake);
     mirror_free(mirror);
 }
