Check, convert and count changes of the store in one place each

- Whether a change is older than what is known was asked by the intake and again by store_view_apply().
It is mirror_is_stale() now, asked once on each path: by the intake for replies, by on_watch() for the store.
- watcher_handle_reply() had a copy of the loop that makes pairs of items; it calls store_intake_apply_items(), as does the simulation.
- The mirror kept a received patch aside until its value was applied.
The patch goes into the history at once, its bytes are handed over instead of copied, and record_patch() makes none where one is kept.
- What a large value is was written four times: mirror_is_large().
- The metrics of sent and received bytes are set when they are read, like those of roll-outs, not with each message and every 50 ms.

--- a/gateway/front.c
+++ b/gateway/front.c
@@ -405,11 +405,16 @@
 static void
 send_metrics(front_t *front, h2o_req_t *req)
 {
-    const forward_t *forward = forwarding_state(front->gateway);
+    const gateway_t *gateway = front->gateway;
+    const forward_t *forward = forwarding_state(gateway);
     text_t text = {0};
 
-    meters_set_rollouts(front->gateway->meters, forward);
-    meters_write(front->gateway->meters,
+    meters_set_rollouts(gateway->meters, forward);
+    meters_set_store_sent(gateway->meters,
+                          store_relay_counters(gateway->relay));
+    meters_set_store_received(gateway->meters,
+                              watcher_counters(gateway->watcher));
+    meters_write(gateway->meters,
                  forward_contact_age_us(forward, gateway_now_us()), &text);
     inbound_respond(req, STATUS_OK, "text/plain; version=0.0.4", text.bytes,
                     text.length);
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -240,14 +240,14 @@
                               const store_fetch_t *fetch);
 /* Sends what is due after the mirror has changed. */
 void store_relay_run(store_relay_t *relay);
+const feed_counters_t *store_relay_counters(const store_relay_t *relay);
 
 /* --- store_view.c: passes the store's keys to the modules --- */
 
 /* Replaces all known keys by those of a full read. */
 void store_view_load(gateway_t *gateway, int64_t revision,
                      const kv_pair_t *pairs, size_t count);
-/* Applies a change unless a later one of the key is known; create_revision is
- * 0 if the key was removed. */
+/* Applies a change; create_revision is 0 if the key was removed. */
 void store_view_apply(gateway_t *gateway, const kv_pair_t *pair);
 
 /* --- watcher.c: follows the store by a watch or by polling a host --- */
@@ -264,6 +264,7 @@
                           const store_changes_t *reply);
 void watcher_handle_parts(watcher_t *watcher, const char *host,
                           const store_parts_t *parts);
+const intake_counters_t *watcher_counters(const watcher_t *watcher);
 
 /* --- directory.c: the addresses of the hosts --- */
 
@@ -319,7 +320,7 @@
 void meters_count_closed(meters_t *meters, const char *reason);
 void meters_count_response_too_large(meters_t *meters, const char *limit);
 /* Sets the bytes of values that other hosts were sent. */
-void meters_set_store_bytes(meters_t *meters, const feed_counters_t *sent);
+void meters_set_store_sent(meters_t *meters, const feed_counters_t *sent);
 /* Sets those of the large values that patches of other hosts have made. */
 void meters_set_store_received(meters_t *meters,
                                const intake_counters_t *received);
--- a/gateway/meters.c
+++ b/gateway/meters.c
@@ -278,7 +278,7 @@
 }
 
 void
-meters_set_store_bytes(meters_t *meters, const feed_counters_t *sent)
+meters_set_store_sent(meters_t *meters, const feed_counters_t *sent)
 {
     const struct {
         const char *form;
--- a/gateway/mirror.c
+++ b/gateway/mirror.c
@@ -30,14 +30,6 @@
     UT_hash_handle hh;
 } entry_t;
 
-/* A patch that another host has sent, until its value is applied. */
-typedef struct {
-    char *key; /* NULL: there is none */
-    int64_t base;
-    int64_t revision;
-    patch_t patch;
-} received_t;
-
 struct mirror {
     entry_t *entries;
     size_t removed_count;
@@ -46,7 +38,6 @@
     int64_t load_revision; /* of the full read in progress */
     int64_t seen;          /* small values are known up to it, if later */
     bool keeps_history;
-    received_t received;
 };
 
 static void set_removed(mirror_t *mirror, entry_t *entry, int64_t revision);
@@ -56,7 +47,6 @@
                          const kv_pair_t *pair);
 static value_history_t *entry_history(entry_t *entry);
 static bool is_large(const entry_t *entry);
-static void forget_received(mirror_t *mirror);
 
 mirror_t *
 mirror_new(void)
@@ -77,7 +67,6 @@
     {
         entry_free(mirror, entry);
     }
-    forget_received(mirror);
     free(mirror);
 }
 
@@ -219,12 +208,28 @@
     return true;
 }
 
+bool
+mirror_is_stale(const mirror_t *mirror, const kv_pair_t *pair)
+{
+    int64_t known = mirror_key_revision(mirror, pair->key);
+
+    return known == pair->mod_revision ||
+           revision_is_older(pair->mod_revision, known);
+}
+
+bool
+mirror_is_large(const kv_pair_t *pair)
+{
+    return pair->create_revision != 0 &&
+           pair->value_bytes >= MIRROR_LARGE_BYTES;
+}
+
 bool
 mirror_is_superseded(const kv_pair_t *pairs, size_t count, size_t index)
 {
     size_t i;
 
-    if (pairs[index].value_bytes < MIRROR_LARGE_BYTES) {
+    if (!mirror_is_large(&pairs[index])) {
         return false;
     }
     for (i = index + 1; i < count; i++) {
@@ -242,7 +247,7 @@
     size_t i;
 
     for (i = 0; i < count; i++) {
-        if (pairs[i].value_bytes >= MIRROR_LARGE_BYTES &&
+        if (mirror_is_large(&pairs[i]) &&
             pairs[i].mod_revision !=
                 mirror_key_revision(mirror, pairs[i].key)) {
             return true;
@@ -321,55 +326,49 @@
 
 int
 mirror_patch_value(mirror_t *mirror, const char *key, int64_t base,
-                   int64_t revision, const uint8_t *patch, size_t patch_bytes,
-                   char **value, size_t *value_bytes, err_t *err)
+                   int64_t revision, patch_t patch, char **value,
+                   size_t *value_bytes, err_t *err)
 {
-    const entry_t *entry;
+    entry_t *entry;
+    int result;
 
     HASH_FIND_STR(mirror->entries, key, entry);
     if (base != 0 &&
         (entry == NULL || entry->removed || entry->revision != base)) {
+        free(patch.bytes);
         return err_set(err, ERR_PROTOCOL,
                        "a patch of %s is of another version than the present "
                        "one: read the whole value",
                        key);
     }
-    if (patch_apply(base != 0 ? entry->value : NULL,
-                    base != 0 ? entry->value_bytes : 0, patch, patch_bytes,
-                    VALUE_BYTES_MAX, value, value_bytes, err) < 0) {
-        return -1;
+    result = patch_apply(
+        base != 0 ? entry->value : NULL, base != 0 ? entry->value_bytes : 0,
+        patch.bytes, patch.count, VALUE_BYTES_MAX, value, value_bytes, err);
+    if (result == 0 && entry != NULL && !entry->removed) {
+        value_history_add(entry_history(entry), base, revision, patch);
+    }
+    else {
+        free(patch.bytes);
     }
-    forget_received(mirror);
-    mirror->received = (received_t){
-        .key = xstrdup(key),
-        .base = base,
-        .revision = revision,
-        .patch = {.bytes = xcalloc(1, patch_bytes + 1), .count = patch_bytes}};
-    memcpy(mirror->received.patch.bytes, patch, patch_bytes);
-    return 0;
+    return result;
 }
 
-/* Keeps the patch from the present value of the entry to that of the pair. */
+/* Keeps the patch from the present value of the entry to that of the pair,
+ * unless another host has sent it, or the whole value. */
 static void
 record_patch(mirror_t *mirror, entry_t *entry, const kv_pair_t *pair)
 {
-    received_t *received = &mirror->received;
+    value_history_t *history;
 
-    if (pair->mod_revision == entry->revision) {
-        return;
-    }
-    if (received->key != NULL && strcmp(received->key, pair->key) == 0 &&
-        received->revision == pair->mod_revision) {
-        value_history_add(entry_history(entry), received->base,
-                          received->revision, received->patch);
-        received->patch = (patch_t){0};
-        forget_received(mirror);
+    if (!mirror->keeps_history || !is_large(entry) || !mirror_is_large(pair) ||
+        pair->mod_revision == entry->revision) {
         return;
     }
-    if (mirror->keeps_history && is_large(entry) &&
-        pair->value_bytes >= MIRROR_LARGE_BYTES) {
-        value_history_add(entry_history(entry), entry->revision,
-                          pair->mod_revision,
+    history = entry_history(entry);
+    if (value_history_find(history, entry->revision, pair->mod_revision) ==
+            NULL &&
+        value_history_find(history, 0, pair->mod_revision) == NULL) {
+        value_history_add(history, entry->revision, pair->mod_revision,
                           patch_make(entry->value, entry->value_bytes,
                                      pair->value, pair->value_bytes));
     }
@@ -390,14 +389,6 @@
     return !entry->removed && entry->value_bytes >= MIRROR_LARGE_BYTES;
 }
 
-static void
-forget_received(mirror_t *mirror)
-{
-    free(mirror->received.key);
-    free(mirror->received.patch.bytes);
-    mirror->received = (received_t){0};
-}
-
 /* Does not compact, and so frees no other entry. */
 static void
 set_removed(mirror_t *mirror, entry_t *entry, int64_t revision)
--- a/gateway/mirror.h
+++ b/gateway/mirror.h
@@ -57,6 +57,10 @@
 bool mirror_changes_since(const mirror_t *mirror, int64_t after,
                           arena_t *arena, kv_pair_t **pairs, size_t *count);
 
+/* Returns whether a change is no later than what is known of its key. */
+bool mirror_is_stale(const mirror_t *mirror, const kv_pair_t *pair);
+/* Returns whether a change leaves a large value. */
+bool mirror_is_large(const kv_pair_t *pair);
 /* Returns whether a pair of a list of changes has a large value that a later
  * one of the list replaces. */
 bool mirror_is_superseded(const kv_pair_t *pairs, size_t count, size_t index);
@@ -85,13 +89,12 @@
 
 /*
  * Makes the value of a key by a patch of its present version, which has to be
- * base.  *value is to be freed by the caller.  The patch is kept for other
- * hosts once the value is applied at that revision.  Returns -1 with *err set
- * if it does not fit.
+ * base, and keeps the patch for other hosts; its bytes are taken over.  The
+ * caller applies the value at that revision, and frees it.  Returns -1 with
+ * *err set if the patch does not fit.
  */
 int mirror_patch_value(mirror_t *mirror, const char *key, int64_t base,
-                       int64_t revision, const uint8_t *patch,
-                       size_t patch_bytes, char **value, size_t *value_bytes,
-                       err_t *err);
+                       int64_t revision, patch_t patch, char **value,
+                       size_t *value_bytes, err_t *err);
 
 #endif
--- a/gateway/store_feed.c
+++ b/gateway/store_feed.c
@@ -3,7 +3,6 @@
 #include <string.h>
 #include <sys/queue.h>
 
-#include "base/revision.h"
 #include "forward/follower.h"
 #include "gateway/store_feed_private.h"
 
--- a/gateway/store_intake.c
+++ b/gateway/store_intake.c
@@ -91,14 +91,14 @@
     }
 }
 
-int
-store_intake_handle(store_intake_t *intake, const store_parts_t *parts,
-                    err_t *err)
+void
+store_intake_apply_items(store_intake_t *intake, const store_item_t *items,
+                         size_t count)
 {
-    u_int i;
+    size_t i;
 
-    for (i = 0; i < parts->items.items_len; i++) {
-        const store_item_t *item = &parts->items.items_val[i];
+    for (i = 0; i < count; i++) {
+        const store_item_t *item = &items[i];
         kv_pair_t pair = {
             .key = item->key,
             .value = item->value.value_val,
@@ -107,10 +107,20 @@
             .create_revision = item->removed ? 0 : item->revision,
         };
 
-        if (!store_intake_is_stale(intake->mirror, &pair)) {
+        if (!mirror_is_stale(intake->mirror, &pair)) {
             intake->apply(intake->context, &pair);
         }
     }
+}
+
+int
+store_intake_handle(store_intake_t *intake, const store_parts_t *parts,
+                    err_t *err)
+{
+    u_int i;
+
+    store_intake_apply_items(intake, parts->items.items_val,
+                             parts->items.items_len);
     mirror_advance_seen(intake->mirror, parts->seen);
     for (i = 0; i < parts->pieces.pieces_len; i++) {
         if (handle_piece(intake, &parts->pieces.pieces_val[i], err) < 0) {
@@ -146,15 +156,6 @@
     return &intake->counters;
 }
 
-bool
-store_intake_is_stale(const mirror_t *mirror, const kv_pair_t *pair)
-{
-    int64_t known = mirror_key_revision(mirror, pair->key);
-
-    return known == pair->mod_revision ||
-           revision_is_older(pair->mod_revision, known);
-}
-
 static int
 handle_piece(store_intake_t *intake, const store_piece_t *piece, err_t *err)
 {
@@ -227,20 +228,23 @@
     kv_pair_t pair = {.key = patch->key,
                       .mod_revision = patch->revision,
                       .create_revision = patch->revision};
+    patch_t received;
     char *value;
 
-    if (store_intake_is_stale(intake->mirror, &pair)) {
+    if (mirror_is_stale(intake->mirror, &pair)) {
         drop(intake);
         return 0;
     }
+    received = (patch_t){.bytes = intake->bytes, .count = intake->received};
+    intake->bytes = NULL;
     if (mirror_patch_value(intake->mirror, patch->key, patch->base,
-                           patch->revision, intake->bytes, intake->received,
-                           &value, &pair.value_bytes, err) < 0) {
+                           patch->revision, received, &value,
+                           &pair.value_bytes, err) < 0) {
         return -1;
     }
     pair.value = value;
     intake->counters.values++;
-    intake->counters.patch_bytes += intake->received;
+    intake->counters.patch_bytes += received.count;
     intake->counters.value_bytes += pair.value_bytes;
     intake->apply(intake->context, &pair);
     free(value);
--- a/gateway/store_intake.h
+++ b/gateway/store_intake.h
@@ -31,6 +31,11 @@
 void store_intake_write_fetch(const store_intake_t *intake, arena_t *arena,
                               store_fetch_t *fetch);
 
+/* Applies those changes that are later than what this host knows of their
+ * keys. */
+void store_intake_apply_items(store_intake_t *intake,
+                              const store_item_t *items, size_t count);
+
 /*
  * Handles a reply of this era with known set: applies the changes that this
  * host does not have.  Returns -1 with *err set if one does not fit what it
@@ -53,7 +58,4 @@
 
 const intake_counters_t *store_intake_counters(const store_intake_t *intake);
 
-/* Returns whether a change is older than what this host knows of its key. */
-bool store_intake_is_stale(const mirror_t *mirror, const kv_pair_t *pair);
-
 #endif
--- a/gateway/store_relay.c
+++ b/gateway/store_relay.c
@@ -71,8 +71,12 @@
     feed_time_t now = time_now(relay);
 
     store_feed_run(relay->feed, &now);
-    meters_set_store_bytes(relay->gateway->meters,
-                           store_feed_counters(relay->feed));
+}
+
+const feed_counters_t *
+store_relay_counters(const store_relay_t *relay)
+{
+    return store_feed_counters(relay->feed);
 }
 
 static void
--- a/gateway/store_reply.c
+++ b/gateway/store_reply.c
@@ -25,7 +25,6 @@
                                           const held_poll_t *poll,
                                           const char *key);
 static int64_t held_revision(const held_poll_t *poll, const char *key);
-static bool is_large(const kv_pair_t *pair);
 static int compare_pairs(const void *left, const void *right);
 
 /* The first poll of a host does not say what it has. */
@@ -62,7 +61,7 @@
     parts->items.items_val =
         arena_array(arena, count + 1, sizeof(*parts->items.items_val));
     for (i = 0; i < count; i++) {
-        if (is_large(&pairs[i]) || pairs[i].mod_revision <= seen) {
+        if (mirror_is_large(&pairs[i]) || pairs[i].mod_revision <= seen) {
             continue;
         }
         bytes += ITEM_HEAD_BYTES + strlen(pairs[i].key) + pairs[i].value_bytes;
@@ -98,7 +97,7 @@
         int64_t held = held_revision(poll, key);
         size_t found = 1;
 
-        if (!is_large(&pairs[i]) || held >= pairs[i].mod_revision) {
+        if (!mirror_is_large(&pairs[i]) || held >= pairs[i].mod_revision) {
             continue;
         }
         patches[0] = partial_patch(mirror, poll, key);
@@ -211,13 +210,6 @@
                   .value_val = (char *)(uintptr_t)pair->value}};
 }
 
-static bool
-is_large(const kv_pair_t *pair)
-{
-    return pair->create_revision != 0 &&
-           pair->value_bytes >= MIRROR_LARGE_BYTES;
-}
-
 static int
 compare_pairs(const void *left, const void *right)
 {
--- a/gateway/store_view.c
+++ b/gateway/store_view.c
@@ -5,7 +5,6 @@
 #include "base/log.h"
 #include "base/revision.h"
 #include "gateway/gateway.h"
-#include "gateway/store_intake.h"
 
 static void raise_event(gateway_t *gateway, forward_event_kind_t kind);
 static void apply_routing(gateway_t *gateway, const kv_pair_t *pair);
@@ -67,9 +66,7 @@
 void
 store_view_apply(gateway_t *gateway, const kv_pair_t *pair)
 {
-    if (!store_intake_is_stale(gateway->mirror, pair)) {
-        apply_change(gateway, pair, false);
-    }
+    apply_change(gateway, pair, false);
 }
 
 /* restored: the key had been removed before the store was restored. */
--- a/gateway/watcher.c
+++ b/gateway/watcher.c
@@ -112,13 +112,18 @@
     return follower_contact_age_max_ms(forward_view_confirm_ms(&limits));
 }
 
+const intake_counters_t *
+watcher_counters(const watcher_t *watcher)
+{
+    return store_intake_counters(watcher->intake);
+}
+
 void
 watcher_handle_reply(watcher_t *watcher, const char *host,
                      const store_changes_t *reply)
 {
     gateway_t *gateway = watcher->gateway;
     sync_reply_t kind;
-    u_int i;
 
     if (!store_sync_is_polling(watcher->sync, host,
                                reply->number & ~POLL_PARTS)) {
@@ -127,21 +132,8 @@
     kind = reply_kind(watcher, reply->known, reply->revision);
     if (kind == SYNC_REPLY_CHANGES) {
         announce_store(watcher);
-    }
-    for (i = 0; kind == SYNC_REPLY_CHANGES && i < reply->items.items_len;
-         i++) {
-        const store_item_t *item = &reply->items.items_val[i];
-        kv_pair_t pair = {
-            .key = item->key,
-            .value = item->value.value_val,
-            .value_bytes = item->value.value_len,
-            .mod_revision = item->revision,
-            .create_revision = item->removed ? 0 : item->revision,
-        };
-
-        store_view_apply(gateway, &pair);
-    }
-    if (kind == SYNC_REPLY_CHANGES) {
+        store_intake_apply_items(watcher->intake, reply->items.items_val,
+                                 reply->items.items_len);
         mirror_advance(gateway->mirror, reply->revision);
         store_relay_run(gateway->relay);
     }
@@ -177,8 +169,6 @@
                                         watcher_contact_age_max_ms(gateway))) {
             kind = SYNC_REPLY_PARTIAL;
         }
-        meters_set_store_received(gateway->meters,
-                                  store_intake_counters(watcher->intake));
         log_receiving(watcher, host);
         store_relay_run(gateway->relay);
     }
@@ -451,7 +441,9 @@
                 store_sync_skip_history(watcher->sync);
                 continue;
             }
-            store_view_apply(gateway, &pairs[i]);
+            if (!mirror_is_stale(gateway->mirror, &pairs[i])) {
+                store_view_apply(gateway, &pairs[i]);
+            }
         }
         mirror_advance(gateway->mirror, revision);
         if (count > 0) {
--- a/regress/feed_sim.c
+++ b/regress/feed_sim.c
@@ -159,7 +159,7 @@
 {
     feed_host_t *host = context;
 
-    if (!store_intake_is_stale(host->mirror, pair)) {
+    if (!mirror_is_stale(host->mirror, pair)) {
         mirror_apply(host->mirror, pair);
     }
 }
@@ -342,24 +342,14 @@
 handle_changes(size_t index, const char *from, const store_changes_t *reply)
 {
     feed_host_t *host = &feed_sim.hosts[index];
-    u_int i;
 
     if (!store_sync_is_polling(host->sync, from,
                                reply->number & ~POLL_PARTS)) {
         return;
     }
-    for (i = 0; reply->known && i < reply->items.items_len; i++) {
-        const store_item_t *item = &reply->items.items_val[i];
-        kv_pair_t pair = {.key = item->key,
-                          .value = item->value.value_val,
-                          .value_bytes = item->value.value_len,
-                          .mod_revision = item->revision,
-                          .create_revision =
-                              item->removed ? 0 : item->revision};
-
-        feed_apply(host, &pair);
-    }
     if (reply->known) {
+        store_intake_apply_items(host->intake, reply->items.items_val,
+                                 reply->items.items_len);
         mirror_advance(host->mirror, reply->revision);
         feed_run(index);
     }
