One event queue for the simulations

feed_sim.c brought the fourth copy of a heap of events, after fleet_queue.c, partition_queue.c and view_queue.c. event_queue.h serves all four; each keeps its own order.

--- a/regress/feed_sim.c
+++ b/regress/feed_sim.c
@@ -20,8 +20,7 @@
 
 feed_state_t feed_sim;
 
-static bool precedes(const feed_event_t *left, const feed_event_t *right);
-static bool pop(feed_event_t *event);
+static bool precedes(const void *left, const void *right);
 static void count_bytes(feed_link_t *link, size_t bytes);
 static feed_time_t time_of(size_t host);
 static void send_message(void *context, const char *name,
@@ -42,61 +41,23 @@
 static void judge(void);
 
 static bool
-precedes(const feed_event_t *left, const feed_event_t *right)
+precedes(const void *left, const void *right)
 {
-    return left->at_us != right->at_us ? left->at_us < right->at_us
-                                       : left->serial < right->serial;
+    const feed_event_t *a = left;
+    const feed_event_t *b = right;
+
+    return a->at_us != b->at_us ? a->at_us < b->at_us : a->serial < b->serial;
 }
 
 void
 feed_push(int64_t at_us, const feed_event_t *event)
 {
-    size_t at = feed_sim.queue_count;
     feed_event_t copy = *event;
 
     copy.at_us = at_us;
     copy.serial = feed_sim.queue_serial;
     feed_sim.queue_serial++;
-    if (feed_sim.queue_count == feed_sim.queue_size) {
-        feed_sim.queue_size =
-            feed_sim.queue_size == 0 ? 1024 : 2 * feed_sim.queue_size;
-        feed_sim.queue = xrealloc(feed_sim.queue, feed_sim.queue_size,
-                                  sizeof(*feed_sim.queue));
-    }
-    feed_sim.queue_count++;
-    while (at > 0 && precedes(&copy, &feed_sim.queue[(at - 1) / 2])) {
-        feed_sim.queue[at] = feed_sim.queue[(at - 1) / 2];
-        at = (at - 1) / 2;
-    }
-    feed_sim.queue[at] = copy;
-}
-
-static bool
-pop(feed_event_t *event)
-{
-    feed_event_t last;
-    size_t at = 0;
-    size_t child;
-
-    if (feed_sim.queue_count == 0) {
-        return false;
-    }
-    *event = feed_sim.queue[0];
-    feed_sim.queue_count--;
-    last = feed_sim.queue[feed_sim.queue_count];
-    while ((child = 2 * at + 1) < feed_sim.queue_count) {
-        if (child + 1 < feed_sim.queue_count &&
-            precedes(&feed_sim.queue[child + 1], &feed_sim.queue[child])) {
-            child++;
-        }
-        if (!precedes(&feed_sim.queue[child], &last)) {
-            break;
-        }
-        feed_sim.queue[at] = feed_sim.queue[child];
-        at = child;
-    }
-    feed_sim.queue[at] = last;
-    return true;
+    event_queue_push(&feed_sim.queue, &copy);
 }
 
 static void
@@ -549,10 +510,11 @@
     int64_t end_us;
     size_t i;
 
-    feed_sim =
-        (feed_state_t){.settings = *settings,
-                       .rng_state = 1,
-                       .now_us = (int64_t)FEED_START_MS * FEED_US_PER_MS};
+    feed_sim = (feed_state_t){
+        .settings = *settings,
+        .rng_state = 1,
+        .now_us = (int64_t)FEED_START_MS * FEED_US_PER_MS,
+        .queue = event_queue_of(sizeof(feed_event_t), precedes)};
     feed_plan_changes();
     end_us = feed_sim.changes[feed_sim.planned - 1].at_us + 12000000;
     for (i = 0; i < feed_sim.planned; i++) {
@@ -567,7 +529,7 @@
     for (i = 0; i < settings->hosts; i++) {
         open_host(i);
     }
-    while (pop(&event)) {
+    while (event_queue_pop(&feed_sim.queue, &event)) {
         if (event.at_us >= end_us) {
             free(event.bytes);
             continue;
@@ -584,6 +546,6 @@
     for (i = 0; i < feed_sim.planned; i++) {
         free(feed_sim.changes[i].value);
     }
-    free(feed_sim.queue);
+    event_queue_free(&feed_sim.queue);
     return feed_sim.result;
 }
--- a/regress/feed_sim_private.h
+++ b/regress/feed_sim_private.h
@@ -5,6 +5,7 @@
 #include "forward/store_sync.h"
 #include "gateway/store_feed.h"
 #include "gateway/store_intake.h"
+#include "regress/event_queue.h"
 #include "regress/feed_sim.h"
 #include "regress/sim_hosts.h"
 
@@ -89,9 +90,7 @@
     feed_sim_settings_t settings;
     uint64_t rng_state;
     int64_t now_us;
-    feed_event_t *queue;
-    size_t queue_count;
-    size_t queue_size;
+    event_queue_t queue; /* of feed_event_t */
     uint64_t queue_serial;
     feed_host_t hosts[FEED_SIM_HOSTS_MAX];
     watcher_candidate_t candidates[FEED_SIM_HOSTS_MAX];
--- a/regress/fleet.c
+++ b/regress/fleet.c
@@ -34,6 +34,7 @@
     uint32_t i;
 
     fleet->settings = *settings;
+    fleet->queue = event_queue_of(sizeof(fleet_item_t), fleet_precedes);
     fleet->random = settings->seed;
     fleet->now_us = 1000000;
     fleet->store_up = true;
@@ -52,16 +53,16 @@
 void
 fleet_free(fleet_t *fleet)
 {
-    size_t at;
+    fleet_item_t item;
     uint32_t i;
 
     for (i = 0; i < fleet->settings.hosts; i++) {
         fleet_stop(fleet, i);
     }
-    for (at = 0; at < fleet->heap_count; at++) {
-        free(fleet->heap[at].record.bytes);
+    while (fleet_pop(fleet, INT64_MAX, &item)) {
+        free(item.record.bytes);
     }
-    free(fleet->heap);
+    event_queue_free(&fleet->queue);
     actions_free(&fleet->actions);
     free(fleet);
 }
@@ -410,8 +411,7 @@
     fleet_item_t item;
     const fleet_host_t *at;
 
-    while (fleet->heap_count > 0 && fleet->heap[0].at_us <= end_us) {
-        item = fleet_pop(fleet);
+    while (fleet_pop(fleet, end_us, &item)) {
         fleet->now_us = item.at_us;
         at = &fleet->hosts[item.host];
         actions_reset(&fleet->actions);
--- a/regress/fleet.h
+++ b/regress/fleet.h
@@ -14,6 +14,7 @@
 #include "policy/member.h"
 #include "policy/actions.h"
 #include "policy/config_sync.h"
+#include "regress/event_queue.h"
 
 enum { FLEET_HOSTS_MAX = 512, FLEET_KEYS_MAX = 16, FLEET_NAME_BYTES = 16 };
 
@@ -63,9 +64,7 @@
     int64_t store_revision;
     int64_t store_keys[FLEET_KEYS_MAX];
     bool store_up;
-    struct fleet_item *heap;
-    size_t heap_count;
-    size_t heap_room;
+    event_queue_t queue; /* of fleet_item_t */
     uint64_t items;
     action_list_t actions;
     /* What the checks found. */
--- a/regress/fleet_private.h
+++ b/regress/fleet_private.h
@@ -30,9 +30,11 @@
 
 /* --- fleet_queue.c --- */
 
+/* By time; see event_queue.h. */
+bool fleet_precedes(const void *left, const void *right);
 void fleet_push(fleet_t *fleet, fleet_item_t item);
-/* The earliest one; there must be one. */
-fleet_item_t fleet_pop(fleet_t *fleet);
+/* Takes the earliest one out; false if there is none up to end_us. */
+bool fleet_pop(fleet_t *fleet, int64_t end_us, fleet_item_t *item);
 
 /* --- fleet_check.c --- */
 
--- a/regress/partition_draw.c
+++ b/regress/partition_draw.c
@@ -191,6 +191,7 @@
 cut_draw_all(uint64_t seed)
 {
     memset(&cut_sim, 0, sizeof(cut_sim));
+    cut_sim.queue = event_queue_of(sizeof(cut_event_t), cut_precedes);
     cut_sim.rng_state = seed * SEED_FACTOR;
     cut_sim.now_ms = CUT_START_MS;
     cut_sim.version = 1;
--- a/regress/partition_private.h
+++ b/regress/partition_private.h
@@ -4,6 +4,7 @@
 
 #include <stdbool.h>
 
+#include "regress/event_queue.h"
 #include "regress/forwarding.h"
 #include "regress/partition_sim.h"
 
@@ -186,9 +187,7 @@
     size_t hop_count;
     cut_leg_t *legs;
     size_t leg_count;
-    cut_event_t *queue; /* a heap */
-    size_t queue_count;
-    size_t queue_size;
+    event_queue_t queue; /* of cut_event_t */
     uint64_t queue_serial;
 } partition_state_t;
 
@@ -212,6 +211,8 @@
 
 /* --- partition_queue.c --- */
 
+/* By time; see event_queue.h. */
+bool cut_precedes(const void *left, const void *right);
 void cut_push(int64_t delay_ms, cut_event_kind_t kind, size_t subject,
               uint64_t detail);
 void cut_push_reply(int64_t delay_ms, size_t leg,
--- a/regress/partition_sim.c
+++ b/regress/partition_sim.c
@@ -465,6 +465,6 @@
     free(cut_sim.callers);
     free(cut_sim.hops);
     free(cut_sim.legs);
-    free(cut_sim.queue);
+    event_queue_free(&cut_sim.queue);
     return cut_sim.result;
 }
--- a/regress/view_private.h
+++ b/regress/view_private.h
@@ -6,6 +6,7 @@
 
 #include "forward/store_sync.h"
 #include "kv/kv.h"
+#include "regress/event_queue.h"
 #include "regress/forwarding.h"
 #include "regress/sim_hosts.h"
 #include "regress/view_sim.h"
@@ -125,9 +126,7 @@
 typedef struct {
     uint64_t rng_state;
     int64_t now_ms;
-    event_t *queue;
-    size_t queue_count;
-    size_t queue_size;
+    event_queue_t queue; /* of event_t */
     uint64_t queue_serial;
     host_t hosts[VIEW_HOSTS_MAX];
     size_t host_count;
@@ -159,6 +158,8 @@
 
 /* --- view_queue.c --- */
 
+/* By time; see event_queue.h. */
+bool view_precedes(const void *left, const void *right);
 void view_push(int64_t delay_ms, const event_t *event);
 /* Puts an event that has been taken out back, for a later time. */
 void view_defer(int64_t at_ms, const event_t *event);
--- a/regress/view_sim.c
+++ b/regress/view_sim.c
@@ -485,7 +485,7 @@
         forward_free(view_sim.hosts[i].forward);
         store_sync_free(view_sim.hosts[i].sync);
     }
-    free(view_sim.queue);
+    event_queue_free(&view_sim.queue);
 }
 
 view_result_t
@@ -494,7 +494,10 @@
     event_t event = {.kind = EVENT_CHANGE};
     size_t i;
 
-    view_sim = (view_sim_t){.rng_state = seed, .now_ms = VIEW_START_MS};
+    view_sim =
+        (view_sim_t){.rng_state = seed,
+                     .now_ms = VIEW_START_MS,
+                     .queue = event_queue_of(sizeof(event_t), view_precedes)};
     draw_fleet(seed);
     for (i = 0; i < view_sim.host_count; i++) {
         open_host(i);
