Split the simulation of changes and the tests of the intake by job

Messages between hosts are in feed_sim_peer.c, the tests of the intake in test_store_intake.c with the table that both use in store_table.c.

--- a/regress/feed_sim.c
+++ b/regress/feed_sim.c
@@ -3,8 +3,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include <rpc/rpc.h>
-
 #include "base/arena.h"
 #include "regress/feed_sim_private.h"
 
@@ -12,26 +10,12 @@
     ZONES = 4,
     ONE_WAY_MS = 1,
     CHECK_MS = 50,
-    MESSAGE_HEAD_BYTES = 160, /* RPC, tag, TCP */
     SETTLE_MS = 1000,
-    KBYTE = 1000,
 };
-#define POLL_PARTS ((uint64_t)1 << LINK_POLL_PARTS_BIT)
 
 feed_state_t feed_sim;
 
 static bool precedes(const void *left, const void *right);
-static void count_bytes(feed_link_t *link, size_t bytes);
-static feed_time_t time_of(size_t host);
-static void send_message(void *context, const char *name,
-                         const message_t *message);
-static void poll_host(size_t host, const store_sync_step_t *step);
-static void handle_message(const feed_event_t *event);
-static void handle_changes(size_t host, const char *from,
-                           const store_changes_t *reply);
-static void handle_parts(size_t host, const char *from,
-                         const store_parts_t *parts);
-static void finish_poll(size_t host, sync_reply_t kind, uint32_t age_ms);
 static void count_known(size_t host);
 static void make_change(uint64_t index);
 static void check(size_t host);
@@ -60,8 +44,8 @@
     event_queue_push(&feed_sim.queue, &copy);
 }
 
-static void
-count_bytes(feed_link_t *link, size_t bytes)
+void
+feed_count_bytes(feed_link_t *link, size_t bytes)
 {
     int64_t second = feed_sim.now_us / 1000000;
 
@@ -105,8 +89,8 @@
     };
 }
 
-static feed_time_t
-time_of(size_t host)
+feed_time_t
+feed_time_of(size_t host)
 {
     return (feed_time_t){
         .now_us = feed_sim.now_us,
@@ -128,7 +112,7 @@
 void
 feed_run(size_t index)
 {
-    feed_time_t now = time_of(index);
+    feed_time_t now = feed_time_of(index);
 
     count_known(index);
     store_feed_run(feed_sim.hosts[index].feed, &now);
@@ -164,64 +148,6 @@
     }
 }
 
-static void
-send_message(void *context, const char *name, const message_t *message)
-{
-    feed_host_t *from = context;
-    feed_event_t event = {.kind = FEED_EVENT_MESSAGE,
-                          .host = (size_t)strtoul(name + 1, NULL, 10),
-                          .from = (size_t)(from - feed_sim.hosts)};
-    message_t *encoded = (message_t *)(uintptr_t)message;
-    size_t bytes;
-    XDR xdr;
-
-    event.count = xdr_sizeof((xdrproc_t)xdr_message_t, encoded);
-    event.bytes = xcalloc(1, event.count + 1);
-    xdrmem_create(&xdr, event.bytes, (u_int)event.count, XDR_ENCODE);
-    if (!xdr_message_t(&xdr, encoded)) {
-        abort();
-    }
-    bytes = event.count + MESSAGE_HEAD_BYTES;
-    count_bytes(&from->up, bytes);
-    if (feed_sim.now_us >= (int64_t)FEED_GROWTH_MS * FEED_US_PER_MS) {
-        feed_sim.result.host_bytes += bytes;
-        if (from->up.second_bytes > feed_sim.result.busiest_bytes) {
-            feed_sim.result.busiest_bytes = from->up.second_bytes;
-        }
-    }
-    feed_push(
-        feed_transfer(&from->up,
-                      (uint64_t)feed_sim.settings.link_kbytes_per_s * KBYTE,
-                      &feed_sim.hosts[event.host].down, bytes),
-        &event);
-}
-
-static void
-poll_host(size_t index, const store_sync_step_t *step)
-{
-    feed_host_t *host = &feed_sim.hosts[index];
-    message_t message = {.kind = MESSAGE_STORE_POLL};
-    arena_t arena = {0};
-
-    if (step->new_host) {
-        host->fetches = false;
-    }
-    if (host->fetches) {
-        message.kind = MESSAGE_STORE_FETCH;
-        message.message_t_u.store_fetch.number =
-            step->poll_number | POLL_PARTS;
-        store_intake_write_fetch(host->intake, &arena,
-                                 &message.message_t_u.store_fetch);
-    }
-    else {
-        message.message_t_u.store_poll = (store_poll_t){
-            .number = step->poll_number | (host->legacy ? 0 : POLL_PARTS),
-            .after = mirror_revision(host->mirror)};
-    }
-    send_message(host, step->host, &message);
-    arena_free(&arena);
-}
-
 void
 feed_execute(size_t index, const store_sync_step_t *step)
 {
@@ -258,101 +184,11 @@
         feed_call_store(index, false, 1);
         return;
     case SYNC_POLL:
-        poll_host(index, step);
+        feed_poll_host(index, step);
         return;
     }
 }
 
-static void
-handle_message(const feed_event_t *event)
-{
-    feed_host_t *host = &feed_sim.hosts[event->host];
-    const char *from = feed_sim.hosts[event->from].name;
-    feed_time_t now = time_of(event->host);
-    message_t message = {0};
-    XDR xdr;
-
-    xdrmem_create(&xdr, event->bytes, (u_int)event->count, XDR_DECODE);
-    if (!xdr_message_t(&xdr, &message)) {
-        abort();
-    }
-    switch (message.kind) {
-    case MESSAGE_STORE_POLL:
-        if (host->legacy) {
-            message.message_t_u.store_poll.number &= ~POLL_PARTS;
-        }
-        store_feed_poll(host->feed, &now, from,
-                        &message.message_t_u.store_poll);
-        break;
-    case MESSAGE_STORE_FETCH:
-        store_feed_fetch(host->feed, &now, from,
-                         &message.message_t_u.store_fetch);
-        break;
-    case MESSAGE_STORE_CHANGES:
-        handle_changes(event->host, from, &message.message_t_u.store_changes);
-        break;
-    default:
-        handle_parts(event->host, from, &message.message_t_u.store_parts);
-        break;
-    }
-    xdr_free((xdrproc_t)xdr_message_t, &message);
-    free(event->bytes);
-}
-
-static void
-handle_changes(size_t index, const char *from, const store_changes_t *reply)
-{
-    feed_host_t *host = &feed_sim.hosts[index];
-
-    if (!store_sync_is_polling(host->sync, from,
-                               reply->number & ~POLL_PARTS)) {
-        return;
-    }
-    if (reply->known) {
-        store_intake_apply_items(host->intake, reply->items.items_val,
-                                 reply->items.items_len);
-        mirror_advance(host->mirror, reply->revision);
-        feed_run(index);
-    }
-    finish_poll(index, reply->known ? SYNC_REPLY_CHANGES : SYNC_REPLY_UNKNOWN,
-                reply->contact_age_ms);
-}
-
-static void
-handle_parts(size_t index, const char *from, const store_parts_t *parts)
-{
-    feed_host_t *host = &feed_sim.hosts[index];
-    sync_reply_t kind = parts->known ? SYNC_REPLY_CHANGES : SYNC_REPLY_UNKNOWN;
-    err_t err;
-
-    if (!store_sync_is_polling(host->sync, from,
-                               parts->number & ~POLL_PARTS)) {
-        return;
-    }
-    host->fetches = true;
-    if (parts->known) {
-        if (store_intake_handle(host->intake, parts, &err) < 0) {
-            kind = SYNC_REPLY_UNKNOWN;
-        }
-        else if (!store_intake_is_final(
-                     parts, feed_fleet(index).contact_age_max_ms)) {
-            kind = SYNC_REPLY_PARTIAL;
-        }
-        feed_run(index);
-    }
-    finish_poll(index, kind, parts->contact_age_ms);
-}
-
-static void
-finish_poll(size_t index, sync_reply_t kind, uint32_t age_ms)
-{
-    store_sync_fleet_t fleet = feed_fleet(index);
-    store_sync_step_t step =
-        store_sync_poll_done(feed_sim.hosts[index].sync, kind, age_ms, &fleet);
-
-    feed_execute(index, &step);
-}
-
 static void
 make_change(uint64_t index)
 {
@@ -403,7 +239,7 @@
         make_change(event->number);
         return;
     case FEED_EVENT_MESSAGE:
-        handle_message(event);
+        feed_handle_message(event);
         return;
     case FEED_EVENT_TIMER:
         if (event->number == host->timer) {
@@ -443,7 +279,7 @@
                    feed_sim.settings.legacy_hosts;
     host->mirror = mirror_new();
     mirror_keep_history(host->mirror, !host->legacy);
-    host->feed = store_feed_new(host->mirror, send_message, host);
+    host->feed = store_feed_new(host->mirror, feed_send, host);
     host->intake = store_intake_new(host->mirror, feed_apply, host);
     host->sync = store_sync_new(&settings);
     feed_push(feed_sim.now_us + (int64_t)(index % CHECK_MS) * FEED_US_PER_MS,
--- a/regress/feed_sim_private.h
+++ b/regress/feed_sim_private.h
@@ -117,6 +117,16 @@
 int64_t feed_transfer(feed_link_t *up, uint64_t up_bytes_per_s,
                       feed_link_t *down, size_t bytes);
 
+feed_time_t feed_time_of(size_t host);
+/* Counts bytes that are sent over a link in this second. */
+void feed_count_bytes(feed_link_t *link, size_t bytes);
+
+/* --- feed_sim_peer.c --- */
+/* Sends a message; context is the host that sends it. */
+void feed_send(void *context, const char *name, const message_t *message);
+void feed_poll_host(size_t host, const store_sync_step_t *step);
+void feed_handle_message(const feed_event_t *event);
+
 /* --- feed_sim_store.c --- */
 void feed_plan_changes(void);
 void feed_call_store(size_t host, bool reading, uint32_t wait_ms);
--- a/regress/test_store_feed.c
+++ b/regress/test_store_feed.c
@@ -2,25 +2,23 @@
  * test_store_feed.c - tests what hosts that poll for changes of the store are
  * sent, and when.
  */
-#include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include <rpc/rpc.h>
 
-#include "base/revision.h"
 #include "base/text.h"
 #include "gateway/store_feed.h"
 #include "gateway/store_intake.h"
 #include "regress/fixture.h"
+#include "regress/store_table.h"
 
 enum {
     STEPS_MAX = 14,
     RECEIVERS = 6,
     SERVERS = 2,
     MESSAGE_BYTES = 1 << 20,
-    TABLE_LINES = 12000,
     US_PER_MS = 1000,
     CONTACT_AGE_MAX_MS = 1500,
 };
@@ -162,46 +160,6 @@
     text_t sent;
 } state;
 
-/* A table of routes; a variant of V lines has V of them changed. */
-static text_t
-make_table(int variant)
-{
-    text_t text = {0};
-    int i;
-
-    for (i = 0; i < TABLE_LINES; i++) {
-        uint64_t draw = (uint64_t)(i + 1) * 0x9e3779b97f4a7c15U;
-
-        draw ^= i < variant ? draw >> 29 : 0;
-        text_printf(&text, "{\"path\":\"/%016" PRIx64 "/\",\"ms\":2500},\n",
-                    draw * UINT64_C(0xbf58476d1ce4e5b9));
-    }
-    return text;
-}
-
-static void
-put(mirror_t *mirror, const char *key, int64_t revision, const char *value,
-    size_t value_bytes)
-{
-    kv_pair_t pair = {.key = key,
-                      .value = value,
-                      .value_bytes = value_bytes,
-                      .mod_revision = revision,
-                      .create_revision = revision};
-
-    mirror_apply(mirror, &pair);
-    mirror_advance(mirror, revision);
-}
-
-static void
-put_table(mirror_t *mirror, const char *key, int64_t revision, int variant)
-{
-    text_t table = make_table(variant);
-
-    put(mirror, key, revision, table.bytes, table.length);
-    text_free(&table);
-}
-
 static void
 apply(void *context, const kv_pair_t *pair)
 {
@@ -328,10 +286,12 @@
                     &variant) >= 3) {
         for (i = 0; i < (strcmp(verb, "both") == 0 ? 2 : 1); i++) {
             if (strcmp(verb, "small") == 0) {
-                put(state.servers[i].mirror, name, revision, "x", 1);
+                store_table_put_value(state.servers[i].mirror, name, revision,
+                                      "x", 1);
             }
             else {
-                put_table(state.servers[i].mirror, name, revision, variant);
+                store_table_put(state.servers[i].mirror, name, revision,
+                                variant);
             }
         }
     }
@@ -351,18 +311,6 @@
     }
 }
 
-static mirror_t *
-open_mirror(bool serves)
-{
-    mirror_t *mirror = mirror_new();
-
-    mirror_keep_history(mirror, serves);
-    mirror_load_begin(mirror, 5);
-    mirror_load_end(mirror);
-    put_table(mirror, "t", 5, 0);
-    return mirror;
-}
-
 START_TEST(test_large_values_hold_nothing_up)
 {
     const feed_case_t *test = &cases[_i];
@@ -371,7 +319,7 @@
     memset(&state, 0, sizeof(state));
     state.now_ms = 1000;
     for (i = 0; i < SERVERS; i++) {
-        state.servers[i].mirror = open_mirror(true);
+        state.servers[i].mirror = store_table_mirror(true);
         state.servers[i].feed =
             store_feed_new(state.servers[i].mirror, send_message, NULL);
     }
@@ -379,7 +327,7 @@
         receiver_t *receiver = &state.receivers[i];
 
         (void)snprintf(receiver->name, sizeof(receiver->name), "h%zu", i);
-        receiver->mirror = open_mirror(false);
+        receiver->mirror = store_table_mirror(false);
         receiver->intake =
             store_intake_new(receiver->mirror, apply, receiver->mirror);
     }
@@ -407,145 +355,6 @@
 }
 END_TEST
 
-/* A later change that came first is not undone by an earlier one. */
-START_TEST(test_late_reply_does_not_bring_an_old_value_back)
-{
-    mirror_t *mirror = open_mirror(false);
-    store_intake_t *intake = store_intake_new(mirror, apply, mirror);
-    store_item_t items[] = {
-        {.key = (char *)"a",
-         .revision = 8,
-         .value = {.value_len = 1, .value_val = (char *)"n"}},
-        {.key = (char *)"a",
-         .revision = 7,
-         .value = {.value_len = 1, .value_val = (char *)"o"}},
-    };
-    store_parts_t parts = {
-        .known = true,
-        .revision = 8,
-        .seen = 8,
-        .items = {.items_len = COUNT(items), .items_val = items}};
-    err_t err;
-
-    ck_assert_int_eq(store_intake_handle(intake, &parts, &err), 0);
-    ck_assert_int_eq(mirror_key_revision(mirror, "a"), 8);
-    ck_assert_int_eq(mirror_seen(mirror), 8);
-    ck_assert_int_eq(mirror_revision(mirror), 5);
-    store_intake_free(intake);
-    mirror_free(mirror);
-}
-END_TEST
-
-typedef struct {
-    const char *name;
-    bool complete;
-    uint32_t contact_age_ms;
-    u_int items;
-    bool expected;
-} final_case_t;
-
-static const final_case_t final_cases[] = {
-    {"complete, recent", true, 100, 0, true},
-    {"complete, recent, with changes", true, 100, 1, true},
-    {"a part, recent", false, 100, 1, false},
-    {"a first reply, recent", false, 100, 0, false},
-    {"changes as of an old contact", true, 1501, 1, false},
-    {"a part as of an old contact", false, 1501, 1, false},
-    {"nothing, as of an old contact", true, 1501, 0, true},
-    {"a first reply of a host that has lost the store", false, 1501, 0, true},
-};
-
-START_TEST(test_host_that_lost_the_store_is_not_polled_on)
-{
-    const final_case_t *test = &final_cases[_i];
-    store_item_t item = {.key = (char *)"a"};
-    store_parts_t parts = {
-        .known = true,
-        .complete = test->complete,
-        .contact_age_ms = test->contact_age_ms,
-        .items = {.items_len = test->items, .items_val = &item}};
-
-    ck_assert_msg(store_intake_is_final(&parts, CONTACT_AGE_MAX_MS) ==
-                      test->expected,
-                  "%s", test->name);
-}
-END_TEST
-
-/* There is no room for all of them. */
-START_TEST(test_poll_states_new_values_before_others)
-{
-    mirror_t *mirror = open_mirror(false);
-    store_intake_t *intake = store_intake_new(mirror, apply, mirror);
-    store_fetch_t fetch = {0};
-    text_t table = make_table(0);
-    arena_t arena = {0};
-    bool found = false;
-    u_int i;
-
-    for (i = 0; i < LINK_VALUES_MAX; i++) {
-        put(mirror, arena_printf(&arena, "old%u", i), 4, table.bytes,
-            MIRROR_LARGE_BYTES);
-    }
-    apply(mirror, &(kv_pair_t){.key = "new",
-                               .value = table.bytes,
-                               .value_bytes = MIRROR_LARGE_BYTES,
-                               .mod_revision = 9,
-                               .create_revision = 9});
-    store_intake_write_fetch(intake, &arena, &fetch);
-    ck_assert_int_eq(fetch.after, 5);
-    ck_assert_uint_eq(fetch.values.values_len, LINK_VALUES_MAX);
-    for (i = 0; i < fetch.values.values_len; i++) {
-        found = found || strcmp(fetch.values.values_val[i].key, "new") == 0;
-    }
-    ck_assert(found);
-    arena_free(&arena);
-    text_free(&table);
-    store_intake_free(intake);
-    mirror_free(mirror);
-}
-END_TEST
-
-/* The store went back to a copy while half of a patch had come. */
-START_TEST(test_patch_of_an_earlier_era_is_not_finished)
-{
-    mirror_t *mirror = open_mirror(false);
-    store_intake_t *intake = store_intake_new(mirror, apply, mirror);
-    text_t table = make_table(1);
-    patch_t patch = patch_make(NULL, 0, table.bytes, table.length);
-    store_fetch_t fetch = {0};
-    store_piece_t piece = {
-        .patch = {.key = (char *)"t",
-                  .revision = 6,
-                  .bytes = (uint32_t)patch.count,
-                  .digest = 1},
-        .bytes = {.bytes_len = 1, .bytes_val = (char *)patch.bytes}};
-    store_parts_t parts = {.known = true,
-                           .revision = 6,
-                           .pieces = {.pieces_len = 1, .pieces_val = &piece}};
-    arena_t arena = {0};
-    err_t err;
-
-    ck_assert_int_eq(store_intake_handle(intake, &parts, &err), 0);
-    store_intake_write_fetch(intake, &arena, &fetch);
-    ck_assert_uint_eq(fetch.partial.partial_len, 1);
-    mirror_load_begin(mirror, revision_make(1, 4));
-    mirror_load_end(mirror);
-    fetch = (store_fetch_t){0};
-    store_intake_write_fetch(intake, &arena, &fetch);
-    ck_assert_uint_eq(fetch.partial.partial_len, 0);
-    piece.offset = 1;
-    piece.bytes.bytes_len = (u_int)patch.count - 1;
-    piece.bytes.bytes_val = (char *)patch.bytes + 1;
-    ck_assert_int_eq(store_intake_handle(intake, &parts, &err), -1);
-    ck_assert(mirror_is_removed(mirror, "t"));
-    arena_free(&arena);
-    free(patch.bytes);
-    text_free(&table);
-    store_intake_free(intake);
-    mirror_free(mirror);
-}
-END_TEST
-
 int
 main(void)
 {
@@ -553,10 +362,5 @@
 
     tcase_add_loop_test(tcase, test_large_values_hold_nothing_up, 0,
                         COUNT(cases));
-    tcase_add_test(tcase, test_late_reply_does_not_bring_an_old_value_back);
-    tcase_add_loop_test(tcase, test_host_that_lost_the_store_is_not_polled_on,
-                        0, COUNT(final_cases));
-    tcase_add_test(tcase, test_poll_states_new_values_before_others);
-    tcase_add_test(tcase, test_patch_of_an_earlier_era_is_not_finished);
     return fixture_main("store_feed", tcase);
 }
