Log the start that a runner's entry and the runner itself state

Streams were joined from runs of two software versions, and the log named the version of the registry entry only: `send` with version=v2 for a run that v1 made. `send` and `runner` name the start that the entry states, and `runner-start` tells when the process that answers a probe states another one. With these, a run that was sent between the start of a process and the arrival of its entry can be told from one that was sent by an old view.

--- a/forward/forward.h
+++ b/forward/forward.h
@@ -181,7 +181,8 @@
     uint32_t queued;
     const char *const *runs; /* ids of requests with output */
     size_t run_count;
-    bool leaving; /* it takes no more requests */
+    bool leaving;       /* it takes no more requests */
+    int64_t started_ms; /* as in registration_t, of the runner that answers */
 } runner_report_t;
 
 typedef enum {
--- a/forward/pool.c
+++ b/forward/pool.c
@@ -408,6 +408,19 @@
     }
 }
 
+const pool_runner_t *
+pool_record_start(pool_t *pool, const char *id, int64_t started_ms)
+{
+    pool_runner_t *runner;
+
+    HASH_FIND_STR(pool->runners, id, runner);
+    if (runner == NULL || runner->reported_ms == started_ms) {
+        return NULL;
+    }
+    runner->reported_ms = started_ms;
+    return runner;
+}
+
 void
 pool_record_full(pool_runner_t *runner, int64_t now_us)
 {
--- a/forward/pool.h
+++ b/forward/pool.h
@@ -28,9 +28,11 @@
 /* Only the pool writes these fields. */
 typedef struct {
     registration_t registration; /* the pool owns its strings */
-    uint64_t serial;  /* identifies one start of the runner; never reused */
-    uint64_t id_hash; /* the same on every host */
-    uint64_t version; /* hash of that of its software; never 0 */
+    uint64_t serial;     /* identifies one start of the runner; never reused */
+    uint64_t id_hash;    /* the same on every host */
+    uint64_t version;    /* hash of that of its software; never 0 */
+    int64_t reported_ms; /* its start, as the process at its address reported
+                            last; 0: not stated */
     pool_zone_t *zone;
     uint32_t running;       /* requests of this host */
     uint32_t prefilling;    /* streams of this host before the first event */
@@ -190,6 +192,11 @@
 void pool_record_probe(pool_t *pool, const char *id, bool answered,
                        int64_t now_us);
 
+/* Records the start that the process at the runner's address reports.  Returns
+ * the runner if that has changed, or NULL. */
+const pool_runner_t *pool_record_start(pool_t *pool, const char *id,
+                                       int64_t started_ms);
+
 /* Records that the runner rejected a request because it is full. */
 void pool_record_full(pool_runner_t *runner, int64_t now_us);
 
--- a/forward/registry.c
+++ b/forward/registry.c
@@ -126,9 +126,11 @@
     }
     if (change != RUNNER_UNCHANGED && !forward->list_in_progress) {
         emit_log(forward, LOG_INFO, "runner",
-                 "runner=%s state=%s service=%s zone=%s version=%s", entry->id,
-                 state_names[change], entry->service, entry->zone,
-                 entry->version != NULL ? entry->version : "");
+                 "runner=%s state=%s service=%s zone=%s version=%s "
+                 "started_ms=%lld",
+                 entry->id, state_names[change], entry->service, entry->zone,
+                 entry->version != NULL ? entry->version : "",
+                 (long long)entry->started_ms);
     }
 }
 
--- a/forward/send.c
+++ b/forward/send.c
@@ -235,13 +235,13 @@
     emit_log(
         forward, LOG_INFO, "send",
         "request=%s attempt=%" PRIu32
-        " runner=%s zone=%s version=%s running=%" PRIu32 " after=%" PRId64
-        " restore=%d backup=%s session=%016" PRIx64 " deadline_ms=%" PRIu32
-        " routing=%" PRId64 " contact_age_ms=%" PRId64 " era=%" PRId64
-        " revision=%" PRId64 " source=%s",
+        " runner=%s zone=%s version=%s started_ms=%" PRId64 " running=%" PRIu32
+        " after=%" PRId64 " restore=%d backup=%s session=%016" PRIx64
+        " deadline_ms=%" PRIu32 " routing=%" PRId64 " contact_age_ms=%" PRId64
+        " era=%" PRId64 " revision=%" PRId64 " source=%s",
         request->id, attempt->number, send->runner, runner->registration.zone,
-        runner->registration.version, runner->running, request->last_event_id,
-        restore,
+        runner->registration.version, runner->registration.started_ms,
+        runner->running, request->last_event_id, restore,
         attempt->standby != NULL ? attempt->standby->registration.id : "none",
         request->affinity, send->deadline_ms, forward->routing->version,
         (forward->now_us - forward->contact_us) / US_PER_MS,
--- a/forward/watchdog.c
+++ b/forward/watchdog.c
@@ -5,7 +5,9 @@
  * and may only pause; one that does not accept it has crashed, or the path to
  * it is cut.
  */
+#include <inttypes.h>
 #include <string.h>
+#include <syslog.h>
 
 #include "forward/private.h"
 
@@ -47,6 +49,8 @@
 static void record_leaving(forward_t *forward, const char *id);
 static void record_path(forward_t *forward,
                         const forward_probe_result_t *probed);
+static void record_start(forward_t *forward,
+                         const forward_probe_result_t *probed);
 static bool drop_late_probe(forward_t *forward, const char *runner);
 static void check_report(forward_t *forward, request_t *request,
                          const runner_report_t *report);
@@ -190,6 +194,32 @@
     }
 }
 
+/* The process at a runner's address may be another than the one that wrote the
+ * entry. */
+static void
+record_start(forward_t *forward, const forward_probe_result_t *probed)
+{
+    const pool_runner_t *runner;
+
+    if (probed->report == NULL) {
+        return;
+    }
+    runner = pool_record_start(forward->pool, probed->runner,
+                               probed->report->started_ms);
+    if (runner != NULL) {
+        emit_log(forward,
+                 runner->reported_ms == runner->registration.started_ms
+                     ? LOG_INFO
+                     : LOG_NOTICE,
+                 "runner-start",
+                 "runner=%s reported_ms=%" PRId64 " started_ms=%" PRId64
+                 " version=%s",
+                 probed->runner, runner->reported_ms,
+                 runner->registration.started_ms,
+                 runner->registration.version);
+    }
+}
+
 /* Returns whether probes fail late, so that this one says nothing about its
  * runner.  Requests that wait for it are probed again. */
 static bool
@@ -230,6 +260,7 @@
         return;
     }
     record_path(forward, probed);
+    record_start(forward, probed);
     pool_record_probe(forward->pool, probed->runner,
                       probed->outcome == PROBE_ANSWERED, forward->now_us);
     HASH_ITER(hh, forward->requests, request, next)
