--- a/regress/soak/answer.c
+++ b/regress/soak/answer.c
@@ -32,13 +32,15 @@
 
 /* The body's next event, in chunks or not: they are taken as they come. */
 static bool
-next_event(caller_t *caller, const char *body, int64_t *id, char *data)
+next_event(caller_t *caller, const char *body, int64_t *id, char *data,
+           writer_t *writer)
 {
     const char *at = strstr(body + caller->checked, "id: ");
     const char *end = at != NULL ? strstr(at, "\n\n") : NULL;
 
     if (end == NULL ||
-        sscanf(at, "id: %" SCNd64 "\ndata: %16s", id, data) != 2) {
+        sscanf(at, "id: %" SCNd64 "\ndata: %16s v%" SCNu32 " born %" SCNd64,
+               id, data, &writer->version, &writer->born_ms) != 4) {
         return false;
     }
     caller->checked = (size_t)(end + 2 - body);
@@ -50,15 +52,17 @@
 {
     char data[HEX_BYTES];
     char expected[HEX_BYTES];
+    writer_t writer;
     int64_t id;
 
-    while (next_event(caller, body, &id, data)) {
+    while (next_event(caller, body, &id, data, &writer)) {
         (void)snprintf(expected, sizeof(expected), "%016" PRIx64,
                        soak_hash(caller->path, (uint64_t)id));
         if (id != caller->event + 1 || strcmp(data, expected) != 0) {
             soak_broken("order", "%s: event %" PRId64 " after %" PRId64,
                         caller->attempt, id, caller->event);
         }
+        versions_event(caller, id, &writer);
         caller->event = id;
     }
 }
--- a/regress/soak/caller.c
+++ b/regress/soak/caller.c
@@ -137,6 +137,7 @@
            state.late, state.left, state.denied);
     silence_report();
     partition_report();
+    versions_report();
 }
 
 static void
@@ -241,8 +242,11 @@
                     caller->path + strlen("/stream/p"));
     }
     if (caller->event >= 0) {
-        text_printf(&caller->sent, "Last-Event-Id: %" PRId64 "\r\n",
-                    caller->event);
+        caller->taken_up = true;
+        versions_taken_up();
+        text_printf(&caller->sent,
+                    "Last-Event-Id: %" PRId64 "\r\nResumes: %s\r\n",
+                    caller->event, caller->began);
     }
     text_puts(&caller->sent, caller->kind == KIND_UNSAFE
                                  ? "Content-Length: 4\r\n\r\nbody"
--- a/regress/soak/caller.h
+++ b/regress/soak/caller.h
@@ -12,6 +12,12 @@
 
 typedef enum { KIND_UNSAFE, KIND_SAFE, KIND_STREAM, KINDS } kind_t;
 
+/* What wrote an event. */
+typedef struct {
+    uint32_t version;
+    int64_t born_ms;
+} writer_t;
+
 typedef struct caller {
     uv_tcp_t tcp; /* first: it is closed by it */
     LIST_ENTRY(caller) entry;
@@ -26,7 +32,11 @@
     char attempt[SOAK_NAME_BYTES];
     text_t sent;
     text_t came;
-    int64_t event;  /* the last one */
+    int64_t event;               /* the last one */
+    writer_t writer;             /* of that */
+    char began[SOAK_NAME_BYTES]; /* the attempt that brought the first one */
+    bool taken_up;               /* by this attempt, which brought none yet */
+    bool mixed;
     size_t checked; /* bytes of the stream's body, in came */
     bool connected;
     bool open;
@@ -43,6 +53,8 @@
 const char *answer_header(const caller_t *caller, const char *name);
 /* Takes the events of the body that have come since. */
 void answer_events(caller_t *caller, const char *body);
+/* versions.c: the next event of its stream. */
+void versions_event(caller_t *caller, int64_t event, const writer_t *writer);
 /* A whole answer with status 200. */
 void answer_check(const caller_t *caller, const char *body, size_t body_bytes);
 
--- a/regress/soak/fault.c
+++ b/regress/soak/fault.c
@@ -2,6 +2,7 @@
 #include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 
 #include "regress/soak/soak.h"
 
@@ -31,6 +32,7 @@
     FAULT_STORE_FORGETS,
     FAULT_SILENCE,
     FAULT_PARTITION,
+    FAULT_RESTART,
     FAULTS,
 } fault_t;
 
@@ -40,6 +42,7 @@
     bool runners; /* it leaves hosts, links and store alone */
     bool links;   /* it harms links between hosts and runners at most */
     const char *variable; /* that turns it on; NULL: it is on */
+    void (*begin)(void);  /* of those that a variable turns on */
 } faults[FAULTS] = {
     [FAULT_KILL] = {"kill", 6},
     [FAULT_PAUSE] = {"pause", 6},
@@ -55,8 +58,11 @@
     [FAULT_STORE] = {"store", 5},
     [FAULT_STORE_LOSES] = {"store-loses", 3},
     [FAULT_STORE_FORGETS] = {"store-forgets", 2},
-    [FAULT_SILENCE] = {"silence", 10, true, true, SOAK_SILENCE},
-    [FAULT_PARTITION] = {"partition", 8, false, true, SOAK_PARTITION},
+    [FAULT_SILENCE] = {"silence", 10, true, true, SOAK_SILENCE, silence_begin},
+    [FAULT_PARTITION] = {"partition", 8, false, true, SOAK_PARTITION,
+                         partition_begin},
+    [FAULT_RESTART] = {"restart", 30, true, false, SOAK_VERSIONS,
+                       versions_restart},
 };
 
 typedef enum {
@@ -71,6 +77,7 @@
 } state;
 
 static bool is_wanted(fault_t fault);
+static bool is_listed(const char *list, const char *name);
 
 bool
 soak_plays(const char *variable)
@@ -93,8 +100,28 @@
 static bool
 is_wanted(fault_t fault)
 {
-    return faults[fault].variable == NULL ||
-           soak_plays(faults[fault].variable);
+    const char *only = getenv(SOAK_ONLY);
+
+    return (faults[fault].variable == NULL ||
+            soak_plays(faults[fault].variable)) &&
+           (only == NULL || is_listed(only, faults[fault].name));
+}
+
+/* Whether the list, with commas, has the name. */
+static bool
+is_listed(const char *list, const char *name)
+{
+    size_t length = strlen(name);
+
+    while (list != NULL) {
+        if (strncmp(list, name, length) == 0 &&
+            (list[length] == ',' || list[length] == '\0')) {
+            return true;
+        }
+        list = strchr(list, ',');
+        list += list != NULL ? 1 : 0;
+    }
+    return false;
 }
 
 static uint32_t
@@ -209,10 +236,9 @@
         soak_store_compact();
         return;
     case FAULT_SILENCE:
-        silence_begin();
-        return;
     case FAULT_PARTITION:
-        partition_begin();
+    case FAULT_RESTART:
+        faults[fault].begin();
         return;
     case FAULTS:
         return;
--- a/regress/soak/run.c
+++ b/regress/soak/run.c
@@ -19,6 +19,7 @@
     READ_MS = 60,
     EVENT_MS = 30,
     PLAIN_MS = 15,
+    PROMPT_TOKENS = 800,
     SPOILT_PERCENT = 20,
     HEAD_BYTES = 512,
     BODY_BYTES = 128,
@@ -33,11 +34,17 @@
     attempt_t *attempt;
     char path[HEAD_BYTES];
     int64_t event;
+    uint32_t version; /* of the process that runs it */
+    int64_t born_ms;
+    bool went_on;
     bool begun; /* its head is out */
     bool spoilt;
 } run_t;
 
 static LIST_HEAD(, run) runs = LIST_HEAD_INITIALIZER(runs);
+static uint32_t runs_begun; /* of streams */
+static uint32_t runs_gone_on;
+static uint32_t reports;
 static uint64_t revoked_ms;
 /* Of the requests with the key that went and have run since. */
 static uint64_t revoked_sent_ms;
@@ -63,6 +70,9 @@
            revoked_sent_ms > revoked_ms ? revoked_sent_ms - revoked_ms : 0,
            revoked_arrival_ms > revoked_ms ? revoked_arrival_ms - revoked_ms
                                            : 0);
+    printf("runs of streams: %" PRIu32 " begun, %" PRIu32 " gone on; %" PRIu32
+           " reports asked for\n",
+           runs_begun, runs_gone_on, reports);
 }
 
 /* A small answer that says that the request was not run, or 200. */
@@ -78,6 +88,37 @@
     server_next(conn);
 }
 
+/* The runs of this process; those without output are counted only. */
+static void
+report(server_conn_t *conn, const runner_t *runner)
+{
+    const char *separator = "";
+    uint32_t active = 0;
+    text_t body = {0};
+    const run_t *run;
+
+    reports++;
+    text_puts(&body, "{\"Runs\":[");
+    for (run = LIST_FIRST(&runs); run != NULL; run = LIST_NEXT(run, entry)) {
+        if (run->runner != runner || run->conn == NULL) {
+            continue;
+        }
+        active++;
+        if (run->begun) {
+            text_printf(&body, "%s[\"%s\",%d,%" PRId64 ",5]", separator,
+                        run->attempt->name, PROMPT_TOKENS, run->event);
+            separator = ",";
+        }
+    }
+    text_printf(&body,
+                "],\"Active\":%" PRIu32 ",\"Queued\":0,\"State\":\"%s\","
+                "\"born\":%" PRId64 "}",
+                active, runner->leaving_ms > 0 ? "draining" : "ready",
+                runner->born_ms);
+    server_reply(conn, 200, "application/json", body.bytes, body.length);
+    text_free(&body);
+}
+
 /* Whom its caller sent it to. */
 static size_t
 host_of(const server_request_t *request)
@@ -157,10 +198,12 @@
     attempt_t *attempt;
     run_t *run;
 
-    if (strcmp(request->path, "/v1/report") == 0 ||
-        strncmp(request->path, "/v1/", 4) == 0) {
-        reply(conn, strcmp(request->path, "/v1/report") == 0 ? 200 : 503,
-              false, "");
+    if (strcmp(request->path, "/v1/report") == 0) {
+        report(conn, runner);
+        return;
+    }
+    if (strncmp(request->path, "/v1/", 4) == 0) {
+        reply(conn, 503, false, "");
         return;
     }
     server_header(request, "Expect-Instance", value, sizeof(value));
@@ -192,7 +235,12 @@
     run->attempt = attempt;
     (void)snprintf(run->path, sizeof(run->path), "%s", request->path);
     server_header(request, "Last-Event-Id", value, sizeof(value));
-    run->event = value[0] != '\0' ? strtoll(value, NULL, 10) + 1 : 0;
+    run->went_on = value[0] != '\0';
+    run->event = run->went_on ? strtoll(value, NULL, 10) + 1 : 0;
+    run->version = runner->version;
+    run->born_ms = runner->born_ms;
+    runs_gone_on += run->went_on ? 1 : 0;
+    runs_begun += runner->engine && !run->went_on ? 1 : 0;
     run->spoilt = soak_now_ms() < runner->spoilt_until_ms &&
                   soak_chance(100) < SPOILT_PERCENT;
     LIST_INSERT_HEAD(&runs, run, entry);
@@ -272,11 +320,18 @@
         length = write_head(run, head, streaming);
         server_write(run->conn, head, (size_t)length);
         run->begun = true;
+        if (run->went_on) {
+            run->attempt->went_on_event = run->event;
+            run->attempt->went_on_ms = soak_now_ms();
+        }
     }
     if (run->event < SOAK_EVENTS) {
-        length = snprintf(
-            event, sizeof(event), "id: %" PRId64 "\ndata: %016" PRIx64 "\n\n",
-            run->event, soak_hash(run->path, (uint64_t)run->event));
+        length =
+            snprintf(event, sizeof(event),
+                     "id: %" PRId64 "\ndata: %016" PRIx64 " v%" PRIu32
+                     " born %" PRId64 "\n\n",
+                     run->event, soak_hash(run->path, (uint64_t)run->event),
+                     run->version, run->born_ms);
         length = snprintf(chunk, sizeof(chunk), "%x\r\n%s\r\n",
                           (unsigned)length, event);
         if (run->spoilt && run->event % 20 == 7) {
--- a/regress/soak/runner.c
+++ b/regress/soak/runner.c
@@ -27,7 +27,9 @@
 static uv_timer_t timer;
 
 static void on_tick(uv_timer_t *tick);
-static void start(runner_t *runner, bool same_id);
+static void plan_start(runner_t *runner, uint64_t down_ms);
+static void prepare(runner_t *runner, bool same_id);
+static void start(runner_t *runner);
 static void register_it(const runner_t *runner);
 static void end_silence(runner_t *runner);
 
@@ -45,7 +47,9 @@
         if (soak_plays(SOAK_PARTITION)) {
             proxy_know_hosts(runners[i].proxy);
         }
-        start(&runners[i], false);
+        prepare(&runners[i], false);
+        start(&runners[i]);
+        register_it(&runners[i]);
     }
     (void)uv_timer_init(soak_loop(), &timer);
     (void)uv_timer_start(&timer, on_tick, TICK_MS, TICK_MS);
@@ -97,44 +101,79 @@
 }
 
 static void
-start(runner_t *runner, bool same_id)
+plan_start(runner_t *runner, uint64_t down_ms)
 {
+    int64_t entry_ms = versions_entry_ms();
+
+    runner->entry_ms = soak_now_ms() + down_ms;
+    runner->back_ms = runner->entry_ms;
+    runner->entry_ms += entry_ms > 0 ? (uint64_t)entry_ms : 0;
+    runner->back_ms += entry_ms < 0 ? (uint64_t)-entry_ms : 0;
+    runner->prepared = false;
+}
+
+/* Its next process, which may not listen yet. */
+static void
+prepare(runner_t *runner, bool same_id)
+{
+    struct timespec now;
+
+    (void)clock_gettime(CLOCK_REALTIME, &now);
     if (!same_id) {
         (void)snprintf(runner->id, sizeof(runner->id), "%s%zu-%" PRIu32,
                        runner->engine ? "engine" : "plain",
                        (size_t)(runner - runners), runner->starts);
     }
     runner->starts++;
-    runner->back_ms = 0;
+    runner->version = versions_next();
+    runner->born_ms = (int64_t)now.tv_sec * MS_PER_S + now.tv_nsec / NS_PER_MS;
     runner->leaving_ms = 0;
+    runner->prepared = true;
+    soak_note("start %s v%" PRIu32 " born %" PRId64 ", entry %" PRId64
+              " ms after it listens",
+              runner->id, runner->version, runner->born_ms,
+              (int64_t)(runner->entry_ms - runner->back_ms));
+}
+
+static void
+start(runner_t *runner)
+{
+    runner->back_ms = 0;
     runner->server = server_open(soak_loop(), 0, &runner_ops, runner);
     proxy_set_target(runner->proxy, server_port(runner->server));
     proxy_set_mode(runner->proxy, LINK_PASSES);
     runner->started_ms = soak_now_ms();
-    register_it(runner);
 }
 
 static void
 register_it(const runner_t *runner)
 {
     arena_t arena = {0};
-    struct timespec now;
 
-    (void)clock_gettime(CLOCK_REALTIME, &now);
     soak_store_put(
         arena_printf(&arena, "servers/%s", runner->id),
         arena_printf(&arena,
                      "{\"Service\":\"%s\",\"Address\":\"127.0.0.1:%d\","
                      "\"Zone\":\"%s\",\"BatchSize\":%d,\"State\":\"%s\","
-                     "\"Version\":1,\"Sequence\":1,\"born\":%" PRId64 "}",
+                     "\"Version\":\"v%" PRIu32
+                     "\",\"Sequence\":1,\"born\":%" PRId64 "}",
                      runner->engine ? "engine" : "plain",
                      (int)proxy_port(runner->proxy), runner->zone, SLOTS,
                      runner->leaving_ms > 0 ? "draining" : "ready",
-                     (int64_t)now.tv_sec * MS_PER_S +
-                         now.tv_nsec / NS_PER_MS));
+                     runner->version, runner->born_ms));
     arena_free(&arena);
 }
 
+static void
+write_entry(runner_t *runner)
+{
+    runner->entry_ms = 0;
+    if (strcmp(runner->id, runner->gone_id) == 0) {
+        runner->lapses_ms = 0;
+    }
+    register_it(runner);
+}
+
 static void
 unregister(const char *id)
 {
@@ -154,6 +193,7 @@
         return;
     }
     end_silence(runner);
+    silent = silent && !soak_plays(SOAK_RESET);
     if (silent) {
         proxy_set_mode(runner->proxy, LINK_SILENT);
     }
@@ -164,8 +204,7 @@
     }
     memcpy(runner->gone_id, runner->id, sizeof(runner->id));
     runner->lapses_ms = soak_now_ms() + LAPSE_MS;
-    runner->back_ms =
-        soak_now_ms() + DOWN_LEAST_MS + soak_chance(DOWN_SPREAD_MS);
+    plan_start(runner, DOWN_LEAST_MS + soak_chance(DOWN_SPREAD_MS));
     soak_note("crash %s silent=%d", runner->id, silent);
 }
 
@@ -174,7 +213,8 @@
 {
     runner_t *runner = &runners[which];
 
-    if (runner->server == NULL || runner->leaving_ms > 0) {
+    if (runner->server == NULL || runner->leaving_ms > 0 ||
+        runner->entry_ms > 0) {
         return;
     }
     runner->leaving_ms = soak_now_ms();
@@ -236,13 +276,15 @@
     for (i = 0; i < count; i++) {
         runner_t *runner = &runners[i];
 
+        if (!runner->prepared &&
+            (now_ms >= runner->back_ms || now_ms >= runner->entry_ms)) {
+            prepare(runner, versions_keep_id());
+        }
         if (runner->back_ms > 0 && now_ms >= runner->back_ms) {
-            bool same_id = soak_chance(4) == 0;
-
-            start(runner, same_id);
-            if (same_id) {
-                runner->lapses_ms = 0;
-            }
+            start(runner);
+        }
+        if (runner->entry_ms > 0 && now_ms >= runner->entry_ms) {
+            write_entry(runner);
         }
         if (runner->silent && now_ms >= runner->silent_until_ms) {
             end_silence(runner);
@@ -257,7 +299,7 @@
             end_silence(runner);
             server_close(runner->server);
             runner->server = NULL;
-            runner->back_ms = now_ms + DOWN_LEAST_MS;
+            plan_start(runner, DOWN_LEAST_MS);
         }
     }
 }
--- a/regress/soak/runner.h
+++ b/regress/soak/runner.h
@@ -15,7 +15,11 @@
     server_t *server; /* NULL: it is down */
     proxy_t *proxy;   /* its address in the registry */
     uint32_t starts;
-    uint64_t back_ms;    /* starts again then; 0: it is up */
+    uint32_t version;    /* of its software */
+    int64_t born_ms;     /* by the real-time clock */
+    uint64_t back_ms;    /* listens again then; 0: it is up */
+    uint64_t entry_ms;   /* its entry is written then; 0: that is done */
+    bool prepared;       /* what its next process is stands above */
     uint64_t lapses_ms;  /* gone_id is taken out then; 0: nothing is */
     uint64_t leaving_ms; /* its entry says draining since; 0: not */
     uint64_t spoilt_until_ms;
--- a/regress/soak/soak.h
+++ b/regress/soak/soak.h
@@ -95,6 +95,10 @@
 /* Environment variables that turn faults on. */
 #define SOAK_SILENCE "SILENCE"
 #define SOAK_PARTITION "PARTITION"
+#define SOAK_VERSIONS "VERSIONS" /* or the name of one kind of entry */
+#define SOAK_RESET "RESET" /* crashes close connections, none is silent */
+/* Names of the only faults that are played. */
+#define SOAK_ONLY "ONLY"
 
 bool soak_plays(const char *variable);
 
@@ -199,6 +203,20 @@
 void partition_tried(partition_t *partition, const attempt_end_t *end);
 void partition_report(void);
 
+/* --- versions.c --- */
+
+/* The software's version at the next start of a runner, from 1 on. */
+uint32_t versions_next(void);
+bool versions_keep_id(void);
+/* When the entry of a start is written, after its process listens; negative:
+ * before. */
+int64_t versions_entry_ms(void);
+/* Some engines start again. */
+void versions_restart(void);
+/* A caller asks for the rest of a stream. */
+void versions_taken_up(void);
+void versions_report(void);
+
 /* --- ledger.c --- */
 
 /* What became of a caller's attempt, by its name. */
@@ -213,7 +231,9 @@
     size_t host;      /* that its caller left */
     bool cut;         /* its connection ended without an answer */
     uint32_t running;
-    size_t runner; /* of its last run */
+    size_t runner;         /* of its last run */
+    int64_t went_on_event; /* the first one of a run that went on, sent then */
+    uint64_t went_on_ms;
     UT_hash_handle hh;
 } attempt_t;
 
