--- a/forward/forward.h
+++ b/forward/forward.h
@@ -154,7 +154,8 @@
     bool authentic; /* names this request and has a valid runner signature */
     bool not_run;   /* the runner or host states that it has not run */
     bool leaving;   /* the runner states that it leaves */
-    bool event_stream; /* its body is stated to be one */
+    bool event_stream;    /* its body is stated to be one */
+    int64_t connected_us; /* when its connection stood, or later */
     /* The host that it was relayed to refused it, for this reason. */
     bool refused_by_host;
     refuse_reason_t refusal;
@@ -196,6 +197,7 @@
     probe_outcome_t outcome;
     const runner_report_t *report; /* NULL: none was included */
     bool leaving;                  /* it states that it leaves */
+    int64_t asked_us;              /* when the probe was started, or earlier */
 } forward_probe_result_t;
 
 /* Result of copying a stream's KV cache to its standby. */
--- a/forward/pool.c
+++ b/forward/pool.c
@@ -119,6 +119,8 @@
             runner->failed_permille = 0;
             runner->cooldown_until_us = 0;
             runner->silent_until_us = 0;
+            runner->reported_ms = 0;
+            runner->registered_us = now_us;
             change = RUNNER_RESTARTED;
         }
     }
@@ -269,6 +271,13 @@
     return XXH3_64bits(&runner->id_hash, sizeof(runner->id_hash));
 }
 
+bool
+pool_runner_wrote_entry(const pool_runner_t *runner)
+{
+    return runner->reported_ms == 0 || runner->registration.started_ms == 0 ||
+           runner->reported_ms == runner->registration.started_ms;
+}
+
 bool
 pool_runner_usable(const pool_runner_t *runner, int64_t now_us)
 {
@@ -409,12 +418,14 @@
 }
 
 const pool_runner_t *
-pool_record_start(pool_t *pool, const char *id, int64_t started_ms)
+pool_record_start(pool_t *pool, const char *id, int64_t started_ms,
+                  int64_t asked_us)
 {
     pool_runner_t *runner;
 
     HASH_FIND_STR(pool->runners, id, runner);
-    if (runner == NULL || runner->reported_ms == started_ms) {
+    if (runner == NULL || asked_us < runner->registered_us ||
+        runner->reported_ms == started_ms) {
         return NULL;
     }
     runner->reported_ms = started_ms;
--- a/forward/pool.h
+++ b/forward/pool.h
@@ -32,7 +32,8 @@
     uint64_t id_hash;    /* the same on every host */
     uint64_t version;    /* hash of that of its software; never 0 */
     int64_t reported_ms; /* its start, as the process at its address reported
-                            last; 0: not stated */
+                            last; 0: not stated since registered_us */
+    int64_t registered_us; /* time of the entry of this start */
     pool_zone_t *zone;
     uint32_t running;       /* requests of this host */
     uint32_t prefilling;    /* streams of this host before the first event */
@@ -152,6 +153,10 @@
  */
 bool pool_states_version(const pool_t *pool, const char *service);
 
+/* Returns whether the process at the runner's address is, as far as is known,
+ * the one that wrote its entry. */
+bool pool_runner_wrote_entry(const pool_runner_t *runner);
+
 /* Returns true if new requests may be sent to the runner. */
 bool pool_runner_usable(const pool_runner_t *runner, int64_t now_us);
 
@@ -192,10 +197,11 @@
 void pool_record_probe(pool_t *pool, const char *id, bool answered,
                        int64_t now_us);
 
-/* Records the start that the process at the runner's address reports.  Returns
- * the runner if that has changed, or NULL. */
+/* Records the start that the process at the runner's address reports, if it
+ * was asked after the latest entry.  Returns the runner if that has changed,
+ * or NULL. */
 const pool_runner_t *pool_record_start(pool_t *pool, const char *id,
-                                       int64_t started_ms);
+                                       int64_t started_ms, int64_t asked_us);
 
 /* Records that the runner rejected a request because it is full. */
 void pool_record_full(pool_runner_t *runner, int64_t now_us);
--- a/forward/pool_choose.c
+++ b/forward/pool_choose.c
@@ -84,7 +84,8 @@
         return false;
     }
     if (query->version != 0) {
-        return runner->version == query->version;
+        return runner->version == query->version &&
+               pool_runner_wrote_entry(runner);
     }
     for (i = 0; i < query->version_count; i++) {
         if (runner->version == query->versions[i]) {
--- a/forward/private.h
+++ b/forward/private.h
@@ -6,12 +6,12 @@
  * admission.c admits or refuses new requests, send.c starts and ends attempts,
  * recover.c handles responses and failed attempts, copies.c maintains copies
  * of streams' KV caches, watchdog.c handles timeouts and silence.c silent
- * runners.  relay.c relays requests to other hosts, and grant.c counts what
- * these use of them.  versions.c keeps the versions of streams in memory,
- * version_record.c and stream_record.c in the store; rollouts.c moves services
- * from one version to another.  sharing.c exchanges load
- * with other hosts, notes.c their findings; suspicion.c detects requests that
- * crash runners.
+ * runners.  identify.c establishes which start of a runner answers.  relay.c
+ * relays requests to other hosts, and grant.c counts what these use of them.
+ * versions.c keeps the versions of streams in memory, version_record.c and
+ * stream_record.c in the store; rollouts.c moves services from one version to
+ * another.  sharing.c exchanges load with other hosts, notes.c their findings;
+ * suspicion.c detects requests that crash runners.
  */
 #ifndef FORWARD_PRIVATE_H
 #define FORWARD_PRIVATE_H
@@ -37,6 +37,19 @@
     VERSIONS_RECORDED_MAX = POOL_VERSIONS_MAX,
 };
 
+/* Which start of a runner answers; see identify.c. */
+typedef struct {
+    uint64_t runner;      /* its id_hash; 0: there is nothing to establish */
+    int64_t started_ms;   /* as its entry states; 0: not stated */
+    uint64_t version;     /* of that entry; 0: there is none of this start */
+    int64_t connected_us; /* when the connection stood; 0: no response head */
+    int64_t reported_ms;  /* start in the latest report; 0: none */
+    int64_t asked_us;     /* when that report was asked for */
+    int64_t due_us;       /* when to ask for the next one; 0: never */
+    uint32_t asked;       /* reports that were asked for */
+    bool other;           /* another start answers now: it stays unknown */
+} identity_t;
+
 /* One send of a request to a runner. */
 typedef struct {
     uint32_t number;         /* starts at 1 */
@@ -65,6 +78,8 @@
     bool restored;       /* started from a copy of the KV cache */
     bool is_retry;       /* counted against the retry budget */
     bool relaying;       /* the response is relayed to the caller */
+    bool withheld;       /* the response waits until identity is confirmed */
+    identity_t identity; /* of the runner */
     bool relayed;        /* runner stands for another host, which handles it */
     uint32_t granted;    /* attempts, to that host; counted as runs */
     relay_usage_t usage; /* of that host, without the runners */
@@ -101,8 +116,9 @@
     int64_t arrived_us;
     int64_t deadline_us; /* the earlier of the route's and the caller's */
     int64_t last_event_id;
-    uint64_t stream;  /* identifies its stream among all hosts */
-    uint64_t version; /* of the software that began the stream; 0: none yet */
+    uint64_t stream;   /* identifies its stream among all hosts */
+    uint64_t version;  /* of the software that began the stream; 0: none yet */
+    identity_t origin; /* of the start that began it, until version is known */
     int64_t retry_at_us; /* when to look for a runner again; 0: not waiting */
     int64_t unassigned_since_us; /* since when a stream has no runner; or 0 */
     int64_t first_event_us;      /* 0: none yet */
@@ -411,11 +427,43 @@
 /* Lets the request wait until retry_waiting_request() is due. */
 void schedule_retry(forward_t *forward, request_t *request);
 
+/* Relays a stream's response from its head on. */
+void recover_pass_on(forward_t *forward, request_t *request);
+/* Ends an attempt that is not certain to be of the right version: another
+ * runner is tried. */
+void recover_other_start(forward_t *forward, request_t *request);
+
 /* Returns whether the request is safe and may run on another runner. */
 bool may_run_again(const request_t *request);
 /* Returns the name of the result in the log. */
 const char *send_result_name(send_result_t result);
 
+/* --- identify.c --- */
+
+/* Sets which start the attempt is sent to. */
+void identify_start(attempt_t *attempt, const pool_runner_t *runner);
+/* Returns whether a stream's response may be passed on; if not, it is withheld
+ * until recover_pass_on().  connected_us: when the connection stood. */
+bool identify_at_head(forward_t *forward, request_t *request,
+                      int64_t connected_us);
+/* Applies a runner's report to all requests. */
+void identify_receive(forward_t *forward,
+                      const forward_probe_result_t *probed);
+/* Applies a runner's entry to all requests. */
+void identify_registered(forward_t *forward, const pool_runner_t *runner);
+/* Forgets the start that began a stream of which the caller has nothing. */
+void identify_end(request_t *request);
+/* Returns whether the version that began the request's stream is not known
+ * although this host has begun it. */
+bool identify_is_pending(const request_t *request);
+/* Asks for it after the loss of the attempt.  Returns false if that is in
+ * vain. */
+bool identify_ask_origin(forward_t *forward, request_t *request);
+/* Asks for the reports that are due. */
+void identify_check(forward_t *forward, request_t *request);
+/* Returns when identify_check() is due; INT64_MAX: never. */
+int64_t identify_due_us(const request_t *request);
+
 /* --- silence.c --- */
 
 /* Moves the request of a silent runner to another one if that can take it up.
@@ -631,6 +679,9 @@
 
 /* --- watchdog.c --- */
 
+/* Asks the runner for a report. */
+void probe_runner(forward_t *forward, const request_t *request,
+                  const pool_runner_t *runner, uint32_t timeout_ms);
 /* Handles the timeouts of one request that have expired. */
 void check_request_timers(forward_t *forward, request_t *request);
 /* Restarts the activity timeouts after a pause of this process, which is not a
--- a/forward/recover.c
+++ b/forward/recover.c
@@ -74,16 +74,21 @@
     }
     if (request->type == REQUEST_STREAM && head->status == STATUS_OK &&
         head->authentic &&
-        (head->event_stream || !request->response_started)) {
-        attempt->relaying = true;
-        if (request->version == 0) {
-            request->version = attempt->version;
-        }
-        request->response_started = true;
-        emit_response(forward, request, FORWARD_ACTION_RELAY_HEAD);
+        (head->event_stream || !request->response_started) &&
+        identify_at_head(forward, request, head->connected_us)) {
+        recover_pass_on(forward, request);
     }
 }
 
+void
+recover_pass_on(forward_t *forward, request_t *request)
+{
+    request->attempt.relaying = true;
+    request->attempt.withheld = false;
+    request->response_started = true;
+    emit_response(forward, request, FORWARD_ACTION_RELAY_HEAD);
+}
+
 void
 handle_send_end(forward_t *forward, const forward_send_end_t *end)
 {
@@ -97,6 +102,9 @@
         handle_failed_attempt(forward, request, end->result);
         return;
     }
+    if (request->attempt.withheld) {
+        return; /* told again once the response is passed on */
+    }
     if (request->attempt.relayed) {
         grant_settle(request, GRANT_USED);
     }
@@ -169,6 +177,21 @@
     retry_or_refuse(forward, request, REFUSE_RUNNER_LOST);
 }
 
+void
+recover_other_start(forward_t *forward, request_t *request)
+{
+    const attempt_t *attempt = &request->attempt;
+
+    emit_log(forward, LOG_NOTICE, "other-start",
+             "request=%s attempt=%" PRIu32 " runner=%s started_ms=%" PRId64
+             " reported_ms=%" PRId64 " asked=%" PRIu32,
+             request->id, attempt->number, attempt->runner->registration.id,
+             attempt->identity.started_ms, attempt->identity.reported_ms,
+             attempt->identity.asked);
+    attempt_end(forward, request, true);
+    resume_stream(forward, request);
+}
+
 /* A crash without a reset is only seen as silence, possibly by the time that
  * the runner has restarted and answers probes again. */
 static void
@@ -442,6 +465,14 @@
     }
     may_send = decision == CRASH_ALLOWED ||
                (decision == CRASH_DEFERRED && request->response_started);
+    if (identify_is_pending(request)) {
+        if (!identify_ask_origin(forward, request)) {
+            refuse_request(forward, request, REFUSE_NO_VERSION);
+            return;
+        }
+        wait_or_refuse(forward, request, REFUSE_NO_VERSION);
+        return;
+    }
     if (!find_stream_version(forward, request)) {
         wait_or_refuse(forward, request, REFUSE_NO_VERSION);
         return;
--- a/forward/registry.c
+++ b/forward/registry.c
@@ -120,6 +120,10 @@
     runner_change_t change =
         pool_update_runner(forward->pool, forward->now_us, entry);
 
+    if (change == RUNNER_RESTARTED) {
+        identify_registered(forward,
+                            pool_find_runner(forward->pool, entry->id));
+    }
     if (change != RUNNER_UNCHANGED) {
         version_record_add_service(forward, entry->service);
         forward->records_changed = true;
--- a/forward/send.c
+++ b/forward/send.c
@@ -197,6 +197,7 @@
         .started_us = forward->now_us,
         .last_activity_us = forward->now_us,
     };
+    identify_start(attempt, runner);
     request->retry_at_us = 0;
     request->runs++;
     count_delivery(forward, request);
@@ -343,6 +344,7 @@
     }
     attempt->runner = NULL;
     copies_set_standby(attempt, NULL);
+    identify_end(request);
 }
 
 /* A response that has started can only be broken off. */
--- a/forward/silence.c
+++ b/forward/silence.c
@@ -58,12 +58,16 @@
 }
 
 /* Returns whether the registry shows that the run of a silent runner is lost.
- * A runner that is no longer registered may still serve. */
+ * A runner that is no longer registered may still serve, and one that has
+ * responded since its entry is the one that the entry names. */
 static bool
 has_ended(const attempt_t *attempt)
 {
-    return attempt->runner->serial != attempt->runner_serial ||
-           attempt->runner->address_stale;
+    const pool_runner_t *runner = attempt->runner;
+
+    return runner->address_stale ||
+           (runner->serial != attempt->runner_serial &&
+            attempt->response_us < runner->registered_us);
 }
 
 /* All that could end the request in place of moving it is checked here. */
@@ -73,6 +77,9 @@
     int64_t idle_us = forward->now_us - request->attempt.last_activity_us;
     crash_decision_t decision;
 
+    if (identify_is_pending(request) && request->first_event_us > 0) {
+        return false;
+    }
     if (request->type == REQUEST_STREAM) {
         uint32_t reserved =
             idle_us < (int64_t)PAUSE_IDLE_MS * US_PER_MS ? RUNS_RESERVED : 0;
--- a/forward/versions.c
+++ b/forward/versions.c
@@ -37,6 +37,9 @@
 void
 versions_begin_stream(forward_t *forward, request_t *request)
 {
+    if (identify_is_pending(request)) {
+        return;
+    }
     if (request->version == 0) {
         request->version = request->attempt.version;
     }
--- a/forward/watchdog.c
+++ b/forward/watchdog.c
@@ -44,8 +44,6 @@
     MISSING_REPORTS_MAX = 2,
 };
 
-static void probe(forward_t *forward, const request_t *request,
-                  const pool_runner_t *runner, uint32_t timeout_ms);
 static void record_leaving(forward_t *forward, const char *id);
 static void record_path(forward_t *forward,
                         const forward_probe_result_t *probed);
@@ -79,6 +77,7 @@
         refuse_request(forward, request, REFUSE_TIMEOUT);
         return;
     }
+    identify_check(forward, request);
     if (attempt->runner == NULL) {
         if (request->retry_at_us > 0 &&
             forward->now_us >= request->retry_at_us) {
@@ -102,16 +101,16 @@
     }
     attempt->probe_pending = true;
     attempt->last_probe_us = forward->now_us;
-    probe(forward, request, attempt->runner, PROBE_TIMEOUT_MS);
+    probe_runner(forward, request, attempt->runner, PROBE_TIMEOUT_MS);
     next = next_runner(forward, request);
     if (next != NULL) {
-        probe(forward, request, next, PROBE_NEXT_TIMEOUT_MS);
+        probe_runner(forward, request, next, PROBE_NEXT_TIMEOUT_MS);
     }
 }
 
-static void
-probe(forward_t *forward, const request_t *request,
-      const pool_runner_t *runner, uint32_t timeout_ms)
+void
+probe_runner(forward_t *forward, const request_t *request,
+             const pool_runner_t *runner, uint32_t timeout_ms)
 {
     arena_t *arena = &forward->actions->arena;
     forward_action_t *action =
@@ -144,8 +143,9 @@
 {
     const attempt_t *attempt = &request->attempt;
     int64_t due_us = request->deadline_us;
-    int64_t at_us = INT64_MAX;
+    int64_t at_us = identify_due_us(request);
 
+    due_us = at_us < due_us ? at_us : due_us;
     if (attempt->runner == NULL) {
         at_us = request->retry_at_us > 0 ? request->retry_at_us : INT64_MAX;
         return at_us < due_us ? at_us : due_us;
@@ -205,7 +205,7 @@
         return;
     }
     runner = pool_record_start(forward->pool, probed->runner,
-                               probed->report->started_ms);
+                               probed->report->started_ms, probed->asked_us);
     if (runner != NULL) {
         emit_log(forward,
                  runner->reported_ms == runner->registration.started_ms
@@ -261,6 +261,7 @@
     }
     record_path(forward, probed);
     record_start(forward, probed);
+    identify_receive(forward, probed);
     pool_record_probe(forward->pool, probed->runner,
                       probed->outcome == PROBE_ANSWERED, forward->now_us);
     HASH_ITER(hh, forward->requests, request, next)
--- a/gateway/forwarding.c
+++ b/gateway/forwarding.c
@@ -17,7 +17,7 @@
     US_PER_MS = 1000,
     NS_PER_US = 1000,
     PERMILLE = 1000,
-    QUEUE_LENGTH_MAX = 64,
+    QUEUE_SIZE_INITIAL = 16,
 };
 
 struct forwarding {
@@ -26,8 +26,9 @@
     forward_actions_t actions;
     uv_timer_t *timer;
     bool step_running;
-    forward_event_t queue[QUEUE_LENGTH_MAX]; /* raised during a step */
+    forward_event_t *queue; /* raised during a step */
     size_t queue_length;
+    size_t queue_size;
 };
 
 static void run_step(forwarding_t *forwarding, const forward_event_t *event);
@@ -68,12 +69,14 @@
     uv_close((uv_handle_t *)forwarding->timer, (uv_close_cb)free);
     forward_free(forwarding->forward);
     forward_actions_free(&forwarding->actions);
+    free(forwarding->queue);
     free(forwarding);
 }
 
 /*
- * Only FORWARD_CALLER_DISCONNECTED, and FORWARD_SEND_END of a request that
- * was not sent, are raised during a step.
+ * Raised during a step are only FORWARD_CALLER_DISCONNECTED, FORWARD_SEND_END
+ * of a request that was not sent, and the progress and end of a response that
+ * was withheld.
  */
 void
 forwarding_handle_event(gateway_t *gateway, const forward_event_t *event)
@@ -82,10 +85,13 @@
     size_t i;
 
     if (forwarding->step_running) {
-        if (forwarding->queue_length == QUEUE_LENGTH_MAX) {
-            log_line(LOG_ERR, "event dropped kind=%d reason=queue-full",
-                     event->kind);
-            return;
+        if (forwarding->queue_length == forwarding->queue_size) {
+            forwarding->queue_size = forwarding->queue_size == 0
+                                         ? QUEUE_SIZE_INITIAL
+                                         : 2 * forwarding->queue_size;
+            forwarding->queue =
+                xrealloc(forwarding->queue, forwarding->queue_size,
+                         sizeof(*forwarding->queue));
         }
         forwarding->queue[forwarding->queue_length] = *event;
         forwarding->queue_length++;
--- a/gateway/runner_calls.c
+++ b/gateway/runner_calls.c
@@ -13,6 +13,7 @@
     runner_calls_t *runner_calls;
     http_call_t *call;
     char *runner;     /* probed; NULL for requests about copies */
+    int64_t asked_us; /* when the call was started */
     uint64_t number;  /* of the request whose KV cache is copied */
     uint32_t attempt; /* of that request */
     uint32_t status;
@@ -147,6 +148,7 @@
     runner_call_t *runner_call = xcalloc(1, sizeof(*runner_call));
 
     runner_call->sink.ops = &sink_ops;
+    runner_call->asked_us = gateway_now_us();
     runner_call->runner_calls = runner_calls;
     runner_call->next = runner_calls->first;
     runner_calls->first = runner_call;
@@ -226,6 +228,7 @@
             .runner = runner_call->runner,
             .outcome = probe_outcome(result),
             .leaving = terms.leaving,
+            .asked_us = runner_call->asked_us,
         };
         if (result == HTTP_DONE && runner_call->status == STATUS_OK &&
             dialect->parse_probe_response(&arena, runner_call->body.bytes,
--- a/gateway/upstream.c
+++ b/gateway/upstream.c
@@ -43,10 +43,13 @@
     size_t held_bytes;     /* by body and events */
     int64_t last_event_id; /* of events of this response; -1: none */
     bool relaying;         /* events are sent to the caller as they arrive */
-    bool malformed;        /* it has sent something that is no event */
-    bool failed;           /* it was ended before its end */
-    bool in_callback;      /* a callback up the stack uses it */
-    bool released;         /* to be freed when the callback returns */
+    bool catching_up;      /* with those that came before that */
+    bool ended;            /* before that, with this result */
+    send_result_t result;
+    bool malformed;   /* it has sent something that is no event */
+    bool failed;      /* it was ended before its end */
+    bool in_callback; /* a callback up the stack uses it */
+    bool released;    /* to be freed when the callback returns */
     UT_hash_handle hh;
 };
 
@@ -57,6 +60,10 @@
     size_t held_max_bytes;
 };
 
+static void catch_up(exchange_t *exchange);
+static void raise_progress(const exchange_t *exchange, int64_t event_id);
+static send_result_t end_result(const exchange_t *exchange,
+                                send_result_t result);
 static bool write_headers(exchange_t *exchange,
                           const caller_request_t *request,
                           const send_action_t *action, headers_t *headers);
@@ -180,6 +187,33 @@
 
     if (exchange != NULL && exchange->attempt == attempt) {
         exchange->relaying = true;
+        if (exchange->body.length > 0 || exchange->ended) {
+            catch_up(exchange);
+        }
+    }
+}
+
+/* Passes on what came while the response was withheld, in one step. */
+static void
+catch_up(exchange_t *exchange)
+{
+    text_t body = exchange->body;
+
+    exchange->body = (text_t){0};
+    exchange->catching_up = true;
+    event_stream_feed(&exchange->events, body.bytes, body.length,
+                      on_stream_event, exchange);
+    exchange->catching_up = false;
+    text_free(&body);
+    update_held(exchange);
+    if (exchange->last_event_id >= 0) {
+        raise_progress(exchange, exchange->last_event_id);
+    }
+    if (exchange->malformed || exchange->events.event_too_long) {
+        fail_exchange(exchange);
+    }
+    else if (exchange->ended) {
+        raise_send_end(exchange, end_result(exchange, exchange->result));
     }
 }
 
@@ -281,6 +315,8 @@
         .leaving = terms.leaving,
         .event_stream = strncasecmp(content_type, event_stream_type,
                                     strlen(event_stream_type)) == 0,
+        .connected_us =
+            gateway_now_us() - http_connection_age_us(exchange->call),
     };
     if (exchange->to_host != NULL) {
         host_relay_read_usage(&exchange->arena, &exchange->headers,
@@ -334,7 +370,6 @@
 {
     exchange_t *exchange = context;
     gateway_t *gateway = exchange->upstreams->gateway;
-    forward_event_t progress = {.kind = FORWARD_STREAM_PROGRESS};
 
     if (exchange->released || exchange->malformed || exchange->failed) {
         return;
@@ -345,15 +380,27 @@
     }
     if (event->has_id && event->id > exchange->last_event_id) {
         exchange->last_event_id = event->id;
-        http_renew_limit(exchange->call);
+        if (exchange->call != NULL) {
+            http_renew_limit(exchange->call);
+        }
     }
     (void)front_send_event(gateway->front, exchange->number, event);
-    progress.u.progress = (forward_progress_t){
-        .number = exchange->number,
-        .attempt = exchange->attempt,
-        .last_event_id = event->has_id ? event->id : -1,
+    if (!exchange->catching_up) {
+        raise_progress(exchange, event->has_id ? event->id : -1);
+    }
+}
+
+static void
+raise_progress(const exchange_t *exchange, int64_t event_id)
+{
+    forward_event_t progress = {
+        .kind = FORWARD_STREAM_PROGRESS,
+        .u.progress = {.number = exchange->number,
+                       .attempt = exchange->attempt,
+                       .last_event_id = event_id},
     };
-    forwarding_handle_event(gateway, &progress);
+
+    forwarding_handle_event(exchange->upstreams->gateway, &progress);
 }
 
 static void
@@ -365,17 +412,25 @@
         [HTTP_TOO_LARGE] = SEND_INVALID,
     };
     exchange_t *exchange = (exchange_t *)sink;
-    bool truncated =
-        exchange->relaying && event_stream_has_partial(&exchange->events);
 
     if (result == HTTP_TOO_LARGE) {
         log_too_large(exchange, http_received_bytes(exchange->call),
                       "response");
     }
     exchange->call = NULL;
-    raise_send_end(exchange, result == HTTP_DONE && truncated
-                                 ? SEND_BROKEN
-                                 : results[result]);
+    exchange->ended = true;
+    exchange->result = results[result];
+    raise_send_end(exchange, end_result(exchange, results[result]));
+}
+
+/* A stream that ends inside an event is not complete. */
+static send_result_t
+end_result(const exchange_t *exchange, send_result_t result)
+{
+    return result == SEND_COMPLETE && exchange->relaying &&
+                   event_stream_has_partial(&exchange->events)
+               ? SEND_BROKEN
+               : result;
 }
 
 static void
@@ -424,8 +479,10 @@
         return;
     }
     exchange->failed = true;
-    http_cancel(exchange->call);
-    exchange->call = NULL;
+    if (exchange->call != NULL) {
+        http_cancel(exchange->call);
+        exchange->call = NULL;
+    }
     raise_send_end(exchange, SEND_INVALID);
 }
 
--- a/http/client.c
+++ b/http/client.c
@@ -304,6 +304,18 @@
                                             : HTTP_CONNECTION_LOST;
 }
 
+/* libcurl brings its total time up to date between callbacks only. */
+int64_t
+http_connection_age_us(const http_call_t *call)
+{
+    curl_off_t connect_us = 0;
+    curl_off_t total_us = 0;
+
+    (void)curl_easy_getinfo(call->easy, CURLINFO_CONNECT_TIME_T, &connect_us);
+    (void)curl_easy_getinfo(call->easy, CURLINFO_TOTAL_TIME_T, &total_us);
+    return connect_us > 0 && total_us > connect_us ? total_us - connect_us : 0;
+}
+
 void
 http_renew_limit(http_call_t *call)
 {
--- a/http/http.h
+++ b/http/http.h
@@ -121,6 +121,10 @@
  */
 bool http_connect_timed_out(const http_call_t *call);
 
+/* Returns, once the head is there, the time since the connection stood, or
+ * less. */
+int64_t http_connection_age_us(const http_call_t *call);
+
 /* Starts the count for response_max_bytes anew: the response is of use. */
 void http_renew_limit(http_call_t *call);
 /* Returns the bytes received since then, or since the start of the call. */
--- a/regress/forwarding.c
+++ b/regress/forwarding.c
@@ -19,7 +19,7 @@
 static void step(forward_t *forward, int64_t at_ms,
                  const forward_event_t *event, bool print);
 static forward_event_t request_of(const line_t *line);
-static forward_event_t answer_of(const line_t *line);
+static forward_event_t answer_of(const line_t *line, int64_t at_ms);
 static void do_fleet(forward_t *forward, int64_t at_ms, const line_t *line);
 static void do_peer(forward_t *forward, int64_t at_ms, const line_t *line);
 static bool do_registry(forward_t *forward, int64_t at_ms, const line_t *line);
@@ -110,6 +110,11 @@
                                      ? PROBE_SILENT
                                      : PROBE_UNREACHABLE;
         event.u.probed.leaving = line_has(&line, "leaving");
+        event.u.probed.asked_us =
+            (line_value(&line, "asked") != NULL
+                 ? strtoll(line_value(&line, "asked"), NULL, DECIMAL)
+                 : at_ms) *
+            US_PER_MS;
         if (line_value(&line, "active") != NULL) {
             event.u.probed.report = line_report(&line);
         }
@@ -140,7 +145,7 @@
         event.kind = FORWARD_TIMER;
     }
     else {
-        event = answer_of(&line);
+        event = answer_of(&line, at_ms);
     }
     step(forward, at_ms, &event, true);
     return actions_printed();
@@ -299,7 +304,7 @@
 }
 
 static forward_event_t
-answer_of(const line_t *line)
+answer_of(const line_t *line, int64_t at_ms)
 {
     static const struct {
         const char *word;
@@ -326,6 +331,11 @@
             .not_run = line_has(line, "not-run"),
             .leaving = line_has(line, "leaving"),
             .event_stream = !line_has(line, "text"),
+            .connected_us =
+                (line_value(line, "connected") != NULL
+                     ? strtoll(line_value(line, "connected"), NULL, DECIMAL)
+                     : at_ms) *
+                US_PER_MS,
             .refused_by_host = line_has(line, "refused"),
             .refusal = REFUSE_NO_RUNNER,
             .usage = {.stated = stated,
--- a/regress/forwarding.h
+++ b/regress/forwarding.h
@@ -15,6 +15,7 @@
  *        [grant=ATTEMPTS:DELIVERIES[:RUNNER,...]]
  *                             what that host grants, and who received it
  *        [table=REVISION]      the routing table of that host
+ *        [connected=MS]        when its connection stood, else now
  *   gone N
  *   head N ATTEMPT STATUS [stranger] [not-run] [refused] [leaving]
  *        [text]
@@ -25,8 +26,10 @@
  *        [table=REVISION]      the routing table of that host
  *   event N ATTEMPT ID
  *   whole N ATTEMPT | broken N ATTEMPT | unsent N ATTEMPT | invalid N ATTEMPT
- *   probed RUNNER yes|no|silent [leaving] [active=N [queued=N] [runs=ID]]
- *                             its outcome, and what it reports
+ *   probed RUNNER yes|no|silent [leaving] [asked=MS]
+ *        [active=N [queued=N] [runs=ID] [born=MS]]
+ *                             its outcome, and what it reports; asked: when
+ *                             the probe was started, else now
  *   copied N ATTEMPT [name=NAME]
  *   runner RUNNER [draining] [born=MS] [as=ID] [version=V]
  *                             as: another id, its address
--- a/regress/forwarding_line.c
+++ b/regress/forwarding_line.c
@@ -94,6 +94,7 @@
     static const char *run;
     static runner_report_t report;
     const char *queued = line_value(line, "queued");
+    const char *born = line_value(line, "born");
 
     run = line_value(line, "runs");
     report = (runner_report_t){
@@ -102,6 +103,7 @@
             queued != NULL ? (uint32_t)strtoul(queued, NULL, DECIMAL) : 0,
         .runs = &run,
         .run_count = run != NULL ? 1 : 0,
+        .started_ms = born != NULL ? strtoll(born, NULL, DECIMAL) : 0,
     };
     return &report;
 }
--- a/regress/partition_path.c
+++ b/regress/partition_path.c
@@ -208,6 +208,19 @@
     }
 }
 
+/* Whether the host keeps what comes until it passes on the response. */
+static bool
+is_withheld(const cut_leg_t *leg, const forward_event_t *event)
+{
+    const cut_hop_t *hop = &cut_sim.hops[leg->hop];
+
+    return cut_sim.callers[hop->caller].type == REQUEST_STREAM &&
+           !leg->passed && leg->status == CUT_STATUS_OK &&
+           (event->kind == FORWARD_STREAM_PROGRESS ||
+            (event->kind == FORWARD_SEND_END &&
+             event->u.end.result == SEND_COMPLETE));
+}
+
 static void
 reply(size_t index, forward_event_t event)
 {
@@ -224,8 +237,13 @@
                        &event);
         return;
     }
+    if (is_withheld(leg, &event)) {
+        cut_push_reply(1, index, &event);
+        return;
+    }
     switch (event.kind) {
     case FORWARD_RESPONSE_HEAD:
+        event.u.head.connected_us = cut_sim.now_ms * CUT_US_PER_MS;
         event.u.head.number = leg->hop;
         event.u.head.attempt = leg->attempt;
         leg->status = event.u.head.status;
@@ -269,7 +287,8 @@
     const cut_runner_t *runner = &cut_sim.runners[index];
     const char *runs[CUT_SLOTS_MAX];
     runner_report_t report = {.active = (uint32_t)runner->run_count,
-                              .runs = runs};
+                              .runs = runs,
+                              .started_ms = runner->started_ms};
     forward_event_t event = {.kind = FORWARD_PROBE_RESULT};
     size_t i;
 
@@ -287,6 +306,7 @@
         }
     }
     event.u.probed.runner = runner->name;
+    event.u.probed.asked_us = (cut_sim.now_ms - RESET_MS) * CUT_US_PER_MS;
     if (probe_passes(host, index)) {
         event.u.probed.report = &report;
     }
--- a/regress/partition_private.h
+++ b/regress/partition_private.h
@@ -125,6 +125,7 @@
     bool open;     /* the sending host waits for it */
     bool running;
     bool began;
+    bool passed; /* the host passes the response on */
     bool excused;
     bool restored;
     uint32_t status;
--- a/regress/silence_call.c
+++ b/regress/silence_call.c
@@ -74,7 +74,8 @@
 finish_probe(const call_t *call, probe_outcome_t outcome)
 {
     const char *ids[REQUESTS_MAX];
-    runner_report_t report = {.runs = ids};
+    runner_report_t report = {
+        .runs = ids, .started_ms = silence.runners[call->runner].started_ms};
     forward_event_t event = {.kind = FORWARD_PROBE_RESULT};
     size_t i;
 
@@ -94,6 +95,7 @@
     event.u.probed = (forward_probe_result_t){
         .runner = call->runner_id,
         .outcome = outcome,
+        .asked_us = call->sent_ms * US_PER_MS,
         .report =
             outcome == PROBE_ANSWERED && silence.runners[call->runner].engine
                 ? &report
--- a/regress/silence_private.h
+++ b/regress/silence_private.h
@@ -98,6 +98,7 @@
     int64_t first_ms; /* work until the first event */
     int64_t total_ms; /* work until the response is complete */
     bool head_sent;
+    bool passed; /* the host passes the response on */
     int64_t first_id;
     int64_t sent_id;        /* of the last event */
     int64_t first_event_ms; /* 0: none yet */
@@ -191,6 +192,7 @@
 /* Begins or ends a run, as its host orders. */
 void silence_send(const forward_action_t *action);
 void silence_cancel(const forward_action_t *action);
+void silence_pass_on(const forward_action_t *action);
 /* Moves all runs on by a tick. */
 void silence_run_runners(void);
 /* Ends what runs at the runner, which fails now. */
--- a/regress/silence_runner.c
+++ b/regress/silence_runner.c
@@ -121,6 +121,14 @@
     }
 }
 
+void
+silence_pass_on(const forward_action_t *action)
+{
+    run_t *run = &silence.runs[silence.requests[action->number].run];
+
+    run->passed = run->attempt == action->u.attempt;
+}
+
 static void
 deliver_run(const run_t *run, const forward_event_t *event)
 {
@@ -135,12 +143,14 @@
     forward_event_t event = {.kind = FORWARD_RESPONSE_HEAD};
 
     run->head_sent = true;
-    event.u.head = (forward_response_head_t){.number = run->request,
-                                             .attempt = run->attempt,
-                                             .status = status,
-                                             .authentic = true,
-                                             .event_stream = true,
-                                             .not_run = status != STATUS_OK};
+    event.u.head =
+        (forward_response_head_t){.number = run->request,
+                                  .attempt = run->attempt,
+                                  .status = status,
+                                  .authentic = true,
+                                  .event_stream = true,
+                                  .connected_us = silence.now_ms * US_PER_MS,
+                                  .not_run = status != STATUS_OK};
     deliver_run(run, &event);
 }
 
@@ -291,6 +301,9 @@
         deliver_head(run, STATUS_OK);
         silence_begin_onset(runner, ONSET_HEAD);
     }
+    if (!plain && !run->passed) {
+        return;
+    }
     if (!plain && last_id > run->sent_id && !silence_is_silent(runner)) {
         deliver_events(run, last_id);
         silence_begin_onset(runner, ONSET_EVENT);
--- a/regress/silence_sim.c
+++ b/regress/silence_sim.c
@@ -72,6 +72,9 @@
     case FORWARD_ACTION_CANCEL:
         silence_cancel(action);
         return;
+    case FORWARD_ACTION_RELAY_HEAD:
+        silence_pass_on(action);
+        return;
     case FORWARD_ACTION_PROBE:
         silence_probe(host, action);
         return;
--- a/regress/version_private.h
+++ b/regress/version_private.h
@@ -31,6 +31,7 @@
     RECORD_KEY_BYTES = 64,
     STORED_MAX = 96,
     TRANSFERS_MAX = 4096,
+    PROBES_MAX = 1024,
 };
 
 typedef struct {
@@ -60,6 +61,7 @@
     uint32_t run_version;
     int64_t run_start_ms;
     bool run_began;
+    bool run_passed;  /* the host passes the response on */
     bool run_refused; /* there was no engine when it was sent */
     uint32_t version; /* that wrote the first event; 0: none */
     bool mixed;
@@ -69,6 +71,14 @@
     bool counted; /* among those that are taken up */
 } stream_t;
 
+/* A report that a host has asked for. */
+typedef struct {
+    size_t host;
+    uint64_t incarnation;
+    size_t engine;
+    int64_t asked_ms;
+} probe_t;
+
 /* A record of the store. */
 typedef struct {
     char key[RECORD_KEY_BYTES];
@@ -103,6 +113,8 @@
     engine_t engines[ENGINES_MAX];
     stream_t streams[STREAMS_MAX];
     size_t stream_count;
+    probe_t probes[PROBES_MAX];
+    size_t probe_count;
     uint32_t mixed;
     uint32_t begun;
     uint32_t resumed;
--- a/regress/version_sim.c
+++ b/regress/version_sim.c
@@ -32,6 +32,51 @@
     }
 }
 
+/* The users' requirement holds at hosts that have run for some time, while two
+ * runners of the version serve. */
+static bool
+can_go_on(const stream_t *stream)
+{
+    uint32_t count = 0;
+    size_t i;
+
+    for (i = 0; i < sim.engine_count; i++) {
+        if (sim.engines[i].down_until_ms == 0 &&
+            sim.engines[i].version == stream->version) {
+            count++;
+        }
+    }
+    return count >= 2 && !sim.hosts[stream->host].down &&
+           (sim.power_loss ||
+            sim.now_ms - sim.hosts[stream->host].start_ms >= IN_TOUCH_MS);
+}
+
+/* A take-up that is refused after its version has lost its runners is none of
+ * those that the requirement is about. */
+static void
+forget_if_runners_left(stream_t *stream)
+{
+    if (stream->counted && !stream->try_began && !can_go_on(stream)) {
+        stream->counted = false;
+        sim.resumed--;
+    }
+}
+
+static void
+add_probe(size_t host, const char *runner)
+{
+    size_t engine = strtoul(runner + 1, NULL, 10);
+
+    if (sim.probe_count < PROBES_MAX) {
+        sim.probes[sim.probe_count] =
+            (probe_t){.host = host,
+                      .incarnation = sim.hosts[host].incarnation,
+                      .engine = engine,
+                      .asked_ms = sim.now_ms};
+        sim.probe_count++;
+    }
+}
+
 static void
 handle_action(size_t host, const forward_action_t *action)
 {
@@ -44,17 +89,25 @@
         stream->run_version = sim.engines[stream->engine].version;
         stream->run_start_ms = sim.now_ms;
         stream->run_began = false;
+        stream->run_passed = false;
         stream->run_refused = sim.engines[stream->engine].down_until_ms != 0;
         return;
     case FORWARD_ACTION_CANCEL:
         stream->attempt =
             stream->attempt == action->u.attempt ? 0 : stream->attempt;
         return;
+    case FORWARD_ACTION_RELAY_HEAD:
+        stream->run_passed = true;
+        return;
+    case FORWARD_ACTION_PROBE:
+        add_probe(host, action->u.probe.runner);
+        return;
     case FORWARD_ACTION_FINISH:
         stream->active = false;
         return;
     case FORWARD_ACTION_REFUSE:
     case FORWARD_ACTION_ABORT:
+        forget_if_runners_left(stream);
         leave(stream);
         return;
     case FORWARD_ACTION_PUT_RECORD:
@@ -222,25 +275,6 @@
     }
 }
 
-/* The users' requirement holds at hosts that have run for some time, while two
- * runners of the version serve. */
-static bool
-can_go_on(const stream_t *stream)
-{
-    uint32_t count = 0;
-    size_t i;
-
-    for (i = 0; i < sim.engine_count; i++) {
-        if (sim.engines[i].down_until_ms == 0 &&
-            sim.engines[i].version == stream->version) {
-            count++;
-        }
-    }
-    return count >= 2 && !sim.hosts[stream->host].down &&
-           (sim.power_loss ||
-            sim.now_ms - sim.hosts[stream->host].start_ms >= IN_TOUCH_MS);
-}
-
 static void
 send_stream(size_t index)
 {
@@ -318,13 +352,18 @@
     }
     if (!stream->run_began) {
         stream->run_began = true;
-        event.u.head = (forward_response_head_t){.number = number,
-                                                 .attempt = stream->attempt,
-                                                 .status = 200,
-                                                 .authentic = true,
-                                                 .event_stream = true};
+        event.u.head =
+            (forward_response_head_t){.number = number,
+                                      .attempt = stream->attempt,
+                                      .status = 200,
+                                      .authentic = true,
+                                      .event_stream = true,
+                                      .connected_us = sim.now_ms * US_PER_MS};
         version_deliver(stream->host, &event);
     }
+    if (!stream->run_passed) {
+        return;
+    }
     count_event(stream);
     stream->last_event_id++;
     event.kind = FORWARD_STREAM_PROGRESS;
@@ -386,6 +425,33 @@
     }
 }
 
+/* Those of the tick before. */
+static void
+answer_probes(void)
+{
+    probe_t probes[PROBES_MAX];
+    size_t count = sim.probe_count;
+    size_t i;
+
+    memcpy(probes, sim.probes, count * sizeof(probes[0]));
+    sim.probe_count = 0;
+    for (i = 0; i < count; i++) {
+        const engine_t *engine = &sim.engines[probes[i].engine];
+        runner_report_t report = {.started_ms = engine->started_ms};
+        forward_event_t event = {.kind = FORWARD_PROBE_RESULT};
+
+        event.u.probed = (forward_probe_result_t){
+            .runner = engine->name,
+            .outcome = engine->down_until_ms != 0 ? PROBE_UNREACHABLE
+                                                  : PROBE_ANSWERED,
+            .report = engine->down_until_ms != 0 ? NULL : &report,
+            .asked_us = probes[i].asked_ms * US_PER_MS};
+        if (probes[i].incarnation == sim.hosts[probes[i].host].incarnation) {
+            version_deliver(probes[i].host, &event);
+        }
+    }
+}
+
 static void
 cause_faults(void)
 {
@@ -417,6 +483,7 @@
     size_t i;
 
     restart_engines();
+    answer_probes();
     cause_faults();
     lose_power();
     version_store_run(&sim);
