Read a runner's start from reports that list no runs, too

A runner that states its start and not its runs, or answers 503 with a report while it leaves, had an unknown start: its streams could not go on. By reading; the row of test_report fails before. The start is a field of the probe's result of its own.

--- a/forward/forward.h
+++ b/forward/forward.h
@@ -183,7 +183,7 @@
     const char *const *runs; /* ids of requests with output */
     size_t run_count;
     bool leaving;       /* it takes no more requests */
-    int64_t started_ms; /* as in registration_t, of the runner that answers */
+    int64_t started_ms; /* as in registration_t */
 } runner_report_t;
 
 typedef enum {
@@ -197,7 +197,8 @@
     probe_outcome_t outcome;
     const runner_report_t *report; /* NULL: none was included */
     bool leaving;                  /* it states that it leaves */
-    int64_t asked_us;              /* when the probe was started, or earlier */
+    int64_t started_ms; /* as in registration_t, of the runner that answers */
+    int64_t asked_us;   /* when the probe was started, or earlier */
 } forward_probe_result_t;
 
 /* Result of copying a stream's KV cache to its standby. */
--- a/forward/identify.c
+++ b/forward/identify.c
@@ -41,11 +41,9 @@
 static bool is_about(const pool_runner_t *runner,
                      const forward_probe_result_t *probed);
 static bool match_attempt(forward_t *forward, request_t *request,
-                          const forward_probe_result_t *probed,
-                          int64_t reported_ms);
+                          const forward_probe_result_t *probed);
 static void match_origin(forward_t *forward, request_t *request,
-                         const forward_probe_result_t *probed,
-                         int64_t reported_ms);
+                         const forward_probe_result_t *probed);
 static void confirm_origin(forward_t *forward, request_t *request,
                            uint64_t version);
 static bool is_listed(const request_t *request, const runner_report_t *report);
@@ -117,19 +115,16 @@
     request_t *request;
     request_t *next;
 
-    int64_t reported_ms =
-        probed->report != NULL ? probed->report->started_ms : 0;
-
     if (probed->outcome != PROBE_ANSWERED) {
         return;
     }
     HASH_ITER(hh, forward->requests, request, next)
     {
         if (request->origin.runner != 0) {
-            match_origin(forward, request, probed, reported_ms);
+            match_origin(forward, request, probed);
         }
         if (request->attempt.runner != NULL && !request->attempt.relayed &&
-            !match_attempt(forward, request, probed, reported_ms)) {
+            !match_attempt(forward, request, probed)) {
             recover_other_start(forward, request);
         }
     }
@@ -265,7 +260,7 @@
  * the start that it was sent to. */
 static bool
 match_attempt(forward_t *forward, request_t *request,
-              const forward_probe_result_t *probed, int64_t reported_ms)
+              const forward_probe_result_t *probed)
 {
     attempt_t *attempt = &request->attempt;
     identity_t *identity = &attempt->identity;
@@ -274,7 +269,7 @@
         probed->asked_us < identity->asked_us) {
         return true;
     }
-    identity->reported_ms = reported_ms;
+    identity->reported_ms = probed->started_ms;
     identity->asked_us = probed->asked_us;
     if (!attempt->withheld || probed->asked_us < identity->connected_us) {
         return true;
@@ -294,11 +289,12 @@
  */
 static void
 match_origin(forward_t *forward, request_t *request,
-             const forward_probe_result_t *probed, int64_t reported_ms)
+             const forward_probe_result_t *probed)
 {
     identity_t *origin = &request->origin;
     const pool_runner_t *runner =
         pool_find_hash(forward->pool, origin->runner);
+    int64_t reported_ms = probed->started_ms;
 
     if (runner == NULL || !is_about(runner, probed) ||
         probed->asked_us < origin->connected_us) {
@@ -313,7 +309,7 @@
         return;
     }
     if (reported_ms == origin->started_ms || reported_ms == 0 ||
-        !is_listed(request, probed->report)) {
+        probed->report == NULL || !is_listed(request, probed->report)) {
         return;
     }
     origin->started_ms = reported_ms;
--- a/forward/watchdog.c
+++ b/forward/watchdog.c
@@ -201,11 +201,11 @@
 {
     const pool_runner_t *runner;
 
-    if (probed->report == NULL) {
+    if (probed->started_ms == 0) {
         return;
     }
     runner = pool_record_start(forward->pool, probed->runner,
-                               probed->report->started_ms, probed->asked_us);
+                               probed->started_ms, probed->asked_us);
     if (runner != NULL) {
         emit_log(forward,
                  runner->reported_ms == runner->registration.started_ms
--- a/gateway/dialect.h
+++ b/gateway/dialect.h
@@ -116,7 +116,7 @@
 
     /*
      * The path of a health probe, and its response.  Returns false if the
-     * response is not a valid report.
+     * response is not a valid report; started_ms is set all the same.
      */
     bool (*parse_probe_response)(arena_t *arena, const char *bytes,
                                  size_t length, runner_report_t *report);
--- a/gateway/runner_calls.c
+++ b/gateway/runner_calls.c
@@ -230,11 +230,16 @@
             .leaving = terms.leaving,
             .asked_us = runner_call->asked_us,
         };
-        if (result == HTTP_DONE && runner_call->status == STATUS_OK &&
-            dialect->parse_probe_response(&arena, runner_call->body.bytes,
-                                          runner_call->body.length, &report)) {
-            event.u.probed.report = &report;
-            event.u.probed.leaving |= report.leaving;
+        if (result == HTTP_DONE) {
+            bool lists_runs = dialect->parse_probe_response(
+                &arena, runner_call->body.bytes, runner_call->body.length,
+                &report);
+
+            event.u.probed.started_ms = report.started_ms;
+            if (lists_runs && runner_call->status == STATUS_OK) {
+                event.u.probed.report = &report;
+                event.u.probed.leaving |= report.leaving;
+            }
         }
     }
     else {
--- a/regress/forwarding.c
+++ b/regress/forwarding.c
@@ -117,6 +117,7 @@
             US_PER_MS;
         if (line_value(&line, "active") != NULL) {
             event.u.probed.report = line_report(&line);
+            event.u.probed.started_ms = event.u.probed.report->started_ms;
         }
     }
     else if (strcmp(line.words[0], "routing") == 0) {
--- a/regress/partition_path.c
+++ b/regress/partition_path.c
@@ -287,8 +287,7 @@
     const cut_runner_t *runner = &cut_sim.runners[index];
     const char *runs[CUT_SLOTS_MAX];
     runner_report_t report = {.active = (uint32_t)runner->run_count,
-                              .runs = runs,
-                              .started_ms = runner->started_ms};
+                              .runs = runs};
     forward_event_t event = {.kind = FORWARD_PROBE_RESULT};
     size_t i;
 
@@ -309,6 +308,7 @@
     event.u.probed.asked_us = (cut_sim.now_ms - RESET_MS) * CUT_US_PER_MS;
     if (probe_passes(host, index)) {
         event.u.probed.report = &report;
+        event.u.probed.started_ms = runner->started_ms;
     }
     else {
         event.u.probed.outcome = PROBE_UNREACHABLE;
--- a/regress/silence_call.c
+++ b/regress/silence_call.c
@@ -74,8 +74,7 @@
 finish_probe(const call_t *call, probe_outcome_t outcome)
 {
     const char *ids[REQUESTS_MAX];
-    runner_report_t report = {
-        .runs = ids, .started_ms = silence.runners[call->runner].started_ms};
+    runner_report_t report = {.runs = ids};
     forward_event_t event = {.kind = FORWARD_PROBE_RESULT};
     size_t i;
 
@@ -95,6 +94,9 @@
     event.u.probed = (forward_probe_result_t){
         .runner = call->runner_id,
         .outcome = outcome,
+        .started_ms = outcome == PROBE_ANSWERED
+                          ? silence.runners[call->runner].started_ms
+                          : 0,
         .asked_us = call->sent_ms * US_PER_MS,
         .report =
             outcome == PROBE_ANSWERED && silence.runners[call->runner].engine
--- a/regress/test_platform.c
+++ b/regress/test_platform.c
@@ -473,6 +473,7 @@
      "0 0: started_ms=17"},
     {"{\"Queued\":0,\"Active\":0,\"Runs\":[],\"born\":\"x\"}", "0 0:"},
     {"{\"Queued\":1,\"Active\":12}", ""},
+    {"{\"Queued\":1,\"Active\":12,\"born\":17}", " started_ms=17"},
     {"{\"Queued\":\"1\",\"Active\":12,\"Runs\":[]}", ""},
     {"{\"Active\":12,\"Runs\":[]}", ""},
     {"{\"Queued\":1,\"Active\":12,\"Runs\":{}}", ""},
@@ -496,9 +497,9 @@
             text_printf(&summary, " %s", report.runs[i]);
         }
         text_puts(&summary, report.leaving ? " leaving" : "");
-        if (report.started_ms != 0) {
-            text_printf(&summary, " started_ms=%" PRId64, report.started_ms);
-        }
+    }
+    if (report.started_ms != 0) {
+        text_printf(&summary, " started_ms=%" PRId64, report.started_ms);
     }
     text_append(&summary, "", 1);
     ck_assert_msg(strcmp(summary.bytes, report_cases[_i].expected) == 0,
--- a/regress/version_sim.c
+++ b/regress/version_sim.c
@@ -437,7 +437,7 @@
     sim.probe_count = 0;
     for (i = 0; i < count; i++) {
         const engine_t *engine = &sim.engines[probes[i].engine];
-        runner_report_t report = {.started_ms = engine->started_ms};
+        runner_report_t report = {0};
         forward_event_t event = {.kind = FORWARD_PROBE_RESULT};
 
         event.u.probed = (forward_probe_result_t){
@@ -445,6 +445,7 @@
             .outcome = engine->down_until_ms != 0 ? PROBE_UNREACHABLE
                                                   : PROBE_ANSWERED,
             .report = engine->down_until_ms != 0 ? NULL : &report,
+            .started_ms = engine->down_until_ms != 0 ? 0 : engine->started_ms,
             .asked_us = probes[i].asked_ms * US_PER_MS};
         if (probes[i].incarnation == sim.hosts[probes[i].host].incarnation) {
             version_deliver(probes[i].host, &event);
