Do not resume from a copy that a restart of its holder has lost

A stream that waited between its loss and its next attempt named a copy at a runner that had started again meanwhile: the runner refuses, and one of the attempts of the request is spent. resume_from_copy() compared the version of the holder and not its start. Found by the audit of what rests on entries; copy_of_an_earlier_start_is_used fails before (restore=10.17.0.1:80/q1).

--- a/forward/private.h
+++ b/forward/private.h
@@ -130,6 +130,7 @@
     bool moved;                 /* from a runner that was only silent */
     attempt_t attempt;          /* the latest */
     pool_runner_t *copy_holder; /* holds the failed attempt's KV cache */
+    uint64_t copy_serial;       /* differs after a restart: it is lost */
     const char *copy_address; /* the copy is identified by this address ... */
     const char *copy_name;    /* ... and this name */
     uint64_t tried[POOL_TRIED_MAX]; /* serials of runners already tried */
--- a/forward/recover.c
+++ b/forward/recover.c
@@ -242,6 +242,7 @@
         pool_remove_copy(request->copy_holder);
     }
     request->copy_holder = attempt->standby;
+    request->copy_serial = attempt->standby_serial;
     pool_add_copy(request->copy_holder);
     request->copy_address =
         arena_strdup(&request->arena, naming_runner->registration.address);
--- a/forward/send.c
+++ b/forward/send.c
@@ -173,6 +173,7 @@
     if (relay_is_preferred(forward, request) ||
         !pool_runner_usable(copy_holder, forward->now_us) ||
         copy_holder->version != request->version ||
+        copy_holder->serial != request->copy_serial ||
         forward->now_us < copy_holder->cooldown_until_us) {
         return false;
     }
--- a/regress/test_identify.c
+++ b/regress/test_identify.c
@@ -136,6 +136,14 @@
      "send 1.2 ra1 restore=10.17.0.1:80/q1 backup=10.17.1.1:80 resume"},
 };
 
+static const forwarding_line_t copy_of_an_earlier_start_is_used[] = {
+    STREAM_BEGUN,
+    {950, "broken 1 1", "cancel 1.1"},
+    {951, "runner ra1 version=1 born=5", ""},
+    {961, "probed rb1 yes active=1 born=2 asked=951", ""},
+    {1050, "timer", "send 1.2 ra1 backup=10.17.1.1:80 resume"},
+};
+
 static const forwarding_line_t start_before_its_entry_has_the_old_version[] = {
     STREAM_BEGUN,
     {902, "probed rb1 yes active=1 runs=q1 born=7 asked=900", ""},
@@ -178,6 +186,7 @@
     FORWARDING_SCRIPT(end_while_withheld_is_lost),
     FORWARDING_SCRIPT(stream_of_an_unknown_start_goes_on),
     FORWARDING_SCRIPT(start_is_not_asked_for_after_the_loss),
+    FORWARDING_SCRIPT(copy_of_an_earlier_start_is_used),
     FORWARDING_SCRIPT(start_before_its_entry_has_the_old_version),
     FORWARDING_SCRIPT(taken_up_stream_is_passed_on_without_a_report),
     FORWARDING_SCRIPT(stream_without_events_is_bound_to_a_version),
