Keep what is known of a later start when a copy of the store has an earlier one

After a drill the store lists runners as they were some seconds ago. An entry of an earlier start under the same id was taken for a restart: the version of the runner went back, and a runner that had said that it leaves got requests again, until its entry was written anew. Such an entry is passed over now in the list that follows the drill, and only there: clocks of runners may step back. Found by the audit of what rests on entries; the script runner_that_leaves_is_used_since_a_copy_has_its_earlier_start fails before.

--- a/forward/pool.c
+++ b/forward/pool.c
@@ -135,6 +135,20 @@
     return change;
 }
 
+bool
+pool_keep_later_start(pool_t *pool, const registration_t *entry)
+{
+    pool_runner_t *runner;
+
+    HASH_FIND_STR(pool->runners, entry->id, runner);
+    if (runner == NULL || entry->started_ms == 0 ||
+        runner->registration.started_ms <= entry->started_ms) {
+        return false;
+    }
+    runner->listed = true;
+    return true;
+}
+
 const pool_runner_t *
 pool_remove_runner(pool_t *pool, const char *id, int64_t expires_at_us)
 {
--- a/forward/pool.h
+++ b/forward/pool.h
@@ -99,6 +99,10 @@
 runner_change_t pool_update_runner(pool_t *pool, int64_t now_us,
                                    const registration_t *entry);
 
+/* Returns whether a later start of the runner is known than that of the entry,
+ * and keeps what is known. */
+bool pool_keep_later_start(pool_t *pool, const registration_t *entry);
+
 /*
  * Records that a runner's registry entry was removed.  The runner may be
  * chosen until expires_at_us, which is later than now if the entry may have
--- a/forward/registry.c
+++ b/forward/registry.c
@@ -6,6 +6,7 @@
 #include "forward/private.h"
 
 static void update_runner(forward_t *forward, const registration_t *entry);
+static void apply_entry(forward_t *forward, const registration_t *entry);
 static void remove_runner(forward_t *forward, const char *id);
 static void log_leaving(forward_t *forward, const pool_runner_t *runner,
                         const char *source);
@@ -108,9 +109,20 @@
     suspicion_check_silent(forward);
 }
 
-/* A complete list is logged once, by the code that reads it. */
 static void
 update_runner(forward_t *forward, const registration_t *entry)
+{
+    /* A copy of the store may have the entry of an earlier start. */
+    if (forward->store_restored &&
+        pool_keep_later_start(forward->pool, entry)) {
+        return;
+    }
+    apply_entry(forward, entry);
+}
+
+/* A complete list is logged once, by the code that reads it. */
+static void
+apply_entry(forward_t *forward, const registration_t *entry)
 {
     static const char *const state_names[] = {
         [RUNNER_UNCHANGED] = "same",        [RUNNER_ADDED] = "added",
--- a/regress/forwarding.h
+++ b/regress/forwarding.h
@@ -41,6 +41,7 @@
  *   bound APPLY LEAVE         the limits on the age of the view, in ms
  *   lost-store                a call to the store has failed
  *   regained                  the store answers after failed calls
+ *   restored                  it is an older copy; a list follows
  *   hosts N
  *   fleet HOST...             all hosts; named as in "ha2", a is the zone
  *   peer HOST gone|RUNNER/SESSION[/reading]... [stale] [number=N]
--- a/regress/forwarding_view.c
+++ b/regress/forwarding_view.c
@@ -40,6 +40,9 @@
     else if (strcmp(word, "regained") == 0) {
         event->kind = FORWARD_STORE_REGAINED;
     }
+    else if (strcmp(word, "restored") == 0) {
+        event->kind = FORWARD_STORE_RESTORED;
+    }
     else if (strcmp(word, "bound") == 0) {
         read_bound(line, event);
     }
--- a/regress/test_identify.c
+++ b/regress/test_identify.c
@@ -164,6 +164,20 @@
         {972, "probed rb1 yes active=1 born=2 asked=970", ""},
 };
 
+static const forwarding_line_t
+    runner_that_leaves_is_used_since_a_copy_has_its_earlier_start[] = {
+        RUNNERS,
+        {5, "drop ra1", ""},
+        {10, "runner rb1 version=1 born=9", ""},
+        {20, "probed rb1 yes leaving active=0 born=9", ""},
+        {25, "request 1 stream", "refuse 1 no-runner 503 not-run after=500"},
+        {30, "restored", ""},
+        {31, "list rb1 version=1 born=2", ""},
+        {40, "request 2 stream", "refuse 2 no-runner 503 not-run after=500"},
+        {50, "runner rb1 version=1 born=12", ""},
+        {60, "request 3 stream", "send 3.1 rb1"},
+};
+
 static const forwarding_line_t stream_without_events_is_bound_to_a_version[] =
     {
         RUNNERS,
@@ -189,6 +203,8 @@
     FORWARDING_SCRIPT(copy_of_an_earlier_start_is_used),
     FORWARDING_SCRIPT(start_before_its_entry_has_the_old_version),
     FORWARDING_SCRIPT(taken_up_stream_is_passed_on_without_a_report),
+    FORWARDING_SCRIPT(
+        runner_that_leaves_is_used_since_a_copy_has_its_earlier_start),
     FORWARDING_SCRIPT(stream_without_events_is_bound_to_a_version),
 };
 
