Soak a part of prompts that crashes runners before they respond

Every runner of the benches sends its response head before it crashes, so no test had a crash before the head.

With TAINTED=1 the soak plays streams alone: 5 in 100 have a part on which a runner is reset before its head; no two are alike, and sound ones share the caller and the first part. A runner is back after 1.5 to 4 s. At most three sends from calm hosts may come later than 3 s after the fifth crash, and sound first attempts begin at least half as often as before the first crash.

--- a/regress/soak/caller.c
+++ b/regress/soak/caller.c
@@ -138,6 +138,7 @@
     silence_report();
     partition_report();
     versions_report();
+    tainted_judge();
 }
 
 static void
@@ -158,8 +159,11 @@
     state.count++;
     (void)snprintf(caller->path, sizeof(caller->path), "/%s/p%" PRIu64,
                    kind_names[caller->kind], state.count);
-    if (caller->kind == KIND_STREAM && !state.calm &&
-        soak_chance(100) < HARMFUL_PERCENT) {
+    if (soak_plays(SOAK_TAINTED)) {
+        tainted_draw(caller, state.count);
+    }
+    else if (caller->kind == KIND_STREAM && !state.calm &&
+             soak_chance(100) < HARMFUL_PERCENT) {
         caller->key = 1;
         (void)snprintf(caller->path, sizeof(caller->path), "%s",
                        SOAK_HARMFUL_PATH);
@@ -238,7 +242,8 @@
     if (stream) {
         text_printf(&caller->sent,
                     "Model: m\r\nToken-Usage: 800,90\r\n"
-                    "Prefix-Hash: aa:100,%s:700\r\n",
+                    "Prefix-Hash: aa:100,%s%s:700\r\n",
+                    tainted_parts(caller->path),
                     caller->path + strlen("/stream/p"));
     }
     if (caller->event >= 0) {
@@ -424,6 +429,7 @@
         caller->partition = NULL;
     }
     if (!end.no_verdict) {
+        tainted_ended(caller, &end);
         silence_ended(&end);
     }
 }
--- a/regress/soak/caller.h
+++ b/regress/soak/caller.h
@@ -1,5 +1,5 @@
 /*
- * caller.h - what caller.c and answer.c share.
+ * caller.h - what caller.c, answer.c and tainted.c share.
  */
 #ifndef REGRESS_SOAK_CALLER_H
 #define REGRESS_SOAK_CALLER_H
@@ -49,6 +49,17 @@
     int handles;
 } caller_t;
 
+/* --- tainted.c --- */
+
+/* The number-th request: a stream, sound or with the part. */
+void tainted_draw(caller_t *caller, uint64_t number);
+/* Its parts after the one that all have. */
+const char *tainted_parts(const char *path);
+/* Its attempt has ended. */
+void tainted_ended(const caller_t *caller, const attempt_end_t *end);
+
+/* --- answer.c --- */
+
 /* A header's value, or NULL; valid until the next call. */
 const char *answer_header(const caller_t *caller, const char *name);
 /* Takes the events of the body that have come since. */
--- a/regress/soak/fault.c
+++ b/regress/soak/fault.c
@@ -185,7 +185,8 @@
     fault_t fault = pick_fault(turn);
     size_t i;
 
-    if (turn == TURN_RUNNERS && !faults[fault].runners) {
+    if (soak_plays(SOAK_TAINTED) ||
+        (turn == TURN_RUNNERS && !faults[fault].runners)) {
         return;
     }
     state.done[fault]++;
--- a/regress/soak/run.c
+++ b/regress/soak/run.c
@@ -225,6 +225,11 @@
         ledger_harmful_arrival(host,
                                links_sent_ms(host, runner_number(runner)));
     }
+    if (tainted_has_part(request->path)) {
+        size_t host = host_of(request);
+
+        tainted_arrival(host, links_sent_ms(host, runner_number(runner)));
+    }
     attempt->runs++;
     attempt->runner = runner_number(runner);
     attempt->running++;
@@ -248,7 +253,8 @@
     (void)uv_timer_init(soak_loop(), &run->timer);
     run->timer.data = run;
     (void)uv_timer_start(&run->timer, on_step,
-                         runner->engine ? READ_MS : PLAIN_MS, 0);
+                         runner->engine ? tainted_read_ms(READ_MS) : PLAIN_MS,
+                         0);
 }
 
 static void
@@ -374,6 +380,11 @@
         run_end(run);
         return;
     }
+    if (tainted_has_part(run->path)) {
+        tainted_crash(runner_number(run->runner));
+        run_end(run);
+        return;
+    }
     if (run->attempt->left_ms > 0 && soak_now_ms() > heard_ms(run)) {
         if (host_is_calm(run->attempt->host, run->attempt->left_ms)) {
             soak_broken("gone", "%s still runs, its caller has left",
--- a/regress/soak/runner.c
+++ b/regress/soak/runner.c
@@ -204,7 +204,8 @@
     }
     memcpy(runner->gone_id, runner->id, sizeof(runner->id));
     runner->lapses_ms = soak_now_ms() + LAPSE_MS;
-    plan_start(runner, DOWN_LEAST_MS + soak_chance(DOWN_SPREAD_MS));
+    plan_start(runner,
+               tainted_down_ms(DOWN_LEAST_MS + soak_chance(DOWN_SPREAD_MS)));
     soak_note("crash %s silent=%d", runner->id, silent);
 }
 
--- a/regress/soak/soak.h
+++ b/regress/soak/soak.h
@@ -99,6 +99,7 @@
 #define SOAK_RESET "RESET" /* crashes close connections, none is silent */
 /* Names of the only faults that are played. */
 #define SOAK_ONLY "ONLY"
+#define SOAK_TAINTED "TAINTED" /* alone */
 
 bool soak_plays(const char *variable);
 
@@ -169,7 +170,7 @@
 void runners_revoked(uint64_t at_ms);
 void runners_report(void);
 
-/* --- silence.c and partition.c --- */
+/* --- silence.c --- */
 
 /* How a caller's attempt ended. */
 typedef struct {
@@ -191,6 +192,23 @@
 void silence_ended(const attempt_end_t *end);
 void silence_report(void);
 
+/* --- tainted.c --- */
+
+/* A part of prompts crashes runners; the path is of requests that have it. */
+bool tainted_has_part(const char *path);
+/* How long a runner reads a prompt, and is down after a crash. */
+uint64_t tainted_read_ms(uint64_t otherwise_ms);
+uint64_t tainted_down_ms(uint64_t otherwise_ms);
+/* A request with the part has reached a runner from this host, sent no sooner
+ * than this. */
+void tainted_arrival(size_t host, uint64_t sent_ms);
+/* The runner begins on one. */
+void tainted_crash(size_t runner);
+/* At the end: the bounds. */
+void tainted_judge(void);
+
+/* --- partition.c --- */
+
 typedef struct partition partition_t;
 
 /* Some hosts, not all, lose their links to all runners for a while. */
