Simulate parts of prompts that crash engines before they respond

suspicion_draw_headless() gives the fleets and loads of suspicion_draw_part() with engines that crash before the response head, and mostly with prefills of different length, so that other runs without a head are on them. bench_suspicion has a form for it.

--- a/regress/bench_suspicion.c
+++ b/regress/bench_suspicion.c
@@ -8,10 +8,11 @@
  *     bench_suspicion [SEEDS [LOAD]]
  *     bench_suspicion drawn FIRST LAST
  *     bench_suspicion parts FIRST LAST
+ *     bench_suspicion headless FIRST LAST
  *
  * The second form runs the scenarios that suspicion_draw() gives for the seeds
  * FIRST to LAST and prints those that break a bound, the third those of
- * suspicion_draw_part().
+ * suspicion_draw_part(), and the fourth those of suspicion_draw_headless().
  */
 #include <inttypes.h>
 #include <stdio.h>
@@ -27,6 +28,8 @@
     DESCRIPTION_BYTES = 512
 };
 
+typedef suspicion_scenario_t draw_t(uint64_t seed);
+
 static void
 run_load(const suspicion_scenario_t *load, uint64_t seeds)
 {
@@ -112,7 +115,7 @@
 }
 
 static void
-run_parts(uint64_t first, uint64_t last)
+run_parts(draw_t *draw, uint64_t first, uint64_t last)
 {
     uint64_t seed;
     uint32_t over = 0;
@@ -124,7 +127,7 @@
     char text[DESCRIPTION_BYTES];
 
     for (seed = first; seed <= last; seed++) {
-        suspicion_scenario_t scenario = suspicion_draw_part(seed);
+        suspicion_scenario_t scenario = draw(seed);
         suspicion_result_t result = suspicion_simulate(&scenario);
         bool begins =
             suspicion_begins(&result.first_before, &result.first_after) &&
@@ -172,7 +175,12 @@
         return 0;
     }
     if (argc > 3 && strcmp(argv[1], "parts") == 0) {
-        run_parts(strtoull(argv[2], NULL, DECIMAL),
+        run_parts(suspicion_draw_part, strtoull(argv[2], NULL, DECIMAL),
+                  strtoull(argv[3], NULL, DECIMAL));
+        return 0;
+    }
+    if (argc > 3 && strcmp(argv[1], "headless") == 0) {
+        run_parts(suspicion_draw_headless, strtoull(argv[2], NULL, DECIMAL),
                   strtoull(argv[3], NULL, DECIMAL));
         return 0;
     }
--- a/regress/suspicion_draw.c
+++ b/regress/suspicion_draw.c
@@ -142,6 +142,21 @@
     return scenario;
 }
 
+suspicion_scenario_t
+suspicion_draw_headless(uint64_t seed)
+{
+    static const int64_t spreads_ms[] = {300, 600, 1200};
+    uint64_t state = seed * 2654435761U + 11;
+    suspicion_scenario_t scenario = suspicion_draw_part(seed);
+
+    (void)draw(&state, 2);
+    scenario.harmful_before_head = true;
+    scenario.harmful_after_event = false;
+    scenario.prefill_spread_ms =
+        one_in(&state, 3) ? 0 : PICK(&state, spreads_ms);
+    return scenario;
+}
+
 void
 suspicion_describe(const suspicion_scenario_t *scenario, char *text,
                    size_t size_bytes)
@@ -178,6 +193,8 @@
         {"first_parts", scenario->first_parts},
         {"sessions", scenario->sessions},
         {"after_event", scenario->harmful_after_event},
+        {"before_head", scenario->harmful_before_head},
+        {"prefill_spread", scenario->prefill_spread_ms},
         {"delay", scenario->report_delay_ms},
     };
     size_t used = 0;
--- a/regress/suspicion_engine.c
+++ b/regress/suspicion_engine.c
@@ -104,6 +104,15 @@
     }
 }
 
+static int64_t
+draw_prefill_ms(void)
+{
+    return sim.scenario.prefill_spread_ms == 0
+               ? PREFILL_MS
+               : PREFILL_MS + (int64_t)sim_random_below(
+                                  (uint64_t)sim.scenario.prefill_spread_ms);
+}
+
 void
 sim_start_run(size_t host, const forward_action_t *action)
 {
@@ -118,6 +127,7 @@
         .attempt = action->u.send.attempt,
         .engine = strtoul(action->u.send.runner + 1, NULL, DECIMAL),
         .start_ms = sim.now_ms,
+        .prefill_ms = draw_prefill_ms(),
         .active = true};
     sim.run_count++;
     count_send(&sim.runs[sim.run_count - 1]);
@@ -236,6 +246,13 @@
     return is_harmful_writer(run) && !sim.scenario.harmful_after_event;
 }
 
+/* Whether the engine crashes before it responds to the run. */
+static bool
+is_headless(const sim_run_t *run)
+{
+    return is_harmful_writer(run) && sim.scenario.harmful_before_head;
+}
+
 static void
 send_progress(size_t index, int64_t ran_ms)
 {
@@ -252,8 +269,10 @@
                                                  .status = 200,
                                                  .authentic = true,
                                                  .event_stream = true};
-        sim_deliver_event(run->host, &event);
-        run = &sim.runs[index];
+        if (!is_headless(run)) {
+            sim_deliver_event(run->host, &event);
+            run = &sim.runs[index];
+        }
     }
     if (sim.scenario.plain || is_held_back(run)) {
         return;
@@ -297,7 +316,7 @@
         }
         return;
     }
-    if (ran_ms >= PREFILL_MS) {
+    if (ran_ms >= run->prefill_ms) {
         send_progress(index, ran_ms);
     }
     if (ran_ms >= STREAM_DURATION_MS && sim.runs[index].active) {
--- a/regress/suspicion_private.h
+++ b/regress/suspicion_private.h
@@ -33,6 +33,7 @@
     uint32_t attempt;
     size_t engine;
     int64_t start_ms;
+    int64_t prefill_ms; /* until its first event, if it is a stream */
     bool active;
     bool prefilled;
     int64_t prefilled_ms;
--- a/regress/suspicion_sim.h
+++ b/regress/suspicion_sim.h
@@ -45,6 +45,8 @@
     uint32_t first_parts;        /* different ones, each of as many requests */
     uint32_t sessions;           /* (8) */
     bool harmful_after_event;    /* it crashes after its first event */
+    bool harmful_before_head;    /* it crashes before its response head */
+    int64_t prefill_spread_ms;   /* added at most to the prefill of a run */
     bool harmful_once;           /* harmful requests may run once only */
     int64_t harmless_until_ms;   /* until then harmful requests complete */
     int64_t sticky_ms;  /* a harmful content is sent to one host for so long */
@@ -100,6 +102,8 @@
 suspicion_scenario_t suspicion_draw(uint64_t seed);
 /* The same with a harmful part, in every scenario but every eighth. */
 suspicion_scenario_t suspicion_draw_part(uint64_t seed);
+/* The same with engines that crash before the response head. */
+suspicion_scenario_t suspicion_draw_headless(uint64_t seed);
 /* Returns whether the users' bound on harmless requests that begin is kept. */
 bool suspicion_begins(const suspicion_begun_t *before,
                       const suspicion_begun_t *after);
