Simulate a host that is out of step while a version joins

Nothing played that. test_versions_fleet now draws a host that stands still, or gets nothing from the store and the other hosts, for 1.5 to 6 s while a second version is recorded; in a third of the fleets the store is away for all hosts for 1 to 5 s, too. An engine refuses a request for another id, so that only the choice of the version is shown.

--- a/regress/version_private.h
+++ b/regress/version_private.h
@@ -7,6 +7,7 @@
 #include <stdint.h>
 
 #include "regress/forwarding.h"
+#include "regress/version_sim.h"
 
 enum {
     HOSTS_MAX = 88,
@@ -21,6 +22,7 @@
     STREAM_MS = 3000,
     REPORT_MS = 500,
     INTERVAL_HOSTS = 10,
+    GO_ON_MS = 1000, /* time that a stream is left to go on */
     RETRY_MS = 100,
     IN_TOUCH_MS = 3000,
     RELEASE_START_MS = 2000,
@@ -32,6 +34,8 @@
     STORED_MAX = 96,
     TRANSFERS_MAX = 4096,
     PROBES_MAX = 1024,
+    CALL_MS = 1200, /* of a host to the store, until it is given up */
+    WAKE_MS = 20,   /* until a host that stood still is in step */
 };
 
 typedef struct {
@@ -40,6 +44,7 @@
     uint64_t reports;
     bool report_due;
     int64_t start_ms;
+    int64_t contact_ms; /* last contact with the store */
     bool down;
 } host_t;
 
@@ -62,13 +67,16 @@
     int64_t run_start_ms;
     bool run_began;
     bool run_passed;  /* the host passes the response on */
-    bool run_refused; /* there was no engine when it was sent */
+    bool run_refused; /* that engine was gone when it was sent */
+    bool run_lost;    /* its end waits for a host that stands still */
+    bool waits;       /* the same of its request */
     uint32_t version; /* that wrote the first event; 0: none */
     bool mixed;
     int64_t last_event_id;
     int64_t retry_at_ms; /* 0: does not wait */
     bool try_began;
     bool counted; /* among those that are taken up */
+    bool apart;   /* taken up at the host that is out of step */
 } stream_t;
 
 /* A report that a host has asked for. */
@@ -97,6 +105,8 @@
 
 typedef enum { STORE_WELL, STORE_SLOW, STORE_AWAY, STORE_STATES } store_t;
 
+typedef enum { APART_PAUSED, APART_CUT } apart_t;
+
 typedef struct {
     uint64_t rng_state;
     int64_t now_ms;
@@ -119,7 +129,13 @@
     uint32_t begun;
     uint32_t resumed;
     uint32_t went_on;
-    bool power_loss;
+    uint32_t resumed_apart;
+    uint32_t went_on_apart;
+    version_fault_t fault;
+    size_t apart_host;
+    apart_t apart;
+    int64_t apart_from_ms;
+    int64_t apart_to_ms;
     int64_t power_at_ms;
     int64_t power_ms;
     store_t store;
@@ -132,8 +148,30 @@
     transfer_t transfers[TRANSFERS_MAX];
 } version_state_t;
 
+/* --- version_draw.c --- */
+
+/* Draws a fleet and its faults anew. */
+void version_draw(version_state_t *sim, uint64_t seed, version_fault_t fault);
+
+/* --- version_apart.c --- */
+
+/* Returns whether the host gets no news; one that stood still, for a short
+ * time after that, too. */
+bool version_is_apart(const version_state_t *sim, size_t host);
+bool version_is_paused(const version_state_t *sim, size_t host);
+/* Returns whether the host that was out of step now gets all news. */
+bool version_rejoins(const version_state_t *sim);
+
+/* Returns whether the users' requirement holds for a stream that is taken up:
+ * at hosts in step that have run for some time, while two engines of the
+ * version serve. */
+bool version_can_go_on(const version_state_t *sim, const stream_t *stream);
+
 /* --- version_store.c --- */
 
+/* Tells the host that it has or lacks the store. */
+void version_store_contact(version_state_t *sim, size_t host);
+
 /* Reads all records at the start of a host. */
 void version_store_read(version_state_t *sim, size_t host);
 void version_store_put(version_state_t *sim, size_t host,
--- a/regress/version_sim.c
+++ b/regress/version_sim.c
@@ -90,7 +90,9 @@
         stream->run_start_ms = sim.now_ms;
         stream->run_began = false;
         stream->run_passed = false;
-        stream->run_refused = sim.engines[stream->engine].down_until_ms != 0;
+        stream->run_refused = sim.engines[stream->engine].down_until_ms != 0 ||
+                              strcmp(sim.engines[stream->engine].name,
+                                     action->u.send.runner) != 0;
         return;
     case FORWARD_ACTION_CANCEL:
         stream->attempt =
@@ -111,7 +113,7 @@
         leave(stream);
         return;
     case FORWARD_ACTION_PUT_RECORD:
-        if (sim.power_loss) {
+        if (sim.fault != VERSION_CRASHES) {
             version_store_put(&sim, host, &action->u.record);
         }
         return;
@@ -157,23 +159,12 @@
 }
 
 static void
-start_host(size_t host)
+read_store(size_t host)
 {
-    forward_event_t event = {.kind = FORWARD_ROUTING};
-    char name[NAME_BYTES];
+    forward_event_t event = {.kind = FORWARD_REGISTRY_BEGIN};
     size_t i;
 
-    (void)snprintf(name, sizeof(name), "h%zu", host);
-    sim.hosts[host] = (host_t){.forward = forwarding_open_host(name),
-                               .incarnation = sim.hosts[host].incarnation + 1,
-                               .start_ms = sim.now_ms};
-    event.u.routing = forwarding_routing(1);
-    version_deliver(host, &event);
-    event = (forward_event_t){.kind = FORWARD_HOST_COUNT,
-                              .u.hosts = (uint32_t)sim.host_count};
-    version_deliver(host, &event);
-    if (sim.power_loss) {
-        event.kind = FORWARD_REGISTRY_BEGIN;
+    if (sim.fault != VERSION_CRASHES) {
         version_deliver(host, &event);
     }
     for (i = 0; i < sim.engine_count; i++) {
@@ -181,13 +172,31 @@
             register_engine(host, i);
         }
     }
-    if (sim.power_loss) {
+    if (sim.fault != VERSION_CRASHES) {
         version_store_read(&sim, host);
         event.kind = FORWARD_REGISTRY_END;
         version_deliver(host, &event);
     }
 }
 
+static void
+start_host(size_t host)
+{
+    forward_event_t event = {.kind = FORWARD_ROUTING};
+    char name[NAME_BYTES];
+
+    (void)snprintf(name, sizeof(name), "h%zu", host);
+    sim.hosts[host] = (host_t){.forward = forwarding_open_host(name),
+                               .incarnation = sim.hosts[host].incarnation + 1,
+                               .start_ms = sim.now_ms};
+    event.u.routing = forwarding_routing(1);
+    version_deliver(host, &event);
+    event = (forward_event_t){.kind = FORWARD_HOST_COUNT,
+                              .u.hosts = (uint32_t)sim.host_count};
+    version_deliver(host, &event);
+    read_store(host);
+}
+
 static void
 end_host(size_t host)
 {
@@ -239,7 +248,12 @@
         stream_t *stream = &sim.streams[i];
 
         if (stream->active && stream->attempt > 0 &&
-            stream->engine == engine) {
+            stream->engine == engine &&
+            version_is_paused(&sim, stream->host)) {
+            stream->run_lost = true;
+        }
+        else if (stream->active && stream->attempt > 0 &&
+                 stream->engine == engine) {
             forward_event_t event = {.kind = FORWARD_SEND_END};
 
             event.u.end =
@@ -270,7 +284,9 @@
         engine->starts++;
         name_engine(i);
         for (host = 0; host < sim.host_count; host++) {
-            register_engine(host, i);
+            if (!version_is_apart(&sim, host)) {
+                register_engine(host, i);
+            }
         }
     }
 }
@@ -297,17 +313,28 @@
         .resumed_id = stream->version != 0 ? first_id : NULL,
         .fingerprint = index,
     };
-    stream->host = draw(sim.host_count);
+    if (!stream->waits) {
+        stream->host = draw(sim.host_count);
+    }
+    stream->waits = version_is_paused(&sim, stream->host);
+    if (stream->waits) {
+        stream->retry_at_ms = sim.apart_to_ms;
+        return;
+    }
     if (sim.hosts[stream->host].down) {
         stream->retry_at_ms = sim.now_ms + RETRY_MS;
         return;
     }
-    stream->counted = stream->version != 0 && can_go_on(stream);
+    stream->counted = stream->version != 0 && version_can_go_on(&sim, stream);
     sim.resumed += stream->counted ? 1 : 0;
+    stream->apart =
+        stream->version != 0 && version_is_apart(&sim, stream->host);
+    sim.resumed_apart += stream->apart ? 1 : 0;
     stream->tries++;
     stream->active = true;
     stream->retry_at_ms = 0;
     stream->try_began = false;
+    stream->run_lost = false;
     version_deliver(stream->host, &event);
 }
 
@@ -320,6 +347,7 @@
             sim.begun++;
         }
         sim.went_on += stream->counted ? 1 : 0;
+        sim.went_on_apart += stream->apart ? 1 : 0;
     }
     if (stream->version == 0) {
         stream->version = stream->run_version;
@@ -338,11 +366,16 @@
     uint64_t number = index * TRIES + stream->tries - 1;
     forward_event_t event = {.kind = FORWARD_RESPONSE_HEAD};
 
-    if (stream->run_refused) {
+    if (version_is_paused(&sim, stream->host)) {
+        return;
+    }
+    if (stream->run_refused || stream->run_lost) {
         event.kind = FORWARD_SEND_END;
-        event.u.end = (forward_send_end_t){.number = number,
-                                           .attempt = stream->attempt,
-                                           .result = SEND_NOT_SENT};
+        event.u.end = (forward_send_end_t){
+            .number = number,
+            .attempt = stream->attempt,
+            .result = stream->run_lost ? SEND_BROKEN : SEND_NOT_SENT};
+        stream->run_lost = false;
         stream->attempt = 0;
         version_deliver(stream->host, &event);
         return;
@@ -393,7 +426,8 @@
     sim_report_write(&report, sim.hosts[from].forward, from,
                      sim.hosts[from].incarnation, sim.hosts[from].reports);
     for (to = 0; to < sim.host_count; to++) {
-        if (to != from && draw(PERCENT) >= sim.lost_percent) {
+        if (to != from && draw(PERCENT) >= sim.lost_percent &&
+            !version_is_apart(&sim, from) && !version_is_apart(&sim, to)) {
             version_deliver(to, &report.event);
         }
     }
@@ -410,14 +444,12 @@
     size_t host;
 
     for (host = 0; host < sim.host_count; host++) {
-        forward_event_t event = {.kind = FORWARD_STORE_CONTACT};
+        forward_event_t event = {.kind = FORWARD_TIMER};
 
-        if (sim.hosts[host].down) {
+        if (sim.hosts[host].down || version_is_paused(&sim, host)) {
             continue;
         }
-        event.u.contact.contact_us = sim.now_ms * US_PER_MS;
-        version_deliver(host, &event);
-        event = (forward_event_t){.kind = FORWARD_TIMER};
+        version_store_contact(&sim, host);
         version_deliver(host, &event);
         if (sim.hosts[host].report_due || sim.now_ms % interval_ms == 0) {
             send_report(host);
@@ -471,7 +503,8 @@
     }
     for (i = 0; i < sim.host_count; i++) {
         if (at_ms > 0 && at_ms % sim.fault_ms == 2 * TICK_MS &&
-            draw(PERCENT) < sim.kill_percent && !sim.hosts[i].down) {
+            draw(PERCENT) < sim.kill_percent && !sim.hosts[i].down &&
+            !version_is_apart(&sim, i)) {
             end_host(i);
             start_host(i);
         }
@@ -483,6 +516,9 @@
 {
     size_t i;
 
+    if (version_rejoins(&sim)) {
+        read_store(sim.apart_host);
+    }
     restart_engines();
     answer_probes();
     cause_faults();
@@ -504,58 +540,14 @@
     }
 }
 
-/* Before, within and after the time in which engines are replaced. */
-static void
-draw_power_loss(void)
-{
-    int64_t release_ms = (int64_t)sim.engine_count * 2 * RETRY_MS;
-
-    sim.kill_percent = 0;
-    sim.power_at_ms =
-        START_MS + RELEASE_START_MS - 500 +
-        (int64_t)draw((uint64_t)(release_ms + 3000) / TICK_MS) * TICK_MS;
-    sim.power_ms = 200 + (int64_t)draw(24) * 100;
-    sim.store = (store_t)draw(STORE_STATES);
-    sim.store_from_ms = sim.power_at_ms - 1500 + (int64_t)draw(3000);
-    sim.store_to_ms = sim.store_from_ms + 1000 + (int64_t)draw(2000);
-    if (draw(2) == 0) {
-        sim.released_percent = PERCENT;
-    }
-}
-
-static void
-draw_fleet(uint64_t seed, bool power_loss)
-{
-    static const size_t hosts[] = {3, 4, 6, 7, 12, 24, 40, 88};
-    static const size_t engines[] = {4, 6, 9, 12, 18, 36, 60};
-
-    memset(&sim, 0, sizeof(sim));
-    sim.rng_state = seed;
-    sim.now_ms = START_MS;
-    (void)draw(2);
-    sim.host_count = hosts[draw(sizeof(hosts) / sizeof(hosts[0]))];
-    sim.engine_count = engines[draw(sizeof(engines) / sizeof(engines[0]))];
-    sim.crash_percent = 10 + (uint32_t)draw(30);
-    sim.kill_percent = 10 + (uint32_t)draw(40);
-    sim.lost_percent = draw(3) == 0 ? 5 + (uint32_t)draw(16) : 0;
-    sim.released_percent = 20 + (uint32_t)draw(80);
-    sim.fault_ms = 1500 + (int64_t)draw(50) * 100;
-    sim.restart_ms = 400 + (int64_t)draw(20) * 100;
-    sim.same_id = draw(2) == 0;
-    sim.power_loss = power_loss;
-    if (power_loss) {
-        draw_power_loss();
-    }
-}
-
 version_result_t
-version_simulate(uint64_t seed, bool power_loss)
+version_simulate(uint64_t seed, version_fault_t fault)
 {
     static const char *const stores[] = {
         [STORE_WELL] = "well", [STORE_SLOW] = "slow", [STORE_AWAY] = "away"};
     size_t i;
 
-    draw_fleet(seed, power_loss);
+    version_draw(&sim, seed, fault);
     for (i = 0; i < sim.engine_count; i++) {
         sim.engines[i].version = 1;
         sim.engines[i].started_ms = START_MS;
@@ -583,5 +575,7 @@
                               .went_on = sim.went_on,
                               .store = stores[sim.store],
                               .store_well = sim.store == STORE_WELL,
+                              .resumed_apart = sim.resumed_apart,
+                              .went_on_apart = sim.went_on_apart,
                               .writes = sim.writes};
 }
--- a/regress/version_store.c
+++ b/regress/version_store.c
@@ -80,6 +80,32 @@
            sim->now_ms < sim->store_to_ms;
 }
 
+static bool
+reaches(const version_state_t *sim, size_t host)
+{
+    return !is_in(sim, STORE_AWAY) && !version_is_apart(sim, host);
+}
+
+/* A host that gets no answers of the store learns so when a call is given up.
+ * After a power loss, a store that is away only takes no writes. */
+void
+version_store_contact(version_state_t *sim, size_t host)
+{
+    forward_event_t event = {.kind = FORWARD_STORE_CONTACT};
+
+    if (sim->fault != VERSION_OUT_OF_STEP || reaches(sim, host)) {
+        event.u.contact.contact_us = sim->now_ms * US_PER_MS;
+        sim->hosts[host].contact_ms = sim->now_ms;
+    }
+    else if (sim->now_ms - sim->hosts[host].contact_ms == CALL_MS) {
+        event.kind = FORWARD_STORE_LOST;
+    }
+    else {
+        return;
+    }
+    version_deliver(host, &event);
+}
+
 void
 version_store_put(version_state_t *sim, size_t host,
                   const forward_record_t *record)
@@ -107,7 +133,7 @@
 
     event.u.put.outcome = FORWARD_PUT_FAILED;
     event.u.put.record.key = stored->key;
-    if (!is_in(sim, STORE_AWAY)) {
+    if (reaches(sim, transfer->host)) {
         bool equal = stored->revision == transfer->record.revision;
 
         event.u.put.outcome = equal ? FORWARD_PUT_DONE : FORWARD_PUT_CONFLICT;
@@ -124,6 +150,7 @@
         event.u.put.record = to_record(stored);
     }
     if (!sim->hosts[transfer->host].down &&
+        !version_is_paused(sim, transfer->host) &&
         sim->hosts[transfer->host].incarnation == transfer->incarnation) {
         version_deliver(transfer->host, &event);
     }
@@ -137,7 +164,9 @@
     size_t host;
 
     for (host = 0; host < sim->host_count; host++) {
-        version_deliver(host, &event);
+        if (!version_is_apart(sim, host)) {
+            version_deliver(host, &event);
+        }
     }
 }
 
