Confirm the view at once, and without blaming a watcher

A confirmation that is asked for when a request comes, and not because the view is late, must not end what works. It took a polled host for failed: after three of them within 10 s a follower of a fleet of 30 hosts had no watcher left and watched the store itself. And it did nothing while a host that had just started waits a second for its fleet.

A polled host is to blame only if it has held the poll for longer than the 500 ms that it may; otherwise the next call is to the store, once. A wait for the fleet ends with a confirmation.

test_store_sync: without this, the row of three confirmations ends with a watch ("contact=5" for "poll contact=5 ended wait=900"); the mutant that takes the second part away fails test_confirmation_waits_for_a_starting_fleet.

--- a/forward/follower.c
+++ b/forward/follower.c
@@ -176,6 +176,12 @@
     following->failure_count++;
     failure->name_hash = hash_name(host, 0);
     failure->skip_until_us = now_us + (int64_t)FAILED_HOST_SKIP_MS * US_PER_MS;
+    follower_ask_store(following);
+}
+
+void
+follower_ask_store(follower_t *following)
+{
     following->must_watch_store = true;
 }
 
--- a/forward/follower.h
+++ b/forward/follower.h
@@ -101,6 +101,9 @@
                                 const watcher_candidate_t *self,
                                 int64_t now_us);
 
+/* The next call is to the store. */
+void follower_ask_store(follower_t *following);
+
 /* Records that a polled host did not reply, or had no recent contact. */
 void follower_host_failed(follower_t *following, const char *host,
                           int64_t now_us);
--- a/forward/store_sync.c
+++ b/forward/store_sync.c
@@ -238,13 +238,22 @@
         sync->receiving = false;
         start_watch(sync, fleet, &step);
     }
-    else if (sync->call == SYNC_POLL) {
+    else if (sync->call == SYNC_POLL &&
+             fleet->now_us - sync->call_start_us >
+                 (int64_t)FOLLOWER_POLL_HOLD_MS * US_PER_MS) {
         handle_poll_failure(sync, fleet, &step);
     }
+    else if (sync->call == SYNC_POLL) {
+        follower_ask_store(&sync->follower);
+        start_or_wait(sync, fleet, &step);
+    }
     else if (sync->call == SYNC_WATCH) {
         step.ends_watch = true;
         start_watch(sync, fleet, &step);
     }
+    else if (sync->call == SYNC_NONE && !sync->store_unavailable) {
+        start_next_call(sync, fleet, &step);
+    }
     return step;
 }
 
--- a/forward/store_sync.h
+++ b/forward/store_sync.h
@@ -121,7 +121,8 @@
  */
 void store_sync_skip_history(store_sync_t *sync);
 
-/* The view is about to be too old: whatever is in progress takes too long. */
+/* The view is too old for what is to be decided.  What is in progress is given
+ * up; a polled host is to blame only if it has held the poll for too long. */
 store_sync_step_t store_sync_confirm(store_sync_t *sync,
                                      const store_sync_fleet_t *fleet);
 
--- a/regress/test_store_sync.c
+++ b/regress/test_store_sync.c
@@ -66,6 +66,17 @@
       {5, "read ok", "poll contact=5 wait=900"},
       {700, "confirm", "watch"},
       {705, "empty", "poll contact=5 ended wait=900"}}},
+    {"a host that may hold a poll is not blamed for a confirmation",
+     30,
+     false,
+     {{0, "start", "read"},
+      {5, "read ok", "poll contact=5 wait=900"},
+      {105, "confirm", "watch"},
+      {110, "empty", "poll contact=5 ended wait=900"},
+      {210, "confirm", "watch"},
+      {215, "empty", "poll contact=5 ended wait=900"},
+      {315, "confirm", "watch"},
+      {320, "empty", "poll contact=5 ended wait=900"}}},
     {"a watch that is silent is started anew by a confirmation",
      6,
      true,
@@ -286,11 +297,12 @@
                    wait);
 }
 
-START_TEST(test_calls_follow_what_happened)
+static void
+check_case(const sync_case_t *test, uint32_t settle_ms)
 {
-    static const store_sync_settings_t settings = {
-        .watch_ms = WATCH_MS, .changed_watch_ms = WATCH_MS / 4};
-    const sync_case_t *test = &cases[_i];
+    store_sync_settings_t settings = {.watch_ms = WATCH_MS,
+                                      .changed_watch_ms = WATCH_MS / 4,
+                                      .settle_ms = settle_ms};
     store_sync_t *sync = store_sync_new(&settings);
     char text[TEXT_BYTES];
     size_t i;
@@ -310,6 +322,26 @@
     }
     store_sync_free(sync);
 }
+
+START_TEST(test_calls_follow_what_happened)
+{
+    check_case(&cases[_i], 0);
+}
+END_TEST
+
+START_TEST(test_confirmation_waits_for_a_starting_fleet)
+{
+    static const sync_case_t test = {
+        "a host that waits for its fleet to start",
+        6,
+        true,
+        {{0, "start", "read"},
+         {5, "read ok", "contact=5 wait=1000"},
+         {100, "confirm", "watch"},
+         {105, "empty", "contact=5"}}};
+
+    check_case(&test, WATCH_MS);
+}
 END_TEST
 
 /* The limits of a poll fit into the time before a view is confirmed. */
@@ -333,6 +365,7 @@
 {
     TCase *tcase = tcase_create("store-sync");
 
+    tcase_add_test(tcase, test_confirmation_waits_for_a_starting_fleet);
     tcase_add_loop_test(tcase, test_calls_follow_what_happened, 0,
                         COUNT(cases));
     tcase_add_test(tcase, test_contact_age_fits_the_limit);
