Let simulated hosts that stand still read reports late

The simulation of versions answers reports since streams are identified by them: a report is made when it is asked for, and a host that stands still reads it when it goes on.

--- a/regress/version_apart.c
+++ b/regress/version_apart.c
@@ -33,20 +33,27 @@
     return sim->fault == VERSION_OUT_OF_STEP && sim->now_ms == rejoin_ms(sim);
 }
 
-/* Tries that the end of the simulation breaks off are left out. */
 bool
-version_can_go_on(const version_state_t *sim, const stream_t *stream)
+version_serves(const version_state_t *sim, uint32_t version)
 {
     uint32_t count = 0;
     size_t i;
 
     for (i = 0; i < sim->engine_count; i++) {
         if (sim->engines[i].down_until_ms == 0 &&
-            sim->engines[i].version == stream->version) {
+            sim->engines[i].version == version) {
             count++;
         }
     }
-    if (count < 2 || sim->hosts[stream->host].down) {
+    return count >= 2;
+}
+
+/* Tries that the end of the simulation breaks off are left out. */
+bool
+version_can_go_on(const version_state_t *sim, const stream_t *stream)
+{
+    if (!version_serves(sim, stream->version) ||
+        sim->hosts[stream->host].down) {
         return false;
     }
     if (sim->fault == VERSION_OUT_OF_STEP &&
--- a/regress/version_private.h
+++ b/regress/version_private.h
@@ -84,6 +84,7 @@
     size_t host;
     uint64_t incarnation;
     size_t engine;
+    int64_t started_ms; /* as it answers; 0: not at all */
     int64_t asked_ms;
 } probe_t;
 
@@ -162,6 +163,8 @@
 /* Returns whether the host that was out of step now gets all news. */
 bool version_rejoins(const version_state_t *sim);
 
+/* Whether two runners of the version serve. */
+bool version_serves(const version_state_t *sim, uint32_t version);
 /* Returns whether the users' requirement holds for a stream that is taken up:
  * at hosts in step that have run for some time, while two engines of the
  * version serve. */
--- a/regress/version_sim.c
+++ b/regress/version_sim.c
@@ -32,31 +32,13 @@
     }
 }
 
-/* The users' requirement holds at hosts that have run for some time, while two
- * runners of the version serve. */
-static bool
-can_go_on(const stream_t *stream)
-{
-    uint32_t count = 0;
-    size_t i;
-
-    for (i = 0; i < sim.engine_count; i++) {
-        if (sim.engines[i].down_until_ms == 0 &&
-            sim.engines[i].version == stream->version) {
-            count++;
-        }
-    }
-    return count >= 2 && !sim.hosts[stream->host].down &&
-           (sim.power_loss ||
-            sim.now_ms - sim.hosts[stream->host].start_ms >= IN_TOUCH_MS);
-}
-
 /* A take-up that is refused after its version has lost its runners is none of
  * those that the requirement is about. */
 static void
 forget_if_runners_left(stream_t *stream)
 {
-    if (stream->counted && !stream->try_began && !can_go_on(stream)) {
+    if (stream->counted && !stream->try_began &&
+        !version_serves(&sim, stream->version)) {
         stream->counted = false;
         sim.resumed--;
     }
@@ -72,6 +54,9 @@
             (probe_t){.host = host,
                       .incarnation = sim.hosts[host].incarnation,
                       .engine = engine,
+                      .started_ms = sim.engines[engine].down_until_ms != 0
+                                        ? 0
+                                        : sim.engines[engine].started_ms,
                       .asked_ms = sim.now_ms};
         sim.probe_count++;
     }
@@ -457,7 +442,7 @@
     }
 }
 
-/* Those of the tick before. */
+/* Those of the tick before, and those of a host that stood still. */
 static void
 answer_probes(void)
 {
@@ -468,19 +453,24 @@
     memcpy(probes, sim.probes, count * sizeof(probes[0]));
     sim.probe_count = 0;
     for (i = 0; i < count; i++) {
-        const engine_t *engine = &sim.engines[probes[i].engine];
+        const probe_t *probe = &probes[i];
         runner_report_t report = {0};
         forward_event_t event = {.kind = FORWARD_PROBE_RESULT};
 
+        if (version_is_paused(&sim, probe->host)) {
+            sim.probes[sim.probe_count] = *probe;
+            sim.probe_count++;
+            continue;
+        }
         event.u.probed = (forward_probe_result_t){
-            .runner = engine->name,
-            .outcome = engine->down_until_ms != 0 ? PROBE_UNREACHABLE
-                                                  : PROBE_ANSWERED,
-            .report = engine->down_until_ms != 0 ? NULL : &report,
-            .started_ms = engine->down_until_ms != 0 ? 0 : engine->started_ms,
-            .asked_us = probes[i].asked_ms * US_PER_MS};
-        if (probes[i].incarnation == sim.hosts[probes[i].host].incarnation) {
-            version_deliver(probes[i].host, &event);
+            .runner = sim.engines[probe->engine].name,
+            .outcome =
+                probe->started_ms == 0 ? PROBE_UNREACHABLE : PROBE_ANSWERED,
+            .report = probe->started_ms == 0 ? NULL : &report,
+            .started_ms = probe->started_ms,
+            .asked_us = probe->asked_ms * US_PER_MS};
+        if (probe->incarnation == sim.hosts[probe->host].incarnation) {
+            version_deliver(probe->host, &event);
         }
     }
 }
