Tell no version of a stream that another start may have begun

A stream whose origin was not certain was told to nobody, so that its caller's next try, at any host, was taken for one of the only recorded version: events of that version could follow those of a start whose entry was late. It is kept as uncertain now, told to the other hosts once another start has answered, and replaced when its version is certain.

The head has both bounds now: the start of the call and libcurl's connect time bound it from below.

uncertain_stream_is_taken_for_one_of_the_only_version and entry_from_after_the_connection_counts fail before.

--- a/forward/forward.h
+++ b/forward/forward.h
@@ -154,8 +154,11 @@
     bool authentic; /* names this request and has a valid runner signature */
     bool not_run;   /* the runner or host states that it has not run */
     bool leaving;   /* the runner states that it leaves */
-    bool event_stream;    /* its body is stated to be one */
-    int64_t connected_us; /* when its connection stood, or later */
+    bool event_stream; /* its body is stated to be one */
+    /* When its connection stood: not before the first, not after the second.
+     */
+    int64_t connected_min_us;
+    int64_t connected_max_us;
     /* The host that it was relayed to refused it, for this reason. */
     bool refused_by_host;
     refuse_reason_t refusal;
--- a/forward/identify.c
+++ b/forward/identify.c
@@ -75,7 +75,8 @@
 }
 
 bool
-identify_at_head(forward_t *forward, request_t *request, int64_t connected_us)
+identify_at_head(forward_t *forward, request_t *request,
+                 const forward_response_head_t *head)
 {
     attempt_t *attempt = &request->attempt;
     identity_t *identity = &attempt->identity;
@@ -86,8 +87,8 @@
         }
         return true;
     }
-    identity->connected_us = connected_us;
-    set_start(attempt, connected_us);
+    identity->connected_us = head->connected_max_us;
+    set_start(attempt, head->connected_min_us);
     if (is_confirmed(request, identity)) {
         if (request->version == 0) {
             request->version = identity->version;
@@ -162,6 +163,14 @@
     return request->origin.runner != 0;
 }
 
+uint64_t
+identify_version_told(const request_t *request)
+{
+    return request->version == 0 && request->origin.doubtful
+               ? VERSION_UNCERTAIN
+               : request->version;
+}
+
 bool
 identify_ask_origin(forward_t *forward, request_t *request)
 {
@@ -304,6 +313,10 @@
         confirm_origin(forward, request, origin->version);
         return;
     }
+    if (reported_ms != origin->started_ms && !origin->doubtful) {
+        origin->doubtful = true;
+        forward->publish_due = true;
+    }
     if (request->attempt.runner != runner) {
         origin->other = reported_ms != origin->started_ms;
         return;
--- a/forward/pool.c
+++ b/forward/pool.c
@@ -500,13 +500,13 @@
     return zone;
 }
 
-/* 0 stands for any version. */
+/* 0 stands for any version, the highest value for none that is known. */
 uint64_t
 pool_hash_version(const char *version)
 {
     uint64_t hash = XXH3_64bits(version, strlen(version));
 
-    return hash != 0 ? hash : 1;
+    return hash != 0 && hash != UINT64_MAX ? hash : 1;
 }
 
 static void
--- a/forward/private.h
+++ b/forward/private.h
@@ -48,6 +48,7 @@
     int64_t due_us;       /* when to ask for the next one; 0: never */
     uint32_t asked;       /* reports that were asked for */
     bool other;           /* another start answers now: it stays unknown */
+    bool doubtful;        /* another start has answered */
 } identity_t;
 
 /* One send of a request to a runner. */
@@ -256,6 +257,10 @@
     uint32_t count;
 } silent_loss_t;
 
+/* Of a stream that may have begun at any version; pool_hash_version() does not
+ * return it. */
+#define VERSION_UNCERTAIN UINT64_MAX
+
 /* The version of the software that began a stream. */
 typedef struct {
     uint64_t stream;
@@ -461,9 +466,9 @@
 /* Sets which start the attempt is sent to. */
 void identify_start(attempt_t *attempt, const pool_runner_t *runner);
 /* Returns whether a stream's response may be passed on; if not, it is withheld
- * until recover_pass_on().  connected_us: when the connection stood. */
+ * until recover_pass_on(). */
 bool identify_at_head(forward_t *forward, request_t *request,
-                      int64_t connected_us);
+                      const forward_response_head_t *head);
 /* Applies a runner's report to all requests. */
 void identify_receive(forward_t *forward,
                       const forward_probe_result_t *probed);
@@ -471,6 +476,10 @@
 void identify_registered(forward_t *forward, const pool_runner_t *runner);
 /* Forgets the start that began a stream of which the caller has nothing. */
 void identify_end(request_t *request);
+/* Returns the version that the other hosts are told of the request's stream:
+ * VERSION_UNCERTAIN once another start than that of the entry may have begun
+ * it; 0: none yet. */
+uint64_t identify_version_told(const request_t *request);
 /* Returns whether the version that began the request's stream is not known
  * although this host has begun it. */
 bool identify_is_pending(const request_t *request);
--- a/forward/recover.c
+++ b/forward/recover.c
@@ -75,7 +75,7 @@
     if (request->type == REQUEST_STREAM && head->status == STATUS_OK &&
         head->authentic &&
         (head->event_stream || !request->response_started) &&
-        identify_at_head(forward, request, head->connected_us)) {
+        identify_at_head(forward, request, head)) {
         recover_pass_on(forward, request);
     }
 }
--- a/forward/sharing.c
+++ b/forward/sharing.c
@@ -239,7 +239,7 @@
             .runner = request->attempt.runner->id_hash,
             .session = request->affinity,
             .stream = request->stream,
-            .software = request->version,
+            .software = identify_version_told(request),
             .prompt_tokens = request->prompt_tokens,
             .prefilling = request->attempt.events == 0,
         };
--- a/forward/versions.c
+++ b/forward/versions.c
@@ -38,6 +38,7 @@
 versions_begin_stream(forward_t *forward, request_t *request)
 {
     if (identify_is_pending(request)) {
+        versions_record(forward, request->stream, VERSION_UNCERTAIN, true);
         return;
     }
     if (request->version == 0) {
@@ -60,7 +61,7 @@
     }
 }
 
-/* The first version that is recorded stays. */
+/* The first version that is recorded stays, once it is certain. */
 void
 versions_record(forward_t *forward, uint64_t stream, uint64_t version,
                 bool own)
@@ -73,6 +74,9 @@
     HASH_FIND(hh, forward->stream_versions, &stream, sizeof(stream), entry);
     if (entry != NULL) {
         entry->own = entry->own || own;
+        if (entry->version == VERSION_UNCERTAIN) {
+            entry->version = version;
+        }
     }
     if (entry != NULL &&
         entry->expiry_us - forward->now_us > STREAM_TTL_US - REFRESH_US) {
@@ -112,6 +116,9 @@
     }
     HASH_FIND(hh, forward->stream_versions, &request->stream,
               sizeof(request->stream), entry);
+    if (entry != NULL && entry->version == VERSION_UNCERTAIN) {
+        return VERSION_UNKNOWN;
+    }
     if (entry != NULL) {
         request->version = entry->version;
         return VERSION_FOUND;
--- a/gateway/upstream.c
+++ b/gateway/upstream.c
@@ -33,6 +33,7 @@
     http_call_t *call; /* NULL: ended */
     uint64_t number;   /* of the request; key of the table */
     uint32_t attempt;
+    int64_t sent_us;
     const char *to_host; /* that it is relayed to; NULL: none */
     arena_t arena;
     const char *id; /* of the request; an authentic response repeats it */
@@ -144,6 +145,7 @@
     exchange->number = number;
     exchange->attempt = action->attempt;
     exchange->last_event_id = -1;
+    exchange->sent_us = gateway_now_us();
     exchange->id = arena_strdup(&exchange->arena, request->id);
     if (action->host != NULL) {
         exchange->to_host = arena_strdup(&exchange->arena, action->host);
@@ -315,7 +317,9 @@
         .leaving = terms.leaving,
         .event_stream = strncasecmp(content_type, event_stream_type,
                                     strlen(event_stream_type)) == 0,
-        .connected_us =
+        .connected_min_us =
+            exchange->sent_us + http_connect_time_us(exchange->call),
+        .connected_max_us =
             gateway_now_us() - http_connection_age_us(exchange->call),
     };
     if (exchange->to_host != NULL) {
--- a/http/client.c
+++ b/http/client.c
@@ -316,6 +316,15 @@
     return connect_us > 0 && total_us > connect_us ? total_us - connect_us : 0;
 }
 
+int64_t
+http_connect_time_us(const http_call_t *call)
+{
+    curl_off_t connect_us = 0;
+
+    (void)curl_easy_getinfo(call->easy, CURLINFO_CONNECT_TIME_T, &connect_us);
+    return connect_us;
+}
+
 void
 http_renew_limit(http_call_t *call)
 {
--- a/http/http.h
+++ b/http/http.h
@@ -124,6 +124,8 @@
 /* Returns, once the head is there, the time since the connection stood, or
  * less. */
 int64_t http_connection_age_us(const http_call_t *call);
+/* Returns the time from the start of the call until then. */
+int64_t http_connect_time_us(const http_call_t *call);
 
 /* Starts the count for response_max_bytes anew: the response is of use. */
 void http_renew_limit(http_call_t *call);
--- a/regress/forwarding.c
+++ b/regress/forwarding.c
@@ -110,11 +110,7 @@
                                      ? PROBE_SILENT
                                      : PROBE_UNREACHABLE;
         event.u.probed.leaving = line_has(&line, "leaving");
-        event.u.probed.asked_us =
-            (line_value(&line, "asked") != NULL
-                 ? strtoll(line_value(&line, "asked"), NULL, DECIMAL)
-                 : at_ms) *
-            US_PER_MS;
+        event.u.probed.asked_us = line_time_us(&line, "asked", at_ms);
         if (line_value(&line, "active") != NULL) {
             event.u.probed.report = line_report(&line);
             event.u.probed.started_ms = event.u.probed.report->started_ms;
@@ -332,11 +328,8 @@
             .not_run = line_has(line, "not-run"),
             .leaving = line_has(line, "leaving"),
             .event_stream = !line_has(line, "text"),
-            .connected_us =
-                (line_value(line, "connected") != NULL
-                     ? strtoll(line_value(line, "connected"), NULL, DECIMAL)
-                     : at_ms) *
-                US_PER_MS,
+            .connected_min_us = line_time_us(line, "connected", at_ms),
+            .connected_max_us = line_time_us(line, "connected", at_ms),
             .refused_by_host = line_has(line, "refused"),
             .refusal = REFUSE_NO_RUNNER,
             .usage = {.stated = stated,
--- a/regress/forwarding_line.c
+++ b/regress/forwarding_line.c
@@ -88,6 +88,14 @@
     };
 }
 
+int64_t
+line_time_us(const line_t *line, const char *name, int64_t at_ms)
+{
+    const char *value = line_value(line, name);
+
+    return (value != NULL ? strtoll(value, NULL, DECIMAL) : at_ms) * US_PER_MS;
+}
+
 const runner_report_t *
 line_report(const line_t *line)
 {
--- a/regress/forwarding_private.h
+++ b/regress/forwarding_private.h
@@ -42,6 +42,8 @@
  * address has room for ADDRESS_BYTES. */
 registration_t line_registration(const line_t *line, size_t word,
                                  char *address);
+/* The time in ms that the field names, else at_ms. */
+int64_t line_time_us(const line_t *line, const char *name, int64_t at_ms);
 const runner_report_t *line_report(const line_t *line);
 /* Reads NAME=COUNT:DELIVERIES[:RUNNER,...]; false: it is not stated. */
 bool line_counts(const line_t *line, const char *name, line_counts_t *counts);
--- a/regress/partition_path.c
+++ b/regress/partition_path.c
@@ -243,7 +243,7 @@
     }
     switch (event.kind) {
     case FORWARD_RESPONSE_HEAD:
-        event.u.head.connected_us = cut_sim.now_ms * CUT_US_PER_MS;
+        event.u.head.connected_max_us = cut_sim.now_ms * CUT_US_PER_MS;
         event.u.head.number = leg->hop;
         event.u.head.attempt = leg->attempt;
         leg->status = event.u.head.status;
--- a/regress/silence_private.h
+++ b/regress/silence_private.h
@@ -97,6 +97,7 @@
     int64_t head_ms;  /* work until the response head is sent */
     int64_t first_ms; /* work until the first event */
     int64_t total_ms; /* work until the response is complete */
+    int64_t connected_ms;
     bool head_sent;
     bool passed; /* the host passes the response on */
     int64_t first_id;
--- a/regress/silence_runner.c
+++ b/regress/silence_runner.c
@@ -143,14 +143,15 @@
     forward_event_t event = {.kind = FORWARD_RESPONSE_HEAD};
 
     run->head_sent = true;
-    event.u.head =
-        (forward_response_head_t){.number = run->request,
-                                  .attempt = run->attempt,
-                                  .status = status,
-                                  .authentic = true,
-                                  .event_stream = true,
-                                  .connected_us = silence.now_ms * US_PER_MS,
-                                  .not_run = status != STATUS_OK};
+    event.u.head = (forward_response_head_t){
+        .number = run->request,
+        .attempt = run->attempt,
+        .status = status,
+        .authentic = true,
+        .event_stream = true,
+        .connected_min_us = run->connected_ms * US_PER_MS,
+        .connected_max_us = silence.now_ms * US_PER_MS,
+        .not_run = status != STATUS_OK};
     deliver_run(run, &event);
 }
 
@@ -183,6 +184,7 @@
     }
     run->state = RUN_ACCEPTED;
     run->accepted = true;
+    run->connected_ms = silence.now_ms;
     silence.result.runs++;
     silence_begin_onset(runner, ONSET_ACCEPT);
 }
--- a/regress/test_identify.c
+++ b/regress/test_identify.c
@@ -87,6 +87,31 @@
      "refuse 2 no-version 503 not-run after=50"},
 };
 
+static const forwarding_line_t
+    uncertain_stream_is_taken_for_one_of_the_only_version[] = {
+        RUNNERS,
+        {1, "record versions/r rev=5 1", ""},
+        {10, "request 1 stream", "send 1.1 rb1 backup=10.17.0.1:80"},
+        {900, "head 1 1 200", "probe 1 rb1; begin 1.1"},
+        {901, "event 1 1 0", ""},
+        {902, "probed rb1 yes active=1 born=7 asked=900", ""},
+        {950, "gone 1", "cancel 1.1"},
+        {960, "request 2 stream after=0 resumes=q1",
+         "refuse 2 no-version 503 not-run after=50"},
+};
+
+static const forwarding_line_t entry_from_after_the_connection_counts[] = {
+    RUNNERS,
+    {10, "request 1 stream", "send 1.1 rb1 backup=10.17.0.1:80"},
+    {899, "runner rb1 version=2 born=7", ""},
+    {900, "head 1 1 200 connected=20", "probe 1 rb1; begin 1.1"},
+    {901, "event 1 1 0", ""},
+    {902, "probed rb1 yes active=1 born=7 asked=900", ""},
+    {950, "gone 1", "cancel 1.1"},
+    {960, "request 2 stream after=0 resumes=q1",
+     "refuse 2 no-version 503 not-run after=50"},
+};
+
 static const forwarding_line_t report_without_a_start_counts[] = {
     STREAM_IDENTIFIED,
     {950, "broken 1 1",
@@ -195,6 +220,8 @@
     FORWARDING_SCRIPT(report_is_asked_for_twice),
     FORWARDING_SCRIPT(report_from_before_the_connection_counts_at_the_head),
     FORWARDING_SCRIPT(stream_has_a_version_before_a_report),
+    FORWARDING_SCRIPT(uncertain_stream_is_taken_for_one_of_the_only_version),
+    FORWARDING_SCRIPT(entry_from_after_the_connection_counts),
     FORWARDING_SCRIPT(report_without_a_start_counts),
     FORWARDING_SCRIPT(withheld_run_is_not_asked_for_again),
     FORWARDING_SCRIPT(end_while_withheld_is_lost),
--- a/regress/version_sim.c
+++ b/regress/version_sim.c
@@ -370,13 +370,14 @@
     }
     if (!stream->run_began) {
         stream->run_began = true;
-        event.u.head =
-            (forward_response_head_t){.number = number,
-                                      .attempt = stream->attempt,
-                                      .status = 200,
-                                      .authentic = true,
-                                      .event_stream = true,
-                                      .connected_us = sim.now_ms * US_PER_MS};
+        event.u.head = (forward_response_head_t){
+            .number = number,
+            .attempt = stream->attempt,
+            .status = 200,
+            .authentic = true,
+            .event_stream = true,
+            .connected_min_us = stream->run_start_ms * US_PER_MS,
+            .connected_max_us = sim.now_ms * US_PER_MS};
         version_deliver(stream->host, &event);
     }
     if (!stream->run_passed) {
