Bind a stream to a version by its events, and let no pending one hang

From the review. A version that was confirmed before a run had any event stayed for the next run, at another version: events of a third run could follow it. A stream whose origin was not known stayed with a silent runner until its deadline, since it can go on nowhere else; after 3 s it is taken from it now, asked for once more and broken off, and reports are asked for with a back-off instead of five times. Runners without a version in their entry are identified too, where others of the service state one; a holder of a copy that has reported another start is passed over; an entry that is listed again tells the version, too.

version_of_a_run_without_events_is_kept and silent_stream_of_an_unknown_start_hangs fail before (shown by the review's scripts); the rest is by reading.

--- a/forward/identify.c
+++ b/forward/identify.c
@@ -26,14 +26,15 @@
      * and while its caller gets it. */
     WITHHELD_INTERVAL_MS = 150,
     ORIGIN_INTERVAL_MS = 500,
-    /* Reports that are asked for in vain while the caller gets the stream. */
-    ORIGIN_ASKED_MAX = 5,
+    /* The latter is doubled so often. */
+    ORIGIN_BACK_OFF_MAX = 3,
 };
 
-static bool states_start(const request_t *request,
-                         const pool_runner_t *runner);
+static bool states_start(const forward_t *forward, const request_t *request);
 static bool goes_on(const request_t *request);
+static void set_version(request_t *request, uint64_t version);
 static void set_start(attempt_t *attempt, int64_t connected_us);
+static uint32_t back_off(const identity_t *origin);
 static bool is_confirmed(const request_t *request, const identity_t *identity);
 static void ask(forward_t *forward, const request_t *request,
                 const pool_runner_t *runner, identity_t *identity,
@@ -81,18 +82,14 @@
     attempt_t *attempt = &request->attempt;
     identity_t *identity = &attempt->identity;
 
-    if (!states_start(request, attempt->runner)) {
-        if (request->version == 0) {
-            request->version = attempt->version;
-        }
+    if (!states_start(forward, request)) {
+        set_version(request, attempt->version);
         return true;
     }
     identity->connected_us = head->connected_max_us;
     set_start(attempt, head->connected_min_us);
     if (is_confirmed(request, identity)) {
-        if (request->version == 0) {
-            request->version = identity->version;
-        }
+        set_version(request, identity->version);
         return true;
     }
     if (goes_on(request)) {
@@ -110,6 +107,15 @@
     return true;
 }
 
+/* Events bind a stream to a version, and a head alone does not. */
+static void
+set_version(request_t *request, uint64_t version)
+{
+    if (!goes_on(request) || request->version == 0) {
+        request->version = version;
+    }
+}
+
 void
 identify_receive(forward_t *forward, const forward_probe_result_t *probed)
 {
@@ -154,6 +160,7 @@
 {
     if (!goes_on(request)) {
         request->origin = (identity_t){0};
+        request->version = 0;
     }
 }
 
@@ -187,6 +194,13 @@
     return true;
 }
 
+static uint32_t
+back_off(const identity_t *origin)
+{
+    return origin->asked < ORIGIN_BACK_OFF_MAX ? origin->asked
+                                               : ORIGIN_BACK_OFF_MAX;
+}
+
 void
 identify_check(forward_t *forward, request_t *request)
 {
@@ -198,8 +212,9 @@
         forward->now_us >= origin->due_us) {
         runner = pool_find_hash(forward->pool, origin->runner);
         origin->due_us = 0;
-        if (runner != NULL && origin->asked < ORIGIN_ASKED_MAX) {
-            ask(forward, request, runner, origin, ORIGIN_INTERVAL_MS);
+        if (runner != NULL) {
+            ask(forward, request, runner, origin,
+                (int64_t)ORIGIN_INTERVAL_MS << back_off(origin));
         }
     }
     if (attempt->runner == NULL || !attempt->withheld ||
@@ -228,11 +243,11 @@
 /* Without a start in its entry, a runner has another id after each one, and
  * does not run what names an earlier id. */
 static bool
-states_start(const request_t *request, const pool_runner_t *runner)
+states_start(const forward_t *forward, const request_t *request)
 {
     return request->resumable && !request->attempt.relayed &&
            request->attempt.identity.started_ms != 0 &&
-           runner->registration.version[0] != '\0';
+           pool_states_version(forward->pool, request->service);
 }
 
 /* Returns whether the caller has events of the stream. */
--- a/forward/registry.c
+++ b/forward/registry.c
@@ -132,7 +132,7 @@
     runner_change_t change =
         pool_update_runner(forward->pool, forward->now_us, entry);
 
-    if (change == RUNNER_RESTARTED) {
+    if (change != RUNNER_UNCHANGED) {
         identify_registered(forward,
                             pool_find_runner(forward->pool, entry->id));
     }
--- a/forward/send.c
+++ b/forward/send.c
@@ -174,6 +174,7 @@
         !pool_runner_usable(copy_holder, forward->now_us) ||
         copy_holder->version != request->version ||
         copy_holder->serial != request->copy_serial ||
+        !pool_runner_wrote_entry(copy_holder) ||
         forward->now_us < copy_holder->cooldown_until_us) {
         return false;
     }
--- a/forward/silence.c
+++ b/forward/silence.c
@@ -77,8 +77,9 @@
     int64_t idle_us = forward->now_us - request->attempt.last_activity_us;
     crash_decision_t decision;
 
-    if (identify_is_pending(request) && request->first_event_us > 0) {
-        return false;
+    if (identify_is_pending(request) && request->first_event_us > 0 &&
+        idle_us < (int64_t)PAUSE_IDLE_MS * US_PER_MS) {
+        return false; /* it could only go on where it is */
     }
     if (request->type == REQUEST_STREAM) {
         uint32_t reserved =
--- a/regress/test_identify.c
+++ b/regress/test_identify.c
@@ -112,6 +112,34 @@
      "refuse 2 no-version 503 not-run after=50"},
 };
 
+static const forwarding_line_t version_of_a_run_without_events_is_kept[] = {
+    RUNNERS,
+    {10, "request 1 stream", "send 1.1 rb1 backup=10.17.0.1:80"},
+    {890, "probed rb1 yes active=1 born=2 asked=890", ""},
+    {899, "head 1 1 200 connected=20", "begin 1.1"},
+    {900, "broken 1 1", "cancel 1.1; send 1.2 ra1 backup=10.17.1.1:80"},
+    {902, "runner ra1 version=2 born=7", ""},
+    {910, "probed ra1 yes active=1 born=7 asked=905", ""},
+    {920, "head 1 2 200 connected=904", "begin 1.2"},
+    {921, "event 1 2 0", ""},
+    {940, "runner rc1 version=2 born=3", NULL},
+    {950, "broken 1 2", "cancel 1.2; send 1.3 rc1 backup=10.17.0.1:80 resume"},
+};
+
+static const forwarding_line_t silent_stream_of_an_unknown_start_hangs[] = {
+    STREAM_BEGUN,
+    {1130, "timer", NULL},
+    {1230, "probed rb1 no", ""},
+    {1600, "timer", NULL},
+    {2000, "timer", NULL},
+    {2400, "timer", NULL},
+    {2800, "timer", NULL},
+    {3200, "timer", NULL},
+    {3600, "timer", NULL},
+    {3890, "timer", NULL},
+    {4000, "timer", "cancel 1.1"},
+};
+
 static const forwarding_line_t report_without_a_start_counts[] = {
     STREAM_IDENTIFIED,
     {950, "broken 1 1",
@@ -222,6 +250,8 @@
     FORWARDING_SCRIPT(stream_has_a_version_before_a_report),
     FORWARDING_SCRIPT(uncertain_stream_is_taken_for_one_of_the_only_version),
     FORWARDING_SCRIPT(entry_from_after_the_connection_counts),
+    FORWARDING_SCRIPT(version_of_a_run_without_events_is_kept),
+    FORWARDING_SCRIPT(silent_stream_of_an_unknown_start_hangs),
     FORWARDING_SCRIPT(report_without_a_start_counts),
     FORWARDING_SCRIPT(withheld_run_is_not_asked_for_again),
     FORWARDING_SCRIPT(end_while_withheld_is_lost),
