Search a report's runs in one place

The search for a request in a runner's report stood in watchdog.c and in identify.c; report_lists() serves both. recover_pass_on() alone ends the withholding of a response.

--- a/forward/identify.c
+++ b/forward/identify.c
@@ -47,7 +47,6 @@
                          const forward_probe_result_t *probed);
 static void confirm_origin(forward_t *forward, request_t *request,
                            uint64_t version);
-static bool is_listed(const request_t *request, const runner_report_t *report);
 static void log_identified(forward_t *forward, const request_t *request,
                            const identity_t *identity, bool withheld);
 
@@ -302,7 +301,6 @@
         return false;
     }
     log_identified(forward, request, identity, true);
-    attempt->withheld = false;
     recover_pass_on(forward, request);
     return true;
 }
@@ -337,7 +335,7 @@
         return;
     }
     if (reported_ms == origin->started_ms || reported_ms == 0 ||
-        probed->report == NULL || !is_listed(request, probed->report)) {
+        probed->report == NULL || !report_lists(probed->report, request)) {
         return;
     }
     origin->started_ms = reported_ms;
@@ -362,19 +360,6 @@
     }
 }
 
-static bool
-is_listed(const request_t *request, const runner_report_t *report)
-{
-    size_t i;
-
-    for (i = 0; i < report->run_count; i++) {
-        if (strcmp(report->runs[i], request->id) == 0) {
-            return true;
-        }
-    }
-    return false;
-}
-
 static void
 log_identified(forward_t *forward, const request_t *request,
                const identity_t *identity, bool withheld)
--- a/forward/private.h
+++ b/forward/private.h
@@ -716,6 +716,8 @@
 /* Asks the runner for a report. */
 void probe_runner(forward_t *forward, const request_t *request,
                   const pool_runner_t *runner, uint32_t timeout_ms);
+/* Returns whether the report names the request. */
+bool report_lists(const runner_report_t *report, const request_t *request);
 /* Handles the timeouts of one request that have expired. */
 void check_request_timers(forward_t *forward, request_t *request);
 /* Restarts the activity timeouts after a pause of this process, which is not a
--- a/forward/watchdog.c
+++ b/forward/watchdog.c
@@ -339,6 +339,14 @@
 /* A report counts requests without output, but does not list their ids. */
 static bool
 report_includes(const runner_report_t *report, const request_t *request)
+{
+    return report_lists(report, request) ||
+           (request->attempt.events == 0 &&
+            (uint64_t)report->active + report->queued > report->run_count);
+}
+
+bool
+report_lists(const runner_report_t *report, const request_t *request)
 {
     size_t i;
 
@@ -347,8 +355,7 @@
             return true;
         }
     }
-    return request->attempt.events == 0 &&
-           (uint64_t)report->active + report->queued > report->run_count;
+    return false;
 }
 
 static int64_t
