--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -7,6 +7,7 @@
 import base64
 import json
 import os
+import resource
 import shutil
 import signal
 import sys
@@ -463,6 +464,9 @@
     record = Record(folder)
     temporary = tempfile.mkdtemp(prefix="agatevale-")
     record.write(f"trouble {int(TROUBLE)}")
+    now_open, most = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if now_open < 4096 <= most:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (4096, most))
     hosts = []
     try:
         if not (ROOT / "target/agated/agated").exists():
