--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -462,6 +462,7 @@
     """Runs case(temporary folder, record) and exits with what it returns."""
     folder = Path(folder)
     record = Record(folder)
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     temporary = tempfile.mkdtemp(prefix="agatevale-")
     record.write(f"trouble {int(TROUBLE)}")
     now_open, most = resource.getrlimit(resource.RLIMIT_NOFILE)
