Empty and unreadable lists of keys no longer let everybody in

Callers saw: an operator took the last tenant out of the routing table, "Tenants": [], and from then on every request ran: with keys that had been taken away, with keys that never existed, with none. null, {}, a text and a number did the same. A tenant's empty key let in callers who sent an empty one, and the key of a tenant without a name let requests in that no tenant stands for.

Cause: owner_count said both how many tenants there were and whether a key was needed; admit() and routing_is_stale() compared it with 0, and the reader took json_array_size() of whatever it found.

Fix: what a table says of keys is one typed fact with three values, key_policy_t, set where the table is read and asked in routing_needs_key() and routing_check_key() only. Its zero value is the closed one.

Logs and metrics now show the policy and the number of keys in force.

--- a/forward/admission.c
+++ b/forward/admission.c
@@ -47,7 +47,8 @@
       const forward_request_t *incoming)
 {
     const route_t *route;
-    const key_owner_t *owner = NULL;
+    const key_owner_t *owner;
+    key_verdict_t verdict;
 
     if (forward->routing == NULL) {
         refuse_request(forward, request, REFUSE_NO_ROUTING);
@@ -88,14 +89,15 @@
         refuse_request(forward, request, REFUSE_NO_ROUTE);
         return;
     }
-    if (forward->routing->owner_count > 0 && !route->anonymous) {
-        owner = incoming->key != NULL
-                    ? routing_find_key_owner(forward->routing, incoming->key)
-                    : NULL;
-        if (owner == NULL) {
-            refuse_request(forward, request, REFUSE_NO_KEY);
-            return;
-        }
+    verdict =
+        routing_check_key(forward->routing, route, incoming->key, &owner);
+    if (verdict != KEY_ACCEPTED) {
+        refuse_request(forward, request,
+                       verdict == KEY_REJECTED ? REFUSE_NO_KEY
+                                               : REFUSE_KEYS_UNREADABLE);
+        return;
+    }
+    if (owner != NULL) {
         request->organisation = arena_strdup(&request->arena, owner->name);
     }
     if (outlives_drain(forward, request)) {
@@ -162,8 +164,7 @@
 {
     uint32_t revoke_ms = forward->settings.limits.revoke_ms;
 
-    if (revoke_ms == 0 || forward->routing->owner_count == 0 ||
-        (route != NULL && route->anonymous)) {
+    if (revoke_ms == 0 || !routing_needs_key(forward->routing, route)) {
         return false;
     }
     return forward->now_us - forward->contact_us >=
--- a/forward/forward.c
+++ b/forward/forward.c
@@ -217,6 +217,7 @@
         [REFUSE_ROUTING_STALE] = "routing-stale",
         [REFUSE_NO_ROUTE] = "no-route",
         [REFUSE_NO_KEY] = "no-key",
+        [REFUSE_KEYS_UNREADABLE] = "keys-unreadable",
         [REFUSE_DRAINING] = "leaving",
         [REFUSE_NO_RUNNER] = "no-runner",
         [REFUSE_NO_VERSION] = "no-version",
--- a/forward/forward.h
+++ b/forward/forward.h
@@ -36,6 +36,7 @@
     REFUSE_ROUTING_STALE,    /* its routing table may be out of date */
     REFUSE_NO_ROUTE,         /* no route matches the host name and path */
     REFUSE_NO_KEY,           /* the key is missing or unknown */
+    REFUSE_KEYS_UNREADABLE,  /* its routing table does not tell who may */
     REFUSE_DRAINING,         /* this host is draining */
     REFUSE_NO_RUNNER,        /* no runner is available */
     REFUSE_NO_VERSION,       /* it is not known which version began the stream
--- a/forward/routing_table.c
+++ b/forward/routing_table.c
@@ -26,9 +26,21 @@
     forward->routing = routing;
     emit_log(forward, LOG_INFO, "routing",
              "version=%" PRId64 " revision=%" PRId64 " era=%" PRId64
-             " routes=%zu",
+             " routes=%zu key_policy=%s keys=%u",
              routing->version, revision_number(routing->revision),
-             revision_era(routing->revision), routing->route_count);
+             revision_era(routing->revision), routing->route_count,
+             key_policy_name(routing->key_policy), HASH_COUNT(routing->keys));
+    if (routing->key_policy == KEYS_UNREADABLE) {
+        emit_log(forward, LOG_ERR, "keys-unreadable",
+                 "version=%" PRId64 " effect=\"no request that needs a key is "
+                 "served\" remedy=\"write the list of keys anew\"",
+                 routing->version);
+    }
+    if (routing->keys_skipped > 0) {
+        emit_log(forward, LOG_WARNING, "keys-skipped",
+                 "version=%" PRId64 " entries=%zu", routing->version,
+                 routing->keys_skipped);
+    }
 }
 
 /*
--- a/forward/send.c
+++ b/forward/send.c
@@ -15,6 +15,8 @@
     RETRY_AFTER_RUNNER_MS = 500,
     /* No host can serve until the store is back, which takes seconds. */
     RETRY_AFTER_STORE_MS = 2000,
+    /* Until the operators have written the routing table anew. */
+    RETRY_AFTER_OPERATORS_MS = 5000,
     /* Another host can serve the request at once. */
     RETRY_AFTER_OTHER_HOST_MS = 50,
     STATUS_UNAUTHORIZED = 401,
@@ -409,6 +411,8 @@
     case REFUSE_ROUTING_STALE:
         return peers_lack_store(forward) ? RETRY_AFTER_STORE_MS
                                          : RETRY_AFTER_OTHER_HOST_MS;
+    case REFUSE_KEYS_UNREADABLE:
+        return RETRY_AFTER_OPERATORS_MS;
     case REFUSE_NO_ROUTING:
     case REFUSE_HOST_FULL:
     case REFUSE_DRAINING:
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -326,6 +326,10 @@
                                const intake_counters_t *received);
 /* Sets the metrics of roll-outs. */
 void meters_set_rollouts(meters_t *meters, const forward_t *forward);
+/* Sets what the routing table in force says of keys. */
+void meters_set_routing(meters_t *meters, const routing_t *routing);
+/* Counts a routing table that could not be read. */
+void meters_count_routing_rejected(meters_t *meters);
 /* Appends all metrics in the Prometheus text format. */
 void meters_write(meters_t *meters, int64_t contact_age_us, text_t *text);
 
--- a/gateway/meters.c
+++ b/gateway/meters.c
@@ -30,6 +30,9 @@
     metric_family_t *values_received;
     metric_family_t *received_bytes;
     metric_family_t *routing_age;
+    metric_family_t *routing_rejected;
+    metric_family_t *key_policies;
+    metric_family_t *keys;
     metric_family_t *log_lines_dropped;
 };
 
@@ -38,6 +41,7 @@
 static void add_limit_families(meters_t *meters);
 static void add_rollout_families(meters_t *meters);
 static void add_store_families(meters_t *meters);
+static void add_routing_families(meters_t *meters);
 static const char *request_type_name(request_type_t type);
 static void count_relay(meters_t *meters, const char *direction);
 static void count_record(meters_t *meters, const forward_record_t *record);
@@ -100,11 +104,7 @@
     add_rollout_families(meters);
     add_limit_families(meters);
     add_store_families(meters);
-    meters->routing_age = metric_family_new(
-        set, &(metric_spec_t){.kind = METRIC_GAUGE,
-                              .name = "agatevale_routing_age_seconds",
-                              .help = "Since the routing table was last known "
-                                      "to be in force."});
+    add_routing_families(meters);
     meters->log_lines_dropped = metric_family_new(
         set, &(metric_spec_t){.kind = METRIC_GAUGE,
                               .name = "agatevale_log_lines_dropped",
@@ -156,6 +156,35 @@
                               .labels = {"of"}});
 }
 
+static void
+add_routing_families(meters_t *meters)
+{
+    metric_set_t *set = meters->set;
+
+    meters->routing_age = metric_family_new(
+        set, &(metric_spec_t){.kind = METRIC_GAUGE,
+                              .name = "agatevale_routing_age_seconds",
+                              .help = "Since the routing table was last known "
+                                      "to be in force."});
+    meters->routing_rejected = metric_family_new(
+        set, &(metric_spec_t){.kind = METRIC_COUNTER,
+                              .name = "agatevale_routing_rejected_total",
+                              .help = "Routing tables that could not be "
+                                      "read."});
+    meters->key_policies = metric_family_new(
+        set, &(metric_spec_t){.kind = METRIC_GAUGE,
+                              .name = "agatevale_key_policy",
+                              .help = "1 for what the routing table says of "
+                                      "keys.",
+                              .labels = {"policy"}});
+    meters->keys = metric_family_new(
+        set, &(metric_spec_t){.kind = METRIC_GAUGE,
+                              .name = "agatevale_keys",
+                              .help = "Keys in the routing table, and entries "
+                                      "that could not be read.",
+                              .labels = {"state"}});
+}
+
 static void
 add_rollout_families(meters_t *meters)
 {
@@ -347,6 +376,30 @@
     }
 }
 
+void
+meters_set_routing(meters_t *meters, const routing_t *routing)
+{
+    int policy;
+
+    for (policy = KEYS_UNREADABLE; policy <= KEYS_NOT_NEEDED; policy++) {
+        const char *name = key_policy_name((key_policy_t)policy);
+
+        metric_set_value(
+            metric_series(meters->key_policies, (const char *[]){name}),
+            policy == (int)routing->key_policy ? 1 : 0);
+    }
+    metric_set_value(metric_series(meters->keys, (const char *[]){"valid"}),
+                     HASH_COUNT(routing->keys));
+    metric_set_value(metric_series(meters->keys, (const char *[]){"skipped"}),
+                     (double)routing->keys_skipped);
+}
+
+void
+meters_count_routing_rejected(meters_t *meters)
+{
+    metric_add(metric_series(meters->routing_rejected, NULL), 1);
+}
+
 void
 meters_write(meters_t *meters, int64_t contact_age_us, text_t *text)
 {
--- a/gateway/store_view.c
+++ b/gateway/store_view.c
@@ -120,19 +120,22 @@
     forward_event_t event = {.kind = FORWARD_ROUTING};
     routing_t *routing = gateway->dialect->ops->parse_routing_table(
         pair->value, pair->value_bytes, &err);
+    const routing_t *in_force;
 
     if (routing == NULL) {
         log_event(LOG_ERR, "routing-invalid",
                   "era=%" PRId64 " revision=%" PRId64 " reason=\"%s\"",
                   revision_era(pair->mod_revision),
                   revision_number(pair->mod_revision), err.message);
+        meters_count_routing_rejected(gateway->meters);
         return;
     }
     routing->revision = pair->mod_revision;
     event.u.routing = routing;
     forwarding_handle_event(gateway, &event);
-    front_set_limits(gateway->front,
-                     &forward_routing(forwarding_state(gateway))->limits);
+    in_force = forward_routing(forwarding_state(gateway));
+    front_set_limits(gateway->front, &in_force->limits);
+    meters_set_routing(gateway->meters, in_force);
 }
 
 static void
--- a/regress/forwarding.c
+++ b/regress/forwarding.c
@@ -211,14 +211,14 @@
         .name = "r", .engine = true, .capabilities = {.kv_replication = true}};
     routing->services[1] = (service_t){.name = "s"};
     routing->service_count = 2;
-    routing->owners = arena_array(arena, 2, sizeof(*routing->owners));
-    routing->owner_count = 2;
+    routing->key_policy = KEYS_LISTED;
     for (i = 0; i < 2; i++) {
         access_key_t *key = arena_alloc(arena, sizeof(*key));
+        key_owner_t *owner = arena_alloc(arena, sizeof(*owner));
 
-        routing->owners[i].name = arena_printf(arena, "o%zu", i + 1);
+        owner->name = arena_printf(arena, "o%zu", i + 1);
         key->key = arena_printf(arena, "k%zu", i + 1);
-        key->owner = &routing->owners[i];
+        key->owner = owner;
         HASH_ADD_KEYPTR(hh, routing->keys, key->key, strlen(key->key), key);
     }
     return routing;
--- a/regress/test_platform.c
+++ b/regress/test_platform.c
@@ -158,6 +158,7 @@
     routing_t *routing =
         platform_read_routing(full_routing, strlen(full_routing), &err);
     const route_t *route;
+    const key_owner_t *owner;
 
     ck_assert_ptr_nonnull(routing);
     ck_assert_int_eq(routing->version, 7);
@@ -173,9 +174,15 @@
                      "b");
     ck_assert_ptr_null(routing_find_route(routing, "h.example", "/ab/"));
     ck_assert_ptr_null(routing_find_route(routing, "other.example", "/a/x"));
-    ck_assert_str_eq(routing_find_key_owner(routing, "k2")->name, "t1");
-    ck_assert_int_eq(routing_find_key_owner(routing, "k3")->priority, -1);
-    ck_assert_ptr_null(routing_find_key_owner(routing, "k4"));
+    ck_assert_int_eq(routing->key_policy, KEYS_LISTED);
+    ck_assert_int_eq(routing_check_key(routing, route, "k2", &owner),
+                     KEY_ACCEPTED);
+    ck_assert_str_eq(owner->name, "t1");
+    ck_assert_int_eq(routing_check_key(routing, route, "k3", &owner),
+                     KEY_ACCEPTED);
+    ck_assert_int_eq(owner->priority, -1);
+    ck_assert_int_eq(routing_check_key(routing, route, "k4", &owner),
+                     KEY_REJECTED);
     ck_assert(
         routing_find_service(routing, "s1")->capabilities.kv_replication);
     ck_assert(!routing_find_service(routing, "s2")->engine);
--- a/world/routing.c
+++ b/world/routing.c
@@ -38,13 +38,46 @@
     return best;
 }
 
-const key_owner_t *
-routing_find_key_owner(const routing_t *routing, const char *key)
+bool
+routing_needs_key(const routing_t *routing, const route_t *route)
 {
-    access_key_t *found = NULL;
+    return routing->key_policy != KEYS_NOT_NEEDED &&
+           (route == NULL || !route->anonymous);
+}
+
+key_verdict_t
+routing_check_key(const routing_t *routing, const route_t *route,
+                  const char *key, const key_owner_t **owner)
+{
+    const access_key_t *found = NULL;
+
+    *owner = NULL;
+    if (!routing_needs_key(routing, route)) {
+        return KEY_ACCEPTED;
+    }
+    if (routing->key_policy == KEYS_UNREADABLE) {
+        return KEY_UNDECIDED;
+    }
+    if (key != NULL) {
+        HASH_FIND_STR(routing->keys, key, found);
+    }
+    if (found == NULL) {
+        return KEY_REJECTED;
+    }
+    *owner = found->owner;
+    return KEY_ACCEPTED;
+}
+
+const char *
+key_policy_name(key_policy_t policy)
+{
+    static const char *const names[] = {
+        [KEYS_UNREADABLE] = "unreadable",
+        [KEYS_LISTED] = "listed",
+        [KEYS_NOT_NEEDED] = "not-needed",
+    };
 
-    HASH_FIND_STR(routing->keys, key, found);
-    return found == NULL ? NULL : found->owner;
+    return names[policy];
 }
 
 const service_t *
--- a/world/routing.h
+++ b/world/routing.h
@@ -74,6 +74,20 @@
     UT_hash_handle hh;
 } access_key_t;
 
+/* What a routing table says of keys. */
+typedef enum {
+    KEYS_UNREADABLE, /* it is not known who may send requests */
+    KEYS_LISTED,     /* a request needs one of those in routing_t */
+    KEYS_NOT_NEEDED,
+} key_policy_t;
+
+/* Whether a request may be served, by its key. */
+typedef enum {
+    KEY_ACCEPTED,
+    KEY_REJECTED,  /* it is missing or unknown */
+    KEY_UNDECIDED, /* the table cannot tell */
+} key_verdict_t;
+
 /* Limits for requests of callers; 0 if not configured. */
 typedef struct {
     uint32_t header_bytes_max;
@@ -90,9 +104,9 @@
     size_t route_count;
     service_t *services;
     size_t service_count;
-    key_owner_t *owners;
-    size_t owner_count;
-    access_key_t *keys; /* hash table by key */
+    key_policy_t key_policy;
+    access_key_t *keys;  /* hash table by key */
+    size_t keys_skipped; /* that could not be read, as could their owners */
     caller_limits_t limits;
 } routing_t;
 
@@ -105,9 +119,21 @@
 const route_t *routing_find_route(const routing_t *routing, const char *host,
                                   const char *path);
 
-/* Returns the organisation that holds the key, or NULL. */
-const key_owner_t *routing_find_key_owner(const routing_t *routing,
-                                          const char *key);
+/*
+ * Returns whether requests on the route need a key; NULL: those that match no
+ * route.  Also if the table cannot tell.
+ */
+bool routing_needs_key(const routing_t *routing, const route_t *route);
+
+/*
+ * Decides on a request by its key, NULL if it has none.  Sets *owner to the
+ * organisation that holds the key, or to NULL if none is needed.
+ */
+key_verdict_t routing_check_key(const routing_t *routing, const route_t *route,
+                                const char *key, const key_owner_t **owner);
+
+/* Returns the name of the policy in logs and metrics, such as "listed". */
+const char *key_policy_name(key_policy_t policy);
 
 /* Returns the service with this name, or NULL. */
 const service_t *routing_find_service(const routing_t *routing,
