A stream that is taken up goes on at the service that began it

Cause: apply_route() drew the service by weight for each request, also for a stream that is taken up, and again at a host that a request is relayed to. A stream's version was kept, its service was not.

Fix: a stream belongs to a service, a version and a route from its first event on. Other hosts learn the service by the runner in the reports, which do not grow. A host keeps for a minute the services that routes have led to; a stream that nobody knows goes on only where its route has led to one service all that time, and is refused otherwise. A stream of another route is refused, too. While a route has several services, or when a route changes under running streams, they are written with service and route to the record that hosts already have for several versions; else nothing more is written. A relay states the service where the route has several.

Added to the logs: taken-up (service, version, known) and service-left.

--- a/forward/admission.c
+++ b/forward/admission.c
@@ -1,6 +1,8 @@
 /* admission.c - admits new requests, or refuses them. */
+#include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
+#include <syslog.h>
 
 #include <xxhash.h>
 
@@ -17,6 +19,8 @@
 
 static void admit(forward_t *forward, request_t *request,
                   const forward_request_t *incoming);
+static void log_taken_up(forward_t *forward, const request_t *request,
+                         version_answer_t answer);
 static bool outlives_drain(const forward_t *forward, const request_t *request);
 static bool routing_is_stale(const forward_t *forward, const route_t *route);
 static const route_t *match_route(const forward_t *forward,
@@ -24,7 +28,12 @@
 static request_t *request_new(forward_t *forward,
                               const forward_request_t *incoming);
 static void apply_route(forward_t *forward, request_t *request,
-                        const route_t *route, uint32_t caller_deadline_ms);
+                        const route_t *route,
+                        const forward_request_t *incoming);
+static const char *choose_service(forward_t *forward, request_t *request,
+                                  const route_t *route,
+                                  const forward_request_t *incoming);
+static bool is_drawn(const route_t *route, const char *service);
 
 void
 admit_request(forward_t *forward, const forward_request_t *incoming)
@@ -71,7 +80,7 @@
     }
     route = match_route(forward, incoming);
     if (route != NULL) {
-        apply_route(forward, request, route, incoming->deadline_ms);
+        apply_route(forward, request, route, incoming);
         if (request->relayed) {
             grant_accept(forward, request, &incoming->grant);
         }
@@ -114,6 +123,9 @@
 
     request->awaits_version = answer == VERSION_AWAITED;
     request->retry_at_us = 0;
+    if (request->last_event_id >= 0) {
+        log_taken_up(forward, request, answer);
+    }
     if (answer == VERSION_AWAITED) {
         request->retry_at_us = view_version_due_us(request);
         return;
@@ -131,6 +143,23 @@
     }
 }
 
+static void
+log_taken_up(forward_t *forward, const request_t *request,
+             version_answer_t answer)
+{
+    static const char *const answers[] = {[VERSION_FOUND] = "yes",
+                                          [VERSION_AWAITED] = "awaited",
+                                          [VERSION_UNKNOWN] = "no"};
+
+    emit_log(forward, LOG_INFO, "taken-up",
+             "request=%s stream=%016" PRIx64 " after=%" PRId64
+             " known=%s service=%s version=%016" PRIx64 " split=%d",
+             request->id, request->stream, request->last_event_id,
+             answers[answer],
+             request->service_unknown ? "unknown" : request->service,
+             request->version, request->split);
+}
+
 /* A runner may take all the time that a request has. */
 static bool
 outlives_drain(const forward_t *forward, const request_t *request)
@@ -215,53 +244,101 @@
                               : FORWARD_PARTS_MAX;
     request->parts = arena_array(&request->arena, request->part_count + 1,
                                  sizeof(*request->parts));
+    request->common_parts =
+        arena_array(&request->arena, request->part_count + 1,
+                    sizeof(*request->common_parts));
     for (i = 0; i < request->part_count; i++) {
-        request->parts[i] = incoming->parts[i];
+        request->common_parts[i] = incoming->parts[i];
     }
     request->arrived_us = forward->now_us;
     HASH_ADD(hh, forward->requests, number, sizeof(request->number), request);
     return request;
 }
 
-static uint64_t
-hash_route(const route_t *route)
-{
-    const char *name = route->name != NULL ? route->name : route->prefix;
-
-    return XXH3_64bits(name, strlen(name));
-}
-
 static void
 apply_route(forward_t *forward, request_t *request, const route_t *route,
-            uint32_t caller_deadline_ms)
+            const forward_request_t *incoming)
 {
-    const char *name =
-        route_choose_service(route, random_next_from(&forward->random_state));
-    const service_t *service = routing_find_service(forward->routing, name);
     uint32_t limit_ms = route->timeout_ms;
-    uint32_t i;
 
-    if (caller_deadline_ms > 0 &&
-        (limit_ms == 0 || caller_deadline_ms < limit_ms)) {
-        limit_ms = caller_deadline_ms;
+    if (incoming->deadline_ms > 0 &&
+        (limit_ms == 0 || incoming->deadline_ms < limit_ms)) {
+        limit_ms = incoming->deadline_ms;
     }
     request->deadline_us =
         limit_ms == 0 ? INT64_MAX
                       : request->arrived_us + (int64_t)limit_ms * US_PER_MS;
+    request->route = route_hash(route);
+    request->type = route->type;
+    request->resumable = route->resumable;
+    request->attempts_max =
+        route->attempts_max > 0 ? route->attempts_max : ATTEMPTS_DEFAULT;
+    request->latency_objective_ms = route->latency_objective_ms;
+    request_set_service(forward, request,
+                        choose_service(forward, request, route, incoming));
+}
+
+/*
+ * A stream that a caller takes up goes on at its own service.  Other requests
+ * are sent to the one that the host that relays them has drawn, as long as
+ * this host's table has it.
+ */
+static const char *
+choose_service(forward_t *forward, request_t *request, const route_t *route,
+               const forward_request_t *incoming)
+{
+    bool takes_up = route->type == REQUEST_STREAM && route->resumable &&
+                    request->last_event_id >= 0;
+    const char *name = NULL;
+
+    request->split = route->type == REQUEST_STREAM && route->resumable &&
+                     route_services_only(forward, request->route) == NULL;
+    if (request->relayed && incoming->grant.service != 0) {
+        name = route_services_find(forward, request->route,
+                                   incoming->grant.service);
+    }
+    if (takes_up && name == NULL && request->relayed) {
+        name = pool_find_service(forward->pool, incoming->grant.service);
+    }
+    if (takes_up && name == NULL) {
+        name = versions_find_service(forward, request);
+        request->service_unknown = name == NULL;
+    }
+    if (name == NULL || (!takes_up && !is_drawn(route, name))) {
+        name = route_choose_service(route,
+                                    random_next_from(&forward->random_state));
+    }
+    return name;
+}
+
+static bool
+is_drawn(const route_t *route, const char *service)
+{
+    size_t i;
+
+    for (i = 0; i < route->share_count; i++) {
+        if (strcmp(route->shares[i].service, service) == 0) {
+            return route_share_is_drawn(route, i);
+        }
+    }
+    return false;
+}
+
+void
+request_set_service(forward_t *forward, request_t *request, const char *name)
+{
+    const service_t *service = routing_find_service(forward->routing, name);
+    uint32_t i;
+
     request->service = arena_strdup(&request->arena, name);
     for (i = 0; i < request->part_count; i++) {
         request->parts[i] =
-            XXH3_64bits_withSeed(name, strlen(name), request->parts[i]);
+            XXH3_64bits_withSeed(name, strlen(name), request->common_parts[i]);
     }
-    request->route = hash_route(route);
-    request->type = route->type;
     request->event_tokens =
         service != NULL ? service->capabilities.event_tokens : 0;
-    request->resumable = route->resumable;
     request->replicated = service != NULL && service->engine &&
                           service->capabilities.kv_replication &&
-                          route->type == REQUEST_STREAM && route->resumable;
-    request->attempts_max =
-        route->attempts_max > 0 ? route->attempts_max : ATTEMPTS_DEFAULT;
-    request->latency_objective_ms = route->latency_objective_ms;
+                          request->type == REQUEST_STREAM &&
+                          request->resumable;
 }
--- a/forward/forward.c
+++ b/forward/forward.c
@@ -74,6 +74,7 @@
     rollouts_free(forward);
     sharing_free(forward);
     versions_free(forward);
+    route_services_free(forward);
     version_record_free(forward);
     suspicion_free(forward);
     routing_free(forward->routing);
--- a/forward/forward.h
+++ b/forward/forward.h
@@ -101,6 +101,7 @@
     uint32_t attempts;   /* runners that may run it; 0: as the route says */
     uint32_t deliveries; /* that were made before */
     uint64_t version;    /* of the software that began it; 0: none yet */
+    uint64_t service;    /* hash of its name; 0: as the route says */
     const uint64_t *runners;
     uint32_t runner_count;
     int64_t routing_version; /* of the routing table by which the host relays;
@@ -113,6 +114,7 @@
     uint32_t runs;       /* runners that may have run the request */
     uint32_t deliveries; /* runners that may have received it */
     uint64_t version;    /* of the software that began it; 0: none yet */
+    uint64_t service;    /* hash of its name; 0: as the route says */
     const uint64_t *runners;
     uint32_t runner_count;
     int64_t routing_version; /* as in relay_grant_t, of the other host */
--- a/forward/grant.c
+++ b/forward/grant.c
@@ -11,6 +11,9 @@
 #include "forward/private.h"
 
 static uint32_t grantable(const request_t *request);
+static uint64_t stated_service(const request_t *request);
+static void take_service(forward_t *forward, request_t *request,
+                         uint64_t service);
 static const uint64_t *list_receivers(const request_t *request, arena_t *arena,
                                       uint32_t *count);
 static void add_receivers(const forward_t *forward, request_t *request,
@@ -25,6 +28,7 @@
     *grant = (relay_grant_t){.attempts = request->attempt.granted,
                              .deliveries = request->deliveries,
                              .version = request->version,
+                             .service = stated_service(request),
                              .routing_version = forward->routing->version};
     grant->runners = list_receivers(request, &forward->actions->arena,
                                     &grant->runner_count);
@@ -59,6 +63,7 @@
         .runs = request->runs,
         .deliveries = request->deliveries - request->granted_deliveries,
         .version = request->version,
+        .service = stated_service(request),
         .routing_version =
             forward->routing != NULL ? forward->routing->version : 0,
     };
@@ -80,6 +85,7 @@
     if (request->version == 0) {
         request->version = usage->version;
     }
+    take_service(forward, request, usage->service);
     add_receivers(forward, request, usage->runners, usage->runner_count);
 }
 
@@ -136,6 +142,33 @@
     return request->resumable ? (left + 1) / 2 : left;
 }
 
+/* Where the route has one service, the other host knows it. */
+static uint64_t
+stated_service(const request_t *request)
+{
+    return request->split && !request->service_unknown
+               ? pool_hash_service(request->service)
+               : 0;
+}
+
+/* The other host may have drawn another service by a newer table. */
+static void
+take_service(forward_t *forward, request_t *request, uint64_t service)
+{
+    const char *name;
+
+    if (service == 0 || service == pool_hash_service(request->service)) {
+        return;
+    }
+    name = route_services_find(forward, request->route, service);
+    if (name == NULL) {
+        name = pool_find_service(forward->pool, service);
+    }
+    if (name != NULL) {
+        request_set_service(forward, request, name);
+    }
+}
+
 static const uint64_t *
 list_receivers(const request_t *request, arena_t *arena, uint32_t *count)
 {
--- a/forward/pool.c
+++ b/forward/pool.c
@@ -223,6 +223,27 @@
     return runner;
 }
 
+uint64_t
+pool_hash_service(const char *service)
+{
+    uint64_t hash = XXH3_64bits(service, strlen(service));
+
+    return hash != 0 ? hash : 1;
+}
+
+const char *
+pool_find_service(const pool_t *pool, uint64_t service)
+{
+    const pool_runner_t *runner;
+
+    for (runner = pool->runners; runner != NULL; runner = runner->hh.next) {
+        if (pool_hash_service(runner->registration.service) == service) {
+            return runner->registration.service;
+        }
+    }
+    return NULL;
+}
+
 pool_runner_t *
 pool_find_runner(const pool_t *pool, const char *id)
 {
--- a/forward/pool.h
+++ b/forward/pool.h
@@ -138,6 +138,13 @@
 /* Returns the runner whose id has this hash, or NULL. */
 pool_runner_t *pool_find_hash(const pool_t *pool, uint64_t id_hash);
 
+/* Returns a hash of the service's name; never 0. */
+uint64_t pool_hash_service(const char *service);
+
+/* Returns the name of the service that has this hash, if a runner of it is
+ * registered; else NULL. */
+const char *pool_find_service(const pool_t *pool, uint64_t service);
+
 /* Returns the first runner; the others follow through hh.next. */
 const pool_runner_t *pool_first_runner(const pool_t *pool);
 
--- a/forward/private.h
+++ b/forward/private.h
@@ -8,10 +8,11 @@
  * of streams' KV caches, watchdog.c handles timeouts and silence.c silent
  * runners.  identify.c establishes which start of a runner answers.  relay.c
  * relays requests to other hosts, and grant.c counts what these use of them.
- * versions.c keeps the versions of streams in memory, version_record.c and
- * stream_record.c in the store; rollouts.c moves services from one version to
- * another.  sharing.c exchanges load with other hosts, notes.c their findings;
- * suspicion.c detects requests that crash runners.
+ * versions.c keeps the services and versions of streams in memory,
+ * version_record.c and stream_record.c in the store; route_services.c keeps
+ * the services that routes have left.  rollouts.c moves services from one
+ * version to another.  sharing.c exchanges load with other hosts, notes.c
+ * their findings; suspicion.c detects requests that crash runners.
  */
 #ifndef FORWARD_PRIVATE_H
 #define FORWARD_PRIVATE_H
@@ -98,6 +99,8 @@
     arena_t arena;
     const char *id;
     const char *service;
+    bool service_unknown;     /* of the stream that its caller takes up */
+    bool split;               /* its route alone does not tell its service */
     const char *organisation; /* NULL: anonymous */
     request_type_t type;
     bool resumable;
@@ -111,7 +114,8 @@
     bool canary;        /* for the new version, while that is judged */
     bool failed_at_new; /* the new version has responded with an error */
     uint64_t fingerprint;
-    uint64_t *parts; /* as in forward_request_t, for this service */
+    uint64_t *parts;        /* as in forward_request_t, for this service */
+    uint64_t *common_parts; /* the same for all services */
     uint32_t part_count;
     uint64_t suspect; /* due_to of the last crashes_decide() */
     int64_t arrived_us;
@@ -261,15 +265,27 @@
  * return it. */
 #define VERSION_UNCERTAIN UINT64_MAX
 
-/* The version of the software that began a stream. */
+/* Where a stream has begun: what goes on with it comes from there. */
 typedef struct {
     uint64_t stream;
-    uint64_t version;
-    bool own; /* this host began it, and it has not ended as complete */
+    uint64_t service; /* hash of its name; 0: not known */
+    uint64_t route;   /* hash of its name; 0: not known */
+    uint64_t version; /* of the service's software */
+    bool own;   /* this host began it, and it has not ended as complete */
+    bool split; /* its route alone does not tell its service */
     int64_t expiry_us;
     UT_hash_handle hh;
 } stream_version_t;
 
+/* A service that a route no longer sends new streams to. */
+typedef struct {
+    uint64_t pair; /* hash of route and service */
+    uint64_t route;
+    char *service;
+    int64_t until_us; /* streams that began there may be taken up */
+    UT_hash_handle hh;
+} former_service_t;
+
 struct forward {
     forward_settings_t settings;
     char *host;
@@ -292,6 +308,9 @@
                                           streams were counted last */
     session_t *sessions;               /* by session */
     stream_version_t *stream_versions; /* by stream, sorted by expiry */
+    former_service_t *former_services; /* by pair, the oldest ones first */
+    int64_t former_lost_until_us; /* some of them are missing until then */
+    bool routes_split; /* streams of some route have several services */
     version_record_t *version_records; /* by service */
     streams_record_t streams_record;
     bool records_known;          /* the store was read */
@@ -362,6 +381,9 @@
 void admit_held_request(forward_t *forward, request_t *request);
 /* The same if its route is known, but not the version of its stream. */
 void admit_with_version(forward_t *forward, request_t *request);
+/* Sets the service that the request is sent to, and what depends on it. */
+void request_set_service(forward_t *forward, request_t *request,
+                         const char *name);
 
 /* --- view.c --- */
 
@@ -593,15 +615,35 @@
 /* Records that the runner of that serial did not receive the request. */
 void request_mark_not_received(request_t *request, uint64_t serial);
 
+/* --- route_services.c --- */
+
+/* Returns a hash of the route's name. */
+uint64_t route_hash(const route_t *route);
+/* Keeps the services that the next table takes from routes. */
+void route_services_replace(forward_t *forward, const routing_t *next);
+/* Returns the service at which all streams of the route have begun that
+ * callers may take up; NULL: there are several, or none. */
+const char *route_services_only(const forward_t *forward, uint64_t route);
+/* Returns the name of the service if the route leads to it, or has led there;
+ * else NULL. */
+const char *route_services_find(const forward_t *forward, uint64_t route,
+                                uint64_t service);
+void route_services_free(forward_t *forward);
+
 /* --- versions.c --- */
 
-/* Records the version that began the stream of a request. */
+/* Records where the stream of a request has begun. */
 void versions_begin_stream(forward_t *forward, request_t *request);
 /* Records that the stream of a request has ended as complete. */
 void versions_end_stream(forward_t *forward, const request_t *request);
-/* Records the version that began a stream of any host; own: of this one. */
-void versions_record(forward_t *forward, uint64_t stream, uint64_t version,
-                     bool own);
+/* Records where a stream of any host has begun.  The times are left out. */
+void versions_record(forward_t *forward, const stream_version_t *begun);
+/* Returns the service that goes on with the stream that a caller takes up;
+ * NULL: it is not known, or is none of the request's route. */
+const char *versions_find_service(const forward_t *forward,
+                                  const request_t *request);
+/* Marks the streams and requests of these routes as split. */
+void versions_split_routes(forward_t *forward, uint64_t *routes, size_t count);
 /* Records that another host knows several versions to be recorded. */
 void versions_merge_seen(forward_t *forward, const budget_use_t *use);
 typedef enum {
@@ -609,10 +651,14 @@
     VERSION_AWAITED, /* it may be found within some 100 ms */
     VERSION_UNKNOWN, /* and it makes a difference */
 } version_answer_t;
-/* Sets the version with which a caller's request goes on, if it is found. */
+/* Sets the service and the version with which a caller's request goes on, if
+ * they are found. */
 version_answer_t versions_find(forward_t *forward, request_t *request);
-/* Appends the streams of this host that may be taken up again, the newest
- * ones; returns their number. */
+/* Returns whether a stream of this host has begun at one of several services.
+ */
+bool versions_have_split(const forward_t *forward);
+/* Appends the streams of this host that may be taken up again and have to be
+ * in the store, the newest ones; returns their number. */
 size_t versions_write_own(const forward_t *forward, text_t *text, size_t max);
 void versions_expire(forward_t *forward);
 void versions_free(forward_t *forward);
@@ -651,8 +697,11 @@
 
 /* --- stream_record.c; version_record.c calls it, but for the first --- */
 
-/* Records that a stream of this host has begun. */
-void stream_record_begun(forward_t *forward);
+/* Before the service and the route of a group of streams in the record. */
+#define STREAM_PLACE_MARK "@"
+/* Records that a stream of this host has begun; split: at one of several
+ * services of its route. */
+void stream_record_begun(forward_t *forward, bool split);
 void stream_record_set_due(forward_t *forward, int64_t due_us);
 void stream_record_list_begin(forward_t *forward);
 void stream_record_list_end(forward_t *forward);
--- a/forward/routing_table.c
+++ b/forward/routing_table.c
@@ -22,6 +22,7 @@
         routing_free(routing);
         return;
     }
+    route_services_replace(forward, routing);
     routing_free(forward->routing);
     forward->routing = routing;
     emit_log(forward, LOG_INFO, "routing",
--- a/forward/sharing.c
+++ b/forward/sharing.c
@@ -41,6 +41,7 @@
 static void remove_streams(forward_t *forward, peer_state_t *view);
 static void add_streams(forward_t *forward, const peer_state_t *view);
 static void recount_after_start(forward_t *forward);
+static void record_stream(forward_t *forward, const placement_t *placement);
 
 void
 handle_peer_report(forward_t *forward, const forward_peer_report_t *peer)
@@ -76,8 +77,7 @@
         view->placements[i] = peer->placements->items.items_val[i];
         record_session(forward, view->placements[i].session,
                        view->placements[i].runner);
-        versions_record(forward, view->placements[i].stream,
-                        view->placements[i].software, false);
+        record_stream(forward, &view->placements[i]);
     }
     add_streams(forward, view);
     view->budget_count = peer->placements->budgets.budgets_len;
@@ -90,6 +90,24 @@
     suspicion_receive(forward, peer->placements);
 }
 
+/* The service is that of the runner. */
+static void
+record_stream(forward_t *forward, const placement_t *placement)
+{
+    const pool_runner_t *runner =
+        pool_find_hash(forward->pool, placement->runner);
+
+    versions_record(
+        forward,
+        &(stream_version_t){
+            .stream = placement->stream,
+            .service = runner != NULL
+                           ? pool_hash_service(runner->registration.service)
+                           : 0,
+            .version = placement->software,
+        });
+}
+
 /* The last report of a host that stopped sending counts for one window. */
 retry_use_t
 peers_retry_use(const forward_t *forward, const char *service)
--- a/forward/stream_record.c
+++ b/forward/stream_record.c
@@ -1,8 +1,9 @@
 /*
- * stream_record.c - keeps in the store at which version this host has begun
- * its streams; see version_record.c.
+ * stream_record.c - keeps in the store at which service and version this host
+ * has begun its streams; see version_record.c.
  */
 #include <inttypes.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <syslog.h>
@@ -23,6 +24,10 @@
 
 static const char streams_prefix[] = "agatevale/streams/";
 
+static bool is_wanted(const forward_t *forward);
+static void apply_line(forward_t *forward, const char *line,
+                       const stream_version_t *group);
+static const char *read_place(const char *place, stream_version_t *group);
 static void write_streams(forward_t *forward);
 static const char *own_streams_key(const forward_t *forward, arena_t *arena);
 
@@ -45,22 +50,21 @@
     if (!forward->streams_record.listed) {
         forward->streams_record.revision = 0;
     }
-    if (forward->store_restored && version_record_has_several(forward)) {
+    if (forward->store_restored && is_wanted(forward)) {
         stream_record_set_due(forward, forward->now_us);
     }
 }
 
-/* Parses "VERSION STREAM..." on each line.  What an earlier incarnation of
+/* Parses what versions_write_own() writes.  What an earlier incarnation of
  * this host has written stays in its record. */
 void
 stream_record_apply(forward_t *forward, const forward_record_t *record)
 {
     bool own =
         strcmp(record->key + strlen(streams_prefix), forward->host) == 0;
-    const char *text = record->value != NULL ? record->value : "";
-    uint64_t version = 0;
-    bool line_start = true;
-    char *end;
+    const char *line = record->value != NULL ? record->value : "";
+    const char *place = strstr(line, STREAM_PLACE_MARK);
+    const char *end = place != NULL ? place : line + strlen(line);
 
     if (own) {
         forward->streams_record.revision = record->revision;
@@ -69,30 +73,69 @@
     else if (forward->streams_record.dirty) {
         stream_record_set_due(forward, forward->now_us);
     }
-    while (*text != '\0') {
-        uint64_t number = strtoull(text, &end, HEXADECIMAL);
+    while (line < end) {
+        stream_version_t group = {.own = own};
+        char *rest;
 
-        if (end == text) {
+        place = read_place(place, &group);
+        group.version = strtoull(line, &rest, HEXADECIMAL);
+        if (rest == line) {
             emit_log(forward, LOG_WARNING, "record-invalid", "key=%s",
                      record->key);
             return;
         }
-        if (line_start) {
-            version = number;
-        }
-        else {
-            versions_record(forward, number, version, own);
+        apply_line(forward, rest, &group);
+        line += strcspn(line, "\n");
+        line += *line == '\n' ? 1 : 0;
+    }
+}
+
+/* Reads the streams in the rest of a line. */
+static void
+apply_line(forward_t *forward, const char *line, const stream_version_t *group)
+{
+    while (*line == ' ') {
+        stream_version_t begun = *group;
+        char *rest;
+
+        begun.stream = strtoull(line, &rest, HEXADECIMAL);
+        if (rest == line) {
+            return;
         }
-        line_start = *end == '\n';
-        text = line_start ? end + 1 : end;
+        versions_record(forward, &begun);
+        line = rest;
     }
 }
 
+/* Reads the service and route of a group; returns the line of the next one.  A
+ * record without them is of streams whose routes had one service. */
+static const char *
+read_place(const char *place, stream_version_t *group)
+{
+    if (place == NULL ||
+        sscanf(place, STREAM_PLACE_MARK "%" SCNx64 " %" SCNx64,
+               &group->service, &group->route) != 2) {
+        return NULL;
+    }
+    group->split = true;
+    place = strchr(place, '\n');
+    return place != NULL ? place + 1 : NULL;
+}
+
+/* Whether there are streams whose service or version a host that knows nothing
+ * does not find out. */
+static bool
+is_wanted(const forward_t *forward)
+{
+    return forward->routes_split || version_record_has_several(forward) ||
+           versions_have_split(forward);
+}
+
 void
-stream_record_begun(forward_t *forward)
+stream_record_begun(forward_t *forward, bool split)
 {
     if (!forward->streams_record.dirty &&
-        version_record_has_several(forward)) {
+        (split || version_record_has_several(forward))) {
         stream_record_set_due(
             forward, forward->now_us + (int64_t)STREAMS_DELAY_MS * US_PER_MS);
     }
@@ -120,7 +163,7 @@
 
     forward->streams_record.dirty = false;
     forward->streams_record.put_us = forward->now_us;
-    if (!version_record_has_several(forward)) {
+    if (!is_wanted(forward)) {
         if (forward->streams_record.revision != 0) {
             forward->streams_record.pending = true;
             version_record_put(forward, key, NULL,
@@ -164,8 +207,7 @@
 {
     streams_record_t *streams = &forward->streams_record;
 
-    if (streams->revision != 0 && !streams->dirty &&
-        !version_record_has_several(forward)) {
+    if (streams->revision != 0 && !streams->dirty && !is_wanted(forward)) {
         stream_record_set_due(forward, forward->now_us);
     }
     if (streams->dirty && !streams->pending &&
--- a/gateway/host_relay.c
+++ b/gateway/host_relay.c
@@ -23,9 +23,10 @@
 static const char usage_header[] = "X-Relay-Usage";
 
 /* A grant or a usage as text: attempts or runs, deliveries, the version in
- * hexadecimal, the runners in the same, each ended by a comma, and the
- * version of the routing table behind a '#'.  Hosts of older builds stop
- * before it; they write a revision behind an '@' there. */
+ * hexadecimal, the runners in the same, each ended by a comma, the version of
+ * the routing table behind a '#', and the service behind a '/', if its route
+ * has several.  Hosts of older builds stop before these; they write a revision
+ * behind an '@' there. */
 #define COUNTS_FORMAT "%" PRIu32 " %" PRIu32 " %" PRIx64 " "
 #define COUNTS_SCAN "%" SCNu32 " %" SCNu32 " %" SCNx64 " %n"
 
@@ -40,6 +41,8 @@
                               uint32_t *count, const char **end);
 static const char *write_routing_version(arena_t *arena, int64_t version);
 static int64_t read_routing_version(const char *text);
+static const char *write_service(arena_t *arena, uint64_t service);
+static uint64_t read_service(const char *text);
 
 /* The headers are removed in any case: no runner is to receive them. */
 bool
@@ -153,10 +156,11 @@
 host_relay_usage_header(arena_t *arena, const relay_usage_t *usage)
 {
     const char *value =
-        arena_printf(arena, COUNTS_FORMAT "%s%s", usage->runs,
+        arena_printf(arena, COUNTS_FORMAT "%s%s%s", usage->runs,
                      usage->deliveries, usage->version,
                      write_runners(arena, usage->runners, usage->runner_count),
-                     write_routing_version(arena, usage->routing_version));
+                     write_routing_version(arena, usage->routing_version),
+                     write_service(arena, usage->service));
 
     return (header_t){.name = usage_header,
                       .name_bytes = strlen(usage_header),
@@ -183,6 +187,7 @@
     usage->runners =
         read_runners(arena, value + length, &usage->runner_count, &rest);
     usage->routing_version = read_routing_version(rest);
+    usage->service = read_service(rest);
 }
 
 /* A host sends its own Server and Date before the headers of a runner. */
@@ -228,10 +233,11 @@
 write_grant(arena_t *arena, const relay_grant_t *grant)
 {
     return arena_printf(
-        arena, COUNTS_FORMAT "%s%s", grant->attempts, grant->deliveries,
+        arena, COUNTS_FORMAT "%s%s%s", grant->attempts, grant->deliveries,
         grant->version,
         write_runners(arena, grant->runners, grant->runner_count),
-        write_routing_version(arena, grant->routing_version));
+        write_routing_version(arena, grant->routing_version),
+        write_service(arena, grant->service));
 }
 
 static void
@@ -248,6 +254,7 @@
     grant->runners =
         read_runners(arena, text + length, &grant->runner_count, &rest);
     grant->routing_version = read_routing_version(rest);
+    grant->service = read_service(rest);
 }
 
 static const char *
@@ -266,6 +273,21 @@
                                                                    : 0;
 }
 
+static const char *
+write_service(arena_t *arena, uint64_t service)
+{
+    return service != 0 ? arena_printf(arena, "/%" PRIx64, service) : "";
+}
+
+/* Returns 0 if there is none. */
+static uint64_t
+read_service(const char *text)
+{
+    const char *mark = strchr(text, '/');
+
+    return mark != NULL ? strtoull(mark + 1, NULL, HEXADECIMAL) : 0;
+}
+
 static const char *
 write_runners(arena_t *arena, const uint64_t *runners, uint32_t count)
 {
--- a/regress/forwarding.c
+++ b/regress/forwarding.c
@@ -119,6 +119,7 @@
     else if (strcmp(line.words[0], "routing") == 0) {
         event.kind = FORWARD_ROUTING;
         event.u.routing = forwarding_routing(line_number(&line, 1));
+        line_shares(&line, event.u.routing);
     }
     else if (strcmp(line.words[0], "fleet") == 0) {
         do_fleet(forward, at_ms, &line);
@@ -277,6 +278,7 @@
         .relayed = line_has(line, "relayed"),
         .grant = {.attempts = grant.count,
                   .deliveries = grant.deliveries,
+                  .service = line_service(line),
                   .runners = grant.runners,
                   .runner_count = grant.runner_count,
                   .routing_version = line_table(line)},
@@ -335,6 +337,7 @@
             .usage = {.stated = stated,
                       .runs = used.count,
                       .deliveries = used.deliveries,
+                      .service = line_service(line),
                       .runners = used.runners,
                       .runner_count = used.runner_count,
                       .routing_version = line_table(line)}};
@@ -431,6 +434,7 @@
         item->runner = XXH3_64bits(line->words[i], length);
         item->session = strtoull(line->words[i] + length + 1, NULL, DECIMAL);
         item->prefilling = strstr(line->words[i], "/reading") != NULL;
+        line_stream(line->words[i], item);
         placements.items.items_len++;
     }
     if (leaves != NULL) {
--- a/regress/forwarding.h
+++ b/regress/forwarding.h
@@ -15,6 +15,7 @@
  *        [grant=ATTEMPTS:DELIVERIES[:RUNNER,...]]
  *                             what that host grants, and who received it
  *        [table=REVISION]      the routing table of that host
+ *        [service=NAME]       where that host sends it
  *        [connected=MS]        when its connection stood, else now
  *   gone N
  *   head N ATTEMPT STATUS [stranger] [not-run] [refused] [leaving]
@@ -35,7 +36,9 @@
  *                             as: another id, its address
  *   drop RUNNER
  *   list RUNNER... [version=V]  the whole registry, without records
- *   routing VERSION           the table of forwarding_routing()
+ *   routing VERSION [split=SERVICE:WEIGHT,...]
+ *                             the table of forwarding_routing(); split: the
+ *                             services of the first route
  *   contact [revision=N] [source=NAME] [age=MS]
  *                             the table is in force now, or was MS ago
  *   bound APPLY LEAVE         the limits on the age of the view, in ms
@@ -44,15 +47,15 @@
  *   restored                  it is an older copy; a list follows
  *   hosts N
  *   fleet HOST...             all hosts; named as in "ha2", a is the zone
- *   peer HOST gone|RUNNER/SESSION[/reading]... [stale] [number=N]
- *        [isolated]
- *        [use=REQUESTS:REPEATS] [moved=RUNNER] [leaves=RUNNER]
+ *   peer HOST gone|RUNNER/SESSION[/reading][/stream=ID:VERSION]... [stale]
+ * [number=N] [isolated] [use=REQUESTS:REPEATS] [moved=RUNNER] [leaves=RUNNER]
  *                             what another host has; stale: it lacks the
  *                             store; number: of its message, else the time;
  *                             use: of the engines' retry budget; moved: its
  *                             first note says that RUNNER has moved,
  *                             or leaves
- *   record versions/SERVICE|streams/HOST rev=N [VERSION[:REQUEST,...]]...
+ *   record versions/SERVICE|streams/HOST rev=N
+ *        [VERSION[:REQUEST,...[@SERVICE]]]...
  *                             what the store has; rev: revision of the key
  *   written KEY ok|conflict|failed rev=N [VERSION[:REQUEST,...]]...
  *                             how a write of a record has ended
--- a/regress/forwarding_line.c
+++ b/regress/forwarding_line.c
@@ -138,3 +138,49 @@
     }
     return true;
 }
+
+void
+line_shares(const line_t *line, routing_t *routing)
+{
+    const char *text = line_value(line, "split");
+    route_t *route = &routing->routes[0];
+
+    if (text == NULL) {
+        return;
+    }
+    route->shares =
+        arena_array(&routing->arena, WORDS_MAX, sizeof(*route->shares));
+    route->share_count = 0;
+    while (*text != '\0') {
+        traffic_share_t *share = &route->shares[route->share_count];
+        char *rest;
+
+        share->service = arena_strndup(&routing->arena, text, 1);
+        share->weight = (uint32_t)strtoul(text + 2, &rest, DECIMAL);
+        route->share_count++;
+        text = *rest == ',' ? rest + 1 : rest;
+    }
+}
+
+uint64_t
+line_service(const line_t *line)
+{
+    const char *name = line_value(line, "service");
+
+    return name != NULL ? XXH3_64bits(name, strlen(name)) : 0;
+}
+
+void
+line_stream(const char *word, placement_t *item)
+{
+    const char *id = strstr(word, "/stream=");
+    size_t length;
+
+    if (id == NULL) {
+        return;
+    }
+    id += strlen("/stream=");
+    length = strcspn(id, ":");
+    item->stream = XXH3_64bits(id, length);
+    item->software = XXH3_64bits(id + length + 1, strlen(id + length + 1));
+}
--- a/regress/forwarding_private.h
+++ b/regress/forwarding_private.h
@@ -45,6 +45,12 @@
 /* The time in ms that the field names, else at_ms. */
 int64_t line_time_us(const line_t *line, const char *name, int64_t at_ms);
 const runner_report_t *line_report(const line_t *line);
+/* Gives the streams' route the services of "split=SERVICE:WEIGHT,...". */
+void line_shares(const line_t *line, routing_t *routing);
+/* The hash of "service=NAME", or 0. */
+uint64_t line_service(const line_t *line);
+/* Reads what follows "/stream=ID:VERSION" in a word. */
+void line_stream(const char *word, placement_t *item);
 /* Reads NAME=COUNT:DELIVERIES[:RUNNER,...]; false: it is not stated. */
 bool line_counts(const line_t *line, const char *name, line_counts_t *counts);
 
--- a/regress/forwarding_record.c
+++ b/regress/forwarding_record.c
@@ -20,7 +20,28 @@
                    (uint64_t)XXH3_64bits(name, length), end);
 }
 
-/* Writes "VERSION..." or "VERSION:REQUEST,..." as the store has them. */
+/* Appends the service of each group, and the route of all. */
+static void
+append_places(const line_t *line, size_t first)
+{
+    static const char route[] = "stream";
+    size_t i;
+
+    for (i = first; i < line->count; i++) {
+        const char *service = strchr(line->words[i], '@');
+
+        if (service != NULL) {
+            size_t used = strlen(value);
+
+            (void)snprintf(value + used, sizeof(value) - used, "@");
+            append_hash(service + 1, strlen(service + 1), ' ');
+            append_hash(route, strlen(route), '\n');
+        }
+    }
+}
+
+/* Writes "VERSION..." or "VERSION:REQUEST,...[@SERVICE]" as the store has
+ * them. */
 static void
 write_value(const line_t *line, size_t first)
 {
@@ -35,12 +56,13 @@
             continue;
         }
         append_hash(word, length, ' ');
-        while (word[length] != '\0') {
+        while (word[length] != '\0' && word[length] != '@') {
             word += length + 1;
-            length = strcspn(word, ",");
-            append_hash(word, length, word[length] == '\0' ? '\n' : ' ');
+            length = strcspn(word, ",@");
+            append_hash(word, length, word[length] == ',' ? ' ' : '\n');
         }
     }
+    append_places(line, first);
 }
 
 static forward_record_t
--- a/world/routing.c
+++ b/world/routing.c
@@ -93,8 +93,8 @@
     return NULL;
 }
 
-const char *
-route_choose_service(const route_t *route, uint64_t random_value)
+static uint64_t
+sum_weights(const route_t *route)
 {
     uint64_t total = 0;
     size_t i;
@@ -102,6 +102,22 @@
     for (i = 0; i < route->share_count; i++) {
         total += route->shares[i].weight;
     }
+    return total;
+}
+
+bool
+route_share_is_drawn(const route_t *route, size_t share)
+{
+    return route->shares[share].weight > 0 ||
+           (share == 0 && sum_weights(route) == 0);
+}
+
+const char *
+route_choose_service(const route_t *route, uint64_t random_value)
+{
+    uint64_t total = sum_weights(route);
+    size_t i;
+
     if (total == 0) {
         return route->share_count > 0 ? route->shares[0].service : NULL;
     }
--- a/world/routing.h
+++ b/world/routing.h
@@ -139,6 +139,9 @@
 const service_t *routing_find_service(const routing_t *routing,
                                       const char *name);
 
+/* Returns whether route_choose_service() may choose the share. */
+bool route_share_is_drawn(const route_t *route, size_t share);
+
 /*
  * Chooses a service of the route with a probability proportional to its
  * weight.  random_value is uniformly distributed over 64 bits.  Returns NULL
