An answer that ends before its request was sent is not complete

Callers saw: part of a body as a complete 200, or a stream that ended as complete after an event, when a runner answered an upload at once with neither length nor chunks and then ended its side of the connection.

Cause: such an answer ends with its connection, and libcurl takes the end for success also while the upload is being sent.

Fix: an answer that ends with its connection is complete only if the request was written, none of it waited in the socket when the connection was closed, and no reset had come by then.

--- a/http/client.c
+++ b/http/client.c
@@ -6,7 +6,11 @@
 #include "base/arena.h"
 #include "http/client_private.h"
 
-enum { IDLE_CONNECTIONS_MAX = 128 };
+enum {
+    IDLE_CONNECTIONS_MAX = 128,
+    STATUS_NO_CONTENT = 204,
+    STATUS_NOT_MODIFIED = 304,
+};
 
 static int on_socket(CURL *easy, curl_socket_t fd, int what, void *context,
                      void *socket_context);
@@ -20,6 +24,7 @@
 static void run_deferred_work(http_client_t *client);
 static void complete_call(http_call_t *call, CURLcode code);
 static http_result_t call_result(http_call_t *call, CURLcode code);
+static bool is_end_certain(const http_call_t *call);
 static void start_stall_timer(http_call_t *call,
                               const http_request_t *request);
 static void on_stall_timer(uv_timer_t *timer);
@@ -292,7 +297,9 @@
     }
     /* libcurl reports success if the connection closes within the headers. */
     if (code == CURLE_OK) {
-        return call->head_delivered ? HTTP_DONE : HTTP_CONNECTION_LOST;
+        return call->head_delivered && is_end_certain(call)
+                   ? HTTP_DONE
+                   : HTTP_CONNECTION_LOST;
     }
     (void)curl_easy_getinfo(call->easy, CURLINFO_REQUEST_SIZE, &sent_bytes);
     if (sent_bytes == 0) {
@@ -304,6 +311,28 @@
                                             : HTTP_CONNECTION_LOST;
 }
 
+/*
+ * A response with neither a length nor chunks ends with its connection.  A
+ * peer that closes it before it has received the request has not served that
+ * one: a reset may follow, which would no longer be seen.
+ */
+static bool
+is_end_certain(const http_call_t *call)
+{
+    curl_off_t uploaded_bytes = 0;
+    long status = 0;
+
+    (void)curl_easy_getinfo(call->easy, CURLINFO_RESPONSE_CODE, &status);
+    if (call->response_has_no_body || status == STATUS_NO_CONTENT ||
+        status == STATUS_NOT_MODIFIED ||
+        framing_result(&call->framing, false) != FRAMING_NO_BODY) {
+        return true;
+    }
+    (void)curl_easy_getinfo(call->easy, CURLINFO_SIZE_UPLOAD_T,
+                            &uploaded_bytes);
+    return uploaded_bytes >= call->request_body_bytes && !call->request_cut;
+}
+
 /* libcurl brings its total time up to date between callbacks only. */
 int64_t
 http_connection_age_us(const http_call_t *call)
--- a/http/client_private.h
+++ b/http/client_private.h
@@ -29,6 +29,10 @@
     bool timed_out;      /* before the request was sent */
     bool too_large;      /* the response exceeds a limit */
     bool end_pending;    /* for that reason */
+    int64_t request_body_bytes;
+    bool request_cut; /* it was not received in full when its connection was
+                         closed, or that was reset */
+    bool response_has_no_body;
     framing_fields_t framing; /* of the head that is being received */
     uint32_t fields;          /* lines received that are no part of the body */
     uint32_t field_bytes;
--- a/http/client_request.c
+++ b/http/client_request.c
@@ -1,9 +1,12 @@
 /* client_request.c - sets up the request of a call. */
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <string.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <time.h>
+#include <unistd.h>
 
 #include "http/client_private.h"
 
@@ -21,6 +24,7 @@
                          curlsocktype purpose);
 static int on_before_send(void *context, char *remote, char *local,
                           int remote_port, int local_port);
+static int on_close_socket(void *context, curl_socket_t fd);
 static int64_t now_ms(void);
 
 void
@@ -58,6 +62,9 @@
     if (request->fresh_connection) {
         curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
         curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
+        /* The connection does not outlive the call. */
+        curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, on_close_socket);
+        curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, call);
     }
     if (request->target != NULL) {
         curl_easy_setopt(easy, CURLOPT_REQUEST_TARGET, request->target);
@@ -87,9 +94,11 @@
 
     if (strcmp(request->method, "HEAD") == 0) {
         curl_easy_setopt(call->easy, CURLOPT_NOBODY, 1L);
+        call->response_has_no_body = true;
         return;
     }
     if (has_body || request->body != NULL) {
+        call->request_body_bytes = (int64_t)request->body_bytes;
         curl_easy_setopt(call->easy, CURLOPT_POST, 1L);
         curl_easy_setopt(call->easy, CURLOPT_POSTFIELDSIZE_LARGE,
                          (curl_off_t)request->body_bytes);
@@ -113,6 +122,23 @@
     return CURL_SOCKOPT_OK;
 }
 
+/* Where the system does not tell, all bytes count as received. */
+static int
+on_close_socket(void *context, curl_socket_t fd)
+{
+    http_call_t *call = context;
+    int unsent_bytes = 0;
+    int error = 0;
+    socklen_t length = sizeof(error);
+
+    if ((ioctl(fd, SIOCOUTQ, &unsent_bytes) == 0 && unsent_bytes > 0) ||
+        (getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &length) == 0 &&
+         error != 0)) {
+        call->request_cut = true;
+    }
+    return close(fd);
+}
+
 /*
  * Checks the deadline just before the request is sent.  The connect timeout
  * of libcurl starts only when it first processes the call, and this process
--- a/http/http.h
+++ b/http/http.h
@@ -23,8 +23,9 @@
     HTTP_DONE,            /* complete response, of any status */
     HTTP_NOT_SENT,        /* no byte of the request was sent */
     HTTP_CONNECTION_LOST, /* the connection failed after sending began, the
-                    peer acknowledged no data for 6 s, or the head of the
-                    response is ambiguous (http/framing.h) */
+                    peer acknowledged no data for 6 s, the head of the response
+                    is ambiguous (http/framing.h), or a response that ends with
+                    its connection ended before the peer had the request */
     HTTP_TIMEOUT,         /* timeout_ms passed, or the response stalled; the
                     request may have run */
     HTTP_TOO_LARGE,       /* the response exceeds response_max_bytes, or its
