A status above 599 is a runner's fault, and is not passed on

Callers saw: "HTTP/1.1 600" or 999 with a body, as the runner had sent it.

Cause: the HTTP library refuses what is not three digits, and takes all below 200 for interim responses; nothing checked the other end.

Evidence: test_early_answer, host and runners as processes.

Fix: the HTTP client ends the call as invalid before the head is delivered. That is handled as other invalid responses: safe requests are tried at another runner, streams go on at another one, all else gets 502.

--- a/gateway/upstream.c
+++ b/gateway/upstream.c
@@ -413,7 +413,7 @@
     static const send_result_t results[] = {
         [HTTP_DONE] = SEND_COMPLETE,          [HTTP_NOT_SENT] = SEND_NOT_SENT,
         [HTTP_CONNECTION_LOST] = SEND_BROKEN, [HTTP_TIMEOUT] = SEND_BROKEN,
-        [HTTP_TOO_LARGE] = SEND_INVALID,
+        [HTTP_TOO_LARGE] = SEND_INVALID,      [HTTP_INVALID] = SEND_INVALID,
     };
     exchange_t *exchange = (exchange_t *)sink;
 
--- a/http/client.c
+++ b/http/client.c
@@ -295,6 +295,9 @@
     if (call->too_large) {
         return HTTP_TOO_LARGE;
     }
+    if (call->invalid_status) {
+        return HTTP_INVALID;
+    }
     /* libcurl reports success if the connection closes within the headers. */
     if (code == CURLE_OK) {
         return call->head_delivered && is_end_certain(call)
--- a/http/client_private.h
+++ b/http/client_private.h
@@ -29,6 +29,7 @@
     bool timed_out;      /* before the request was sent */
     bool too_large;      /* the response exceeds a limit */
     bool end_pending;    /* for that reason */
+    bool invalid_status;
     int64_t request_body_bytes;
     bool request_cut; /* it was not received in full when its connection was
                          closed, or that was reset */
--- a/http/client_response.c
+++ b/http/client_response.c
@@ -3,7 +3,11 @@
 
 #include "http/client_private.h"
 
-enum { HTTP_STATUS_FINAL_MIN = 200, MS_PER_S = 1000 };
+enum {
+    HTTP_STATUS_FINAL_MIN = 200,
+    HTTP_STATUS_MAX = 599,
+    MS_PER_S = 1000,
+};
 
 static int on_received(CURL *easy, curl_infotype type, char *bytes,
                        size_t length, void *context);
@@ -89,6 +93,10 @@
     if (status < HTTP_STATUS_FINAL_MIN) {
         return length;
     }
+    if (status > HTTP_STATUS_MAX) {
+        call->invalid_status = true;
+        return 0;
+    }
     if (framing_result(&call->framing, false) == FRAMING_AMBIGUOUS) {
         return 0;
     }
--- a/http/http.h
+++ b/http/http.h
@@ -26,6 +26,7 @@
                     peer acknowledged no data for 6 s, the head of the response
                     is ambiguous (http/framing.h), or a response that ends with
                     its connection ended before the peer had the request */
+    HTTP_INVALID,         /* the status of the response is above 599 */
     HTTP_TIMEOUT,         /* timeout_ms passed, or the response stalled; the
                     request may have run */
     HTTP_TOO_LARGE,       /* the response exceeds response_max_bytes, or its
--- a/regress/test_early_answer.c
+++ b/regress/test_early_answer.c
@@ -1,6 +1,6 @@
 /*
  * test_early_answer.c - a host, as a process, beside runners that answer
- * before they have read a request.
+ * before they have read a request, or with a status that is none.
  */
 #include <arpa/inet.h>
 #include <signal.h>
@@ -30,6 +30,8 @@
 #define EVENT                                                                 \
     "HTTP/1.1 200 OK\r\n" OWN                                                 \
     "Content-Type: text/event-stream\r\n\r\nid: 0\ndata: zero\n\n"
+#define WITH_STATUS(status)                                                   \
+    "HTTP/1.1 " status " Odd\r\n" OWN "Content-Length: 5\r\n\r\nfalse"
 #define SOUND "HTTP/1.1 200 OK\r\n" OWN "Content-Length: 5\r\n\r\nhello"
 
 /* What a runner reads of a request before it answers, and how it ends. */
@@ -113,6 +115,42 @@
      {EVENT, READ_ALL, END_FIN},
      "\r\n0\r\n",
      "502"},
+    {"status 600",
+     "/unsafe/x",
+     1,
+     {WITH_STATUS("600"), READ_ALL, END_FIN},
+     "HTTP/1.1 502 ",
+     "false"},
+    {"status 999",
+     "/unsafe/x",
+     1,
+     {WITH_STATUS("999"), READ_ALL, END_FIN},
+     "HTTP/1.1 502 ",
+     "false"},
+    {"status 000",
+     "/unsafe/x",
+     1,
+     {WITH_STATUS("000"), READ_ALL, END_FIN},
+     "HTTP/1.1 502 ",
+     "false"},
+    {"status 099",
+     "/unsafe/x",
+     1,
+     {WITH_STATUS("099"), READ_ALL, END_FIN},
+     "HTTP/1.1 502 ",
+     "false"},
+    {"status 599",
+     "/unsafe/x",
+     1,
+     {WITH_STATUS("599"), READ_ALL, END_FIN},
+     "HTTP/1.1 599 ",
+     "502"},
+    {"a stream with status 600",
+     "/stream/x",
+     1,
+     {WITH_STATUS("600"), READ_ALL, END_FIN},
+     "HTTP/1.1 50",
+     "false"},
 };
 
 /* There is a sound runner, too, that serves what may be tried again. */
@@ -123,6 +161,18 @@
      {PART, READ_HEAD, END_FIN_RESET},
      "hello",
      "part"},
+    {"status 600 of a safe request",
+     "/safe/x",
+     1,
+     {WITH_STATUS("600"), READ_ALL, END_FIN},
+     "hello",
+     "false"},
+    {"status 000 of a safe request",
+     "/safe/x",
+     1,
+     {WITH_STATUS("000"), READ_ALL, END_FIN},
+     "hello",
+     "false"},
 };
 
 /* Reads to the end of the head or of the body of a request. */
@@ -310,7 +360,7 @@
                   "%s, %s: got\n%s", row->name, row->path, response);
 }
 
-START_TEST(test_nothing_short_is_passed_on)
+START_TEST(test_nothing_short_or_odd_is_passed_on)
 {
     const early_case_t *row = &alone[_i];
     process_t runner = start_runner(&row->runner);
@@ -352,7 +402,7 @@
 {
     TCase *tcase = tcase_create("early_answer");
 
-    tcase_add_loop_test(tcase, test_nothing_short_is_passed_on, 0,
+    tcase_add_loop_test(tcase, test_nothing_short_or_odd_is_passed_on, 0,
                         sizeof(alone) / sizeof(alone[0]));
     tcase_add_loop_test(tcase, test_safe_request_is_tried_elsewhere, 0,
                         sizeof(beside_sound) / sizeof(beside_sound[0]));
