A route whose weights are all 0 sends no new requests

Callers saw: after an operator set all weights of a route to 0, all its requests went to the service that stood first.

Cause: route_choose_service() took the first share when the weights had no sum, as if there had been none.

Evidence: row route_whose_weights_are_all_0 of test_split_routes: before, "send 2.1 ra1"; after, 503 no-runner at once. Streams that began there still go on there.

Fix: no service is drawn, and the request is refused at once as not run.

--- a/forward/admission.c
+++ b/forward/admission.c
@@ -84,7 +84,7 @@
         if (request->relayed) {
             grant_accept(forward, request, &incoming->grant);
         }
-        if (!request->relayed) {
+        if (!request->relayed && request->service != NULL) {
             retry_budget_add_request(
                 service_retry_budget(forward, request->service),
                 forward->now_us);
@@ -113,6 +113,10 @@
         refuse_request(forward, request, REFUSE_DRAINING);
         return;
     }
+    if (request->service == NULL) {
+        refuse_request(forward, request, REFUSE_NO_RUNNER);
+        return;
+    }
     admit_with_version(forward, request);
 }
 
@@ -260,6 +264,7 @@
             const forward_request_t *incoming)
 {
     uint32_t limit_ms = route->timeout_ms;
+    const char *name;
 
     if (incoming->deadline_ms > 0 &&
         (limit_ms == 0 || incoming->deadline_ms < limit_ms)) {
@@ -274,14 +279,16 @@
     request->attempts_max =
         route->attempts_max > 0 ? route->attempts_max : ATTEMPTS_DEFAULT;
     request->latency_objective_ms = route->latency_objective_ms;
-    request_set_service(forward, request,
-                        choose_service(forward, request, route, incoming));
+    name = choose_service(forward, request, route, incoming);
+    if (name != NULL) {
+        request_set_service(forward, request, name);
+    }
 }
 
 /*
  * A stream that a caller takes up goes on at its own service.  Other requests
  * are sent to the one that the host that relays them has drawn, as long as
- * this host's table has it.
+ * this host's table has it.  Returns NULL if the route has no service for it.
  */
 static const char *
 choose_service(forward_t *forward, request_t *request, const route_t *route,
--- a/forward/grant.c
+++ b/forward/grant.c
@@ -146,7 +146,8 @@
 static uint64_t
 stated_service(const request_t *request)
 {
-    return request->split && !request->service_unknown
+    return request->split && !request->service_unknown &&
+                   request->service != NULL
                ? pool_hash_service(request->service)
                : 0;
 }
--- a/regress/test_split_routes.c
+++ b/regress/test_split_routes.c
@@ -163,7 +163,22 @@
     {10, "request 2 stream relayed grant=2:0 service=r", "send 2.1 tb1"},
 };
 
+/* An operator may empty a route: no service is taken for another. */
+static const forwarding_line_t route_whose_weights_are_all_0[] = {
+    BEGUN_AT_ONLY_R,
+    {910, "routing 2 split=r:0,t:0", NULL},
+    {920, "request 2 stream", "refuse 2 no-runner 503 not-run after=500"},
+    {930, "request 3 stream after=5 resumes=q9",
+     "refuse 3 no-runner 503 not-run after=500"},
+    {940, "request 5 stream relayed grant=2:0",
+     "refuse 5 no-runner 503 not-run after=500"},
+    {950, "gone 1", "cancel 1.1"},
+    {960, "request 4 stream after=0 resumes=q1",
+     "send 4.1 ra1 backup=10.17.1.1:80 resume"},
+};
+
 static const forwarding_script_t scripts[] = {
+    FORWARDING_SCRIPT(route_whose_weights_are_all_0),
     FORWARDING_SCRIPT(service_whose_weight_became_0),
     FORWARDING_SCRIPT(service_that_left_the_route),
     FORWARDING_SCRIPT(service_of_another_hosts_stream),
--- a/world/routing.c
+++ b/world/routing.c
@@ -93,33 +93,23 @@
     return NULL;
 }
 
-static uint64_t
-sum_weights(const route_t *route)
-{
-    uint64_t total = 0;
-    size_t i;
-
-    for (i = 0; i < route->share_count; i++) {
-        total += route->shares[i].weight;
-    }
-    return total;
-}
-
 bool
 route_share_is_drawn(const route_t *route, size_t share)
 {
-    return route->shares[share].weight > 0 ||
-           (share == 0 && sum_weights(route) == 0);
+    return route->shares[share].weight > 0;
 }
 
 const char *
 route_choose_service(const route_t *route, uint64_t random_value)
 {
-    uint64_t total = sum_weights(route);
+    uint64_t total = 0;
     size_t i;
 
+    for (i = 0; i < route->share_count; i++) {
+        total += route->shares[i].weight;
+    }
     if (total == 0) {
-        return route->share_count > 0 ? route->shares[0].service : NULL;
+        return NULL;
     }
     random_value %= total;
     for (i = 0; random_value >= route->shares[i].weight; i++) {
--- a/world/routing.h
+++ b/world/routing.h
@@ -145,7 +145,7 @@
 /*
  * Chooses a service of the route with a probability proportional to its
  * weight.  random_value is uniformly distributed over 64 bits.  Returns NULL
- * if the route has no services.
+ * if no service has a weight above 0.
  */
 const char *route_choose_service(const route_t *route, uint64_t random_value);
 
