Limits that a routing table no longer has are the defaults again

Callers saw: after an operator took MaxBodyBytes or IdleTimeoutMs out of the table, the values of the table before it stayed in force until the process restarted, so that hosts refused different bodies.

Cause: front_set_limits() left a value alone when the table had none.

Evidence: test_absent_limits_are_the_defaults: before, an upload of 20 bytes still gets 413 by the limit of 10 that the table before had; after, 200.

Fix: an absent limit sets the default.

--- a/gateway/front.c
+++ b/gateway/front.c
@@ -132,14 +132,15 @@
 void
 front_set_limits(front_t *front, const caller_limits_t *limits)
 {
-    if (limits->body_bytes_max > 0) {
-        front->config.max_request_entity_size = limits->body_bytes_max;
-        guard_set_body_max(front->guard, limits->body_bytes_max);
-    }
-    if (limits->idle_timeout_ms > 0) {
-        front->context.http1.req_timeout.timeout =
-            limits->idle_timeout_ms + IDLE_TIMEOUT_MARGIN_MS;
-    }
+    uint32_t body_max_bytes =
+        limits->body_bytes_max > 0 ? limits->body_bytes_max : BODY_MAX_BYTES;
+
+    front->config.max_request_entity_size = body_max_bytes;
+    guard_set_body_max(front->guard, body_max_bytes);
+    front->context.http1.req_timeout.timeout =
+        limits->idle_timeout_ms > 0
+            ? limits->idle_timeout_ms + IDLE_TIMEOUT_MARGIN_MS
+            : IDLE_TIMEOUT_DEFAULT_MS;
 }
 
 void
--- a/regress/test_gateway.c
+++ b/regress/test_gateway.c
@@ -175,6 +175,46 @@
 }
 END_TEST
 
+/* Returns whether the response to an upload of 20 bytes has that text. */
+static bool
+upload_gets(gateway_host_t *host, const char *expected)
+{
+    raw_caller_t *caller = raw_caller_new(host, host->listen_address);
+    bool found;
+
+    raw_caller_send(caller, REQUEST("POST", "/unsafe/p",
+                                    "Connection: close\r\nContent-Length: "
+                                    "20\r\n") "01234567890123456789");
+    found = raw_caller_wait(caller, expected);
+    raw_caller_free(caller);
+    return found;
+}
+
+/* A limit must not outlive the routing table that has it. */
+START_TEST(test_absent_limits_are_the_defaults)
+{
+    static const char format[] =
+        "{\"Version\":%d,\"Routes\":[{\"Host\":\"host.example\","
+        "\"PathPrefix\":\"/unsafe/\",\"Type\":\"unsafe\","
+        "\"Service\":\"plain\"}]%s}";
+    gateway_host_t host;
+    arena_t arena = {0};
+
+    gateway_host_open(&host);
+    gateway_host_runner(&host, "plain-1", "plain", "a", complete_reply, 1);
+    gateway_host_put(
+        &host, "op/config",
+        arena_printf(&arena, format, 2, ",\"Limits\":{\"MaxBodyBytes\":10}"));
+    gateway_host_settle(&host);
+    ck_assert(upload_gets(&host, "HTTP/1.1 413"));
+    gateway_host_put(&host, "op/config", arena_printf(&arena, format, 3, ""));
+    gateway_host_settle(&host);
+    ck_assert(upload_gets(&host, "hello"));
+    gateway_host_close(&host);
+    arena_free(&arena);
+}
+END_TEST
+
 /*
  * A stream that breaks off and cannot be resumed must be aborted, so that the
  * caller does not take it for complete: the zero-length chunk that ends a
@@ -369,6 +409,7 @@
 
     (void)signal(SIGPIPE, SIG_IGN); /* as the daemon does */
     tcase_add_loop_test(tcase, test_request_and_response, 0, COUNT(exchanges));
+    tcase_add_test(tcase, test_absent_limits_are_the_defaults);
     tcase_add_test(tcase, test_broken_stream_is_aborted);
     tcase_add_test(tcase, test_closed_caller_is_not_forwarded);
     tcase_add_test(tcase, test_rejection_after_a_response_answers_nothing);
