Soak: split routes, tenants that come and go, uploads answered early

SPLIT=1 has engines of three services behind one route, all of one version; weights change, become 0, and services leave the route and come back. A caller checks that all events of its stream are of one service. TENANTS=1 writes lists of keys in several forms, empty and unreadable ones among them; what runs is checked against the keys that are there, a 401 against those that may be thought to be gone. UPLOADS=1 sends bodies of 300 KB; links to plain runners answer some of them at once, without a length, end and reset.

--- a/regress/soak/answer.c
+++ b/regress/soak/answer.c
@@ -38,9 +38,11 @@
     const char *at = strstr(body + caller->checked, "id: ");
     const char *end = at != NULL ? strstr(at, "\n\n") : NULL;
 
-    if (end == NULL ||
-        sscanf(at, "id: %" SCNd64 "\ndata: %16s v%" SCNu32 " born %" SCNd64,
-               id, data, &writer->version, &writer->born_ms) != 4) {
+    if (end == NULL || sscanf(at,
+                              "id: %" SCNd64 "\ndata: %16s v%" SCNu32
+                              " born %" SCNd64 " s%" SCNu32,
+                              id, data, &writer->version, &writer->born_ms,
+                              &writer->service) != 5) {
         return false;
     }
     caller->checked = (size_t)(end + 2 - body);
--- a/regress/soak/caller.c
+++ b/regress/soak/caller.c
@@ -53,7 +53,6 @@
     uint64_t denied; /* the second key's */
     uint64_t in_a_row;
     bool calm;
-    bool revoked;
 } state;
 
 static void on_tick(uv_timer_t *timer);
@@ -119,12 +118,6 @@
     return state.in_a_row >= RECOVERED;
 }
 
-void
-callers_revoked(void)
-{
-    state.revoked = true;
-}
-
 void
 callers_report(void)
 {
@@ -222,6 +215,17 @@
     send_request(caller);
 }
 
+static void
+send_body(caller_t *caller)
+{
+    static char body[SOAK_UPLOAD_BYTES];
+    size_t length = soak_plays(SOAK_UPLOADS) ? sizeof(body) : 4;
+
+    memset(body, 'x', length);
+    text_printf(&caller->sent, "Content-Length: %zu\r\n\r\n", length);
+    text_append(&caller->sent, body, length);
+}
+
 static void
 send_request(caller_t *caller)
 {
@@ -253,9 +257,12 @@
                     "Last-Event-Id: %" PRId64 "\r\nResumes: %s\r\n",
                     caller->event, caller->began);
     }
-    text_puts(&caller->sent, caller->kind == KIND_UNSAFE
-                                 ? "Content-Length: 4\r\n\r\nbody"
-                                 : "\r\n");
+    if (caller->kind == KIND_UNSAFE) {
+        send_body(caller);
+    }
+    else {
+        text_puts(&caller->sent, "\r\n");
+    }
     caller->sent_ms = soak_now_ms();
     caller->deadline_ms = caller->sent_ms + deadline_ms;
     ledger_sent(caller->attempt, caller->deadline_ms);
@@ -297,7 +304,7 @@
         finish(caller, true);
         return;
     case 401:
-        if (caller->key != 2 || !state.revoked) {
+        if (!tenants_may_deny(caller->key, caller->sent_ms)) {
             soak_broken("denied", "%s got 401 with key %u", caller->attempt,
                         caller->key);
         }
--- a/regress/soak/caller.h
+++ b/regress/soak/caller.h
@@ -15,6 +15,7 @@
 /* What wrote an event. */
 typedef struct {
     uint32_t version;
+    uint32_t service;
     int64_t born_ms;
 } writer_t;
 
--- a/regress/soak/fault.c
+++ b/regress/soak/fault.c
@@ -33,6 +33,9 @@
     FAULT_SILENCE,
     FAULT_PARTITION,
     FAULT_RESTART,
+    FAULT_SHARES,
+    FAULT_TENANTS,
+    FAULT_EARLY,
     FAULTS,
 } fault_t;
 
@@ -63,6 +66,9 @@
                          partition_begin},
     [FAULT_RESTART] = {"restart", 30, true, false, SOAK_VERSIONS,
                        versions_restart},
+    [FAULT_SHARES] = {"shares", 12, true, true, SOAK_SPLIT, split_change},
+    [FAULT_TENANTS] = {"tenants", 8, true, true, SOAK_TENANTS, tenants_change},
+    [FAULT_EARLY] = {"early", 10, true, true, SOAK_UPLOADS, uploads_begin},
 };
 
 typedef enum {
@@ -239,6 +245,9 @@
     case FAULT_SILENCE:
     case FAULT_PARTITION:
     case FAULT_RESTART:
+    case FAULT_SHARES:
+    case FAULT_TENANTS:
+    case FAULT_EARLY:
         faults[fault].begin();
         return;
     case FAULTS:
@@ -254,6 +263,7 @@
         soak_store_mode(STORE_ANSWERS);
     }
     partition_tick();
+    uploads_tick();
 }
 
 void
@@ -262,6 +272,8 @@
     hosts_heal();
     runners_heal();
     partition_heal();
+    tenants_heal();
+    uploads_heal();
     soak_store_mode(STORE_ANSWERS);
     soak_store_lose(0);
 }
--- a/regress/soak/proxy.c
+++ b/regress/soak/proxy.c
@@ -6,7 +6,13 @@
 
 #include "regress/soak/soak.h"
 
-enum { BACKLOG = 512, READ_BYTES = 16384, LATE_MS = 120 };
+enum {
+    BACKLOG = 512,
+    READ_BYTES = 16384,
+    RECEIVE_BYTES = 16384, /* with uploads: most of one is not received */
+    LATE_MS = 120,
+    EARLY_RESET_MS = 20, /* after the end of an early answer */
+};
 
 typedef struct link link_t;
 
@@ -29,6 +35,7 @@
     uv_connect_t connect;
     bool waiting; /* for the link to pass, to be connected */
     bool connecting;
+    bool early; /* it answers by itself */
     int handles;
 };
 
@@ -37,6 +44,7 @@
     uint16_t target;
     link_mode_t mode;
     bool knows_hosts;
+    int room; /* of the sockets of connections; 0: as the system has it */
     link_mode_t host_modes[SOAK_HOSTS_MAX + 1];
     LIST_HEAD(, link) links;
 };
@@ -57,6 +65,8 @@
 static void on_read(uv_stream_t *stream, ssize_t length, const uv_buf_t *buf);
 static void on_end_closed(uv_handle_t *handle);
 static void on_late(uv_timer_t *timer);
+static void on_piece_closed(uv_handle_t *handle);
+static bool answer_early(link_t *link, const char *request, size_t length);
 static void on_written(uv_write_t *write, int status);
 static void on_shut(uv_shutdown_t *shut, int status);
 static link_mode_t mode_of(const link_t *link);
@@ -77,6 +87,9 @@
     LIST_INIT(&proxy->links);
     (void)uv_tcp_init(soak_loop(), &proxy->listener);
     (void)uv_ip4_addr("127.0.0.1", 0, &address);
+    if (soak_plays(SOAK_UPLOADS)) {
+        proxy->room = RECEIVE_BYTES;
+    }
     if (uv_tcp_bind(&proxy->listener, (struct sockaddr *)&address, 0) != 0 ||
         uv_listen((uv_stream_t *)&proxy->listener, BACKLOG, on_accept) != 0) {
         errx(1, "no port is free for a proxy: end other programs");
@@ -118,6 +131,12 @@
     }
 }
 
+link_mode_t
+proxy_mode(const proxy_t *proxy)
+{
+    return proxy->mode;
+}
+
 void
 proxy_know_hosts(proxy_t *proxy)
 {
@@ -178,6 +197,11 @@
     (void)uv_tcp_init(soak_loop(), &link->near.tcp);
     (void)uv_tcp_init(soak_loop(), &link->far.tcp);
     (void)uv_accept(stream, (uv_stream_t *)&link->near.tcp);
+    if (proxy->room > 0) {
+        int room = proxy->room;
+
+        (void)uv_recv_buffer_size((uv_handle_t *)&link->near.tcp, &room);
+    }
     (void)uv_tcp_nodelay(&link->near.tcp, 1);
     link->near.open = true;
     link->far.open = true;
@@ -245,7 +269,7 @@
         link_connect(link);
         return;
     }
-    if (link->waiting || link->connecting) {
+    if (link->waiting || link->connecting || link->early) {
         return;
     }
     end_read(&link->near, mode != LINK_SILENT);
@@ -285,7 +309,11 @@
         link_reset(link);
         return;
     }
-    if (length == 0) {
+    if (length == 0 || link->early) {
+        return;
+    }
+    if (length > 0 && end == &link->near && mode_of(link) == LINK_EARLY &&
+        answer_early(link, buf->base, (size_t)length)) {
         return;
     }
     piece = calloc(1, sizeof(*piece) + (length > 0 ? (size_t)length : 0));
@@ -311,6 +339,44 @@
     }
 }
 
+static void
+on_early_end(uv_timer_t *timer)
+{
+    piece_t *piece = (piece_t *)timer;
+
+    link_reset(piece->link);
+    uv_close((uv_handle_t *)timer, on_piece_closed);
+}
+
+/* Part of an answer, an orderly end, and a reset a little later. */
+static bool
+answer_early(link_t *link, const char *request, size_t length)
+{
+    char answer[SOAK_UPLOAD_HEAD_BYTES];
+    uv_shutdown_t *shut;
+    uv_buf_t buf;
+    piece_t *piece;
+
+    buf = uv_buf_init(answer, (unsigned)uploads_answer(request, length, answer,
+                                                       sizeof(answer)));
+    if (buf.len == 0) {
+        return false;
+    }
+    link->early = true;
+    end_read(&link->near, false);
+    (void)uv_try_write((uv_stream_t *)&link->near.tcp, &buf, 1);
+    shut = calloc(1, sizeof(*shut));
+    if (uv_shutdown(shut, (uv_stream_t *)&link->near.tcp, on_shut) != 0) {
+        free(shut);
+    }
+    piece = calloc(1, sizeof(*piece));
+    piece->link = link;
+    link->handles++;
+    (void)uv_timer_init(soak_loop(), &piece->timer);
+    (void)uv_timer_start(&piece->timer, on_early_end, EARLY_RESET_MS, 0);
+    return true;
+}
+
 static void
 on_piece_closed(uv_handle_t *handle)
 {
--- a/regress/soak/run.c
+++ b/regress/soak/run.c
@@ -140,6 +140,8 @@
 check_time(const attempt_t *attempt, size_t host, uint64_t sent_ms,
            bool second_organisation)
 {
+    uint64_t gone_ms;
+
     if (attempt->sent_ms == 0) {
         soak_broken("asked for", "%s was not sent by a caller", attempt->name);
         return;
@@ -154,6 +156,12 @@
                     "%s, sent %" PRIu64 " ms after its key went, ran",
                     attempt->name, attempt->sent_ms - revoked_ms);
     }
+    gone_ms = tenants_gone_ms(second_organisation ? 2 : 1);
+    if (gone_ms > 0 && attempt->sent_ms > gone_ms + SOAK_REVOKE_MS) {
+        soak_broken("revoked",
+                    "%s, sent %" PRIu64 " ms after its tenant went, ran",
+                    attempt->name, attempt->sent_ms - gone_ms);
+    }
     if (sent_ms > attempt->deadline_ms + SOAK_OVERDUE_MS &&
         host_is_calm(host, attempt->sent_ms)) {
         soak_broken("deadline", "%s reached a runner %" PRIu64 " ms after it",
@@ -335,9 +343,9 @@
         length =
             snprintf(event, sizeof(event),
                      "id: %" PRId64 "\ndata: %016" PRIx64 " v%" PRIu32
-                     " born %" PRId64 "\n\n",
+                     " born %" PRId64 " s%" PRIu32 "\n\n",
                      run->event, soak_hash(run->path, (uint64_t)run->event),
-                     run->version, run->born_ms);
+                     run->version, run->born_ms, run->runner->service);
         length = snprintf(chunk, sizeof(chunk), "%x\r\n%s\r\n",
                           (unsigned)length, event);
         if (run->spoilt && run->event % 20 == 7) {
--- a/regress/soak/runner.c
+++ b/regress/soak/runner.c
@@ -43,6 +43,7 @@
     for (i = 0; i < count; i++) {
         runners[i].zone = zones[i % 3];
         runners[i].engine = i < engines;
+        runners[i].service = split_service(i);
         runners[i].proxy = proxy_open(0);
         if (soak_plays(SOAK_PARTITION)) {
             proxy_know_hosts(runners[i].proxy);
@@ -157,7 +158,8 @@
                      "\"Zone\":\"%s\",\"BatchSize\":%d,\"State\":\"%s\","
                      "\"Version\":\"v%" PRIu32
                      "\",\"Sequence\":1,\"born\":%" PRId64 "}",
-                     runner->engine ? "engine" : "plain",
+                     runner->engine ? split_service_name(runner->service)
+                                    : "plain",
                      (int)proxy_port(runner->proxy), runner->zone, SLOTS,
                      runner->leaving_ms > 0 ? "draining" : "ready",
                      runner->version, runner->born_ms));
--- a/regress/soak/runner.h
+++ b/regress/soak/runner.h
@@ -16,6 +16,7 @@
     proxy_t *proxy;   /* its address in the registry */
     uint32_t starts;
     uint32_t version;    /* of its software */
+    uint32_t service;    /* of an engine; see split.c */
     int64_t born_ms;     /* by the real-time clock */
     uint64_t back_ms;    /* listens again then; 0: it is up */
     uint64_t entry_ms;   /* its entry is written then; 0: that is done */
--- a/regress/soak/soak.c
+++ b/regress/soak/soak.c
@@ -62,7 +62,6 @@
 } soak;
 
 static void on_step(uv_timer_t *timer);
-static void write_routes(bool second_key);
 static void next_phase(phase_t phase);
 
 uv_loop_t *
@@ -119,14 +118,14 @@
 }
 
 /* As the platform's operators write it. */
-static void
-write_routes(bool second_key)
+void
+soak_write_routes(void)
 {
     static const char text[] =
         "{\"Version\":%" PRId64 ",\"Routes\":["
         "{\"Name\":\"a\",\"Host\":\"soak.example\",\"PathPrefix\":"
         "\"/stream/\",\"Type\":\"streaming\",\"TimeoutMs\":12000,"
-        "\"Service\":\"engine\",\"MaxAttempts\":5,\"Resumable\":true},"
+        "%s,\"MaxAttempts\":5,\"Resumable\":true},"
         "{\"Name\":\"b\",\"Host\":\"soak.example\",\"PathPrefix\":"
         "\"/unsafe/\",\"Type\":\"unsafe\",\"TimeoutMs\":2000,"
         "\"Service\":\"plain\",\"MaxAttempts\":1},"
@@ -134,13 +133,14 @@
         "\"/safe/\",\"Type\":\"safe\",\"TimeoutMs\":2000,"
         "\"Service\":\"plain\",\"MaxAttempts\":2}],"
         "\"Services\":[{\"Name\":\"engine\",\"Engine\":{\"Backups\":true}},"
-        "{\"Name\":\"plain\"}],\"Tenants\":[{\"Name\":\"o1\",\"ApiKeys\":"
-        "[\"k1\"]},{\"Name\":\"o2\",\"ApiKeys\":[%s]}]}";
+        "{\"Name\":\"engine1\",\"Engine\":{\"Backups\":true}},"
+        "{\"Name\":\"engine2\",\"Engine\":{\"Backups\":true}},"
+        "{\"Name\":\"plain\"}],\"Tenants\":%s}";
     char document[2048];
 
     soak.version += 1 + (int64_t)soak_chance(5);
     (void)snprintf(document, sizeof(document), text, soak.version,
-                   second_key ? "\"k2\"" : "");
+                   split_shares(), tenants_text());
     soak_store_put("op/config", document);
 }
 
@@ -152,8 +152,7 @@
 
     soak.revoked = true;
     host_harm_store(host, LINK_SILENT, REVOKED_LINK_MS);
-    callers_revoked();
-    write_routes(false);
+    tenants_end_key(2);
     runners_revoked(soak_now_ms());
     soak_note("second key revoked");
 }
@@ -288,7 +287,7 @@
     }
     soak.began_ms = soak_now_ms();
     soak_store_open();
-    write_routes(true);
+    soak_write_routes();
     runners_open(argc == 6 ? (uint32_t)atoi(argv[5]) : ENGINES_DEFAULT);
     hosts_open(argv[1], folder,
                argc == 6 ? (uint32_t)atoi(argv[4]) : HOSTS_DEFAULT);
--- a/regress/soak/soak.h
+++ b/regress/soak/soak.h
@@ -55,6 +55,8 @@
 /* A promise is broken. */
 void soak_broken(const char *promise, const char *format, ...)
     __attribute__((format(printf, 2, 3)));
+/* Writes the next routing table, by what split.c and tenants.c say. */
+void soak_write_routes(void);
 /* What was done, for whoever reads a failed run. */
 void soak_note(const char *format, ...) __attribute__((format(printf, 1, 2)));
 
@@ -73,6 +75,7 @@
     LINK_ONE_WAY, /* nothing comes back */
     LINK_REFUSES, /* connections are reset */
     LINK_NO_NEW,  /* those that are open go on */
+    LINK_EARLY,   /* answers uploads itself; see uploads.c */
 } link_mode_t;
 
 typedef struct proxy proxy_t;
@@ -81,6 +84,7 @@
 uint16_t proxy_port(const proxy_t *proxy);
 void proxy_set_target(proxy_t *proxy, uint16_t target);
 void proxy_set_mode(proxy_t *proxy, link_mode_t mode);
+link_mode_t proxy_mode(const proxy_t *proxy);
 /*
  * Only the connections of this host, while the proxy itself passes.  It knows
  * them once it is told to ask who connects.
@@ -100,6 +104,9 @@
 /* Names of the only faults that are played. */
 #define SOAK_ONLY "ONLY"
 #define SOAK_TAINTED "TAINTED" /* alone */
+#define SOAK_SPLIT "SPLIT"
+#define SOAK_TENANTS "TENANTS"
+#define SOAK_UPLOADS "UPLOADS"
 
 bool soak_plays(const char *variable);
 
@@ -235,6 +242,43 @@
 void versions_taken_up(void);
 void versions_report(void);
 
+/* --- split.c --- */
+
+/* The service of an engine, and its name. */
+uint32_t split_service(size_t runner);
+const char *split_service_name(uint32_t service);
+/* The services of the streams' route in a routing table. */
+const char *split_shares(void);
+/* Other weights; services leave the route and come back. */
+void split_change(void);
+
+/* --- tenants.c --- */
+
+/* The list in a routing table. */
+const char *tenants_text(void);
+/* Another form of it, or the full one. */
+void tenants_change(void);
+void tenants_heal(void);
+/* The key never comes back. */
+void tenants_end_key(uint32_t key);
+/* Whether a request that was sent then may be denied. */
+bool tenants_may_deny(uint32_t key, uint64_t sent_ms);
+/* Since when the key is gone; 0: it is there. */
+uint64_t tenants_gone_ms(uint32_t key);
+
+/* --- uploads.c --- */
+
+enum { SOAK_UPLOAD_BYTES = 300000, SOAK_UPLOAD_HEAD_BYTES = 1024 };
+
+/* The link to a plain runner answers. */
+void uploads_begin(void);
+void uploads_tick(void);
+void uploads_heal(void);
+/* Writes the early answer to a request of which this has come; returns its
+ * length, 0: none. */
+size_t uploads_answer(const char *request, size_t length, char *answer,
+                      size_t room);
+
 /* --- ledger.c --- */
 
 /* What became of a caller's attempt, by its name. */
@@ -306,7 +350,5 @@
 /* Whether so many were served in a row since the calm began. */
 bool callers_recovered(void);
 void callers_report(void);
-/* The second organisation's key is going, and has gone. */
-void callers_revoked(void);
 
 #endif
--- a/regress/soak/versions.c
+++ b/regress/soak/versions.c
@@ -135,6 +135,17 @@
     else if (caller->taken_up) {
         state.went_on++;
     }
+    if (writer->service != caller->writer.service && !caller->mixed) {
+        caller->mixed = true;
+        state.mixed++;
+        soak_broken("order",
+                    "%s, begun as %s: event %" PRId64 " of service %" PRIu32
+                    " after %" PRIu32 ", %s at h%zu",
+                    caller->attempt, caller->began, event, writer->service,
+                    caller->writer.service,
+                    caller->taken_up ? "taken up" : "in one response",
+                    caller->host);
+    }
     if (writer->version != caller->writer.version && !caller->mixed) {
         caller->mixed = true;
         state.mixed++;
@@ -170,7 +181,7 @@
 void
 versions_report(void)
 {
-    if (!soak_plays(SOAK_VERSIONS)) {
+    if (!soak_plays(SOAK_VERSIONS) && !soak_plays(SOAK_SPLIT)) {
         return;
     }
     qsort(state.waits_ms, state.waits, sizeof(state.waits_ms[0]), compare);
