Find the route of a new stream once, and test the service in relays' headers

route_services_only() looked for the route by its hash over the whole table, for each new stream, although admission holds it. It takes the route now; only a stream that is taken up looks for it. The time for which streams may be taken up is one constant. test_service_in_usage reads and writes the header with and without a service, and two rows check that a service in a grant is not taken for a version of a table.

--- a/forward/admission.c
+++ b/forward/admission.c
@@ -299,7 +299,7 @@
     const char *name = NULL;
 
     request->split = route->type == REQUEST_STREAM && route->resumable &&
-                     route_services_only(forward, request->route) == NULL;
+                     route_services_only(forward, route) == NULL;
     if (request->relayed && incoming->grant.service != 0) {
         name = route_services_find(forward, request->route,
                                    incoming->grant.service);
--- a/forward/forward.h
+++ b/forward/forward.h
@@ -39,8 +39,8 @@
     REFUSE_KEYS_UNREADABLE,  /* its routing table does not tell who may */
     REFUSE_DRAINING,         /* this host is draining */
     REFUSE_NO_RUNNER,        /* no runner is available */
-    REFUSE_NO_VERSION,       /* it is not known which version began the stream
-                                that the caller takes up */
+    REFUSE_NO_VERSION,       /* it is not known which service or version began
+                                the stream that the caller takes up */
     REFUSE_RUNNERS_FULL,     /* every runner reported that it is full */
     REFUSE_HOST_FULL,        /* this host has reached requests_max */
     REFUSE_RETRY_BUDGET,     /* the service's retry budget is exhausted */
--- a/forward/private.h
+++ b/forward/private.h
@@ -261,6 +261,10 @@
     uint32_t count;
 } silent_loss_t;
 
+/* How long a stream may be taken up: longer than callers wait for a response.
+ */
+#define STREAM_TTL_US ((int64_t)60000000)
+
 /* Of a stream that may have begun at any version; pool_hash_version() does not
  * return it. */
 #define VERSION_UNCERTAIN UINT64_MAX
@@ -621,9 +625,12 @@
 uint64_t route_hash(const route_t *route);
 /* Keeps the services that the next table takes from routes. */
 void route_services_replace(forward_t *forward, const routing_t *next);
+/* Returns the route of resumable streams whose name has this hash, or NULL. */
+const route_t *route_services_route(const forward_t *forward, uint64_t route);
 /* Returns the service at which all streams of the route have begun that
- * callers may take up; NULL: there are several, or none. */
-const char *route_services_only(const forward_t *forward, uint64_t route);
+ * callers may take up; NULL: there are several, or none, or no such route. */
+const char *route_services_only(const forward_t *forward,
+                                const route_t *route);
 /* Returns the name of the service if the route leads to it, or has led there;
  * else NULL. */
 const char *route_services_find(const forward_t *forward, uint64_t route,
--- a/forward/route_services.c
+++ b/forward/route_services.c
@@ -21,9 +21,6 @@
     FORMER_SERVICES_MAX = 1024,
 };
 
-/* Longer than callers wait for a response. */
-#define FORMER_TTL_US ((int64_t)60000000)
-
 /* A service that gets new streams of a route. */
 typedef struct {
     uint64_t hash; /* of route and service */
@@ -44,7 +41,6 @@
 static bool contains_pair(const pair_set_t *set, const pair_t *pair);
 static void add_former(forward_t *forward, const pair_t *pair);
 static void remove_former(forward_t *forward, former_service_t *former);
-static const route_t *find_route(const forward_t *forward, uint64_t route);
 
 uint64_t
 route_hash(const route_t *route)
@@ -94,18 +90,34 @@
     free(after.items);
 }
 
+const route_t *
+route_services_route(const forward_t *forward, uint64_t route)
+{
+    const routing_t *routing = forward->routing;
+    size_t i;
+
+    for (i = 0; routing != NULL && i < routing->route_count; i++) {
+        if (is_tracked(&routing->routes[i]) &&
+            route_hash(&routing->routes[i]) == route) {
+            return &routing->routes[i];
+        }
+    }
+    return NULL;
+}
+
 const char *
-route_services_only(const forward_t *forward, uint64_t route_id)
+route_services_only(const forward_t *forward, const route_t *route)
 {
-    const route_t *route = find_route(forward, route_id);
     const former_service_t *former;
     const char *only = NULL;
+    uint64_t id;
     size_t i;
 
-    if (forward->now_us < forward->former_lost_until_us) {
+    if (route == NULL || forward->now_us < forward->former_lost_until_us) {
         return NULL;
     }
-    for (i = 0; route != NULL && i < route->share_count; i++) {
+    id = route_hash(route);
+    for (i = 0; i < route->share_count; i++) {
         if (!route_share_is_drawn(route, i)) {
             continue;
         }
@@ -116,7 +128,7 @@
     }
     for (former = forward->former_services; former != NULL;
          former = former->hh.next) {
-        if (former->route == route_id && forward->now_us < former->until_us) {
+        if (former->route == id && forward->now_us < former->until_us) {
             return NULL;
         }
     }
@@ -127,7 +139,7 @@
 route_services_find(const forward_t *forward, uint64_t route_id,
                     uint64_t service)
 {
-    const route_t *route = find_route(forward, route_id);
+    const route_t *route = route_services_route(forward, route_id);
     const former_service_t *former;
     uint64_t hash = hash_pair(route_id, service);
     size_t i;
@@ -239,7 +251,7 @@
     former->pair = pair->hash;
     former->route = pair->route;
     former->service = xstrdup(pair->service);
-    former->until_us = forward->now_us + FORMER_TTL_US;
+    former->until_us = forward->now_us + STREAM_TTL_US;
     HASH_ADD(hh, forward->former_services, pair, sizeof(former->pair), former);
     emit_log(forward, LOG_INFO, "service-left",
              "route=%016" PRIx64 " service=%s", pair->route, pair->service);
@@ -252,18 +264,3 @@
     free(former->service);
     free(former);
 }
-
-static const route_t *
-find_route(const forward_t *forward, uint64_t route)
-{
-    const routing_t *routing = forward->routing;
-    size_t i;
-
-    for (i = 0; routing != NULL && i < routing->route_count; i++) {
-        if (is_tracked(&routing->routes[i]) &&
-            route_hash(&routing->routes[i]) == route) {
-            return &routing->routes[i];
-        }
-    }
-    return NULL;
-}
--- a/forward/versions.c
+++ b/forward/versions.c
@@ -18,8 +18,6 @@
 
 enum { STREAMS_MAX = 16384 };
 
-/* Longer than callers wait for a response. */
-#define STREAM_TTL_US ((int64_t)60000000)
 /* Reports of a stream within this time do not extend its entry. */
 #define REFRESH_US ((int64_t)10000000)
 
@@ -155,7 +153,8 @@
     const char *name;
 
     if (entry == NULL || entry->service == 0) {
-        return route_services_only(forward, request->route);
+        return route_services_only(
+            forward, route_services_route(forward, request->route));
     }
     if (entry->route != 0 && entry->route != request->route) {
         return NULL;
--- a/regress/test_gateway_relay.c
+++ b/regress/test_gateway_relay.c
@@ -169,6 +169,8 @@
     {"a host of a build that names a revision is refused", "1 0 0 @999",
      "hello"},
     {"a malformed version is refused", "1 0 0 #", "hello"},
+    {"a service is taken for a table", "1 0 0 #1/999", "hello"},
+    {"a service without a table is refused", "1 0 0 /999", "hello"},
 };
 
 /* Returns the response to a request that host h2 relays with this grant. */
@@ -230,6 +232,43 @@
 }
 END_TEST
 
+typedef struct {
+    const char *usage;
+    uint64_t service;
+    int64_t routing_version;
+} usage_case_t;
+
+static const usage_case_t usage_cases[] = {
+    {"1 1 0 ab,#12/cd", 0xcd, 12},
+    {"1 1 0 /cd", 0xcd, 0},
+    {"1 1 0 ab,#12", 0, 12},
+    {"1 1 0 ab,#12/", 0, 12},
+    {"1 1 0 ", 0, 0},
+};
+
+/* What another host writes reads the same here. */
+START_TEST(test_service_in_usage)
+{
+    const usage_case_t *test = &usage_cases[_i];
+    headers_t headers = {0};
+    arena_t arena = {0};
+    relay_usage_t usage;
+    header_t written;
+
+    headers_add_strings(&headers, &arena, "X-Relay-Usage", test->usage);
+    host_relay_read_usage(&arena, &headers, &usage);
+    ck_assert_uint_eq(usage.service, test->service);
+    ck_assert_int_eq(usage.routing_version, test->routing_version);
+    written = host_relay_usage_header(&arena, &usage);
+    headers = (headers_t){0};
+    headers_add(&headers, &arena, written);
+    host_relay_read_usage(&arena, &headers, &usage);
+    ck_assert_uint_eq(usage.service, test->service);
+    ck_assert_int_eq(usage.routing_version, test->routing_version);
+    arena_free(&arena);
+}
+END_TEST
+
 /* A request as a caller sent it, and how it is relayed. */
 static void
 relay(gateway_host_t *host, arena_t *arena, const char *address)
@@ -508,6 +547,7 @@
 
     (void)signal(SIGPIPE, SIG_IGN); /* as the daemon does */
     tcase_add_loop_test(tcase, test_grant_of_request, 0, COUNT(grant_cases));
+    tcase_add_loop_test(tcase, test_service_in_usage, 0, COUNT(usage_cases));
     tcase_add_loop_test(tcase, test_table_of_relaying_host, 0,
                         COUNT(table_cases));
     tcase_add_loop_test(tcase, test_mark_of_request, 0, COUNT(mark_cases));
