Keep the versions of a service while its streams may be taken up

Callers could have got events of two versions: when a service has left all routes of streams, is_versioned() was false at once, its record of versions was no longer brought up to date, and a stream there whose version no host knows could have gone on at any version.

Evidence: row versions_of_a_service_that_left_are_recorded: a second version that joins 5 s after the service has left its route is not recorded without this change, and is with it.

Fix: a service that a route has led to within the last minute still counts.

--- a/forward/private.h
+++ b/forward/private.h
@@ -635,6 +635,9 @@
  * else NULL. */
 const char *route_services_find(const forward_t *forward, uint64_t route,
                                 uint64_t service);
+/* Returns whether streams of a route may still be at the service, although new
+ * ones are not sent there. */
+bool route_services_is_former(const forward_t *forward, const char *service);
 void route_services_free(forward_t *forward);
 
 /* --- versions.c --- */
--- a/forward/route_services.c
+++ b/forward/route_services.c
@@ -153,6 +153,21 @@
     return former != NULL ? former->service : NULL;
 }
 
+bool
+route_services_is_former(const forward_t *forward, const char *service)
+{
+    const former_service_t *former;
+
+    for (former = forward->former_services; former != NULL;
+         former = former->hh.next) {
+        if (forward->now_us < former->until_us &&
+            strcmp(former->service, service) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
 void
 route_services_free(forward_t *forward)
 {
--- a/forward/version_record.c
+++ b/forward/version_record.c
@@ -340,8 +340,8 @@
              revision_number(record->revision));
 }
 
-/* Whether streams of the service are resumable, and its runners state their
- * versions. */
+/* Whether streams of the service are resumable, or some that began there are,
+ * and its runners state their versions. */
 static bool
 is_versioned(const forward_t *forward, const char *service)
 {
@@ -362,7 +362,7 @@
             }
         }
     }
-    return false;
+    return route_services_is_former(forward, service);
 }
 
 static bool
--- a/regress/test_split_routes.c
+++ b/regress/test_split_routes.c
@@ -142,6 +142,15 @@
         {910, "routing 2 split=r:1,t:1", "put streams/h1 words=4 rev=0"},
 };
 
+/* Its versions are still told apart. */
+static const forwarding_line_t versions_of_a_service_that_left_are_recorded[] =
+    {
+        BEGUN_AT_ONLY_R,
+        {910, "routing 2 split=t:1", "put streams/h1 words=4 rev=0"},
+        {6000, "contact", NULL},
+        {6000, "runner rc1 version=2", "put versions/r words=2 rev=5"},
+};
+
 static const forwarding_line_t relayed_stream_goes_where_its_host_says[] = {
     {0, "routing 1 split=r:1,t:1000000", ""},
     RUNNERS,
@@ -193,6 +202,7 @@
     FORWARDING_SCRIPT(streams_of_other_routes_are_not_written),
     FORWARDING_SCRIPT(streams_are_written_when_their_route_moves),
     FORWARDING_SCRIPT(streams_are_written_when_their_route_splits),
+    FORWARDING_SCRIPT(versions_of_a_service_that_left_are_recorded),
     FORWARDING_SCRIPT(relayed_stream_goes_where_its_host_says),
     FORWARDING_SCRIPT(relayed_stream_goes_on_where_its_host_says),
     FORWARDING_SCRIPT(relayed_new_stream_keeps_the_newer_weights),
