--- a/forward/private.h
+++ b/forward/private.h
@@ -26,6 +26,7 @@
 #include "forward/forward.h"
 #include "forward/pool.h"
 #include "forward/rollouts.h"
+#include "forward/route_services.h"
 
 enum {
     US_PER_MS = 1000,
@@ -281,15 +282,6 @@
     UT_hash_handle hh;
 } stream_version_t;
 
-/* A service that a route no longer sends new streams to. */
-typedef struct {
-    uint64_t pair; /* hash of route and service */
-    uint64_t route;
-    char *service;
-    int64_t until_us; /* streams that began there may be taken up */
-    UT_hash_handle hh;
-} former_service_t;
-
 struct forward {
     forward_settings_t settings;
     char *host;
@@ -619,27 +611,6 @@
 /* Records that the runner of that serial did not receive the request. */
 void request_mark_not_received(request_t *request, uint64_t serial);
 
-/* --- route_services.c --- */
-
-/* Returns a hash of the route's name. */
-uint64_t route_hash(const route_t *route);
-/* Keeps the services that the next table takes from routes. */
-void route_services_replace(forward_t *forward, const routing_t *next);
-/* Returns the route of resumable streams whose name has this hash, or NULL. */
-const route_t *route_services_route(const forward_t *forward, uint64_t route);
-/* Returns the service at which all streams of the route have begun that
- * callers may take up; NULL: there are several, or none, or no such route. */
-const char *route_services_only(const forward_t *forward,
-                                const route_t *route);
-/* Returns the name of the service if the route leads to it, or has led there;
- * else NULL. */
-const char *route_services_find(const forward_t *forward, uint64_t route,
-                                uint64_t service);
-/* Returns whether streams of a route may still be at the service, although new
- * ones are not sent there. */
-bool route_services_is_former(const forward_t *forward, const char *service);
-void route_services_free(forward_t *forward);
-
 /* --- versions.c --- */
 
 /* Records where the stream of a request has begun. */
--- a/forward/route_services.c
+++ b/forward/route_services.c
@@ -1,11 +1,9 @@
 /*
- * route_services.c - the services at which streams of a route may have begun.
+ * route_services.c - see route_services.h.
  *
  * What two services write fits together no better than what two versions of
- * one do.  A caller that takes up a stream gets it from the service that began
- * it, which need not be one that new streams are sent to: its weight may have
- * become 0, or it has left the route.  So each host keeps what the routes of
- * streams led to before.
+ * one do, so a caller that takes up a stream gets it from the service that
+ * began it, or not at all.
  */
 #include <inttypes.h>
 #include <stdlib.h>
--- a/regress/test_gateway_relay.c
+++ b/regress/test_gateway_relay.c
@@ -23,6 +23,10 @@
     "X-Relay-Usage: 9 9 9 \r\n"
     "X-Own: y\r\nContent-Length: 5\r\n\r\nhello",
     0, CANNED_KEEP};
+static const canned_reply_t odd_status_reply = {
+    "HTTP/1.1 600 Odd\r\nAttempt-Id: q1\r\nServer-Stamp: s1\r\n"
+    "Content-Length: 0\r\n\r\n",
+    0, CANNED_KEEP};
 static const canned_reply_t at_capacity_reply = {
     "HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n", 0,
     CANNED_KEEP};
@@ -95,6 +99,8 @@
      MARK, &complete_reply, "X-Relay-Usage: 1 1 0 ", "X-Relay-Refusal"},
     {"a host that relayed is not told what a refused request used", "h2", true,
      &shared_key, MARK, &at_capacity_reply, "X-Relay-Usage: 0 1 0 ", NULL},
+    {"a status that is none is relayed", "h2", true, &shared_key, MARK,
+     &odd_status_reply, "X-Relay-Refusal: bad-answer unknown", "600"},
     {"a runner gets no forged marks", "h2", true, &other_key, MARK,
      &complete_reply, "hello", "X-Relay"},
 };
--- a/regress/test_split_routes.c
+++ b/regress/test_split_routes.c
@@ -1,6 +1,6 @@
 /*
  * test_split_routes.c - tests that a stream goes on at the service that began
- * it only, whatever its route leads to since.
+ * it only, whatever its route leads to since; see forward/route_services.h.
  */
 #include <stdio.h>
 #include <string.h>
