Soak: uploads wait longer behind a link that was cut

The rule does not count a request whose link was cut within ContactMs, 3 s; the soak allowed 0.5 s, which is enough for requests without a body. With UPLOADS it allows the 3 s; without it nothing changes.

--- a/regress/soak/links.c
+++ b/regress/soak/links.c
@@ -2,8 +2,10 @@
 #include "regress/soak/soak.h"
 
 enum {
-    /* What a link has held back is delivered in this time after it. */
+    /* What a link has held back is delivered in this time after it.  Uploads
+     * that no longer fit into the sockets wait for probes of TCP, too. */
     HELD_MS = 500,
+    HELD_UPLOAD_MS = SOAK_CALM_MS,
 };
 
 typedef struct {
@@ -14,6 +16,12 @@
 
 static links_t links[SOAK_HOSTS_MAX];
 
+static uint64_t
+held_ms(void)
+{
+    return soak_plays(SOAK_UPLOADS) ? HELD_UPLOAD_MS : HELD_MS;
+}
+
 static void
 set_mode(size_t host, link_mode_t mode)
 {
@@ -64,11 +72,11 @@
     uint64_t sent_ms = now_ms;
 
     if (links[host].mode == LINK_PASSES && links[host].healed_ms > 0 &&
-        now_ms < links[host].healed_ms + HELD_MS) {
+        now_ms < links[host].healed_ms + held_ms()) {
         sent_ms = links[host].cut_ms;
     }
     if (runner_silent_ms(runner) > 0 &&
-        now_ms < runner_silent_until_ms(runner) + HELD_MS &&
+        now_ms < runner_silent_until_ms(runner) + held_ms() &&
         runner_silent_ms(runner) < sent_ms) {
         sent_ms = runner_silent_ms(runner);
     }
