--- a/regress/test_split_routes.c
+++ b/regress/test_split_routes.c
@@ -98,6 +98,16 @@
     {960, "request 2 stream after=0 resumes=q9", REFUSED},
 };
 
+static const forwarding_line_t stream_that_began_on_another_route[] = {
+    {0, "routing 1 split=r:1", ""},
+    RUNNERS,
+    {10, "request 1 once", "send 1.1 rb1"},
+    {900, "head 1 1 200", "begin 1.1"},
+    {900, "event 1 1 0", ""},
+    {950, "gone 1", "cancel 1.1"},
+    {960, "request 2 stream after=0 resumes=q1", REFUSED},
+};
+
 /* All hosts were killed. */
 static const forwarding_line_t service_in_the_record_of_a_host[] = {
     {0, "routing 1 split=r:1,t:1000000", ""},
@@ -196,6 +206,7 @@
     FORWARDING_SCRIPT(unknown_stream_after_the_route_moved),
     FORWARDING_SCRIPT(unknown_stream_of_a_route_that_moved_long_ago),
     FORWARDING_SCRIPT(stream_of_a_service_of_other_routes),
+    FORWARDING_SCRIPT(stream_that_began_on_another_route),
     FORWARDING_SCRIPT(service_in_the_record_of_a_host),
     FORWARDING_SCRIPT(service_in_the_record_has_left_the_route),
     FORWARDING_SCRIPT(streams_of_split_routes_are_written),
