Soak: an early answer does not come through a cut link

Trace: the mode of a runner's link goes before that of a host's, so that all that a cut had held back passed as soon as the link began to answer early. A host that is cut off now stays so meanwhile.

--- a/regress/soak/proxy.c
+++ b/regress/soak/proxy.c
@@ -169,9 +169,13 @@
 mode_of(const link_t *link)
 {
     const proxy_t *proxy = link->proxy;
+    link_mode_t host_mode = proxy->host_modes[link->host];
 
-    return proxy->mode != LINK_PASSES ? proxy->mode
-                                      : proxy->host_modes[link->host];
+    /* An early answer does not come through a cut. */
+    return proxy->mode == LINK_PASSES ||
+                   (proxy->mode == LINK_EARLY && host_mode != LINK_PASSES)
+               ? host_mode
+               : proxy->mode;
 }
 
 void
