A host that has just started takes services of weight 0 into account

Cause: weights of a route became 0 while the store was away, so that no host could record its streams; 0.8 s later all hosts were killed. Hosts that came back saw only one service with a weight, took it for the only one that the route had led to, and went on with unknown streams there.

Fix: within the minute for which streams may be taken up, a host that has started since counts all services that a route lists, so that a stream that nobody knows is refused. A service that has left the list altogether in such a moment stays a hole: KNOWN-RED 37.

--- a/forward/route_services.c
+++ b/forward/route_services.c
@@ -106,6 +106,8 @@
 const char *
 route_services_only(const forward_t *forward, const route_t *route)
 {
+    /* This host may not have seen that a weight became 0. */
+    bool started = forward->now_us - forward->started_us < STREAM_TTL_US;
     const former_service_t *former;
     const char *only = NULL;
     uint64_t id;
@@ -116,7 +118,7 @@
     }
     id = route_hash(route);
     for (i = 0; i < route->share_count; i++) {
-        if (!route_share_is_drawn(route, i)) {
+        if (!started && !route_share_is_drawn(route, i)) {
             continue;
         }
         if (only != NULL && strcmp(only, route->shares[i].service) != 0) {
--- a/forward/route_services.h
+++ b/forward/route_services.h
@@ -44,7 +44,9 @@
 
 /*
  * Returns the service at which all streams of the route have begun that
- * callers may take up; NULL: there are several, or none, or no such route.
+ * callers may take up; NULL: there are several, or none, or no such route.  In
+ * the first minute of this host all services that the route lists count, since
+ * it has not seen what their weights were.
  */
 const char *route_services_only(const struct forward *forward,
                                 const route_t *route);
--- a/regress/test_split_routes.c
+++ b/regress/test_split_routes.c
@@ -81,6 +81,16 @@
     {960, "request 2 stream after=0 resumes=q9", REFUSED},
 };
 
+/* All hosts were killed before they had recorded the stream. */
+static const forwarding_line_t unknown_stream_after_a_start[] = {
+    {0, "routing 1 split=r:1,t:0", ""},
+    RUNNERS,
+    {960, "request 2 stream after=0 resumes=q9", REFUSED},
+    {61000, "contact", NULL},
+    {61000, "request 3 stream after=0 resumes=q9",
+     "send 3.1 rb1 backup=10.17.0.1:80 resume"},
+};
+
 static const forwarding_line_t
     unknown_stream_of_a_route_that_moved_long_ago[] = {
         {0, "routing 1 split=r:1", ""},
@@ -204,6 +214,7 @@
     FORWARDING_SCRIPT(service_that_left_before_another_host_died),
     FORWARDING_SCRIPT(unknown_stream_of_split_route_is_refused),
     FORWARDING_SCRIPT(unknown_stream_after_the_route_moved),
+    FORWARDING_SCRIPT(unknown_stream_after_a_start),
     FORWARDING_SCRIPT(unknown_stream_of_a_route_that_moved_long_ago),
     FORWARDING_SCRIPT(stream_of_a_service_of_other_routes),
     FORWARDING_SCRIPT(stream_that_began_on_another_route),
