Keep the service of another host's stream before its version is told

Cause, by the logs: h3 had not heard of the store for 2.7 s and began q291 at engine1 by table 18, at a runner whose start was not confirmed. Its reports named the runner, but no version yet, and versions_record() kept nothing of a stream without a version. h1 had started since and knew only table 22, which leads to engine2 alone, so that q394 went on there.

Fix: a stream that has events is kept with the service of its runner, and the version is added when it is told. Where the service is the right one, the version is found as for a stream that nobody knows, as before.

--- a/forward/private.h
+++ b/forward/private.h
@@ -275,7 +275,7 @@
     uint64_t stream;
     uint64_t service; /* hash of its name; 0: not known */
     uint64_t route;   /* hash of its name; 0: not known */
-    uint64_t version; /* of the service's software */
+    uint64_t version; /* of the service's software; 0: not told yet */
     bool own;   /* this host began it, and it has not ended as complete */
     bool split; /* its route alone does not tell its service */
     int64_t expiry_us;
--- a/forward/sharing.c
+++ b/forward/sharing.c
@@ -90,22 +90,19 @@
     suspicion_receive(forward, peer->placements);
 }
 
-/* The service is that of the runner. */
+/* The service is that of the runner, which is known before the version. */
 static void
 record_stream(forward_t *forward, const placement_t *placement)
 {
     const pool_runner_t *runner =
         pool_find_hash(forward->pool, placement->runner);
+    stream_version_t begun = {.stream = placement->stream,
+                              .version = placement->software};
 
-    versions_record(
-        forward,
-        &(stream_version_t){
-            .stream = placement->stream,
-            .service = runner != NULL
-                           ? pool_hash_service(runner->registration.service)
-                           : 0,
-            .version = placement->software,
-        });
+    if (runner != NULL && !placement->prefilling) {
+        begun.service = pool_hash_service(runner->registration.service);
+    }
+    versions_record(forward, &begun);
 }
 
 /* The last report of a host that stopped sending counts for one window. */
--- a/forward/versions.c
+++ b/forward/versions.c
@@ -93,13 +93,14 @@
     }
 }
 
-/* The first version that is recorded stays, once it is certain. */
+/* The first version that is recorded stays, once it is certain; so does the
+ * service, which may be known before. */
 void
 versions_record(forward_t *forward, const stream_version_t *begun)
 {
     stream_version_t *entry;
 
-    if (begun->version == 0) {
+    if (begun->version == 0 && begun->service == 0) {
         return;
     }
     HASH_FIND(hh, forward->stream_versions, &begun->stream,
@@ -107,7 +108,8 @@
     if (entry != NULL) {
         entry->own = entry->own || begun->own;
         entry->split = entry->split || begun->split;
-        if (entry->version == VERSION_UNCERTAIN) {
+        if (begun->version != 0 &&
+            (entry->version == 0 || entry->version == VERSION_UNCERTAIN)) {
             entry->version = begun->version;
         }
         if (entry->service == 0) {
@@ -181,7 +183,7 @@
     if (request->version != 0) {
         return VERSION_FOUND;
     }
-    if (entry == NULL) {
+    if (entry == NULL || entry->version == 0) {
         return find_only_version(forward, request);
     }
     if (entry->version == VERSION_UNCERTAIN) {
--- a/regress/forwarding_line.c
+++ b/regress/forwarding_line.c
@@ -182,5 +182,7 @@
     id += strlen("/stream=");
     length = strcspn(id, ":");
     item->stream = XXH3_64bits(id, length);
-    item->software = XXH3_64bits(id + length + 1, strlen(id + length + 1));
+    if (strcmp(id + length, ":-") != 0) {
+        item->software = XXH3_64bits(id + length + 1, strlen(id + length + 1));
+    }
 }
--- a/regress/forwarding_private.h
+++ b/regress/forwarding_private.h
@@ -49,7 +49,7 @@
 void line_shares(const line_t *line, routing_t *routing);
 /* The hash of "service=NAME", or 0. */
 uint64_t line_service(const line_t *line);
-/* Reads what follows "/stream=ID:VERSION" in a word. */
+/* Reads "/stream=ID:VERSION" in a word; VERSION "-": not told yet. */
 void line_stream(const char *word, placement_t *item);
 /* Reads NAME=COUNT:DELIVERIES[:RUNNER,...]; false: it is not stated. */
 bool line_counts(const line_t *line, const char *name, line_counts_t *counts);
--- a/regress/test_split_routes.c
+++ b/regress/test_split_routes.c
@@ -68,6 +68,15 @@
     {960, "request 2 stream after=0 resumes=q9", TAKEN_UP_AT_R},
 };
 
+/* It began at a start of a runner that was not confirmed yet. */
+static const forwarding_line_t stream_whose_version_is_not_told[] = {
+    {0, "routing 1 split=t:1", ""},
+    RUNNERS,
+    {10, "peer h2 ra1/1/stream=q9:-", ""},
+    {900, "peer h2 gone", ""},
+    {960, "request 2 stream after=0 resumes=q9", REFUSED},
+};
+
 static const forwarding_line_t unknown_stream_of_split_route_is_refused[] = {
     {0, "routing 1 split=r:1,t:1", ""},
     RUNNERS,
@@ -212,6 +221,7 @@
     FORWARDING_SCRIPT(service_that_left_the_route),
     FORWARDING_SCRIPT(service_of_another_hosts_stream),
     FORWARDING_SCRIPT(service_that_left_before_another_host_died),
+    FORWARDING_SCRIPT(stream_whose_version_is_not_told),
     FORWARDING_SCRIPT(unknown_stream_of_split_route_is_refused),
     FORWARDING_SCRIPT(unknown_stream_after_the_route_moved),
     FORWARDING_SCRIPT(unknown_stream_after_a_start),
