Weights that are fractions count, and other fractions are not read as 0

Callers saw: 503 to each new request of a route with weights of 0.9 and 0.1. Before all of them went to the service that stood first.

Cause: field_u32() truncates a real number, and 0 has a meaning of its own: no new requests for a weight, no limit for MaxConns, the default for a limit, no time-out for TimeoutMs.

Evidence: test_fractional_weights without the fix: no service is chosen with weights of 0.5 and 0.5, 0.9 and 0.1, 0 and 0.001. Three rows of test_routing: tables with 0.5 connections, 0.5 bytes or 0.4 ms were accepted.

Fix: weights are kept in millionths, and one above 0 stays above 0. Another number between 0 and 1 refuses the table, as a member that cannot be read does. The two draws of test_full_routing are in millionths, too: the last one of the first service and the first one of the second, as before.

--- a/regress/test_platform.c
+++ b/regress/test_platform.c
@@ -150,6 +150,22 @@
     {"a negative weight is rejected",
      ROUTES("\"Backends\":[{\"Service\":\"s\",\"Weight\":-1}]"),
      "Weight of a backend is not a number from 0 on"},
+    {"a weight may be a fraction",
+     ROUTES("\"Backends\":[{\"Service\":\"s\",\"Weight\":0.5}]"), NULL},
+    {"a fraction of a connection is not 0, which is no limit",
+     "{\"Services\":[{\"Name\":\"s\",\"MaxConns\":0.5}]}",
+     "MaxConns of a service is not a number from 0 on, or lies between 0 and "
+     "1"},
+    {"a fraction of a byte is not 0, which is the default",
+     "{\"Limits\":{\"MaxBodyBytes\":0.5}}",
+     "MaxBodyBytes of the limits is not a number from 0 on, or lies between"},
+    {"a fraction of a time-out is not 0, which is none",
+     ROUTES("\"Service\":\"s\",\"TimeoutMs\":0.4"),
+     "TimeoutMs of a route is not a number from 0 on, or lies between"},
+    {"a time-out that is not whole is accepted",
+     ROUTES("\"Service\":\"s\",\"TimeoutMs\":2500.5"), NULL},
+    {"a real number that is 0 is accepted",
+     ROUTES("\"Service\":\"s\",\"Priority\":0.0"), NULL},
     {"a backend without a service is rejected",
      ROUTES("\"Backends\":[{\"Service\":\"s\"},{\"Weight\":9}]"),
      "a backend has no Service: add one"},
@@ -183,6 +199,57 @@
 }
 END_TEST
 
+/* Weights, and how many of DRAWS evenly spread draws choose the second
+ * service.
+ */
+typedef struct {
+    const char *weights[2];
+    int expected; /* -1: no service is chosen */
+} weight_case_t;
+
+enum { DRAWS = 1000, MILLION = 1000000 };
+
+static const weight_case_t weight_cases[] = {
+    {{"1", "1"}, DRAWS / 2},      {{"0.5", "0.5"}, DRAWS / 2},
+    {{"0.9", "0.1"}, DRAWS / 10}, {{"2.5", "7.5"}, DRAWS * 3 / 4},
+    {{"0", "0.001"}, DRAWS},      {{"0", "0.0000000001"}, DRAWS},
+    {{"0.0", "0"}, -1},           {{"0", "1e300"}, DRAWS},
+};
+
+/* A fraction was truncated: weights of 0.9 and 0.1 were 0 and 0. */
+START_TEST(test_fractional_weights)
+{
+    const weight_case_t *test = &weight_cases[_i];
+    char bytes[512];
+    err_t err;
+    routing_t *routing;
+    int chosen = 0;
+    int i;
+
+    (void)snprintf(bytes, sizeof(bytes),
+                   ROUTES("\"Backends\":["
+                          "{\"Service\":\"s1\",\"Weight\":%s},"
+                          "{\"Service\":\"s2\",\"Weight\":%s}]"),
+                   test->weights[0], test->weights[1]);
+    routing = platform_read_routing(bytes, strlen(bytes), &err);
+    ck_assert_ptr_nonnull(routing);
+    for (i = 0; i < DRAWS; i++) {
+        const route_t *route = &routing->routes[0];
+        uint64_t total = route->shares[0].weight + route->shares[1].weight;
+        const char *name =
+            route_choose_service(route, total / DRAWS * (uint64_t)i);
+
+        if (name == NULL) {
+            chosen = -1;
+            break;
+        }
+        chosen += strcmp(name, "s2") == 0;
+    }
+    ck_assert_int_eq(chosen, test->expected);
+    routing_free(routing);
+}
+END_TEST
+
 static const char full_routing[] =
     "{\"Version\":7,\"Routes\":["
     "{\"Name\":\"a\",\"Host\":\"h.example\",\"PathPrefix\":\"/a/\","
@@ -215,8 +282,8 @@
     ck_assert_uint_eq(route->attempts_max, 5);
     ck_assert(route->resumable && !route->anonymous);
     ck_assert_uint_eq(route->event_gap_objective_ms, 700);
-    ck_assert_str_eq(route_choose_service(route, 89), "s1");
-    ck_assert_str_eq(route_choose_service(route, 90), "s2");
+    ck_assert_str_eq(route_choose_service(route, 90 * MILLION - 1), "s1");
+    ck_assert_str_eq(route_choose_service(route, 90 * MILLION), "s2");
     ck_assert_str_eq(routing_find_route(routing, "h.example", "/a/b/x")->name,
                      "b");
     ck_assert_ptr_null(routing_find_route(routing, "h.example", "/ab/"));
@@ -700,6 +767,8 @@
     tcase_add_loop_test(tcase, test_registration, 0,
                         COUNT(registration_cases));
     tcase_add_loop_test(tcase, test_routing, 0, COUNT(routing_cases));
+    tcase_add_loop_test(tcase, test_fractional_weights, 0,
+                        COUNT(weight_cases));
     tcase_add_test(tcase, test_full_routing);
     tcase_add_loop_test(tcase, test_caller, 0, COUNT(caller_cases));
     tcase_add_test(tcase, test_affinity);
--- a/world/routing.h
+++ b/world/routing.h
@@ -25,7 +25,7 @@
 /* A service that receives part of the requests of a route. */
 typedef struct {
     const char *service;
-    uint32_t weight; /* relative to the sum over the route */
+    uint64_t weight; /* relative to the sum over the route */
 } traffic_share_t;
 
 typedef struct {
