A route is identified by its host and prefix, not by its name

Callers saw: 503 no-version when they took up a stream whose route had been renamed since, although the runners of its service live. Two routes without a name, with one prefix on two hosts, were taken for one.

Cause: route_hash() was a hash of the name, or of the prefix alone.

Evidence: row route_that_was_renamed and two rows of test_route_hash in test_split_routes fail without the fix: "refuse 2 no-version 503", not equal for another name, equal for another host.

Fix: the hash is that of what requests are matched with: the host in lower case, and the prefix.

--- a/forward/route_services.c
+++ b/forward/route_services.c
@@ -5,6 +5,7 @@
  * one do, so a caller that takes up a stream gets it from the service that
  * began it, or not at all.
  */
+#include <ctype.h>
 #include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
@@ -17,6 +18,7 @@
 enum {
     /* If there are more, streams that nobody knows are uncertain. */
     FORMER_SERVICES_MAX = 1024,
+    HOST_BYTES_MAX = 255, /* of a DNS name */
 };
 
 /* A service that gets new streams of a route. */
@@ -43,9 +45,14 @@
 uint64_t
 route_hash(const route_t *route)
 {
-    const char *name = route->name != NULL ? route->name : route->prefix;
+    char host[HOST_BYTES_MAX];
+    size_t i;
 
-    return XXH3_64bits(name, strlen(name));
+    for (i = 0; i < sizeof(host) && route->host[i] != '\0'; i++) {
+        host[i] = (char)tolower((unsigned char)route->host[i]);
+    }
+    return XXH3_64bits_withSeed(route->prefix, strlen(route->prefix),
+                                XXH3_64bits(host, i));
 }
 
 /* Streams that have begun at the only service of a route, which is not the
@@ -217,12 +224,11 @@
     set.items = xcalloc(size + 1, sizeof(*set.items));
     for (i = 0; routing != NULL && i < routing->route_count; i++) {
         const route_t *route = &routing->routes[i];
-
+        uint64_t id = route_hash(route);
         size_t first = set.count;
 
         for (j = 0; is_tracked(route) && j < route->share_count; j++) {
             const char *service = route->shares[j].service;
-            uint64_t id = route_hash(route);
 
             if (route_share_is_drawn(route, j)) {
                 set.items[set.count] =
--- a/forward/route_services.h
+++ b/forward/route_services.h
@@ -27,7 +27,8 @@
     UT_hash_handle hh;
 } former_service_t;
 
-/* Returns a hash of the route's name, or of its prefix if it has none. */
+/* Returns a hash of the route's host and prefix, which identify it to callers;
+ * its name may change, and need not be there. */
 uint64_t route_hash(const route_t *route);
 
 /*
--- a/regress/forwarding.h
+++ b/regress/forwarding.h
@@ -36,9 +36,9 @@
  *                             as: another id, its address
  *   drop RUNNER
  *   list RUNNER... [version=V]  the whole registry, without records
- *   routing VERSION [split=SERVICE:WEIGHT,...]
+ *   routing VERSION [split=SERVICE:WEIGHT,...] [name=NAME]
  *                             the table of forwarding_routing(); split: the
- *                             services of the first route
+ *                             services of the first route; name: its name
  *   contact [revision=N] [source=NAME] [age=MS]
  *                             the table is in force now, or was MS ago
  *   bound APPLY LEAVE         the limits on the age of the view, in ms
--- a/regress/forwarding_line.c
+++ b/regress/forwarding_line.c
@@ -143,8 +143,12 @@
 line_shares(const line_t *line, routing_t *routing)
 {
     const char *text = line_value(line, "split");
+    const char *name = line_value(line, "name");
     route_t *route = &routing->routes[0];
 
+    if (name != NULL) {
+        route->name = arena_strdup(&routing->arena, name);
+    }
     if (text == NULL) {
         return;
     }
--- a/regress/forwarding_record.c
+++ b/regress/forwarding_record.c
@@ -6,6 +6,7 @@
 
 #include <xxhash.h>
 
+#include "forward/route_services.h"
 #include "regress/forwarding_private.h"
 
 static char key[FORWARDING_TEXT_BYTES];
@@ -24,7 +25,8 @@
 static void
 append_places(const line_t *line, size_t first)
 {
-    static const char route[] = "stream";
+    static const route_t route = {.host = "host.example",
+                                  .prefix = "/stream/"};
     size_t i;
 
     for (i = first; i < line->count; i++) {
@@ -35,7 +37,9 @@
 
             (void)snprintf(value + used, sizeof(value) - used, "@");
             append_hash(service + 1, strlen(service + 1), ' ');
-            append_hash(route, strlen(route), '\n');
+            used = strlen(value);
+            (void)snprintf(value + used, sizeof(value) - used,
+                           "%016" PRIx64 "\n", route_hash(&route));
         }
     }
 }
--- a/regress/test_split_routes.c
+++ b/regress/test_split_routes.c
@@ -7,6 +7,7 @@
 
 #include <check.h>
 
+#include "forward/route_services.h"
 #include "regress/fixture.h"
 #include "regress/forwarding.h"
 
@@ -51,6 +52,13 @@
     {970, "request 3 stream", "send 3.1 tb1"},
 };
 
+static const forwarding_line_t route_that_was_renamed[] = {
+    BEGUN_AT_ONLY_R,
+    {910, "routing 2 split=r:1 name=chat", NULL},
+    {950, "gone 1", "cancel 1.1"},
+    {960, "request 2 stream after=0 resumes=q1", TAKEN_UP_AT_R},
+};
+
 static const forwarding_line_t service_of_another_hosts_stream[] = {
     {0, "routing 1 split=r:1,t:1000000", ""},
     RUNNERS,
@@ -219,6 +227,7 @@
     FORWARDING_SCRIPT(route_whose_weights_are_all_0),
     FORWARDING_SCRIPT(service_whose_weight_became_0),
     FORWARDING_SCRIPT(service_that_left_the_route),
+    FORWARDING_SCRIPT(route_that_was_renamed),
     FORWARDING_SCRIPT(service_of_another_hosts_stream),
     FORWARDING_SCRIPT(service_that_left_before_another_host_died),
     FORWARDING_SCRIPT(stream_whose_version_is_not_told),
@@ -246,6 +255,31 @@
 }
 END_TEST
 
+typedef struct {
+    route_t route;
+    bool same; /* as host.example/stream/ */
+} route_case_t;
+
+static const route_case_t routes[] = {
+    {{.host = "host.example", .prefix = "/stream/"}, true},
+    {{.host = "Host.EXAMPLE", .prefix = "/stream/"}, true},
+    {{.host = "host.example", .prefix = "/stream/", .name = "chat"}, true},
+    {{.host = "other.example", .prefix = "/stream/"}, false},
+    {{.host = "host.example", .prefix = "/Stream/"}, false},
+    {{.host = "host.example", .prefix = "/stream/b/"}, false},
+    {{.host = "host.example/stream", .prefix = "/"}, false},
+};
+
+/* Routes without a name on two hosts were taken for one. */
+START_TEST(test_route_hash)
+{
+    route_t route = {.host = "host.example", .prefix = "/stream/"};
+
+    ck_assert_int_eq(route_hash(&routes[_i].route) == route_hash(&route),
+                     routes[_i].same);
+}
+END_TEST
+
 /* Returns how many of 1,000 new streams are sent to service r. */
 static uint32_t
 count_new_streams_at_r(const char *routing)
@@ -285,6 +319,8 @@
 
     tcase_add_loop_test(tcase, test_script, 0,
                         sizeof(scripts) / sizeof(scripts[0]));
+    tcase_add_loop_test(tcase, test_route_hash, 0,
+                        sizeof(routes) / sizeof(routes[0]));
     tcase_add_test(tcase, test_new_streams_keep_their_weights);
     return fixture_main("split_routes", tcase);
 }
