Remove the stream records of hosts that are gone for good

Cause: only the host itself removes its record.

Fix: hosts remember when each other host's record changed and when that host was listed or sent a report. After five minutes without any of these they remove the record if it is still the same, one host after the other in an order that the name draws. A host that lives after all meets a conflict at its next write and repeats it. Cost: at most one write per lost host in most cases; none while hosts live.

--- a/forward/forward.c
+++ b/forward/forward.c
@@ -76,6 +76,7 @@
     versions_free(forward);
     route_services_free(forward);
     version_record_free(forward);
+    host_records_free(forward);
     suspicion_free(forward);
     routing_free(forward->routing);
     pool_free(forward->pool);
--- a/forward/private.h
+++ b/forward/private.h
@@ -9,8 +9,9 @@
  * runners.  identify.c establishes which start of a runner answers.  relay.c
  * relays requests to other hosts, and grant.c counts what these use of them.
  * versions.c keeps the services and versions of streams in memory,
- * version_record.c and stream_record.c in the store; route_services.c keeps
- * the services that routes have left.  rollouts.c moves services from one
+ * version_record.c and stream_record.c in the store, where host_records.c
+ * removes what lost hosts have left; route_services.c keeps the services that
+ * routes have left.  rollouts.c moves services from one
  * version to another.  sharing.c exchanges load with other hosts, notes.c
  * their findings; suspicion.c detects requests that crash runners.
  */
@@ -24,6 +25,7 @@
 #include "base/text.h"
 #include "forward/crashes.h"
 #include "forward/forward.h"
+#include "forward/host_records.h"
 #include "forward/pool.h"
 #include "forward/rollouts.h"
 #include "forward/route_services.h"
@@ -309,6 +311,8 @@
     bool routes_split; /* streams of some route have several services */
     version_record_t *version_records; /* by service */
     streams_record_t streams_record;
+    host_record_t *host_records; /* by host */
+    int64_t host_records_due_us; /* when they are looked at next */
     bool records_known;          /* the store was read */
     bool records_changed;        /* they are checked at the end of the step */
     int64_t records_due_us;      /* when they are checked next */
@@ -693,6 +697,8 @@
 void stream_record_check(forward_t *forward);
 /* Returns when a write is due; INT64_MAX: never. */
 int64_t stream_record_due_us(const forward_t *forward);
+/* Returns the key of the host's streams. */
+const char *stream_record_key(arena_t *arena, const char *host);
 
 /* --- notes.c --- */
 
--- a/forward/stream_record.c
+++ b/forward/stream_record.c
@@ -29,7 +29,6 @@
                        const stream_version_t *group);
 static const char *read_place(const char *place, stream_version_t *group);
 static void write_streams(forward_t *forward);
-static const char *own_streams_key(const forward_t *forward, arena_t *arena);
 
 bool
 forward_is_stream_record(const char *key)
@@ -41,6 +40,7 @@
 stream_record_list_begin(forward_t *forward)
 {
     forward->streams_record.listed = false;
+    host_records_list_begin(forward);
 }
 
 /* A restored store has an older record, or none. */
@@ -50,6 +50,7 @@
     if (!forward->streams_record.listed) {
         forward->streams_record.revision = 0;
     }
+    host_records_list_end(forward);
     if (forward->store_restored && is_wanted(forward)) {
         stream_record_set_due(forward, forward->now_us);
     }
@@ -60,8 +61,8 @@
 void
 stream_record_apply(forward_t *forward, const forward_record_t *record)
 {
-    bool own =
-        strcmp(record->key + strlen(streams_prefix), forward->host) == 0;
+    const char *host = record->key + strlen(streams_prefix);
+    bool own = strcmp(host, forward->host) == 0;
     const char *line = record->value != NULL ? record->value : "";
     const char *place = strstr(line, STREAM_PLACE_MARK);
     const char *end = place != NULL ? place : line + strlen(line);
@@ -70,8 +71,11 @@
         forward->streams_record.revision = record->revision;
         forward->streams_record.listed = true;
     }
-    else if (forward->streams_record.dirty) {
-        stream_record_set_due(forward, forward->now_us);
+    else {
+        host_records_apply(forward, host, record);
+        if (forward->streams_record.dirty) {
+            stream_record_set_due(forward, forward->now_us);
+        }
     }
     while (line < end) {
         stream_version_t group = {.own = own};
@@ -158,7 +162,7 @@
 write_streams(forward_t *forward)
 {
     arena_t *arena = &forward->actions->arena;
-    const char *key = own_streams_key(forward, arena);
+    const char *key = stream_record_key(arena, forward->host);
     text_t value = {0};
 
     forward->streams_record.dirty = false;
@@ -186,8 +190,16 @@
 stream_record_written(forward_t *forward, const forward_put_result_t *result)
 {
     streams_record_t *streams = &forward->streams_record;
+    const char *host = result->record.key + strlen(streams_prefix);
     bool failed = result->outcome == FORWARD_PUT_FAILED;
 
+    if (strcmp(host, forward->host) != 0) {
+        host_records_removed(forward, host);
+        if (!failed) {
+            stream_record_apply(forward, &result->record);
+        }
+        return failed ? 1 : 0;
+    }
     streams->pending = false;
     if (!failed) {
         streams->failures = 0;
@@ -214,18 +226,22 @@
         forward->now_us >= streams->due_us) {
         write_streams(forward);
     }
+    host_records_check(forward);
 }
 
 int64_t
 stream_record_due_us(const forward_t *forward)
 {
     const streams_record_t *streams = &forward->streams_record;
+    int64_t due_us = host_records_due_us(forward);
 
-    return streams->dirty && !streams->pending ? streams->due_us : INT64_MAX;
+    return streams->dirty && !streams->pending && streams->due_us < due_us
+               ? streams->due_us
+               : due_us;
 }
 
-static const char *
-own_streams_key(const forward_t *forward, arena_t *arena)
+const char *
+stream_record_key(arena_t *arena, const char *host)
 {
-    return arena_printf(arena, "%s%s", streams_prefix, forward->host);
+    return arena_printf(arena, "%s%s", streams_prefix, host);
 }
--- a/regress/forwarding.h
+++ b/regress/forwarding.h
@@ -55,9 +55,10 @@
  *                             first note says that RUNNER has moved,
  *                             or leaves
  *   record versions/SERVICE|streams/HOST rev=N
- *        [VERSION[:REQUEST,...[@SERVICE]]]...
- *                             what the store has; rev: revision of the key
- *   written KEY ok|conflict|failed rev=N [VERSION[:REQUEST,...]]...
+ *        [VERSION[:REQUEST,...[@SERVICE]]]... [gone]
+ *                             what the store has; rev: revision of the key;
+ *                             gone: it has been removed
+ *   written KEY ok|conflict|failed rev=N [VERSION[:REQUEST,...]]... [gone]
  *                             how a write of a record has ended
  *   order SERVICE to=VERSION duration=MS rev=N | order SERVICE gone
  *                             an order to move a service to a version
--- a/regress/forwarding_record.c
+++ b/regress/forwarding_record.c
@@ -78,7 +78,7 @@
     write_value(line, first);
     return (forward_record_t){
         .key = key,
-        .value = value,
+        .value = line_has(line, "gone") ? NULL : value,
         .revision = revision != NULL ? strtoll(revision, NULL, DECIMAL) : 0,
     };
 }
--- a/regress/test_version_record.c
+++ b/regress/test_version_record.c
@@ -290,6 +290,63 @@
     {7910, "record streams/h2 rev=9 1:q7", "put streams/h1 words=2 rev=0"},
 };
 
+/* Hosts that come back under other names must not fill the store. */
+#define LOST_HOST                                                             \
+    {0, "list ra1", ""}, {0, "fleet h1", ""},                                 \
+    {                                                                         \
+        2, "record streams/h2 rev=7 1:q9", ""                                 \
+    }
+
+static const forwarding_line_t record_of_a_lost_host_is_removed[] = {
+    LOST_HOST,
+    {299000, "timer", ""},
+    {310000, "timer", "remove streams/h2 words=0 rev=7"},
+    {321000, "timer", ""},
+    {322000, "written streams/h2 ok gone", ""},
+    {900000, "timer", ""},
+};
+
+static const forwarding_line_t record_is_removed_after_a_failure[] = {
+    LOST_HOST,
+    {310000, "timer", "remove streams/h2 words=0 rev=7"},
+    {311000, "written streams/h2 failed", ""},
+    {321000, "timer", "remove streams/h2 words=0 rev=7"},
+};
+
+static const forwarding_line_t record_that_has_changed_is_kept[] = {
+    LOST_HOST,
+    {200000, "record streams/h2 rev=8 1:q8", ""},
+    {310000, "timer", ""},
+    {511000, "timer", "remove streams/h2 words=0 rev=8"},
+    {512000, "written streams/h2 conflict rev=9 1:q7", ""},
+    {522000, "timer", ""},
+};
+
+static const forwarding_line_t record_of_a_host_that_reports_is_kept[] = {
+    LOST_HOST,
+    {200000, "peer h2 ra1/1 number=9", NULL},
+    {201000, "timer", NULL},
+    {310000, "timer", ""},
+    {520000, "timer", "remove streams/h2 words=0 rev=7"},
+};
+
+static const forwarding_line_t record_of_a_host_that_is_listed_is_kept[] = {
+    LOST_HOST,
+    {3, "fleet h1 h2", ""},
+    {310000, "timer", ""},
+    {900000, "timer", ""},
+};
+
+/* Two hosts come before this one. */
+static const forwarding_line_t hosts_remove_a_record_in_their_order[] = {
+    {0, "list ra1", ""},
+    {0, "fleet h1 h3 h4", ""},
+    {2, "record streams/h5 rev=7 1:q9", ""},
+    {310000, "timer", ""},
+    {335000, "timer", ""},
+    {345000, "timer", "remove streams/h5 words=0 rev=7"},
+};
+
 /* The first time that a second version is recorded. */
 static const forwarding_line_t earlier_streams_are_not_written[] = {
     RECORDED,
@@ -369,6 +426,12 @@
     FORWARDING_SCRIPT(streams_before_a_restart_are_overwritten),
     FORWARDING_SCRIPT(complete_stream_stays_written),
     FORWARDING_SCRIPT(streams_stay_when_one_version_is_left),
+    FORWARDING_SCRIPT(record_of_a_lost_host_is_removed),
+    FORWARDING_SCRIPT(record_is_removed_after_a_failure),
+    FORWARDING_SCRIPT(record_that_has_changed_is_kept),
+    FORWARDING_SCRIPT(record_of_a_host_that_reports_is_kept),
+    FORWARDING_SCRIPT(record_of_a_host_that_is_listed_is_kept),
+    FORWARDING_SCRIPT(hosts_remove_a_record_in_their_order),
 };
 
 START_TEST(test_script)
