One function for the hashes of services' names

pool_hash_service() is what relays and records use; reports, budgets and rollouts had copies of it. The hashes are the same but for a hash of 0, which stands for no service. Tests of the files concerned pass.

--- a/forward/relay.c
+++ b/forward/relay.c
@@ -12,8 +12,6 @@
 #include <string.h>
 #include <syslog.h>
 
-#include <xxhash.h>
-
 #include "forward/private.h"
 
 enum {
@@ -239,7 +237,7 @@
 host_is_isolated(const forward_t *forward, const char *host,
                  const char *service)
 {
-    uint64_t hash = XXH3_64bits(service, strlen(service));
+    uint64_t hash = pool_hash_service(service);
     const peer_state_t *view;
     uint32_t i;
 
--- a/forward/rollouts.c
+++ b/forward/rollouts.c
@@ -10,8 +10,6 @@
 #include <string.h>
 #include <syslog.h>
 
-#include <xxhash.h>
-
 #include "base/revision.h"
 #include "forward/private.h"
 
@@ -56,7 +54,7 @@
     if (entry == NULL) {
         entry = xcalloc(1, sizeof(*entry));
         entry->service = xstrdup(service);
-        entry->service_hash = XXH3_64bits(service, strlen(service));
+        entry->service_hash = pool_hash_service(service);
         HASH_ADD_KEYPTR(hh, forward->rollouts, entry->service,
                         strlen(entry->service), entry);
     }
--- a/forward/sharing.c
+++ b/forward/sharing.c
@@ -10,8 +10,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include <xxhash.h>
-
 #include "forward/private.h"
 
 /* A host with streams sends a report at least every 0.5 s.  With more than
@@ -109,7 +107,7 @@
 retry_use_t
 peers_retry_use(const forward_t *forward, const char *service)
 {
-    uint64_t hash = XXH3_64bits(service, strlen(service));
+    uint64_t hash = pool_hash_service(service);
     retry_use_t use = {0};
     const peer_state_t *view;
     uint32_t i;
@@ -288,7 +286,7 @@
                                            forward->now_us);
 
         placements->budgets.budgets_val[count] = (budget_use_t){
-            .service = XXH3_64bits(budget->service, strlen(budget->service)),
+            .service = pool_hash_service(budget->service),
             .requests = (uint32_t)use.requests,
             .retry_count = (uint32_t)use.retries,
             .isolated = relay_is_isolated(forward, budget->service),
--- a/forward/versions.c
+++ b/forward/versions.c
@@ -12,8 +12,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include <xxhash.h>
-
 #include "forward/private.h"
 
 enum { STREAMS_MAX = 16384 };
@@ -400,8 +398,7 @@
     }
     for (service = forward->budgets; service != NULL;
          service = service->hh.next) {
-        if (XXH3_64bits(service->service, strlen(service->service)) ==
-                use->service &&
+        if (pool_hash_service(service->service) == use->service &&
             service->versions_us < seen_us) {
             service->versions_us = seen_us;
         }
