One look-up for the service of a stream that has begun

Cause: admission, grants and versions each had "the services of the route, or else any service with runners", with small variations; admission looked through all runners for a service that the grant did not name.

Change: route_services_find_begun() is that look-up; behaviour stays as it is.

--- a/forward/admission.c
+++ b/forward/admission.c
@@ -301,11 +301,10 @@
     request->split = route->type == REQUEST_STREAM && route->resumable &&
                      route_services_only(forward, route) == NULL;
     if (request->relayed && incoming->grant.service != 0) {
-        name = route_services_find(forward, request->route,
-                                   incoming->grant.service);
-    }
-    if (takes_up && name == NULL && request->relayed) {
-        name = pool_find_service(forward->pool, incoming->grant.service);
+        name = takes_up ? route_services_find_begun(forward, request->route,
+                                                    incoming->grant.service)
+                        : route_services_find(forward, request->route,
+                                              incoming->grant.service);
     }
     if (takes_up && name == NULL) {
         name = versions_find_service(forward, request);
--- a/forward/grant.c
+++ b/forward/grant.c
@@ -161,10 +161,7 @@
     if (service == 0 || service == pool_hash_service(request->service)) {
         return;
     }
-    name = route_services_find(forward, request->route, service);
-    if (name == NULL) {
-        name = pool_find_service(forward->pool, service);
-    }
+    name = route_services_find_begun(forward, request->route, service);
     if (name != NULL) {
         request_set_service(forward, request, name);
     }
--- a/forward/route_services.c
+++ b/forward/route_services.c
@@ -160,6 +160,15 @@
     return former != NULL ? former->service : NULL;
 }
 
+const char *
+route_services_find_begun(const forward_t *forward, uint64_t route,
+                          uint64_t service)
+{
+    const char *name = route_services_find(forward, route, service);
+
+    return name != NULL ? name : pool_find_service(forward->pool, service);
+}
+
 bool
 route_services_is_former(const forward_t *forward, const char *service)
 {
--- a/forward/route_services.h
+++ b/forward/route_services.h
@@ -57,6 +57,11 @@
 const char *route_services_find(const struct forward *forward, uint64_t route,
                                 uint64_t service);
 
+/* The same for a stream that is known to have begun there on this route: its
+ * runners may be all that is left of the service. */
+const char *route_services_find_begun(const struct forward *forward,
+                                      uint64_t route, uint64_t service);
+
 /* Returns whether streams of a route may still be at the service, although new
  * ones are not sent there. */
 bool route_services_is_former(const struct forward *forward,
--- a/forward/versions.c
+++ b/forward/versions.c
@@ -150,7 +150,6 @@
 versions_find_service(const forward_t *forward, const request_t *request)
 {
     const stream_version_t *entry = find_stream(forward, request->stream);
-    const char *name;
 
     if (entry == NULL || entry->service == 0) {
         return route_services_only(
@@ -159,11 +158,10 @@
     if (entry->route != 0 && entry->route != request->route) {
         return NULL;
     }
-    name = route_services_find(forward, request->route, entry->service);
-    if (name == NULL && entry->route == request->route) {
-        name = pool_find_service(forward->pool, entry->service);
-    }
-    return name;
+    return entry->route != 0
+               ? route_services_find_begun(forward, entry->route,
+                                           entry->service)
+               : route_services_find(forward, request->route, entry->service);
 }
 
 version_answer_t
