find_stream() for all look-ups of a stream's entry

Change: all four call it; behaviour stays as it is.

Measured: test_split_routes, test_versions and test_version_record pass.

--- a/forward/versions.c
+++ b/forward/versions.c
@@ -27,8 +27,8 @@
 
 static void record_own(forward_t *forward, const request_t *request,
                        uint64_t version, bool own);
-static const stream_version_t *find_stream(const forward_t *forward,
-                                           uint64_t stream);
+static stream_version_t *find_stream(const forward_t *forward,
+                                     uint64_t stream);
 static version_answer_t find_only_version(forward_t *forward,
                                           request_t *request);
 static bool settle_service(forward_t *forward, request_t *request,
@@ -82,10 +82,8 @@
 void
 versions_end_stream(forward_t *forward, const request_t *request)
 {
-    stream_version_t *entry;
+    stream_version_t *entry = find_stream(forward, request->stream);
 
-    HASH_FIND(hh, forward->stream_versions, &request->stream,
-              sizeof(request->stream), entry);
     if (entry != NULL) {
         entry->own = false;
     }
@@ -101,8 +99,7 @@
     if (begun->version == 0 && begun->service == 0) {
         return;
     }
-    HASH_FIND(hh, forward->stream_versions, &begun->stream,
-              sizeof(begun->stream), entry);
+    entry = find_stream(forward, begun->stream);
     if (entry != NULL) {
         entry->own = entry->own || begun->own;
         entry->split = entry->split || begun->split;
@@ -137,7 +134,7 @@
              entry);
 }
 
-static const stream_version_t *
+static stream_version_t *
 find_stream(const forward_t *forward, uint64_t stream)
 {
     stream_version_t *entry;
