One check of which routes have streams that can be taken up

Cause: admission asked twice for what route_services.c had a function for, and list_pairs() asked it once for each service and hashed routes without such streams. Four comments still called the hash of a route one of its name.

Change: route_is_resumable() is that check; the comments name route_hash(). Behaviour stays as it is.

--- a/forward/admission.c
+++ b/forward/admission.c
@@ -294,12 +294,11 @@
 choose_service(forward_t *forward, request_t *request, const route_t *route,
                const forward_request_t *incoming)
 {
-    bool takes_up = route->type == REQUEST_STREAM && route->resumable &&
-                    request->last_event_id >= 0;
+    bool resumable = route_is_resumable(route);
+    bool takes_up = resumable && request->last_event_id >= 0;
     const char *name = NULL;
 
-    request->split = route->type == REQUEST_STREAM && route->resumable &&
-                     route_services_only(forward, route) == NULL;
+    request->split = resumable && route_services_only(forward, route) == NULL;
     if (request->relayed && incoming->grant.service != 0) {
         name = takes_up ? route_services_find_begun(forward, request->route,
                                                     incoming->grant.service)
--- a/forward/canary.h
+++ b/forward/canary.h
@@ -36,7 +36,7 @@
 } canary_arm_t;
 
 typedef struct {
-    uint64_t route; /* hash of its name; 0: none */
+    uint64_t route; /* its route_hash(); 0: none */
     canary_arm_t old_version;
     canary_arm_t new_version;
 } canary_route_t;
--- a/forward/private.h
+++ b/forward/private.h
@@ -113,7 +113,7 @@
     uint32_t prompt_tokens;
     uint32_t event_tokens; /* of an event of its stream; 0: not known */
     uint64_t affinity;
-    uint64_t route;     /* hash of its name */
+    uint64_t route;     /* its route_hash() */
     bool canary;        /* for the new version, while that is judged */
     bool failed_at_new; /* the new version has responded with an error */
     uint64_t fingerprint;
@@ -276,7 +276,7 @@
 typedef struct {
     uint64_t stream;
     uint64_t service; /* hash of its name; 0: not known */
-    uint64_t route;   /* hash of its name; 0: not known */
+    uint64_t route;   /* its route_hash(); 0: not known */
     uint64_t version; /* of the service's software; 0: not told yet */
     bool own;   /* this host began it, and it has not ended as complete */
     bool split; /* its route alone does not tell its service */
--- a/forward/route_services.c
+++ b/forward/route_services.c
@@ -35,13 +35,18 @@
     bool split; /* a route has several services */
 } pair_set_t;
 
-static bool is_tracked(const route_t *route);
 static uint64_t hash_pair(uint64_t route, uint64_t service);
 static pair_set_t list_pairs(const routing_t *routing);
 static bool contains_pair(const pair_set_t *set, const pair_t *pair);
 static void add_former(forward_t *forward, const pair_t *pair);
 static void remove_former(forward_t *forward, former_service_t *former);
 
+bool
+route_is_resumable(const route_t *route)
+{
+    return route->type == REQUEST_STREAM && route->resumable;
+}
+
 uint64_t
 route_hash(const route_t *route)
 {
@@ -102,7 +107,7 @@
     size_t i;
 
     for (i = 0; routing != NULL && i < routing->route_count; i++) {
-        if (is_tracked(&routing->routes[i]) &&
+        if (route_is_resumable(&routing->routes[i]) &&
             route_hash(&routing->routes[i]) == route) {
             return &routing->routes[i];
         }
@@ -196,12 +201,6 @@
     }
 }
 
-static bool
-is_tracked(const route_t *route)
-{
-    return route->type == REQUEST_STREAM && route->resumable;
-}
-
 static uint64_t
 hash_pair(uint64_t route, uint64_t service)
 {
@@ -226,17 +225,21 @@
     size_t j;
 
     for (i = 0; routing != NULL && i < routing->route_count; i++) {
-        size += is_tracked(&routing->routes[i])
+        size += route_is_resumable(&routing->routes[i])
                     ? routing->routes[i].share_count
                     : 0;
     }
     set.items = xcalloc(size + 1, sizeof(*set.items));
     for (i = 0; routing != NULL && i < routing->route_count; i++) {
         const route_t *route = &routing->routes[i];
-        uint64_t id = route_hash(route);
         size_t first = set.count;
+        uint64_t id;
 
-        for (j = 0; is_tracked(route) && j < route->share_count; j++) {
+        if (!route_is_resumable(route)) {
+            continue;
+        }
+        id = route_hash(route);
+        for (j = 0; j < route->share_count; j++) {
             const char *service = route->shares[j].service;
 
             if (route_share_is_drawn(route, j)) {
--- a/forward/route_services.h
+++ b/forward/route_services.h
@@ -27,6 +27,9 @@
     UT_hash_handle hh;
 } former_service_t;
 
+/* Returns whether callers may take up streams of the route. */
+bool route_is_resumable(const route_t *route);
+
 /* Returns a hash of the route's host and prefix, which identify it to callers;
  * its name may change, and need not be there. */
 uint64_t route_hash(const route_t *route);
@@ -39,7 +42,7 @@
  */
 void route_services_replace(struct forward *forward, const routing_t *next);
 
-/* Returns the route whose name has this hash, or NULL. */
+/* Returns the route with this hash, or NULL. */
 const route_t *route_services_route(const struct forward *forward,
                                     uint64_t route);
 
