test_split_routes: one macro for the streams that begin at service r

Cause: two macros differed in the shares of the route alone.

Change: BEGUN_WITH() takes the shares; the lines of all scripts stay the same.

Measured: test_split_routes passes, 31 checks as before.

--- a/regress/test_split_routes.c
+++ b/regress/test_split_routes.c
@@ -20,20 +20,15 @@
         1, "record versions/t rev=6 1", ""                                    \
     }
 /* Stream q1 begins at service r, which gets all new streams. */
-#define BEGUN_AT_R                                                            \
-    {0, "routing 1 split=r:1,t:0", ""}, RUNNERS,                              \
-        {10, "request 1 stream", "send 1.1 rb1 backup=10.17.0.1:80"},         \
-        {900, "head 1 1 200", "begin 1.1"},                                   \
-    {                                                                         \
-        900, "event 1 1 0", ""                                                \
-    }
-#define BEGUN_AT_ONLY_R                                                       \
-    {0, "routing 1 split=r:1", ""}, RUNNERS,                                  \
+#define BEGUN_WITH(shares)                                                    \
+    {0, "routing 1 split=" shares, ""}, RUNNERS,                              \
         {10, "request 1 stream", "send 1.1 rb1 backup=10.17.0.1:80"},         \
         {900, "head 1 1 200", "begin 1.1"},                                   \
     {                                                                         \
         900, "event 1 1 0", ""                                                \
     }
+#define BEGUN_AT_R BEGUN_WITH("r:1,t:0")
+#define BEGUN_AT_ONLY_R BEGUN_WITH("r:1")
 #define TAKEN_UP_AT_R "send 2.1 ra1 backup=10.17.1.1:80 resume"
 #define REFUSED "refuse 2 no-version 503 not-run after=50"
 
