Tests: keep the ports of a gateway from other processes

Cause: find_free_address() closed the port that the kernel had given it, and the gateway bound it later; in between, the kernel gave it to another process.

Fix: the socket stays bound, without listening, as long as the gateway of the test lives. With SO_REUSEADDR on it the gateway binds and listens at the same address, and the kernel gives the port to no one else.

--- a/regress/gateway_host.c
+++ b/regress/gateway_host.c
@@ -38,8 +38,9 @@
     "{\"Name\":\"plain\"}],"
     "\"Tenants\":[{\"Name\":\"o1\",\"ApiKeys\":[\"k1\"]}]}";
 
-static void find_free_addresses(gateway_host_t *host);
-static int find_free_address(char *text, size_t size);
+static void reserve_addresses(gateway_host_t *host);
+static int reserve_address(char *text, size_t size);
+static void release_addresses(gateway_host_t *host);
 static void on_found(void *context, kv_result_t result, int64_t revision,
                      const kv_pair_t *pairs, size_t count);
 static void on_put(void *context, kv_result_t result, int64_t revision,
@@ -63,7 +64,7 @@
 
     memset(host, 0, sizeof(*host));
     fixture_open(&host->fixture);
-    find_free_addresses(host);
+    reserve_addresses(host);
     host->settings = (gateway_settings_t){
         .host = "h1",
         .zone = "a",
@@ -105,6 +106,7 @@
         canned_free(host->runners[i]);
     }
     fixture_close(&host->fixture);
+    release_addresses(host);
 }
 
 void
@@ -223,43 +225,55 @@
     uv_close((uv_handle_t *)&caller->socket, on_caller_closed);
 }
 
-/* A port that was free a moment ago. */
 static void
-find_free_addresses(gateway_host_t *host)
+reserve_addresses(gateway_host_t *host)
 {
-    /* Closed together, so that no port is found twice. */
-    int fds[] = {
-        find_free_address(host->listen_address, sizeof(host->listen_address)),
-        find_free_address(host->readiness_address,
-                          sizeof(host->readiness_address)),
-        find_free_address(host->lookup_address, sizeof(host->lookup_address)),
-        find_free_address(host->metrics_address,
-                          sizeof(host->metrics_address)),
-        find_free_address(host->peer_address, sizeof(host->peer_address)),
+    char *addresses[GATEWAY_PORTS] = {
+        host->listen_address,  host->readiness_address, host->lookup_address,
+        host->metrics_address, host->peer_address,
     };
     size_t i;
 
-    for (i = 0; i < sizeof(fds) / sizeof(fds[0]); i++) {
-        (void)close(fds[i]);
+    for (i = 0; i < GATEWAY_PORTS; i++) {
+        host->port_fds[i] =
+            reserve_address(addresses[i], sizeof(host->listen_address));
     }
 }
 
-/* Returns a socket that is bound to the address. */
+/*
+ * Returns a socket that is bound to a port of the kernel's choice.  With
+ * SO_REUSEADDR another socket can bind and listen there, while the kernel
+ * gives the port to no one else.
+ */
 static int
-find_free_address(char *text, size_t size)
+reserve_address(char *text, size_t size)
 {
     struct sockaddr_in address = {.sin_family = AF_INET};
     socklen_t length = sizeof(address);
-    int fd = socket(AF_INET, SOCK_STREAM, 0);
+    int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    int one = 1;
 
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     ck_assert_int_eq(bind(fd, (struct sockaddr *)&address, sizeof(address)),
                      0);
+    /* Set after bind(): before it, the kernel may choose a port in use. */
+    ck_assert_int_eq(
+        setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one)), 0);
     ck_assert_int_eq(getsockname(fd, (struct sockaddr *)&address, &length), 0);
     (void)snprintf(text, size, "127.0.0.1:%d", ntohs(address.sin_port));
     return fd;
 }
 
+static void
+release_addresses(gateway_host_t *host)
+{
+    size_t i;
+
+    for (i = 0; i < GATEWAY_PORTS; i++) {
+        (void)close(host->port_fds[i]);
+    }
+}
+
 static void
 on_found(void *context, kv_result_t result, int64_t revision,
          const kv_pair_t *pairs, size_t count)
--- a/regress/gateway_host.h
+++ b/regress/gateway_host.h
@@ -12,7 +12,7 @@
 #include "regress/canned.h"
 #include "regress/fixture.h"
 
-enum { GATEWAY_RUNNERS_MAX = 4 };
+enum { GATEWAY_RUNNERS_MAX = 4, GATEWAY_PORTS = 5 };
 
 /* The key that hosts share. */
 #define GATEWAY_HOST_PEER_KEY                                                 \
@@ -29,6 +29,7 @@
     char lookup_address[64];
     char metrics_address[64];
     char peer_address[64];
+    int port_fds[GATEWAY_PORTS]; /* keep the addresses from others */
 } gateway_host_t;
 
 /*
