record_writers_before(): its name may be that of a host

Cause: since host_records.c, the order of the hosts is asked for records of hosts, too; the parameter was still called service, and both comments spoke of a service only.

Change: the parameter is name, and the comments say whose. No behaviour is changed.

--- a/forward/private.h
+++ b/forward/private.h
@@ -677,8 +677,9 @@
                         int64_t revision);
 /* Returns the delay of the next try after consecutive failures. */
 int64_t version_record_retry_us(forward_t *forward, uint32_t failures);
-/* Returns how many hosts write the records of the service before this one. */
-uint32_t record_writers_before(const forward_t *forward, const char *service);
+/* Returns how many hosts write the record before this one.  name: the service
+ * or the host that the record is of. */
+uint32_t record_writers_before(const forward_t *forward, const char *name);
 
 /* --- stream_record.c; version_record.c calls it, but for the first --- */
 
--- a/forward/version_record.c
+++ b/forward/version_record.c
@@ -481,11 +481,11 @@
     return due_us > record->retry_at_us ? due_us : record->retry_at_us;
 }
 
-/* The order of the hosts is drawn by the service's name. */
+/* The name draws the order of the hosts. */
 uint32_t
-record_writers_before(const forward_t *forward, const char *service)
+record_writers_before(const forward_t *forward, const char *name)
 {
-    uint64_t seed = XXH3_64bits(service, strlen(service));
+    uint64_t seed = XXH3_64bits(name, strlen(name));
     uint64_t own_hash =
         XXH3_64bits_withSeed(forward->host, strlen(forward->host), seed);
     const pool_runner_t *host;
@@ -493,10 +493,10 @@
 
     for (host = pool_first_runner(forward->host_pool); host != NULL;
          host = host->hh.next) {
-        const char *name = host->registration.id;
+        const char *id = host->registration.id;
 
         if (pool_runner_usable(host, forward->now_us) &&
-            XXH3_64bits_withSeed(name, strlen(name), seed) > own_hash) {
+            XXH3_64bits_withSeed(id, strlen(id), seed) > own_hash) {
             count++;
         }
     }
