test_split_routes: COUNT() of fixture.h for both tables

Cause: the table of routes was counted by an expression of its own beside a macro that the test already includes.

Change: COUNT() for both tables; the rows and their checks are the same.

--- a/regress/test_split_routes.c
+++ b/regress/test_split_routes.c
@@ -312,10 +312,8 @@
 {
     TCase *tcase = tcase_create("split_routes");
 
-    tcase_add_loop_test(tcase, test_script, 0,
-                        sizeof(scripts) / sizeof(scripts[0]));
-    tcase_add_loop_test(tcase, test_route_hash, 0,
-                        sizeof(routes) / sizeof(routes[0]));
+    tcase_add_loop_test(tcase, test_script, 0, COUNT(scripts));
+    tcase_add_loop_test(tcase, test_route_hash, 0, COUNT(routes));
     tcase_add_test(tcase, test_new_streams_keep_their_weights);
     return fixture_main("split_routes", tcase);
 }
